--- /dev/null
+++ b/src/bin/bayplankd.rs
@@ -0,0 +1,7 @@
+//! `bayplankd`: the daemon on an entry host.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    bayplank::cli::run_daemon()
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,10 @@
+//! The programs' command lines.
+
+mod check;
+mod command;
+mod daemon;
+mod demo;
+mod exit;
+mod operate;
+
+pub use self::{command::run_command, daemon::run_daemon, demo::demo_objects, exit::*};
--- /dev/null
+++ b/src/event/catalogue.rs
@@ -0,0 +1,84 @@
+//! The catalogue of events; `docs/events.md` is made from it.
+
+use {log::Level, std::fmt::Write};
+
+/// One kind of event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EventKind {
+    /// Its number, which never changes.
+    pub number: u16,
+    /// Its name.
+    pub name: &'static str,
+    /// How much it matters.
+    pub level: Level,
+    /// What happened.
+    pub meaning: &'static str,
+    /// What it asks of an operator.
+    pub action: &'static str,
+}
+
+macro_rules! events {
+    ($($(#[doc = $doc:literal])* $id:ident = $number:literal, $name:literal, $level:ident, $meaning:literal, $action:literal;)*) => {
+        $(
+            #[doc = $meaning]
+            pub const $id: EventKind = EventKind {
+                number: $number,
+                name: $name,
+                level: Level::$level,
+                meaning: $meaning,
+                action: $action,
+            };
+        )*
+        /// All events, by number.
+        pub const CATALOGUE: &[EventKind] = &[$($id),*];
+    };
+}
+
+events! {
+    HOST_STARTED = 101, "host-started", Info, "The entry host listens.", "None.";
+    HOST_STOPPING = 102, "host-stopping", Info, "A planned stop began; /readyz fails from now on.", "None; the host waits for what is in flight.";
+    HOST_STOPPED = 103, "host-stopped", Info, "Nothing is in flight any more; the process ends.", "None.";
+    REQUEST_ENDED = 201, "request-ended", Info, "A request ended; its verdict and times follow.", "None.";
+    REQUEST_REFUSED = 202, "request-refused", Info, "A request was refused; its code and verdict follow.", "Many with code overloaded: add engines, or look at the tenant's limits.";
+    ENGINE_EJECTED = 301, "engine-ejected", Warn, "An engine failed several times in a row and is left out for a while.", "If it repeats, look at that engine.";
+    ENGINE_LEAVING = 302, "engine-leaving", Info, "An engine leaves; it gets no new work.", "None.";
+    ENGINE_SWEPT = 303, "engine-swept", Info, "Attempts that a lost host left at an engine were cancelled.", "None.";
+    CONFIG_IN_FORCE = 401, "config-in-force", Info, "A newer accepted configuration is in force on this host.", "None.";
+    CONFIG_REJECTED = 402, "config-rejected", Error, "The objects at the platform do not pass the checks; the last good set stays in force.", "Correct the named object and field.";
+    CONFIG_ACCEPTED = 403, "config-accepted", Info, "This host checked the objects and wrote them as the accepted configuration.", "None.";
+    CONFIG_OLDER = 404, "config-older", Warn, "An older configuration was offered and ignored.", "If it repeats, the platform serves stale reads.";
+    PLATFORM_LOST = 501, "platform-lost", Warn, "The platform does not answer; the host goes on with what it knows.", "Look at the platform; changes wait until it is back.";
+    PLATFORM_BACK = 502, "platform-back", Info, "The platform answers again.", "None.";
+    PEER_SUSPECTED = 601, "peer-suspected", Warn, "Another entry host has not been heard of for a while.", "If it is not being replaced, look at it and at the network.";
+    PEER_BACK = 602, "peer-back", Info, "A suspected entry host was heard of again.", "None.";
+    PEER_REPLACED = 603, "peer-replaced", Info, "An entry host came back as a new incarnation.", "None.";
+    LEASE_TAKEN = 701, "lease-taken", Info, "This host holds the controllers' lease.", "None.";
+    LEASE_LOST = 702, "lease-lost", Warn, "This host no longer holds the controllers' lease.", "None; another host takes it.";
+    ORDER_SENT = 703, "order-sent", Info, "A fenced order was given to an engine.", "None.";
+    ORDER_REFUSED = 704, "order-refused", Warn, "An engine did not take a fenced order.", "If its cause is fenced, a newer holder is at work; else look at that engine.";
+}
+
+/// The catalogue as a page.
+pub fn catalogue_page() -> String {
+    let mut page = String::from(
+        "# Events\n\n\
+         What `bayplankd` logs, by number. Made from `src/event/catalogue.rs`; a test compares.\n\n\
+         | number | name | level | what happened | what it asks of an operator |\n\
+         | --- | --- | --- | --- | --- |\n",
+    );
+    for kind in CATALOGUE {
+        let EventKind {
+            number,
+            name,
+            level,
+            meaning,
+            action,
+        } = kind;
+        writeln!(
+            page,
+            "| {number} | {name} | {level} | {meaning} | {action} |"
+        )
+        .expect("writing to a string");
+    }
+    page
+}
--- /dev/null
+++ b/src/event/mod.rs
@@ -0,0 +1,6 @@
+//! Numbered events: what the log says, each with its meaning and what it asks of an operator.
+
+mod catalogue;
+mod emit;
+
+pub use self::{catalogue::*, emit::*};
--- /dev/null
+++ b/src/filter/completion.rs
@@ -0,0 +1,248 @@
+//! Completion requests and answers in the form of the OpenAI API.
+
+use {
+    crate::operation::{Refusal, RefusalCode},
+    faststr::FastStr,
+    serde::Deserialize,
+    serde_json::{Value, json},
+};
+
+/// Tokens generated when a request does not say.
+const DEFAULT_MAX_TOKENS: u32 = 1_024;
+
+/// Most tokens that a request may ask for.
+const MAX_TOKENS_LIMIT: u32 = 32_768;
+
+/// Which of the two calls a request is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum CompletionStyle {
+    /// `/v1/completions`
+    Text,
+    /// `/v1/chat/completions`
+    Chat,
+}
+
+/// A completion request, read and checked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CompletionCall {
+    /// Which call it is.
+    pub style: CompletionStyle,
+    /// The model.
+    pub model: FastStr,
+    /// The whole prompt; messages are joined.
+    pub prompt: FastStr,
+    /// Tokens to generate at most.
+    pub max_tokens: u32,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+}
+
+#[derive(Deserialize)]
+struct RawCompletion {
+    model: FastStr,
+    #[serde(default)]
+    prompt: Option<RawPrompt>,
+    #[serde(default)]
+    messages: Option<Vec<RawMessage>>,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    max_completion_tokens: Option<u32>,
+    #[serde(default)]
+    stream: Option<bool>,
+    #[serde(default)]
+    n: Option<u32>,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum RawPrompt {
+    One(String),
+    Many(Vec<String>),
+}
+
+#[derive(Deserialize)]
+struct RawMessage {
+    role: String,
+    #[serde(default)]
+    content: Option<RawContent>,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum RawContent {
+    Text(String),
+    Parts(Vec<RawPart>),
+}
+
+#[derive(Deserialize)]
+struct RawPart {
+    #[serde(rename = "type")]
+    kind: String,
+    #[serde(default)]
+    text: Option<String>,
+}
+
+impl CompletionCall {
+    /// Reads a request's body; what is wrong is named by its field.
+    pub fn read(style: CompletionStyle, body: &[u8]) -> Result<Self, Refusal> {
+        let raw: RawCompletion =
+            serde_json::from_slice(body).map_err(|error| invalid(format!("body: {error}")))?;
+        if raw.n.is_some_and(|n| n != 1) {
+            return Err(invalid("n: only 1 is supported".into()));
+        }
+        let max_tokens = raw
+            .max_completion_tokens
+            .or(raw.max_tokens)
+            .unwrap_or(DEFAULT_MAX_TOKENS);
+        if !(1..=MAX_TOKENS_LIMIT).contains(&max_tokens) {
+            let text = format!("max_tokens: expected 1 to {MAX_TOKENS_LIMIT}, found {max_tokens}");
+            return Err(invalid(text));
+        }
+        let prompt = match style {
+            CompletionStyle::Text => read_prompt(raw.prompt)?,
+            CompletionStyle::Chat => read_messages(raw.messages)?,
+        };
+        if prompt.is_empty() {
+            return Err(invalid("prompt: is empty".into()));
+        }
+        Ok(Self {
+            style,
+            model: raw.model,
+            prompt: FastStr::from_string(prompt),
+            max_tokens,
+            stream: raw.stream.unwrap_or(false),
+        })
+    }
+
+    /// One token as a chunk of a streamed answer.
+    pub fn token_chunk(&self, id: &str, text: &str) -> Value {
+        match self.style {
+            CompletionStyle::Text => self.chunk(id, json!({"index": 0, "text": text, "finish_reason": null, "logprobs": null})),
+            CompletionStyle::Chat => self.chunk(id, json!({"index": 0, "delta": {"role": "assistant", "content": text}, "finish_reason": null})),
+        }
+    }
+
+    /// The last chunk of a streamed answer.
+    pub fn end_chunk(&self, id: &str, reason: &str) -> Value {
+        match self.style {
+            CompletionStyle::Text => self.chunk(
+                id,
+                json!({"index": 0, "text": "", "finish_reason": reason, "logprobs": null}),
+            ),
+            CompletionStyle::Chat => self.chunk(
+                id,
+                json!({"index": 0, "delta": {}, "finish_reason": reason}),
+            ),
+        }
+    }
+
+    /// A whole answer.
+    pub fn whole(&self, id: &str, text: &str, reason: &str, tokens: u32) -> Value {
+        let prompt_tokens = crate::engine::estimate_tokens(&self.prompt);
+        let choice = match self.style {
+            CompletionStyle::Text => {
+                json!({"index": 0, "text": text, "finish_reason": reason, "logprobs": null})
+            }
+            CompletionStyle::Chat => json!({
+                "index": 0,
+                "message": {"role": "assistant", "content": text},
+                "finish_reason": reason,
+            }),
+        };
+        let object = match self.style {
+            CompletionStyle::Text => "text_completion",
+            CompletionStyle::Chat => "chat.completion",
+        };
+        json!({
+            "id": id,
+            "object": object,
+            "created": unix_seconds(),
+            "model": self.model,
+            "choices": [choice],
+            "usage": {
+                "prompt_tokens": prompt_tokens,
+                "completion_tokens": tokens,
+                "total_tokens": prompt_tokens + u64::from(tokens),
+            },
+        })
+    }
+
+    fn chunk(&self, id: &str, choice: Value) -> Value {
+        let object = match self.style {
+            CompletionStyle::Text => "text_completion",
+            CompletionStyle::Chat => "chat.completion.chunk",
+        };
+        json!({
+            "id": id,
+            "object": object,
+            "created": unix_seconds(),
+            "model": self.model,
+            "choices": [choice],
+        })
+    }
+}
+
+/// A refusal in the form that clients of the API understand, with the verdict added.
+pub fn error_body(refusal: &Refusal) -> Value {
+    let kind = match refusal.code.status() {
+        400..=428 => "invalid_request_error",
+        429 => "rate_limit_error",
+        _ => "server_error",
+    };
+    json!({
+        "error": {
+            "message": refusal.message,
+            "type": kind,
+            "param": null,
+            "code": refusal.code,
+            "verdict": refusal.verdict,
+        }
+    })
+}
+
+fn unix_seconds() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.map_or(0, |time| time.as_secs())
+}
+
+fn invalid(text: String) -> Refusal {
+    Refusal::not_run(RefusalCode::InvalidRequest, text)
+}
+
+fn read_prompt(prompt: Option<RawPrompt>) -> Result<String, Refusal> {
+    match prompt {
+        Some(RawPrompt::One(text)) => Ok(text),
+        Some(RawPrompt::Many(mut texts)) if texts.len() == 1 => Ok(texts.remove(0)),
+        Some(RawPrompt::Many(_)) => Err(invalid("prompt: expected one text".into())),
+        None => Err(invalid("prompt: is missing".into())),
+    }
+}
+
+fn read_messages(messages: Option<Vec<RawMessage>>) -> Result<String, Refusal> {
+    let messages = messages.ok_or_else(|| invalid("messages: is missing".into()))?;
+    let mut prompt = String::new();
+    for (index, message) in messages.into_iter().enumerate() {
+        prompt.push_str(&message.role);
+        prompt.push_str(": ");
+        match message.content {
+            Some(RawContent::Text(text)) => prompt.push_str(&text),
+            Some(RawContent::Parts(parts)) => {
+                for part in parts {
+                    match (part.kind.as_str(), part.text) {
+                        ("text", Some(text)) => prompt.push_str(&text),
+                        (kind, _) => {
+                            let text = format!(
+                                "messages[{index}].content: {kind:?} parts are not supported"
+                            );
+                            return Err(invalid(text));
+                        }
+                    }
+                }
+            }
+            None => {}
+        }
+        prompt.push('\n');
+    }
+    Ok(prompt)
+}
--- /dev/null
+++ b/src/filter/mod.rs
@@ -0,0 +1,19 @@
+//! The filter chain: what every request passes, one small filter after another.
+
+mod call;
+mod chain;
+mod completion;
+mod dispatch;
+mod identify;
+mod limit;
+mod operation;
+mod plain;
+mod receive;
+mod route;
+
+pub use self::{
+    call::*,
+    chain::*,
+    completion::*,
+    limit::{LimitPermit, OverLimit, TenantLedger},
+};
--- /dev/null
+++ b/src/filter/plain.rs
@@ -0,0 +1,171 @@
+//! Plain calls: one server of the service, tried again only when nothing can run twice.
+
+use {
+    super::call::{CallContext, CallRoute, FORWARDED_HEADER},
+    crate::{
+        host::Traffic,
+        object::{ServiceSpec, Typed},
+        operation::{PlainOutcome, PlainReply, Refusal, RefusalCode, RunVerdict},
+        route::ServerChoice,
+        web::{self, WebFailure},
+    },
+    bytes::Bytes,
+    http::{HeaderMap, HeaderName, HeaderValue, Method, header},
+    std::{net::SocketAddr, time::Duration},
+    volo_http::response::Response,
+};
+
+/// Servers tried for one call.
+const TRIES: u32 = 3;
+
+/// Longest answer of a plain service.
+const REPLY_LIMIT: usize = 4 << 20;
+
+/// Headers that speak of one connection only.
+const HOP_HEADERS: [HeaderName; 7] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// A plain call, taken out of its request.
+#[derive(Debug, Clone)]
+pub struct PlainCall {
+    /// Its method.
+    pub method: Method,
+    /// The path within the service, with its query.
+    pub path: String,
+    /// Headers for the service.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// Headers that go on to a service: not the caller's key, nor what speaks of the connection.
+pub fn onward_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut onward = headers.clone();
+    for name in HOP_HEADERS {
+        onward.remove(name);
+    }
+    for name in [header::HOST, header::AUTHORIZATION, header::CONTENT_LENGTH] {
+        onward.remove(name);
+    }
+    onward.remove("x-api-key");
+    onward
+}
+
+/// Runs a plain call.
+pub async fn run_plain(
+    traffic: &Traffic,
+    service: &Typed<ServiceSpec>,
+    route: &CallRoute,
+    call: PlainCall,
+) -> PlainOutcome {
+    let time = Duration::from_millis(service.spec.timeout_ms);
+    let mut tried = Vec::new();
+    let mut last = no_server(service);
+    traffic.parts.budget.lock().expect("budget").earn();
+    for _ in 0..TRIES {
+        let Some(choice) = traffic
+            .servers
+            .choose(&route.servers, &traffic.settings.zone, &tried)
+        else {
+            return Err(last);
+        };
+        let sent = tokio::time::timeout(time, send(traffic, &choice, &call)).await;
+        let failure = match sent {
+            Ok(Ok(reply)) => return Ok(reply),
+            Ok(Err(failure)) => failure,
+            Err(_) => WebFailure::Unanswered(format!("no answer within {} ms", time.as_millis())),
+        };
+        choice.failed();
+        last = refusal_of(&choice, &failure, last.verdict);
+        let again = last.verdict.allows_retry(route.repeatable);
+        let now = traffic.desk.now();
+        if !again || !traffic.parts.budget.lock().expect("budget").spend(now) {
+            return Err(last);
+        }
+        tried.push(choice.name());
+    }
+    Err(last)
+}
+
+fn no_server(service: &Typed<ServiceSpec>) -> Refusal {
+    let name = &service.metadata.name;
+    let text = format!("no backend server of service {name} can take work");
+    Refusal::not_run(RefusalCode::NoBackend, text).after(Duration::from_secs(1))
+}
+
+// A try that may have run stays so, whatever a later try says.
+fn refusal_of(choice: &ServerChoice, failure: &WebFailure, before: RunVerdict) -> Refusal {
+    let verdict = match failure {
+        WebFailure::Unreachable(_) => RunVerdict::NotRun,
+        _ => RunVerdict::MayHaveRun,
+    };
+    let text = format!("backend server {}: {failure}", choice.name());
+    Refusal::new(verdict.max(before), RefusalCode::BackendLost, text).after(Duration::from_secs(1))
+}
+
+async fn send(
+    traffic: &Traffic,
+    choice: &ServerChoice,
+    call: &PlainCall,
+) -> Result<PlainReply, WebFailure> {
+    let response = traffic
+        .client
+        .send(
+            call.method.clone(),
+            choice.address(),
+            &call.path,
+            call.headers.clone(),
+            call.body.clone(),
+        )
+        .await?;
+    let (parts, content) = response.into_parts();
+    let body = web::read_body(content, REPLY_LIMIT, Duration::from_secs(600))
+        .await
+        .map_err(|failure| WebFailure::Unanswered(format!("answer: {failure:?}")))?;
+    let mut headers = parts.headers;
+    for name in HOP_HEADERS {
+        headers.remove(name);
+    }
+    headers.remove(header::CONTENT_LENGTH);
+    Ok(PlainReply {
+        status: parts.status.as_u16(),
+        headers,
+        body,
+    })
+}
+
+/// The caller's answer of a plain call's reply.
+pub fn plain_response(reply: &PlainReply) -> Response {
+    let mut response = web::reply(reply.status, "application/json", reply.body.clone());
+    *response.headers_mut() = reply.headers.clone();
+    response
+}
+
+/// Passes a request on to another entry host; its answer streams through as it is.
+pub async fn pass_to_peer(
+    traffic: &Traffic,
+    call: &CallContext,
+    peer: SocketAddr,
+) -> Result<Response, WebFailure> {
+    let mut headers = call.headers.clone();
+    for name in HOP_HEADERS {
+        headers.remove(name);
+    }
+    headers.remove(header::CONTENT_LENGTH);
+    headers.remove(header::HOST);
+    if let Ok(value) = HeaderValue::from_str(&traffic.settings.name) {
+        headers.insert(FORWARDED_HEADER, value);
+    }
+    let path = call.target.as_str();
+    traffic
+        .client
+        .send(call.method.clone(), peer, path, headers, call.body.clone())
+        .await
+}
--- /dev/null
+++ b/src/host/mod.rs
@@ -0,0 +1,8 @@
+//! An entry host: its parts put together, started and stopped.
+
+mod entry;
+mod gate;
+mod operators;
+mod traffic;
+
+pub use self::{entry::*, gate::*, traffic::*};
--- /dev/null
+++ b/src/host/operators.rs
@@ -0,0 +1,86 @@
+//! The operators' port: checks for the balancer, metrics, status, explanations.
+
+use {
+    super::traffic::Traffic,
+    crate::web,
+    bytes::Bytes,
+    http::Method,
+    serde_json::json,
+    std::sync::Arc,
+    volo_http::{request::Request, response::Response},
+};
+
+/// Answers one request of an operator or of the balancer's check.
+pub async fn answer(traffic: Arc<Traffic>, request: Request) -> Response {
+    let path = request.uri().path().to_owned();
+    if request.method() != Method::GET {
+        return web::text_reply(405, "this port only answers GET");
+    }
+    if let Some(request) = path.strip_prefix("/explain/") {
+        return explain(&traffic, request);
+    }
+    match path.as_str() {
+        "/healthz" => web::text_reply(200, "ok"),
+        "/readyz" => ready(&traffic),
+        "/metrics" => {
+            let page = Bytes::from(traffic.metrics.page());
+            web::reply(200, "application/openmetrics-text; version=1.0.0", page)
+        }
+        "/status" => web::json_reply(200, &status(&traffic)),
+        _ => web::text_reply(404, "no such page"),
+    }
+}
+
+fn ready(traffic: &Traffic) -> Response {
+    if traffic.gate.is_stopping() {
+        return web::text_reply(503, "stopping");
+    }
+    match traffic.snapshot.load().generation {
+        0 => web::text_reply(503, "no configuration yet"),
+        _ => web::text_reply(200, "ready"),
+    }
+}
+
+fn status(traffic: &Traffic) -> serde_json::Value {
+    let snapshot = traffic.snapshot.load();
+    let engines: Vec<_> = traffic.desk.read(|desk| {
+        let now = traffic.desk.now();
+        desk.views()
+            .map(|view| {
+                json!({
+                    "name": view.info.name,
+                    "zone": view.info.zone,
+                    "leaving": view.leaving,
+                    "out": view.is_out(now),
+                    "backlogTokens": view.backlog_tokens(),
+                    "slotsUsed": view.slots_used(),
+                    "slotsTotal": view.slots_total(),
+                })
+            })
+            .collect()
+    });
+    let peers: Vec<_> = snapshot
+        .peers
+        .iter()
+        .map(|peer| json!({"name": peer.name, "zone": peer.zone, "live": peer.is_live}))
+        .collect();
+    json!({
+        "host": traffic.settings.name,
+        "zone": traffic.settings.zone,
+        "incarnation": traffic.incarnation,
+        "generation": snapshot.generation,
+        "stopping": traffic.gate.is_stopping(),
+        "inFlight": traffic.gate.in_flight(),
+        "openCancels": traffic.parts.canceller.open(),
+        "engines": engines,
+        "peers": peers,
+    })
+}
+
+fn explain(traffic: &Traffic, request: &str) -> Response {
+    let records = traffic.desk.read(|desk| desk.explain(request));
+    match records.is_empty() {
+        true => web::text_reply(404, "nothing is remembered of this request on this host"),
+        false => web::json_reply(200, &records),
+    }
+}
--- /dev/null
+++ b/src/host/traffic.rs
@@ -0,0 +1,132 @@
+//! What the traffic threads of an entry host share.
+
+use {
+    super::gate::StopGate,
+    crate::{
+        conf::HostSettings,
+        control::ControlSnapshot,
+        engine::{AttemptNamer, Canceller},
+        filter::TenantLedger,
+        metric::HostMetrics,
+        operation::{LifeLimits, OperationTable, RetryBudget, RunnerParts, TicketBook},
+        route::{ServerBook, SharedDesk},
+        web::WebClient,
+    },
+    arc_swap::ArcSwap,
+    faststr::FastStr,
+    std::{
+        fmt,
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::time::Instant,
+    xxhash_rust::xxh3,
+};
+
+/// Longest wait for a connection to a backend server or another host.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What the traffic threads of an entry host share.
+pub struct Traffic {
+    /// The host's settings.
+    pub settings: HostSettings,
+    /// The name of this run of the host; no other run has it.
+    pub incarnation: FastStr,
+    /// What control published last.
+    pub snapshot: ArcSwap<ControlSnapshot>,
+    /// What requests share.
+    pub parts: Arc<RunnerParts>,
+    /// Where engines are chosen.
+    pub desk: Arc<SharedDesk>,
+    /// Servers of plain services.
+    pub servers: Arc<ServerBook>,
+    /// Operations by key.
+    pub operations: Mutex<OperationTable>,
+    /// Tickets of this incarnation.
+    pub tickets: TicketBook,
+    /// What tenants use.
+    pub limits: Arc<TenantLedger>,
+    /// Counts what is in flight.
+    pub gate: Arc<StopGate>,
+    /// Calls outward.
+    pub client: WebClient,
+    /// Metrics.
+    pub metrics: HostMetrics,
+    started: Instant,
+    next_request: AtomicU64,
+}
+
+impl fmt::Debug for Traffic {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Traffic({})", self.settings.name)
+    }
+}
+
+impl Traffic {
+    /// The shared parts of a new incarnation.
+    pub fn new(settings: HostSettings) -> Arc<Self> {
+        let incarnation = FastStr::from_string(format!("{:016x}", rand::random::<u64>()));
+        let desk = SharedDesk::new(settings.zone.clone(), settings.tuning(), rand::random());
+        let links = desk.clone();
+        let canceller = Canceller::new(Box::new(move |engine| {
+            links.read(|desk| desk.view(engine).map(|view| view.info.link.clone()))
+        }));
+        let parts = Arc::new(RunnerParts {
+            desk: desk.clone(),
+            namer: AttemptNamer::new(incarnation.clone()),
+            canceller,
+            budget: Mutex::new(RetryBudget::new(settings.retry_share)),
+            limits: LifeLimits::default(),
+        });
+        Arc::new(Self {
+            snapshot: ArcSwap::default(),
+            parts,
+            desk,
+            servers: Arc::default(),
+            operations: Mutex::new(OperationTable::new(settings.remember)),
+            tickets: TicketBook::new(settings.name.clone(), incarnation.clone()),
+            limits: Arc::default(),
+            gate: StopGate::new(settings.concurrent),
+            client: WebClient::new(CONNECT_TIMEOUT),
+            metrics: HostMetrics::default(),
+            started: Instant::now(),
+            next_request: AtomicU64::new(1),
+            incarnation,
+            settings,
+        })
+    }
+
+    /// Time since this incarnation started.
+    pub fn uptime(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// An id that no other request of any host has.
+    pub fn next_request_id(&self) -> FastStr {
+        let count = self.next_request.fetch_add(1, Ordering::Relaxed);
+        FastStr::from_string(format!("{}-{count}", self.incarnation))
+    }
+
+    /// The live host of this zone where duplicates of a key that a caller made up meet; none when
+    /// it is this host.
+    pub fn home_of(&self, tenant: &str, key: &str) -> Option<SocketAddr> {
+        let snapshot = self.snapshot.load();
+        let score = |host: &str| {
+            let text = format!("{host}\n{tenant}\n{key}");
+            xxh3::xxh3_64(text.as_bytes())
+        };
+        let own = score(&self.settings.name);
+        snapshot
+            .peers
+            .iter()
+            .filter(|peer| peer.is_live && peer.zone == self.settings.zone)
+            .map(|peer| (score(&peer.name), peer.callers))
+            .max_by_key(|(score, _)| *score)
+            .filter(|(score, _)| *score > own)
+            .map(|(_, callers)| callers)
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,19 @@
+//! A router in front of separate prefill and decode pools, and of plain services.
+//!
+//! `docs/architecture.md` has the map; a request passes the folders in this order: [`web`],
+//! [`filter`], [`operation`], [`route`], [`engine`]. [`control`] keeps what they read.
+
+pub mod cli;
+pub mod conf;
+pub mod control;
+pub mod engine;
+pub mod event;
+pub mod filter;
+pub mod host;
+pub mod metric;
+pub mod object;
+pub mod operation;
+pub mod platform;
+pub mod route;
+pub mod standin;
+pub mod web;
--- /dev/null
+++ b/src/metric/mod.rs
@@ -0,0 +1,5 @@
+//! Metrics of an entry host, for `/metrics`.
+
+mod metrics;
+
+pub use self::metrics::*;
--- /dev/null
+++ b/src/operation/runner.rs
@@ -0,0 +1,548 @@
+//! Runs a request's life: performs its actions against engines and feeds the answers back.
+
+use {
+    super::{
+        budget::RetryBudget,
+        life::{EngineAttempt, LifeAction, LifeEnd, LifeEvent, LifeLimits, RequestLife},
+        replay::ReplayLog,
+        signal::OnceSignal,
+        verdict::{Refusal, RefusalCode},
+    },
+    crate::{
+        engine::{
+            self, AttemptNamer, CallFailure, CallResult, EngineLink, ItemStream, PrefillReply,
+            RefusalCause, StreamItem,
+        },
+        object,
+        route::{DeskAnswer, PlaceRequest, PlaceStage, SharedDesk},
+    },
+    faststr::FastStr,
+    futures::{FutureExt, StreamExt, future::BoxFuture},
+    std::{
+        collections::VecDeque,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::time::Instant,
+};
+
+/// What an import may take beyond its predicted transfer before it counts as stalled.
+const IMPORT_PATIENCE: Duration = Duration::from_millis(150);
+
+/// Least wait between two reads of a broken stream.
+const RESUME_PAUSE: Duration = Duration::from_millis(20);
+
+/// What all requests of a host share.
+pub struct RunnerParts {
+    /// Where engines are chosen.
+    pub desk: Arc<SharedDesk>,
+    /// Names attempts.
+    pub namer: AttemptNamer,
+    /// Ends attempts.
+    pub canceller: Arc<engine::Canceller>,
+    /// Allows work to be done again.
+    pub budget: Mutex<RetryBudget>,
+    /// Limits on each request.
+    pub limits: LifeLimits,
+}
+
+/// A model request to run.
+#[derive(Debug, Clone)]
+pub struct ModelRequest {
+    /// Its id in logs.
+    pub id: FastStr,
+    /// The model.
+    pub model: FastStr,
+    /// The whole prompt.
+    pub prompt: FastStr,
+    /// The prompt's block hashes.
+    pub blocks: Arc<[u64]>,
+    /// Tokens to generate at most.
+    pub max_tokens: u32,
+    /// Whom it is for.
+    pub tenant: FastStr,
+    /// Larger is more urgent.
+    pub priority: u8,
+    /// The prefill pools' selectors.
+    pub prefills: Arc<[object::LabelSelector]>,
+    /// The decode pools' selectors.
+    pub decodes: Arc<[object::LabelSelector]>,
+    /// Longest time until the end.
+    pub time_limit: Duration,
+    /// How long nobody may read before the request is cancelled.
+    pub grace: Duration,
+}
+
+/// One thing that a caller is told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AnswerItem {
+    /// The next token.
+    Token {
+        /// Its place in the answer, from 0.
+        position: u32,
+        /// Its text.
+        text: FastStr,
+        /// Where it was generated, for the event's id.
+        origin: Arc<EngineAttempt>,
+    },
+    /// The end.
+    End(LifeEnd),
+}
+
+/// What a request told its caller so far, for any number of readers.
+pub type AnswerLog = ReplayLog<AnswerItem>;
+
+/// What a request took.
+#[derive(Debug, Clone, Default)]
+pub struct RequestStats {
+    /// From the arrival to the first token.
+    pub first_token: Option<Duration>,
+    /// Between consecutive tokens.
+    pub gaps: Vec<Duration>,
+    /// From the arrival to the end.
+    pub whole: Duration,
+    /// Prompt tokens computed.
+    pub computed_tokens: u64,
+    /// Of these, computed for a KV cache that no decode engine imported, or computed again.
+    pub wasted_tokens: u64,
+    /// Prefills that engines took.
+    pub prefills: u32,
+}
+
+/// Share of a request's gaps between tokens that have to meet the target.
+const GAP_PERCENTILE: f64 = 0.95;
+
+impl RequestStats {
+    /// The 95th percentile of the gaps between tokens; zero for fewer than two tokens.
+    pub fn gap_p95(&self) -> Duration {
+        let mut gaps = self.gaps.clone();
+        gaps.sort_unstable();
+        let place = (gaps.len() as f64 * GAP_PERCENTILE).ceil() as usize;
+        match place.checked_sub(1) {
+            Some(place) => gaps[place],
+            None => Duration::ZERO,
+        }
+    }
+
+    /// Whether the request met both targets.
+    pub fn meets(&self, first_token: Duration, between_tokens: Duration) -> bool {
+        let first = self.first_token.is_some_and(|time| time <= first_token);
+        first && self.gap_p95() <= between_tokens
+    }
+}
+
+// What the life waits for.
+enum Awaited {
+    Nothing,
+    Desk(BoxFuture<'static, DeskAnswer>, PlaceStage),
+    Prefill(BoxFuture<'static, CallResult<PrefillReply>>),
+    Opening(BoxFuture<'static, CallResult<ItemStream>>),
+    Items(ItemStream),
+}
+
+/// Runs a request to its end; the answer goes to `log`.
+pub async fn run_request(
+    parts: Arc<RunnerParts>,
+    request: ModelRequest,
+    log: Arc<AnswerLog>,
+    cancel: Arc<OnceSignal>,
+) -> (LifeEnd, RequestStats) {
+    let mut runner = RequestRunner::new(parts, request, log.clone());
+    let grace = runner.request.grace;
+    let deadline = runner.started + runner.request.time_limit;
+    let mut actions: VecDeque<LifeAction> = runner.life.start().into();
+    let end = loop {
+        if let Some(end) = runner.perform_all(&mut actions) {
+            break end;
+        }
+        let event = tokio::select! {
+            event = runner.next_event() => event,
+            () = log.abandoned(grace) => LifeEvent::CallerGone,
+            () = cancel.wait() => LifeEvent::CallerGone,
+            () = tokio::time::sleep_until(deadline) => LifeEvent::DeadlinePassed,
+        };
+        actions.extend(runner.take(event));
+    };
+    log.push(AnswerItem::End(end.clone()));
+    log.end();
+    runner.finish();
+    (end, std::mem::take(&mut runner.stats))
+}
+
+struct RequestRunner {
+    parts: Arc<RunnerParts>,
+    request: ModelRequest,
+    log: Arc<AnswerLog>,
+    life: RequestLife,
+    awaited: Awaited,
+    import_by: Option<Instant>,
+    excluded: Vec<FastStr>,
+    prefill_held: Option<(FastStr, u64)>,
+    decode_held: Option<FastStr>,
+    origin: Arc<EngineAttempt>,
+    kv_until: Duration,
+    unimported: u64,
+    started: Instant,
+    arrived: Duration,
+    last_token: Option<Instant>,
+    stats: RequestStats,
+}
+
+impl RequestRunner {
+    fn new(parts: Arc<RunnerParts>, request: ModelRequest, log: Arc<AnswerLog>) -> Self {
+        let arrived = parts.desk.now();
+        let none = EngineAttempt {
+            engine: FastStr::empty(),
+            attempt: FastStr::empty(),
+        };
+        parts.budget.lock().expect("budget").earn();
+        Self {
+            life: RequestLife::new(parts.limits, Vec::new()),
+            parts,
+            request,
+            log,
+            awaited: Awaited::Nothing,
+            import_by: None,
+            excluded: Vec::new(),
+            prefill_held: None,
+            decode_held: None,
+            origin: Arc::new(none),
+            kv_until: Duration::ZERO,
+            unimported: 0,
+            started: Instant::now(),
+            arrived,
+            last_token: None,
+            stats: RequestStats::default(),
+        }
+    }
+
+    // Performs actions until one has to be waited for, or the life ends.
+    fn perform_all(&mut self, actions: &mut VecDeque<LifeAction>) -> Option<LifeEnd> {
+        while let Some(action) = actions.pop_front() {
+            match action {
+                LifeAction::Place { again } => self.place(again, actions),
+                LifeAction::PlaceDecode => {
+                    self.release_decode();
+                    self.ask(PlaceStage::DecodeOnly(self.kv_until));
+                }
+                LifeAction::Prefill(target) => self.send_prefill(target),
+                LifeAction::Decode {
+                    target,
+                    source,
+                    handle,
+                } => self.send_decode(target, &source, handle),
+                LifeAction::Resume { target, from } => self.send_resume(&target, from),
+                LifeAction::Exclude(engine) => self.excluded.push(engine),
+                LifeAction::Cancel(attempt) => self.parts.canceller.add(attempt),
+                LifeAction::Emit { position, text } => self.emit(position, text),
+                LifeAction::End(end) => return Some(end),
+            }
+        }
+        None
+    }
+
+    fn place(&mut self, again: bool, actions: &mut VecDeque<LifeAction>) {
+        self.release_decode();
+        let now = self.parts.desk.now();
+        if again && !self.parts.budget.lock().expect("budget").spend(now) {
+            let text = "too much work is being done again";
+            let refusal =
+                Refusal::not_run(RefusalCode::Overloaded, text).after(Duration::from_secs(1));
+            let event = LifeEvent::PlaceRefused(refusal);
+            actions.extend(self.take(event));
+            return;
+        }
+        self.ask(PlaceStage::Whole);
+    }
+
+    fn ask(&mut self, stage: PlaceStage) {
+        let delivered = self.life.delivered().len();
+        let question = PlaceRequest {
+            ticket: 0,
+            request: self.request.id.clone(),
+            model: self.request.model.clone(),
+            prefills: self.request.prefills.clone(),
+            decodes: self.request.decodes.clone(),
+            tokens: engine::estimate_tokens(&self.request.prompt) + delivered as u64,
+            blocks: self.request.blocks.clone(),
+            priority: self.request.priority,
+            arrived: self.arrived,
+            resumed: delivered > 0,
+            excluded: self.excluded.clone(),
+            stage,
+        };
+        let desk = self.parts.desk.clone();
+        let asked = async move { desk.ask(question).await };
+        self.awaited = Awaited::Desk(asked.boxed(), stage);
+    }
+
+    fn link(&self, engine: &str) -> Option<Arc<EngineLink>> {
+        self.parts
+            .desk
+            .read(|desk| desk.view(engine).map(|view| view.info.link.clone()))
+    }
+
+    fn send_prefill(&mut self, target: EngineAttempt) {
+        let order = engine::PrefillOrder {
+            attempt: target.attempt,
+            model: self.request.model.clone(),
+            prompt: self.request.prompt.clone(),
+            delivered: self.life.delivered().to_vec(),
+            priority: self.request.priority,
+            tenant: self.request.tenant.clone(),
+        };
+        self.awaited = Awaited::Prefill(match self.link(&target.engine) {
+            Some(link) => (link.prefill)(order),
+            None => gone(),
+        });
+    }
+
+    fn send_decode(&mut self, target: EngineAttempt, source: &str, handle: FastStr) {
+        let source = self
+            .parts
+            .desk
+            .read(|desk| desk.view(source).map(|view| view.info.address.clone()));
+        let order = engine::DecodeOrder {
+            attempt: target.attempt.clone(),
+            model: self.request.model.clone(),
+            handle,
+            source: source.unwrap_or_default(),
+            max_tokens: self.request.max_tokens,
+            priority: self.request.priority,
+            tenant: self.request.tenant.clone(),
+        };
+        self.awaited = Awaited::Opening(match self.link(&target.engine) {
+            Some(link) => (link.decode)(order),
+            None => gone(),
+        });
+        self.import_by = Some(Instant::now() + self.import_patience());
+        self.origin = Arc::new(target);
+    }
+
+    // Twice the predicted transfer, and then some.
+    fn import_patience(&self) -> Duration {
+        let tokens = engine::estimate_tokens(&self.request.prompt) as f64;
+        let seconds = self.parts.desk.read(|desk| {
+            let tuning = desk.tuning();
+            tokens * tuning.kv_bytes_per_token / tuning.link_rate
+        });
+        IMPORT_PATIENCE + Duration::from_secs_f64(seconds * 2.0)
+    }
+
+    fn send_resume(&mut self, target: &EngineAttempt, from: u32) {
+        let opened: BoxFuture<'static, CallResult<ItemStream>> = match self.link(&target.engine) {
+            Some(link) => (link.resume)((target.attempt.clone(), from)),
+            None => gone(),
+        };
+        let paused = async move {
+            tokio::time::sleep(RESUME_PAUSE).await;
+            opened.await
+        };
+        self.awaited = Awaited::Opening(paused.boxed());
+    }
+
+    fn emit(&mut self, position: u32, text: FastStr) {
+        let now = Instant::now();
+        match self.last_token {
+            None => self.stats.first_token = Some(now - self.started),
+            Some(last) => {
+                let gap = now - last;
+                self.stats.gaps.push(gap);
+                let engine = self.origin.engine.clone();
+                self.parts
+                    .desk
+                    .change(|desk, now| desk.gap_observed(&engine, gap.as_secs_f64(), now));
+            }
+        }
+        self.last_token = Some(now);
+        self.log.push(AnswerItem::Token {
+            position,
+            text,
+            origin: self.origin.clone(),
+        });
+    }
+
+    // The next thing that happens to what the life waits for.
+    async fn next_event(&mut self) -> LifeEvent {
+        match &mut self.awaited {
+            Awaited::Nothing => std::future::pending().await,
+            Awaited::Desk(answer, stage) => {
+                let stage = *stage;
+                let answer = answer.await;
+                self.placed(answer, stage)
+            }
+            Awaited::Prefill(reply) => match reply.await {
+                Ok(reply) => LifeEvent::PrefillDone(reply),
+                Err(failure) => LifeEvent::PrefillFailed(failure),
+            },
+            Awaited::Opening(opening) => match within(self.import_by, opening).await {
+                Some(Ok(items)) => {
+                    self.awaited = Awaited::Items(items);
+                    next_item(&mut self.awaited, self.import_by).await
+                }
+                Some(Err(failure)) => LifeEvent::DecodeFailed(failure),
+                None => LifeEvent::ImportStalled,
+            },
+            Awaited::Items(_) => next_item(&mut self.awaited, self.import_by).await,
+        }
+    }
+
+    fn placed(&mut self, answer: DeskAnswer, stage: PlaceStage) -> LifeEvent {
+        match answer {
+            DeskAnswer::Refused(refusal) => LifeEvent::PlaceRefused(refusal),
+            DeskAnswer::Placed { prefill, decode } => {
+                self.decode_held = Some(decode.clone());
+                let decode = self.name_attempt(decode);
+                match (prefill, stage) {
+                    (Some(prefill), PlaceStage::Whole) => {
+                        let tokens = self.prompt_tokens();
+                        self.prefill_held = Some((prefill.clone(), tokens));
+                        let prefill = self.name_attempt(prefill);
+                        LifeEvent::Placed { prefill, decode }
+                    }
+                    _ => LifeEvent::DecodePlaced(decode),
+                }
+            }
+        }
+    }
+
+    fn prompt_tokens(&self) -> u64 {
+        engine::estimate_tokens(&self.request.prompt) + self.life.delivered().len() as u64
+    }
+
+    fn name_attempt(&self, engine: FastStr) -> EngineAttempt {
+        let attempt = self.parts.namer.next();
+        EngineAttempt { engine, attempt }
+    }
+
+    // Accounts for an event, then lets the life decide.
+    fn take(&mut self, event: LifeEvent) -> Vec<LifeAction> {
+        self.account(&event);
+        let now = self.parts.desk.now();
+        let actions = self.life.step(event, now);
+        let waits = actions.iter().any(|action| {
+            matches!(
+                action,
+                LifeAction::Place { .. }
+                    | LifeAction::PlaceDecode
+                    | LifeAction::Prefill(_)
+                    | LifeAction::Decode { .. }
+                    | LifeAction::Resume { .. }
+            )
+        });
+        if waits {
+            self.awaited = Awaited::Nothing;
+        }
+        actions
+    }
+
+    fn account(&mut self, event: &LifeEvent) {
+        match event {
+            LifeEvent::PrefillDone(reply) => {
+                self.stats.computed_tokens += reply.computed_tokens;
+                // What an earlier prefill computed is now thrown away.
+                self.stats.wasted_tokens += std::mem::take(&mut self.unimported);
+                self.unimported = reply.computed_tokens;
+                self.kv_until = self.parts.desk.now() + self.parts.limits.kv_life;
+                self.release_prefill(Some(reply));
+            }
+            LifeEvent::PrefillFailed(failure) => {
+                self.note_failure(
+                    failure,
+                    self.prefill_held.as_ref().map(|held| held.0.clone()),
+                );
+                self.release_prefill(None);
+            }
+            LifeEvent::DecodeFailed(failure) => {
+                self.note_failure(failure, self.decode_held.clone());
+            }
+            LifeEvent::Item(StreamItem::Imported) => {
+                self.import_by = None;
+                self.unimported = 0;
+            }
+            LifeEvent::StreamBroken | LifeEvent::ImportStalled => {
+                if let Some(engine) = self.decode_held.clone() {
+                    self.parts
+                        .desk
+                        .change(|desk, now| desk.failed(&engine, now));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    // A refusal tells of load; silence tells of trouble.
+    fn note_failure(&self, failure: &CallFailure, engine: Option<FastStr>) {
+        let Some(engine) = engine else {
+            return;
+        };
+        self.parts.desk.change(|desk, now| {
+            if let Some(load) = failure.refusal.as_ref().and_then(|it| it.load.clone()) {
+                desk.reported(&engine, load);
+            }
+            match failure.cause() {
+                Some(RefusalCause::Full) => desk.refused_full(&engine, now),
+                Some(_) => {}
+                None => {
+                    desk.failed(&engine, now);
+                }
+            }
+        });
+    }
+
+    fn release_prefill(&mut self, reply: Option<&PrefillReply>) {
+        if let Some((engine, tokens)) = self.prefill_held.take() {
+            self.parts
+                .desk
+                .change(|desk, _| desk.prefill_ended(&engine, tokens, reply));
+        }
+    }
+
+    fn release_decode(&mut self) {
+        if let Some(engine) = self.decode_held.take() {
+            self.parts.desk.change(|desk, _| desk.decode_ended(&engine));
+        }
+    }
+
+    fn finish(&mut self) {
+        self.release_prefill(None);
+        self.release_decode();
+        self.stats.wasted_tokens += std::mem::take(&mut self.unimported);
+        self.stats.prefills = self.life.prefills();
+        self.stats.whole = self.started.elapsed();
+    }
+}
+
+impl Drop for RequestRunner {
+    // Also when the task is dropped in the middle: what was sent is cancelled, places are given back.
+    fn drop(&mut self) {
+        for open in self.life.open_attempts() {
+            self.parts.canceller.add(open.clone());
+        }
+        self.release_prefill(None);
+        self.release_decode();
+    }
+}
+
+fn gone<T: Send + 'static>() -> BoxFuture<'static, CallResult<T>> {
+    async { Err(CallFailure::unreachable("the engine is no longer listed")) }.boxed()
+}
+
+// Waits until a time, if there is one.
+async fn within<T>(by: Option<Instant>, future: impl Future<Output = T>) -> Option<T> {
+    match by {
+        Some(by) => tokio::time::timeout_at(by, future).await.ok(),
+        None => Some(future.await),
+    }
+}
+
+async fn next_item(awaited: &mut Awaited, import_by: Option<Instant>) -> LifeEvent {
+    let Awaited::Items(items) = awaited else {
+        return LifeEvent::StreamBroken;
+    };
+    match within(import_by, items.next()).await {
+        Some(Some(Ok(item))) => LifeEvent::Item(item),
+        Some(Some(Err(_)) | None) => LifeEvent::StreamBroken,
+        None => LifeEvent::ImportStalled,
+    }
+}
--- /dev/null
+++ b/src/platform/write.rs
@@ -0,0 +1,60 @@
+//! Conditional writes whose answers may be lost.
+
+use {
+    super::client::{PlatformClient, PlatformFailure},
+    crate::object::AnyObject,
+    faststr::FastStr,
+    std::time::Duration,
+};
+
+/// Tries at one write before its outcome is left open.
+const WRITE_TRIES: u32 = 5;
+
+/// Wait between two tries.
+const WRITE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Writes an object under a mark of the writer's own, which settles what a lost answer left open.
+///
+/// The write holds only if the object still has the version it shows, so sending it again is
+/// harmless: at most one of the copies takes effect, and the mark tells whose it was.
+pub async fn write_marked(
+    client: &PlatformClient,
+    mut object: AnyObject,
+    mark: FastStr,
+) -> Result<AnyObject, PlatformFailure> {
+    object.metadata.writer = mark.clone();
+    let mut last = PlatformFailure::Unknown("not tried".into());
+    for _ in 0..WRITE_TRIES {
+        match client.put(&object).await {
+            Ok(written) => return Ok(written),
+            Err(PlatformFailure::Conflict(text)) => {
+                return settle_conflict(client, &object, &mark, text).await;
+            }
+            Err(failure @ (PlatformFailure::Unknown(_) | PlatformFailure::Unreachable(_))) => {
+                last = failure;
+                tokio::time::sleep(WRITE_PAUSE).await;
+            }
+            Err(failure) => return Err(failure),
+        }
+    }
+    Err(last)
+}
+
+// A conflict with a write of the same mark is this write's own earlier copy.
+async fn settle_conflict(
+    client: &PlatformClient,
+    object: &AnyObject,
+    mark: &FastStr,
+    text: String,
+) -> Result<AnyObject, PlatformFailure> {
+    let mut last = PlatformFailure::Conflict(text.clone());
+    for _ in 0..WRITE_TRIES {
+        match client.get(&object.kind, &object.metadata.name).await {
+            Ok(found) if found.metadata.writer == *mark => return Ok(found),
+            Ok(_) => return Err(PlatformFailure::Conflict(text)),
+            Err(failure) => last = failure,
+        }
+        tokio::time::sleep(WRITE_PAUSE).await;
+    }
+    Err(last)
+}
--- /dev/null
+++ b/src/route/desk.rs
@@ -0,0 +1,565 @@
+//! Where requests wait for engines and are given them, or are refused in time.
+//!
+//! A plain state machine: requests, reports and the time go in, answers come out.
+
+use {
+    super::{
+        choose::{self, ScoredEngine},
+        explain::{DecisionLog, DecisionRecord, WeighedEngine},
+        policy::{RoutePolicy, RouteTuning},
+        view::{EngineInfo, EngineView},
+    },
+    crate::{
+        engine::{EngineRole, LoadReport, PrefillReply},
+        object,
+        operation::{Refusal, RefusalCode},
+    },
+    faststr::FastStr,
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+};
+
+/// How long an engine that refused as full is passed over.
+const FULL_TIME: Duration = Duration::from_millis(40);
+
+/// Failures in a row after which an engine is taken out.
+const FAILURES_TO_EJECT: u32 = 2;
+
+/// Longest wait that a refused caller is told.
+const RETRY_AFTER_MAX: Duration = Duration::from_secs(30);
+
+/// A request that wants engines.
+#[derive(Debug, Clone)]
+pub struct PlaceRequest {
+    /// Number of this question, unique at the desk.
+    pub ticket: u64,
+    /// The request's id, for explanations.
+    pub request: FastStr,
+    /// Its model.
+    pub model: FastStr,
+    /// The prefill pools' selectors.
+    pub prefills: Arc<[object::LabelSelector]>,
+    /// The decode pools' selectors.
+    pub decodes: Arc<[object::LabelSelector]>,
+    /// Tokens of the prompt and of what was delivered.
+    pub tokens: u64,
+    /// The prompt's block hashes.
+    pub blocks: Arc<[u64]>,
+    /// Larger is more urgent.
+    pub priority: u8,
+    /// When the request arrived.
+    pub arrived: Duration,
+    /// Tokens were delivered before, so that the first-token target does not apply.
+    pub resumed: bool,
+    /// Engines that this request has tried in vain.
+    pub excluded: Vec<FastStr>,
+    /// What is wanted.
+    pub stage: PlaceStage,
+}
+
+/// What a request wants from the desk.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlaceStage {
+    /// A prefill and a decode engine.
+    Whole,
+    /// A decode engine, while the KV cache lives until then.
+    DecodeOnly(Duration),
+}
+
+/// The desk's answer to a [`PlaceRequest`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum DeskAnswer {
+    /// The engines; their load is counted from now.
+    Placed {
+        /// Prefill engine, if one was wanted.
+        prefill: Option<FastStr>,
+        /// Decode engine.
+        decode: FastStr,
+    },
+    /// None, and none will come in time.
+    Refused(Refusal),
+}
+
+/// Where requests wait for engines.
+#[derive(Debug)]
+pub struct PlaceDesk {
+    tuning: RouteTuning,
+    zone: FastStr,
+    views: BTreeMap<FastStr, EngineView>,
+    waiting: Vec<PlaceRequest>,
+    log: DecisionLog,
+    random: StdRng,
+    turn: usize,
+    // Mean time between two placements while requests wait, seconds.
+    drain_gap: Option<f64>,
+    last_placed: Option<Duration>,
+}
+
+impl PlaceDesk {
+    /// A desk of a host in `zone`; the seed makes its random choices repeatable.
+    pub fn new(zone: FastStr, tuning: RouteTuning, seed: u64) -> Self {
+        Self {
+            tuning,
+            zone,
+            views: BTreeMap::new(),
+            waiting: Vec::new(),
+            log: DecisionLog::default(),
+            random: StdRng::seed_from_u64(seed),
+            turn: 0,
+            drain_gap: None,
+            last_placed: None,
+        }
+    }
+
+    /// The numbers in use.
+    pub fn tuning(&self) -> &RouteTuning {
+        &self.tuning
+    }
+
+    /// Takes the engines that there are; what is known of those that stay is kept.
+    pub fn set_engines(&mut self, engines: Vec<(EngineInfo, bool)>) {
+        let mut known = std::mem::take(&mut self.views);
+        for (info, leaving) in engines {
+            let mut view = match known.remove(&info.name) {
+                Some(view) if view.info.address == info.address => view,
+                _ => EngineView::new(info.clone(), &self.tuning),
+            };
+            view.info = info;
+            view.leaving = leaving;
+            self.views.insert(view.info.name.clone(), view);
+        }
+        // An engine that is gone from the list while work is there still has to be counted.
+        for (name, mut view) in known {
+            if view.own_work() != (0, 0) {
+                view.leaving = true;
+                self.views.insert(name, view);
+            }
+        }
+    }
+
+    /// What is known of an engine.
+    pub fn view(&self, engine: &str) -> Option<&EngineView> {
+        self.views.get(engine)
+    }
+
+    /// What is known of all engines.
+    pub fn views(&self) -> impl Iterator<Item = &EngineView> {
+        self.views.values()
+    }
+
+    /// The decisions made for a request.
+    pub fn explain(&self, request: &str) -> Vec<DecisionRecord> {
+        self.log.of(request)
+    }
+
+    /// The decisions made for the newest request.
+    pub fn latest(&self) -> Vec<DecisionRecord> {
+        self.log.latest()
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Takes a load report of an engine.
+    pub fn reported(&mut self, engine: &str, report: LoadReport) {
+        if let Some(view) = self.views.get_mut(engine) {
+            view.reported(report);
+        }
+    }
+
+    /// Something outside says that the engine leaves, or stays.
+    pub fn set_leaving(&mut self, engine: &str, leaving: bool) {
+        if let Some(view) = self.views.get_mut(engine) {
+            view.leaving = leaving;
+        }
+    }
+
+    /// A prefill of `tokens` ended, with or without a result.
+    pub fn prefill_ended(&mut self, engine: &str, tokens: u64, reply: Option<&PrefillReply>) {
+        if let Some(view) = self.views.get_mut(engine) {
+            view.prefill_ended(tokens);
+            if let Some(reply) = reply {
+                view.prefill_observed(reply);
+            }
+        }
+    }
+
+    /// A decode slot is free, or was never taken.
+    pub fn decode_ended(&mut self, engine: &str) {
+        if let Some(view) = self.views.get_mut(engine) {
+            view.decode_ended();
+        }
+    }
+
+    /// Two tokens came this far apart, seconds.
+    pub fn gap_observed(&mut self, engine: &str, gap: f64, now: Duration) {
+        if let Some(view) = self.views.get_mut(engine) {
+            view.gap_observed(gap, now);
+        }
+    }
+
+    /// An engine refused as full.
+    pub fn refused_full(&mut self, engine: &str, now: Duration) {
+        if let Some(view) = self.views.get_mut(engine) {
+            view.refused_full(now + FULL_TIME);
+        }
+    }
+
+    /// A call to an engine failed; it is taken out after some in a row, unless too many are out.
+    pub fn failed(&mut self, engine: &str, now: Duration) -> bool {
+        let out = self.views.values().filter(|view| view.is_out(now)).count();
+        let most = (self.views.len() as f64 * self.tuning.eject_share) as usize;
+        let until = now + self.tuning.eject_time;
+        let Some(view) = self.views.get_mut(engine) else {
+            return false;
+        };
+        let ejects = view.failed() >= FAILURES_TO_EJECT && !view.is_out(now) && out < most;
+        if ejects {
+            view.eject(until);
+        }
+        ejects
+    }
+
+    /// Adds a request; its answer comes from [`Self::pump`].
+    pub fn ask(&mut self, request: PlaceRequest) {
+        self.waiting.push(request);
+    }
+
+    /// Forgets a request that no longer wants an answer.
+    pub fn withdraw(&mut self, ticket: u64) {
+        self.waiting.retain(|request| request.ticket != ticket);
+    }
+
+    /// Answers every waiting request that can be answered now, the least slack first.
+    pub fn pump(&mut self, now: Duration) -> Vec<(u64, DeskAnswer)> {
+        let mut waiting = std::mem::take(&mut self.waiting);
+        waiting.sort_by_key(|request| (self.urgency(request), request.ticket));
+        let mut answers = Vec::new();
+        let mut ahead = 0;
+        for request in waiting {
+            match self.answer(&request, ahead, now) {
+                Some(answer) => {
+                    self.count_placement(&answer, ahead, now);
+                    answers.push((request.ticket, answer));
+                }
+                None => {
+                    ahead += 1;
+                    self.waiting.push(request);
+                }
+            }
+        }
+        if self.waiting.is_empty() {
+            self.last_placed = None;
+        }
+        answers
+    }
+
+    // What was computed already goes first, then higher priority, then less slack.
+    fn urgency(&self, request: &PlaceRequest) -> (u8, u8, Duration) {
+        let stage = match request.stage {
+            PlaceStage::DecodeOnly(_) => 0,
+            PlaceStage::Whole if request.resumed => 1,
+            PlaceStage::Whole => 2,
+        };
+        let service = self.service_time(request);
+        let slack = self.first_token_by(request).saturating_sub(service);
+        (stage, u8::MAX - request.priority, slack)
+    }
+
+    // Time that the request takes if nothing stands before it.
+    fn service_time(&self, request: &PlaceRequest) -> Duration {
+        let compute = request.tokens as f64 / self.tuning.prefill_rate;
+        let transfer =
+            request.tokens as f64 * self.tuning.kv_bytes_per_token / self.tuning.link_rate;
+        Duration::from_secs_f64(compute + transfer) + self.tuning.between_tokens
+    }
+
+    // A prompt too long for the target is still served: it has its own time over again.
+    fn first_token_by(&self, request: &PlaceRequest) -> Duration {
+        let target = self.tuning.first_token - self.tuning.margin;
+        let own = self.service_time(request).mul_f64(1.5);
+        request.arrived + target.max(own)
+    }
+
+    fn answer(
+        &mut self,
+        request: &PlaceRequest,
+        ahead: usize,
+        now: Duration,
+    ) -> Option<DeskAnswer> {
+        match request.stage {
+            PlaceStage::Whole => self.answer_whole(request, ahead, now),
+            PlaceStage::DecodeOnly(until) => self.answer_decode(request, until, now),
+        }
+    }
+
+    fn answer_whole(
+        &mut self,
+        request: &PlaceRequest,
+        ahead: usize,
+        now: Duration,
+    ) -> Option<DeskAnswer> {
+        let zones = self.zones_to_try();
+        for in_zone in zones {
+            if let Some(answer) = self.place(request, in_zone, now) {
+                return Some(answer);
+            }
+        }
+        if !self.has_candidates(request, now) {
+            let text = format!("no backend server of model {} can take work", request.model);
+            return Some(self.refuse(request, RefusalCode::NoBackend, text, now));
+        }
+        if !self.tuning.policy.queues_here() || request.resumed {
+            return None;
+        }
+        let service = self.service_time(request);
+        let wait = self.drain_gap.unwrap_or(0.0) * ahead as f64;
+        let predicted = now + Duration::from_secs_f64(wait) + service;
+        let by = self.first_token_by(request);
+        if predicted > by {
+            let late = (predicted - by).as_millis();
+            let text = format!("the first token would come {late} ms too late");
+            return Some(self.refuse(request, RefusalCode::Overloaded, text, now));
+        }
+        None
+    }
+
+    // Own zone first; then any.
+    fn zones_to_try(&self) -> [Option<FastStr>; 2] {
+        [Some(self.zone.clone()), None]
+    }
+
+    fn place(
+        &mut self,
+        request: &PlaceRequest,
+        zone: Option<FastStr>,
+        now: Duration,
+    ) -> Option<DeskAnswer> {
+        let joint = self.tuning.policy.queues_here();
+        let mut random = StdRng::seed_from_u64(self.random.random());
+        let prefills = self.rank_prefills(request, zone.as_ref(), now, &mut random);
+        let decodes = self.rank_decodes(request, zone.as_ref(), now, &mut random);
+        let prefill = prefills.first()?;
+        let decode = decodes.first()?;
+        let backlog = self.tuning.prefill_backlog.as_secs_f64();
+        let ahead = prefill.view.backlog_tokens() as f64 / prefill.view.rate(&self.tuning);
+        if joint && (ahead > backlog || !self.has_slot(decode.view)) {
+            return None;
+        }
+        let record = self.record(request, "placed", now, &prefills, &decodes);
+        let names = (
+            prefill.view.info.name.clone(),
+            decode.view.info.name.clone(),
+        );
+        self.turn += 1;
+        self.log.add(record);
+        self.begin(request, Some(&names.0), &names.1);
+        Some(DeskAnswer::Placed {
+            prefill: Some(names.0),
+            decode: names.1,
+        })
+    }
+
+    fn answer_decode(
+        &mut self,
+        request: &PlaceRequest,
+        until: Duration,
+        now: Duration,
+    ) -> Option<DeskAnswer> {
+        if now >= until {
+            let text = "no decode engine was free while the KV cache lived";
+            return Some(self.refuse(request, RefusalCode::Overloaded, text.into(), now));
+        }
+        let mut random = StdRng::seed_from_u64(self.random.random());
+        let decodes = self.rank_decodes(request, None, now, &mut random);
+        let decode = decodes.first()?;
+        if self.tuning.policy.queues_here() && decode.view.is_full(now) {
+            return None;
+        }
+        let record = self.record(request, "decode placed", now, &[], &decodes);
+        let name = decode.view.info.name.clone();
+        self.turn += 1;
+        self.log.add(record);
+        self.begin(request, None, &name);
+        Some(DeskAnswer::Placed {
+            prefill: None,
+            decode: name,
+        })
+    }
+
+    fn begin(&mut self, request: &PlaceRequest, prefill: Option<&FastStr>, decode: &FastStr) {
+        if let Some(view) = prefill.and_then(|name| self.views.get_mut(name)) {
+            view.prefill_began(request.tokens, &request.blocks);
+        }
+        if let Some(view) = self.views.get_mut(decode) {
+            view.decode_began();
+        }
+    }
+
+    fn has_slot(&self, view: &EngineView) -> bool {
+        let Some(total) = view.slots_total() else {
+            return true;
+        };
+        let room = f64::from(total) * (1.0 + self.tuning.decode_overcommit);
+        f64::from(view.slots_used()) < room
+    }
+
+    fn candidates<'a>(
+        &'a self,
+        request: &'a PlaceRequest,
+        role: EngineRole,
+        zone: Option<&'a FastStr>,
+        now: Duration,
+    ) -> Vec<&'a EngineView> {
+        let pools = match role {
+            EngineRole::Prefill => &request.prefills,
+            EngineRole::Decode => &request.decodes,
+        };
+        self.views
+            .values()
+            .filter(|view| zone.is_none_or(|zone| view.info.zone == *zone))
+            .filter(|view| pools.iter().any(|pool| pool.matches(&view.info.labels)))
+            .filter(|view| view.is_usable(role, &request.model, now))
+            .filter(|view| !request.excluded.contains(&view.info.name))
+            .collect()
+    }
+
+    fn has_candidates(&self, request: &PlaceRequest, now: Duration) -> bool {
+        [EngineRole::Prefill, EngineRole::Decode]
+            .into_iter()
+            .all(|role| !self.candidates(request, role, None, now).is_empty())
+    }
+
+    fn rank_prefills<'a>(
+        &'a self,
+        request: &'a PlaceRequest,
+        zone: Option<&'a FastStr>,
+        now: Duration,
+        random: &mut StdRng,
+    ) -> Vec<ScoredEngine<'a>> {
+        let views = self.candidates(request, EngineRole::Prefill, zone, now);
+        let policy = self.tuning.policy;
+        if policy == RoutePolicy::RoundRobin {
+            return in_turn(views, self.turn);
+        }
+        choose::rank(views, random, |view| match policy {
+            RoutePolicy::Joint => {
+                let full = if view.is_full(now) { 1.0 } else { 0.0 };
+                let time =
+                    choose::predict_prefill(view, request.tokens, &request.blocks, &self.tuning);
+                time.as_secs_f64() + full
+            }
+            _ => choose::prefill_load(policy, view),
+        })
+    }
+
+    fn rank_decodes<'a>(
+        &'a self,
+        request: &'a PlaceRequest,
+        zone: Option<&'a FastStr>,
+        now: Duration,
+        random: &mut StdRng,
+    ) -> Vec<ScoredEngine<'a>> {
+        let views = self.candidates(request, EngineRole::Decode, zone, now);
+        let policy = self.tuning.policy;
+        if policy == RoutePolicy::RoundRobin {
+            return in_turn(views, self.turn);
+        }
+        choose::rank(views, random, |view| match policy {
+            RoutePolicy::Joint => self.decode_score(view, now),
+            _ => choose::decode_load(policy, view),
+        })
+    }
+
+    // Use of its slots; one that is slow or full comes after all others.
+    fn decode_score(&self, view: &EngineView, now: Duration) -> f64 {
+        let total = f64::from(view.slots_total().unwrap_or(1).max(1));
+        let target = self.tuning.between_tokens.as_secs_f64();
+        let slow = view.token_gap(now).is_some_and(|gap| gap > target);
+        let penalty = f64::from(u8::from(slow)) + f64::from(u8::from(view.is_full(now)));
+        f64::from(view.slots_used()) / total + penalty
+    }
+
+    fn count_placement(&mut self, answer: &DeskAnswer, ahead: usize, now: Duration) {
+        if !matches!(answer, DeskAnswer::Placed { .. }) {
+            return;
+        }
+        if let (Some(last), true) = (self.last_placed, ahead + self.waiting.len() > 0) {
+            let gap = (now - last).as_secs_f64();
+            self.drain_gap = Some(match self.drain_gap {
+                Some(known) => known + 0.1 * (gap - known),
+                None => gap,
+            });
+        }
+        self.last_placed = Some(now);
+    }
+
+    fn refuse(
+        &mut self,
+        request: &PlaceRequest,
+        code: RefusalCode,
+        text: String,
+        now: Duration,
+    ) -> DeskAnswer {
+        let prefills = Vec::new();
+        let record = DecisionRecord {
+            request: request.request.clone(),
+            at_ms: millis(now.saturating_sub(request.arrived)),
+            decision: format!("refused: {text}"),
+            prefills,
+            decodes: Vec::new(),
+        };
+        self.log.add(record);
+        let drain = self.drain_gap.unwrap_or(0.0) * self.waiting.len() as f64;
+        let wait = Duration::from_secs_f64(drain).clamp(Duration::from_secs(1), RETRY_AFTER_MAX);
+        DeskAnswer::Refused(Refusal::not_run(code, text).after(wait))
+    }
+
+    fn record(
+        &self,
+        request: &PlaceRequest,
+        decision: &str,
+        now: Duration,
+        prefills: &[ScoredEngine<'_>],
+        decodes: &[ScoredEngine<'_>],
+    ) -> DecisionRecord {
+        let prefills: Vec<WeighedEngine> = choose::weighed(prefills, |view| {
+            let cached = view.cached_tokens(&request.blocks);
+            format!(
+                "{} tokens before it, {cached} cached",
+                view.backlog_tokens()
+            )
+        });
+        let decodes: Vec<WeighedEngine> = choose::weighed(decodes, |view| {
+            let total = view.slots_total().unwrap_or(0);
+            format!("{} of {total} slots used", view.slots_used())
+        });
+        DecisionRecord {
+            request: request.request.clone(),
+            at_ms: millis(now.saturating_sub(request.arrived)),
+            decision: format!("{decision} by {}", self.tuning.policy),
+            prefills,
+            decodes,
+        }
+    }
+}
+
+fn in_turn(views: Vec<&EngineView>, turn: usize) -> Vec<ScoredEngine<'_>> {
+    let count = views.len().max(1);
+    let mut ranked: Vec<ScoredEngine<'_>> = views
+        .into_iter()
+        .enumerate()
+        .map(|(index, view)| ScoredEngine {
+            view,
+            score: ((index + count - turn % count) % count) as f64,
+        })
+        .collect();
+    ranked.sort_by(|a, b| a.score.total_cmp(&b.score));
+    ranked
+}
+
+fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1_000.0
+}
--- /dev/null
+++ b/src/route/shared.rs
@@ -0,0 +1,165 @@
+//! The desk as tasks share it: they ask and wait, a pump answers.
+
+use {
+    super::{
+        desk::{DeskAnswer, PlaceDesk, PlaceRequest},
+        policy::RouteTuning,
+    },
+    crate::operation::{Refusal, RefusalCode},
+    faststr::FastStr,
+    std::{
+        collections::HashMap,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        sync::{Notify, oneshot},
+        time::Instant,
+    },
+};
+
+/// How often waiting requests are looked at when nothing else happens.
+const PUMP_PERIOD: Duration = Duration::from_millis(10);
+
+/// A [`PlaceDesk`] that tasks share.
+#[derive(Debug)]
+pub struct SharedDesk {
+    inner: Mutex<DeskInner>,
+    start: Instant,
+    asked: Notify,
+    next_ticket: AtomicU64,
+}
+
+#[derive(Debug)]
+struct DeskInner {
+    desk: PlaceDesk,
+    answers: HashMap<u64, oneshot::Sender<DeskAnswer>>,
+}
+
+impl SharedDesk {
+    /// A desk of a host in `zone`.
+    pub fn new(zone: FastStr, tuning: RouteTuning, seed: u64) -> Arc<Self> {
+        Arc::new(Self {
+            inner: Mutex::new(DeskInner {
+                desk: PlaceDesk::new(zone, tuning, seed),
+                answers: HashMap::new(),
+            }),
+            start: Instant::now(),
+            asked: Notify::new(),
+            next_ticket: AtomicU64::new(1),
+        })
+    }
+
+    /// Time since the desk was made; all its times are on this clock.
+    pub fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// Reads the desk.
+    pub fn read<R>(&self, read: impl FnOnce(&PlaceDesk) -> R) -> R {
+        read(&self.inner.lock().expect("desk").desk)
+    }
+
+    /// Changes the desk, then answers whom it can.
+    pub fn change<R>(&self, change: impl FnOnce(&mut PlaceDesk, Duration) -> R) -> R {
+        let now = self.now();
+        let mut inner = self.inner.lock().expect("desk");
+        let result = change(&mut inner.desk, now);
+        let answers = match inner.desk.waiting() {
+            0 => Vec::new(),
+            _ => inner.desk.pump(now),
+        };
+        for (ticket, answer) in answers {
+            inner.deliver(ticket, answer);
+        }
+        result
+    }
+
+    /// Waits for the desk's answer; a caller that stops waiting leaves nothing behind.
+    pub async fn ask(&self, mut request: PlaceRequest) -> DeskAnswer {
+        let ticket = self.next_ticket.fetch_add(1, Ordering::Relaxed);
+        request.ticket = ticket;
+        let tokens = request.tokens;
+        let (sender, receiver) = oneshot::channel();
+        self.inner
+            .lock()
+            .expect("desk")
+            .answers
+            .insert(ticket, sender);
+        let mut question = OpenQuestion {
+            desk: self,
+            ticket,
+            tokens,
+            receiver,
+        };
+        self.change(|desk, _| desk.ask(request));
+        self.asked.notify_one();
+        match (&mut question.receiver).await {
+            Ok(answer) => answer,
+            Err(_) => {
+                let text = "the host's desk is gone";
+                DeskAnswer::Refused(Refusal::not_run(RefusalCode::Stopping, text))
+            }
+        }
+    }
+
+    /// Looks at the waiting requests from time to time, for as long as the host runs.
+    pub async fn run_pump(self: Arc<Self>) {
+        loop {
+            if self.read(PlaceDesk::waiting) == 0 {
+                self.asked.notified().await;
+            }
+            tokio::time::sleep(PUMP_PERIOD).await;
+            self.change(|_, _| ());
+        }
+    }
+
+    fn undo(&self, answer: DeskAnswer, tokens: u64) {
+        self.change(|desk, _| undo(desk, answer, tokens));
+    }
+}
+
+fn undo(desk: &mut PlaceDesk, answer: DeskAnswer, tokens: u64) {
+    if let DeskAnswer::Placed { prefill, decode } = answer {
+        if let Some(prefill) = prefill {
+            desk.prefill_ended(&prefill, tokens, None);
+        }
+        desk.decode_ended(&decode);
+    }
+}
+
+impl DeskInner {
+    // Nobody may be waiting any more: OpenQuestion's drop has taken the sender out then.
+    fn deliver(&mut self, ticket: u64, answer: DeskAnswer) {
+        let sender = self.answers.remove(&ticket);
+        debug_assert!(sender.is_some(), "a question is answered once");
+        if let Some(sender) = sender {
+            // A receiver that is gone meanwhile finds the answer in its drop.
+            let _ = sender.send(answer);
+        }
+    }
+}
+
+struct OpenQuestion<'a> {
+    desk: &'a SharedDesk,
+    ticket: u64,
+    tokens: u64,
+    receiver: oneshot::Receiver<DeskAnswer>,
+}
+
+impl Drop for OpenQuestion<'_> {
+    fn drop(&mut self) {
+        {
+            let mut inner = self.desk.inner.lock().expect("desk");
+            inner.answers.remove(&self.ticket);
+            inner.desk.withdraw(self.ticket);
+        }
+        // An answer that was given and not read gives its places back.
+        if let Ok(answer) = self.receiver.try_recv() {
+            self.desk.undo(answer, self.tokens);
+        }
+    }
+}
--- /dev/null
+++ b/src/standin/engine/core.rs
@@ -0,0 +1,636 @@
+//! The state of a stand-in engine and the calls that it answers.
+//!
+//! The same code serves the sockets of [`super::server`] and, in process, the bench. It runs on
+//! tokio's clock, so a paused clock makes it exact.
+
+use {
+    super::{answer, attempt::AttemptLog, params::EngineParams},
+    crate::engine::{self, CallFailure, CallResult, EngineRefusal, RefusalCause},
+    faststr::FastStr,
+    futures::future::BoxFuture,
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::HashMap,
+        sync::{
+            Arc, Mutex, MutexGuard,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{sync::Notify, time::Instant},
+};
+
+/// A KV cache on its way to a decode engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KvExport {
+    /// Hash of the prompt.
+    pub seed: u64,
+    /// Tokens of the answer that it already covers.
+    pub position: u32,
+    /// Its size, bytes.
+    pub kv_bytes: u64,
+}
+
+/// Fetches a KV cache from the engine at an address, by its handle.
+pub type FetchKv = Arc<
+    dyn Fn(FastStr, FastStr) -> BoxFuture<'static, Result<KvExport, RefusalCause>> + Send + Sync,
+>;
+
+/// What an engine did so far; read by tests, the demo and the bench.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineCounts {
+    /// Prompt tokens computed.
+    pub computed_tokens: u64,
+    /// Prompt tokens computed whose KV cache nobody imported.
+    pub wasted_tokens: u64,
+    /// Prefills finished.
+    pub prefills: u64,
+    /// Answers generated to their end.
+    pub answers: u64,
+    /// Orders refused.
+    pub refused: u64,
+    /// Attempts cancelled while they held memory or a queue place.
+    pub cancelled: u64,
+}
+
+struct KvEntry {
+    export: KvExport,
+    computed: u64,
+    expires: Instant,
+    exporting: bool,
+    attempt: FastStr,
+}
+
+impl KvEntry {
+    // An export that has begun may end, within reason.
+    fn has_expired(&self, now: Instant) -> bool {
+        let grace = match self.exporting {
+            true => EXPORT_LIMIT,
+            false => Duration::ZERO,
+        };
+        now >= self.expires + grace
+    }
+}
+
+struct Sequence {
+    attempt: FastStr,
+    log: Arc<AttemptLog>,
+    seed: u64,
+    next: u32,
+    end: u32,
+    reason: FastStr,
+}
+
+struct EngineState {
+    role: engine::EngineRole,
+    models: Vec<FastStr>,
+    leaving: bool,
+    highest_token: u64,
+    queue: Vec<QueuedPrefill>,
+    computing: u64,
+    cache: engine::PrefixIndex,
+    kv: HashMap<FastStr, KvEntry>,
+    slots: HashMap<FastStr, Arc<AttemptLog>>,
+    batch: Vec<Sequence>,
+    logs: HashMap<FastStr, Arc<AttemptLog>>,
+    link_free: Instant,
+    published: (Instant, engine::LoadReport),
+    counts: EngineCounts,
+    stall_debt: f64,
+}
+
+struct QueuedPrefill {
+    order: engine::PrefillOrder,
+    log: Arc<AttemptLog>,
+    tokens: u64,
+    done: tokio::sync::oneshot::Sender<CallResult<engine::PrefillReply>>,
+}
+
+/// A stand-in engine.
+pub struct EngineCore {
+    /// The engine's name.
+    pub name: FastStr,
+    params: Mutex<EngineParams>,
+    state: Mutex<EngineState>,
+    prefill_wake: Notify,
+    decode_wake: Notify,
+    next_handle: AtomicU64,
+    fetch_kv: FetchKv,
+}
+
+impl EngineCore {
+    /// Starts an engine's tasks on the current runtime.
+    pub fn start(
+        name: FastStr,
+        role: engine::EngineRole,
+        models: Vec<FastStr>,
+        params: EngineParams,
+        fetch_kv: FetchKv,
+    ) -> Arc<Self> {
+        let now = Instant::now();
+        let load = engine::LoadReport {
+            role,
+            models: models.clone(),
+            slots_total: params.slots,
+            slots_used: 0,
+            queued_tokens: 0,
+            attempts: 0,
+            leaving: false,
+        };
+        let state = EngineState {
+            role,
+            models,
+            leaving: false,
+            highest_token: 0,
+            queue: Vec::new(),
+            computing: 0,
+            cache: engine::PrefixIndex::new(params.cache_blocks),
+            kv: HashMap::new(),
+            slots: HashMap::new(),
+            batch: Vec::new(),
+            logs: HashMap::new(),
+            link_free: now,
+            published: (now, load),
+            counts: EngineCounts::default(),
+            stall_debt: 0.0,
+        };
+        let core = Arc::new(Self {
+            name,
+            params: Mutex::new(params),
+            state: Mutex::new(state),
+            prefill_wake: Notify::new(),
+            decode_wake: Notify::new(),
+            next_handle: AtomicU64::new(1),
+            fetch_kv,
+        });
+        tokio::spawn(core.clone().run_prefills());
+        tokio::spawn(core.clone().run_decode());
+        tokio::spawn(core.clone().run_expiry());
+        core
+    }
+
+    fn state(&self) -> MutexGuard<'_, EngineState> {
+        self.state.lock().expect("engine state")
+    }
+
+    /// The engine's speeds and sizes.
+    pub fn params(&self) -> EngineParams {
+        self.params.lock().expect("engine params").clone()
+    }
+
+    /// Changes the engine's speeds and sizes while it runs.
+    pub fn change_params(&self, change: impl FnOnce(&mut EngineParams)) {
+        change(&mut self.params.lock().expect("engine params"));
+    }
+
+    /// What the engine did so far.
+    pub fn counts(&self) -> EngineCounts {
+        self.state().counts
+    }
+
+    /// Attempts that hold memory or a queue place: the engine memory the promises speak of.
+    pub fn held(&self) -> usize {
+        let state = self.state();
+        state.slots.len() + state.queue.len() + usize::from(state.computing > 0)
+    }
+
+    /// Says that the engine wants no new work, or wants it again.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.state().leaving = leaving;
+    }
+
+    /// The load report, as old as the engine's lag makes it.
+    pub fn load(&self) -> engine::LoadReport {
+        let lag = self.params().report_lag;
+        let slots = self.params().slots;
+        let mut state = self.state();
+        let now = Instant::now();
+        if now - state.published.0 >= lag {
+            let report = state.report(slots);
+            state.published = (now, report);
+        }
+        let mut load = state.published.1.clone();
+        load.leaving = state.leaving;
+        load.role = state.role;
+        load
+    }
+
+    fn refuse(&self, cause: RefusalCause) -> CallFailure {
+        self.state().counts.refused += 1;
+        CallFailure::refused(EngineRefusal {
+            cause,
+            load: Some(self.load()),
+        })
+    }
+
+    fn check(&self, role: engine::EngineRole, model: &FastStr) -> Result<(), RefusalCause> {
+        let state = self.state();
+        if state.leaving {
+            return Err(RefusalCause::Leaving);
+        }
+        if state.role != role || !state.models.contains(model) {
+            return Err(RefusalCause::WrongEngine);
+        }
+        Ok(())
+    }
+
+    // Registers an attempt; one that was cancelled before it came, or came before, is refused.
+    fn admit(&self, attempt: &FastStr, tenant: &FastStr) -> Result<Arc<AttemptLog>, RefusalCause> {
+        let mut state = self.state();
+        if let Some(log) = state.logs.get(attempt) {
+            return Err(match log.is_cancelled() {
+                true => RefusalCause::Cancelled,
+                false => RefusalCause::Invalid,
+            });
+        }
+        let log = AttemptLog::new(tenant.clone());
+        state.logs.insert(attempt.clone(), log.clone());
+        Ok(log)
+    }
+
+    /// Computes a prompt's KV cache, after those queued before it.
+    pub async fn prefill(&self, order: engine::PrefillOrder) -> CallResult<engine::PrefillReply> {
+        self.check(engine::EngineRole::Prefill, &order.model)
+            .map_err(|cause| self.refuse(cause))?;
+        let room = self.params().prefill_queue;
+        if self.state().queue.len() >= room {
+            return Err(self.refuse(RefusalCause::Full));
+        }
+        let log = self
+            .admit(&order.attempt, &order.tenant)
+            .map_err(|cause| self.refuse(cause))?;
+        let (done, answer) = tokio::sync::oneshot::channel();
+        let tokens = engine::estimate_tokens(&order.prompt) + order.delivered.len() as u64;
+        self.state().queue.push(QueuedPrefill {
+            order,
+            log,
+            tokens,
+            done,
+        });
+        self.prefill_wake.notify_one();
+        answer
+            .await
+            .unwrap_or_else(|_| Err(CallFailure::unanswered("engine stopped")))
+    }
+
+    async fn run_prefills(self: Arc<Self>) {
+        loop {
+            let Some(queued) = self.take_queued() else {
+                self.prefill_wake.notified().await;
+                continue;
+            };
+            let attempt = queued.order.attempt.clone();
+            let result = self.compute(&queued).await;
+            self.state().computing = 0;
+            if let Err(CallFailure { .. }) = &result {
+                queued.log.end();
+            }
+            if queued.done.send(result).is_err() {
+                log::trace!("nobody waits for prefill {attempt}");
+            }
+        }
+    }
+
+    // The most urgent queued prefill, the oldest among equals.
+    fn take_queued(&self) -> Option<QueuedPrefill> {
+        let mut state = self.state();
+        let urgent = state
+            .queue
+            .iter()
+            .map(|queued| queued.order.priority)
+            .max()?;
+        let place = state
+            .queue
+            .iter()
+            .position(|queued| queued.order.priority == urgent)?;
+        let queued = state.queue.remove(place);
+        state.computing = queued.tokens;
+        Some(queued)
+    }
+
+    async fn compute(&self, queued: &QueuedPrefill) -> CallResult<engine::PrefillReply> {
+        let params = self.params();
+        let cached = {
+            let hashes = engine::block_hashes(&queued.order.prompt);
+            let mut state = self.state();
+            let cached = state.cache.covered(&hashes);
+            state.cache.admit(&hashes);
+            cached
+        };
+        let computed = queued.tokens - cached.min(queued.tokens);
+        let time = params.prefill_time(computed);
+        tokio::select! {
+            () = tokio::time::sleep(time) => {}
+            () = queued.log.ended() => return Err(self.refuse(RefusalCause::Cancelled)),
+        }
+        let handle = self.next_handle.fetch_add(1, Ordering::Relaxed);
+        let handle = FastStr::from_string(format!("{}-kv{handle}", self.name));
+        let export = KvExport {
+            seed: answer::prompt_seed(&queued.order.prompt),
+            position: queued.order.delivered.len() as u32,
+            kv_bytes: queued.tokens * params.kv_bytes_per_token,
+        };
+        let kv_bytes = export.kv_bytes;
+        let entry = KvEntry {
+            export,
+            computed,
+            expires: Instant::now() + params.kv_life,
+            exporting: false,
+            attempt: queued.order.attempt.clone(),
+        };
+        let mut state = self.state();
+        state.counts.computed_tokens += computed;
+        state.counts.prefills += 1;
+        state.kv.insert(handle.clone(), entry);
+        state.computing = 0;
+        drop(state);
+        Ok(engine::PrefillReply {
+            handle,
+            computed_tokens: computed,
+            cached_tokens: cached,
+            compute_ms: time.as_secs_f64() * 1_000.0,
+            kv_bytes,
+            load: self.load(),
+        })
+    }
+
+    /// Hands a KV cache over, as fast as the link allows; it is gone here afterwards.
+    pub async fn export(&self, handle: &FastStr) -> Result<KvExport, RefusalCause> {
+        let (export, ready) = {
+            let params = self.params();
+            let mut state = self.state();
+            let now = Instant::now();
+            let entry = state.kv.get_mut(handle).ok_or(RefusalCause::Expired)?;
+            entry.exporting = true;
+            let export = entry.export.clone();
+            let start = state.link_free.max(now);
+            let ready = start + params.transfer_time(export.kv_bytes);
+            state.link_free = ready;
+            (export, ready)
+        };
+        tokio::time::sleep_until(ready).await;
+        self.release(handle);
+        Ok(export)
+    }
+
+    // Forgets a KV cache that has been handed over.
+    fn release(&self, handle: &FastStr) {
+        let mut state = self.state();
+        if let Some(entry) = state.kv.remove(handle) {
+            state.end_log(&entry.attempt);
+        }
+    }
+
+    /// Takes an attempt into the decode memory and starts its import.
+    pub fn decode(self: &Arc<Self>, order: engine::DecodeOrder) -> CallResult<Arc<AttemptLog>> {
+        self.check(engine::EngineRole::Decode, &order.model)
+            .map_err(|cause| self.refuse(cause))?;
+        let slots = self.params().slots as usize;
+        if self.state().slots.len() >= slots {
+            return Err(self.refuse(RefusalCause::Full));
+        }
+        let log = self
+            .admit(&order.attempt, &order.tenant)
+            .map_err(|cause| self.refuse(cause))?;
+        self.state()
+            .slots
+            .insert(order.attempt.clone(), log.clone());
+        tokio::spawn(self.clone().import(order, log.clone()));
+        Ok(log)
+    }
+
+    async fn import(self: Arc<Self>, order: engine::DecodeOrder, log: Arc<AttemptLog>) {
+        let fetch = (self.fetch_kv)(order.source.clone(), order.handle.clone());
+        let stalls = self.draw_stall();
+        let fetched = tokio::select! {
+            fetched = stall_or(stalls, fetch) => fetched,
+            () = log.ended() => return,
+        };
+        let export = match fetched {
+            Ok(export) => export,
+            Err(cause) => {
+                let reason = FastStr::from_string(format!("import failed: {cause:?}"));
+                log.push(engine::StreamItem::Aborted { reason });
+                self.free(&order.attempt);
+                return;
+            }
+        };
+        log.push(engine::StreamItem::Imported);
+        let whole = answer::answer_length(export.seed, self.params().answer_tokens);
+        let end = whole.min(order.max_tokens).max(export.position);
+        let reason = match whole <= order.max_tokens {
+            true => FastStr::from_static_str("stop"),
+            false => FastStr::from_static_str("length"),
+        };
+        let mut state = self.state();
+        if !state.slots.contains_key(&order.attempt) {
+            return;
+        }
+        state.batch.push(Sequence {
+            attempt: order.attempt,
+            log,
+            seed: export.seed,
+            next: export.position,
+            end,
+            reason,
+        });
+        drop(state);
+        self.decode_wake.notify_one();
+    }
+
+    // Spreads the stalls evenly, so that a share is a share in short runs too.
+    fn draw_stall(&self) -> bool {
+        let share = self.params().stall_share;
+        let mut state = self.state();
+        state.stall_debt += share;
+        let stalls = state.stall_debt >= 1.0;
+        if stalls {
+            state.stall_debt -= 1.0;
+        }
+        stalls
+    }
+
+    async fn run_decode(self: Arc<Self>) {
+        loop {
+            let batch = self.state().batch.len();
+            if batch == 0 {
+                self.decode_wake.notified().await;
+                continue;
+            }
+            tokio::time::sleep(self.params().step_time(batch)).await;
+            self.step();
+        }
+    }
+
+    // One token for every request in the batch.
+    fn step(&self) {
+        let mut state = self.state();
+        let mut ended = Vec::new();
+        for sequence in &mut state.batch {
+            if sequence.next < sequence.end {
+                let position = sequence.next;
+                let text = answer::token_at(sequence.seed, position);
+                sequence
+                    .log
+                    .push(engine::StreamItem::Token { position, text });
+                sequence.next += 1;
+            }
+            if sequence.next >= sequence.end {
+                sequence.log.push(engine::StreamItem::Finished {
+                    tokens: sequence.end,
+                    reason: sequence.reason.clone(),
+                });
+                ended.push(sequence.attempt.clone());
+            }
+        }
+        state.counts.answers += ended.len() as u64;
+        for attempt in ended {
+            state.free(&attempt);
+        }
+    }
+
+    fn free(&self, attempt: &FastStr) {
+        self.state().free(attempt);
+    }
+
+    /// Ends an attempt and frees what it holds; one that has not come yet is refused when it comes.
+    pub fn cancel(&self, attempt: &FastStr) {
+        let mut state = self.state();
+        let log = state
+            .logs
+            .entry(attempt.clone())
+            .or_insert_with(|| AttemptLog::new(FastStr::empty()))
+            .clone();
+        if log.has_ended() {
+            return;
+        }
+        log.cancel();
+        state.counts.cancelled += 1;
+        state
+            .queue
+            .retain(|queued| queued.order.attempt != *attempt);
+        let handles: Vec<FastStr> = state
+            .kv
+            .iter()
+            .filter(|(_, entry)| entry.attempt == *attempt)
+            .map(|(handle, _)| handle.clone())
+            .collect();
+        for handle in handles {
+            state.waste(&handle);
+        }
+        state.free(attempt);
+    }
+
+    /// The stream of an attempt that is live or ended lately.
+    pub fn find(&self, attempt: &FastStr) -> Option<Arc<AttemptLog>> {
+        self.state().logs.get(attempt).cloned()
+    }
+
+    /// Cancels what an ended host left behind and nobody reads any more.
+    pub fn sweep(&self, order: &engine::SweepOrder) -> engine::SweepReply {
+        let idle = Duration::from_millis(order.idle_ms);
+        let candidates: Vec<(FastStr, bool)> = self
+            .state()
+            .logs
+            .iter()
+            .filter(|(name, log)| {
+                !log.has_ended() && engine::attempt_incarnation(name) == Some(&order.incarnation)
+            })
+            .map(|(name, log)| (name.clone(), log.idle_for() >= idle))
+            .collect();
+        let mut reply = engine::SweepReply {
+            cancelled: 0,
+            left: 0,
+        };
+        for (attempt, idle) in candidates {
+            if idle {
+                self.cancel(&attempt);
+                reply.cancelled += 1;
+            } else {
+                reply.left += 1;
+            }
+        }
+        reply
+    }
+
+    /// Takes a fenced order; an engine that does not check tokens takes any.
+    pub fn order(&self, order: &engine::FencedOrder) -> CallResult<()> {
+        let checks = self.params().checks_token;
+        let mut state = self.state();
+        if checks && order.token < state.highest_token {
+            drop(state);
+            return Err(self.refuse(RefusalCause::Fenced));
+        }
+        state.highest_token = state.highest_token.max(order.token);
+        state.role = order.role;
+        state.models.clone_from(&order.models);
+        Ok(())
+    }
+
+    // Drops KV caches that nobody fetched in time, and old records.
+    async fn run_expiry(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(EXPIRY_PERIOD).await;
+            let keep = self.params().record_life;
+            let now = Instant::now();
+            let mut state = self.state();
+            let expired: Vec<FastStr> = state
+                .kv
+                .iter()
+                .filter(|(_, entry)| entry.has_expired(now))
+                .map(|(handle, _)| handle.clone())
+                .collect();
+            for handle in expired {
+                state.waste(&handle);
+            }
+            state.logs.retain(|_, log| !log.ended_before(keep));
+        }
+    }
+}
+
+/// How often expired KV caches and records are looked for.
+const EXPIRY_PERIOD: Duration = Duration::from_millis(20);
+
+/// How long past its life a KV cache is kept while it is being handed over.
+const EXPORT_LIMIT: Duration = Duration::from_secs(2);
+
+async fn stall_or<T>(stalls: bool, fetch: impl Future<Output = T>) -> T {
+    if stalls {
+        std::future::pending::<()>().await;
+    }
+    fetch.await
+}
+
+impl EngineState {
+    fn report(&self, slots: u32) -> engine::LoadReport {
+        let queued: u64 = self.queue.iter().map(|queued| queued.tokens).sum();
+        engine::LoadReport {
+            role: self.role,
+            models: self.models.clone(),
+            slots_total: slots,
+            slots_used: self.slots.len() as u32,
+            queued_tokens: queued + self.computing,
+            attempts: (self.slots.len() + self.queue.len()) as u32 + u32::from(self.computing > 0),
+            leaving: self.leaving,
+        }
+    }
+
+    fn end_log(&mut self, attempt: &FastStr) {
+        if let Some(log) = self.logs.get(attempt) {
+            log.end();
+        }
+    }
+
+    fn free(&mut self, attempt: &FastStr) {
+        self.slots.remove(attempt);
+        self.batch.retain(|sequence| sequence.attempt != *attempt);
+        self.end_log(attempt);
+    }
+
+    fn waste(&mut self, handle: &FastStr) {
+        if let Some(entry) = self.kv.remove(handle) {
+            self.counts.wasted_tokens += entry.computed;
+            self.end_log(&entry.attempt);
+        }
+    }
+}
--- /dev/null
+++ b/src/standin/engine/mod.rs
@@ -0,0 +1,9 @@
+//! A stand-in model engine: continuous batching, prefix cache, expiring KV caches, slow links.
+
+mod answer;
+mod attempt;
+mod core;
+mod params;
+mod server;
+
+pub use self::{answer::*, attempt::*, core::*, params::*, server::*};
--- /dev/null
+++ b/src/standin/service/mod.rs
@@ -0,0 +1,90 @@
+//! A stand-in plain service that counts how often each call ran.
+
+use {
+    crate::web,
+    faststr::FastStr,
+    futures::FutureExt,
+    serde_json::json,
+    std::{
+        collections::HashMap,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::net::TcpListener,
+    volo_http::{request::Request, response::Response},
+};
+
+const BODY_LIMIT: usize = 1 << 20;
+const BODY_TIME: Duration = Duration::from_secs(5);
+
+/// A stand-in plain service; a call is its method, path and body.
+#[derive(Debug, Default)]
+pub struct ServiceCore {
+    name: FastStr,
+    runs: Mutex<HashMap<String, u64>>,
+    delay_ms: AtomicU64,
+    lose_answers: AtomicBool,
+}
+
+impl ServiceCore {
+    /// A service that has run nothing.
+    pub fn new(name: FastStr) -> Arc<Self> {
+        Arc::new(Self {
+            name,
+            ..Self::default()
+        })
+    }
+
+    /// How often each call ran.
+    pub fn runs(&self) -> HashMap<String, u64> {
+        self.runs.lock().expect("service runs").clone()
+    }
+
+    /// Waits this long before each answer, after the call ran.
+    pub fn set_delay(&self, delay: Duration) {
+        let millis = delay.as_millis() as u64;
+        self.delay_ms.store(millis, Ordering::Relaxed);
+    }
+
+    /// Runs calls and does not answer them.
+    pub fn set_lose_answers(&self, lose: bool) {
+        self.lose_answers.store(lose, Ordering::Relaxed);
+    }
+
+    async fn answer(self: Arc<Self>, request: Request) -> Response {
+        let (parts, content) = request.into_parts();
+        let Ok(bytes) = web::read_body(content, BODY_LIMIT, BODY_TIME).await else {
+            return web::text_reply(413, "too large or too slow");
+        };
+        let text = String::from_utf8_lossy(&bytes);
+        let call = format!("{} {} {text}", parts.method, parts.uri.path());
+        let run = {
+            let mut runs = self.runs.lock().expect("service runs");
+            let count = runs.entry(call).or_default();
+            *count += 1;
+            *count
+        };
+        let delay = Duration::from_millis(self.delay_ms.load(Ordering::Relaxed));
+        tokio::time::sleep(delay).await;
+        if self.lose_answers.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
+        let answer = json!({
+            "service": self.name,
+            "method": parts.method.as_str(),
+            "path": parts.uri.path(),
+            "received": text,
+            "run": run,
+        });
+        web::json_reply(200, &answer)
+    }
+}
+
+/// Serves a stand-in service on a listening socket, on the current runtime.
+pub fn serve_service(core: Arc<ServiceCore>, listener: TcpListener) {
+    let handler: web::WebHandler = Arc::new(move |request| core.clone().answer(request).boxed());
+    tokio::spawn(web::serve(listener, handler, None));
+}
