--- /dev/null
+++ b/src/control/gossip.rs
@@ -0,0 +1,217 @@
+//! Telling other hosts what this one knows, and hearing what they know.
+
+use {
+    super::{
+        config::{AcceptedConfig, ConfigOffer},
+        parts::ControlParts,
+        servers::ServerList,
+    },
+    crate::peer::{self, HostCard, PassedState, PeerAnswers, PeerDigest},
+    capnp::Error,
+    faststr::FastStr,
+    rand::RngExt,
+    std::{net::SocketAddr, rc::Rc, time::Duration},
+    tokio::net::TcpListener,
+};
+
+/// Of so many rounds, one goes to another zone and one to a host that is not known to be live.
+const ROUNDS: u64 = 5;
+
+/// How long what others say of a leaving engine counts.
+const HEARSAY_LIFE: Duration = Duration::from_secs(10);
+
+impl ControlParts {
+    pub(super) async fn gossip(self: Rc<Self>) {
+        let mut round = 0;
+        loop {
+            round += 1;
+            let now = self.now();
+            let changes = {
+                let mut state = self.state.borrow_mut();
+                state.members.beat(self.flags());
+                state.members.tick(now)
+            };
+            self.note_changes(&changes);
+            if let Some((address, same_zone)) = self.draw_target(round)
+                && let Err(error) = self.exchange(address, same_zone).await
+            {
+                log::debug!("exchange with {address}: {error}");
+            }
+            tokio::time::sleep(self.pause()).await;
+        }
+    }
+
+    // A little random, so that hosts started together do not stay in step.
+    fn pause(&self) -> Duration {
+        let factor = rand::rng().random_range(0.8..1.2);
+        self.traffic.settings.gossip_period.mul_f64(factor)
+    }
+
+    fn draw_target(&self, round: u64) -> Option<(SocketAddr, bool)> {
+        let state = self.state.borrow();
+        let zone = &state.members.own().zone;
+        let in_zone: Vec<SocketAddr> = state
+            .members
+            .live_in_zone()
+            .map(|(card, _)| card.peers)
+            .collect();
+        let away: Vec<SocketAddr> = state
+            .members
+            .live()
+            .filter(|(card, _)| card.zone != *zone)
+            .map(|(card, _)| card.peers)
+            .collect();
+        let mut silent: Vec<SocketAddr> =
+            state.members.suspected().map(|card| card.peers).collect();
+        // Seeds may be of any zone, and of hosts that were replaced.
+        let known: Vec<SocketAddr> = in_zone.iter().chain(&away).copied().collect();
+        silent.extend(self.seeds().iter().filter(|seed| !known.contains(seed)));
+        let turn = round % ROUNDS;
+        let pick = |list: &[SocketAddr]| match list.len() {
+            0 => None,
+            count => Some(list[rand::rng().random_range(0..count)]),
+        };
+        let chosen = match turn {
+            0 => pick(&away).map(|address| (address, false)),
+            1 => pick(&silent).map(|address| (address, true)),
+            _ => None,
+        };
+        chosen
+            .or_else(|| pick(&in_zone).map(|address| (address, true)))
+            .or_else(|| pick(&silent).map(|address| (address, true)))
+    }
+
+    async fn exchange(&self, address: SocketAddr, same_zone: bool) -> Result<(), Error> {
+        let digest = self.digest(same_zone);
+        let answer = self.links.exchange(address, &digest).await?;
+        self.take_digest(&answer);
+        self.learn_strangers(address).await?;
+        self.fetch_newer(address, &answer).await
+    }
+
+    fn digest(&self, same_zone: bool) -> PeerDigest {
+        let leaving = self.engines_saying_goodbye();
+        let state = self.state.borrow();
+        let generation = state.config.in_force().generation;
+        state.members.digest(
+            same_zone,
+            generation,
+            state.servers.version,
+            leaving,
+            self.now(),
+        )
+    }
+
+    fn engines_saying_goodbye(&self) -> Vec<FastStr> {
+        self.traffic.desk.read(|desk| {
+            desk.views()
+                .filter(|view| view.says_leaving())
+                .map(|view| view.info.name.clone())
+                .collect()
+        })
+    }
+
+    fn take_digest(&self, digest: &PeerDigest) {
+        let now = self.now();
+        let is_own_zone = digest.sender.zone == self.traffic.settings.zone;
+        let changes = {
+            let mut state = self.state.borrow_mut();
+            if !is_own_zone {
+                state.sweeps.hear(&digest.silent, now);
+            }
+            state.members.take(digest, now)
+        };
+        self.note_changes(&changes);
+        if !digest.leaving.is_empty() {
+            self.traffic.desk.change(|desk, now| {
+                for engine in &digest.leaving {
+                    desk.heard_leaving(engine, now + HEARSAY_LIFE);
+                }
+            });
+        }
+    }
+
+    async fn learn_strangers(&self, address: SocketAddr) -> Result<(), Error> {
+        let strangers = self.state.borrow().members.strangers();
+        if strangers.is_empty() {
+            return Ok(());
+        }
+        let cards = self.links.cards(address, &strangers).await?;
+        let mut state = self.state.borrow_mut();
+        for card in cards {
+            state.members.take_card(card);
+        }
+        drop(state);
+        self.publish();
+        Ok(())
+    }
+
+    // Only what was accepted is passed on, so whatever is newer is taken.
+    async fn fetch_newer(&self, address: SocketAddr, answer: &PeerDigest) -> Result<(), Error> {
+        let (generation, version) = {
+            let state = self.state.borrow();
+            (state.config.in_force().generation, state.servers.version)
+        };
+        if answer.generation <= generation && answer.servers_version <= version {
+            return Ok(());
+        }
+        let passed = self.links.state(address, generation, version).await?;
+        self.take_state(&passed)
+    }
+
+    fn take_state(&self, passed: &PassedState) -> Result<(), Error> {
+        let malformed = |error: serde_json::Error| Error::failed(error.to_string());
+        let mut changed = false;
+        if !passed.servers.is_empty() {
+            let list: ServerList = serde_json::from_slice(&passed.servers).map_err(malformed)?;
+            changed |= self.state.borrow_mut().servers.offer(list);
+        }
+        if !passed.config.is_empty() {
+            let config: AcceptedConfig =
+                serde_json::from_slice(&passed.config).map_err(malformed)?;
+            let offer = self.state.borrow_mut().config.offer(config);
+            self.note_offer(&offer);
+            changed |= offer == ConfigOffer::InForce;
+        }
+        if changed {
+            self.publish();
+        }
+        Ok(())
+    }
+
+    pub(super) async fn serve_peers(self: Rc<Self>, listener: TcpListener) {
+        let (exchange, cards, state) = (self.clone(), self.clone(), self.clone());
+        let answers = PeerAnswers {
+            exchange: Box::new(move |digest| {
+                let same_zone = digest.sender.zone == exchange.traffic.settings.zone;
+                exchange.take_digest(&digest);
+                exchange.digest(same_zone)
+            }),
+            cards: Box::new(move |wanted| cards.cards(wanted)),
+            state: Box::new(move |generation, version| state.pass_state(generation, version)),
+        };
+        let metrics = self.traffic.metrics.clone();
+        peer::serve_peers(listener, Rc::new(answers), metrics).await;
+    }
+
+    fn cards(&self, wanted: &[u64]) -> Vec<HostCard> {
+        let state = self.state.borrow();
+        wanted
+            .iter()
+            .filter_map(|incarnation| state.members.card(*incarnation).cloned())
+            .collect()
+    }
+
+    fn pass_state(&self, generation: u64, version: u64) -> PassedState {
+        let state = self.state.borrow();
+        let config = state.config.in_force();
+        let mut passed = PassedState::default();
+        if config.generation > generation {
+            passed.config = serde_json::to_vec(&*config).unwrap_or_default();
+        }
+        if state.servers.version > version {
+            passed.servers = serde_json::to_vec(&state.servers).unwrap_or_default();
+        }
+        passed
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,7 +1,17 @@
 //! Control state: what one thread keeps and publishes to traffic.
 
 mod config;
-mod loops;
+mod gossip;
+mod lease;
+mod observe;
+mod parts;
+mod publish;
+mod roles;
+mod servers;
 mod snapshot;
+mod sweep;
+#[cfg(test)]
+mod tests;
+mod watch;
 
-pub use self::{config::*, loops::*, snapshot::*};
+pub use self::{config::*, lease::*, parts::*, roles::*, servers::*, snapshot::*, sweep::*};
--- /dev/null
+++ b/src/control/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of control state.
--- a/src/engine/http.rs
+++ b/src/engine/http.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        link::{CallFailure, CallResult, EngineLink, ItemStream},
+        link::{CallFailure, CallResult, EngineLink, ItemStream, ResumeOrder},
         wire,
     },
     crate::web::{self, WebClient, WebFailure},
@@ -45,13 +45,9 @@
             let client = decode.clone();
             async move { post_stream(&client, address, "/v1/decode", &order).await }.boxed()
         }),
-        resume: Box::new(move |(attempt, from)| {
+        resume: Box::new(move |order| {
             let client = resume.clone();
-            async move {
-                let path = format!("/v1/attempts/{attempt}/stream?from={from}");
-                open_stream(&client, Method::GET, address, &path, Bytes::new()).await
-            }
-            .boxed()
+            async move { resume_stream(&client, address, order).await }.boxed()
         }),
         cancel: Box::new(move |attempt| {
             let client = cancel.clone();
@@ -80,7 +76,28 @@
     order: &A,
 ) -> CallResult<ItemStream> {
     let content = serde_json::to_vec(order).map_err(CallFailure::unreachable)?;
-    open_stream(client, Method::POST, address, path, content.into()).await
+    let response = open_stream(client, Method::POST, address, path, content.into()).await?;
+    read_items(response)
+}
+
+// A stream of another tenant's attempt is not read, whatever id a caller shows.
+async fn resume_stream(
+    client: &WebClient,
+    address: SocketAddr,
+    order: ResumeOrder,
+) -> CallResult<ItemStream> {
+    let ResumeOrder {
+        attempt,
+        from,
+        tenant,
+    } = order;
+    let path = format!("/v1/attempts/{attempt}/stream?from={from}");
+    let response = open_stream(client, Method::GET, address, &path, Bytes::new()).await?;
+    let owner = response.headers().get(wire::TENANT_HEADER);
+    match owner.is_some_and(|owner| owner.as_bytes() == tenant.as_bytes()) {
+        true => read_items(response),
+        false => Err(CallFailure::unanswered("the attempt is not this tenant's")),
+    }
 }
 
 async fn open_stream(
@@ -89,20 +106,19 @@
     address: SocketAddr,
     path: &str,
     content: Bytes,
-) -> CallResult<ItemStream> {
+) -> CallResult<Response> {
     let sent = client.send(method, address, path, web::json_headers(), content);
     let response = tokio::time::timeout(CALL_TIMEOUT, sent)
         .await
         .map_err(|_| CallFailure::unanswered("no answer in time"))?
         .map_err(call_failure)?;
-    if !response.status().is_success() {
-        let failure = match web::read_answer(response, CALL_TIMEOUT).await {
-            Err(failure) => call_failure(failure),
-            Ok(_) => CallFailure::unanswered("an unexpected status"),
-        };
-        return Err(failure);
+    if response.status().is_success() {
+        return Ok(response);
+    }
+    match web::read_answer(response, CALL_TIMEOUT).await {
+        Err(failure) => Err(call_failure(failure)),
+        Ok(_) => Err(CallFailure::unanswered("an unexpected status")),
     }
-    read_items(response)
 }
 
 // The stream's items; a broken connection is the last of them.
--- a/src/engine/link.rs
+++ b/src/engine/link.rs
@@ -3,6 +3,7 @@
 use {
     super::wire,
     crate::operation::RunVerdict,
+    faststr::FastStr,
     futures::{future::BoxFuture, stream::BoxStream},
     std::fmt,
 };
@@ -64,6 +65,17 @@
 /// An attempt's stream; it ends after `Finished` or `Aborted`, or early when the engine is lost.
 pub type ItemStream = BoxStream<'static, CallResult<wire::StreamItem>>;
 
+/// Which stream to read again.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResumeOrder {
+    /// The attempt.
+    pub attempt: FastStr,
+    /// First position wanted.
+    pub from: u32,
+    /// Whom it has to be for.
+    pub tenant: FastStr,
+}
+
 type Call<A, R> = Box<dyn Fn(A) -> BoxFuture<'static, CallResult<R>> + Send + Sync>;
 
 /// The calls that one engine answers: over HTTP in the daemon, in process in the bench.
@@ -72,10 +84,10 @@
     pub prefill: Call<wire::PrefillOrder, wire::PrefillReply>,
     /// Imports a KV cache and generates; the stream's items follow.
     pub decode: Call<wire::DecodeOrder, ItemStream>,
-    /// Reads an attempt's stream again: the attempt and the first position wanted.
-    pub resume: Call<(faststr::FastStr, u32), ItemStream>,
+    /// Reads an attempt's stream again.
+    pub resume: Call<ResumeOrder, ItemStream>,
     /// Ends an attempt; done when the engine has acknowledged.
-    pub cancel: Call<faststr::FastStr, ()>,
+    pub cancel: Call<FastStr, ()>,
 }
 
 impl fmt::Debug for EngineLink {
--- a/src/engine/wire.rs
+++ b/src/engine/wire.rs
@@ -98,7 +98,11 @@
 #[serde(tag = "kind", rename_all = "lowercase")]
 pub enum StreamItem {
     /// The KV cache is here; the prefill engine may forget it.
-    Imported,
+    Imported {
+        /// The engine's load, if it says so.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        load: Option<LoadReport>,
+    },
     /// One token of the answer.
     Token {
         /// Place in the answer, from 0.
@@ -112,6 +116,9 @@
         tokens: u32,
         /// Why generation ended, as callers know it: `stop` or `length`.
         reason: FastStr,
+        /// The engine's load, if it says so.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        load: Option<LoadReport>,
     },
     /// The attempt ended without a whole answer.
     Aborted {
--- a/src/filter/dispatch.rs
+++ b/src/filter/dispatch.rs
@@ -12,9 +12,9 @@
         engine, event,
         host::{GateEntry, Traffic},
         operation::{
-            AnswerItem, AnswerLog, EventPosition, LifeEnd, ModelRequest, OnceSignal,
-            OperationAnswer, PlainOutcome, Refusal, RefusalCode, ReplayLog, ReplayReader,
-            RunVerdict, run_request,
+            AdoptedAttempt, AnswerItem, AnswerLog, EngineAttempt, EventPosition, LifeEnd,
+            ModelRequest, OnceSignal, OperationAnswer, PlainOutcome, Refusal, RefusalCode,
+            ReplayLog, ReplayReader, RunVerdict, run_request,
         },
         web,
     },
@@ -71,20 +71,14 @@
         let text = "the key was used with a call of a plain service";
         return Err(Refusal::not_run(RefusalCode::KeyConflict, text).into());
     };
-    let from = read_position(&call)?;
+    let last_event = read_last_event(&call)?;
+    let from = last_event.as_ref().map_or(0, |event| event.position + 1);
     // The reader is there before the work starts, so that the work is never without a caller.
     let reader = log.reader(0);
     if operation.is_first {
-        start_model(
-            traffic,
-            call,
-            &operation,
-            &route,
-            &completion,
-            &log,
-            cancel,
-            entry.clone(),
-        );
+        let request = model_request(traffic, &call, &operation, &route, &completion, last_event);
+        let class = route.class.clone();
+        start_model(traffic, call, class, request, log, cancel, entry.clone());
     }
     let answer = CallerAnswer {
         completion,
@@ -98,13 +92,13 @@
     }
 }
 
-// The first position that a caller who comes back wants.
-fn read_position(call: &CallContext) -> Result<u32, Refusal> {
+// The last event that a caller who comes back has.
+fn read_last_event(call: &CallContext) -> Result<Option<EventPosition>, Refusal> {
     let Some(text) = call.header(LAST_EVENT_HEADER) else {
-        return Ok(0);
+        return Ok(None);
     };
     match text.parse::<EventPosition>() {
-        Ok(event) => Ok(event.position + 1),
+        Ok(event) => Ok(Some(event)),
         Err(()) => {
             let text = format!("{LAST_EVENT_HEADER}: is no event id of this service");
             Err(Refusal::not_run(RefusalCode::InvalidRequest, text))
@@ -112,21 +106,27 @@
     }
 }
 
-#[expect(
-    clippy::too_many_arguments,
-    reason = "the parts of one request, each with its own owner"
-)]
-fn start_model(
-    traffic: &Arc<Traffic>,
-    call: CallContext,
+// A stream that this host does not know is looked for at the engine that its last event names.
+fn adopt(last_event: Option<EventPosition>) -> Option<AdoptedAttempt> {
+    let event = last_event?;
+    Some(AdoptedAttempt {
+        target: EngineAttempt {
+            engine: event.engine,
+            attempt: event.attempt,
+        },
+        caller_has: event.position as usize + 1,
+    })
+}
+
+fn model_request(
+    traffic: &Traffic,
+    call: &CallContext,
     operation: &CallOperation,
     route: &CallRoute,
     completion: &CompletionCall,
-    log: &Arc<AnswerLog>,
-    cancel: Arc<OnceSignal>,
-    entry: Arc<GateEntry>,
-) {
-    let request = ModelRequest {
+    last_event: Option<EventPosition>,
+) -> ModelRequest {
+    ModelRequest {
         id: call.id.clone(),
         model: completion.model.clone(),
         prompt: completion.prompt.clone(),
@@ -141,8 +141,20 @@
             true => traffic.settings.grace,
             false => Duration::ZERO,
         },
-    };
-    let (traffic, log, class) = (traffic.clone(), log.clone(), route.class.clone());
+        adopted: adopt(last_event),
+    }
+}
+
+fn start_model(
+    traffic: &Arc<Traffic>,
+    call: CallContext,
+    class: FastStr,
+    request: ModelRequest,
+    log: Arc<AnswerLog>,
+    cancel: Arc<OnceSignal>,
+    entry: Arc<GateEntry>,
+) {
+    let traffic = traffic.clone();
     tokio::spawn(async move {
         let (id, tenant) = (request.id.clone(), request.tenant.clone());
         let (end, stats) = run_request(traffic.parts.clone(), request, log, cancel).await;
--- a/src/filter/operation.rs
+++ b/src/filter/operation.rs
@@ -75,7 +75,13 @@
     let repeatable = call.route.as_ref().is_some_and(|route| route.repeatable);
     match traffic.tickets.owner(&key, traffic.uptime()) {
         KeyOwner::Own => {}
-        KeyOwner::Other(ticket) => return forward(traffic, call, &ticket).await,
+        KeyOwner::Other(ticket) => match forward(traffic, call, &ticket).await {
+            Forwarded::Answered(response) => return Err(answered(*response)),
+            // Work that may run twice goes on here; anything else only its owner may run.
+            Forwarded::Lost(_) if repeatable => {}
+            Forwarded::Lost(refusal) => return Err(refusal.into()),
+        },
+        KeyOwner::Gone if repeatable => {}
         KeyOwner::Gone => {
             return Err(lost("the host that this ticket names was replaced").into());
         }
@@ -174,14 +180,20 @@
     }
 }
 
+// What became of a request that was passed to the owner of its ticket.
+enum Forwarded {
+    Answered(Box<Response>),
+    Lost(Refusal),
+}
+
 // Another host owns the ticket: only it may run the operation, or say that it did not.
 async fn forward(
     traffic: &Arc<Traffic>,
     call: &CallContext,
     ticket: &OperationTicket,
-) -> Result<(), FilterEnd> {
+) -> Forwarded {
     if call.header(FORWARDED_HEADER).is_some() {
-        return Err(lost("the ticket's host is not the one it was passed to").into());
+        return Forwarded::Lost(lost("the ticket's host is not the one it was passed to"));
     }
     let peer = traffic
         .snapshot
@@ -191,14 +203,14 @@
         .find(|peer| peer.name == ticket.host)
         .cloned();
     let Some(peer) = peer else {
-        return Err(lost("the host that this ticket names is not known").into());
+        return Forwarded::Lost(lost("the host that this ticket names is not known"));
     };
     match plain::pass_to_peer(traffic, call, peer.callers).await {
-        Ok(response) => Err(answered(response)),
+        Ok(response) => Forwarded::Answered(Box::new(response)),
         // The owner may have run it for an earlier copy of this request.
         Err(failure) => {
             let text = format!("host {} does not answer: {failure}", ticket.host);
-            Err(lost(&text).after(Duration::from_secs(1)).into())
+            Forwarded::Lost(lost(&text).after(Duration::from_secs(1)))
         }
     }
 }
@@ -224,7 +236,10 @@
     key: FastStr,
 ) -> Result<(), FilterEnd> {
     if let KeyOwner::Other(ticket) = traffic.tickets.owner(&key, traffic.uptime()) {
-        return forward(traffic, call, &ticket).await;
+        return Err(match forward(traffic, call, &ticket).await {
+            Forwarded::Answered(response) => answered(*response),
+            Forwarded::Lost(refusal) => refusal.into(),
+        });
     }
     if let Some(home) = traffic.home_of(&call.tenant.name, &key)
         && call.header(FORWARDED_HEADER).is_none()
--- a/src/host/entry.rs
+++ b/src/host/entry.rs
@@ -10,6 +10,7 @@
     },
     futures::FutureExt,
     std::{
+        io,
         net::SocketAddr,
         sync::{Arc, Mutex},
         thread::{self, JoinHandle},
@@ -42,7 +43,7 @@
     addresses: HostAddresses,
     callers: TcpListener,
     operators: TcpListener,
-    peers: TcpListener,
+    peers: std::net::TcpListener,
 }
 
 /// A running entry host.
@@ -70,11 +71,15 @@
             peers: peers.1,
         };
         Ok(Self {
-            traffic: Traffic::new(settings),
+            traffic: Traffic::new(settings, callers.1),
             addresses,
             callers: callers.0,
             operators: operators.0,
-            peers: peers.0,
+            // The control thread has a runtime of its own.
+            peers: peers
+                .0
+                .into_std()
+                .map_err(|error| listen_fault(file, "peers", peers.1, &error))?,
         })
     }
 
@@ -125,7 +130,7 @@
 
 fn start_control(
     traffic: Arc<Traffic>,
-    _peers: TcpListener,
+    peers: std::net::TcpListener,
     stop: Arc<OnceSignal>,
 ) -> JoinHandle<()> {
     let name = format!("control-{}", traffic.settings.name);
@@ -135,8 +140,9 @@
             .build()
             .expect("a runtime for control");
         runtime.block_on(async {
+            let peers = TcpListener::from_std(peers).expect("a socket on this runtime");
             tokio::select! {
-                () = control::run_control(traffic) => {}
+                () = control::run_control(traffic, peers) => {}
                 () = stop.wait() => {}
             }
         });
@@ -152,12 +158,17 @@
     key: &str,
     address: SocketAddr,
 ) -> Result<(TcpListener, SocketAddr), SettingsFault> {
-    web::listen(address).await.map_err(|error| SettingsFault {
+    let opened = web::listen(address).await;
+    opened.map_err(|error| listen_fault(file, key, address, &error))
+}
+
+fn listen_fault(file: &str, key: &str, address: SocketAddr, error: &io::Error) -> SettingsFault {
+    SettingsFault {
         file: file.to_owned(),
         section: "listen".to_owned(),
         key: key.to_owned(),
         problem: format!("{address} cannot be listened on: {error}"),
-    })
+    }
 }
 
 impl RunningHost {
--- a/src/host/traffic.rs
+++ b/src/host/traffic.rs
@@ -9,6 +9,7 @@
         filter::TenantLedger,
         metric::HostMetrics,
         operation::{LifeLimits, OperationTable, RetryBudget, RunnerParts, TicketBook},
+        peer,
         route::{ServerBook, SharedDesk},
         web::WebClient,
     },
@@ -24,7 +25,6 @@
         time::Duration,
     },
     tokio::time::Instant,
-    xxhash_rust::xxh3,
 };
 
 /// Longest wait for a connection to a backend server or another host.
@@ -36,6 +36,10 @@
     pub settings: HostSettings,
     /// The name of this run of the host; no other run has it.
     pub incarnation: FastStr,
+    /// The same as a number.
+    pub incarnation_number: u64,
+    /// Where callers reach this host.
+    pub callers: SocketAddr,
     /// What control published last.
     pub snapshot: ArcSwap<ControlSnapshot>,
     /// What requests share.
@@ -55,7 +59,7 @@
     /// Calls outward.
     pub client: WebClient,
     /// Metrics.
-    pub metrics: HostMetrics,
+    pub metrics: Arc<HostMetrics>,
     started: Instant,
     next_request: AtomicU64,
 }
@@ -68,13 +72,13 @@
 
 impl Traffic {
     /// The shared parts of a new incarnation.
-    pub fn new(settings: HostSettings) -> Arc<Self> {
-        let incarnation = FastStr::from_string(format!("{:016x}", rand::random::<u64>()));
+    pub fn new(settings: HostSettings, callers: SocketAddr) -> Arc<Self> {
+        let number: u64 = rand::random();
+        let incarnation = peer::incarnation_name(number);
         let desk = SharedDesk::new(settings.zone.clone(), settings.tuning(), rand::random());
         let links = desk.clone();
-        let canceller = Canceller::new(Box::new(move |engine| {
-            links.read(|desk| desk.view(engine).map(|view| view.info.link.clone()))
-        }));
+        let canceller =
+            Canceller::new(Box::new(move |engine| links.read(|desk| desk.link(engine))));
         let parts = Arc::new(RunnerParts {
             desk: desk.clone(),
             namer: AttemptNamer::new(incarnation.clone()),
@@ -83,6 +87,7 @@
             limits: LifeLimits::default(),
         });
         Arc::new(Self {
+            callers,
             snapshot: ArcSwap::default(),
             parts,
             desk,
@@ -92,10 +97,11 @@
             limits: Arc::default(),
             gate: StopGate::new(settings.concurrent),
             client: WebClient::new(CONNECT_TIMEOUT),
-            metrics: HostMetrics::default(),
+            metrics: Arc::default(),
             started: Instant::now(),
             next_request: AtomicU64::new(1),
             incarnation,
+            incarnation_number: number,
             settings,
         })
     }
@@ -115,16 +121,13 @@
     /// it is this host.
     pub fn home_of(&self, tenant: &str, key: &str) -> Option<SocketAddr> {
         let snapshot = self.snapshot.load();
-        let score = |host: &str| {
-            let text = format!("{host}\n{tenant}\n{key}");
-            xxh3::xxh3_64(text.as_bytes())
-        };
-        let own = score(&self.settings.name);
+        let subject = format!("{tenant}\n{key}");
+        let own = peer::draw(&self.settings.name, &subject);
         snapshot
             .peers
             .iter()
             .filter(|peer| peer.is_live && peer.zone == self.settings.zone)
-            .map(|peer| (score(&peer.name), peer.callers))
+            .map(|peer| (peer::draw(&peer.name, &subject), peer.callers))
             .max_by_key(|(score, _)| *score)
             .filter(|(score, _)| *score > own)
             .map(|(_, callers)| callers)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,11 @@
 pub mod metric;
 pub mod object;
 pub mod operation;
+pub mod peer;
+#[path = "peer/peer_capnp.rs"]
+#[rustfmt::skip]
+#[allow(missing_docs, clippy::all, clippy::pedantic)]
+pub mod peer_capnp;
 pub mod platform;
 pub mod route;
 pub mod standin;
--- a/src/metric/metrics.rs
+++ b/src/metric/metrics.rs
@@ -59,7 +59,9 @@
     /// Calls to the platform.
     pub platform_calls: Counter,
     /// Bytes sent to other entry hosts.
-    pub peer_bytes: Counter,
+    pub peer_sent: Counter,
+    /// Bytes received from other entry hosts.
+    pub peer_received: Counter,
     /// Calls to read engines' load.
     pub load_reads: Counter,
 }
@@ -105,7 +107,8 @@
             waiting: Gauge::default(),
             generation: Gauge::default(),
             platform_calls: Counter::default(),
-            peer_bytes: Counter::default(),
+            peer_sent: Counter::default(),
+            peer_received: Counter::default(),
             load_reads: Counter::default(),
         };
         metrics.register();
@@ -153,7 +156,9 @@
             self.platform_calls.clone(),
         );
         let help = "Bytes sent to other entry hosts";
-        r.register("peer_sent_bytes", help, self.peer_bytes.clone());
+        r.register("peer_sent_bytes", help, self.peer_sent.clone());
+        let help = "Bytes received from other entry hosts";
+        r.register("peer_received_bytes", help, self.peer_received.clone());
         r.register(
             "load_reads",
             "Calls to read engines' load",
--- a/src/object/kinds.rs
+++ b/src/object/kinds.rs
@@ -189,7 +189,7 @@
 }
 
 /// An object with its spec read.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Typed<S> {
     /// Name, labels, version.
     pub metadata: ObjectMeta,
--- a/src/operation/life.rs
+++ b/src/operation/life.rs
@@ -168,16 +168,18 @@
     last_failure: String,
     ran: RunVerdict,
     ran_before: RunVerdict,
+    // Tokens that the caller has from before this host knew the request.
+    caller_has: usize,
 }
 
 impl RequestLife {
-    /// A request that has just arrived; `delivered` is what its caller already has.
-    pub fn new(limits: LifeLimits, delivered: Vec<FastStr>) -> Self {
+    /// A request that has just arrived.
+    pub fn new(limits: LifeLimits) -> Self {
         Self {
             limits,
             state: LifeState::Placing,
             planned_decode: None,
-            delivered,
+            delivered: Vec::new(),
             open: Vec::new(),
             prefills: 0,
             refusals: 0,
@@ -186,12 +188,32 @@
             last_failure: String::new(),
             ran: RunVerdict::NotRun,
             ran_before: RunVerdict::NotRun,
+            caller_has: 0,
+        }
+    }
+
+    /// A request that another host began, whose caller came here with `caller_has` tokens.
+    ///
+    /// The attempt's stream is read from its start, so that this host knows the whole answer.
+    pub fn adopt(limits: LifeLimits, target: EngineAttempt, caller_has: usize) -> Self {
+        Self {
+            state: LifeState::Decoding(target.clone()),
+            open: vec![target],
+            ran: RunVerdict::Ran,
+            caller_has,
+            ..Self::new(limits)
         }
     }
 
     /// The first action.
     pub fn start(&self) -> Vec<LifeAction> {
-        vec![LifeAction::Place { again: false }]
+        match &self.state {
+            LifeState::Decoding(target) => vec![LifeAction::Resume {
+                target: target.clone(),
+                from: 0,
+            }],
+            _ => vec![LifeAction::Place { again: false }],
+        }
     }
 
     /// Tokens that the caller has.
@@ -393,7 +415,7 @@
         actions: &mut Vec<LifeAction>,
     ) {
         match item {
-            StreamItem::Imported => {
+            StreamItem::Imported { .. } => {
                 self.forget(&held.prefill);
                 self.state = LifeState::Decoding(held.decode);
             }
@@ -415,7 +437,7 @@
     fn decode_item(&mut self, at: EngineAttempt, item: StreamItem, actions: &mut Vec<LifeAction>) {
         let have = self.delivered.len() as u32;
         match item {
-            StreamItem::Imported => {}
+            StreamItem::Imported { .. } => {}
             // A token that the caller already has, read again.
             StreamItem::Token { position, .. } if position < have => {}
             StreamItem::Token { position, text } if position == have => {
@@ -423,7 +445,7 @@
                 actions.push(LifeAction::Emit { position, text });
             }
             StreamItem::Token { .. } => self.lose_stream(at, actions),
-            StreamItem::Finished { tokens, reason } if tokens == have => {
+            StreamItem::Finished { tokens, reason, .. } if tokens == have => {
                 self.forget(&at);
                 self.end(LifeEnd::Answered { tokens, reason }, actions);
             }
@@ -450,6 +472,16 @@
     }
 
     fn place_again(&mut self, actions: &mut Vec<LifeAction>) {
+        if self.delivered.len() < self.caller_has {
+            // Another answer must not be spliced onto the part that the caller has.
+            let text = format!(
+                "what the caller has is not known any more; {}",
+                self.last_failure
+            );
+            let refusal = Refusal::new(self.ran, RefusalCode::OperationLost, text);
+            self.refuse(refusal, actions);
+            return;
+        }
         let spent = self.prefills >= self.limits.prefills;
         if spent || self.refusals >= self.limits.refusals {
             let refusal = Refusal::new(
--- a/src/operation/runner.rs
+++ b/src/operation/runner.rs
@@ -71,6 +71,17 @@
     pub time_limit: Duration,
     /// How long nobody may read before the request is cancelled.
     pub grace: Duration,
+    /// An attempt of another host to go on with.
+    pub adopted: Option<AdoptedAttempt>,
+}
+
+/// An attempt that another host began and whose caller came here.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AdoptedAttempt {
+    /// The attempt.
+    pub target: EngineAttempt,
+    /// Tokens that the caller has.
+    pub caller_has: usize,
 }
 
 /// One thing that a caller is told.
@@ -196,8 +207,23 @@
             attempt: FastStr::empty(),
         };
         parts.budget.lock().expect("budget").earn();
+        let life = match &request.adopted {
+            Some(adopted) => {
+                let target = adopted.target.clone();
+                RequestLife::adopt(parts.limits, target, adopted.caller_has)
+            }
+            None => RequestLife::new(parts.limits),
+        };
+        let (origin, decode_held) = match &request.adopted {
+            Some(adopted) => {
+                let engine = adopted.target.engine.clone();
+                parts.desk.change(|desk, _| desk.decode_adopted(&engine));
+                (adopted.target.clone(), Some(engine))
+            }
+            None => (none, None),
+        };
         Self {
-            life: RequestLife::new(parts.limits, Vec::new()),
+            life,
             parts,
             request,
             log,
@@ -205,8 +231,8 @@
             import_by: None,
             excluded: Vec::new(),
             prefill_held: None,
-            decode_held: None,
-            origin: Arc::new(none),
+            decode_held,
+            origin: Arc::new(origin),
             kv_until: Duration::ZERO,
             unimported: 0,
             started: Instant::now(),
@@ -277,9 +303,7 @@
     }
 
     fn link(&self, engine: &str) -> Option<Arc<EngineLink>> {
-        self.parts
-            .desk
-            .read(|desk| desk.view(engine).map(|view| view.info.link.clone()))
+        self.parts.desk.read(|desk| desk.link(engine))
     }
 
     fn send_prefill(&mut self, target: EngineAttempt) {
@@ -331,7 +355,11 @@
 
     fn send_resume(&mut self, target: &EngineAttempt, from: u32) {
         let opened: BoxFuture<'static, CallResult<ItemStream>> = match self.link(&target.engine) {
-            Some(link) => (link.resume)((target.attempt.clone(), from)),
+            Some(link) => (link.resume)(engine::ResumeOrder {
+                attempt: target.attempt.clone(),
+                from,
+                tenant: self.request.tenant.clone(),
+            }),
             None => gone(),
         };
         let paused = async move {
@@ -456,10 +484,12 @@
             LifeEvent::DecodeFailed(failure) => {
                 self.note_failure(failure, self.decode_held.clone());
             }
-            LifeEvent::Item(StreamItem::Imported) => {
+            LifeEvent::Item(StreamItem::Imported { load }) => {
                 self.import_by = None;
                 self.unimported = 0;
+                self.note_load(load);
             }
+            LifeEvent::Item(StreamItem::Finished { load, .. }) => self.note_load(load),
             LifeEvent::StreamBroken | LifeEvent::ImportStalled => {
                 if let Some(engine) = self.decode_held.clone() {
                     self.parts
@@ -471,6 +501,15 @@
         }
     }
 
+    // Answers carry load for free.
+    fn note_load(&self, load: &Option<engine::LoadReport>) {
+        if let (Some(load), Some(engine)) = (load, &self.decode_held) {
+            self.parts
+                .desk
+                .change(|desk, now| desk.reported(engine, load.clone(), now));
+        }
+    }
+
     // A refusal tells of load; silence tells of trouble.
     fn note_failure(&self, failure: &CallFailure, engine: Option<FastStr>) {
         let Some(engine) = engine else {
@@ -478,7 +517,7 @@
         };
         self.parts.desk.change(|desk, now| {
             if let Some(load) = failure.refusal.as_ref().and_then(|it| it.load.clone()) {
-                desk.reported(&engine, load);
+                desk.reported(&engine, load, now);
             }
             match failure.cause() {
                 Some(RefusalCause::Full) => desk.refused_full(&engine, now),
@@ -494,7 +533,7 @@
         if let Some((engine, tokens)) = self.prefill_held.take() {
             self.parts
                 .desk
-                .change(|desk, _| desk.prefill_ended(&engine, tokens, reply));
+                .change(|desk, now| desk.prefill_ended(&engine, tokens, reply, now));
         }
     }
 
--- /dev/null
+++ b/src/peer/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of membership.
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        object::AnyObject,
+        object::{AnyObject, kind},
         web::{self, WebClient, WebFailure},
     },
     bytes::Bytes,
@@ -133,11 +133,14 @@
         Ok(answer)
     }
 
-    /// Waits until the store has a version above `since`; the time bounds the wait.
+    /// Waits until an object other than a lease changes after version `since`; the time bounds the wait.
     pub async fn changed(&self, since: u64, time: Duration) -> Result<(), PlatformFailure> {
         let seconds = time.as_secs().max(1);
-        let path =
-            format!("{OBJECTS_PATH}?watch=true&resourceVersion={since}&timeoutSeconds={seconds}");
+        let selector = format!("kind!={}", kind::LEASE);
+        let path = format!(
+            "{OBJECTS_PATH}?watch=true&fieldSelector={selector}&resourceVersion={since}\
+             &timeoutSeconds={seconds}"
+        );
         let sent = self.client.send(
             Method::GET,
             self.address,
--- a/src/route/desk.rs
+++ b/src/route/desk.rs
@@ -10,7 +10,7 @@
         view::{EngineInfo, EngineView},
     },
     crate::{
-        engine::{EngineRole, LoadReport, PrefillReply},
+        engine::{EngineLink, EngineRole, LoadReport, PrefillReply},
         object,
         operation::{Refusal, RefusalCode},
     },
@@ -86,6 +86,8 @@
     tuning: RouteTuning,
     zone: FastStr,
     views: BTreeMap<FastStr, EngineView>,
+    // Engines that this host does not choose and may still have to speak with.
+    others: BTreeMap<FastStr, Arc<EngineLink>>,
     waiting: Vec<PlaceRequest>,
     log: DecisionLog,
     random: StdRng,
@@ -102,6 +104,7 @@
             tuning,
             zone,
             views: BTreeMap::new(),
+            others: BTreeMap::new(),
             waiting: Vec::new(),
             log: DecisionLog::default(),
             random: StdRng::seed_from_u64(seed),
@@ -137,6 +140,26 @@
         }
     }
 
+    /// Takes the links to engines that this host does not choose.
+    pub fn set_others(&mut self, others: BTreeMap<FastStr, Arc<EngineLink>>) {
+        self.others = others;
+    }
+
+    /// The link to an engine, chosen here or not; none when it is not listed.
+    pub fn link(&self, engine: &str) -> Option<Arc<EngineLink>> {
+        match self.views.get(engine) {
+            Some(view) => Some(view.info.link.clone()),
+            None => self.others.get(engine).cloned(),
+        }
+    }
+
+    /// An attempt of another host is read here from now on.
+    pub fn decode_adopted(&mut self, engine: &str) {
+        if let Some(view) = self.views.get_mut(engine) {
+            view.decode_began();
+        }
+    }
+
     /// What is known of an engine.
     pub fn view(&self, engine: &str) -> Option<&EngineView> {
         self.views.get(engine)
@@ -163,9 +186,23 @@
     }
 
     /// Takes a load report of an engine.
-    pub fn reported(&mut self, engine: &str, report: LoadReport) {
+    pub fn reported(&mut self, engine: &str, report: LoadReport, now: Duration) {
         if let Some(view) = self.views.get_mut(engine) {
-            view.reported(report);
+            view.reported(report, now);
+        }
+    }
+
+    /// An engine was asked for a report and gave none.
+    pub fn asked(&mut self, engine: &str, now: Duration) {
+        if let Some(view) = self.views.get_mut(engine) {
+            view.asked(now);
+        }
+    }
+
+    /// Another host says that an engine leaves.
+    pub fn heard_leaving(&mut self, engine: &str, until: Duration) {
+        if let Some(view) = self.views.get_mut(engine) {
+            view.heard_leaving(until);
         }
     }
 
@@ -177,11 +214,18 @@
     }
 
     /// A prefill of `tokens` ended, with or without a result.
-    pub fn prefill_ended(&mut self, engine: &str, tokens: u64, reply: Option<&PrefillReply>) {
+    pub fn prefill_ended(
+        &mut self,
+        engine: &str,
+        tokens: u64,
+        reply: Option<&PrefillReply>,
+        now: Duration,
+    ) {
         if let Some(view) = self.views.get_mut(engine) {
             view.prefill_ended(tokens);
             if let Some(reply) = reply {
                 view.prefill_observed(reply);
+                view.reported(reply.load.clone(), now);
             }
         }
     }
--- a/src/route/shared.rs
+++ b/src/route/shared.rs
@@ -118,14 +118,14 @@
     }
 
     fn undo(&self, answer: DeskAnswer, tokens: u64) {
-        self.change(|desk, _| undo(desk, answer, tokens));
+        self.change(|desk, now| undo(desk, answer, tokens, now));
     }
 }
 
-fn undo(desk: &mut PlaceDesk, answer: DeskAnswer, tokens: u64) {
+fn undo(desk: &mut PlaceDesk, answer: DeskAnswer, tokens: u64, now: Duration) {
     if let DeskAnswer::Placed { prefill, decode } = answer {
         if let Some(prefill) = prefill {
-            desk.prefill_ended(&prefill, tokens, None);
+            desk.prefill_ended(&prefill, tokens, None, now);
         }
         desk.decode_ended(&decode);
     }
--- a/src/route/view.rs
+++ b/src/route/view.rs
@@ -39,6 +39,8 @@
     /// The platform's list, the engine itself or an operator says that it is leaving.
     pub leaving: bool,
     report: Option<LoadReport>,
+    reported_at: Option<Duration>,
+    heard_leaving: Duration,
     own_prefill_tokens: u64,
     own_prefills: u32,
     own_decodes: u32,
@@ -61,6 +63,8 @@
             info,
             leaving: false,
             report: None,
+            reported_at: None,
+            heard_leaving: Duration::ZERO,
             own_prefill_tokens: 0,
             own_prefills: 0,
             own_decodes: 0,
@@ -77,15 +81,36 @@
     }
 
     /// Takes a load report.
-    pub fn reported(&mut self, report: LoadReport) {
+    pub fn reported(&mut self, report: LoadReport, now: Duration) {
+        self.reported_at = Some(now);
         self.own_tokens_reported = self.own_prefill_tokens;
         self.own_decodes_reported = self.own_decodes;
         self.report = Some(report);
     }
 
+    /// When it was last heard of, or asked in vain.
+    pub fn reported_at(&self) -> Option<Duration> {
+        self.reported_at
+    }
+
+    /// It was asked for a report and gave none.
+    pub fn asked(&mut self, now: Duration) {
+        self.reported_at = Some(now);
+    }
+
+    /// Another host says that the engine leaves.
+    pub fn heard_leaving(&mut self, until: Duration) {
+        self.heard_leaving = until;
+    }
+
+    /// Whether the engine itself says that it leaves.
+    pub fn says_leaving(&self) -> bool {
+        self.report.as_ref().is_some_and(|report| report.leaving)
+    }
+
     /// Whether the engine may be given new work of this role and model.
     pub fn is_usable(&self, role: EngineRole, model: &str, now: Duration) -> bool {
-        let leaving = self.leaving || self.report.as_ref().is_some_and(|report| report.leaving);
+        let leaving = self.leaving || self.says_leaving() || now < self.heard_leaving;
         let fits = self.report.as_ref().is_none_or(|report| {
             report.role == role && report.models.iter().any(|loaded| loaded == model)
         });
@@ -153,7 +178,7 @@
 
     /// A decode slot is free, or was never taken.
     pub fn decode_ended(&mut self) {
-        self.own_decodes -= 1;
+        self.own_decodes = self.own_decodes.saturating_sub(1);
         self.own_decodes_reported = self.own_decodes_reported.saturating_sub(1);
         if let Some(report) = &mut self.report {
             report.slots_used = report.slots_used.saturating_sub(1);
--- a/src/standin/engine/core.rs
+++ b/src/standin/engine/core.rs
@@ -415,7 +415,9 @@
                 return;
             }
         };
-        log.push(engine::StreamItem::Imported);
+        log.push(engine::StreamItem::Imported {
+            load: Some(self.load()),
+        });
         let whole = answer::answer_length(export.seed, self.params().answer_tokens);
         let end = whole.min(order.max_tokens).max(export.position);
         let reason = match whole <= order.max_tokens {
@@ -464,6 +466,7 @@
 
     // One token for every request in the batch.
     fn step(&self) {
+        let load = self.load();
         let mut state = self.state();
         let mut ended = Vec::new();
         for sequence in &mut state.batch {
@@ -479,6 +482,7 @@
                 sequence.log.push(engine::StreamItem::Finished {
                     tokens: sequence.end,
                     reason: sequence.reason.clone(),
+                    load: Some(load.clone()),
                 });
                 ended.push(sequence.attempt.clone());
             }
--- a/src/standin/platform/core.rs
+++ b/src/standin/platform/core.rs
@@ -1,7 +1,10 @@
 //! The stand-in platform's objects and the faults it can be told to have.
 
 use {
-    crate::{object::AnyObject, platform::ObjectList},
+    crate::{
+        object::{AnyObject, kind},
+        platform::ObjectList,
+    },
     faststr::FastStr,
     std::{
         collections::BTreeMap,
@@ -65,6 +68,7 @@
 #[derive(Debug)]
 pub struct PlatformCore {
     state: Mutex<StoreState>,
+    // Version of the last change that a watch without leases tells.
     version: watch::Sender<u64>,
 }
 
@@ -141,7 +145,9 @@
         state.version += 1;
         object.metadata.resource_version = state.version;
         state.objects.insert(key, object.clone());
-        self.version.send_replace(state.version);
+        if object.kind != kind::LEASE {
+            self.version.send_replace(state.version);
+        }
         Ok(object)
     }
 
@@ -171,7 +177,7 @@
         since + WATCH_HISTORY >= state.version
     }
 
-    /// Waits for a version above `since` and gives it; none when the time is over.
+    /// Waits for a change, of leases aside, after `since` and gives its version; none when the time is over.
     pub async fn changed(&self, since: u64, time: Duration) -> Option<u64> {
         let mut versions = self.version.subscribe();
         let newer = versions.wait_for(|version| *version > since);
