Fault matrix and randomised runs over the state machines

Cause: the promises were asserted nowhere under two faults at once. Found: a reading that showed the newest accepted configuration beside older operators' objects made a host accept the older objects again (generation 4 instead of 2 in that cell). Now a reading whose version or whose objects are older than what was accepted from changes nothing.

--- a/src/control/config.rs
+++ b/src/control/config.rs
@@ -129,7 +129,8 @@
         .cloned()
         .collect();
     let unchanged = wanted == accepted.objects;
-    if unchanged || (wanted.is_empty() && accepted.generation == 0) {
+    let nothing_yet = wanted.is_empty() && accepted.generation == 0;
+    if unchanged || nothing_yet || is_older_reading(list, &wanted, accepted) {
         return ConfigStep::Nothing;
     }
     if let Err(faults) = ObjectSet::read(&wanted) {
@@ -143,6 +144,22 @@
     ConfigStep::Accept(Box::new(accepted_object(&next, version)))
 }
 
+// A reading that shows less than what was accepted from is not what operators want now, even if it
+// shows the newest accepted configuration: a store may answer partly with an old state.
+fn is_older_reading(list: &ObjectList, wanted: &[AnyObject], accepted: &AcceptedConfig) -> bool {
+    if list.resource_version <= accepted.source_version {
+        return true;
+    }
+    wanted.iter().any(|object| {
+        let mut known = accepted.objects.iter();
+        let before = known
+            .find(|known| known.kind == object.kind && known.metadata.name == object.metadata.name);
+        before.is_some_and(|before| {
+            object.metadata.resource_version < before.metadata.resource_version
+        })
+    })
+}
+
 /// The object that holds an accepted configuration.
 pub fn accepted_object(config: &AcceptedConfig, version: u64) -> AnyObject {
     AnyObject {
--- /dev/null
+++ b/tests/matrix/requests.rs
@@ -0,0 +1,575 @@
+//! A model request: small fake engines answer the life's actions, one fault at one step.
+
+use {
+    super::FaultCell,
+    bayplank::{
+        engine::{
+            CallFailure, EngineRefusal, EngineRole, LoadReport, PrefillReply, RefusalCause,
+            StreamItem,
+        },
+        operation::{
+            EngineAttempt, LifeAction, LifeEnd, LifeEvent, LifeLimits, Refusal, RefusalCode,
+            RequestLife,
+        },
+    },
+    faststr::FastStr,
+    std::{collections::VecDeque, time::Duration},
+};
+
+const ANSWER_TOKENS: u32 = 6;
+const LIFE: &str = "A model request";
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    Placing,
+    Prefilling,
+    Importing,
+    Imported,
+    Decoding,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    CallerGone,
+    Deadline,
+    NoEngine,
+    Full,
+    Unreachable,
+    Unanswered,
+    Stalled,
+    Expired,
+    Aborted,
+    BrokenOnce,
+    EngineDead,
+    TokenAgain,
+    TokenLost,
+    CutShort,
+    NoBudget,
+    OldAnswer,
+}
+
+/// The step, the fault, and what has to become of the request.
+const CELLS: &[(Step, Fault, &str)] = &[
+    (
+        Step::Placing,
+        Fault::CallerGone,
+        "refused cancelled, not-run; 0 prefills, 0 cancels",
+    ),
+    (
+        Step::Placing,
+        Fault::Deadline,
+        "refused deadline-passed, not-run; 0 prefills, 0 cancels",
+    ),
+    (
+        Step::Placing,
+        Fault::NoEngine,
+        "refused overloaded, not-run; 0 prefills, 0 cancels",
+    ),
+    (
+        Step::Placing,
+        Fault::OldAnswer,
+        "answered; 1 prefills, 0 cancels",
+    ),
+    (
+        Step::Prefilling,
+        Fault::CallerGone,
+        "refused cancelled, may-have-run; 1 prefills, 1 cancels",
+    ),
+    (
+        Step::Prefilling,
+        Fault::Deadline,
+        "refused deadline-passed, may-have-run; 1 prefills, 1 cancels",
+    ),
+    (
+        Step::Prefilling,
+        Fault::Full,
+        "answered; 1 prefills, 0 cancels",
+    ),
+    (
+        Step::Prefilling,
+        Fault::Unreachable,
+        "answered; 1 prefills, 0 cancels",
+    ),
+    (
+        Step::Prefilling,
+        Fault::Unanswered,
+        "answered; 2 prefills, 1 cancels",
+    ),
+    (
+        Step::Prefilling,
+        Fault::NoBudget,
+        "refused overloaded, may-have-run; 1 prefills, 1 cancels",
+    ),
+    (
+        Step::Prefilling,
+        Fault::OldAnswer,
+        "answered; 1 prefills, 0 cancels",
+    ),
+    (
+        Step::Importing,
+        Fault::CallerGone,
+        "refused cancelled, ran; 1 prefills, 2 cancels",
+    ),
+    (
+        Step::Importing,
+        Fault::Deadline,
+        "refused deadline-passed, ran; 1 prefills, 2 cancels",
+    ),
+    (
+        Step::Importing,
+        Fault::NoEngine,
+        "refused overloaded, ran; 1 prefills, 1 cancels",
+    ),
+    (
+        Step::Importing,
+        Fault::Full,
+        "answered; 1 prefills, 0 cancels",
+    ),
+    (
+        Step::Importing,
+        Fault::Unreachable,
+        "answered; 1 prefills, 0 cancels",
+    ),
+    (
+        Step::Importing,
+        Fault::Unanswered,
+        "answered; 1 prefills, 1 cancels",
+    ),
+    (
+        Step::Importing,
+        Fault::Stalled,
+        "answered; 1 prefills, 1 cancels",
+    ),
+    (
+        Step::Importing,
+        Fault::Expired,
+        "answered; 2 prefills, 1 cancels",
+    ),
+    (
+        Step::Importing,
+        Fault::Aborted,
+        "answered; 1 prefills, 1 cancels",
+    ),
+    (
+        Step::Importing,
+        Fault::EngineDead,
+        "answered; 1 prefills, 1 cancels",
+    ),
+    (
+        Step::Importing,
+        Fault::OldAnswer,
+        "answered; 1 prefills, 0 cancels",
+    ),
+    (
+        Step::Imported,
+        Fault::CallerGone,
+        "refused cancelled, ran; 1 prefills, 1 cancels",
+    ),
+    (
+        Step::Imported,
+        Fault::BrokenOnce,
+        "answered; 1 prefills, 0 cancels",
+    ),
+    (
+        Step::Imported,
+        Fault::EngineDead,
+        "answered; 2 prefills, 1 cancels",
+    ),
+    (
+        Step::Imported,
+        Fault::Aborted,
+        "answered; 2 prefills, 1 cancels",
+    ),
+    (
+        Step::Imported,
+        Fault::OldAnswer,
+        "answered; 1 prefills, 0 cancels",
+    ),
+    (
+        Step::Decoding,
+        Fault::CallerGone,
+        "refused cancelled, ran; 1 prefills, 1 cancels",
+    ),
+    (
+        Step::Decoding,
+        Fault::Deadline,
+        "refused deadline-passed, ran; 1 prefills, 1 cancels",
+    ),
+    (
+        Step::Decoding,
+        Fault::BrokenOnce,
+        "answered; 1 prefills, 0 cancels",
+    ),
+    (
+        Step::Decoding,
+        Fault::EngineDead,
+        "answered; 2 prefills, 1 cancels",
+    ),
+    (
+        Step::Decoding,
+        Fault::Aborted,
+        "answered; 2 prefills, 1 cancels",
+    ),
+    (
+        Step::Decoding,
+        Fault::TokenAgain,
+        "answered; 1 prefills, 0 cancels",
+    ),
+    (
+        Step::Decoding,
+        Fault::TokenLost,
+        "answered; 1 prefills, 0 cancels",
+    ),
+    (
+        Step::Decoding,
+        Fault::CutShort,
+        "answered; 1 prefills, 0 cancels",
+    ),
+    (
+        Step::Decoding,
+        Fault::NoBudget,
+        "refused overloaded, ran; 1 prefills, 1 cancels",
+    ),
+    (
+        Step::Decoding,
+        Fault::OldAnswer,
+        "answered; 1 prefills, 0 cancels",
+    ),
+];
+
+pub fn cells() -> Vec<FaultCell> {
+    CELLS
+        .iter()
+        .map(|(step, fault, expected)| FaultCell {
+            life: LIFE,
+            step: step_name(*step),
+            fault: fault_name(*fault),
+            expected,
+            found: FakeEngines::new(*step, *fault).run(),
+        })
+        .collect()
+}
+
+fn step_name(step: Step) -> &'static str {
+    match step {
+        Step::Placing => "waits for engines",
+        Step::Prefilling => "prompt is computed",
+        Step::Importing => "KV cache is on its way",
+        Step::Imported => "KV cache arrived, no token yet",
+        Step::Decoding => "some tokens are delivered",
+    }
+}
+
+fn fault_name(fault: Fault) -> &'static str {
+    match fault {
+        Fault::CallerGone => "caller gone or cancelled",
+        Fault::Deadline => "time ran out",
+        Fault::NoEngine => "no engine will be free in time",
+        Fault::Full => "engine refuses: full",
+        Fault::Unreachable => "engine dead before the order",
+        Fault::Unanswered => "engine dead after the order, or its answer lost",
+        Fault::Stalled => "transfer stalls",
+        Fault::Expired => "KV cache expired",
+        Fault::Aborted => "engine aborts",
+        Fault::BrokenOnce => "stream breaks, engine alive",
+        Fault::EngineDead => "engine dies",
+        Fault::TokenAgain => "a token comes twice",
+        Fault::TokenLost => "a token is missing",
+        Fault::CutShort => "the end comes too early",
+        Fault::NoBudget => "engine dies, no work may be done again",
+        Fault::OldAnswer => "an answer to something given up comes late",
+    }
+}
+
+struct FakeEngines {
+    life: RequestLife,
+    step: Step,
+    fault: Option<Fault>,
+    events: VecDeque<LifeEvent>,
+    attempts: u32,
+    cancels: usize,
+    emitted: Vec<u32>,
+    engine_is_dead: bool,
+    budget_is_spent: bool,
+}
+
+impl FakeEngines {
+    fn new(step: Step, fault: Fault) -> Self {
+        Self {
+            life: RequestLife::new(LifeLimits::default()),
+            step,
+            fault: Some(fault),
+            events: VecDeque::new(),
+            attempts: 0,
+            cancels: 0,
+            emitted: Vec::new(),
+            engine_is_dead: false,
+            budget_is_spent: false,
+        }
+    }
+
+    fn run(mut self) -> String {
+        let mut actions: VecDeque<LifeAction> = self.life.start().into();
+        loop {
+            while let Some(action) = actions.pop_front() {
+                if let LifeAction::End(end) = action {
+                    return self.describe(&end);
+                }
+                self.perform(action);
+            }
+            let event = self
+                .events
+                .pop_front()
+                .expect("a life goes on until it ends");
+            actions.extend(self.life.step(event, Duration::from_millis(100)));
+        }
+    }
+
+    fn describe(&self, end: &LifeEnd) -> String {
+        assert!(self.life.open_attempts().is_empty());
+        let in_order: Vec<u32> = (0..self.emitted.len() as u32).collect();
+        assert_eq!(self.emitted, in_order, "no token twice, none missing");
+        let cost = format!(
+            "{} prefills, {} cancels",
+            self.life.prefills(),
+            self.cancels
+        );
+        match end {
+            LifeEnd::Answered { tokens, .. } => {
+                assert_eq!(*tokens, ANSWER_TOKENS);
+                assert_eq!(self.emitted.len() as u32, ANSWER_TOKENS, "the whole answer");
+                format!("answered; {cost}")
+            }
+            LifeEnd::Refused(refusal) => {
+                let (code, verdict) = (refusal.code.as_str(), refusal.verdict);
+                format!("refused {code}, {verdict}; {cost}")
+            }
+        }
+    }
+
+    // The fault, if this is its step; it comes once.
+    fn fault_at(&mut self, step: Step) -> Option<Fault> {
+        match self.step == step {
+            true => self.fault.take(),
+            false => None,
+        }
+    }
+
+    fn attempt(&mut self, engine: &'static str) -> EngineAttempt {
+        self.attempts += 1;
+        EngineAttempt {
+            engine: FastStr::from_static_str(engine),
+            attempt: FastStr::from_string(format!("run.{}", self.attempts)),
+        }
+    }
+
+    fn perform(&mut self, action: LifeAction) {
+        match action {
+            LifeAction::Place { again } => self.place(again),
+            LifeAction::PlaceDecode => self.place_decode(),
+            LifeAction::Prefill(_) => self.prefill(),
+            LifeAction::Decode { .. } => self.decode(),
+            LifeAction::Resume { from, .. } => self.resume(from),
+            LifeAction::Cancel(_) => self.cancels += 1,
+            LifeAction::Emit { position, .. } => self.emitted.push(position),
+            LifeAction::Exclude(_) | LifeAction::End(_) => {}
+        }
+    }
+
+    fn place(&mut self, again: bool) {
+        if again && self.budget_is_spent {
+            self.refuse_place();
+            return;
+        }
+        self.engine_is_dead = false;
+        match self.fault_at(Step::Placing) {
+            Some(Fault::NoEngine) => return self.refuse_place(),
+            Some(fault) => self.interrupt(fault),
+            None => {}
+        }
+        let (prefill, decode) = (self.attempt("prefill"), self.attempt("decode"));
+        self.events.push_back(LifeEvent::Placed { prefill, decode });
+    }
+
+    fn place_decode(&mut self) {
+        let decode = self.attempt("other-decode");
+        self.events.push_back(LifeEvent::DecodePlaced(decode));
+    }
+
+    fn refuse_place(&mut self) {
+        let refusal = Refusal::not_run(RefusalCode::Overloaded, "none is free");
+        self.events.push_back(LifeEvent::PlaceRefused(refusal));
+    }
+
+    // Faults that come from outside, whatever is waited for.
+    fn interrupt(&mut self, fault: Fault) {
+        match fault {
+            Fault::CallerGone => self.events.push_back(LifeEvent::CallerGone),
+            Fault::Deadline => self.events.push_back(LifeEvent::DeadlinePassed),
+            Fault::OldAnswer => self.old_answers(),
+            other => panic!("{other:?} does not come from outside"),
+        }
+    }
+
+    // Answers that belong to no state this life is in.
+    fn old_answers(&mut self) {
+        match self.step {
+            Step::Placing => self.events.push_back(LifeEvent::PrefillDone(reply())),
+            Step::Prefilling => self.events.push_back(LifeEvent::StreamBroken),
+            Step::Importing => self.events.push_back(LifeEvent::PrefillDone(reply())),
+            Step::Imported => self
+                .events
+                .push_back(LifeEvent::PrefillFailed(unanswered())),
+            Step::Decoding => self.events.push_back(LifeEvent::PrefillDone(reply())),
+        }
+    }
+
+    fn prefill(&mut self) {
+        let failure = match self.fault_at(Step::Prefilling) {
+            Some(Fault::Full) => Some(refused(RefusalCause::Full)),
+            Some(Fault::Unreachable) => Some(CallFailure::unreachable("dead")),
+            Some(Fault::Unanswered) => Some(unanswered()),
+            Some(Fault::NoBudget) => {
+                self.budget_is_spent = true;
+                Some(unanswered())
+            }
+            Some(fault) => {
+                self.interrupt(fault);
+                None
+            }
+            None => None,
+        };
+        self.events.push_back(match failure {
+            Some(failure) => LifeEvent::PrefillFailed(failure),
+            None => LifeEvent::PrefillDone(reply()),
+        });
+    }
+
+    fn decode(&mut self) {
+        let event = match self.fault_at(Step::Importing) {
+            Some(Fault::NoEngine) => {
+                self.events
+                    .push_back(LifeEvent::DecodeFailed(refused(RefusalCause::Full)));
+                return self.refuse_place();
+            }
+            Some(Fault::Full) => LifeEvent::DecodeFailed(refused(RefusalCause::Full)),
+            Some(Fault::Unreachable) => LifeEvent::DecodeFailed(CallFailure::unreachable("dead")),
+            Some(Fault::Unanswered) => LifeEvent::DecodeFailed(unanswered()),
+            Some(Fault::Stalled) => LifeEvent::ImportStalled,
+            Some(Fault::Expired) => LifeEvent::DecodeFailed(refused(RefusalCause::Expired)),
+            Some(Fault::EngineDead) => LifeEvent::StreamBroken,
+            Some(Fault::Aborted) => LifeEvent::Item(aborted()),
+            Some(fault) => {
+                self.interrupt(fault);
+                return self.stream(0, true);
+            }
+            None => return self.stream(0, true),
+        };
+        self.events.push_back(event);
+    }
+
+    fn resume(&mut self, from: u32) {
+        match self.engine_is_dead {
+            true => self.events.push_back(LifeEvent::StreamBroken),
+            false => self.stream(from, false),
+        }
+    }
+
+    // The rest of a stream; a new prefill covers what was delivered.
+    fn stream(&mut self, from: u32, imports: bool) {
+        let from = from.max(self.emitted.len() as u32);
+        if imports {
+            self.item(StreamItem::Imported { load: None });
+        }
+        if let Some(fault) = self.fault_at(Step::Imported) {
+            return self.break_stream(fault, from);
+        }
+        for position in from..ANSWER_TOKENS {
+            if position == 3
+                && let Some(fault) = self.fault_at(Step::Decoding)
+            {
+                return self.break_stream(fault, position);
+            }
+            self.item(token(position));
+        }
+        self.item(finished(ANSWER_TOKENS));
+    }
+
+    fn break_stream(&mut self, fault: Fault, position: u32) {
+        match fault {
+            Fault::BrokenOnce => self.events.push_back(LifeEvent::StreamBroken),
+            Fault::EngineDead | Fault::NoBudget => {
+                self.engine_is_dead = true;
+                self.budget_is_spent = fault == Fault::NoBudget;
+                self.events.push_back(LifeEvent::StreamBroken);
+            }
+            Fault::Aborted => self.item(aborted()),
+            Fault::TokenAgain => {
+                self.item(token(position - 1));
+                self.finish_from(position);
+            }
+            Fault::TokenLost => self.item(token(position + 1)),
+            Fault::CutShort => self.item(finished(ANSWER_TOKENS)),
+            other => {
+                self.interrupt(other);
+                self.finish_from(position);
+            }
+        }
+    }
+
+    fn finish_from(&mut self, from: u32) {
+        for position in from..ANSWER_TOKENS {
+            self.item(token(position));
+        }
+        self.item(finished(ANSWER_TOKENS));
+    }
+
+    fn item(&mut self, item: StreamItem) {
+        self.events.push_back(LifeEvent::Item(item));
+    }
+}
+
+fn token(position: u32) -> StreamItem {
+    let text = FastStr::from_string(format!("t{position}"));
+    StreamItem::Token { position, text }
+}
+
+fn finished(tokens: u32) -> StreamItem {
+    StreamItem::Finished {
+        tokens,
+        reason: FastStr::from_static_str("stop"),
+        load: None,
+    }
+}
+
+fn aborted() -> StreamItem {
+    let reason = FastStr::from_static_str("aborted");
+    StreamItem::Aborted { reason }
+}
+
+fn unanswered() -> CallFailure {
+    CallFailure::unanswered("no answer")
+}
+
+fn refused(cause: RefusalCause) -> CallFailure {
+    CallFailure::refused(EngineRefusal { cause, load: None })
+}
+
+fn reply() -> PrefillReply {
+    PrefillReply {
+        handle: FastStr::from_static_str("kv1"),
+        computed_tokens: 100,
+        cached_tokens: 0,
+        compute_ms: 5.0,
+        kv_bytes: 1,
+        load: LoadReport {
+            role: EngineRole::Prefill,
+            models: Vec::new(),
+            slots_total: 20,
+            slots_used: 0,
+            queued_tokens: 0,
+            attempts: 0,
+            leaving: false,
+        },
+    }
+}
