--- a/tests/random_lives.rs
+++ b/tests/random_lives.rs
@@ -91,7 +91,7 @@
                 load: None,
             }),
             12 => LifeEvent::StreamBroken,
-            _ if detail % 4 == 0 => LifeEvent::CallerGone,
+            _ if detail.is_multiple_of(4) => LifeEvent::CallerGone,
             _ if detail % 4 == 1 => LifeEvent::DeadlinePassed,
             _ => LifeEvent::Item(StreamItem::Aborted { reason: text }),
         }
@@ -168,7 +168,6 @@
                 may_have_run: BTreeSet::new(),
                 emitted: 0,
                 ends: Vec::new(),
-                last_sent: None,
             };
             let mut now = Duration::ZERO;
             for (kind, detail, wait) in script {
