--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -6,6 +6,7 @@
         exit::{self, CommandResult},
         operate,
     },
+    crate::bench,
     pico_args::Arguments,
     std::process::ExitCode,
 };
@@ -16,6 +17,7 @@
 Usage: bayplank COMMAND [ARGUMENTS]
 
   demo                run a small fleet in this process and show what it does
+  bench               measure policies against stand-in engines
   check FILE...       check settings (.ini) and objects (.json)
   apply FILE          write objects to the platform, after checking the whole set
   get [KIND [NAME]]   read objects from the platform
@@ -56,6 +58,7 @@
     }
     match command.as_deref().unwrap_or_default() {
         "demo" => demo::run(arguments),
+        "bench" => bench::command(arguments),
         "check" => check::run(arguments),
         "apply" => operate::apply(arguments),
         "get" => operate::get(arguments),
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -14,4 +14,6 @@
 mod tests;
 mod watch;
 
-pub use self::{config::*, lease::*, parts::*, roles::*, servers::*, snapshot::*, sweep::*};
+pub use self::{
+    config::*, lease::*, observe::*, parts::*, roles::*, servers::*, snapshot::*, sweep::*,
+};
--- a/src/control/observe.rs
+++ b/src/control/observe.rs
@@ -12,45 +12,40 @@
 pub const READS_PER_SECOND: usize = 6;
 
 /// How often the engines whose news is oldest are looked for.
-const ROUND: Duration = Duration::from_millis(500);
+pub const READ_ROUND: Duration = Duration::from_millis(500);
+
+/// Reads that a host makes in one round at most.
+pub const READS_PER_ROUND: usize = READS_PER_SECOND * READ_ROUND.as_millis() as usize / 1_000;
 
 impl ControlParts {
     pub(super) async fn observe_engines(self: Rc<Self>) {
         loop {
-            let (engines, is_fresh) = self.oldest_engines();
-            let reads = engines
+            let reads = self
+                .oldest_engines()
                 .into_iter()
                 .map(|(name, address)| self.observe(name, address));
             futures::future::join_all(reads).await;
-            let pause = match is_fresh {
-                true => ROUND,
-                false => self.traffic.settings.observe_period.min(ROUND),
+            let is_new = self.traffic.desk.read(|desk| {
+                let mut views = desk.views();
+                views.any(|view| view.reported_at().is_none())
+            });
+            let pause = match is_new {
+                true => self.traffic.settings.observe_period.min(READ_ROUND),
+                false => READ_ROUND,
             };
             tokio::time::sleep(pause).await;
         }
     }
 
-    // The engines with the oldest news; all that were never heard of, whose number is bounded.
-    fn oldest_engines(&self) -> (Vec<(FastStr, SocketAddr)>, bool) {
+    fn oldest_engines(&self) -> Vec<(FastStr, SocketAddr)> {
         let period = self.traffic.settings.observe_period;
-        let most = READS_PER_SECOND * ROUND.as_millis() as usize / 1_000;
+        let now = self.traffic.desk.now();
         self.traffic.desk.read(|desk| {
-            let now = self.traffic.desk.now();
-            let mut stale: Vec<_> = desk
-                .views()
-                .map(|view| (view.reported_at(), view))
-                .filter(|(at, _)| at.is_none_or(|at| now.saturating_sub(at) >= period))
-                .collect();
-            stale.sort_by_key(|(at, view)| (*at, view.info.name.clone()));
-            let unknown = stale.iter().filter(|(at, _)| at.is_none()).count();
-            let engines = stale
+            let stale = desk.stale_engines(period, READS_PER_ROUND, now);
+            stale
                 .into_iter()
-                .take(most.max(unknown))
-                .filter_map(|(_, view)| {
-                    Some((view.info.name.clone(), view.info.address.parse().ok()?))
-                })
-                .collect();
-            (engines, unknown == 0)
+                .filter_map(|view| Some((view.info.name.clone(), view.info.address.parse().ok()?)))
+                .collect()
         })
     }
 
--- a/src/host/operators.rs
+++ b/src/host/operators.rs
@@ -52,7 +52,7 @@
                     "zone": view.info.zone,
                     "leaving": view.leaving,
                     "out": view.is_out(now),
-                    "backlogTokens": view.backlog_tokens(),
+                    "backlogTokens": view.backlog_tokens(desk.tuning(), now),
                     "slotsUsed": view.slots_used(),
                     "slotsTotal": view.slots_total(),
                 })
--- a/src/operation/life.rs
+++ b/src/operation/life.rs
@@ -29,7 +29,7 @@
     fn default() -> Self {
         Self {
             prefills: 4,
-            refusals: 6,
+            refusals: 100,
             imports: 5,
             resumes: 2,
             kv_life: Duration::from_millis(700),
@@ -372,8 +372,11 @@
             self.ran = self.ran_before;
             self.prefills -= 1;
             self.refusals += 1;
+            let again = failure.cause() != Some(RefusalCause::Full);
+            self.place_again(again, actions);
+        } else {
+            self.place_again(true, actions);
         }
-        self.place_again(actions);
     }
 
     // An import failed or stalled: the KV cache may still live for another decode engine.
@@ -390,6 +393,10 @@
             None => "the transfer stalled or broke".to_owned(),
         };
         self.last_failure = format!("decode at {}: {detail}", held.decode.engine);
+        if cause == Some(RefusalCause::Full) {
+            // Another look costs nothing but a call, for as long as the KV cache lives.
+            self.imports -= 1;
+        }
         match &failure {
             Some(failure) => self.settle(&held.decode, failure, actions),
             None => {
@@ -403,7 +410,7 @@
             actions.push(LifeAction::PlaceDecode);
         } else {
             self.close(&held.prefill, actions);
-            self.place_again(actions);
+            self.place_again(true, actions);
         }
     }
 
@@ -468,10 +475,11 @@
         }
         self.close(&at, actions);
         actions.push(LifeAction::Exclude(at.engine));
-        self.place_again(actions);
+        self.place_again(true, actions);
     }
 
-    fn place_again(&mut self, actions: &mut Vec<LifeAction>) {
+    // What an engine had no room for was not done, so that doing it costs no retry.
+    fn place_again(&mut self, again: bool, actions: &mut Vec<LifeAction>) {
         if self.delivered.len() < self.caller_has {
             // Another answer must not be spliced onto the part that the caller has.
             let text = format!(
@@ -496,7 +504,7 @@
             return;
         }
         self.state = LifeState::Placing;
-        actions.push(LifeAction::Place { again: true });
+        actions.push(LifeAction::Place { again });
     }
 
     // What never ran needs no cancel; anything else is cancelled until acknowledged.
@@ -505,7 +513,10 @@
             RunVerdict::NotRun => self.forget(at),
             RunVerdict::MayHaveRun | RunVerdict::Ran => self.close(at, actions),
         }
-        actions.push(LifeAction::Exclude(at.engine.clone()));
+        // A full engine may have room again soon; the desk remembers.
+        if failure.cause() != Some(RefusalCause::Full) {
+            actions.push(LifeAction::Exclude(at.engine.clone()));
+        }
     }
 
     fn forget(&mut self, at: &EngineAttempt) {
--- a/src/operation/runner.rs
+++ b/src/operation/runner.rs
@@ -379,7 +379,7 @@
                 let engine = self.origin.engine.clone();
                 self.parts
                     .desk
-                    .change(|desk, now| desk.gap_observed(&engine, gap.as_secs_f64(), now));
+                    .note(|desk, now| desk.gap_observed(&engine, gap.as_secs_f64(), now));
             }
         }
         self.last_token = Some(now);
--- a/src/operation/signal.rs
+++ b/src/operation/signal.rs
@@ -19,13 +19,18 @@
         self.notify.notify_waiters();
     }
 
+    /// Whether it is set.
+    pub fn is_set(&self) -> bool {
+        self.is_set.load(Ordering::Acquire)
+    }
+
     /// Done once it is set.
     pub async fn wait(&self) {
         loop {
             let notified = self.notify.notified();
             tokio::pin!(notified);
             notified.as_mut().enable();
-            if self.is_set.load(Ordering::Acquire) {
+            if self.is_set() {
                 return;
             }
             notified.await;
--- a/src/route/choose.rs
+++ b/src/route/choose.rs
@@ -50,11 +50,16 @@
 }
 
 /// The measure by which a baseline policy weighs a prefill engine.
-pub fn prefill_load(policy: RoutePolicy, view: &EngineView) -> f64 {
+pub fn prefill_load(
+    policy: RoutePolicy,
+    view: &EngineView,
+    tuning: &RouteTuning,
+    now: Duration,
+) -> f64 {
     match policy {
         RoutePolicy::Random | RoutePolicy::RoundRobin => 0.0,
         RoutePolicy::LeastLoaded => view.reported_tokens() as f64,
-        RoutePolicy::Thin | RoutePolicy::Joint => view.backlog_tokens() as f64,
+        RoutePolicy::Thin | RoutePolicy::Joint => view.backlog_tokens(tuning, now) as f64,
     }
 }
 
@@ -73,9 +78,10 @@
     tokens: u64,
     blocks: &[u64],
     tuning: &RouteTuning,
+    now: Duration,
 ) -> Duration {
     let missing = tokens - view.cached_tokens(blocks).min(tokens);
-    let ahead = view.backlog_tokens();
+    let ahead = view.backlog_tokens(tuning, now);
     Duration::from_secs_f64((ahead + missing) as f64 / view.rate(tuning))
 }
 
--- a/src/route/desk.rs
+++ b/src/route/desk.rs
@@ -25,6 +25,13 @@
 /// Failures in a row after which an engine is taken out.
 const FAILURES_TO_EJECT: u32 = 2;
 
+/// Requests that found no room in a row, after which those behind them are not tried: a full
+/// queue must not cost a search of all engines for each of its members.
+const BLOCKED_MAX: usize = 6;
+
+/// Bound on predicted times, seconds.
+const MAX_PREDICTION: f64 = 3_600.0;
+
 /// Longest wait that a refused caller is told.
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(30);
 
@@ -80,6 +87,15 @@
     Refused(Refusal),
 }
 
+// What became of a try to place a request.
+enum Placement {
+    Placed(DeskAnswer),
+    // Engines are there and have no room now.
+    Blocked,
+    // Even the best engine would be this late.
+    Late(Duration),
+}
+
 /// Where requests wait for engines.
 #[derive(Debug)]
 pub struct PlaceDesk {
@@ -170,6 +186,24 @@
         self.views.values()
     }
 
+    /// The engines whose news is older than `period`, the oldest first: at most `most`, and all
+    /// that were never heard of.
+    pub fn stale_engines(&self, period: Duration, most: usize, now: Duration) -> Vec<&EngineView> {
+        let mut stale: Vec<&EngineView> = self
+            .views
+            .values()
+            .filter(|view| {
+                let at = view.reported_at();
+                at.is_none_or(|at| now.saturating_sub(at) >= period)
+            })
+            .collect();
+        stale.sort_by_key(|view| view.reported_at());
+        let unknown = stale.iter().filter(|view| view.reported_at().is_none());
+        let count = most.max(unknown.count());
+        stale.truncate(count);
+        stale
+    }
+
     /// The decisions made for a request.
     pub fn explain(&self, request: &str) -> Vec<DecisionRecord> {
         self.log.of(request)
@@ -283,7 +317,13 @@
         let mut answers = Vec::new();
         let mut ahead = 0;
         for request in waiting {
-            match self.answer(&request, ahead, now) {
+            let is_whole = request.stage == PlaceStage::Whole && !request.resumed;
+            let is_hopeless = ahead >= BLOCKED_MAX || !self.has_any_room(now);
+            let answer = match is_whole && self.tuning.policy.queues_here() && is_hopeless {
+                true => self.answer_queued(&request, ahead, now),
+                false => self.answer(&request, ahead, now),
+            };
+            match answer {
                 Some(answer) => {
                     self.count_placement(&answer, ahead, now);
                     answers.push((request.ticket, answer));
@@ -300,6 +340,17 @@
         answers
     }
 
+    // Whether a prefill and a decode engine of any pool have room: a cheap look before a search.
+    fn has_any_room(&self, now: Duration) -> bool {
+        let mut views = self.views.values();
+        let prefill =
+            views.any(|view| view.may_be(EngineRole::Prefill) && self.has_room(view, now));
+        let mut views = self.views.values();
+        let decode = views.any(|view| view.may_be(EngineRole::Decode) && self.has_slot(view));
+        // Without engines that could ever take it, a request is told so by the search.
+        (prefill && decode) || self.views.values().all(|view| view.is_out(now))
+    }
+
     // What was computed already goes first, then higher priority, then less slack.
     fn urgency(&self, request: &PlaceRequest) -> (u8, u8, Duration) {
         let stage = match request.stage {
@@ -315,9 +366,14 @@
     // Time that the request takes if nothing stands before it.
     fn service_time(&self, request: &PlaceRequest) -> Duration {
         let compute = request.tokens as f64 / self.tuning.prefill_rate;
-        let transfer =
-            request.tokens as f64 * self.tuning.kv_bytes_per_token / self.tuning.link_rate;
-        Duration::from_secs_f64(compute + transfer) + self.tuning.between_tokens
+        Duration::from_secs_f64(compute) + self.after_prefill(request)
+    }
+
+    // From the end of the prefill to the first token: the transfer and a decode step.
+    fn after_prefill(&self, request: &PlaceRequest) -> Duration {
+        let bytes = request.tokens as f64 * self.tuning.kv_bytes_per_token;
+        let transfer = Duration::from_secs_f64(bytes / self.tuning.link_rate);
+        transfer + self.tuning.between_tokens
     }
 
     // A prompt too long for the target is still served: it has its own time over again.
@@ -345,29 +401,42 @@
         ahead: usize,
         now: Duration,
     ) -> Option<DeskAnswer> {
-        let zones = self.zones_to_try();
-        for in_zone in zones {
-            if let Some(answer) = self.place(request, in_zone, now) {
-                return Some(answer);
+        // Lateness in the own zone decides: the other zones' engines are known less well, and
+        // sending late requests there made more of them late (docs/performance.md).
+        for zone in self.zones_to_try() {
+            match self.place(request, zone, now) {
+                Placement::Placed(answer) => return Some(answer),
+                Placement::Late(by) => return Some(self.refuse_late(request, by, now)),
+                Placement::Blocked => {}
             }
         }
         if !self.has_candidates(request, now) {
             let text = format!("no backend server of model {} can take work", request.model);
             return Some(self.refuse(request, RefusalCode::NoBackend, text, now));
         }
+        self.answer_queued(request, ahead, now)
+    }
+
+    // Whether a request that waits behind `ahead` others has waited, or will wait, too long.
+    fn answer_queued(
+        &mut self,
+        request: &PlaceRequest,
+        ahead: usize,
+        now: Duration,
+    ) -> Option<DeskAnswer> {
         if !self.tuning.policy.queues_here() || request.resumed {
             return None;
         }
-        let service = self.service_time(request);
         let wait = self.drain_gap.unwrap_or(0.0) * ahead as f64;
-        let predicted = now + Duration::from_secs_f64(wait) + service;
+        let predicted = now + Duration::from_secs_f64(wait) + self.service_time(request);
         let by = self.first_token_by(request);
-        if predicted > by {
-            let late = (predicted - by).as_millis();
-            let text = format!("the first token would come {late} ms too late");
-            return Some(self.refuse(request, RefusalCode::Overloaded, text, now));
-        }
-        None
+        (predicted > by).then(|| self.refuse_late(request, predicted - by, now))
+    }
+
+    fn refuse_late(&mut self, request: &PlaceRequest, by: Duration, now: Duration) -> DeskAnswer {
+        let late = by.as_millis();
+        let text = format!("the first token would come {late} ms too late");
+        self.refuse(request, RefusalCode::Overloaded, text, now)
     }
 
     // Own zone first; then any.
@@ -375,37 +444,56 @@
         [Some(self.zone.clone()), None]
     }
 
-    fn place(
-        &mut self,
-        request: &PlaceRequest,
-        zone: Option<FastStr>,
-        now: Duration,
-    ) -> Option<DeskAnswer> {
-        let joint = self.tuning.policy.queues_here();
+    fn place(&mut self, request: &PlaceRequest, zone: Option<FastStr>, now: Duration) -> Placement {
         let mut random = StdRng::seed_from_u64(self.random.random());
         let prefills = self.rank_prefills(request, zone.as_ref(), now, &mut random);
         let decodes = self.rank_decodes(request, zone.as_ref(), now, &mut random);
-        let prefill = prefills.first()?;
-        let decode = decodes.first()?;
-        let backlog = self.tuning.prefill_backlog.as_secs_f64();
-        let ahead = prefill.view.backlog_tokens() as f64 / prefill.view.rate(&self.tuning);
-        if joint && (ahead > backlog || !self.has_slot(decode.view)) {
-            return None;
+        let (Some(prefill), Some(decode)) = (prefills.first(), decodes.first()) else {
+            return Placement::Blocked;
+        };
+        if self.tuning.policy.queues_here() {
+            if let Some(by) = self.lateness(request, prefill, now) {
+                return Placement::Late(by);
+            }
+            if !self.has_room(prefill.view, now) || !self.has_slot(decode.view) {
+                return Placement::Blocked;
+            }
         }
         let record = self.record(request, "placed", now, &prefills, &decodes);
-        let names = (
-            prefill.view.info.name.clone(),
-            decode.view.info.name.clone(),
-        );
+        let prefill = prefill.view.info.name.clone();
+        let decode = decode.view.info.name.clone();
         self.turn += 1;
         self.log.add(record);
-        self.begin(request, Some(&names.0), &names.1);
-        Some(DeskAnswer::Placed {
-            prefill: Some(names.0),
-            decode: names.1,
+        self.begin(request, Some(&prefill), &decode);
+        Placement::Placed(DeskAnswer::Placed {
+            prefill: Some(prefill),
+            decode,
         })
     }
 
+    // By how much the first token would miss its time, if it would.
+    fn lateness(
+        &self,
+        request: &PlaceRequest,
+        prefill: &ScoredEngine<'_>,
+        now: Duration,
+    ) -> Option<Duration> {
+        if request.resumed {
+            return None;
+        }
+        let compute = Duration::from_secs_f64(prefill.score.min(MAX_PREDICTION));
+        let predicted = now + compute + self.after_prefill(request);
+        predicted
+            .checked_sub(self.first_token_by(request))
+            .filter(|late| !late.is_zero())
+    }
+
+    // Whether a prefill would start soon enough there for waiting here to gain nothing.
+    fn has_room(&self, view: &EngineView, now: Duration) -> bool {
+        let ahead = view.backlog_tokens(&self.tuning, now) as f64 / view.rate(&self.tuning);
+        ahead <= self.tuning.prefill_backlog.as_secs_f64() && !view.is_full(now)
+    }
+
     fn answer_decode(
         &mut self,
         request: &PlaceRequest,
@@ -446,7 +534,7 @@
         let Some(total) = view.slots_total() else {
             return true;
         };
-        let room = f64::from(total) * (1.0 + self.tuning.decode_overcommit);
+        let room = f64::from(total) * (1.0 - self.tuning.decode_reserve);
         f64::from(view.slots_used()) < room
     }
 
@@ -491,11 +579,16 @@
         choose::rank(views, random, |view| match policy {
             RoutePolicy::Joint => {
                 let full = if view.is_full(now) { 1.0 } else { 0.0 };
-                let time =
-                    choose::predict_prefill(view, request.tokens, &request.blocks, &self.tuning);
+                let time = choose::predict_prefill(
+                    view,
+                    request.tokens,
+                    &request.blocks,
+                    &self.tuning,
+                    now,
+                );
                 time.as_secs_f64() + full
             }
-            _ => choose::prefill_load(policy, view),
+            _ => choose::prefill_load(policy, view, &self.tuning, now),
         })
     }
 
@@ -573,7 +666,7 @@
             let cached = view.cached_tokens(&request.blocks);
             format!(
                 "{} tokens before it, {cached} cached",
-                view.backlog_tokens()
+                view.backlog_tokens(&self.tuning, now)
             )
         });
         let decodes: Vec<WeighedEngine> = choose::weighed(decodes, |view| {
--- a/src/route/policy.rs
+++ b/src/route/policy.rs
@@ -84,8 +84,8 @@
     pub kv_bytes_per_token: f64,
     /// Bytes a second of an engine's link.
     pub link_rate: f64,
-    /// Decode slots taken in advance for those that will free up during a prefill, a share.
-    pub decode_overcommit: f64,
+    /// Share of the decode slots left free for what the other hosts send meanwhile.
+    pub decode_reserve: f64,
     /// How long an engine stays out after it failed.
     pub eject_time: Duration,
     /// Share of a pool that may be out at once.
@@ -107,7 +107,7 @@
             prefill_rate: 20_000.0,
             kv_bytes_per_token: 150_000.0,
             link_rate: 12.5e9,
-            decode_overcommit: 0.0,
+            decode_reserve: 0.05,
             eject_time: Duration::from_secs(3),
             eject_share: 0.5,
             outlier_factor: 1.6,
--- a/src/route/shared.rs
+++ b/src/route/shared.rs
@@ -78,6 +78,12 @@
         result
     }
 
+    /// Takes an observation that frees nothing, so that nobody's answer changes by it.
+    pub fn note(&self, note: impl FnOnce(&mut PlaceDesk, Duration)) {
+        let now = self.now();
+        note(&mut self.inner.lock().expect("desk").desk, now);
+    }
+
     /// Waits for the desk's answer; a caller that stops waiting leaves nothing behind.
     pub async fn ask(&self, mut request: PlaceRequest) -> DeskAnswer {
         let ticket = self.next_ticket.fetch_add(1, Ordering::Relaxed);
--- a/src/route/view.rs
+++ b/src/route/view.rs
@@ -117,6 +117,13 @@
         !leaving && fits && now >= self.out_until
     }
 
+    /// Whether the engine has this role, as far as is known.
+    pub fn may_be(&self, role: EngineRole) -> bool {
+        self.report
+            .as_ref()
+            .is_none_or(|report| report.role == role)
+    }
+
     /// Whether the engine is out for a while because it failed or is an outlier.
     pub fn is_out(&self, now: Duration) -> bool {
         now < self.out_until
@@ -204,14 +211,14 @@
         self.rate.unwrap_or(tuning.prefill_rate)
     }
 
-    /// Prompt tokens it has before it: the others' as reported, this host's own as known.
-    pub fn backlog_tokens(&self) -> u64 {
-        let reported = self
-            .report
-            .as_ref()
-            .map_or(0, |report| report.queued_tokens);
+    /// Prompt tokens it has before it: this host's own as known, the others' as reported, less
+    /// what it has worked off since.
+    pub fn backlog_tokens(&self, tuning: &RouteTuning, now: Duration) -> u64 {
+        let reported = self.reported_tokens();
         let others = reported.saturating_sub(self.own_tokens_reported);
-        others + self.own_prefill_tokens
+        let age = now.saturating_sub(self.reported_at.unwrap_or(now));
+        let worked_off = (age.as_secs_f64() * self.rate(tuning)) as u64;
+        others.saturating_sub(worked_off) + self.own_prefill_tokens
     }
 
     /// Prompt tokens it had when it last reported.
--- a/src/standin/engine/core.rs
+++ b/src/standin/engine/core.rs
@@ -97,6 +97,7 @@
     published: (Instant, engine::LoadReport),
     counts: EngineCounts,
     stall_debt: f64,
+    slot_samples: (u64, u64),
 }
 
 struct QueuedPrefill {
@@ -153,6 +154,7 @@
             published: (now, load),
             counts: EngineCounts::default(),
             stall_debt: 0.0,
+            slot_samples: (0, 0),
         };
         let core = Arc::new(Self {
             name,
@@ -194,6 +196,20 @@
         state.slots.len() + state.queue.len() + usize::from(state.computing > 0)
     }
 
+    /// Counts the decode slots in use now, for [`Self::slot_use`].
+    pub fn sample_slots(&self) {
+        let mut state = self.state();
+        let used = state.slots.len() as u64;
+        state.slot_samples = (state.slot_samples.0 + 1, state.slot_samples.1 + used);
+    }
+
+    /// Mean share of the decode slots that was in use when it was sampled.
+    pub fn slot_use(&self) -> f64 {
+        let slots = f64::from(self.params().slots);
+        let (samples, used) = self.state().slot_samples;
+        used as f64 / (samples.max(1) as f64 * slots)
+    }
+
     /// Says that the engine wants no new work, or wants it again.
     pub fn set_leaving(&self, leaving: bool) {
         self.state().leaving = leaving;
