--- a/src/bench/run.rs
+++ b/src/bench/run.rs
@@ -32,6 +32,9 @@
 /// One way between processes.
 const HOP: Duration = Duration::from_micros(500);
 
+/// Refusals after which a request of a policy without a queue is given up.
+const REFUSALS_WITHOUT_QUEUE: u32 = 6;
+
 const MODEL: FastStr = FastStr::from_static_str("model");
 
 /// One run to make.
@@ -209,13 +212,22 @@
                 namer: AttemptNamer::new(FastStr::from_string(format!("h{index}"))),
                 canceller,
                 budget: Mutex::new(RetryBudget::new(0.1)),
-                limits: LifeLimits::default(),
+                limits: life_limits(plan.tuning.policy),
             }));
         }
     }
     hosts
 }
 
+// A policy without a queue at the host does not wait for room: it gives up after a few refusals.
+fn life_limits(policy: RoutePolicy) -> LifeLimits {
+    let mut limits = LifeLimits::default();
+    if !policy.queues_here() {
+        limits.refusals = REFUSALS_WITHOUT_QUEUE;
+    }
+    limits
+}
+
 // Reads load by the daemon's rule: the oldest news first, a few reads a second.
 async fn observe(desk: Arc<SharedDesk>, engines: Arc<Vec<BenchEngine>>) {
     let period = Duration::from_millis(250);
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -4,7 +4,7 @@
     super::{
         check, demo,
         exit::{self, CommandResult},
-        operate,
+        load, operate, peers, standin,
     },
     crate::bench,
     pico_args::Arguments,
@@ -18,6 +18,9 @@
 
   demo                run a small fleet in this process and show what it does
   bench               measure policies against stand-in engines
+  standin             run a stand-in platform, engines and service to try a daemon with
+  load HOST           send requests to a host and measure it
+  peers               measure what hosts spend on each other
   check FILE...       check settings (.ini) and objects (.json)
   apply FILE          write objects to the platform, after checking the whole set
   get [KIND [NAME]]   read objects from the platform
@@ -59,6 +62,9 @@
     match command.as_deref().unwrap_or_default() {
         "demo" => demo::run(arguments),
         "bench" => bench::command(arguments),
+        "load" => load::run(arguments),
+        "peers" => peers::run(arguments),
+        "standin" => standin::run(arguments),
         "check" => check::run(arguments),
         "apply" => operate::apply(arguments),
         "get" => operate::get(arguments),
--- a/src/cli/demo/fleet.rs
+++ b/src/cli/demo/fleet.rs
@@ -4,7 +4,10 @@
     crate::{
         conf::HostSettings,
         object::AnyObject,
-        standin::{engine::EngineParams, fleet::FleetPlan},
+        standin::{
+            engine::EngineParams,
+            fleet::{self, FleetPlan},
+        },
     },
     std::time::Duration,
 };
@@ -31,5 +34,6 @@
             ..HostSettings::default()
         },
         objects: demo_objects(),
+        platform: fleet::loopback(),
     }
 }
--- a/src/cli/demo/mod.rs
+++ b/src/cli/demo/mod.rs
@@ -8,7 +8,7 @@
     pico_args::Arguments,
 };
 
-pub use self::fleet::demo_objects;
+pub use self::fleet::{demo_objects, demo_plan};
 
 /// Runs the command.
 pub fn run(arguments: Arguments) -> CommandResult {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -5,6 +5,9 @@
 mod daemon;
 mod demo;
 mod exit;
+mod load;
 mod operate;
+mod peers;
+mod standin;
 
 pub use self::{command::run_command, daemon::run_daemon, demo::demo_objects, exit::*};
--- a/src/control/gossip.rs
+++ b/src/control/gossip.rs
@@ -17,6 +17,15 @@
 /// Of so many rounds, one goes to another zone and one to a host that is not known to be live.
 const ROUNDS: u64 = 5;
 
+/// Hosts in a zone up to which the gossip period holds as it is.
+const HOSTS_AT_FULL_PACE: f64 = 40.0;
+
+/// Hosts that are told at once of something new.
+const NEWS_TARGETS: usize = 3;
+
+/// A round that goes to live hosts of the zone.
+const NEWS_ROUND: u64 = 2;
+
 /// How long what others say of a leaving engine counts.
 const HEARSAY_LIFE: Duration = Duration::from_secs(10);
 
@@ -37,13 +46,35 @@
             {
                 log::debug!("exchange with {address}: {error}");
             }
-            tokio::time::sleep(self.pause()).await;
+            tokio::select! {
+                () = tokio::time::sleep(self.pause()) => {}
+                () = self.news.notified() => self.spread_news().await,
+            }
+        }
+    }
+
+    // Whoever learns something new tells some at once, so that it reaches all in a few steps.
+    async fn spread_news(&self) {
+        let targets: Vec<SocketAddr> = (0..NEWS_TARGETS)
+            .filter_map(|_| self.draw_target(NEWS_ROUND))
+            .map(|(address, _)| address)
+            .collect();
+        let told = targets
+            .into_iter()
+            .map(|address| self.exchange(address, true));
+        for result in futures::future::join_all(told).await {
+            if let Err(error) = result {
+                log::debug!("news: {error}");
+            }
         }
     }
 
-    // A little random, so that hosts started together do not stay in step.
+    // Longer in a large zone, where each exchange tells more. A little random, so that hosts
+    // started together do not stay in step.
     fn pause(&self) -> Duration {
-        let factor = rand::rng().random_range(0.8..1.2);
+        let live = self.state.borrow().members.live_in_zone().count();
+        let size = (live as f64 / HOSTS_AT_FULL_PACE).max(1.0);
+        let factor = size * rand::rng().random_range(0.8..1.2);
         self.traffic.settings.gossip_period.mul_f64(factor)
     }
 
@@ -63,9 +94,17 @@
             .collect();
         let mut silent: Vec<SocketAddr> =
             state.members.suspected().map(|card| card.peers).collect();
-        // Seeds may be of any zone, and of hosts that were replaced.
-        let known: Vec<SocketAddr> = in_zone.iter().chain(&away).copied().collect();
-        silent.extend(self.seeds().iter().filter(|seed| !known.contains(seed)));
+        // Seeds and listed hosts may be of any zone, and long replaced.
+        let own = state.members.own().peers;
+        let listed = state
+            .servers
+            .entry_hosts()
+            .filter_map(|host| host.spec.peers);
+        let starts = self.seeds().iter().copied().chain(listed);
+        silent
+            .extend(starts.filter(|start| {
+                *start != own && !in_zone.contains(start) && !away.contains(start)
+            }));
         let turn = round % ROUNDS;
         let pick = |list: &[SocketAddr]| match list.len() {
             0 => None,
@@ -146,12 +185,30 @@
         Ok(())
     }
 
+    // A host that tells of something newer is asked for it.
+    fn fetch_from_teller(self: Rc<Self>, digest: &PeerDigest) {
+        let (generation, version) = self.versions();
+        if digest.generation <= generation && digest.servers_version <= version {
+            return;
+        }
+        let digest = digest.clone();
+        tokio::task::spawn_local(async move {
+            let address = digest.sender.peers;
+            if let Err(error) = self.fetch_newer(address, &digest).await {
+                log::debug!("state from {address}: {error}");
+            }
+        });
+    }
+
+    // What this host has of the configuration and of the list of servers.
+    fn versions(&self) -> (u64, u64) {
+        let state = self.state.borrow();
+        (state.config.in_force().generation, state.servers.version)
+    }
+
     // Only what was accepted is passed on, so whatever is newer is taken.
     async fn fetch_newer(&self, address: SocketAddr, answer: &PeerDigest) -> Result<(), Error> {
-        let (generation, version) = {
-            let state = self.state.borrow();
-            (state.config.in_force().generation, state.servers.version)
-        };
+        let (generation, version) = self.versions();
         if answer.generation <= generation && answer.servers_version <= version {
             return Ok(());
         }
@@ -164,7 +221,11 @@
         let mut changed = false;
         if !passed.servers.is_empty() {
             let list: ServerList = serde_json::from_slice(&passed.servers).map_err(malformed)?;
-            changed |= self.state.borrow_mut().servers.offer(list);
+            let is_newer = self.state.borrow_mut().servers.offer(list);
+            if is_newer {
+                self.news.notify_one();
+            }
+            changed |= is_newer;
         }
         if !passed.config.is_empty() {
             let config: AcceptedConfig =
@@ -185,6 +246,7 @@
             exchange: Box::new(move |digest| {
                 let same_zone = digest.sender.zone == exchange.traffic.settings.zone;
                 exchange.take_digest(&digest);
+                exchange.clone().fetch_from_teller(&digest);
                 exchange.digest(same_zone)
             }),
             cards: Box::new(move |wanted| cards.cards(wanted)),
--- a/src/control/parts.rs
+++ b/src/control/parts.rs
@@ -21,7 +21,7 @@
         sync::Arc,
         time::Duration,
     },
-    tokio::{net::TcpListener, task::LocalSet},
+    tokio::{net::TcpListener, sync::Notify, task::LocalSet},
 };
 
 /// Hosts of a zone that watch the platform for all.
@@ -56,6 +56,7 @@
     pub(super) links: PeerLinks,
     pub(super) state: RefCell<ControlState>,
     pub(super) platform_is_lost: Cell<bool>,
+    pub(super) news: Notify,
     pub(super) engine_links: RefCell<BTreeMap<FastStr, (SocketAddr, Arc<EngineLink>)>>,
 }
 
@@ -80,6 +81,7 @@
         links: PeerLinks::new(traffic.metrics.clone()),
         state: RefCell::new(state),
         platform_is_lost: Cell::new(false),
+        news: Notify::new(),
         engine_links: RefCell::default(),
         traffic: traffic.clone(),
     });
@@ -152,7 +154,7 @@
             let (kind, incarnation) = match change {
                 MemberChange::Suspected(incarnation) => (&event::PEER_SUSPECTED, incarnation),
                 MemberChange::Back(incarnation) => (&event::PEER_BACK, incarnation),
-                MemberChange::Forgotten(_) => continue,
+                MemberChange::Forgotten(_) | MemberChange::Met(_) => continue,
             };
             let mut state = self.state.borrow_mut();
             if kind == &event::PEER_BACK {
--- a/src/control/watch.rs
+++ b/src/control/watch.rs
@@ -63,7 +63,9 @@
         }
         let (offer, step) = {
             let mut state = self.state.borrow_mut();
-            state.servers.read_store(&list);
+            if state.servers.read_store(&list) {
+                self.news.notify_one();
+            }
             state.config.read_store(&list)
         };
         self.note_offer(&offer);
@@ -86,6 +88,7 @@
     pub(super) fn note_offer(&self, offer: &ConfigOffer) {
         match offer {
             ConfigOffer::InForce => {
+                self.news.notify_one();
                 let generation = self.state.borrow().config.in_force().generation;
                 self.traffic.metrics.generation.set(generation as i64);
                 event::emit(&event::CONFIG_IN_FORCE, &[("generation", &generation)]);
--- a/src/object/kinds.rs
+++ b/src/object/kinds.rs
@@ -186,6 +186,9 @@
     /// It is about to go and wants no new work.
     #[serde(default)]
     pub leaving: bool,
+    /// Where other entry hosts reach it, if it is one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peers: Option<SocketAddr>,
 }
 
 /// An object with its spec read.
--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -10,7 +10,7 @@
 };
 
 /// Heartbeats passed on in one exchange at most; the ones heard last go first.
-pub const BEATS_MAX: usize = 32;
+pub const BEATS_MAX: usize = 64;
 
 /// How long a silent host is remembered.
 pub const FORGET_AFTER: Duration = Duration::from_secs(600);
@@ -88,6 +88,8 @@
     Back(u64),
     /// It was silent so long that it is forgotten.
     Forgotten(u64),
+    /// Who it is was learned only now.
+    Met(u64),
 }
 
 /// Times after which silence means something.
@@ -145,19 +147,22 @@
 
     /// Takes what another host told.
     pub fn take(&mut self, digest: &PeerDigest, now: Duration) -> Vec<MemberChange> {
-        self.take_card(digest.sender.clone());
         let mut changes = Vec::new();
+        if self.take_card(digest.sender.clone()) {
+            changes.push(MemberChange::Met(digest.sender.incarnation));
+        }
         for beat in &digest.beats {
             self.take_beat(*beat, now, &mut changes);
         }
         changes
     }
 
-    /// Learns who a host is.
-    pub fn take_card(&mut self, card: HostCard) {
+    /// Learns who a host is; gives whether that was not known.
+    pub fn take_card(&mut self, card: HostCard) -> bool {
         if let Some(known) = self.known.get_mut(&card.incarnation) {
-            known.card = Some(card);
-        } else if card.incarnation != self.own.incarnation {
+            return known.card.replace(card).is_none();
+        }
+        if card.incarnation != self.own.incarnation {
             // Nothing counts as heard until its first heartbeat.
             let beat = HostBeat {
                 incarnation: card.incarnation,
@@ -171,7 +176,9 @@
                 suspected: true,
             };
             self.known.insert(beat.incarnation, known);
+            return true;
         }
+        false
     }
 
     fn take_beat(&mut self, beat: HostBeat, now: Duration, changes: &mut Vec<MemberChange>) {
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -43,6 +43,8 @@
     pub settings: HostSettings,
     /// The operators' objects.
     pub objects: Vec<AnyObject>,
+    /// Where the platform listens; port 0 takes a free one.
+    pub platform: SocketAddr,
 }
 
 /// A stand-in engine of a fleet.
@@ -87,7 +89,8 @@
         .wrap_err("a runtime")
 }
 
-fn loopback() -> SocketAddr {
+/// A free port of the loopback address.
+pub fn loopback() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
@@ -96,7 +99,7 @@
     pub fn start(plan: FleetPlan) -> Result<Self> {
         let platform = PlatformCore::new();
         let runtime = runtime("platform")?;
-        let (listener, platform_address) = runtime.block_on(web::listen(loopback()))?;
+        let (listener, platform_address) = runtime.block_on(web::listen(plan.platform))?;
         let served = platform.clone();
         runtime.block_on(async { serve_platform(served, listener) });
         let mut fleet = Self {
@@ -225,8 +228,7 @@
             let host = EntryHost::open(settings, "fleet").await?;
             Ok::<_, eyre::Report>(host.start())
         })?;
-        let labels = [(ROLE_LABEL, ENTRY_ROLE), ("zone", zone)];
-        self.list_server(name, zone, running.addresses.callers, &labels, false)?;
+        self.list_host(name, zone, &running)?;
         let host = FleetHost {
             running,
             runtime: Some(runtime),
@@ -235,6 +237,16 @@
         Ok(())
     }
 
+    fn list_host(&self, name: &str, zone: &str, running: &RunningHost) -> Result<()> {
+        let labels = [(ROLE_LABEL, ENTRY_ROLE), ("zone", zone)];
+        let address = running.addresses.callers;
+        self.list_server(name, zone, address, &labels, false)?;
+        let object = self.platform.get(kind::SERVER, name);
+        let mut object = object.ok_or_else(|| eyre!("{name} was not listed"))?;
+        object.spec["peers"] = json!(running.addresses.peers);
+        self.apply(object)
+    }
+
     fn peer_addresses(&self) -> Vec<SocketAddr> {
         self.hosts
             .values()
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -10,7 +10,7 @@
         standin::{
             caller::{Caller, StreamFailure, StreamedEvent},
             engine::{self, EngineParams},
-            fleet::{Fleet, FleetPlan},
+            fleet::{self, Fleet, FleetPlan},
         },
     },
     std::{net::SocketAddr, time::Duration},
@@ -39,6 +39,7 @@
             ..HostSettings::default()
         },
         objects: cli::demo_objects(),
+        platform: fleet::loopback(),
     }
 }
 
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -7,7 +7,7 @@
         standin::{
             caller::{Caller, StreamFailure, StreamedEvent},
             engine::{self, EngineParams},
-            fleet::{Fleet, FleetPlan},
+            fleet::{self, Fleet, FleetPlan},
         },
     },
     http::Method,
@@ -33,6 +33,7 @@
             ..HostSettings::default()
         },
         objects: cli::demo_objects(),
+        platform: fleet::loopback(),
     }
 }
 
