--- a/src/filter/plain.rs
+++ b/src/filter/plain.rs
@@ -1,7 +1,7 @@
 //! Plain calls: one server of the service, tried again only when nothing can run twice.
 
 use {
-    super::call::{CallContext, CallRoute, FORWARDED_HEADER},
+    super::call::{CallContext, CallKind, CallRoute, FORWARDED_HEADER},
     crate::{
         host::Traffic,
         object::{ServiceSpec, Typed},
@@ -18,6 +18,9 @@
 /// Servers tried for one call.
 const TRIES: u32 = 3;
 
+/// Added to the time that a passed call may take by itself.
+const PASS_MARGIN: Duration = Duration::from_secs(1);
+
 /// Longest answer of a plain service.
 const REPLY_LIMIT: usize = 4 << 20;
 
@@ -164,8 +167,26 @@
         headers.insert(FORWARDED_HEADER, value);
     }
     let path = call.target.as_str();
-    traffic
+    let time = pass_time(traffic, call);
+    let sent = traffic
         .client
-        .send(call.method.clone(), peer, path, headers, call.body.clone())
-        .await
+        .send(call.method.clone(), peer, path, headers, call.body.clone());
+    match tokio::time::timeout(time, sent).await {
+        Ok(answer) => answer,
+        Err(_) => Err(WebFailure::Unanswered(format!("silent for {time:?}"))),
+    }
+}
+
+// Longest wait for another host's answer to begin: a paused host takes connections and is silent.
+fn pass_time(traffic: &Traffic, call: &CallContext) -> Duration {
+    match &call.kind {
+        CallKind::Plain { service, .. } => {
+            Duration::from_millis(service.spec.timeout_ms) + PASS_MARGIN
+        }
+        CallKind::Model(completion) if completion.stream => {
+            traffic.settings.first_token * 2 + PASS_MARGIN
+        }
+        CallKind::Model(_) => traffic.settings.whole,
+        CallKind::Models | CallKind::CancelOperation(_) | CallKind::Ticket => PASS_MARGIN,
+    }
 }
--- a/src/operation/mod.rs
+++ b/src/operation/mod.rs
@@ -4,13 +4,15 @@
 mod life;
 mod position;
 mod replay;
+mod request;
 mod runner;
 mod signal;
+mod step;
 mod table;
 mod ticket;
 mod verdict;
 
 pub use self::{
-    budget::*, life::*, position::*, replay::*, runner::*, signal::*, table::*, ticket::*,
-    verdict::*,
+    budget::*, life::*, position::*, replay::*, request::*, runner::*, signal::*, step::*,
+    table::*, ticket::*, verdict::*,
 };
--- a/src/operation/table.rs
+++ b/src/operation/table.rs
@@ -1,7 +1,7 @@
 //! The operations of this host by their key: live, finished, or unknown.
 
 use {
-    super::{replay::ReplayLog, runner::AnswerLog, signal::OnceSignal, verdict::Refusal},
+    super::{replay::ReplayLog, request::AnswerLog, signal::OnceSignal, verdict::Refusal},
     bytes::Bytes,
     faststr::FastStr,
     http::HeaderMap,
--- a/src/route/desk.rs
+++ b/src/route/desk.rs
@@ -6,12 +6,12 @@
     super::{
         choose::{self, ScoredEngine},
         explain::{DecisionLog, DecisionRecord, WeighedEngine},
-        policy::{RoutePolicy, RouteTuning},
+        place::{DeskAnswer, PlaceRequest, PlaceStage, Placement},
+        policy::RouteTuning,
         view::{EngineInfo, EngineView},
     },
     crate::{
-        engine::{EngineLink, EngineRole, LoadReport, PrefillReply},
-        object,
+        engine::{EngineLink, LoadReport, PrefillReply},
         operation::{Refusal, RefusalCode},
     },
     faststr::FastStr,
@@ -29,88 +29,24 @@
 /// queue must not cost a search of all engines for each of its members.
 const BLOCKED_MAX: usize = 6;
 
-/// Bound on predicted times, seconds.
-const MAX_PREDICTION: f64 = 3_600.0;
-
 /// Longest wait that a refused caller is told.
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(30);
 
-/// A request that wants engines.
-#[derive(Debug, Clone)]
-pub struct PlaceRequest {
-    /// Number of this question, unique at the desk.
-    pub ticket: u64,
-    /// The request's id, for explanations.
-    pub request: FastStr,
-    /// Its model.
-    pub model: FastStr,
-    /// The prefill pools' selectors.
-    pub prefills: Arc<[object::LabelSelector]>,
-    /// The decode pools' selectors.
-    pub decodes: Arc<[object::LabelSelector]>,
-    /// Tokens of the prompt and of what was delivered.
-    pub tokens: u64,
-    /// The prompt's block hashes.
-    pub blocks: Arc<[u64]>,
-    /// Larger is more urgent.
-    pub priority: u8,
-    /// When the request arrived.
-    pub arrived: Duration,
-    /// Tokens were delivered before, so that the first-token target does not apply.
-    pub resumed: bool,
-    /// Engines that this request has tried in vain.
-    pub excluded: Vec<FastStr>,
-    /// What is wanted.
-    pub stage: PlaceStage,
-}
-
-/// What a request wants from the desk.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PlaceStage {
-    /// A prefill and a decode engine.
-    Whole,
-    /// A decode engine, while the KV cache lives until then.
-    DecodeOnly(Duration),
-}
-
-/// The desk's answer to a [`PlaceRequest`].
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum DeskAnswer {
-    /// The engines; their load is counted from now.
-    Placed {
-        /// Prefill engine, if one was wanted.
-        prefill: Option<FastStr>,
-        /// Decode engine.
-        decode: FastStr,
-    },
-    /// None, and none will come in time.
-    Refused(Refusal),
-}
-
-// What became of a try to place a request.
-enum Placement {
-    Placed(DeskAnswer),
-    // Engines are there and have no room now.
-    Blocked,
-    // Even the best engine would be this late.
-    Late(Duration),
-}
-
 /// Where requests wait for engines.
 #[derive(Debug)]
 pub struct PlaceDesk {
-    tuning: RouteTuning,
-    zone: FastStr,
-    views: BTreeMap<FastStr, EngineView>,
+    pub(super) tuning: RouteTuning,
+    pub(super) zone: FastStr,
+    pub(super) views: BTreeMap<FastStr, EngineView>,
     // Engines that this host does not choose and may still have to speak with.
-    others: BTreeMap<FastStr, Arc<EngineLink>>,
-    waiting: Vec<PlaceRequest>,
-    log: DecisionLog,
-    random: StdRng,
-    turn: usize,
+    pub(super) others: BTreeMap<FastStr, Arc<EngineLink>>,
+    pub(super) waiting: Vec<PlaceRequest>,
+    pub(super) log: DecisionLog,
+    pub(super) random: StdRng,
+    pub(super) turn: usize,
     // Mean time between two placements while requests wait, seconds.
-    drain_gap: Option<f64>,
-    last_placed: Option<Duration>,
+    pub(super) drain_gap: Option<f64>,
+    pub(super) last_placed: Option<Duration>,
 }
 
 impl PlaceDesk {
@@ -340,49 +276,6 @@
         answers
     }
 
-    // Whether a prefill and a decode engine of any pool have room: a cheap look before a search.
-    fn has_any_room(&self, now: Duration) -> bool {
-        let mut views = self.views.values();
-        let prefill =
-            views.any(|view| view.may_be(EngineRole::Prefill) && self.has_room(view, now));
-        let mut views = self.views.values();
-        let decode = views.any(|view| view.may_be(EngineRole::Decode) && self.has_slot(view));
-        // Without engines that could ever take it, a request is told so by the search.
-        (prefill && decode) || self.views.values().all(|view| view.is_out(now))
-    }
-
-    // What was computed already goes first, then higher priority, then less slack.
-    fn urgency(&self, request: &PlaceRequest) -> (u8, u8, Duration) {
-        let stage = match request.stage {
-            PlaceStage::DecodeOnly(_) => 0,
-            PlaceStage::Whole if request.resumed => 1,
-            PlaceStage::Whole => 2,
-        };
-        let service = self.service_time(request);
-        let slack = self.first_token_by(request).saturating_sub(service);
-        (stage, u8::MAX - request.priority, slack)
-    }
-
-    // Time that the request takes if nothing stands before it.
-    fn service_time(&self, request: &PlaceRequest) -> Duration {
-        let compute = request.tokens as f64 / self.tuning.prefill_rate;
-        Duration::from_secs_f64(compute) + self.after_prefill(request)
-    }
-
-    // From the end of the prefill to the first token: the transfer and a decode step.
-    fn after_prefill(&self, request: &PlaceRequest) -> Duration {
-        let bytes = request.tokens as f64 * self.tuning.kv_bytes_per_token;
-        let transfer = Duration::from_secs_f64(bytes / self.tuning.link_rate);
-        transfer + self.tuning.between_tokens
-    }
-
-    // A prompt too long for the target is still served: it has its own time over again.
-    fn first_token_by(&self, request: &PlaceRequest) -> Duration {
-        let target = self.tuning.first_token - self.tuning.margin;
-        let own = self.service_time(request).mul_f64(1.5);
-        request.arrived + target.max(own)
-    }
-
     fn answer(
         &mut self,
         request: &PlaceRequest,
@@ -471,29 +364,6 @@
         })
     }
 
-    // By how much the first token would miss its time, if it would.
-    fn lateness(
-        &self,
-        request: &PlaceRequest,
-        prefill: &ScoredEngine<'_>,
-        now: Duration,
-    ) -> Option<Duration> {
-        if request.resumed {
-            return None;
-        }
-        let compute = Duration::from_secs_f64(prefill.score.min(MAX_PREDICTION));
-        let predicted = now + compute + self.after_prefill(request);
-        predicted
-            .checked_sub(self.first_token_by(request))
-            .filter(|late| !late.is_zero())
-    }
-
-    // Whether a prefill would start soon enough there for waiting here to gain nothing.
-    fn has_room(&self, view: &EngineView, now: Duration) -> bool {
-        let ahead = view.backlog_tokens(&self.tuning, now) as f64 / view.rate(&self.tuning);
-        ahead <= self.tuning.prefill_backlog.as_secs_f64() && !view.is_full(now)
-    }
-
     fn answer_decode(
         &mut self,
         request: &PlaceRequest,
@@ -507,7 +377,7 @@
         let mut random = StdRng::seed_from_u64(self.random.random());
         let decodes = self.rank_decodes(request, None, now, &mut random);
         let decode = decodes.first()?;
-        if self.tuning.policy.queues_here() && decode.view.is_full(now) {
+        if decode.view.is_full(now) {
             return None;
         }
         let record = self.record(request, "decode placed", now, &[], &decodes);
@@ -530,95 +400,6 @@
         }
     }
 
-    fn has_slot(&self, view: &EngineView) -> bool {
-        let Some(total) = view.slots_total() else {
-            return true;
-        };
-        let room = f64::from(total) * (1.0 - self.tuning.decode_reserve);
-        f64::from(view.slots_used()) < room
-    }
-
-    fn candidates<'a>(
-        &'a self,
-        request: &'a PlaceRequest,
-        role: EngineRole,
-        zone: Option<&'a FastStr>,
-        now: Duration,
-    ) -> Vec<&'a EngineView> {
-        let pools = match role {
-            EngineRole::Prefill => &request.prefills,
-            EngineRole::Decode => &request.decodes,
-        };
-        self.views
-            .values()
-            .filter(|view| zone.is_none_or(|zone| view.info.zone == *zone))
-            .filter(|view| pools.iter().any(|pool| pool.matches(&view.info.labels)))
-            .filter(|view| view.is_usable(role, &request.model, now))
-            .filter(|view| !request.excluded.contains(&view.info.name))
-            .collect()
-    }
-
-    fn has_candidates(&self, request: &PlaceRequest, now: Duration) -> bool {
-        [EngineRole::Prefill, EngineRole::Decode]
-            .into_iter()
-            .all(|role| !self.candidates(request, role, None, now).is_empty())
-    }
-
-    fn rank_prefills<'a>(
-        &'a self,
-        request: &'a PlaceRequest,
-        zone: Option<&'a FastStr>,
-        now: Duration,
-        random: &mut StdRng,
-    ) -> Vec<ScoredEngine<'a>> {
-        let views = self.candidates(request, EngineRole::Prefill, zone, now);
-        let policy = self.tuning.policy;
-        if policy == RoutePolicy::RoundRobin {
-            return in_turn(views, self.turn);
-        }
-        choose::rank(views, random, |view| match policy {
-            RoutePolicy::Joint => {
-                let full = if view.is_full(now) { 1.0 } else { 0.0 };
-                let time = choose::predict_prefill(
-                    view,
-                    request.tokens,
-                    &request.blocks,
-                    &self.tuning,
-                    now,
-                );
-                time.as_secs_f64() + full
-            }
-            _ => choose::prefill_load(policy, view, &self.tuning, now),
-        })
-    }
-
-    fn rank_decodes<'a>(
-        &'a self,
-        request: &'a PlaceRequest,
-        zone: Option<&'a FastStr>,
-        now: Duration,
-        random: &mut StdRng,
-    ) -> Vec<ScoredEngine<'a>> {
-        let views = self.candidates(request, EngineRole::Decode, zone, now);
-        let policy = self.tuning.policy;
-        if policy == RoutePolicy::RoundRobin {
-            return in_turn(views, self.turn);
-        }
-        choose::rank(views, random, |view| match policy {
-            RoutePolicy::Joint => self.decode_score(view, now),
-            _ => choose::decode_load(policy, view),
-        })
-    }
-
-    // Use of its slots; one that is slow or full comes after all others.
-    fn decode_score(&self, view: &EngineView, now: Duration) -> f64 {
-        let total = f64::from(view.slots_total().unwrap_or(1).max(1));
-        let target = self.tuning.between_tokens.as_secs_f64();
-        let slow = view.token_gap(now).is_some_and(|gap| gap > target);
-        let penalty = f64::from(u8::from(slow)) + f64::from(u8::from(view.is_full(now)));
-        f64::from(view.slots_used()) / total + penalty
-    }
-
     fn count_placement(&mut self, answer: &DeskAnswer, ahead: usize, now: Duration) {
         if !matches!(answer, DeskAnswer::Placed { .. }) {
             return;
@@ -683,20 +464,6 @@
     }
 }
 
-fn in_turn(views: Vec<&EngineView>, turn: usize) -> Vec<ScoredEngine<'_>> {
-    let count = views.len().max(1);
-    let mut ranked: Vec<ScoredEngine<'_>> = views
-        .into_iter()
-        .enumerate()
-        .map(|(index, view)| ScoredEngine {
-            view,
-            score: ((index + count - turn % count) % count) as f64,
-        })
-        .collect();
-    ranked.sort_by(|a, b| a.score.total_cmp(&b.score));
-    ranked
-}
-
 fn millis(time: Duration) -> f64 {
     time.as_secs_f64() * 1_000.0
 }
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -3,9 +3,13 @@
 mod choose;
 mod desk;
 mod explain;
+mod place;
 mod policy;
+mod rank;
 mod servers;
 mod shared;
 mod view;
 
-pub use self::{choose::*, desk::*, explain::*, policy::*, servers::*, shared::*, view::*};
+pub use self::{
+    choose::*, desk::*, explain::*, place::*, policy::*, servers::*, shared::*, view::*,
+};
--- /dev/null
+++ b/src/route/rank.rs
@@ -0,0 +1,189 @@
+//! What the desk knows when it decides: who could take a request, who best, and how late it would be.
+
+use {
+    super::{
+        choose::{self, ScoredEngine},
+        desk::PlaceDesk,
+        place::{PlaceRequest, PlaceStage},
+        policy::RoutePolicy,
+        view::EngineView,
+    },
+    crate::engine::EngineRole,
+    faststr::FastStr,
+    rand::rngs::StdRng,
+    std::time::Duration,
+};
+
+/// Bound on predicted times, seconds.
+const MAX_PREDICTION: f64 = 3_600.0;
+
+impl PlaceDesk {
+    // Whether a prefill and a decode engine of any pool have room: a cheap look before a search.
+    pub(super) fn has_any_room(&self, now: Duration) -> bool {
+        let mut views = self.views.values();
+        let prefill =
+            views.any(|view| view.may_be(EngineRole::Prefill) && self.has_room(view, now));
+        let mut views = self.views.values();
+        let decode = views.any(|view| view.may_be(EngineRole::Decode) && self.has_slot(view));
+        // Without engines that could ever take it, a request is told so by the search.
+        (prefill && decode) || self.views.values().all(|view| view.is_out(now))
+    }
+
+    // What was computed already goes first, then higher priority, then less slack.
+    pub(super) fn urgency(&self, request: &PlaceRequest) -> (u8, u8, Duration) {
+        let stage = match request.stage {
+            PlaceStage::DecodeOnly(_) => 0,
+            PlaceStage::Whole if request.resumed => 1,
+            PlaceStage::Whole => 2,
+        };
+        let service = self.service_time(request);
+        let slack = self.first_token_by(request).saturating_sub(service);
+        (stage, u8::MAX - request.priority, slack)
+    }
+
+    // Time that the request takes if nothing stands before it.
+    pub(super) fn service_time(&self, request: &PlaceRequest) -> Duration {
+        let compute = request.tokens as f64 / self.tuning.prefill_rate;
+        Duration::from_secs_f64(compute) + self.after_prefill(request)
+    }
+
+    // From the end of the prefill to the first token: the transfer and a decode step.
+    pub(super) fn after_prefill(&self, request: &PlaceRequest) -> Duration {
+        let bytes = request.tokens as f64 * self.tuning.kv_bytes_per_token;
+        let transfer = Duration::from_secs_f64(bytes / self.tuning.link_rate);
+        transfer + self.tuning.between_tokens
+    }
+
+    // A prompt too long for the target is still served: it has its own time over again.
+    pub(super) fn first_token_by(&self, request: &PlaceRequest) -> Duration {
+        let target = self.tuning.first_token - self.tuning.margin;
+        let own = self.service_time(request).mul_f64(1.5);
+        request.arrived + target.max(own)
+    }
+
+    // By how much the first token would miss its time, if it would.
+    pub(super) fn lateness(
+        &self,
+        request: &PlaceRequest,
+        prefill: &ScoredEngine<'_>,
+        now: Duration,
+    ) -> Option<Duration> {
+        if request.resumed {
+            return None;
+        }
+        let compute = Duration::from_secs_f64(prefill.score.min(MAX_PREDICTION));
+        let predicted = now + compute + self.after_prefill(request);
+        predicted
+            .checked_sub(self.first_token_by(request))
+            .filter(|late| !late.is_zero())
+    }
+
+    // Whether a prefill would start soon enough there for waiting here to gain nothing.
+    pub(super) fn has_room(&self, view: &EngineView, now: Duration) -> bool {
+        let ahead = view.backlog_tokens(&self.tuning, now) as f64 / view.rate(&self.tuning);
+        ahead <= self.tuning.prefill_backlog.as_secs_f64() && !view.is_full(now)
+    }
+
+    pub(super) fn has_slot(&self, view: &EngineView) -> bool {
+        let Some(total) = view.slots_total() else {
+            return true;
+        };
+        let room = f64::from(total) * (1.0 - self.tuning.decode_reserve);
+        f64::from(view.slots_used()) < room
+    }
+
+    pub(super) fn candidates<'a>(
+        &'a self,
+        request: &'a PlaceRequest,
+        role: EngineRole,
+        zone: Option<&'a FastStr>,
+        now: Duration,
+    ) -> Vec<&'a EngineView> {
+        let pools = match role {
+            EngineRole::Prefill => &request.prefills,
+            EngineRole::Decode => &request.decodes,
+        };
+        self.views
+            .values()
+            .filter(|view| zone.is_none_or(|zone| view.info.zone == *zone))
+            .filter(|view| pools.iter().any(|pool| pool.matches(&view.info.labels)))
+            .filter(|view| view.is_usable(role, &request.model, now))
+            .filter(|view| !request.excluded.contains(&view.info.name))
+            .collect()
+    }
+
+    pub(super) fn has_candidates(&self, request: &PlaceRequest, now: Duration) -> bool {
+        [EngineRole::Prefill, EngineRole::Decode]
+            .into_iter()
+            .all(|role| !self.candidates(request, role, None, now).is_empty())
+    }
+
+    pub(super) fn rank_prefills<'a>(
+        &'a self,
+        request: &'a PlaceRequest,
+        zone: Option<&'a FastStr>,
+        now: Duration,
+        random: &mut StdRng,
+    ) -> Vec<ScoredEngine<'a>> {
+        let views = self.candidates(request, EngineRole::Prefill, zone, now);
+        let policy = self.tuning.policy;
+        if policy == RoutePolicy::RoundRobin {
+            return in_turn(views, self.turn);
+        }
+        choose::rank(views, random, |view| match policy {
+            RoutePolicy::Joint => {
+                let full = if view.is_full(now) { 1.0 } else { 0.0 };
+                let time = choose::predict_prefill(
+                    view,
+                    request.tokens,
+                    &request.blocks,
+                    &self.tuning,
+                    now,
+                );
+                time.as_secs_f64() + full
+            }
+            _ => choose::prefill_load(policy, view, &self.tuning, now),
+        })
+    }
+
+    pub(super) fn rank_decodes<'a>(
+        &'a self,
+        request: &'a PlaceRequest,
+        zone: Option<&'a FastStr>,
+        now: Duration,
+        random: &mut StdRng,
+    ) -> Vec<ScoredEngine<'a>> {
+        let views = self.candidates(request, EngineRole::Decode, zone, now);
+        let policy = self.tuning.policy;
+        if policy == RoutePolicy::RoundRobin {
+            return in_turn(views, self.turn);
+        }
+        choose::rank(views, random, |view| match policy {
+            RoutePolicy::Joint => self.decode_score(view, now),
+            _ => choose::decode_load(policy, view),
+        })
+    }
+
+    // Use of its slots; one that is slow or full comes after all others.
+    pub(super) fn decode_score(&self, view: &EngineView, now: Duration) -> f64 {
+        let total = f64::from(view.slots_total().unwrap_or(1).max(1));
+        let target = self.tuning.between_tokens.as_secs_f64();
+        let slow = view.token_gap(now).is_some_and(|gap| gap > target);
+        let penalty = f64::from(u8::from(slow)) + f64::from(u8::from(view.is_full(now)));
+        f64::from(view.slots_used()) / total + penalty
+    }
+}
+
+fn in_turn(views: Vec<&EngineView>, turn: usize) -> Vec<ScoredEngine<'_>> {
+    let count = views.len().max(1);
+    let mut ranked: Vec<ScoredEngine<'_>> = views
+        .into_iter()
+        .enumerate()
+        .map(|(index, view)| ScoredEngine {
+            view,
+            score: ((index + count - turn % count) % count) as f64,
+        })
+        .collect();
+    ranked.sort_by(|a, b| a.score.total_cmp(&b.score));
+    ranked
+}
--- a/src/route/shared.rs
+++ b/src/route/shared.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        desk::{DeskAnswer, PlaceDesk, PlaceRequest},
+        desk::PlaceDesk,
+        place::{DeskAnswer, PlaceRequest},
         policy::RouteTuning,
     },
     crate::operation::{Refusal, RefusalCode},
--- a/src/standin/engine/core.rs
+++ b/src/standin/engine/core.rs
@@ -4,7 +4,12 @@
 //! tokio's clock, so a paused clock makes it exact.
 
 use {
-    super::{answer, attempt::AttemptLog, params::EngineParams},
+    super::{
+        answer,
+        attempt::AttemptLog,
+        params::EngineParams,
+        state::{EngineCounts, EngineState, KvEntry, QueuedPrefill},
+    },
     crate::engine::{self, CallFailure, CallResult, EngineRefusal, RefusalCause},
     faststr::FastStr,
     futures::future::BoxFuture,
@@ -36,87 +41,16 @@
     dyn Fn(FastStr, FastStr) -> BoxFuture<'static, Result<KvExport, RefusalCause>> + Send + Sync,
 >;
 
-/// What an engine did so far; read by tests, the demo and the bench.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EngineCounts {
-    /// Prompt tokens computed.
-    pub computed_tokens: u64,
-    /// Prompt tokens computed whose KV cache nobody imported.
-    pub wasted_tokens: u64,
-    /// Prefills finished.
-    pub prefills: u64,
-    /// Answers generated to their end.
-    pub answers: u64,
-    /// Orders refused.
-    pub refused: u64,
-    /// Attempts cancelled while they held memory or a queue place.
-    pub cancelled: u64,
-}
-
-struct KvEntry {
-    export: KvExport,
-    computed: u64,
-    expires: Instant,
-    exporting: bool,
-    attempt: FastStr,
-}
-
-impl KvEntry {
-    // An export that has begun may end, within reason.
-    fn has_expired(&self, now: Instant) -> bool {
-        let grace = match self.exporting {
-            true => EXPORT_LIMIT,
-            false => Duration::ZERO,
-        };
-        now >= self.expires + grace
-    }
-}
-
-struct Sequence {
-    attempt: FastStr,
-    log: Arc<AttemptLog>,
-    seed: u64,
-    next: u32,
-    end: u32,
-    reason: FastStr,
-}
-
-struct EngineState {
-    role: engine::EngineRole,
-    models: Vec<FastStr>,
-    leaving: bool,
-    highest_token: u64,
-    queue: Vec<QueuedPrefill>,
-    computing: u64,
-    cache: engine::PrefixIndex,
-    kv: HashMap<FastStr, KvEntry>,
-    slots: HashMap<FastStr, Arc<AttemptLog>>,
-    batch: Vec<Sequence>,
-    logs: HashMap<FastStr, Arc<AttemptLog>>,
-    link_free: Instant,
-    published: (Instant, engine::LoadReport),
-    counts: EngineCounts,
-    stall_debt: f64,
-    slot_samples: (u64, u64),
-}
-
-struct QueuedPrefill {
-    order: engine::PrefillOrder,
-    log: Arc<AttemptLog>,
-    tokens: u64,
-    done: tokio::sync::oneshot::Sender<CallResult<engine::PrefillReply>>,
-}
-
 /// A stand-in engine.
 pub struct EngineCore {
     /// The engine's name.
     pub name: FastStr,
-    params: Mutex<EngineParams>,
-    state: Mutex<EngineState>,
-    prefill_wake: Notify,
-    decode_wake: Notify,
-    next_handle: AtomicU64,
-    fetch_kv: FetchKv,
+    pub(super) params: Mutex<EngineParams>,
+    pub(super) state: Mutex<EngineState>,
+    pub(super) prefill_wake: Notify,
+    pub(super) decode_wake: Notify,
+    pub(super) next_handle: AtomicU64,
+    pub(super) fetch_kv: FetchKv,
 }
 
 impl EngineCore {
@@ -171,7 +105,7 @@
         core
     }
 
-    fn state(&self) -> MutexGuard<'_, EngineState> {
+    pub(super) fn state(&self) -> MutexGuard<'_, EngineState> {
         self.state.lock().expect("engine state")
     }
 
@@ -231,7 +165,7 @@
         load
     }
 
-    fn refuse(&self, cause: RefusalCause) -> CallFailure {
+    pub(super) fn refuse(&self, cause: RefusalCause) -> CallFailure {
         self.state().counts.refused += 1;
         CallFailure::refused(EngineRefusal {
             cause,
@@ -239,7 +173,11 @@
         })
     }
 
-    fn check(&self, role: engine::EngineRole, model: &FastStr) -> Result<(), RefusalCause> {
+    pub(super) fn check(
+        &self,
+        role: engine::EngineRole,
+        model: &FastStr,
+    ) -> Result<(), RefusalCause> {
         let state = self.state();
         if state.leaving {
             return Err(RefusalCause::Leaving);
@@ -251,7 +189,11 @@
     }
 
     // Registers an attempt; one that was cancelled before it came, or came before, is refused.
-    fn admit(&self, attempt: &FastStr, tenant: &FastStr) -> Result<Arc<AttemptLog>, RefusalCause> {
+    pub(super) fn admit(
+        &self,
+        attempt: &FastStr,
+        tenant: &FastStr,
+    ) -> Result<Arc<AttemptLog>, RefusalCause> {
         let mut state = self.state();
         if let Some(log) = state.logs.get(attempt) {
             return Err(match log.is_cancelled() {
@@ -397,119 +339,7 @@
         }
     }
 
-    /// Takes an attempt into the decode memory and starts its import.
-    pub fn decode(self: &Arc<Self>, order: engine::DecodeOrder) -> CallResult<Arc<AttemptLog>> {
-        self.check(engine::EngineRole::Decode, &order.model)
-            .map_err(|cause| self.refuse(cause))?;
-        let slots = self.params().slots as usize;
-        if self.state().slots.len() >= slots {
-            return Err(self.refuse(RefusalCause::Full));
-        }
-        let log = self
-            .admit(&order.attempt, &order.tenant)
-            .map_err(|cause| self.refuse(cause))?;
-        self.state()
-            .slots
-            .insert(order.attempt.clone(), log.clone());
-        tokio::spawn(self.clone().import(order, log.clone()));
-        Ok(log)
-    }
-
-    async fn import(self: Arc<Self>, order: engine::DecodeOrder, log: Arc<AttemptLog>) {
-        let fetch = (self.fetch_kv)(order.source.clone(), order.handle.clone());
-        let stalls = self.draw_stall();
-        let fetched = tokio::select! {
-            fetched = stall_or(stalls, fetch) => fetched,
-            () = log.ended() => return,
-        };
-        let export = match fetched {
-            Ok(export) => export,
-            Err(cause) => {
-                let reason = FastStr::from_string(format!("import failed: {cause:?}"));
-                log.push(engine::StreamItem::Aborted { reason });
-                self.free(&order.attempt);
-                return;
-            }
-        };
-        log.push(engine::StreamItem::Imported {
-            load: Some(self.load()),
-        });
-        let whole = answer::answer_length(export.seed, self.params().answer_tokens);
-        let end = whole.min(order.max_tokens).max(export.position);
-        let reason = match whole <= order.max_tokens {
-            true => FastStr::from_static_str("stop"),
-            false => FastStr::from_static_str("length"),
-        };
-        let mut state = self.state();
-        if !state.slots.contains_key(&order.attempt) {
-            return;
-        }
-        state.batch.push(Sequence {
-            attempt: order.attempt,
-            log,
-            seed: export.seed,
-            next: export.position,
-            end,
-            reason,
-        });
-        drop(state);
-        self.decode_wake.notify_one();
-    }
-
-    // Spreads the stalls evenly, so that a share is a share in short runs too.
-    fn draw_stall(&self) -> bool {
-        let share = self.params().stall_share;
-        let mut state = self.state();
-        state.stall_debt += share;
-        let stalls = state.stall_debt >= 1.0;
-        if stalls {
-            state.stall_debt -= 1.0;
-        }
-        stalls
-    }
-
-    async fn run_decode(self: Arc<Self>) {
-        loop {
-            let batch = self.state().batch.len();
-            if batch == 0 {
-                self.decode_wake.notified().await;
-                continue;
-            }
-            tokio::time::sleep(self.params().step_time(batch)).await;
-            self.step();
-        }
-    }
-
-    // One token for every request in the batch.
-    fn step(&self) {
-        let load = self.load();
-        let mut state = self.state();
-        let mut ended = Vec::new();
-        for sequence in &mut state.batch {
-            if sequence.next < sequence.end {
-                let position = sequence.next;
-                let text = answer::token_at(sequence.seed, position);
-                sequence
-                    .log
-                    .push(engine::StreamItem::Token { position, text });
-                sequence.next += 1;
-            }
-            if sequence.next >= sequence.end {
-                sequence.log.push(engine::StreamItem::Finished {
-                    tokens: sequence.end,
-                    reason: sequence.reason.clone(),
-                    load: Some(load.clone()),
-                });
-                ended.push(sequence.attempt.clone());
-            }
-        }
-        state.counts.answers += ended.len() as u64;
-        for attempt in ended {
-            state.free(&attempt);
-        }
-    }
-
-    fn free(&self, attempt: &FastStr) {
+    pub(super) fn free(&self, attempt: &FastStr) {
         self.state().free(attempt);
     }
 
@@ -610,47 +440,3 @@
 
 /// How often expired KV caches and records are looked for.
 const EXPIRY_PERIOD: Duration = Duration::from_millis(20);
-
-/// How long past its life a KV cache is kept while it is being handed over.
-const EXPORT_LIMIT: Duration = Duration::from_secs(2);
-
-async fn stall_or<T>(stalls: bool, fetch: impl Future<Output = T>) -> T {
-    if stalls {
-        std::future::pending::<()>().await;
-    }
-    fetch.await
-}
-
-impl EngineState {
-    fn report(&self, slots: u32) -> engine::LoadReport {
-        let queued: u64 = self.queue.iter().map(|queued| queued.tokens).sum();
-        engine::LoadReport {
-            role: self.role,
-            models: self.models.clone(),
-            slots_total: slots,
-            slots_used: self.slots.len() as u32,
-            queued_tokens: queued + self.computing,
-            attempts: (self.slots.len() + self.queue.len()) as u32 + u32::from(self.computing > 0),
-            leaving: self.leaving,
-        }
-    }
-
-    fn end_log(&mut self, attempt: &FastStr) {
-        if let Some(log) = self.logs.get(attempt) {
-            log.end();
-        }
-    }
-
-    fn free(&mut self, attempt: &FastStr) {
-        self.slots.remove(attempt);
-        self.batch.retain(|sequence| sequence.attempt != *attempt);
-        self.end_log(attempt);
-    }
-
-    fn waste(&mut self, handle: &FastStr) {
-        if let Some(entry) = self.kv.remove(handle) {
-            self.counts.wasted_tokens += entry.computed;
-            self.end_log(&entry.attempt);
-        }
-    }
-}
--- a/src/standin/engine/mod.rs
+++ b/src/standin/engine/mod.rs
@@ -3,7 +3,9 @@
 mod answer;
 mod attempt;
 mod core;
+mod decode;
 mod params;
 mod server;
+mod state;
 
-pub use self::{answer::*, attempt::*, core::*, params::*, server::*};
+pub use self::{answer::*, attempt::*, core::*, params::*, server::*, state::EngineCounts};
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -1,61 +1,25 @@
 //! The most telling faults over real sockets: hosts killed, the platform gone, stale or mute,
 //! engines that leave or change their role.
 
+mod common;
+
 use {
     bayplank::{
-        cli,
-        conf::HostSettings,
         engine::EngineRole,
         object::{AnyObject, kind},
         standin::{
             caller::{Caller, StreamFailure, StreamedEvent},
-            engine::{self, EngineParams},
-            fleet::{self, Fleet, FleetPlan},
+            fleet::Fleet,
         },
     },
+    common::{KEY, MODEL, expected, prefills, start, wait},
     std::{net::SocketAddr, time::Duration},
-    tokio::runtime::Runtime,
 };
 
-const KEY: &str = "demo-key-coastal-lens";
-const MODEL: &str = "lensmodel";
-const PATIENCE: Duration = Duration::from_secs(30);
-
-fn plan(hosts: usize) -> FleetPlan {
-    FleetPlan {
-        zones: vec!["zone-a"],
-        model: MODEL,
-        prefills: 2,
-        decodes: 2,
-        service: "orderdesk",
-        hosts,
-        engine: EngineParams::default(),
-        settings: HostSettings {
-            gossip_period: Duration::from_millis(100),
-            suspect_after: Duration::from_secs(1),
-            sweep_after: Duration::from_secs(2),
-            resync: Duration::from_secs(1),
-            platform_timeout: Duration::from_millis(500),
-            ..HostSettings::default()
-        },
-        objects: cli::demo_objects(),
-        platform: fleet::loopback(),
-    }
-}
-
-fn start(hosts: usize) -> (Fleet, Runtime) {
-    let fleet = Fleet::start(plan(hosts)).expect("the fleet starts");
-    (fleet, Runtime::new().expect("a runtime"))
-}
-
 fn host(fleet: &Fleet, name: &str) -> SocketAddr {
     fleet.hosts[name].running.addresses.callers
 }
 
-fn expected(prompt: &str) -> String {
-    engine::whole_answer(prompt, EngineParams::default().answer_tokens, u32::MAX)
-}
-
 fn generations(fleet: &Fleet) -> Vec<u64> {
     fleet
         .hosts
@@ -112,12 +76,7 @@
     });
     assert_eq!(end, StreamedEvent::Done);
     assert_eq!(text + &rest, expected(prompt));
-    let prefills: u64 = fleet
-        .engines
-        .values()
-        .map(|engine| engine.core.counts().prefills)
-        .sum();
-    assert_eq!(prefills, 1, "nothing was computed twice");
+    assert_eq!(prefills(&fleet), 1, "nothing was computed twice");
 }
 
 #[test]
@@ -143,8 +102,7 @@
 #[test]
 fn survivors_free_what_a_killed_host_held() {
     let (mut fleet, runtime) = start(3);
-    let wait = |what: &str, met: &dyn Fn() -> bool| fleet.wait(PATIENCE, what, met).expect("met");
-    wait("hosts to know each other", &|| {
+    wait(&fleet, "hosts to know each other", || {
         live_peers(&fleet, "zone-a-entry-2") == 2
     });
     for engine in fleet.engines.values() {
@@ -164,9 +122,7 @@
     ));
     assert_eq!(fleet.held(), 1);
     fleet.kill_host("zone-a-entry-1");
-    fleet
-        .wait(PATIENCE, "the sweep", || fleet.held() == 0)
-        .expect("swept");
+    wait(&fleet, "the sweep", || fleet.held() == 0);
     let counts: Vec<_> = fleet.engines.values().map(|e| e.core.counts()).collect();
     assert_eq!(counts.iter().map(|c| c.answers).sum::<u64>(), 0);
     assert_eq!(counts.iter().map(|c| c.cancelled).sum::<u64>(), 1);
@@ -176,9 +132,7 @@
 fn a_change_is_in_force_everywhere_and_only_two_hosts_watch() {
     let (fleet, _runtime) = start(4);
     let all_live = || fleet.hosts.keys().all(|name| live_peers(&fleet, name) == 3);
-    fleet
-        .wait(PATIENCE, "hosts to know each other", all_live)
-        .expect("met");
+    wait(&fleet, "hosts to know each other", all_live);
     change_priority(&fleet, 7);
     let in_force = || {
         fleet
@@ -186,9 +140,7 @@
             .keys()
             .all(|name| priority_in_force(&fleet, name) == 7)
     };
-    fleet
-        .wait(PATIENCE, "the change", in_force)
-        .expect("in force");
+    wait(&fleet, "the change", in_force);
     let generations = generations(&fleet);
     assert!(
         generations
@@ -204,9 +156,7 @@
     change_priority(&fleet, 99);
     let seen = fleet.platform.counts().reads;
     let read_again = || fleet.platform.counts().reads > seen + 2;
-    fleet
-        .wait(PATIENCE, "the hosts to read", read_again)
-        .expect("met");
+    wait(&fleet, "the hosts to read", read_again);
     assert_eq!(generations(&fleet), [before, before]);
     change_priority(&fleet, 3);
     let in_force = || {
@@ -215,9 +165,7 @@
             .keys()
             .all(|name| priority_in_force(&fleet, name) == 3)
     };
-    fleet
-        .wait(PATIENCE, "the correction", in_force)
-        .expect("in force");
+    wait(&fleet, "the correction", in_force);
 }
 
 #[test]
@@ -233,9 +181,7 @@
             .keys()
             .all(|name| priority_in_force(&fleet, name) == 7)
     };
-    fleet
-        .wait(PATIENCE, "the change", in_force)
-        .expect("in force");
+    wait(&fleet, "the change", in_force);
     fleet.platform.set_faults(|faults| {
         faults.lose_answers = false;
         faults.stale = true;
@@ -243,9 +189,7 @@
     change_priority(&fleet, 8);
     let reads = fleet.platform.counts().reads;
     let read_again = || fleet.platform.counts().reads > reads + 4;
-    fleet
-        .wait(PATIENCE, "stale reads", read_again)
-        .expect("met");
+    wait(&fleet, "stale reads", read_again);
     assert!(in_force(), "a stale read changes nothing");
     fleet.platform.set_faults(|faults| faults.stale = false);
     let in_force = || {
@@ -254,9 +198,7 @@
             .keys()
             .all(|name| priority_in_force(&fleet, name) == 8)
     };
-    fleet
-        .wait(PATIENCE, "the newest", in_force)
-        .expect("in force");
+    wait(&fleet, "the newest", in_force);
 }
 
 #[test]
@@ -267,9 +209,7 @@
         .start_host("zone-a-entry-3", "zone-a")
         .expect("a host");
     let known = || generations(&fleet).iter().all(|generation| *generation > 0);
-    fleet
-        .wait(PATIENCE, "the configuration", known)
-        .expect("known");
+    wait(&fleet, "the configuration", known);
     let caller = Caller::new(KEY);
     let address = host(&fleet, "zone-a-entry-3");
     let reply = runtime
@@ -294,7 +234,7 @@
             })
         })
     };
-    fleet.wait(PATIENCE, "the sign", seen).expect("seen");
+    wait(&fleet, "the sign", seen);
     let caller = Caller::new(KEY);
     for index in 0..6 {
         let address = host(&fleet, "zone-a-entry-1");
@@ -324,7 +264,7 @@
         .list_server(name, "zone-a", address, &labels, false)
         .expect("listed");
     let role = || fleet.engines[name].core.load().role == EngineRole::Decode;
-    fleet.wait(PATIENCE, "the order", role).expect("ordered");
+    wait(&fleet, "the order", role);
 }
 
 #[test]
@@ -341,7 +281,5 @@
     fleet.platform.put(first).expect("the first write");
     fleet.platform.put(second).expect_err("the second write");
     let in_force = || priority_in_force(&fleet, "zone-a-entry-1") == 6;
-    fleet
-        .wait(PATIENCE, "the first", in_force)
-        .expect("in force");
+    wait(&fleet, "the first", in_force);
 }
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -1,64 +1,13 @@
 //! The whole path over real sockets: callers, entry hosts, engines, services, the platform.
 
+mod common;
+
 use {
-    bayplank::{
-        cli,
-        conf::HostSettings,
-        standin::{
-            caller::{Caller, StreamFailure, StreamedEvent},
-            engine::{self, EngineParams},
-            fleet::{self, Fleet, FleetPlan},
-        },
-    },
+    bayplank::standin::caller::{Caller, StreamFailure, StreamedEvent},
+    common::{KEY, MODEL, expected, host, prefills, runs, start, wait},
     http::Method,
-    std::{net::SocketAddr, time::Duration},
-    tokio::runtime::Runtime,
 };
 
-const KEY: &str = "demo-key-coastal-lens";
-const MODEL: &str = "lensmodel";
-const PATIENCE: Duration = Duration::from_secs(20);
-
-fn plan(hosts: usize) -> FleetPlan {
-    FleetPlan {
-        zones: vec!["zone-a"],
-        model: MODEL,
-        prefills: 2,
-        decodes: 2,
-        service: "orderdesk",
-        hosts,
-        engine: EngineParams::default(),
-        settings: HostSettings {
-            balancer_lag: Duration::from_millis(50),
-            ..HostSettings::default()
-        },
-        objects: cli::demo_objects(),
-        platform: fleet::loopback(),
-    }
-}
-
-fn start(hosts: usize) -> (Fleet, Runtime) {
-    let fleet = Fleet::start(plan(hosts)).expect("the fleet starts");
-    (fleet, Runtime::new().expect("a runtime"))
-}
-
-fn host(fleet: &Fleet, index: usize) -> SocketAddr {
-    let host = fleet.hosts.values().nth(index).expect("a host");
-    host.running.addresses.callers
-}
-
-fn expected(prompt: &str) -> String {
-    engine::whole_answer(prompt, EngineParams::default().answer_tokens, u32::MAX)
-}
-
-fn runs(fleet: &Fleet) -> u64 {
-    fleet
-        .services
-        .values()
-        .flat_map(|service| service.runs().into_values())
-        .sum()
-}
-
 #[test]
 fn a_completion_comes_whole_and_streamed() {
     let (fleet, runtime) = start(1);
@@ -77,9 +26,7 @@
     });
     assert_eq!(streamed.0, expected("another prompt"));
     assert_eq!(streamed.2, StreamedEvent::Done);
-    fleet
-        .wait(PATIENCE, "memory to be free", || fleet.held() == 0)
-        .expect("free");
+    wait(&fleet, "memory to be free", || fleet.held() == 0);
 }
 
 #[test]
@@ -138,9 +85,7 @@
             .expect("a stream");
         assert!(matches!(stream.next().await, StreamedEvent::Token { .. }));
     });
-    fleet
-        .wait(PATIENCE, "memory to be free", || fleet.held() == 0)
-        .expect("free");
+    wait(&fleet, "memory to be free", || fleet.held() == 0);
     let answers: u64 = fleet
         .engines
         .values()
@@ -201,12 +146,7 @@
         .block_on(stranger.complete(address, MODEL, "x", None))
         .expect("an answer");
     assert_eq!(reply.status, 401);
-    let prefills: u64 = fleet
-        .engines
-        .values()
-        .map(|engine| engine.core.counts().prefills)
-        .sum();
-    assert_eq!(prefills, 0);
+    assert_eq!(prefills(&fleet), 0);
 }
 
 #[test]
