The desk's clock is read under its lock; 5,000 live streams; a queue's wait counts the engines' backlog

Cause: bayplank load with 5,000 streams brought the daemon down: the clock was read before the lock, so that the desk saw time go back between threads, a subtraction overflowed under the lock and poisoned it. Ruled out: limits of open files, and memory (118 MB). Change: the clock is read under the lock; the subtraction saturates; a test pumps with an earlier time. A new test of routing found a second fault: with no room anywhere a request waited although the engines' own backlog already made it late; it is refused at once now.

--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -4,6 +4,7 @@
 //! and runner as in the daemon, to the same engine code as behind the sockets, joined in process.
 
 mod command;
+mod fleet;
 mod plan;
 mod report;
 mod run;
--- a/src/cli/load.rs
+++ b/src/cli/load.rs
@@ -254,7 +254,7 @@
             }
             open.fetch_sub(1, Ordering::Relaxed);
         });
-        if index % 50 == 49 {
+        if index % 10 == 9 {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
     }
--- a/src/cli/standin.rs
+++ b/src/cli/standin.rs
@@ -5,9 +5,12 @@
         demo,
         exit::{self, CommandResult},
     },
-    crate::standin::{
-        engine::EngineParams,
-        fleet::{Fleet, FleetPlan},
+    crate::{
+        object::{AnyObject, kind},
+        standin::{
+            engine::EngineParams,
+            fleet::{Fleet, FleetPlan},
+        },
     },
     eyre::WrapErr,
     pico_args::Arguments,
@@ -52,6 +55,10 @@
         hosts: 0,
         engine,
         platform: platform.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 7070))),
+        objects: match fast {
+            true => without_limits(demo::demo_objects()),
+            false => demo::demo_objects(),
+        },
         ..demo::demo_plan()
     };
     let fleet = Fleet::start(plan)?;
@@ -64,6 +71,16 @@
     Ok(())
 }
 
+// A measurement of the router is not one of the tenants' limits.
+fn without_limits(mut objects: Vec<AnyObject>) -> Vec<AnyObject> {
+    for object in &mut objects {
+        if object.kind == kind::TENANT {
+            object.spec["limits"] = serde_json::json!({});
+        }
+    }
+    objects
+}
+
 fn fast_engine(step: Duration) -> EngineParams {
     EngineParams {
         prefill_rate: 1e9,
--- a/src/filter/completion.rs
+++ b/src/filter/completion.rs
@@ -10,6 +10,9 @@
 /// Tokens generated when a request does not say.
 const DEFAULT_MAX_TOKENS: u32 = 1_024;
 
+/// Stands for the text while a chunk's frame is made.
+const TEXT_MARK: &str = "bayplank-token-text";
+
 /// Most tokens that a request may ask for.
 const MAX_TOKENS_LIMIT: u32 = 32_768;
 
@@ -115,12 +118,28 @@
         })
     }
 
-    /// One token as a chunk of a streamed answer.
-    pub fn token_chunk(&self, id: &str, text: &str) -> Value {
-        match self.style {
-            CompletionStyle::Text => self.chunk(id, json!({"index": 0, "text": text, "finish_reason": null, "logprobs": null})),
-            CompletionStyle::Chat => self.chunk(id, json!({"index": 0, "delta": {"role": "assistant", "content": text}, "finish_reason": null})),
-        }
+    /// What stands before and after the text in every token's chunk of a streamed answer, so that
+    /// it is not made anew for each.
+    pub fn token_frame(&self, id: &str) -> (String, String) {
+        let chunk = match self.style {
+            CompletionStyle::Text => self.chunk(
+                id,
+                json!({"index": 0, "text": TEXT_MARK, "finish_reason": null, "logprobs": null}),
+            ),
+            CompletionStyle::Chat => {
+                let delta = json!({"role": "assistant", "content": TEXT_MARK});
+                self.chunk(
+                    id,
+                    json!({"index": 0, "delta": delta, "finish_reason": null}),
+                )
+            }
+        };
+        let text = chunk.to_string();
+        let mark = format!("\"{TEXT_MARK}\"");
+        let (before, after) = text
+            .split_once(&mark)
+            .expect("the mark stands in the chunk");
+        (before.to_owned(), after.to_owned())
     }
 
     /// The last chunk of a streamed answer.
--- a/src/filter/dispatch.rs
+++ b/src/filter/dispatch.rs
@@ -80,9 +80,11 @@
         let class = route.class.clone();
         start_model(traffic, call, class, request, log, cancel, entry.clone());
     }
+    let id = FastStr::from_string(format!("cmpl-{}", traffic.next_request_id()));
     let answer = CallerAnswer {
+        frame: completion.token_frame(&id),
         completion,
-        id: FastStr::from_string(format!("cmpl-{}", traffic.next_request_id())),
+        id,
         from,
         _entry: entry,
     };
@@ -187,6 +189,7 @@
     completion: Arc<CompletionCall>,
     id: FastStr,
     from: u32,
+    frame: (String, String),
     // A planned stop waits until the caller has the answer.
     _entry: Arc<GateEntry>,
 }
@@ -260,8 +263,9 @@
                 attempt: origin.attempt.clone(),
                 position,
             };
-            let data = completion.token_chunk(&answer.id, &text);
-            format!("id: {id}\ndata: {data}\n\n")
+            let text = serde_json::to_string(text.as_str()).unwrap_or_default();
+            let (before, after) = &answer.frame;
+            format!("id: {id}\ndata: {before}{text}{after}\n\n")
         }
         AnswerItem::End(LifeEnd::Answered { reason, .. }) => {
             let data = completion.end_chunk(&answer.id, &reason);
--- a/src/operation/runner.rs
+++ b/src/operation/runner.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        awaited::{self, Awaited},
         budget::RetryBudget,
         life::RequestLife,
         request::{AnswerItem, AnswerLog, ModelRequest, RequestStats},
@@ -17,7 +18,7 @@
         route::{DeskAnswer, PlaceRequest, PlaceStage, SharedDesk},
     },
     faststr::FastStr,
-    futures::{FutureExt, StreamExt, future::BoxFuture},
+    futures::{FutureExt, future::BoxFuture},
     std::{
         collections::VecDeque,
         sync::{Arc, Mutex},
@@ -29,9 +30,6 @@
 /// What an import may take beyond its predicted transfer before it counts as stalled.
 const IMPORT_PATIENCE: Duration = Duration::from_millis(150);
 
-/// Least wait between two reads of a broken stream.
-const RESUME_PAUSE: Duration = Duration::from_millis(20);
-
 /// What all requests of a host share.
 pub struct RunnerParts {
     /// Where engines are chosen.
@@ -46,15 +44,6 @@
     pub limits: LifeLimits,
 }
 
-// What the life waits for.
-enum Awaited {
-    Nothing,
-    Desk(BoxFuture<'static, DeskAnswer>, PlaceStage),
-    Prefill(BoxFuture<'static, CallResult<PrefillReply>>),
-    Opening(BoxFuture<'static, CallResult<ItemStream>>),
-    Items(ItemStream),
-}
-
 /// Runs a request to its end; the answer goes to `log`.
 pub async fn run_request(
     parts: Arc<RunnerParts>,
@@ -66,15 +55,18 @@
     let grace = runner.request.grace;
     let deadline = runner.started + runner.request.time_limit;
     let mut actions: VecDeque<LifeAction> = runner.life.start().into();
+    // Made once, not for each token.
+    let abandoned = std::pin::pin!(log.abandoned(grace));
+    let cancelled = std::pin::pin!(cancel.wait());
+    let deadline = std::pin::pin!(tokio::time::sleep_until(deadline));
+    let mut outside = std::pin::pin!(first_of(abandoned, cancelled, deadline));
     let end = loop {
         if let Some(end) = runner.perform_all(&mut actions) {
             break end;
         }
         let event = tokio::select! {
             event = runner.next_event() => event,
-            () = log.abandoned(grace) => LifeEvent::CallerGone,
-            () = cancel.wait() => LifeEvent::CallerGone,
-            () = tokio::time::sleep_until(deadline) => LifeEvent::DeadlinePassed,
+            event = &mut outside => event,
         };
         actions.extend(runner.take(event));
     };
@@ -84,6 +76,19 @@
     (end, std::mem::take(&mut runner.stats))
 }
 
+// What ends a request from outside, whichever comes first.
+async fn first_of(
+    abandoned: impl Future<Output = ()>,
+    cancelled: impl Future<Output = ()>,
+    deadline: impl Future<Output = ()>,
+) -> LifeEvent {
+    tokio::select! {
+        () = abandoned => LifeEvent::CallerGone,
+        () = cancelled => LifeEvent::CallerGone,
+        () = deadline => LifeEvent::DeadlinePassed,
+    }
+}
+
 struct RequestRunner {
     parts: Arc<RunnerParts>,
     request: ModelRequest,
@@ -221,7 +226,7 @@
         };
         self.awaited = Awaited::Prefill(match self.link(&target.engine) {
             Some(link) => (link.prefill)(order),
-            None => gone(),
+            None => awaited::gone(),
         });
     }
 
@@ -241,7 +246,7 @@
         };
         self.awaited = Awaited::Opening(match self.link(&target.engine) {
             Some(link) => (link.decode)(order),
-            None => gone(),
+            None => awaited::gone(),
         });
         self.import_by = Some(Instant::now() + self.import_patience());
         self.origin = Arc::new(target);
@@ -264,10 +269,10 @@
                 from,
                 tenant: self.request.tenant.clone(),
             }),
-            None => gone(),
+            None => awaited::gone(),
         };
         let paused = async move {
-            tokio::time::sleep(RESUME_PAUSE).await;
+            tokio::time::sleep(awaited::RESUME_PAUSE).await;
             opened.await
         };
         self.awaited = Awaited::Opening(paused.boxed());
@@ -307,15 +312,15 @@
                 Ok(reply) => LifeEvent::PrefillDone(reply),
                 Err(failure) => LifeEvent::PrefillFailed(failure),
             },
-            Awaited::Opening(opening) => match within(self.import_by, opening).await {
+            Awaited::Opening(opening) => match awaited::within(self.import_by, opening).await {
                 Some(Ok(items)) => {
                     self.awaited = Awaited::Items(items);
-                    next_item(&mut self.awaited, self.import_by).await
+                    awaited::next_item(&mut self.awaited, self.import_by).await
                 }
                 Some(Err(failure)) => LifeEvent::DecodeFailed(failure),
                 None => LifeEvent::ImportStalled,
             },
-            Awaited::Items(_) => next_item(&mut self.awaited, self.import_by).await,
+            Awaited::Items(_) => awaited::next_item(&mut self.awaited, self.import_by).await,
         }
     }
 
@@ -466,26 +471,3 @@
         self.release_decode();
     }
 }
-
-fn gone<T: Send + 'static>() -> BoxFuture<'static, CallResult<T>> {
-    async { Err(CallFailure::unreachable("the engine is no longer listed")) }.boxed()
-}
-
-// Waits until a time, if there is one.
-async fn within<T>(by: Option<Instant>, future: impl Future<Output = T>) -> Option<T> {
-    match by {
-        Some(by) => tokio::time::timeout_at(by, future).await.ok(),
-        None => Some(future.await),
-    }
-}
-
-async fn next_item(awaited: &mut Awaited, import_by: Option<Instant>) -> LifeEvent {
-    let Awaited::Items(items) = awaited else {
-        return LifeEvent::StreamBroken;
-    };
-    match within(import_by, items.next()).await {
-        Some(Some(Ok(item))) => LifeEvent::Item(item),
-        Some(Some(Err(_)) | None) => LifeEvent::StreamBroken,
-        None => LifeEvent::ImportStalled,
-    }
-}
--- a/src/route/desk.rs
+++ b/src/route/desk.rs
@@ -320,7 +320,8 @@
         if !self.tuning.policy.queues_here() || request.resumed {
             return None;
         }
-        let wait = self.drain_gap.unwrap_or(0.0) * ahead as f64;
+        let drain = self.drain_gap.unwrap_or(0.0) * ahead as f64;
+        let wait = drain.max(self.least_backlog(now));
         let predicted = now + Duration::from_secs_f64(wait) + self.service_time(request);
         let by = self.first_token_by(request);
         (predicted > by).then(|| self.refuse_late(request, predicted - by, now))
@@ -405,7 +406,7 @@
             return;
         }
         if let (Some(last), true) = (self.last_placed, ahead + self.waiting.len() > 0) {
-            let gap = (now - last).as_secs_f64();
+            let gap = now.saturating_sub(last).as_secs_f64();
             self.drain_gap = Some(match self.drain_gap {
                 Some(known) => known + 0.1 * (gap - known),
                 None => gap,
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -8,6 +8,8 @@
 mod rank;
 mod servers;
 mod shared;
+#[cfg(test)]
+mod tests;
 mod view;
 
 pub use self::{
--- a/src/route/rank.rs
+++ b/src/route/rank.rs
@@ -29,6 +29,15 @@
         (prefill && decode) || self.views.values().all(|view| view.is_out(now))
     }
 
+    // Time until the least busy prefill engine is free, seconds.
+    pub(super) fn least_backlog(&self, now: Duration) -> f64 {
+        let views = self.views.values();
+        let times = views
+            .filter(|view| view.may_be(EngineRole::Prefill) && !view.is_out(now))
+            .map(|view| view.backlog_tokens(&self.tuning, now) as f64 / view.rate(&self.tuning));
+        times.reduce(f64::min).unwrap_or(0.0).min(MAX_PREDICTION)
+    }
+
     // What was computed already goes first, then higher priority, then less slack.
     pub(super) fn urgency(&self, request: &PlaceRequest) -> (u8, u8, Duration) {
         let stage = match request.stage {
--- a/src/route/shared.rs
+++ b/src/route/shared.rs
@@ -66,8 +66,9 @@
 
     /// Changes the desk, then answers whom it can.
     pub fn change<R>(&self, change: impl FnOnce(&mut PlaceDesk, Duration) -> R) -> R {
-        let now = self.now();
         let mut inner = self.inner.lock().expect("desk");
+        // Read under the lock, so that the desk's time never goes back.
+        let now = self.now();
         let result = change(&mut inner.desk, now);
         let answers = match inner.desk.waiting() {
             0 => Vec::new(),
@@ -81,8 +82,9 @@
 
     /// Takes an observation that frees nothing, so that nobody's answer changes by it.
     pub fn note(&self, note: impl FnOnce(&mut PlaceDesk, Duration)) {
+        let mut inner = self.inner.lock().expect("desk");
         let now = self.now();
-        note(&mut self.inner.lock().expect("desk").desk, now);
+        note(&mut inner.desk, now);
     }
 
     /// Waits for the desk's answer; a caller that stops waiting leaves nothing behind.
--- /dev/null
+++ b/src/route/tests.rs
@@ -0,0 +1,170 @@
+//! Tests of routing decisions.
+
+use {
+    super::{
+        desk::PlaceDesk,
+        place::{DeskAnswer, PlaceRequest, PlaceStage},
+        policy::RouteTuning,
+        shared::SharedDesk,
+        view::EngineInfo,
+    },
+    crate::{
+        engine::{self, EngineRole, LoadReport},
+        object::{LabelMap, LabelSelector},
+        operation::RefusalCode,
+        web::WebClient,
+    },
+    faststr::FastStr,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+const ZONE: FastStr = FastStr::from_static_str("z");
+const MODEL: FastStr = FastStr::from_static_str("m");
+
+fn info(name: &'static str, role: &'static str) -> EngineInfo {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let client = WebClient::new(Duration::from_secs(1));
+    EngineInfo {
+        name: FastStr::from_static_str(name),
+        address: FastStr::from_static_str("127.0.0.1:1"),
+        zone: ZONE,
+        labels: LabelMap::from([(
+            FastStr::from_static_str("role"),
+            FastStr::from_static_str(role),
+        )]),
+        link: Arc::new(engine::http_link(&client, address)),
+    }
+}
+
+fn report(role: EngineRole, slots_used: u32, queued_tokens: u64) -> LoadReport {
+    LoadReport {
+        role,
+        models: vec![MODEL],
+        slots_total: 20,
+        slots_used,
+        queued_tokens,
+        attempts: 0,
+        leaving: false,
+    }
+}
+
+// One prefill engine and two decode engines, the second one busier.
+fn desk() -> PlaceDesk {
+    let mut desk = PlaceDesk::new(ZONE, RouteTuning::default(), 1);
+    let engines = [("p", "prefill"), ("d1", "decode"), ("d2", "decode")];
+    let infos = engines.map(|(name, role)| (info(name, role), false));
+    desk.set_engines(infos.into());
+    desk.reported("p", report(EngineRole::Prefill, 0, 0), Duration::ZERO);
+    desk.reported("d1", report(EngineRole::Decode, 2, 0), Duration::ZERO);
+    desk.reported("d2", report(EngineRole::Decode, 9, 0), Duration::ZERO);
+    desk
+}
+
+fn request(ticket: u64, tokens: u64, arrived: Duration) -> PlaceRequest {
+    PlaceRequest {
+        ticket,
+        request: FastStr::from_string(format!("r{ticket}")),
+        model: MODEL,
+        prefills: Arc::new([LabelSelector::label("role", "prefill")]),
+        decodes: Arc::new([LabelSelector::label("role", "decode")]),
+        tokens,
+        blocks: Arc::new([]),
+        priority: 5,
+        arrived,
+        resumed: false,
+        excluded: Vec::new(),
+        stage: PlaceStage::Whole,
+    }
+}
+
+fn code(answer: &DeskAnswer) -> Option<RefusalCode> {
+    match answer {
+        DeskAnswer::Refused(refusal) => Some(refusal.code),
+        DeskAnswer::Placed { .. } => None,
+    }
+}
+
+#[test]
+fn the_least_used_decode_engine_is_chosen_and_counted_at_once() {
+    let mut desk = desk();
+    desk.ask(request(1, 100, Duration::ZERO));
+    let answers = desk.pump(Duration::ZERO);
+    let DeskAnswer::Placed { prefill, decode } = &answers[0].1 else {
+        panic!("placed");
+    };
+    assert_eq!((prefill.as_deref(), decode.as_str()), (Some("p"), "d1"));
+    assert_eq!(desk.view("d1").expect("known").slots_used(), 3);
+}
+
+#[test]
+fn what_would_be_late_is_refused_before_its_prefill() {
+    let mut desk = desk();
+    desk.reported("p", report(EngineRole::Prefill, 0, 60_000), Duration::ZERO);
+    desk.ask(request(1, 100, Duration::ZERO));
+    let answers = desk.pump(Duration::ZERO);
+    assert_eq!(code(&answers[0].1), Some(RefusalCode::Overloaded));
+    assert_eq!(desk.view("p").expect("known").own_work(), (0, 0));
+}
+
+#[test]
+fn a_request_waits_for_a_slot_and_takes_it_when_it_is_free() {
+    let mut desk = desk();
+    for engine in ["d1", "d2"] {
+        desk.reported(engine, report(EngineRole::Decode, 20, 0), Duration::ZERO);
+    }
+    desk.ask(request(1, 100, Duration::ZERO));
+    assert!(desk.pump(Duration::ZERO).is_empty());
+    let later = Duration::from_millis(100);
+    desk.reported("d2", report(EngineRole::Decode, 5, 0), later);
+    let answers = desk.pump(later);
+    assert_eq!(code(&answers[0].1), None);
+}
+
+#[test]
+fn a_leaving_engine_is_not_chosen() {
+    let mut desk = desk();
+    desk.set_leaving("d1", true);
+    desk.heard_leaving("d2", Duration::from_secs(5));
+    desk.ask(request(1, 100, Duration::ZERO));
+    let answers = desk.pump(Duration::ZERO);
+    assert_eq!(code(&answers[0].1), Some(RefusalCode::NoBackend));
+}
+
+// Found by `bayplank load --streams 5000`: a clock read before the lock made time go back.
+#[test]
+fn a_pump_with_an_earlier_time_than_the_last_does_no_harm() {
+    let mut desk = desk();
+    for (ticket, at) in [(1, 20), (2, 10), (3, 15)] {
+        let now = Duration::from_millis(at);
+        desk.ask(request(ticket, 10, now));
+        desk.ask(request(ticket + 10, 10, now));
+        desk.pump(now);
+    }
+}
+
+#[test]
+fn who_stops_waiting_leaves_nothing_behind() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime");
+    runtime.block_on(async {
+        let shared = SharedDesk::new(ZONE, RouteTuning::default(), 1);
+        shared.change(|desk, now| {
+            desk.set_engines(vec![
+                (info("p", "prefill"), false),
+                (info("d1", "decode"), false),
+            ]);
+            desk.reported("p", report(EngineRole::Prefill, 0, 0), now);
+            desk.reported("d1", report(EngineRole::Decode, 20, 0), now);
+        });
+        let asked = shared.ask(request(0, 100, Duration::ZERO));
+        let waited = tokio::time::timeout(Duration::from_millis(50), asked).await;
+        assert!(waited.is_err(), "no slot is free");
+        shared.read(|desk| {
+            assert_eq!(desk.waiting(), 0);
+            assert_eq!(desk.view("p").expect("known").own_work(), (0, 0));
+        });
+    });
+}
