--- a/src/cli/peers.rs
+++ b/src/cli/peers.rs
@@ -8,7 +8,7 @@
     crate::{
         conf::HostSettings,
         host::{EntryHost, RunningHost},
-        object::kind,
+        object::{self, AnyObject, ObjectMeta, kind},
         standin::{
             fleet::{self, FleetPlan},
             platform::{PlatformCore, serve_platform},
@@ -18,6 +18,7 @@
     eyre::{Result, WrapErr, ensure, eyre},
     faststr::FastStr,
     pico_args::Arguments,
+    serde_json::json,
     std::{
         net::SocketAddr,
         sync::Arc,
@@ -32,6 +33,7 @@
 
   --hosts N    entry hosts in each zone (default 8)
   --zones N    availability zones (default 1)
+  --tenants N  tenants besides the sample ones (default 0)
   --seconds N  how long is measured, after the hosts know each other (default 10)
 
 Settings are the shipped ones. Bytes are counted on the connections between hosts; processor time
@@ -47,13 +49,26 @@
     let hosts: usize = arguments.opt_value_from_str("--hosts")?.unwrap_or(8);
     let zones: usize = arguments.opt_value_from_str("--zones")?.unwrap_or(1);
     let seconds: u64 = arguments.opt_value_from_str("--seconds")?.unwrap_or(10);
+    let tenants: usize = arguments.opt_value_from_str("--tenants")?.unwrap_or(0);
     exit::finish(arguments)?;
     let runtime = tokio::runtime::Runtime::new().wrap_err("a runtime")?;
-    runtime.block_on(measure(hosts, zones, Duration::from_secs(seconds)))?;
+    let size = FleetSize {
+        hosts,
+        zones,
+        tenants,
+    };
+    runtime.block_on(measure(size, Duration::from_secs(seconds)))?;
     // The runtimes of many hosts take long to come down in order; nothing is lost with them.
     std::process::exit(0)
 }
 
+#[derive(Clone, Copy)]
+struct FleetSize {
+    hosts: usize,
+    zones: usize,
+    tenants: usize,
+}
+
 struct Spent {
     sent: u64,
     received: u64,
@@ -87,8 +102,10 @@
     Ok(number.unwrap_or("0").parse()?)
 }
 
-async fn measure(count: usize, zones: usize, time: Duration) -> Result<()> {
-    let plan = demo::demo_plan();
+async fn measure(size: FleetSize, time: Duration) -> Result<()> {
+    let (count, zones) = (size.hosts, size.zones);
+    let mut plan = demo::demo_plan();
+    plan.objects.extend((0..size.tenants).map(more_tenant));
     let (core, platform) = start_platform(&plan).await?;
     let base = memory_kib()?;
     let mut hosts: Vec<RunningHost> = Vec::new();
@@ -134,9 +151,13 @@
         per((after.platform - before.platform) as f64),
         memory_kib()?.saturating_sub(base) / hosts.len() as u64,
     );
+    let before = spent(&hosts)?;
     let spread = change_everywhere(&core, &hosts).await?;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let bytes = (spent(&hosts)?.sent - before.sent) / hosts.len() as u64;
     println!(
-        "a change of configuration was in force on all after {:.2} s",
+        "a change of configuration was in force on all after {:.2} s; {bytes} B sent by a host \
+         from then to a second later",
         spread.as_secs_f64()
     );
     std::mem::forget(hosts);
@@ -165,6 +186,18 @@
     Ok(began.elapsed())
 }
 
+fn more_tenant(index: usize) -> AnyObject {
+    let key = object::hash_key(&format!("key-{index}"));
+    AnyObject {
+        kind: FastStr::from_static_str(kind::TENANT),
+        metadata: ObjectMeta {
+            name: FastStr::from_string(format!("tenant-{index}")),
+            ..ObjectMeta::default()
+        },
+        spec: json!({"keyHash": key, "limits": {"requestsPerSecond": 50}}),
+    }
+}
+
 async fn start_platform(plan: &FleetPlan) -> Result<(Arc<PlatformCore>, SocketAddr)> {
     let core = PlatformCore::new();
     for object in &plan.objects {
--- a/src/control/config.rs
+++ b/src/control/config.rs
@@ -5,6 +5,7 @@
 //! conditional, so that of several hosts one succeeds. All hosts put in force only what was accepted.
 
 use {
+    super::patch::{self, ObjectKey, SetPatch},
     crate::{
         object::{AnyObject, ObjectFault, ObjectMeta, ObjectSet, kind},
         platform::ObjectList,
@@ -29,6 +30,43 @@
     pub objects: Vec<AnyObject>,
 }
 
+/// What a host passes on of its configuration to one that has an older one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigPatch {
+    /// Generation that it leads to.
+    pub generation: u64,
+    /// Version of the store that the objects were read at.
+    pub source_version: u64,
+    /// What changed.
+    pub objects: SetPatch<AnyObject>,
+}
+
+fn identify(object: &AnyObject) -> (ObjectKey, &ObjectMeta) {
+    let key = (object.kind.clone(), object.metadata.name.clone());
+    (key, &object.metadata)
+}
+
+impl AcceptedConfig {
+    /// What to pass on to a host that has the objects as of `since`; 0 gives the whole.
+    pub fn patch_since(&self, since: u64) -> ConfigPatch {
+        ConfigPatch {
+            generation: self.generation,
+            source_version: self.source_version,
+            objects: patch::make_patch(&self.objects, since, identify),
+        }
+    }
+
+    /// This configuration after a patch; none when the whole has to be asked for.
+    pub fn patched(&self, patch: &ConfigPatch) -> Option<Self> {
+        let objects = patch::apply_patch(&self.objects, &patch.objects, identify)?;
+        Some(Self {
+            generation: patch.generation,
+            source_version: patch.source_version,
+            objects,
+        })
+    }
+}
+
 /// What became of an offered configuration.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ConfigOffer {
--- a/src/control/gossip.rs
+++ b/src/control/gossip.rs
@@ -2,11 +2,11 @@
 
 use {
     super::{
-        config::{AcceptedConfig, ConfigOffer},
+        config::{AcceptedConfig, ConfigOffer, ConfigPatch},
         parts::ControlParts,
-        servers::ServerList,
+        servers::{ServerList, ServersPatch},
     },
-    crate::peer::{self, HostCard, PassedState, PeerAnswers, PeerDigest},
+    crate::peer::{self, HeldVersions, HostCard, PassedState, PeerAnswers, PeerDigest},
     capnp::Error,
     faststr::FastStr,
     rand::RngExt,
@@ -187,8 +187,7 @@
 
     // A host that tells of something newer is asked for it.
     fn fetch_from_teller(self: Rc<Self>, digest: &PeerDigest) {
-        let (generation, version) = self.versions();
-        if digest.generation <= generation && digest.servers_version <= version {
+        if !self.is_newer(digest) {
             return;
         }
         let digest = digest.clone();
@@ -200,44 +199,79 @@
         });
     }
 
-    // What this host has of the configuration and of the list of servers.
-    fn versions(&self) -> (u64, u64) {
+    // What this host has of the state that hosts pass on.
+    fn held(&self) -> HeldVersions {
         let state = self.state.borrow();
-        (state.config.in_force().generation, state.servers.version)
+        let config = state.config.in_force();
+        HeldVersions {
+            generation: config.generation,
+            source: config.source_version,
+            servers: state.servers.version,
+        }
+    }
+
+    fn is_newer(&self, digest: &PeerDigest) -> bool {
+        let held = self.held();
+        digest.generation > held.generation || digest.servers_version > held.servers
     }
 
     // Only what was accepted is passed on, so whatever is newer is taken.
     async fn fetch_newer(&self, address: SocketAddr, answer: &PeerDigest) -> Result<(), Error> {
-        let (generation, version) = self.versions();
-        if answer.generation <= generation && answer.servers_version <= version {
+        if !self.is_newer(answer) {
             return Ok(());
         }
-        let passed = self.links.state(address, generation, version).await?;
-        self.take_state(&passed)
+        let held = self.held();
+        let passed = self.links.state(address, held).await?;
+        if self.take_state(&passed)? {
+            return Ok(());
+        }
+        // Something was deleted, which a patch does not show: ask for the whole.
+        let whole = HeldVersions {
+            generation: held.generation,
+            ..HeldVersions::default()
+        };
+        let passed = self.links.state(address, whole).await?;
+        self.take_state(&passed).map(|_| ())
     }
 
-    fn take_state(&self, passed: &PassedState) -> Result<(), Error> {
+    // Gives whether the patches led to what they should.
+    fn take_state(&self, passed: &PassedState) -> Result<bool, Error> {
         let malformed = |error: serde_json::Error| Error::failed(error.to_string());
-        let mut changed = false;
+        let mut fits = true;
         if !passed.servers.is_empty() {
-            let list: ServerList = serde_json::from_slice(&passed.servers).map_err(malformed)?;
-            let is_newer = self.state.borrow_mut().servers.offer(list);
-            if is_newer {
-                self.news.notify_one();
-            }
-            changed |= is_newer;
+            let patch: ServersPatch = serde_json::from_slice(&passed.servers).map_err(malformed)?;
+            fits &= self.take_servers_patch(&patch);
         }
         if !passed.config.is_empty() {
-            let config: AcceptedConfig =
-                serde_json::from_slice(&passed.config).map_err(malformed)?;
-            let offer = self.state.borrow_mut().config.offer(config);
-            self.note_offer(&offer);
-            changed |= offer == ConfigOffer::InForce;
+            let patch: ConfigPatch = serde_json::from_slice(&passed.config).map_err(malformed)?;
+            fits &= self.take_config_patch(&patch);
         }
-        if changed {
+        Ok(fits)
+    }
+
+    fn take_servers_patch(&self, patch: &ServersPatch) -> bool {
+        let patched = self.state.borrow().servers.patched(patch);
+        let Some(list) = patched.or_else(|| ServerList::default().patched(patch)) else {
+            return false;
+        };
+        if self.state.borrow_mut().servers.offer(list) {
+            self.news.notify_one();
             self.publish();
         }
-        Ok(())
+        true
+    }
+
+    fn take_config_patch(&self, patch: &ConfigPatch) -> bool {
+        let patched = self.state.borrow().config.in_force().patched(patch);
+        let Some(config) = patched.or_else(|| AcceptedConfig::default().patched(patch)) else {
+            return false;
+        };
+        let offer = self.state.borrow_mut().config.offer(config);
+        self.note_offer(&offer);
+        if offer == ConfigOffer::InForce {
+            self.publish();
+        }
+        true
     }
 
     pub(super) async fn serve_peers(self: Rc<Self>, listener: TcpListener) {
@@ -250,7 +284,7 @@
                 exchange.digest(same_zone)
             }),
             cards: Box::new(move |wanted| cards.cards(wanted)),
-            state: Box::new(move |generation, version| state.pass_state(generation, version)),
+            state: Box::new(move |held| state.pass_state(held)),
         };
         let metrics = self.traffic.metrics.clone();
         peer::serve_peers(listener, Rc::new(answers), metrics).await;
@@ -264,15 +298,17 @@
             .collect()
     }
 
-    fn pass_state(&self, generation: u64, version: u64) -> PassedState {
+    fn pass_state(&self, held: HeldVersions) -> PassedState {
         let state = self.state.borrow();
         let config = state.config.in_force();
         let mut passed = PassedState::default();
-        if config.generation > generation {
-            passed.config = serde_json::to_vec(&*config).unwrap_or_default();
+        if config.generation > held.generation {
+            let patch = config.patch_since(held.source);
+            passed.config = serde_json::to_vec(&patch).unwrap_or_default();
         }
-        if state.servers.version > version {
-            passed.servers = serde_json::to_vec(&state.servers).unwrap_or_default();
+        if state.servers.version > held.servers {
+            let patch = state.servers.patch_since(held.servers);
+            passed.servers = serde_json::to_vec(&patch).unwrap_or_default();
         }
         passed
     }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod lease;
 mod observe;
 mod parts;
+mod patch;
 mod publish;
 mod roles;
 mod servers;
@@ -15,5 +16,6 @@
 mod watch;
 
 pub use self::{
-    config::*, lease::*, observe::*, parts::*, roles::*, servers::*, snapshot::*, sweep::*,
+    config::*, lease::*, observe::*, parts::*, patch::*, roles::*, servers::*, snapshot::*,
+    sweep::*,
 };
--- a/src/control/servers.rs
+++ b/src/control/servers.rs
@@ -1,10 +1,12 @@
 //! The platform's list of servers: the newest reading that any host of the zone has.
 
 use {
+    super::patch::{self, ObjectKey, SetPatch},
     crate::{
-        object::{ServerSpec, Typed, kind},
+        object::{ObjectMeta, ServerSpec, Typed, kind},
         platform::ObjectList,
     },
+    faststr::FastStr,
     serde::{Deserialize, Serialize},
 };
 
@@ -23,7 +25,38 @@
     pub servers: Vec<Typed<ServerSpec>>,
 }
 
+/// What a host passes on of its list to one that has an older one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServersPatch {
+    /// Version of the store that it leads to.
+    pub version: u64,
+    /// What changed.
+    pub servers: SetPatch<Typed<ServerSpec>>,
+}
+
+fn identify(server: &Typed<ServerSpec>) -> (ObjectKey, &ObjectMeta) {
+    let kind = FastStr::from_static_str(kind::SERVER);
+    ((kind, server.metadata.name.clone()), &server.metadata)
+}
+
 impl ServerList {
+    /// What to pass on to a host that has the list as of `since`; 0 gives the whole.
+    pub fn patch_since(&self, since: u64) -> ServersPatch {
+        ServersPatch {
+            version: self.version,
+            servers: patch::make_patch(&self.servers, since, identify),
+        }
+    }
+
+    /// This list after a patch; none when the whole has to be asked for.
+    pub fn patched(&self, patch: &ServersPatch) -> Option<Self> {
+        let servers = patch::apply_patch(&self.servers, &patch.servers, identify)?;
+        Some(Self {
+            version: patch.version,
+            servers,
+        })
+    }
+
     /// Takes a reading of the store; an older one, or one that changes nothing, is ignored.
     pub fn read_store(&mut self, list: &ObjectList) -> bool {
         let servers: Vec<Typed<ServerSpec>> = list
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -41,5 +41,7 @@
 interface Peer {
   exchange @0 (digest :Digest) -> (digest :Digest);
   cards @1 (incarnations :List(UInt64)) -> (cards :List(HostCard));
-  state @2 (generation :UInt64, serversVersion :UInt64) -> (state :SharedState);
+  # Versions of 0 ask for the whole.
+  state @2 (generation :UInt64, serversVersion :UInt64, sourceVersion :UInt64)
+    -> (state :SharedState);
 }
--- a/src/peer/peer_capnp.rs
+++ b/src/peer/peer_capnp.rs
@@ -2286,11 +2286,15 @@
             pub fn get_servers_version(self) -> u64 {
                 self.reader.get_data_field::<u64>(1)
             }
+            #[inline]
+            pub fn get_source_version(self) -> u64 {
+                self.reader.get_data_field::<u64>(2)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2356,6 +2360,14 @@
             pub fn set_servers_version(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(1, value);
             }
+            #[inline]
+            pub fn get_source_version(self) -> u64 {
+                self.builder.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn set_source_version(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(2, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2367,38 +2379,45 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(159, 29, 199, 71, 171, 6, 233, 156),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
                 ::capnp::word(115, 116, 97, 116, 101, 36, 80, 97),
                 ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 90, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(49, 0, 0, 0, 122, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 122, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(85, 0, 0, 0, 114, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(48, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(60, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(103, 101, 110, 101, 114, 97, 116, 105),
                 ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -2417,11 +2436,21 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 111, 117, 114, 99, 101, 86, 101),
+                ::capnp::word(114, 115, 105, 111, 110, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -2435,9 +2464,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
             pub(crate) const TYPE_ID: u64 = 0x9ce9_06ab_47c7_1d9f;
         }
     }
--- a/src/peer/rpc.rs
+++ b/src/peer/rpc.rs
@@ -22,6 +22,17 @@
 /// Longest wait for another host.
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// What a host has of the state that hosts pass on; 0 for what it needs whole.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct HeldVersions {
+    /// Generation of its configuration.
+    pub generation: u64,
+    /// Version of the store that its configuration was read at.
+    pub source: u64,
+    /// Version of its list of servers.
+    pub servers: u64,
+}
+
 /// State that hosts pass on as JSON; empty where the asker has it already.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct PassedState {
@@ -39,8 +50,8 @@
     pub exchange: Box<dyn Fn(PeerDigest) -> PeerDigest>,
     /// Tells who hosts are.
     pub cards: Box<AnswerCards>,
-    /// Passes on what is newer than the asker's generation and version.
-    pub state: Box<dyn Fn(u64, u64) -> PassedState>,
+    /// Passes on what is newer than what the asker has.
+    pub state: Box<dyn Fn(HeldVersions) -> PassedState>,
 }
 
 struct PeerServer {
@@ -79,7 +90,11 @@
         mut results: peer::StateResults,
     ) -> Result<(), Error> {
         let params = params.get()?;
-        let state = (self.answers.state)(params.get_generation(), params.get_servers_version());
+        let state = (self.answers.state)(HeldVersions {
+            generation: params.get_generation(),
+            source: params.get_source_version(),
+            servers: params.get_servers_version(),
+        });
         let mut passed = results.get().init_state();
         passed.set_config(&state.config);
         passed.set_servers(&state.servers);
@@ -219,17 +234,17 @@
         .await
     }
 
-    /// Asks for what is newer than the given generation and version.
+    /// Asks for what is newer than what this host has.
     pub async fn state(
         &self,
         address: SocketAddr,
-        generation: u64,
-        servers_version: u64,
+        held: HeldVersions,
     ) -> Result<PassedState, Error> {
         self.call(address, |connection| async move {
             let mut request = connection.client.state_request();
-            request.get().set_generation(generation);
-            request.get().set_servers_version(servers_version);
+            request.get().set_generation(held.generation);
+            request.get().set_source_version(held.source);
+            request.get().set_servers_version(held.servers);
             let response = request.send().promise.await?;
             let state = response.get()?.get_state()?;
             Ok(PassedState {
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -149,6 +149,26 @@
     );
 }
 
+#[test]
+fn a_deleted_object_is_gone_everywhere() {
+    let (fleet, _runtime) = start(4);
+    let intent = fleet
+        .platform
+        .get(kind::INTENT, "grinding-orders")
+        .expect("an intent");
+    let version = intent.metadata.resource_version;
+    let deleted = fleet
+        .platform
+        .delete(kind::INTENT, "grinding-orders", version);
+    deleted.expect("deleted");
+    wait(&fleet, "the deletion", || {
+        fleet.hosts.values().all(|host| {
+            let snapshot = host.running.traffic.snapshot.load();
+            snapshot.objects.intents.len() == 1
+        })
+    });
+}
+
 #[test]
 fn a_faulty_change_leaves_the_last_good_one_in_force() {
     let (fleet, _runtime) = start(2);
