--- a/src/bench/command.rs
+++ b/src/bench/command.rs
@@ -94,6 +94,7 @@
     }
     let results = run_all(&plans);
     print!("{}", report::table(&results));
+    print!("{}", report::repairs(&results));
     if let Some(out) = out {
         write_out(&results, &deployments, &out)?;
     }
--- a/src/bench/report.rs
+++ b/src/bench/report.rs
@@ -1,7 +1,10 @@
 //! The bench's table, CSV file and plot.
 
 use {
-    super::{plan::BenchScenario, run::RunResult},
+    super::{
+        plan::{BenchFault, BenchScenario, RUN_TIME},
+        run::RunResult,
+    },
     eyre::{Result, WrapErr, eyre},
     plotters::prelude::*,
     std::{collections::BTreeMap, fmt::Write, path::Path},
@@ -105,6 +108,37 @@
     text
 }
 
+/// Seconds after a fault from which its row counts as repaired.
+const REPAIR_SECONDS: usize = 5;
+
+/// Goodput over the bound once a fault should be repaired, for the rows that have one.
+pub fn repairs(results: &[RunResult]) -> String {
+    let mut text = String::new();
+    let fault_at = RUN_TIME.as_secs() as usize / 3;
+    let after = |result: &RunResult| {
+        let seconds = &result.each_second[fault_at + REPAIR_SECONDS..];
+        seconds.iter().sum::<f64>() / seconds.len() as f64
+    };
+    for group in groups(results) {
+        let plan = &group[0].plan;
+        if !matches!(
+            plan.scenario.fault,
+            BenchFault::PrefillLost | BenchFault::DecodeSlow
+        ) {
+            continue;
+        }
+        let (median, least, most) = spread(&group, after);
+        writeln!(
+            text,
+            "{} {} {}: goodput/bound from {REPAIR_SECONDS} s after the fault: {median:.3} \
+             ({least:.3}-{most:.3})",
+            plan.deployment.name, plan.scenario.name, plan.tuning.policy,
+        )
+        .expect("writing to a string");
+    }
+    text
+}
+
 /// A plot of goodput over the bound, a bar for each group of a deployment.
 pub fn plot(results: &[RunResult], deployment: &str, file: &Path) -> Result<()> {
     let groups: Vec<Vec<&RunResult>> = groups(results)
--- a/src/route/desk.rs
+++ b/src/route/desk.rs
@@ -294,15 +294,19 @@
         ahead: usize,
         now: Duration,
     ) -> Option<DeskAnswer> {
-        // Lateness in the own zone decides: the other zones' engines are known less well, and
-        // sending late requests there made more of them late (docs/performance.md).
+        // What is late here may have room elsewhere at once; it does not wait for room elsewhere, since
+        // the other zones' engines are known less well (docs/performance.md).
+        let mut late = None;
         for zone in self.zones_to_try() {
             match self.place(request, zone, now) {
                 Placement::Placed(answer) => return Some(answer),
-                Placement::Late(by) => return Some(self.refuse_late(request, by, now)),
+                Placement::Late(by) => late = late.or(Some(by)),
                 Placement::Blocked => {}
             }
         }
+        if let Some(by) = late {
+            return Some(self.refuse_late(request, by, now));
+        }
         if !self.has_candidates(request, now) {
             let text = format!("no backend server of model {} can take work", request.model);
             return Some(self.refuse(request, RefusalCode::NoBackend, text, now));
