A ticket never outlives the record of its call

Cause: read as a newcomer: [callers] remember could be set to 10 s while a ticket may be used for 240 s, so that a call that may not be repeated could run a second time after its record was forgotten. Change: remember is 5 min at least, and the operation table asserts it against the tickets' life. Figures: the case stands in the test of wrong settings; before, 60 s was taken, after, it is refused by name.

--- a/src/conf/keys.rs
+++ b/src/conf/keys.rs
@@ -102,7 +102,7 @@
     key("callers", "remember", |s, v| {
         put(
             &mut s.remember,
-            value::read_time(v, seconds(10), seconds(3_600)),
+            value::read_time(v, seconds(300), seconds(3_600)),
         )
     }),
     key("targets", "first_token", |s, v| {
--- a/src/operation/table.rs
+++ b/src/operation/table.rs
@@ -1,7 +1,10 @@
 //! The operations of this host by their key: live, finished, or unknown.
 
 use {
-    super::{replay::ReplayLog, request::AnswerLog, signal::OnceSignal, verdict::Refusal},
+    super::{
+        replay::ReplayLog, request::AnswerLog, signal::OnceSignal, ticket::TICKET_LIFE,
+        verdict::Refusal,
+    },
     bytes::Bytes,
     faststr::FastStr,
     http::HeaderMap,
@@ -86,7 +89,12 @@
 
 impl OperationTable {
     /// A table that remembers ended operations for `remember`.
+    ///
+    /// # Panics
+    ///
+    /// If a ticket could be used longer than its operation is remembered: a call could run twice.
     pub fn new(remember: Duration) -> Self {
+        assert!(remember > TICKET_LIFE, "tickets end before their records");
         Self {
             records: HashMap::new(),
             remember,
--- a/tests/shipped.rs
+++ b/tests/shipped.rs
@@ -64,6 +64,10 @@
             "[listen]\ncallers = here\n",
             "host.ini: [listen] callers: expected IP:port",
         ),
+        (
+            "[callers]\nremember = 60 s\n",
+            "host.ini: [callers] remember: expected a time",
+        ),
         (
             "[route]\npolicy = best\n",
             "host.ini: [route] policy: unknown policy",
