--- a/src/control/roles.rs
+++ b/src/control/roles.rs
@@ -181,12 +181,9 @@
     fn wanted_roles(&self) -> BTreeMap<FastStr, (SocketAddr, WantedRole)> {
         let state = self.state.borrow();
         let objects = state.config.objects();
-        let zone = &self.traffic.settings.zone;
         state
             .servers
-            .servers
-            .iter()
-            .filter(|server| server.spec.zone == *zone)
+            .in_zone(&self.traffic.settings.zone)
             .filter_map(|server| {
                 let wanted = wanted_role(&objects, &server.metadata.labels)?;
                 let address = server.spec.address;
--- a/src/control/servers.rs
+++ b/src/control/servers.rs
@@ -81,6 +81,13 @@
         is_newer
     }
 
+    /// The servers of an availability zone.
+    pub fn in_zone(&self, zone: &FastStr) -> impl Iterator<Item = &Typed<ServerSpec>> {
+        self.servers
+            .iter()
+            .filter(move |server| server.spec.zone == *zone)
+    }
+
     /// The entry hosts among the servers.
     pub fn entry_hosts(&self) -> impl Iterator<Item = &Typed<ServerSpec>> {
         self.servers.iter().filter(|server| {
--- a/src/control/sweep.rs
+++ b/src/control/sweep.rs
@@ -118,12 +118,9 @@
     pub(super) fn zone_engines(&self) -> Vec<(FastStr, SocketAddr)> {
         let state = self.state.borrow();
         let objects = state.config.objects();
-        let zone = &self.traffic.settings.zone;
         state
             .servers
-            .servers
-            .iter()
-            .filter(|server| server.spec.zone == *zone)
+            .in_zone(&self.traffic.settings.zone)
             .filter(|server| {
                 let labels = &server.metadata.labels;
                 let mut pools = objects.pools.values();
--- a/tests/matrix/intents.rs
+++ b/tests/matrix/intents.rs
@@ -1,7 +1,7 @@
 //! An operators' intent, from its write to being in force on a host.
 
 use {
-    super::FaultCell,
+    super::{CellRow, FaultCell},
     bayplank::{
         control::{AcceptedConfig, ConfigKeeper, ConfigOffer, ConfigStep},
         object::{AnyObject, kind},
@@ -231,9 +231,7 @@
     in_force(&keeper)
 }
 
-type Run = fn() -> String;
-
-const CELLS: &[(&str, &str, &str, Run)] = &[
+const CELLS: &[CellRow] = &[
     (
         "written",
         "two operators race",
@@ -297,14 +295,5 @@
 ];
 
 pub fn cells() -> Vec<FaultCell> {
-    CELLS
-        .iter()
-        .map(|(step, fault, expected, run)| FaultCell {
-            life: LIFE,
-            step,
-            fault,
-            expected,
-            found: run(),
-        })
-        .collect()
+    super::run_cells(LIFE, CELLS)
 }
--- a/tests/matrix/leases.rs
+++ b/tests/matrix/leases.rs
@@ -1,7 +1,7 @@
 //! A zone's lease and the orders under it.
 
 use {
-    super::FaultCell,
+    super::{CellRow, FaultCell},
     bayplank::{
         control::{FencedLease, LeaseKeeper, LeaseWrite, SeenLease},
         engine::{EngineRole, FencedOrder},
@@ -192,9 +192,7 @@
     }
 }
 
-type Run = fn() -> String;
-
-const CELLS: &[(&str, &str, &str, Run)] = &[
+const CELLS: &[CellRow] = &[
     (
         "free",
         "two hosts take it at once",
@@ -253,14 +251,5 @@
 ];
 
 pub fn cells() -> Vec<FaultCell> {
-    CELLS
-        .iter()
-        .map(|(step, fault, expected, run)| FaultCell {
-            life: LIFE,
-            step,
-            fault,
-            expected,
-            found: run(),
-        })
-        .collect()
+    super::run_cells(LIFE, CELLS)
 }
--- a/tests/matrix/mod.rs
+++ b/tests/matrix/mod.rs
@@ -18,3 +18,19 @@
     /// What became of it.
     pub found: String,
 }
+
+/// Step, fault, what has to become of it, and how it is run.
+pub type CellRow = (&'static str, &'static str, &'static str, fn() -> String);
+
+/// Runs the rows of a life.
+pub fn run_cells(life: &'static str, rows: &[CellRow]) -> Vec<FaultCell> {
+    rows.iter()
+        .map(|(step, fault, expected, run)| FaultCell {
+            life,
+            step,
+            fault,
+            expected,
+            found: run(),
+        })
+        .collect()
+}
