--- a/src/route/desk.rs
+++ b/src/route/desk.rs
@@ -11,7 +11,7 @@
         view::{EngineInfo, EngineView},
     },
     crate::{
-        engine::{EngineLink, LoadReport, PrefillReply},
+        engine::{EngineLink, EngineRole, LoadReport, PrefillReply},
         operation::{Refusal, RefusalCode},
     },
     faststr::FastStr,
@@ -344,8 +344,15 @@
 
     fn place(&mut self, request: &PlaceRequest, zone: Option<FastStr>, now: Duration) -> Placement {
         let mut random = StdRng::seed_from_u64(self.random.random());
-        let prefills = self.rank_prefills(request, zone.as_ref(), now, &mut random);
-        let decodes = self.rank_decodes(request, zone.as_ref(), now, &mut random);
+        let prefills = self.rank_engines(
+            request,
+            EngineRole::Prefill,
+            zone.as_ref(),
+            now,
+            &mut random,
+        );
+        let decodes =
+            self.rank_engines(request, EngineRole::Decode, zone.as_ref(), now, &mut random);
         let (Some(prefill), Some(decode)) = (prefills.first(), decodes.first()) else {
             return Placement::Blocked;
         };
@@ -380,7 +387,7 @@
             return Some(self.refuse(request, RefusalCode::Overloaded, text.into(), now));
         }
         let mut random = StdRng::seed_from_u64(self.random.random());
-        let decodes = self.rank_decodes(request, None, now, &mut random);
+        let decodes = self.rank_engines(request, EngineRole::Decode, None, now, &mut random);
         let decode = decodes.first()?;
         if decode.view.is_full(now) {
             return None;
--- a/src/route/rank.rs
+++ b/src/route/rank.rs
@@ -127,54 +127,43 @@
             .all(|role| !self.candidates(request, role, None, now).is_empty())
     }
 
-    pub(super) fn rank_prefills<'a>(
+    /// The engines of a role that could take a request, best first by the policy.
+    pub(super) fn rank_engines<'a>(
         &'a self,
         request: &'a PlaceRequest,
+        role: EngineRole,
         zone: Option<&'a FastStr>,
         now: Duration,
         random: &mut StdRng,
     ) -> Vec<ScoredEngine<'a>> {
-        let views = self.candidates(request, EngineRole::Prefill, zone, now);
-        let policy = self.tuning.policy;
-        if policy == RoutePolicy::RoundRobin {
+        let views = self.candidates(request, role, zone, now);
+        if self.tuning.policy == RoutePolicy::RoundRobin {
             return in_turn(views, self.turn);
         }
-        choose::rank(views, random, |view| match policy {
-            RoutePolicy::Joint => {
-                let full = if view.is_full(now) { 1.0 } else { 0.0 };
-                let time = choose::predict_prefill(
-                    view,
-                    request.tokens,
-                    &request.blocks,
-                    &self.tuning,
-                    now,
-                );
-                time.as_secs_f64() + full
-            }
-            _ => choose::prefill_load(policy, view, &self.tuning, now),
+        choose::rank(views, random, |view| match role {
+            EngineRole::Prefill => self.prefill_score(request, view, now),
+            EngineRole::Decode => self.decode_score(view, now),
         })
     }
 
-    pub(super) fn rank_decodes<'a>(
-        &'a self,
-        request: &'a PlaceRequest,
-        zone: Option<&'a FastStr>,
-        now: Duration,
-        random: &mut StdRng,
-    ) -> Vec<ScoredEngine<'a>> {
-        let views = self.candidates(request, EngineRole::Decode, zone, now);
+    // Time until the prompt is computed; one that said it is full comes after all others.
+    fn prefill_score(&self, request: &PlaceRequest, view: &EngineView, now: Duration) -> f64 {
         let policy = self.tuning.policy;
-        if policy == RoutePolicy::RoundRobin {
-            return in_turn(views, self.turn);
+        if policy != RoutePolicy::Joint {
+            return choose::prefill_load(policy, view, &self.tuning, now);
         }
-        choose::rank(views, random, |view| match policy {
-            RoutePolicy::Joint => self.decode_score(view, now),
-            _ => choose::decode_load(policy, view),
-        })
+        let full = if view.is_full(now) { 1.0 } else { 0.0 };
+        let time =
+            choose::predict_prefill(view, request.tokens, &request.blocks, &self.tuning, now);
+        time.as_secs_f64() + full
     }
 
     // Use of its slots; one that is slow or full comes after all others.
-    pub(super) fn decode_score(&self, view: &EngineView, now: Duration) -> f64 {
+    fn decode_score(&self, view: &EngineView, now: Duration) -> f64 {
+        let policy = self.tuning.policy;
+        if policy != RoutePolicy::Joint {
+            return choose::decode_load(policy, view);
+        }
         let total = f64::from(view.slots_total().unwrap_or(1).max(1));
         let target = self.tuning.between_tokens.as_secs_f64();
         let slow = view.token_gap(now).is_some_and(|gap| gap > target);
--- a/tests/matrix/mod.rs
+++ b/tests/matrix/mod.rs
@@ -3,6 +3,7 @@
 pub mod intents;
 pub mod keys;
 pub mod leases;
+mod request_faults;
 pub mod requests;
 
 /// One fault at one step.
