--- a/src/cli/load.rs
+++ b/src/cli/load.rs
@@ -4,8 +4,8 @@
     super::exit::{self, CommandResult},
     crate::{
         engine::{self, DecodeOrder, PrefillOrder, StreamItem},
-        platform::PlatformClient,
         standin::caller::{Caller, StreamedEvent},
+        store::StoreClient,
         web::WebClient,
     },
     eyre::{Result, WrapErr, eyre},
@@ -91,7 +91,7 @@
 
 // A prefill and a decode engine, to be called without the router.
 async fn find_engines(platform: SocketAddr) -> Result<(SocketAddr, SocketAddr)> {
-    let client = PlatformClient::new(platform, Duration::from_secs(5));
+    let client = StoreClient::new(platform, Duration::from_secs(5));
     let list = client.list().await.wrap_err("platform")?;
     let find = |role: &str| {
         let mut items = list.items.iter();
--- a/src/cli/operate.rs
+++ b/src/cli/operate.rs
@@ -7,8 +7,8 @@
     },
     crate::{
         object::{AnyObject, ObjectSet, kind},
-        platform::{self, ObjectList, PlatformClient, PlatformFailure},
         route::DecisionRecord,
+        store::{self, ObjectList, StoreClient, StoreFailure},
         web::{WebClient, WebFailure},
     },
     eyre::{WrapErr, eyre},
@@ -30,16 +30,16 @@
     Ok(runtime.block_on(future))
 }
 
-fn client(arguments: &mut Arguments) -> Result<PlatformClient, CommandFailure> {
+fn client(arguments: &mut Arguments) -> Result<StoreClient, CommandFailure> {
     let address: Option<String> = arguments.opt_value_from_str("--platform")?;
     let address = address.unwrap_or_else(|| DEFAULT_PLATFORM.to_owned());
     let address = address
         .parse()
         .map_err(|_| exit::usage(format!("--platform: expected IP:port, found {address:?}")))?;
-    Ok(PlatformClient::new(address, TIMEOUT))
+    Ok(StoreClient::new(address, TIMEOUT))
 }
 
-fn failed(failure: PlatformFailure) -> CommandFailure {
+fn failed(failure: StoreFailure) -> CommandFailure {
     eyre!("platform: {failure}").into()
 }
 
@@ -56,7 +56,7 @@
     block_on(apply_objects(&client, wanted))?
 }
 
-async fn apply_objects(client: &PlatformClient, wanted: Vec<AnyObject>) -> CommandResult {
+async fn apply_objects(client: &StoreClient, wanted: Vec<AnyObject>) -> CommandResult {
     let list = client.list().await.map_err(failed)?;
     for object in &wanted {
         if !object.is_operators() {
@@ -78,7 +78,7 @@
             println!("{name}: unchanged");
             continue;
         }
-        let written = platform::write_marked(client, object, writer_mark())
+        let written = store::write_marked(client, object, writer_mark())
             .await
             .map_err(|failure| eyre!("{name}: {failure}"))?;
         println!("{name}: version {}", written.metadata.resource_version);
@@ -181,7 +181,7 @@
     block_on(async {
         let mut object = client.get(kind::SERVER, &name).await.map_err(failed)?;
         object.spec["leaving"] = Value::Bool(leaving);
-        platform::write_marked(&client, object, writer_mark())
+        store::write_marked(&client, object, writer_mark())
             .await
             .map_err(failed)?;
         println!("{name}: leaving is {leaving}");
--- a/src/control/config.rs
+++ b/src/control/config.rs
@@ -8,7 +8,7 @@
     super::patch::{self, ObjectKey, SetPatch},
     crate::{
         object::{AnyObject, ObjectFault, ObjectMeta, ObjectSet, kind},
-        platform::ObjectList,
+        store::ObjectList,
     },
     faststr::FastStr,
     serde::{Deserialize, Serialize},
--- a/src/control/parts.rs
+++ b/src/control/parts.rs
@@ -10,7 +10,7 @@
         peer::{
             BeatFlags, HostCard, MemberChange, Membership, PeerLinks, SilenceLimits, is_among_first,
         },
-        platform::PlatformClient,
+        store::StoreClient,
     },
     faststr::FastStr,
     std::{
@@ -52,7 +52,7 @@
 /// What the control loops share; only the control thread has it.
 pub struct ControlParts {
     pub(super) traffic: Arc<Traffic>,
-    pub(super) platform: PlatformClient,
+    pub(super) platform: StoreClient,
     pub(super) links: PeerLinks,
     pub(super) state: RefCell<ControlState>,
     pub(super) platform_is_lost: Cell<bool>,
@@ -77,7 +77,7 @@
         lease: LeaseKeeper::new(traffic.incarnation.clone(), LEASE_TIME),
     };
     let parts = Rc::new(ControlParts {
-        platform: PlatformClient::new(settings.platform, settings.platform_timeout),
+        platform: StoreClient::new(settings.platform, settings.platform_timeout),
         links: PeerLinks::new(traffic.metrics.clone()),
         state: RefCell::new(state),
         platform_is_lost: Cell::new(false),
--- a/src/control/roles.rs
+++ b/src/control/roles.rs
@@ -9,7 +9,7 @@
         engine::{self, EngineRole, FencedOrder, LoadReport},
         event,
         object::{AnyObject, LabelMap, ObjectMeta, ObjectSet, kind},
-        platform::{self, PlatformFailure},
+        store::{self, StoreFailure},
         web::WebFailure,
     },
     faststr::FastStr,
@@ -102,7 +102,7 @@
         }
     }
 
-    async fn step_lease(&self) -> Result<(), PlatformFailure> {
+    async fn step_lease(&self) -> Result<(), StoreFailure> {
         self.traffic.metrics.platform_calls.inc();
         let seen = self.read_lease().await?;
         let now = self.now();
@@ -113,7 +113,7 @@
         self.traffic.metrics.platform_calls.inc();
         let mark = self.traffic.parts.namer.next();
         let object = self.lease_object(&write);
-        match platform::write_marked(&self.platform, object, mark).await {
+        match store::write_marked(&self.platform, object, mark).await {
             Ok(written) => {
                 let version = written.metadata.resource_version;
                 let now = self.now();
@@ -123,7 +123,7 @@
                 }
                 Ok(())
             }
-            Err(PlatformFailure::Conflict(text)) => {
+            Err(StoreFailure::Conflict(text)) => {
                 let had = self.state.borrow().lease.held(self.now()).is_some();
                 self.state.borrow_mut().lease.lost();
                 if had {
@@ -135,13 +135,13 @@
         }
     }
 
-    async fn read_lease(&self) -> Result<SeenLease, PlatformFailure> {
+    async fn read_lease(&self) -> Result<SeenLease, StoreFailure> {
         match self.platform.get(kind::LEASE, &self.lease_name()).await {
             Ok(object) => Ok(SeenLease {
                 version: object.metadata.resource_version,
                 spec: serde_json::from_value::<LeaseSpec>(object.spec).unwrap_or_default(),
             }),
-            Err(PlatformFailure::NotFound) => Ok(SeenLease::default()),
+            Err(StoreFailure::NotFound) => Ok(SeenLease::default()),
             Err(failure) => Err(failure),
         }
     }
--- a/src/control/servers.rs
+++ b/src/control/servers.rs
@@ -4,7 +4,7 @@
     super::patch::{self, ObjectKey, SetPatch},
     crate::{
         object::{ObjectMeta, ServerSpec, Typed, kind},
-        platform::ObjectList,
+        store::ObjectList,
     },
     faststr::FastStr,
     serde::{Deserialize, Serialize},
--- a/src/control/watch.rs
+++ b/src/control/watch.rs
@@ -8,7 +8,7 @@
     crate::{
         event,
         object::{AnyObject, ObjectFault},
-        platform::{self, PlatformFailure},
+        store::{self, StoreFailure},
     },
     std::{rc::Rc, time::Duration},
 };
@@ -41,7 +41,7 @@
             self.traffic.metrics.platform_calls.inc();
             let resync = self.traffic.settings.resync;
             match self.platform.changed(version, resync).await {
-                Ok(()) | Err(PlatformFailure::Gone) => {}
+                Ok(()) | Err(StoreFailure::Gone) => {}
                 Err(_) => tokio::time::sleep(PLATFORM_PAUSE).await,
             }
             return;
@@ -55,7 +55,7 @@
         }
     }
 
-    async fn read_platform(&self) -> Result<u64, PlatformFailure> {
+    async fn read_platform(&self) -> Result<u64, StoreFailure> {
         self.traffic.metrics.platform_calls.inc();
         let list = self.platform.list().await?;
         if self.platform_is_lost.replace(false) {
@@ -78,7 +78,7 @@
         Ok(list.resource_version)
     }
 
-    fn lost_platform(&self, failure: &PlatformFailure) {
+    fn lost_platform(&self, failure: &StoreFailure) {
         if !self.platform_is_lost.replace(true) {
             event::emit(&event::PLATFORM_LOST, &[("why", failure)]);
         }
@@ -109,13 +109,13 @@
         self.state.borrow_mut().rejected = faults;
     }
 
-    async fn accept(&self, object: AnyObject) -> Result<(), PlatformFailure> {
+    async fn accept(&self, object: AnyObject) -> Result<(), StoreFailure> {
         self.traffic.metrics.platform_calls.inc();
         let mark = self.traffic.parts.namer.next();
-        match platform::write_marked(&self.platform, object, mark).await {
+        match store::write_marked(&self.platform, object, mark).await {
             Ok(written) => {
                 let accepted: AcceptedConfig = serde_json::from_value(written.spec)
-                    .map_err(|error| PlatformFailure::Refused(error.to_string()))?;
+                    .map_err(|error| StoreFailure::Refused(error.to_string()))?;
                 let generation = accepted.generation;
                 event::emit(&event::CONFIG_ACCEPTED, &[("generation", &generation)]);
                 let offer = self.state.borrow_mut().config.offer(accepted);
@@ -124,7 +124,7 @@
                 Ok(())
             }
             // Another host was first; the next reading brings its result.
-            Err(PlatformFailure::Conflict(_)) => Ok(()),
+            Err(StoreFailure::Conflict(_)) => Ok(()),
             Err(failure) => Err(failure),
         }
     }
--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -38,9 +38,11 @@
     HOST_STARTED = 101, "host-started", Info, "The entry host listens.", "None.";
     HOST_STOPPING = 102, "host-stopping", Info, "A planned stop began; /readyz fails from now on.", "None; the host waits for what is in flight.";
     HOST_STOPPED = 103, "host-stopped", Info, "Nothing is in flight any more; the process ends.", "None.";
+    SETTINGS_READ = 104, "settings-read", Info, "The settings were read again.", "None.";
     REQUEST_ENDED = 201, "request-ended", Info, "A request ended; its verdict and times follow.", "None.";
     REQUEST_REFUSED = 202, "request-refused", Info, "A request was refused; its code and verdict follow.", "Many with code overloaded: add engines, or look at the tenant's limits.";
     ENGINE_EJECTED = 301, "engine-ejected", Warn, "An engine failed several times in a row and is left out for a while.", "If it repeats, look at that engine.";
+    BACKEND_EJECTED = 304, "backend-ejected", Warn, "A backend server gave no answer several times in a row and is passed over for a while.", "If it repeats, look at that server.";
     ENGINE_LEAVING = 302, "engine-leaving", Info, "An engine leaves; it gets no new work.", "None.";
     ENGINE_SWEPT = 303, "engine-swept", Info, "Attempts that a lost host left at an engine were cancelled.", "None.";
     CONFIG_IN_FORCE = 401, "config-in-force", Info, "A newer accepted configuration is in force on this host.", "None.";
--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -2,5 +2,6 @@
 
 mod catalogue;
 mod emit;
+mod writer;
 
-pub use self::{catalogue::*, emit::*};
+pub use self::{catalogue::*, emit::*, writer::*};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,7 +19,8 @@
 #[rustfmt::skip]
 #[allow(missing_docs, clippy::all, clippy::pedantic)]
 pub mod peer_capnp;
-pub mod platform;
+pub mod relay;
 pub mod route;
 pub mod standin;
+pub mod store;
 pub mod web;
--- /dev/null
+++ b/src/relay/book.rs
@@ -0,0 +1,286 @@
+//! What this host knows of each backend server, from its own requests, and whom it would choose.
+//!
+//! A plain state machine: what happened and the time go in, an order of preference comes out.
+
+use {
+    super::backend::BackendInfo,
+    crate::engine::EngineRole,
+    faststr::FastStr,
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// Failures in a row after which a backend server is passed over.
+const FAILURES_TO_EJECT: u32 = 2;
+
+/// How long a backend server is passed over at first; doubled each time it fails again.
+const EJECT_FIRST: Duration = Duration::from_millis(500);
+
+/// Longest time that one is passed over: a restart takes a few seconds.
+const EJECT_LONGEST: Duration = Duration::from_secs(4);
+
+/// Weight of the newest answer in the share of failed answers.
+const ERROR_WEIGHT: f64 = 0.15;
+
+/// Requests in progress that a share of failed answers of 1 counts as.
+const ERROR_PENALTY: f64 = 12.0;
+
+/// Requests in progress that another zone counts as: a way there and back costs more than a short queue.
+const AWAY_PENALTY: f64 = 2.0;
+
+/// Silence of a request in progress from which its server counts as doubtful; a plain call takes some
+/// tens of milliseconds.
+const DOUBT_AFTER: Duration = Duration::from_millis(250);
+
+/// Requests in progress that doubt counts as.
+const DOUBT_PENALTY: f64 = 6.0;
+
+/// How long an engine that had no room is not asked again for as much.
+const REFUSED_TIME: Duration = Duration::from_millis(60);
+
+/// What this host knows of one backend server.
+#[derive(Debug)]
+pub struct BackendView {
+    /// Who it is.
+    pub info: BackendInfo,
+    // When each request in progress was sent, by its number.
+    calls: BTreeMap<u64, Duration>,
+    failures: u32,
+    out_until: Duration,
+    out_time: Duration,
+    error_share: f64,
+    memory_tokens: u64,
+    refused: Option<(Duration, u64)>,
+    prefill_tokens: u64,
+}
+
+impl BackendView {
+    fn new(info: BackendInfo) -> Self {
+        Self {
+            info,
+            calls: BTreeMap::new(),
+            failures: 0,
+            out_until: Duration::ZERO,
+            out_time: EJECT_FIRST,
+            error_share: 0.0,
+            memory_tokens: 0,
+            refused: None,
+            prefill_tokens: 0,
+        }
+    }
+
+    /// Whether it is passed over.
+    pub fn is_out(&self, now: Duration) -> bool {
+        now < self.out_until
+    }
+
+    /// Requests of this host in progress.
+    pub fn calls(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Tokens of memory that this host's requests take.
+    pub fn memory_tokens(&self) -> u64 {
+        self.memory_tokens
+    }
+
+    fn is_doubtful(&self, now: Duration) -> bool {
+        let oldest = self.calls.values().min();
+        oldest.is_some_and(|sent| now.saturating_sub(*sent) >= DOUBT_AFTER)
+    }
+
+    fn plain_score(&self, zone: &str, now: Duration) -> f64 {
+        let away = f64::from(u8::from(self.info.zone != zone)) * AWAY_PENALTY;
+        let doubt = f64::from(u8::from(self.is_doubtful(now))) * DOUBT_PENALTY;
+        self.calls.len() as f64 + away + doubt + self.error_share * ERROR_PENALTY
+    }
+
+    fn has_refused(&self, tokens: u64, now: Duration) -> bool {
+        self.refused
+            .is_some_and(|(until, refused)| now < until && tokens >= refused)
+    }
+}
+
+/// All backend servers that this host may send to.
+#[derive(Debug, Default)]
+pub struct BackendBook {
+    views: BTreeMap<FastStr, BackendView>,
+    next_call: u64,
+}
+
+impl BackendBook {
+    /// Takes the list of backend servers; what is known of those that stay is kept.
+    pub fn set_backends(&mut self, backends: Vec<BackendInfo>) {
+        let mut known = std::mem::take(&mut self.views);
+        for info in backends {
+            let view = match known.remove(&info.id) {
+                Some(view) => BackendView { info, ..view },
+                None => BackendView::new(info),
+            };
+            self.views.insert(view.info.id.clone(), view);
+        }
+    }
+
+    /// What is known of one.
+    pub fn view(&self, id: &str) -> Option<&BackendView> {
+        self.views.get(id)
+    }
+
+    /// What is known of all.
+    pub fn views(&self) -> impl Iterator<Item = &BackendView> {
+        self.views.values()
+    }
+
+    /// One says itself, or by silence, that it takes no new work.
+    pub fn set_leaving(&mut self, id: &str) {
+        if let Some(view) = self.views.get_mut(id) {
+            view.info.leaving = true;
+        }
+    }
+
+    /// The backend servers of a plain service that were not tried, best first.
+    pub fn rank_plain(
+        &self,
+        service: &str,
+        zone: &str,
+        tried: &[FastStr],
+        now: Duration,
+    ) -> Vec<BackendInfo> {
+        let views = self
+            .usable(service)
+            .filter(|view| !tried.contains(&view.info.id));
+        sorted(views, |view| {
+            (view.is_out(now), order(view.plain_score(zone, now)))
+        })
+    }
+
+    /// The engines of a role that have room as far as is known, best first: own zone, least work of
+    /// this host.
+    pub fn rank_engines(
+        &self,
+        service: &str,
+        role: EngineRole,
+        zone: &str,
+        tokens: u64,
+        now: Duration,
+    ) -> Vec<BackendInfo> {
+        let views = self
+            .usable(service)
+            .filter(|view| view.info.role == Some(role))
+            .filter(|view| !view.is_out(now) && !view.has_refused(tokens, now));
+        sorted(views, |view| {
+            let work = match role {
+                EngineRole::Prefill => view.prefill_tokens,
+                EngineRole::Decode => view.memory_tokens,
+            };
+            (view.info.zone != zone, work, rand::random::<u16>())
+        })
+    }
+
+    /// Whether the service has an engine of this role at all.
+    pub fn has_role(&self, service: &str, role: EngineRole, now: Duration) -> bool {
+        self.usable(service)
+            .any(|view| view.info.role == Some(role) && !view.is_out(now))
+    }
+
+    fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a BackendView> {
+        self.views
+            .values()
+            .filter(move |view| view.info.service == service && !view.info.leaving)
+    }
+
+    /// A request was sent; its number ends it.
+    pub fn call_began(&mut self, id: &str, now: Duration) -> u64 {
+        self.next_call += 1;
+        if let Some(view) = self.views.get_mut(id) {
+            view.calls.insert(self.next_call, now);
+        }
+        self.next_call
+    }
+
+    /// A request is no longer in progress.
+    pub fn call_ended(&mut self, id: &str, call: u64) {
+        if let Some(view) = self.views.get_mut(id) {
+            view.calls.remove(&call);
+        }
+    }
+
+    /// An answer came, good or not.
+    pub fn answered(&mut self, id: &str, is_good: bool) {
+        if let Some(view) = self.views.get_mut(id) {
+            let failed = f64::from(u8::from(!is_good));
+            view.error_share += ERROR_WEIGHT * (failed - view.error_share);
+            view.failures = 0;
+            if is_good {
+                view.out_time = EJECT_FIRST;
+            }
+        }
+    }
+
+    /// No answer came. Gives whether the backend server is passed over from now on.
+    pub fn failed(&mut self, id: &str, now: Duration) -> bool {
+        let Some(view) = self.views.get_mut(id) else {
+            return false;
+        };
+        view.error_share += ERROR_WEIGHT * (1.0 - view.error_share);
+        view.failures += 1;
+        if view.failures < FAILURES_TO_EJECT || view.is_out(now) {
+            return false;
+        }
+        view.out_until = now + view.out_time;
+        view.out_time = (view.out_time * 2).min(EJECT_LONGEST);
+        true
+    }
+
+    /// An engine had no room for this many tokens.
+    pub fn refused(&mut self, id: &str, tokens: u64, now: Duration) {
+        if let Some(view) = self.views.get_mut(id) {
+            view.refused = Some((now + REFUSED_TIME, tokens));
+        }
+    }
+
+    /// Memory at an engine is taken by a request of this host.
+    pub fn memory_taken(&mut self, id: &str, tokens: u64) {
+        if let Some(view) = self.views.get_mut(id) {
+            view.memory_tokens += tokens;
+        }
+    }
+
+    /// Memory at an engine is free again.
+    pub fn memory_freed(&mut self, id: &str, tokens: u64) {
+        if let Some(view) = self.views.get_mut(id) {
+            view.memory_tokens = view.memory_tokens.saturating_sub(tokens);
+            view.refused = None;
+        }
+    }
+
+    /// A prefill of this many tokens was sent.
+    pub fn prefill_began(&mut self, id: &str, tokens: u64) {
+        if let Some(view) = self.views.get_mut(id) {
+            view.prefill_tokens += tokens;
+        }
+    }
+
+    /// A prefill of this many tokens is no longer in progress.
+    pub fn prefill_ended(&mut self, id: &str, tokens: u64) {
+        if let Some(view) = self.views.get_mut(id) {
+            view.prefill_tokens = view.prefill_tokens.saturating_sub(tokens);
+        }
+    }
+}
+
+// Scores as whole numbers, so that they can be compared with other keys.
+fn order(score: f64) -> u64 {
+    (score * 1_000.0) as u64
+}
+
+fn sorted<'a, K: Ord>(
+    views: impl Iterator<Item = &'a BackendView>,
+    key: impl Fn(&BackendView) -> K,
+) -> Vec<BackendInfo> {
+    let mut ranked: Vec<(K, &BackendView)> = views.map(|view| (key(view), view)).collect();
+    ranked.sort_by(|(a, _), (b, _)| a.cmp(b));
+    ranked
+        .into_iter()
+        .map(|(_, view)| view.info.clone())
+        .collect()
+}
--- /dev/null
+++ b/src/relay/budget.rs
@@ -0,0 +1,49 @@
+//! This host's share of the sends beyond the first that a service is allowed from all hosts.
+
+use std::{collections::VecDeque, time::Duration};
+
+/// Part of the allowance that is used: hosts count apart, and windows slide.
+const USED_SHARE: f64 = 0.7;
+
+/// What all hosts together may send beyond the first of each request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryAllowance {
+    /// Share of the window's requests.
+    pub share: f64,
+    /// Added to that share, for all hosts together.
+    pub extra: f64,
+    /// Length of the window.
+    pub window: Duration,
+}
+
+/// Counts a service's requests and repeats at this host within a sliding window.
+#[derive(Debug, Default)]
+pub struct WindowBudget {
+    requests: VecDeque<Duration>,
+    repeats: VecDeque<Duration>,
+}
+
+impl WindowBudget {
+    /// A request for the service came.
+    pub fn earn(&mut self, now: Duration) {
+        self.requests.push_back(now);
+    }
+
+    /// A repeat was sent, allowed or not.
+    pub fn count(&mut self, now: Duration) {
+        self.repeats.push_back(now);
+    }
+
+    /// Whether one repeat more may be sent by this host, one of `hosts`.
+    pub fn allows(&mut self, allowance: RetryAllowance, hosts: usize, now: Duration) -> bool {
+        let since = now.saturating_sub(allowance.window);
+        for times in [&mut self.requests, &mut self.repeats] {
+            while times.front().is_some_and(|at| *at < since) {
+                times.pop_front();
+            }
+        }
+        let earned = allowance.share * self.requests.len() as f64;
+        let most = USED_SHARE * (earned + allowance.extra / hosts.max(1) as f64);
+        ((self.repeats.len() + 1) as f64) <= most
+    }
+}
--- /dev/null
+++ b/src/relay/call.rs
@@ -0,0 +1,131 @@
+//! A caller's request, read whole, and the requests to backend servers that are made of it.
+
+use {
+    super::{
+        answer,
+        backend::BackendInfo,
+        config::{CallerLimits, RelayRoute},
+        dialect::{CallAddress, CallDialect, CallMarks},
+    },
+    crate::operation::{Refusal, RefusalCode},
+    bytes::{Bytes, BytesMut},
+    http::{HeaderMap, Method, Request, request::Parts},
+    http_body_util::{BodyExt, Full},
+    hyper::body::Incoming,
+    std::{rc::Rc, time::Duration},
+    tokio::time::Instant,
+};
+
+/// A caller's request.
+#[derive(Debug)]
+pub struct RelayCall {
+    /// Its method.
+    pub method: Method,
+    /// Its path and query, as they came.
+    pub target: String,
+    /// Its headers, less what speaks of the connection and what only this host may set.
+    pub headers: HeaderMap,
+    /// Its whole body.
+    pub body: Bytes,
+    /// What it says of itself.
+    pub marks: CallMarks,
+    /// Its route.
+    pub route: Rc<RelayRoute>,
+    /// When its head had arrived.
+    pub arrived: Instant,
+    /// When its caller has to have an answer.
+    pub until: Instant,
+}
+
+impl RelayCall {
+    /// What is left of its time.
+    pub fn time_left(&self) -> Duration {
+        self.until.saturating_duration_since(Instant::now())
+    }
+
+    /// The request to a backend server; `prepare` adds what the kind of backend server needs.
+    pub fn request_to(
+        &self,
+        backend: &BackendInfo,
+        dialect: &CallDialect,
+        prepare: impl FnOnce(&mut HeaderMap),
+    ) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.target.parse().expect("the target of a request read");
+        *request.headers_mut() = self.headers.clone();
+        let address = CallAddress {
+            backend: &backend.id,
+            time_left: self.time_left(),
+        };
+        (dialect.address_call)(request.headers_mut(), address);
+        prepare(request.headers_mut());
+        request
+    }
+}
+
+/// Reads a request's body within the limits and puts the call together.
+pub async fn read_call(
+    parts: Parts,
+    body: Incoming,
+    route: Rc<RelayRoute>,
+    limits: &CallerLimits,
+    dialect: &CallDialect,
+) -> Result<RelayCall, Refusal> {
+    let arrived = Instant::now();
+    let marks = (dialect.read_call)(&parts.headers);
+    let patience = match marks.time_left {
+        Some(left) => left.min(route.time_limit),
+        None => route.time_limit,
+    };
+    let until = arrived + patience;
+    let reading = read_body(body, limits);
+    let body = tokio::time::timeout_at(until, reading)
+        .await
+        .unwrap_or_else(|_| Err(slow_body()))?;
+    let target = parts
+        .uri
+        .path_and_query()
+        .map_or("/", |target| target.as_str());
+    let mut headers = parts.headers;
+    answer::strip_hop_headers(&mut headers);
+    (dialect.strip_call)(&mut headers);
+    Ok(RelayCall {
+        method: parts.method,
+        target: target.to_owned(),
+        headers,
+        body,
+        marks,
+        route,
+        arrived,
+        until,
+    })
+}
+
+async fn read_body(mut body: Incoming, limits: &CallerLimits) -> Result<Bytes, Refusal> {
+    let mut whole = BytesMut::new();
+    loop {
+        let frame = tokio::time::timeout(limits.idle_time, body.frame())
+            .await
+            .map_err(|_| slow_body())?;
+        let Some(frame) = frame else {
+            return Ok(whole.freeze());
+        };
+        let frame = frame.map_err(|error| {
+            let text = format!("the body broke off: {error}");
+            Refusal::not_run(RefusalCode::InvalidRequest, text)
+        })?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if whole.len() + data.len() > limits.body_bytes {
+            let text = format!("the body has more than {} bytes", limits.body_bytes);
+            return Err(Refusal::not_run(RefusalCode::TooLarge, text));
+        }
+        whole.extend_from_slice(&data);
+    }
+}
+
+fn slow_body() -> Refusal {
+    Refusal::not_run(RefusalCode::SlowCaller, "the body took too long to arrive")
+}
--- /dev/null
+++ b/src/relay/dialect.rs
@@ -0,0 +1,129 @@
+//! How backend servers are spoken to: which headers, calls and bodies carry what.
+//!
+//! The decisions are the same for every kind of backend server; what differs is here, as data and
+//! functions.
+
+use {
+    crate::engine::EngineRole,
+    bytes::Bytes,
+    faststr::FastStr,
+    http::{HeaderMap, Method, StatusCode},
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// What a caller's request says of itself.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct CallMarks {
+    /// The caller's id of the request, unique to each of its tries.
+    pub id: FastStr,
+    /// How long the caller will wait.
+    pub time_left: Option<Duration>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens of the answer at most.
+    pub answer_limit: u64,
+    /// The caller's estimate of the answer's tokens.
+    pub answer_hint: Option<u64>,
+    /// The last event that the caller has.
+    pub last_event: Option<FastStr>,
+}
+
+/// What a backend server's answer says of itself.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct AnswerMarks {
+    /// Id of the request that it answers.
+    pub id: Option<FastStr>,
+    /// The backend server states that the request did not run.
+    pub not_run: bool,
+}
+
+/// Whom a request is meant for, and how long it may take.
+#[derive(Debug, Clone, Copy)]
+pub struct CallAddress<'a> {
+    /// The run of the backend server; any other declines.
+    pub backend: &'a str,
+    /// What is left of the caller's time.
+    pub time_left: Duration,
+}
+
+/// A call of our own to a backend server.
+#[derive(Debug, Clone)]
+pub struct BackendCall {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// A JSON body, or nothing.
+    pub body: Bytes,
+}
+
+/// A KV cache that waits at a prefill engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PromptCache {
+    /// What it is called there.
+    pub handle: FastStr,
+    /// Its tokens.
+    pub tokens: u64,
+}
+
+/// How a decode engine is to begin a request.
+#[derive(Debug, Clone, Default)]
+pub struct DecodeStart {
+    /// Where the KV cache waits: the prefill engine's address and the cache's name.
+    pub source: Option<(SocketAddr, FastStr)>,
+    /// Memory reserved for the request.
+    pub hold: Option<FastStr>,
+    /// The last event that the caller has.
+    pub after_event: Option<FastStr>,
+}
+
+/// A fenced order to an engine to take another role.
+#[derive(Debug, Clone)]
+pub struct RoleOrder {
+    /// The role to take.
+    pub role: EngineRole,
+    /// The host that gives the order.
+    pub holder: FastStr,
+    /// The lease's fencing token.
+    pub token: u64,
+    /// The order is void if the engine has taken another number of orders.
+    pub orders_taken: u64,
+}
+
+/// How backend servers of any kind are spoken to.
+#[derive(Debug, Clone, Copy)]
+pub struct CallDialect {
+    /// Reads what a caller's request says of itself.
+    pub read_call: fn(&HeaderMap) -> CallMarks,
+    /// Removes headers that only this host may set.
+    pub strip_call: fn(&mut HeaderMap),
+    /// Names the backend server and the time that is left.
+    pub address_call: fn(&mut HeaderMap, CallAddress<'_>),
+    /// Names the run of the backend server that a call of our own is meant for.
+    pub name_backend: fn(&mut HeaderMap, &str),
+    /// Reads what an answer says of itself.
+    pub read_answer: fn(StatusCode, &HeaderMap) -> AnswerMarks,
+    /// What engines are told besides.
+    pub engines: EngineDialect,
+}
+
+/// How model engines are spoken to.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineDialect {
+    /// Makes a request one for the prefill alone.
+    pub as_prefill: fn(&mut HeaderMap),
+    /// Reads the answer to a prefill.
+    pub read_prefill: fn(&[u8]) -> Option<PromptCache>,
+    /// Makes a request one for the decode.
+    pub as_decode: fn(&mut HeaderMap, &DecodeStart),
+    /// Reserves memory for a time.
+    pub hold: fn(u64, Duration) -> BackendCall,
+    /// Reads what a reservation is called.
+    pub read_hold: fn(&[u8]) -> Option<FastStr>,
+    /// Gives a reservation back.
+    pub drop_hold: fn(&str) -> BackendCall,
+    /// Frees a KV cache that waits.
+    pub free_cache: fn(&str) -> BackendCall,
+    /// Gives an order.
+    pub order: fn(&RoleOrder) -> BackendCall,
+}
--- /dev/null
+++ b/src/relay/handler.rs
@@ -0,0 +1,113 @@
+//! From a caller's request to its one answer.
+
+use {
+    super::{
+        answer::{self, RelayAnswer},
+        call::{self, RelayCall},
+        config::{CallerLimits, RelayRoute},
+        parts::RelayParts,
+        plain, stream,
+    },
+    crate::{
+        event,
+        operation::{Refusal, RefusalCode},
+    },
+    http::{Request, header, request::Parts},
+    hyper::body::Incoming,
+    std::{rc::Rc, time::Duration},
+    tokio::time::Instant,
+};
+
+/// When a caller is to come back to a host that has no configuration yet.
+const COME_BACK: Duration = Duration::from_millis(300);
+
+/// Answers a caller's request.
+pub async fn answer_caller(parts: Rc<RelayParts>, request: Request<Incoming>) -> RelayAnswer {
+    let arrived = Instant::now();
+    let (head, body) = request.into_parts();
+    let id = (parts.dialect.read_call)(&head.headers).id;
+    let path = head.uri.path().to_owned();
+    let result = relay(&parts, head, body).await;
+    let mut answer = match result {
+        Ok(answer) => answer,
+        Err(refusal) => {
+            event::emit(
+                &event::REQUEST_REFUSED,
+                &[
+                    ("request", &id),
+                    ("path", &path),
+                    ("code", &refusal.code.as_str()),
+                    ("verdict", &refusal.verdict),
+                    ("after_ms", &arrived.elapsed().as_millis()),
+                    ("why", &refusal.message),
+                ],
+            );
+            answer::refused(&refusal)
+        }
+    };
+    if parts.gate.is_stopping() {
+        let close = http::HeaderValue::from_static("close");
+        answer.headers_mut().insert(header::CONNECTION, close);
+    }
+    answer
+}
+
+async fn relay(
+    parts: &Rc<RelayParts>,
+    head: Parts,
+    body: Incoming,
+) -> Result<RelayAnswer, Refusal> {
+    let entry = parts.gate.enter()?;
+    let routes = parts.routes().ok_or_else(not_configured)?;
+    let limits = &routes.config().limits;
+    check_headers(&head, limits)?;
+    let route = find_route(&routes, &head)?;
+    let service = routes.draw_service(&route).ok_or_else(|| {
+        let text = format!("route {} leads to no service", route.name);
+        Refusal::not_run(RefusalCode::NoBackend, text).after(COME_BACK)
+    })?;
+    let call = call::read_call(head, body, route, limits, &parts.dialect).await?;
+    parts.count_request(&service.name);
+    let call = Rc::new(call);
+    let name = service.name.clone();
+    let answer = match is_engine_stream(&call, service.engine.is_some()) {
+        true => stream::relay_stream(parts.clone(), call, name).await?,
+        false => plain::relay_plain(parts.clone(), call, name).await?,
+    };
+    // In progress until the caller has its last byte.
+    Ok(answer.map(|body| answer::kept_with(body, entry)))
+}
+
+fn is_engine_stream(call: &RelayCall, has_engines: bool) -> bool {
+    call.route.kind.is_stream() && has_engines
+}
+
+fn not_configured() -> Refusal {
+    let text = "this host has no configuration yet";
+    Refusal::not_run(RefusalCode::NotConfigured, text).after(COME_BACK)
+}
+
+fn check_headers(head: &Parts, limits: &CallerLimits) -> Result<(), Refusal> {
+    let headers = head.headers.iter();
+    let size: usize = headers
+        .map(|(name, value)| name.as_str().len() + value.len() + 4)
+        .sum();
+    if size > limits.header_bytes {
+        let text = format!(
+            "the headers have {size} bytes, more than {}",
+            limits.header_bytes
+        );
+        return Err(Refusal::not_run(RefusalCode::TooLarge, text));
+    }
+    Ok(())
+}
+
+fn find_route(routes: &super::route::RouteTable, head: &Parts) -> Result<Rc<RelayRoute>, Refusal> {
+    let named = head.headers.get(header::HOST);
+    let host = named.and_then(|value| value.to_str().ok());
+    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
+    routes.find(host, head.uri.path()).ok_or_else(|| {
+        let text = format!("no route for host {host:?} and path {:?}", head.uri.path());
+        Refusal::not_run(RefusalCode::UnknownRoute, text)
+    })
+}
--- /dev/null
+++ b/src/relay/host.rs
@@ -0,0 +1,188 @@
+//! A relaying host, started and stopped.
+
+use {
+    super::{
+        dialect::CallDialect,
+        feed::ClusterFeed,
+        handler,
+        link::{HostEntry, StoreItem, StoreKind, StoreLink, StoreValue},
+        parts::RelayParts,
+        roles,
+        settings::RelaySettings,
+    },
+    crate::{
+        event,
+        operation::OnceSignal,
+        store::StoreFailure,
+        web::{self, IngressHandler, IngressLimits},
+    },
+    eyre::WrapErr,
+    futures::FutureExt,
+    http::Response,
+    std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
+    tokio::net::TcpListener,
+};
+
+/// Time for which a stopping host still lets requests in: the balancer takes it out after two failed
+/// checks, a second apart.
+const BALANCER_LAG: Duration = Duration::from_millis(2_600);
+
+/// Part of the grace of a planned stop that is left for the end of the process.
+const STOP_MARGIN: Duration = Duration::from_millis(300);
+
+/// How long connections may take to write out their last bytes.
+const CLOSE_TIME: Duration = Duration::from_millis(150);
+
+/// Longest time that bytes sent to a caller may stay unacknowledged.
+const CALLER_SILENCE: Duration = Duration::from_secs(5);
+
+/// Time for the headers of a request, also of a connection that is idle. Callers use connections
+/// again after up to four fifths of the idle time that operators configure.
+const HEADER_TIME: Duration = Duration::from_secs(16);
+
+/// Pause before the host's entry is written again after a failure.
+const ENTRY_PAUSE: Duration = Duration::from_millis(700);
+
+/// A running host.
+#[derive(Debug)]
+pub struct RelayHost {
+    /// What its tasks share.
+    pub parts: Rc<RelayParts>,
+    store: Rc<StoreLink>,
+    closing: Arc<OnceSignal>,
+    checks_closing: Arc<OnceSignal>,
+}
+
+impl RelayHost {
+    /// Opens the sockets and starts all tasks on the current thread.
+    pub fn start(
+        settings: RelaySettings,
+        dialect: CallDialect,
+        store: StoreLink,
+    ) -> eyre::Result<Self> {
+        let callers = open("callers", settings.callers)?;
+        let checks = open("checks", settings.checks)?;
+        let peers = open("peers", settings.peers)?;
+        event::emit(
+            &event::HOST_STARTED,
+            &[
+                ("host", &settings.name),
+                ("zone", &settings.zone),
+                ("callers", &settings.callers),
+                ("checks", &settings.checks),
+                ("peers", &settings.peers),
+                ("store", &settings.store),
+            ],
+        );
+        let parts = RelayParts::new(settings, dialect);
+        let store = Rc::new(store);
+        let host = Self {
+            parts: parts.clone(),
+            store: store.clone(),
+            closing: Arc::default(),
+            checks_closing: Arc::default(),
+        };
+        ClusterFeed::start(parts.clone(), store.clone(), peers);
+        tokio::task::spawn_local(write_entry(parts.clone(), store.clone()));
+        tokio::task::spawn_local(roles::keep_roles(parts, store));
+        host.serve(callers, host.caller_handler(), host.closing.clone());
+        host.serve(checks, host.check_handler(), host.checks_closing.clone());
+        Ok(host)
+    }
+
+    fn serve(&self, listener: TcpListener, handler: IngressHandler, closing: Arc<OnceSignal>) {
+        let limits = Rc::new(IngressLimits {
+            header_time: Cell::new(HEADER_TIME),
+            silence_limit: CALLER_SILENCE,
+        });
+        tokio::task::spawn_local(web::serve_callers(listener, handler, limits, closing));
+    }
+
+    fn caller_handler(&self) -> IngressHandler {
+        let parts = self.parts.clone();
+        Rc::new(move |request| handler::answer_caller(parts.clone(), request).boxed_local())
+    }
+
+    fn check_handler(&self) -> IngressHandler {
+        let parts = self.parts.clone();
+        Rc::new(move |request| {
+            let answer = check(&parts, request.uri().path());
+            async move { answer }.boxed_local()
+        })
+    }
+
+    /// Stops as planned: what is in progress is finished, within the grace of a stop.
+    pub async fn drain(&self) {
+        let gate = &self.parts.gate;
+        gate.begin_stop();
+        event::emit(&event::HOST_STOPPING, &[("in_flight", &gate.in_flight())]);
+        let grace = self.parts.settings.bounds.stop_grace;
+        let finishing = async {
+            tokio::time::sleep(BALANCER_LAG).await;
+            self.closing.set();
+            gate.emptied().await;
+        };
+        let in_time = tokio::time::timeout(grace.saturating_sub(STOP_MARGIN), finishing).await;
+        if in_time.is_err() {
+            log::warn!("{} requests did not end within the grace", gate.in_flight());
+        }
+        let leaving = (self.store.delete)(StoreKind::Hosts, &self.parts.settings.name);
+        let closing = async {
+            tokio::time::sleep(CLOSE_TIME).await;
+        };
+        let (left, ()) = tokio::join!(tokio::time::timeout(CLOSE_TIME, leaving), closing);
+        if let Ok(Err(failure)) = left {
+            log::debug!("the host's entry stays: {failure}");
+        }
+        event::emit(&event::HOST_STOPPED, &[]);
+    }
+}
+
+fn open(key: &str, address: SocketAddr) -> eyre::Result<TcpListener> {
+    web::bind(address).wrap_err_with(|| format!("{key}: {address} cannot be listened on"))
+}
+
+// What the balancer is told.
+fn check(parts: &RelayParts, path: &str) -> super::answer::RelayAnswer {
+    let (status, text) = match path {
+        _ if path != parts.settings.ready_path => (404, "no such page"),
+        _ if parts.gate.is_stopping() => (503, "stopping"),
+        _ if parts.routes().is_none() => (503, "no configuration yet"),
+        _ => (200, "ready"),
+    };
+    let mut answer = Response::new(super::answer::whole_body(text.into()));
+    *answer.status_mut() = http::StatusCode::from_u16(status).expect("a status");
+    answer
+}
+
+// Writes who this host is, until that has succeeded.
+async fn write_entry(parts: Rc<RelayParts>, store: Rc<StoreLink>) {
+    let settings = &parts.settings;
+    let mut revision = 0;
+    loop {
+        let item = StoreItem {
+            name: settings.name.clone(),
+            revision,
+            value: StoreValue::Host(HostEntry {
+                name: settings.name.clone(),
+                zone: settings.zone.clone(),
+                peers: settings.peers,
+            }),
+        };
+        match (store.put)(StoreKind::Hosts, item).await {
+            Ok(_) => return,
+            // An earlier run's entry, or this one's own whose answer was lost.
+            Err(StoreFailure::Conflict(_)) => {
+                match (store.get)(StoreKind::Hosts, &settings.name).await {
+                    Ok(found) => revision = found.revision,
+                    Err(StoreFailure::NotFound) => revision = 0,
+                    Err(failure) => log::debug!("the host's entry: {failure}"),
+                }
+            }
+            Err(failure) => {
+                log::debug!("the host's entry: {failure}");
+                tokio::time::sleep(ENTRY_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/relay/line.rs
@@ -0,0 +1,60 @@
+//! The line in which requests wait for engines: the most urgent is served first.
+
+use std::{collections::BTreeMap, time::Duration};
+
+/// Where a request stands; smaller is served first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LineKey {
+    /// It can no longer be answered in time: those that can go first.
+    pub late: bool,
+    /// 0 is the most urgent.
+    pub priority: u8,
+    /// When it has to be served to be in time.
+    pub due: Duration,
+    /// Number of the request in line, unique.
+    pub ticket: u64,
+}
+
+/// Requests that wait for engines of any service of this host.
+#[derive(Debug, Default)]
+pub struct WaitLine {
+    // Which of a service's requests wait, in order of urgency.
+    waiting: BTreeMap<LineKey, u64>,
+    next_ticket: u64,
+}
+
+impl WaitLine {
+    /// A number for a request that will wait.
+    pub fn ticket(&mut self) -> u64 {
+        self.next_ticket += 1;
+        self.next_ticket
+    }
+
+    /// A request waits, or waits at another place than before.
+    pub fn place(&mut self, before: Option<LineKey>, key: LineKey) {
+        if let Some(before) = before {
+            self.waiting.remove(&before);
+        }
+        self.waiting.insert(key, key.ticket);
+    }
+
+    /// A request no longer waits.
+    pub fn leave(&mut self, key: &LineKey) {
+        self.waiting.remove(key);
+    }
+
+    /// How many wait before this one.
+    pub fn ahead(&self, key: &LineKey) -> usize {
+        self.waiting.range(..key).count()
+    }
+
+    /// How many wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether nobody waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+}
--- /dev/null
+++ b/src/relay/link.rs
@@ -0,0 +1,115 @@
+//! The store as a relaying host needs it: typed objects, read, watched and written under a condition.
+
+use {
+    super::{backend::BackendInfo, config::RelayConfig},
+    crate::{control::LeaseSpec, store::StoreFailure},
+    faststr::FastStr,
+    futures::future::LocalBoxFuture,
+    serde::{Deserialize, Serialize},
+    std::{fmt, net::SocketAddr, time::Duration},
+};
+
+/// The kinds of objects that a host reads or writes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum StoreKind {
+    /// The operators' configuration.
+    Config,
+    /// Backend servers; written by themselves.
+    Backends,
+    /// Hosts; written by themselves.
+    Hosts,
+    /// Leases.
+    Leases,
+}
+
+/// A host as others find it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostEntry {
+    /// Its name.
+    pub name: FastStr,
+    /// Its availability zone.
+    pub zone: FastStr,
+    /// Where other hosts connect.
+    pub peers: SocketAddr,
+}
+
+/// What an object holds.
+#[derive(Debug, Clone, PartialEq)]
+pub enum StoreValue {
+    /// The configuration.
+    Config(RelayConfig),
+    /// A backend server.
+    Backend(BackendInfo),
+    /// A host.
+    Host(HostEntry),
+    /// A lease.
+    Lease(LeaseSpec),
+}
+
+/// An object.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StoreItem {
+    /// Its name within its kind.
+    pub name: FastStr,
+    /// The store's revision of its last change.
+    pub revision: u64,
+    /// What it holds.
+    pub value: StoreValue,
+}
+
+/// All objects of a kind.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StoreList {
+    /// The objects.
+    pub items: Vec<StoreItem>,
+    /// The store's revision that the list shows.
+    pub revision: u64,
+}
+
+/// A change of an object.
+#[derive(Debug, Clone, PartialEq)]
+pub enum StoreChange {
+    /// It is now this.
+    Set(StoreItem),
+    /// It is gone.
+    Removed(FastStr),
+}
+
+/// The changes after a revision.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StoreChanges {
+    /// The changes, in order.
+    pub changes: Vec<StoreChange>,
+    /// The store's revision up to which they go.
+    pub revision: u64,
+}
+
+/// The future of a call to the store.
+pub type StoreCall<T> = LocalBoxFuture<'static, Result<T, StoreFailure>>;
+
+type ListCall = dyn Fn(StoreKind) -> StoreCall<StoreList>;
+type WatchCall = dyn Fn(StoreKind, u64, Duration) -> StoreCall<StoreChanges>;
+type GetCall = dyn Fn(StoreKind, &str) -> StoreCall<StoreItem>;
+type PutCall = dyn Fn(StoreKind, StoreItem) -> StoreCall<u64>;
+type DeleteCall = dyn Fn(StoreKind, &str) -> StoreCall<()>;
+
+/// The calls to the store; each is made once and answers within a bounded time.
+pub struct StoreLink {
+    /// Reads all objects of a kind.
+    pub list: Box<ListCall>,
+    /// Waits at most this long for changes after a revision; gives none when there are none.
+    pub watch: Box<WatchCall>,
+    /// Reads an object.
+    pub get: Box<GetCall>,
+    /// Writes an object if it still has the item's revision, 0 for one that is not there; gives its
+    /// new revision.
+    pub put: Box<PutCall>,
+    /// Removes an object.
+    pub delete: Box<DeleteCall>,
+}
+
+impl fmt::Debug for StoreLink {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("StoreLink")
+    }
+}
--- /dev/null
+++ b/src/relay/mod.rs
@@ -0,0 +1,31 @@
+//! Passing requests through unaltered to the backend servers of services: which, when, and what
+//! becomes of them when something fails.
+
+mod answer;
+mod backend;
+mod book;
+mod budget;
+mod call;
+mod cluster;
+mod config;
+mod dialect;
+mod events;
+mod feed;
+mod handler;
+mod host;
+mod line;
+mod link;
+mod parts;
+mod plain;
+mod prefill;
+mod reserve;
+mod roles;
+mod route;
+mod settings;
+mod stream;
+
+pub use self::{
+    answer::*, backend::*, book::*, budget::*, call::*, cluster::*, config::*, dialect::*,
+    events::*, feed::*, handler::*, host::*, line::*, link::*, parts::*, prefill::*, reserve::*,
+    roles::*, route::*, settings::*,
+};
--- /dev/null
+++ b/src/relay/parts.rs
@@ -0,0 +1,203 @@
+//! What the tasks of a relaying host share; all run on one thread.
+
+use {
+    super::{
+        backend::BackendInfo,
+        book::BackendBook,
+        budget::{RetryAllowance, WindowBudget},
+        cluster::ClusterState,
+        dialect::{BackendCall, CallDialect},
+        line::WaitLine,
+        route::RouteTable,
+        settings::RelaySettings,
+    },
+    crate::{
+        event,
+        host::StopGate,
+        operation::RunVerdict,
+        web::{ConnectionPool, PoolLane, PooledAnswer, SendFailure},
+    },
+    bytes::Bytes,
+    faststr::FastStr,
+    http::{HeaderValue, Request, StatusCode, header},
+    http_body_util::Full,
+    std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration},
+    tokio::{sync::Notify, time::Instant},
+};
+
+/// Bytes that an answer to a call of our own may have.
+const CONTROL_ANSWER_LIMIT: usize = 1 << 20;
+
+/// What the tasks of a relaying host share.
+#[derive(Debug)]
+pub struct RelayParts {
+    /// The host's settings.
+    pub settings: RelaySettings,
+    /// How backend servers are spoken to.
+    pub dialect: CallDialect,
+    /// Connections to them.
+    pub pool: Rc<ConnectionPool>,
+    /// What is known of them.
+    pub book: RefCell<BackendBook>,
+    /// What the store says.
+    pub cluster: RefCell<ClusterState>,
+    /// Repeats by service.
+    pub budgets: RefCell<HashMap<FastStr, WindowBudget>>,
+    /// Requests that wait for engines.
+    pub line: RefCell<WaitLine>,
+    /// Told when memory or a place in the line may have become free.
+    pub freed: Notify,
+    /// Counts requests in progress and closes for a planned stop.
+    pub gate: Arc<StopGate>,
+    start: Instant,
+}
+
+impl RelayParts {
+    /// The parts of a host that knows nothing yet.
+    pub fn new(settings: RelaySettings, dialect: CallDialect) -> Rc<Self> {
+        let pool = ConnectionPool::start(settings.pool.clone());
+        let gate = StopGate::new(settings.requests_limit);
+        Rc::new(Self {
+            settings,
+            dialect,
+            pool,
+            book: RefCell::default(),
+            cluster: RefCell::default(),
+            budgets: RefCell::default(),
+            line: RefCell::default(),
+            freed: Notify::new(),
+            gate,
+            start: Instant::now(),
+        })
+    }
+
+    /// Time since the host started.
+    pub fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// The routes in force, once a configuration is known.
+    pub fn routes(&self) -> Option<Rc<RouteTable>> {
+        self.cluster.borrow().routes()
+    }
+
+    /// Counts a request for a service.
+    pub fn count_request(&self, service: &FastStr) {
+        let now = self.now();
+        let mut budgets = self.budgets.borrow_mut();
+        budgets.entry(service.clone()).or_default().earn(now);
+    }
+
+    /// Whether one repeat more may be sent to a service; if so, it is counted.
+    pub fn spend_repeat(&self, service: &FastStr) -> bool {
+        let now = self.now();
+        let hosts = self.cluster.borrow().host_count();
+        let allowance = self.allowance();
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_default();
+        let allowed = budget.allows(allowance, hosts, now);
+        if allowed {
+            budget.count(now);
+        }
+        allowed
+    }
+
+    fn allowance(&self) -> RetryAllowance {
+        self.settings.bounds.retries
+    }
+
+    /// Sends a call of the host's own and reads its whole answer.
+    pub async fn call_backend(
+        &self,
+        backend: &BackendInfo,
+        call: BackendCall,
+        patience: Duration,
+    ) -> Result<(StatusCode, Bytes), SendFailure> {
+        let sending = async {
+            let answer = self.send_control(backend, call).await?;
+            let status = answer.status;
+            let body = answer.body.read(CONTROL_ANSWER_LIMIT).await;
+            let body = body.map_err(|detail| SendFailure {
+                verdict: RunVerdict::MayHaveRun,
+                detail,
+            })?;
+            Ok((status, body))
+        };
+        tokio::time::timeout(patience, sending)
+            .await
+            .unwrap_or_else(|_| {
+                Err(SendFailure {
+                    verdict: RunVerdict::MayHaveRun,
+                    detail: "no answer in time".into(),
+                })
+            })
+    }
+
+    async fn send_control(
+        &self,
+        backend: &BackendInfo,
+        call: BackendCall,
+    ) -> Result<PooledAnswer, SendFailure> {
+        let mut request = Request::new(Full::new(call.body));
+        *request.method_mut() = call.method;
+        *request.uri_mut() = call.path.parse().expect("a path of our own");
+        let headers = request.headers_mut();
+        let host = HeaderValue::from_str(&backend.address.to_string());
+        headers.insert(header::HOST, host.expect("an address is a header value"));
+        headers.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
+        (self.dialect.name_backend)(headers, &backend.id);
+        self.pool
+            .send(backend.address, PoolLane::Control, request)
+            .await
+    }
+}
+
+/// A backend server with another run at its address answers so.
+const MISDIRECTED: StatusCode = StatusCode::MISDIRECTED_REQUEST;
+
+impl RelayParts {
+    /// A backend server gave no answer.
+    pub fn note_failure(&self, backend: &BackendInfo, detail: &str) {
+        let now = self.now();
+        let ejected = self.book.borrow_mut().failed(&backend.id, now);
+        if ejected {
+            self.pool.forget(backend.address);
+            event::emit(
+                &event::BACKEND_EJECTED,
+                &[("backend", &backend.id), ("cause", &detail)],
+            );
+        }
+    }
+
+    /// A backend server declined a request.
+    pub fn note_decline(&self, backend: &BackendInfo, status: StatusCode) {
+        if status == MISDIRECTED {
+            self.book.borrow_mut().set_leaving(&backend.id);
+            self.pool.forget(backend.address);
+        }
+    }
+}
+
+/// How long a call that frees something is repeated until an answer comes; what it frees lapses by
+/// itself soon after.
+const FREE_PATIENCE: Duration = Duration::from_millis(600);
+
+impl RelayParts {
+    /// A time as the host's own clock counts it.
+    pub fn at(&self, time: Instant) -> Duration {
+        time.saturating_duration_since(self.start)
+    }
+
+    /// Sends a call that frees something at a backend server; nobody waits for it.
+    pub fn call_later(self: Rc<Self>, backend: BackendInfo, call: BackendCall) {
+        tokio::task::spawn_local(async move {
+            let path = call.path.clone();
+            if let Err(failure) = self.call_backend(&backend, call, FREE_PATIENCE).await {
+                log::debug!("{path} at {} failed: {failure}", backend.id);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/relay/plain.rs
@@ -0,0 +1,277 @@
+//! Requests to plain services: sent once, again only where nothing can run twice.
+
+use {
+    super::{
+        answer::{self, RelayAnswer},
+        backend::BackendInfo,
+        call::RelayCall,
+        parts::RelayParts,
+    },
+    crate::{
+        operation::{Refusal, RefusalCode, RunVerdict},
+        web::PoolLane,
+    },
+    bytes::Bytes,
+    faststr::FastStr,
+    futures::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered},
+    http::{HeaderMap, StatusCode},
+    std::{rc::Rc, time::Duration},
+    tokio::time::Instant,
+};
+
+/// Bytes that a plain answer may have.
+const ANSWER_LIMIT: usize = 8 << 20;
+
+/// Silence after which a repeatable request is also sent to a second server: several times the usual
+/// time of a plain call, and short against the time limits of their routes.
+const HEDGE_AFTER: Duration = Duration::from_millis(300);
+
+/// Servers that decline one after the other before the caller is told to come back.
+const DECLINES_MAX: usize = 3;
+
+/// When a caller is to come back after a refusal of a plain request.
+const COME_BACK: Duration = Duration::from_millis(100);
+
+/// A plain answer, read whole.
+struct WholeAnswer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// What became of one send.
+enum SendOutcome {
+    Answered(WholeAnswer),
+    /// It did not run there.
+    Declined(String),
+    /// It may have run and there is no answer.
+    Lost(String),
+}
+
+type Sending = LocalBoxFuture<'static, (BackendInfo, SendOutcome)>;
+
+/// A plain request on its way: what was tried and what came of it.
+struct PlainRelay {
+    parts: Rc<RelayParts>,
+    call: Rc<RelayCall>,
+    service: FastStr,
+    tried: Vec<FastStr>,
+    // Sends that ran or may have run; declined ones do not count.
+    sends: u32,
+    declines: usize,
+    verdict: RunVerdict,
+    detail: String,
+    fallback: Option<WholeAnswer>,
+}
+
+/// Answers a plain request.
+pub async fn relay_plain(
+    parts: Rc<RelayParts>,
+    call: Rc<RelayCall>,
+    service: FastStr,
+) -> Result<RelayAnswer, Refusal> {
+    let mut relay = PlainRelay {
+        parts,
+        call,
+        service,
+        tried: Vec::new(),
+        sends: 0,
+        declines: 0,
+        verdict: RunVerdict::NotRun,
+        detail: "no backend server can take it".into(),
+        fallback: None,
+    };
+    let answer = relay.run().await?;
+    let body = answer::whole_body(answer.body);
+    Ok(answer::relayed(answer.status, answer.headers, body))
+}
+
+impl PlainRelay {
+    async fn run(&mut self) -> Result<WholeAnswer, Refusal> {
+        let mut running: FuturesUnordered<Sending> = FuturesUnordered::new();
+        if !self.launch(&mut running) {
+            return Err(self.refusal(RefusalCode::NoBackend));
+        }
+        let mut hedge_at = self.hedge_time();
+        loop {
+            tokio::select! {
+                Some((backend, outcome)) = running.next() => {
+                    if let Some(answer) = self.take(&backend, outcome) {
+                        return Ok(answer);
+                    }
+                    if self.may_send_again() {
+                        self.launch(&mut running);
+                    }
+                    if running.is_empty() {
+                        return self.fallback.take().ok_or_else(|| self.refusal(RefusalCode::BackendLost));
+                    }
+                }
+                () = tokio::time::sleep_until(hedge_at) => {
+                    if self.may_send_again() {
+                        self.launch(&mut running);
+                    }
+                    hedge_at = self.hedge_time();
+                }
+                () = tokio::time::sleep_until(self.call.until) => {
+                    if self.sends_open(&running) {
+                        self.verdict = self.verdict.max(RunVerdict::MayHaveRun);
+                        self.detail = format!("{}; no answer within the time limit", self.detail);
+                    }
+                    return self.fallback.take().ok_or_else(|| self.refusal(RefusalCode::DeadlinePassed));
+                }
+            }
+        }
+    }
+
+    fn hedge_time(&self) -> Instant {
+        Instant::now() + HEDGE_AFTER
+    }
+
+    fn sends_open(&self, running: &FuturesUnordered<Sending>) -> bool {
+        !running.is_empty()
+    }
+
+    // Sends to the best server not tried yet; the first send of a request costs no repeat.
+    fn launch(&mut self, running: &mut FuturesUnordered<Sending>) -> bool {
+        let now = self.parts.now();
+        let zone = &self.parts.settings.zone;
+        let ranked = self
+            .parts
+            .book
+            .borrow()
+            .rank_plain(&self.service, zone, &self.tried, now);
+        let Some(backend) = ranked.into_iter().next() else {
+            return false;
+        };
+        if !self.tried.is_empty() && !self.parts.spend_repeat(&self.service) {
+            return false;
+        }
+        self.tried.push(backend.id.clone());
+        self.sends += 1;
+        running.push(Box::pin(send(
+            self.parts.clone(),
+            self.call.clone(),
+            backend,
+        )));
+        true
+    }
+
+    fn may_send_again(&self) -> bool {
+        let allowed = self
+            .verdict
+            .allows_retry(self.call.route.kind.is_repeatable());
+        let attempts = self.call.route.attempts.max(1);
+        allowed && self.sends < attempts && self.declines < DECLINES_MAX
+    }
+
+    // Takes what became of a send; gives the answer if that is the caller's.
+    fn take(&mut self, backend: &BackendInfo, outcome: SendOutcome) -> Option<WholeAnswer> {
+        match outcome {
+            SendOutcome::Answered(answer) => {
+                let is_good = !answer.status.is_server_error();
+                self.parts.book.borrow_mut().answered(&backend.id, is_good);
+                if is_good || !self.call.route.kind.is_repeatable() {
+                    return Some(answer);
+                }
+                self.verdict = RunVerdict::Ran;
+                self.detail = format!("{} answered {}", backend.id, answer.status);
+                self.fallback = Some(answer);
+            }
+            SendOutcome::Declined(detail) => {
+                self.sends -= 1;
+                self.declines += 1;
+                self.detail = format!("{} declined: {detail}", backend.id);
+            }
+            SendOutcome::Lost(detail) => {
+                self.verdict = self.verdict.max(RunVerdict::MayHaveRun);
+                self.detail = format!("{}: {detail}", backend.id);
+            }
+        }
+        None
+    }
+
+    fn refusal(&self, code: RefusalCode) -> Refusal {
+        let refusal = Refusal::new(self.verdict, code, self.detail.clone());
+        refusal.after(COME_BACK)
+    }
+}
+
+async fn send(
+    parts: Rc<RelayParts>,
+    call: Rc<RelayCall>,
+    backend: BackendInfo,
+) -> (BackendInfo, SendOutcome) {
+    let _guard = CallGuard::begin(&parts, &backend);
+    let request = call.request_to(&backend, &parts.dialect, |_| ());
+    let sent = parts
+        .pool
+        .send(backend.address, PoolLane::Requests, request)
+        .await;
+    let answer = match sent {
+        Ok(answer) => answer,
+        Err(failure) => {
+            parts.note_failure(&backend, &failure.detail);
+            let outcome = match failure.verdict {
+                RunVerdict::NotRun => SendOutcome::Declined(failure.detail),
+                _ => SendOutcome::Lost(failure.detail),
+            };
+            return (backend, outcome);
+        }
+    };
+    let marks = (parts.dialect.read_answer)(answer.status, &answer.headers);
+    if marks.id.as_ref().is_some_and(|id| *id != call.marks.id) {
+        parts.note_failure(&backend, "an answer to another request");
+        let outcome = SendOutcome::Lost("an answer to another request came".into());
+        return (backend, outcome);
+    }
+    let (status, headers) = (answer.status, answer.headers);
+    let body = match answer.body.read(ANSWER_LIMIT).await {
+        Ok(body) => body,
+        Err(detail) => {
+            parts.note_failure(&backend, &detail);
+            return (
+                backend,
+                SendOutcome::Lost(format!("answer cut short: {detail}")),
+            );
+        }
+    };
+    let outcome = match marks.not_run {
+        true => {
+            parts.note_decline(&backend, status);
+            SendOutcome::Declined(format!("status {status}"))
+        }
+        false => SendOutcome::Answered(WholeAnswer {
+            status,
+            headers,
+            body,
+        }),
+    };
+    (backend, outcome)
+}
+
+/// A request in progress at a backend server, counted until dropped.
+pub struct CallGuard {
+    parts: Rc<RelayParts>,
+    backend: FastStr,
+    call: u64,
+}
+
+impl CallGuard {
+    /// Counts a request from now.
+    pub fn begin(parts: &Rc<RelayParts>, backend: &BackendInfo) -> Self {
+        let now = parts.now();
+        let call = parts.book.borrow_mut().call_began(&backend.id, now);
+        Self {
+            parts: parts.clone(),
+            backend: backend.id.clone(),
+            call,
+        }
+    }
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        let mut book = self.parts.book.borrow_mut();
+        book.call_ended(&self.backend, self.call);
+    }
+}
--- /dev/null
+++ b/src/relay/prefill.rs
@@ -0,0 +1,166 @@
+//! Having a prompt's KV cache computed by a prefill engine.
+
+use {
+    super::{
+        backend::BackendInfo, call::RelayCall, dialect::PromptCache, parts::RelayParts,
+        plain::CallGuard,
+    },
+    crate::{engine::EngineRole, operation::RunVerdict, web::PoolLane},
+    http::StatusCode,
+    std::{rc::Rc, time::Duration},
+};
+
+/// Longest wait for a prefill: several times the usual, and short against the callers' patience.
+const PREFILL_PATIENCE: Duration = Duration::from_millis(1_200);
+
+/// Bytes that the answer to a prefill may have.
+const ANSWER_LIMIT: usize = 64 << 10;
+
+/// A KV cache that waits at a prefill engine; freed when dropped.
+pub struct WaitingCache {
+    parts: Rc<RelayParts>,
+    /// The prefill engine.
+    pub engine: BackendInfo,
+    cache: Option<PromptCache>,
+}
+
+impl WaitingCache {
+    /// The cache's name at its engine.
+    pub fn name(&self) -> Option<faststr::FastStr> {
+        self.cache.as_ref().map(|cache| cache.handle.clone())
+    }
+
+    /// The cache was taken by a decode engine.
+    pub fn taken(&mut self) {
+        self.cache = None;
+    }
+}
+
+impl Drop for WaitingCache {
+    fn drop(&mut self) {
+        if let Some(cache) = self.cache.take() {
+            let call = (self.parts.dialect.engines.free_cache)(&cache.handle);
+            self.parts.clone().call_later(self.engine.clone(), call);
+        }
+    }
+}
+
+/// Why there is no KV cache.
+#[derive(Debug)]
+pub struct PrefillFailure {
+    /// Whether the prompt may have been computed.
+    pub verdict: RunVerdict,
+    /// What happened.
+    pub detail: String,
+}
+
+// Tokens that a prefill engine has to compute for this host, counted until dropped.
+struct PrefillLoad {
+    parts: Rc<RelayParts>,
+    engine: BackendInfo,
+    tokens: u64,
+}
+
+impl PrefillLoad {
+    fn begin(parts: &Rc<RelayParts>, engine: &BackendInfo, tokens: u64) -> Self {
+        parts.book.borrow_mut().prefill_began(&engine.id, tokens);
+        Self {
+            parts: parts.clone(),
+            engine: engine.clone(),
+            tokens,
+        }
+    }
+}
+
+impl Drop for PrefillLoad {
+    fn drop(&mut self) {
+        let mut book = self.parts.book.borrow_mut();
+        book.prefill_ended(&self.engine.id, self.tokens);
+    }
+}
+
+/// The prefill engine to send to: in the zone of the decode engine, with the least work.
+pub fn choose_engine(parts: &RelayParts, service: &str, zone: &str) -> Option<BackendInfo> {
+    let now = parts.now();
+    let book = parts.book.borrow();
+    let engines = book.rank_engines(service, EngineRole::Prefill, zone, 0, now);
+    engines.into_iter().next()
+}
+
+/// Has the prompt computed.
+pub async fn compute_prompt(
+    parts: &Rc<RelayParts>,
+    call: &RelayCall,
+    engine: BackendInfo,
+) -> Result<WaitingCache, PrefillFailure> {
+    let _load = PrefillLoad::begin(parts, &engine, call.marks.prompt_tokens);
+    let _guard = CallGuard::begin(parts, &engine);
+    let patience = PREFILL_PATIENCE.min(call.time_left());
+    let computing = send(parts, call, &engine);
+    let result = tokio::time::timeout(patience, computing)
+        .await
+        .unwrap_or_else(|_| {
+            Err(PrefillFailure {
+                verdict: RunVerdict::MayHaveRun,
+                detail: "no answer in time".into(),
+            })
+        });
+    match &result {
+        Ok(_) => parts.book.borrow_mut().answered(&engine.id, true),
+        Err(failure) if failure.verdict != RunVerdict::NotRun => {
+            parts.note_failure(&engine, &failure.detail);
+        }
+        Err(_) => {}
+    }
+    let cache = result?;
+    Ok(WaitingCache {
+        parts: parts.clone(),
+        engine,
+        cache: Some(cache),
+    })
+}
+
+async fn send(
+    parts: &Rc<RelayParts>,
+    call: &RelayCall,
+    engine: &BackendInfo,
+) -> Result<PromptCache, PrefillFailure> {
+    let dialect = &parts.dialect;
+    let request = call.request_to(engine, dialect, dialect.engines.as_prefill);
+    let sent = parts
+        .pool
+        .send(engine.address, PoolLane::Requests, request)
+        .await;
+    let answer = sent.map_err(|failure| {
+        if failure.verdict == RunVerdict::NotRun {
+            parts.note_failure(engine, &failure.detail);
+        }
+        PrefillFailure {
+            verdict: failure.verdict,
+            detail: failure.detail,
+        }
+    })?;
+    let (status, marks) = (
+        answer.status,
+        (dialect.read_answer)(answer.status, &answer.headers),
+    );
+    let body = answer.body.read(ANSWER_LIMIT).await;
+    let body = body.map_err(|detail| PrefillFailure {
+        verdict: RunVerdict::MayHaveRun,
+        detail,
+    })?;
+    if marks.not_run {
+        parts.note_decline(engine, status);
+        return Err(PrefillFailure {
+            verdict: RunVerdict::NotRun,
+            detail: format!("declined with status {status}"),
+        });
+    }
+    let is_ours = marks.id.as_ref().is_none_or(|id| *id == call.marks.id);
+    let cache =
+        (dialect.engines.read_prefill)(&body).filter(|_| is_ours && status == StatusCode::OK);
+    cache.ok_or_else(|| PrefillFailure {
+        verdict: RunVerdict::MayHaveRun,
+        detail: format!("unusable answer, status {status}"),
+    })
+}
--- /dev/null
+++ b/src/relay/reserve.rs
@@ -0,0 +1,186 @@
+//! Waiting for memory at a decode engine, and reserving it.
+
+use {
+    super::{backend::BackendInfo, call::RelayCall, line::LineKey, parts::RelayParts},
+    crate::{
+        engine::EngineRole,
+        operation::{Refusal, RefusalCode},
+    },
+    faststr::FastStr,
+    http::StatusCode,
+    std::{rc::Rc, time::Duration},
+    tokio::time::Instant,
+};
+
+/// Longest wait for the answer to a reservation; engines answer these at once.
+const HOLD_PATIENCE: Duration = Duration::from_millis(250);
+
+/// How long memory is reserved: the prefill and the way to the engine fit into it.
+const HOLD_TIME: Duration = Duration::from_millis(1_500);
+
+/// Engines asked for memory before the request waits for some to become free.
+const HOLD_TRIES: usize = 4;
+
+/// Pause between two rounds of asking while nothing is known to have become free.
+const ROUND_PAUSE: Duration = Duration::from_millis(40);
+
+/// Longest wait of a request for memory: callers give a stream up after some seconds without events.
+const WAIT_LIMIT: Duration = Duration::from_millis(2_800);
+
+/// From the reservation to the first event: the prefill and the first step.
+const SERVICE_TIME: Duration = Duration::from_millis(250);
+
+/// When a caller is to come back after a refusal for lack of memory.
+const COME_BACK: Duration = Duration::from_millis(1_000);
+
+/// Memory at a decode engine, reserved for one request; given back when dropped.
+pub struct MemoryHold {
+    parts: Rc<RelayParts>,
+    /// The engine.
+    pub engine: BackendInfo,
+    /// What the reservation is called there; none once it was used.
+    hold: Option<FastStr>,
+    tokens: u64,
+}
+
+impl MemoryHold {
+    /// The name of the reservation, to be used now.
+    pub fn use_up(&mut self) -> Option<FastStr> {
+        self.hold.take()
+    }
+}
+
+impl Drop for MemoryHold {
+    fn drop(&mut self) {
+        let mut book = self.parts.book.borrow_mut();
+        book.memory_freed(&self.engine.id, self.tokens);
+        drop(book);
+        self.parts.freed.notify_waiters();
+        if let Some(hold) = self.hold.take() {
+            let call = (self.parts.dialect.engines.drop_hold)(&hold);
+            self.parts.clone().call_later(self.engine.clone(), call);
+        }
+    }
+}
+
+// A place in the line; left when dropped.
+struct LinePlace {
+    parts: Rc<RelayParts>,
+    key: LineKey,
+}
+
+impl LinePlace {
+    fn join(parts: &Rc<RelayParts>, call: &RelayCall) -> Self {
+        let mut line = parts.line.borrow_mut();
+        let due = call.arrived + call.route.latency_target;
+        let key = LineKey {
+            late: false,
+            priority: call.route.priority,
+            due: parts.at(due),
+            ticket: line.ticket(),
+        };
+        line.place(None, key);
+        Self {
+            parts: parts.clone(),
+            key,
+        }
+    }
+
+    fn is_first(&self) -> bool {
+        self.parts.line.borrow().ahead(&self.key) == 0
+    }
+
+    // Who can no longer be in time lets those go first who can.
+    fn update(&mut self) {
+        let late = self.parts.now() + SERVICE_TIME > self.key.due;
+        if late != self.key.late {
+            let key = LineKey { late, ..self.key };
+            self.parts.line.borrow_mut().place(Some(self.key), key);
+            self.key = key;
+        }
+    }
+}
+
+impl Drop for LinePlace {
+    fn drop(&mut self) {
+        self.parts.line.borrow_mut().leave(&self.key);
+        self.parts.freed.notify_waiters();
+    }
+}
+
+/// Waits for memory at a decode engine of the service and reserves it.
+pub async fn reserve(
+    parts: &Rc<RelayParts>,
+    call: &RelayCall,
+    service: &str,
+    tokens: u64,
+) -> Result<MemoryHold, Refusal> {
+    let give_up = call.until.min(call.arrived + WAIT_LIMIT);
+    let mut place = LinePlace::join(parts, call);
+    loop {
+        let freed = parts.freed.notified();
+        tokio::pin!(freed);
+        freed.as_mut().enable();
+        if place.is_first()
+            && let Some(hold) = ask_round(parts, service, tokens).await
+        {
+            return Ok(hold);
+        }
+        let pause = Instant::now() + ROUND_PAUSE;
+        tokio::select! {
+            () = freed => {}
+            () = tokio::time::sleep_until(pause.min(give_up)) => {}
+        }
+        if Instant::now() >= give_up {
+            let text = "no decode engine has memory for this request";
+            return Err(Refusal::not_run(RefusalCode::Overloaded, text).after(COME_BACK));
+        }
+        place.update();
+    }
+}
+
+async fn ask_round(parts: &Rc<RelayParts>, service: &str, tokens: u64) -> Option<MemoryHold> {
+    let now = parts.now();
+    let zone = &parts.settings.zone;
+    let engines = parts
+        .book
+        .borrow()
+        .rank_engines(service, EngineRole::Decode, zone, tokens, now);
+    for engine in engines.into_iter().take(HOLD_TRIES) {
+        if let Some(hold) = ask(parts, engine, tokens).await {
+            return Some(hold);
+        }
+    }
+    None
+}
+
+async fn ask(parts: &Rc<RelayParts>, engine: BackendInfo, tokens: u64) -> Option<MemoryHold> {
+    let engines = &parts.dialect.engines;
+    let call = (engines.hold)(tokens, HOLD_TIME);
+    let answer = parts.call_backend(&engine, call, HOLD_PATIENCE).await;
+    let hold = match answer {
+        Ok((StatusCode::OK, body)) => (engines.read_hold)(&body),
+        Ok((StatusCode::SERVICE_UNAVAILABLE, _)) => None,
+        Ok((status, _)) => {
+            parts.note_decline(&engine, status);
+            None
+        }
+        Err(failure) => {
+            parts.note_failure(&engine, &failure.detail);
+            return None;
+        }
+    };
+    let mut book = parts.book.borrow_mut();
+    let Some(hold) = hold else {
+        book.refused(&engine.id, tokens, parts.now());
+        return None;
+    };
+    book.answered(&engine.id, true);
+    book.memory_taken(&engine.id, tokens);
+    Some(MemoryHold {
+        parts: parts.clone(),
+        engine,
+        hold: Some(hold),
+        tokens,
+    })
+}
--- /dev/null
+++ b/src/relay/roles.rs
@@ -0,0 +1,254 @@
+//! Keeping the split of engines between prefill and decode, by fenced orders.
+//!
+//! One host gives orders at a time: the holder of a lease in the store. Requests do not depend on it.
+
+use {
+    super::{
+        backend::BackendInfo,
+        dialect::RoleOrder,
+        link::{StoreItem, StoreKind, StoreLink, StoreValue},
+        parts::RelayParts,
+    },
+    crate::{
+        control::{LeaseKeeper, LeaseWrite, SeenLease},
+        engine::EngineRole,
+        event,
+        store::StoreFailure,
+    },
+    faststr::FastStr,
+    http::StatusCode,
+    std::{collections::BTreeMap, rc::Rc, time::Duration},
+};
+
+/// How often the split is looked at.
+const LOOK_PERIOD: Duration = Duration::from_millis(500);
+
+/// The lease holds this many times the least time between two holders' orders: a holder stops at 0.8
+/// and a taker waits 1.2 of it, so that 0.4 times 2.75 keep them more than that time apart.
+const LEASE_FACTOR: f64 = 2.75;
+
+/// Longest wait for the answer to an order.
+const ORDER_PATIENCE: Duration = Duration::from_millis(400);
+
+/// How long an order may take until the engine is listed in its new role: it finishes what runs.
+const ORDER_TIME: Duration = Duration::from_secs(14);
+
+/// How long an order that was refused or not answered is not given again.
+const ORDER_PAUSE: Duration = Duration::from_secs(3);
+
+/// Engines of a zone for each that computes prompts.
+const ENGINES_A_PREFILL: usize = 5;
+
+/// Least time of an imbalance before a host but the first of the list takes care of it.
+const NEXT_HOST_DELAY: Duration = Duration::from_millis(2_500);
+
+/// Name of the lease.
+const LEASE_NAME: &str = "engine-roles";
+
+/// An engine that is to change its role.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RoleChange {
+    /// The engine.
+    pub engine: BackendInfo,
+    /// Its new role.
+    pub role: EngineRole,
+}
+
+/// The changes that bring each zone of a service to its split.
+pub fn plan_roles(engines: &[BackendInfo]) -> Vec<RoleChange> {
+    let mut zones: BTreeMap<&FastStr, Vec<&BackendInfo>> = BTreeMap::new();
+    for engine in engines.iter().filter(|engine| !engine.leaving) {
+        zones.entry(&engine.zone).or_default().push(engine);
+    }
+    zones.into_values().flat_map(plan_zone).collect()
+}
+
+fn plan_zone(mut engines: Vec<&BackendInfo>) -> Vec<RoleChange> {
+    engines.sort_by(|a, b| a.id.cmp(&b.id));
+    let wanted = engines.len().div_ceil(ENGINES_A_PREFILL);
+    let (prefills, decodes): (Vec<&BackendInfo>, Vec<&BackendInfo>) = engines
+        .into_iter()
+        .filter(|engine| engine.role.is_some())
+        .partition(|engine| engine.role == Some(EngineRole::Prefill));
+    let change = |role: EngineRole| {
+        move |engine: &BackendInfo| RoleChange {
+            engine: engine.clone(),
+            role,
+        }
+    };
+    if prefills.len() > wanted {
+        let surplus = prefills.len() - wanted;
+        let changed = prefills.into_iter().take(surplus);
+        return changed.map(change(EngineRole::Decode)).collect();
+    }
+    // One engine alone computes and decodes by itself.
+    let missing = (wanted - prefills.len()).min(decodes.len().saturating_sub(1));
+    let changed = decodes.into_iter().take(missing);
+    changed.map(change(EngineRole::Prefill)).collect()
+}
+
+struct RoleKeeper {
+    parts: Rc<RelayParts>,
+    store: Rc<StoreLink>,
+    lease: LeaseKeeper,
+    // When each engine may be ordered again.
+    ordered: BTreeMap<FastStr, Duration>,
+    unbalanced_since: Option<Duration>,
+}
+
+/// Looks at the split for as long as the host runs, and corrects it while this host holds the lease.
+pub async fn keep_roles(parts: Rc<RelayParts>, store: Rc<StoreLink>) {
+    let own = FastStr::from_string(format!("{}/{:08x}", parts.name(), rand::random::<u32>()));
+    let time = parts.settings.bounds.lease_time.mul_f64(LEASE_FACTOR);
+    let mut keeper = RoleKeeper {
+        lease: LeaseKeeper::new(own, time),
+        parts,
+        store,
+        ordered: BTreeMap::new(),
+        unbalanced_since: None,
+    };
+    loop {
+        tokio::time::sleep(LOOK_PERIOD).await;
+        if keeper.parts.gate.is_stopping() {
+            return;
+        }
+        if let Err(failure) = keeper.look().await {
+            log::debug!("the lease of the engines' roles: {failure}");
+        }
+    }
+}
+
+impl RoleKeeper {
+    async fn look(&mut self) -> Result<(), StoreFailure> {
+        let now = self.parts.now();
+        let changes = self.due_changes(now);
+        if changes.is_empty() {
+            self.unbalanced_since = None;
+            return Ok(());
+        }
+        let since = *self.unbalanced_since.get_or_insert(now);
+        if now - since < self.turn_delay() {
+            return Ok(());
+        }
+        self.step_lease().await?;
+        for change in changes {
+            self.give_order(change).await;
+        }
+        Ok(())
+    }
+
+    // Hosts take their turn in the order of their names, so that not all of them try at once.
+    fn turn_delay(&self) -> Duration {
+        let own = self.parts.name();
+        let cluster = self.parts.cluster.borrow();
+        let before = cluster.hosts().filter(|entry| entry.name < own).count();
+        NEXT_HOST_DELAY * before as u32
+    }
+
+    fn due_changes(&self, now: Duration) -> Vec<RoleChange> {
+        let Some(routes) = self.parts.routes() else {
+            return Vec::new();
+        };
+        let cluster = self.parts.cluster.borrow();
+        let services = routes.config().services.iter();
+        let mut changes = Vec::new();
+        for service in services.filter(|service| service.engine.is_some()) {
+            let engines: Vec<BackendInfo> = cluster
+                .backends()
+                .filter(|backend| backend.service == service.name)
+                .cloned()
+                .collect();
+            changes.extend(plan_roles(&engines));
+        }
+        changes.retain(|change| {
+            let due = self.ordered.get(&change.engine.id);
+            due.is_none_or(|due| now >= *due)
+        });
+        changes
+    }
+
+    async fn step_lease(&mut self) -> Result<(), StoreFailure> {
+        let seen = self.read_lease().await?;
+        let Some(write) = self.lease.read(seen, self.parts.now()) else {
+            return Ok(());
+        };
+        match (self.store.put)(StoreKind::Leases, lease_item(&write)).await {
+            Ok(version) => {
+                let is_new = self.lease.written(&write, version, self.parts.now());
+                if is_new {
+                    event::emit(&event::LEASE_TAKEN, &[("token", &version)]);
+                }
+                Ok(())
+            }
+            Err(failure) => {
+                // Also a write whose answer was lost: the next reading shows whose it is.
+                self.lease.lost();
+                Err(failure)
+            }
+        }
+    }
+
+    async fn read_lease(&self) -> Result<SeenLease, StoreFailure> {
+        match (self.store.get)(StoreKind::Leases, LEASE_NAME).await {
+            Ok(StoreItem {
+                revision,
+                value: StoreValue::Lease(spec),
+                ..
+            }) => Ok(SeenLease {
+                version: revision,
+                spec,
+            }),
+            Ok(_) => Err(StoreFailure::Refused("not a lease".into())),
+            Err(StoreFailure::NotFound) => Ok(SeenLease::default()),
+            Err(failure) => Err(failure),
+        }
+    }
+
+    async fn give_order(&mut self, change: RoleChange) {
+        let now = self.parts.now();
+        // The order has to arrive while the lease holds.
+        let Some(lease) = self.lease.held(now + ORDER_PATIENCE) else {
+            return;
+        };
+        let order = RoleOrder {
+            role: change.role,
+            holder: self.parts.name(),
+            token: lease.token,
+            orders_taken: change.engine.orders_taken,
+        };
+        let call = (self.parts.dialect.engines.order)(&order);
+        let answer = self
+            .parts
+            .call_backend(&change.engine, call, ORDER_PATIENCE)
+            .await;
+        let (pause, outcome) = match &answer {
+            Ok((StatusCode::OK | StatusCode::ACCEPTED, _)) => (ORDER_TIME, "taken".to_owned()),
+            Ok((StatusCode::PRECONDITION_FAILED, _)) => {
+                self.lease.lost();
+                (ORDER_TIME, "a newer holder is at work".to_owned())
+            }
+            Ok((status, _)) => (ORDER_PAUSE, format!("status {status}")),
+            // It may have been taken, or may be carried out late; its count makes a second one void.
+            Err(failure) => (ORDER_TIME, failure.to_string()),
+        };
+        let engine = change.engine.id.clone();
+        self.ordered.insert(engine.clone(), now + pause);
+        event::emit(
+            &event::ORDER_SENT,
+            &[
+                ("engine", &engine),
+                ("role", &format!("{:?}", change.role)),
+                ("token", &lease.token),
+                ("outcome", &outcome),
+            ],
+        );
+    }
+}
+
+fn lease_item(write: &LeaseWrite) -> StoreItem {
+    StoreItem {
+        name: FastStr::from_static_str(LEASE_NAME),
+        revision: write.version,
+        value: StoreValue::Lease(write.spec.clone()),
+    }
+}
--- /dev/null
+++ b/src/relay/route.rs
@@ -0,0 +1,88 @@
+//! Finding the route of a request: by host, then by the longest path prefix.
+
+use {
+    super::config::{RelayConfig, RelayRoute, RelayService},
+    faststr::FastStr,
+    rand::RngExt,
+    std::{collections::HashMap, rc::Rc},
+};
+
+/// A configuration laid out for look-ups.
+#[derive(Debug)]
+pub struct RouteTable {
+    config: RelayConfig,
+    // Indexes of a host's routes, the longest prefix first.
+    by_host: HashMap<FastStr, Vec<usize>>,
+    routes: Vec<Rc<RelayRoute>>,
+    services: HashMap<FastStr, Rc<RelayService>>,
+}
+
+impl RouteTable {
+    /// Lays out a configuration.
+    pub fn new(config: RelayConfig) -> Self {
+        let routes: Vec<_> = config.routes.iter().cloned().map(Rc::new).collect();
+        let mut by_host: HashMap<FastStr, Vec<usize>> = HashMap::new();
+        for (index, route) in routes.iter().enumerate() {
+            by_host.entry(route.host.clone()).or_default().push(index);
+        }
+        for indexes in by_host.values_mut() {
+            indexes.sort_by_key(|index| std::cmp::Reverse(routes[*index].path_prefix.len()));
+        }
+        let services = config
+            .services
+            .iter()
+            .map(|service| (service.name.clone(), Rc::new(service.clone())))
+            .collect();
+        Self {
+            config,
+            by_host,
+            routes,
+            services,
+        }
+    }
+
+    /// The configuration.
+    pub fn config(&self) -> &RelayConfig {
+        &self.config
+    }
+
+    /// The route of a request, by its `Host` header and path.
+    pub fn find(&self, host: &str, path: &str) -> Option<Rc<RelayRoute>> {
+        let name = bare_host(host);
+        let indexes = self.by_host.get(name.as_str())?;
+        let index = indexes
+            .iter()
+            .find(|index| path.starts_with(self.routes[**index].path_prefix.as_str()))?;
+        Some(self.routes[*index].clone())
+    }
+
+    /// A service by its name.
+    pub fn service(&self, name: &str) -> Option<Rc<RelayService>> {
+        self.services.get(name).cloned()
+    }
+
+    /// The service that takes the next request of a route, drawn by weight.
+    pub fn draw_service(&self, route: &RelayRoute) -> Option<Rc<RelayService>> {
+        let total: u32 = route.shares.iter().map(|share| share.weight).sum();
+        if total == 0 {
+            return None;
+        }
+        let mut point = rand::rng().random_range(0..total);
+        for share in &route.shares {
+            if point < share.weight {
+                return self.service(&share.service);
+            }
+            point -= share.weight;
+        }
+        None
+    }
+}
+
+// Hosts are compared without their port and in lower case.
+fn bare_host(host: &str) -> String {
+    let name = match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    };
+    name.to_ascii_lowercase()
+}
--- /dev/null
+++ b/src/relay/settings.rs
@@ -0,0 +1,48 @@
+//! Settings of a host that passes requests through.
+
+use {
+    super::budget::RetryAllowance,
+    crate::web::PoolSettings,
+    faststr::FastStr,
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// What a relaying host is told at its start.
+#[derive(Debug, Clone)]
+pub struct RelaySettings {
+    /// The host's name.
+    pub name: FastStr,
+    /// Its availability zone.
+    pub zone: FastStr,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether the host is ready.
+    pub checks: SocketAddr,
+    /// Path of that question.
+    pub ready_path: FastStr,
+    /// Where other hosts connect.
+    pub peers: SocketAddr,
+    /// Where some other hosts may be found at the start; any may be gone.
+    pub seeds: Vec<SocketAddr>,
+    /// Where the store is.
+    pub store: SocketAddr,
+    /// Requests that are held at once at most.
+    pub requests_limit: u64,
+    /// Connections to backend servers.
+    pub pool: PoolSettings,
+    /// What operators bind the hosts to.
+    pub bounds: RelayBounds,
+}
+
+/// What operators bind the hosts to.
+#[derive(Debug, Clone)]
+pub struct RelayBounds {
+    /// Sends beyond the first of each request, by all hosts together.
+    pub retries: RetryAllowance,
+    /// Least time between the orders of two holders of the lease.
+    pub lease_time: Duration,
+    /// From the request to stop to the kill.
+    pub stop_grace: Duration,
+    /// Engines refuse orders with an older token.
+    pub engines_check_tokens: bool,
+}
--- /dev/null
+++ b/src/relay/stream.rs
@@ -0,0 +1,309 @@
+//! Requests answered by streams of events from model engines.
+//!
+//! Memory at a decode engine is reserved first, then a prefill engine computes the prompt, then the
+//! decode engine takes the KV cache over and streams. So no prompt is computed that finds no memory.
+
+use {
+    super::{
+        answer::{self, RelayAnswer},
+        call::RelayCall,
+        dialect::DecodeStart,
+        events::EventSplitter,
+        parts::RelayParts,
+        plain::CallGuard,
+        prefill::{self, WaitingCache},
+        reserve::{self, MemoryHold},
+    },
+    crate::{
+        operation::{Refusal, RefusalCode, RunVerdict},
+        web::{BrokenBody, PoolLane, PooledBody},
+    },
+    bytes::Bytes,
+    faststr::FastStr,
+    futures::Stream,
+    http::{HeaderMap, StatusCode},
+    std::{rc::Rc, time::Duration},
+    tokio::time::Instant,
+};
+
+/// Longest wait for the head of a decode engine's answer; it comes with the first token.
+const HEAD_PATIENCE: Duration = Duration::from_millis(3_000);
+
+/// Silence within a stream after which a resumable one is continued elsewhere.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
+
+/// Rounds of reserving, computing and decoding for one request.
+const ROUNDS_MAX: u32 = 3;
+
+/// When a caller is to come back after engines failed a request that did not run.
+const COME_BACK: Duration = Duration::from_millis(300);
+
+/// A request running at a decode engine.
+struct RunningStream {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: PooledBody,
+    // Held for as long as the engine's memory is.
+    _memory: MemoryHold,
+    _guard: CallGuard,
+}
+
+/// Why a round brought no stream.
+struct RoundFailure {
+    verdict: RunVerdict,
+    detail: String,
+}
+
+/// A streamed request on its way.
+struct StreamRelay {
+    parts: Rc<RelayParts>,
+    call: Rc<RelayCall>,
+    service: FastStr,
+    rounds: u32,
+    // Whether the one prefill that costs no repeat was sent.
+    computed: bool,
+    // Decodes that were sent, run or not.
+    decodes: u32,
+    skip_prefill: bool,
+}
+
+/// Answers a streamed request.
+pub async fn relay_stream(
+    parts: Rc<RelayParts>,
+    call: Rc<RelayCall>,
+    service: FastStr,
+) -> Result<RelayAnswer, Refusal> {
+    let mut relay = StreamRelay {
+        parts,
+        call,
+        service,
+        rounds: 0,
+        computed: false,
+        decodes: 0,
+        skip_prefill: false,
+    };
+    let running = relay.begin(None).await?;
+    let (status, headers) = (running.status, running.headers.clone());
+    let body = match relay.call.route.kind {
+        crate::relay::RequestKind::ResumableStream if status == StatusCode::OK => {
+            answer::streamed_body(resumable_chunks(relay, running))
+        }
+        _ => answer::streamed_body(plain_chunks(relay, running)),
+    };
+    Ok(answer::relayed(status, headers, body))
+}
+
+impl StreamRelay {
+    // Rounds until an engine answers; an answer that may have run ends the tries.
+    async fn begin(&mut self, after: Option<FastStr>) -> Result<RunningStream, Refusal> {
+        loop {
+            self.rounds += 1;
+            let failure = match self.round(after.clone()).await? {
+                Ok(running) => return Ok(running),
+                Err(failure) => failure,
+            };
+            let spent = self.rounds >= ROUNDS_MAX || self.call.time_left().is_zero();
+            if failure.verdict != RunVerdict::NotRun || spent {
+                let refusal =
+                    Refusal::new(failure.verdict, RefusalCode::BackendLost, failure.detail);
+                return Err(refusal.after(COME_BACK));
+            }
+        }
+    }
+
+    async fn round(
+        &mut self,
+        after: Option<FastStr>,
+    ) -> Result<Result<RunningStream, RoundFailure>, Refusal> {
+        let marks = &self.call.marks;
+        let tokens = marks.prompt_tokens + marks.answer_limit;
+        let hold = reserve::reserve(&self.parts, &self.call, &self.service, tokens).await?;
+        let cache = match self.compute(&hold).await {
+            Ok(cache) => cache,
+            Err(failure) => return Ok(Err(failure)),
+        };
+        Ok(self.decode(hold, cache, after).await)
+    }
+
+    // No cache: the decode engine computes the prompt itself.
+    async fn compute(&mut self, hold: &MemoryHold) -> Result<Option<WaitingCache>, RoundFailure> {
+        if self.skip_prefill {
+            return Ok(None);
+        }
+        let zone = &hold.engine.zone;
+        let Some(engine) = prefill::choose_engine(&self.parts, &self.service, zone) else {
+            return Ok(None);
+        };
+        if self.computed && !self.parts.spend_repeat(&self.service) {
+            return Err(RoundFailure {
+                verdict: RunVerdict::NotRun,
+                detail: "no repeats are left for another prefill".into(),
+            });
+        }
+        self.computed = true;
+        let computed = prefill::compute_prompt(&self.parts, &self.call, engine).await;
+        match computed {
+            Ok(cache) => Ok(Some(cache)),
+            // A prompt that was computed for nothing has not run: no answer was begun.
+            Err(failure) => Err(RoundFailure {
+                verdict: RunVerdict::NotRun,
+                detail: format!("prefill: {}", failure.detail),
+            }),
+        }
+    }
+
+    async fn decode(
+        &mut self,
+        mut hold: MemoryHold,
+        mut cache: Option<WaitingCache>,
+        after: Option<FastStr>,
+    ) -> Result<RunningStream, RoundFailure> {
+        let parts = self.parts.clone();
+        if self.decodes > 0 && !parts.spend_repeat(&self.service) {
+            return Err(RoundFailure {
+                verdict: RunVerdict::NotRun,
+                detail: "no repeats are left for another decode".into(),
+            });
+        }
+        self.decodes += 1;
+        let source = cache
+            .as_ref()
+            .and_then(|cache| Some((cache.engine.address, cache.name()?)));
+        let start = DecodeStart {
+            source,
+            hold: hold.use_up(),
+            after_event: after,
+        };
+        let engine = hold.engine.clone();
+        let guard = CallGuard::begin(&parts, &engine);
+        let request = self.call.request_to(&engine, &parts.dialect, |headers| {
+            (parts.dialect.engines.as_decode)(headers, &start);
+        });
+        let patience = HEAD_PATIENCE.min(self.call.time_left());
+        let sending = parts.pool.send(engine.address, PoolLane::Requests, request);
+        let sent = tokio::time::timeout(patience, sending).await;
+        let answer = match sent {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(failure)) => {
+                parts.note_failure(&engine, &failure.detail);
+                return Err(RoundFailure {
+                    verdict: failure.verdict,
+                    detail: format!("decode at {}: {}", engine.id, failure.detail),
+                });
+            }
+            Err(_) => {
+                parts.note_failure(&engine, "no answer in time");
+                return Err(RoundFailure {
+                    verdict: RunVerdict::MayHaveRun,
+                    detail: format!("decode at {}: no answer in time", engine.id),
+                });
+            }
+        };
+        let marks = (parts.dialect.read_answer)(answer.status, &answer.headers);
+        if marks
+            .id
+            .as_ref()
+            .is_some_and(|id| *id != self.call.marks.id)
+        {
+            parts.note_failure(&engine, "an answer to another request");
+            return Err(RoundFailure {
+                verdict: RunVerdict::MayHaveRun,
+                detail: format!("decode at {}: an answer to another request", engine.id),
+            });
+        }
+        if marks.not_run {
+            parts.note_decline(&engine, answer.status);
+            // Most often the KV cache could not be had; the engine then reads the prompt itself.
+            self.skip_prefill = cache.is_some();
+            let status = answer.status;
+            let _ = answer.body.read(1 << 16).await;
+            return Err(RoundFailure {
+                verdict: RunVerdict::NotRun,
+                detail: format!("decode at {} declined with status {status}", engine.id),
+            });
+        }
+        if let Some(cache) = &mut cache {
+            cache.taken();
+        }
+        parts
+            .book
+            .borrow_mut()
+            .answered(&engine.id, !answer.status.is_server_error());
+        Ok(RunningStream {
+            status: answer.status,
+            headers: answer.headers,
+            body: answer.body,
+            _memory: hold,
+            _guard: guard,
+        })
+    }
+}
+
+// Bytes as they come; a break is passed on as one.
+fn plain_chunks(
+    relay: StreamRelay,
+    mut running: RunningStream,
+) -> impl Stream<Item = Result<Bytes, BrokenBody>> {
+    async_stream::stream! {
+        loop {
+            let next = tokio::time::timeout_at(relay.call.until, running.body.chunk()).await;
+            match next {
+                Ok(Some(Ok(chunk))) => yield Ok(chunk),
+                Ok(None) => return,
+                Ok(Some(Err(error))) => {
+                    yield Err(BrokenBody(format!("the engine broke off: {error}")));
+                    return;
+                }
+                Err(_) => {
+                    yield Err(BrokenBody("the time limit was reached".into()));
+                    return;
+                }
+            }
+        }
+    }
+}
+
+// Whole events as they come; after a break the rest comes from another engine.
+fn resumable_chunks(
+    mut relay: StreamRelay,
+    mut running: RunningStream,
+) -> impl Stream<Item = Result<Bytes, BrokenBody>> {
+    async_stream::stream! {
+        let mut splitter = EventSplitter::default();
+        loop {
+            let silent_at = (Instant::now() + SILENCE_LIMIT).min(relay.call.until);
+            let next = tokio::time::timeout_at(silent_at, running.body.chunk()).await;
+            let broke = match next {
+                Ok(Some(Ok(chunk))) => {
+                    if let Some(events) = splitter.push(&chunk) {
+                        yield Ok(events);
+                    }
+                    continue;
+                }
+                Ok(None) => {
+                    if let Some(rest) = splitter.take_rest() {
+                        yield Ok(rest);
+                    }
+                    return;
+                }
+                Ok(Some(Err(error))) => format!("the engine broke off: {error}"),
+                Err(_) => "the engine fell silent".to_owned(),
+            };
+            // Closes the connection, on which the engine stops.
+            drop(running);
+            splitter.drop_rest();
+            let after = splitter.last_id().map(FastStr::new);
+            match relay.begin(after).await {
+                Ok(next) if next.status == StatusCode::OK => running = next,
+                Ok(next) => {
+                    yield Err(BrokenBody(format!("{broke}; then status {}", next.status)));
+                    return;
+                }
+                Err(refusal) => {
+                    yield Err(BrokenBody(format!("{broke}; then {refusal}")));
+                    return;
+                }
+            }
+        }
+    }
+}
--- a/src/standin/platform/core.rs
+++ b/src/standin/platform/core.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         object::{AnyObject, kind},
-        platform::ObjectList,
+        store::ObjectList,
     },
     faststr::FastStr,
     std::{
--- a/src/standin/platform/server.rs
+++ b/src/standin/platform/server.rs
@@ -2,7 +2,7 @@
 
 use {
     super::core::{PlatformCore, StoreRefusal},
-    crate::{object::AnyObject, platform, web},
+    crate::{object::AnyObject, store, web},
     bytes::Bytes,
     futures::FutureExt,
     http::Method,
@@ -40,7 +40,7 @@
 
 async fn answer_call(core: &Arc<PlatformCore>, request: Request) -> Response {
     let (parts, content) = request.into_parts();
-    let Some(rest) = parts.uri.path().strip_prefix(platform::OBJECTS_PATH) else {
+    let Some(rest) = parts.uri.path().strip_prefix(store::OBJECTS_PATH) else {
         return web::text_reply(404, "no such path");
     };
     let query = read_query(parts.uri.query().unwrap_or_default());
--- a/src/platform/client.rs
+++ b/src/store/client.rs
@@ -28,7 +28,7 @@
 
 /// Why a call to the platform did not succeed.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PlatformFailure {
+pub enum StoreFailure {
     /// Another write came first, or the object is there already.
     Conflict(String),
     /// There is no such object.
@@ -43,7 +43,7 @@
     Unknown(String),
 }
 
-impl fmt::Display for PlatformFailure {
+impl fmt::Display for StoreFailure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Conflict(text) => write!(f, "conflict: {text}"),
@@ -56,9 +56,9 @@
     }
 }
 
-impl std::error::Error for PlatformFailure {}
+impl std::error::Error for StoreFailure {}
 
-impl From<WebFailure> for PlatformFailure {
+impl From<WebFailure> for StoreFailure {
     fn from(failure: WebFailure) -> Self {
         match failure {
             WebFailure::Unreachable(text) => Self::Unreachable(text),
@@ -76,13 +76,13 @@
 
 /// Calls the platform; cheap to clone.
 #[derive(Debug, Clone)]
-pub struct PlatformClient {
+pub struct StoreClient {
     client: WebClient,
     address: SocketAddr,
     timeout: Duration,
 }
 
-impl PlatformClient {
+impl StoreClient {
     /// A client of the platform at `address` that waits `timeout` for an answer.
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
         Self {
@@ -93,18 +93,18 @@
     }
 
     /// Reads all objects.
-    pub async fn list(&self) -> Result<ObjectList, PlatformFailure> {
+    pub async fn list(&self) -> Result<ObjectList, StoreFailure> {
         self.call::<(), _>(Method::GET, OBJECTS_PATH, None).await
     }
 
     /// Reads one object.
-    pub async fn get(&self, kind: &str, name: &str) -> Result<AnyObject, PlatformFailure> {
+    pub async fn get(&self, kind: &str, name: &str) -> Result<AnyObject, StoreFailure> {
         self.call::<(), _>(Method::GET, &object_path(kind, name), None)
             .await
     }
 
     /// Creates an object, or changes it if it still has the version that it shows.
-    pub async fn put(&self, object: &AnyObject) -> Result<AnyObject, PlatformFailure> {
+    pub async fn put(&self, object: &AnyObject) -> Result<AnyObject, StoreFailure> {
         let path = object_path(&object.kind, &object.metadata.name);
         self.call(Method::PUT, &path, Some(object)).await
     }
@@ -115,7 +115,7 @@
         kind: &str,
         name: &str,
         version: u64,
-    ) -> Result<AnyObject, PlatformFailure> {
+    ) -> Result<AnyObject, StoreFailure> {
         let path = format!("{}?resourceVersion={version}", object_path(kind, name));
         self.call::<(), _>(Method::DELETE, &path, None).await
     }
@@ -125,7 +125,7 @@
         method: Method,
         path: &str,
         content: Option<&A>,
-    ) -> Result<R, PlatformFailure> {
+    ) -> Result<R, StoreFailure> {
         let answer = self
             .client
             .json(method, self.address, path, content, self.timeout)
@@ -134,7 +134,7 @@
     }
 
     /// Waits until an object other than a lease changes after version `since`; the time bounds the wait.
-    pub async fn changed(&self, since: u64, time: Duration) -> Result<(), PlatformFailure> {
+    pub async fn changed(&self, since: u64, time: Duration) -> Result<(), StoreFailure> {
         let seconds = time.as_secs().max(1);
         let selector = format!("kind!={}", kind::LEASE);
         let path = format!(
@@ -150,18 +150,18 @@
         );
         let response = tokio::time::timeout(self.timeout, sent)
             .await
-            .map_err(|_| PlatformFailure::Unknown("the watch did not begin in time".into()))??;
+            .map_err(|_| StoreFailure::Unknown("the watch did not begin in time".into()))??;
         match response.status() {
             StatusCode::OK => {}
-            StatusCode::GONE => return Err(PlatformFailure::Gone),
-            status => return Err(PlatformFailure::Unknown(format!("status {status}"))),
+            StatusCode::GONE => return Err(StoreFailure::Gone),
+            status => return Err(StoreFailure::Unknown(format!("status {status}"))),
         }
         let mut content = response.into_body();
         // The first line is enough: the list that is read next tells the rest.
         match tokio::time::timeout(time + self.timeout, content.frame()).await {
             Ok(Some(Ok(_)) | None) => Ok(()),
-            Ok(Some(Err(error))) => Err(PlatformFailure::Unknown(error.to_string())),
-            Err(_) => Err(PlatformFailure::Unknown("the watch went silent".into())),
+            Ok(Some(Err(error))) => Err(StoreFailure::Unknown(error.to_string())),
+            Err(_) => Err(StoreFailure::Unknown("the watch went silent".into())),
         }
     }
 }
--- a/src/platform/write.rs
+++ b/src/store/write.rs
@@ -1,7 +1,7 @@
 //! Conditional writes whose answers may be lost.
 
 use {
-    super::client::{PlatformClient, PlatformFailure},
+    super::client::{StoreClient, StoreFailure},
     crate::object::AnyObject,
     faststr::FastStr,
     std::time::Duration,
@@ -18,19 +18,19 @@
 /// The write holds only if the object still has the version it shows, so sending it again is
 /// harmless: at most one of the copies takes effect, and the mark tells whose it was.
 pub async fn write_marked(
-    client: &PlatformClient,
+    client: &StoreClient,
     mut object: AnyObject,
     mark: FastStr,
-) -> Result<AnyObject, PlatformFailure> {
+) -> Result<AnyObject, StoreFailure> {
     object.metadata.writer = mark.clone();
-    let mut last = PlatformFailure::Unknown("not tried".into());
+    let mut last = StoreFailure::Unknown("not tried".into());
     for _ in 0..WRITE_TRIES {
         match client.put(&object).await {
             Ok(written) => return Ok(written),
-            Err(PlatformFailure::Conflict(text)) => {
+            Err(StoreFailure::Conflict(text)) => {
                 return settle_conflict(client, &object, &mark, text).await;
             }
-            Err(failure @ (PlatformFailure::Unknown(_) | PlatformFailure::Unreachable(_))) => {
+            Err(failure @ (StoreFailure::Unknown(_) | StoreFailure::Unreachable(_))) => {
                 last = failure;
                 tokio::time::sleep(WRITE_PAUSE).await;
             }
@@ -42,16 +42,16 @@
 
 // A conflict with a write of the same mark is this write's own earlier copy.
 async fn settle_conflict(
-    client: &PlatformClient,
+    client: &StoreClient,
     object: &AnyObject,
     mark: &FastStr,
     text: String,
-) -> Result<AnyObject, PlatformFailure> {
-    let mut last = PlatformFailure::Conflict(text.clone());
+) -> Result<AnyObject, StoreFailure> {
+    let mut last = StoreFailure::Conflict(text.clone());
     for _ in 0..WRITE_TRIES {
         match client.get(&object.kind, &object.metadata.name).await {
             Ok(found) if found.metadata.writer == *mark => return Ok(found),
-            Ok(_) => return Err(PlatformFailure::Conflict(text)),
+            Ok(_) => return Err(StoreFailure::Conflict(text)),
             Err(failure) => last = failure,
         }
         tokio::time::sleep(WRITE_PAUSE).await;
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -1,8 +1,10 @@
-//! HTTP plumbing that all parts share: one way to call, one way to serve, one way to read a body.
+//! HTTP plumbing that all parts share: ways to call, ways to serve, one way to read a body.
 
 mod body;
 mod client;
+mod ingress;
+mod pool;
 mod reply;
 mod server;
 
-pub use self::{body::*, client::*, reply::*, server::*};
+pub use self::{body::*, client::*, ingress::*, pool::*, reply::*, server::*};
--- /dev/null
+++ b/src/web/pool.rs
@@ -0,0 +1,347 @@
+//! Connections to backend servers, kept and used again.
+//!
+//! `volo-http`'s client shows neither which connection carried a request nor whether any of it was
+//! written; `hyper`, on which it is built, shows both. A request is written once; whether it was
+//! written decides what may be promised of it.
+
+use {
+    crate::operation::RunVerdict,
+    bytes::Bytes,
+    http::{HeaderMap, Request, StatusCode, header},
+    http_body_util::{BodyExt, Full},
+    hyper::{body::Incoming, client::conn::http1},
+    hyper_util::rt::TokioIo,
+    socket2::SockRef,
+    std::{
+        cell::{Cell, RefCell},
+        collections::HashMap,
+        fmt, io,
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{net::TcpStream, task::AbortHandle, time::Instant},
+};
+
+/// Seconds of idleness after which a connection is not used again where the server announces none:
+/// under the shortest that a server announces, which is whole seconds.
+const IDLE_DEFAULT: Duration = Duration::from_millis(2_500);
+
+/// Part of an announced idle time that is left unused: a request takes some milliseconds to arrive.
+const IDLE_MARGIN: Duration = Duration::from_millis(600);
+
+/// How often idle connections past their time are closed.
+const SWEEP_PERIOD: Duration = Duration::from_secs(1);
+
+/// What a pool goes by.
+#[derive(Debug, Clone)]
+pub struct PoolSettings {
+    /// Longest wait for a new connection.
+    pub connect_time: Duration,
+    /// Longest time that sent bytes may stay unacknowledged before the connection is given up.
+    pub silence_limit: Duration,
+}
+
+/// What a connection is used for; an answer too many on one use is then never read by the other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum PoolLane {
+    /// Callers' requests.
+    Requests,
+    /// The host's own calls.
+    Control,
+}
+
+/// Why a request got no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SendFailure {
+    /// Whether it may have run.
+    pub verdict: RunVerdict,
+    /// What happened.
+    pub detail: String,
+}
+
+impl fmt::Display for SendFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.detail)
+    }
+}
+
+impl std::error::Error for SendFailure {}
+
+type Sender = http1::SendRequest<Full<Bytes>>;
+
+struct IdleConnection {
+    connection: PooledConnection,
+    until: Instant,
+}
+
+// An open connection; dropping it closes the socket.
+struct PooledConnection {
+    sender: Sender,
+    task: AbortHandle,
+    open: Rc<Cell<usize>>,
+}
+
+impl Drop for PooledConnection {
+    fn drop(&mut self) {
+        self.task.abort();
+        self.open.set(self.open.get() - 1);
+    }
+}
+
+type PoolKey = (SocketAddr, PoolLane);
+
+/// Connections by address and use.
+pub struct ConnectionPool {
+    idle: RefCell<HashMap<PoolKey, Vec<IdleConnection>>>,
+    settings: PoolSettings,
+    open: Rc<Cell<usize>>,
+    opened: Cell<u64>,
+}
+
+impl fmt::Debug for ConnectionPool {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "ConnectionPool({} open)", self.open.get())
+    }
+}
+
+/// An answer whose body is still to be read.
+pub struct PooledAnswer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: PooledBody,
+}
+
+/// The body of an answer; the connection goes back to the pool once it was read to its end.
+pub struct PooledBody {
+    content: Incoming,
+    lease: Option<(PooledConnection, Duration)>,
+    pool: Rc<ConnectionPool>,
+    key: PoolKey,
+}
+
+impl ConnectionPool {
+    /// A pool without connections; closes idle ones in time for as long as it lives.
+    pub fn start(settings: PoolSettings) -> Rc<Self> {
+        let pool = Rc::new(Self {
+            idle: RefCell::default(),
+            settings,
+            open: Rc::default(),
+            opened: Cell::new(0),
+        });
+        let swept = Rc::downgrade(&pool);
+        tokio::task::spawn_local(async move {
+            loop {
+                tokio::time::sleep(SWEEP_PERIOD).await;
+                let Some(pool) = swept.upgrade() else { return };
+                pool.sweep();
+            }
+        });
+        pool
+    }
+
+    /// Connections opened since the start.
+    pub fn opened(&self) -> u64 {
+        self.opened.get()
+    }
+
+    /// Connections that are open.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Closes what is idle towards an address.
+    pub fn forget(&self, address: SocketAddr) {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|(known, _), _| *known != address);
+    }
+
+    fn sweep(&self) {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        for connections in idle.values_mut() {
+            connections.retain(|known| now < known.until && !known.connection.sender.is_closed());
+        }
+        idle.retain(|_, connections| !connections.is_empty());
+    }
+
+    fn take(&self, key: PoolKey) -> Option<PooledConnection> {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(&key)?;
+        while let Some(known) = connections.pop() {
+            let usable = known.connection.sender.is_ready() && now < known.until;
+            if usable {
+                return Some(known.connection);
+            }
+        }
+        None
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<PooledConnection, SendFailure> {
+        let opening = open_stream(address, self.settings.silence_limit);
+        let stream = tokio::time::timeout(self.settings.connect_time, opening)
+            .await
+            .map_err(|_| not_sent("no connection in time"))?
+            .map_err(|error| not_sent(format!("no connection: {error}")))?;
+        let (sender, connection) = http1::Builder::new()
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| not_sent(format!("no connection: {error}")))?;
+        let task = tokio::task::spawn_local(async move {
+            if let Err(error) = connection.await {
+                log::debug!("connection to {address} ended: {error}");
+            }
+        });
+        self.opened.set(self.opened.get() + 1);
+        self.open.set(self.open.get() + 1);
+        Ok(PooledConnection {
+            sender,
+            task: task.abort_handle(),
+            open: self.open.clone(),
+        })
+    }
+
+    /// Sends a request once and waits for the head of its answer.
+    ///
+    /// A caller that stops waiting closes the connection.
+    pub async fn send(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        lane: PoolLane,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<PooledAnswer, SendFailure> {
+        let key = (address, lane);
+        loop {
+            let kept = self.take(key);
+            let is_kept = kept.is_some();
+            let mut connection = match kept {
+                Some(connection) => connection,
+                None => self.connect(address).await?,
+            };
+            match connection.sender.try_send_request(request).await {
+                Ok(answer) => return Ok(self.answer(key, connection, answer)),
+                Err(mut error) => match error.take_message() {
+                    // Closed while idle, and nothing of the request was written.
+                    Some(unsent) if is_kept => request = unsent,
+                    Some(_) => return Err(not_sent(error.error().to_string())),
+                    None => {
+                        return Err(SendFailure {
+                            verdict: RunVerdict::MayHaveRun,
+                            detail: format!("no answer: {}", error.error()),
+                        });
+                    }
+                },
+            }
+        }
+    }
+
+    fn answer(
+        self: &Rc<Self>,
+        key: PoolKey,
+        connection: PooledConnection,
+        answer: http::Response<Incoming>,
+    ) -> PooledAnswer {
+        let (parts, content) = answer.into_parts();
+        let idle = idle_time(&parts.headers);
+        PooledAnswer {
+            status: parts.status,
+            headers: parts.headers,
+            body: PooledBody {
+                content,
+                lease: Some((connection, idle)),
+                pool: self.clone(),
+                key,
+            },
+        }
+    }
+
+    fn give_back(self: &Rc<Self>, key: PoolKey, mut connection: PooledConnection, idle: Duration) {
+        let pool = self.clone();
+        tokio::task::spawn_local(async move {
+            if connection.sender.ready().await.is_err() {
+                return;
+            }
+            let until = Instant::now() + idle;
+            let mut known = pool.idle.borrow_mut();
+            let connections = known.entry(key).or_default();
+            connections.push(IdleConnection { connection, until });
+        });
+    }
+}
+
+impl PooledBody {
+    /// The next bytes; none at the body's end.
+    pub async fn chunk(&mut self) -> Option<Result<Bytes, hyper::Error>> {
+        loop {
+            match self.content.frame().await {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => return Some(Ok(data)),
+                    Err(_trailers) => continue,
+                },
+                Some(Err(error)) => {
+                    self.lease = None;
+                    return Some(Err(error));
+                }
+                None => {
+                    if let Some((connection, idle)) = self.lease.take() {
+                        self.pool.give_back(self.key, connection, idle);
+                    }
+                    return None;
+                }
+            }
+        }
+    }
+
+    /// Reads the whole body, of at most `limit` bytes.
+    pub async fn read(mut self, limit: usize) -> Result<Bytes, String> {
+        let mut whole = bytes::BytesMut::new();
+        while let Some(chunk) = self.chunk().await {
+            let chunk = chunk.map_err(|error| error.to_string())?;
+            if whole.len() + chunk.len() > limit {
+                return Err(format!("the answer has more than {limit} bytes"));
+            }
+            whole.extend_from_slice(&chunk);
+        }
+        Ok(whole.freeze())
+    }
+}
+
+/// Opens a connection that notices a silent peer.
+pub async fn open_stream(address: SocketAddr, silence_limit: Duration) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    SockRef::from(&stream).set_tcp_user_timeout(Some(silence_limit))?;
+    Ok(stream)
+}
+
+fn not_sent(detail: impl Into<String>) -> SendFailure {
+    SendFailure {
+        verdict: RunVerdict::NotRun,
+        detail: detail.into(),
+    }
+}
+
+// How long a connection may be idle and still be used, by what the server announces.
+fn idle_time(headers: &HeaderMap) -> Duration {
+    let announced = headers
+        .get("keep-alive")
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| {
+            text.split(',')
+                .find_map(|part| part.trim().strip_prefix("timeout="))
+        })
+        .and_then(|seconds| seconds.parse().ok())
+        .map(Duration::from_secs);
+    let closes = headers
+        .get(header::CONNECTION)
+        .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
+    match announced {
+        _ if closes => Duration::ZERO,
+        Some(time) => time.saturating_sub(IDLE_MARGIN),
+        None => IDLE_DEFAULT,
+    }
+}
--- a/tests/matrix/intents.rs
+++ b/tests/matrix/intents.rs
@@ -5,7 +5,7 @@
     bayplank::{
         control::{AcceptedConfig, ConfigKeeper, ConfigOffer, ConfigStep},
         object::{AnyObject, kind},
-        platform::ObjectList,
+        store::ObjectList,
     },
     faststr::FastStr,
     serde_json::json,
