Roles by fenced orders, prefill engines by predicted wait, memory by the caller's estimate

Cause: orders named the listed count of orders, which the list does not follow (409 to all of them); each stream reserved its longest possible answer (1,920 tokens of 816 on average), so that engines stood half empty; prefill engines were chosen in the own zone by this host's own work alone. Change: the engine's own report before an order, a plan that has to stay for 0.9 s, a quarter of the engines for prefill; reserved tokens are the prompt and the caller's estimate; the prefill engine by its last observed delay and own work over all zones, the decode engine by itself from 0.4 s of predicted wait on; events of ended requests.

--- a/src/relay/book.rs
+++ b/src/relay/book.rs
@@ -37,6 +37,15 @@
 /// How long an engine that had no room is not asked again for as much.
 const REFUSED_TIME: Duration = Duration::from_millis(60);
 
+/// Prompt tokens a second that a prefill engine computes, before any was observed.
+const PREFILL_RATE: f64 = 20_000.0;
+
+/// How long an observed delay of a prefill engine tells of its present queue.
+const DELAY_MEMORY: Duration = Duration::from_millis(300);
+
+/// Delay that a prefill engine of another zone counts as: its KV cache takes the dearer way.
+const AWAY_DELAY: f64 = 0.04;
+
 /// What this host knows of one backend server.
 #[derive(Debug)]
 pub struct BackendView {
@@ -51,6 +60,8 @@
     memory_tokens: u64,
     refused: Option<(Duration, u64)>,
     prefill_tokens: u64,
+    // How much longer than its own prompt the last prefill took, and when that was seen.
+    prefill_delay: Option<(Duration, Duration)>,
 }
 
 impl BackendView {
@@ -65,9 +76,21 @@
             memory_tokens: 0,
             refused: None,
             prefill_tokens: 0,
+            prefill_delay: None,
         }
     }
 
+    // What stands before a new prompt there, as far as this host can know: its own prompts, and what
+    // the last answer showed of others'.
+    fn prefill_backlog(&self, rate: f64, now: Duration) -> f64 {
+        let own = self.prefill_tokens as f64 / rate;
+        let Some((delay, at)) = self.prefill_delay else {
+            return own;
+        };
+        let age = now.saturating_sub(at).as_secs_f64() / DELAY_MEMORY.as_secs_f64();
+        own + delay.as_secs_f64() * (-age).exp()
+    }
+
     /// Whether it is passed over.
     pub fn is_out(&self, now: Duration) -> bool {
         now < self.out_until
@@ -101,10 +124,22 @@
 }
 
 /// All backend servers that this host may send to.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct BackendBook {
     views: BTreeMap<FastStr, BackendView>,
     next_call: u64,
+    // Prompt tokens a second that prefill engines were seen to compute at best.
+    prefill_rate: f64,
+}
+
+impl Default for BackendBook {
+    fn default() -> Self {
+        Self {
+            views: BTreeMap::new(),
+            next_call: 0,
+            prefill_rate: PREFILL_RATE,
+        }
+    }
 }
 
 impl BackendBook {
@@ -153,33 +188,62 @@
         })
     }
 
-    /// The engines of a role that have room as far as is known, best first: own zone, least work of
+    /// The decode engines that have room as far as is known, best first: own zone, least work of
     /// this host.
-    pub fn rank_engines(
+    pub fn rank_decodes(
         &self,
         service: &str,
-        role: EngineRole,
         zone: &str,
         tokens: u64,
         now: Duration,
     ) -> Vec<BackendInfo> {
         let views = self
-            .usable(service)
-            .filter(|view| view.info.role == Some(role))
-            .filter(|view| !view.is_out(now) && !view.has_refused(tokens, now));
+            .engines(service, EngineRole::Decode, now)
+            .filter(|view| !view.has_refused(tokens, now));
         sorted(views, |view| {
-            let work = match role {
-                EngineRole::Prefill => view.prefill_tokens,
-                EngineRole::Decode => view.memory_tokens,
-            };
-            (view.info.zone != zone, work, rand::random::<u16>())
+            (
+                view.info.zone != zone,
+                view.memory_tokens,
+                rand::random::<u16>(),
+            )
         })
     }
 
-    /// Whether the service has an engine of this role at all.
-    pub fn has_role(&self, service: &str, role: EngineRole, now: Duration) -> bool {
+    /// The prefill engine that would compute a prompt first, and the predicted time until it would
+    /// begin, seconds.
+    pub fn best_prefill(
+        &self,
+        service: &str,
+        zone: &str,
+        now: Duration,
+    ) -> Option<(BackendInfo, f64)> {
+        let scored = self.engines(service, EngineRole::Prefill, now).map(|view| {
+            let away = f64::from(u8::from(view.info.zone != zone)) * AWAY_DELAY;
+            let backlog = view.prefill_backlog(self.prefill_rate, now);
+            (view, backlog, backlog + away, rand::random::<u16>())
+        });
+        let best = scored.min_by(|a, b| a.2.total_cmp(&b.2).then(a.3.cmp(&b.3)))?;
+        Some((best.0.info.clone(), best.1))
+    }
+
+    fn engines<'a>(
+        &'a self,
+        service: &'a str,
+        role: EngineRole,
+        now: Duration,
+    ) -> impl Iterator<Item = &'a BackendView> {
         self.usable(service)
-            .any(|view| view.info.role == Some(role) && !view.is_out(now))
+            .filter(move |view| view.info.role == Some(role) && !view.is_out(now))
+    }
+
+    /// A prefill of this many tokens took this long.
+    pub fn prefill_observed(&mut self, id: &str, tokens: u64, took: Duration, now: Duration) {
+        let seen = tokens as f64 / took.as_secs_f64().max(0.001);
+        self.prefill_rate = self.prefill_rate.max(seen);
+        let own = Duration::from_secs_f64(tokens as f64 / self.prefill_rate);
+        if let Some(view) = self.views.get_mut(id) {
+            view.prefill_delay = Some((took.saturating_sub(own), now));
+        }
     }
 
     fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a BackendView> {
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -90,6 +90,25 @@
     pub orders_taken: u64,
 }
 
+/// What an engine says of itself; some hundred milliseconds old.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineReport {
+    /// What it does.
+    pub role: Option<EngineRole>,
+    /// It is carrying out an order.
+    pub is_busy: bool,
+    /// Orders that it has taken since its start.
+    pub orders_taken: u64,
+    /// Requests that wait there.
+    pub waiting: u64,
+    /// Requests that run there.
+    pub running: u64,
+    /// Tokens of memory that cannot give way.
+    pub memory_used: u64,
+    /// Tokens of memory in all.
+    pub memory_total: u64,
+}
+
 /// How backend servers of any kind are spoken to.
 #[derive(Debug, Clone, Copy)]
 pub struct CallDialect {
@@ -124,6 +143,10 @@
     pub drop_hold: fn(&str) -> BackendCall,
     /// Frees a KV cache that waits.
     pub free_cache: fn(&str) -> BackendCall,
+    /// Asks an engine what it does.
+    pub report: fn() -> BackendCall,
+    /// Reads the answer to that.
+    pub read_report: fn(&[u8]) -> Option<EngineReport>,
     /// Gives an order.
     pub order: fn(&RoleOrder) -> BackendCall,
 }
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -8,6 +8,7 @@
         parts::RelayParts,
     },
     crate::{
+        event,
         operation::{Refusal, RefusalCode, RunVerdict},
         web::PoolLane,
     },
@@ -61,6 +62,8 @@
     declines: usize,
     verdict: RunVerdict,
     detail: String,
+    // Each server tried and what it answered, for the log.
+    trail: String,
     fallback: Option<WholeAnswer>,
 }
 
@@ -79,9 +82,11 @@
         declines: 0,
         verdict: RunVerdict::NotRun,
         detail: "no backend server can take it".into(),
+        trail: String::new(),
         fallback: None,
     };
     let answer = relay.run().await?;
+    relay.log_end(answer.status);
     let body = answer::whole_body(answer.body);
     Ok(answer::relayed(answer.status, answer.headers, body))
 }
@@ -164,10 +169,32 @@
         allowed && self.sends < attempts && self.declines < DECLINES_MAX
     }
 
+    fn log_end(&self, status: StatusCode) {
+        let call = &self.call;
+        event::emit(
+            &event::REQUEST_ENDED,
+            &[
+                ("request", &call.marks.id),
+                ("route", &call.route.name),
+                ("end", &status.as_u16()),
+                ("tried", &self.trail),
+                ("ended_ms", &call.arrived.elapsed().as_millis()),
+            ],
+        );
+    }
+
+    fn note_step(&mut self, backend: &BackendInfo, step: &str) {
+        let at = self.call.arrived.elapsed().as_millis();
+        let between = if self.trail.is_empty() { "" } else { "," };
+        let step = format!("{between}{}:{step}@{at}", backend.id);
+        self.trail.push_str(&step);
+    }
+
     // Takes what became of a send; gives the answer if that is the caller's.
     fn take(&mut self, backend: &BackendInfo, outcome: SendOutcome) -> Option<WholeAnswer> {
         match outcome {
             SendOutcome::Answered(answer) => {
+                self.note_step(backend, answer.status.as_str());
                 let is_good = !answer.status.is_server_error();
                 self.parts.book.borrow_mut().answered(&backend.id, is_good);
                 if is_good || !self.call.route.kind.is_repeatable() {
@@ -178,11 +205,13 @@
                 self.fallback = Some(answer);
             }
             SendOutcome::Declined(detail) => {
+                self.note_step(backend, "declined");
                 self.sends -= 1;
                 self.declines += 1;
                 self.detail = format!("{} declined: {detail}", backend.id);
             }
             SendOutcome::Lost(detail) => {
+                self.note_step(backend, "lost");
                 self.verdict = self.verdict.max(RunVerdict::MayHaveRun);
                 self.detail = format!("{}: {detail}", backend.id);
             }
--- a/src/relay/prefill.rs
+++ b/src/relay/prefill.rs
@@ -5,7 +5,7 @@
         backend::BackendInfo, call::RelayCall, dialect::PromptCache, parts::RelayParts,
         plain::CallGuard,
     },
-    crate::{engine::EngineRole, operation::RunVerdict, web::PoolLane},
+    crate::{operation::RunVerdict, web::PoolLane},
     http::StatusCode,
     std::{rc::Rc, time::Duration},
 };
@@ -13,6 +13,10 @@
 /// Longest wait for a prefill: several times the usual, and short against the callers' patience.
 const PREFILL_PATIENCE: Duration = Duration::from_millis(1_200);
 
+/// Predicted wait at the best prefill engine, seconds, from which the decode engine computes the prompt
+/// itself: it takes twice as long, and holds up the answers that it generates meanwhile.
+const OVERFLOW_BACKLOG: f64 = 0.4;
+
 /// Bytes that the answer to a prefill may have.
 const ANSWER_LIMIT: usize = 64 << 10;
 
@@ -79,12 +83,13 @@
     }
 }
 
-/// The prefill engine to send to: in the zone of the decode engine, with the least work.
+/// The prefill engine to send to, best near the decode engine's zone; none where the decode engine
+/// would compute the prompt sooner by itself.
 pub fn choose_engine(parts: &RelayParts, service: &str, zone: &str) -> Option<BackendInfo> {
     let now = parts.now();
     let book = parts.book.borrow();
-    let engines = book.rank_engines(service, EngineRole::Prefill, zone, 0, now);
-    engines.into_iter().next()
+    let (engine, backlog) = book.best_prefill(service, zone, now)?;
+    (backlog < OVERFLOW_BACKLOG).then_some(engine)
 }
 
 /// Has the prompt computed.
@@ -95,6 +100,7 @@
 ) -> Result<WaitingCache, PrefillFailure> {
     let _load = PrefillLoad::begin(parts, &engine, call.marks.prompt_tokens);
     let _guard = CallGuard::begin(parts, &engine);
+    let began = parts.now();
     let patience = PREFILL_PATIENCE.min(call.time_left());
     let computing = send(parts, call, &engine);
     let result = tokio::time::timeout(patience, computing)
@@ -106,7 +112,12 @@
             })
         });
     match &result {
-        Ok(_) => parts.book.borrow_mut().answered(&engine.id, true),
+        Ok(cache) => {
+            let now = parts.now();
+            let mut book = parts.book.borrow_mut();
+            book.answered(&engine.id, true);
+            book.prefill_observed(&engine.id, cache.tokens, now.saturating_sub(began), now);
+        }
         Err(failure) if failure.verdict != RunVerdict::NotRun => {
             parts.note_failure(&engine, &failure.detail);
         }
--- a/src/relay/reserve.rs
+++ b/src/relay/reserve.rs
@@ -2,10 +2,7 @@
 
 use {
     super::{backend::BackendInfo, call::RelayCall, line::LineKey, parts::RelayParts},
-    crate::{
-        engine::EngineRole,
-        operation::{Refusal, RefusalCode},
-    },
+    crate::operation::{Refusal, RefusalCode},
     faststr::FastStr,
     http::StatusCode,
     std::{rc::Rc, time::Duration},
@@ -142,10 +139,7 @@
 async fn ask_round(parts: &Rc<RelayParts>, service: &str, tokens: u64) -> Option<MemoryHold> {
     let now = parts.now();
     let zone = &parts.settings.zone;
-    let engines = parts
-        .book
-        .borrow()
-        .rank_engines(service, EngineRole::Decode, zone, tokens, now);
+    let engines = parts.book.borrow().rank_decodes(service, zone, tokens, now);
     for engine in engines.into_iter().take(HOLD_TRIES) {
         if let Some(hold) = ask(parts, engine, tokens).await {
             return Some(hold);
--- a/src/relay/roles.rs
+++ b/src/relay/roles.rs
@@ -5,7 +5,7 @@
 use {
     super::{
         backend::BackendInfo,
-        dialect::RoleOrder,
+        dialect::{EngineReport, RoleOrder},
         link::{StoreItem, StoreKind, StoreLink, StoreValue},
         parts::RelayParts,
     },
@@ -36,8 +36,11 @@
 /// How long an order that was refused or not answered is not given again.
 const ORDER_PAUSE: Duration = Duration::from_secs(3);
 
-/// Engines of a zone for each that computes prompts.
-const ENGINES_A_PREFILL: usize = 5;
+/// Share of a service's engines that compute prompts, by measured runs on both sites.
+const PREFILL_SHARE: f64 = 0.25;
+
+/// How long a plan has to stay the same before it is followed.
+const SETTLE_TIME: Duration = Duration::from_millis(900);
 
 /// Least time of an imbalance before a host but the first of the list takes care of it.
 const NEXT_HOST_DELAY: Duration = Duration::from_millis(2_500);
@@ -54,21 +57,46 @@
     pub role: EngineRole,
 }
 
-/// The changes that bring each zone of a service to its split.
+/// The changes that bring a service's engines to their split, spread evenly over the zones.
 pub fn plan_roles(engines: &[BackendInfo]) -> Vec<RoleChange> {
     let mut zones: BTreeMap<&FastStr, Vec<&BackendInfo>> = BTreeMap::new();
-    for engine in engines.iter().filter(|engine| !engine.leaving) {
+    for engine in engines
+        .iter()
+        .filter(|engine| !engine.leaving && engine.role.is_some())
+    {
         zones.entry(&engine.zone).or_default().push(engine);
     }
-    zones.into_values().flat_map(plan_zone).collect()
+    let sizes: Vec<usize> = zones.values().map(Vec::len).collect();
+    let wanted = wanted_prefills(&sizes);
+    let planned = zones.into_values().zip(wanted);
+    planned
+        .flat_map(|(engines, wanted)| plan_zone(engines, wanted))
+        .collect()
+}
+
+/// How many engines of each zone are to compute prompts, by the sizes of the zones.
+pub fn wanted_prefills(sizes: &[usize]) -> Vec<usize> {
+    let all: usize = sizes.iter().sum();
+    let total = (all as f64 * PREFILL_SHARE).ceil() as usize;
+    let exact = |size: usize| (total * size) as f64 / all.max(1) as f64;
+    let mut wanted: Vec<usize> = sizes.iter().map(|size| exact(*size) as usize).collect();
+    let mut order: Vec<usize> = (0..sizes.len()).collect();
+    // What is left goes to the zones with the largest remainders.
+    order.sort_by(|a, b| {
+        let rest = |index: usize| exact(sizes[index]).fract();
+        rest(*b).total_cmp(&rest(*a))
+    });
+    let missing = total - wanted.iter().sum::<usize>();
+    for index in order.into_iter().take(missing) {
+        wanted[index] += 1;
+    }
+    wanted
 }
 
-fn plan_zone(mut engines: Vec<&BackendInfo>) -> Vec<RoleChange> {
+fn plan_zone(mut engines: Vec<&BackendInfo>, wanted: usize) -> Vec<RoleChange> {
     engines.sort_by(|a, b| a.id.cmp(&b.id));
-    let wanted = engines.len().div_ceil(ENGINES_A_PREFILL);
     let (prefills, decodes): (Vec<&BackendInfo>, Vec<&BackendInfo>) = engines
         .into_iter()
-        .filter(|engine| engine.role.is_some())
         .partition(|engine| engine.role == Some(EngineRole::Prefill));
     let change = |role: EngineRole| {
         move |engine: &BackendInfo| RoleChange {
@@ -93,6 +121,8 @@
     lease: LeaseKeeper,
     // When each engine may be ordered again.
     ordered: BTreeMap<FastStr, Duration>,
+    // Engines to change as of the last look, and since when the same.
+    plan: Vec<FastStr>,
     unbalanced_since: Option<Duration>,
 }
 
@@ -105,6 +135,7 @@
         parts,
         store,
         ordered: BTreeMap::new(),
+        plan: Vec::new(),
         unbalanced_since: None,
     };
     loop {
@@ -126,8 +157,17 @@
             self.unbalanced_since = None;
             return Ok(());
         }
+        // Engines are listed one after the other at the start: a plan is followed once it stays.
+        let plan: Vec<FastStr> = changes
+            .iter()
+            .map(|change| change.engine.id.clone())
+            .collect();
+        if plan != self.plan {
+            self.plan = plan;
+            self.unbalanced_since = Some(now);
+        }
         let since = *self.unbalanced_since.get_or_insert(now);
-        if now - since < self.turn_delay() {
+        if now - since < SETTLE_TIME + self.turn_delay() {
             return Ok(());
         }
         self.step_lease().await?;
@@ -204,7 +244,35 @@
         }
     }
 
+    // The list of engines does not follow the count of orders taken, so the engine itself is asked.
+    async fn read_report(&self, engine: &BackendInfo) -> Option<EngineReport> {
+        let engines = &self.parts.dialect.engines;
+        let call = (engines.report)();
+        let answer = self.parts.call_backend(engine, call, ORDER_PATIENCE).await;
+        match answer {
+            Ok((StatusCode::OK, body)) => (engines.read_report)(&body),
+            Ok((status, _)) => {
+                log::warn!("engine {} gave no report: status {status}", engine.id);
+                None
+            }
+            Err(failure) => {
+                log::warn!("engine {} gave no report: {failure}", engine.id);
+                None
+            }
+        }
+    }
+
     async fn give_order(&mut self, change: RoleChange) {
+        let now = self.parts.now();
+        if self.lease.held(now).is_none() {
+            return;
+        }
+        let report = self.read_report(&change.engine).await;
+        let Some(report) = report.filter(|report| !report.is_busy) else {
+            let engine = change.engine.id.clone();
+            self.ordered.insert(engine, now + ORDER_PAUSE);
+            return;
+        };
         let now = self.parts.now();
         // The order has to arrive while the lease holds.
         let Some(lease) = self.lease.held(now + ORDER_PATIENCE) else {
@@ -214,7 +282,7 @@
             role: change.role,
             holder: self.parts.name(),
             token: lease.token,
-            orders_taken: change.engine.orders_taken,
+            orders_taken: report.orders_taken,
         };
         let call = (self.parts.dialect.engines.order)(&order);
         let answer = self
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -7,7 +7,7 @@
     super::{
         answer::{self, RelayAnswer},
         call::RelayCall,
-        dialect::DecodeStart,
+        dialect::{CallMarks, DecodeStart},
         events::EventSplitter,
         parts::RelayParts,
         plain::CallGuard,
@@ -15,6 +15,7 @@
         reserve::{self, MemoryHold},
     },
     crate::{
+        event,
         operation::{Refusal, RefusalCode, RunVerdict},
         web::{BrokenBody, PoolLane, PooledBody},
     },
@@ -32,6 +33,9 @@
 /// Silence within a stream after which a resumable one is continued elsewhere.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
 
+/// Part of an answer's expected tokens that is reserved ahead, by measured runs.
+const RESERVED_ANSWER: f64 = 1.0;
+
 /// Rounds of reserving, computing and decoding for one request.
 const ROUNDS_MAX: u32 = 3;
 
@@ -65,6 +69,17 @@
     // Decodes that were sent, run or not.
     decodes: u32,
     skip_prefill: bool,
+    times: StreamTimes,
+    // What the decode engine takes, and where.
+    engine: FastStr,
+}
+
+/// When each step of a streamed request was done, since its arrival.
+#[derive(Debug, Default, Clone, Copy)]
+struct StreamTimes {
+    reserved: Duration,
+    computed: Duration,
+    answered: Duration,
 }
 
 /// Answers a streamed request.
@@ -81,6 +96,8 @@
         computed: false,
         decodes: 0,
         skip_prefill: false,
+        times: StreamTimes::default(),
+        engine: FastStr::default(),
     };
     let running = relay.begin(None).await?;
     let (status, headers) = (running.status, running.headers.clone());
@@ -115,14 +132,18 @@
         &mut self,
         after: Option<FastStr>,
     ) -> Result<Result<RunningStream, RoundFailure>, Refusal> {
-        let marks = &self.call.marks;
-        let tokens = marks.prompt_tokens + marks.answer_limit;
+        let tokens = reserved_tokens(&self.call.marks);
         let hold = reserve::reserve(&self.parts, &self.call, &self.service, tokens).await?;
+        self.times.reserved = self.call.arrived.elapsed();
+        self.engine = hold.engine.id.clone();
         let cache = match self.compute(&hold).await {
             Ok(cache) => cache,
             Err(failure) => return Ok(Err(failure)),
         };
-        Ok(self.decode(hold, cache, after).await)
+        self.times.computed = self.call.arrived.elapsed();
+        let running = self.decode(hold, cache, after).await;
+        self.times.answered = self.call.arrived.elapsed();
+        Ok(running)
     }
 
     // No cache: the decode engine computes the prompt itself.
@@ -239,6 +260,37 @@
     }
 }
 
+impl StreamRelay {
+    fn log_end(&self, end: &str) {
+        let call = &self.call;
+        event::emit(
+            &event::REQUEST_ENDED,
+            &[
+                ("request", &call.marks.id),
+                ("route", &call.route.name),
+                ("end", &end),
+                ("engine", &self.engine),
+                ("rounds", &self.rounds),
+                ("prompt_tokens", &call.marks.prompt_tokens),
+                ("answer_limit", &call.marks.answer_limit),
+                ("answer_hint", &call.marks.answer_hint.unwrap_or_default()),
+                ("reserved_ms", &self.times.reserved.as_millis()),
+                ("computed_ms", &self.times.computed.as_millis()),
+                ("answered_ms", &self.times.answered.as_millis()),
+                ("ended_ms", &call.arrived.elapsed().as_millis()),
+            ],
+        );
+    }
+}
+
+// An engine's memory fills as answers grow, and those that run are at all stages of it: reserving each
+// whole answer would leave memory unused.
+fn reserved_tokens(marks: &CallMarks) -> u64 {
+    let expected = marks.answer_hint.unwrap_or(marks.answer_limit / 2);
+    let expected = expected.min(marks.answer_limit);
+    marks.prompt_tokens + (expected as f64 * RESERVED_ANSWER) as u64
+}
+
 // Bytes as they come; a break is passed on as one.
 fn plain_chunks(
     relay: StreamRelay,
@@ -249,12 +301,17 @@
             let next = tokio::time::timeout_at(relay.call.until, running.body.chunk()).await;
             match next {
                 Ok(Some(Ok(chunk))) => yield Ok(chunk),
-                Ok(None) => return,
+                Ok(None) => {
+                    relay.log_end("whole");
+                    return;
+                }
                 Ok(Some(Err(error))) => {
+                    relay.log_end("broken");
                     yield Err(BrokenBody(format!("the engine broke off: {error}")));
                     return;
                 }
                 Err(_) => {
+                    relay.log_end("time-limit");
                     yield Err(BrokenBody("the time limit was reached".into()));
                     return;
                 }
@@ -284,6 +341,7 @@
                     if let Some(rest) = splitter.take_rest() {
                         yield Ok(rest);
                     }
+                    relay.log_end("whole");
                     return;
                 }
                 Ok(Some(Err(error))) => format!("the engine broke off: {error}"),
@@ -296,10 +354,12 @@
             match relay.begin(after).await {
                 Ok(next) if next.status == StatusCode::OK => running = next,
                 Ok(next) => {
+                    relay.log_end("broken");
                     yield Err(BrokenBody(format!("{broke}; then status {}", next.status)));
                     return;
                 }
                 Err(refusal) => {
+                    relay.log_end("broken");
                     yield Err(BrokenBody(format!("{broke}; then {refusal}")));
                     return;
                 }
