--- a/src/filter/plain.rs
+++ b/src/filter/plain.rs
@@ -79,7 +79,7 @@
         else {
             return Err(last);
         };
-        let sent = tokio::time::timeout(time, send(traffic, &choice, &call)).await;
+        let sent = web::within(time, send(traffic, &choice, &call)).await;
         let failure = match sent {
             Ok(Ok(reply)) => return Ok(reply),
             Ok(Err(failure)) => failure,
--- a/src/operation/verdict.rs
+++ b/src/operation/verdict.rs
@@ -50,6 +50,8 @@
     InvalidRequest,
     /// The body or the headers are larger than allowed.
     TooLarge,
+    /// The headers alone are larger than allowed.
+    HeadersTooLarge,
     /// The caller's key names no tenant.
     UnknownCaller,
     /// No model of that name is served.
@@ -90,6 +92,7 @@
         match self {
             Self::InvalidRequest => "invalid-request",
             Self::TooLarge => "too-large",
+            Self::HeadersTooLarge => "headers-too-large",
             Self::UnknownCaller => "unknown-caller",
             Self::UnknownModel => "unknown-model",
             Self::UnknownRoute => "unknown-route",
@@ -122,6 +125,7 @@
             Self::KeyConflict => 422,
             Self::TicketRequired => 428,
             Self::OverLimit => 429,
+            Self::HeadersTooLarge => 431,
             Self::Cancelled => 499,
             Self::BackendLost => 502,
             Self::Overloaded | Self::NoBackend | Self::NotConfigured | Self::Stopping => 503,
--- a/src/relay/handler.rs
+++ b/src/relay/handler.rs
@@ -97,7 +97,7 @@
             "the headers have {size} bytes, more than {}",
             limits.header_bytes
         );
-        return Err(Refusal::not_run(RefusalCode::TooLarge, text));
+        return Err(Refusal::not_run(RefusalCode::HeadersTooLarge, text));
     }
     Ok(())
 }
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -10,7 +10,7 @@
     crate::{
         event,
         operation::{Refusal, RefusalCode, RunVerdict},
-        web::PoolLane,
+        web::{self, PoolLane},
     },
     bytes::Bytes,
     faststr::FastStr,
@@ -118,6 +118,12 @@
                     hedge_at = self.hedge_time();
                 }
                 () = tokio::time::sleep_until(self.call.until) => {
+                    // A process that was paused wakes up late: what is there already still counts.
+                    if let Ok(Some((backend, outcome))) = web::within(Duration::ZERO, running.next()).await
+                        && let Some(answer) = self.take(&backend, outcome)
+                    {
+                        return Ok(answer);
+                    }
                     if self.sends_open(&running) {
                         self.verdict = self.verdict.max(RunVerdict::MayHaveRun);
                         self.detail = format!("{}; no answer within the time limit", self.detail);
--- a/src/relay/reserve.rs
+++ b/src/relay/reserve.rs
@@ -16,10 +16,10 @@
 const HOLD_TIME: Duration = Duration::from_millis(1_500);
 
 /// Engines asked for memory before the request waits for some to become free.
-const HOLD_TRIES: usize = 4;
+const HOLD_TRIES: usize = 9;
 
 /// Pause between two rounds of asking while nothing is known to have become free.
-const ROUND_PAUSE: Duration = Duration::from_millis(40);
+const ROUND_PAUSE: Duration = Duration::from_millis(25);
 
 /// Longest wait of a request for memory: callers give a stream up after some seconds without events.
 const WAIT_LIMIT: Duration = Duration::from_millis(2_800);
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -3,8 +3,9 @@
 mod body;
 mod client;
 mod ingress;
+mod patience;
 mod pool;
 mod reply;
 mod server;
 
-pub use self::{body::*, client::*, ingress::*, pool::*, reply::*, server::*};
+pub use self::{body::*, client::*, ingress::*, patience::*, pool::*, reply::*, server::*};
--- /dev/null
+++ b/tests/relay_decisions.rs
@@ -0,0 +1,374 @@
+//! The plain state machines of passing requests through: routes, beliefs, choices, budgets, events.
+
+use {
+    bayplank::{
+        engine::EngineRole,
+        operation::{Refusal, RefusalCode, RunVerdict},
+        relay::{
+            self, BackendBook, BackendInfo, CallerLimits, ClusterState, EventSplitter, LineKey,
+            RelayConfig, RelayRoute, RelayService, RequestKind, RetryAllowance, RouteTable,
+            ServiceShare, StoreChange, StoreItem, StoreValue, WaitLine, WindowBudget,
+        },
+    },
+    bolero::check,
+    faststr::FastStr,
+    std::time::Duration,
+};
+
+fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn route(name: &'static str, prefix: &'static str, shares: &[(&'static str, u32)]) -> RelayRoute {
+    RelayRoute {
+        name: name.into(),
+        host: "shop.example".into(),
+        path_prefix: prefix.into(),
+        kind: RequestKind::Once,
+        time_limit: millis(1_000),
+        latency_target: millis(100),
+        event_gap_target: None,
+        attempts: 1,
+        priority: 1,
+        shares: shares
+            .iter()
+            .map(|(service, weight)| ServiceShare {
+                service: (*service).into(),
+                weight: *weight,
+            })
+            .collect(),
+    }
+}
+
+fn config(version: u64) -> RelayConfig {
+    RelayConfig {
+        version,
+        routes: vec![
+            route("short", "/a/", &[("one", 1)]),
+            route("long", "/a/b/", &[("one", 3), ("two", 1), ("none", 0)]),
+        ],
+        services: ["one", "two"]
+            .map(|name| RelayService {
+                name: name.into(),
+                connection_limit: 10,
+                engine: None,
+            })
+            .to_vec(),
+        limits: CallerLimits::default(),
+    }
+}
+
+fn backend(id: &str, zone: &'static str, role: Option<EngineRole>) -> BackendInfo {
+    BackendInfo {
+        id: FastStr::new(id),
+        service: "one".into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        zone: zone.into(),
+        leaving: false,
+        slots: 6,
+        role,
+        orders_taken: 0,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_named_host_is_found() {
+    let table = RouteTable::new(config(1));
+    let find = |host: &str, path: &str| table.find(host, path).map(|route| route.name.clone());
+    assert_eq!(find("shop.example", "/a/b/c").unwrap(), "long");
+    assert_eq!(find("SHOP.example:8080", "/a/bc").unwrap(), "short");
+    assert_eq!(find("shop.example", "/a"), None);
+    assert_eq!(find("other.example", "/a/b/"), None);
+}
+
+#[test]
+fn a_route_draws_its_services_by_weight() {
+    let table = RouteTable::new(config(1));
+    let route = table.find("shop.example", "/a/b/").unwrap();
+    let draws = (0..4_000).map(|_| table.draw_service(&route).unwrap().name.clone());
+    let ones = draws.filter(|name| name == "one").count();
+    assert!(
+        (2_700..3_300).contains(&ones),
+        "{ones} of 4000 for three of four shares"
+    );
+}
+
+#[test]
+fn versions_of_the_configuration_and_of_the_list_never_fall() {
+    check!()
+        .with_type::<Vec<(u8, u8, bool)>>()
+        .for_each(|steps| {
+            let mut cluster = ClusterState::default();
+            let mut now = Duration::ZERO;
+            for (version, revision, is_list) in steps {
+                now += millis(10);
+                let before = (cluster.config_version(), cluster.backends_revision());
+                cluster.offer_config(config(u64::from(*version)));
+                match is_list {
+                    true => {
+                        cluster.set_backends(Vec::new(), u64::from(*revision), now);
+                    }
+                    false => cluster.change_backends(Vec::new(), u64::from(*revision), now),
+                }
+                let after = (cluster.config_version(), cluster.backends_revision());
+                assert!(after.0 >= before.0 && after.1 >= before.1);
+            }
+        });
+}
+
+#[test]
+fn an_entry_that_goes_while_the_store_is_well_is_not_used_again() {
+    let mut cluster = ClusterState::default();
+    let set = StoreChange::Set(StoreItem {
+        name: "w-1".into(),
+        revision: 2,
+        value: StoreValue::Backend(backend("w-1", "z", None)),
+    });
+    cluster.change_backends(vec![set.clone()], 2, millis(10));
+    cluster.change_backends(vec![StoreChange::Removed("w-1".into())], 3, millis(20));
+    assert!(cluster.usable().is_empty());
+    // The same while the store had trouble: it may only have lapsed.
+    cluster.change_backends(vec![set], 4, millis(30));
+    cluster.note_trouble(millis(40));
+    cluster.change_backends(vec![StoreChange::Removed("w-1".into())], 5, millis(50));
+    assert_eq!(cluster.usable().len(), 1);
+    assert!(cluster.expire(millis(2_050)));
+    assert!(cluster.usable().is_empty());
+}
+
+#[test]
+fn an_older_list_brings_no_server_back() {
+    let mut cluster = ClusterState::default();
+    cluster.set_backends(vec![backend("w-1", "z", None)], 5, millis(1));
+    cluster.set_backends(Vec::new(), 9, millis(2));
+    assert!(!cluster.set_backends(vec![backend("w-1", "z", None)], 5, millis(3)));
+    assert!(cluster.usable().is_empty());
+}
+
+#[test]
+fn a_server_that_fails_twice_is_passed_over_for_a_while_and_then_tried_again() {
+    let mut book = BackendBook::default();
+    book.set_backends(vec![backend("w-1", "z", None), backend("w-2", "z", None)]);
+    assert!(!book.failed("w-1", millis(0)));
+    assert!(book.failed("w-1", millis(1)));
+    let first = |book: &BackendBook, now| book.rank_plain("one", "z", &[], now)[0].id.clone();
+    assert_eq!(first(&book, millis(100)), "w-2");
+    assert!(!book.view("w-1").unwrap().is_out(millis(600)));
+}
+
+#[test]
+fn plain_calls_prefer_the_own_zone_until_it_is_busier() {
+    let mut book = BackendBook::default();
+    book.set_backends(vec![backend("near", "z", None), backend("far", "y", None)]);
+    let first = |book: &BackendBook| book.rank_plain("one", "z", &[], millis(1))[0].id.clone();
+    assert_eq!(first(&book), "near");
+    let calls: Vec<u64> = (0..3).map(|_| book.call_began("near", millis(1))).collect();
+    assert_eq!(first(&book), "far");
+    calls
+        .into_iter()
+        .for_each(|call| book.call_ended("near", call));
+    assert_eq!(first(&book), "near");
+}
+
+#[test]
+fn a_server_whose_request_is_long_unanswered_is_doubted() {
+    let mut book = BackendBook::default();
+    book.set_backends(vec![backend("near", "z", None), backend("far", "y", None)]);
+    book.call_began("near", millis(0));
+    let first = |now| book.rank_plain("one", "z", &[], now)[0].id.clone();
+    assert_eq!(first(millis(100)), "near");
+    assert_eq!(first(millis(300)), "far");
+}
+
+#[test]
+fn an_engine_without_room_is_not_asked_for_as_much_at_once() {
+    let mut book = BackendBook::default();
+    book.set_backends(vec![backend("d-1", "z", Some(EngineRole::Decode))]);
+    book.refused("d-1", 3_000, millis(0));
+    let count = |tokens, now| book.rank_decodes("one", "z", tokens, now).len();
+    assert_eq!(count(3_000, millis(10)), 0);
+    assert_eq!(count(1_000, millis(10)), 1);
+    assert_eq!(count(3_000, millis(100)), 1);
+}
+
+#[test]
+fn memory_and_prompts_are_counted_back_to_nothing() {
+    check!().with_type::<Vec<(bool, u16)>>().for_each(|steps| {
+        let mut book = BackendBook::default();
+        book.set_backends(vec![backend("d-1", "z", Some(EngineRole::Decode))]);
+        let mut open = Vec::new();
+        for (takes, tokens) in steps {
+            if *takes {
+                book.memory_taken("d-1", u64::from(*tokens));
+                open.push(u64::from(*tokens));
+            } else if let Some(tokens) = open.pop() {
+                book.memory_freed("d-1", tokens);
+            }
+            let counted = book.view("d-1").unwrap().memory_tokens();
+            assert_eq!(counted, open.iter().sum::<u64>());
+        }
+    });
+}
+
+#[test]
+fn a_busy_prefill_engine_gives_way_to_one_of_another_zone() {
+    let mut book = BackendBook::default();
+    let role = Some(EngineRole::Prefill);
+    book.set_backends(vec![backend("near", "z", role), backend("far", "y", role)]);
+    let best = |book: &BackendBook, now| book.best_prefill("one", "z", now).unwrap().0.id;
+    assert_eq!(best(&book, millis(0)), "near");
+    book.prefill_observed("near", 2_000, millis(700), millis(1_000));
+    assert_eq!(best(&book, millis(1_010)), "far");
+    assert_eq!(best(&book, millis(4_000)), "near");
+}
+
+#[test]
+fn repeats_stay_within_the_hosts_share_of_the_window() {
+    check!().with_type::<Vec<(u8, bool)>>().for_each(|steps| {
+        let allowance = RetryAllowance {
+            share: 0.2,
+            extra: 58.0,
+            window: millis(10_000),
+        };
+        let (mut budget, mut now) = (WindowBudget::default(), Duration::ZERO);
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        for (pause, is_request) in steps {
+            now += millis(u64::from(*pause) * 10);
+            if *is_request {
+                budget.earn(now);
+                requests.push(now);
+            } else if budget.allows(allowance, 9, now) {
+                budget.count(now);
+                repeats.push(now);
+            }
+            let recent = |times: &[Duration]| {
+                let since = now.saturating_sub(allowance.window);
+                times.iter().filter(|at| **at >= since).count() as f64
+            };
+            let most = 0.2 * recent(&requests) + 58.0 / 9.0;
+            assert!(recent(&repeats) <= most);
+        }
+    });
+}
+
+#[test]
+fn events_come_whole_however_they_are_cut() {
+    check!().with_type::<Vec<u8>>().for_each(|cuts| {
+        let text: String = (1..=9)
+            .map(|id| format!("id: {id}\ndata: piece {id}\n\n"))
+            .collect();
+        let (mut splitter, mut given, mut rest) =
+            (EventSplitter::default(), Vec::new(), text.as_bytes());
+        for cut in cuts {
+            let (now, later) = rest.split_at(rest.len().min(usize::from(*cut)));
+            rest = later;
+            if let Some(events) = splitter.push(now) {
+                assert!(events.ends_with(b"\n\n"));
+                given.extend_from_slice(&events);
+                let last = String::from_utf8_lossy(&given).matches("data:").count();
+                assert_eq!(splitter.last_id(), Some(last.to_string().as_str()));
+            }
+        }
+        assert!(text.as_bytes().starts_with(&given));
+        given.extend_from_slice(&splitter.take_rest().unwrap_or_default());
+        assert_eq!(given.len(), text.len() - rest.len());
+    });
+}
+
+#[test]
+fn a_status_that_promises_that_nothing_ran_is_only_given_where_it_is_true() {
+    let codes = [
+        RefusalCode::InvalidRequest,
+        RefusalCode::TooLarge,
+        RefusalCode::HeadersTooLarge,
+        RefusalCode::UnknownRoute,
+        RefusalCode::SlowCaller,
+        RefusalCode::Overloaded,
+        RefusalCode::NoBackend,
+        RefusalCode::NotConfigured,
+        RefusalCode::Stopping,
+        RefusalCode::BackendLost,
+        RefusalCode::DeadlinePassed,
+    ];
+    for code in codes {
+        for verdict in RunVerdict::ALL {
+            let status = relay::refusal_status(&Refusal::new(verdict, code, "")).as_u16();
+            let promises = matches!(status, 408 | 421 | 429 | 503);
+            assert!(
+                !promises || verdict == RunVerdict::NotRun,
+                "{code:?} {verdict}"
+            );
+        }
+    }
+}
+
+#[test]
+fn the_line_serves_who_can_be_in_time_then_the_most_urgent() {
+    let key = |late, priority, due, ticket| LineKey {
+        late,
+        priority,
+        due: millis(due),
+        ticket,
+    };
+    let mut line = WaitLine::default();
+    let (first, second, late) = (
+        key(false, 0, 90, 1),
+        key(false, 1, 10, 2),
+        key(true, 0, 1, 3),
+    );
+    for one in [late, second, first] {
+        line.place(None, one);
+    }
+    assert_eq!([first, second, late].map(|one| line.ahead(&one)), [0, 1, 2]);
+    line.place(Some(first), key(true, 0, 90, 1));
+    assert_eq!(line.ahead(&second), 0);
+    line.leave(&second);
+    assert_eq!(line.len(), 2);
+}
+
+#[test]
+fn prefill_engines_are_spread_over_the_zones() {
+    check!().with_type::<Vec<u8>>().for_each(|sizes| {
+        let sizes: Vec<usize> = sizes
+            .iter()
+            .take(8)
+            .map(|size| usize::from(*size % 40))
+            .collect();
+        let wanted = relay::wanted_prefills(&sizes);
+        let all: usize = sizes.iter().sum();
+        let total: usize = wanted.iter().sum();
+        assert!(
+            total >= all / 5 && total <= all.div_ceil(2),
+            "{total} of {all}"
+        );
+        assert!(
+            wanted
+                .iter()
+                .zip(&sizes)
+                .all(|(wanted, size)| wanted <= size)
+        );
+    });
+    assert_eq!(relay::wanted_prefills(&[4, 4, 4]), [1, 1, 1]);
+}
+
+#[test]
+fn a_plan_changes_as_few_engines_as_it_can_and_then_none() {
+    let mut engines: Vec<BackendInfo> = (0..12)
+        .map(|index| {
+            let zone = ["a", "b", "c"][index % 3];
+            let role = [EngineRole::Prefill, EngineRole::Decode][index / 6];
+            backend(&format!("e-{index}"), zone, Some(role))
+        })
+        .collect();
+    let changes = relay::plan_roles(&engines);
+    assert_eq!(changes.len(), 3);
+    for change in changes {
+        let engine = engines
+            .iter_mut()
+            .find(|engine| engine.id == change.engine.id);
+        engine.unwrap().role = Some(change.role);
+    }
+    assert!(relay::plan_roles(&engines).is_empty());
+    engines[0].leaving = true;
+    assert!(relay::plan_roles(&engines).len() <= 1);
+}
