Silent backend servers are found out sooner; failed prefills fall back to the decode engine

Change: silence ejects at once, a reservation waits 0.12 s, the decode engine that holds memory computes the prompt when the prefill engine failed, each failed prefill is counted and is only risked within 0.9 of the host's share; repeatable calls are hedged at 0.6 of their target; a host's open sends count as failures at the time limit.

--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -42,6 +42,7 @@
     REQUEST_ENDED = 201, "request-ended", Info, "A request ended; its verdict and times follow.", "None.";
     REQUEST_REFUSED = 202, "request-refused", Info, "A request was refused; its code and verdict follow.", "Many with code overloaded: add engines, or look at the tenant's limits.";
     ENGINE_EJECTED = 301, "engine-ejected", Warn, "An engine failed several times in a row and is left out for a while.", "If it repeats, look at that engine.";
+    PREFILL_FAILED = 305, "prefill-failed", Info, "A prefill engine computed no KV cache; the decode engine computes the prompt itself.", "If it repeats for one engine, look at it.";
     BACKEND_EJECTED = 304, "backend-ejected", Warn, "A backend server gave no answer several times in a row and is passed over for a while.", "If it repeats, look at that server.";
     ENGINE_LEAVING = 302, "engine-leaving", Info, "An engine leaves; it gets no new work.", "None.";
     ENGINE_SWEPT = 303, "engine-swept", Info, "Attempts that a lost host left at an engine were cancelled.", "None.";
--- a/src/relay/book.rs
+++ b/src/relay/book.rs
@@ -4,7 +4,7 @@
 
 use {
     super::backend::BackendInfo,
-    crate::engine::EngineRole,
+    crate::{engine::EngineRole, web::SendFailure},
     faststr::FastStr,
     std::{collections::BTreeMap, time::Duration},
 };
@@ -29,7 +29,7 @@
 
 /// Silence of a request in progress from which its server counts as doubtful; a plain call takes some
 /// tens of milliseconds.
-const DOUBT_AFTER: Duration = Duration::from_millis(250);
+const DOUBT_AFTER: Duration = Duration::from_millis(150);
 
 /// Requests in progress that doubt counts as.
 const DOUBT_PENALTY: f64 = 6.0;
@@ -46,6 +46,25 @@
 /// Delay that a prefill engine of another zone counts as: its KV cache takes the dearer way.
 const AWAY_DELAY: f64 = 0.04;
 
+/// How a backend server failed to answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BackendFailure {
+    /// The connection failed, or broke off.
+    Broken,
+    /// Nothing came in time.
+    Silent,
+}
+
+impl SendFailure {
+    /// How the backend server failed, for the book.
+    pub fn kind(&self) -> BackendFailure {
+        match self.silent {
+            true => BackendFailure::Silent,
+            false => BackendFailure::Broken,
+        }
+    }
+}
+
 /// What this host knows of one backend server.
 #[derive(Debug)]
 pub struct BackendView {
@@ -209,6 +228,11 @@
         })
     }
 
+    /// Predicted time of a prefill of this many tokens that begins at once, seconds.
+    pub fn prefill_time(&self, tokens: u64) -> f64 {
+        tokens as f64 / self.prefill_rate
+    }
+
     /// The prefill engine that would compute a prompt first, and the predicted time until it would
     /// begin, seconds.
     pub fn best_prefill(
@@ -280,13 +304,18 @@
         }
     }
 
-    /// No answer came. Gives whether the backend server is passed over from now on.
-    pub fn failed(&mut self, id: &str, now: Duration) -> bool {
+    /// No answer came: the connection failed, or it stayed silent. Gives whether the backend server
+    /// is passed over from now on.
+    pub fn failed(&mut self, id: &str, failure: BackendFailure, now: Duration) -> bool {
         let Some(view) = self.views.get_mut(id) else {
             return false;
         };
         view.error_share += ERROR_WEIGHT * (1.0 - view.error_share);
-        view.failures += 1;
+        view.failures += match failure {
+            BackendFailure::Broken => 1,
+            // Each look at a silent server costs the requests behind it as long a wait again.
+            BackendFailure::Silent => FAILURES_TO_EJECT,
+        };
         if view.failures < FAILURES_TO_EJECT || view.is_out(now) {
             return false;
         }
--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -2,8 +2,11 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-/// Part of the allowance that is used: hosts count apart, and windows slide.
-const USED_SHARE: f64 = 0.7;
+/// Part of the allowance that is spent on purpose: hosts count apart, and windows slide.
+const SPENT_SHARE: f64 = 0.65;
+
+/// Part of the allowance up to which sends are made that turn out to be repeats only when they fail.
+const RISKED_SHARE: f64 = 0.9;
 
 /// What all hosts together may send beyond the first of each request.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -36,6 +39,21 @@
 
     /// Whether one repeat more may be sent by this host, one of `hosts`.
     pub fn allows(&mut self, allowance: RetryAllowance, hosts: usize, now: Duration) -> bool {
+        self.is_within(SPENT_SHARE, allowance, hosts, now)
+    }
+
+    /// Whether a send may be made that counts as a repeat if it fails.
+    pub fn may_risk(&mut self, allowance: RetryAllowance, hosts: usize, now: Duration) -> bool {
+        self.is_within(RISKED_SHARE, allowance, hosts, now)
+    }
+
+    fn is_within(
+        &mut self,
+        part: f64,
+        allowance: RetryAllowance,
+        hosts: usize,
+        now: Duration,
+    ) -> bool {
         let since = now.saturating_sub(allowance.window);
         for times in [&mut self.requests, &mut self.repeats] {
             while times.front().is_some_and(|at| *at < since) {
@@ -43,7 +61,7 @@
             }
         }
         let earned = allowance.share * self.requests.len() as f64;
-        let most = USED_SHARE * (earned + allowance.extra / hosts.max(1) as f64);
+        let most = part * (earned + allowance.extra / hosts.max(1) as f64);
         ((self.repeats.len() + 1) as f64) <= most
     }
 }
--- a/src/relay/parts.rs
+++ b/src/relay/parts.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         backend::BackendInfo,
-        book::BackendBook,
+        book::{BackendBook, BackendFailure},
         budget::{RetryAllowance, WindowBudget},
         cluster::ClusterState,
         dialect::{BackendCall, CallDialect},
@@ -102,6 +102,22 @@
         allowed
     }
 
+    /// Whether a send may be made that counts as a repeat if it fails.
+    pub fn may_risk_repeat(&self, service: &FastStr) -> bool {
+        let now = self.now();
+        let hosts = self.cluster.borrow().host_count();
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_default();
+        budget.may_risk(self.allowance(), hosts, now)
+    }
+
+    /// Counts a repeat that was sent already: a prefill that an engine did not do.
+    pub fn count_repeat(&self, service: &FastStr) {
+        let now = self.now();
+        let mut budgets = self.budgets.borrow_mut();
+        budgets.entry(service.clone()).or_default().count(now);
+    }
+
     fn allowance(&self) -> RetryAllowance {
         self.settings.bounds.retries
     }
@@ -119,6 +135,7 @@
             let body = answer.body.read(CONTROL_ANSWER_LIMIT).await;
             let body = body.map_err(|detail| SendFailure {
                 verdict: RunVerdict::MayHaveRun,
+                silent: false,
                 detail,
             })?;
             Ok((status, body))
@@ -128,6 +145,7 @@
             .unwrap_or_else(|_| {
                 Err(SendFailure {
                     verdict: RunVerdict::MayHaveRun,
+                    silent: true,
                     detail: "no answer in time".into(),
                 })
             })
@@ -160,9 +178,9 @@
 
 impl RelayParts {
     /// A backend server gave no answer.
-    pub fn note_failure(&self, backend: &BackendInfo, detail: &str) {
+    pub fn note_failure(&self, backend: &BackendInfo, failure: BackendFailure, detail: &str) {
         let now = self.now();
-        let ejected = self.book.borrow_mut().failed(&backend.id, now);
+        let ejected = self.book.borrow_mut().failed(&backend.id, failure, now);
         if ejected {
             self.pool.forget(backend.address);
             event::emit(
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -4,6 +4,7 @@
     super::{
         answer::{self, RelayAnswer},
         backend::BackendInfo,
+        book::BackendFailure,
         call::RelayCall,
         parts::RelayParts,
     },
@@ -23,9 +24,9 @@
 /// Bytes that a plain answer may have.
 const ANSWER_LIMIT: usize = 8 << 20;
 
-/// Silence after which a repeatable request is also sent to a second server: several times the usual
-/// time of a plain call, and short against the time limits of their routes.
-const HEDGE_AFTER: Duration = Duration::from_millis(300);
+/// Part of the latency target after whose silence a repeatable request is also sent to a second server:
+/// the second answer can then still be in time.
+const HEDGE_SHARE: f64 = 0.6;
 
 /// Servers that decline one after the other before the caller is told to come back.
 const DECLINES_MAX: usize = 3;
@@ -57,6 +58,8 @@
     call: Rc<RelayCall>,
     service: FastStr,
     tried: Vec<FastStr>,
+    // Servers that have not answered yet.
+    open: Vec<BackendInfo>,
     // Sends that ran or may have run; declined ones do not count.
     sends: u32,
     declines: usize,
@@ -78,6 +81,7 @@
         call,
         service,
         tried: Vec::new(),
+        open: Vec::new(),
         sends: 0,
         declines: 0,
         verdict: RunVerdict::NotRun,
@@ -124,10 +128,7 @@
                     {
                         return Ok(answer);
                     }
-                    if self.sends_open(&running) {
-                        self.verdict = self.verdict.max(RunVerdict::MayHaveRun);
-                        self.detail = format!("{}; no answer within the time limit", self.detail);
-                    }
+                    self.give_up_open();
                     return self.fallback.take().ok_or_else(|| self.refusal(RefusalCode::DeadlinePassed));
                 }
             }
@@ -135,11 +136,19 @@
     }
 
     fn hedge_time(&self) -> Instant {
-        Instant::now() + HEDGE_AFTER
+        Instant::now() + self.call.route.latency_target.mul_f64(HEDGE_SHARE)
     }
 
-    fn sends_open(&self, running: &FuturesUnordered<Sending>) -> bool {
-        !running.is_empty()
+    // The time limit is reached: what was sent and not answered may have run.
+    fn give_up_open(&mut self) {
+        for backend in std::mem::take(&mut self.open) {
+            self.note_step(&backend, "silent");
+            let detail = "no answer within the time limit";
+            self.parts
+                .note_failure(&backend, BackendFailure::Silent, detail);
+            self.verdict = self.verdict.max(RunVerdict::MayHaveRun);
+            self.detail = format!("{}: {detail}", backend.id);
+        }
     }
 
     // Sends to the best server not tried yet; the first send of a request costs no repeat.
@@ -158,6 +167,7 @@
             return false;
         }
         self.tried.push(backend.id.clone());
+        self.open.push(backend.clone());
         self.sends += 1;
         running.push(Box::pin(send(
             self.parts.clone(),
@@ -198,6 +208,7 @@
 
     // Takes what became of a send; gives the answer if that is the caller's.
     fn take(&mut self, backend: &BackendInfo, outcome: SendOutcome) -> Option<WholeAnswer> {
+        self.open.retain(|open| open.id != backend.id);
         match outcome {
             SendOutcome::Answered(answer) => {
                 self.note_step(backend, answer.status.as_str());
@@ -245,7 +256,7 @@
     let answer = match sent {
         Ok(answer) => answer,
         Err(failure) => {
-            parts.note_failure(&backend, &failure.detail);
+            parts.note_failure(&backend, failure.kind(), &failure.detail);
             let outcome = match failure.verdict {
                 RunVerdict::NotRun => SendOutcome::Declined(failure.detail),
                 _ => SendOutcome::Lost(failure.detail),
@@ -255,7 +266,11 @@
     };
     let marks = (parts.dialect.read_answer)(answer.status, &answer.headers);
     if marks.id.as_ref().is_some_and(|id| *id != call.marks.id) {
-        parts.note_failure(&backend, "an answer to another request");
+        parts.note_failure(
+            &backend,
+            BackendFailure::Broken,
+            "an answer to another request",
+        );
         let outcome = SendOutcome::Lost("an answer to another request came".into());
         return (backend, outcome);
     }
@@ -263,7 +278,7 @@
     let body = match answer.body.read(ANSWER_LIMIT).await {
         Ok(body) => body,
         Err(detail) => {
-            parts.note_failure(&backend, &detail);
+            parts.note_failure(&backend, BackendFailure::Broken, &detail);
             return (
                 backend,
                 SendOutcome::Lost(format!("answer cut short: {detail}")),
--- a/src/relay/prefill.rs
+++ b/src/relay/prefill.rs
@@ -2,16 +2,17 @@
 
 use {
     super::{
-        backend::BackendInfo, call::RelayCall, dialect::PromptCache, parts::RelayParts,
-        plain::CallGuard,
+        backend::BackendInfo, book::BackendFailure, call::RelayCall, dialect::PromptCache,
+        parts::RelayParts, plain::CallGuard,
     },
     crate::{operation::RunVerdict, web::PoolLane},
     http::StatusCode,
     std::{rc::Rc, time::Duration},
 };
 
-/// Longest wait for a prefill: several times the usual, and short against the callers' patience.
-const PREFILL_PATIENCE: Duration = Duration::from_millis(1_200);
+/// Longest wait for a prefill beyond its predicted time: the decode engine can then still compute the
+/// prompt itself in time. What is given up so was computed for nothing, so it is not much shorter.
+const PREFILL_PATIENCE: Duration = Duration::from_millis(900);
 
 /// Predicted wait at the best prefill engine, seconds, from which the decode engine computes the prompt
 /// itself: it takes twice as long, and holds up the answers that it generates meanwhile.
@@ -54,6 +55,8 @@
 pub struct PrefillFailure {
     /// Whether the prompt may have been computed.
     pub verdict: RunVerdict,
+    /// How the engine failed.
+    pub kind: BackendFailure,
     /// What happened.
     pub detail: String,
 }
@@ -85,29 +88,35 @@
 
 /// The prefill engine to send to, best near the decode engine's zone; none where the decode engine
 /// would compute the prompt sooner by itself.
-pub fn choose_engine(parts: &RelayParts, service: &str, zone: &str) -> Option<BackendInfo> {
+pub fn choose_engine(parts: &RelayParts, service: &str, zone: &str) -> Option<(BackendInfo, f64)> {
     let now = parts.now();
-    let book = parts.book.borrow();
-    let (engine, backlog) = book.best_prefill(service, zone, now)?;
-    (backlog < OVERFLOW_BACKLOG).then_some(engine)
+    let best = parts.book.borrow().best_prefill(service, zone, now)?;
+    (best.1 < OVERFLOW_BACKLOG).then_some(best)
+}
+
+fn predict(parts: &RelayParts, call: &RelayCall, backlog: f64) -> Duration {
+    let own = parts.book.borrow().prefill_time(call.marks.prompt_tokens);
+    Duration::from_secs_f64(backlog + own)
 }
 
 /// Has the prompt computed.
 pub async fn compute_prompt(
     parts: &Rc<RelayParts>,
     call: &RelayCall,
-    engine: BackendInfo,
+    (engine, backlog): (BackendInfo, f64),
 ) -> Result<WaitingCache, PrefillFailure> {
     let _load = PrefillLoad::begin(parts, &engine, call.marks.prompt_tokens);
     let _guard = CallGuard::begin(parts, &engine);
     let began = parts.now();
-    let patience = PREFILL_PATIENCE.min(call.time_left());
+    let predicted = predict(parts, call, backlog);
+    let patience = (predicted + PREFILL_PATIENCE).min(call.time_left());
     let computing = send(parts, call, &engine);
     let result = tokio::time::timeout(patience, computing)
         .await
         .unwrap_or_else(|_| {
             Err(PrefillFailure {
                 verdict: RunVerdict::MayHaveRun,
+                kind: BackendFailure::Silent,
                 detail: "no answer in time".into(),
             })
         });
@@ -119,7 +128,7 @@
             book.prefill_observed(&engine.id, cache.tokens, now.saturating_sub(began), now);
         }
         Err(failure) if failure.verdict != RunVerdict::NotRun => {
-            parts.note_failure(&engine, &failure.detail);
+            parts.note_failure(&engine, failure.kind, &failure.detail);
         }
         Err(_) => {}
     }
@@ -144,10 +153,11 @@
         .await;
     let answer = sent.map_err(|failure| {
         if failure.verdict == RunVerdict::NotRun {
-            parts.note_failure(engine, &failure.detail);
+            parts.note_failure(engine, failure.kind(), &failure.detail);
         }
         PrefillFailure {
             verdict: failure.verdict,
+            kind: failure.kind(),
             detail: failure.detail,
         }
     })?;
@@ -158,12 +168,14 @@
     let body = answer.body.read(ANSWER_LIMIT).await;
     let body = body.map_err(|detail| PrefillFailure {
         verdict: RunVerdict::MayHaveRun,
+        kind: BackendFailure::Broken,
         detail,
     })?;
     if marks.not_run {
         parts.note_decline(engine, status);
         return Err(PrefillFailure {
             verdict: RunVerdict::NotRun,
+            kind: BackendFailure::Broken,
             detail: format!("declined with status {status}"),
         });
     }
@@ -172,6 +184,7 @@
         (dialect.engines.read_prefill)(&body).filter(|_| is_ours && status == StatusCode::OK);
     cache.ok_or_else(|| PrefillFailure {
         verdict: RunVerdict::MayHaveRun,
+        kind: BackendFailure::Broken,
         detail: format!("unusable answer, status {status}"),
     })
 }
--- a/src/relay/reserve.rs
+++ b/src/relay/reserve.rs
@@ -10,7 +10,7 @@
 };
 
 /// Longest wait for the answer to a reservation; engines answer these at once.
-const HOLD_PATIENCE: Duration = Duration::from_millis(250);
+const HOLD_PATIENCE: Duration = Duration::from_millis(120);
 
 /// How long memory is reserved: the prefill and the way to the engine fit into it.
 const HOLD_TIME: Duration = Duration::from_millis(1_500);
@@ -160,7 +160,7 @@
             None
         }
         Err(failure) => {
-            parts.note_failure(&engine, &failure.detail);
+            parts.note_failure(&engine, failure.kind(), &failure.detail);
             return None;
         }
     };
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -6,7 +6,9 @@
 use {
     super::{
         answer::{self, RelayAnswer},
+        book::BackendFailure,
         call::RelayCall,
+        config::RequestKind,
         dialect::{CallMarks, DecodeStart},
         events::EventSplitter,
         parts::RelayParts,
@@ -30,6 +32,10 @@
 /// Longest wait for the head of a decode engine's answer; it comes with the first token.
 const HEAD_PATIENCE: Duration = Duration::from_millis(3_000);
 
+/// The same where another engine may begin anew: an engine that has memory and the KV cache answers in
+/// some tens of milliseconds, one that computes the prompt itself in some hundred.
+const RESUMABLE_HEAD_PATIENCE: Duration = Duration::from_millis(2_000);
+
 /// Silence within a stream after which a resumable one is continued elsewhere.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
 
@@ -102,7 +108,7 @@
     let running = relay.begin(None).await?;
     let (status, headers) = (running.status, running.headers.clone());
     let body = match relay.call.route.kind {
-        crate::relay::RequestKind::ResumableStream if status == StatusCode::OK => {
+        RequestKind::ResumableStream if status == StatusCode::OK => {
             answer::streamed_body(resumable_chunks(relay, running))
         }
         _ => answer::streamed_body(plain_chunks(relay, running)),
@@ -111,6 +117,10 @@
 }
 
 impl StreamRelay {
+    fn is_resumable(&self) -> bool {
+        self.call.route.kind == RequestKind::ResumableStream
+    }
+
     // Rounds until an engine answers; an answer that may have run ends the tries.
     async fn begin(&mut self, after: Option<FastStr>) -> Result<RunningStream, Refusal> {
         loop {
@@ -120,7 +130,8 @@
                 Err(failure) => failure,
             };
             let spent = self.rounds >= ROUNDS_MAX || self.call.time_left().is_zero();
-            if failure.verdict != RunVerdict::NotRun || spent {
+            let again = failure.verdict.allows_retry(self.is_resumable());
+            if !again || spent {
                 let refusal =
                     Refusal::new(failure.verdict, RefusalCode::BackendLost, failure.detail);
                 return Err(refusal.after(COME_BACK));
@@ -136,40 +147,47 @@
         let hold = reserve::reserve(&self.parts, &self.call, &self.service, tokens).await?;
         self.times.reserved = self.call.arrived.elapsed();
         self.engine = hold.engine.id.clone();
-        let cache = match self.compute(&hold).await {
-            Ok(cache) => cache,
-            Err(failure) => return Ok(Err(failure)),
-        };
+        let cache = self.compute(&hold).await;
         self.times.computed = self.call.arrived.elapsed();
         let running = self.decode(hold, cache, after).await;
         self.times.answered = self.call.arrived.elapsed();
         Ok(running)
     }
 
-    // No cache: the decode engine computes the prompt itself.
-    async fn compute(&mut self, hold: &MemoryHold) -> Result<Option<WaitingCache>, RoundFailure> {
+    // Without a cache the decode engine computes the prompt itself: no prefill engine is free soon, or
+    // the one that was asked failed.
+    async fn compute(&mut self, hold: &MemoryHold) -> Option<WaitingCache> {
         if self.skip_prefill {
-            return Ok(None);
+            return None;
         }
         let zone = &hold.engine.zone;
-        let Some(engine) = prefill::choose_engine(&self.parts, &self.service, zone) else {
-            return Ok(None);
+        let chosen = prefill::choose_engine(&self.parts, &self.service, zone)?;
+        // The first prefill costs a repeat too if its engine does not do it.
+        let allowed = match self.computed {
+            true => self.parts.spend_repeat(&self.service),
+            false => self.parts.may_risk_repeat(&self.service),
         };
-        if self.computed && !self.parts.spend_repeat(&self.service) {
-            return Err(RoundFailure {
-                verdict: RunVerdict::NotRun,
-                detail: "no repeats are left for another prefill".into(),
-            });
+        if !allowed {
+            return None;
         }
         self.computed = true;
-        let computed = prefill::compute_prompt(&self.parts, &self.call, engine).await;
-        match computed {
-            Ok(cache) => Ok(Some(cache)),
-            // A prompt that was computed for nothing has not run: no answer was begun.
-            Err(failure) => Err(RoundFailure {
-                verdict: RunVerdict::NotRun,
-                detail: format!("prefill: {}", failure.detail),
-            }),
+        let engine = chosen.0.id.clone();
+        match prefill::compute_prompt(&self.parts, &self.call, chosen).await {
+            Ok(cache) => Some(cache),
+            Err(failure) => {
+                self.parts.count_repeat(&self.service);
+                event::emit(
+                    &event::PREFILL_FAILED,
+                    &[
+                        ("request", &self.call.marks.id),
+                        ("engine", &engine),
+                        ("verdict", &failure.verdict),
+                        ("cause", &failure.detail),
+                        ("after_ms", &self.call.arrived.elapsed().as_millis()),
+                    ],
+                );
+                None
+            }
         }
     }
 
@@ -200,20 +218,24 @@
         let request = self.call.request_to(&engine, &parts.dialect, |headers| {
             (parts.dialect.engines.as_decode)(headers, &start);
         });
-        let patience = HEAD_PATIENCE.min(self.call.time_left());
+        let patience = match self.is_resumable() {
+            true => RESUMABLE_HEAD_PATIENCE,
+            false => HEAD_PATIENCE,
+        };
+        let patience = patience.min(self.call.time_left());
         let sending = parts.pool.send(engine.address, PoolLane::Requests, request);
         let sent = tokio::time::timeout(patience, sending).await;
         let answer = match sent {
             Ok(Ok(answer)) => answer,
             Ok(Err(failure)) => {
-                parts.note_failure(&engine, &failure.detail);
+                parts.note_failure(&engine, failure.kind(), &failure.detail);
                 return Err(RoundFailure {
                     verdict: failure.verdict,
                     detail: format!("decode at {}: {}", engine.id, failure.detail),
                 });
             }
             Err(_) => {
-                parts.note_failure(&engine, "no answer in time");
+                parts.note_failure(&engine, BackendFailure::Silent, "no answer in time");
                 return Err(RoundFailure {
                     verdict: RunVerdict::MayHaveRun,
                     detail: format!("decode at {}: no answer in time", engine.id),
@@ -226,7 +248,11 @@
             .as_ref()
             .is_some_and(|id| *id != self.call.marks.id)
         {
-            parts.note_failure(&engine, "an answer to another request");
+            parts.note_failure(
+                &engine,
+                BackendFailure::Broken,
+                "an answer to another request",
+            );
             return Err(RoundFailure {
                 verdict: RunVerdict::MayHaveRun,
                 detail: format!("decode at {}: an answer to another request", engine.id),
--- a/src/web/pool.rs
+++ b/src/web/pool.rs
@@ -56,6 +56,8 @@
 pub struct SendFailure {
     /// Whether it may have run.
     pub verdict: RunVerdict,
+    /// Nothing came in time, rather than something that says so.
+    pub silent: bool,
     /// What happened.
     pub detail: String,
 }
@@ -185,7 +187,10 @@
         let opening = open_stream(address, self.settings.silence_limit);
         let stream = tokio::time::timeout(self.settings.connect_time, opening)
             .await
-            .map_err(|_| not_sent("no connection in time"))?
+            .map_err(|_| SendFailure {
+                silent: true,
+                ..not_sent("no connection in time")
+            })?
             .map_err(|error| not_sent(format!("no connection: {error}")))?;
         let (sender, connection) = http1::Builder::new()
             .handshake(TokioIo::new(stream))
@@ -231,6 +236,7 @@
                     None => {
                         return Err(SendFailure {
                             verdict: RunVerdict::MayHaveRun,
+                            silent: false,
                             detail: format!("no answer: {}", error.error()),
                         });
                     }
@@ -321,6 +327,7 @@
 fn not_sent(detail: impl Into<String>) -> SendFailure {
     SendFailure {
         verdict: RunVerdict::NotRun,
+        silent: false,
         detail: detail.into(),
     }
 }
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -5,9 +5,10 @@
         engine::EngineRole,
         operation::{Refusal, RefusalCode, RunVerdict},
         relay::{
-            self, BackendBook, BackendInfo, CallerLimits, ClusterState, EventSplitter, LineKey,
-            RelayConfig, RelayRoute, RelayService, RequestKind, RetryAllowance, RouteTable,
-            ServiceShare, StoreChange, StoreItem, StoreValue, WaitLine, WindowBudget,
+            self, BackendBook, BackendFailure, BackendInfo, CallerLimits, ClusterState,
+            EventSplitter, LineKey, RelayConfig, RelayRoute, RelayService, RequestKind,
+            RetryAllowance, RouteTable, ServiceShare, StoreChange, StoreItem, StoreValue, WaitLine,
+            WindowBudget,
         },
     },
     bolero::check,
@@ -149,13 +150,20 @@
 fn a_server_that_fails_twice_is_passed_over_for_a_while_and_then_tried_again() {
     let mut book = BackendBook::default();
     book.set_backends(vec![backend("w-1", "z", None), backend("w-2", "z", None)]);
-    assert!(!book.failed("w-1", millis(0)));
-    assert!(book.failed("w-1", millis(1)));
+    assert!(!book.failed("w-1", BackendFailure::Broken, millis(0)));
+    assert!(book.failed("w-1", BackendFailure::Broken, millis(1)));
     let first = |book: &BackendBook, now| book.rank_plain("one", "z", &[], now)[0].id.clone();
     assert_eq!(first(&book, millis(100)), "w-2");
     assert!(!book.view("w-1").unwrap().is_out(millis(600)));
 }
 
+#[test]
+fn a_silent_server_is_passed_over_at_once() {
+    let mut book = BackendBook::default();
+    book.set_backends(vec![backend("w-1", "z", None)]);
+    assert!(book.failed("w-1", BackendFailure::Silent, millis(0)));
+}
+
 #[test]
 fn plain_calls_prefer_the_own_zone_until_it_is_busier() {
     let mut book = BackendBook::default();
