--- a/src/relay/feed.rs
+++ b/src/relay/feed.rs
@@ -122,6 +122,7 @@
     }
 
     async fn note_failure(&self, kind: StoreKind, failure: &StoreFailure) {
+        self.parts.metrics.store_failures.inc();
         self.parts
             .cluster
             .borrow_mut()
--- a/src/relay/handler.rs
+++ b/src/relay/handler.rs
@@ -27,6 +27,9 @@
     let (head, body) = request.into_parts();
     let id = (parts.dialect.read_call)(&head.headers).id;
     let path = head.uri.path().to_owned();
+    let route = parts
+        .routes()
+        .and_then(|routes| find_route(&routes, &head).ok());
     let result = relay(&parts, head, body).await;
     let mut answer = match result {
         Ok(answer) => answer,
@@ -45,6 +48,9 @@
             answer::refused(&refusal)
         }
     };
+    let status = answer.status().as_u16();
+    let route = route.as_deref();
+    parts.metrics.answered(route, status, arrived.elapsed());
     if parts.gate.is_stopping() {
         let close = http::HeaderValue::from_static("close");
         answer.headers_mut().insert(header::CONNECTION, close);
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -40,6 +40,9 @@
 /// again after up to four fifths of the idle time that operators configure.
 const HEADER_TIME: Duration = Duration::from_secs(16);
 
+/// Path of the metrics, beside the balancer's question.
+const METRICS_PATH: &str = "/metrics";
+
 /// Pause before the host's entry is written again after a failure.
 const ENTRY_PAUSE: Duration = Duration::from_millis(700);
 
@@ -142,8 +145,11 @@
     web::bind(address).wrap_err_with(|| format!("{key}: {address} cannot be listened on"))
 }
 
-// What the balancer is told.
+// What the balancer and operators are told.
 fn check(parts: &RelayParts, path: &str) -> super::answer::RelayAnswer {
+    if path == METRICS_PATH {
+        return Response::new(super::answer::whole_body(parts.metrics_page().into()));
+    }
     let (status, text) = match path {
         _ if path != parts.settings.ready_path => (404, "no such page"),
         _ if parts.gate.is_stopping() => (503, "stopping"),
--- /dev/null
+++ b/src/relay/metrics.rs
@@ -0,0 +1,195 @@
+//! What a relaying host counts: requests by route and end, times by route, and what it holds.
+
+use {
+    super::config::RelayRoute,
+    faststr::FastStr,
+    prometheus_client::{
+        encoding::{EncodeLabelSet, text},
+        metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+        registry::{Registry, Unit},
+    },
+    std::{cell::RefCell, collections::HashSet, fmt, time::Duration},
+};
+
+/// Routes that have series of their own; the rest share the name "other": configurations may hold
+/// hundreds of routes that carry nothing.
+const ROUTE_LABELS_MAX: usize = 64;
+
+/// Which requests a series counts.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RouteLabels {
+    /// The route's name.
+    pub route: String,
+}
+
+/// How requests ended.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct EndLabels {
+    /// The route's name; empty where none was found.
+    pub route: String,
+    /// The status that the caller got.
+    pub status: u16,
+}
+
+type RouteHistogram = Family<RouteLabels, Histogram, fn() -> Histogram>;
+
+/// All metrics of a relaying host.
+pub struct RelayMetrics {
+    registry: Registry,
+    known: RefCell<HashSet<FastStr>>,
+    answers: Family<EndLabels, Counter>,
+    head_time: RouteHistogram,
+    reserve_time: RouteHistogram,
+    prefill_time: RouteHistogram,
+    /// Requests in progress.
+    pub in_flight: Gauge,
+    /// Requests that wait for memory at an engine.
+    pub waiting: Gauge,
+    /// Connections to backend servers.
+    pub connections: Gauge,
+    /// Version of the configuration in force.
+    pub config_version: Gauge,
+    /// Backend servers that may be used.
+    pub backends: Gauge,
+    /// Repeats that were sent to backend servers.
+    pub repeats: Counter,
+    /// Backend servers that were passed over after failures.
+    pub ejections: Counter,
+    /// Calls to the store that failed.
+    pub store_failures: Counter,
+}
+
+impl fmt::Debug for RelayMetrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("RelayMetrics")
+    }
+}
+
+// From the fastest plain call to the longest wait of a caller, seconds.
+fn time_buckets() -> Histogram {
+    Histogram::new([
+        0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.45, 0.6, 0.9, 1.4, 2.0, 3.0, 5.0, 14.0,
+    ])
+}
+
+impl Default for RelayMetrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("bayplank_relay"),
+            known: RefCell::default(),
+            answers: Family::default(),
+            head_time: Family::new_with_constructor(time_buckets),
+            reserve_time: Family::new_with_constructor(time_buckets),
+            prefill_time: Family::new_with_constructor(time_buckets),
+            in_flight: Gauge::default(),
+            waiting: Gauge::default(),
+            connections: Gauge::default(),
+            config_version: Gauge::default(),
+            backends: Gauge::default(),
+            repeats: Counter::default(),
+            ejections: Counter::default(),
+            store_failures: Counter::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl RelayMetrics {
+    fn register(&mut self) {
+        let r = &mut self.registry;
+        r.register(
+            "answers",
+            "Answers by route and status",
+            self.answers.clone(),
+        );
+        let times = [
+            ("head", "Arrival to the head of the answer", &self.head_time),
+            ("reserve", "Wait for an engine's memory", &self.reserve_time),
+            ("prefill", "Prefill, with its wait", &self.prefill_time),
+        ];
+        for (name, help, family) in times {
+            r.register_with_unit(name, help, Unit::Seconds, family.clone());
+        }
+        let gauges = [
+            ("in_flight", "Requests in progress", &self.in_flight),
+            ("waiting", "Requests waiting for memory", &self.waiting),
+            (
+                "connections",
+                "Connections to backend servers",
+                &self.connections,
+            ),
+            (
+                "config_version",
+                "Configuration in force",
+                &self.config_version,
+            ),
+            ("backends", "Backend servers in use", &self.backends),
+        ];
+        for (name, help, gauge) in gauges {
+            r.register(name, help, gauge.clone());
+        }
+        let counters = [
+            ("repeats", "Repeats sent", &self.repeats),
+            ("ejections", "Backend servers passed over", &self.ejections),
+            (
+                "store_failures",
+                "Failed calls to the store",
+                &self.store_failures,
+            ),
+        ];
+        for (name, help, counter) in counters {
+            r.register(name, help, counter.clone());
+        }
+    }
+
+    /// An answer went to its caller.
+    pub fn answered(&self, route: Option<&RelayRoute>, status: u16, head_time: Duration) {
+        let name = route.map_or_else(String::new, |route| self.label(route));
+        let labels = EndLabels {
+            route: name,
+            status,
+        };
+        self.answers.get_or_create(&labels).inc();
+        if let Some(route) = route {
+            self.observe(&self.head_time, route, head_time);
+        }
+    }
+
+    /// An engine's memory was reserved after this wait.
+    pub fn reserved(&self, route: &RelayRoute, wait: Duration) {
+        self.observe(&self.reserve_time, route, wait);
+    }
+
+    /// A prompt was computed in this time.
+    pub fn computed(&self, route: &RelayRoute, time: Duration) {
+        self.observe(&self.prefill_time, route, time);
+    }
+
+    fn observe(&self, family: &RouteHistogram, route: &RelayRoute, time: Duration) {
+        let labels = RouteLabels {
+            route: self.label(route),
+        };
+        family.get_or_create(&labels).observe(time.as_secs_f64());
+    }
+
+    fn label(&self, route: &RelayRoute) -> String {
+        let mut known = self.known.borrow_mut();
+        if known.len() < ROUTE_LABELS_MAX {
+            known.insert(route.name.clone());
+        }
+        match known.contains(&route.name) {
+            true => route.name.to_string(),
+            false => "other".to_owned(),
+        }
+    }
+
+    /// The metrics as a page of the OpenMetrics text format.
+    pub fn page(&self) -> String {
+        let mut page = String::new();
+        if let Err(error) = text::encode(&mut page, &self.registry) {
+            log::error!("the metrics cannot be written: {error}");
+        }
+        page
+    }
+}
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -15,6 +15,7 @@
 mod host;
 mod line;
 mod link;
+mod metrics;
 mod parts;
 mod plain;
 mod prefill;
@@ -26,6 +27,6 @@
 
 pub use self::{
     answer::*, backend::*, book::*, budget::*, call::*, cluster::*, config::*, dialect::*,
-    events::*, feed::*, handler::*, host::*, line::*, link::*, parts::*, prefill::*, reserve::*,
-    roles::*, route::*, settings::*,
+    events::*, feed::*, handler::*, host::*, line::*, link::*, metrics::*, parts::*, prefill::*,
+    reserve::*, roles::*, route::*, settings::*,
 };
--- a/src/relay/parts.rs
+++ b/src/relay/parts.rs
@@ -8,6 +8,7 @@
         cluster::ClusterState,
         dialect::{BackendCall, CallDialect},
         line::WaitLine,
+        metrics::RelayMetrics,
         route::RouteTable,
         settings::RelaySettings,
     },
@@ -47,6 +48,8 @@
     pub line: RefCell<WaitLine>,
     /// Told when memory or a place in the line may have become free.
     pub freed: Notify,
+    /// What is counted.
+    pub metrics: RelayMetrics,
     /// Counts requests in progress and closes for a planned stop.
     pub gate: Arc<StopGate>,
     start: Instant,
@@ -66,6 +69,7 @@
             budgets: RefCell::default(),
             line: RefCell::default(),
             freed: Notify::new(),
+            metrics: RelayMetrics::default(),
             gate,
             start: Instant::now(),
         })
@@ -98,6 +102,7 @@
         let allowed = budget.allows(allowance, hosts, now);
         if allowed {
             budget.count(now);
+            self.metrics.repeats.inc();
         }
         allowed
     }
@@ -182,6 +187,7 @@
         let now = self.now();
         let ejected = self.book.borrow_mut().failed(&backend.id, failure, now);
         if ejected {
+            self.metrics.ejections.inc();
             self.pool.forget(backend.address);
             event::emit(
                 &event::BACKEND_EJECTED,
@@ -219,3 +225,17 @@
         });
     }
 }
+
+impl RelayParts {
+    /// The metrics as a page, with what is held now.
+    pub fn metrics_page(&self) -> String {
+        let metrics = &self.metrics;
+        let cluster = self.cluster.borrow();
+        metrics.in_flight.set(self.gate.in_flight() as i64);
+        metrics.waiting.set(self.line.borrow().len() as i64);
+        metrics.connections.set(self.pool.open() as i64);
+        metrics.config_version.set(cluster.config_version() as i64);
+        metrics.backends.set(cluster.usable().len() as i64);
+        metrics.page()
+    }
+}
--- a/src/relay/prefill.rs
+++ b/src/relay/prefill.rs
@@ -125,6 +125,9 @@
             let now = parts.now();
             let mut book = parts.book.borrow_mut();
             book.answered(&engine.id, true);
+            parts
+                .metrics
+                .computed(&call.route, now.saturating_sub(began));
             book.prefill_observed(&engine.id, cache.tokens, now.saturating_sub(began), now);
         }
         Err(failure) if failure.verdict != RunVerdict::NotRun => {
--- a/src/relay/reserve.rs
+++ b/src/relay/reserve.rs
@@ -121,6 +121,7 @@
         if place.is_first()
             && let Some(hold) = ask_round(parts, service, tokens).await
         {
+            parts.metrics.reserved(&call.route, call.arrived.elapsed());
             return Ok(hold);
         }
         let pause = Instant::now() + ROUND_PAUSE;
