--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -4,7 +4,7 @@
     super::{
         check, demo,
         exit::{self, CommandResult},
-        load, operate, peers, standin,
+        load, operate, peers, standin, trace,
     },
     crate::bench,
     pico_args::Arguments,
@@ -27,6 +27,8 @@
   delete KIND NAME    delete an object from the platform
   status HOST...      tell what each host has in force
   explain ID HOST...  tell why a request went where it went
+  trace ID            tell a request's story from the log lines of any number of hosts
+                      on standard input
   drain SERVER        let a backend server finish and give it no new work
   undrain SERVER      give it new work again
 
@@ -71,6 +73,7 @@
         "delete" => operate::delete(arguments),
         "status" => operate::status(arguments),
         "explain" => operate::explain(arguments),
+        "trace" => trace::run(arguments),
         "drain" => operate::drain(arguments, true),
         "undrain" => operate::drain(arguments, false),
         other => Err(exit::usage(format!("unknown command {other:?}"))),
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -9,5 +9,8 @@
 mod operate;
 mod peers;
 mod standin;
+mod trace;
 
-pub use self::{command::run_command, daemon::run_daemon, demo::demo_objects, exit::*};
+pub use self::{
+    command::run_command, daemon::run_daemon, demo::demo_objects, exit::*, trace::request_story,
+};
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -4,7 +4,7 @@
     super::{
         answer,
         backend::BackendInfo,
-        config::{CallerLimits, RelayRoute},
+        config::{CallerLimits, RelayConfig, RelayRoute},
         dialect::{CallAddress, CallDialect, CallMarks},
     },
     crate::operation::{Refusal, RefusalCode},
@@ -31,6 +31,8 @@
     pub marks: CallMarks,
     /// Its route.
     pub route: Rc<RelayRoute>,
+    /// Version of the configuration that the route is of.
+    pub config_version: u64,
     /// When its head had arrived.
     pub arrived: Instant,
     /// When its caller has to have an answer.
@@ -69,7 +71,7 @@
     parts: Parts,
     body: Incoming,
     route: Rc<RelayRoute>,
-    limits: &CallerLimits,
+    config: &RelayConfig,
     dialect: &CallDialect,
 ) -> Result<RelayCall, Refusal> {
     let arrived = Instant::now();
@@ -79,7 +81,7 @@
         None => route.time_limit,
     };
     let until = arrived + patience;
-    let reading = read_body(body, limits);
+    let reading = read_body(body, &config.limits);
     let body = tokio::time::timeout_at(until, reading)
         .await
         .unwrap_or_else(|_| Err(slow_body()))?;
@@ -97,6 +99,7 @@
         body,
         marks,
         route,
+        config_version: config.version,
         arrived,
         until,
     })
--- a/src/relay/handler.rs
+++ b/src/relay/handler.rs
@@ -72,7 +72,7 @@
         let text = format!("route {} leads to no service", route.name);
         Refusal::not_run(RefusalCode::NoBackend, text).after(COME_BACK)
     })?;
-    let call = call::read_call(head, body, route, limits, &parts.dialect).await?;
+    let call = call::read_call(head, body, route, routes.config(), &parts.dialect).await?;
     parts.count_request(&service.name);
     let call = Rc::new(call);
     let name = service.name.clone();
--- a/src/relay/line.rs
+++ b/src/relay/line.rs
@@ -9,8 +9,8 @@
     pub late: bool,
     /// 0 is the most urgent.
     pub priority: u8,
-    /// When it has to be served to be in time.
-    pub due: Duration,
+    /// When it should be served, by its arrival, its target and its size.
+    pub rank: Duration,
     /// Number of the request in line, unique.
     pub ticket: u64,
 }
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -68,6 +68,17 @@
     // Each server tried and what it answered, for the log.
     trail: String,
     fallback: Option<WholeAnswer>,
+    // Whether the end was logged.
+    ended: bool,
+}
+
+impl Drop for PlainRelay {
+    // The caller left: its connection drops whatever is being done for it.
+    fn drop(&mut self) {
+        if !self.ended {
+            self.log_end("caller-gone");
+        }
+    }
 }
 
 /// Answers a plain request.
@@ -88,9 +99,16 @@
         detail: "no backend server can take it".into(),
         trail: String::new(),
         fallback: None,
+        ended: false,
+    };
+    let answer = match relay.run().await {
+        Ok(answer) => answer,
+        Err(refusal) => {
+            relay.log_end("refused");
+            return Err(refusal);
+        }
     };
-    let answer = relay.run().await?;
-    relay.log_end(answer.status);
+    relay.log_end(answer.status.as_str());
     let body = answer::whole_body(answer.body);
     Ok(answer::relayed(answer.status, answer.headers, body))
 }
@@ -185,14 +203,16 @@
         allowed && self.sends < attempts && self.declines < DECLINES_MAX
     }
 
-    fn log_end(&self, status: StatusCode) {
+    fn log_end(&mut self, end: &str) {
+        self.ended = true;
         let call = &self.call;
         event::emit(
             &event::REQUEST_ENDED,
             &[
                 ("request", &call.marks.id),
                 ("route", &call.route.name),
-                ("end", &status.as_u16()),
+                ("config", &call.config_version),
+                ("end", &end),
                 ("tried", &self.trail),
                 ("ended_ms", &call.arrived.elapsed().as_millis()),
             ],
--- a/src/relay/prefill.rs
+++ b/src/relay/prefill.rs
@@ -16,7 +16,7 @@
 
 /// Predicted wait at the best prefill engine, seconds, from which the decode engine computes the prompt
 /// itself: it takes twice as long, and holds up the answers that it generates meanwhile.
-const OVERFLOW_BACKLOG: f64 = 0.1;
+const OVERFLOW_BACKLOG: f64 = 0.15;
 
 /// Bytes that the answer to a prefill may have.
 const ANSWER_LIMIT: usize = 64 << 10;
--- a/src/relay/reserve.rs
+++ b/src/relay/reserve.rs
@@ -1,7 +1,9 @@
 //! Waiting for memory at a decode engine, and reserving it.
 
 use {
-    super::{backend::BackendInfo, call::RelayCall, line::LineKey, parts::RelayParts},
+    super::{
+        backend::BackendInfo, call::RelayCall, dialect::CallMarks, line::LineKey, parts::RelayParts,
+    },
     crate::operation::{Refusal, RefusalCode},
     faststr::FastStr,
     http::StatusCode,
@@ -22,11 +24,19 @@
 const ROUND_PAUSE: Duration = Duration::from_millis(25);
 
 /// Longest wait of a request for memory: callers give a stream up after some seconds without events.
-const WAIT_LIMIT: Duration = Duration::from_millis(2_800);
+const WAIT_LIMIT: Duration = Duration::from_millis(1_800);
 
 /// From the reservation to the first event: the prefill and the first step.
 const SERVICE_TIME: Duration = Duration::from_millis(250);
 
+/// Tokens of a request of the usual size, prompt and answer.
+const USUAL_TOKENS: f64 = 4_000.0;
+
+/// Bounds of what a request's size makes of its latency target when the line is ordered: the largest
+/// wait one target longer than the usual, no more.
+const SIZE_FACTOR_LEAST: f64 = 0.3;
+const SIZE_FACTOR_MOST: f64 = 2.0;
+
 /// When a caller is to come back after a refusal for lack of memory.
 const COME_BACK: Duration = Duration::from_millis(1_000);
 
@@ -60,26 +70,37 @@
     }
 }
 
+// Small requests go before large ones that came a little earlier: they take less memory for less time,
+// and a line that is not served in full serves more of them in time.
+fn size_factor(marks: &CallMarks) -> f64 {
+    let tokens = marks.prompt_tokens + marks.answer_hint.unwrap_or_default();
+    (tokens as f64 / USUAL_TOKENS).clamp(SIZE_FACTOR_LEAST, SIZE_FACTOR_MOST)
+}
+
 // A place in the line; left when dropped.
 struct LinePlace {
     parts: Rc<RelayParts>,
     key: LineKey,
+    // When the request has to be served to be in time.
+    due: Duration,
 }
 
 impl LinePlace {
     fn join(parts: &Rc<RelayParts>, call: &RelayCall) -> Self {
         let mut line = parts.line.borrow_mut();
         let due = call.arrived + call.route.latency_target;
+        let rank = call.arrived + call.route.latency_target.mul_f64(size_factor(&call.marks));
         let key = LineKey {
             late: false,
             priority: call.route.priority,
-            due: parts.at(due),
+            rank: parts.at(rank),
             ticket: line.ticket(),
         };
         line.place(None, key);
         Self {
             parts: parts.clone(),
             key,
+            due: parts.at(due),
         }
     }
 
@@ -89,7 +110,7 @@
 
     // Who can no longer be in time lets those go first who can.
     fn update(&mut self) {
-        let late = self.parts.now() + SERVICE_TIME > self.key.due;
+        let late = self.parts.now() + SERVICE_TIME > self.due;
         if late != self.key.late {
             let key = LineKey { late, ..self.key };
             self.parts.line.borrow_mut().place(Some(self.key), key);
@@ -105,14 +126,16 @@
     }
 }
 
-/// Waits for memory at a decode engine of the service and reserves it.
+/// Waits for memory at a decode engine of the service and reserves it; the wait counts from `since`, the
+/// request's arrival or the moment its stream broke.
 pub async fn reserve(
     parts: &Rc<RelayParts>,
     call: &RelayCall,
     service: &str,
     tokens: u64,
+    since: Instant,
 ) -> Result<MemoryHold, Refusal> {
-    let give_up = call.until.min(call.arrived + WAIT_LIMIT);
+    let give_up = call.until.min(since + WAIT_LIMIT);
     let mut place = LinePlace::join(parts, call);
     loop {
         let freed = parts.freed.notified();
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -76,8 +76,19 @@
     decodes: u32,
     skip_prefill: bool,
     times: StreamTimes,
-    // What the decode engine takes, and where.
+    // The decode engine of the last round.
     engine: FastStr,
+    // Whether the end was logged.
+    ended: bool,
+}
+
+impl Drop for StreamRelay {
+    // The caller left: its connection drops whatever is being done for it.
+    fn drop(&mut self) {
+        if !self.ended {
+            self.log_end("caller-gone");
+        }
+    }
 }
 
 /// When each step of a streamed request was done, since its arrival.
@@ -104,8 +115,16 @@
         skip_prefill: false,
         times: StreamTimes::default(),
         engine: FastStr::default(),
+        ended: false,
+    };
+    let arrived = relay.call.arrived;
+    let running = match relay.begin(None, arrived).await {
+        Ok(running) => running,
+        Err(refusal) => {
+            relay.log_end("refused");
+            return Err(refusal);
+        }
     };
-    let running = relay.begin(None).await?;
     let (status, headers) = (running.status, running.headers.clone());
     let body = match relay.call.route.kind {
         RequestKind::ResumableStream if status == StatusCode::OK => {
@@ -122,10 +141,14 @@
     }
 
     // Rounds until an engine answers; an answer that may have run ends the tries.
-    async fn begin(&mut self, after: Option<FastStr>) -> Result<RunningStream, Refusal> {
+    async fn begin(
+        &mut self,
+        after: Option<FastStr>,
+        since: Instant,
+    ) -> Result<RunningStream, Refusal> {
         loop {
             self.rounds += 1;
-            let failure = match self.round(after.clone()).await? {
+            let failure = match self.round(after.clone(), since).await? {
                 Ok(running) => return Ok(running),
                 Err(failure) => failure,
             };
@@ -142,9 +165,10 @@
     async fn round(
         &mut self,
         after: Option<FastStr>,
+        since: Instant,
     ) -> Result<Result<RunningStream, RoundFailure>, Refusal> {
         let tokens = reserved_tokens(&self.call.marks);
-        let hold = reserve::reserve(&self.parts, &self.call, &self.service, tokens).await?;
+        let hold = reserve::reserve(&self.parts, &self.call, &self.service, tokens, since).await?;
         self.times.reserved = self.call.arrived.elapsed();
         self.engine = hold.engine.id.clone();
         let cache = self.compute(&hold).await;
@@ -287,13 +311,15 @@
 }
 
 impl StreamRelay {
-    fn log_end(&self, end: &str) {
+    fn log_end(&mut self, end: &str) {
+        self.ended = true;
         let call = &self.call;
         event::emit(
             &event::REQUEST_ENDED,
             &[
                 ("request", &call.marks.id),
                 ("route", &call.route.name),
+                ("config", &call.config_version),
                 ("end", &end),
                 ("engine", &self.engine),
                 ("rounds", &self.rounds),
@@ -319,7 +345,7 @@
 
 // Bytes as they come; a break is passed on as one.
 fn plain_chunks(
-    relay: StreamRelay,
+    mut relay: StreamRelay,
     mut running: RunningStream,
 ) -> impl Stream<Item = Result<Bytes, BrokenBody>> {
     async_stream::stream! {
@@ -377,7 +403,7 @@
             drop(running);
             splitter.drop_rest();
             let after = splitter.last_id().map(FastStr::new);
-            match relay.begin(after).await {
+            match relay.begin(after, Instant::now()).await {
                 Ok(next) if next.status == StatusCode::OK => running = next,
                 Ok(next) => {
                     relay.log_end("broken");
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -315,7 +315,7 @@
     let key = |late, priority, due, ticket| LineKey {
         late,
         priority,
-        due: millis(due),
+        rank: millis(due),
         ticket,
     };
     let mut line = WaitLine::default();
