Engines that decline are passed over; roles change only for lasting losses

A decode engine was blamed when the prefill engine's cache had lapsed. Ruled out: full queues at prefill engines (the declines came from one or two engines at a time, for the time of a switch). Change: an engine that declines is passed over for 1.5 s; the prefill engine is blamed for a cache that cannot be had; with requests under way a plan is followed after 5 s and from two changes on.

--- a/src/relay/book.rs
+++ b/src/relay/book.rs
@@ -46,6 +46,10 @@
 /// Delay that a prefill engine of another zone counts as: its KV cache takes the dearer way.
 const AWAY_DELAY: f64 = 0.04;
 
+/// How long an engine that declined is passed over: a change of role takes some seconds, and each look
+/// costs a repeat.
+const DECLINE_TIME: Duration = Duration::from_millis(1_500);
+
 /// How a backend server failed to answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BackendFailure {
@@ -79,6 +83,8 @@
     memory_tokens: u64,
     refused: Option<(Duration, u64)>,
     prefill_tokens: u64,
+    // Until when it is taken to decline whatever comes.
+    declines_until: Duration,
     // How much longer than its own prompt the last prefill took, and when that was seen.
     prefill_delay: Option<(Duration, Duration)>,
 }
@@ -95,6 +101,7 @@
             memory_tokens: 0,
             refused: None,
             prefill_tokens: 0,
+            declines_until: Duration::ZERO,
             prefill_delay: None,
         }
     }
@@ -257,7 +264,8 @@
         now: Duration,
     ) -> impl Iterator<Item = &'a BackendView> {
         self.usable(service)
-            .filter(move |view| view.info.role == Some(role) && !view.is_out(now))
+            .filter(move |view| view.info.role == Some(role))
+            .filter(move |view| !view.is_out(now) && now >= view.declines_until)
     }
 
     /// A prefill of this many tokens took this long.
@@ -324,6 +332,14 @@
         true
     }
 
+    /// An engine declined its part of a request, or its part was of no use: it may be changing its
+    /// role, or its caches may lapse too soon.
+    pub fn declined(&mut self, id: &str, now: Duration) {
+        if let Some(view) = self.views.get_mut(id) {
+            view.declines_until = now + DECLINE_TIME;
+        }
+    }
+
     /// An engine had no room for this many tokens.
     pub fn refused(&mut self, id: &str, tokens: u64, now: Duration) {
         if let Some(view) = self.views.get_mut(id) {
--- a/src/relay/parts.rs
+++ b/src/relay/parts.rs
@@ -92,6 +92,11 @@
         budgets.entry(service.clone()).or_default().earn(now);
     }
 
+    /// Whether a request for any service has come yet.
+    pub fn has_served(&self) -> bool {
+        !self.budgets.borrow().is_empty()
+    }
+
     /// Whether one repeat more may be sent to a service; if so, it is counted.
     pub fn spend_repeat(&self, service: &FastStr) -> bool {
         let now = self.now();
--- a/src/relay/prefill.rs
+++ b/src/relay/prefill.rs
@@ -176,6 +176,7 @@
     })?;
     if marks.not_run {
         parts.note_decline(engine, status);
+        parts.book.borrow_mut().declined(&engine.id, parts.now());
         return Err(PrefillFailure {
             verdict: RunVerdict::NotRun,
             kind: BackendFailure::Broken,
--- a/src/relay/roles.rs
+++ b/src/relay/roles.rs
@@ -39,8 +39,16 @@
 /// Share of a service's engines that compute prompts, by measured runs on both sites.
 const PREFILL_SHARE: f64 = 0.25;
 
-/// How long a plan has to stay the same before it is followed.
-const SETTLE_TIME: Duration = Duration::from_millis(900);
+/// How long a plan has to stay the same before it is followed, while there are no requests yet.
+const FIRST_SETTLE_TIME: Duration = Duration::from_millis(900);
+
+/// The same once there are requests: engines that crash are back within a few seconds, sooner than
+/// another has changed its role.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
+
+/// Least changes of a plan that is followed once there are requests: an engine that changes its role
+/// serves nobody for seconds.
+const LEAST_CHANGES: usize = 2;
 
 /// Least time of an imbalance before a host but the first of the list takes care of it.
 const NEXT_HOST_DELAY: Duration = Duration::from_millis(2_500);
@@ -153,7 +161,11 @@
     async fn look(&mut self) -> Result<(), StoreFailure> {
         let now = self.parts.now();
         let changes = self.due_changes(now);
-        if changes.is_empty() {
+        let (least, settle) = match self.parts.has_served() {
+            true => (LEAST_CHANGES, SETTLE_TIME),
+            false => (1, FIRST_SETTLE_TIME),
+        };
+        if changes.len() < least {
             self.unbalanced_since = None;
             return Ok(());
         }
@@ -167,7 +179,7 @@
             self.unbalanced_since = Some(now);
         }
         let since = *self.unbalanced_since.get_or_insert(now);
-        if now - since < SETTLE_TIME + self.turn_delay() {
+        if now - since < settle + self.turn_delay() {
             return Ok(());
         }
         self.step_lease().await?;
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -284,7 +284,10 @@
         }
         if marks.not_run {
             parts.note_decline(&engine, answer.status);
-            // Most often the KV cache could not be had; the engine then reads the prompt itself.
+            // Most often the KV cache could not be had: the prefill engine is to blame, and the decode
+            // engine computes the prompt itself in the next round.
+            let blamed = cache.as_ref().map_or(&engine, |cache| &cache.engine);
+            parts.book.borrow_mut().declined(&blamed.id, parts.now());
             self.skip_prefill = cache.is_some();
             let status = answer.status;
             let _ = answer.body.read(1 << 16).await;
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -218,6 +218,15 @@
     });
 }
 
+#[test]
+fn an_engine_that_declines_is_passed_over_for_a_while() {
+    let mut book = BackendBook::default();
+    book.set_backends(vec![backend("p-1", "z", Some(EngineRole::Prefill))]);
+    book.declined("p-1", millis(0));
+    assert!(book.best_prefill("one", "z", millis(1_000)).is_none());
+    assert!(book.best_prefill("one", "z", millis(2_000)).is_some());
+}
+
 #[test]
 fn a_busy_prefill_engine_gives_way_to_one_of_another_zone() {
     let mut book = BackendBook::default();
