--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -37,6 +37,13 @@
     pub not_run: bool,
 }
 
+impl AnswerMarks {
+    /// Whether it answers another request than this one.
+    pub fn is_anothers(&self, request: &str) -> bool {
+        self.id.as_ref().is_some_and(|id| id != request)
+    }
+}
+
 /// Whom a request is meant for, and how long it may take.
 #[derive(Debug, Clone, Copy)]
 pub struct CallAddress<'a> {
--- a/src/relay/parts.rs
+++ b/src/relay/parts.rs
@@ -152,13 +152,7 @@
         };
         tokio::time::timeout(patience, sending)
             .await
-            .unwrap_or_else(|_| {
-                Err(SendFailure {
-                    verdict: RunVerdict::MayHaveRun,
-                    silent: true,
-                    detail: "no answer in time".into(),
-                })
-            })
+            .unwrap_or_else(|_| Err(SendFailure::no_answer_in_time()))
     }
 
     async fn send_control(
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -285,7 +285,7 @@
         }
     };
     let marks = (parts.dialect.read_answer)(answer.status, &answer.headers);
-    if marks.id.as_ref().is_some_and(|id| *id != call.marks.id) {
+    if marks.is_anothers(&call.marks.id) {
         parts.note_failure(
             &backend,
             BackendFailure::Broken,
--- a/src/relay/prefill.rs
+++ b/src/relay/prefill.rs
@@ -183,7 +183,7 @@
             detail: format!("declined with status {status}"),
         });
     }
-    let is_ours = marks.id.as_ref().is_none_or(|id| *id == call.marks.id);
+    let is_ours = !marks.is_anothers(&call.marks.id);
     let cache =
         (dialect.engines.read_prefill)(&body).filter(|_| is_ours && status == StatusCode::OK);
     cache.ok_or_else(|| PrefillFailure {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -6,6 +6,7 @@
 use {
     super::{
         answer::{self, RelayAnswer},
+        backend::BackendInfo,
         book::BackendFailure,
         call::RelayCall,
         config::RequestKind,
@@ -19,7 +20,7 @@
     crate::{
         event,
         operation::{Refusal, RefusalCode, RunVerdict},
-        web::{BrokenBody, PoolLane, PooledBody},
+        web::{BrokenBody, PoolLane, PooledAnswer, PooledBody, SendFailure},
     },
     bytes::Bytes,
     faststr::FastStr,
@@ -42,6 +43,9 @@
 /// Part of an answer's expected tokens that is reserved ahead, by measured runs.
 const RESERVED_ANSWER: f64 = 1.0;
 
+/// Bytes of a declining answer.
+const DECLINE_LIMIT: usize = 64 << 10;
+
 /// Rounds of reserving, computing and decoding for one request.
 const ROUNDS_MAX: u32 = 3;
 
@@ -75,6 +79,8 @@
     // Decodes that were sent, run or not.
     decodes: u32,
     skip_prefill: bool,
+    // Whether any decode so far may have run.
+    verdict: RunVerdict,
     times: StreamTimes,
     // The decode engine of the last round.
     engine: FastStr,
@@ -113,6 +119,7 @@
         computed: false,
         decodes: 0,
         skip_prefill: false,
+        verdict: RunVerdict::NotRun,
         times: StreamTimes::default(),
         engine: FastStr::default(),
         ended: false,
@@ -140,7 +147,8 @@
         self.call.route.kind == RequestKind::ResumableStream
     }
 
-    // Rounds until an engine answers; an answer that may have run ends the tries.
+    // Rounds until an engine answers; a round that may have run ends the tries unless the stream is
+    // resumable. What any round may have run stays so.
     async fn begin(
         &mut self,
         after: Option<FastStr>,
@@ -148,20 +156,28 @@
     ) -> Result<RunningStream, Refusal> {
         loop {
             self.rounds += 1;
-            let failure = match self.round(after.clone(), since).await? {
+            let round = self.round(after.clone(), since).await;
+            let failure = match round.map_err(|refusal| self.with_verdict(refusal))? {
                 Ok(running) => return Ok(running),
                 Err(failure) => failure,
             };
+            self.verdict = self.verdict.max(failure.verdict);
             let spent = self.rounds >= ROUNDS_MAX || self.call.time_left().is_zero();
             let again = failure.verdict.allows_retry(self.is_resumable());
             if !again || spent {
-                let refusal =
-                    Refusal::new(failure.verdict, RefusalCode::BackendLost, failure.detail);
+                let refusal = Refusal::new(self.verdict, RefusalCode::BackendLost, failure.detail);
                 return Err(refusal.after(COME_BACK));
             }
         }
     }
 
+    fn with_verdict(&self, refusal: Refusal) -> Refusal {
+        Refusal {
+            verdict: refusal.verdict.max(self.verdict),
+            ..refusal
+        }
+    }
+
     async fn round(
         &mut self,
         after: Option<FastStr>,
@@ -218,11 +234,10 @@
     async fn decode(
         &mut self,
         mut hold: MemoryHold,
-        mut cache: Option<WaitingCache>,
+        cache: Option<WaitingCache>,
         after: Option<FastStr>,
     ) -> Result<RunningStream, RoundFailure> {
-        let parts = self.parts.clone();
-        if self.decodes > 0 && !parts.spend_repeat(&self.service) {
+        if self.decodes > 0 && !self.parts.spend_repeat(&self.service) {
             return Err(RoundFailure {
                 verdict: RunVerdict::NotRun,
                 detail: "no repeats are left for another decode".into(),
@@ -237,10 +252,26 @@
             hold: hold.use_up(),
             after_event: after,
         };
-        let engine = hold.engine.clone();
-        let guard = CallGuard::begin(&parts, &engine);
-        let request = self.call.request_to(&engine, &parts.dialect, |headers| {
-            (parts.dialect.engines.as_decode)(headers, &start);
+        let guard = CallGuard::begin(&self.parts, &hold.engine);
+        let answer = self.send_decode(&hold.engine, &start).await?;
+        let answer = self.check_answer(&hold.engine, cache, answer).await?;
+        Ok(RunningStream {
+            status: answer.status,
+            headers: answer.headers,
+            body: answer.body,
+            _memory: hold,
+            _guard: guard,
+        })
+    }
+
+    async fn send_decode(
+        &self,
+        engine: &BackendInfo,
+        start: &DecodeStart,
+    ) -> Result<PooledAnswer, RoundFailure> {
+        let parts = &self.parts;
+        let request = self.call.request_to(engine, &parts.dialect, |headers| {
+            (parts.dialect.engines.as_decode)(headers, start);
         });
         let patience = match self.is_resumable() {
             true => RESUMABLE_HEAD_PATIENCE,
@@ -248,68 +279,68 @@
         };
         let patience = patience.min(self.call.time_left());
         let sending = parts.pool.send(engine.address, PoolLane::Requests, request);
-        let sent = tokio::time::timeout(patience, sending).await;
-        let answer = match sent {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(failure)) => {
-                parts.note_failure(&engine, failure.kind(), &failure.detail);
-                return Err(RoundFailure {
-                    verdict: failure.verdict,
-                    detail: format!("decode at {}: {}", engine.id, failure.detail),
-                });
+        let sent = tokio::time::timeout(patience, sending)
+            .await
+            .unwrap_or_else(|_| Err(SendFailure::no_answer_in_time()));
+        sent.map_err(|failure| {
+            parts.note_failure(engine, failure.kind(), &failure.detail);
+            RoundFailure {
+                verdict: failure.verdict,
+                detail: format!("decode at {}: {}", engine.id, failure.detail),
             }
-            Err(_) => {
-                parts.note_failure(&engine, BackendFailure::Silent, "no answer in time");
-                return Err(RoundFailure {
-                    verdict: RunVerdict::MayHaveRun,
-                    detail: format!("decode at {}: no answer in time", engine.id),
-                });
-            }
-        };
+        })
+    }
+
+    // Whether the answer is this request's, and whether the engine took it.
+    async fn check_answer(
+        &mut self,
+        engine: &BackendInfo,
+        cache: Option<WaitingCache>,
+        answer: PooledAnswer,
+    ) -> Result<PooledAnswer, RoundFailure> {
+        let parts = self.parts.clone();
         let marks = (parts.dialect.read_answer)(answer.status, &answer.headers);
-        if marks
-            .id
-            .as_ref()
-            .is_some_and(|id| *id != self.call.marks.id)
-        {
-            parts.note_failure(
-                &engine,
-                BackendFailure::Broken,
-                "an answer to another request",
-            );
+        if marks.is_anothers(&self.call.marks.id) {
+            let detail = "an answer to another request";
+            parts.note_failure(engine, BackendFailure::Broken, detail);
             return Err(RoundFailure {
                 verdict: RunVerdict::MayHaveRun,
-                detail: format!("decode at {}: an answer to another request", engine.id),
+                detail: format!("decode at {}: {detail}", engine.id),
             });
         }
         if marks.not_run {
-            parts.note_decline(&engine, answer.status);
-            // Most often the KV cache could not be had: the prefill engine is to blame, and the decode
-            // engine computes the prompt itself in the next round.
-            let blamed = cache.as_ref().map_or(&engine, |cache| &cache.engine);
-            parts.book.borrow_mut().declined(&blamed.id, parts.now());
-            self.skip_prefill = cache.is_some();
-            let status = answer.status;
-            let _ = answer.body.read(1 << 16).await;
-            return Err(RoundFailure {
-                verdict: RunVerdict::NotRun,
-                detail: format!("decode at {} declined with status {status}", engine.id),
-            });
+            return Err(self.take_decline(engine, cache, answer).await);
         }
-        if let Some(cache) = &mut cache {
+        if let Some(mut cache) = cache {
             cache.taken();
         }
-        parts
-            .book
-            .borrow_mut()
-            .answered(&engine.id, !answer.status.is_server_error());
-        Ok(RunningStream {
-            status: answer.status,
-            headers: answer.headers,
-            body: answer.body,
-            _memory: hold,
-            _guard: guard,
-        })
+        let is_good = !answer.status.is_server_error();
+        parts.book.borrow_mut().answered(&engine.id, is_good);
+        Ok(answer)
+    }
+
+    // Most often the KV cache could not be had: the prefill engine is to blame, and the decode engine
+    // computes the prompt itself in the next round.
+    async fn take_decline(
+        &mut self,
+        engine: &BackendInfo,
+        cache: Option<WaitingCache>,
+        answer: PooledAnswer,
+    ) -> RoundFailure {
+        let status = answer.status;
+        self.parts.note_decline(engine, status);
+        let blamed = cache.as_ref().map_or(engine, |cache| &cache.engine);
+        let now = self.parts.now();
+        self.parts.book.borrow_mut().declined(&blamed.id, now);
+        self.skip_prefill = cache.is_some();
+        // Read to its end, so that the connection can be used again.
+        if let Err(detail) = answer.body.read(DECLINE_LIMIT).await {
+            log::debug!("a declining answer of {} broke off: {detail}", engine.id);
+        }
+        RoundFailure {
+            verdict: RunVerdict::NotRun,
+            detail: format!("decode at {} declined with status {status}", engine.id),
+        }
     }
 }
 
--- a/src/web/pool.rs
+++ b/src/web/pool.rs
@@ -70,6 +70,17 @@
 
 impl std::error::Error for SendFailure {}
 
+impl SendFailure {
+    /// A request was handed over and nothing came in time.
+    pub fn no_answer_in_time() -> Self {
+        Self {
+            verdict: RunVerdict::MayHaveRun,
+            silent: true,
+            detail: "no answer in time".into(),
+        }
+    }
+}
+
 type Sender = http1::SendRequest<Full<Bytes>>;
 
 struct IdleConnection {
