--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -106,14 +106,6 @@
     pub is_busy: bool,
     /// Orders that it has taken since its start.
     pub orders_taken: u64,
-    /// Requests that wait there.
-    pub waiting: u64,
-    /// Requests that run there.
-    pub running: u64,
-    /// Tokens of memory that cannot give way.
-    pub memory_used: u64,
-    /// Tokens of memory in all.
-    pub memory_total: u64,
 }
 
 /// How backend servers of any kind are spoken to.
--- a/src/relay/parts.rs
+++ b/src/relay/parts.rs
@@ -190,7 +190,12 @@
             self.pool.forget(backend.address);
             event::emit(
                 &event::BACKEND_EJECTED,
-                &[("backend", &backend.id), ("cause", &detail)],
+                &[
+                    ("backend", &backend.id),
+                    ("service", &backend.service),
+                    ("zone", &backend.zone),
+                    ("cause", &detail),
+                ],
             );
         }
     }
--- a/src/relay/reserve.rs
+++ b/src/relay/reserve.rs
@@ -172,9 +172,18 @@
     None
 }
 
+// Operators bound how long memory may be reserved.
+fn hold_time(parts: &RelayParts, engine: &BackendInfo) -> Duration {
+    let service = parts
+        .routes()
+        .and_then(|routes| routes.service(&engine.service));
+    let limits = service.as_ref().and_then(|service| service.engine.as_ref());
+    limits.map_or(HOLD_TIME, |limits| HOLD_TIME.min(limits.hold_limit))
+}
+
 async fn ask(parts: &Rc<RelayParts>, engine: BackendInfo, tokens: u64) -> Option<MemoryHold> {
     let engines = &parts.dialect.engines;
-    let call = (engines.hold)(tokens, HOLD_TIME);
+    let call = (engines.hold)(tokens, hold_time(parts, &engine));
     let answer = parts.call_backend(&engine, call, HOLD_PATIENCE).await;
     let hold = match answer {
         Ok((StatusCode::OK, body)) => (engines.read_hold)(&body),
--- a/src/relay/roles.rs
+++ b/src/relay/roles.rs
@@ -280,7 +280,8 @@
             return;
         }
         let report = self.read_report(&change.engine).await;
-        let Some(report) = report.filter(|report| !report.is_busy) else {
+        let due = |report: &EngineReport| !report.is_busy && report.role != Some(change.role);
+        let Some(report) = report.filter(due) else {
             let engine = change.engine.id.clone();
             self.ordered.insert(engine, now + ORDER_PAUSE);
             return;
