--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -28,10 +28,25 @@
 
 impl WindowBudget {
     /// A request for the service came.
-    pub fn earn(&mut self, now: Duration) {
+    pub fn earn(&mut self, window: Duration, now: Duration) {
+        self.forget(window, now);
         self.requests.push_back(now);
     }
 
+    /// Requests and repeats that are remembered.
+    pub fn remembered(&self) -> usize {
+        self.requests.len() + self.repeats.len()
+    }
+
+    fn forget(&mut self, window: Duration, now: Duration) {
+        let since = now.saturating_sub(window);
+        for times in [&mut self.requests, &mut self.repeats] {
+            while times.front().is_some_and(|at| *at < since) {
+                times.pop_front();
+            }
+        }
+    }
+
     /// A repeat was sent, allowed or not.
     pub fn count(&mut self, now: Duration) {
         self.repeats.push_back(now);
@@ -54,12 +69,7 @@
         hosts: usize,
         now: Duration,
     ) -> bool {
-        let since = now.saturating_sub(allowance.window);
-        for times in [&mut self.requests, &mut self.repeats] {
-            while times.front().is_some_and(|at| *at < since) {
-                times.pop_front();
-            }
-        }
+        self.forget(allowance.window, now);
         let earned = allowance.share * self.requests.len() as f64;
         let most = part * (earned + allowance.extra / hosts.max(1) as f64);
         ((self.repeats.len() + 1) as f64) <= most
--- a/src/relay/line.rs
+++ b/src/relay/line.rs
@@ -1,6 +1,6 @@
 //! The line in which requests wait for engines: the most urgent is served first.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeSet, time::Duration};
 
 /// Where a request stands; smaller is served first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -15,11 +15,10 @@
     pub ticket: u64,
 }
 
-/// Requests that wait for engines of any service of this host.
+/// The places of this host's requests that wait for engines.
 #[derive(Debug, Default)]
 pub struct WaitLine {
-    // Which of a service's requests wait, in order of urgency.
-    waiting: BTreeMap<LineKey, u64>,
+    waiting: BTreeSet<LineKey>,
     next_ticket: u64,
 }
 
@@ -35,7 +34,7 @@
         if let Some(before) = before {
             self.waiting.remove(&before);
         }
-        self.waiting.insert(key, key.ticket);
+        self.waiting.insert(key);
     }
 
     /// A request no longer waits.
--- a/src/relay/parts.rs
+++ b/src/relay/parts.rs
@@ -89,7 +89,9 @@
     pub fn count_request(&self, service: &FastStr) {
         let now = self.now();
         let mut budgets = self.budgets.borrow_mut();
-        budgets.entry(service.clone()).or_default().earn(now);
+        let window = self.allowance().window;
+        let budget = budgets.entry(service.clone()).or_default();
+        budget.earn(window, now);
     }
 
     /// Whether a request for any service has come yet.
@@ -126,6 +128,7 @@
         let now = self.now();
         let mut budgets = self.budgets.borrow_mut();
         budgets.entry(service.clone()).or_default().count(now);
+        self.metrics.repeats.inc();
     }
 
     fn allowance(&self) -> RetryAllowance {
@@ -162,7 +165,12 @@
     ) -> Result<PooledAnswer, SendFailure> {
         let mut request = Request::new(Full::new(call.body));
         *request.method_mut() = call.method;
-        *request.uri_mut() = call.path.parse().expect("a path of our own");
+        // Names that backend servers gave stand in paths; one of them may be no part of a path.
+        *request.uri_mut() = call.path.parse().map_err(|error| SendFailure {
+            verdict: RunVerdict::NotRun,
+            silent: false,
+            detail: format!("{:?} is no path: {error}", call.path),
+        })?;
         let headers = request.headers_mut();
         let host = HeaderValue::from_str(&backend.address.to_string());
         headers.insert(header::HOST, host.expect("an address is a header value"));
@@ -209,8 +217,8 @@
     }
 }
 
-/// How long a call that frees something is repeated until an answer comes; what it frees lapses by
-/// itself soon after.
+/// Longest wait for the answer to a call that frees something; if it is lost, what it would have freed
+/// lapses by itself within two seconds.
 const FREE_PATIENCE: Duration = Duration::from_millis(600);
 
 impl RelayParts {
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -252,7 +252,7 @@
         for (pause, is_request) in steps {
             now += millis(u64::from(*pause) * 10);
             if *is_request {
-                budget.earn(now);
+                budget.earn(allowance.window, now);
                 requests.push(now);
             } else if budget.allows(allowance, 9, now) {
                 budget.count(now);
@@ -389,3 +389,17 @@
     engines[0].leaving = true;
     assert!(relay::plan_roles(&engines).len() <= 1);
 }
+
+#[test]
+fn a_budget_that_nobody_asks_remembers_only_its_window() {
+    let allowance = RetryAllowance {
+        share: 0.2,
+        extra: 58.0,
+        window: millis(10_000),
+    };
+    let mut budget = WindowBudget::default();
+    for second in 0..1_000 {
+        budget.earn(allowance.window, millis(second * 1_000));
+    }
+    assert!(budget.remembered() <= 11, "{}", budget.remembered());
+}
