--- a/src/relay/reserve.rs
+++ b/src/relay/reserve.rs
@@ -29,6 +29,9 @@
 /// From the reservation to the first event: the prefill and the first step.
 const SERVICE_TIME: Duration = Duration::from_millis(250);
 
+/// Part of an answer's expected tokens that is reserved ahead, by measured runs (docs/design/routing.md).
+const RESERVED_ANSWER: f64 = 1.0;
+
 /// Tokens of a request of the usual size, prompt and answer.
 const USUAL_TOKENS: f64 = 4_000.0;
 
@@ -126,15 +129,23 @@
     }
 }
 
+// An engine's memory fills as answers grow, and those that run are at all stages of it: reserving each
+// longest possible answer would leave memory unused.
+fn reserved_tokens(marks: &CallMarks) -> u64 {
+    let expected = marks.answer_hint.unwrap_or(marks.answer_limit / 2);
+    let expected = expected.min(marks.answer_limit);
+    marks.prompt_tokens + (expected as f64 * RESERVED_ANSWER) as u64
+}
+
 /// Waits for memory at a decode engine of the service and reserves it; the wait counts from `since`, the
 /// request's arrival or the moment its stream broke.
 pub async fn reserve(
     parts: &Rc<RelayParts>,
     call: &RelayCall,
     service: &str,
-    tokens: u64,
     since: Instant,
 ) -> Result<MemoryHold, Refusal> {
+    let tokens = reserved_tokens(&call.marks);
     let give_up = call.until.min(since + WAIT_LIMIT);
     let mut place = LinePlace::join(parts, call);
     loop {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -10,7 +10,7 @@
         book::BackendFailure,
         call::RelayCall,
         config::RequestKind,
-        dialect::{CallMarks, DecodeStart},
+        dialect::DecodeStart,
         events::EventSplitter,
         parts::RelayParts,
         plain::CallGuard,
@@ -40,9 +40,6 @@
 /// Silence within a stream after which a resumable one is continued elsewhere.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
 
-/// Part of an answer's expected tokens that is reserved ahead, by measured runs.
-const RESERVED_ANSWER: f64 = 1.0;
-
 /// Bytes of a declining answer.
 const DECLINE_LIMIT: usize = 64 << 10;
 
@@ -183,8 +180,7 @@
         after: Option<FastStr>,
         since: Instant,
     ) -> Result<Result<RunningStream, RoundFailure>, Refusal> {
-        let tokens = reserved_tokens(&self.call.marks);
-        let hold = reserve::reserve(&self.parts, &self.call, &self.service, tokens, since).await?;
+        let hold = reserve::reserve(&self.parts, &self.call, &self.service, since).await?;
         self.times.reserved = self.call.arrived.elapsed();
         self.engine = hold.engine.id.clone();
         let cache = self.compute(&hold).await;
@@ -369,14 +365,6 @@
     }
 }
 
-// An engine's memory fills as answers grow, and those that run are at all stages of it: reserving each
-// whole answer would leave memory unused.
-fn reserved_tokens(marks: &CallMarks) -> u64 {
-    let expected = marks.answer_hint.unwrap_or(marks.answer_limit / 2);
-    let expected = expected.min(marks.answer_limit);
-    marks.prompt_tokens + (expected as f64 * RESERVED_ANSWER) as u64
-}
-
 // Bytes as they come; a break is passed on as one.
 fn plain_chunks(
     mut relay: StreamRelay,
