One list of the headers that speak of one connection only

Cause: the list and its loop stood in filter/plain.rs three times over and in relay/answer.rs; the filter's copy kept Keep-Alive and what Connection names.

--- a/src/filter/plain.rs
+++ b/src/filter/plain.rs
@@ -10,7 +10,7 @@
         web::{self, WebFailure},
     },
     bytes::Bytes,
-    http::{HeaderMap, HeaderName, HeaderValue, Method, header},
+    http::{HeaderMap, HeaderValue, Method, header},
     std::{net::SocketAddr, time::Duration},
     volo_http::response::Response,
 };
@@ -24,17 +24,6 @@
 /// Longest answer of a plain service.
 const REPLY_LIMIT: usize = 4 << 20;
 
-/// Headers that speak of one connection only.
-const HOP_HEADERS: [HeaderName; 7] = [
-    header::CONNECTION,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
-
 /// A plain call, taken out of its request.
 #[derive(Debug, Clone)]
 pub struct PlainCall {
@@ -51,10 +40,8 @@
 /// Headers that go on to a service: not the caller's key, nor what speaks of the connection.
 pub fn onward_headers(headers: &HeaderMap) -> HeaderMap {
     let mut onward = headers.clone();
-    for name in HOP_HEADERS {
-        onward.remove(name);
-    }
-    for name in [header::HOST, header::AUTHORIZATION, header::CONTENT_LENGTH] {
+    web::strip_hop_headers(&mut onward);
+    for name in [header::HOST, header::AUTHORIZATION] {
         onward.remove(name);
     }
     onward.remove("x-api-key");
@@ -133,10 +120,7 @@
         .await
         .map_err(|failure| WebFailure::Unanswered(format!("answer: {failure:?}")))?;
     let mut headers = parts.headers;
-    for name in HOP_HEADERS {
-        headers.remove(name);
-    }
-    headers.remove(header::CONTENT_LENGTH);
+    web::strip_hop_headers(&mut headers);
     Ok(PlainReply {
         status: parts.status.as_u16(),
         headers,
@@ -158,10 +142,7 @@
     peer: SocketAddr,
 ) -> Result<Response, WebFailure> {
     let mut headers = call.headers.clone();
-    for name in HOP_HEADERS {
-        headers.remove(name);
-    }
-    headers.remove(header::CONTENT_LENGTH);
+    web::strip_hop_headers(&mut headers);
     headers.remove(header::HOST);
     if let Ok(value) = HeaderValue::from_str(&traffic.settings.name) {
         headers.insert(FORWARDED_HEADER, value);
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -4,11 +4,11 @@
     crate::{
         filter::VERDICT_HEADER,
         operation::{Refusal, RefusalCode, RunVerdict},
-        web::{BrokenBody, IngressBody},
+        web::{self, BrokenBody, IngressBody},
     },
     bytes::Bytes,
     futures::Stream,
-    http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header},
+    http::{HeaderMap, HeaderValue, Response, StatusCode, header},
     http_body::Frame,
     http_body_util::{BodyExt, Full, StreamBody},
     std::{
@@ -20,35 +20,6 @@
 /// An answer to a caller.
 pub type RelayAnswer = Response<IngressBody>;
 
-/// Headers that speak of one connection only.
-const HOP_HEADERS: [HeaderName; 8] = [
-    header::CONNECTION,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    header::CONTENT_LENGTH,
-];
-
-/// Not registered, and of one connection only.
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-
-/// Removes the headers that speak of one connection only, also those that `Connection` names.
-pub fn strip_hop_headers(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|text| text.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named.into_iter().chain(HOP_HEADERS).chain([KEEP_ALIVE]) {
-        headers.remove(name);
-    }
-}
-
 /// A body that is there as a whole.
 pub fn whole_body(content: Bytes) -> IngressBody {
     Box::pin(Full::new(content).map_err(|never| match never {}))
@@ -65,7 +36,7 @@
 
 /// The head of a backend server's answer with a body for the caller.
 pub fn relayed(status: StatusCode, mut headers: HeaderMap, body: IngressBody) -> RelayAnswer {
-    strip_hop_headers(&mut headers);
+    web::strip_hop_headers(&mut headers);
     let mut answer = Response::new(body);
     *answer.status_mut() = status;
     *answer.headers_mut() = headers;
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -2,12 +2,14 @@
 
 use {
     super::{
-        answer,
         backend::BackendInfo,
         config::{CallerLimits, RelayConfig, RelayRoute},
         dialect::{CallAddress, CallDialect, CallMarks},
     },
-    crate::operation::{Refusal, RefusalCode},
+    crate::{
+        operation::{Refusal, RefusalCode},
+        web,
+    },
     bytes::{Bytes, BytesMut},
     http::{HeaderMap, Method, Request, request::Parts},
     http_body_util::{BodyExt, Full},
@@ -90,7 +92,7 @@
         .path_and_query()
         .map_or("/", |target| target.as_str());
     let mut headers = parts.headers;
-    answer::strip_hop_headers(&mut headers);
+    web::strip_hop_headers(&mut headers);
     (dialect.strip_call)(&mut headers);
     Ok(RelayCall {
         method: parts.method,
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -2,10 +2,13 @@
 
 mod body;
 mod client;
+mod headers;
 mod ingress;
 mod patience;
 mod pool;
 mod reply;
 mod server;
 
-pub use self::{body::*, client::*, ingress::*, patience::*, pool::*, reply::*, server::*};
+pub use self::{
+    body::*, client::*, headers::*, ingress::*, patience::*, pool::*, reply::*, server::*,
+};
