Tests take the ports that hosts open, so that none is lost to another test

Ruled out: a port left over by an earlier host (addresses are reused), a fixed port (there is none). Change: a host opens port 0 and its settings name the port it got; tests read it there.

--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -58,14 +58,16 @@
 
 impl RelayHost {
     /// Opens the sockets and starts all tasks on the current thread.
+    ///
+    /// Port 0 takes a free one: the settings in its parts then name the port that was taken.
     pub fn start(
-        settings: RelaySettings,
+        mut settings: RelaySettings,
         dialect: CallDialect,
         store: StoreLink,
     ) -> eyre::Result<Self> {
-        let callers = open("callers", settings.callers)?;
-        let checks = open("checks", settings.checks)?;
-        let peers = open("peers", settings.peers)?;
+        let callers = open("callers", &mut settings.callers)?;
+        let checks = open("checks", &mut settings.checks)?;
+        let peers = open("peers", &mut settings.peers)?;
         event::emit(
             &event::HOST_STARTED,
             &[
@@ -141,8 +143,11 @@
     }
 }
 
-fn open(key: &str, address: SocketAddr) -> eyre::Result<TcpListener> {
-    web::bind(address).wrap_err_with(|| format!("{key}: {address} cannot be listened on"))
+fn open(key: &str, address: &mut SocketAddr) -> eyre::Result<TcpListener> {
+    let listener = web::bind(*address)
+        .wrap_err_with(|| format!("{key}: {address} cannot be listened on"))?;
+    *address = listener.local_addr().wrap_err("the address listened on")?;
+    Ok(listener)
 }
 
 // What the balancer and operators are told.
