--- a/src/control/gossip.rs
+++ b/src/control/gossip.rs
@@ -287,7 +287,8 @@
             state: Box::new(move |held| state.pass_state(held)),
         };
         let metrics = self.traffic.metrics.clone();
-        peer::serve_peers(listener, Rc::new(answers), metrics).await;
+        let capability = peer::peer_capability(Rc::new(answers));
+        peer::serve_peers(listener, capability, metrics).await;
     }
 
     fn cards(&self, wanted: &[u64]) -> Vec<HostCard> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,10 @@
 pub mod filter;
 pub mod host;
 pub mod metric;
+#[path = "relay/news/news_capnp.rs"]
+#[rustfmt::skip]
+#[allow(missing_docs, clippy::all, clippy::pedantic)]
+pub mod news_capnp;
 pub mod object;
 pub mod operation;
 pub mod peer;
--- a/src/peer/rpc.rs
+++ b/src/peer/rpc.rs
@@ -7,8 +7,12 @@
         wire,
     },
     crate::{metric::HostMetrics, peer_capnp::peer},
-    capnp::{Error, capability::Rc as CapRc},
+    capnp::{
+        Error,
+        capability::{Client, FromClientHook, Rc as CapRc},
+    },
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
+    socket2::SockRef,
     std::{
         cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
     },
@@ -22,6 +26,13 @@
 /// Longest wait for another host.
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest time that bytes sent to another host may stay unacknowledged: the socket of a host that lost
+/// its power is closed then.
+const SILENCE_LIMIT: Duration = Duration::from_secs(5);
+
+/// Pause after a failed accept, which is most often a lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// What a host has of the state that hosts pass on; 0 for what it needs whole.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct HeldVersions {
@@ -107,7 +118,12 @@
     side: Side,
     metrics: &HostMetrics,
 ) -> VatNetwork<impl futures::AsyncRead + use<>> {
-    let _ = stream.set_nodelay(true);
+    let prepared = stream
+        .set_nodelay(true)
+        .and_then(|()| SockRef::from(&stream).set_tcp_user_timeout(Some(SILENCE_LIMIT)));
+    if let Err(error) = prepared {
+        log::debug!("a connection between hosts keeps the system's defaults: {error}");
+    }
     let sent = metrics.peer_sent.clone();
     let received = metrics.peer_received.clone();
     let (reader, writer) = tokio::io::split(CountingStream::new(stream, sent, received));
@@ -115,42 +131,47 @@
     VatNetwork::new(reader.compat(), writer, side, Default::default())
 }
 
-/// Answers other hosts on a listening socket, for as long as the host runs.
-pub async fn serve_peers(
-    listener: TcpListener,
-    answers: Rc<PeerAnswers>,
-    metrics: Arc<HostMetrics>,
-) {
+/// What a host answers to others, as a capability.
+pub fn peer_capability(answers: Rc<PeerAnswers>) -> Client {
     let client: peer::Client = capnp_rpc::new_client(PeerServer { answers });
+    client.client
+}
+
+/// Serves a capability to other hosts on a listening socket, for as long as the host runs.
+pub async fn serve_peers(listener: TcpListener, capability: Client, metrics: Arc<HostMetrics>) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(50)).await;
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("another host's connection could not be accepted: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
         let network = network(stream, Side::Server, &metrics);
-        let system = RpcSystem::new(Box::new(network), Some(client.clone().client));
+        let system = RpcSystem::new(Box::new(network), Some(capability.clone()));
         tokio::task::spawn_local(system);
     }
 }
 
-struct Connection {
-    client: peer::Client,
+struct Connection<C> {
+    client: C,
     system: AbortHandle,
 }
 
-impl Drop for Connection {
+impl<C> Drop for Connection<C> {
     fn drop(&mut self) {
         self.system.abort();
     }
 }
 
-/// Connections to other hosts, kept while they work.
-pub struct PeerLinks {
-    connections: RefCell<HashMap<SocketAddr, Rc<Connection>>>,
+/// Connections to other hosts that serve a `C`, kept while they work.
+pub struct PeerLinks<C = peer::Client> {
+    connections: RefCell<HashMap<SocketAddr, Rc<Connection<C>>>>,
     metrics: Arc<HostMetrics>,
 }
 
-impl PeerLinks {
+impl<C: FromClientHook + Clone> PeerLinks<C> {
     /// No connections yet.
     pub fn new(metrics: Arc<HostMetrics>) -> Self {
         Self {
@@ -159,7 +180,7 @@
         }
     }
 
-    async fn connection(&self, address: SocketAddr) -> Result<Rc<Connection>, Error> {
+    async fn connection(&self, address: SocketAddr) -> Result<Rc<Connection<C>>, Error> {
         let known = self.connections.borrow().get(&address).cloned();
         if let Some(known) = known {
             return Ok(known);
@@ -169,7 +190,7 @@
             .map_err(|error| Error::disconnected(error.to_string()))?;
         let network = network(stream, Side::Client, &self.metrics);
         let mut system = RpcSystem::new(Box::new(network), None);
-        let client: peer::Client = system.bootstrap(Side::Server);
+        let client: C = system.bootstrap(Side::Server);
         let system = tokio::task::spawn_local(system).abort_handle();
         let connection = Rc::new(Connection { client, system });
         let mut connections = self.connections.borrow_mut();
@@ -177,20 +198,22 @@
         Ok(connection)
     }
 
-    // A connection on which a call failed is not used again.
-    async fn call<T, F>(
+    /// Calls a host; the answer is due within `time`. A connection on which a call failed is not used
+    /// again.
+    pub async fn call<T, F>(
         &self,
         address: SocketAddr,
-        call: impl FnOnce(Rc<Connection>) -> F,
+        time: Duration,
+        call: impl FnOnce(C) -> F,
     ) -> Result<T, Error>
     where
         F: Future<Output = Result<T, Error>>,
     {
         let sent = async {
             let connection = self.connection(address).await?;
-            call(connection).await
+            call(connection.client.clone()).await
         };
-        let result = match tokio::time::timeout(PEER_TIMEOUT, sent).await {
+        let result = match tokio::time::timeout(time, sent).await {
             Ok(result) => result,
             Err(_) => Err(Error::overloaded("no answer in time".into())),
         };
@@ -199,15 +222,17 @@
         }
         result
     }
+}
 
+impl PeerLinks {
     /// Tells a host and hears what it tells.
     pub async fn exchange(
         &self,
         address: SocketAddr,
         digest: &PeerDigest,
     ) -> Result<PeerDigest, Error> {
-        self.call(address, |connection| async move {
-            let mut request = connection.client.exchange_request();
+        self.call(address, PEER_TIMEOUT, |client| async move {
+            let mut request = client.exchange_request();
             wire::write_digest(request.get().init_digest(), digest);
             let response = request.send().promise.await?;
             wire::read_digest(response.get()?.get_digest()?)
@@ -221,8 +246,8 @@
         address: SocketAddr,
         incarnations: &[u64],
     ) -> Result<Vec<HostCard>, Error> {
-        self.call(address, |connection| async move {
-            let mut request = connection.client.cards_request();
+        self.call(address, PEER_TIMEOUT, |client| async move {
+            let mut request = client.cards_request();
             let mut list = request.get().init_incarnations(incarnations.len() as u32);
             for (index, incarnation) in incarnations.iter().enumerate() {
                 list.set(index as u32, *incarnation);
@@ -240,8 +265,8 @@
         address: SocketAddr,
         held: HeldVersions,
     ) -> Result<PassedState, Error> {
-        self.call(address, |connection| async move {
-            let mut request = connection.client.state_request();
+        self.call(address, PEER_TIMEOUT, |client| async move {
+            let mut request = client.state_request();
             request.get().set_generation(held.generation);
             request.get().set_source_version(held.source);
             request.get().set_servers_version(held.servers);
--- a/src/relay/cluster.rs
+++ b/src/relay/cluster.rs
@@ -7,7 +7,8 @@
     super::{
         backend::BackendInfo,
         config::RelayConfig,
-        link::{HostEntry, StoreChange, StoreItem, StoreValue},
+        link::{HostEntry, StoreChange, StoreItem, StoreKind, StoreValue},
+        news::{ChangeHistory, KindNews, MissingNews},
         route::RouteTable,
     },
     faststr::FastStr,
@@ -26,10 +27,14 @@
 pub struct ClusterState {
     routes: Option<Rc<RouteTable>>,
     backends: BTreeMap<FastStr, BackendInfo>,
-    revision: u64,
+    backend_history: ChangeHistory,
     lapsed: BTreeMap<FastStr, (BackendInfo, Duration)>,
     hosts: BTreeMap<FastStr, HostEntry>,
+    host_history: ChangeHistory,
     trouble_at: Option<Duration>,
+    // Until when the configuration and the list of backend servers are known to be the newest.
+    config_confirmed: Option<Duration>,
+    backends_confirmed: Option<Duration>,
 }
 
 impl ClusterState {
@@ -47,7 +52,28 @@
 
     /// The store's revision that the list of backend servers shows.
     pub fn backends_revision(&self) -> u64 {
-        self.revision
+        self.backend_history.revision()
+    }
+
+    /// The store's revision that the list of hosts shows.
+    pub fn hosts_revision(&self) -> u64 {
+        self.host_history.revision()
+    }
+
+    /// What is known of a kind was the newest at this time.
+    pub fn confirm(&mut self, kind: StoreKind, at: Duration) {
+        let confirmed = match kind {
+            StoreKind::Config => &mut self.config_confirmed,
+            StoreKind::Backends => &mut self.backends_confirmed,
+            StoreKind::Hosts | StoreKind::Leases => return,
+        };
+        *confirmed = Some(confirmed.map_or(at, |before| before.max(at)));
+    }
+
+    /// How old the older of configuration and backend servers may be; none before both are known.
+    pub fn age(&self, now: Duration) -> Option<Duration> {
+        let confirmed = self.config_confirmed?.min(self.backends_confirmed?);
+        Some(now.saturating_sub(confirmed))
     }
 
     /// Takes a configuration if it is newer than the one in force.
@@ -65,8 +91,13 @@
     }
 
     /// The store did not answer, or not in time.
-    pub fn note_trouble(&mut self, now: Duration) {
-        self.trouble_at = Some(now);
+    pub fn note_trouble(&mut self, at: Duration) {
+        self.trouble_at = Some(self.trouble_at.map_or(at, |before| before.max(at)));
+    }
+
+    /// How long ago the store last failed to answer, if it did.
+    pub fn trouble_age(&self, now: Duration) -> Option<Duration> {
+        self.trouble_at.map(|at| now.saturating_sub(at))
     }
 
     fn had_trouble(&self, now: Duration) -> bool {
@@ -76,46 +107,63 @@
 
     /// Takes the whole list of backend servers as of a revision, unless a newer one is known.
     pub fn set_backends(&mut self, list: Vec<BackendInfo>, revision: u64, now: Duration) -> bool {
-        if revision < self.revision {
+        if revision < self.backends_revision() {
             return false;
         }
-        let before = std::mem::take(&mut self.backends);
-        self.revision = revision;
+        let mut before = std::mem::take(&mut self.backends);
         for info in list {
+            before.remove(&info.id);
             self.lapsed.remove(&info.id);
             self.backends.insert(info.id.clone(), info);
         }
-        for (id, info) in before {
-            if !self.backends.contains_key(&id) {
-                self.remove(info, now);
-            }
+        for info in before.into_values() {
+            self.remove(info, now);
         }
+        self.backend_history.restart(revision);
         true
     }
 
-    /// Takes changes up to a revision.
+    /// Takes changes of backend servers up to a revision, unless a newer one is known.
     pub fn change_backends(&mut self, changes: Vec<StoreChange>, revision: u64, now: Duration) {
-        if revision < self.revision {
+        if revision < self.backends_revision() {
             return;
         }
-        self.revision = revision;
-        for change in changes {
+        for change in &changes {
             match change {
                 StoreChange::Set(StoreItem {
                     value: StoreValue::Backend(info),
                     ..
                 }) => {
                     self.lapsed.remove(&info.id);
-                    self.backends.insert(info.id.clone(), info);
+                    self.backends.insert(info.id.clone(), info.clone());
                 }
                 StoreChange::Set(_) => {}
                 StoreChange::Removed(id) => {
-                    if let Some(info) = self.backends.remove(&id) {
+                    if let Some(info) = self.backends.remove(id) {
                         self.remove(info, now);
                     }
                 }
             }
         }
+        self.backend_history.record(revision, changes);
+    }
+
+    /// Takes what another host told of the backend servers.
+    pub fn take_backend_news(&mut self, news: KindNews, now: Duration) {
+        match news.is_whole {
+            true => {
+                let list = news.changes.into_iter().filter_map(backend_of).collect();
+                self.set_backends(list, news.revision, now);
+            }
+            false => self.change_backends(news.changes, news.revision, now),
+        }
+    }
+
+    /// What another host lacks of the backend servers that knows them up to `held`.
+    pub fn backend_news(&self, held: u64) -> KindNews {
+        kind_news(&self.backend_history, held, || {
+            self.backends.values().map(backend_item).collect()
+        })
     }
 
     // An entry that is removed while the store is well means that its server leaves.
@@ -144,20 +192,54 @@
         self.backends.values()
     }
 
-    /// Takes the list of hosts.
-    pub fn set_hosts(&mut self, hosts: Vec<HostEntry>) {
-        self.hosts = hosts
-            .into_iter()
-            .map(|entry| (entry.name.clone(), entry))
-            .collect();
+    /// Takes the whole list of hosts as of a revision, unless a newer one is known.
+    pub fn set_hosts(&mut self, hosts: Vec<HostEntry>, revision: u64) {
+        if revision < self.hosts_revision() {
+            return;
+        }
+        let named = hosts.into_iter().map(|entry| (entry.name.clone(), entry));
+        self.hosts = named.collect();
+        self.host_history.restart(revision);
     }
 
-    /// A host came, changed or went.
-    pub fn change_host(&mut self, name: FastStr, entry: Option<HostEntry>) {
-        match entry {
-            Some(entry) => self.hosts.insert(name, entry),
-            None => self.hosts.remove(&name),
-        };
+    /// Takes changes of hosts up to a revision, unless a newer one is known.
+    pub fn change_hosts(&mut self, changes: Vec<StoreChange>, revision: u64) {
+        if revision < self.hosts_revision() {
+            return;
+        }
+        for change in &changes {
+            match change {
+                StoreChange::Set(StoreItem {
+                    value: StoreValue::Host(entry),
+                    ..
+                }) => {
+                    self.hosts.insert(entry.name.clone(), entry.clone());
+                }
+                StoreChange::Set(_) => {}
+                StoreChange::Removed(name) => {
+                    self.hosts.remove(name);
+                }
+            }
+        }
+        self.host_history.record(revision, changes);
+    }
+
+    /// Takes what another host told of the hosts.
+    pub fn take_host_news(&mut self, news: KindNews) {
+        match news.is_whole {
+            true => {
+                let hosts = news.changes.into_iter().filter_map(host_of).collect();
+                self.set_hosts(hosts, news.revision);
+            }
+            false => self.change_hosts(news.changes, news.revision),
+        }
+    }
+
+    /// What another host lacks of the hosts that knows them up to `held`.
+    pub fn host_news(&self, held: u64) -> KindNews {
+        kind_news(&self.host_history, held, || {
+            self.hosts.values().map(host_item).collect()
+        })
     }
 
     /// The hosts that are listed.
@@ -170,3 +252,53 @@
         self.hosts.len().max(1)
     }
 }
+
+fn kind_news(history: &ChangeHistory, held: u64, all: impl FnOnce() -> Vec<StoreItem>) -> KindNews {
+    let missing = history.since(held);
+    KindNews {
+        revision: history.revision(),
+        is_whole: missing == MissingNews::Whole,
+        changes: match missing {
+            MissingNews::Nothing => Vec::new(),
+            MissingNews::Changes(changes) => changes,
+            MissingNews::Whole => all().into_iter().map(StoreChange::Set).collect(),
+        },
+    }
+}
+
+// Revisions of single objects are not kept: nothing is written under their condition.
+fn backend_item(info: &BackendInfo) -> StoreItem {
+    StoreItem {
+        name: info.id.clone(),
+        revision: 0,
+        value: StoreValue::Backend(info.clone()),
+    }
+}
+
+fn host_item(entry: &HostEntry) -> StoreItem {
+    StoreItem {
+        name: entry.name.clone(),
+        revision: 0,
+        value: StoreValue::Host(entry.clone()),
+    }
+}
+
+fn backend_of(change: StoreChange) -> Option<BackendInfo> {
+    match change {
+        StoreChange::Set(StoreItem {
+            value: StoreValue::Backend(info),
+            ..
+        }) => Some(info),
+        _ => None,
+    }
+}
+
+fn host_of(change: StoreChange) -> Option<HostEntry> {
+    match change {
+        StoreChange::Set(StoreItem {
+            value: StoreValue::Host(entry),
+            ..
+        }) => Some(entry),
+        _ => None,
+    }
+}
--- a/src/relay/feed.rs
+++ b/src/relay/feed.rs
@@ -1,5 +1,4 @@
-//! Keeping a host's beliefs up to date: from the store by watches, or from other hosts when the store
-//! does not answer.
+//! Keeping a host's beliefs up to date from the store, while it is the host's turn to read it.
 
 use {
     super::{
@@ -11,53 +10,60 @@
         },
         parts::RelayParts,
     },
-    crate::{
-        event,
-        metric::HostMetrics,
-        peer::{self, HeldVersions, PassedState, PeerAnswers, PeerDigest, PeerLinks},
-        store::StoreFailure,
-    },
+    crate::{event, store::StoreFailure},
     faststr::FastStr,
-    rand::seq::SliceRandom,
-    std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
-    tokio::net::TcpListener,
+    std::{cell::Cell, rc::Rc, time::Duration},
+    tokio::sync::Notify,
 };
 
 /// How long a watch of the configuration or of backend servers waits: a watch that hangs is found out
-/// within the time in which changes are due.
-const WATCH_TIME: Duration = Duration::from_millis(1_500);
+/// within the time in which changes are due, and other hosts learn how old this one's view may be.
+const WATCH_TIME: Duration = Duration::from_millis(700);
 
 /// How long a watch of the hosts waits: nothing urgent depends on them.
 const HOSTS_WATCH_TIME: Duration = Duration::from_secs(20);
 
-/// Pause after a failed call to the store.
-const FAILURE_PAUSE: Duration = Duration::from_millis(250);
+/// Pause between two watches of the hosts: many come and go at once, and each watch is a call.
+const HOSTS_PAUSE: Duration = Duration::from_millis(500);
+
+/// From the start of a host to its first look at the others: all start within a fraction of a second.
+const HOSTS_FIRST_DELAY: Duration = Duration::from_millis(1_000);
 
-/// How often another host is asked while the store does not answer.
-const ASK_PERIOD: Duration = Duration::from_millis(350);
+/// Pause after a failed call to the store; doubled for each further one.
+const FAILURE_PAUSE: Duration = Duration::from_millis(250);
 
-/// Hosts asked at a time.
-const ASKED_HOSTS: usize = 2;
+/// Longest pause after failed calls: changes are due a few seconds after the store is back.
+const FAILURE_PAUSE_LONGEST: Duration = Duration::from_millis(1_000);
 
 /// How often lapsed entries are looked at.
 const EXPIRE_PERIOD: Duration = Duration::from_millis(200);
 
-/// Keeps a host's beliefs up to date.
+/// Reads the store while that is wanted of this host.
 #[derive(Debug)]
-pub struct ClusterFeed {
+pub struct StoreFeed {
     parts: Rc<RelayParts>,
     store: Rc<StoreLink>,
+    // Whether configuration and backend servers are read, and whether the hosts are.
+    reading: Cell<bool>,
+    reading_hosts: Cell<bool>,
+    resumed: Notify,
+    // The store's revision up to which the configuration is known; 0 after a time without reading.
+    config_revision: Cell<u64>,
     // Which of the two urgent watches did not answer last time.
     config_lost: Cell<bool>,
     backends_lost: Cell<bool>,
 }
 
-impl ClusterFeed {
-    /// Starts to read the store and to listen to other hosts.
-    pub fn start(parts: Rc<RelayParts>, store: Rc<StoreLink>, peers: TcpListener) {
+impl StoreFeed {
+    /// Starts to read the store.
+    pub fn start(parts: Rc<RelayParts>, store: Rc<StoreLink>) -> Rc<Self> {
         let feed = Rc::new(Self {
             parts,
             store,
+            reading: Cell::new(true),
+            reading_hosts: Cell::new(true),
+            resumed: Notify::new(),
+            config_revision: Cell::new(0),
             config_lost: Cell::new(true),
             backends_lost: Cell::new(true),
         });
@@ -65,43 +71,103 @@
         tokio::task::spawn_local(feed.clone().follow(StoreKind::Backends));
         tokio::task::spawn_local(feed.clone().follow(StoreKind::Hosts));
         tokio::task::spawn_local(feed.clone().expire());
-        let metrics = Arc::new(HostMetrics::default());
-        let answers = Rc::new(feed.clone().answers());
-        tokio::task::spawn_local(peer::serve_peers(peers, answers, metrics.clone()));
-        tokio::task::spawn_local(feed.ask_peers(PeerLinks::new(metrics)));
+        feed
+    }
+
+    /// Whether configuration and backend servers are to be read, and whether the hosts are.
+    pub fn set_reading(&self, reading: bool, hosts: bool) {
+        self.reading.set(reading);
+        self.reading_hosts.set(hosts);
+        if reading || hosts {
+            self.resumed.notify_waiters();
+        }
+    }
+
+    /// Whether the store did not answer last time.
+    pub fn is_lost(&self) -> bool {
+        self.config_lost.get() || self.backends_lost.get()
+    }
+
+    /// Reads the configuration once.
+    pub async fn read_config(&self) -> Result<(), StoreFailure> {
+        let list = (self.store.list)(StoreKind::Config).await?;
+        self.take_list(StoreKind::Config, list);
+        Ok(())
     }
 
-    // Lists a kind, then follows its changes, for as long as the host runs.
+    // Lists a kind, then follows its changes, while it is wanted.
     async fn follow(self: Rc<Self>, kind: StoreKind) {
+        if kind == StoreKind::Hosts {
+            tokio::time::sleep(HOSTS_FIRST_DELAY).await;
+        }
+        let mut pause = FAILURE_PAUSE;
+        let mut forgotten = false;
         loop {
-            match (self.store.list)(kind).await {
-                Ok(list) => {
+            self.wanted(kind).await;
+            match self.read_once(kind, forgotten).await {
+                Ok(()) => {
+                    (forgotten, pause) = (false, FAILURE_PAUSE);
                     self.note_answer(kind);
-                    let revision = list.revision;
-                    self.take_list(kind, list);
-                    self.follow_changes(kind, revision).await;
+                    if kind == StoreKind::Hosts {
+                        tokio::time::sleep(HOSTS_PAUSE).await;
+                    }
+                }
+                Err(StoreFailure::Gone) => forgotten = true,
+                Err(failure) => {
+                    self.note_failure(kind, &failure);
+                    tokio::time::sleep(pause).await;
+                    pause = (pause * 2).min(FAILURE_PAUSE_LONGEST);
                 }
-                Err(failure) => self.note_failure(kind, &failure).await,
             }
         }
     }
 
-    async fn follow_changes(&self, kind: StoreKind, mut revision: u64) {
+    fn is_wanted(&self, kind: StoreKind) -> bool {
+        match kind {
+            // Who knows no hosts looks for them once.
+            StoreKind::Hosts => self.reading_hosts.get() || self.held_revision(kind) == 0,
+            _ => self.reading.get(),
+        }
+    }
+
+    async fn wanted(&self, kind: StoreKind) {
+        while !self.is_wanted(kind) {
+            if kind == StoreKind::Config {
+                self.config_revision.set(0);
+            }
+            let resumed = self.resumed.notified();
+            tokio::pin!(resumed);
+            resumed.as_mut().enable();
+            if !self.is_wanted(kind) {
+                resumed.await;
+            }
+        }
+    }
+
+    fn held_revision(&self, kind: StoreKind) -> u64 {
+        let cluster = self.parts.cluster.borrow();
+        match kind {
+            StoreKind::Config => self.config_revision.get(),
+            StoreKind::Backends => cluster.backends_revision(),
+            StoreKind::Hosts => cluster.hosts_revision(),
+            StoreKind::Leases => 0,
+        }
+    }
+
+    async fn read_once(&self, kind: StoreKind, forgotten: bool) -> Result<(), StoreFailure> {
+        let held = self.held_revision(kind);
+        if held == 0 || forgotten {
+            let list = (self.store.list)(kind).await?;
+            self.take_list(kind, list);
+            return Ok(());
+        }
         let wait = match kind {
             StoreKind::Hosts => HOSTS_WATCH_TIME,
             _ => WATCH_TIME,
         };
-        loop {
-            match (self.store.watch)(kind, revision, wait).await {
-                Ok(changes) => {
-                    self.note_answer(kind);
-                    revision = changes.revision.max(revision);
-                    self.take_changes(kind, changes);
-                }
-                Err(StoreFailure::Gone) => return,
-                Err(failure) => self.note_failure(kind, &failure).await,
-            }
-        }
+        let changes = (self.store.watch)(kind, held, wait).await?;
+        self.take_changes(kind, changes);
+        Ok(())
     }
 
     fn lost_flag(&self, kind: StoreKind) -> Option<&Cell<bool>> {
@@ -113,6 +179,8 @@
     }
 
     fn note_answer(&self, kind: StoreKind) {
+        let now = self.parts.now();
+        self.parts.cluster.borrow_mut().confirm(kind, now);
         let Some(lost) = self.lost_flag(kind) else {
             return;
         };
@@ -121,68 +189,74 @@
         }
     }
 
-    async fn note_failure(&self, kind: StoreKind, failure: &StoreFailure) {
+    fn note_failure(&self, kind: StoreKind, failure: &StoreFailure) {
         self.parts.metrics.store_failures.inc();
-        self.parts
-            .cluster
-            .borrow_mut()
-            .note_trouble(self.parts.now());
-        if let Some(lost) = self.lost_flag(kind)
-            && !lost.replace(true)
-        {
+        let now = self.parts.now();
+        self.parts.cluster.borrow_mut().note_trouble(now);
+        let Some(lost) = self.lost_flag(kind) else {
+            log::debug!("the store's list of {kind:?} could not be read: {failure}");
+            return;
+        };
+        if !lost.replace(true) {
             let kind = format!("{kind:?}");
             event::emit(
                 &event::PLATFORM_LOST,
                 &[("kind", &kind), ("cause", failure)],
             );
         }
-        tokio::time::sleep(FAILURE_PAUSE).await;
     }
 
     fn take_list(&self, kind: StoreKind, list: StoreList) {
+        let now = self.parts.now();
         match kind {
-            StoreKind::Config => self.take_configs(list.items),
+            StoreKind::Config => {
+                self.take_configs(list.items);
+                self.config_revision.set(list.revision);
+            }
             StoreKind::Backends => {
                 let backends = list.items.into_iter().filter_map(backend_of).collect();
-                self.take_backends(backends, list.revision);
+                let mut cluster = self.parts.cluster.borrow_mut();
+                let taken = cluster.set_backends(backends, list.revision, now);
+                drop(cluster);
+                if taken {
+                    self.parts.publish_backends();
+                }
             }
             StoreKind::Hosts => {
                 let hosts = list.items.into_iter().filter_map(host_of).collect();
-                self.parts.cluster.borrow_mut().set_hosts(hosts);
+                let mut cluster = self.parts.cluster.borrow_mut();
+                cluster.set_hosts(hosts, list.revision);
+                drop(cluster);
+                self.parts.news.notify_waiters();
             }
             StoreKind::Leases => {}
         }
     }
 
     fn take_changes(&self, kind: StoreKind, changes: StoreChanges) {
+        let now = self.parts.now();
+        let StoreChanges { changes, revision } = changes;
+        let is_news = !changes.is_empty();
         match kind {
             StoreKind::Config => {
-                let items = changes
-                    .changes
-                    .into_iter()
-                    .filter_map(|change| match change {
-                        StoreChange::Set(item) => Some(item),
-                        StoreChange::Removed(_) => None,
-                    });
-                self.take_configs(items.collect());
+                self.take_configs(changes.into_iter().filter_map(set_item).collect());
+                self.config_revision
+                    .set(revision.max(self.config_revision.get()));
             }
             StoreKind::Backends => {
-                let now = self.parts.now();
                 let mut cluster = self.parts.cluster.borrow_mut();
-                cluster.change_backends(changes.changes, changes.revision, now);
+                cluster.change_backends(changes, revision, now);
                 drop(cluster);
-                self.parts.publish_backends();
+                if is_news {
+                    self.parts.publish_backends();
+                }
             }
             StoreKind::Hosts => {
                 let mut cluster = self.parts.cluster.borrow_mut();
-                for change in changes.changes {
-                    match change {
-                        StoreChange::Set(item) => {
-                            let name = item.name.clone();
-                            cluster.change_host(name, host_of(item));
-                        }
-                        StoreChange::Removed(name) => cluster.change_host(name, None),
-                    }
+                cluster.change_hosts(changes, revision);
+                drop(cluster);
+                if is_news {
+                    self.parts.news.notify_waiters();
                 }
             }
             StoreKind::Leases => {}
@@ -197,16 +271,6 @@
         }
     }
 
-    fn take_backends(&self, backends: Vec<BackendInfo>, revision: u64) {
-        let now = self.parts.now();
-        let mut cluster = self.parts.cluster.borrow_mut();
-        let taken = cluster.set_backends(backends, revision, now);
-        drop(cluster);
-        if taken {
-            self.parts.publish_backends();
-        }
-    }
-
     async fn expire(self: Rc<Self>) {
         loop {
             tokio::time::sleep(EXPIRE_PERIOD).await;
@@ -217,112 +281,12 @@
             }
         }
     }
-
-    // What this host passes on to others.
-    fn answers(self: Rc<Self>) -> PeerAnswers {
-        PeerAnswers {
-            exchange: Box::new(|digest| PeerDigest {
-                sender: digest.sender,
-                beats: Vec::new(),
-                generation: 0,
-                servers_version: 0,
-                leaving: Vec::new(),
-                silent: Vec::new(),
-            }),
-            cards: Box::new(|_| Vec::new()),
-            state: Box::new(move |held| self.passed_state(held)),
-        }
-    }
-
-    fn passed_state(&self, held: HeldVersions) -> PassedState {
-        let cluster = self.parts.cluster.borrow();
-        let config = cluster
-            .routes()
-            .filter(|routes| routes.config().version > held.generation)
-            .map(|routes| encode(routes.config()));
-        let servers = (cluster.backends_revision() > held.servers).then(|| {
-            encode(&PassedBackends {
-                revision: cluster.backends_revision(),
-                backends: cluster.backends().cloned().collect(),
-            })
-        });
-        PassedState {
-            config: config.unwrap_or_default(),
-            servers: servers.unwrap_or_default(),
-        }
-    }
-
-    // Asks some other hosts while the store does not answer.
-    async fn ask_peers(self: Rc<Self>, links: PeerLinks) {
-        loop {
-            tokio::time::sleep(ASK_PERIOD).await;
-            if !self.config_lost.get() && !self.backends_lost.get() {
-                continue;
-            }
-            for address in self.some_peers() {
-                self.ask_peer(&links, address).await;
-            }
-        }
-    }
-
-    fn some_peers(&self) -> Vec<SocketAddr> {
-        let settings = &self.parts.settings;
-        let cluster = self.parts.cluster.borrow();
-        let listed = cluster.hosts().map(|entry| entry.peers);
-        let mut addresses: Vec<SocketAddr> = listed.chain(settings.seeds.iter().copied()).collect();
-        addresses.retain(|address| *address != settings.peers);
-        addresses.sort();
-        addresses.dedup();
-        addresses.shuffle(&mut rand::rng());
-        addresses.truncate(ASKED_HOSTS);
-        addresses
-    }
-
-    async fn ask_peer(&self, links: &PeerLinks, address: SocketAddr) {
-        let held = {
-            let cluster = self.parts.cluster.borrow();
-            HeldVersions {
-                generation: cluster.config_version(),
-                source: 0,
-                servers: cluster.backends_revision(),
-            }
-        };
-        let state = match links.state(address, held).await {
-            Ok(state) => state,
-            Err(error) => {
-                log::debug!("host at {address} did not pass on its state: {error}");
-                return;
-            }
-        };
-        if let Some(config) = decode::<RelayConfig>(&state.config, address) {
-            self.parts.offer_config(config, "peer");
-        }
-        if let Some(passed) = decode::<PassedBackends>(&state.servers, address) {
-            self.take_backends(passed.backends, passed.revision);
-        }
-    }
 }
 
-#[derive(Debug, serde::Serialize, serde::Deserialize)]
-struct PassedBackends {
-    revision: u64,
-    backends: Vec<BackendInfo>,
-}
-
-fn encode<T: serde::Serialize>(content: &T) -> Vec<u8> {
-    serde_json::to_vec(content).expect("state without maps of odd keys")
-}
-
-fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8], from: SocketAddr) -> Option<T> {
-    if bytes.is_empty() {
-        return None;
-    }
-    match serde_json::from_slice(bytes) {
-        Ok(content) => Some(content),
-        Err(error) => {
-            log::warn!("host at {from} passed on what this version cannot read: {error}");
-            None
-        }
+fn set_item(change: StoreChange) -> Option<StoreItem> {
+    match change {
+        StoreChange::Set(item) => Some(item),
+        StoreChange::Removed(_) => None,
     }
 }
 
@@ -350,14 +314,16 @@
                 &event::CONFIG_IN_FORCE,
                 &[("version", &version), ("from", &from)],
             );
+            self.news.notify_waiters();
         }
     }
 
-    /// Tells the book which backend servers there are.
+    /// Tells the book which backend servers there are, and other hosts that there is news.
     pub fn publish_backends(&self) {
         let usable = self.cluster.borrow().usable();
         self.book.borrow_mut().set_backends(usable);
         self.freed.notify_waiters();
+        self.news.notify_waiters();
     }
 
     /// The name of this host, for logs.
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -3,15 +3,17 @@
 use {
     super::{
         dialect::CallDialect,
-        feed::ClusterFeed,
+        feed::StoreFeed,
         handler,
         link::{HostEntry, StoreItem, StoreKind, StoreLink, StoreValue},
+        news::{self, NewsFollower},
         parts::RelayParts,
         roles,
         settings::RelaySettings,
     },
     crate::{
         event,
+        metric::HostMetrics,
         operation::OnceSignal,
         store::StoreFailure,
         web::{self, IngressHandler, IngressLimits},
@@ -87,7 +89,7 @@
             closing: Arc::default(),
             checks_closing: Arc::default(),
         };
-        ClusterFeed::start(parts.clone(), store.clone(), peers);
+        host.share_news(peers);
         tokio::task::spawn_local(write_entry(parts.clone(), store.clone()));
         tokio::task::spawn_local(roles::keep_roles(parts, store));
         host.serve(callers, host.caller_handler(), host.closing.clone());
@@ -95,6 +97,16 @@
         Ok(host)
     }
 
+    // Reads the store or follows other hosts, and answers those that follow this one.
+    fn share_news(&self, listener: TcpListener) {
+        let metrics = Arc::new(HostMetrics::default());
+        let feed = StoreFeed::start(self.parts.clone(), self.store.clone());
+        NewsFollower::start(self.parts.clone(), feed, metrics.clone());
+        let parts = self.parts.clone();
+        let answer = move |held| news::tell_news(parts.clone(), held).boxed_local();
+        tokio::task::spawn_local(news::serve_news(listener, Rc::new(answer), metrics));
+    }
+
     fn serve(&self, listener: TcpListener, handler: IngressHandler, closing: Arc<OnceSignal>) {
         let limits = Rc::new(IngressLimits {
             header_time: Cell::new(HEADER_TIME),
@@ -144,8 +156,8 @@
 }
 
 fn open(key: &str, address: &mut SocketAddr) -> eyre::Result<TcpListener> {
-    let listener = web::bind(*address)
-        .wrap_err_with(|| format!("{key}: {address} cannot be listened on"))?;
+    let listener =
+        web::bind(*address).wrap_err_with(|| format!("{key}: {address} cannot be listened on"))?;
     *address = listener.local_addr().wrap_err("the address listened on")?;
     Ok(listener)
 }
--- a/src/relay/link.rs
+++ b/src/relay/link.rs
@@ -34,7 +34,7 @@
 }
 
 /// What an object holds.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum StoreValue {
     /// The configuration.
     Config(RelayConfig),
@@ -47,7 +47,7 @@
 }
 
 /// An object.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct StoreItem {
     /// Its name within its kind.
     pub name: FastStr,
@@ -67,7 +67,7 @@
 }
 
 /// A change of an object.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum StoreChange {
     /// It is now this.
     Set(StoreItem),
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -16,6 +16,7 @@
 mod line;
 mod link;
 mod metrics;
+mod news;
 mod parts;
 mod plain;
 mod prefill;
@@ -27,6 +28,6 @@
 
 pub use self::{
     answer::*, backend::*, book::*, budget::*, call::*, cluster::*, config::*, dialect::*,
-    events::*, feed::*, handler::*, host::*, line::*, link::*, metrics::*, parts::*, prefill::*,
-    reserve::*, roles::*, route::*, settings::*,
+    events::*, feed::*, handler::*, host::*, line::*, link::*, metrics::*, news::*, parts::*,
+    prefill::*, reserve::*, roles::*, route::*, settings::*,
 };
--- /dev/null
+++ b/src/relay/news/follow.rs
@@ -0,0 +1,209 @@
+//! Following other hosts: whom to ask, and taking what they tell.
+
+use {
+    super::{
+        super::{
+            feed::StoreFeed,
+            link::{HostEntry, StoreKind},
+            parts::RelayParts,
+        },
+        link::NewsLinks,
+        message::{ClusterNews, HeldNews},
+        source::{NewsSource, OLD_NEWS, SourceChoice},
+    },
+    crate::{event, metric::HostMetrics},
+    rand::seq::SliceRandom,
+    std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
+};
+
+/// How long another host may wait for something newer before it answers.
+const FOLLOW_WAIT: Duration = Duration::from_millis(400);
+
+/// How long an answer may take beyond that: hosts are a millisecond apart, some run slowly for a while.
+const ANSWER_PATIENCE: Duration = Duration::from_millis(400);
+
+/// The same where this host's own news would grow old meanwhile.
+const SHORT_PATIENCE: Duration = Duration::from_millis(200);
+
+/// How often a host that reads the store looks whether it still should, and asks others while the store
+/// does not answer.
+const LOOK_PERIOD: Duration = Duration::from_millis(350);
+
+/// Hosts asked at a time while the store does not answer.
+const ASKED_HOSTS: usize = 2;
+
+/// Follows other hosts while it is not this host's turn to read the store.
+pub struct NewsFollower {
+    parts: Rc<RelayParts>,
+    feed: Rc<StoreFeed>,
+    links: NewsLinks,
+    choice: RefCell<SourceChoice>,
+    last: RefCell<NewsSource>,
+}
+
+impl NewsFollower {
+    /// Starts to follow.
+    pub fn start(parts: Rc<RelayParts>, feed: Rc<StoreFeed>, metrics: Arc<HostMetrics>) {
+        let settings = &parts.settings;
+        let choice = SourceChoice::new(settings.name.clone(), settings.zone.clone());
+        let follower = Self {
+            parts,
+            feed,
+            links: NewsLinks::new(metrics),
+            choice: RefCell::new(choice),
+            last: RefCell::new(NewsSource::Store),
+        };
+        tokio::task::spawn_local(follower.run());
+    }
+
+    async fn run(self) {
+        loop {
+            match self.choose() {
+                NewsSource::Store => {
+                    if self.feed.is_lost() {
+                        self.ask_some().await;
+                    }
+                    tokio::time::sleep(LOOK_PERIOD).await;
+                }
+                NewsSource::Host(entry) => self.follow(&entry).await,
+            }
+        }
+    }
+
+    fn choose(&self) -> NewsSource {
+        let now = self.parts.now();
+        let cluster = self.parts.cluster.borrow();
+        let mut choice = self.choice.borrow_mut();
+        choice.set_hosts(cluster.hosts());
+        let age = cluster.age(now);
+        let source = choice.choose(age, now);
+        self.feed
+            .set_reading(source == NewsSource::Store, choice.is_reader(now));
+        let before = self.last.replace(source.clone());
+        if before != source {
+            let name = match &source {
+                NewsSource::Store => "the store",
+                NewsSource::Host(entry) => entry.name.as_str(),
+            };
+            let age = age.unwrap_or(Duration::MAX).as_millis();
+            event::emit(&event::NEWS_SOURCE, &[("source", &name), ("age_ms", &age)]);
+        }
+        source
+    }
+
+    fn held(&self, wait: Duration, wants_config: bool) -> HeldNews {
+        let cluster = self.parts.cluster.borrow();
+        HeldNews {
+            config_version: cluster.config_version(),
+            backends_revision: cluster.backends_revision(),
+            hosts_revision: cluster.hosts_revision(),
+            wants_config,
+            wait,
+        }
+    }
+
+    async fn follow(&self, entry: &HostEntry) {
+        let age = self.parts.cluster.borrow().age(self.parts.now());
+        let left = OLD_NEWS.saturating_sub(age.unwrap_or(OLD_NEWS) + FOLLOW_WAIT);
+        let patience = left.clamp(SHORT_PATIENCE, ANSWER_PATIENCE);
+        let held = self.held(FOLLOW_WAIT, false);
+        let is_heard = match self.links.follow(entry.peers, held, patience).await {
+            Ok(news) => {
+                let is_fresh = news.age.is_some_and(|age| age < OLD_NEWS);
+                self.take(news, entry.peers).await;
+                is_fresh
+            }
+            Err(error) => {
+                log::debug!("host {} gave no news: {error}", entry.name);
+                false
+            }
+        };
+        let now = self.parts.now();
+        let mut choice = self.choice.borrow_mut();
+        match is_heard {
+            true => choice.note_news(&entry.name),
+            false => choice.note_silent(&entry.name, now),
+        }
+    }
+
+    // The store does not answer this host: others may be served by it.
+    async fn ask_some(&self) {
+        for address in self.some_hosts() {
+            let held = self.held(Duration::ZERO, true);
+            match self.links.follow(address, held, ANSWER_PATIENCE).await {
+                Ok(news) => self.take(news, address).await,
+                Err(error) => log::debug!("host at {address} gave no news: {error}"),
+            }
+        }
+    }
+
+    fn some_hosts(&self) -> Vec<SocketAddr> {
+        let settings = &self.parts.settings;
+        let cluster = self.parts.cluster.borrow();
+        let listed = cluster.hosts().map(|entry| entry.peers);
+        let mut addresses: Vec<SocketAddr> = listed.chain(settings.seeds.iter().copied()).collect();
+        addresses.retain(|address| *address != settings.peers);
+        addresses.sort();
+        addresses.dedup();
+        addresses.shuffle(&mut rand::rng());
+        addresses.truncate(ASKED_HOSTS);
+        addresses
+    }
+
+    async fn take(&self, news: ClusterNews, from: SocketAddr) {
+        let now = self.parts.now();
+        let had = self.held(Duration::ZERO, false);
+        let confirmed = news.age.map(|age| now.saturating_sub(age));
+        let changed = news.backends.is_whole || !news.backends.changes.is_empty();
+        let mut cluster = self.parts.cluster.borrow_mut();
+        if let Some(trouble) = news.trouble {
+            cluster.note_trouble(now.saturating_sub(trouble));
+        }
+        cluster.take_backend_news(news.backends, now);
+        cluster.take_host_news(news.hosts);
+        if let Some(at) = confirmed {
+            cluster.confirm(StoreKind::Backends, at);
+        }
+        drop(cluster);
+        if changed {
+            self.parts.publish_backends();
+        }
+        let known = match news.config {
+            Some(config) => {
+                self.parts.offer_config(config, "host");
+                true
+            }
+            None if news.config_version <= had.config_version => true,
+            None => self.fetch_config(from).await,
+        };
+        if let Some(at) = confirmed.filter(|_| known) {
+            self.parts
+                .cluster
+                .borrow_mut()
+                .confirm(StoreKind::Config, at);
+        }
+    }
+
+    // A large configuration is read from the store; the host that told of it sends it only if it must.
+    async fn fetch_config(&self, from: SocketAddr) -> bool {
+        let Err(failure) = self.feed.read_config().await else {
+            return true;
+        };
+        log::debug!("the store gave no configuration: {failure}; the host at {from} is asked");
+        let held = self.held(Duration::ZERO, true);
+        match self.links.follow(from, held, ANSWER_PATIENCE).await {
+            Ok(ClusterNews {
+                config: Some(config),
+                ..
+            }) => {
+                self.parts.offer_config(config, "host");
+                true
+            }
+            Ok(_) => false,
+            Err(error) => {
+                log::debug!("host at {from} gave no configuration: {error}");
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/relay/news/message.rs
@@ -0,0 +1,155 @@
+//! What hosts ask and tell each other, and the messages that carry it.
+
+use {
+    super::super::{config::RelayConfig, link::StoreChange},
+    crate::news_capnp::{cluster_news, held_news, kind_news},
+    capnp::{Error, Result},
+    serde::{Serialize, de::DeserializeOwned},
+    std::time::Duration,
+};
+
+/// Milliseconds that stand for "never" or "not known".
+const NEVER_MS: u32 = u32::MAX;
+
+/// What the asker has; 0 for what it needs whole.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct HeldNews {
+    /// Version of its configuration.
+    pub config_version: u64,
+    /// The store's revision up to which it knows the backend servers.
+    pub backends_revision: u64,
+    /// The store's revision up to which it knows the hosts.
+    pub hosts_revision: u64,
+    /// It cannot read the configuration from the store.
+    pub wants_config: bool,
+    /// How long the answer may wait for something newer.
+    pub wait: Duration,
+}
+
+/// What became of one kind of objects.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct KindNews {
+    /// The store's revision up to which this goes.
+    pub revision: u64,
+    /// Whether the changes are all objects there are, in place of what the asker has.
+    pub is_whole: bool,
+    /// The changes, in order.
+    pub changes: Vec<StoreChange>,
+}
+
+/// What one host tells another.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct ClusterNews {
+    /// How old the sender's view of configuration and backend servers may be; none where it has none.
+    pub age: Option<Duration>,
+    /// How long ago the store last failed to answer the sender.
+    pub trouble: Option<Duration>,
+    /// Version of the sender's configuration; 0 where it has none.
+    pub config_version: u64,
+    /// The configuration, if the asker lacks it and it is small or asked for.
+    pub config: Option<RelayConfig>,
+    /// The backend servers.
+    pub backends: KindNews,
+    /// The hosts.
+    pub hosts: KindNews,
+}
+
+impl ClusterNews {
+    /// Whether there is anything that an asker with this lacks.
+    pub fn has_more_than(&self, held: &HeldNews) -> bool {
+        let kinds = [&self.backends, &self.hosts];
+        self.config_version > held.config_version
+            || kinds
+                .iter()
+                .any(|kind| kind.is_whole || !kind.changes.is_empty())
+    }
+}
+
+fn to_ms(time: Option<Duration>) -> u32 {
+    time.map_or(NEVER_MS, |time| {
+        u32::try_from(time.as_millis()).unwrap_or(NEVER_MS)
+    })
+}
+
+fn from_ms(millis: u32) -> Option<Duration> {
+    (millis != NEVER_MS).then(|| Duration::from_millis(u64::from(millis)))
+}
+
+fn to_json<T: Serialize>(content: &T) -> Result<Vec<u8>> {
+    serde_json::to_vec(content).map_err(|error| Error::failed(error.to_string()))
+}
+
+fn from_json<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
+    serde_json::from_slice(bytes).map_err(|error| Error::failed(error.to_string()))
+}
+
+/// Writes what the asker has.
+pub fn write_held(mut to: held_news::Builder<'_>, held: &HeldNews) {
+    to.set_config_version(held.config_version);
+    to.set_backends_revision(held.backends_revision);
+    to.set_hosts_revision(held.hosts_revision);
+    to.set_wants_config(held.wants_config);
+    to.set_wait_ms(to_ms(Some(held.wait)));
+}
+
+/// Reads what the asker has.
+pub fn read_held(from: held_news::Reader<'_>) -> HeldNews {
+    HeldNews {
+        config_version: from.get_config_version(),
+        backends_revision: from.get_backends_revision(),
+        hosts_revision: from.get_hosts_revision(),
+        wants_config: from.get_wants_config(),
+        wait: Duration::from_millis(u64::from(from.get_wait_ms())),
+    }
+}
+
+fn write_kind(mut to: kind_news::Builder<'_>, kind: &KindNews) -> Result<()> {
+    to.set_revision(kind.revision);
+    to.set_is_whole(kind.is_whole);
+    if !kind.changes.is_empty() {
+        to.set_changes(&to_json(&kind.changes)?);
+    }
+    Ok(())
+}
+
+fn read_kind(from: kind_news::Reader<'_>) -> Result<KindNews> {
+    let bytes = from.get_changes()?;
+    let changes = match bytes.is_empty() {
+        true => Vec::new(),
+        false => from_json(bytes)?,
+    };
+    Ok(KindNews {
+        revision: from.get_revision(),
+        is_whole: from.get_is_whole(),
+        changes,
+    })
+}
+
+/// Writes news.
+pub fn write_news(mut to: cluster_news::Builder<'_>, news: &ClusterNews) -> Result<()> {
+    to.set_age_ms(to_ms(news.age));
+    to.set_trouble_ms(to_ms(news.trouble));
+    to.set_config_version(news.config_version);
+    if let Some(config) = &news.config {
+        to.set_config(&to_json(config)?);
+    }
+    write_kind(to.reborrow().init_backends(), &news.backends)?;
+    write_kind(to.init_hosts(), &news.hosts)
+}
+
+/// Reads news; what is not well formed is an error.
+pub fn read_news(from: cluster_news::Reader<'_>) -> Result<ClusterNews> {
+    let config = from.get_config()?;
+    let config = match config.is_empty() {
+        true => None,
+        false => Some(from_json(config)?),
+    };
+    Ok(ClusterNews {
+        age: from_ms(from.get_age_ms()),
+        trouble: from_ms(from.get_trouble_ms()),
+        config_version: from.get_config_version(),
+        config,
+        backends: read_kind(from.get_backends()?)?,
+        hosts: read_kind(from.get_hosts()?)?,
+    })
+}
--- /dev/null
+++ b/src/relay/news/news.capnp
@@ -0,0 +1,39 @@
+# What relaying hosts tell each other. Generated code: news_capnp.rs, made with
+#   capnp compile -orust:src/relay/news --src-prefix=src/relay/news src/relay/news/news.capnp
+@0xd41f6c0e5a7b9823;
+
+struct HeldNews {
+  # What the asker has; 0 for what it needs whole.
+  configVersion @0 :UInt64;
+  backendsRevision @1 :UInt64;
+  hostsRevision @2 :UInt64;
+  # The asker cannot read the configuration from the store: it is sent even if it is large.
+  wantsConfig @3 :Bool;
+  # How long the answer may wait for something newer.
+  waitMs @4 :UInt32;
+}
+
+struct KindNews {
+  # The store's revision up to which this goes.
+  revision @0 :UInt64;
+  # Whether the changes are all objects there are, in place of what the asker has.
+  isWhole @1 :Bool;
+  # JSON, empty where nothing changed.
+  changes @2 :Data;
+}
+
+struct ClusterNews {
+  # Since when the sender's view may be out of date; the largest number where it has none.
+  ageMs @0 :UInt32;
+  # How long ago the store failed to answer the sender; the largest number where it did not lately.
+  troubleMs @1 :UInt32;
+  configVersion @2 :UInt64;
+  # JSON, empty where the asker has it or it is large.
+  config @3 :Data;
+  backends @4 :KindNews;
+  hosts @5 :KindNews;
+}
+
+interface NewsPeer {
+  follow @0 (held :HeldNews) -> (news :ClusterNews);
+}
--- /dev/null
+++ b/src/relay/news/source.rs
@@ -0,0 +1,128 @@
+//! Where a host gets its news from: a plain state machine.
+//!
+//! In each zone the first hosts of an order that all hosts agree on read the store; the others follow
+//! one of them. A host whose news grow old reads the store itself until it is up to date again.
+
+use {
+    super::super::link::HostEntry,
+    crate::peer,
+    faststr::FastStr,
+    std::{cmp::Reverse, collections::BTreeMap, time::Duration},
+};
+
+/// Hosts of a zone from which on a second one reads the store, so that the loss of the first costs the
+/// zone nothing.
+const SECOND_READER_FROM: usize = 9;
+
+/// Age from which news count as old. Readers hear from the store each 0.7 s and followers from them each
+/// 0.4 s; operators expect a change to be in force within two seconds.
+pub const OLD_NEWS: Duration = Duration::from_millis(1_400);
+
+/// How long a host whose news were old reads the store itself.
+const OWN_READING_TIME: Duration = Duration::from_secs(2);
+
+/// How long a host that gave no news is not asked: most restart within seconds.
+const PASS_OVER_FIRST: Duration = Duration::from_secs(2);
+
+/// Longest time for which one is not asked again; doubled up to here while it stays silent.
+const PASS_OVER_LONGEST: Duration = Duration::from_secs(32);
+
+/// Where to get news from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum NewsSource {
+    /// The store.
+    Store,
+    /// Another host.
+    Host(HostEntry),
+}
+
+#[derive(Debug, Clone, Copy)]
+struct PassedOver {
+    until: Duration,
+    time: Duration,
+}
+
+/// One host's choice of whom to follow.
+#[derive(Debug)]
+pub struct SourceChoice {
+    own: FastStr,
+    zone: FastStr,
+    // The hosts of the zone, in the order in which they are to read the store.
+    order: Vec<HostEntry>,
+    passed_over: BTreeMap<FastStr, PassedOver>,
+    reading_until: Duration,
+}
+
+impl SourceChoice {
+    /// A host that knows no others.
+    pub fn new(own: FastStr, zone: FastStr) -> Self {
+        Self {
+            own,
+            zone,
+            order: Vec::new(),
+            passed_over: BTreeMap::new(),
+            reading_until: Duration::ZERO,
+        }
+    }
+
+    /// Takes the hosts that are listed.
+    pub fn set_hosts<'a>(&mut self, hosts: impl Iterator<Item = &'a HostEntry>) {
+        let own_zone = hosts.filter(|entry| entry.zone == self.zone);
+        self.order = own_zone.cloned().collect();
+        let zone = self.zone.as_str();
+        self.order
+            .sort_by_key(|entry| Reverse(peer::draw(&entry.name, zone)));
+        let order = &self.order;
+        self.passed_over
+            .retain(|name, _| order.iter().any(|entry| entry.name == *name));
+    }
+
+    /// A host gave no news, or old ones.
+    pub fn note_silent(&mut self, name: &FastStr, now: Duration) {
+        let before = self.passed_over.get(name);
+        let time = before.map_or(PASS_OVER_FIRST, |before| before.time * 2);
+        let time = time.min(PASS_OVER_LONGEST);
+        let until = now + time;
+        self.passed_over
+            .insert(name.clone(), PassedOver { until, time });
+    }
+
+    /// A host gave news that are not old.
+    pub fn note_news(&mut self, name: &str) {
+        self.passed_over.remove(name);
+    }
+
+    /// Whether this host is one of those that read the store for their zone.
+    pub fn is_reader(&self, now: Duration) -> bool {
+        let mut readers = self.readers(now);
+        self.order.is_empty() || readers.any(|entry| entry.name == self.own)
+    }
+
+    /// Where to get news from, given the age of those that this host has.
+    pub fn choose(&mut self, age: Option<Duration>, now: Duration) -> NewsSource {
+        if self.is_reader(now) {
+            return NewsSource::Store;
+        }
+        if age.is_none_or(|age| age >= OLD_NEWS) {
+            self.reading_until = now + OWN_READING_TIME;
+        }
+        if now < self.reading_until {
+            return NewsSource::Store;
+        }
+        // Followers spread over the readers; each host's own draw keeps it at the same one.
+        let readers: Vec<&HostEntry> = self.readers(now).collect();
+        let drawn = readers
+            .into_iter()
+            .max_by_key(|entry| peer::draw(&self.own, &entry.name));
+        drawn.map_or(NewsSource::Store, |entry| NewsSource::Host(entry.clone()))
+    }
+
+    fn readers(&self, now: Duration) -> impl Iterator<Item = &HostEntry> {
+        let wanted = 1 + usize::from(self.order.len() >= SECOND_READER_FROM);
+        let heard = move |entry: &&HostEntry| {
+            let passed = self.passed_over.get(&entry.name);
+            passed.is_none_or(|passed| now >= passed.until)
+        };
+        self.order.iter().filter(heard).take(wanted)
+    }
+}
--- a/src/relay/parts.rs
+++ b/src/relay/parts.rs
@@ -48,6 +48,8 @@
     pub line: RefCell<WaitLine>,
     /// Told when memory or a place in the line may have become free.
     pub freed: Notify,
+    /// Told when the configuration, the backend servers or the hosts have changed.
+    pub news: Notify,
     /// What is counted.
     pub metrics: RelayMetrics,
     /// Counts requests in progress and closes for a planned stop.
@@ -69,6 +71,7 @@
             budgets: RefCell::default(),
             line: RefCell::default(),
             freed: Notify::new(),
+            news: Notify::new(),
             metrics: RelayMetrics::default(),
             gate,
             start: Instant::now(),
