--- a/src/relay/book.rs
+++ b/src/relay/book.rs
@@ -3,7 +3,7 @@
 //! A plain state machine: what happened and the time go in, an order of preference comes out.
 
 use {
-    super::backend::BackendInfo,
+    super::{backend::BackendInfo, news::EngineLoad},
     crate::{engine::EngineRole, web::SendFailure},
     faststr::FastStr,
     std::{collections::BTreeMap, time::Duration},
@@ -50,6 +50,17 @@
 /// costs a repeat.
 const DECLINE_TIME: Duration = Duration::from_millis(1_500);
 
+/// How long what other hosts' requests take at engines is taken to stay as they last reported.
+const OTHERS_LIFE: Duration = Duration::from_millis(1_500);
+
+/// Part of an engine's memory that all requests together may be expected to take at their end; beyond it,
+/// answers that grow drive others out, which are then computed anew.
+const MEMORY_SHARE: f64 = 1.2;
+
+/// Tokens by which two engines' loads have to differ to count as different: hosts that all see the same
+/// one as the emptiest would all send there. The usual size of a request.
+const LOAD_NOISE: u64 = 4_000;
+
 /// How a backend server failed to answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BackendFailure {
@@ -81,6 +92,8 @@
     out_time: Duration,
     error_share: f64,
     memory_tokens: u64,
+    // What the requests of other hosts take.
+    others_tokens: u64,
     refused: Option<(Duration, u64)>,
     prefill_tokens: u64,
     // Until when it is taken to decline whatever comes.
@@ -99,6 +112,7 @@
             out_time: EJECT_FIRST,
             error_share: 0.0,
             memory_tokens: 0,
+            others_tokens: 0,
             refused: None,
             prefill_tokens: 0,
             declines_until: Duration::ZERO,
@@ -154,6 +168,8 @@
 pub struct BackendBook {
     views: BTreeMap<FastStr, BackendView>,
     next_call: u64,
+    // When the others' loads were told.
+    others_at: Option<Duration>,
     // Prompt tokens a second that prefill engines were seen to compute at best.
     prefill_rate: f64,
 }
@@ -163,6 +179,7 @@
         Self {
             views: BTreeMap::new(),
             next_call: 0,
+            others_at: None,
             prefill_rate: PREFILL_RATE,
         }
     }
@@ -214,24 +231,63 @@
         })
     }
 
-    /// The decode engines that have room as far as is known, best first: own zone, least work of
-    /// this host.
+    /// What the requests of this host take at engines.
+    pub fn loads(&self) -> Vec<EngineLoad> {
+        let taken = self.views.values().filter(|view| view.memory_tokens > 0);
+        taken
+            .map(|view| EngineLoad {
+                engine: view.info.id.clone(),
+                memory_tokens: view.memory_tokens,
+            })
+            .collect()
+    }
+
+    /// What the requests of all other hosts take at engines; none where none is named.
+    pub fn set_others(&mut self, loads: Vec<EngineLoad>, now: Duration) {
+        for view in self.views.values_mut() {
+            view.others_tokens = 0;
+        }
+        for load in loads {
+            if let Some(view) = self.views.get_mut(&load.engine) {
+                view.others_tokens = load.memory_tokens;
+            }
+        }
+        self.others_at = Some(now);
+    }
+
+    pub fn known_of(&self, id: &str, now: Duration) -> u64 {
+        self.views.get(id).map_or(0, |v| self.known_tokens(v, now))
+    }
+    // Tokens that requests take at an engine, as far as is known.
+    fn known_tokens(&self, view: &BackendView, now: Duration) -> u64 {
+        let told = self.others_at;
+        let is_recent = told.is_some_and(|at| now.saturating_sub(at) < OTHERS_LIFE);
+        view.memory_tokens + if is_recent { view.others_tokens } else { 0 }
+    }
+
+    /// The decode engines that have room for a request as far as is known, best first: own zone, least
+    /// taken. `memory` is what an engine's memory holds.
     pub fn rank_decodes(
         &self,
         service: &str,
         zone: &str,
         tokens: u64,
+        memory: Option<u64>,
         now: Duration,
     ) -> Vec<BackendInfo> {
+        let limit = memory.map(|memory| (memory as f64 * MEMORY_SHARE) as u64);
+        let fits = |view: &&BackendView| {
+            let taken = self.known_tokens(view, now);
+            // An empty engine takes whatever fits into its memory at all.
+            taken == 0 || limit.is_none_or(|limit| taken + tokens <= limit)
+        };
         let views = self
             .engines(service, EngineRole::Decode, now)
-            .filter(|view| !view.has_refused(tokens, now));
+            .filter(|view| !view.has_refused(tokens, now))
+            .filter(fits);
         sorted(views, |view| {
-            (
-                view.info.zone != zone,
-                view.memory_tokens,
-                rand::random::<u16>(),
-            )
+            let noise = rand::random::<u64>() % LOAD_NOISE;
+            (view.info.zone != zone, self.known_tokens(view, now) + noise)
         })
     }
 
--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -57,7 +57,8 @@
         self.is_within(SPENT_SHARE, allowance, hosts, now)
     }
 
-    /// Whether a send may be made that counts as a repeat if it fails.
+    /// Whether a send may be made that counts as a repeat if it fails, or a repeat that saves more than
+    /// itself.
     pub fn may_risk(&mut self, allowance: RetryAllowance, hosts: usize, now: Duration) -> bool {
         self.is_within(RISKED_SHARE, allowance, hosts, now)
     }
--- a/src/relay/cluster.rs
+++ b/src/relay/cluster.rs
@@ -55,6 +55,11 @@
         self.backend_history.revision()
     }
 
+    /// Counts the lists and changes of backend servers that were taken.
+    pub fn changes_seen(&self) -> u64 {
+        self.backend_history.recorded()
+    }
+
     /// The store's revision that the list of hosts shows.
     pub fn hosts_revision(&self) -> u64 {
         self.host_history.revision()
--- a/src/relay/feed.rs
+++ b/src/relay/feed.rs
@@ -23,6 +23,10 @@
 /// How long a watch of the hosts waits: nothing urgent depends on them.
 const HOSTS_WATCH_TIME: Duration = Duration::from_secs(20);
 
+/// Pause after a watch that brought changes of backend servers: at the start of a deployment or a release
+/// many come one after the other, and each watch is a call.
+const CHANGES_PAUSE: Duration = Duration::from_millis(200);
+
 /// Pause between two watches of the hosts: many come and go at once, and each watch is a call.
 const HOSTS_PAUSE: Duration = Duration::from_millis(500);
 
@@ -104,13 +108,12 @@
         let mut forgotten = false;
         loop {
             self.wanted(kind).await;
+            let before = self.parts.cluster.borrow().changes_seen();
             match self.read_once(kind, forgotten).await {
                 Ok(()) => {
                     (forgotten, pause) = (false, FAILURE_PAUSE);
                     self.note_answer(kind);
-                    if kind == StoreKind::Hosts {
-                        tokio::time::sleep(HOSTS_PAUSE).await;
-                    }
+                    tokio::time::sleep(self.pause_after(kind, before)).await;
                 }
                 Err(StoreFailure::Gone) => forgotten = true,
                 Err(failure) => {
@@ -122,6 +125,16 @@
         }
     }
 
+    // Changes that follow one another closely are read together.
+    fn pause_after(&self, kind: StoreKind, before: u64) -> Duration {
+        let has_changed = self.parts.cluster.borrow().changes_seen() != before;
+        match kind {
+            StoreKind::Hosts => HOSTS_PAUSE,
+            StoreKind::Backends if has_changed => CHANGES_PAUSE,
+            _ => Duration::ZERO,
+        }
+    }
+
     fn is_wanted(&self, kind: StoreKind) -> bool {
         match kind {
             // Who knows no hosts looks for them once.
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -6,7 +6,7 @@
         feed::StoreFeed,
         handler,
         link::{HostEntry, StoreItem, StoreKind, StoreLink, StoreValue},
-        news::{self, NewsFollower},
+        news::{self, LoadShare, NewsAnswers, NewsFollower, NewsLinks},
         parts::RelayParts,
         roles,
         settings::RelaySettings,
@@ -101,10 +101,15 @@
     fn share_news(&self, listener: TcpListener) {
         let metrics = Arc::new(HostMetrics::default());
         let feed = StoreFeed::start(self.parts.clone(), self.store.clone());
-        NewsFollower::start(self.parts.clone(), feed, metrics.clone());
+        let links = Rc::new(NewsLinks::new(metrics.clone()));
+        let follower = NewsFollower::start(self.parts.clone(), feed, links.clone());
+        let share = LoadShare::start(self.parts.clone(), follower, links);
         let parts = self.parts.clone();
-        let answer = move |held| news::tell_news(parts.clone(), held).boxed_local();
-        tokio::task::spawn_local(news::serve_news(listener, Rc::new(answer), metrics));
+        let answers = NewsAnswers {
+            news: Box::new(move |held| news::tell_news(parts.clone(), held).boxed_local()),
+            loads: Box::new(move |reporter, loads| share.answer(reporter, loads)),
+        };
+        tokio::task::spawn_local(news::serve_news(listener, answers, metrics));
     }
 
     fn serve(&self, listener: TcpListener, handler: IngressHandler, closing: Arc<OnceSignal>) {
@@ -181,22 +186,24 @@
 // Writes who this host is, until that has succeeded.
 async fn write_entry(parts: Rc<RelayParts>, store: Rc<StoreLink>) {
     let settings = &parts.settings;
+    let entry = StoreValue::Host(HostEntry {
+        name: settings.name.clone(),
+        zone: settings.zone.clone(),
+        peers: settings.peers,
+    });
     let mut revision = 0;
     loop {
         let item = StoreItem {
             name: settings.name.clone(),
             revision,
-            value: StoreValue::Host(HostEntry {
-                name: settings.name.clone(),
-                zone: settings.zone.clone(),
-                peers: settings.peers,
-            }),
+            value: entry.clone(),
         };
         match (store.put)(StoreKind::Hosts, item).await {
             Ok(_) => return,
             // An earlier run's entry, or this one's own whose answer was lost.
             Err(StoreFailure::Conflict(_)) => {
                 match (store.get)(StoreKind::Hosts, &settings.name).await {
+                    Ok(found) if found.value == entry => return,
                     Ok(found) => revision = found.revision,
                     Err(StoreFailure::NotFound) => revision = 0,
                     Err(failure) => log::debug!("the host's entry: {failure}"),
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -21,6 +21,7 @@
 mod plain;
 mod prefill;
 mod reserve;
+mod resume;
 mod roles;
 mod route;
 mod settings;
--- a/src/relay/news/follow.rs
+++ b/src/relay/news/follow.rs
@@ -11,9 +11,9 @@
         message::{ClusterNews, HeldNews},
         source::{NewsSource, OLD_NEWS, SourceChoice},
     },
-    crate::{event, metric::HostMetrics},
+    crate::event,
     rand::seq::SliceRandom,
-    std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
+    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// How long another host may wait for something newer before it answers.
@@ -36,27 +36,33 @@
 pub struct NewsFollower {
     parts: Rc<RelayParts>,
     feed: Rc<StoreFeed>,
-    links: NewsLinks,
+    links: Rc<NewsLinks>,
     choice: RefCell<SourceChoice>,
     last: RefCell<NewsSource>,
 }
 
 impl NewsFollower {
     /// Starts to follow.
-    pub fn start(parts: Rc<RelayParts>, feed: Rc<StoreFeed>, metrics: Arc<HostMetrics>) {
+    pub fn start(parts: Rc<RelayParts>, feed: Rc<StoreFeed>, links: Rc<NewsLinks>) -> Rc<Self> {
         let settings = &parts.settings;
         let choice = SourceChoice::new(settings.name.clone(), settings.zone.clone());
-        let follower = Self {
+        let follower = Rc::new(Self {
             parts,
             feed,
-            links: NewsLinks::new(metrics),
+            links,
             choice: RefCell::new(choice),
             last: RefCell::new(NewsSource::Store),
-        };
-        tokio::task::spawn_local(follower.run());
+        });
+        tokio::task::spawn_local(follower.clone().run());
+        follower
+    }
+
+    /// The first of the hosts that read the store for the zone; none where that is this one.
+    pub fn first_reader(&self) -> Option<HostEntry> {
+        self.choice.borrow().first_reader(self.parts.now())
     }
 
-    async fn run(self) {
+    async fn run(self: Rc<Self>) {
         loop {
             match self.choose() {
                 NewsSource::Store => {
@@ -152,36 +158,40 @@
 
     async fn take(&self, news: ClusterNews, from: SocketAddr) {
         let now = self.parts.now();
-        let had = self.held(Duration::ZERO, false);
         let confirmed = news.age.map(|age| now.saturating_sub(age));
-        let changed = news.backends.is_whole || !news.backends.changes.is_empty();
+        self.take_lists(&news, confirmed);
+        let held = self.parts.cluster.borrow().config_version();
+        let is_known = match news.config {
+            Some(config) => {
+                self.parts.offer_config(config, "host");
+                true
+            }
+            None if news.config_version <= held => true,
+            None => self.fetch_config(from).await,
+        };
+        if let Some(at) = confirmed.filter(|_| is_known) {
+            let mut cluster = self.parts.cluster.borrow_mut();
+            cluster.confirm(StoreKind::Config, at);
+        }
+    }
+
+    fn take_lists(&self, news: &ClusterNews, confirmed: Option<Duration>) {
+        let now = self.parts.now();
         let mut cluster = self.parts.cluster.borrow_mut();
         if let Some(trouble) = news.trouble {
             cluster.note_trouble(now.saturating_sub(trouble));
         }
-        cluster.take_backend_news(news.backends, now);
-        cluster.take_host_news(news.hosts);
+        let before = cluster.changes_seen();
+        cluster.take_backend_news(news.backends.clone(), now);
+        cluster.take_host_news(news.hosts.clone());
         if let Some(at) = confirmed {
             cluster.confirm(StoreKind::Backends, at);
         }
+        let has_changed = cluster.changes_seen() != before;
         drop(cluster);
-        if changed {
+        if has_changed {
             self.parts.publish_backends();
         }
-        let known = match news.config {
-            Some(config) => {
-                self.parts.offer_config(config, "host");
-                true
-            }
-            None if news.config_version <= had.config_version => true,
-            None => self.fetch_config(from).await,
-        };
-        if let Some(at) = confirmed.filter(|_| known) {
-            self.parts
-                .cluster
-                .borrow_mut()
-                .confirm(StoreKind::Config, at);
-        }
     }
 
     // A large configuration is read from the store; the host that told of it sends it only if it must.
--- a/src/relay/news/history.rs
+++ b/src/relay/news/history.rs
@@ -24,6 +24,7 @@
     // Changes up to this revision are forgotten.
     forgotten: u64,
     revision: u64,
+    recorded: u64,
 }
 
 impl ChangeHistory {
@@ -32,6 +33,11 @@
         self.revision
     }
 
+    /// Counts the lists and batches of changes that were taken.
+    pub fn recorded(&self) -> u64 {
+        self.recorded
+    }
+
     /// Takes changes up to a revision; older ones than are known are ignored.
     pub fn record(&mut self, revision: u64, changes: Vec<StoreChange>) {
         if revision < self.revision {
@@ -41,6 +47,7 @@
         if changes.is_empty() {
             return;
         }
+        self.recorded += 1;
         self.kept += changes.len();
         self.batches.push_back((revision, changes));
         while self.kept > CHANGES_KEPT {
@@ -55,6 +62,7 @@
     /// The whole list was taken as of a revision: what came and went before is not known, so hosts that
     /// follow need the whole too.
     pub fn restart(&mut self, revision: u64) {
+        self.recorded += 1;
         self.batches.clear();
         self.kept = 0;
         (self.forgotten, self.revision) = (revision, revision);
--- a/src/relay/news/link.rs
+++ b/src/relay/news/link.rs
@@ -1,23 +1,38 @@
 //! Asking other hosts for news, and answering them: `capnp-rpc` over TCP.
 
 use {
-    super::message::{self, ClusterNews, HeldNews},
+    super::{
+        loads::{EngineLoad, LoadReporter},
+        message::{self, ClusterNews, HeldNews},
+    },
     crate::{
         metric::HostMetrics,
         news_capnp::news_peer,
         peer::{self, PeerLinks},
     },
     capnp::{Error, capability::Rc as CapRc},
+    faststr::FastStr,
     futures::future::LocalBoxFuture,
-    std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::net::TcpListener,
 };
 
 /// Gives the news for an asker, once there are some or its wait is over.
 pub type NewsAnswer = dyn Fn(HeldNews) -> LocalBoxFuture<'static, ClusterNews>;
 
+/// Takes a report of loads; gives those of the others.
+pub type LoadAnswer = dyn Fn(LoadReporter, Vec<EngineLoad>) -> Vec<EngineLoad>;
+
+/// What a host answers to others.
+pub struct NewsAnswers {
+    /// To those that follow it.
+    pub news: Box<NewsAnswer>,
+    /// To those that report to it.
+    pub loads: Box<LoadAnswer>,
+}
+
 struct NewsServer {
-    answer: Rc<NewsAnswer>,
+    answers: NewsAnswers,
 }
 
 impl news_peer::Server for NewsServer {
@@ -27,14 +42,31 @@
         mut results: news_peer::FollowResults,
     ) -> Result<(), Error> {
         let held = message::read_held(params.get()?.get_held()?);
-        let news = (self.answer)(held).await;
+        let news = (self.answers.news)(held).await;
         message::write_news(results.get().init_news(), &news)
     }
+
+    async fn share(
+        self: CapRc<Self>,
+        params: news_peer::ShareParams,
+        mut results: news_peer::ShareResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let name = FastStr::new(params.get_reporter()?.to_str()?);
+        let reporter = match params.get_is_zone() {
+            true => LoadReporter::Zone(name),
+            false => LoadReporter::Host(name),
+        };
+        let loads = message::read_loads(params.get_loads()?)?;
+        let others = (self.answers.loads)(reporter, loads);
+        message::write_loads(results.get().init_others(others.len() as u32), &others);
+        Ok(())
+    }
 }
 
 /// Answers other hosts on a listening socket, for as long as the host runs.
-pub async fn serve_news(listener: TcpListener, answer: Rc<NewsAnswer>, metrics: Arc<HostMetrics>) {
-    let client: news_peer::Client = capnp_rpc::new_client(NewsServer { answer });
+pub async fn serve_news(listener: TcpListener, answers: NewsAnswers, metrics: Arc<HostMetrics>) {
+    let client: news_peer::Client = capnp_rpc::new_client(NewsServer { answers });
     peer::serve_peers(listener, client.client, metrics).await;
 }
 
@@ -64,4 +96,29 @@
             })
             .await
     }
+
+    /// Reports loads to a host; gives those of the others.
+    pub async fn share(
+        &self,
+        address: SocketAddr,
+        reporter: &LoadReporter,
+        loads: &[EngineLoad],
+        patience: Duration,
+    ) -> Result<Vec<EngineLoad>, Error> {
+        self.0
+            .call(address, patience, |client| async move {
+                let mut request = client.share_request();
+                let mut params = request.get();
+                let (name, is_zone) = match reporter {
+                    LoadReporter::Host(name) => (name, false),
+                    LoadReporter::Zone(name) => (name, true),
+                };
+                params.set_reporter(name.as_str());
+                params.set_is_zone(is_zone);
+                message::write_loads(params.init_loads(loads.len() as u32), loads);
+                let response = request.send().promise.await?;
+                message::read_loads(response.get()?.get_others()?)
+            })
+            .await
+    }
 }
--- /dev/null
+++ b/src/relay/news/loads.rs
@@ -0,0 +1,84 @@
+//! What the requests of many hosts take at engines: a plain state machine.
+//!
+//! Each host knows its own requests only. One host of a zone adds up what all report and tells each what
+//! the others take.
+
+use {
+    faststr::FastStr,
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// Age from which a report no longer counts: some reports may be lost, and the host itself may be.
+const REPORT_LIFE: Duration = Duration::from_millis(1_500);
+
+/// What requests take at an engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineLoad {
+    /// Id of the engine's run.
+    pub engine: FastStr,
+    /// Tokens of its memory that the requests are expected to take at their end.
+    pub memory_tokens: u64,
+}
+
+/// Who reports.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LoadReporter {
+    /// A host of the zone, for its own requests.
+    Host(FastStr),
+    /// Another zone, for all of its hosts.
+    Zone(FastStr),
+}
+
+/// The latest report of each reporter.
+#[derive(Debug, Default)]
+pub struct LoadBoard {
+    reports: BTreeMap<LoadReporter, (Vec<EngineLoad>, Duration)>,
+}
+
+impl LoadBoard {
+    /// Takes a report in place of the reporter's last one.
+    pub fn take(&mut self, reporter: LoadReporter, loads: Vec<EngineLoad>, now: Duration) {
+        self.reports.insert(reporter, (loads, now));
+    }
+
+    /// What the requests of all but this host take, as far as reports are not old.
+    pub fn others_of(&self, host: &str, now: Duration) -> Vec<EngineLoad> {
+        self.total(now, |reporter| match reporter {
+            LoadReporter::Host(name) => name != host,
+            LoadReporter::Zone(_) => true,
+        })
+    }
+
+    /// What the requests of the zone's own hosts take.
+    pub fn of_zone(&self, now: Duration) -> Vec<EngineLoad> {
+        self.total(now, |reporter| matches!(reporter, LoadReporter::Host(_)))
+    }
+
+    /// Forgets reports that no longer count.
+    pub fn forget_old(&mut self, now: Duration) {
+        self.reports.retain(|_, (_, at)| is_recent(*at, now));
+    }
+
+    fn total(&self, now: Duration, counts: impl Fn(&LoadReporter) -> bool) -> Vec<EngineLoad> {
+        let mut totals: BTreeMap<&FastStr, u64> = BTreeMap::new();
+        for (reporter, (loads, at)) in &self.reports {
+            if !counts(reporter) || !is_recent(*at, now) {
+                continue;
+            }
+            for load in loads {
+                *totals.entry(&load.engine).or_default() += load.memory_tokens;
+            }
+        }
+        let totals = totals.into_iter();
+        totals
+            .map(|(engine, memory_tokens)| EngineLoad {
+                engine: engine.clone(),
+                memory_tokens,
+            })
+            .collect()
+    }
+}
+
+fn is_recent(at: Duration, now: Duration) -> bool {
+    now.saturating_sub(at) < REPORT_LIFE
+}
--- a/src/relay/news/message.rs
+++ b/src/relay/news/message.rs
@@ -1,9 +1,13 @@
 //! What hosts ask and tell each other, and the messages that carry it.
 
 use {
-    super::super::{config::RelayConfig, link::StoreChange},
-    crate::news_capnp::{cluster_news, held_news, kind_news},
-    capnp::{Error, Result},
+    super::{
+        super::{config::RelayConfig, link::StoreChange},
+        loads::EngineLoad,
+    },
+    crate::news_capnp::{cluster_news, engine_load, held_news, kind_news},
+    capnp::{Error, Result, struct_list},
+    faststr::FastStr,
     serde::{Serialize, de::DeserializeOwned},
     std::time::Duration,
 };
@@ -153,3 +157,23 @@
         hosts: read_kind(from.get_hosts()?)?,
     })
 }
+
+/// Writes loads.
+pub fn write_loads(mut to: struct_list::Builder<'_, engine_load::Owned>, loads: &[EngineLoad]) {
+    for (index, load) in loads.iter().enumerate() {
+        let mut place = to.reborrow().get(index as u32);
+        place.set_engine(load.engine.as_str());
+        place.set_memory_tokens(u32::try_from(load.memory_tokens).unwrap_or(u32::MAX));
+    }
+}
+
+/// Reads loads.
+pub fn read_loads(from: struct_list::Reader<'_, engine_load::Owned>) -> Result<Vec<EngineLoad>> {
+    let loads = from.iter().map(|load| {
+        Ok(EngineLoad {
+            engine: FastStr::new(load.get_engine()?.to_str()?),
+            memory_tokens: u64::from(load.get_memory_tokens()),
+        })
+    });
+    loads.collect()
+}
--- a/src/relay/news/mod.rs
+++ b/src/relay/news/mod.rs
@@ -1,11 +1,15 @@
-//! News of the configuration, the backend servers and the hosts: few hosts of a zone read the store, the
-//! others ask them.
+//! What hosts tell each other: news of the configuration, the backend servers and the hosts, which few
+//! hosts of a zone read from the store for the others; and what each one's requests take at engines.
 
 mod follow;
 mod history;
 mod link;
+mod loads;
 mod message;
+mod share;
 mod source;
 mod tell;
 
-pub use self::{follow::*, history::*, link::*, message::*, source::*, tell::*};
+pub use self::{
+    follow::*, history::*, link::*, loads::*, message::*, share::*, source::*, tell::*,
+};
--- a/src/relay/news/news.capnp
+++ b/src/relay/news/news.capnp
@@ -34,6 +34,16 @@
   hosts @5 :KindNews;
 }
 
+struct EngineLoad {
+  # Id of the engine's run.
+  engine @0 :Text;
+  # Tokens of its memory that running requests are expected to take at their end.
+  memoryTokens @1 :UInt32;
+}
+
 interface NewsPeer {
   follow @0 (held :HeldNews) -> (news :ClusterNews);
+  # What the reporter's requests take at engines, for what those of all others take. A whole zone reports
+  # through one of its hosts and is told what the other zone's hosts take.
+  share @1 (reporter :Text, isZone :Bool, loads :List(EngineLoad)) -> (others :List(EngineLoad));
 }
--- a/src/relay/news/news_capnp.rs
+++ b/src/relay/news/news_capnp.rs
@@ -961,11 +961,249 @@
     }
 }
 
+pub mod engine_load {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_engine(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_engine(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_memory_tokens(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_engine(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_engine(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_engine(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_engine(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_memory_tokens(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_memory_tokens(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(32, 56, 53, 193, 56, 254, 222, 142),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(35, 152, 123, 90, 14, 108, 31, 212),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 69, 110, 103, 105, 110),
+            ::capnp::word(101, 76, 111, 97, 100, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 110, 103, 105, 110, 101, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 101, 109, 111, 114, 121, 84, 111),
+            ::capnp::word(107, 101, 110, 115, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) const TYPE_ID: u64 = 0x8ede_fe38_c135_3820;
+    }
+}
+
 
 pub mod news_peer {
     #![allow(unused_variables)]
     pub type FollowParams<> = ::capnp::capability::Params<crate::news_capnp::news_peer::follow_params::Owned>;
     pub type FollowResults<> = ::capnp::capability::Results<crate::news_capnp::news_peer::follow_results::Owned>;
+    pub type ShareParams<> = ::capnp::capability::Params<crate::news_capnp::news_peer::share_params::Owned>;
+    pub type ShareResults<> = ::capnp::capability::Results<crate::news_capnp::news_peer::share_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -1018,9 +1256,13 @@
         pub fn follow_request(&self) -> ::capnp::capability::Request<crate::news_capnp::news_peer::follow_params::Owned,crate::news_capnp::news_peer::follow_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
         }
+        pub fn share_request(&self) -> ::capnp::capability::Request<crate::news_capnp::news_peer::share_params::Owned,crate::news_capnp::news_peer::share_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn follow(self: ::capnp::capability::Rc<Self>, _: FollowParams<>, _: FollowResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method news_peer::Server::follow not implemented".to_string()))) }
+        fn share(self: ::capnp::capability::Rc<Self>, _: ShareParams<>, _: ShareResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method news_peer::Server::share not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -1051,6 +1293,7 @@
         pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
             match method_id {
                 0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::follow(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::share(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -1480,4 +1723,497 @@
             pub(crate) const TYPE_ID: u64 = 0x8f81_a705_612a_5364;
         }
     }
+
+    pub mod share_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_reporter(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_reporter(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_is_zone(self) -> bool {
+                self.reader.get_bool_field(0)
+            }
+            #[inline]
+            pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::news_capnp::engine_load::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_loads(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_reporter(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_reporter(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_reporter(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_reporter(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_is_zone(self) -> bool {
+                self.builder.get_bool_field(0)
+            }
+            #[inline]
+            pub fn set_is_zone(&mut self, value: bool)  {
+                self.builder.set_bool_field(0, value);
+            }
+            #[inline]
+            pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::news_capnp::engine_load::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_loads(&mut self, value: ::capnp::struct_list::Reader<'_,crate::news_capnp::engine_load::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            }
+            #[inline]
+            pub fn init_loads(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::news_capnp::engine_load::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+            }
+            #[inline]
+            pub fn has_loads(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 68] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(182, 241, 242, 237, 191, 126, 119, 243),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 78, 101, 119, 115, 80),
+                ::capnp::word(101, 101, 114, 46, 115, 104, 97, 114),
+                ::capnp::word(101, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(81, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 112, 111, 114, 116, 101, 114),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 115, 90, 111, 110, 101, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 111, 97, 100, 115, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(32, 56, 53, 193, 56, 254, 222, 142),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::struct_list::Owned<crate::news_capnp::engine_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
+            pub(crate) const TYPE_ID: u64 = 0xf377_7ebf_edf2_f1b6;
+        }
+    }
+
+    pub mod share_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_others(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::news_capnp::engine_load::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_others(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_others(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::news_capnp::engine_load::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_others(&mut self, value: ::capnp::struct_list::Reader<'_,crate::news_capnp::engine_load::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_others(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::news_capnp::engine_load::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_others(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(191, 152, 31, 101, 47, 218, 10, 147),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 78, 101, 119, 115, 80),
+                ::capnp::word(101, 101, 114, 46, 115, 104, 97, 114),
+                ::capnp::word(101, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(111, 116, 104, 101, 114, 115, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(32, 56, 53, 193, 56, 254, 222, 142),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::struct_list::Owned<crate::news_capnp::engine_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x930a_da2f_651f_98bf;
+        }
+    }
 }
--- /dev/null
+++ b/src/relay/news/share.rs
@@ -0,0 +1,145 @@
+//! Telling the other hosts what this one's requests take at engines, and hearing what theirs take.
+
+use {
+    super::{
+        super::{link::HostEntry, parts::RelayParts},
+        follow::NewsFollower,
+        link::NewsLinks,
+        loads::{EngineLoad, LoadBoard, LoadReporter},
+    },
+    crate::peer,
+    faststr::FastStr,
+    std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration},
+};
+
+/// How often a host reports. Requests run for some seconds, so that the others' view of them is mostly
+/// right; a report more often costs small hosts processor time.
+const REPORT_PERIOD: Duration = Duration::from_millis(300);
+
+/// How often a zone reports to the others: few requests go to engines of another zone.
+const ZONE_PERIOD: u32 = 3;
+
+/// Longest wait for the answer to a report; it is at once, or of little use.
+const REPORT_PATIENCE: Duration = Duration::from_millis(250);
+
+/// Reports of this host, and of others to it.
+pub struct LoadShare {
+    parts: Rc<RelayParts>,
+    follower: Rc<NewsFollower>,
+    links: Rc<NewsLinks>,
+    board: RefCell<LoadBoard>,
+    // Reports to other zones that failed in a row: the next host of that zone is then tried.
+    zone_failures: RefCell<BTreeMap<FastStr, usize>>,
+}
+
+impl LoadShare {
+    /// Starts to report.
+    pub fn start(
+        parts: Rc<RelayParts>,
+        follower: Rc<NewsFollower>,
+        links: Rc<NewsLinks>,
+    ) -> Rc<Self> {
+        let share = Rc::new(Self {
+            parts,
+            follower,
+            links,
+            board: RefCell::default(),
+            zone_failures: RefCell::default(),
+        });
+        tokio::task::spawn_local(share.clone().run());
+        share
+    }
+
+    /// Answers a report of another host or zone.
+    pub fn answer(&self, reporter: LoadReporter, loads: Vec<EngineLoad>) -> Vec<EngineLoad> {
+        let now = self.parts.now();
+        let mut board = self.board.borrow_mut();
+        board.take(reporter.clone(), loads, now);
+        match reporter {
+            LoadReporter::Host(name) => board.others_of(&name, now),
+            LoadReporter::Zone(_) => board.of_zone(now),
+        }
+    }
+
+    async fn run(self: Rc<Self>) {
+        for turn in 0_u32.. {
+            tokio::time::sleep(REPORT_PERIOD).await;
+            match self.follower.first_reader() {
+                Some(entry) => self.report_to(&entry).await,
+                None => {
+                    self.collect_own();
+                    if turn.is_multiple_of(ZONE_PERIOD) {
+                        self.report_to_zones().await;
+                    }
+                }
+            }
+        }
+    }
+
+    fn own_reporter(&self) -> LoadReporter {
+        LoadReporter::Host(self.parts.name())
+    }
+
+    // This host adds up for its zone.
+    fn collect_own(&self) {
+        let now = self.parts.now();
+        let own = self.parts.book.borrow().loads();
+        let others = self.answer(self.own_reporter(), own);
+        self.board.borrow_mut().forget_old(now);
+        self.parts.book.borrow_mut().set_others(others, now);
+    }
+
+    async fn report_to(&self, entry: &HostEntry) {
+        let own = self.parts.book.borrow().loads();
+        let reporter = self.own_reporter();
+        let sent = self
+            .links
+            .share(entry.peers, &reporter, &own, REPORT_PATIENCE);
+        match sent.await {
+            Ok(others) => {
+                let now = self.parts.now();
+                self.parts.book.borrow_mut().set_others(others, now);
+            }
+            Err(error) => log::debug!("host {} took no report: {error}", entry.name),
+        }
+    }
+
+    async fn report_to_zones(&self) {
+        let reporter = LoadReporter::Zone(self.parts.settings.zone.clone());
+        for (zone, entry) in self.zone_hosts() {
+            let loads = self.board.borrow().of_zone(self.parts.now());
+            let sent = self
+                .links
+                .share(entry.peers, &reporter, &loads, REPORT_PATIENCE);
+            match sent.await {
+                Ok(theirs) => {
+                    let now = self.parts.now();
+                    let mut board = self.board.borrow_mut();
+                    board.take(LoadReporter::Zone(zone.clone()), theirs, now);
+                    self.zone_failures.borrow_mut().remove(&zone);
+                }
+                Err(error) => {
+                    log::debug!("host {} took no report of a zone: {error}", entry.name);
+                    *self.zone_failures.borrow_mut().entry(zone).or_default() += 1;
+                }
+            }
+        }
+    }
+
+    // The host of each other zone that is to be told.
+    fn zone_hosts(&self) -> Vec<(FastStr, HostEntry)> {
+        let own = &self.parts.settings.zone;
+        let cluster = self.parts.cluster.borrow();
+        let mut zones: BTreeMap<&FastStr, Vec<&HostEntry>> = BTreeMap::new();
+        for entry in cluster.hosts().filter(|entry| entry.zone != *own) {
+            zones.entry(&entry.zone).or_default().push(entry);
+        }
+        let failures = self.zone_failures.borrow();
+        let told = zones.into_iter().map(|(zone, mut entries)| {
+            peer::sort_by_draw(&mut entries, |entry| &entry.name, zone);
+            let tried = failures.get(zone).copied().unwrap_or_default();
+            (zone.clone(), entries[tried % entries.len()].clone())
+        });
+        told.collect()
+    }
+}
--- a/src/relay/news/source.rs
+++ b/src/relay/news/source.rs
@@ -7,7 +7,7 @@
     super::super::link::HostEntry,
     crate::peer,
     faststr::FastStr,
-    std::{cmp::Reverse, collections::BTreeMap, time::Duration},
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// Hosts of a zone from which on a second one reads the store, so that the loss of the first costs the
@@ -69,9 +69,7 @@
     pub fn set_hosts<'a>(&mut self, hosts: impl Iterator<Item = &'a HostEntry>) {
         let own_zone = hosts.filter(|entry| entry.zone == self.zone);
         self.order = own_zone.cloned().collect();
-        let zone = self.zone.as_str();
-        self.order
-            .sort_by_key(|entry| Reverse(peer::draw(&entry.name, zone)));
+        peer::sort_by_draw(&mut self.order, |entry| &entry.name, &self.zone);
         let order = &self.order;
         self.passed_over
             .retain(|name, _| order.iter().any(|entry| entry.name == *name));
@@ -98,6 +96,12 @@
         self.order.is_empty() || readers.any(|entry| entry.name == self.own)
     }
 
+    /// The first of the hosts that read the store for the zone; none where that is this one.
+    pub fn first_reader(&self, now: Duration) -> Option<HostEntry> {
+        let first = self.readers(now).next()?;
+        (first.name != self.own).then(|| first.clone())
+    }
+
     /// Where to get news from, given the age of those that this host has.
     pub fn choose(&mut self, age: Option<Duration>, now: Duration) -> NewsSource {
         if self.is_reader(now) {
--- a/src/relay/parts.rs
+++ b/src/relay/parts.rs
@@ -104,12 +104,24 @@
 
     /// Whether one repeat more may be sent to a service; if so, it is counted.
     pub fn spend_repeat(&self, service: &FastStr) -> bool {
+        self.spend(service, WindowBudget::allows)
+    }
+
+    /// The same for a repeat without which part of an answer is lost that its caller has already.
+    pub fn spend_dear_repeat(&self, service: &FastStr) -> bool {
+        self.spend(service, WindowBudget::may_risk)
+    }
+
+    fn spend(
+        &self,
+        service: &FastStr,
+        allows: fn(&mut WindowBudget, RetryAllowance, usize, Duration) -> bool,
+    ) -> bool {
         let now = self.now();
         let hosts = self.cluster.borrow().host_count();
-        let allowance = self.allowance();
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_default();
-        let allowed = budget.allows(allowance, hosts, now);
+        let allowed = allows(budget, self.allowance(), hosts, now);
         if allowed {
             budget.count(now);
             self.metrics.repeats.inc();
--- a/src/relay/reserve.rs
+++ b/src/relay/reserve.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        backend::BackendInfo, call::RelayCall, dialect::CallMarks, line::LineKey, parts::RelayParts,
+        backend::BackendInfo, call::RelayCall, config::EngineLimits, dialect::CallMarks,
+        line::LineKey, parts::RelayParts,
     },
     crate::operation::{Refusal, RefusalCode},
     faststr::FastStr,
@@ -174,7 +175,11 @@
 async fn ask_round(parts: &Rc<RelayParts>, service: &str, tokens: u64) -> Option<MemoryHold> {
     let now = parts.now();
     let zone = &parts.settings.zone;
-    let engines = parts.book.borrow().rank_decodes(service, zone, tokens, now);
+    let memory = engine_limits(parts, service).map(|limits| limits.memory_tokens);
+    let engines = {
+        let book = parts.book.borrow();
+        book.rank_decodes(service, zone, tokens, memory, now)
+    };
     for engine in engines.into_iter().take(HOLD_TRIES) {
         if let Some(hold) = ask(parts, engine, tokens).await {
             return Some(hold);
@@ -183,12 +188,14 @@
     None
 }
 
+fn engine_limits(parts: &RelayParts, service: &str) -> Option<EngineLimits> {
+    let service = parts.routes()?.service(service)?;
+    service.engine.clone()
+}
+
 // Operators bound how long memory may be reserved.
 fn hold_time(parts: &RelayParts, engine: &BackendInfo) -> Duration {
-    let service = parts
-        .routes()
-        .and_then(|routes| routes.service(&engine.service));
-    let limits = service.as_ref().and_then(|service| service.engine.as_ref());
+    let limits = engine_limits(parts, &engine.service);
     limits.map_or(HOLD_TIME, |limits| HOLD_TIME.min(limits.hold_limit))
 }
 
--- a/src/relay/roles.rs
+++ b/src/relay/roles.rs
@@ -36,8 +36,11 @@
 /// How long an order that was refused or not answered is not given again.
 const ORDER_PAUSE: Duration = Duration::from_secs(3);
 
-/// Share of a service's engines that compute prompts, by measured runs on both sites.
-const PREFILL_SHARE: f64 = 0.25;
+/// Part of a service's engines that compute prompts, and what is added for bursts per square root of their
+/// number: the more there are, the less of them stands by. By measured runs with 12, 18, 60 and 90 engines
+/// (docs/design/routing.md).
+const PREFILL_SHARE: f64 = 0.165;
+const PREFILL_SPARE: f64 = 0.4;
 
 /// How long a plan has to stay the same before it is followed, while there are no requests yet.
 const FIRST_SETTLE_TIME: Duration = Duration::from_millis(900);
@@ -85,7 +88,7 @@
 /// How many engines of each zone are to compute prompts, by the sizes of the zones.
 pub fn wanted_prefills(sizes: &[usize]) -> Vec<usize> {
     let all: usize = sizes.iter().sum();
-    let total = (all as f64 * PREFILL_SHARE).ceil() as usize;
+    let total = wanted_total(all);
     let exact = |size: usize| (total * size) as f64 / all.max(1) as f64;
     let mut wanted: Vec<usize> = sizes.iter().map(|size| exact(*size) as usize).collect();
     let mut order: Vec<usize> = (0..sizes.len()).collect();
@@ -101,6 +104,12 @@
     wanted
 }
 
+fn wanted_total(engines: usize) -> usize {
+    let engines = engines as f64;
+    let wanted = engines * PREFILL_SHARE + engines.sqrt() * PREFILL_SPARE;
+    wanted.round().max(1.0).min(engines) as usize
+}
+
 fn plan_zone(mut engines: Vec<&BackendInfo>, wanted: usize) -> Vec<RoleChange> {
     engines.sort_by(|a, b| a.id.cmp(&b.id));
     let (prefills, decodes): (Vec<&BackendInfo>, Vec<&BackendInfo>) = engines
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -11,11 +11,11 @@
         call::RelayCall,
         config::RequestKind,
         dialect::DecodeStart,
-        events::EventSplitter,
         parts::RelayParts,
         plain::CallGuard,
         prefill::{self, WaitingCache},
         reserve::{self, MemoryHold},
+        resume,
     },
     crate::{
         event,
@@ -37,39 +37,47 @@
 /// some tens of milliseconds, one that computes the prompt itself in some hundred.
 const RESUMABLE_HEAD_PATIENCE: Duration = Duration::from_millis(2_000);
 
-/// Silence within a stream after which a resumable one is continued elsewhere.
-const SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
-
 /// Bytes of a declining answer.
 const DECLINE_LIMIT: usize = 64 << 10;
 
-/// Rounds of reserving, computing and decoding for one request.
+/// Rounds of reserving, computing and decoding until a request's answer begins.
 const ROUNDS_MAX: u32 = 3;
 
+/// The same for going on with a stream that broke: its caller has part of the answer, and waits for some
+/// seconds.
+const RESUME_ROUNDS_MAX: u32 = 8;
+
+/// How much longer than a new request a stream that broke waits for memory: its caller has waited less
+/// for it so far.
+const RESUME_EXTRA_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Pause before a stream that broke is tried again.
+const RESUME_PAUSE: Duration = Duration::from_millis(60);
+
 /// When a caller is to come back after engines failed a request that did not run.
 const COME_BACK: Duration = Duration::from_millis(300);
 
 /// A request running at a decode engine.
-struct RunningStream {
-    status: StatusCode,
+pub(super) struct RunningStream {
+    pub(super) status: StatusCode,
     headers: HeaderMap,
-    body: PooledBody,
+    pub(super) body: PooledBody,
     // Held for as long as the engine's memory is.
     _memory: MemoryHold,
     _guard: CallGuard,
 }
 
 /// Why a round brought no stream.
-struct RoundFailure {
+pub(super) struct RoundFailure {
     verdict: RunVerdict,
     detail: String,
 }
 
 /// A streamed request on its way.
-struct StreamRelay {
-    parts: Rc<RelayParts>,
-    call: Rc<RelayCall>,
-    service: FastStr,
+pub(super) struct StreamRelay {
+    pub(super) parts: Rc<RelayParts>,
+    pub(super) call: Rc<RelayCall>,
+    pub(super) service: FastStr,
     rounds: u32,
     // Whether the one prefill that costs no repeat was sent.
     computed: bool,
@@ -122,7 +130,7 @@
         ended: false,
     };
     let arrived = relay.call.arrived;
-    let running = match relay.begin(None, arrived).await {
+    let running = match relay.begin(arrived).await {
         Ok(running) => running,
         Err(refusal) => {
             relay.log_end("refused");
@@ -132,7 +140,7 @@
     let (status, headers) = (running.status, running.headers.clone());
     let body = match relay.call.route.kind {
         RequestKind::ResumableStream if status == StatusCode::OK => {
-            answer::streamed_body(resumable_chunks(relay, running))
+            answer::streamed_body(resume::resumable_chunks(relay, running))
         }
         _ => answer::streamed_body(plain_chunks(relay, running)),
     };
@@ -146,26 +154,45 @@
 
     // Rounds until an engine answers; a round that may have run ends the tries unless the stream is
     // resumable. What any round may have run stays so.
-    async fn begin(
+    async fn begin(&mut self, since: Instant) -> Result<RunningStream, Refusal> {
+        for round in 1.. {
+            let failure = match self.round(None, since).await? {
+                Ok(running) => return Ok(running),
+                Err(failure) => failure,
+            };
+            let again = failure.verdict.allows_retry(self.is_resumable());
+            if !again || round >= ROUNDS_MAX || self.call.time_left().is_zero() {
+                let refusal = Refusal::new(self.verdict, RefusalCode::BackendLost, failure.detail);
+                return Err(refusal.after(COME_BACK));
+            }
+        }
+        unreachable!("the rounds are bounded")
+    }
+
+    /// Goes on after an event with a stream that broke: rounds until an engine answers.
+    pub(super) async fn resume(
         &mut self,
         after: Option<FastStr>,
-        since: Instant,
+        hold: Option<MemoryHold>,
     ) -> Result<RunningStream, Refusal> {
-        loop {
-            self.rounds += 1;
-            let round = self.round(after.clone(), since).await;
-            let failure = match round.map_err(|refusal| self.with_verdict(refusal))? {
+        let since = Instant::now() + RESUME_EXTRA_WAIT;
+        let mut hold = hold;
+        for round in 1.. {
+            let result = match hold.take() {
+                Some(hold) => self.run_on(hold, after.clone()).await,
+                None => self.round(after.clone(), since).await?,
+            };
+            let failure = match result {
                 Ok(running) => return Ok(running),
                 Err(failure) => failure,
             };
-            self.verdict = self.verdict.max(failure.verdict);
-            let spent = self.rounds >= ROUNDS_MAX || self.call.time_left().is_zero();
-            let again = failure.verdict.allows_retry(self.is_resumable());
-            if !again || spent {
+            if round >= RESUME_ROUNDS_MAX || self.call.time_left().is_zero() {
                 let refusal = Refusal::new(self.verdict, RefusalCode::BackendLost, failure.detail);
-                return Err(refusal.after(COME_BACK));
+                return Err(refusal);
             }
+            tokio::time::sleep(RESUME_PAUSE).await;
         }
+        unreachable!("the rounds are bounded")
     }
 
     fn with_verdict(&self, refusal: Refusal) -> Refusal {
@@ -180,14 +207,28 @@
         after: Option<FastStr>,
         since: Instant,
     ) -> Result<Result<RunningStream, RoundFailure>, Refusal> {
-        let hold = reserve::reserve(&self.parts, &self.call, &self.service, since).await?;
+        let reserved = reserve::reserve(&self.parts, &self.call, &self.service, since).await;
+        let hold = reserved.map_err(|refusal| self.with_verdict(refusal))?;
+        Ok(self.run_on(hold, after).await)
+    }
+
+    // Computes the prompt and decodes on memory that is reserved.
+    async fn run_on(
+        &mut self,
+        hold: MemoryHold,
+        after: Option<FastStr>,
+    ) -> Result<RunningStream, RoundFailure> {
+        self.rounds += 1;
         self.times.reserved = self.call.arrived.elapsed();
         self.engine = hold.engine.id.clone();
         let cache = self.compute(&hold).await;
         self.times.computed = self.call.arrived.elapsed();
         let running = self.decode(hold, cache, after).await;
         self.times.answered = self.call.arrived.elapsed();
-        Ok(running)
+        if let Err(failure) = &running {
+            self.verdict = self.verdict.max(failure.verdict);
+        }
+        running
     }
 
     // Without a cache the decode engine computes the prompt itself: no prefill engine is free soon, or
@@ -227,13 +268,21 @@
         }
     }
 
+    fn may_decode_again(&self, goes_on: bool) -> bool {
+        match goes_on {
+            // What the caller has of a stream is lost if it cannot go on.
+            true => self.parts.spend_dear_repeat(&self.service),
+            false => self.parts.spend_repeat(&self.service),
+        }
+    }
+
     async fn decode(
         &mut self,
         mut hold: MemoryHold,
         cache: Option<WaitingCache>,
         after: Option<FastStr>,
     ) -> Result<RunningStream, RoundFailure> {
-        if self.decodes > 0 && !self.parts.spend_repeat(&self.service) {
+        if self.decodes > 0 && !self.may_decode_again(after.is_some()) {
             return Err(RoundFailure {
                 verdict: RunVerdict::NotRun,
                 detail: "no repeats are left for another decode".into(),
@@ -341,7 +390,7 @@
 }
 
 impl StreamRelay {
-    fn log_end(&mut self, end: &str) {
+    pub(super) fn log_end(&mut self, end: &str) {
         self.ended = true;
         let call = &self.call;
         event::emit(
@@ -368,9 +417,12 @@
 // Bytes as they come; a break is passed on as one.
 fn plain_chunks(
     mut relay: StreamRelay,
-    mut running: RunningStream,
+    running: RunningStream,
 ) -> impl Stream<Item = Result<Bytes, BrokenBody>> {
     async_stream::stream! {
+        // The block takes the whole: of fields that it does not name it would take none, and the memory
+        // would count as free while the answer is on its way.
+        let mut running = running;
         loop {
             let next = tokio::time::timeout_at(relay.call.until, running.body.chunk()).await;
             match next {
@@ -393,51 +445,3 @@
         }
     }
 }
-
-// Whole events as they come; after a break the rest comes from another engine.
-fn resumable_chunks(
-    mut relay: StreamRelay,
-    mut running: RunningStream,
-) -> impl Stream<Item = Result<Bytes, BrokenBody>> {
-    async_stream::stream! {
-        let mut splitter = EventSplitter::default();
-        loop {
-            let silent_at = (Instant::now() + SILENCE_LIMIT).min(relay.call.until);
-            let next = tokio::time::timeout_at(silent_at, running.body.chunk()).await;
-            let broke = match next {
-                Ok(Some(Ok(chunk))) => {
-                    if let Some(events) = splitter.push(&chunk) {
-                        yield Ok(events);
-                    }
-                    continue;
-                }
-                Ok(None) => {
-                    if let Some(rest) = splitter.take_rest() {
-                        yield Ok(rest);
-                    }
-                    relay.log_end("whole");
-                    return;
-                }
-                Ok(Some(Err(error))) => format!("the engine broke off: {error}"),
-                Err(_) => "the engine fell silent".to_owned(),
-            };
-            // Closes the connection, on which the engine stops.
-            drop(running);
-            splitter.drop_rest();
-            let after = splitter.last_id().map(FastStr::new);
-            match relay.begin(after, Instant::now()).await {
-                Ok(next) if next.status == StatusCode::OK => running = next,
-                Ok(next) => {
-                    relay.log_end("broken");
-                    yield Err(BrokenBody(format!("{broke}; then status {}", next.status)));
-                    return;
-                }
-                Err(refusal) => {
-                    relay.log_end("broken");
-                    yield Err(BrokenBody(format!("{broke}; then {refusal}")));
-                    return;
-                }
-            }
-        }
-    }
-}
