A host's news never grow old while it waits for another's; vital tasks end the process when they fail

The zone's reader was cut off from the store; a follower looked at the age of its news only between two questions, each of up to 0.8 s, so that 1.4 s became 2.2 s. Change: a question ends before the asker's news are 1.4 s old, a reader that lost the store says so, the wait is 0.3 s.

--- a/src/relay/cluster.rs
+++ b/src/relay/cluster.rs
@@ -35,6 +35,8 @@
     // Until when the configuration and the list of backend servers are known to be the newest.
     config_confirmed: Option<Duration>,
     backends_confirmed: Option<Duration>,
+    // The store does not answer this host, which reads it.
+    store_lost: bool,
 }
 
 impl ClusterState {
@@ -95,6 +97,16 @@
         true
     }
 
+    /// Whether the store fails to answer this host, which reads it.
+    pub fn set_store_lost(&mut self, lost: bool) {
+        self.store_lost = lost;
+    }
+
+    /// The age as other hosts are told it; none where they had better follow another host.
+    pub fn told_age(&self, now: Duration) -> Option<Duration> {
+        self.age(now).filter(|_| !self.store_lost)
+    }
+
     /// The store did not answer, or not in time.
     pub fn note_trouble(&mut self, at: Duration) {
         self.trouble_at = Some(self.trouble_at.map_or(at, |before| before.max(at)));
--- a/src/relay/feed.rs
+++ b/src/relay/feed.rs
@@ -9,6 +9,7 @@
             StoreValue,
         },
         parts::RelayParts,
+        vital,
     },
     crate::{event, store::StoreFailure},
     faststr::FastStr,
@@ -71,10 +72,10 @@
             config_lost: Cell::new(true),
             backends_lost: Cell::new(true),
         });
-        tokio::task::spawn_local(feed.clone().follow(StoreKind::Config));
-        tokio::task::spawn_local(feed.clone().follow(StoreKind::Backends));
-        tokio::task::spawn_local(feed.clone().follow(StoreKind::Hosts));
-        tokio::task::spawn_local(feed.clone().expire());
+        vital::spawn_vital("configuration", feed.clone().follow(StoreKind::Config));
+        vital::spawn_vital("backend servers", feed.clone().follow(StoreKind::Backends));
+        vital::spawn_vital("hosts", feed.clone().follow(StoreKind::Hosts));
+        vital::spawn_vital("lapsed entries", feed.clone().expire());
         feed
     }
 
@@ -82,6 +83,11 @@
     pub fn set_reading(&self, reading: bool, hosts: bool) {
         self.reading.set(reading);
         self.reading_hosts.set(hosts);
+        if !reading {
+            self.config_lost.set(false);
+            self.backends_lost.set(false);
+            self.tell_whether_lost();
+        }
         if reading || hosts {
             self.resumed.notify_waiters();
         }
@@ -92,6 +98,11 @@
         self.config_lost.get() || self.backends_lost.get()
     }
 
+    fn tell_whether_lost(&self) {
+        let mut cluster = self.parts.cluster.borrow_mut();
+        cluster.set_store_lost(self.is_lost());
+    }
+
     /// Reads the configuration once.
     pub async fn read_config(&self) -> Result<(), StoreFailure> {
         let list = (self.store.list)(StoreKind::Config).await?;
@@ -198,6 +209,7 @@
             return;
         };
         if lost.replace(false) {
+            self.tell_whether_lost();
             event::emit(&event::PLATFORM_BACK, &[("kind", &format!("{kind:?}"))]);
         }
     }
@@ -211,6 +223,7 @@
             return;
         };
         if !lost.replace(true) {
+            self.tell_whether_lost();
             let kind = format!("{kind:?}");
             event::emit(
                 &event::PLATFORM_LOST,
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -10,6 +10,7 @@
         parts::RelayParts,
         roles,
         settings::RelaySettings,
+        vital,
     },
     crate::{
         event,
@@ -90,8 +91,8 @@
             checks_closing: Arc::default(),
         };
         host.share_news(peers);
-        tokio::task::spawn_local(write_entry(parts.clone(), store.clone()));
-        tokio::task::spawn_local(roles::keep_roles(parts, store));
+        vital::spawn_vital("own entry", write_entry(parts.clone(), store.clone()));
+        vital::spawn_vital("engine roles", roles::keep_roles(parts, store));
         host.serve(callers, host.caller_handler(), host.closing.clone());
         host.serve(checks, host.check_handler(), host.checks_closing.clone());
         Ok(host)
@@ -109,7 +110,10 @@
             news: Box::new(move |held| news::tell_news(parts.clone(), held).boxed_local()),
             loads: Box::new(move |reporter, loads| share.answer(reporter, loads)),
         };
-        tokio::task::spawn_local(news::serve_news(listener, answers, metrics));
+        vital::spawn_vital(
+            "answers to hosts",
+            news::serve_news(listener, answers, metrics),
+        );
     }
 
     fn serve(&self, listener: TcpListener, handler: IngressHandler, closing: Arc<OnceSignal>) {
@@ -117,7 +121,8 @@
             header_time: Cell::new(HEADER_TIME),
             silence_limit: CALLER_SILENCE,
         });
-        tokio::task::spawn_local(web::serve_callers(listener, handler, limits, closing));
+        let serving = web::serve_callers(listener, handler, limits, closing);
+        vital::spawn_vital("callers", serving);
     }
 
     fn caller_handler(&self) -> IngressHandler {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -26,9 +26,10 @@
 mod route;
 mod settings;
 mod stream;
+mod vital;
 
 pub use self::{
     answer::*, backend::*, book::*, budget::*, call::*, cluster::*, config::*, dialect::*,
     events::*, feed::*, handler::*, host::*, line::*, link::*, metrics::*, news::*, parts::*,
-    prefill::*, reserve::*, roles::*, route::*, settings::*,
+    prefill::*, reserve::*, roles::*, route::*, settings::*, vital::*,
 };
--- a/src/relay/news/follow.rs
+++ b/src/relay/news/follow.rs
@@ -6,6 +6,7 @@
             feed::StoreFeed,
             link::{HostEntry, StoreKind},
             parts::RelayParts,
+            vital,
         },
         link::NewsLinks,
         message::{ClusterNews, HeldNews},
@@ -17,14 +18,11 @@
 };
 
 /// How long another host may wait for something newer before it answers.
-const FOLLOW_WAIT: Duration = Duration::from_millis(400);
+const FOLLOW_WAIT: Duration = Duration::from_millis(300);
 
 /// How long an answer may take beyond that: hosts are a millisecond apart, some run slowly for a while.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(400);
 
-/// The same where this host's own news would grow old meanwhile.
-const SHORT_PATIENCE: Duration = Duration::from_millis(200);
-
 /// How often a host that reads the store looks whether it still should, and asks others while the store
 /// does not answer.
 const LOOK_PERIOD: Duration = Duration::from_millis(350);
@@ -53,7 +51,7 @@
             choice: RefCell::new(choice),
             last: RefCell::new(NewsSource::Store),
         });
-        tokio::task::spawn_local(follower.clone().run());
+        vital::spawn_vital("news", follower.clone().run());
         follower
     }
 
@@ -78,21 +76,18 @@
 
     fn choose(&self) -> NewsSource {
         let now = self.parts.now();
-        let cluster = self.parts.cluster.borrow();
-        let mut choice = self.choice.borrow_mut();
-        choice.set_hosts(cluster.hosts());
-        let age = cluster.age(now);
-        let source = choice.choose(age, now);
+        let age = self.parts.cluster.borrow().age(now);
+        let (source, is_reader) = {
+            let cluster = self.parts.cluster.borrow();
+            let mut choice = self.choice.borrow_mut();
+            choice.set_hosts(cluster.hosts());
+            (choice.choose(age, now), choice.is_reader(now))
+        };
         self.feed
-            .set_reading(source == NewsSource::Store, choice.is_reader(now));
+            .set_reading(source == NewsSource::Store, is_reader);
         let before = self.last.replace(source.clone());
         if before != source {
-            let name = match &source {
-                NewsSource::Store => "the store",
-                NewsSource::Host(entry) => entry.name.as_str(),
-            };
-            let age = age.unwrap_or(Duration::MAX).as_millis();
-            event::emit(&event::NEWS_SOURCE, &[("source", &name), ("age_ms", &age)]);
+            tell_change(&source, age);
         }
         source
     }
@@ -109,10 +104,12 @@
     }
 
     async fn follow(&self, entry: &HostEntry) {
+        // Whoever is asked, this host's news are not to grow old meanwhile.
         let age = self.parts.cluster.borrow().age(self.parts.now());
-        let left = OLD_NEWS.saturating_sub(age.unwrap_or(OLD_NEWS) + FOLLOW_WAIT);
-        let patience = left.clamp(SHORT_PATIENCE, ANSWER_PATIENCE);
-        let held = self.held(FOLLOW_WAIT, false);
+        let left = OLD_NEWS.saturating_sub(age.unwrap_or(OLD_NEWS));
+        let wait = FOLLOW_WAIT.min(left / 2);
+        let patience = ANSWER_PATIENCE.min(left - wait);
+        let held = self.held(wait, false);
         let is_heard = match self.links.follow(entry.peers, held, patience).await {
             Ok(news) => {
                 let is_fresh = news.age.is_some_and(|age| age < OLD_NEWS);
@@ -217,3 +214,12 @@
         }
     }
 }
+
+fn tell_change(source: &NewsSource, age: Option<Duration>) {
+    let name = match source {
+        NewsSource::Store => "the store",
+        NewsSource::Host(entry) => entry.name.as_str(),
+    };
+    let age = age.map_or("unknown".to_owned(), |age| age.as_millis().to_string());
+    event::emit(&event::NEWS_SOURCE, &[("source", &name), ("age_ms", &age)]);
+}
--- a/src/relay/news/share.rs
+++ b/src/relay/news/share.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        super::{link::HostEntry, parts::RelayParts},
+        super::{link::HostEntry, parts::RelayParts, vital},
         follow::NewsFollower,
         link::NewsLinks,
         loads::{EngineLoad, LoadBoard, LoadReporter},
@@ -46,7 +46,7 @@
             board: RefCell::default(),
             zone_failures: RefCell::default(),
         });
-        tokio::task::spawn_local(share.clone().run());
+        vital::spawn_vital("loads", share.clone().run());
         share
     }
 
--- a/src/relay/news/source.rs
+++ b/src/relay/news/source.rs
@@ -14,8 +14,9 @@
 /// zone nothing.
 const SECOND_READER_FROM: usize = 9;
 
-/// Age from which news count as old. Readers hear from the store each 0.7 s and followers from them each
-/// 0.4 s; operators expect a change to be in force within two seconds.
+/// Age at which a host reads the store itself. Readers hear from the store each 0.7 s and followers from
+/// them each 0.3 s; operators expect a change to be in force, and a leaving server to get nothing more,
+/// within two seconds.
 pub const OLD_NEWS: Duration = Duration::from_millis(1_400);
 
 /// How long a host whose news were old reads the store itself.
--- a/src/relay/news/tell.rs
+++ b/src/relay/news/tell.rs
@@ -44,7 +44,7 @@
         config.version > held.config_version && (is_small || held.wants_config)
     });
     ClusterNews {
-        age: cluster.age(now),
+        age: cluster.told_age(now),
         trouble: cluster.trouble_age(now),
         config_version: cluster.config_version(),
         config: told.cloned(),
--- a/tests/relay_news.rs
+++ b/tests/relay_news.rs
@@ -161,6 +161,20 @@
     assert_eq!(state.age(millis(600)), Some(millis(100)));
 }
 
+#[test]
+fn a_host_whose_store_is_lost_tells_no_age_so_that_others_leave_it() {
+    let mut state = ClusterState::default();
+    state.confirm(StoreKind::Config, millis(500));
+    state.confirm(StoreKind::Backends, millis(500));
+    state.set_store_lost(true);
+    assert_eq!(
+        (state.age(millis(600)), state.told_age(millis(600))),
+        (Some(millis(100)), None)
+    );
+    state.set_store_lost(false);
+    assert_eq!(state.told_age(millis(600)), Some(millis(100)));
+}
+
 // A store, two hosts that read it at their own pace, and one that follows either of them.
 #[derive(Default)]
 struct Fleet {
