Hosts tell each other which servers fail them

Change: the reports of loads name the servers that a host passes over; two other hosts that do so are enough, for as long as they say so, at most 1.5 s after their last report.

--- a/src/relay/book.rs
+++ b/src/relay/book.rs
@@ -53,6 +53,10 @@
 /// How long what other hosts' requests take at engines is taken to stay as they last reported.
 const OTHERS_LIFE: Duration = Duration::from_millis(1_500);
 
+/// Other hosts from which on a backend server is passed over that fails them: one alone may be cut off from
+/// it.
+const OTHERS_TO_EJECT: u32 = 2;
+
 /// Part of an engine's memory that all requests together may be expected to take at their end; beyond it,
 /// answers that grow drive others out, which are then computed anew.
 const MEMORY_SHARE: f64 = 1.2;
@@ -94,6 +98,8 @@
     memory_tokens: u64,
     // What the requests of other hosts take.
     others_tokens: u64,
+    // Other hosts that pass it over.
+    others_out: u32,
     refused: Option<(Duration, u64)>,
     prefill_tokens: u64,
     // Until when it is taken to decline whatever comes.
@@ -113,6 +119,7 @@
             error_share: 0.0,
             memory_tokens: 0,
             others_tokens: 0,
+            others_out: 0,
             refused: None,
             prefill_tokens: 0,
             declines_until: Duration::ZERO,
@@ -227,29 +234,35 @@
             .usable(service)
             .filter(|view| !tried.contains(&view.info.id));
         sorted(views, |view| {
-            (view.is_out(now), order(view.plain_score(zone, now)))
+            (
+                self.is_passed_over(view, now),
+                order(view.plain_score(zone, now)),
+            )
         })
     }
 
-    /// What the requests of this host take at engines.
-    pub fn loads(&self) -> Vec<EngineLoad> {
-        let taken = self.views.values().filter(|view| view.memory_tokens > 0);
-        taken
-            .map(|view| EngineLoad {
-                engine: view.info.id.clone(),
-                memory_tokens: view.memory_tokens,
-            })
-            .collect()
+    /// What the requests of this host take at engines, and which backend servers it passes over.
+    pub fn loads(&self, now: Duration) -> Vec<EngineLoad> {
+        let views = self.views.values();
+        let told = views.filter(|view| view.memory_tokens > 0 || view.is_out(now));
+        told.map(|view| EngineLoad {
+            engine: view.info.id.clone(),
+            memory_tokens: view.memory_tokens,
+            passed_over: u32::from(view.is_out(now)),
+        })
+        .collect()
     }
 
     /// What the requests of all other hosts take at engines; none where none is named.
     pub fn set_others(&mut self, loads: Vec<EngineLoad>, now: Duration) {
         for view in self.views.values_mut() {
             view.others_tokens = 0;
+            view.others_out = 0;
         }
         for load in loads {
             if let Some(view) = self.views.get_mut(&load.engine) {
                 view.others_tokens = load.memory_tokens;
+                view.others_out = load.passed_over;
             }
         }
         self.others_at = Some(now);
@@ -258,11 +271,25 @@
     pub fn known_of(&self, id: &str, now: Duration) -> u64 {
         self.views.get(id).map_or(0, |v| self.known_tokens(v, now))
     }
+    fn knows_others(&self, now: Duration) -> bool {
+        let told = self.others_at;
+        told.is_some_and(|at| now.saturating_sub(at) < OTHERS_LIFE)
+    }
+
     // Tokens that requests take at an engine, as far as is known.
     fn known_tokens(&self, view: &BackendView, now: Duration) -> u64 {
-        let told = self.others_at;
-        let is_recent = told.is_some_and(|at| now.saturating_sub(at) < OTHERS_LIFE);
-        view.memory_tokens + if is_recent { view.others_tokens } else { 0 }
+        let others = if self.knows_others(now) {
+            view.others_tokens
+        } else {
+            0
+        };
+        view.memory_tokens + others
+    }
+
+    // Whether this host, or enough others, pass a backend server over.
+    fn is_passed_over(&self, view: &BackendView, now: Duration) -> bool {
+        let others_do = self.knows_others(now) && view.others_out >= OTHERS_TO_EJECT;
+        view.is_out(now) || others_do
     }
 
     /// The decode engines that have room for a request as far as is known, best first: own zone, least
@@ -321,7 +348,7 @@
     ) -> impl Iterator<Item = &'a BackendView> {
         self.usable(service)
             .filter(move |view| view.info.role == Some(role))
-            .filter(move |view| !view.is_out(now) && now >= view.declines_until)
+            .filter(move |view| !self.is_passed_over(view, now) && now >= view.declines_until)
     }
 
     /// A prefill of this many tokens took this long.
--- a/src/relay/news/loads.rs
+++ b/src/relay/news/loads.rs
@@ -1,7 +1,8 @@
-//! What the requests of many hosts take at engines: a plain state machine.
+//! What the requests of many hosts take at backend servers, and which of these fail them: a plain state
+//! machine.
 //!
 //! Each host knows its own requests only. One host of a zone adds up what all report and tells each what
-//! the others take.
+//! the others take and saw.
 
 use {
     faststr::FastStr,
@@ -11,17 +12,19 @@
 /// Age from which a report no longer counts: some reports may be lost, and the host itself may be.
 const REPORT_LIFE: Duration = Duration::from_millis(1_500);
 
-/// Engines that one answer names at most: the fullest ones, which are to be left alone. With all engines
+/// Engines that one answer names at most: those that fail and the fullest, which are to be left alone. With all engines
 /// of a large zone in each answer, the link of the host that adds up would be full.
 const TOLD_ENGINES: usize = 48;
 
-/// What requests take at an engine.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// What requests take at a backend server, and whether it answers.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct EngineLoad {
-    /// Id of the engine's run.
+    /// Id of the backend server's run.
     pub engine: FastStr,
     /// Tokens of its memory that the requests are expected to take at their end.
     pub memory_tokens: u64,
+    /// Hosts that pass it over since it does not answer them.
+    pub passed_over: u32,
 }
 
 /// Who reports.
@@ -65,27 +68,26 @@
     }
 
     fn total(&self, now: Duration, counts: impl Fn(&LoadReporter) -> bool) -> Vec<EngineLoad> {
-        let mut totals: BTreeMap<&FastStr, u64> = BTreeMap::new();
+        let mut totals: BTreeMap<&FastStr, EngineLoad> = BTreeMap::new();
         for (reporter, (loads, at)) in &self.reports {
             if !counts(reporter) || !is_recent(*at, now) {
                 continue;
             }
             for load in loads {
-                *totals.entry(&load.engine).or_default() += load.memory_tokens;
+                let total = totals.entry(&load.engine).or_insert_with(|| EngineLoad {
+                    engine: load.engine.clone(),
+                    ..EngineLoad::default()
+                });
+                total.memory_tokens += load.memory_tokens;
+                total.passed_over += load.passed_over;
             }
         }
-        let totals = totals.into_iter();
-        totals
-            .map(|(engine, memory_tokens)| EngineLoad {
-                engine: engine.clone(),
-                memory_tokens,
-            })
-            .collect()
+        totals.into_values().collect()
     }
 }
 
 fn fullest(mut loads: Vec<EngineLoad>) -> Vec<EngineLoad> {
-    loads.sort_by_key(|load| Reverse(load.memory_tokens));
+    loads.sort_by_key(|load| Reverse((load.passed_over, load.memory_tokens)));
     loads.truncate(TOLD_ENGINES);
     loads
 }
--- a/src/relay/news/message.rs
+++ b/src/relay/news/message.rs
@@ -164,6 +164,7 @@
         let mut place = to.reborrow().get(index as u32);
         place.set_engine(load.engine.as_str());
         place.set_memory_tokens(u32::try_from(load.memory_tokens).unwrap_or(u32::MAX));
+        place.set_passed_over(u16::try_from(load.passed_over).unwrap_or(u16::MAX));
     }
 }
 
@@ -173,6 +174,7 @@
         Ok(EngineLoad {
             engine: FastStr::new(load.get_engine()?.to_str()?),
             memory_tokens: u64::from(load.get_memory_tokens()),
+            passed_over: u32::from(load.get_passed_over()),
         })
     });
     loads.collect()
--- a/src/relay/news/news.capnp
+++ b/src/relay/news/news.capnp
@@ -39,6 +39,8 @@
   engine @0 :Text;
   # Tokens of its memory that running requests are expected to take at their end.
   memoryTokens @1 :UInt32;
+  # Hosts that pass it over since it does not answer them.
+  passedOver @2 :UInt16;
 }
 
 interface NewsPeer {
--- a/src/relay/news/news_capnp.rs
+++ b/src/relay/news/news_capnp.rs
@@ -1034,6 +1034,10 @@
         pub fn get_memory_tokens(self) -> u32 {
             self.reader.get_data_field::<u32>(0)
         }
+        #[inline]
+        pub fn get_passed_over(self) -> u16 {
+            self.reader.get_data_field::<u16>(2)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -1112,6 +1116,14 @@
         pub fn set_memory_tokens(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(0, value);
         }
+        #[inline]
+        pub fn get_passed_over(self) -> u16 {
+            self.builder.get_data_field::<u16>(2)
+        }
+        #[inline]
+        pub fn set_passed_over(&mut self, value: u16)  {
+            self.builder.set_data_field::<u16>(2, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1123,7 +1135,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(32, 56, 53, 193, 56, 254, 222, 142),
             ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
@@ -1133,28 +1145,35 @@
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 69, 110, 103, 105, 110),
             ::capnp::word(101, 76, 111, 97, 100, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 103, 105, 110, 101, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1172,11 +1191,21 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 115, 115, 101, 100, 79, 118),
+            ::capnp::word(101, 114, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1190,9 +1219,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
         pub(crate) const TYPE_ID: u64 = 0x8ede_fe38_c135_3820;
     }
 }
--- a/src/relay/news/share.rs
+++ b/src/relay/news/share.rs
@@ -83,14 +83,14 @@
     // This host adds up for its zone.
     fn collect_own(&self) {
         let now = self.parts.now();
-        let own = self.parts.book.borrow().loads();
+        let own = self.parts.book.borrow().loads(now);
         let others = self.answer(self.own_reporter(), own);
         self.board.borrow_mut().forget_old(now);
         self.parts.book.borrow_mut().set_others(others, now);
     }
 
     async fn report_to(&self, entry: &HostEntry) {
-        let own = self.parts.book.borrow().loads();
+        let own = self.parts.book.borrow().loads(self.parts.now());
         let reporter = self.own_reporter();
         let sent = self
             .links
--- a/tests/relay_news.rs
+++ b/tests/relay_news.rs
@@ -4,9 +4,9 @@
     bayplank::{
         engine::EngineRole,
         relay::{
-            BackendBook, BackendInfo, ChangeHistory, ClusterState, EngineLoad, HostEntry,
-            LoadBoard, LoadReporter, MissingNews, NewsSource, OLD_NEWS, SourceChoice, StoreChange,
-            StoreItem, StoreKind, StoreValue,
+            BackendBook, BackendFailure, BackendInfo, ChangeHistory, ClusterState, EngineLoad,
+            HostEntry, LoadBoard, LoadReporter, MissingNews, NewsSource, OLD_NEWS, SourceChoice,
+            StoreChange, StoreItem, StoreKind, StoreValue,
         },
     },
     bolero::check,
@@ -281,6 +281,7 @@
     EngineLoad {
         engine: FastStr::new(engine),
         memory_tokens,
+        passed_over: 0,
     }
 }
 
@@ -337,6 +338,32 @@
     assert_eq!(board.others_of("h-3", millis(1_400)), []);
 }
 
+#[test]
+fn a_server_that_fails_two_other_hosts_is_passed_over_for_as_long_as_they_say_so() {
+    let mut board = LoadBoard::default();
+    let mut failing = BackendBook::default();
+    failing.set_backends(vec![backend("s-1", false), backend("s-2", false)]);
+    for _ in 0..2 {
+        failing.failed("s-1", BackendFailure::Broken, millis(0));
+    }
+    let reports = failing.loads(millis(10));
+    let mut book = BackendBook::default();
+    book.set_backends(vec![backend("s-1", false), backend("s-2", false)]);
+    book.call_began("s-2", millis(0));
+    let first = |book: &BackendBook, now| book.rank_plain("one", "z-a", &[], now)[0].id.clone();
+    for (host, expected) in [("h-1", "s-1"), ("h-2", "s-2")] {
+        board.take(by_host(host), reports.clone(), millis(10));
+        book.set_others(board.others_of("h-3", millis(20)), millis(20));
+        assert_eq!(first(&book, millis(30)), expected);
+    }
+    assert_eq!(first(&book, millis(100)), "s-2");
+    assert_eq!(
+        first(&book, millis(1_600)),
+        "s-1",
+        "old reports count no more"
+    );
+}
+
 #[test]
 fn engines_that_others_fill_are_not_asked_until_that_is_old_news() {
     let mut book = BackendBook::default();
