--- a/src/relay/book.rs
+++ b/src/relay/book.rs
@@ -3,8 +3,12 @@
 //! A plain state machine: what happened and the time go in, an order of preference comes out.
 
 use {
-    super::{backend::BackendInfo, news::EngineLoad},
-    crate::{engine::EngineRole, web::SendFailure},
+    super::{
+        backend::BackendInfo,
+        news::EngineLoad,
+        view::{BackendFailure, BackendView, EJECT_FIRST},
+    },
+    crate::engine::EngineRole,
     faststr::FastStr,
     std::{collections::BTreeMap, time::Duration},
 };
@@ -12,37 +16,18 @@
 /// Failures in a row after which a backend server is passed over.
 const FAILURES_TO_EJECT: u32 = 2;
 
-/// How long a backend server is passed over at first; doubled each time it fails again.
-const EJECT_FIRST: Duration = Duration::from_millis(500);
-
 /// Longest time that one is passed over: a restart takes a few seconds.
 const EJECT_LONGEST: Duration = Duration::from_secs(4);
 
 /// Weight of the newest answer in the share of failed answers.
 const ERROR_WEIGHT: f64 = 0.15;
 
-/// Requests in progress that a share of failed answers of 1 counts as.
-const ERROR_PENALTY: f64 = 12.0;
-
-/// Requests in progress that another zone counts as: a way there and back costs more than a short queue.
-const AWAY_PENALTY: f64 = 2.0;
-
-/// Silence of a request in progress from which its server counts as doubtful; a plain call takes some
-/// tens of milliseconds.
-const DOUBT_AFTER: Duration = Duration::from_millis(150);
-
-/// Requests in progress that doubt counts as.
-const DOUBT_PENALTY: f64 = 6.0;
-
 /// How long an engine that had no room is not asked again for as much.
 const REFUSED_TIME: Duration = Duration::from_millis(60);
 
 /// Prompt tokens a second that a prefill engine computes, before any was observed.
 const PREFILL_RATE: f64 = 20_000.0;
 
-/// How long an observed delay of a prefill engine tells of its present queue.
-const DELAY_MEMORY: Duration = Duration::from_millis(300);
-
 /// Delay that a prefill engine of another zone counts as: its KV cache takes the dearer way.
 const AWAY_DELAY: f64 = 0.04;
 
@@ -65,111 +50,6 @@
 /// one as the emptiest would all send there. The usual size of a request.
 const LOAD_NOISE: u64 = 4_000;
 
-/// How a backend server failed to answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum BackendFailure {
-    /// The connection failed, or broke off.
-    Broken,
-    /// Nothing came in time.
-    Silent,
-}
-
-impl SendFailure {
-    /// How the backend server failed, for the book.
-    pub fn kind(&self) -> BackendFailure {
-        match self.silent {
-            true => BackendFailure::Silent,
-            false => BackendFailure::Broken,
-        }
-    }
-}
-
-/// What this host knows of one backend server.
-#[derive(Debug)]
-pub struct BackendView {
-    /// Who it is.
-    pub info: BackendInfo,
-    // When each request in progress was sent, by its number.
-    calls: BTreeMap<u64, Duration>,
-    failures: u32,
-    out_until: Duration,
-    out_time: Duration,
-    error_share: f64,
-    memory_tokens: u64,
-    // What the requests of other hosts take.
-    others_tokens: u64,
-    // Other hosts that pass it over.
-    others_out: u32,
-    refused: Option<(Duration, u64)>,
-    prefill_tokens: u64,
-    // Until when it is taken to decline whatever comes.
-    declines_until: Duration,
-    // How much longer than its own prompt the last prefill took, and when that was seen.
-    prefill_delay: Option<(Duration, Duration)>,
-}
-
-impl BackendView {
-    fn new(info: BackendInfo) -> Self {
-        Self {
-            info,
-            calls: BTreeMap::new(),
-            failures: 0,
-            out_until: Duration::ZERO,
-            out_time: EJECT_FIRST,
-            error_share: 0.0,
-            memory_tokens: 0,
-            others_tokens: 0,
-            others_out: 0,
-            refused: None,
-            prefill_tokens: 0,
-            declines_until: Duration::ZERO,
-            prefill_delay: None,
-        }
-    }
-
-    // What stands before a new prompt there, as far as this host can know: its own prompts, and what
-    // the last answer showed of others'.
-    fn prefill_backlog(&self, rate: f64, now: Duration) -> f64 {
-        let own = self.prefill_tokens as f64 / rate;
-        let Some((delay, at)) = self.prefill_delay else {
-            return own;
-        };
-        let age = now.saturating_sub(at).as_secs_f64() / DELAY_MEMORY.as_secs_f64();
-        own + delay.as_secs_f64() * (-age).exp()
-    }
-
-    /// Whether it is passed over.
-    pub fn is_out(&self, now: Duration) -> bool {
-        now < self.out_until
-    }
-
-    /// Requests of this host in progress.
-    pub fn calls(&self) -> usize {
-        self.calls.len()
-    }
-
-    /// Tokens of memory that this host's requests take.
-    pub fn memory_tokens(&self) -> u64 {
-        self.memory_tokens
-    }
-
-    fn is_doubtful(&self, now: Duration) -> bool {
-        let oldest = self.calls.values().min();
-        oldest.is_some_and(|sent| now.saturating_sub(*sent) >= DOUBT_AFTER)
-    }
-
-    fn plain_score(&self, zone: &str, now: Duration) -> f64 {
-        let away = f64::from(u8::from(self.info.zone != zone)) * AWAY_PENALTY;
-        let doubt = f64::from(u8::from(self.is_doubtful(now))) * DOUBT_PENALTY;
-        self.calls.len() as f64 + away + doubt + self.error_share * ERROR_PENALTY
-    }
-
-    fn has_refused(&self, tokens: u64, now: Duration) -> bool {
-        self.refused
-            .is_some_and(|(until, refused)| now < until && tokens >= refused)
-    }
-}
-
 /// All backend servers that this host may send to.
 #[derive(Debug)]
 pub struct BackendBook {
@@ -244,7 +124,8 @@
     /// What the requests of this host take at engines, and which backend servers it passes over.
     pub fn loads(&self, now: Duration) -> Vec<EngineLoad> {
         let views = self.views.values();
-        let told = views.filter(|view| view.memory_tokens > 0 || view.is_out(now));
+        let told =
+            views.filter(|view| view.memory_tokens + view.prefill_tokens > 0 || view.is_out(now));
         told.map(|view| EngineLoad {
             engine: view.info.id.clone(),
             memory_tokens: view.memory_tokens,
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -26,10 +26,11 @@
 mod route;
 mod settings;
 mod stream;
+mod view;
 mod vital;
 
 pub use self::{
     answer::*, backend::*, book::*, budget::*, call::*, cluster::*, config::*, dialect::*,
     events::*, feed::*, handler::*, host::*, line::*, link::*, metrics::*, news::*, parts::*,
-    prefill::*, reserve::*, roles::*, route::*, settings::*, vital::*,
+    prefill::*, reserve::*, roles::*, route::*, settings::*, view::*, vital::*,
 };
--- a/src/relay/news/source.rs
+++ b/src/relay/news/source.rs
@@ -19,6 +19,10 @@
 /// within two seconds.
 pub const OLD_NEWS: Duration = Duration::from_millis(1_400);
 
+/// Least time for a question: with less left until its news are old a host reads the store at once, rather
+/// than blame whom it asks.
+const LEAST_QUESTION: Duration = Duration::from_millis(150);
+
 /// How long a host whose news were old reads the store itself.
 const OWN_READING_TIME: Duration = Duration::from_secs(2);
 
@@ -114,7 +118,7 @@
         if self.is_reader(now) {
             return NewsSource::Store;
         }
-        if age.is_none_or(|age| age >= OLD_NEWS) {
+        if age.is_none_or(|age| age + LEAST_QUESTION >= OLD_NEWS) {
             self.reading_until = now + OWN_READING_TIME;
         }
         if now < self.reading_until {
--- a/src/relay/parts.rs
+++ b/src/relay/parts.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         backend::BackendInfo,
-        book::{BackendBook, BackendFailure},
+        book::BackendBook,
         budget::{RetryAllowance, WindowBudget},
         cluster::ClusterState,
         dialect::{BackendCall, CallDialect},
@@ -11,6 +11,7 @@
         metrics::RelayMetrics,
         route::RouteTable,
         settings::RelaySettings,
+        view::BackendFailure,
     },
     crate::{
         event,
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -4,9 +4,9 @@
     super::{
         answer::{self, RelayAnswer},
         backend::BackendInfo,
-        book::BackendFailure,
         call::RelayCall,
         parts::RelayParts,
+        view::BackendFailure,
     },
     crate::{
         event,
--- a/src/relay/prefill.rs
+++ b/src/relay/prefill.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        backend::BackendInfo, book::BackendFailure, call::RelayCall, dialect::PromptCache,
-        parts::RelayParts, plain::CallGuard,
+        backend::BackendInfo, call::RelayCall, dialect::PromptCache, parts::RelayParts,
+        plain::CallGuard, view::BackendFailure,
     },
     crate::{operation::RunVerdict, web::PoolLane},
     http::StatusCode,
--- a/src/relay/reserve.rs
+++ b/src/relay/reserve.rs
@@ -25,7 +25,7 @@
 const ROUND_PAUSE: Duration = Duration::from_millis(25);
 
 /// Longest wait of a request for memory: callers give a stream up after some seconds without events.
-const WAIT_LIMIT: Duration = Duration::from_millis(1_800);
+const WAIT_LIMIT: Duration = Duration::from_millis(1_200);
 
 /// From the reservation to the first event: the prefill and the first step.
 const SERVICE_TIME: Duration = Duration::from_millis(250);
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -7,7 +7,6 @@
     super::{
         answer::{self, RelayAnswer},
         backend::BackendInfo,
-        book::BackendFailure,
         call::RelayCall,
         config::RequestKind,
         dialect::DecodeStart,
@@ -16,6 +15,7 @@
         prefill::{self, WaitingCache},
         reserve::{self, MemoryHold},
         resume,
+        view::BackendFailure,
     },
     crate::{
         event,
--- /dev/null
+++ b/src/relay/view.rs
@@ -0,0 +1,134 @@
+//! What this host knows of one backend server.
+
+use {
+    super::backend::BackendInfo,
+    crate::web::SendFailure,
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// How long a backend server is passed over at first; doubled each time it fails again.
+pub(super) const EJECT_FIRST: Duration = Duration::from_millis(500);
+
+/// Requests in progress that another zone counts as: a way there and back costs more than a short queue.
+const AWAY_PENALTY: f64 = 2.0;
+
+/// Silence of a request in progress from which its server counts as doubtful; a plain call takes some
+/// tens of milliseconds.
+const DOUBT_AFTER: Duration = Duration::from_millis(150);
+
+/// Requests in progress that doubt counts as.
+const DOUBT_PENALTY: f64 = 6.0;
+
+/// Requests in progress that a share of failed answers of 1 counts as.
+const ERROR_PENALTY: f64 = 12.0;
+
+/// How long an observed delay of a prefill engine tells of its present queue.
+const DELAY_MEMORY: Duration = Duration::from_millis(300);
+
+/// How a backend server failed to answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BackendFailure {
+    /// The connection failed, or broke off.
+    Broken,
+    /// Nothing came in time.
+    Silent,
+}
+
+impl SendFailure {
+    /// How the backend server failed, for the book.
+    pub fn kind(&self) -> BackendFailure {
+        match self.silent {
+            true => BackendFailure::Silent,
+            false => BackendFailure::Broken,
+        }
+    }
+}
+
+/// What this host knows of one backend server.
+#[derive(Debug)]
+pub struct BackendView {
+    /// Who it is.
+    pub info: BackendInfo,
+    // When each request in progress was sent, by its number.
+    pub(super) calls: BTreeMap<u64, Duration>,
+    pub(super) failures: u32,
+    pub(super) out_until: Duration,
+    pub(super) out_time: Duration,
+    pub(super) error_share: f64,
+    pub(super) memory_tokens: u64,
+    // What the requests of other hosts take.
+    pub(super) others_tokens: u64,
+    // Other hosts that pass it over.
+    pub(super) others_out: u32,
+    pub(super) refused: Option<(Duration, u64)>,
+    pub(super) prefill_tokens: u64,
+    // Until when it is taken to decline whatever comes.
+    pub(super) declines_until: Duration,
+    // How much longer than its own prompt the last prefill took, and when that was seen.
+    pub(super) prefill_delay: Option<(Duration, Duration)>,
+}
+
+impl BackendView {
+    /// One of which nothing is known yet.
+    pub(super) fn new(info: BackendInfo) -> Self {
+        Self {
+            info,
+            calls: BTreeMap::new(),
+            failures: 0,
+            out_until: Duration::ZERO,
+            out_time: EJECT_FIRST,
+            error_share: 0.0,
+            memory_tokens: 0,
+            others_tokens: 0,
+            others_out: 0,
+            refused: None,
+            prefill_tokens: 0,
+            declines_until: Duration::ZERO,
+            prefill_delay: None,
+        }
+    }
+
+    /// What stands before a new prompt there, seconds, as far as this host can know: its own prompts, and
+    /// what the last answer showed of others'.
+    pub(super) fn prefill_backlog(&self, rate: f64, now: Duration) -> f64 {
+        let own = self.prefill_tokens as f64 / rate;
+        let Some((delay, at)) = self.prefill_delay else {
+            return own;
+        };
+        let age = now.saturating_sub(at).as_secs_f64() / DELAY_MEMORY.as_secs_f64();
+        own + delay.as_secs_f64() * (-age).exp()
+    }
+
+    /// Whether it is passed over.
+    pub fn is_out(&self, now: Duration) -> bool {
+        now < self.out_until
+    }
+
+    /// Requests of this host in progress.
+    pub fn calls(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Tokens of memory that this host's requests take.
+    pub fn memory_tokens(&self) -> u64 {
+        self.memory_tokens
+    }
+
+    fn is_doubtful(&self, now: Duration) -> bool {
+        let oldest = self.calls.values().min();
+        oldest.is_some_and(|sent| now.saturating_sub(*sent) >= DOUBT_AFTER)
+    }
+
+    /// What speaks against sending a plain request there, in requests in progress.
+    pub(super) fn plain_score(&self, zone: &str, now: Duration) -> f64 {
+        let away = f64::from(u8::from(self.info.zone != zone)) * AWAY_PENALTY;
+        let doubt = f64::from(u8::from(self.is_doubtful(now))) * DOUBT_PENALTY;
+        self.calls.len() as f64 + away + doubt + self.error_share * ERROR_PENALTY
+    }
+
+    /// Whether it had no room lately for as many tokens.
+    pub(super) fn has_refused(&self, tokens: u64, now: Duration) -> bool {
+        self.refused
+            .is_some_and(|(until, refused)| now < until && tokens >= refused)
+    }
+}
