A silent stream leaves its engine only where the repeat is allowed; a broken one waits for it

A resumable stream was left after 1.2 s of silence with memory reserved elsewhere, no repeat was left in the budget, and eight rounds without one were over in 0.45 s; the answer was broken off. Ruled out: lack of memory (it was reserved). Change: the repeat is counted before the silent engine is left; a stream that broke waits up to 2.8 s for one.

--- a/src/relay/resume.rs
+++ b/src/relay/resume.rs
@@ -20,6 +20,9 @@
 /// their memory runs out and go on within a second or two; callers wait some seconds.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
 
+/// Pause before memory is sought again where no repeat was allowed.
+const REPEAT_PAUSE: Duration = Duration::from_millis(100);
+
 /// What came of a running stream.
 enum StreamStep {
     Chunk(Bytes),
@@ -41,7 +44,7 @@
     async_stream::stream! {
         let mut splitter = EventSplitter::default();
         loop {
-            let (broke, hold) = match next_step(&relay, &mut running).await {
+            let (broke, hold) = match next_step(&mut relay, &mut running).await {
                 StreamStep::Chunk(chunk) => {
                     if let Some(events) = splitter.push(&chunk) {
                         yield Ok(events);
@@ -84,8 +87,9 @@
     }
 }
 
-// An engine that is silent may go on by itself: its stream is only left once there is memory elsewhere.
-async fn next_step(relay: &StreamRelay, running: &mut RunningStream) -> StreamStep {
+// An engine that is silent may go on by itself: its stream is only left once there is memory elsewhere and
+// the repeat is allowed.
+async fn next_step(relay: &mut StreamRelay, running: &mut RunningStream) -> StreamStep {
     let silent_at = (Instant::now() + SILENCE_LIMIT).min(relay.call.until);
     if let Ok(next) = tokio::time::timeout_at(silent_at, running.body.chunk()).await {
         return step_of(next);
@@ -96,7 +100,8 @@
             biased;
             next = running.body.chunk() => return step_of(next),
             reserved = seeking => match reserved {
-                Ok(hold) => return StreamStep::Movable(hold),
+                Ok(hold) if relay.pay_repeat() => return StreamStep::Movable(hold),
+                Ok(_) => tokio::time::sleep(REPEAT_PAUSE).await,
                 Err(refusal) => log::debug!("a silent stream stays where it is: {refusal}"),
             }
         }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -43,10 +43,13 @@
 /// Rounds of reserving, computing and decoding until a request's answer begins.
 const ROUNDS_MAX: u32 = 3;
 
-/// The same for going on with a stream that broke: its caller has part of the answer, and waits for some
-/// seconds.
+/// The same for going on with a stream that broke.
 const RESUME_ROUNDS_MAX: u32 = 8;
 
+/// How long a stream that broke waits for a repeat to be allowed: its caller has part of the answer, and
+/// waits for some seconds.
+const RESUME_PATIENCE: Duration = Duration::from_millis(2_800);
+
 /// How much longer than a new request a stream that broke waits for memory: its caller has waited less
 /// for it so far.
 const RESUME_EXTRA_WAIT: Duration = Duration::from_millis(1_000);
@@ -86,6 +89,8 @@
     skip_prefill: bool,
     // Whether any decode so far may have run.
     verdict: RunVerdict,
+    // Whether the repeat of the next decode is counted already.
+    repeat_paid: bool,
     times: StreamTimes,
     // The decode engine of the last round.
     engine: FastStr,
@@ -125,6 +130,7 @@
         decodes: 0,
         skip_prefill: false,
         verdict: RunVerdict::NotRun,
+        repeat_paid: false,
         times: StreamTimes::default(),
         engine: FastStr::default(),
         ended: false,
@@ -176,8 +182,16 @@
         hold: Option<MemoryHold>,
     ) -> Result<RunningStream, Refusal> {
         let since = Instant::now() + RESUME_EXTRA_WAIT;
+        let pay_until = self.call.until.min(Instant::now() + RESUME_PATIENCE);
         let mut hold = hold;
         for round in 1.. {
+            while !self.pay_repeat() {
+                if Instant::now() >= pay_until {
+                    let detail = "no repeats are left to go on with the stream";
+                    return Err(Refusal::new(self.verdict, RefusalCode::BackendLost, detail));
+                }
+                tokio::time::sleep(RESUME_PAUSE).await;
+            }
             let result = match hold.take() {
                 Some(hold) => self.run_on(hold, after.clone()).await,
                 None => self.round(after.clone(), since).await?,
@@ -268,12 +282,15 @@
         }
     }
 
-    fn may_decode_again(&self, goes_on: bool) -> bool {
-        match goes_on {
-            // What the caller has of a stream is lost if it cannot go on.
-            true => self.parts.spend_dear_repeat(&self.service),
-            false => self.parts.spend_repeat(&self.service),
-        }
+    fn may_decode_again(&self) -> bool {
+        self.parts.spend_repeat(&self.service)
+    }
+
+    /// Counts the repeat with which this stream would go on elsewhere; what its caller has of it is lost if
+    /// it cannot. Gives whether it is allowed.
+    pub(super) fn pay_repeat(&mut self) -> bool {
+        self.repeat_paid = self.repeat_paid || self.parts.spend_dear_repeat(&self.service);
+        self.repeat_paid
     }
 
     async fn decode(
@@ -282,7 +299,7 @@
         cache: Option<WaitingCache>,
         after: Option<FastStr>,
     ) -> Result<RunningStream, RoundFailure> {
-        if self.decodes > 0 && !self.may_decode_again(after.is_some()) {
+        if self.decodes > 0 && !std::mem::take(&mut self.repeat_paid) && !self.may_decode_again() {
             return Err(RoundFailure {
                 verdict: RunVerdict::NotRun,
                 detail: "no repeats are left for another decode".into(),
