Headroom at each decode engine for answers that turn out longer than expected

Cause: prompts read for nothing were the largest price, and nearly all were requests that engines put back. A log of all pauses over 0.25 s showed that each of those answers had just outgrown what was reserved for it: prompt and the caller's estimate, which half exceed. What is reserved is never taken away, and whatever was free the next waiting request took. Change: memory is reserved for a request only where 500 tokens are free beside it; that is seen by reserving them during the call. The reservation of a request and its count in the book are two types now, so that headroom is no load.

--- a/src/relay/book.rs
+++ b/src/relay/book.rs
@@ -149,9 +149,6 @@
         self.others_at = Some(now);
     }
 
-    pub fn known_of(&self, id: &str, now: Duration) -> u64 {
-        self.views.get(id).map_or(0, |v| self.known_tokens(v, now))
-    }
     fn knows_others(&self, now: Duration) -> bool {
         let told = self.others_at;
         told.is_some_and(|at| now.saturating_sub(at) < OTHERS_LIFE)
--- a/src/relay/reserve.rs
+++ b/src/relay/reserve.rs
@@ -21,6 +21,14 @@
 /// Engines asked for memory before the request waits for some to become free.
 const HOLD_TRIES: usize = 9;
 
+/// Tokens that have to be free at an engine beside what a request reserves: answers that turn out longer
+/// than expected grow into them. Where none are free one of those is put back and computed anew, which
+/// costs more than a request that waits; by measured runs (docs/design/routing.md).
+const HEADROOM: u64 = 500;
+
+/// How long headroom is reserved while a request's own memory is asked for.
+const HEADROOM_TIME: Duration = Duration::from_millis(300);
+
 /// Pause between two rounds of asking while nothing is known to have become free.
 const ROUND_PAUSE: Duration = Duration::from_millis(25);
 
@@ -44,20 +52,50 @@
 /// When a caller is to come back after a refusal for lack of memory.
 const COME_BACK: Duration = Duration::from_millis(1_000);
 
+/// A reservation as its engine knows it; given back when dropped.
+struct EngineHold {
+    parts: Rc<RelayParts>,
+    engine: BackendInfo,
+    // What it is called there; none once it was used.
+    name: Option<FastStr>,
+}
+
+impl Drop for EngineHold {
+    fn drop(&mut self) {
+        if let Some(name) = self.name.take() {
+            let call = (self.parts.dialect.engines.drop_hold)(&name);
+            self.parts.clone().call_later(self.engine.clone(), call);
+        }
+    }
+}
+
 /// Memory at a decode engine, reserved for one request; given back when dropped.
 pub struct MemoryHold {
     parts: Rc<RelayParts>,
     /// The engine.
     pub engine: BackendInfo,
-    /// What the reservation is called there; none once it was used.
-    hold: Option<FastStr>,
+    hold: EngineHold,
     tokens: u64,
 }
 
 impl MemoryHold {
+    fn new(hold: EngineHold, tokens: u64) -> Self {
+        let (parts, engine) = (hold.parts.clone(), hold.engine.clone());
+        let mut book = parts.book.borrow_mut();
+        book.answered(&engine.id, true);
+        book.memory_taken(&engine.id, tokens);
+        drop(book);
+        Self {
+            parts,
+            engine,
+            hold,
+            tokens,
+        }
+    }
+
     /// The name of the reservation, to be used now.
     pub fn use_up(&mut self) -> Option<FastStr> {
-        self.hold.take()
+        self.hold.name.take()
     }
 }
 
@@ -67,10 +105,6 @@
         book.memory_freed(&self.engine.id, self.tokens);
         drop(book);
         self.parts.freed.notify_waiters();
-        if let Some(hold) = self.hold.take() {
-            let call = (self.parts.dialect.engines.drop_hold)(&hold);
-            self.parts.clone().call_later(self.engine.clone(), call);
-        }
     }
 }
 
@@ -180,52 +214,73 @@
         let book = parts.book.borrow();
         book.rank_decodes(service, zone, tokens, memory, now)
     };
+    // A request that fills an engine's memory leaves no headroom there.
+    let headroom = memory.map_or(HEADROOM, |memory| memory.saturating_sub(tokens));
+    let headroom = headroom.min(HEADROOM);
     for engine in engines.into_iter().take(HOLD_TRIES) {
-        if let Some(hold) = ask(parts, engine, tokens).await {
+        if let Some(hold) = ask_beside(parts, engine, tokens, headroom).await {
             return Some(hold);
         }
     }
     None
 }
 
+// Memory for a request where as much again as `headroom` is free. That is seen by reserving it, for as long
+// as the request's own memory is asked for.
+async fn ask_beside(
+    parts: &Rc<RelayParts>,
+    engine: BackendInfo,
+    tokens: u64,
+    headroom: u64,
+) -> Option<MemoryHold> {
+    let mut _beside = None;
+    if headroom > 0 {
+        _beside = Some(ask(parts, &engine, headroom, HEADROOM_TIME).await?);
+    }
+    let hold = ask(parts, &engine, tokens, HOLD_TIME).await?;
+    Some(MemoryHold::new(hold, tokens))
+}
+
 fn engine_limits(parts: &RelayParts, service: &str) -> Option<EngineLimits> {
     let service = parts.routes()?.service(service)?;
     service.engine.clone()
 }
 
 // Operators bound how long memory may be reserved.
-fn hold_time(parts: &RelayParts, engine: &BackendInfo) -> Duration {
+fn bounded_time(parts: &RelayParts, engine: &BackendInfo, wanted: Duration) -> Duration {
     let limits = engine_limits(parts, &engine.service);
-    limits.map_or(HOLD_TIME, |limits| HOLD_TIME.min(limits.hold_limit))
+    limits.map_or(wanted, |limits| wanted.min(limits.hold_limit))
 }
 
-async fn ask(parts: &Rc<RelayParts>, engine: BackendInfo, tokens: u64) -> Option<MemoryHold> {
+async fn ask(
+    parts: &Rc<RelayParts>,
+    engine: &BackendInfo,
+    tokens: u64,
+    time: Duration,
+) -> Option<EngineHold> {
     let engines = &parts.dialect.engines;
-    let call = (engines.hold)(tokens, hold_time(parts, &engine));
-    let answer = parts.call_backend(&engine, call, HOLD_PATIENCE).await;
-    let hold = match answer {
+    let call = (engines.hold)(tokens, bounded_time(parts, engine, time));
+    let answer = parts.call_backend(engine, call, HOLD_PATIENCE).await;
+    let name = match answer {
         Ok((StatusCode::OK, body)) => (engines.read_hold)(&body),
         Ok((StatusCode::SERVICE_UNAVAILABLE, _)) => None,
         Ok((status, _)) => {
-            parts.note_decline(&engine, status);
+            parts.note_decline(engine, status);
             None
         }
         Err(failure) => {
-            parts.note_failure(&engine, failure.kind(), &failure.detail);
+            parts.note_failure(engine, failure.kind(), &failure.detail);
             return None;
         }
     };
-    let mut book = parts.book.borrow_mut();
-    let Some(hold) = hold else {
+    if name.is_none() {
+        let mut book = parts.book.borrow_mut();
         book.refused(&engine.id, tokens, parts.now());
         return None;
-    };
-    book.answered(&engine.id, true);
-    book.memory_taken(&engine.id, tokens);
-    Some(MemoryHold {
+    }
+    Some(EngineHold {
         parts: parts.clone(),
-        engine,
-        hold: Some(hold),
-        tokens,
+        engine: engine.clone(),
+        name,
     })
 }
--- a/src/relay/resume.rs
+++ b/src/relay/resume.rs
@@ -31,7 +31,7 @@
     /// The connection broke off.
     Broke(String),
     /// Nothing came, and memory for it is reserved elsewhere.
-    Movable(MemoryHold),
+    Movable(Box<MemoryHold>),
     /// The caller's time is over.
     TimeLimit,
 }
@@ -64,7 +64,7 @@
                     return;
                 }
                 StreamStep::Broke(why) => (why, None),
-                StreamStep::Movable(hold) => ("the engine fell silent".to_owned(), Some(hold)),
+                StreamStep::Movable(hold) => ("the engine fell silent".to_owned(), Some(*hold)),
             };
             // Closes the connection, on which the engine stops, before another one begins.
             drop(running);
@@ -100,7 +100,7 @@
             biased;
             next = running.body.chunk() => return step_of(next),
             reserved = seeking => match reserved {
-                Ok(hold) if relay.pay_repeat() => return StreamStep::Movable(hold),
+                Ok(hold) if relay.pay_repeat() => return StreamStep::Movable(Box::new(hold)),
                 Ok(_) => tokio::time::sleep(REPEAT_PAUSE).await,
                 Err(refusal) => log::debug!("a silent stream stays where it is: {refusal}"),
             }
