A stream of a plain service is passed on as it comes

Change: one send and its outcome stand in send.rs, the count of requests in progress in guard.rs; a success on a streamed route is given out while it runs, a break as a break. Before: the new test ends with 504 at the route's time limit. After: 51 tests of the adapter green.

--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -6,24 +6,21 @@
         backend::BackendInfo,
         call::RelayCall,
         parts::RelayParts,
+        send::{self, PlainAnswer, PlainBody, RunningAnswer, SendOutcome},
         view::BackendFailure,
     },
     crate::{
         event,
         operation::{Refusal, RefusalCode, RunVerdict},
-        web::{self, PoolLane},
+        web::{self, BrokenBody},
     },
     bytes::Bytes,
     faststr::FastStr,
-    futures::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered},
-    http::{HeaderMap, StatusCode},
+    futures::{Stream, StreamExt, future::LocalBoxFuture, stream::FuturesUnordered},
     std::{rc::Rc, time::Duration},
     tokio::time::Instant,
 };
 
-/// Bytes that a plain answer may have.
-const ANSWER_LIMIT: usize = 8 << 20;
-
 /// Part of the latency target after whose silence a repeatable request is also sent to a second server:
 /// the second answer can then still be in time.
 const HEDGE_SHARE: f64 = 0.6;
@@ -34,22 +31,6 @@
 /// When a caller is to come back after a refusal of a plain request.
 const COME_BACK: Duration = Duration::from_millis(100);
 
-/// A plain answer, read whole.
-struct WholeAnswer {
-    status: StatusCode,
-    headers: HeaderMap,
-    body: Bytes,
-}
-
-/// What became of one send.
-enum SendOutcome {
-    Answered(WholeAnswer),
-    /// It did not run there.
-    Declined(String),
-    /// It may have run and there is no answer.
-    Lost(String),
-}
-
 type Sending = LocalBoxFuture<'static, (BackendInfo, SendOutcome)>;
 
 /// A plain request on its way: what was tried and what came of it.
@@ -67,7 +48,7 @@
     detail: String,
     // Each server tried and what it answered, for the log.
     trail: String,
-    fallback: Option<WholeAnswer>,
+    fallback: Option<PlainAnswer>,
     // Whether the end was logged.
     ended: bool,
 }
@@ -108,13 +89,18 @@
             return Err(refusal);
         }
     };
-    relay.log_end(answer.status.as_str());
-    let body = answer::whole_body(answer.body);
+    if matches!(answer.body, PlainBody::Whole(_)) {
+        relay.log_end(answer.status.as_str());
+    }
+    let body = match answer.body {
+        PlainBody::Whole(body) => answer::whole_body(body),
+        PlainBody::Running(running) => answer::streamed_body(chunks(relay, running)),
+    };
     Ok(answer::relayed(answer.status, answer.headers, body))
 }
 
 impl PlainRelay {
-    async fn run(&mut self) -> Result<WholeAnswer, Refusal> {
+    async fn run(&mut self) -> Result<PlainAnswer, Refusal> {
         let mut running: FuturesUnordered<Sending> = FuturesUnordered::new();
         if !self.launch(&mut running) {
             return Err(self.refusal(RefusalCode::NoBackend));
@@ -187,7 +173,7 @@
         self.tried.push(backend.id.clone());
         self.open.push(backend.clone());
         self.sends += 1;
-        running.push(Box::pin(send(
+        running.push(Box::pin(send::send_plain(
             self.parts.clone(),
             self.call.clone(),
             backend,
@@ -227,7 +213,7 @@
     }
 
     // Takes what became of a send; gives the answer if that is the caller's.
-    fn take(&mut self, backend: &BackendInfo, outcome: SendOutcome) -> Option<WholeAnswer> {
+    fn take(&mut self, backend: &BackendInfo, outcome: SendOutcome) -> Option<PlainAnswer> {
         self.open.retain(|open| open.id != backend.id);
         match outcome {
             SendOutcome::Answered(answer) => {
@@ -235,11 +221,11 @@
                 let is_good = !answer.status.is_server_error();
                 self.parts.book.borrow_mut().answered(&backend.id, is_good);
                 if is_good || !self.call.route.kind.is_repeatable() {
-                    return Some(answer);
+                    return Some(*answer);
                 }
                 self.verdict = RunVerdict::Ran;
                 self.detail = format!("{} answered {}", backend.id, answer.status);
-                self.fallback = Some(answer);
+                self.fallback = Some(*answer);
             }
             SendOutcome::Declined(detail) => {
                 self.note_step(backend, "declined");
@@ -262,86 +248,30 @@
     }
 }
 
-async fn send(
-    parts: Rc<RelayParts>,
-    call: Rc<RelayCall>,
-    backend: BackendInfo,
-) -> (BackendInfo, SendOutcome) {
-    let _guard = CallGuard::begin(&parts, &backend);
-    let request = call.request_to(&backend, &parts.dialect, |_| ());
-    let sent = parts
-        .pool
-        .send(backend.address, PoolLane::Requests, request)
-        .await;
-    let answer = match sent {
-        Ok(answer) => answer,
-        Err(failure) => {
-            parts.note_failure(&backend, failure.kind(), &failure.detail);
-            let outcome = match failure.verdict {
-                RunVerdict::NotRun => SendOutcome::Declined(failure.detail),
-                _ => SendOutcome::Lost(failure.detail),
-            };
-            return (backend, outcome);
-        }
-    };
-    let marks = (parts.dialect.read_answer)(answer.status, &answer.headers);
-    if marks.is_anothers(&call.marks.id) {
-        parts.note_failure(
-            &backend,
-            BackendFailure::Broken,
-            "an answer to another request",
-        );
-        let outcome = SendOutcome::Lost("an answer to another request came".into());
-        return (backend, outcome);
-    }
-    let (status, headers) = (answer.status, answer.headers);
-    let body = match answer.body.read(ANSWER_LIMIT).await {
-        Ok(body) => body,
-        Err(detail) => {
-            parts.note_failure(&backend, BackendFailure::Broken, &detail);
-            return (
-                backend,
-                SendOutcome::Lost(format!("answer cut short: {detail}")),
-            );
-        }
-    };
-    let outcome = match marks.not_run {
-        true => {
-            parts.note_decline(&backend, status);
-            SendOutcome::Declined(format!("status {status}"))
-        }
-        false => SendOutcome::Answered(WholeAnswer {
-            status,
-            headers,
-            body,
-        }),
-    };
-    (backend, outcome)
-}
-
-/// A request in progress at a backend server, counted until dropped.
-pub struct CallGuard {
-    parts: Rc<RelayParts>,
-    backend: FastStr,
-    call: u64,
-}
-
-impl CallGuard {
-    /// Counts a request from now.
-    pub fn begin(parts: &Rc<RelayParts>, backend: &BackendInfo) -> Self {
-        let now = parts.now();
-        let call = parts.book.borrow_mut().call_began(&backend.id, now);
-        Self {
-            parts: parts.clone(),
-            backend: backend.id.clone(),
-            call,
+// A stream's bytes as they come; a break is passed on as one.
+fn chunks(
+    mut relay: PlainRelay,
+    mut running: RunningAnswer,
+) -> impl Stream<Item = Result<Bytes, BrokenBody>> {
+    async_stream::stream! {
+        loop {
+            match tokio::time::timeout_at(relay.call.until, running.chunk()).await {
+                Ok(Some(Ok(chunk))) => yield Ok(chunk),
+                Ok(None) => {
+                    relay.log_end("whole");
+                    return;
+                }
+                Ok(Some(Err(error))) => {
+                    relay.log_end("broken");
+                    yield Err(BrokenBody(format!("the server broke off: {error}")));
+                    return;
+                }
+                Err(_) => {
+                    relay.log_end("time-limit");
+                    yield Err(BrokenBody("the time limit was reached".into()));
+                    return;
+                }
+            }
         }
     }
 }
-
-impl Drop for CallGuard {
-    fn drop(&mut self) {
-        let mut book = self.parts.book.borrow_mut();
-        book.call_ended(&self.backend, self.call);
-    }
-}
--- a/src/relay/prefill.rs
+++ b/src/relay/prefill.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        backend::BackendInfo, call::RelayCall, dialect::PromptCache, parts::RelayParts,
-        plain::CallGuard, view::BackendFailure,
+        backend::BackendInfo, call::RelayCall, dialect::PromptCache, guard::CallGuard,
+        parts::RelayParts, view::BackendFailure,
     },
     crate::{operation::RunVerdict, web::PoolLane},
     http::StatusCode,
--- /dev/null
+++ b/src/relay/send.rs
@@ -0,0 +1,135 @@
+//! One send of a request to a backend server of a plain service, and what became of it.
+
+use {
+    super::{
+        backend::BackendInfo, call::RelayCall, guard::CallGuard, parts::RelayParts,
+        view::BackendFailure,
+    },
+    crate::{
+        operation::RunVerdict,
+        web::{PoolLane, PooledAnswer, PooledBody},
+    },
+    bytes::Bytes,
+    http::{HeaderMap, StatusCode},
+    std::rc::Rc,
+};
+
+/// Bytes that an answer may have that is read whole.
+const ANSWER_LIMIT: usize = 8 << 20;
+
+/// A plain answer.
+pub(super) struct PlainAnswer {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) body: PlainBody,
+}
+
+/// The body of a plain answer.
+pub(super) enum PlainBody {
+    /// It is all there.
+    Whole(Bytes),
+    /// A stream, passed on as it comes.
+    Running(RunningAnswer),
+}
+
+/// A stream that a backend server is sending.
+pub(super) struct RunningAnswer {
+    body: PooledBody,
+    _guard: CallGuard,
+}
+
+impl RunningAnswer {
+    /// The next bytes; none at the orderly end.
+    pub(super) async fn chunk(&mut self) -> Option<Result<Bytes, hyper::Error>> {
+        self.body.chunk().await
+    }
+}
+
+/// What became of one send.
+pub(super) enum SendOutcome {
+    Answered(Box<PlainAnswer>),
+    /// It did not run there.
+    Declined(String),
+    /// It may have run and there is no answer.
+    Lost(String),
+}
+
+/// Sends a request and waits for its answer: whole, or the head of a stream.
+pub(super) async fn send_plain(
+    parts: Rc<RelayParts>,
+    call: Rc<RelayCall>,
+    backend: BackendInfo,
+) -> (BackendInfo, SendOutcome) {
+    let outcome = outcome_of(&parts, &call, &backend).await;
+    (backend, outcome)
+}
+
+async fn outcome_of(
+    parts: &Rc<RelayParts>,
+    call: &RelayCall,
+    backend: &BackendInfo,
+) -> SendOutcome {
+    let guard = CallGuard::begin(parts, backend);
+    let request = call.request_to(backend, &parts.dialect, |_| ());
+    let sent = parts
+        .pool
+        .send(backend.address, PoolLane::Requests, request)
+        .await;
+    let answer = match sent {
+        Ok(answer) => answer,
+        Err(failure) => {
+            parts.note_failure(backend, failure.kind(), &failure.detail);
+            return match failure.verdict {
+                RunVerdict::NotRun => SendOutcome::Declined(failure.detail),
+                _ => SendOutcome::Lost(failure.detail),
+            };
+        }
+    };
+    let marks = (parts.dialect.read_answer)(answer.status, &answer.headers);
+    if marks.is_anothers(&call.marks.id) {
+        let detail = "an answer to another request came";
+        parts.note_failure(backend, BackendFailure::Broken, detail);
+        return SendOutcome::Lost(detail.into());
+    }
+    if call.route.kind.is_stream() && answer.status.is_success() {
+        return SendOutcome::Answered(Box::new(running(answer, guard)));
+    }
+    read_whole(parts, backend, answer, marks.not_run).await
+}
+
+fn running(answer: PooledAnswer, guard: CallGuard) -> PlainAnswer {
+    let body = PlainBody::Running(RunningAnswer {
+        body: answer.body,
+        _guard: guard,
+    });
+    PlainAnswer {
+        status: answer.status,
+        headers: answer.headers,
+        body,
+    }
+}
+
+async fn read_whole(
+    parts: &RelayParts,
+    backend: &BackendInfo,
+    answer: PooledAnswer,
+    not_run: bool,
+) -> SendOutcome {
+    let (status, headers) = (answer.status, answer.headers);
+    let body = match answer.body.read(ANSWER_LIMIT).await {
+        Ok(body) => body,
+        Err(detail) => {
+            parts.note_failure(backend, BackendFailure::Broken, &detail);
+            return SendOutcome::Lost(format!("answer cut short: {detail}"));
+        }
+    };
+    if not_run {
+        parts.note_decline(backend, status);
+        return SendOutcome::Declined(format!("status {status}"));
+    }
+    SendOutcome::Answered(Box::new(PlainAnswer {
+        status,
+        headers,
+        body: PlainBody::Whole(body),
+    }))
+}
