bayplankd passes requests through by objects of kind PassRoute

Ways weighed: a second daemon with its own store link (lists and watches a second time, membership a second time) against a thread of bayplankd that takes what control has accepted. The latter: the accepted configuration never reverts and reaches hosts that the platform turns away, and nothing is read twice. Change: kind PassRoute (checked as a whole with the other objects), [listen] relay in the settings, a thread beside control that gives RelayParts the objects and servers in force, a dialect of plain servers, one metrics page of both. The stop gate is shared, so a planned stop waits for these requests too. Engines are not reached by PassRoute: docs/open.md.

--- a/src/conf/keys.rs
+++ b/src/conf/keys.rs
@@ -51,6 +51,9 @@
     key("listen", "peers", |s, v| {
         put(&mut s.peers, value::read_address(v))
     }),
+    key("listen", "relay", |s, v| {
+        put(&mut s.relay, value::read_optional_address(v))
+    }),
     key("platform", "address", |s, v| {
         put(&mut s.platform, value::read_address(v))
     }),
@@ -199,6 +202,7 @@
         callers: nowhere,
         operators: nowhere,
         peers: nowhere,
+        relay: None,
         platform: nowhere,
         platform_timeout: Duration::ZERO,
         resync: Duration::ZERO,
--- a/src/conf/settings.rs
+++ b/src/conf/settings.rs
@@ -24,6 +24,8 @@
     pub operators: SocketAddr,
     /// Where other entry hosts reach it.
     pub peers: SocketAddr,
+    /// Where callers of requests that are passed through reach it; none where it passes none through.
+    pub relay: Option<SocketAddr>,
     /// The platform's object API.
     pub platform: SocketAddr,
     /// Longest wait for the platform.
@@ -156,11 +158,15 @@
             let problem = "leaves nothing of [targets] first_token".to_owned();
             found.push(("route", "margin", problem));
         }
-        let listens = [
+        let relay = self.relay.map(|relay| ("relay", relay));
+        let listens: Vec<(&str, SocketAddr)> = [
             ("callers", self.callers),
             ("operators", self.operators),
             ("peers", self.peers),
-        ];
+        ]
+        .into_iter()
+        .chain(relay)
+        .collect();
         for (index, (key, address)) in listens.iter().enumerate() {
             let twin = listens[..index]
                 .iter()
--- a/src/conf/value.rs
+++ b/src/conf/value.rs
@@ -66,6 +66,14 @@
         .map_err(|_| format!("expected IP:port, like \"127.0.0.1:8080\", found {text:?}"))
 }
 
+/// Reads an address, or none where nothing stands.
+pub fn read_optional_address(text: &str) -> Result<Option<SocketAddr>, String> {
+    match text.is_empty() {
+        true => Ok(None),
+        false => read_address(text).map(Some),
+    }
+}
+
 /// Reads addresses with commas between; none is allowed.
 pub fn read_addresses(text: &str) -> Result<Vec<SocketAddr>, String> {
     text.split(',')
--- a/src/control/publish.rs
+++ b/src/control/publish.rs
@@ -32,25 +32,26 @@
             .filter(|host| !host.spec.leaving)
             .count();
         let live = state.members.live().count() + 1;
-        let snapshot = ControlSnapshot {
-            generation: state.config.in_force().generation,
-            objects: objects.clone(),
-            peers: self.peer_addresses(&state).into(),
-            // Listed hosts count also when they are silent: a cut-off zone still uses its share.
-            limit_share: 1.0 / hosts.max(live) as f64,
-        };
         let services: Vec<LabelSelector> = objects
             .services
             .values()
             .map(|service| service.spec.selector.clone())
             .collect();
-        let plain = state
+        let plain: Vec<ServerInfo> = state
             .servers
             .servers
             .iter()
             .filter(|server| matches_any(&services, server))
             .map(server_info)
             .collect();
+        let snapshot = ControlSnapshot {
+            generation: state.config.in_force().generation,
+            objects: objects.clone(),
+            servers: plain.clone().into(),
+            peers: self.peer_addresses(&state).into(),
+            // Listed hosts count also when they are silent: a cut-off zone still uses its share.
+            limit_share: 1.0 / hosts.max(live) as f64,
+        };
         let engines = self
             .own_engines(&state)
             .into_iter()
--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -1,7 +1,7 @@
 //! What control publishes to traffic: immutable, replaced as a whole.
 
 use {
-    crate::object::ObjectSet,
+    crate::{object::ObjectSet, route::ServerInfo},
     faststr::FastStr,
     std::{net::SocketAddr, sync::Arc},
 };
@@ -26,6 +26,8 @@
     pub generation: u64,
     /// The operators' objects in force.
     pub objects: Arc<ObjectSet>,
+    /// The servers of plain services.
+    pub servers: Arc<[ServerInfo]>,
     /// The other entry hosts.
     pub peers: Arc<[PeerAddress]>,
     /// This host's share of the tenants' limits.
@@ -37,6 +39,7 @@
         Self {
             generation: 0,
             objects: Arc::default(),
+            servers: Arc::new([]),
             peers: Arc::new([]),
             limit_share: 1.0,
         }
--- a/src/host/entry.rs
+++ b/src/host/entry.rs
@@ -1,7 +1,7 @@
 //! Starting and stopping an entry host.
 
 use {
-    super::{operators, traffic::Traffic},
+    super::{operators, passing::PassingThread, traffic::Traffic},
     crate::{
         conf::{HostSettings, SettingsFault},
         control, event, filter,
@@ -34,6 +34,8 @@
     pub operators: SocketAddr,
     /// For the other entry hosts.
     pub peers: SocketAddr,
+    /// For callers of requests that are passed through, if there are any.
+    pub relay: Option<SocketAddr>,
 }
 
 /// An entry host whose sockets are open and whose loops have not begun.
@@ -44,6 +46,7 @@
     callers: TcpListener,
     operators: TcpListener,
     peers: std::net::TcpListener,
+    relay: Option<std::net::TcpListener>,
 }
 
 /// A running entry host.
@@ -55,6 +58,8 @@
     pub addresses: HostAddresses,
     control_stop: Arc<OnceSignal>,
     control: Option<JoinHandle<()>>,
+    // Ends when dropped.
+    passing: Mutex<Option<PassingThread>>,
     stopped: Arc<OnceSignal>,
     servers: Mutex<JoinSet<()>>,
 }
@@ -65,7 +70,12 @@
         let callers = open(file, "callers", settings.callers).await?;
         let operators = open(file, "operators", settings.operators).await?;
         let peers = open(file, "peers", settings.peers).await?;
+        let relay = match settings.relay {
+            Some(relay) => Some(open(file, "relay", relay).await?),
+            None => None,
+        };
         let addresses = HostAddresses {
+            relay: relay.as_ref().map(|(_, address)| *address),
             callers: callers.1,
             operators: operators.1,
             peers: peers.1,
@@ -75,17 +85,21 @@
             addresses,
             callers: callers.0,
             operators: operators.0,
-            // The control thread has a runtime of its own.
-            peers: peers
-                .0
-                .into_std()
-                .map_err(|error| listen_fault(file, "peers", peers.1, &error))?,
+            // The threads of control and of passed-through requests have runtimes of their own.
+            peers: for_thread(file, "peers", peers)?,
+            relay: match relay {
+                Some(relay) => Some(for_thread(file, "relay", relay)?),
+                None => None,
+            },
         })
     }
 
     /// Starts the host's traffic on the current runtime and its control on a thread of its own.
     pub fn start(self) -> RunningHost {
         let traffic = self.traffic.clone();
+        let passing = self.relay.map(|listener| {
+            PassingThread::start(traffic.clone(), listener).expect("a thread for passed requests")
+        });
         let served = traffic.clone();
         let handler: web::WebHandler =
             Arc::new(move |request| filter::answer(served.clone(), request).boxed());
@@ -122,6 +136,7 @@
             addresses: self.addresses,
             control_stop,
             control: Some(control),
+            passing: Mutex::new(passing),
             stopped,
             servers: Mutex::new(servers),
         }
@@ -162,6 +177,15 @@
     opened.map_err(|error| listen_fault(file, key, address, &error))
 }
 
+fn for_thread(
+    file: &str,
+    key: &str,
+    (listener, address): (TcpListener, SocketAddr),
+) -> Result<std::net::TcpListener, SettingsFault> {
+    let listener = listener.into_std();
+    listener.map_err(|error| listen_fault(file, key, address, &error))
+}
+
 fn listen_fault(file: &str, key: &str, address: SocketAddr, error: &io::Error) -> SettingsFault {
     SettingsFault {
         file: file.to_owned(),
@@ -192,6 +216,7 @@
     /// Waits until the servers have written out what they were sending; to be called after a drain
     /// that a signal to the process began.
     pub async fn close_connections(&self) {
+        drop(self.passing.lock().expect("passing").take());
         let mut servers = std::mem::take(&mut *self.servers.lock().expect("servers"));
         while servers.join_next().await.is_some() {}
     }
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -3,6 +3,7 @@
 mod entry;
 mod gate;
 mod operators;
+mod passing;
 mod traffic;
 
 pub use self::{entry::*, gate::*, traffic::*};
--- a/src/host/operators.rs
+++ b/src/host/operators.rs
@@ -23,7 +23,7 @@
         "/healthz" => web::text_reply(200, "ok"),
         "/readyz" => ready(&traffic),
         "/metrics" => {
-            let page = Bytes::from(traffic.metrics.page());
+            let page = Bytes::from(metrics_page(&traffic));
             web::reply(200, "application/openmetrics-text; version=1.0.0", page)
         }
         "/status" => web::json_reply(200, &status(&traffic)),
@@ -31,6 +31,19 @@
     }
 }
 
+/// What ends a page of metrics.
+const PAGE_END: &str = "# EOF\n";
+
+// Both pages as one: only the last one's end stays.
+fn metrics_page(traffic: &Traffic) -> String {
+    let page = traffic.metrics.page();
+    let relay = traffic.relay_page.load();
+    match page.strip_suffix(PAGE_END) {
+        Some(head) if !relay.is_empty() => format!("{head}{relay}"),
+        _ => page,
+    }
+}
+
 fn ready(traffic: &Traffic) -> Response {
     if traffic.gate.is_stopping() {
         return web::text_reply(503, "stopping");
--- a/src/host/traffic.rs
+++ b/src/host/traffic.rs
@@ -60,6 +60,8 @@
     pub client: WebClient,
     /// Metrics.
     pub metrics: Arc<HostMetrics>,
+    /// Metrics of requests that are passed through, as a page; empty where there are none.
+    pub relay_page: ArcSwap<String>,
     started: Instant,
     next_request: AtomicU64,
 }
@@ -98,6 +100,7 @@
             gate: StopGate::new(settings.concurrent),
             client: WebClient::new(CONNECT_TIMEOUT),
             metrics: Arc::default(),
+            relay_page: ArcSwap::default(),
             started: Instant::now(),
             next_request: AtomicU64::new(1),
             incarnation,
--- a/src/object/kinds.rs
+++ b/src/object/kinds.rs
@@ -5,7 +5,7 @@
         fault::ObjectFault,
         selector::{LabelMap, LabelSelector},
     },
-    crate::engine::EngineRole,
+    crate::{engine::EngineRole, relay::RequestKind},
     faststr::FastStr,
     serde::{Deserialize, Serialize},
     sha2::{Digest, Sha256},
@@ -146,6 +146,40 @@
     1
 }
 
+/// Requests that are passed through unaltered to plain services, and the bounds within which they run.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields)]
+pub struct PassRouteSpec {
+    /// The `Host` that the requests name, without a port.
+    pub host: FastStr,
+    /// What their paths begin with; begins and ends with a slash, and the longest that fits holds.
+    pub path_prefix: FastStr,
+    /// Whether they may run more than once, and how they are answered.
+    pub kind: RequestKind,
+    /// Longest time that a request is held, milliseconds.
+    #[serde(default = "default_service_timeout")]
+    pub timeout_ms: u64,
+    /// Time within which an answer, or its first event, is in time, milliseconds.
+    #[serde(default = "default_latency_target")]
+    pub latency_target_ms: u64,
+    /// Servers that one request may be sent to at most.
+    #[serde(default = "default_attempts")]
+    pub attempts: u32,
+    /// 0 is the most urgent, up to 9.
+    #[serde(default = "default_priority")]
+    pub priority: u8,
+    /// The services that take them; each target selects one.
+    pub targets: Vec<IntentTarget>,
+}
+
+fn default_latency_target() -> u64 {
+    1_000
+}
+
+fn default_attempts() -> u32 {
+    1
+}
+
 /// A tenant, its key and its limits.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
@@ -208,6 +242,8 @@
     pub const SERVICE: &str = "Service";
     /// [`super::IntentSpec`]
     pub const INTENT: &str = "RoutingIntent";
+    /// [`super::PassRouteSpec`]
+    pub const PASS_ROUTE: &str = "PassRoute";
     /// [`super::TenantSpec`]
     pub const TENANT: &str = "Tenant";
     /// [`super::ServerSpec`], written by the platform
@@ -217,7 +253,7 @@
     /// A lease, written by the entry hosts
     pub const LEASE: &str = "Lease";
     /// The kinds that operators write.
-    pub const OPERATORS: [&str; 4] = [POOL, SERVICE, INTENT, TENANT];
+    pub const OPERATORS: [&str; 5] = [POOL, SERVICE, INTENT, PASS_ROUTE, TENANT];
 }
 
 impl AnyObject {
--- a/src/object/set.rs
+++ b/src/object/set.rs
@@ -4,8 +4,8 @@
     super::{
         fault::ObjectFault,
         kinds::{
-            AnyObject, IntentSpec, IntentTarget, PRIORITY_MAX, PoolSpec, ServiceSpec, TenantSpec,
-            Typed, kind,
+            AnyObject, IntentSpec, IntentTarget, PRIORITY_MAX, PassRouteSpec, PoolSpec,
+            ServiceSpec, TenantSpec, Typed, kind,
         },
     },
     crate::engine::EngineRole,
@@ -22,6 +22,8 @@
     pub services: BTreeMap<FastStr, Typed<ServiceSpec>>,
     /// Intents, the ones that hold first in front.
     pub intents: Vec<Typed<IntentSpec>>,
+    /// Routes of requests that are passed through, by name.
+    pub pass_routes: BTreeMap<FastStr, Typed<PassRouteSpec>>,
     /// Tenants by name.
     pub tenants: BTreeMap<FastStr, Typed<TenantSpec>>,
     /// Names of tenants by the hash of their key.
@@ -57,6 +59,7 @@
         match object.kind.as_str() {
             kind::POOL => insert(&mut self.pools, object.typed()?, object),
             kind::SERVICE => insert(&mut self.services, object.typed()?, object),
+            kind::PASS_ROUTE => insert(&mut self.pass_routes, object.typed()?, object),
             kind::TENANT => insert(&mut self.tenants, object.typed()?, object),
             kind::INTENT => {
                 let intent = object.typed()?;
@@ -78,6 +81,7 @@
     fn check(&mut self, faults: &mut Vec<ObjectFault>) {
         self.check_pools(faults);
         self.check_services(faults);
+        self.check_pass_routes(faults);
         self.check_tenants(faults);
         for intent in &self.intents {
             self.check_intent(intent, faults);
@@ -139,6 +143,59 @@
         }
     }
 
+    fn check_pass_routes(&self, faults: &mut Vec<ObjectFault>) {
+        for (name, route) in &self.pass_routes {
+            let mut report = |field: String, problem: String| {
+                faults.push(fault(kind::PASS_ROUTE, name, field, problem));
+            };
+            let spec = &route.spec;
+            if spec.host.is_empty() || spec.host.contains(':') {
+                let problem = format!("is {:?}; expected a name without a port", spec.host);
+                report("spec.host".into(), problem);
+            }
+            if !spec.path_prefix.starts_with('/') || !spec.path_prefix.ends_with('/') {
+                let problem = format!("is {:?}; expected one like \"/orders/\"", spec.path_prefix);
+                report("spec.pathPrefix".into(), problem);
+            }
+            if spec.timeout_ms == 0 || spec.latency_target_ms == 0 || spec.attempts == 0 {
+                let problem = "timeoutMs, latencyTargetMs and attempts have to be above 0";
+                report("spec".into(), problem.into());
+            }
+            if spec.priority > PRIORITY_MAX {
+                let problem = format!("is {}; expected 0 to {PRIORITY_MAX}", spec.priority);
+                report("spec.priority".into(), problem);
+            }
+            if spec.targets.iter().map(|target| target.weight).sum::<u32>() == 0 {
+                let problem = "expected at least one target with a weight above 0";
+                report("spec.targets".into(), problem.into());
+            }
+            for (index, target) in spec.targets.iter().enumerate() {
+                let picked = self.services_of(target).count();
+                if picked != 1 {
+                    let problem = format!("selects {picked} services; expected one");
+                    report(format!("spec.targets[{index}].selector"), problem);
+                }
+            }
+            for (other, twin) in self.pass_routes.range::<FastStr, _>(..name) {
+                let same = twin.spec.host.eq_ignore_ascii_case(&spec.host)
+                    && twin.spec.path_prefix == spec.path_prefix;
+                if same {
+                    let problem = format!("is also the prefix of PassRoute/{other} for that host");
+                    report("spec.pathPrefix".into(), problem);
+                }
+            }
+        }
+    }
+
+    /// The services that a target selects by their labels.
+    pub fn services_of<'a>(
+        &'a self,
+        target: &'a IntentTarget,
+    ) -> impl Iterator<Item = &'a Typed<ServiceSpec>> {
+        let services = self.services.values();
+        services.filter(|service| target.selector.matches(&service.metadata.labels))
+    }
+
     fn check_tenants(&mut self, faults: &mut Vec<ObjectFault>) {
         for (name, tenant) in &self.tenants {
             let limits = tenant.spec.limits;
@@ -234,10 +291,7 @@
             }
             return None;
         }
-        let picked = self
-            .services
-            .values()
-            .any(|service| target.selector.matches(&service.metadata.labels));
+        let picked = self.services_of(target).next().is_some();
         (!picked).then(|| "selects no service".to_owned())
     }
 
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -14,6 +14,7 @@
     },
     crate::{
         event,
+        host::StopGate,
         metric::HostMetrics,
         operation::OnceSignal,
         store::StoreFailure,
@@ -82,7 +83,8 @@
                 ("store", &settings.store),
             ],
         );
-        let parts = RelayParts::new(settings, dialect);
+        let gate = StopGate::new(settings.requests_limit);
+        let parts = RelayParts::new(settings, dialect, gate);
         let store = Rc::new(store);
         let host = Self {
             parts: parts.clone(),
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -18,6 +18,7 @@
 mod link;
 mod metrics;
 mod news;
+mod objects;
 mod parts;
 mod plain;
 mod prefill;
@@ -33,6 +34,6 @@
 
 pub use self::{
     answer::*, backend::*, book::*, budget::*, call::*, cluster::*, config::*, dialect::*,
-    events::*, feed::*, handler::*, host::*, line::*, link::*, metrics::*, news::*, parts::*,
-    prefill::*, reserve::*, roles::*, route::*, settings::*, view::*, vital::*,
+    events::*, feed::*, handler::*, host::*, line::*, link::*, metrics::*, news::*, objects::*,
+    parts::*, prefill::*, reserve::*, roles::*, route::*, settings::*, view::*, vital::*,
 };
--- /dev/null
+++ b/src/relay/objects.rs
@@ -0,0 +1,178 @@
+//! The operators' objects as a relaying host needs them, and how plain servers of the product's own
+//! interface are spoken to.
+
+use {
+    super::{
+        backend::BackendInfo,
+        config::{CallerLimits, RelayConfig, RelayRoute, RelayService, ServiceShare},
+        dialect::{AnswerMarks, BackendCall, CallAddress, CallDialect, CallMarks, EngineDialect},
+    },
+    crate::{
+        filter::VERDICT_HEADER,
+        object::{ObjectSet, PassRouteSpec, Typed},
+        operation::RunVerdict,
+        route::ServerInfo,
+    },
+    bytes::Bytes,
+    faststr::FastStr,
+    http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode},
+    std::time::Duration,
+};
+
+/// Id that a caller gives its request; servers may repeat it in their answer.
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+
+/// What is left of the caller's time, milliseconds; from callers and to servers.
+const TIME_LEFT: HeaderName = HeaderName::from_static("bayplank-time-left-ms");
+
+/// The server that a request is meant for.
+const SERVER: HeaderName = HeaderName::from_static("bayplank-server");
+
+/// The configuration that the objects in force make.
+pub fn relay_config(objects: &ObjectSet, version: u64, body_bytes: usize) -> RelayConfig {
+    let routes = objects.pass_routes.values();
+    let services = objects.services.keys();
+    RelayConfig {
+        version,
+        routes: routes.map(|route| relay_route(objects, route)).collect(),
+        services: services.cloned().map(relay_service).collect(),
+        limits: CallerLimits {
+            body_bytes,
+            ..CallerLimits::default()
+        },
+    }
+}
+
+fn relay_route(objects: &ObjectSet, route: &Typed<PassRouteSpec>) -> RelayRoute {
+    let spec = &route.spec;
+    let shares = spec.targets.iter().flat_map(|target| {
+        objects.services_of(target).map(|service| ServiceShare {
+            service: service.metadata.name.clone(),
+            weight: target.weight,
+        })
+    });
+    RelayRoute {
+        name: route.metadata.name.clone(),
+        host: FastStr::from_string(spec.host.to_ascii_lowercase()),
+        path_prefix: spec.path_prefix.clone(),
+        kind: spec.kind,
+        time_limit: Duration::from_millis(spec.timeout_ms),
+        latency_target: Duration::from_millis(spec.latency_target_ms),
+        event_gap_target: None,
+        attempts: spec.attempts,
+        priority: spec.priority,
+        shares: shares.collect(),
+    }
+}
+
+fn relay_service(name: FastStr) -> RelayService {
+    RelayService {
+        name,
+        connection_limit: 0,
+        engine: None,
+    }
+}
+
+/// The servers of all services; one that two services select stands there for each.
+pub fn relay_backends(objects: &ObjectSet, servers: &[ServerInfo]) -> Vec<BackendInfo> {
+    let services = objects.services.values();
+    let backends = services.flat_map(|service| {
+        let selector = &service.spec.selector;
+        let picked = servers
+            .iter()
+            .filter(|server| selector.matches(&server.labels));
+        picked.map(|server| relay_backend(&service.metadata.name, server))
+    });
+    backends.collect()
+}
+
+// A server that was started anew at another address is another one.
+fn relay_backend(service: &FastStr, server: &ServerInfo) -> BackendInfo {
+    let id = format!("{service}/{}@{}", server.name, server.address);
+    BackendInfo {
+        id: FastStr::from_string(id),
+        service: service.clone(),
+        address: server.address,
+        zone: server.zone.clone(),
+        leaving: server.leaving,
+        slots: 0,
+        role: None,
+        orders_taken: 0,
+    }
+}
+
+/// How plain servers of the product's own interface are spoken to. Their services have no engines.
+pub fn server_dialect() -> CallDialect {
+    CallDialect {
+        read_call,
+        strip_call: |headers| {
+            headers.remove(SERVER);
+        },
+        address_call,
+        name_backend,
+        read_answer,
+        engines: no_engines(),
+    }
+}
+
+fn read_call(headers: &HeaderMap) -> CallMarks {
+    let text = |name: &HeaderName| headers.get(name)?.to_str().ok();
+    let left = text(&TIME_LEFT).and_then(|left| match left.parse() {
+        Ok(left) => Some(Duration::from_millis(left)),
+        Err(error) => {
+            log::debug!("a caller's {TIME_LEFT} {left:?} is passed over: {error}");
+            None
+        }
+    });
+    CallMarks {
+        id: FastStr::new(text(&REQUEST_ID).unwrap_or_default()),
+        time_left: left,
+        ..CallMarks::default()
+    }
+}
+
+fn address_call(headers: &mut HeaderMap, address: CallAddress<'_>) {
+    name_backend(headers, address.backend);
+    let left = address.time_left.as_millis() as u64;
+    headers.insert(TIME_LEFT, HeaderValue::from(left));
+}
+
+fn name_backend(headers: &mut HeaderMap, backend: &str) {
+    match HeaderValue::from_str(backend) {
+        Ok(value) => {
+            headers.insert(SERVER, value);
+        }
+        Err(_) => log::warn!("{backend:?} cannot be a header value and is left out"),
+    }
+}
+
+fn read_answer(_: StatusCode, headers: &HeaderMap) -> AnswerMarks {
+    let text = |name: &str| headers.get(name)?.to_str().ok();
+    AnswerMarks {
+        id: text(REQUEST_ID.as_str()).map(FastStr::new),
+        not_run: text(VERDICT_HEADER) == Some(RunVerdict::NotRun.as_str()),
+    }
+}
+
+// Never sent: no service of this interface is configured with engines, and nothing is asked of others.
+fn no_engines() -> EngineDialect {
+    fn no_call() -> BackendCall {
+        BackendCall {
+            method: Method::GET,
+            path: "/".into(),
+            body: Bytes::new(),
+        }
+    }
+    EngineDialect {
+        as_prefill: |_| {},
+        read_prefill: |_| None,
+        as_decode: |_, _| {},
+        hold: |_, _| no_call(),
+        read_hold: |_| None,
+        drop_hold: |_| no_call(),
+        free_cache: |_| no_call(),
+        report: no_call,
+        read_report: |_| None,
+        order: |_| no_call(),
+    }
+}
--- a/src/relay/parts.rs
+++ b/src/relay/parts.rs
@@ -60,9 +60,8 @@
 
 impl RelayParts {
     /// The parts of a host that knows nothing yet.
-    pub fn new(settings: RelaySettings, dialect: CallDialect) -> Rc<Self> {
+    pub fn new(settings: RelaySettings, dialect: CallDialect, gate: Arc<StopGate>) -> Rc<Self> {
         let pool = ConnectionPool::start(settings.pool.clone());
-        let gate = StopGate::new(settings.requests_limit);
         Rc::new(Self {
             settings,
             dialect,
