Callers' connections are idle as long as the configuration says

Cause: the idle time and the time for headers of the configuration were read and not used; a fixed 16 s stood in their place, right only where operators configure 15 s. Change: new connections take the larger of the two and a second; before there is a configuration the defaults hold.

--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        config::CallerLimits,
         dialect::CallDialect,
         feed::StoreFeed,
         handler,
@@ -40,9 +41,9 @@
 /// Longest time that bytes sent to a caller may stay unacknowledged.
 const CALLER_SILENCE: Duration = Duration::from_secs(5);
 
-/// Time for the headers of a request, also of a connection that is idle. Callers use connections
-/// again after up to four fifths of the idle time that operators configure.
-const HEADER_TIME: Duration = Duration::from_secs(16);
+/// How much longer than operators allow a connection may be idle, or its headers take: what callers sent in
+/// time may arrive a little later.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
 /// Path of the metrics, beside the balancer's question.
 const METRICS_PATH: &str = "/metrics";
@@ -120,11 +121,12 @@
 
     fn serve(&self, listener: TcpListener, handler: IngressHandler, closing: Arc<OnceSignal>) {
         let limits = Rc::new(IngressLimits {
-            header_time: Cell::new(HEADER_TIME),
+            header_time: Cell::new(idle_limit(&CallerLimits::default())),
             silence_limit: CALLER_SILENCE,
         });
-        let serving = web::serve_callers(listener, handler, limits, closing);
+        let serving = web::serve_callers(listener, handler, limits.clone(), closing);
         vital::spawn_vital("callers", serving);
+        vital::spawn_vital("limits", follow_limits(self.parts.clone(), limits));
     }
 
     fn caller_handler(&self) -> IngressHandler {
@@ -167,6 +169,23 @@
     }
 }
 
+fn idle_limit(limits: &CallerLimits) -> Duration {
+    limits.idle_time.max(limits.header_time) + IDLE_MARGIN
+}
+
+// New connections are bounded as the configuration in force says.
+async fn follow_limits(parts: Rc<RelayParts>, limits: Rc<IngressLimits>) {
+    loop {
+        let news = parts.news.notified();
+        tokio::pin!(news);
+        news.as_mut().enable();
+        if let Some(routes) = parts.routes() {
+            limits.header_time.set(idle_limit(&routes.config().limits));
+        }
+        news.await;
+    }
+}
+
 fn open(key: &str, address: &mut SocketAddr) -> eyre::Result<TcpListener> {
     let listener =
         web::bind(*address).wrap_err_with(|| format!("{key}: {address} cannot be listened on"))?;
