Engines' answers share what is free; one request at a time to a server that failed

Cause: an estimate that is reserved for one answer is lost to all others, and half of the answers end before it. Headroom that all answers of an engine share serves whichever grows. Ruled out by trials (docs/design/routing.md): plain servers that give way when their answers got slow; 1.7 s in place of 1.2 s of waiting for memory. Change: three tenths of the estimate are reserved, 5.5% of the engine's memory have to be free beside; a server that failed is on trial by one request.

--- a/src/relay/book.rs
+++ b/src/relay/book.rs
@@ -6,16 +6,13 @@
     super::{
         backend::BackendInfo,
         news::EngineLoad,
-        view::{BackendFailure, BackendView, EJECT_FIRST},
+        view::{BackendFailure, BackendView, EJECT_FIRST, FAILURES_TO_EJECT},
     },
     crate::engine::EngineRole,
     faststr::FastStr,
     std::{collections::BTreeMap, time::Duration},
 };
 
-/// Failures in a row after which a backend server is passed over.
-const FAILURES_TO_EJECT: u32 = 2;
-
 /// Longest time that one is passed over: a restart takes a few seconds.
 const EJECT_LONGEST: Duration = Duration::from_secs(4);
 
@@ -167,7 +164,7 @@
     // Whether this host, or enough others, pass a backend server over.
     fn is_passed_over(&self, view: &BackendView, now: Duration) -> bool {
         let others_do = self.knows_others(now) && view.others_out >= OTHERS_TO_EJECT;
-        view.is_out(now) || others_do
+        view.is_out(now) || view.is_on_trial() || others_do
     }
 
     /// The decode engines that have room for a request as far as is known, best first: own zone, least
--- a/src/relay/reserve.rs
+++ b/src/relay/reserve.rs
@@ -21,10 +21,10 @@
 /// Engines asked for memory before the request waits for some to become free.
 const HOLD_TRIES: usize = 9;
 
-/// Tokens that have to be free at an engine beside what a request reserves: answers that turn out longer
-/// than expected grow into them. Where none are free one of those is put back and computed anew, which
+/// Part of an engine's memory that has to be free beside what a request reserves: answers grow into it
+/// beyond what is reserved for them. Where none is free one of those is put back and computed anew, which
 /// costs more than a request that waits; by measured runs (docs/design/routing.md).
-const HEADROOM: u64 = 500;
+const HEADROOM_SHARE: f64 = 0.055;
 
 /// How long headroom is reserved while a request's own memory is asked for.
 const HEADROOM_TIME: Duration = Duration::from_millis(300);
@@ -38,8 +38,9 @@
 /// From the reservation to the first event: the prefill and the first step.
 const SERVICE_TIME: Duration = Duration::from_millis(250);
 
-/// Part of an answer's expected tokens that is reserved ahead, by measured runs (docs/design/routing.md).
-const RESERVED_ANSWER: f64 = 1.0;
+/// Part of an answer's expected tokens that is reserved for it alone; the rest it finds in the headroom, which
+/// all answers of an engine share. By measured runs (docs/design/routing.md).
+const RESERVED_ANSWER: f64 = 0.3;
 
 /// Tokens of a request of the usual size, prompt and answer.
 const USUAL_TOKENS: f64 = 4_000.0;
@@ -165,7 +166,7 @@
 }
 
 // An engine's memory fills as answers grow, and those that run are at all stages of it: reserving each
-// longest possible answer would leave memory unused.
+// whole answer would leave memory unused.
 fn reserved_tokens(marks: &CallMarks) -> u64 {
     let expected = marks.answer_hint.unwrap_or(marks.answer_limit / 2);
     let expected = expected.min(marks.answer_limit);
@@ -214,9 +215,7 @@
         let book = parts.book.borrow();
         book.rank_decodes(service, zone, tokens, memory, now)
     };
-    // A request that fills an engine's memory leaves no headroom there.
-    let headroom = memory.map_or(HEADROOM, |memory| memory.saturating_sub(tokens));
-    let headroom = headroom.min(HEADROOM);
+    let headroom = memory.map_or(0, |memory| headroom(memory, tokens));
     for engine in engines.into_iter().take(HOLD_TRIES) {
         if let Some(hold) = ask_beside(parts, engine, tokens, headroom).await {
             return Some(hold);
@@ -225,6 +224,12 @@
     None
 }
 
+// A request that fills an engine's memory leaves no headroom there.
+fn headroom(memory: u64, tokens: u64) -> u64 {
+    let wanted = (memory as f64 * HEADROOM_SHARE) as u64;
+    wanted.min(memory.saturating_sub(tokens))
+}
+
 // Memory for a request where as much again as `headroom` is free. That is seen by reserving it, for as long
 // as the request's own memory is asked for.
 async fn ask_beside(
--- a/src/relay/view.rs
+++ b/src/relay/view.rs
@@ -6,6 +6,9 @@
     std::{collections::BTreeMap, time::Duration},
 };
 
+/// Failures in a row after which a backend server is passed over.
+pub(super) const FAILURES_TO_EJECT: u32 = 2;
+
 /// How long a backend server is passed over at first; doubled each time it fails again.
 pub(super) const EJECT_FIRST: Duration = Duration::from_millis(500);
 
@@ -104,6 +107,13 @@
         now < self.out_until
     }
 
+    /// Whether a request that was sent after its time out is to show whether it answers again: until then
+    /// no other follows.
+    pub fn is_on_trial(&self) -> bool {
+        let mut sent = self.calls.values();
+        self.failures >= FAILURES_TO_EJECT && sent.any(|sent| *sent >= self.out_until)
+    }
+
     /// Requests of this host in progress.
     pub fn calls(&self) -> usize {
         self.calls.len()
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -157,6 +157,27 @@
     assert!(!book.view("w-1").unwrap().is_out(millis(600)));
 }
 
+#[test]
+fn a_server_that_failed_is_tried_by_one_request_at_a_time() {
+    let mut book = BackendBook::default();
+    book.set_backends(vec![backend("w-1", "z", None), backend("w-2", "y", None)]);
+    let first = |book: &BackendBook, now| book.rank_plain("one", "z", &[], now)[0].id.clone();
+    let is_on_trial = |book: &BackendBook| book.view("w-1").unwrap().is_on_trial();
+    let old = book.call_began("w-1", millis(0));
+    book.failed("w-1", BackendFailure::Silent, millis(1));
+    assert!(!is_on_trial(&book), "an old request is no trial");
+    book.call_ended("w-1", old);
+    assert_eq!(first(&book, millis(100)), "w-2");
+    assert_eq!(first(&book, millis(600)), "w-1");
+    let trial = book.call_began("w-1", millis(600));
+    assert!(is_on_trial(&book));
+    assert_eq!(first(&book, millis(601)), "w-2");
+    book.answered("w-1", true);
+    book.call_ended("w-1", trial);
+    assert!(!is_on_trial(&book));
+    assert_eq!(first(&book, millis(620)), "w-1");
+}
+
 #[test]
 fn a_silent_server_is_passed_over_at_once() {
     let mut book = BackendBook::default();
