--- a/src/object/kinds.rs
+++ b/src/object/kinds.rs
@@ -172,6 +172,13 @@
     pub targets: Vec<IntentTarget>,
 }
 
+impl PassRouteSpec {
+    /// Whether another route takes the same requests.
+    pub fn takes_same(&self, other: &Self) -> bool {
+        self.host.eq_ignore_ascii_case(&other.host) && self.path_prefix == other.path_prefix
+    }
+}
+
 fn default_latency_target() -> u64 {
     1_000
 }
--- a/src/object/set.rs
+++ b/src/object/set.rs
@@ -148,38 +148,10 @@
             let mut report = |field: String, problem: String| {
                 faults.push(fault(kind::PASS_ROUTE, name, field, problem));
             };
-            let spec = &route.spec;
-            if spec.host.is_empty() || spec.host.contains(':') {
-                let problem = format!("is {:?}; expected a name without a port", spec.host);
-                report("spec.host".into(), problem);
-            }
-            if !spec.path_prefix.starts_with('/') || !spec.path_prefix.ends_with('/') {
-                let problem = format!("is {:?}; expected one like \"/orders/\"", spec.path_prefix);
-                report("spec.pathPrefix".into(), problem);
-            }
-            if spec.timeout_ms == 0 || spec.latency_target_ms == 0 || spec.attempts == 0 {
-                let problem = "timeoutMs, latencyTargetMs and attempts have to be above 0";
-                report("spec".into(), problem.into());
-            }
-            if spec.priority > PRIORITY_MAX {
-                let problem = format!("is {}; expected 0 to {PRIORITY_MAX}", spec.priority);
-                report("spec.priority".into(), problem);
-            }
-            if spec.targets.iter().map(|target| target.weight).sum::<u32>() == 0 {
-                let problem = "expected at least one target with a weight above 0";
-                report("spec.targets".into(), problem.into());
-            }
-            for (index, target) in spec.targets.iter().enumerate() {
-                let picked = self.services_of(target).count();
-                if picked != 1 {
-                    let problem = format!("selects {picked} services; expected one");
-                    report(format!("spec.targets[{index}].selector"), problem);
-                }
-            }
+            check_pass_bounds(&route.spec, &mut report);
+            self.check_pass_targets(&route.spec, &mut report);
             for (other, twin) in self.pass_routes.range::<FastStr, _>(..name) {
-                let same = twin.spec.host.eq_ignore_ascii_case(&spec.host)
-                    && twin.spec.path_prefix == spec.path_prefix;
-                if same {
+                if twin.spec.takes_same(&route.spec) {
                     let problem = format!("is also the prefix of PassRoute/{other} for that host");
                     report("spec.pathPrefix".into(), problem);
                 }
@@ -187,6 +159,20 @@
         }
     }
 
+    fn check_pass_targets(&self, spec: &PassRouteSpec, report: &mut impl FnMut(String, String)) {
+        if spec.targets.iter().map(|target| target.weight).sum::<u32>() == 0 {
+            let problem = "expected at least one target with a weight above 0";
+            report("spec.targets".into(), problem.into());
+        }
+        for (index, target) in spec.targets.iter().enumerate() {
+            let picked = self.services_of(target).count();
+            if picked != 1 {
+                let problem = format!("selects {picked} services; expected one");
+                report(format!("spec.targets[{index}].selector"), problem);
+            }
+        }
+    }
+
     /// The services that a target selects by their labels.
     pub fn services_of<'a>(
         &'a self,
@@ -340,6 +326,25 @@
     }
 }
 
+fn check_pass_bounds(spec: &PassRouteSpec, report: &mut impl FnMut(String, String)) {
+    if spec.host.is_empty() || spec.host.contains(':') {
+        let problem = format!("is {:?}; expected a name without a port", spec.host);
+        report("spec.host".into(), problem);
+    }
+    if !spec.path_prefix.starts_with('/') || !spec.path_prefix.ends_with('/') {
+        let problem = format!("is {:?}; expected one like \"/orders/\"", spec.path_prefix);
+        report("spec.pathPrefix".into(), problem);
+    }
+    if spec.timeout_ms == 0 || spec.latency_target_ms == 0 || spec.attempts == 0 {
+        let problem = "timeoutMs, latencyTargetMs and attempts have to be above 0";
+        report("spec".into(), problem.into());
+    }
+    if spec.priority > PRIORITY_MAX {
+        let problem = format!("is {}; expected 0 to {PRIORITY_MAX}", spec.priority);
+        report("spec.priority".into(), problem);
+    }
+}
+
 fn insert<S>(
     known: &mut BTreeMap<FastStr, Typed<S>>,
     typed: Typed<S>,
--- a/src/operation/mod.rs
+++ b/src/operation/mod.rs
@@ -1,5 +1,6 @@
 //! Requests as operations: verdicts, keys, the life of a request, cleanup.
 
+mod account;
 mod awaited;
 mod budget;
 mod life;
--- a/src/operation/runner.rs
+++ b/src/operation/runner.rs
@@ -11,10 +11,7 @@
         verdict::{Refusal, RefusalCode},
     },
     crate::{
-        engine::{
-            self, AttemptNamer, CallFailure, CallResult, EngineLink, ItemStream, PrefillReply,
-            RefusalCause, StreamItem,
-        },
+        engine::{self, AttemptNamer, CallResult, EngineLink, ItemStream},
         route::{DeskAnswer, PlaceRequest, PlaceStage, SharedDesk},
     },
     faststr::FastStr,
@@ -89,23 +86,23 @@
     }
 }
 
-struct RequestRunner {
-    parts: Arc<RunnerParts>,
-    request: ModelRequest,
-    log: Arc<AnswerLog>,
-    life: RequestLife,
-    awaited: Awaited,
-    import_by: Option<Instant>,
-    excluded: Vec<FastStr>,
-    prefill_held: Option<(FastStr, u64)>,
-    decode_held: Option<FastStr>,
-    origin: Arc<EngineAttempt>,
-    kv_until: Duration,
-    unimported: u64,
-    started: Instant,
-    arrived: Duration,
-    last_token: Option<Instant>,
-    stats: RequestStats,
+pub(super) struct RequestRunner {
+    pub(super) parts: Arc<RunnerParts>,
+    pub(super) request: ModelRequest,
+    pub(super) log: Arc<AnswerLog>,
+    pub(super) life: RequestLife,
+    pub(super) awaited: Awaited,
+    pub(super) import_by: Option<Instant>,
+    pub(super) excluded: Vec<FastStr>,
+    pub(super) prefill_held: Option<(FastStr, u64)>,
+    pub(super) decode_held: Option<FastStr>,
+    pub(super) origin: Arc<EngineAttempt>,
+    pub(super) kv_until: Duration,
+    pub(super) unimported: u64,
+    pub(super) started: Instant,
+    pub(super) arrived: Duration,
+    pub(super) last_token: Option<Instant>,
+    pub(super) stats: RequestStats,
 }
 
 impl RequestRunner {
@@ -372,93 +369,6 @@
         }
         actions
     }
-
-    fn account(&mut self, event: &LifeEvent) {
-        match event {
-            LifeEvent::PrefillDone(reply) => {
-                self.stats.computed_tokens += reply.computed_tokens;
-                // What an earlier prefill computed is now thrown away.
-                self.stats.wasted_tokens += std::mem::take(&mut self.unimported);
-                self.unimported = reply.computed_tokens;
-                self.kv_until = self.parts.desk.now() + self.parts.limits.kv_life;
-                self.release_prefill(Some(reply));
-            }
-            LifeEvent::PrefillFailed(failure) => {
-                self.note_failure(
-                    failure,
-                    self.prefill_held.as_ref().map(|held| held.0.clone()),
-                );
-                self.release_prefill(None);
-            }
-            LifeEvent::DecodeFailed(failure) => {
-                self.note_failure(failure, self.decode_held.clone());
-            }
-            LifeEvent::Item(StreamItem::Imported { load }) => {
-                self.import_by = None;
-                self.unimported = 0;
-                self.note_load(load);
-            }
-            LifeEvent::Item(StreamItem::Finished { load, .. }) => self.note_load(load),
-            LifeEvent::StreamBroken | LifeEvent::ImportStalled => {
-                if let Some(engine) = self.decode_held.clone() {
-                    self.parts
-                        .desk
-                        .change(|desk, now| desk.failed(&engine, now));
-                }
-            }
-            _ => {}
-        }
-    }
-
-    // Answers carry load for free.
-    fn note_load(&self, load: &Option<engine::LoadReport>) {
-        if let (Some(load), Some(engine)) = (load, &self.decode_held) {
-            self.parts
-                .desk
-                .change(|desk, now| desk.reported(engine, load.clone(), now));
-        }
-    }
-
-    // A refusal tells of load; silence tells of trouble.
-    fn note_failure(&self, failure: &CallFailure, engine: Option<FastStr>) {
-        let Some(engine) = engine else {
-            return;
-        };
-        self.parts.desk.change(|desk, now| {
-            if let Some(load) = failure.refusal.as_ref().and_then(|it| it.load.clone()) {
-                desk.reported(&engine, load, now);
-            }
-            match failure.cause() {
-                Some(RefusalCause::Full) => desk.refused_full(&engine, now),
-                Some(_) => {}
-                None => {
-                    desk.failed(&engine, now);
-                }
-            }
-        });
-    }
-
-    fn release_prefill(&mut self, reply: Option<&PrefillReply>) {
-        if let Some((engine, tokens)) = self.prefill_held.take() {
-            self.parts
-                .desk
-                .change(|desk, now| desk.prefill_ended(&engine, tokens, reply, now));
-        }
-    }
-
-    fn release_decode(&mut self) {
-        if let Some(engine) = self.decode_held.take() {
-            self.parts.desk.change(|desk, _| desk.decode_ended(&engine));
-        }
-    }
-
-    fn finish(&mut self) {
-        self.release_prefill(None);
-        self.release_decode();
-        self.stats.wasted_tokens += std::mem::take(&mut self.unimported);
-        self.stats.prefills = self.life.prefills();
-        self.stats.whole = self.started.elapsed();
-    }
 }
 
 impl Drop for RequestRunner {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -6,6 +6,7 @@
 mod book;
 mod budget;
 mod call;
+mod chunks;
 mod cluster;
 mod config;
 mod dialect;
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -5,18 +5,19 @@
         answer::{self, RelayAnswer},
         backend::BackendInfo,
         call::RelayCall,
+        chunks,
+        guard::CallGuard,
         parts::RelayParts,
-        send::{self, PlainAnswer, PlainBody, RunningAnswer, SendOutcome},
+        send::{self, PlainAnswer, PlainBody, SendOutcome},
         view::BackendFailure,
     },
     crate::{
         event,
         operation::{Refusal, RefusalCode, RunVerdict},
-        web::{self, BrokenBody},
+        web,
     },
-    bytes::Bytes,
     faststr::FastStr,
-    futures::{Stream, StreamExt, future::LocalBoxFuture, stream::FuturesUnordered},
+    futures::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered},
     std::{rc::Rc, time::Duration},
     tokio::time::Instant,
 };
@@ -94,7 +95,11 @@
     }
     let body = match answer.body {
         PlainBody::Whole(body) => answer::whole_body(body),
-        PlainBody::Running(running) => answer::streamed_body(chunks(relay, running)),
+        PlainBody::Running(body, guard) => {
+            let until = relay.call.until;
+            let ended = |kept: &mut (PlainRelay, CallGuard), end: &str| kept.0.log_end(end);
+            answer::streamed_body(chunks::pass_on(body, until, (relay, guard), ended))
+        }
     };
     Ok(answer::relayed(answer.status, answer.headers, body))
 }
@@ -247,31 +252,3 @@
         refusal.after(COME_BACK)
     }
 }
-
-// A stream's bytes as they come; a break is passed on as one.
-fn chunks(
-    mut relay: PlainRelay,
-    mut running: RunningAnswer,
-) -> impl Stream<Item = Result<Bytes, BrokenBody>> {
-    async_stream::stream! {
-        loop {
-            match tokio::time::timeout_at(relay.call.until, running.chunk()).await {
-                Ok(Some(Ok(chunk))) => yield Ok(chunk),
-                Ok(None) => {
-                    relay.log_end("whole");
-                    return;
-                }
-                Ok(Some(Err(error))) => {
-                    relay.log_end("broken");
-                    yield Err(BrokenBody(format!("the server broke off: {error}")));
-                    return;
-                }
-                Err(_) => {
-                    relay.log_end("time-limit");
-                    yield Err(BrokenBody("the time limit was reached".into()));
-                    return;
-                }
-            }
-        }
-    }
-}
--- a/src/relay/reserve.rs
+++ b/src/relay/reserve.rs
@@ -238,12 +238,13 @@
     tokens: u64,
     headroom: u64,
 ) -> Option<MemoryHold> {
-    let mut _beside = None;
-    if headroom > 0 {
-        _beside = Some(ask(parts, &engine, headroom, HEADROOM_TIME).await?);
-    }
-    let hold = ask(parts, &engine, tokens, HOLD_TIME).await?;
-    Some(MemoryHold::new(hold, tokens))
+    let beside = match headroom {
+        0 => None,
+        _ => Some(ask(parts, &engine, headroom, HEADROOM_TIME).await?),
+    };
+    let hold = ask(parts, &engine, tokens, HOLD_TIME).await;
+    drop(beside);
+    Some(MemoryHold::new(hold?, tokens))
 }
 
 fn engine_limits(parts: &RelayParts, service: &str) -> Option<EngineLimits> {
--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -28,21 +28,8 @@
 pub(super) enum PlainBody {
     /// It is all there.
     Whole(Bytes),
-    /// A stream, passed on as it comes.
-    Running(RunningAnswer),
-}
-
-/// A stream that a backend server is sending.
-pub(super) struct RunningAnswer {
-    body: PooledBody,
-    _guard: CallGuard,
-}
-
-impl RunningAnswer {
-    /// The next bytes; none at the orderly end.
-    pub(super) async fn chunk(&mut self) -> Option<Result<Bytes, hyper::Error>> {
-        self.body.chunk().await
-    }
+    /// A stream, passed on as it comes; it counts as in progress meanwhile.
+    Running(PooledBody, CallGuard),
 }
 
 /// What became of one send.
@@ -98,14 +85,10 @@
 }
 
 fn running(answer: PooledAnswer, guard: CallGuard) -> PlainAnswer {
-    let body = PlainBody::Running(RunningAnswer {
-        body: answer.body,
-        _guard: guard,
-    });
     PlainAnswer {
         status: answer.status,
         headers: answer.headers,
-        body,
+        body: PlainBody::Running(answer.body, guard),
     }
 }
 
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -8,6 +8,7 @@
         answer::{self, RelayAnswer},
         backend::BackendInfo,
         call::RelayCall,
+        chunks,
         config::RequestKind,
         dialect::DecodeStart,
         guard::CallGuard,
@@ -20,11 +21,9 @@
     crate::{
         event,
         operation::{Refusal, RefusalCode, RunVerdict},
-        web::{BrokenBody, PoolLane, PooledAnswer, PooledBody, SendFailure},
+        web::{PoolLane, PooledAnswer, PooledBody, SendFailure},
     },
-    bytes::Bytes,
     faststr::FastStr,
-    futures::Stream,
     http::{HeaderMap, StatusCode},
     std::{rc::Rc, time::Duration},
     tokio::time::Instant,
@@ -65,7 +64,11 @@
     pub(super) status: StatusCode,
     headers: HeaderMap,
     pub(super) body: PooledBody,
-    // Held for as long as the engine's memory is.
+    held: EngineHeld,
+}
+
+/// What a running request counts for at its engine, until dropped.
+struct EngineHeld {
     _memory: MemoryHold,
     _guard: CallGuard,
 }
@@ -148,7 +151,12 @@
         RequestKind::ResumableStream if status == StatusCode::OK => {
             answer::streamed_body(resume::resumable_chunks(relay, running))
         }
-        _ => answer::streamed_body(plain_chunks(relay, running)),
+        _ => {
+            let until = relay.call.until;
+            let RunningStream { body, held, .. } = running;
+            let ended = |kept: &mut (StreamRelay, EngineHeld), end: &str| kept.0.log_end(end);
+            answer::streamed_body(chunks::pass_on(body, until, (relay, held), ended))
+        }
     };
     Ok(answer::relayed(status, headers, body))
 }
@@ -321,8 +329,10 @@
             status: answer.status,
             headers: answer.headers,
             body: answer.body,
-            _memory: hold,
-            _guard: guard,
+            held: EngineHeld {
+                _memory: hold,
+                _guard: guard,
+            },
         })
     }
 
@@ -430,35 +440,3 @@
         );
     }
 }
-
-// Bytes as they come; a break is passed on as one.
-fn plain_chunks(
-    mut relay: StreamRelay,
-    running: RunningStream,
-) -> impl Stream<Item = Result<Bytes, BrokenBody>> {
-    async_stream::stream! {
-        // The block takes the whole: of fields that it does not name it would take none, and the memory
-        // would count as free while the answer is on its way.
-        let mut running = running;
-        loop {
-            let next = tokio::time::timeout_at(relay.call.until, running.body.chunk()).await;
-            match next {
-                Ok(Some(Ok(chunk))) => yield Ok(chunk),
-                Ok(None) => {
-                    relay.log_end("whole");
-                    return;
-                }
-                Ok(Some(Err(error))) => {
-                    relay.log_end("broken");
-                    yield Err(BrokenBody(format!("the engine broke off: {error}")));
-                    return;
-                }
-                Err(_) => {
-                    relay.log_end("time-limit");
-                    yield Err(BrokenBody("the time limit was reached".into()));
-                    return;
-                }
-            }
-        }
-    }
-}
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -3,6 +3,7 @@
 mod choose;
 mod desk;
 mod explain;
+mod observe;
 mod place;
 mod policy;
 mod rank;
