A host that knows no others takes a few repeats, not the whole allowance

A host that has just started knows no hosts for a second, not even itself, and counted as the only one: each of 86 took all 212 extra repeats for its own while the callers came back. Ruled out: the share that is spent on purpose (0.65, far below 1 without a restart); a host's forgotten window alone, which gives at most 0.65 of the extra once more. Change: while no hosts are known the extra is three repeats at most, of which one or two are spent.

--- a/src/relay/parts.rs
+++ b/src/relay/parts.rs
@@ -30,6 +30,10 @@
 /// Bytes that an answer to a call of our own may have.
 const CONTROL_ANSWER_LIMIT: usize = 1 << 20;
 
+/// Repeats in a window, beyond the share of its requests, of a host that does not know among how many the
+/// allowance is to be shared out: enough for one or two. Operators allow at least two for each host.
+const EXTRA_UNKNOWN: f64 = 3.0;
+
 /// What the tasks of a relaying host share.
 #[derive(Debug)]
 pub struct RelayParts {
@@ -146,8 +150,16 @@
         self.metrics.repeats.inc();
     }
 
+    // A host that knows no hosts yet, not even itself, is one of an unknown number: after the loss of all of
+    // them each would take the whole allowance for its own.
     fn allowance(&self) -> RetryAllowance {
-        self.settings.bounds.retries
+        let whole = self.settings.bounds.retries;
+        let is_known = self.cluster.borrow().hosts().next().is_some();
+        let extra = match is_known {
+            true => whole.extra,
+            false => whole.extra.min(EXTRA_UNKNOWN),
+        };
+        RetryAllowance { extra, ..whole }
     }
 
     /// Sends a call of the host's own and reads its whole answer.
