--- a/src/peer/rank.rs
+++ b/src/peer/rank.rs
@@ -20,8 +20,3 @@
         .count();
     before < count
 }
-
-/// Sorts what hosts are called by into the order in which they are drawn to a subject, most drawn first.
-pub fn sort_by_draw<T>(items: &mut [T], name: impl Fn(&T) -> &str, subject: &str) {
-    items.sort_by_key(|item| std::cmp::Reverse(draw(name(item), subject)));
-}
--- a/src/relay/feed.rs
+++ b/src/relay/feed.rs
@@ -13,6 +13,7 @@
     },
     crate::{event, store::StoreFailure},
     faststr::FastStr,
+    rand::RngExt,
     std::{cell::Cell, rc::Rc, time::Duration},
     tokio::sync::Notify,
 };
@@ -129,7 +130,9 @@
                 Err(StoreFailure::Gone) => forgotten = true,
                 Err(failure) => {
                     self.note_failure(kind, &failure);
-                    tokio::time::sleep(pause).await;
+                    // Not all hosts at the same moment.
+                    let share = rand::rng().random_range(0.5..1.0);
+                    tokio::time::sleep(pause.mul_f64(share)).await;
                     pause = (pause * 2).min(FAILURE_PAUSE_LONGEST);
                 }
             }
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -195,6 +195,7 @@
         name: settings.name.clone(),
         zone: settings.zone.clone(),
         peers: settings.peers,
+        strength: settings.strength,
     });
     let mut revision = 0;
     loop {
--- a/src/relay/link.rs
+++ b/src/relay/link.rs
@@ -31,6 +31,9 @@
     pub zone: FastStr,
     /// Where other hosts connect.
     pub peers: SocketAddr,
+    /// How much it can do for others, in Mbit/s of its link; 0 where that is not known.
+    #[serde(default)]
+    pub strength: u32,
 }
 
 /// What an object holds.
--- a/src/relay/news/loads.rs
+++ b/src/relay/news/loads.rs
@@ -5,12 +5,16 @@
 
 use {
     faststr::FastStr,
-    std::{collections::BTreeMap, time::Duration},
+    std::{cmp::Reverse, collections::BTreeMap, time::Duration},
 };
 
 /// Age from which a report no longer counts: some reports may be lost, and the host itself may be.
 const REPORT_LIFE: Duration = Duration::from_millis(1_500);
 
+/// Engines that one answer names at most: the fullest ones, which are to be left alone. With all engines
+/// of a large zone in each answer, the link of the host that adds up would be full.
+const TOLD_ENGINES: usize = 48;
+
 /// What requests take at an engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EngineLoad {
@@ -41,17 +45,18 @@
         self.reports.insert(reporter, (loads, now));
     }
 
-    /// What the requests of all but this host take, as far as reports are not old.
+    /// What the requests of all but this host take at the fullest engines, as far as reports are not old.
     pub fn others_of(&self, host: &str, now: Duration) -> Vec<EngineLoad> {
-        self.total(now, |reporter| match reporter {
+        let loads = self.total(now, |reporter| match reporter {
             LoadReporter::Host(name) => name != host,
             LoadReporter::Zone(_) => true,
-        })
+        });
+        fullest(loads)
     }
 
-    /// What the requests of the zone's own hosts take.
+    /// What the requests of the zone's own hosts take at the fullest engines.
     pub fn of_zone(&self, now: Duration) -> Vec<EngineLoad> {
-        self.total(now, |reporter| matches!(reporter, LoadReporter::Host(_)))
+        fullest(self.total(now, |reporter| matches!(reporter, LoadReporter::Host(_))))
     }
 
     /// Forgets reports that no longer count.
@@ -79,6 +84,12 @@
     }
 }
 
+fn fullest(mut loads: Vec<EngineLoad>) -> Vec<EngineLoad> {
+    loads.sort_by_key(|load| Reverse(load.memory_tokens));
+    loads.truncate(TOLD_ENGINES);
+    loads
+}
+
 fn is_recent(at: Duration, now: Duration) -> bool {
     now.saturating_sub(at) < REPORT_LIFE
 }
--- a/src/relay/news/share.rs
+++ b/src/relay/news/share.rs
@@ -6,8 +6,8 @@
         follow::NewsFollower,
         link::NewsLinks,
         loads::{EngineLoad, LoadBoard, LoadReporter},
+        source,
     },
-    crate::peer,
     faststr::FastStr,
     std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration},
 };
@@ -130,15 +130,16 @@
     fn zone_hosts(&self) -> Vec<(FastStr, HostEntry)> {
         let own = &self.parts.settings.zone;
         let cluster = self.parts.cluster.borrow();
-        let mut zones: BTreeMap<&FastStr, Vec<&HostEntry>> = BTreeMap::new();
+        let mut zones: BTreeMap<FastStr, Vec<HostEntry>> = BTreeMap::new();
         for entry in cluster.hosts().filter(|entry| entry.zone != *own) {
-            zones.entry(&entry.zone).or_default().push(entry);
+            let entries = zones.entry(entry.zone.clone()).or_default();
+            entries.push(entry.clone());
         }
         let failures = self.zone_failures.borrow();
         let told = zones.into_iter().map(|(zone, mut entries)| {
-            peer::sort_by_draw(&mut entries, |entry| &entry.name, zone);
-            let tried = failures.get(zone).copied().unwrap_or_default();
-            (zone.clone(), entries[tried % entries.len()].clone())
+            source::sort_readers(&mut entries, &zone);
+            let tried = failures.get(&zone).copied().unwrap_or_default();
+            (zone, entries.swap_remove(tried % entries.len()))
         });
         told.collect()
     }
--- a/src/relay/news/source.rs
+++ b/src/relay/news/source.rs
@@ -7,7 +7,7 @@
     super::super::link::HostEntry,
     crate::peer,
     faststr::FastStr,
-    std::{collections::BTreeMap, time::Duration},
+    std::{cmp::Reverse, collections::BTreeMap, time::Duration},
 };
 
 /// Hosts of a zone from which on a second one reads the store, so that the loss of the first costs the
@@ -28,6 +28,12 @@
 /// Longest time for which one is not asked again; doubled up to here while it stays silent.
 const PASS_OVER_LONGEST: Duration = Duration::from_secs(32);
 
+/// Sorts the hosts of a zone into the order in which they are to read the store for it: the strongest first,
+/// since they answer all others, and by draw among equals.
+pub fn sort_readers(entries: &mut [HostEntry], zone: &str) {
+    entries.sort_by_key(|entry| Reverse((entry.strength, peer::draw(&entry.name, zone))));
+}
+
 /// Where to get news from.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum NewsSource {
@@ -70,7 +76,7 @@
     pub fn set_hosts<'a>(&mut self, hosts: impl Iterator<Item = &'a HostEntry>) {
         let own_zone = hosts.filter(|entry| entry.zone == self.zone);
         self.order = own_zone.cloned().collect();
-        peer::sort_by_draw(&mut self.order, |entry| &entry.name, &self.zone);
+        sort_readers(&mut self.order, &self.zone);
         let order = &self.order;
         self.passed_over
             .retain(|name, _| order.iter().any(|entry| entry.name == *name));
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -24,6 +24,8 @@
     pub peers: SocketAddr,
     /// Where some other hosts may be found at the start; any may be gone.
     pub seeds: Vec<SocketAddr>,
+    /// How much the host can do for others, in Mbit/s of its link; 0 where that is not known.
+    pub strength: u32,
     /// Where the store is.
     pub store: SocketAddr,
     /// Requests that are held at once at most.
--- a/tools/troubles.py
+++ b/tools/troubles.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
-"""Plays each kind of trouble alone, early and late, and prints a table of what came of it.
+"""Plays each kind of trouble alone, early and late, and prints a table of what came of it; with --pairs,
+the most dangerous pairs at once.
 
-Usage: tools/troubles.py FLEETBENCH SITE [JOBS] > TABLE
+Usage: tools/troubles.py FLEETBENCH SITE [JOBS] [--pairs] > TABLE
 
 The kinds and their variants are read from what `FLEETBENCH kinds SITE` lists and from the site's own
 list of troubles, so that new ones are played without a change here. The days go to a temporary folder.
@@ -25,6 +26,35 @@
                "the", "on", "a", "these", "is", "lose", "off", "killed", "share", "cut"}
 DAY_TIMEOUT_S = 120
 
+# Pairs: each store trouble with each loss of hosts, with leaving servers and with configurations, and some
+# that meet in a request.
+PAIR_AT_S = 10.0
+STORE_TROUBLES = [
+    {"kind": "platform_down", "how": "silent lapse", "for_s": 5.0},
+    {"kind": "platform_slow", "x": 40.0, "for_s": 6.0},
+    {"kind": "platform_lost", "how": "late", "x": 0.4, "for_s": 6.0},
+    {"kind": "platform_compact", "x": 4.0, "for_s": 6.0},
+    {"kind": "core_cut", "count": 1, "how": "reader", "for_s": 6.0},
+]
+HOST_LOSSES = [
+    {"kind": "node_kill", "share": 0.3, "how": "power", "for_s": 3.0},
+    {"kind": "herd_kill", "share": 0.7, "for_s": 2.0},
+    {"kind": "roll_term", "share": 1.0, "gap_s": 1.0},
+    {"kind": "node_cut", "share": 0.3, "for_s": 5.0},
+    {"kind": "replace_core", "how": "leader", "x": 2.0},
+]
+CHANGES = [{"kind": "scale_in", "share": 0.2}, {"kind": "config_storm", "for_s": 4.0, "gap_s": 0.4}]
+MEETINGS = [
+    ({"kind": "reset_conns", "share": 0.6, "x": 0.6}, {"kind": "answer_lost", "share": 0.6, "x": 0.1, "for_s": 5.0}),
+    ({"kind": "config_change", "how": "weights"}, {"kind": "after_ack_kill", "for_s": 3.0}),
+    ({"kind": "zone_cut", "for_s": 5.0, "how": "drop"}, {"kind": "srv_crash", "share": 0.3, "for_s": 4.0, "how": "dark"}),
+    ({"kind": "retry_abuse", "share": 0.5, "x": 3.0, "for_s": 6.0}, {"kind": "srv_grey", "share": 0.4, "for_s": 6.0, "how": "mute"}),
+    ({"kind": "give_up", "share": 0.5, "for_s": 6.0}, {"kind": "kv_slow", "share": 0.5, "for_s": 6.0}),
+    ({"kind": "release", "share": 0.6, "gap_s": 0.7}, {"kind": "garble", "share": 0.5, "x": 0.1, "how": "extra", "for_s": 6.0}),
+    ({"kind": "applied_late", "x": 0.6, "for_s": 8.0}, {"kind": "node_kill", "on": "core", "count": 1, "how": "leader", "for_s": 2.0}),
+    ({"kind": "lossy", "x": 0.08, "for_s": 6.0}, {"kind": "roll_term", "share": 1.0, "gap_s": 0.8}),
+]
+
 
 def listed_kinds(bench, site):
     """Kinds and variants as the bench lists them: {kind: [variant, ...]}."""
@@ -49,9 +79,9 @@
     return "{ " + ", ".join(fields) + " }"
 
 
-def day_text(quiet, name, entry, closing):
-    plan = [entry] if entry and entry["kind"] in PLANNED else []
-    faults = [entry] if entry and not plan else []
+def day_text(quiet, name, troubles, closing):
+    plan = [one for one in troubles if one["kind"] in PLANNED]
+    faults = [one for one in troubles if one["kind"] not in PLANNED]
     lines = ["[[day]]", f"name = {json.dumps(name)}", f"seed = {quiet['seed']}"]
     if closing:
         lines += [f'closing = {{ kind = "{closing}", down_s = 1.0 }}', "length_s = 41.0"]
@@ -71,13 +101,21 @@
                 yield {"kind": kind, **({"how": how} if how else {})}
 
 
+def pairs():
+    """The pairs to play, each with a name."""
+    together = [(a, b) for a in STORE_TROUBLES for b in HOST_LOSSES + CHANGES] + MEETINGS
+    for a, b in together:
+        names = [" ".join(filter(None, (one["kind"], one.get("how", "")))) for one in (a, b)]
+        yield names, [{**a, "at": PAIR_AT_S}, {**b, "at": PAIR_AT_S + 0.5}]
+
+
 def play(bench, site, folder, number, text):
     day = os.path.join(folder, f"day-{number}.toml")
     report = os.path.join(folder, f"day-{number}.json")
     with open(day, "w", encoding="utf-8") as file:
         file.write(text)
     command = [bench, "run", site, day, "--no-cpu", "--jobs", "1", "--report", report,
-               "--why", "each kind of trouble alone"]
+               "--why", "troubles of our own, alone or in pairs"]
     try:
         run = subprocess.run(command, capture_output=True, text=True, timeout=DAY_TIMEOUT_S)
     except subprocess.TimeoutExpired:
@@ -89,24 +127,29 @@
 
 
 def main():
-    bench, site = sys.argv[1:3]
-    jobs = int(sys.argv[3]) if len(sys.argv) > 3 else 4
+    words = [word for word in sys.argv[1:] if word != "--pairs"]
+    as_pairs = "--pairs" in sys.argv
+    bench, site = words[:2]
+    jobs = int(words[2]) if len(words) > 2 else 4
     with open(site, encoding="utf-8") as file:
         # What follows the site's tables is sealed.
         text = file.read().split("\n[[day]]")[0]
         spec = tomllib.loads(text)
     with open(site, encoding="utf-8") as file:
         quiet = {"seed": int(re.search(r"\[\[day\]\].*?seed = (\d+)", file.read(), re.S)[1])}
-    days = [("quiet", "", "", None)]
-    for one in entries(bench, site, spec):
-        for moment in MOMENTS_S:
-            days.append((one["kind"], one.get("how", ""), moment, {**one, "at": moment}))
-    days += [("closing", kind, "end", None) for kind in CLOSINGS]
+    days = [("quiet", "", "", [])]
+    if as_pairs:
+        days += [(first, second, PAIR_AT_S, both) for (first, second), both in pairs()]
+    else:
+        for one in entries(bench, site, spec):
+            for moment in MOMENTS_S:
+                days.append((one["kind"], one.get("how", ""), moment, [{**one, "at": moment}]))
+        days += [("closing", kind, "end", []) for kind in CLOSINGS]
     with tempfile.TemporaryDirectory() as folder:
         def job(item):
-            number, (kind, how, moment, entry) = item
+            number, (kind, how, moment, troubles) = item
             closing = how if kind == "closing" else None
-            return play(bench, site, folder, number, day_text(quiet, f"single-{number}", entry, closing))
+            return play(bench, site, folder, number, day_text(quiet, f"own-{number}", troubles, closing))
 
         with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
             results = list(pool.map(job, enumerate(days)))
