A prefill engine that did not get the request leaves it to another one

Change: up to three prefill engines are asked one after the other while none of them got the request; only a request that arrived counts as a repeat.

--- a/src/relay/book.rs
+++ b/src/relay/book.rs
@@ -198,15 +198,18 @@
         tokens as f64 / self.prefill_rate
     }
 
-    /// The prefill engine that would compute a prompt first, and the predicted time until it would
-    /// begin, seconds.
+    /// The prefill engine that would compute a prompt first, of those that were not tried, and the
+    /// predicted time until it would begin, seconds.
     pub fn best_prefill(
         &self,
         service: &str,
         zone: &str,
+        tried: &[FastStr],
         now: Duration,
     ) -> Option<(BackendInfo, f64)> {
-        let scored = self.engines(service, EngineRole::Prefill, now).map(|view| {
+        let engines = self.engines(service, EngineRole::Prefill, now);
+        let untried = engines.filter(|view| !tried.contains(&view.info.id));
+        let scored = untried.map(|view| {
             let away = f64::from(u8::from(view.info.zone != zone)) * AWAY_DELAY;
             let backlog = view.prefill_backlog(self.prefill_rate, now);
             (view, backlog, backlog + away, rand::random::<u16>())
--- a/src/relay/prefill.rs
+++ b/src/relay/prefill.rs
@@ -6,6 +6,7 @@
         parts::RelayParts, view::BackendFailure,
     },
     crate::{operation::RunVerdict, web::PoolLane},
+    faststr::FastStr,
     http::StatusCode,
     std::{rc::Rc, time::Duration},
 };
@@ -31,7 +32,7 @@
 
 impl WaitingCache {
     /// The cache's name at its engine.
-    pub fn name(&self) -> Option<faststr::FastStr> {
+    pub fn name(&self) -> Option<FastStr> {
         self.cache.as_ref().map(|cache| cache.handle.clone())
     }
 
@@ -55,6 +56,8 @@
 pub struct PrefillFailure {
     /// Whether the prompt may have been computed.
     pub verdict: RunVerdict,
+    /// Whether the engine got the request at all: if so, it counts as a repeat.
+    pub arrived: bool,
     /// How the engine failed.
     pub kind: BackendFailure,
     /// What happened.
@@ -88,9 +91,15 @@
 
 /// The prefill engine to send to, best near the decode engine's zone; none where the decode engine
 /// would compute the prompt sooner by itself.
-pub fn choose_engine(parts: &RelayParts, service: &str, zone: &str) -> Option<(BackendInfo, f64)> {
+pub fn choose_engine(
+    parts: &RelayParts,
+    service: &str,
+    zone: &str,
+    tried: &[FastStr],
+) -> Option<(BackendInfo, f64)> {
     let now = parts.now();
-    let best = parts.book.borrow().best_prefill(service, zone, now)?;
+    let book = parts.book.borrow();
+    let best = book.best_prefill(service, zone, tried, now)?;
     (best.1 < OVERFLOW_BACKLOG).then_some(best)
 }
 
@@ -116,6 +125,7 @@
         .unwrap_or_else(|_| {
             Err(PrefillFailure {
                 verdict: RunVerdict::MayHaveRun,
+                arrived: true,
                 kind: BackendFailure::Silent,
                 detail: "no answer in time".into(),
             })
@@ -160,6 +170,7 @@
         }
         PrefillFailure {
             verdict: failure.verdict,
+            arrived: failure.verdict != RunVerdict::NotRun,
             kind: failure.kind(),
             detail: failure.detail,
         }
@@ -171,6 +182,7 @@
     let body = answer.body.read(ANSWER_LIMIT).await;
     let body = body.map_err(|detail| PrefillFailure {
         verdict: RunVerdict::MayHaveRun,
+        arrived: true,
         kind: BackendFailure::Broken,
         detail,
     })?;
@@ -179,6 +191,7 @@
         parts.book.borrow_mut().declined(&engine.id, parts.now());
         return Err(PrefillFailure {
             verdict: RunVerdict::NotRun,
+            arrived: true,
             kind: BackendFailure::Broken,
             detail: format!("declined with status {status}"),
         });
@@ -188,6 +201,7 @@
         (dialect.engines.read_prefill)(&body).filter(|_| is_ours && status == StatusCode::OK);
     cache.ok_or_else(|| PrefillFailure {
         verdict: RunVerdict::MayHaveRun,
+        arrived: true,
         kind: BackendFailure::Broken,
         detail: format!("unusable answer, status {status}"),
     })
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -13,7 +13,7 @@
         dialect::DecodeStart,
         guard::CallGuard,
         parts::RelayParts,
-        prefill::{self, WaitingCache},
+        prefill::{self, PrefillFailure, WaitingCache},
         reserve::{self, MemoryHold},
         resume,
         view::BackendFailure,
@@ -39,6 +39,9 @@
 /// Bytes of a declining answer.
 const DECLINE_LIMIT: usize = 64 << 10;
 
+/// Prefill engines that a request is offered to one after the other while none of them got it.
+const PREFILLS_MAX: usize = 3;
+
 /// Rounds of reserving, computing and decoding until a request's answer begins.
 const ROUNDS_MAX: u32 = 3;
 
@@ -256,38 +259,48 @@
     // Without a cache the decode engine computes the prompt itself: no prefill engine is free soon, or
     // the one that was asked failed.
     async fn compute(&mut self, hold: &MemoryHold) -> Option<WaitingCache> {
-        if self.skip_prefill {
-            return None;
-        }
-        let zone = &hold.engine.zone;
-        let chosen = prefill::choose_engine(&self.parts, &self.service, zone)?;
-        // The first prefill costs a repeat too if its engine does not do it.
-        let allowed = match self.computed {
-            true => self.parts.spend_repeat(&self.service),
-            false => self.parts.may_risk_repeat(&self.service),
-        };
-        if !allowed {
-            return None;
-        }
-        self.computed = true;
-        let engine = chosen.0.id.clone();
-        match prefill::compute_prompt(&self.parts, &self.call, chosen).await {
-            Ok(cache) => Some(cache),
-            Err(failure) => {
-                self.parts.count_repeat(&self.service);
-                event::emit(
-                    &event::PREFILL_FAILED,
-                    &[
-                        ("request", &self.call.marks.id),
-                        ("engine", &engine),
-                        ("verdict", &failure.verdict),
-                        ("cause", &failure.detail),
-                        ("after_ms", &self.call.arrived.elapsed().as_millis()),
-                    ],
-                );
-                None
+        let mut tried = Vec::new();
+        while !self.skip_prefill && tried.len() < PREFILLS_MAX {
+            let zone = &hold.engine.zone;
+            let chosen = prefill::choose_engine(&self.parts, &self.service, zone, &tried)?;
+            // The first prefill costs a repeat too if its engine does not do it.
+            let allowed = match self.computed {
+                true => self.parts.spend_repeat(&self.service),
+                false => self.parts.may_risk_repeat(&self.service),
+            };
+            if !allowed {
+                return None;
+            }
+            tried.push(chosen.0.id.clone());
+            match prefill::compute_prompt(&self.parts, &self.call, chosen).await {
+                Ok(cache) => {
+                    self.computed = true;
+                    return Some(cache);
+                }
+                Err(failure) => {
+                    self.log_prefill_failure(tried.last().expect("one was tried"), &failure);
+                    if failure.arrived {
+                        self.computed = true;
+                        self.parts.count_repeat(&self.service);
+                        return None;
+                    }
+                }
             }
         }
+        None
+    }
+
+    fn log_prefill_failure(&self, engine: &FastStr, failure: &PrefillFailure) {
+        event::emit(
+            &event::PREFILL_FAILED,
+            &[
+                ("request", &self.call.marks.id),
+                ("engine", engine),
+                ("verdict", &failure.verdict),
+                ("cause", &failure.detail),
+                ("after_ms", &self.call.arrived.elapsed().as_millis()),
+            ],
+        );
     }
 
     fn may_decode_again(&self) -> bool {
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -244,8 +244,8 @@
     let mut book = BackendBook::default();
     book.set_backends(vec![backend("p-1", "z", Some(EngineRole::Prefill))]);
     book.declined("p-1", millis(0));
-    assert!(book.best_prefill("one", "z", millis(1_000)).is_none());
-    assert!(book.best_prefill("one", "z", millis(2_000)).is_some());
+    assert!(book.best_prefill("one", "z", &[], millis(1_000)).is_none());
+    assert!(book.best_prefill("one", "z", &[], millis(2_000)).is_some());
 }
 
 #[test]
@@ -253,7 +253,7 @@
     let mut book = BackendBook::default();
     let role = Some(EngineRole::Prefill);
     book.set_backends(vec![backend("near", "z", role), backend("far", "y", role)]);
-    let best = |book: &BackendBook, now| book.best_prefill("one", "z", now).unwrap().0.id;
+    let best = |book: &BackendBook, now| book.best_prefill("one", "z", &[], now).unwrap().0.id;
     assert_eq!(best(&book, millis(0)), "near");
     book.prefill_observed("near", 2_000, millis(700), millis(1_000));
     assert_eq!(best(&book, millis(1_010)), "far");
