--- a/src/relay/book.rs
+++ b/src/relay/book.rs
@@ -5,7 +5,7 @@
 use {
     super::{
         backend::BackendInfo,
-        news::EngineLoad,
+        news::{EngineKey, EngineLoad},
         view::{BackendFailure, BackendView, EJECT_FIRST, FAILURES_TO_EJECT},
     },
     crate::engine::EngineRole,
@@ -33,7 +33,7 @@
 const DECLINE_TIME: Duration = Duration::from_millis(1_500);
 
 /// How long what other hosts' requests take at engines is taken to stay as they last reported.
-const OTHERS_LIFE: Duration = Duration::from_millis(1_500);
+pub(super) const OTHERS_LIFE: Duration = Duration::from_millis(1_500);
 
 /// Other hosts from which on a backend server is passed over that fails them: one alone may be cut off from
 /// it.
@@ -163,7 +163,7 @@
         let told =
             views.filter(|view| view.memory_tokens + view.prefill_tokens > 0 || view.is_out(now));
         told.map(|view| EngineLoad {
-            engine: view.info.id.clone(),
+            engine: view.key,
             memory_tokens: view.memory_tokens,
             passed_over: u32::from(view.is_out(now)),
         })
@@ -171,16 +171,13 @@
     }
 
     /// What the requests of all other hosts take at engines; none where none is named.
-    pub fn set_others(&mut self, loads: Vec<EngineLoad>, now: Duration) {
+    pub fn set_others(&mut self, loads: &[EngineLoad], now: Duration) {
+        let told: BTreeMap<EngineKey, &EngineLoad> =
+            loads.iter().map(|load| (load.engine, load)).collect();
         for view in self.views.values_mut() {
-            view.others_tokens = 0;
-            view.others_out = 0;
-        }
-        for load in loads {
-            if let Some(view) = self.views.get_mut(&load.engine) {
-                view.others_tokens = load.memory_tokens;
-                view.others_out = load.passed_over;
-            }
+            let load = told.get(&view.key);
+            view.others_tokens = load.map_or(0, |load| load.memory_tokens);
+            view.others_out = load.map_or(0, |load| load.passed_over);
         }
         self.others_at = Some(now);
     }
--- a/src/relay/config.rs
+++ b/src/relay/config.rs
@@ -91,8 +91,8 @@
 pub struct RelayService {
     /// Its name.
     pub name: FastStr,
-    /// Connections that one of its backend servers accepts from all callers together.
-    pub connection_limit: u32,
+    /// Connections that one of its backend servers accepts from all hosts together, if that is known.
+    pub connection_limit: Option<u32>,
     /// Set where its backend servers are model engines.
     pub engine: Option<EngineLimits>,
 }
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -55,6 +55,8 @@
     pub repeats: Counter,
     /// Backend servers that were passed over after failures.
     pub ejections: Counter,
+    /// Sends that found all of this host's connections to their backend server in use.
+    pub connection_limits: Counter,
     /// Calls to the store that failed.
     pub store_failures: Counter,
 }
@@ -88,6 +90,7 @@
             backends: Gauge::default(),
             repeats: Counter::default(),
             ejections: Counter::default(),
+            connection_limits: Counter::default(),
             store_failures: Counter::default(),
         };
         metrics.register();
@@ -132,6 +135,11 @@
         let counters = [
             ("repeats", "Repeats sent", &self.repeats),
             ("ejections", "Backend servers passed over", &self.ejections),
+            (
+                "connection_limits",
+                "Sends that found all connections to their backend server in use",
+                &self.connection_limits,
+            ),
             (
                 "store_failures",
                 "Failed calls to the store",
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod chunks;
 mod cluster;
 mod config;
+mod decode;
 mod dialect;
 mod events;
 mod feed;
--- a/src/relay/news/link.rs
+++ b/src/relay/news/link.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        loads::{EngineLoad, LoadReporter},
+        loads::{LoadReport, LoadReporter},
         message::{self, ClusterNews, HeldNews},
     },
     crate::{
@@ -20,8 +20,8 @@
 /// Gives the news for an asker, once there are some or its wait is over.
 pub type NewsAnswer = dyn Fn(HeldNews) -> LocalBoxFuture<'static, ClusterNews>;
 
-/// Takes a report of loads; gives those of the others.
-pub type LoadAnswer = dyn Fn(LoadReporter, Vec<EngineLoad>) -> Vec<EngineLoad>;
+/// Takes a report; gives that of the others together.
+pub type LoadAnswer = dyn Fn(LoadReporter, LoadReport) -> LoadReport;
 
 /// What a host answers to others.
 pub struct NewsAnswers {
@@ -57,9 +57,9 @@
             true => LoadReporter::Zone(name),
             false => LoadReporter::Host(name),
         };
-        let loads = message::read_loads(params.get_loads()?)?;
-        let others = (self.answers.loads)(reporter, loads);
-        message::write_loads(results.get().init_others(others.len() as u32), &others);
+        let report = message::read_report(params.get_report()?)?;
+        let others = (self.answers.loads)(reporter, report);
+        message::write_report(results.get().init_others(), &others);
         Ok(())
     }
 }
@@ -97,14 +97,14 @@
             .await
     }
 
-    /// Reports loads to a host; gives those of the others.
+    /// Reports to a host; gives what the others report together.
     pub async fn share(
         &self,
         address: SocketAddr,
         reporter: &LoadReporter,
-        loads: &[EngineLoad],
+        report: &LoadReport,
         patience: Duration,
-    ) -> Result<Vec<EngineLoad>, Error> {
+    ) -> Result<LoadReport, Error> {
         self.0
             .call(address, patience, |client| async move {
                 let mut request = client.share_request();
@@ -115,9 +115,9 @@
                 };
                 params.set_reporter(name.as_str());
                 params.set_is_zone(is_zone);
-                message::write_loads(params.init_loads(loads.len() as u32), loads);
+                message::write_report(params.init_report(), report);
                 let response = request.send().promise.await?;
-                message::read_loads(response.get()?.get_others()?)
+                message::read_report(response.get()?.get_others()?)
             })
             .await
     }
--- a/src/relay/news/loads.rs
+++ b/src/relay/news/loads.rs
@@ -1,5 +1,5 @@
-//! What the requests of many hosts take at backend servers, and which of these fail them: a plain state
-//! machine.
+//! What the requests of many hosts take at backend servers, which of these fail them, and how much each
+//! service is asked: a plain state machine.
 //!
 //! Each host knows its own requests only. One host of a zone adds up what all report and tells each what
 //! the others take and saw.
@@ -7,6 +7,7 @@
 use {
     faststr::FastStr,
     std::{cmp::Reverse, collections::BTreeMap, time::Duration},
+    xxhash_rust::xxh3,
 };
 
 /// Age from which a report no longer counts: some reports may be lost, and the host itself may be.
@@ -16,17 +17,49 @@
 /// of a large zone in each answer, the link of the host that adds up would be full.
 const TOLD_ENGINES: usize = 48;
 
+/// A backend server's run in reports: a hash of its id. Two of some thousand runs share one once in some
+/// thousand times; both then look a little fuller than they are.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EngineKey(pub u32);
+
+impl EngineKey {
+    /// The key of a run by its id.
+    pub fn of(id: &str) -> Self {
+        Self(xxh3::xxh3_64(id.as_bytes()) as u32)
+    }
+}
+
 /// What requests take at a backend server, and whether it answers.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct EngineLoad {
-    /// Id of the backend server's run.
-    pub engine: FastStr,
+    /// The backend server's run.
+    pub engine: EngineKey,
     /// Tokens of its memory that the requests are expected to take at their end.
     pub memory_tokens: u64,
     /// Hosts that pass it over since it does not answer them.
     pub passed_over: u32,
 }
 
+/// How much a service was asked within the window of the allowance of repeats.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ServiceDemand {
+    /// The service.
+    pub service: FastStr,
+    /// Requests for it.
+    pub requests: u64,
+    /// Sends beyond the first of a request.
+    pub repeats: u64,
+}
+
+/// What one host, or several together, tell of their requests.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct LoadReport {
+    /// By backend server.
+    pub loads: Vec<EngineLoad>,
+    /// By service.
+    pub demands: Vec<ServiceDemand>,
+}
+
 /// Who reports.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub enum LoadReporter {
@@ -39,27 +72,26 @@
 /// The latest report of each reporter.
 #[derive(Debug, Default)]
 pub struct LoadBoard {
-    reports: BTreeMap<LoadReporter, (Vec<EngineLoad>, Duration)>,
+    reports: BTreeMap<LoadReporter, (LoadReport, Duration)>,
 }
 
 impl LoadBoard {
     /// Takes a report in place of the reporter's last one.
-    pub fn take(&mut self, reporter: LoadReporter, loads: Vec<EngineLoad>, now: Duration) {
-        self.reports.insert(reporter, (loads, now));
+    pub fn take(&mut self, reporter: LoadReporter, report: LoadReport, now: Duration) {
+        self.reports.insert(reporter, (report, now));
     }
 
-    /// What the requests of all but this host take at the fullest engines, as far as reports are not old.
-    pub fn others_of(&self, host: &str, now: Duration) -> Vec<EngineLoad> {
-        let loads = self.total(now, |reporter| match reporter {
+    /// What all but this host report, as far as it is not old; of the engines the fullest.
+    pub fn others_of(&self, host: &str, now: Duration) -> LoadReport {
+        self.total(now, |reporter| match reporter {
             LoadReporter::Host(name) => name != host,
             LoadReporter::Zone(_) => true,
-        });
-        fullest(loads)
+        })
     }
 
-    /// What the requests of the zone's own hosts take at the fullest engines.
-    pub fn of_zone(&self, now: Duration) -> Vec<EngineLoad> {
-        fullest(self.total(now, |reporter| matches!(reporter, LoadReporter::Host(_))))
+    /// What the zone's own hosts report; of the engines the fullest.
+    pub fn of_zone(&self, now: Duration) -> LoadReport {
+        self.total(now, |reporter| matches!(reporter, LoadReporter::Host(_)))
     }
 
     /// Forgets reports that no longer count.
@@ -67,22 +99,30 @@
         self.reports.retain(|_, (_, at)| is_recent(*at, now));
     }
 
-    fn total(&self, now: Duration, counts: impl Fn(&LoadReporter) -> bool) -> Vec<EngineLoad> {
-        let mut totals: BTreeMap<&FastStr, EngineLoad> = BTreeMap::new();
-        for (reporter, (loads, at)) in &self.reports {
+    fn total(&self, now: Duration, counts: impl Fn(&LoadReporter) -> bool) -> LoadReport {
+        let mut loads: BTreeMap<EngineKey, EngineLoad> = BTreeMap::new();
+        let mut demands: BTreeMap<&FastStr, ServiceDemand> = BTreeMap::new();
+        for (reporter, (report, at)) in &self.reports {
             if !counts(reporter) || !is_recent(*at, now) {
                 continue;
             }
-            for load in loads {
-                let total = totals.entry(&load.engine).or_insert_with(|| EngineLoad {
-                    engine: load.engine.clone(),
-                    ..EngineLoad::default()
-                });
+            for load in &report.loads {
+                let total = loads.entry(load.engine).or_default();
+                total.engine = load.engine;
                 total.memory_tokens += load.memory_tokens;
                 total.passed_over += load.passed_over;
             }
+            for demand in &report.demands {
+                let total = demands.entry(&demand.service).or_default();
+                total.service = demand.service.clone();
+                total.requests += demand.requests;
+                total.repeats += demand.repeats;
+            }
+        }
+        LoadReport {
+            loads: fullest(loads.into_values().collect()),
+            demands: demands.into_values().collect(),
         }
-        totals.into_values().collect()
     }
 }
 
--- a/src/relay/news/message.rs
+++ b/src/relay/news/message.rs
@@ -3,10 +3,10 @@
 use {
     super::{
         super::{config::RelayConfig, link::StoreChange},
-        loads::EngineLoad,
+        loads::{EngineKey, EngineLoad, LoadReport, ServiceDemand},
     },
-    crate::news_capnp::{cluster_news, engine_load, held_news, kind_news},
-    capnp::{Error, Result, struct_list},
+    crate::news_capnp::{cluster_news, held_news, kind_news, load_report},
+    capnp::{Error, Result},
     faststr::FastStr,
     serde::{Serialize, de::DeserializeOwned},
     std::time::Duration,
@@ -132,7 +132,7 @@
 /// Writes news.
 pub fn write_news(mut to: cluster_news::Builder<'_>, news: &ClusterNews) -> Result<()> {
     to.set_age_ms(to_ms(news.age));
-    to.set_trouble_ms(to_ms(news.outage));
+    to.set_outage_ms(to_ms(news.outage));
     to.set_config_version(news.config_version);
     if let Some(config) = &news.config {
         to.set_config(&to_json(config)?);
@@ -150,7 +150,7 @@
     };
     Ok(ClusterNews {
         age: from_ms(from.get_age_ms()),
-        outage: from_ms(from.get_trouble_ms()),
+        outage: from_ms(from.get_outage_ms()),
         config_version: from.get_config_version(),
         config,
         backends: read_kind(from.get_backends()?)?,
@@ -158,24 +158,44 @@
     })
 }
 
-/// Writes loads.
-pub fn write_loads(mut to: struct_list::Builder<'_, engine_load::Owned>, loads: &[EngineLoad]) {
-    for (index, load) in loads.iter().enumerate() {
-        let mut place = to.reborrow().get(index as u32);
-        place.set_engine(load.engine.as_str());
-        place.set_memory_tokens(u32::try_from(load.memory_tokens).unwrap_or(u32::MAX));
+/// Tokens that a block of the wire stands for.
+const BLOCK_TOKENS: u64 = 16;
+
+/// Writes a report.
+pub fn write_report(mut to: load_report::Builder<'_>, report: &LoadReport) {
+    let mut loads = to.reborrow().init_loads(report.loads.len() as u32);
+    for (index, load) in report.loads.iter().enumerate() {
+        let mut place = loads.reborrow().get(index as u32);
+        place.set_key(load.engine.0);
+        let blocks = load.memory_tokens.div_ceil(BLOCK_TOKENS);
+        place.set_memory_blocks(u16::try_from(blocks).unwrap_or(u16::MAX));
         place.set_passed_over(u16::try_from(load.passed_over).unwrap_or(u16::MAX));
     }
+    let mut demands = to.init_demands(report.demands.len() as u32);
+    for (index, demand) in report.demands.iter().enumerate() {
+        let mut place = demands.reborrow().get(index as u32);
+        place.set_service(demand.service.as_str());
+        place.set_requests(u32::try_from(demand.requests).unwrap_or(u32::MAX));
+        place.set_repeats(u32::try_from(demand.repeats).unwrap_or(u32::MAX));
+    }
 }
 
-/// Reads loads.
-pub fn read_loads(from: struct_list::Reader<'_, engine_load::Owned>) -> Result<Vec<EngineLoad>> {
-    let loads = from.iter().map(|load| {
-        Ok(EngineLoad {
-            engine: FastStr::new(load.get_engine()?.to_str()?),
-            memory_tokens: u64::from(load.get_memory_tokens()),
-            passed_over: u32::from(load.get_passed_over()),
+/// Reads a report; what is not well formed is an error.
+pub fn read_report(from: load_report::Reader<'_>) -> Result<LoadReport> {
+    let loads = from.get_loads()?.iter().map(|load| EngineLoad {
+        engine: EngineKey(load.get_key()),
+        memory_tokens: u64::from(load.get_memory_blocks()) * BLOCK_TOKENS,
+        passed_over: u32::from(load.get_passed_over()),
+    });
+    let demands = from.get_demands()?.iter().map(|demand| {
+        Ok(ServiceDemand {
+            service: FastStr::new(demand.get_service()?.to_str()?),
+            requests: u64::from(demand.get_requests()),
+            repeats: u64::from(demand.get_repeats()),
         })
     });
-    loads.collect()
+    Ok(LoadReport {
+        loads: loads.collect(),
+        demands: demands.collect::<Result<_>>()?,
+    })
 }
--- a/src/relay/news/news.capnp
+++ b/src/relay/news/news.capnp
@@ -26,7 +26,7 @@
   # Since when the sender's view may be out of date; the largest number where it has none.
   ageMs @0 :UInt32;
   # How long ago the store was back after an outage; the largest number where there was none.
-  troubleMs @1 :UInt32;
+  outageMs @1 :UInt32;
   configVersion @2 :UInt64;
   # JSON, empty where the asker has it or it is large.
   config @3 :Data;
@@ -34,18 +34,31 @@
   hosts @5 :KindNews;
 }
 
+# Eight bytes each: reports go out several times a second.
 struct EngineLoad {
-  # Id of the engine's run.
-  engine @0 :Text;
-  # Tokens of its memory that running requests are expected to take at their end.
-  memoryTokens @1 :UInt32;
+  # Hash of the id of the engine's run.
+  key @0 :UInt32;
+  # Blocks of 16 tokens of its memory that running requests are expected to take at their end.
+  memoryBlocks @1 :UInt16;
   # Hosts that pass it over since it does not answer them.
   passedOver @2 :UInt16;
 }
 
+# Within the window of the allowance of repeats.
+struct ServiceDemand {
+  service @0 :Text;
+  requests @1 :UInt32;
+  repeats @2 :UInt32;
+}
+
+struct LoadReport {
+  loads @0 :List(EngineLoad);
+  demands @1 :List(ServiceDemand);
+}
+
 interface NewsPeer {
   follow @0 (held :HeldNews) -> (news :ClusterNews);
-  # What the reporter's requests take at engines, for what those of all others take. A whole zone reports
-  # through one of its hosts and is told what the other zone's hosts take.
-  share @1 (reporter :Text, isZone :Bool, loads :List(EngineLoad)) -> (others :List(EngineLoad));
+  # What the reporter's requests take, for what those of all others take. A whole zone reports through one
+  # of its hosts and is told what the other zone's hosts take.
+  share @1 (reporter :Text, isZone :Bool, report :LoadReport) -> (others :LoadReport);
 }
--- a/src/relay/news/news_capnp.rs
+++ b/src/relay/news/news_capnp.rs
@@ -647,7 +647,7 @@
             self.reader.get_data_field::<u32>(0)
         }
         #[inline]
-        pub fn get_trouble_ms(self) -> u32 {
+        pub fn get_outage_ms(self) -> u32 {
             self.reader.get_data_field::<u32>(1)
         }
         #[inline]
@@ -741,11 +741,11 @@
             self.builder.set_data_field::<u32>(0, value);
         }
         #[inline]
-        pub fn get_trouble_ms(self) -> u32 {
+        pub fn get_outage_ms(self) -> u32 {
             self.builder.get_data_field::<u32>(1)
         }
         #[inline]
-        pub fn set_trouble_ms(&mut self, value: u32)  {
+        pub fn set_outage_ms(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(1, value);
         }
         #[inline]
@@ -849,7 +849,7 @@
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
@@ -889,8 +889,8 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 114, 111, 117, 98, 108, 101, 77),
-            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 117, 116, 97, 103, 101, 77, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1014,6 +1014,259 @@
         }
     }
 
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_key(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_memory_blocks(self) -> u16 {
+            self.reader.get_data_field::<u16>(2)
+        }
+        #[inline]
+        pub fn get_passed_over(self) -> u16 {
+            self.reader.get_data_field::<u16>(3)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_key(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_key(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_memory_blocks(self) -> u16 {
+            self.builder.get_data_field::<u16>(2)
+        }
+        #[inline]
+        pub fn set_memory_blocks(&mut self, value: u16)  {
+            self.builder.set_data_field::<u16>(2, value);
+        }
+        #[inline]
+        pub fn get_passed_over(self) -> u16 {
+            self.builder.get_data_field::<u16>(3)
+        }
+        #[inline]
+        pub fn set_passed_over(&mut self, value: u16)  {
+            self.builder.set_data_field::<u16>(3, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(32, 56, 53, 193, 56, 254, 222, 142),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(35, 152, 123, 90, 14, 108, 31, 212),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 69, 110, 103, 105, 110),
+            ::capnp::word(101, 76, 111, 97, 100, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 101, 109, 111, 114, 121, 66, 108),
+            ::capnp::word(111, 99, 107, 115, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 115, 115, 101, 100, 79, 118),
+            ::capnp::word(101, 114, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
+        pub(crate) const TYPE_ID: u64 = 0x8ede_fe38_c135_3820;
+    }
+}
+
+pub mod service_demand {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
     impl <'a,> Reader<'a,>  {
         pub fn reborrow(&self) -> Reader<'_,> {
             Self { .. *self }
@@ -1023,20 +1276,20 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_engine(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_engine(&self) -> bool {
+        pub fn has_service(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_memory_tokens(self) -> u32 {
+        pub fn get_requests(self) -> u32 {
             self.reader.get_data_field::<u32>(0)
         }
         #[inline]
-        pub fn get_passed_over(self) -> u16 {
-            self.reader.get_data_field::<u16>(2)
+        pub fn get_repeats(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
         }
     }
 
@@ -1093,36 +1346,36 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_engine(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_engine(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+        pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
         }
         #[inline]
-        pub fn init_engine(self, size: u32) -> ::capnp::text::Builder<'a> {
+        pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
             self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
-        pub fn has_engine(&self) -> bool {
+        pub fn has_service(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_memory_tokens(self) -> u32 {
+        pub fn get_requests(self) -> u32 {
             self.builder.get_data_field::<u32>(0)
         }
         #[inline]
-        pub fn set_memory_tokens(&mut self, value: u32)  {
+        pub fn set_requests(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(0, value);
         }
         #[inline]
-        pub fn get_passed_over(self) -> u16 {
-            self.builder.get_data_field::<u16>(2)
+        pub fn get_repeats(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
         }
         #[inline]
-        pub fn set_passed_over(&mut self, value: u16)  {
-            self.builder.set_data_field::<u16>(2, value);
+        pub fn set_repeats(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(1, value);
         }
     }
 
@@ -1137,44 +1390,45 @@
     mod _private {
         pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(32, 56, 53, 193, 56, 254, 222, 142),
+            ::capnp::word(131, 247, 248, 35, 222, 183, 143, 211),
             ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(35, 152, 123, 90, 14, 108, 31, 212),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 69, 110, 103, 105, 110),
-            ::capnp::word(101, 76, 111, 97, 100, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 83, 101, 114, 118, 105),
+            ::capnp::word(99, 101, 68, 101, 109, 97, 110, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(101, 110, 103, 105, 110, 101, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1182,8 +1436,8 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 101, 109, 111, 114, 121, 84, 111),
-            ::capnp::word(107, 101, 110, 115, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 113, 117, 101, 115, 116, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1191,13 +1445,12 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 97, 115, 115, 101, 100, 79, 118),
-            ::capnp::word(101, 114, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 112, 101, 97, 116, 115, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
@@ -1205,7 +1458,7 @@
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1221,8 +1474,263 @@
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
-        pub(crate) const TYPE_ID: u64 = 0x8ede_fe38_c135_3820;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
+        pub(crate) const TYPE_ID: u64 = 0xd38f_b7de_23f8_f783;
+    }
+}
+
+pub mod load_report {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::news_capnp::engine_load::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_loads(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_demands(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::news_capnp::service_demand::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_demands(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::news_capnp::engine_load::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_loads(&mut self, value: ::capnp::struct_list::Reader<'_,crate::news_capnp::engine_load::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_loads(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::news_capnp::engine_load::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_loads(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_demands(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::news_capnp::service_demand::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_demands(&mut self, value: ::capnp::struct_list::Reader<'_,crate::news_capnp::service_demand::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_demands(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::news_capnp::service_demand::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_demands(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 55] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(58, 255, 45, 183, 55, 74, 6, 226),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(35, 152, 123, 90, 14, 108, 31, 212),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 76, 111, 97, 100, 82),
+            ::capnp::word(101, 112, 111, 114, 116, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(61, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(56, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 111, 97, 100, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(32, 56, 53, 193, 56, 254, 222, 142),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 101, 109, 97, 110, 100, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(131, 247, 248, 35, 222, 183, 143, 211),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::struct_list::Owned<crate::news_capnp::engine_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::struct_list::Owned<crate::news_capnp::service_demand::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xe206_4a37_b72d_ff3a;
     }
 }
 
@@ -1827,11 +2335,11 @@
                 self.reader.get_bool_field(0)
             }
             #[inline]
-            pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::news_capnp::engine_load::Owned>> {
+            pub fn get_report(self) -> ::capnp::Result<crate::news_capnp::load_report::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_loads(&self) -> bool {
+            pub fn has_report(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
         }
@@ -1913,19 +2421,19 @@
                 self.builder.set_bool_field(0, value);
             }
             #[inline]
-            pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::news_capnp::engine_load::Owned>> {
+            pub fn get_report(self) -> ::capnp::Result<crate::news_capnp::load_report::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_loads(&mut self, value: ::capnp::struct_list::Reader<'_,crate::news_capnp::engine_load::Owned>) -> ::capnp::Result<()> {
+            pub fn set_report(&mut self, value: crate::news_capnp::load_report::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
             }
             #[inline]
-            pub fn init_loads(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::news_capnp::engine_load::Owned> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+            pub fn init_report(self, ) -> crate::news_capnp::load_report::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
             }
             #[inline]
-            pub fn has_loads(&self) -> bool {
+            pub fn has_report(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
         }
@@ -1937,9 +2445,12 @@
             }
         }
         impl Pipeline  {
+            pub fn get_report(&self) -> crate::news_capnp::load_report::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 68] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(182, 241, 242, 237, 191, 126, 119, 243),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
@@ -1975,10 +2486,10 @@
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(81, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(81, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(114, 101, 112, 111, 114, 116, 101, 114),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -1996,16 +2507,12 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 111, 97, 100, 115, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(114, 101, 112, 111, 114, 116, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(32, 56, 53, 193, 56, 254, 222, 142),
+                ::capnp::word(58, 255, 45, 183, 55, 74, 6, 226),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
@@ -2013,7 +2520,7 @@
                 match index {
                     0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <::capnp::struct_list::Owned<crate::news_capnp::engine_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <crate::news_capnp::load_report::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -2096,7 +2603,7 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_others(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::news_capnp::engine_load::Owned>> {
+            pub fn get_others(self) -> ::capnp::Result<crate::news_capnp::load_report::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
@@ -2158,16 +2665,16 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_others(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::news_capnp::engine_load::Owned>> {
+            pub fn get_others(self) -> ::capnp::Result<crate::news_capnp::load_report::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_others(&mut self, value: ::capnp::struct_list::Reader<'_,crate::news_capnp::engine_load::Owned>) -> ::capnp::Result<()> {
+            pub fn set_others(&mut self, value: crate::news_capnp::load_report::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_others(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::news_capnp::engine_load::Owned> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            pub fn init_others(self, ) -> crate::news_capnp::load_report::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
             pub fn has_others(&self) -> bool {
@@ -2182,9 +2689,12 @@
             }
         }
         impl Pipeline  {
+            pub fn get_others(&self) -> crate::news_capnp::load_report::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(191, 152, 31, 101, 47, 218, 10, 147),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
@@ -2209,23 +2719,19 @@
                 ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(111, 116, 104, 101, 114, 115, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(32, 56, 53, 193, 56, 254, 222, 142),
+                ::capnp::word(58, 255, 45, 183, 55, 74, 6, 226),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::struct_list::Owned<crate::news_capnp::engine_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::news_capnp::load_report::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
--- a/src/relay/news/share.rs
+++ b/src/relay/news/share.rs
@@ -1,11 +1,11 @@
-//! Telling the other hosts what this one's requests take at engines, and hearing what theirs take.
+//! Telling the other hosts what this one's requests take, and hearing what theirs take.
 
 use {
     super::{
         super::{link::HostEntry, parts::RelayParts, vital},
         follow::NewsFollower,
         link::NewsLinks,
-        loads::{EngineLoad, LoadBoard, LoadReporter},
+        loads::{LoadBoard, LoadReport, LoadReporter},
         source,
     },
     faststr::FastStr,
@@ -16,12 +16,27 @@
 /// right; a report more often costs small hosts processor time.
 const REPORT_PERIOD: Duration = Duration::from_millis(300);
 
+/// Hosts of a zone up to which each reports that often; with more of them each reports less often, so that
+/// the one that adds up has no more to do.
+const FULL_PACE_HOSTS: usize = 30;
+
+/// Longest pause between two reports: one that is lost must not make the one before it too old to count.
+const REPORT_PERIOD_LONGEST: Duration = Duration::from_millis(600);
+
 /// How often a zone reports to the others: few requests go to engines of another zone.
 const ZONE_PERIOD: u32 = 3;
 
 /// Longest wait for the answer to a report; it is at once, or of little use.
 const REPORT_PATIENCE: Duration = Duration::from_millis(250);
 
+/// How often each host of a zone of so many reports.
+pub fn report_period(hosts: usize) -> Duration {
+    let factor = hosts as f64 / FULL_PACE_HOSTS as f64;
+    REPORT_PERIOD
+        .mul_f64(factor.max(1.0))
+        .min(REPORT_PERIOD_LONGEST)
+}
+
 /// Reports of this host, and of others to it.
 pub struct LoadShare {
     parts: Rc<RelayParts>,
@@ -51,10 +66,10 @@
     }
 
     /// Answers a report of another host or zone.
-    pub fn answer(&self, reporter: LoadReporter, loads: Vec<EngineLoad>) -> Vec<EngineLoad> {
+    pub fn answer(&self, reporter: LoadReporter, report: LoadReport) -> LoadReport {
         let now = self.parts.now();
         let mut board = self.board.borrow_mut();
-        board.take(reporter.clone(), loads, now);
+        board.take(reporter.clone(), report, now);
         match reporter {
             LoadReporter::Host(name) => board.others_of(&name, now),
             LoadReporter::Zone(_) => board.of_zone(now),
@@ -63,7 +78,7 @@
 
     async fn run(self: Rc<Self>) {
         for turn in 0_u32.. {
-            tokio::time::sleep(REPORT_PERIOD).await;
+            tokio::time::sleep(self.period()).await;
             match self.follower.first_reader() {
                 Some(entry) => self.report_to(&entry).await,
                 None => {
@@ -76,30 +91,31 @@
         }
     }
 
+    fn period(&self) -> Duration {
+        let own = &self.parts.settings.zone;
+        let cluster = self.parts.cluster.borrow();
+        report_period(cluster.hosts().filter(|entry| entry.zone == *own).count())
+    }
+
     fn own_reporter(&self) -> LoadReporter {
         LoadReporter::Host(self.parts.name())
     }
 
     // This host adds up for its zone.
     fn collect_own(&self) {
-        let now = self.parts.now();
-        let own = self.parts.book.borrow().loads(now);
-        let others = self.answer(self.own_reporter(), own);
-        self.board.borrow_mut().forget_old(now);
-        self.parts.book.borrow_mut().set_others(others, now);
+        let others = self.answer(self.own_reporter(), self.parts.own_report());
+        self.board.borrow_mut().forget_old(self.parts.now());
+        self.parts.take_others(others);
     }
 
     async fn report_to(&self, entry: &HostEntry) {
-        let own = self.parts.book.borrow().loads(self.parts.now());
+        let own = self.parts.own_report();
         let reporter = self.own_reporter();
         let sent = self
             .links
             .share(entry.peers, &reporter, &own, REPORT_PATIENCE);
         match sent.await {
-            Ok(others) => {
-                let now = self.parts.now();
-                self.parts.book.borrow_mut().set_others(others, now);
-            }
+            Ok(others) => self.parts.take_others(others),
             Err(error) => log::debug!("host {} took no report: {error}", entry.name),
         }
     }
@@ -107,10 +123,10 @@
     async fn report_to_zones(&self) {
         let reporter = LoadReporter::Zone(self.parts.settings.zone.clone());
         for (zone, entry) in self.zone_hosts() {
-            let loads = self.board.borrow().of_zone(self.parts.now());
+            let report = self.board.borrow().of_zone(self.parts.now());
             let sent = self
                 .links
-                .share(entry.peers, &reporter, &loads, REPORT_PATIENCE);
+                .share(entry.peers, &reporter, &report, REPORT_PATIENCE);
             match sent.await {
                 Ok(theirs) => {
                     let now = self.parts.now();
--- a/src/relay/objects.rs
+++ b/src/relay/objects.rs
@@ -68,7 +68,7 @@
 fn relay_service(name: FastStr) -> RelayService {
     RelayService {
         name,
-        connection_limit: 0,
+        connection_limit: None,
         engine: None,
     }
 }
--- a/src/relay/parts.rs
+++ b/src/relay/parts.rs
@@ -3,12 +3,13 @@
 use {
     super::{
         backend::BackendInfo,
-        book::BackendBook,
-        budget::{RetryAllowance, WindowBudget},
+        book::{BackendBook, OTHERS_LIFE},
+        budget::{DemandCounts, FleetDemand, RetryAllowance, WindowBudget},
         cluster::ClusterState,
         dialect::{BackendCall, CallDialect},
         line::WaitLine,
         metrics::RelayMetrics,
+        news::{LoadReport, ServiceDemand},
         route::RouteTable,
         settings::RelaySettings,
         view::BackendFailure,
@@ -17,7 +18,7 @@
         event,
         host::StopGate,
         operation::RunVerdict,
-        web::{ConnectionPool, PoolLane, PooledAnswer, SendFailure},
+        web::{ConnectionPool, FailureCause, PoolLane, PoolTarget, PooledAnswer, SendFailure},
     },
     bytes::Bytes,
     faststr::FastStr,
@@ -30,6 +31,13 @@
 /// Bytes that an answer to a call of our own may have.
 const CONTROL_ANSWER_LIMIT: usize = 1 << 20;
 
+/// Part of the connections that a backend server accepts from all hosts together that they share out: hosts
+/// hear late of each other's demand, and those that come and go count for a while.
+const CONNECTIONS_PART: f64 = 0.85;
+
+/// Connections that a host may always have to a backend server: one for a request, one for calls of its own.
+const CONNECTIONS_LEAST: usize = 2;
+
 /// Repeats in a window, beyond the share of its requests, of a host that does not know among how many the
 /// allowance is to be shared out: enough for one or two. Operators allow at least two for each host.
 const EXTRA_UNKNOWN: f64 = 3.0;
@@ -49,6 +57,8 @@
     pub cluster: RefCell<ClusterState>,
     /// Repeats by service.
     pub budgets: RefCell<HashMap<FastStr, WindowBudget>>,
+    // What the other hosts count by service, and when they told it.
+    others: RefCell<(Vec<ServiceDemand>, Duration)>,
     /// Requests that wait for engines.
     pub line: RefCell<WaitLine>,
     /// Told when memory or a place in the line may have become free.
@@ -74,6 +84,7 @@
             book: RefCell::default(),
             cluster: RefCell::new(cluster),
             budgets: RefCell::default(),
+            others: RefCell::default(),
             line: RefCell::default(),
             freed: Notify::new(),
             news: Notify::new(),
@@ -120,13 +131,13 @@
     fn spend(
         &self,
         service: &FastStr,
-        allows: fn(&mut WindowBudget, RetryAllowance, usize, Duration) -> bool,
+        allows: fn(&mut WindowBudget, RetryAllowance, &FleetDemand, Duration) -> bool,
     ) -> bool {
         let now = self.now();
-        let hosts = self.cluster.borrow().host_count();
+        let fleet = self.fleet_demand(service);
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_default();
-        let allowed = allows(budget, self.allowance(), hosts, now);
+        let allowed = allows(budget, self.allowance(), &fleet, now);
         if allowed {
             budget.count(now);
             self.metrics.repeats.inc();
@@ -137,10 +148,10 @@
     /// Whether a send may be made that counts as a repeat if it fails.
     pub fn may_risk_repeat(&self, service: &FastStr) -> bool {
         let now = self.now();
-        let hosts = self.cluster.borrow().host_count();
+        let fleet = self.fleet_demand(service);
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_default();
-        budget.may_risk(self.allowance(), hosts, now)
+        budget.may_risk(self.allowance(), &fleet, now)
     }
 
     /// Counts a repeat that was sent already: a prefill that an engine did not do.
@@ -163,6 +174,78 @@
         RetryAllowance { extra, ..whole }
     }
 
+    /// Where a request to a backend server goes, and this host's share of the connections there.
+    pub fn pool_target(&self, backend: &BackendInfo, lane: PoolLane) -> PoolTarget {
+        let routes = self.routes();
+        let service = routes
+            .as_ref()
+            .and_then(|routes| routes.config().service(&backend.service));
+        let known = service.and_then(|service| service.connection_limit);
+        let limit = known.map_or(usize::MAX, |known| {
+            let own = self.own_requests(&backend.service);
+            let share = self.fleet_demand(&backend.service).share(own);
+            let whole = f64::from(known) * CONNECTIONS_PART;
+            ((whole * share) as usize).max(CONNECTIONS_LEAST)
+        });
+        PoolTarget {
+            address: backend.address,
+            lane,
+            limit,
+        }
+    }
+
+    fn own_requests(&self, service: &FastStr) -> u64 {
+        let now = self.now();
+        let window = self.settings.bounds.retries.window;
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.get_mut(service);
+        budget.map_or(0, |budget| budget.counts(window, now).requests)
+    }
+
+    /// What is known of the demand of all hosts for a service.
+    pub fn fleet_demand(&self, service: &str) -> FleetDemand {
+        let others = self.others.borrow();
+        let (demands, told) = &*others;
+        let is_recent = self.now().saturating_sub(*told) < OTHERS_LIFE;
+        let counts = demands
+            .iter()
+            .find(|demand| is_recent && demand.service == service)
+            .map(|demand| DemandCounts {
+                requests: demand.requests,
+                repeats: demand.repeats,
+            });
+        FleetDemand {
+            hosts: self.cluster.borrow().host_count(),
+            others: counts,
+        }
+    }
+
+    /// What this host tells others of its requests.
+    pub fn own_report(&self) -> LoadReport {
+        let now = self.now();
+        let window = self.settings.bounds.retries.window;
+        let mut budgets = self.budgets.borrow_mut();
+        let demands = budgets.iter_mut().map(|(service, budget)| {
+            let counts = budget.counts(window, now);
+            ServiceDemand {
+                service: service.clone(),
+                requests: counts.requests,
+                repeats: counts.repeats,
+            }
+        });
+        LoadReport {
+            loads: self.book.borrow().loads(now),
+            demands: demands.collect(),
+        }
+    }
+
+    /// Takes what all other hosts tell together.
+    pub fn take_others(&self, report: LoadReport) {
+        let now = self.now();
+        self.book.borrow_mut().set_others(&report.loads, now);
+        *self.others.borrow_mut() = (report.demands, now);
+    }
+
     /// Sends a call of the host's own and reads its whole answer.
     pub async fn call_backend(
         &self,
@@ -176,7 +259,7 @@
             let body = answer.body.read(CONTROL_ANSWER_LIMIT).await;
             let body = body.map_err(|detail| SendFailure {
                 verdict: RunVerdict::MayHaveRun,
-                silent: false,
+                cause: FailureCause::Broken,
                 detail,
             })?;
             Ok((status, body))
@@ -196,7 +279,7 @@
         // Names that backend servers gave stand in paths; one of them may be no part of a path.
         *request.uri_mut() = call.path.parse().map_err(|error| SendFailure {
             verdict: RunVerdict::NotRun,
-            silent: false,
+            cause: FailureCause::Broken,
             detail: format!("{:?} is no path: {error}", call.path),
         })?;
         let headers = request.headers_mut();
@@ -207,9 +290,8 @@
             HeaderValue::from_static("application/json"),
         );
         (self.dialect.name_backend)(headers, &backend.id);
-        self.pool
-            .send(backend.address, PoolLane::Control, request)
-            .await
+        let target = self.pool_target(backend, PoolLane::Control);
+        self.pool.send(target, request).await
     }
 }
 
@@ -236,6 +318,17 @@
         }
     }
 
+    /// A send to a backend server got no answer.
+    pub fn note_send_failure(&self, backend: &BackendInfo, failure: &SendFailure) {
+        match failure.kind() {
+            Some(kind) => self.note_failure(backend, kind, &failure.detail),
+            None => {
+                self.metrics.connection_limits.inc();
+                log::debug!("{}: {}", backend.id, failure.detail);
+            }
+        }
+    }
+
     /// A backend server declined a request.
     pub fn note_decline(&self, backend: &BackendInfo, status: StatusCode) {
         if status == MISDIRECTED {
--- a/src/relay/prefill.rs
+++ b/src/relay/prefill.rs
@@ -160,18 +160,17 @@
 ) -> Result<PromptCache, PrefillFailure> {
     let dialect = &parts.dialect;
     let request = call.request_to(engine, dialect, dialect.engines.as_prefill);
-    let sent = parts
-        .pool
-        .send(engine.address, PoolLane::Requests, request)
-        .await;
+    let target = parts.pool_target(engine, PoolLane::Requests);
+    let sent = parts.pool.send(target, request).await;
     let answer = sent.map_err(|failure| {
         if failure.verdict == RunVerdict::NotRun {
-            parts.note_failure(engine, failure.kind(), &failure.detail);
+            parts.note_send_failure(engine, &failure);
         }
         PrefillFailure {
             verdict: failure.verdict,
             arrived: failure.verdict != RunVerdict::NotRun,
-            kind: failure.kind(),
+            // Only looked at where the engine may have got the request.
+            kind: failure.kind().unwrap_or(BackendFailure::Broken),
             detail: failure.detail,
         }
     })?;
--- a/src/relay/reserve.rs
+++ b/src/relay/reserve.rs
@@ -275,7 +275,7 @@
             None
         }
         Err(failure) => {
-            parts.note_failure(engine, failure.kind(), &failure.detail);
+            parts.note_send_failure(engine, &failure);
             return None;
         }
     };
--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -58,14 +58,12 @@
 ) -> SendOutcome {
     let guard = CallGuard::begin(parts, backend);
     let request = call.request_to(backend, &parts.dialect, |_| ());
-    let sent = parts
-        .pool
-        .send(backend.address, PoolLane::Requests, request)
-        .await;
+    let target = parts.pool_target(backend, PoolLane::Requests);
+    let sent = parts.pool.send(target, request).await;
     let answer = match sent {
         Ok(answer) => answer,
         Err(failure) => {
-            parts.note_failure(backend, failure.kind(), &failure.detail);
+            parts.note_send_failure(backend, &failure);
             return match failure.verdict {
                 RunVerdict::NotRun => SendOutcome::Declined(failure.detail),
                 _ => SendOutcome::Lost(failure.detail),
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -6,7 +6,6 @@
 use {
     super::{
         answer::{self, RelayAnswer},
-        backend::BackendInfo,
         call::RelayCall,
         chunks,
         config::RequestKind,
@@ -16,12 +15,11 @@
         prefill::{self, PrefillFailure, WaitingCache},
         reserve::{self, MemoryHold},
         resume,
-        view::BackendFailure,
     },
     crate::{
         event,
         operation::{Refusal, RefusalCode, RunVerdict},
-        web::{PoolLane, PooledAnswer, PooledBody, SendFailure},
+        web::PooledBody,
     },
     faststr::FastStr,
     http::{HeaderMap, StatusCode},
@@ -29,16 +27,6 @@
     tokio::time::Instant,
 };
 
-/// Longest wait for the head of a decode engine's answer; it comes with the first token.
-const HEAD_PATIENCE: Duration = Duration::from_millis(3_000);
-
-/// The same where another engine may begin anew: an engine that has memory and the KV cache answers in
-/// some tens of milliseconds, one that computes the prompt itself in some hundred.
-const RESUMABLE_HEAD_PATIENCE: Duration = Duration::from_millis(2_000);
-
-/// Bytes of a declining answer.
-const DECLINE_LIMIT: usize = 64 << 10;
-
 /// Prefill engines that a request is offered to one after the other while none of them got it.
 const PREFILLS_MAX: usize = 3;
 
@@ -78,8 +66,8 @@
 
 /// Why a round brought no stream.
 pub(super) struct RoundFailure {
-    verdict: RunVerdict,
-    detail: String,
+    pub(super) verdict: RunVerdict,
+    pub(super) detail: String,
 }
 
 /// A streamed request on its way.
@@ -92,7 +80,7 @@
     computed: bool,
     // Decodes that were sent, run or not.
     decodes: u32,
-    skip_prefill: bool,
+    pub(super) skip_prefill: bool,
     // Whether any decode so far may have run.
     verdict: RunVerdict,
     // Whether the repeat of the next decode is counted already.
@@ -165,7 +153,7 @@
 }
 
 impl StreamRelay {
-    fn is_resumable(&self) -> bool {
+    pub(super) fn is_resumable(&self) -> bool {
         self.call.route.kind == RequestKind::ResumableStream
     }
 
@@ -348,85 +336,6 @@
             },
         })
     }
-
-    async fn send_decode(
-        &self,
-        engine: &BackendInfo,
-        start: &DecodeStart,
-    ) -> Result<PooledAnswer, RoundFailure> {
-        let parts = &self.parts;
-        let request = self.call.request_to(engine, &parts.dialect, |headers| {
-            (parts.dialect.engines.as_decode)(headers, start);
-        });
-        let patience = match self.is_resumable() {
-            true => RESUMABLE_HEAD_PATIENCE,
-            false => HEAD_PATIENCE,
-        };
-        let patience = patience.min(self.call.time_left());
-        let sending = parts.pool.send(engine.address, PoolLane::Requests, request);
-        let sent = tokio::time::timeout(patience, sending)
-            .await
-            .unwrap_or_else(|_| Err(SendFailure::no_answer_in_time()));
-        sent.map_err(|failure| {
-            parts.note_failure(engine, failure.kind(), &failure.detail);
-            RoundFailure {
-                verdict: failure.verdict,
-                detail: format!("decode at {}: {}", engine.id, failure.detail),
-            }
-        })
-    }
-
-    // Whether the answer is this request's, and whether the engine took it.
-    async fn check_answer(
-        &mut self,
-        engine: &BackendInfo,
-        cache: Option<WaitingCache>,
-        answer: PooledAnswer,
-    ) -> Result<PooledAnswer, RoundFailure> {
-        let parts = self.parts.clone();
-        let marks = (parts.dialect.read_answer)(answer.status, &answer.headers);
-        if marks.is_anothers(&self.call.marks.id) {
-            let detail = "an answer to another request";
-            parts.note_failure(engine, BackendFailure::Broken, detail);
-            return Err(RoundFailure {
-                verdict: RunVerdict::MayHaveRun,
-                detail: format!("decode at {}: {detail}", engine.id),
-            });
-        }
-        if marks.not_run {
-            return Err(self.take_decline(engine, cache, answer).await);
-        }
-        if let Some(mut cache) = cache {
-            cache.taken();
-        }
-        let is_good = !answer.status.is_server_error();
-        parts.book.borrow_mut().answered(&engine.id, is_good);
-        Ok(answer)
-    }
-
-    // Most often the KV cache could not be had: the prefill engine is to blame, and the decode engine
-    // computes the prompt itself in the next round.
-    async fn take_decline(
-        &mut self,
-        engine: &BackendInfo,
-        cache: Option<WaitingCache>,
-        answer: PooledAnswer,
-    ) -> RoundFailure {
-        let status = answer.status;
-        self.parts.note_decline(engine, status);
-        let blamed = cache.as_ref().map_or(engine, |cache| &cache.engine);
-        let now = self.parts.now();
-        self.parts.book.borrow_mut().declined(&blamed.id, now);
-        self.skip_prefill = cache.is_some();
-        // Read to its end, so that the connection can be used again.
-        if let Err(detail) = answer.body.read(DECLINE_LIMIT).await {
-            log::debug!("a declining answer of {} broke off: {detail}", engine.id);
-        }
-        RoundFailure {
-            verdict: RunVerdict::NotRun,
-            detail: format!("decode at {} declined with status {status}", engine.id),
-        }
-    }
 }
 
 impl StreamRelay {
--- a/src/relay/view.rs
+++ b/src/relay/view.rs
@@ -1,8 +1,8 @@
 //! What this host knows of one backend server.
 
 use {
-    super::backend::BackendInfo,
-    crate::web::SendFailure,
+    super::{backend::BackendInfo, news::EngineKey},
+    crate::web::{FailureCause, SendFailure},
     std::{collections::BTreeMap, time::Duration},
 };
 
@@ -38,11 +38,12 @@
 }
 
 impl SendFailure {
-    /// How the backend server failed, for the book.
-    pub fn kind(&self) -> BackendFailure {
-        match self.silent {
-            true => BackendFailure::Silent,
-            false => BackendFailure::Broken,
+    /// How the backend server failed, for the book; none where that was not its doing.
+    pub fn kind(&self) -> Option<BackendFailure> {
+        match self.cause {
+            FailureCause::Broken => Some(BackendFailure::Broken),
+            FailureCause::Silent => Some(BackendFailure::Silent),
+            FailureCause::Limited => None,
         }
     }
 }
@@ -52,6 +53,8 @@
 pub struct BackendView {
     /// Who it is.
     pub info: BackendInfo,
+    // The same in reports of other hosts.
+    pub(super) key: EngineKey,
     // When each request in progress was sent, by its number.
     pub(super) calls: BTreeMap<u64, Duration>,
     pub(super) failures: u32,
@@ -75,6 +78,7 @@
     /// One of which nothing is known yet.
     pub(super) fn new(info: BackendInfo) -> Self {
         Self {
+            key: EngineKey::of(&info.id),
             info,
             calls: BTreeMap::new(),
             failures: 0,
--- a/src/web/pool.rs
+++ b/src/web/pool.rs
@@ -51,13 +51,35 @@
     Control,
 }
 
+/// Where a request goes.
+#[derive(Debug, Clone, Copy)]
+pub struct PoolTarget {
+    /// The server.
+    pub address: SocketAddr,
+    /// What its connection is used for.
+    pub lane: PoolLane,
+    /// Connections that may be open to the address at most, of both uses together.
+    pub limit: usize,
+}
+
+/// What kept a request from its answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FailureCause {
+    /// The connection failed, or broke off.
+    Broken,
+    /// Nothing came in time.
+    Silent,
+    /// As many connections are open to the server as may be, and all are in use.
+    Limited,
+}
+
 /// Why a request got no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SendFailure {
     /// Whether it may have run.
     pub verdict: RunVerdict,
-    /// Nothing came in time, rather than something that says so.
-    pub silent: bool,
+    /// What kept it.
+    pub cause: FailureCause,
     /// What happened.
     pub detail: String,
 }
@@ -75,7 +97,7 @@
     pub fn no_answer_in_time() -> Self {
         Self {
             verdict: RunVerdict::MayHaveRun,
-            silent: true,
+            cause: FailureCause::Silent,
             detail: "no answer in time".into(),
         }
     }
@@ -92,13 +114,48 @@
 struct PooledConnection {
     sender: Sender,
     task: AbortHandle,
-    open: Rc<Cell<usize>>,
+    _counted: OpenCount,
 }
 
 impl Drop for PooledConnection {
     fn drop(&mut self) {
         self.task.abort();
-        self.open.set(self.open.get() - 1);
+    }
+}
+
+type OpenCounts = Rc<RefCell<HashMap<SocketAddr, usize>>>;
+
+// A connection that is open or being opened, counted until dropped.
+struct OpenCount {
+    open: OpenCounts,
+    address: SocketAddr,
+}
+
+impl OpenCount {
+    // None where as many are open as may be.
+    fn begin(open: &OpenCounts, address: SocketAddr, limit: usize) -> Option<Self> {
+        let mut counts = open.borrow_mut();
+        let count = counts.entry(address).or_default();
+        if *count >= limit {
+            return None;
+        }
+        *count += 1;
+        Some(Self {
+            open: open.clone(),
+            address,
+        })
+    }
+}
+
+impl Drop for OpenCount {
+    fn drop(&mut self) {
+        let mut counts = self.open.borrow_mut();
+        if let Some(count) = counts.get_mut(&self.address) {
+            *count -= 1;
+            if *count == 0 {
+                counts.remove(&self.address);
+            }
+        }
     }
 }
 
@@ -108,13 +165,13 @@
 pub struct ConnectionPool {
     idle: RefCell<HashMap<PoolKey, Vec<IdleConnection>>>,
     settings: PoolSettings,
-    open: Rc<Cell<usize>>,
+    open: OpenCounts,
     opened: Cell<u64>,
 }
 
 impl fmt::Debug for ConnectionPool {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "ConnectionPool({} open)", self.open.get())
+        write!(f, "ConnectionPool({} open)", self.open())
     }
 }
 
@@ -163,7 +220,7 @@
 
     /// Connections that are open.
     pub fn open(&self) -> usize {
-        self.open.get()
+        self.open.borrow().values().sum()
     }
 
     /// Closes what is idle towards an address.
@@ -194,12 +251,17 @@
         None
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<PooledConnection, SendFailure> {
+    async fn connect(&self, target: PoolTarget) -> Result<PooledConnection, SendFailure> {
+        let PoolTarget { address, limit, .. } = target;
+        let counted = OpenCount::begin(&self.open, address, limit).ok_or_else(|| SendFailure {
+            cause: FailureCause::Limited,
+            ..not_sent(format!("all of {limit} connections are in use"))
+        })?;
         let opening = open_stream(address, self.settings.silence_limit);
         let stream = tokio::time::timeout(self.settings.connect_time, opening)
             .await
             .map_err(|_| SendFailure {
-                silent: true,
+                cause: FailureCause::Silent,
                 ..not_sent("no connection in time")
             })?
             .map_err(|error| not_sent(format!("no connection: {error}")))?;
@@ -213,11 +275,10 @@
             }
         });
         self.opened.set(self.opened.get() + 1);
-        self.open.set(self.open.get() + 1);
         Ok(PooledConnection {
             sender,
             task: task.abort_handle(),
-            open: self.open.clone(),
+            _counted: counted,
         })
     }
 
@@ -226,17 +287,16 @@
     /// A caller that stops waiting closes the connection.
     pub async fn send(
         self: &Rc<Self>,
-        address: SocketAddr,
-        lane: PoolLane,
+        target: PoolTarget,
         mut request: Request<Full<Bytes>>,
     ) -> Result<PooledAnswer, SendFailure> {
-        let key = (address, lane);
+        let key = (target.address, target.lane);
         loop {
             let kept = self.take(key);
             let is_kept = kept.is_some();
             let mut connection = match kept {
                 Some(connection) => connection,
-                None => self.connect(address).await?,
+                None => self.connect(target).await?,
             };
             match connection.sender.try_send_request(request).await {
                 Ok(answer) => return Ok(self.answer(key, connection, answer)),
@@ -247,7 +307,7 @@
                     None => {
                         return Err(SendFailure {
                             verdict: RunVerdict::MayHaveRun,
-                            silent: false,
+                            cause: FailureCause::Broken,
                             detail: format!("no answer: {}", error.error()),
                         });
                     }
@@ -338,7 +398,7 @@
 fn not_sent(detail: impl Into<String>) -> SendFailure {
     SendFailure {
         verdict: RunVerdict::NotRun,
-        silent: false,
+        cause: FailureCause::Broken,
         detail: detail.into(),
     }
 }
