Hosts call a store that is away less often; at their start they ask each other first

Each host retried each kind after 0.25 to 1 s; hosts took readers whose store was down for silent, each other ones, for up to 32 s, so that many read the store themselves. Ruled out: the readers' own watches (10 to 17 calls a second). Change: hosts that are not to read ask a store that is away each 0.7 to 2.5 s, and the zone's first reader and one other host each 0.35 s; a reader that answers with old news is not passed over once the store does not answer the asker either; a host that starts asks its seeds and looks at the store 0.1 s later if it needs to; the age of old news and the length of watches come from the operators' bounds (1.4 and 0.7 s at 2 s as before, 1.8 and 0.9 s at 3 s). Tests: after an outage all follow the same host again; a reader that the store turns away is left; a host that was just started follows as soon as it was told; old news by bounds.

--- a/src/host/passing.rs
+++ b/src/host/passing.rs
@@ -127,6 +127,8 @@
                 extra: REPEATS_EXTRA,
                 window: REPEATS_WINDOW,
             },
+            // Changes come from the control thread.
+            change_time: Duration::MAX,
             // The platform itself takes lapsed servers off its list.
             heartbeat: Duration::MAX,
             lease_time: Duration::ZERO,
--- a/src/relay/feed.rs
+++ b/src/relay/feed.rs
@@ -9,6 +9,7 @@
             HostEntry, StoreChange, StoreChanges, StoreItem, StoreKind, StoreLink, StoreList,
             StoreValue,
         },
+        news::old_news,
         parts::RelayParts,
         vital,
     },
@@ -19,9 +20,12 @@
     tokio::sync::Notify,
 };
 
-/// How long a watch of the configuration or of backend servers waits: a watch that hangs is found out
-/// within the time in which changes are due, and other hosts learn how old this one's view may be.
-const WATCH_TIME: Duration = Duration::from_millis(700);
+/// Part of the age at which news are old that a watch of the configuration or of backend servers waits: a watch
+/// that hangs is found out before, and other hosts learn how old this one's view may be.
+const WATCH_PART: f64 = 0.5;
+
+/// From the start of a host to its first look at the store: other hosts may tell it everything before.
+const FIRST_DELAY: Duration = Duration::from_millis(100);
 
 /// How long a watch of the hosts waits: nothing urgent depends on them.
 const HOSTS_WATCH_TIME: Duration = Duration::from_secs(20);
@@ -39,9 +43,16 @@
 /// Pause after a failed call to the store; doubled for each further one.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
 
+/// The same for a host that is not to read for its zone.
+const FOLLOWER_PAUSE: Duration = Duration::from_millis(700);
+
 /// Longest pause after failed calls: changes are due a few seconds after the store is back.
 const FAILURE_PAUSE_LONGEST: Duration = Duration::from_millis(1_000);
 
+/// The same for a host that is not to read for its zone: it asks those that are, and each call to a store that
+/// turns all away has its price.
+const FOLLOWER_PAUSE_LONGEST: Duration = Duration::from_millis(2_500);
+
 /// How often lapsed entries are looked at.
 const EXPIRE_PERIOD: Duration = Duration::from_millis(200);
 
@@ -117,17 +128,19 @@
 
     // Lists a kind, then follows its changes, while it is wanted.
     async fn follow(self: Rc<Self>, kind: StoreKind) {
-        if kind == StoreKind::Hosts {
-            tokio::time::sleep(HOSTS_FIRST_DELAY).await;
-        }
-        let mut pause = FAILURE_PAUSE;
+        let delay = match kind {
+            StoreKind::Hosts => HOSTS_FIRST_DELAY,
+            _ => FIRST_DELAY,
+        };
+        tokio::time::sleep(delay).await;
+        let mut pause = self.pauses().0;
         let mut forgotten = false;
         loop {
             self.wanted(kind).await;
             let before = self.parts.cluster.borrow().changes_seen();
             match self.read_once(kind, forgotten).await {
                 Ok(()) => {
-                    (forgotten, pause) = (false, FAILURE_PAUSE);
+                    (forgotten, pause) = (false, self.pauses().0);
                     self.note_answer(kind);
                     tokio::time::sleep(self.pause_after(kind, before)).await;
                 }
@@ -137,12 +150,20 @@
                     // Not all hosts at the same moment.
                     let share = rand::rng().random_range(0.5..1.0);
                     tokio::time::sleep(pause.mul_f64(share)).await;
-                    pause = (pause * 2).min(FAILURE_PAUSE_LONGEST);
+                    pause = (pause * 2).min(self.pauses().1);
                 }
             }
         }
     }
 
+    // The first and the longest pause after failures.
+    fn pauses(&self) -> (Duration, Duration) {
+        match self.reading_hosts.get() {
+            true => (FAILURE_PAUSE, FAILURE_PAUSE_LONGEST),
+            false => (FOLLOWER_PAUSE, FOLLOWER_PAUSE_LONGEST),
+        }
+    }
+
     // Changes that follow one another closely are read together.
     fn pause_after(&self, kind: StoreKind, before: u64) -> Duration {
         let has_changed = self.parts.cluster.borrow().changes_seen() != before;
@@ -194,7 +215,7 @@
         }
         let wait = match kind {
             StoreKind::Hosts => HOSTS_WATCH_TIME,
-            _ => WATCH_TIME,
+            _ => old_news(self.parts.settings.bounds.change_time).mul_f64(WATCH_PART),
         };
         let changes = (self.store.watch)(kind, held, wait).await?;
         self.take_changes(kind, changes);
--- a/src/relay/news/follow.rs
+++ b/src/relay/news/follow.rs
@@ -10,7 +10,7 @@
         },
         link::NewsLinks,
         message::{ClusterNews, HeldNews},
-        source::{NewsSource, OLD_NEWS, SourceChoice},
+        source::{self, NewsSource, SourceChoice},
     },
     crate::event,
     rand::seq::SliceRandom,
@@ -35,6 +35,8 @@
     parts: Rc<RelayParts>,
     feed: Rc<StoreFeed>,
     links: Rc<NewsLinks>,
+    // Age at which this host reads the store itself.
+    old_news: Duration,
     choice: RefCell<SourceChoice>,
     last: RefCell<NewsSource>,
 }
@@ -43,11 +45,13 @@
     /// Starts to follow.
     pub fn start(parts: Rc<RelayParts>, feed: Rc<StoreFeed>, links: Rc<NewsLinks>) -> Rc<Self> {
         let settings = &parts.settings;
-        let choice = SourceChoice::new(settings.name.clone(), settings.zone.clone());
+        let old_news = source::old_news(settings.bounds.change_time);
+        let choice = SourceChoice::new(settings.name.clone(), settings.zone.clone(), old_news);
         let follower = Rc::new(Self {
             parts,
             feed,
             links,
+            old_news,
             choice: RefCell::new(choice),
             last: RefCell::new(NewsSource::Store),
         });
@@ -64,16 +68,26 @@
         loop {
             match self.choose() {
                 NewsSource::Store => {
+                    let knew = self.knows_all();
                     if self.feed.is_lost() {
+                        self.choice.borrow_mut().note_store_lost();
                         self.ask_some().await;
                     }
-                    tokio::time::sleep(LOOK_PERIOD).await;
+                    // Who has just been told everything can follow at once.
+                    if knew || !self.knows_all() {
+                        tokio::time::sleep(LOOK_PERIOD).await;
+                    }
                 }
                 NewsSource::Host(entry) => self.follow(&entry).await,
             }
         }
     }
 
+    fn knows_all(&self) -> bool {
+        let cluster = self.parts.cluster.borrow();
+        cluster.age(self.parts.now()).is_some()
+    }
+
     fn choose(&self) -> NewsSource {
         let now = self.parts.now();
         let age = self.parts.cluster.borrow().age(now);
@@ -106,26 +120,27 @@
     async fn follow(&self, entry: &HostEntry) {
         // Whoever is asked, this host's news are not to grow old meanwhile.
         let age = self.parts.cluster.borrow().age(self.parts.now());
-        let left = OLD_NEWS.saturating_sub(age.unwrap_or(OLD_NEWS));
+        let left = self.old_news.saturating_sub(age.unwrap_or(self.old_news));
         let wait = FOLLOW_WAIT.min(left / 2);
         let patience = ANSWER_PATIENCE.min(left - wait);
         let held = self.held(wait, false);
-        let is_heard = match self.links.follow(entry.peers, held, patience).await {
+        let answer = match self.links.follow(entry.peers, held, patience).await {
             Ok(news) => {
-                let is_fresh = news.age.is_some_and(|age| age < OLD_NEWS);
+                let is_fresh = news.age.is_some_and(|age| age < self.old_news);
                 self.take(news, entry.peers).await;
-                is_fresh
+                Some(is_fresh)
             }
             Err(error) => {
                 log::debug!("host {} gave no news: {error}", entry.name);
-                false
+                None
             }
         };
         let now = self.parts.now();
         let mut choice = self.choice.borrow_mut();
-        match is_heard {
-            true => choice.note_news(&entry.name),
-            false => choice.note_silent(&entry.name, now),
+        match answer {
+            Some(true) => choice.note_news(&entry.name),
+            Some(false) => choice.note_cut_off(&entry.name, now),
+            None => choice.note_silent(&entry.name, now),
         }
     }
 
@@ -149,8 +164,11 @@
         addresses.sort();
         addresses.dedup();
         addresses.shuffle(&mut rand::rng());
-        addresses.truncate(ASKED_HOSTS);
-        addresses
+        // Whoever reads for the zone hears first that the store is back.
+        let reader = self.first_reader().map(|entry| entry.peers);
+        addresses.retain(|address| Some(*address) != reader);
+        addresses.truncate(ASKED_HOSTS - usize::from(reader.is_some()));
+        reader.into_iter().chain(addresses).collect()
     }
 
     async fn take(&self, news: ClusterNews, from: SocketAddr) {
--- a/src/relay/news/source.rs
+++ b/src/relay/news/source.rs
@@ -14,10 +14,20 @@
 /// zone nothing.
 const SECOND_READER_FROM: usize = 9;
 
-/// Age at which a host reads the store itself. Readers hear from the store each 0.7 s and followers from
-/// them each 0.3 s; operators expect a change to be in force, and a leaving server to get nothing more,
-/// within two seconds.
-pub const OLD_NEWS: Duration = Duration::from_millis(1_400);
+/// What is left, of the time in which a change has to be in force, to a host that reads the store itself since
+/// its news are old: it may have to find out first that a connection hangs.
+const OWN_READING_MARGIN: Duration = Duration::from_millis(600);
+
+/// Bounds of the age at which a host reads the store itself. Readers hear from the store at half of it at the latest,
+/// and followers from them each 0.3 s; an older list than the upper bound may have lapsed entries.
+const OLD_NEWS_LEAST: Duration = Duration::from_millis(1_000);
+const OLD_NEWS_MOST: Duration = Duration::from_millis(1_800);
+
+/// Age at which a host reads the store itself, where changes have to be in force within `change_time`.
+pub fn old_news(change_time: Duration) -> Duration {
+    let age = change_time.saturating_sub(OWN_READING_MARGIN);
+    age.clamp(OLD_NEWS_LEAST, OLD_NEWS_MOST)
+}
 
 /// Least time for a question: with less left until its news are old a host reads the store at once, rather
 /// than blame whom it asks.
@@ -51,6 +61,8 @@
 struct PassedOver {
     until: Duration,
     time: Duration,
+    // It answered, but the store did not answer it.
+    is_cut_off: bool,
 }
 
 /// One host's choice of whom to follow.
@@ -58,6 +70,8 @@
 pub struct SourceChoice {
     own: FastStr,
     zone: FastStr,
+    // Age at which this host reads the store itself.
+    old_news: Duration,
     // The hosts of the zone, in the order in which they are to read the store.
     order: Vec<HostEntry>,
     passed_over: BTreeMap<FastStr, PassedOver>,
@@ -65,11 +79,12 @@
 }
 
 impl SourceChoice {
-    /// A host that knows no others.
-    pub fn new(own: FastStr, zone: FastStr) -> Self {
+    /// A host that knows no others and whose news are old at this age.
+    pub fn new(own: FastStr, zone: FastStr, old_news: Duration) -> Self {
         Self {
             own,
             zone,
+            old_news,
             order: Vec::new(),
             passed_over: BTreeMap::new(),
             reading_until: Duration::ZERO,
@@ -86,14 +101,32 @@
             .retain(|name, _| order.iter().any(|entry| entry.name == *name));
     }
 
-    /// A host gave no news, or old ones.
+    /// A host answered, with old news: the store does not answer it.
+    pub fn note_cut_off(&mut self, name: &FastStr, now: Duration) {
+        self.pass_over(name, true, now);
+    }
+
+    /// The store does not answer this host either: no other is to blame for old news. Otherwise each host would
+    /// pass over others than the next, and most of them would read the store once it is back.
+    pub fn note_store_lost(&mut self) {
+        self.passed_over.retain(|_, passed| !passed.is_cut_off);
+    }
+
+    /// A host gave no answer.
     pub fn note_silent(&mut self, name: &FastStr, now: Duration) {
+        self.pass_over(name, false, now);
+    }
+
+    fn pass_over(&mut self, name: &FastStr, is_cut_off: bool, now: Duration) {
         let before = self.passed_over.get(name);
         let time = before.map_or(PASS_OVER_FIRST, |before| before.time * 2);
         let time = time.min(PASS_OVER_LONGEST);
-        let until = now + time;
-        self.passed_over
-            .insert(name.clone(), PassedOver { until, time });
+        let passed = PassedOver {
+            until: now + time,
+            time,
+            is_cut_off,
+        };
+        self.passed_over.insert(name.clone(), passed);
     }
 
     /// A host gave news that are not old.
@@ -118,7 +151,11 @@
         if self.is_reader(now) {
             return NewsSource::Store;
         }
-        if age.is_none_or(|age| age + LEAST_QUESTION >= OLD_NEWS) {
+        // Who was just started knows nothing yet, and may be told by others before it has read the store.
+        let Some(age) = age else {
+            return NewsSource::Store;
+        };
+        if age + LEAST_QUESTION >= self.old_news {
             self.reading_until = now + OWN_READING_TIME;
         }
         if now < self.reading_until {
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -41,6 +41,8 @@
 pub struct RelayBounds {
     /// Sends beyond the first of each request, by all hosts together.
     pub retries: RetryAllowance,
+    /// Time within which a change of the configuration or of the servers has to be in force.
+    pub change_time: Duration,
     /// How often backend servers renew their entries in the store.
     pub heartbeat: Duration,
     /// Least time between the orders of two holders of the lease.
--- a/tests/relay_news.rs
+++ b/tests/relay_news.rs
@@ -6,7 +6,7 @@
         relay::{
             self, BackendBook, BackendFailure, BackendInfo, ChangeHistory, ClusterState, EngineKey,
             EngineLoad, HostEntry, LoadBoard, LoadReport, LoadReporter, MissingNews, NewsSource,
-            OLD_NEWS, ServiceDemand, SourceChoice, StoreChange, StoreItem, StoreKind, StoreValue,
+            ServiceDemand, SourceChoice, StoreChange, StoreItem, StoreKind, StoreValue,
         },
     },
     bolero::check,
@@ -14,6 +14,9 @@
     std::{collections::BTreeMap, time::Duration},
 };
 
+/// Where changes have to be in force within two seconds.
+const OLD_NEWS: Duration = Duration::from_millis(1_400);
+
 fn millis(count: u64) -> Duration {
     Duration::from_millis(count)
 }
@@ -33,7 +36,7 @@
 }
 
 fn choice_of(own: &str, hosts: &[HostEntry]) -> SourceChoice {
-    let mut choice = SourceChoice::new(FastStr::new(own), "z-a".into());
+    let mut choice = SourceChoice::new(FastStr::new(own), "z-a".into(), OLD_NEWS);
     choice.set_hosts(hosts.iter());
     choice
 }
@@ -71,6 +74,55 @@
     }
 }
 
+#[test]
+fn news_are_old_in_time_for_an_own_reading() {
+    assert_eq!(relay::old_news(millis(2_000)), OLD_NEWS);
+    assert_eq!(relay::old_news(millis(3_000)), millis(1_800));
+    assert_eq!(relay::old_news(Duration::ZERO), millis(1_000));
+}
+
+#[test]
+fn a_host_that_was_just_started_follows_as_soon_as_it_was_told() {
+    let hosts = zone(4);
+    let reader = &readers(&hosts, Duration::ZERO)[0];
+    let other = hosts.iter().find(|entry| entry.name != *reader).unwrap();
+    let mut choice = choice_of(&other.name, &hosts);
+    assert_eq!(choice.choose(None, millis(1)), NewsSource::Store);
+    let next = choice.choose(Some(millis(20)), millis(30));
+    assert!(matches!(next, NewsSource::Host(entry) if entry.name == *reader));
+}
+
+#[test]
+fn after_an_outage_of_the_store_all_follow_the_same_host_again() {
+    let hosts = zone(4);
+    let reader = readers(&hosts, Duration::ZERO)[0].clone();
+    for own in hosts.iter().filter(|entry| entry.name != reader) {
+        let mut choice = choice_of(&own.name, &hosts);
+        // In turn the hosts that it would follow tell old news, until it finds that the store is lost.
+        for at in [0, 300, 600] {
+            if let NewsSource::Host(entry) = choice.choose(Some(millis(100)), millis(at)) {
+                choice.note_cut_off(&entry.name, millis(at));
+            }
+        }
+        choice.note_store_lost();
+        let next = choice.choose(Some(millis(100)), millis(700));
+        assert!(matches!(next, NewsSource::Host(entry) if entry.name == reader));
+    }
+}
+
+#[test]
+fn a_reader_that_the_store_turns_away_is_left_for_another() {
+    let hosts = zone(4);
+    let reader = readers(&hosts, Duration::ZERO)[0].clone();
+    let own = hosts.iter().find(|entry| entry.name != reader).unwrap();
+    let mut choice = choice_of(&own.name, &hosts);
+    choice.note_cut_off(&reader, millis(0));
+    let next = choice.choose(Some(millis(100)), millis(100));
+    assert!(!matches!(next, NewsSource::Host(entry) if entry.name == reader));
+    let later = choice.choose(Some(millis(100)), millis(2_100));
+    assert!(matches!(later, NewsSource::Host(entry) if entry.name == reader));
+}
+
 #[test]
 fn a_host_alone_in_its_zone_reads_the_store() {
     let mut hosts = vec![host("h-1", "z-a"), host("h-2", "z-b"), host("h-3", "z-b")];
