Shares of repeats and connections, and news taken into force, have files of their own

Cause: parts.rs held what tasks share and what is decided of repeats; feed.rs read the store and put news into force; pairs and options stood for pauses, outcomes and what other hosts told. Nothing that is decided differs.

--- /dev/null
+++ b/src/relay/beliefs.rs
@@ -0,0 +1,69 @@
+//! What becomes of news: a configuration is in force, requests go to other backend servers.
+
+use {
+    super::{book::BackendChanges, config::RelayConfig, parts::RelayParts},
+    crate::event,
+    faststr::FastStr,
+};
+
+/// Names that a line of the log shows at most.
+const NAMES_SHOWN: usize = 8;
+
+impl RelayParts {
+    /// Takes a configuration from the store or another host, if it is newer.
+    pub fn offer_config(&self, config: RelayConfig, from: &str) {
+        let version = config.version;
+        let taken = self.cluster.borrow_mut().offer_config(config);
+        if taken {
+            event::emit(
+                &event::CONFIG_IN_FORCE,
+                &[("version", &version), ("from", &from)],
+            );
+            self.news.notify_waiters();
+        }
+    }
+
+    /// Tells the book which backend servers there are, and other hosts that there is news.
+    pub fn publish_backends(&self) {
+        let usable = self.cluster.borrow().usable();
+        let count = usable.len();
+        let changes = self.book.borrow_mut().set_backends(usable);
+        if !changes.is_empty() {
+            self.log_changes(&changes, count);
+        }
+        self.freed.notify_waiters();
+        self.news.notify_waiters();
+    }
+
+    fn log_changes(&self, changes: &BackendChanges, count: usize) {
+        let cluster = self.cluster.borrow();
+        let age = cluster.age(self.now());
+        event::emit(
+            &event::BACKENDS_CHANGED,
+            &[
+                ("revision", &cluster.backends_revision()),
+                ("age_ms", &age.map_or(-1, |age| age.as_millis() as i64)),
+                ("backends", &count),
+                ("added", &changes.added),
+                ("leaving", &short_list(&changes.leaving)),
+                ("other_role", &short_list(&changes.other_role)),
+                ("gone", &short_list(&changes.gone)),
+            ],
+        );
+    }
+
+    /// The name of this host, for logs.
+    pub fn name(&self) -> FastStr {
+        self.settings.name.clone()
+    }
+}
+
+// The first names of a list, and how many more there are: a zone's loss would make a line of its own length.
+fn short_list(names: &[FastStr]) -> String {
+    let shown: Vec<&str> = names.iter().take(NAMES_SHOWN).map(|name| &**name).collect();
+    let shown = shown.join(",");
+    match names.len().saturating_sub(NAMES_SHOWN) {
+        0 => shown,
+        more => format!("{shown},+{more}"),
+    }
+}
--- a/src/relay/feed.rs
+++ b/src/relay/feed.rs
@@ -3,8 +3,6 @@
 use {
     super::{
         backend::BackendInfo,
-        book::BackendChanges,
-        config::RelayConfig,
         link::{
             HostEntry, StoreChange, StoreChanges, StoreItem, StoreKind, StoreLink, StoreList,
             StoreValue,
@@ -14,7 +12,6 @@
         vital,
     },
     crate::{event, store::StoreFailure},
-    faststr::FastStr,
     rand::RngExt,
     std::{cell::Cell, rc::Rc, time::Duration},
     tokio::sync::Notify,
@@ -40,25 +37,27 @@
 /// From the start of a host to its first look at the others: all start within a fraction of a second.
 const HOSTS_FIRST_DELAY: Duration = Duration::from_millis(1_000);
 
-/// Pause after a failed call to the store; doubled for each further one.
-const FAILURE_PAUSE: Duration = Duration::from_millis(250);
-
-/// The same for a host that is not to read for its zone.
-const FOLLOWER_PAUSE: Duration = Duration::from_millis(700);
+/// Pauses after failed calls to the store, doubled from the first to the longest.
+struct FailurePauses {
+    first: Duration,
+    longest: Duration,
+}
 
-/// Longest pause after failed calls: changes are due a few seconds after the store is back.
-const FAILURE_PAUSE_LONGEST: Duration = Duration::from_millis(1_000);
+/// Those of a host that reads for its zone: changes are due a few seconds after the store is back.
+const READER_PAUSES: FailurePauses = FailurePauses {
+    first: Duration::from_millis(250),
+    longest: Duration::from_millis(1_000),
+};
 
-/// The same for a host that is not to read for its zone: it asks those that are, and each call to a store that
-/// turns all away has its price.
-const FOLLOWER_PAUSE_LONGEST: Duration = Duration::from_millis(2_500);
+/// Those of another one: it asks those that read, and each call to a store that turns all away has its price.
+const FOLLOWER_PAUSES: FailurePauses = FailurePauses {
+    first: Duration::from_millis(700),
+    longest: Duration::from_millis(2_500),
+};
 
 /// How often lapsed entries are looked at.
 const EXPIRE_PERIOD: Duration = Duration::from_millis(200);
 
-/// Names that a line of the log shows at most.
-const NAMES_SHOWN: usize = 8;
-
 /// Reads the store while that is wanted of this host.
 #[derive(Debug)]
 pub struct StoreFeed {
@@ -133,14 +132,14 @@
             _ => FIRST_DELAY,
         };
         tokio::time::sleep(delay).await;
-        let mut pause = self.pauses().0;
+        let mut pause = self.pauses().first;
         let mut forgotten = false;
         loop {
             self.wanted(kind).await;
             let before = self.parts.cluster.borrow().changes_seen();
             match self.read_once(kind, forgotten).await {
                 Ok(()) => {
-                    (forgotten, pause) = (false, self.pauses().0);
+                    (forgotten, pause) = (false, self.pauses().first);
                     self.note_answer(kind);
                     tokio::time::sleep(self.pause_after(kind, before)).await;
                 }
@@ -150,17 +149,16 @@
                     // Not all hosts at the same moment.
                     let share = rand::rng().random_range(0.5..1.0);
                     tokio::time::sleep(pause.mul_f64(share)).await;
-                    pause = (pause * 2).min(self.pauses().1);
+                    pause = (pause * 2).min(self.pauses().longest);
                 }
             }
         }
     }
 
-    // The first and the longest pause after failures.
-    fn pauses(&self) -> (Duration, Duration) {
+    fn pauses(&self) -> FailurePauses {
         match self.reading_hosts.get() {
-            true => (FAILURE_PAUSE, FAILURE_PAUSE_LONGEST),
-            false => (FOLLOWER_PAUSE, FOLLOWER_PAUSE_LONGEST),
+            true => READER_PAUSES,
+            false => FOLLOWER_PAUSES,
         }
     }
 
@@ -335,16 +333,6 @@
     }
 }
 
-// The first names of a list, and how many more there are: a zone's loss would make a line of its own length.
-fn short_list(names: &[FastStr]) -> String {
-    let shown: Vec<&str> = names.iter().take(NAMES_SHOWN).map(|name| &**name).collect();
-    let shown = shown.join(",");
-    match names.len().saturating_sub(NAMES_SHOWN) {
-        0 => shown,
-        more => format!("{shown},+{more}"),
-    }
-}
-
 fn set_item(change: StoreChange) -> Option<StoreItem> {
     match change {
         StoreChange::Set(item) => Some(item),
@@ -365,52 +353,3 @@
         _ => None,
     }
 }
-
-impl RelayParts {
-    /// Takes a configuration from the store or another host, if it is newer.
-    pub fn offer_config(&self, config: RelayConfig, from: &str) {
-        let version = config.version;
-        let taken = self.cluster.borrow_mut().offer_config(config);
-        if taken {
-            event::emit(
-                &event::CONFIG_IN_FORCE,
-                &[("version", &version), ("from", &from)],
-            );
-            self.news.notify_waiters();
-        }
-    }
-
-    /// Tells the book which backend servers there are, and other hosts that there is news.
-    pub fn publish_backends(&self) {
-        let usable = self.cluster.borrow().usable();
-        let count = usable.len();
-        let changes = self.book.borrow_mut().set_backends(usable);
-        if !changes.is_empty() {
-            self.log_changes(&changes, count);
-        }
-        self.freed.notify_waiters();
-        self.news.notify_waiters();
-    }
-
-    fn log_changes(&self, changes: &BackendChanges, count: usize) {
-        let cluster = self.cluster.borrow();
-        let age = cluster.age(self.now());
-        event::emit(
-            &event::BACKENDS_CHANGED,
-            &[
-                ("revision", &cluster.backends_revision()),
-                ("age_ms", &age.map_or(-1, |age| age.as_millis() as i64)),
-                ("backends", &count),
-                ("added", &changes.added),
-                ("leaving", &short_list(&changes.leaving)),
-                ("other_role", &short_list(&changes.other_role)),
-                ("gone", &short_list(&changes.gone)),
-            ],
-        );
-    }
-
-    /// The name of this host, for logs.
-    pub fn name(&self) -> FastStr {
-        self.settings.name.clone()
-    }
-}
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -3,6 +3,7 @@
 
 mod answer;
 mod backend;
+mod beliefs;
 mod book;
 mod budget;
 mod call;
@@ -30,6 +31,7 @@
 mod route;
 mod send;
 mod settings;
+mod shares;
 mod stream;
 mod view;
 mod vital;
--- a/src/relay/news/follow.rs
+++ b/src/relay/news/follow.rs
@@ -30,6 +30,15 @@
 /// Hosts asked at a time while the store does not answer.
 const ASKED_HOSTS: usize = 2;
 
+/// What came of asking another host for news.
+enum FollowOutcome {
+    Fresh,
+    /// It answered, but what it knows is old.
+    Old,
+    /// It did not answer.
+    Silent,
+}
+
 /// Follows other hosts while it is not this host's turn to read the store.
 pub struct NewsFollower {
     parts: Rc<RelayParts>,
@@ -124,23 +133,26 @@
         let wait = FOLLOW_WAIT.min(left / 2);
         let patience = ANSWER_PATIENCE.min(left - wait);
         let held = self.held(wait, false);
-        let answer = match self.links.follow(entry.peers, held, patience).await {
+        let outcome = match self.links.follow(entry.peers, held, patience).await {
             Ok(news) => {
                 let is_fresh = news.age.is_some_and(|age| age < self.old_news);
                 self.take(news, entry.peers).await;
-                Some(is_fresh)
+                match is_fresh {
+                    true => FollowOutcome::Fresh,
+                    false => FollowOutcome::Old,
+                }
             }
             Err(error) => {
                 log::debug!("host {} gave no news: {error}", entry.name);
-                None
+                FollowOutcome::Silent
             }
         };
         let now = self.parts.now();
         let mut choice = self.choice.borrow_mut();
-        match answer {
-            Some(true) => choice.note_news(&entry.name),
-            Some(false) => choice.note_cut_off(&entry.name, now),
-            None => choice.note_silent(&entry.name, now),
+        match outcome {
+            FollowOutcome::Fresh => choice.note_news(&entry.name),
+            FollowOutcome::Old => choice.note_cut_off(&entry.name, now),
+            FollowOutcome::Silent => choice.note_silent(&entry.name, now),
         }
     }
 
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -251,33 +251,36 @@
         while !self.skip_prefill && tried.len() < PREFILLS_MAX {
             let zone = &hold.engine.zone;
             let chosen = prefill::choose_engine(&self.parts, &self.service, zone, &tried)?;
-            // The first prefill costs a repeat too if its engine does not do it.
-            let allowed = match self.computed {
-                true => self.parts.spend_repeat(&self.service),
-                false => self.parts.may_risk_repeat(&self.service),
-            };
-            if !allowed {
+            if !self.may_compute() {
                 return None;
             }
-            tried.push(chosen.0.id.clone());
-            match prefill::compute_prompt(&self.parts, &self.call, chosen).await {
+            let engine = chosen.0.id.clone();
+            let failure = match prefill::compute_prompt(&self.parts, &self.call, chosen).await {
                 Ok(cache) => {
                     self.computed = true;
                     return Some(cache);
                 }
-                Err(failure) => {
-                    self.log_prefill_failure(tried.last().expect("one was tried"), &failure);
-                    if failure.arrived {
-                        self.computed = true;
-                        self.parts.count_repeat(&self.service);
-                        return None;
-                    }
-                }
+                Err(failure) => failure,
+            };
+            self.log_prefill_failure(&engine, &failure);
+            if failure.arrived {
+                self.computed = true;
+                self.parts.count_repeat(&self.service);
+                return None;
             }
+            tried.push(engine);
         }
         None
     }
 
+    // The first prefill costs a repeat too if its engine does not do it.
+    fn may_compute(&self) -> bool {
+        match self.computed {
+            true => self.parts.spend_repeat(&self.service),
+            false => self.parts.may_risk_repeat(&self.service),
+        }
+    }
+
     fn log_prefill_failure(&self, engine: &FastStr, failure: &PrefillFailure) {
         event::emit(
             &event::PREFILL_FAILED,
