--- a/src/relay/shares.rs
+++ b/src/relay/shares.rs
@@ -17,8 +17,9 @@
 /// hear late of each other's demand, and those that come and go count for a while.
 const CONNECTIONS_PART: f64 = 0.85;
 
-/// Connections that a host may always have to a backend server: one for a request, one for calls of its own.
-const CONNECTIONS_LEAST: usize = 2;
+/// Connections that a host may always have to a backend server: many hosts have a share of less than one, and
+/// few of them need it at the same time.
+const CONNECTIONS_LEAST: usize = 4;
 
 /// Repeats in a window, beyond the share of its requests, of a host that does not know among how many the
 /// allowance is to be shared out: enough for one or two. Operators allow at least two for each host.
@@ -117,22 +118,26 @@
 
     /// Where a request to a backend server goes, and this host's share of the connections there.
     pub fn pool_target(&self, backend: &BackendInfo, lane: PoolLane) -> PoolTarget {
-        let routes = self.routes();
-        let service = routes
-            .as_ref()
-            .and_then(|routes| routes.config().service(&backend.service));
-        let known = service.and_then(|service| service.connection_limit);
-        let limit = known.map_or(usize::MAX, |known| {
-            let own = self.own_requests(&backend.service);
-            let share = self.fleet_demand(&backend.service).share(own);
-            let whole = f64::from(known) * CONNECTIONS_PART;
-            ((whole * share) as usize).max(CONNECTIONS_LEAST)
-        });
         PoolTarget {
             address: backend.address,
             lane,
-            limit,
+            limit: self
+                .connection_share(&backend.service)
+                .unwrap_or(usize::MAX),
+        }
+    }
+
+    // None where it is not bounded. At engines it is memory that bounds what runs: a prompt that is computed
+    // already is not to be lost for want of a connection.
+    fn connection_share(&self, name: &FastStr) -> Option<usize> {
+        let routes = self.routes()?;
+        let service = routes.config().service(name)?;
+        if service.engine.is_some() {
+            return None;
         }
+        let share = self.fleet_demand(name).share(self.own_requests(name));
+        let whole = f64::from(service.connection_limit?) * CONNECTIONS_PART;
+        Some(((whole * share) as usize).max(CONNECTIONS_LEAST))
     }
 
     fn own_requests(&self, service: &FastStr) -> u64 {
--- a/src/web/pool.rs
+++ b/src/web/pool.rs
@@ -251,9 +251,33 @@
         None
     }
 
+    // Counts one connection more; an idle one, of whatever use, makes room for it.
+    fn count(&self, address: SocketAddr, limit: usize) -> Option<OpenCount> {
+        let counted = OpenCount::begin(&self.open, address, limit);
+        if counted.is_some() || !self.close_idle(address) {
+            return counted;
+        }
+        OpenCount::begin(&self.open, address, limit)
+    }
+
+    // Closes an idle connection to an address, if there is one.
+    fn close_idle(&self, address: SocketAddr) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let lanes = idle.iter_mut().filter(|(key, _)| key.0 == address);
+        let mut filled = lanes.filter(|(_, connections)| !connections.is_empty());
+        match filled.next() {
+            Some((_, connections)) => {
+                // The first has been idle the longest.
+                connections.remove(0);
+                true
+            }
+            None => false,
+        }
+    }
+
     async fn connect(&self, target: PoolTarget) -> Result<PooledConnection, SendFailure> {
         let PoolTarget { address, limit, .. } = target;
-        let counted = OpenCount::begin(&self.open, address, limit).ok_or_else(|| SendFailure {
+        let counted = self.count(address, limit).ok_or_else(|| SendFailure {
             cause: FailureCause::Limited,
             ..not_sent(format!("all of {limit} connections are in use"))
         })?;
