--- a/src/event/writer.rs
+++ b/src/event/writer.rs
@@ -11,12 +11,33 @@
             mpsc::{Receiver, SyncSender, sync_channel},
         },
         thread,
+        time::{Duration, Instant},
     },
 };
 
 /// Lines that wait for standard output at most; beyond, lines are left out and counted.
 const QUEUE_LINES: usize = 1_024;
 
+/// Longest wait at a process's end for its last lines to be written; a pipe that is read takes them at once.
+const FINISH_TIME: Duration = Duration::from_millis(50);
+
+/// Pause between two looks whether they are.
+const FINISH_PAUSE: Duration = Duration::from_millis(1);
+
+// Lines of this process that were queued, and that were written.
+static QUEUED: AtomicU64 = AtomicU64::new(0);
+static WRITTEN: AtomicU64 = AtomicU64::new(0);
+
+/// Waits, for a short time at most, until the lines that were logged are written: the last ones of a process would
+/// go with it otherwise.
+pub fn finish_log() {
+    let until = Instant::now() + FINISH_TIME;
+    while WRITTEN.load(Ordering::Acquire) < QUEUED.load(Ordering::Acquire) && Instant::now() < until
+    {
+        thread::sleep(FINISH_PAUSE);
+    }
+}
+
 /// Starts logging to standard output; `RUST_LOG` sets the level, `info` by default.
 ///
 /// Nobody waits for standard output: if it is not read, lines are left out, and their number is
@@ -62,9 +83,10 @@
 
 impl Write for LineQueue {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        if self.sender.try_send(bytes.to_vec()).is_err() {
-            self.left_out.fetch_add(1, Ordering::Relaxed);
-        }
+        match self.sender.try_send(bytes.to_vec()) {
+            Ok(()) => QUEUED.fetch_add(1, Ordering::Release),
+            Err(_) => self.left_out.fetch_add(1, Ordering::Relaxed),
+        };
         Ok(bytes.len())
     }
 
@@ -86,5 +108,6 @@
         if written.is_err() {
             return;
         }
+        WRITTEN.fetch_add(1, Ordering::Release);
     }
 }
