Streams that go on are sent where an engine keeps their prompt

Change: for a stream that goes on, a host asks decode engines what they keep (the whole list once, then changes), takes the one that keeps most of the prompt's own part, reserves only what that lacks, and sends no prefill. KeptPrompts decides without a network.

--- a/src/relay/beliefs.rs
+++ b/src/relay/beliefs.rs
@@ -31,6 +31,10 @@
         if !changes.is_empty() {
             self.log_changes(&changes, count);
         }
+        let book = self.book.borrow();
+        let mut kept = self.kept.borrow_mut();
+        kept.retain(|engine| book.view(engine).is_some());
+        drop((book, kept));
         self.freed.notify_waiters();
         self.news.notify_waiters();
     }
--- a/src/relay/book.rs
+++ b/src/relay/book.rs
@@ -229,6 +229,13 @@
         })
     }
 
+    /// The decode engines of a service that are not passed over.
+    pub fn decode_engines(&self, service: &str, now: Duration) -> Vec<BackendInfo> {
+        self.engines(service, EngineRole::Decode, now)
+            .map(|view| view.info.clone())
+            .collect()
+    }
+
     /// Predicted time of a prefill of this many tokens that begins at once, seconds.
     pub fn prefill_time(&self, tokens: u64) -> f64 {
         tokens as f64 / self.prefill_rate
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -4,6 +4,7 @@
 //! functions.
 
 use {
+    super::kept::CacheQuestion,
     crate::engine::EngineRole,
     bytes::Bytes,
     faststr::FastStr,
@@ -26,6 +27,9 @@
     pub answer_hint: Option<u64>,
     /// The last event that the caller has.
     pub last_event: Option<FastStr>,
+    /// Id of the prompt's last part, which is this request's own or its session's: engines name what they
+    /// keep of a prompt by it.
+    pub last_part: Option<FastStr>,
 }
 
 /// What a backend server's answer says of itself.
@@ -84,6 +88,28 @@
     pub after_event: Option<FastStr>,
 }
 
+/// A change in what an engine keeps of prompts that it read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CacheChange {
+    /// Id of the prompt's part.
+    pub part: FastStr,
+    /// Tokens of it that are kept now; 0 when it is gone.
+    pub tokens: u64,
+}
+
+/// What an engine keeps of prompts that it read: all of it, or what has changed since it was asked last.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct CacheNews {
+    /// Another one after the engine was started anew.
+    pub epoch: u64,
+    /// The change to ask for next.
+    pub next: u64,
+    /// Whether this is all that the engine keeps.
+    pub is_whole: bool,
+    /// The changes, the oldest first.
+    pub changes: Vec<CacheChange>,
+}
+
 /// A fenced order to an engine to take another role.
 #[derive(Debug, Clone)]
 pub struct RoleOrder {
@@ -142,6 +168,10 @@
     pub drop_hold: fn(&str) -> BackendCall,
     /// Frees a KV cache that waits.
     pub free_cache: fn(&str) -> BackendCall,
+    /// Asks an engine what it keeps of prompts, or what has changed in that.
+    pub ask_cache: fn(CacheQuestion) -> BackendCall,
+    /// Reads the answer to that question; none where it is of no use, such as one with a gap.
+    pub read_cache: fn(CacheQuestion, &[u8]) -> Option<CacheNews>,
     /// Asks an engine what it does.
     pub report: fn() -> BackendCall,
     /// Reads the answer to that.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -17,11 +17,13 @@
 mod guard;
 mod handler;
 mod host;
+mod kept;
 mod line;
 mod link;
 mod metrics;
 mod news;
 mod objects;
+mod pace;
 mod parts;
 mod plain;
 mod prefill;
@@ -29,6 +31,7 @@
 mod resume;
 mod roles;
 mod route;
+mod seek;
 mod send;
 mod settings;
 mod shares;
@@ -38,6 +41,7 @@
 
 pub use self::{
     answer::*, backend::*, book::*, budget::*, call::*, cluster::*, config::*, dialect::*,
-    events::*, feed::*, handler::*, host::*, line::*, link::*, metrics::*, news::*, objects::*,
-    parts::*, prefill::*, reserve::*, roles::*, route::*, settings::*, view::*, vital::*,
+    events::*, feed::*, handler::*, host::*, kept::*, line::*, link::*, metrics::*, news::*,
+    objects::*, parts::*, prefill::*, reserve::*, roles::*, route::*, settings::*, view::*,
+    vital::*,
 };
--- a/src/relay/objects.rs
+++ b/src/relay/objects.rs
@@ -171,6 +171,8 @@
         read_hold: |_| None,
         drop_hold: |_| no_call(),
         free_cache: |_| no_call(),
+        ask_cache: |_| no_call(),
+        read_cache: |_, _| None,
         report: no_call,
         read_report: |_| None,
         order: |_| no_call(),
--- a/src/relay/parts.rs
+++ b/src/relay/parts.rs
@@ -7,6 +7,7 @@
         budget::WindowBudget,
         cluster::ClusterState,
         dialect::{BackendCall, CallDialect},
+        kept::KeptPrompts,
         line::WaitLine,
         metrics::RelayMetrics,
         route::RouteTable,
@@ -42,6 +43,8 @@
     pub pool: Rc<ConnectionPool>,
     /// What is known of them.
     pub book: RefCell<BackendBook>,
+    /// What engines keep of prompts that they read.
+    pub kept: RefCell<KeptPrompts>,
     /// What the store says.
     pub cluster: RefCell<ClusterState>,
     /// Repeats by service.
@@ -71,6 +74,7 @@
             dialect,
             pool,
             book: RefCell::default(),
+            kept: RefCell::default(),
             cluster: RefCell::new(cluster),
             budgets: RefCell::default(),
             others: RefCell::default(),
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -5,7 +5,7 @@
         answer::{self, RelayAnswer},
         backend::BackendInfo,
         call::RelayCall,
-        chunks,
+        chunks::{self, ChunkStep},
         guard::CallGuard,
         parts::RelayParts,
         send::{self, PlainAnswer, PlainBody, SendOutcome},
@@ -97,8 +97,11 @@
         PlainBody::Whole(body) => answer::whole_body(body),
         PlainBody::Running(body, guard) => {
             let until = relay.call.until;
-            let ended = |kept: &mut (PlainRelay, CallGuard), end: &str| kept.0.log_end(end);
-            answer::streamed_body(chunks::pass_on(body, until, (relay, guard), ended))
+            let note = |kept: &mut (PlainRelay, CallGuard), step: ChunkStep| match step {
+                ChunkStep::Passed => {}
+                ChunkStep::Ended(end) => kept.0.log_end(end),
+            };
+            answer::streamed_body(chunks::pass_on(body, until, (relay, guard), note))
         }
     };
     Ok(answer::relayed(answer.status, answer.headers, body))
--- a/src/relay/reserve.rs
+++ b/src/relay/reserve.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         backend::BackendInfo, call::RelayCall, config::EngineLimits, dialect::CallMarks,
-        line::LineKey, parts::RelayParts,
+        kept::KeptAt, line::LineKey, parts::RelayParts,
     },
     crate::operation::{Refusal, RefusalCode},
     faststr::FastStr,
@@ -45,6 +45,9 @@
 /// Tokens of a request of the usual size, prompt and answer.
 const USUAL_TOKENS: f64 = 4_000.0;
 
+/// Least memory that is reserved for a stream that goes on where its prompt is kept: some events.
+const LACKED_LEAST: u64 = 128;
+
 /// Bounds of what a request's size makes of its latency target when the line is ordered: the largest
 /// wait one target longer than the usual, no more.
 const SIZE_FACTOR_LEAST: f64 = 0.3;
@@ -174,12 +177,14 @@
 }
 
 /// Waits for memory at a decode engine of the service and reserves it; the wait counts from `since`, the
-/// request's arrival or the moment its stream broke.
+/// request's arrival or the moment its stream broke. An engine that keeps the prompt is asked before the others,
+/// and for no more than it lacks: memory for the whole would drive out what others' streams find there.
 pub async fn reserve(
     parts: &Rc<RelayParts>,
     call: &RelayCall,
     service: &str,
     since: Instant,
+    kept: Option<&KeptAt>,
 ) -> Result<MemoryHold, Refusal> {
     let tokens = reserved_tokens(&call.marks);
     let give_up = call.until.min(since + WAIT_LIMIT);
@@ -189,7 +194,7 @@
         tokio::pin!(freed);
         freed.as_mut().enable();
         if place.is_first()
-            && let Some(hold) = ask_round(parts, service, tokens).await
+            && let Some(hold) = ask_round(parts, service, tokens, kept).await
         {
             parts.metrics.reserved(&call.route, call.arrived.elapsed());
             return Ok(hold);
@@ -207,7 +212,18 @@
     }
 }
 
-async fn ask_round(parts: &Rc<RelayParts>, service: &str, tokens: u64) -> Option<MemoryHold> {
+async fn ask_round(
+    parts: &Rc<RelayParts>,
+    service: &str,
+    tokens: u64,
+    kept: Option<&KeptAt>,
+) -> Option<MemoryHold> {
+    if let Some(kept) = kept {
+        let lacked = tokens.saturating_sub(kept.tokens).max(LACKED_LEAST);
+        if let Some(hold) = ask_beside(parts, kept.engine.clone(), lacked, 0).await {
+            return Some(hold);
+        }
+    }
     let now = parts.now();
     let zone = &parts.settings.zone;
     let memory = engine_limits(parts, service).map(|limits| limits.memory_tokens);
--- a/src/relay/resume.rs
+++ b/src/relay/resume.rs
@@ -47,6 +47,7 @@
             let (broke, hold) = match next_step(&mut relay, &mut running).await {
                 StreamStep::Chunk(chunk) => {
                     if let Some(events) = splitter.push(&chunk) {
+                        relay.pace.passed(Instant::now());
                         yield Ok(events);
                     }
                     continue;
@@ -95,7 +96,13 @@
         return step_of(next);
     }
     while Instant::now() < relay.call.until {
-        let seeking = reserve::reserve(&relay.parts, &relay.call, &relay.service, Instant::now());
+        let seeking = reserve::reserve(
+            &relay.parts,
+            &relay.call,
+            &relay.service,
+            Instant::now(),
+            None,
+        );
         tokio::select! {
             biased;
             next = running.body.chunk() => return step_of(next),
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -7,14 +7,16 @@
     super::{
         answer::{self, RelayAnswer},
         call::RelayCall,
-        chunks,
+        chunks::{self, ChunkStep},
         config::RequestKind,
         dialect::DecodeStart,
         guard::CallGuard,
+        kept::KeptAt,
+        pace::EventPace,
         parts::RelayParts,
         prefill::{self, PrefillFailure, WaitingCache},
         reserve::{self, MemoryHold},
-        resume,
+        resume, seek,
     },
     crate::{
         event,
@@ -81,11 +83,17 @@
     // Decodes that were sent, run or not.
     decodes: u32,
     pub(super) skip_prefill: bool,
+    // Whether the engine whose memory is reserved keeps the prompt from an earlier run.
+    is_kept: bool,
+    // The engine that kept the prompt when the stream went on, for the log.
+    kept_at: FastStr,
     // Whether any decode so far may have run.
     verdict: RunVerdict,
     // Whether the repeat of the next decode is counted already.
     repeat_paid: bool,
     times: StreamTimes,
+    /// When events were passed on.
+    pub(super) pace: EventPace,
     // The decode engine of the last round.
     engine: FastStr,
     // Whether the end was logged.
@@ -123,9 +131,12 @@
         computed: false,
         decodes: 0,
         skip_prefill: false,
+        is_kept: false,
+        kept_at: FastStr::default(),
         verdict: RunVerdict::NotRun,
         repeat_paid: false,
         times: StreamTimes::default(),
+        pace: EventPace::default(),
         engine: FastStr::default(),
         ended: false,
     };
@@ -145,8 +156,11 @@
         _ => {
             let until = relay.call.until;
             let RunningStream { body, held, .. } = running;
-            let ended = |kept: &mut (StreamRelay, EngineHeld), end: &str| kept.0.log_end(end);
-            answer::streamed_body(chunks::pass_on(body, until, (relay, held), ended))
+            let note = |kept: &mut (StreamRelay, EngineHeld), step: ChunkStep| match step {
+                ChunkStep::Passed => kept.0.pace.passed(Instant::now()),
+                ChunkStep::Ended(end) => kept.0.log_end(end),
+            };
+            answer::streamed_body(chunks::pass_on(body, until, (relay, held), note))
         }
     };
     Ok(answer::relayed(status, headers, body))
@@ -220,11 +234,26 @@
         after: Option<FastStr>,
         since: Instant,
     ) -> Result<Result<RunningStream, RoundFailure>, Refusal> {
-        let reserved = reserve::reserve(&self.parts, &self.call, &self.service, since).await;
+        let kept = self.find_kept(after.is_some()).await;
+        let (parts, call) = (&self.parts, &self.call);
+        let reserved = reserve::reserve(parts, call, &self.service, since, kept.as_ref()).await;
         let hold = reserved.map_err(|refusal| self.with_verdict(refusal))?;
+        self.is_kept = kept
+            .as_ref()
+            .is_some_and(|kept| kept.engine.id == hold.engine.id);
+        self.kept_at = kept.map(|kept| kept.engine.id).unwrap_or_default();
         Ok(self.run_on(hold, after).await)
     }
 
+    // Where a stream that goes on was begun, its prompt may still be kept.
+    async fn find_kept(&self, goes_on: bool) -> Option<KeptAt> {
+        let marks = &self.call.marks;
+        if !goes_on && marks.last_event.is_none() {
+            return None;
+        }
+        seek::find_kept(&self.parts, &self.service, marks.last_part.as_deref()?).await
+    }
+
     // Computes the prompt and decodes on memory that is reserved.
     async fn run_on(
         &mut self,
@@ -248,7 +277,8 @@
     // the one that was asked failed.
     async fn compute(&mut self, hold: &MemoryHold) -> Option<WaitingCache> {
         let mut tried = Vec::new();
-        while !self.skip_prefill && tried.len() < PREFILLS_MAX {
+        let skips = self.skip_prefill || std::mem::take(&mut self.is_kept);
+        while !skips && tried.len() < PREFILLS_MAX {
             let zone = &hold.engine.zone;
             let chosen = prefill::choose_engine(&self.parts, &self.service, zone, &tried)?;
             if !self.may_compute() {
@@ -345,6 +375,8 @@
     pub(super) fn log_end(&mut self, end: &str) {
         self.ended = true;
         let call = &self.call;
+        let after_event = call.marks.last_event.as_deref().unwrap_or_default();
+        let pause_limit = call.route.event_gap_target.unwrap_or_default();
         event::emit(
             &event::REQUEST_ENDED,
             &[
@@ -357,6 +389,11 @@
                 ("prompt_tokens", &call.marks.prompt_tokens),
                 ("answer_limit", &call.marks.answer_limit),
                 ("answer_hint", &call.marks.answer_hint.unwrap_or_default()),
+                ("after_event", &after_event),
+                ("target_ms", &call.route.latency_target.as_millis()),
+                ("pause_limit_ms", &pause_limit.as_millis()),
+                ("pause_ms", &self.pace.longest().as_millis()),
+                ("kept_at", &self.kept_at),
                 ("reserved_ms", &self.times.reserved.as_millis()),
                 ("computed_ms", &self.times.computed.as_millis()),
                 ("answered_ms", &self.times.answered.as_millis()),
