No swaps of roles in service; refusals at once where no plain server can be reached

Changes: plan_in_service leaves out opposite changes (split.rs, out of roles.rs); choose_plain lets one request at a time show whether a failing server answers again and refuses the others at once, to come back after 0.7 to 1.3 s; unsent requests cost no repeat; DecodeRoom in the refusal's text; a good answer ends the time for which a server is passed over.

--- a/src/relay/book.rs
+++ b/src/relay/book.rs
@@ -47,6 +47,17 @@
 /// one as the emptiest would all send there. The usual size of a request.
 const LOAD_NOISE: u64 = 4_000;
 
+/// Where a plain request is sent next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PlainChoice {
+    /// To this server.
+    Send(BackendInfo),
+    /// To none: all that are left fail, and others show whether they answer again.
+    Unreachable,
+    /// To none: all were tried, or none is listed.
+    NoneLeft,
+}
+
 /// How a list of backend servers differs from the one before.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct BackendChanges {
@@ -157,6 +168,34 @@
         })
     }
 
+    /// Where a plain request is sent next.
+    ///
+    /// Answers a zone that is cut off without a server of its own, or a service that is down as a whole: each
+    /// request would wait for a connection, 0.3 s a server, and be refused after all. One at a time shows
+    /// whether a server answers again, the others are refused at once.
+    pub fn choose_plain(
+        &self,
+        service: &str,
+        zone: &str,
+        tried: &[FastStr],
+        now: Duration,
+    ) -> PlainChoice {
+        let ranked = self.rank_plain(service, zone, tried, now);
+        let Some(best) = ranked.first() else {
+            return PlainChoice::NoneLeft;
+        };
+        let view = &self.views[&best.id];
+        if !self.is_passed_over(view, now) {
+            return PlainChoice::Send(best.clone());
+        }
+        let views = ranked.iter().map(|info| &self.views[&info.id]);
+        let untried = views.into_iter().find(|view| !view.is_being_tried());
+        match untried.filter(|_| tried.is_empty()) {
+            Some(view) => PlainChoice::Send(view.info.clone()),
+            None => PlainChoice::Unreachable,
+        }
+    }
+
     /// What the requests of this host take at engines, and which backend servers it passes over.
     pub fn loads(&self, now: Duration) -> Vec<EngineLoad> {
         let views = self.views.values();
@@ -187,8 +226,8 @@
         told.is_some_and(|at| now.saturating_sub(at) < OTHERS_LIFE)
     }
 
-    // Tokens that requests take at an engine, as far as is known.
-    fn known_tokens(&self, view: &BackendView, now: Duration) -> u64 {
+    /// Tokens that requests take at an engine, as far as is known.
+    pub(super) fn known_tokens(&self, view: &BackendView, now: Duration) -> u64 {
         let others = if self.knows_others(now) {
             view.others_tokens
         } else {
@@ -197,8 +236,8 @@
         view.memory_tokens + others
     }
 
-    // Whether this host, or enough others, pass a backend server over.
-    fn is_passed_over(&self, view: &BackendView, now: Duration) -> bool {
+    /// Whether this host, or enough others, pass a backend server over.
+    pub(super) fn is_passed_over(&self, view: &BackendView, now: Duration) -> bool {
         let others_do = self.knows_others(now) && view.others_out >= OTHERS_TO_EJECT;
         view.is_out(now) || view.is_on_trial() || others_do
     }
@@ -213,22 +252,30 @@
         memory: Option<u64>,
         now: Duration,
     ) -> Vec<BackendInfo> {
-        let limit = memory.map(|memory| (memory as f64 * MEMORY_SHARE) as u64);
-        let fits = |view: &&BackendView| {
-            let taken = self.known_tokens(view, now);
-            // An empty engine takes whatever fits into its memory at all.
-            taken == 0 || limit.is_none_or(|limit| taken + tokens <= limit)
-        };
         let views = self
             .engines(service, EngineRole::Decode, now)
             .filter(|view| !view.has_refused(tokens, now))
-            .filter(fits);
+            .filter(|view| self.fits(view, tokens, memory, now));
         sorted(views, |view| {
             let noise = rand::random::<u64>() % LOAD_NOISE;
             (view.info.zone != zone, self.known_tokens(view, now) + noise)
         })
     }
 
+    /// Whether an engine has room for a request, as far as is known.
+    pub(super) fn fits(
+        &self,
+        view: &BackendView,
+        tokens: u64,
+        memory: Option<u64>,
+        now: Duration,
+    ) -> bool {
+        let taken = self.known_tokens(view, now);
+        let limit = memory.map(|memory| (memory as f64 * MEMORY_SHARE) as u64);
+        // An empty engine takes whatever fits into its memory at all.
+        taken == 0 || limit.is_none_or(|limit| taken + tokens <= limit)
+    }
+
     /// The decode engines of a service that are not passed over.
     pub fn decode_engines(&self, service: &str, now: Duration) -> Vec<BackendInfo> {
         self.engines(service, EngineRole::Decode, now)
@@ -311,6 +358,7 @@
             view.error_share += ERROR_WEIGHT * (failed - view.error_share);
             view.failures = 0;
             if is_good {
+                view.out_until = Duration::ZERO;
                 view.out_time = EJECT_FIRST;
             }
         }
@@ -323,11 +371,15 @@
             return false;
         };
         view.error_share += ERROR_WEIGHT * (1.0 - view.error_share);
+        let was_failing = view.failures >= FAILURES_TO_EJECT;
         view.failures += match failure {
             BackendFailure::Broken => 1,
             // Each look at a silent server costs the requests behind it as long a wait again.
             BackendFailure::Silent => FAILURES_TO_EJECT,
         };
+        if view.failures >= FAILURES_TO_EJECT && !was_failing {
+            view.failing_since = now;
+        }
         if view.failures < FAILURES_TO_EJECT || view.is_out(now) {
             return false;
         }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -30,11 +30,13 @@
 mod reserve;
 mod resume;
 mod roles;
+mod room;
 mod route;
 mod seek;
 mod send;
 mod settings;
 mod shares;
+mod split;
 mod stream;
 mod view;
 mod vital;
@@ -42,6 +44,6 @@
 pub use self::{
     answer::*, backend::*, book::*, budget::*, call::*, cluster::*, config::*, dialect::*,
     events::*, feed::*, handler::*, host::*, kept::*, line::*, link::*, metrics::*, news::*,
-    objects::*, parts::*, prefill::*, reserve::*, roles::*, route::*, settings::*, view::*,
-    vital::*,
+    objects::*, parts::*, prefill::*, reserve::*, roles::*, room::*, route::*, settings::*,
+    split::*, view::*, vital::*,
 };
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -4,6 +4,7 @@
     super::{
         answer::{self, RelayAnswer},
         backend::BackendInfo,
+        book::PlainChoice,
         call::RelayCall,
         chunks::{self, ChunkStep},
         guard::CallGuard,
@@ -18,7 +19,7 @@
     },
     faststr::FastStr,
     futures::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered},
-    std::{rc::Rc, time::Duration},
+    std::{ops::RangeInclusive, rc::Rc, time::Duration},
     tokio::time::Instant,
 };
 
@@ -32,6 +33,11 @@
 /// When a caller is to come back after a refusal of a plain request.
 const COME_BACK: Duration = Duration::from_millis(100);
 
+/// When callers are to come back where no server can be reached: cuts and restarts take seconds, and those who
+/// were refused together are not to come back together. The platform's callers wait up to a third of their time.
+const COME_BACK_REACHED: RangeInclusive<Duration> =
+    Duration::from_millis(700)..=Duration::from_millis(1_300);
+
 type Sending = LocalBoxFuture<'static, (BackendInfo, SendOutcome)>;
 
 /// A plain request on its way: what was tried and what came of it.
@@ -45,6 +51,10 @@
     // Sends that ran or may have run; declined ones do not count.
     sends: u32,
     declines: usize,
+    // Whether any send has reached its server, or may have: the next one is then a repeat.
+    arrived: bool,
+    // Whether all servers that are left fail.
+    is_unreachable: bool,
     verdict: RunVerdict,
     detail: String,
     // Each server tried and what it answered, for the log.
@@ -77,6 +87,8 @@
         open: Vec::new(),
         sends: 0,
         declines: 0,
+        arrived: false,
+        is_unreachable: false,
         verdict: RunVerdict::NotRun,
         detail: "no backend server can take it".into(),
         trail: String::new(),
@@ -163,19 +175,24 @@
         }
     }
 
-    // Sends to the best server not tried yet; the first send of a request costs no repeat.
+    // Sends to the best server not tried yet. It costs a repeat if a send before it has reached its server or
+    // is under way; when a zone is cut off, many requests find a server that cannot be reached first.
     fn launch(&mut self, running: &mut FuturesUnordered<Sending>) -> bool {
         let now = self.parts.now();
         let zone = &self.parts.settings.zone;
-        let ranked = self
-            .parts
-            .book
-            .borrow()
-            .rank_plain(&self.service, zone, &self.tried, now);
-        let Some(backend) = ranked.into_iter().next() else {
-            return false;
+        let book = self.parts.book.borrow();
+        let choice = book.choose_plain(&self.service, zone, &self.tried, now);
+        drop(book);
+        let backend = match choice {
+            PlainChoice::Send(backend) => backend,
+            PlainChoice::Unreachable => {
+                self.is_unreachable = true;
+                return false;
+            }
+            PlainChoice::NoneLeft => return false,
         };
-        if !self.tried.is_empty() && !self.parts.spend_repeat(&self.service) {
+        let is_repeat = self.arrived || !self.open.is_empty();
+        if is_repeat && !self.parts.spend_repeat(&self.service) {
             return false;
         }
         self.tried.push(backend.id.clone());
@@ -223,6 +240,7 @@
     // Takes what became of a send; gives the answer if that is the caller's.
     fn take(&mut self, backend: &BackendInfo, outcome: SendOutcome) -> Option<PlainAnswer> {
         self.open.retain(|open| open.id != backend.id);
+        self.arrived |= !matches!(outcome, SendOutcome::Unsent(_));
         match outcome {
             SendOutcome::Answered(answer) => {
                 self.note_step(backend, answer.status.as_str());
@@ -235,12 +253,8 @@
                 self.detail = format!("{} answered {}", backend.id, answer.status);
                 self.fallback = Some(*answer);
             }
-            SendOutcome::Declined(detail) => {
-                self.note_step(backend, "declined");
-                self.sends -= 1;
-                self.declines += 1;
-                self.detail = format!("{} declined: {detail}", backend.id);
-            }
+            SendOutcome::Declined(detail) => self.take_decline(backend, "declined", &detail),
+            SendOutcome::Unsent(detail) => self.take_decline(backend, "unsent", &detail),
             SendOutcome::Lost(detail) => {
                 self.note_step(backend, "lost");
                 self.verdict = self.verdict.max(RunVerdict::MayHaveRun);
@@ -250,8 +264,19 @@
         None
     }
 
+    // It did not run there.
+    fn take_decline(&mut self, backend: &BackendInfo, step: &str, detail: &str) {
+        self.note_step(backend, step);
+        self.sends -= 1;
+        self.declines += 1;
+        self.detail = format!("{} {step}: {detail}", backend.id);
+    }
+
     fn refusal(&self, code: RefusalCode) -> Refusal {
         let refusal = Refusal::new(self.verdict, code, self.detail.clone());
-        refusal.after(COME_BACK)
+        match self.is_unreachable {
+            true => refusal.after(rand::random_range(COME_BACK_REACHED)),
+            false => refusal.after(COME_BACK),
+        }
     }
 }
--- a/src/relay/reserve.rs
+++ b/src/relay/reserve.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         backend::BackendInfo, call::RelayCall, config::EngineLimits, dialect::CallMarks,
-        kept::KeptAt, line::LineKey, parts::RelayParts,
+        kept::KeptAt, line::LineKey, parts::RelayParts, room::DecodeRoom,
     },
     crate::operation::{Refusal, RefusalCode},
     faststr::FastStr,
@@ -205,13 +205,20 @@
             () = tokio::time::sleep_until(pause.min(give_up)) => {}
         }
         if Instant::now() >= give_up {
-            let text = "no decode engine has memory for this request";
-            return Err(Refusal::not_run(RefusalCode::Overloaded, text).after(COME_BACK));
+            return Err(no_room(parts, service, tokens));
         }
         place.update();
     }
 }
 
+fn no_room(parts: &RelayParts, service: &str, tokens: u64) -> Refusal {
+    let memory = engine_limits(parts, service).map(|limits| limits.memory_tokens);
+    let book = parts.book.borrow();
+    let room = DecodeRoom::of(&book, service, tokens, memory, parts.now());
+    let text = format!("no decode engine has memory for this request: {room}");
+    Refusal::not_run(RefusalCode::Overloaded, text).after(COME_BACK)
+}
+
 async fn ask_round(
     parts: &Rc<RelayParts>,
     service: &str,
--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -35,8 +35,10 @@
 /// What became of one send.
 pub(super) enum SendOutcome {
     Answered(Box<PlainAnswer>),
-    /// It did not run there.
+    /// The server got it and did not run it.
     Declined(String),
+    /// Nothing of it was written: the server never got it.
+    Unsent(String),
     /// It may have run and there is no answer.
     Lost(String),
 }
@@ -65,7 +67,7 @@
         Err(failure) => {
             parts.note_send_failure(backend, &failure);
             return match failure.verdict {
-                RunVerdict::NotRun => SendOutcome::Declined(failure.detail),
+                RunVerdict::NotRun => SendOutcome::Unsent(failure.detail),
                 _ => SendOutcome::Lost(failure.detail),
             };
         }
--- a/src/relay/view.rs
+++ b/src/relay/view.rs
@@ -59,6 +59,8 @@
     pub(super) calls: BTreeMap<u64, Duration>,
     pub(super) failures: u32,
     pub(super) out_until: Duration,
+    // Since when it fails: all that was sent since then shows whether it answers again.
+    pub(super) failing_since: Duration,
     pub(super) out_time: Duration,
     pub(super) error_share: f64,
     pub(super) memory_tokens: u64,
@@ -83,6 +85,7 @@
             calls: BTreeMap::new(),
             failures: 0,
             out_until: Duration::ZERO,
+            failing_since: Duration::ZERO,
             out_time: EJECT_FIRST,
             error_share: 0.0,
             memory_tokens: 0,
@@ -118,6 +121,12 @@
         self.failures >= FAILURES_TO_EJECT && sent.any(|sent| *sent >= self.out_until)
     }
 
+    /// Whether a request of this host, sent since it fails, shows whether it answers again.
+    pub(super) fn is_being_tried(&self) -> bool {
+        let mut sent = self.calls.values();
+        sent.any(|sent| *sent >= self.failing_since)
+    }
+
     /// Requests of this host in progress.
     pub fn calls(&self) -> usize {
         self.calls.len()
--- a/tools/worth.py
+++ b/tools/worth.py
@@ -134,7 +134,7 @@
         return "caller left"
     if end != "whole":
         why = refused.get(entry["request"], {}).get("why", "").strip('"')
-        why = re.sub(r"i-[0-9a-f]+", "ENGINE", why)
+        why = re.sub(r"i-[0-9a-f]+", "ENGINE", why).split(": of ")[0]
         return f"{end}: {why[:70]}" if why else end
     if entry.get("after_event", '""') != '""':
         return "late: went on after its caller's connection broke"
