--- a/src/host/passing.rs
+++ b/src/host/passing.rs
@@ -112,6 +112,8 @@
         callers: settings.callers,
         checks: settings.operators,
         ready_path: FastStr::from_static_str("/readyz"),
+        // On the operators' port.
+        metrics: None,
         peers: settings.peers,
         seeds: Vec::new(),
         strength: 0,
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        answer::{self, RelayAnswer},
         config::CallerLimits,
         dialect::CallDialect,
         feed::StoreFeed,
@@ -21,9 +22,10 @@
         store::StoreFailure,
         web::{self, IngressHandler, IngressLimits},
     },
+    bytes::Bytes,
     eyre::WrapErr,
     futures::FutureExt,
-    http::Response,
+    http::{Response, StatusCode},
     std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
     tokio::net::TcpListener,
 };
@@ -73,6 +75,7 @@
         let callers = open("callers", &mut settings.callers)?;
         let checks = open("checks", &mut settings.checks)?;
         let peers = open("peers", &mut settings.peers)?;
+        let metrics = open_metrics(&mut settings);
         event::emit(
             &event::HOST_STARTED,
             &[
@@ -98,6 +101,9 @@
         vital::spawn_vital("engine roles", roles::keep_roles(parts, store));
         host.serve(callers, host.caller_handler(), host.closing.clone());
         host.serve(checks, host.check_handler(), host.checks_closing.clone());
+        if let Some(metrics) = metrics {
+            host.serve(metrics, host.metrics_handler(), host.checks_closing.clone());
+        }
         Ok(host)
     }
 
@@ -142,6 +148,17 @@
         })
     }
 
+    fn metrics_handler(&self) -> IngressHandler {
+        let parts = self.parts.clone();
+        Rc::new(move |request| {
+            let answer = match request.uri().path() {
+                METRICS_PATH => page(200, parts.metrics_page()),
+                _ => page(404, "no such page"),
+            };
+            async move { answer }.boxed_local()
+        })
+    }
+
     /// Stops as planned: what is in progress is finished, within the grace of a stop.
     pub async fn drain(&self) {
         let gate = &self.parts.gate;
@@ -186,6 +203,22 @@
     }
 }
 
+// Collectors of metrics are no reason not to serve.
+fn open_metrics(settings: &mut RelaySettings) -> Option<TcpListener> {
+    let mut address = settings.metrics?;
+    match open("metrics", &mut address) {
+        Ok(listener) => {
+            settings.metrics = Some(address);
+            Some(listener)
+        }
+        Err(error) => {
+            log::warn!("{error:#}; they are on the address for checks only");
+            settings.metrics = None;
+            None
+        }
+    }
+}
+
 fn open(key: &str, address: &mut SocketAddr) -> eyre::Result<TcpListener> {
     let listener =
         web::bind(*address).wrap_err_with(|| format!("{key}: {address} cannot be listened on"))?;
@@ -194,18 +227,19 @@
 }
 
 // What the balancer and operators are told.
-fn check(parts: &RelayParts, path: &str) -> super::answer::RelayAnswer {
-    if path == METRICS_PATH {
-        return Response::new(super::answer::whole_body(parts.metrics_page().into()));
+fn check(parts: &RelayParts, path: &str) -> RelayAnswer {
+    match path {
+        METRICS_PATH => page(200, parts.metrics_page()),
+        _ if path != parts.settings.ready_path => page(404, "no such page"),
+        _ if parts.gate.is_stopping() => page(503, "stopping"),
+        _ if parts.routes().is_none() => page(503, "no configuration yet"),
+        _ => page(200, "ready"),
     }
-    let (status, text) = match path {
-        _ if path != parts.settings.ready_path => (404, "no such page"),
-        _ if parts.gate.is_stopping() => (503, "stopping"),
-        _ if parts.routes().is_none() => (503, "no configuration yet"),
-        _ => (200, "ready"),
-    };
-    let mut answer = Response::new(super::answer::whole_body(text.into()));
-    *answer.status_mut() = http::StatusCode::from_u16(status).expect("a status");
+}
+
+fn page(status: u16, text: impl Into<Bytes>) -> RelayAnswer {
+    let mut answer = Response::new(answer::whole_body(text.into()));
+    *answer.status_mut() = StatusCode::from_u16(status).expect("a status");
     answer
 }
 
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -20,6 +20,9 @@
     pub checks: SocketAddr,
     /// Path of that question.
     pub ready_path: FastStr,
+    /// Where the metrics are served besides, at a port that operators' collectors know; the host goes on
+    /// without it where the port is taken.
+    pub metrics: Option<SocketAddr>,
     /// Where other hosts connect.
     pub peers: SocketAddr,
     /// Where some other hosts may be found at the start; any may be gone.
