--- a/src/relay/beliefs.rs
+++ b/src/relay/beliefs.rs
@@ -1,7 +1,7 @@
 //! What becomes of news: a configuration is in force, requests go to other backend servers.
 
 use {
-    super::{book::BackendChanges, config::RelayConfig, parts::RelayParts},
+    super::{changes::BackendChanges, config::RelayConfig, parts::RelayParts},
     crate::event,
     faststr::FastStr,
 };
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -8,6 +8,7 @@
 mod book;
 mod budget;
 mod call;
+mod changes;
 mod chunks;
 mod cluster;
 mod config;
@@ -44,8 +45,8 @@
 mod waited;
 
 pub use self::{
-    admission::*, answer::*, backend::*, book::*, budget::*, call::*, cluster::*, config::*,
-    dialect::*, events::*, feed::*, handler::*, host::*, kept::*, line::*, link::*, metrics::*,
-    news::*, objects::*, parts::*, prefill::*, reserve::*, roles::*, room::*, route::*,
+    admission::*, answer::*, backend::*, book::*, budget::*, call::*, changes::*, cluster::*,
+    config::*, dialect::*, events::*, feed::*, handler::*, host::*, kept::*, line::*, link::*,
+    metrics::*, news::*, objects::*, parts::*, prefill::*, reserve::*, roles::*, room::*, route::*,
     settings::*, split::*, view::*, vital::*, waited::*,
 };
