--- a/src/relay/book.rs
+++ b/src/relay/book.rs
@@ -158,9 +158,10 @@
         if !self.is_passed_over(view, now) {
             return PlainChoice::Send(best.clone());
         }
-        let views = ranked.iter().map(|info| &self.views[&info.id]);
-        let untried = views.into_iter().find(|view| !view.is_being_tried());
-        match untried.filter(|_| tried.is_empty()) {
+        // A request that has found one of them out of reach is not held for another.
+        let mut views = ranked.iter().map(|info| &self.views[&info.id]);
+        let untried = views.find(|view| tried.is_empty() && !view.is_being_tried());
+        match untried {
             Some(view) => PlainChoice::Send(view.info.clone()),
             None => PlainChoice::Unreachable,
         }
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -35,7 +35,7 @@
 
 /// When callers are to come back where no server can be reached: cuts and restarts take seconds, and those who
 /// were refused together are not to come back together. The platform's callers wait up to a third of their time.
-const COME_BACK_REACHED: RangeInclusive<Duration> =
+const COME_BACK_UNREACHABLE: RangeInclusive<Duration> =
     Duration::from_millis(700)..=Duration::from_millis(1_300);
 
 type Sending = LocalBoxFuture<'static, (BackendInfo, SendOutcome)>;
@@ -275,7 +275,7 @@
     fn refusal(&self, code: RefusalCode) -> Refusal {
         let refusal = Refusal::new(self.verdict, code, self.detail.clone());
         match self.is_unreachable {
-            true => refusal.after(rand::random_range(COME_BACK_REACHED)),
+            true => refusal.after(rand::random_range(COME_BACK_UNREACHABLE)),
             false => refusal.after(COME_BACK),
         }
     }
--- a/src/relay/seek.rs
+++ b/src/relay/seek.rs
@@ -10,7 +10,8 @@
 /// Longest wait for an engine to tell what it keeps; engines answer at once.
 const NEWS_PATIENCE: Duration = Duration::from_millis(120);
 
-/// Engines asked at once at most: those of a zone, and of the others as far as there are few.
+/// Engines asked at once at most. Zones of today's deployments have up to 24 decode engines; of a larger zone, and of
+/// many engines in other zones, the first by id are asked.
 const ENGINES_MAX: usize = 24;
 
 /// The decode engine that keeps most of a part of a prompt, of those that answer; the host's own zone first.
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -277,8 +277,8 @@
     // the one that was asked failed.
     async fn compute(&mut self, hold: &MemoryHold) -> Option<WaitingCache> {
         let mut tried = Vec::new();
-        let skips = self.skip_prefill || std::mem::take(&mut self.is_kept);
-        while !skips && tried.len() < PREFILLS_MAX {
+        let is_needless = self.skip_prefill || std::mem::take(&mut self.is_kept);
+        while !is_needless && tried.len() < PREFILLS_MAX {
             let zone = &hold.engine.zone;
             let chosen = prefill::choose_engine(&self.parts, &self.service, zone, &tried)?;
             if !self.may_compute() {
