--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -6,9 +6,8 @@
         operation::{Refusal, RefusalCode, RunVerdict},
         relay::{
             self, BackendBook, BackendFailure, BackendInfo, CallerLimits, ClusterState,
-            EventSplitter, LineKey, PlainChoice, RelayConfig, RelayRoute, RelayService,
-            RequestKind, RouteTable, ServiceShare, StoreChange, StoreItem, StoreKind, StoreValue,
-            WaitLine,
+            EventSplitter, LineKey, RelayConfig, RelayRoute, RelayService, RequestKind, RouteTable,
+            ServiceShare, StoreChange, StoreItem, StoreKind, StoreValue, WaitLine,
         },
     },
     bolero::check,
@@ -371,89 +370,6 @@
     assert_eq!(line.len(), 2);
 }
 
-#[test]
-fn prefill_engines_are_spread_over_the_zones() {
-    check!().with_type::<Vec<u8>>().for_each(|sizes| {
-        let sizes: Vec<usize> = sizes
-            .iter()
-            .take(8)
-            .map(|size| usize::from(*size % 40))
-            .collect();
-        let wanted = relay::wanted_prefills(&sizes);
-        let all: usize = sizes.iter().sum();
-        let total: usize = wanted.iter().sum();
-        // A sixth and a reserve that shrinks with the number, never more than half of two or more.
-        assert!(
-            total > all / 6 && total <= all.div_ceil(2) || all == 0,
-            "{total} of {all}"
-        );
-        assert!(
-            wanted
-                .iter()
-                .zip(&sizes)
-                .all(|(wanted, size)| wanted <= size)
-        );
-    });
-    assert_eq!(relay::wanted_prefills(&[4, 4, 4]), [1, 1, 1]);
-    let total = |size| relay::wanted_prefills(&[size])[0];
-    assert_eq!(
-        [0, 1, 2, 12, 18, 60, 90].map(total),
-        [0, 1, 1, 3, 5, 13, 19]
-    );
-}
-
-#[test]
-fn a_plan_changes_as_few_engines_as_it_can_and_then_none() {
-    let mut engines: Vec<BackendInfo> = (0..12)
-        .map(|index| {
-            let zone = ["a", "b", "c"][index % 3];
-            let role = [EngineRole::Prefill, EngineRole::Decode][index / 6];
-            backend(&format!("e-{index}"), zone, Some(role))
-        })
-        .collect();
-    let changes = relay::plan_roles(&engines);
-    assert_eq!(changes.len(), 3);
-    for change in changes {
-        let engine = engines
-            .iter_mut()
-            .find(|engine| engine.id == change.engine.id);
-        engine.unwrap().role = Some(change.role);
-    }
-    assert!(relay::plan_roles(&engines).is_empty());
-    engines[0].leaving = true;
-    assert!(relay::plan_roles(&engines).len() <= 1);
-}
-
-#[test]
-fn in_service_no_engine_changes_its_role_only_to_move_the_split_between_zones() {
-    let prefill = Some(EngineRole::Prefill);
-    let decode = Some(EngineRole::Decode);
-    let engine = |id: &str, zone, role| backend(id, zone, role);
-    // Two left zone c: the plan would have another zone compute prompts, with as many engines as before.
-    let engines = [
-        engine("a-1", "a", decode),
-        engine("a-2", "a", decode),
-        engine("a-3", "a", decode),
-        engine("b-1", "b", prefill),
-        engine("b-2", "b", decode),
-        engine("b-3", "b", decode),
-        engine("c-1", "c", prefill),
-    ];
-    assert_eq!(relay::plan_roles(&engines).len(), 2, "a swap");
-    assert!(relay::plan_in_service(&engines).is_empty());
-    // Where the split as a whole is off, it is corrected.
-    let all: Vec<BackendInfo> = (0..9)
-        .map(|index| backend(&format!("e-{index}"), ["a", "b", "c"][index % 3], prefill))
-        .collect();
-    let changes = relay::plan_in_service(&all);
-    assert_eq!(changes.len(), 6);
-    assert!(
-        changes
-            .iter()
-            .all(|change| change.role == EngineRole::Decode)
-    );
-}
-
 #[test]
 fn a_refusal_for_lack_of_memory_says_what_speaks_against_each_engine() {
     let mut book = BackendBook::default();
@@ -475,53 +391,3 @@
     };
     assert_eq!(room, expected);
 }
-
-#[test]
-fn where_all_servers_fail_one_request_at_a_time_shows_whether_one_answers_again() {
-    let mut book = BackendBook::default();
-    let (near, far) = (backend("near", "z", None), backend("far", "y", None));
-    book.set_backends(vec![near.clone(), far.clone()]);
-    for id in ["near", "far"] {
-        book.failed(id, BackendFailure::Silent, millis(0));
-    }
-    let choose = |book: &BackendBook, at| book.choose_plain("one", "z", &[], millis(at));
-    let PlainChoice::Send(first) = choose(&book, 10) else {
-        panic!("one request is to try");
-    };
-    let call = book.call_began(&first.id, millis(10));
-    let PlainChoice::Send(second) = choose(&book, 11) else {
-        panic!("one request is to try the other server");
-    };
-    assert_ne!(first.id, second.id);
-    book.call_began(&second.id, millis(11));
-    assert_eq!(choose(&book, 12), PlainChoice::Unreachable);
-    let tried = [first.id.clone()];
-    let again = book.choose_plain("one", "z", &tried, millis(12));
-    assert_eq!(again, PlainChoice::Unreachable, "it would be held in vain");
-    book.answered(&first.id, true);
-    book.call_ended(&first.id, call);
-    assert_eq!(choose(&book, 13), PlainChoice::Send(first));
-}
-
-#[test]
-fn of_many_requests_to_servers_that_cannot_be_reached_few_are_held() {
-    // 100 requests a second for two seconds; each that is sent finds no connection within 0.3 s.
-    let mut book = BackendBook::default();
-    book.set_backends(vec![backend("w-1", "y", None), backend("w-2", "y", None)]);
-    let mut open: Vec<(FastStr, u64, u64)> = Vec::new();
-    let mut held = 0;
-    for at in (0..2_000).step_by(10) {
-        while let Some(index) = open.iter().position(|(_, _, until)| *until <= at) {
-            let (id, call, until) = open.remove(index);
-            book.call_ended(&id, call);
-            book.failed(&id, BackendFailure::Silent, millis(until));
-        }
-        if let PlainChoice::Send(server) = book.choose_plain("one", "z", &[], millis(at)) {
-            held += 1;
-            let call = book.call_began(&server.id, millis(at));
-            open.push((server.id, call, at + 300));
-        }
-    }
-    // All 200 were held before: for 0.3 s, or for 0.6 s at two servers.
-    assert!(held <= 60, "{held} of 200 were held");
-}
--- /dev/null
+++ b/tests/relay_reach.rs
@@ -0,0 +1,74 @@
+//! Plain requests whose servers cannot be reached.
+
+use {
+    bayplank::relay::{BackendBook, BackendFailure, BackendInfo, PlainChoice},
+    faststr::FastStr,
+    std::time::Duration,
+};
+
+fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn backend(id: &str, zone: &'static str) -> BackendInfo {
+    BackendInfo {
+        id: FastStr::new(id),
+        service: "one".into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        zone: zone.into(),
+        leaving: false,
+        slots: 6,
+        role: None,
+        orders_taken: 0,
+    }
+}
+
+#[test]
+fn where_all_servers_fail_one_request_at_a_time_shows_whether_one_answers_again() {
+    let mut book = BackendBook::default();
+    let (near, far) = (backend("near", "z"), backend("far", "y"));
+    book.set_backends(vec![near.clone(), far.clone()]);
+    for id in ["near", "far"] {
+        book.failed(id, BackendFailure::Silent, millis(0));
+    }
+    let choose = |book: &BackendBook, at| book.choose_plain("one", "z", &[], millis(at));
+    let PlainChoice::Send(first) = choose(&book, 10) else {
+        panic!("one request is to try");
+    };
+    let call = book.call_began(&first.id, millis(10));
+    let PlainChoice::Send(second) = choose(&book, 11) else {
+        panic!("one request is to try the other server");
+    };
+    assert_ne!(first.id, second.id);
+    book.call_began(&second.id, millis(11));
+    assert_eq!(choose(&book, 12), PlainChoice::Unreachable);
+    let tried = [first.id.clone()];
+    let again = book.choose_plain("one", "z", &tried, millis(12));
+    assert_eq!(again, PlainChoice::Unreachable, "it would be held in vain");
+    book.answered(&first.id, true);
+    book.call_ended(&first.id, call);
+    assert_eq!(choose(&book, 13), PlainChoice::Send(first));
+}
+
+#[test]
+fn of_many_requests_to_servers_that_cannot_be_reached_few_are_held() {
+    // 100 requests a second for two seconds; each that is sent finds no connection within 0.3 s.
+    let mut book = BackendBook::default();
+    book.set_backends(vec![backend("w-1", "y"), backend("w-2", "y")]);
+    let mut open: Vec<(FastStr, u64, u64)> = Vec::new();
+    let mut held = 0;
+    for at in (0..2_000).step_by(10) {
+        while let Some(index) = open.iter().position(|(_, _, until)| *until <= at) {
+            let (id, call, until) = open.remove(index);
+            book.call_ended(&id, call);
+            book.failed(&id, BackendFailure::Silent, millis(until));
+        }
+        if let PlainChoice::Send(server) = book.choose_plain("one", "z", &[], millis(at)) {
+            held += 1;
+            let call = book.call_began(&server.id, millis(at));
+            open.push((server.id, call, at + 300));
+        }
+    }
+    // All 200 were held before: for 0.3 s, or for 0.6 s at two servers.
+    assert!(held <= 60, "{held} of 200 were held");
+}
