--- a/tools/worth.py
+++ b/tools/worth.py
@@ -26,6 +26,8 @@
 import tempfile
 import tomllib
 
+# What a retry that fails costs of its request's worth, as a second refusal does.
+RETRY_CHARGE = 0.3
 DAY_TIMEOUT_S = 300
 WINDOW_S = 2
 # Share of its time for which a request may be held in vain until that costs its whole worth: the letter's
@@ -175,22 +177,34 @@
 
 
 def charge_in_vain(refused, ended, report, spec):
-    """The part of the worth owed that waiting in vain costs, in proportion to its length."""
+    """The part of the worth owed that the letter's accounting takes beyond the bench's prices: waiting in vain in
+    proportion to its length and, on deployments whose bench does not count from the first try, retries that fail
+    and the credit of those that succeed."""
     worths = {one["name"]: one for one in spec["classes"]}
-    stream = mean(one["worth"] for one in worths.values() if one["kind"] == "stream")
+    streams = [one for one in worths.values() if one["kind"] == "stream"]
+    stream, late = mean(one["worth"] for one in streams), mean(one["late_worth"] for one in streams)
     plain = mean(one["worth"] for one in worths.values() if one["kind"] != "stream")
     limit = mean(one["timeout_ms"] for one in worths.values())
-    streams = {entry["request"] for entry in ended}
+    tries = {entry["request"]: entry for entry in ended}
+    counts_first_try = bool(spec.get("bounds", {}).get("even"))
     charge = 0.0
     for request, entry in refused.items():
         share = int(entry["after_ms"]) / (FULL_CHARGE_SHARE * limit)
-        charge += min(share, 1.0) * (stream if request in streams else plain)
+        charge += min(share, 1.0) * (stream if request in tries else plain)
+    for entry in ended:
+        if counts_first_try or int(entry.get("waited_ms", 0)) == 0:
+            continue
+        if entry["end"] == "refused":
+            charge += RETRY_CHARGE * stream
+        elif entry["end"] == "whole" and int(entry["answered_ms"]) <= int(entry["target_ms"]):
+            # It earned the mean of a prompt and a late answer.
+            charge += (stream - late) / 2
     owed = sum(one["n"] * worths[one["name"]]["worth"] for one in report["classes"])
     return charge / max(owed, 1.0)
 
 
 def stricter(report, in_vain):
-    """The worth with waiting in vain charged from its first moment in place of the bench's price."""
+    """The worth by the letter's accounting, in place of the bench's price for waiting in vain."""
     priced = {label: cost for label, _, cost in report["prices"]}
     given_up = sum(cost for label, cost in priced.items() if "given up late" in label)
     return report["G"] + given_up - in_vain
@@ -313,7 +327,7 @@
                 causes.take(log, report, spec)
             print_causes(causes)
             strict = mean(stricter(report, charge) for report, charge in zip(reports.values(), causes.in_vain))
-            print(f"Worth with waiting in vain charged in proportion to its length: {strict:.3f}\n")
+            print(f"Worth by the letter's accounting (first try, waiting in vain in proportion to its length, failed retries): {strict:.3f}\n")
 
 
 if __name__ == "__main__":
