The account of worth tells of prompts computed again and of plain calls

Cause: tools/worth.py said at which step streams lost their time, not which prompts were computed twice nor what became of plain calls. Change: two tables out of the hosts' last lines. The program is unchanged.

--- a/tools/worth.py
+++ b/tools/worth.py
@@ -111,9 +111,10 @@
     return dict(re.findall(r'(\w+)=("[^"]*"|\S*)', line))
 
 
-def streams_of(log):
-    """What the hosts' logs say of each try of a stream: their last lines, and refusals by request."""
-    ended, refused = [], {}
+def tries_of(log):
+    """What the hosts' logs say of each try: the last lines of streams and of plain calls, and refusals by
+    request."""
+    ended, plain, refused = [], [], {}
     for line in log.splitlines():
         found = re.match(r"\s*(-?[\d.]+) (\S+) ", line)
         if not found:
@@ -122,10 +123,10 @@
             entry = fields_of(line)
             refused[entry.get("request")] = entry
         elif "name=request-ended" in line and "reserved_ms=" in line:
-            entry = fields_of(line)
-            entry["at"] = float(found[1])
-            ended.append(entry)
-    return ended, refused
+            ended.append(fields_of(line))
+        elif "name=request-ended" in line and "tried=" in line:
+            plain.append(fields_of(line))
+    return ended, plain, refused
 
 
 def step_of(entry, refused):
@@ -152,6 +153,24 @@
     return None
 
 
+def computed_again(entry):
+    """Tokens of a stream's prompt that were computed again, and why; none where its prompt was kept."""
+    tokens, rounds = int(entry["prompt_tokens"]), int(entry["rounds"])
+    if rounds > 1 and entry.get("kept_at", '""') == '""':
+        return "went on at another engine, or its first one failed", tokens * (rounds - 1)
+    if rounds > 0 and entry.get("after_event", '""') != '""' and entry.get("kept_at", '""') == '""':
+        return "its caller came back, and no engine kept the prompt", tokens
+    return None
+
+
+def plain_step(entry):
+    """How a plain call ended: the answers of its servers one after the other; none where the first was good."""
+    trail = [step.split(":")[1].split("@")[0] for step in entry["tried"].strip('"').split(",") if ":" in step]
+    if trail == ["200"]:
+        return None
+    return f"{entry['end']}: {', then '.join(trail) or 'sent to none'}"
+
+
 class Causes:
     """What the logs of several days add up to."""
 
@@ -160,9 +179,12 @@
         self.streams = 0
         self.sizes = collections.defaultdict(lambda: [0, 0])
         self.in_vain = []
+        self.plain = collections.Counter()
+        self.plains = 0
+        self.again = collections.Counter()
 
     def take(self, log, report, spec):
-        ended, refused = streams_of(log)
+        ended, plain, refused = tries_of(log)
         sizes = sorted(int(entry["prompt_tokens"]) for entry in ended)
         for entry in ended:
             self.streams += 1
@@ -173,6 +195,12 @@
             size = "largest tenth" if rank >= 0.9 else "fifth below" if rank >= 0.7 else "others"
             self.sizes[size][0] += 1
             self.sizes[size][1] += step is None
+        for entry in ended:
+            again = computed_again(entry)
+            if again:
+                self.again[again[0]] += again[1]
+        self.plains += len(plain)
+        self.plain.update(step for step in map(plain_step, plain) if step)
         self.in_vain.append(charge_in_vain(refused, ended, report, spec))
 
 
@@ -261,6 +289,10 @@
 def print_causes(causes):
     rows = [[step, str(count), f"{count / causes.streams:.4f}"] for step, count in causes.steps.most_common()]
     table(["tries of streams, by the step that took their time", "tries", "of all"], rows)
+    rows = [[why, str(tokens)] for why, tokens in causes.again.most_common()]
+    table(["prompts computed again, as the hosts' last lines tell", "tokens"], rows)
+    rows = [[step, str(count), f"{count / max(causes.plains, 1):.4f}"] for step, count in causes.plain.most_common(12)]
+    table(["plain calls, by what their servers answered", "calls", "of all"], rows)
     rows = [[size, str(count), f"{good / max(count, 1):.3f}"] for size, (count, good) in causes.sizes.items()]
     table(["size of the prompt", "tries", "in time"], rows)
 
