--- /dev/null
+++ b/tests/backends/mod.rs
@@ -0,0 +1,20 @@
+//! Backend servers for tests of decisions.
+
+use {
+    bayplank::{engine::EngineRole, relay::BackendInfo},
+    faststr::FastStr,
+};
+
+/// One of service `one` in a zone; an engine where it has a role.
+pub fn backend(id: &str, zone: &'static str, role: Option<EngineRole>) -> BackendInfo {
+    BackendInfo {
+        id: FastStr::new(id),
+        service: "one".into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        zone: zone.into(),
+        leaving: false,
+        slots: 6,
+        role,
+        orders_taken: 0,
+    }
+}
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -1,13 +1,16 @@
 //! The plain state machines of passing requests through: routes, beliefs, choices, budgets, events.
 
+mod backends;
+
 use {
+    crate::backends::backend,
     bayplank::{
         engine::EngineRole,
         operation::{Refusal, RefusalCode, RunVerdict},
         relay::{
-            self, BackendBook, BackendFailure, BackendInfo, CallerLimits, ClusterState,
-            EventSplitter, LineKey, RelayConfig, RelayRoute, RelayService, RequestKind, RouteTable,
-            ServiceShare, StoreChange, StoreItem, StoreKind, StoreValue, WaitLine,
+            self, BackendBook, BackendFailure, CallerLimits, ClusterState, EventSplitter, LineKey,
+            RelayConfig, RelayRoute, RelayService, RequestKind, RouteTable, ServiceShare,
+            StoreChange, StoreItem, StoreKind, StoreValue, WaitLine,
         },
     },
     bolero::check,
@@ -58,19 +61,6 @@
     }
 }
 
-fn backend(id: &str, zone: &'static str, role: Option<EngineRole>) -> BackendInfo {
-    BackendInfo {
-        id: FastStr::new(id),
-        service: "one".into(),
-        address: "127.0.0.1:9".parse().unwrap(),
-        zone: zone.into(),
-        leaving: false,
-        slots: 6,
-        role,
-        orders_taken: 0,
-    }
-}
-
 #[test]
 fn the_longest_prefix_of_the_named_host_is_found() {
     let table = RouteTable::new(config(1));
--- a/tests/relay_kept.rs
+++ b/tests/relay_kept.rs
@@ -1,6 +1,9 @@
 //! Streams that go on are sent where their prompt is kept.
 
+mod backends;
+
 use {
+    crate::backends::backend,
     bayplank::{
         engine::EngineRole,
         relay::{BackendInfo, CacheChange, CacheNews, CacheQuestion, KeptPrompts},
@@ -13,17 +16,8 @@
     Duration::from_millis(count)
 }
 
-fn engine(id: &str) -> BackendInfo {
-    BackendInfo {
-        id: FastStr::new(id),
-        service: "one".into(),
-        address: "127.0.0.1:9".parse().unwrap(),
-        zone: "z-a".into(),
-        leaving: false,
-        slots: 64,
-        role: Some(EngineRole::Decode),
-        orders_taken: 0,
-    }
+fn decode(id: &str) -> BackendInfo {
+    backend(id, "z-a", Some(EngineRole::Decode))
 }
 
 fn change(part: &str, tokens: u64) -> CacheChange {
@@ -82,7 +76,7 @@
 #[test]
 fn of_several_engines_the_one_that_keeps_most_is_chosen() {
     let mut kept = KeptPrompts::default();
-    let engines = [engine("d-1"), engine("d-2"), engine("d-3")];
+    let engines = [decode("d-1"), decode("d-2"), decode("d-3")];
     assert_eq!(kept.best_of(&engines, "p"), None);
     for (id, tokens) in [("d-1", 200), ("d-2", 3_400), ("d-3", 0)] {
         kept.take(
@@ -104,7 +98,7 @@
     const STREAMS: u64 = 42;
     const PROMPT: u64 = 3_200;
     let ids: Vec<String> = (0..6).map(|number| format!("d-{number}")).collect();
-    let engines: Vec<BackendInfo> = ids.iter().map(|id| engine(id)).collect();
+    let engines: Vec<BackendInfo> = ids.iter().map(|id| decode(id)).collect();
     let mut held: BTreeMap<&str, Vec<CacheChange>> = BTreeMap::new();
     for stream in 0..STREAMS {
         let id = ids[(stream % 6) as usize].as_str();
--- a/tests/relay_reach.rs
+++ b/tests/relay_reach.rs
@@ -1,7 +1,10 @@
 //! Plain requests whose servers cannot be reached.
 
+mod backends;
+
 use {
-    bayplank::relay::{BackendBook, BackendFailure, BackendInfo, PlainChoice},
+    crate::backends::backend,
+    bayplank::relay::{BackendBook, BackendFailure, PlainChoice},
     faststr::FastStr,
     std::time::Duration,
 };
@@ -10,23 +13,10 @@
     Duration::from_millis(count)
 }
 
-fn backend(id: &str, zone: &'static str) -> BackendInfo {
-    BackendInfo {
-        id: FastStr::new(id),
-        service: "one".into(),
-        address: "127.0.0.1:9".parse().unwrap(),
-        zone: zone.into(),
-        leaving: false,
-        slots: 6,
-        role: None,
-        orders_taken: 0,
-    }
-}
-
 #[test]
 fn where_all_servers_fail_one_request_at_a_time_shows_whether_one_answers_again() {
     let mut book = BackendBook::default();
-    let (near, far) = (backend("near", "z"), backend("far", "y"));
+    let (near, far) = (backend("near", "z", None), backend("far", "y", None));
     book.set_backends(vec![near.clone(), far.clone()]);
     for id in ["near", "far"] {
         book.failed(id, BackendFailure::Silent, millis(0));
@@ -54,7 +44,7 @@
 fn of_many_requests_to_servers_that_cannot_be_reached_few_are_held() {
     // 100 requests a second for two seconds; each that is sent finds no connection within 0.3 s.
     let mut book = BackendBook::default();
-    book.set_backends(vec![backend("w-1", "y"), backend("w-2", "y")]);
+    book.set_backends(vec![backend("w-1", "y", None), backend("w-2", "y", None)]);
     let mut open: Vec<(FastStr, u64, u64)> = Vec::new();
     let mut held = 0;
     for at in (0..2_000).step_by(10) {
--- a/tests/relay_split.rs
+++ b/tests/relay_split.rs
@@ -1,27 +1,16 @@
 //! How many engines compute prompts, and which of them change their role for that.
 
+mod backends;
+
 use {
+    crate::backends::backend,
     bayplank::{
         engine::EngineRole,
         relay::{self, BackendInfo},
     },
     bolero::check,
-    faststr::FastStr,
 };
 
-fn backend(id: &str, zone: &'static str, role: Option<EngineRole>) -> BackendInfo {
-    BackendInfo {
-        id: FastStr::new(id),
-        service: "one".into(),
-        address: "127.0.0.1:9".parse().unwrap(),
-        zone: zone.into(),
-        leaving: false,
-        slots: 6,
-        role,
-        orders_taken: 0,
-    }
-}
-
 #[test]
 fn prefill_engines_are_spread_over_the_zones() {
     check!().with_type::<Vec<u8>>().for_each(|sizes| {
