Passed-through requests: decisions, beliefs, news, requests and roles have folders of their own

Arrows go one way. CacheQuestion moved to the dialect and KindNews beside the history, which ends two circles.

--- a/src/relay/cluster.rs
+++ b/src/relay/belief/cluster.rs
@@ -4,12 +4,12 @@
 //! newer version is never replaced by an older one.
 
 use {
-    super::{
+    super::history::{ChangeHistory, KindNews, MissingNews},
+    crate::relay::{
         backend::BackendInfo,
         config::RelayConfig,
         link::{HostEntry, StoreChange, StoreItem, StoreKind, StoreValue},
-        news::{ChangeHistory, KindNews, MissingNews},
-        route::RouteTable,
+        policy::route::RouteTable,
     },
     faststr::FastStr,
     std::{collections::BTreeMap, rc::Rc, time::Duration},
--- a/src/relay/news/history.rs
+++ b/src/relay/belief/history.rs
@@ -1,6 +1,6 @@
 //! The latest changes of one kind of objects, for hosts that lack only these.
 
-use {super::super::link::StoreChange, std::collections::VecDeque};
+use {crate::relay::link::StoreChange, std::collections::VecDeque};
 
 /// Changes that are remembered at most: some minutes of a busy day, 150 bytes each.
 const CHANGES_KEPT: usize = 512;
@@ -16,6 +16,17 @@
     Whole,
 }
 
+/// What became of one kind of objects.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct KindNews {
+    /// The store's revision up to which this goes.
+    pub revision: u64,
+    /// Whether the changes are all objects there are, in place of what the asker has.
+    pub is_whole: bool,
+    /// The changes, in order.
+    pub changes: Vec<StoreChange>,
+}
+
 /// The latest changes, each batch with the store's revision up to which it goes.
 #[derive(Debug, Default)]
 pub struct ChangeHistory {
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -4,7 +4,6 @@
 //! functions.
 
 use {
-    super::kept::CacheQuestion,
     crate::engine::EngineRole,
     bytes::Bytes,
     faststr::FastStr,
@@ -97,6 +96,15 @@
     pub tokens: u64,
 }
 
+/// What an engine is to be asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CacheQuestion {
+    /// All that it keeps, for which it interrupts its work.
+    Whole,
+    /// What has changed from this change on.
+    Since(u64),
+}
+
 /// What an engine keeps of prompts that it read: all of it, or what has changed since it was asked last.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct CacheNews {
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -2,15 +2,22 @@
 
 use {
     super::{
-        answer::{self, RelayAnswer},
         config::CallerLimits,
         dialect::CallDialect,
-        feed::StoreFeed,
-        handler,
         link::{HostEntry, StoreItem, StoreKind, StoreLink, StoreValue},
-        news::{self, LoadShare, NewsAnswers, NewsFollower, NewsLinks},
-        parts::RelayParts,
-        roles,
+        news::{
+            self,
+            feed::StoreFeed,
+            follow::NewsFollower,
+            link::{NewsAnswers, NewsLinks},
+            share::LoadShare,
+        },
+        parts::shared::RelayParts,
+        request::{
+            answer::{self, RelayAnswer},
+            handler,
+        },
+        roles::keeper,
         settings::RelaySettings,
         vital,
     },
@@ -98,7 +105,7 @@
         };
         host.share_news(peers);
         vital::spawn_vital("own entry", write_entry(parts.clone(), store.clone()));
-        vital::spawn_vital("engine roles", roles::keep_roles(parts, store));
+        vital::spawn_vital("engine roles", keeper::keep_roles(parts, store));
         host.serve(callers, host.caller_handler(), host.closing.clone());
         host.serve(checks, host.check_handler(), host.checks_closing.clone());
         if let Some(metrics) = metrics {
--- a/src/relay/feed.rs
+++ b/src/relay/news/feed.rs
@@ -1,17 +1,20 @@
 //! Keeping a host's beliefs up to date from the store, while it is the host's turn to read it.
 
 use {
-    super::{
-        backend::BackendInfo,
-        link::{
-            HostEntry, StoreChange, StoreChanges, StoreItem, StoreKind, StoreLink, StoreList,
-            StoreValue,
+    crate::{
+        event,
+        relay::{
+            backend::BackendInfo,
+            link::{
+                HostEntry, StoreChange, StoreChanges, StoreItem, StoreKind, StoreLink, StoreList,
+                StoreValue,
+            },
+            parts::shared::RelayParts,
+            policy::source::old_news,
+            vital,
         },
-        news::old_news,
-        parts::RelayParts,
-        vital,
+        store::StoreFailure,
     },
-    crate::{event, store::StoreFailure},
     rand::RngExt,
     std::{cell::Cell, rc::Rc, time::Duration},
     tokio::sync::Notify,
--- a/src/relay/news/follow.rs
+++ b/src/relay/news/follow.rs
@@ -2,17 +2,19 @@
 
 use {
     super::{
-        super::{
-            feed::StoreFeed,
+        feed::StoreFeed,
+        link::NewsLinks,
+        message::{ClusterNews, HeldNews},
+    },
+    crate::{
+        event,
+        relay::{
             link::{HostEntry, StoreKind},
-            parts::RelayParts,
+            parts::shared::RelayParts,
+            policy::source::{self, NewsSource, SourceChoice},
             vital,
         },
-        link::NewsLinks,
-        message::{ClusterNews, HeldNews},
-        source::{self, NewsSource, SourceChoice},
     },
-    crate::event,
     rand::seq::SliceRandom,
     std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
 };
--- a/src/relay/news/link.rs
+++ b/src/relay/news/link.rs
@@ -1,14 +1,12 @@
 //! Asking other hosts for news, and answering them: `capnp-rpc` over TCP.
 
 use {
-    super::{
-        loads::{LoadReport, LoadReporter},
-        message::{self, ClusterNews, HeldNews},
-    },
+    super::message::{self, ClusterNews, HeldNews},
     crate::{
         metric::HostMetrics,
         news_capnp::news_peer,
         peer::{self, PeerLinks},
+        relay::policy::loads::{LoadReport, LoadReporter},
     },
     capnp::{Error, capability::Rc as CapRc},
     faststr::FastStr,
--- a/src/relay/news/message.rs
+++ b/src/relay/news/message.rs
@@ -1,11 +1,14 @@
 //! What hosts ask and tell each other, and the messages that carry it.
 
 use {
-    super::{
-        super::{config::RelayConfig, link::StoreChange},
-        loads::{EngineKey, EngineLoad, LoadReport, ServiceDemand},
+    crate::{
+        news_capnp::{cluster_news, held_news, kind_news, load_report},
+        relay::{
+            belief::history::KindNews,
+            config::RelayConfig,
+            policy::loads::{EngineKey, EngineLoad, LoadReport, ServiceDemand},
+        },
     },
-    crate::news_capnp::{cluster_news, held_news, kind_news, load_report},
     capnp::{Error, Result},
     faststr::FastStr,
     serde::{Serialize, de::DeserializeOwned},
@@ -30,17 +33,6 @@
     pub wait: Duration,
 }
 
-/// What became of one kind of objects.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct KindNews {
-    /// The store's revision up to which this goes.
-    pub revision: u64,
-    /// Whether the changes are all objects there are, in place of what the asker has.
-    pub is_whole: bool,
-    /// The changes, in order.
-    pub changes: Vec<StoreChange>,
-}
-
 /// What one host tells another.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct ClusterNews {
--- a/src/relay/news/mod.rs
+++ b/src/relay/news/mod.rs
@@ -1,15 +1,11 @@
 //! What hosts tell each other: news of the configuration, the backend servers and the hosts, which few
 //! hosts of a zone read from the store for the others; and what each one's requests take at engines.
 
-mod follow;
-mod history;
-mod link;
-mod loads;
-mod message;
-mod share;
-mod source;
-mod tell;
+pub(crate) mod feed;
+pub(crate) mod follow;
+pub(crate) mod link;
+pub(crate) mod message;
+pub(crate) mod share;
+pub(crate) mod tell;
 
-pub use self::{
-    follow::*, history::*, link::*, loads::*, message::*, share::*, source::*, tell::*,
-};
+pub use self::{feed::*, follow::*, link::*, message::*, share::*, tell::*};
--- a/src/relay/news/share.rs
+++ b/src/relay/news/share.rs
@@ -1,12 +1,15 @@
 //! Telling the other hosts what this one's requests take, and hearing what theirs take.
 
 use {
-    super::{
-        super::{link::HostEntry, parts::RelayParts, vital},
-        follow::NewsFollower,
-        link::NewsLinks,
-        loads::{LoadBoard, LoadReport, LoadReporter},
-        source,
+    super::{follow::NewsFollower, link::NewsLinks},
+    crate::relay::{
+        link::HostEntry,
+        parts::shared::RelayParts,
+        policy::{
+            loads::{LoadBoard, LoadReport, LoadReporter},
+            source,
+        },
+        vital,
     },
     faststr::FastStr,
     std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration},
--- a/src/relay/news/tell.rs
+++ b/src/relay/news/tell.rs
@@ -1,10 +1,8 @@
 //! What a host tells others that follow it.
 
 use {
-    super::{
-        super::parts::RelayParts,
-        message::{ClusterNews, HeldNews},
-    },
+    super::message::{ClusterNews, HeldNews},
+    crate::relay::parts::shared::RelayParts,
     std::{rc::Rc, time::Duration},
     tokio::time::Instant,
 };
--- a/src/relay/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -1,7 +1,7 @@
 //! What a relaying host counts: requests by route and end, times by route, and what it holds.
 
 use {
-    super::config::RelayRoute,
+    crate::relay::config::RelayRoute,
     faststr::FastStr,
     prometheus_client::{
         encoding::{EncodeLabelSet, text},
--- a/src/relay/beliefs.rs
+++ b/src/relay/parts/publish.rs
@@ -1,8 +1,11 @@
 //! What becomes of news: a configuration is in force, requests go to other backend servers.
 
 use {
-    super::{changes::BackendChanges, config::RelayConfig, parts::RelayParts},
-    crate::event,
+    super::shared::RelayParts,
+    crate::{
+        event,
+        relay::{config::RelayConfig, policy::changes::BackendChanges},
+    },
     faststr::FastStr,
 };
 
--- a/src/relay/parts.rs
+++ b/src/relay/parts/shared.rs
@@ -1,25 +1,21 @@
 //! What the tasks of a relaying host share; all run on one thread.
 
 use {
-    super::{
-        backend::BackendInfo,
-        book::BackendBook,
-        budget::WindowBudget,
-        cluster::ClusterState,
-        dialect::{BackendCall, CallDialect},
-        kept::KeptPrompts,
-        line::WaitLine,
-        metrics::RelayMetrics,
-        route::RouteTable,
-        settings::RelaySettings,
-        shares::OthersDemand,
-        view::BackendFailure,
-        waited::CallerWaits,
-    },
+    super::{metrics::RelayMetrics, shares::OthersDemand},
     crate::{
         event,
         host::StopGate,
         operation::RunVerdict,
+        relay::{
+            backend::BackendInfo,
+            belief::cluster::ClusterState,
+            dialect::{BackendCall, CallDialect},
+            policy::{
+                book::BackendBook, budget::WindowBudget, kept::KeptPrompts, line::WaitLine,
+                route::RouteTable, view::BackendFailure, waited::CallerWaits,
+            },
+            settings::RelaySettings,
+        },
         web::{ConnectionPool, FailureCause, PoolLane, PooledAnswer, SendFailure},
     },
     bytes::Bytes,
@@ -150,6 +146,17 @@
     }
 }
 
+impl SendFailure {
+    /// How the backend server failed, for the book; none where that was not its doing.
+    pub fn kind(&self) -> Option<BackendFailure> {
+        match self.cause {
+            FailureCause::Broken => Some(BackendFailure::Broken),
+            FailureCause::Silent => Some(BackendFailure::Silent),
+            FailureCause::Limited => None,
+        }
+    }
+}
+
 /// A backend server with another run at its address answers so.
 const MISDIRECTED: StatusCode = StatusCode::MISDIRECTED_REQUEST;
 
--- a/src/relay/shares.rs
+++ b/src/relay/parts/shares.rs
@@ -1,14 +1,18 @@
 //! This host's shares of what all hosts have together: repeats of requests, and connections to backend servers.
 
 use {
-    super::{
-        backend::BackendInfo,
-        book::OTHERS_LIFE,
-        budget::{DemandCounts, FleetDemand, RetryAllowance, WindowBudget},
-        news::{LoadReport, ServiceDemand},
-        parts::RelayParts,
+    super::shared::RelayParts,
+    crate::{
+        relay::{
+            backend::BackendInfo,
+            policy::{
+                book::OTHERS_LIFE,
+                budget::{DemandCounts, FleetDemand, RetryAllowance, WindowBudget},
+                loads::{LoadReport, ServiceDemand},
+            },
+        },
+        web::{PoolLane, PoolTarget},
     },
-    crate::web::{PoolLane, PoolTarget},
     faststr::FastStr,
     std::time::Duration,
 };
--- a/src/relay/admission.rs
+++ b/src/relay/policy/admission.rs
@@ -4,7 +4,8 @@
 //! apart, so a request that can only be late must leave memory to those that others could still serve in time.
 
 use {
-    super::{dialect::CallMarks, line::LineKey},
+    super::line::LineKey,
+    crate::relay::dialect::CallMarks,
     std::{ops::RangeInclusive, time::Duration},
 };
 
@@ -35,11 +36,11 @@
 
 /// Longest wait of a request for memory: callers give a stream up after some seconds without events. Longer waits
 /// serve more of them late and fewer in time (docs/worth.md: 2.4 s took 0.007 of a day's worth).
-pub(super) const WAIT_LIMIT: Duration = Duration::from_millis(1_200);
+pub(crate) const WAIT_LIMIT: Duration = Duration::from_millis(1_200);
 
 /// When callers are to come back after a refusal for lack of memory: requests run for some seconds, so that about
 /// a third of the memory is free again by then. Spread, so that those refused together come back apart.
-pub(super) const COME_BACK: RangeInclusive<Duration> =
+pub(crate) const COME_BACK: RangeInclusive<Duration> =
     Duration::from_millis(700)..=Duration::from_millis(1_300);
 
 /// A request that waits for memory at an engine.
--- a/src/relay/book.rs
+++ b/src/relay/policy/book.rs
@@ -4,12 +4,11 @@
 
 use {
     super::{
-        backend::BackendInfo,
         changes::BackendChanges,
-        news::{EngineKey, EngineLoad},
+        loads::{EngineKey, EngineLoad},
         view::{BackendFailure, BackendView, EJECT_FIRST, FAILURES_TO_EJECT},
     },
-    crate::engine::EngineRole,
+    crate::{engine::EngineRole, relay::backend::BackendInfo},
     faststr::FastStr,
     std::{collections::BTreeMap, time::Duration},
 };
@@ -34,7 +33,7 @@
 const DECLINE_TIME: Duration = Duration::from_millis(1_500);
 
 /// How long what other hosts' requests take at engines is taken to stay as they last reported.
-pub(super) const OTHERS_LIFE: Duration = Duration::from_millis(1_500);
+pub(crate) const OTHERS_LIFE: Duration = Duration::from_millis(1_500);
 
 /// Other hosts from which on a backend server is passed over that fails them: one alone may be cut off from
 /// it.
--- a/src/relay/changes.rs
+++ b/src/relay/policy/changes.rs
@@ -1,6 +1,6 @@
 //! How a list of backend servers differs from the one before, for the log.
 
-use {super::backend::BackendInfo, faststr::FastStr};
+use {crate::relay::backend::BackendInfo, faststr::FastStr};
 
 /// How a list of backend servers differs from the one before.
 #[derive(Debug, Default, PartialEq, Eq)]
--- a/src/relay/kept.rs
+++ b/src/relay/policy/kept.rs
@@ -8,9 +8,9 @@
 //! days).
 
 use {
-    super::{
+    crate::relay::{
         backend::BackendInfo,
-        dialect::{CacheChange, CacheNews},
+        dialect::{CacheChange, CacheNews, CacheQuestion},
     },
     faststr::FastStr,
     std::{collections::HashMap, time::Duration},
@@ -43,15 +43,6 @@
     pub tokens: u64,
 }
 
-/// What an engine is to be asked.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CacheQuestion {
-    /// All that it keeps, for which it interrupts its work.
-    Whole,
-    /// What has changed from this change on.
-    Since(u64),
-}
-
 /// What decode engines keep of the prompts that they read.
 #[derive(Debug, Default)]
 pub struct KeptPrompts {
--- /dev/null
+++ b/src/relay/policy/mod.rs
@@ -0,0 +1,21 @@
+//! Decisions: plain state machines and functions, what happened and the time go in, a choice comes out.
+//! Nothing here knows a clock, a socket, a task or an HTTP type, so that each decision is tested by itself.
+
+pub(crate) mod admission;
+pub(crate) mod book;
+pub(crate) mod budget;
+pub(crate) mod changes;
+pub(crate) mod kept;
+pub(crate) mod line;
+pub(crate) mod loads;
+pub(crate) mod room;
+pub(crate) mod route;
+pub(crate) mod source;
+pub(crate) mod split;
+pub(crate) mod view;
+pub(crate) mod waited;
+
+pub use self::{
+    admission::*, book::*, budget::*, changes::*, kept::*, line::*, loads::*, room::*, route::*,
+    source::*, split::*, view::*, waited::*,
+};
--- a/src/relay/route.rs
+++ b/src/relay/policy/route.rs
@@ -1,7 +1,7 @@
 //! Finding the route of a request: by host, then by the longest path prefix.
 
 use {
-    super::config::{RelayConfig, RelayRoute, RelayService},
+    crate::relay::config::{RelayConfig, RelayRoute, RelayService},
     faststr::FastStr,
     rand::RngExt,
     std::{collections::HashMap, rc::Rc},
--- a/src/relay/news/source.rs
+++ b/src/relay/policy/source.rs
@@ -4,8 +4,7 @@
 //! one of them. A host whose news grow old reads the store itself until it is up to date again.
 
 use {
-    super::super::link::HostEntry,
-    crate::peer,
+    crate::{peer, relay::link::HostEntry},
     faststr::FastStr,
     std::{cmp::Reverse, collections::BTreeMap, time::Duration},
 };
--- a/src/relay/split.rs
+++ b/src/relay/policy/split.rs
@@ -3,7 +3,8 @@
 //! Plain functions: the listed engines go in, the changes come out.
 
 use {
-    super::backend::BackendInfo, crate::engine::EngineRole, faststr::FastStr,
+    crate::{engine::EngineRole, relay::backend::BackendInfo},
+    faststr::FastStr,
     std::collections::BTreeMap,
 };
 
--- a/src/relay/view.rs
+++ b/src/relay/policy/view.rs
@@ -1,8 +1,8 @@
 //! What this host knows of one backend server.
 
 use {
-    super::{backend::BackendInfo, news::EngineKey},
-    crate::web::{FailureCause, SendFailure},
+    super::loads::EngineKey,
+    crate::relay::backend::BackendInfo,
     std::{collections::BTreeMap, time::Duration},
 };
 
@@ -37,17 +37,6 @@
     Silent,
 }
 
-impl SendFailure {
-    /// How the backend server failed, for the book; none where that was not its doing.
-    pub fn kind(&self) -> Option<BackendFailure> {
-        match self.cause {
-            FailureCause::Broken => Some(BackendFailure::Broken),
-            FailureCause::Silent => Some(BackendFailure::Silent),
-            FailureCause::Limited => None,
-        }
-    }
-}
-
 /// What this host knows of one backend server.
 #[derive(Debug)]
 pub struct BackendView {
--- a/src/relay/call.rs
+++ b/src/relay/request/call.rs
@@ -1,13 +1,13 @@
 //! A caller's request, read whole, and the requests to backend servers that are made of it.
 
 use {
-    super::{
-        backend::BackendInfo,
-        config::{CallerLimits, RelayConfig, RelayRoute},
-        dialect::{CallAddress, CallDialect, CallMarks},
-    },
     crate::{
         operation::{Refusal, RefusalCode},
+        relay::{
+            backend::BackendInfo,
+            config::{CallerLimits, RelayConfig, RelayRoute},
+            dialect::{CallAddress, CallDialect, CallMarks},
+        },
         web,
     },
     bytes::{Bytes, BytesMut},
--- a/src/relay/decode.rs
+++ b/src/relay/request/decode.rs
@@ -2,14 +2,12 @@
 
 use {
     super::{
-        backend::BackendInfo,
-        dialect::DecodeStart,
         prefill::WaitingCache,
         stream::{RoundFailure, StreamRelay},
-        view::BackendFailure,
     },
     crate::{
         operation::RunVerdict,
+        relay::{backend::BackendInfo, dialect::DecodeStart, policy::view::BackendFailure},
         web::{PoolLane, PooledAnswer, SendFailure},
     },
     std::time::Duration,
--- a/src/relay/guard.rs
+++ b/src/relay/request/guard.rs
@@ -1,7 +1,7 @@
 //! Counting requests in progress at backend servers.
 
 use {
-    super::{backend::BackendInfo, parts::RelayParts},
+    crate::relay::{backend::BackendInfo, parts::shared::RelayParts},
     faststr::FastStr,
     std::rc::Rc,
 };
--- a/src/relay/handler.rs
+++ b/src/relay/request/handler.rs
@@ -4,13 +4,16 @@
     super::{
         answer::{self, RelayAnswer},
         call::{self, RelayCall},
-        config::{CallerLimits, RelayRoute},
-        parts::RelayParts,
         plain, stream,
     },
     crate::{
         event,
         operation::{Refusal, RefusalCode},
+        relay::{
+            config::{CallerLimits, RelayRoute},
+            parts::shared::RelayParts,
+            policy::route::RouteTable,
+        },
     },
     http::{Request, header, request::Parts},
     hyper::body::Incoming,
@@ -118,7 +121,7 @@
     Ok(())
 }
 
-fn find_route(routes: &super::route::RouteTable, head: &Parts) -> Result<Rc<RelayRoute>, Refusal> {
+fn find_route(routes: &RouteTable, head: &Parts) -> Result<Rc<RelayRoute>, Refusal> {
     let named = head.headers.get(header::HOST);
     let host = named.and_then(|value| value.to_str().ok());
     let host = host.or_else(|| head.uri.host()).unwrap_or_default();
--- a/src/relay/plain.rs
+++ b/src/relay/request/plain.rs
@@ -3,18 +3,19 @@
 use {
     super::{
         answer::{self, RelayAnswer},
-        backend::BackendInfo,
-        book::PlainChoice,
         call::RelayCall,
         chunks::{self, ChunkStep},
         guard::CallGuard,
-        parts::RelayParts,
         send::{self, PlainAnswer, PlainBody, SendOutcome},
-        view::BackendFailure,
     },
     crate::{
         event,
         operation::{Refusal, RefusalCode, RunVerdict},
+        relay::{
+            backend::BackendInfo,
+            parts::shared::RelayParts,
+            policy::{book::PlainChoice, view::BackendFailure},
+        },
         web,
     },
     faststr::FastStr,
--- a/src/relay/prefill.rs
+++ b/src/relay/request/prefill.rs
@@ -1,11 +1,15 @@
 //! Having a prompt's KV cache computed by a prefill engine.
 
 use {
-    super::{
-        backend::BackendInfo, call::RelayCall, dialect::PromptCache, guard::CallGuard,
-        parts::RelayParts, view::BackendFailure,
+    super::{call::RelayCall, guard::CallGuard},
+    crate::{
+        operation::RunVerdict,
+        relay::{
+            backend::BackendInfo, dialect::PromptCache, parts::shared::RelayParts,
+            policy::view::BackendFailure,
+        },
+        web::PoolLane,
     },
-    crate::{operation::RunVerdict, web::PoolLane},
     faststr::FastStr,
     http::StatusCode,
     std::{rc::Rc, time::Duration},
--- a/src/relay/reserve.rs
+++ b/src/relay/request/reserve.rs
@@ -1,17 +1,21 @@
 //! Waiting for memory at a decode engine, and reserving it.
 
 use {
-    super::{
-        admission::{self, LineEntrant},
-        backend::BackendInfo,
-        call::RelayCall,
-        config::EngineLimits,
-        kept::KeptAt,
-        line::LineKey,
-        parts::RelayParts,
-        room::DecodeRoom,
+    super::call::RelayCall,
+    crate::{
+        operation::{Refusal, RefusalCode},
+        relay::{
+            backend::BackendInfo,
+            config::EngineLimits,
+            parts::shared::RelayParts,
+            policy::{
+                admission::{self, LineEntrant},
+                kept::KeptAt,
+                line::LineKey,
+                room::DecodeRoom,
+            },
+        },
     },
-    crate::operation::{Refusal, RefusalCode},
     faststr::FastStr,
     http::StatusCode,
     std::{rc::Rc, time::Duration},
--- a/src/relay/seek.rs
+++ b/src/relay/request/seek.rs
@@ -1,7 +1,7 @@
 //! Asking decode engines which of them keeps the prompt of a stream that is to go on.
 
 use {
-    super::{backend::BackendInfo, kept::KeptAt, parts::RelayParts},
+    crate::relay::{backend::BackendInfo, parts::shared::RelayParts, policy::kept::KeptAt},
     futures::future,
     http::StatusCode,
     std::{rc::Rc, time::Duration},
--- a/src/relay/send.rs
+++ b/src/relay/request/send.rs
@@ -1,12 +1,10 @@
 //! One send of a request to a backend server of a plain service, and what became of it.
 
 use {
-    super::{
-        backend::BackendInfo, call::RelayCall, guard::CallGuard, parts::RelayParts,
-        view::BackendFailure,
-    },
+    super::{call::RelayCall, guard::CallGuard},
     crate::{
         operation::RunVerdict,
+        relay::{backend::BackendInfo, parts::shared::RelayParts, policy::view::BackendFailure},
         web::{PoolLane, PooledAnswer, PooledBody},
     },
     bytes::Bytes,
--- a/src/relay/stream.rs
+++ b/src/relay/request/stream.rs
@@ -8,12 +8,8 @@
         answer::{self, RelayAnswer},
         call::RelayCall,
         chunks::{self, ChunkStep},
-        config::RequestKind,
-        dialect::DecodeStart,
         guard::CallGuard,
-        kept::KeptAt,
         pace::EventPace,
-        parts::RelayParts,
         prefill::{self, PrefillFailure, WaitingCache},
         reserve::{self, MemoryHold},
         resume, seek,
@@ -21,6 +17,10 @@
     crate::{
         event,
         operation::{Refusal, RefusalCode, RunVerdict},
+        relay::{
+            config::RequestKind, dialect::DecodeStart, parts::shared::RelayParts,
+            policy::kept::KeptAt,
+        },
         web::PooledBody,
     },
     faststr::FastStr,
--- a/src/relay/roles.rs
+++ b/src/relay/roles/keeper.rs
@@ -3,16 +3,16 @@
 //! One host gives orders at a time: the holder of a lease in the store. Requests do not depend on it.
 
 use {
-    super::{
-        backend::BackendInfo,
-        dialect::{EngineReport, RoleOrder},
-        link::{StoreItem, StoreKind, StoreLink, StoreValue},
-        parts::RelayParts,
-        split::{self, RoleChange},
-    },
     crate::{
         control::{LeaseKeeper, LeaseWrite, SeenLease},
         event,
+        relay::{
+            backend::BackendInfo,
+            dialect::{EngineReport, RoleOrder},
+            link::{StoreItem, StoreKind, StoreLink, StoreValue},
+            parts::shared::RelayParts,
+            policy::split::{self, RoleChange},
+        },
         store::StoreFailure,
     },
     faststr::FastStr,
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of a host that passes requests through.
 
 use {
-    super::budget::RetryAllowance,
+    super::policy::budget::RetryAllowance,
     crate::web::PoolSettings,
     faststr::FastStr,
     std::{net::SocketAddr, time::Duration},
