--- a/src/host/passing.rs
+++ b/src/host/passing.rs
@@ -116,6 +116,7 @@
         metrics: None,
         peers: settings.peers,
         seeds: Vec::new(),
+        first_start: false,
         strength: 0,
         store: settings.platform,
         requests_limit: settings.concurrent,
--- a/src/relay/belief/cluster.rs
+++ b/src/relay/belief/cluster.rs
@@ -46,8 +46,6 @@
     // Until when the configuration and the list of backend servers are known to be the newest.
     config_confirmed: Option<Duration>,
     backends_confirmed: Option<Duration>,
-    // The store does not answer this host, which reads it.
-    store_lost: bool,
 }
 
 impl Default for ClusterState {
@@ -70,7 +68,6 @@
             outage_ended: None,
             config_confirmed: None,
             backends_confirmed: None,
-            store_lost: false,
         }
     }
 
@@ -111,10 +108,15 @@
         *confirmed = Some(confirmed.map_or(at, |before| before.max(at)));
     }
 
+    /// Until when the older of configuration and backend servers is known to be the newest; none before both are
+    /// known.
+    pub fn confirmed(&self) -> Option<Duration> {
+        Some(self.config_confirmed?.min(self.backends_confirmed?))
+    }
+
     /// How old the older of configuration and backend servers may be; none before both are known.
     pub fn age(&self, now: Duration) -> Option<Duration> {
-        let confirmed = self.config_confirmed?.min(self.backends_confirmed?);
-        Some(now.saturating_sub(confirmed))
+        Some(now.saturating_sub(self.confirmed()?))
     }
 
     /// Takes a configuration if it is newer than the one in force.
@@ -131,16 +133,6 @@
         true
     }
 
-    /// Whether the store fails to answer this host, which reads it.
-    pub fn set_store_lost(&mut self, lost: bool) {
-        self.store_lost = lost;
-    }
-
-    /// The age as other hosts are told it; none where they had better follow another host.
-    pub fn told_age(&self, now: Duration) -> Option<Duration> {
-        self.age(now).filter(|_| !self.store_lost)
-    }
-
     /// Another host found the store back after an outage at this time.
     pub fn note_outage(&mut self, ended: Duration) {
         self.outage_ended = self.outage_ended.max(Some(ended));
--- /dev/null
+++ b/src/relay/figures.rs
@@ -0,0 +1,40 @@
+//! A line of the host's figures in the log, at a steady pace: logs of hundreds of hosts then tell who talked to whom
+//! and how often, without a line for each call.
+
+use {
+    super::parts::{metrics::StoreCause, shared::RelayParts},
+    crate::event,
+    std::{rc::Rc, time::Duration},
+};
+
+/// How often the figures are logged. One line of 200 bytes in that time is a hundredth of what a host logs of its
+/// requests; what is counted after the last line of a host that loses its power is not seen.
+const FIGURES_PERIOD: Duration = Duration::from_secs(5);
+
+/// Logs the figures for as long as the host runs; all are sums since its start, but for the age.
+pub async fn log_figures(parts: Rc<RelayParts>) {
+    loop {
+        tokio::time::sleep(FIGURES_PERIOD).await;
+        log_once(&parts);
+    }
+}
+
+/// Logs the figures as they are now.
+pub fn log_once(parts: &RelayParts) {
+    let metrics = &parts.metrics;
+    let age = parts.cluster.borrow().age(parts.now());
+    event::emit(
+        &event::HOST_FIGURES,
+        &[
+            ("lists", &metrics.store_calls(StoreCause::List)),
+            ("watches", &metrics.store_calls(StoreCause::Watch)),
+            ("while_lost", &metrics.store_calls(StoreCause::WhileLost)),
+            ("lease", &metrics.store_calls(StoreCause::Lease)),
+            ("entry", &metrics.store_calls(StoreCause::Entry)),
+            ("opened", &parts.pool.opened()),
+            ("reused", &parts.pool.reused()),
+            ("news_told", &metrics.news_told.get()),
+            ("age_ms", &age.map_or(-1, |age| age.as_millis() as i64)),
+        ],
+    );
+}
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -4,15 +4,16 @@
     super::{
         config::CallerLimits,
         dialect::CallDialect,
-        link::{HostEntry, StoreItem, StoreKind, StoreLink, StoreValue},
+        figures,
+        link::{StoreKind, StoreLink},
         news::{
-            self,
+            self, entry,
             feed::StoreFeed,
             follow::NewsFollower,
             link::{NewsAnswers, NewsLinks},
             share::LoadShare,
         },
-        parts::shared::RelayParts,
+        parts::{metrics::StoreCause, shared::RelayParts},
         request::{
             answer::{self, RelayAnswer},
             handler,
@@ -26,7 +27,6 @@
         host::StopGate,
         metric::HostMetrics,
         operation::OnceSignal,
-        store::StoreFailure,
         web::{self, IngressHandler, IngressLimits},
     },
     bytes::Bytes,
@@ -57,9 +57,6 @@
 /// Path of the metrics, beside the balancer's question.
 const METRICS_PATH: &str = "/metrics";
 
-/// Pause before the host's entry is written again after a failure.
-const ENTRY_PAUSE: Duration = Duration::from_millis(700);
-
 /// A running host.
 #[derive(Debug)]
 pub struct RelayHost {
@@ -104,7 +101,8 @@
             checks_closing: Arc::default(),
         };
         host.share_news(peers);
-        vital::spawn_vital("own entry", write_entry(parts.clone(), store.clone()));
+        vital::spawn_vital("own entry", entry::keep_entry(parts.clone(), store.clone()));
+        vital::spawn_vital("figures", figures::log_figures(parts.clone()));
         vital::spawn_vital("engine roles", keeper::keep_roles(parts, store));
         host.serve(callers, host.caller_handler(), host.closing.clone());
         host.serve(checks, host.check_handler(), host.checks_closing.clone());
@@ -124,7 +122,7 @@
         let parts = self.parts.clone();
         let answers = NewsAnswers {
             news: Box::new(move |held| news::tell_news(parts.clone(), held).boxed_local()),
-            loads: Box::new(move |reporter, loads| share.answer(reporter, loads)),
+            loads: Box::new(move |reporter, loads, age| share.answer(reporter, loads, age)),
         };
         vital::spawn_vital(
             "answers to hosts",
@@ -181,6 +179,7 @@
         if in_time.is_err() {
             log::warn!("{} requests did not end within the grace", gate.in_flight());
         }
+        self.parts.metrics.store_called(StoreCause::Entry, 1);
         let leaving = (self.store.delete)(StoreKind::Hosts, &self.parts.settings.name);
         let closing = async {
             tokio::time::sleep(CLOSE_TIME).await;
@@ -189,6 +188,7 @@
         if let Ok(Err(failure)) = left {
             log::debug!("the host's entry stays: {failure}");
         }
+        figures::log_once(&self.parts);
         event::emit(&event::HOST_STOPPED, &[]);
     }
 }
@@ -249,38 +249,3 @@
     *answer.status_mut() = StatusCode::from_u16(status).expect("a status");
     answer
 }
-
-// Writes who this host is, until that has succeeded.
-async fn write_entry(parts: Rc<RelayParts>, store: Rc<StoreLink>) {
-    let settings = &parts.settings;
-    let entry = StoreValue::Host(HostEntry {
-        name: settings.name.clone(),
-        zone: settings.zone.clone(),
-        peers: settings.peers,
-        strength: settings.strength,
-    });
-    let mut revision = 0;
-    loop {
-        let item = StoreItem {
-            name: settings.name.clone(),
-            revision,
-            value: entry.clone(),
-        };
-        match (store.put)(StoreKind::Hosts, item).await {
-            Ok(_) => return,
-            // An earlier run's entry, or this one's own whose answer was lost.
-            Err(StoreFailure::Conflict(_)) => {
-                match (store.get)(StoreKind::Hosts, &settings.name).await {
-                    Ok(found) if found.value == entry => return,
-                    Ok(found) => revision = found.revision,
-                    Err(StoreFailure::NotFound) => revision = 0,
-                    Err(failure) => log::debug!("the host's entry: {failure}"),
-                }
-            }
-            Err(failure) => {
-                log::debug!("the host's entry: {failure}");
-                tokio::time::sleep(ENTRY_PAUSE).await;
-            }
-        }
-    }
-}
--- a/src/relay/link.rs
+++ b/src/relay/link.rs
@@ -60,6 +60,16 @@
     pub value: StoreValue,
 }
 
+/// How new a list has to be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListAge {
+    /// The newest there is.
+    Newest,
+    /// It may be some seconds behind, for a tenth of the price; its revision tells how far, and a watch from there
+    /// brings the rest.
+    MayLag,
+}
+
 /// All objects of a kind.
 #[derive(Debug, Clone, PartialEq)]
 pub struct StoreList {
@@ -67,6 +77,8 @@
     pub items: Vec<StoreItem>,
     /// The store's revision that the list shows.
     pub revision: u64,
+    /// Calls that it took: long lists come in pages.
+    pub calls: u32,
 }
 
 /// A change of an object.
@@ -90,7 +102,7 @@
 /// The future of a call to the store.
 pub type StoreCall<T> = LocalBoxFuture<'static, Result<T, StoreFailure>>;
 
-type ListCall = dyn Fn(StoreKind) -> StoreCall<StoreList>;
+type ListCall = dyn Fn(StoreKind, ListAge) -> StoreCall<StoreList>;
 type WatchCall = dyn Fn(StoreKind, u64, Duration) -> StoreCall<StoreChanges>;
 type GetCall = dyn Fn(StoreKind, &str) -> StoreCall<StoreItem>;
 type PutCall = dyn Fn(StoreKind, StoreItem) -> StoreCall<u64>;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -5,6 +5,7 @@
 mod belief;
 mod config;
 mod dialect;
+mod figures;
 mod host;
 mod link;
 mod news;
--- a/src/relay/news/feed.rs
+++ b/src/relay/news/feed.rs
@@ -6,16 +6,18 @@
         relay::{
             backend::BackendInfo,
             link::{
-                HostEntry, StoreChange, StoreChanges, StoreItem, StoreKind, StoreLink, StoreList,
-                StoreValue,
+                HostEntry, ListAge, StoreChange, StoreChanges, StoreItem, StoreKind, StoreLink,
+                StoreList, StoreValue,
+            },
+            parts::{metrics::StoreCause, shared::RelayParts},
+            policy::{
+                pauses::{FOLLOWER_PAUSES, READER_PAUSES, StorePauses},
+                source::old_news,
             },
-            parts::shared::RelayParts,
-            policy::source::old_news,
             vital,
         },
         store::StoreFailure,
     },
-    rand::RngExt,
     std::{cell::Cell, rc::Rc, time::Duration},
     tokio::sync::Notify,
 };
@@ -24,9 +26,6 @@
 /// that hangs is found out before, and other hosts learn how old this one's view may be.
 const WATCH_PART: f64 = 0.5;
 
-/// From the start of a host to its first look at the store: other hosts may tell it everything before.
-const FIRST_DELAY: Duration = Duration::from_millis(100);
-
 /// How long a watch of the hosts waits: nothing urgent depends on them.
 const HOSTS_WATCH_TIME: Duration = Duration::from_secs(20);
 
@@ -37,26 +36,12 @@
 /// Pause between two watches of the hosts: many come and go at once, and each watch is a call.
 const HOSTS_PAUSE: Duration = Duration::from_millis(500);
 
-/// From the start of a host to its first look at the others: all start within a fraction of a second.
+/// From the first start of a fleet to the first look at its hosts: all start, and enter themselves in the store, within
+/// a fraction of a second.
 const HOSTS_FIRST_DELAY: Duration = Duration::from_millis(1_000);
 
-/// Pauses after failed calls to the store, doubled from the first to the longest.
-struct FailurePauses {
-    first: Duration,
-    longest: Duration,
-}
-
-/// Those of a host that reads for its zone: changes are due a few seconds after the store is back.
-const READER_PAUSES: FailurePauses = FailurePauses {
-    first: Duration::from_millis(250),
-    longest: Duration::from_millis(1_000),
-};
-
-/// Those of another one: it asks those that read, and each call to a store that turns all away has its price.
-const FOLLOWER_PAUSES: FailurePauses = FailurePauses {
-    first: Duration::from_millis(700),
-    longest: Duration::from_millis(2_500),
-};
+/// How long the watch that follows a list waits which may lag: it only has to bring what the list lacked.
+const CONFIRMING_WATCH_TIME: Duration = Duration::from_millis(1);
 
 /// How often lapsed entries are looked at.
 const EXPIRE_PERIOD: Duration = Duration::from_millis(200);
@@ -75,6 +60,8 @@
     // Which of the two urgent watches did not answer last time.
     config_lost: Cell<bool>,
     backends_lost: Cell<bool>,
+    // The list of backend servers is from a reading that may lag, and no watch has confirmed it yet.
+    backends_lag: Cell<bool>,
 }
 
 impl StoreFeed {
@@ -83,12 +70,13 @@
         let feed = Rc::new(Self {
             parts,
             store,
-            reading: Cell::new(true),
-            reading_hosts: Cell::new(true),
+            reading: Cell::new(false),
+            reading_hosts: Cell::new(false),
             resumed: Notify::new(),
             config_revision: Cell::new(0),
             config_lost: Cell::new(true),
             backends_lost: Cell::new(true),
+            backends_lag: Cell::new(false),
         });
         vital::spawn_vital("configuration", feed.clone().follow(StoreKind::Config));
         vital::spawn_vital("backend servers", feed.clone().follow(StoreKind::Backends));
@@ -104,7 +92,6 @@
         if !reading {
             self.config_lost.set(false);
             self.backends_lost.set(false);
-            self.tell_whether_lost();
         }
         if reading || hosts {
             self.resumed.notify_waiters();
@@ -116,52 +103,67 @@
         self.config_lost.get() || self.backends_lost.get()
     }
 
-    fn tell_whether_lost(&self) {
-        let mut cluster = self.parts.cluster.borrow_mut();
-        cluster.set_store_lost(self.is_lost());
-    }
-
     /// Reads the configuration once.
     pub async fn read_config(&self) -> Result<(), StoreFailure> {
-        let list = (self.store.list)(StoreKind::Config).await?;
-        self.take_list(StoreKind::Config, list);
-        Ok(())
+        self.list(StoreKind::Config, ListAge::Newest).await
+    }
+
+    async fn list(&self, kind: StoreKind, age: ListAge) -> Result<(), StoreFailure> {
+        let metrics = &self.parts.metrics;
+        let cause = self.cause(kind, StoreCause::List);
+        match (self.store.list)(kind, age).await {
+            Ok(list) => {
+                metrics.store_called(cause, list.calls);
+                self.take_list(kind, list);
+                Ok(())
+            }
+            Err(failure) => {
+                metrics.store_called(cause, 1);
+                Err(failure)
+            }
+        }
+    }
+
+    // What is asked of a store that did not answer last time is asked for another reason.
+    fn cause(&self, kind: StoreKind, usual: StoreCause) -> StoreCause {
+        let lost = self.lost_flag(kind).is_some_and(Cell::get);
+        match lost && self.parts.cluster.borrow().age(self.parts.now()).is_some() {
+            true => StoreCause::WhileLost,
+            false => usual,
+        }
     }
 
     // Lists a kind, then follows its changes, while it is wanted.
     async fn follow(self: Rc<Self>, kind: StoreKind) {
-        let delay = match kind {
-            StoreKind::Hosts => HOSTS_FIRST_DELAY,
-            _ => FIRST_DELAY,
-        };
-        tokio::time::sleep(delay).await;
-        let mut pause = self.pauses().first;
+        if kind == StoreKind::Hosts && self.parts.settings.first_start {
+            tokio::time::sleep(HOSTS_FIRST_DELAY).await;
+        }
+        let mut failures = 0;
         let mut forgotten = false;
         loop {
             self.wanted(kind).await;
             let before = self.parts.cluster.borrow().changes_seen();
             match self.read_once(kind, forgotten).await {
                 Ok(()) => {
-                    (forgotten, pause) = (false, self.pauses().first);
+                    (forgotten, failures) = (false, 0);
                     self.note_answer(kind);
                     tokio::time::sleep(self.pause_after(kind, before)).await;
                 }
                 Err(StoreFailure::Gone) => forgotten = true,
                 Err(failure) => {
                     self.note_failure(kind, &failure);
-                    // Not all hosts at the same moment.
-                    let share = rand::rng().random_range(0.5..1.0);
-                    tokio::time::sleep(pause.mul_f64(share)).await;
-                    pause = (pause * 2).min(self.pauses().longest);
+                    let pause = self.pauses().after(failures, rand::random());
+                    failures += 1;
+                    tokio::time::sleep(pause).await;
                 }
             }
         }
     }
 
-    fn pauses(&self) -> FailurePauses {
+    fn pauses(&self) -> &'static StorePauses {
         match self.reading_hosts.get() {
-            true => READER_PAUSES,
-            false => FOLLOWER_PAUSES,
+            true => &READER_PAUSES,
+            false => &FOLLOWER_PAUSES,
         }
     }
 
@@ -177,8 +179,10 @@
 
     fn is_wanted(&self, kind: StoreKind) -> bool {
         match kind {
-            // Who knows no hosts looks for them once.
-            StoreKind::Hosts => self.reading_hosts.get() || self.held_revision(kind) == 0,
+            // Nothing urgent depends on them: a silent store is tried for the other kinds.
+            StoreKind::Hosts => {
+                self.reading_hosts.get() && (self.held_revision(kind) == 0 || !self.is_lost())
+            }
             _ => self.reading.get(),
         }
     }
@@ -210,16 +214,25 @@
     async fn read_once(&self, kind: StoreKind, forgotten: bool) -> Result<(), StoreFailure> {
         let held = self.held_revision(kind);
         if held == 0 || forgotten {
-            let list = (self.store.list)(kind).await?;
-            self.take_list(kind, list);
-            return Ok(());
+            let age = list_age(kind, forgotten);
+            if kind == StoreKind::Backends {
+                self.backends_lag.set(age == ListAge::MayLag);
+            }
+            return self.list(kind, age).await;
         }
         let wait = match kind {
             StoreKind::Hosts => HOSTS_WATCH_TIME,
+            StoreKind::Backends if self.backends_lag.get() => CONFIRMING_WATCH_TIME,
             _ => old_news(self.parts.settings.bounds.change_time).mul_f64(WATCH_PART),
         };
+        self.parts
+            .metrics
+            .store_called(self.cause(kind, StoreCause::Watch), 1);
         let changes = (self.store.watch)(kind, held, wait).await?;
         self.take_changes(kind, changes);
+        if kind == StoreKind::Backends {
+            self.backends_lag.set(false);
+        }
         Ok(())
     }
 
@@ -233,12 +246,16 @@
 
     fn note_answer(&self, kind: StoreKind) {
         let now = self.parts.now();
+        if kind == StoreKind::Backends && self.backends_lag.get() {
+            return;
+        }
         self.parts.cluster.borrow_mut().confirm(kind, now);
         let Some(lost) = self.lost_flag(kind) else {
             return;
         };
         if lost.replace(false) {
-            self.tell_whether_lost();
+            // The hosts are read again too.
+            self.resumed.notify_waiters();
             event::emit(&event::PLATFORM_BACK, &[("kind", &format!("{kind:?}"))]);
         }
     }
@@ -250,7 +267,6 @@
             return;
         };
         if !lost.replace(true) {
-            self.tell_whether_lost();
             let kind = format!("{kind:?}");
             event::emit(
                 &event::PLATFORM_LOST,
@@ -336,6 +352,15 @@
     }
 }
 
+// A configuration that lags would be in force until a watch brought the newer one; and who was told that the history
+// is gone would be told so again from an old list.
+fn list_age(kind: StoreKind, forgotten: bool) -> ListAge {
+    match kind {
+        StoreKind::Backends | StoreKind::Hosts if !forgotten => ListAge::MayLag,
+        _ => ListAge::Newest,
+    }
+}
+
 fn set_item(change: StoreChange) -> Option<StoreItem> {
     match change {
         StoreChange::Set(item) => Some(item),
--- a/src/relay/news/follow.rs
+++ b/src/relay/news/follow.rs
@@ -11,12 +11,20 @@
         relay::{
             link::{HostEntry, StoreKind},
             parts::shared::RelayParts,
-            policy::source::{self, NewsSource, SourceChoice},
+            policy::source::{self, NewsSource, SourceChoice, SourceRules},
             vital,
         },
     },
-    rand::seq::SliceRandom,
-    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
+    faststr::FastStr,
+    futures::future,
+    rand::{RngExt, seq::SliceRandom},
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        ops::Range,
+        rc::Rc,
+        time::Duration,
+    },
 };
 
 /// How long another host may wait for something newer before it answers.
@@ -25,54 +33,99 @@
 /// How long an answer may take beyond that: hosts are a millisecond apart, some run slowly for a while.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(400);
 
+/// The same for a host that knows nothing yet: after all were killed the one that it asks first may not be back, and the
+/// next one is only asked then.
+const START_WAIT: Duration = Duration::from_millis(250);
+const START_ANSWER_TIME: Duration = Duration::from_millis(150);
+
 /// How often a host that reads the store looks whether it still should, and asks others while the store
 /// does not answer.
 const LOOK_PERIOD: Duration = Duration::from_millis(350);
 
-/// Hosts asked at a time while the store does not answer.
+/// Heads of other zones asked at a time while the store does not answer.
 const ASKED_HOSTS: usize = 2;
 
-/// What came of asking another host for news.
-enum FollowOutcome {
-    Fresh,
-    /// It answered, but what it knows is old.
-    Old,
-    /// It did not answer.
-    Silent,
-}
+/// How much newer than this host's another one's view has to be for it to be asked: less is the usual delay of reports.
+const NEWER_BY: Duration = Duration::from_millis(500);
+
+/// How long a host that the others' settings name waits at its start for other hosts to tell it everything. They
+/// answer within milliseconds if they know it; if not, it is the first to read.
+const SEED_PATIENCE: Duration = Duration::from_millis(60);
+
+/// The same for any other host, milliseconds. After all were killed callers wait for every one of them: with 500 to 1,000
+/// ms fleets of seven served 0.15 s later, which took 0.008 of a day's worth (fifteen days, the same seeds); each host that
+/// reads by itself is three calls. Spread, so that the store is not asked by all at once.
+const START_PATIENCE_MS: Range<u64> = 150..350;
+
+/// The same once a named host has answered: a fleet of 295 whose hosts all start at once knows everything 0.3 s later, and
+/// with the shorter patience all of them would read, 900 calls more.
+const TOLD_PATIENCE_MS: Range<u64> = 700..1_400;
+
+/// The same at the first start of a whole fleet, whose hosts enter themselves in the store first; callers come later.
+const FIRST_START_PATIENCE_MS: Range<u64> = 3_000..4_500;
+
+/// How long a host that the settings name may wait until it knows enough to answer, and how long its answer may take
+/// beyond that. One that has no power yet does not answer at all, and a connection to it would hang for a second.
+const SEED_WAIT: Duration = Duration::from_millis(150);
+const SEED_ANSWER_TIME: Duration = Duration::from_millis(100);
+
+/// Pause before the hosts that the settings name are asked again, after none of them answered.
+const SEEDS_PAUSE: Duration = Duration::from_millis(50);
 
 /// Follows other hosts while it is not this host's turn to read the store.
 pub struct NewsFollower {
     parts: Rc<RelayParts>,
     feed: Rc<StoreFeed>,
     links: Rc<NewsLinks>,
-    // Age at which this host reads the store itself.
-    old_news: Duration,
     choice: RefCell<SourceChoice>,
     last: RefCell<NewsSource>,
+    // The hosts that this one was told it may follow before it knows any.
+    guides: RefCell<Vec<HostEntry>>,
+    // The revision of the hosts' list by which the choice goes, and how many guides it was given.
+    chosen_by: Cell<(u64, usize)>,
+    // The reporter with the newest view, and until when that view was the newest.
+    newest_report: RefCell<Option<(FastStr, Duration)>>,
 }
 
 impl NewsFollower {
     /// Starts to follow.
     pub fn start(parts: Rc<RelayParts>, feed: Rc<StoreFeed>, links: Rc<NewsLinks>) -> Rc<Self> {
         let settings = &parts.settings;
-        let old_news = source::old_news(settings.bounds.change_time);
-        let choice = SourceChoice::new(settings.name.clone(), settings.zone.clone(), old_news);
+        let (start_patience, told_patience) = start_patience(&parts);
+        let rules = SourceRules {
+            own: settings.name.clone(),
+            zone: settings.zone.clone(),
+            old_news: source::old_news(settings.bounds.change_time),
+            start_patience,
+            told_patience,
+        };
         let follower = Rc::new(Self {
             parts,
             feed,
             links,
-            old_news,
-            choice: RefCell::new(choice),
-            last: RefCell::new(NewsSource::Store),
+            choice: RefCell::new(SourceChoice::new(rules)),
+            last: RefCell::new(NewsSource::Seeds),
+            guides: RefCell::default(),
+            chosen_by: Cell::default(),
+            newest_report: RefCell::default(),
         });
         vital::spawn_vital("news", follower.clone().run());
         follower
     }
 
-    /// The first of the hosts that read the store for the zone; none where that is this one.
-    pub fn first_reader(&self) -> Option<HostEntry> {
-        self.choice.borrow().first_reader(self.parts.now())
+    /// The head of the zone; none where that is this host.
+    pub fn head(&self) -> Option<HostEntry> {
+        self.choice.borrow().head(self.parts.now())
+    }
+
+    /// Another host reported how old its view is.
+    pub fn note_report(&self, name: &FastStr, age: Option<Duration>) {
+        let Some(age) = age else { return };
+        let confirmed = self.parts.now().saturating_sub(age);
+        let mut newest = self.newest_report.borrow_mut();
+        if newest.as_ref().is_none_or(|(_, known)| confirmed > *known) {
+            *newest = Some((name.clone(), confirmed));
+        }
     }
 
     async fn run(self: Rc<Self>) {
@@ -81,15 +134,20 @@
                 NewsSource::Store => {
                     let knew = self.knows_all();
                     if self.feed.is_lost() {
-                        self.choice.borrow_mut().note_store_lost();
-                        self.ask_some().await;
+                        self.ask_others().await;
                     }
                     // Who has just been told everything can follow at once.
                     if knew || !self.knows_all() {
                         tokio::time::sleep(LOOK_PERIOD).await;
                     }
                 }
-                NewsSource::Host(entry) => self.follow(&entry).await,
+                NewsSource::Host(entry) => {
+                    self.follow(&entry).await;
+                    if self.newer_host().is_some() {
+                        self.ask_others().await;
+                    }
+                }
+                NewsSource::Seeds => self.ask_seeds().await,
             }
         }
     }
@@ -102,14 +160,15 @@
     fn choose(&self) -> NewsSource {
         let now = self.parts.now();
         let age = self.parts.cluster.borrow().age(now);
+        self.update_hosts();
         let (source, is_reader) = {
-            let cluster = self.parts.cluster.borrow();
             let mut choice = self.choice.borrow_mut();
-            choice.set_hosts(cluster.hosts());
             (choice.choose(age, now), choice.is_reader(now))
         };
+        let reads = source == NewsSource::Store;
+        let knows_hosts = self.parts.cluster.borrow().hosts_revision() > 0;
         self.feed
-            .set_reading(source == NewsSource::Store, is_reader);
+            .set_reading(reads, is_reader || (reads && !knows_hosts));
         let before = self.last.replace(source.clone());
         if before != source {
             tell_change(&source, age);
@@ -117,6 +176,21 @@
         source
     }
 
+    // The order of some hundred hosts is worked out again only when they are others.
+    fn update_hosts(&self) {
+        let cluster = self.parts.cluster.borrow();
+        let guides = self.guides.borrow();
+        let seen = (cluster.hosts_revision(), guides.len());
+        if self.chosen_by.replace(seen) == seen {
+            return;
+        }
+        let mut choice = self.choice.borrow_mut();
+        match cluster.hosts_revision() {
+            0 => choice.set_hosts(guides.iter()),
+            _ => choice.set_hosts(cluster.hosts()),
+        }
+    }
+
     fn held(&self, wait: Duration, wants_config: bool) -> HeldNews {
         let cluster = self.parts.cluster.borrow();
         HeldNews {
@@ -125,64 +199,108 @@
             hosts_revision: cluster.hosts_revision(),
             wants_config,
             wait,
+            is_starting: false,
+            zone: self.parts.settings.zone.clone(),
         }
     }
 
     async fn follow(&self, entry: &HostEntry) {
-        // Whoever is asked, this host's news are not to grow old meanwhile.
-        let age = self.parts.cluster.borrow().age(self.parts.now());
-        let left = self.old_news.saturating_sub(age.unwrap_or(self.old_news));
-        let wait = FOLLOW_WAIT.min(left / 2);
-        let patience = ANSWER_PATIENCE.min(left - wait);
-        let held = self.held(wait, false);
-        let outcome = match self.links.follow(entry.peers, held, patience).await {
+        // Whoever is asked, this host is not to go unheard for too long meanwhile.
+        let left = self.choice.borrow().time_left(self.parts.now());
+        let (wait, patience) = match self.knows_all() {
+            true => (FOLLOW_WAIT, ANSWER_PATIENCE),
+            false => (START_WAIT, START_ANSWER_TIME),
+        };
+        let wait = wait.min(left / 2);
+        let patience = patience.min(left - wait);
+        // One that knows nothing cannot have it from the store sooner.
+        let held = self.held(wait, !self.knows_all());
+        let answer = self.links.follow(entry.peers, held, patience).await;
+        let now = self.parts.now();
+        match answer {
             Ok(news) => {
-                let is_fresh = news.age.is_some_and(|age| age < self.old_news);
+                self.choice.borrow_mut().note_heard(&entry.name, now);
                 self.take(news, entry.peers).await;
-                match is_fresh {
-                    true => FollowOutcome::Fresh,
-                    false => FollowOutcome::Old,
-                }
             }
             Err(error) => {
                 log::debug!("host {} gave no news: {error}", entry.name);
-                FollowOutcome::Silent
+                self.choice.borrow_mut().note_silent(&entry.name, now);
             }
-        };
-        let now = self.parts.now();
-        let mut choice = self.choice.borrow_mut();
-        match outcome {
-            FollowOutcome::Fresh => choice.note_news(&entry.name),
-            FollowOutcome::Old => choice.note_cut_off(&entry.name, now),
-            FollowOutcome::Silent => choice.note_silent(&entry.name, now),
         }
     }
 
-    // The store does not answer this host: others may be served by it.
-    async fn ask_some(&self) {
-        for address in self.some_hosts() {
+    // No host is known yet: those that the settings name tell whom to follow, or everything in a small fleet.
+    async fn ask_seeds(&self) {
+        let settings = &self.parts.settings;
+        let mut seeds = settings.seeds.clone();
+        seeds.retain(|address| *address != settings.peers);
+        seeds.shuffle(&mut rand::rng());
+        for address in seeds {
+            let left = self.choice.borrow().patience_left(self.parts.now());
+            let held = HeldNews {
+                is_starting: true,
+                ..self.held(SEED_WAIT.min(left / 2), true)
+            };
+            let patience = SEED_ANSWER_TIME.min(left / 2);
+            let answer = self.links.follow(address, held, patience).await;
+            if answer.is_ok() {
+                self.choice.borrow_mut().note_seed();
+            }
+            match answer {
+                Ok(news) if !news.guides.is_empty() => {
+                    *self.guides.borrow_mut() = news.guides;
+                    return;
+                }
+                Ok(news) => self.take(news, address).await,
+                Err(error) => log::debug!("host at {address} gave no news: {error}"),
+            }
+            if self.knows_all() {
+                return;
+            }
+        }
+        let left = self.choice.borrow().patience_left(self.parts.now());
+        tokio::time::sleep(SEEDS_PAUSE.min(left)).await;
+    }
+
+    // The store does not answer this host, or whom it follows: others may be served by it.
+    async fn ask_others(&self) {
+        let asked = self.others_to_ask().into_iter().map(|address| async move {
             let held = self.held(Duration::ZERO, true);
             match self.links.follow(address, held, ANSWER_PATIENCE).await {
                 Ok(news) => self.take(news, address).await,
                 Err(error) => log::debug!("host at {address} gave no news: {error}"),
             }
+        });
+        future::join_all(asked).await;
+    }
+
+    // Some heads of other zones, and whoever has reported a newer view than this host's. Who knows no hosts asks those
+    // that the settings name.
+    fn others_to_ask(&self) -> Vec<SocketAddr> {
+        let heads = self.choice.borrow().other_heads(self.parts.now());
+        let mut addresses: Vec<SocketAddr> = heads.into_iter().map(|entry| entry.peers).collect();
+        if addresses.is_empty() {
+            let settings = &self.parts.settings;
+            addresses.extend(
+                settings
+                    .seeds
+                    .iter()
+                    .filter(|seed| **seed != settings.peers),
+            );
         }
+        addresses.shuffle(&mut rand::rng());
+        addresses.truncate(ASKED_HOSTS);
+        addresses.extend(self.newer_host().map(|entry| entry.peers));
+        addresses
     }
 
-    fn some_hosts(&self) -> Vec<SocketAddr> {
-        let settings = &self.parts.settings;
+    // The host that has reported the newest view, if that is newer than this one's.
+    fn newer_host(&self) -> Option<HostEntry> {
         let cluster = self.parts.cluster.borrow();
-        let listed = cluster.hosts().map(|entry| entry.peers);
-        let mut addresses: Vec<SocketAddr> = listed.chain(settings.seeds.iter().copied()).collect();
-        addresses.retain(|address| *address != settings.peers);
-        addresses.sort();
-        addresses.dedup();
-        addresses.shuffle(&mut rand::rng());
-        // Whoever reads for the zone hears first that the store is back.
-        let reader = self.first_reader().map(|entry| entry.peers);
-        addresses.retain(|address| Some(*address) != reader);
-        addresses.truncate(ASKED_HOSTS - usize::from(reader.is_some()));
-        reader.into_iter().chain(addresses).collect()
+        let own = cluster.confirmed()?;
+        let newest = self.newest_report.borrow();
+        let (name, _) = newest.as_ref().filter(|(_, at)| *at > own + NEWER_BY)?;
+        cluster.hosts().find(|entry| entry.name == *name).cloned()
     }
 
     async fn take(&self, news: ClusterNews, from: SocketAddr) {
@@ -247,10 +365,25 @@
     }
 }
 
+// How long a starting host waits for others to answer, and how long once one has.
+fn start_patience(parts: &RelayParts) -> (Duration, Duration) {
+    let settings = &parts.settings;
+    if settings.seeds.contains(&settings.peers) || settings.seeds.is_empty() {
+        return (SEED_PATIENCE, SEED_PATIENCE);
+    }
+    let (before, after) = match settings.first_start {
+        true => (FIRST_START_PATIENCE_MS, FIRST_START_PATIENCE_MS),
+        false => (START_PATIENCE_MS, TOLD_PATIENCE_MS),
+    };
+    let drawn = |spread| Duration::from_millis(rand::rng().random_range(spread));
+    (drawn(before), drawn(after))
+}
+
 fn tell_change(source: &NewsSource, age: Option<Duration>) {
     let name = match source {
         NewsSource::Store => "the store",
         NewsSource::Host(entry) => entry.name.as_str(),
+        NewsSource::Seeds => "the hosts that the settings name",
     };
     let age = age.map_or("unknown".to_owned(), |age| age.as_millis().to_string());
     event::emit(&event::NEWS_SOURCE, &[("source", &name), ("age_ms", &age)]);
--- a/src/relay/news/link.rs
+++ b/src/relay/news/link.rs
@@ -18,8 +18,8 @@
 /// Gives the news for an asker, once there are some or its wait is over.
 pub type NewsAnswer = dyn Fn(HeldNews) -> LocalBoxFuture<'static, ClusterNews>;
 
-/// Takes a report; gives that of the others together.
-pub type LoadAnswer = dyn Fn(LoadReporter, LoadReport) -> LoadReport;
+/// Takes a report, and how old the reporter's view is; gives what the others report together.
+pub type LoadAnswer = dyn Fn(LoadReporter, LoadReport, Option<Duration>) -> LoadReport;
 
 /// What a host answers to others.
 pub struct NewsAnswers {
@@ -39,7 +39,7 @@
         params: news_peer::FollowParams,
         mut results: news_peer::FollowResults,
     ) -> Result<(), Error> {
-        let held = message::read_held(params.get()?.get_held()?);
+        let held = message::read_held(params.get()?.get_held()?)?;
         let news = (self.answers.news)(held).await;
         message::write_news(results.get().init_news(), &news)
     }
@@ -56,7 +56,8 @@
             false => LoadReporter::Host(name),
         };
         let report = message::read_report(params.get_report()?)?;
-        let others = (self.answers.loads)(reporter, report);
+        let age = message::from_ms(params.get_age_ms());
+        let others = (self.answers.loads)(reporter, report, age);
         message::write_report(results.get().init_others(), &others);
         Ok(())
     }
@@ -95,12 +96,13 @@
             .await
     }
 
-    /// Reports to a host; gives what the others report together.
+    /// Reports to a host, with the age of one's own view; gives what the others report together.
     pub async fn share(
         &self,
         address: SocketAddr,
         reporter: &LoadReporter,
         report: &LoadReport,
+        age: Option<Duration>,
         patience: Duration,
     ) -> Result<LoadReport, Error> {
         self.0
@@ -113,6 +115,7 @@
                 };
                 params.set_reporter(name.as_str());
                 params.set_is_zone(is_zone);
+                params.set_age_ms(message::to_ms(age));
                 message::write_report(params.init_report(), report);
                 let response = request.send().promise.await?;
                 message::read_report(response.get()?.get_others()?)
--- a/src/relay/news/message.rs
+++ b/src/relay/news/message.rs
@@ -6,6 +6,7 @@
         relay::{
             belief::history::KindNews,
             config::RelayConfig,
+            link::HostEntry,
             policy::loads::{EngineKey, EngineLoad, LoadReport, ServiceDemand},
         },
     },
@@ -19,7 +20,7 @@
 const NEVER_MS: u32 = u32::MAX;
 
 /// What the asker has; 0 for what it needs whole.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct HeldNews {
     /// Version of its configuration.
     pub config_version: u64,
@@ -31,6 +32,10 @@
     pub wants_config: bool,
     /// How long the answer may wait for something newer.
     pub wait: Duration,
+    /// It was just started and knows no hosts yet.
+    pub is_starting: bool,
+    /// Its availability zone.
+    pub zone: FastStr,
 }
 
 /// What one host tells another.
@@ -48,6 +53,9 @@
     pub backends: KindNews,
     /// The hosts.
     pub hosts: KindNews,
+    /// The hosts of the asker's zone that it may follow, in order; only for one that starts in a large fleet, and
+    /// then in place of everything else.
+    pub guides: Vec<HostEntry>,
 }
 
 impl ClusterNews {
@@ -61,13 +69,15 @@
     }
 }
 
-fn to_ms(time: Option<Duration>) -> u32 {
+/// A time in whole milliseconds, as the wire has it.
+pub fn to_ms(time: Option<Duration>) -> u32 {
     time.map_or(NEVER_MS, |time| {
         u32::try_from(time.as_millis()).unwrap_or(NEVER_MS)
     })
 }
 
-fn from_ms(millis: u32) -> Option<Duration> {
+/// A time of the wire; none for the number that stands for that.
+pub fn from_ms(millis: u32) -> Option<Duration> {
     (millis != NEVER_MS).then(|| Duration::from_millis(u64::from(millis)))
 }
 
@@ -86,17 +96,21 @@
     to.set_hosts_revision(held.hosts_revision);
     to.set_wants_config(held.wants_config);
     to.set_wait_ms(to_ms(Some(held.wait)));
+    to.set_is_starting(held.is_starting);
+    to.set_zone(held.zone.as_str());
 }
 
-/// Reads what the asker has.
-pub fn read_held(from: held_news::Reader<'_>) -> HeldNews {
-    HeldNews {
+/// Reads what the asker has; what is not well formed is an error.
+pub fn read_held(from: held_news::Reader<'_>) -> Result<HeldNews> {
+    Ok(HeldNews {
         config_version: from.get_config_version(),
         backends_revision: from.get_backends_revision(),
         hosts_revision: from.get_hosts_revision(),
         wants_config: from.get_wants_config(),
         wait: Duration::from_millis(u64::from(from.get_wait_ms())),
-    }
+        is_starting: from.get_is_starting(),
+        zone: FastStr::new(from.get_zone()?.to_str()?),
+    })
 }
 
 fn write_kind(mut to: kind_news::Builder<'_>, kind: &KindNews) -> Result<()> {
@@ -129,6 +143,9 @@
     if let Some(config) = &news.config {
         to.set_config(&to_json(config)?);
     }
+    if !news.guides.is_empty() {
+        to.set_guides(&to_json(&news.guides)?);
+    }
     write_kind(to.reborrow().init_backends(), &news.backends)?;
     write_kind(to.init_hosts(), &news.hosts)
 }
@@ -140,6 +157,11 @@
         true => None,
         false => Some(from_json(config)?),
     };
+    let guides = from.get_guides()?;
+    let guides = match guides.is_empty() {
+        true => Vec::new(),
+        false => from_json(guides)?,
+    };
     Ok(ClusterNews {
         age: from_ms(from.get_age_ms()),
         outage: from_ms(from.get_outage_ms()),
@@ -147,6 +169,7 @@
         config,
         backends: read_kind(from.get_backends()?)?,
         hosts: read_kind(from.get_hosts()?)?,
+        guides,
     })
 }
 
--- a/src/relay/news/mod.rs
+++ b/src/relay/news/mod.rs
@@ -1,6 +1,7 @@
 //! What hosts tell each other: news of the configuration, the backend servers and the hosts, which few
 //! hosts of a zone read from the store for the others; and what each one's requests take at engines.
 
+pub(crate) mod entry;
 pub(crate) mod feed;
 pub(crate) mod follow;
 pub(crate) mod link;
--- a/src/relay/news/news.capnp
+++ b/src/relay/news/news.capnp
@@ -11,6 +11,11 @@
   wantsConfig @3 :Bool;
   # How long the answer may wait for something newer.
   waitMs @4 :UInt32;
+  # The asker was just started and knows no hosts: in a large fleet it is told whom to follow, in place of all
+  # there is to know.
+  isStarting @5 :Bool;
+  # The asker's availability zone.
+  zone @6 :Text;
 }
 
 struct KindNews {
@@ -32,6 +37,8 @@
   config @3 :Data;
   backends @4 :KindNews;
   hosts @5 :KindNews;
+  # JSON, only for a starting asker of a large fleet: the hosts of its zone that it may follow, in order.
+  guides @6 :Data;
 }
 
 # Eight bytes each: reports go out several times a second.
@@ -59,6 +66,7 @@
 interface NewsPeer {
   follow @0 (held :HeldNews) -> (news :ClusterNews);
   # What the reporter's requests take, for what those of all others take. A whole zone reports through one
-  # of its hosts and is told what the other zone's hosts take.
-  share @1 (reporter :Text, isZone :Bool, report :LoadReport) -> (others :LoadReport);
+  # of its hosts and is told what the other zone's hosts take. A reporter also says how old its own view is, so
+  # that a host which the store turns away knows whom to ask.
+  share @1 (reporter :Text, isZone :Bool, report :LoadReport, ageMs :UInt32) -> (others :LoadReport);
 }
--- a/src/relay/news/news_capnp.rs
+++ b/src/relay/news/news_capnp.rs
@@ -58,7 +58,7 @@
         }
     }
 
-    impl <> Reader<'_,>  {
+    impl <'a,> Reader<'a,>  {
         pub fn reborrow(&self) -> Reader<'_,> {
             Self { .. *self }
         }
@@ -86,11 +86,23 @@
         pub fn get_wait_ms(self) -> u32 {
             self.reader.get_data_field::<u32>(7)
         }
+        #[inline]
+        pub fn get_is_starting(self) -> bool {
+            self.reader.get_bool_field(193)
+        }
+        #[inline]
+        pub fn get_zone(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_zone(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 0 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -180,6 +192,30 @@
         pub fn set_wait_ms(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(7, value);
         }
+        #[inline]
+        pub fn get_is_starting(self) -> bool {
+            self.builder.get_bool_field(193)
+        }
+        #[inline]
+        pub fn set_is_starting(&mut self, value: bool)  {
+            self.builder.set_bool_field(193, value);
+        }
+        #[inline]
+        pub fn get_zone(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_zone(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_zone(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_zone(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -191,59 +227,73 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 97] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 128] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(154, 19, 119, 199, 114, 45, 18, 242),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(35, 152, 123, 90, 14, 108, 31, 212),
-            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 72, 101, 108, 100, 78),
             ::capnp::word(101, 119, 115, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 193, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(229, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(99, 111, 110, 102, 105, 103, 86, 101),
             ::capnp::word(114, 115, 105, 111, 110, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -289,6 +339,23 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 83, 116, 97, 114, 116, 105),
+            ::capnp::word(110, 103, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(122, 111, 110, 101, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -297,6 +364,8 @@
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -310,9 +379,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2,4,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2,5,4,3,6];
         pub(crate) const TYPE_ID: u64 = 0xf212_2d72_c777_139a;
     }
 }
@@ -678,11 +747,19 @@
         pub fn has_hosts(&self) -> bool {
             !self.reader.get_pointer_field(2).is_null()
         }
+        #[inline]
+        pub fn get_guides(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_guides(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -804,6 +881,22 @@
         pub fn has_hosts(&self) -> bool {
             !self.builder.is_pointer_field_null(2)
         }
+        #[inline]
+        pub fn get_guides(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_guides(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(3).set_data(value);
+        }
+        #[inline]
+        pub fn init_guides(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(3).init_data(size)
+        }
+        #[inline]
+        pub fn has_guides(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -821,66 +914,73 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 110] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 125] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(192, 15, 59, 78, 52, 184, 25, 176),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(35, 152, 123, 90, 14, 108, 31, 212),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 67, 108, 117, 115, 116),
             ::capnp::word(101, 114, 78, 101, 119, 115, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -932,6 +1032,14 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 117, 105, 100, 101, 115, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -941,6 +1049,7 @@
                 3 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 4 => <crate::news_capnp::kind_news::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <crate::news_capnp::kind_news::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -954,9 +1063,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,3,2,5,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,3,2,6,5,1];
         pub(crate) const TYPE_ID: u64 = 0xb019_b834_4e3b_0fc0;
     }
 }
@@ -2342,6 +2451,10 @@
             pub fn has_report(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
+            #[inline]
+            pub fn get_age_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(1)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -2436,6 +2549,14 @@
             pub fn has_report(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
+            #[inline]
+            pub fn get_age_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(1)
+            }
+            #[inline]
+            pub fn set_age_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(1, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2450,7 +2571,7 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(182, 241, 242, 237, 191, 126, 119, 243),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
@@ -2460,7 +2581,7 @@
                 ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
@@ -2468,28 +2589,35 @@
                 ::capnp::word(101, 101, 114, 46, 115, 104, 97, 114),
                 ::capnp::word(101, 36, 80, 97, 114, 97, 109, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(81, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(113, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(114, 101, 112, 111, 114, 116, 101, 114),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -2515,12 +2643,21 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     2 => <crate::news_capnp::load_report::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -2534,9 +2671,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,1,2,0];
             pub(crate) const TYPE_ID: u64 = 0xf377_7ebf_edf2_f1b6;
         }
     }
--- a/src/relay/news/share.rs
+++ b/src/relay/news/share.rs
@@ -69,7 +69,15 @@
     }
 
     /// Answers a report of another host or zone.
-    pub fn answer(&self, reporter: LoadReporter, report: LoadReport) -> LoadReport {
+    pub fn answer(
+        &self,
+        reporter: LoadReporter,
+        report: LoadReport,
+        age: Option<Duration>,
+    ) -> LoadReport {
+        if let LoadReporter::Host(name) = &reporter {
+            self.follower.note_report(name, age);
+        }
         let now = self.parts.now();
         let mut board = self.board.borrow_mut();
         board.take(reporter.clone(), report, now);
@@ -82,7 +90,7 @@
     async fn run(self: Rc<Self>) {
         for turn in 0_u32.. {
             tokio::time::sleep(self.period()).await;
-            match self.follower.first_reader() {
+            match self.follower.head() {
                 Some(entry) => self.report_to(&entry).await,
                 None => {
                     self.collect_own();
@@ -100,13 +108,20 @@
         report_period(cluster.hosts().filter(|entry| entry.zone == *own).count())
     }
 
+    // How old this host's view of the store may be.
+    fn age(&self) -> Option<Duration> {
+        let cluster = self.parts.cluster.borrow();
+        cluster.age(self.parts.now())
+    }
+
     fn own_reporter(&self) -> LoadReporter {
         LoadReporter::Host(self.parts.name())
     }
 
     // This host adds up for its zone.
     fn collect_own(&self) {
-        let others = self.answer(self.own_reporter(), self.parts.own_report());
+        let own = self.parts.own_report();
+        let others = self.answer(self.own_reporter(), own, None);
         self.board.borrow_mut().forget_old(self.parts.now());
         self.parts.take_others(others);
     }
@@ -116,7 +131,7 @@
         let reporter = self.own_reporter();
         let sent = self
             .links
-            .share(entry.peers, &reporter, &own, REPORT_PATIENCE);
+            .share(entry.peers, &reporter, &own, self.age(), REPORT_PATIENCE);
         match sent.await {
             Ok(others) => self.parts.take_others(others),
             Err(error) => log::debug!("host {} took no report: {error}", entry.name),
@@ -129,7 +144,7 @@
             let report = self.board.borrow().of_zone(self.parts.now());
             let sent = self
                 .links
-                .share(entry.peers, &reporter, &report, REPORT_PATIENCE);
+                .share(entry.peers, &reporter, &report, None, REPORT_PATIENCE);
             match sent.await {
                 Ok(theirs) => {
                     let now = self.parts.now();
--- a/src/relay/news/tell.rs
+++ b/src/relay/news/tell.rs
@@ -2,7 +2,7 @@
 
 use {
     super::message::{ClusterNews, HeldNews},
-    crate::relay::parts::shared::RelayParts,
+    crate::relay::{parts::shared::RelayParts, policy::source},
     std::{rc::Rc, time::Duration},
     tokio::time::Instant,
 };
@@ -14,6 +14,11 @@
 /// followers. Larger ones would fill the link of a small host; followers read them from the store.
 const TOLD_ROUTES: usize = 64;
 
+/// Hosts up to which a starting one is told everything by whomever it asks. In a larger fleet a third of it would ask
+/// each of the hosts that the settings name, for some 100 kB each; these need not be strong, so they only name the
+/// hosts that the asker may follow.
+const TOLD_WHOLE_HOSTS: usize = 30;
+
 /// Tells an asker what is newer than what it has, once there is something or its wait is over.
 pub async fn tell_news(parts: Rc<RelayParts>, held: HeldNews) -> ClusterNews {
     let until = Instant::now() + held.wait.min(WAIT_LIMIT);
@@ -22,8 +27,16 @@
         tokio::pin!(changed);
         changed.as_mut().enable();
         let news = news_now(&parts, &held);
-        if news.has_more_than(&held) || Instant::now() >= until {
-            return news;
+        let is_enough = has_more(&parts, &news, &held);
+        if is_enough || Instant::now() >= until {
+            parts.metrics.news_told.inc();
+            // One that starts would take a part for all there is, and whom to follow it would not know.
+            let is_part = held.is_starting && !is_enough;
+            return if is_part {
+                ClusterNews::default()
+            } else {
+                news
+            };
         }
         tokio::select! {
             () = changed => {}
@@ -32,9 +45,24 @@
     }
 }
 
+// One that starts waits for all there is to know: what comes in parts would be asked for again at once.
+fn has_more(parts: &RelayParts, news: &ClusterNews, held: &HeldNews) -> bool {
+    if !held.is_starting {
+        return news.has_more_than(held);
+    }
+    let knows_all = parts.cluster.borrow().age(parts.now()).is_some();
+    !news.guides.is_empty() || (knows_all && news.hosts.revision > 0)
+}
+
 fn news_now(parts: &RelayParts, held: &HeldNews) -> ClusterNews {
     let now = parts.now();
     let cluster = parts.cluster.borrow();
+    if held.is_starting && cluster.host_count() > TOLD_WHOLE_HOSTS {
+        return ClusterNews {
+            guides: source::guides_of(cluster.hosts().cloned(), &held.zone),
+            ..ClusterNews::default()
+        };
+    }
     let routes = cluster.routes();
     let config = routes.as_ref().map(|routes| routes.config());
     let told = config.filter(|config| {
@@ -42,11 +70,12 @@
         config.version > held.config_version && (is_small || held.wants_config)
     });
     ClusterNews {
-        age: cluster.told_age(now),
+        age: cluster.age(now),
         outage: cluster.outage_age(now),
         config_version: cluster.config_version(),
         config: told.cloned(),
         backends: cluster.backend_news(held.backends_revision),
         hosts: cluster.host_news(held.hosts_revision),
+        guides: Vec::new(),
     }
 }
--- a/src/relay/parts/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -4,7 +4,7 @@
     crate::relay::config::RelayRoute,
     faststr::FastStr,
     prometheus_client::{
-        encoding::{EncodeLabelSet, text},
+        encoding::{EncodeLabelSet, EncodeLabelValue, text},
         metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
         registry::{Registry, Unit},
     },
@@ -31,6 +31,28 @@
     pub status: u16,
 }
 
+/// Why the store is called.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum StoreCause {
+    /// To read all objects of a kind.
+    List,
+    /// To hear of changes.
+    Watch,
+    /// To look whether it answers again.
+    WhileLost,
+    /// For the lease under which engines are given orders.
+    Lease,
+    /// For the host's own entry.
+    Entry,
+}
+
+/// Which calls to the store a series counts.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CauseLabels {
+    /// Why they were made.
+    pub cause: StoreCause,
+}
+
 type RouteHistogram = Family<RouteLabels, Histogram, fn() -> Histogram>;
 
 /// All metrics of a relaying host.
@@ -59,6 +81,15 @@
     pub connection_limits: Counter,
     /// Calls to the store that failed.
     pub store_failures: Counter,
+    store_calls: Family<CauseLabels, Counter>,
+    /// Connections to backend servers that were opened.
+    pub connections_opened: Gauge,
+    /// Sends to backend servers over a connection that was open already.
+    pub connections_reused: Gauge,
+    /// How old the host's view of the store may be, milliseconds; -1 before it knows everything.
+    pub news_age: Gauge,
+    /// Answers to other hosts that asked for news.
+    pub news_told: Counter,
 }
 
 impl fmt::Debug for RelayMetrics {
@@ -92,6 +123,11 @@
             ejections: Counter::default(),
             connection_limits: Counter::default(),
             store_failures: Counter::default(),
+            store_calls: Family::default(),
+            connections_opened: Gauge::default(),
+            connections_reused: Gauge::default(),
+            news_age: Gauge::default(),
+            news_told: Counter::default(),
         };
         metrics.register();
         metrics
@@ -106,6 +142,11 @@
             "Answers by route and status",
             self.answers.clone(),
         );
+        r.register(
+            "store_calls",
+            "Calls to the store by cause",
+            self.store_calls.clone(),
+        );
         let times = [
             ("head", "Arrival to the head of the answer", &self.head_time),
             ("reserve", "Wait for an engine's memory", &self.reserve_time),
@@ -128,6 +169,21 @@
                 &self.config_version,
             ),
             ("backends", "Backend servers in use", &self.backends),
+            (
+                "connections_opened",
+                "Connections opened to backend servers since the start",
+                &self.connections_opened,
+            ),
+            (
+                "connections_reused",
+                "Sends over connections that were open already, since the start",
+                &self.connections_reused,
+            ),
+            (
+                "news_age_ms",
+                "Age of the host's view of the store",
+                &self.news_age,
+            ),
         ];
         for (name, help, gauge) in gauges {
             r.register(name, help, gauge.clone());
@@ -145,12 +201,30 @@
                 "Failed calls to the store",
                 &self.store_failures,
             ),
+            (
+                "news_told",
+                "Answers to other hosts that asked for news",
+                &self.news_told,
+            ),
         ];
         for (name, help, counter) in counters {
             r.register(name, help, counter.clone());
         }
     }
 
+    /// The store was called so many times.
+    pub fn store_called(&self, cause: StoreCause, calls: u32) {
+        let labels = CauseLabels { cause };
+        self.store_calls
+            .get_or_create(&labels)
+            .inc_by(u64::from(calls));
+    }
+
+    /// Calls to the store for this cause since the start.
+    pub fn store_calls(&self, cause: StoreCause) -> u64 {
+        self.store_calls.get_or_create(&CauseLabels { cause }).get()
+    }
+
     /// An answer went to its caller.
     pub fn answered(&self, route: Option<&RelayRoute>, status: u16, head_time: Duration) {
         let name = route.map_or_else(String::new, |route| self.label(route));
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -229,6 +229,12 @@
         metrics.in_flight.set(self.gate.in_flight() as i64);
         metrics.waiting.set(self.line.borrow().len() as i64);
         metrics.connections.set(self.pool.open() as i64);
+        metrics.connections_opened.set(self.pool.opened() as i64);
+        metrics.connections_reused.set(self.pool.reused() as i64);
+        let age = cluster.age(self.now());
+        metrics
+            .news_age
+            .set(age.map_or(-1, |age| age.as_millis() as i64));
         metrics.config_version.set(cluster.config_version() as i64);
         metrics.backends.set(cluster.usable().len() as i64);
         metrics.page()
--- a/src/relay/policy/mod.rs
+++ b/src/relay/policy/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod kept;
 pub(crate) mod line;
 pub(crate) mod loads;
+pub(crate) mod pauses;
 pub(crate) mod room;
 pub(crate) mod route;
 pub(crate) mod source;
@@ -16,6 +17,6 @@
 pub(crate) mod waited;
 
 pub use self::{
-    admission::*, book::*, budget::*, changes::*, kept::*, line::*, loads::*, room::*, route::*,
-    source::*, split::*, view::*, waited::*,
+    admission::*, book::*, budget::*, changes::*, kept::*, line::*, loads::*, pauses::*, room::*,
+    route::*, source::*, split::*, view::*, waited::*,
 };
--- a/src/relay/roles/keeper.rs
+++ b/src/relay/roles/keeper.rs
@@ -10,7 +10,7 @@
             backend::BackendInfo,
             dialect::{EngineReport, RoleOrder},
             link::{StoreItem, StoreKind, StoreLink, StoreValue},
-            parts::shared::RelayParts,
+            parts::{metrics::StoreCause, shared::RelayParts},
             policy::split::{self, RoleChange},
         },
         store::StoreFailure,
@@ -154,10 +154,12 @@
     }
 
     async fn step_lease(&mut self) -> Result<(), StoreFailure> {
+        self.count_call();
         let seen = self.read_lease().await?;
         let Some(write) = self.lease.read(seen, self.parts.now()) else {
             return Ok(());
         };
+        self.count_call();
         match (self.store.put)(StoreKind::Leases, lease_item(&write)).await {
             Ok(version) => {
                 let is_new = self.lease.written(&write, version, self.parts.now());
@@ -174,6 +176,10 @@
         }
     }
 
+    fn count_call(&self) {
+        self.parts.metrics.store_called(StoreCause::Lease, 1);
+    }
+
     async fn read_lease(&self) -> Result<SeenLease, StoreFailure> {
         match (self.store.get)(StoreKind::Leases, LEASE_NAME).await {
             Ok(StoreItem {
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -27,6 +27,8 @@
     pub peers: SocketAddr,
     /// Where some other hosts may be found at the start; any may be gone.
     pub seeds: Vec<SocketAddr>,
+    /// Whether the whole fleet starts for the first time, so that no host is entered in the store yet.
+    pub first_start: bool,
     /// How much the host can do for others, in Mbit/s of its link; 0 where that is not known.
     pub strength: u32,
     /// Where the store is.
--- a/src/web/pool.rs
+++ b/src/web/pool.rs
@@ -167,6 +167,7 @@
     settings: PoolSettings,
     open: OpenCounts,
     opened: Cell<u64>,
+    reused: Cell<u64>,
 }
 
 impl fmt::Debug for ConnectionPool {
@@ -201,6 +202,7 @@
             settings,
             open: Rc::default(),
             opened: Cell::new(0),
+            reused: Cell::new(0),
         });
         let swept = Rc::downgrade(&pool);
         tokio::task::spawn_local(async move {
@@ -218,6 +220,11 @@
         self.opened.get()
     }
 
+    /// Sends over connections that were open already, since the start.
+    pub fn reused(&self) -> u64 {
+        self.reused.get()
+    }
+
     /// Connections that are open.
     pub fn open(&self) -> usize {
         self.open.borrow().values().sum()
@@ -323,7 +330,10 @@
                 None => self.connect(target).await?,
             };
             match connection.sender.try_send_request(request).await {
-                Ok(answer) => return Ok(self.answer(key, connection, answer)),
+                Ok(answer) => {
+                    self.reused.set(self.reused.get() + u64::from(is_kept));
+                    return Ok(self.answer(key, connection, answer));
+                }
                 Err(mut error) => match error.take_message() {
                     // Closed while idle, and nothing of the request was written.
                     Some(unsent) if is_kept => request = unsent,
