--- a/src/relay/news/follow.rs
+++ b/src/relay/news/follow.rs
@@ -1,15 +1,11 @@
 //! Following other hosts: whom to ask, and taking what they tell.
 
 use {
-    super::{
-        feed::StoreFeed,
-        link::NewsLinks,
-        message::{ClusterNews, HeldNews},
-    },
+    super::{feed::StoreFeed, link::NewsLinks, message::HeldNews},
     crate::{
         event,
         relay::{
-            link::{HostEntry, StoreKind},
+            link::HostEntry,
             parts::shared::RelayParts,
             policy::source::{self, NewsSource, SourceChoice, SourceRules},
             vital,
@@ -32,7 +28,7 @@
 const FOLLOW_WAIT: Duration = Duration::from_millis(300);
 
 /// How long an answer may take beyond that: hosts are a millisecond apart, some run slowly for a while.
-const ANSWER_PATIENCE: Duration = Duration::from_millis(400);
+pub(super) const ANSWER_PATIENCE: Duration = Duration::from_millis(400);
 
 /// The same for a host that knows nothing yet: after all were killed the one that it asks first may not be back, and the
 /// next one is only asked then.
@@ -75,9 +71,9 @@
 
 /// Follows other hosts while it is not this host's turn to read the store.
 pub struct NewsFollower {
-    parts: Rc<RelayParts>,
-    feed: Rc<StoreFeed>,
-    links: Rc<NewsLinks>,
+    pub(super) parts: Rc<RelayParts>,
+    pub(super) feed: Rc<StoreFeed>,
+    pub(super) links: Rc<NewsLinks>,
     choice: RefCell<SourceChoice>,
     last: RefCell<NewsSource>,
     // The hosts that this one was told it may follow before it knows any.
@@ -227,7 +223,7 @@
         self.parts.prefer_engines();
     }
 
-    fn held(&self, wait: Duration, wants_config: bool) -> HeldNews {
+    pub(super) fn held(&self, wait: Duration, wants_config: bool) -> HeldNews {
         let cluster = self.parts.cluster.borrow();
         HeldNews {
             config_version: cluster.config_version(),
@@ -350,67 +346,6 @@
         let (name, _) = newest.as_ref().filter(|(_, at)| *at > own + NEWER_BY)?;
         cluster.hosts().find(|entry| entry.name == *name).cloned()
     }
-
-    async fn take(&self, news: ClusterNews, from: SocketAddr) {
-        let now = self.parts.now();
-        let confirmed = news.age.map(|age| now.saturating_sub(age));
-        self.take_lists(&news, confirmed);
-        let held = self.parts.cluster.borrow().config_version();
-        let is_known = match news.config {
-            Some(config) => {
-                self.parts.offer_config(config, "host");
-                true
-            }
-            None if news.config_version <= held => true,
-            None => self.fetch_config(from).await,
-        };
-        if let Some(at) = confirmed.filter(|_| is_known) {
-            let mut cluster = self.parts.cluster.borrow_mut();
-            cluster.confirm(StoreKind::Config, at);
-        }
-    }
-
-    fn take_lists(&self, news: &ClusterNews, confirmed: Option<Duration>) {
-        let now = self.parts.now();
-        let mut cluster = self.parts.cluster.borrow_mut();
-        if let Some(age) = news.outage {
-            cluster.note_outage(now.saturating_sub(age));
-        }
-        let before = cluster.changes_seen();
-        cluster.take_backend_news(news.backends.clone(), now);
-        cluster.take_host_news(news.hosts.clone());
-        if let Some(at) = confirmed {
-            cluster.confirm(StoreKind::Backends, at);
-        }
-        let has_changed = cluster.changes_seen() != before;
-        drop(cluster);
-        if has_changed {
-            self.parts.publish_backends();
-        }
-    }
-
-    // A large configuration is read from the store; the host that told of it sends it only if it must.
-    async fn fetch_config(&self, from: SocketAddr) -> bool {
-        let Err(failure) = self.feed.read_config().await else {
-            return true;
-        };
-        log::debug!("the store gave no configuration: {failure}; the host at {from} is asked");
-        let held = self.held(Duration::ZERO, true);
-        match self.links.follow(from, held, ANSWER_PATIENCE).await {
-            Ok(ClusterNews {
-                config: Some(config),
-                ..
-            }) => {
-                self.parts.offer_config(config, "host");
-                true
-            }
-            Ok(_) => false,
-            Err(error) => {
-                log::debug!("host at {from} gave no configuration: {error}");
-                false
-            }
-        }
-    }
 }
 
 // How long a starting host waits for others to answer, and how long once one has.
--- a/src/relay/news/mod.rs
+++ b/src/relay/news/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod link;
 pub(crate) mod message;
 pub(crate) mod share;
+mod take;
 pub(crate) mod tell;
 
 pub use self::{feed::*, follow::*, link::*, message::*, share::*, tell::*};
--- /dev/null
+++ b/src/relay/news/take.rs
@@ -0,0 +1,74 @@
+//! Taking what other hosts tell.
+
+use {
+    super::{
+        follow::{ANSWER_PATIENCE, NewsFollower},
+        message::ClusterNews,
+    },
+    crate::relay::link::StoreKind,
+    std::{net::SocketAddr, time::Duration},
+};
+
+impl NewsFollower {
+    /// Takes news of a host at an address: lists first, then the configuration; what is older than this host's is left.
+    pub(super) async fn take(&self, news: ClusterNews, from: SocketAddr) {
+        let now = self.parts.now();
+        let confirmed = news.age.map(|age| now.saturating_sub(age));
+        self.take_lists(&news, confirmed);
+        let held = self.parts.cluster.borrow().config_version();
+        let is_known = match news.config {
+            Some(config) => {
+                self.parts.offer_config(config, "host");
+                true
+            }
+            None if news.config_version <= held => true,
+            None => self.fetch_config(from).await,
+        };
+        if let Some(at) = confirmed.filter(|_| is_known) {
+            let mut cluster = self.parts.cluster.borrow_mut();
+            cluster.confirm(StoreKind::Config, at);
+        }
+    }
+
+    fn take_lists(&self, news: &ClusterNews, confirmed: Option<Duration>) {
+        let now = self.parts.now();
+        let mut cluster = self.parts.cluster.borrow_mut();
+        if let Some(age) = news.outage {
+            cluster.note_outage(now.saturating_sub(age));
+        }
+        let before = cluster.changes_seen();
+        cluster.take_backend_news(news.backends.clone(), now);
+        cluster.take_host_news(news.hosts.clone());
+        if let Some(at) = confirmed {
+            cluster.confirm(StoreKind::Backends, at);
+        }
+        let has_changed = cluster.changes_seen() != before;
+        drop(cluster);
+        if has_changed {
+            self.parts.publish_backends();
+        }
+    }
+
+    // A large configuration is read from the store; the host that told of it sends it only if it must.
+    async fn fetch_config(&self, from: SocketAddr) -> bool {
+        let Err(failure) = self.feed.read_config().await else {
+            return true;
+        };
+        log::debug!("the store gave no configuration: {failure}; the host at {from} is asked");
+        let held = self.held(Duration::ZERO, true);
+        match self.links.follow(from, held, ANSWER_PATIENCE).await {
+            Ok(ClusterNews {
+                config: Some(config),
+                ..
+            }) => {
+                self.parts.offer_config(config, "host");
+                true
+            }
+            Ok(_) => false,
+            Err(error) => {
+                log::debug!("host at {from} gave no configuration: {error}");
+                false
+            }
+        }
+    }
+}
--- a/src/relay/policy/book.rs
+++ b/src/relay/policy/book.rs
@@ -8,7 +8,7 @@
         loads::{EngineKey, EngineLoad},
         view::{BackendFailure, BackendView, EJECT_FIRST, FAILURES_TO_EJECT},
     },
-    crate::{engine::EngineRole, relay::backend::BackendInfo},
+    crate::relay::backend::BackendInfo,
     faststr::FastStr,
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -28,13 +28,6 @@
 /// Prompt tokens a second that a prefill engine computes, before any was observed.
 const PREFILL_RATE: f64 = 20_000.0;
 
-/// Delay that a prefill engine of another zone counts as: its KV cache takes the dearer way.
-const AWAY_DELAY: f64 = 0.04;
-
-/// Delay that a prefill engine outside the host's subset counts as, seconds: a new connection takes a millisecond, but what
-/// is known of its queue is older.
-const OUTSIDE_DELAY: f64 = 0.03;
-
 /// How long an engine that declined is passed over: a change of role takes some seconds, and each look
 /// costs a repeat.
 const DECLINE_TIME: Duration = Duration::from_millis(1_500);
@@ -46,14 +39,6 @@
 /// it.
 const OTHERS_TO_EJECT: u32 = 2;
 
-/// Part of an engine's memory that all requests together may be expected to take at their end; beyond it,
-/// answers that grow drive others out, which are then computed anew.
-const MEMORY_SHARE: f64 = 1.2;
-
-/// Tokens by which two engines' loads have to differ to count as different: hosts that all see the same
-/// one as the emptiest would all send there. The usual size of a request.
-const LOAD_NOISE: u64 = 4_000;
-
 /// Where a plain request is sent next.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PlainChoice {
@@ -68,12 +53,12 @@
 /// All backend servers that this host may send to.
 #[derive(Debug)]
 pub struct BackendBook {
-    views: BTreeMap<FastStr, BackendView>,
+    pub(super) views: BTreeMap<FastStr, BackendView>,
     next_call: u64,
     // When the others' loads were told.
     others_at: Option<Duration>,
     // Prompt tokens a second that prefill engines were seen to compute at best.
-    prefill_rate: f64,
+    pub(super) prefill_rate: f64,
 }
 
 impl Default for BackendBook {
@@ -233,100 +218,7 @@
         view.is_out(now) || view.is_on_trial() || others_do
     }
 
-    /// The decode engines that have room for a request as far as is known, best first: own zone, those that this host
-    /// works with, least taken. `memory` is what an engine's memory holds.
-    pub fn rank_decodes(
-        &self,
-        service: &str,
-        zone: &str,
-        tokens: u64,
-        memory: Option<u64>,
-        now: Duration,
-    ) -> Vec<BackendInfo> {
-        let views = self
-            .engines(service, EngineRole::Decode, now)
-            .filter(|view| !view.has_refused(tokens, now))
-            .filter(|view| self.fits(view, tokens, memory, now));
-        sorted(views, |view| {
-            let noise = rand::random::<u64>() % LOAD_NOISE;
-            let is_other = view.info.zone != zone;
-            (
-                is_other,
-                !view.is_preferred,
-                self.known_tokens(view, now) + noise,
-            )
-        })
-    }
-
-    /// Whether an engine has room for a request, as far as is known.
-    pub(super) fn fits(
-        &self,
-        view: &BackendView,
-        tokens: u64,
-        memory: Option<u64>,
-        now: Duration,
-    ) -> bool {
-        let taken = self.known_tokens(view, now);
-        let limit = memory.map(|memory| (memory as f64 * MEMORY_SHARE) as u64);
-        // An empty engine takes whatever fits into its memory at all.
-        taken == 0 || limit.is_none_or(|limit| taken + tokens <= limit)
-    }
-
-    /// The decode engines of a service that are not passed over.
-    pub fn decode_engines(&self, service: &str, now: Duration) -> Vec<BackendInfo> {
-        self.engines(service, EngineRole::Decode, now)
-            .map(|view| view.info.clone())
-            .collect()
-    }
-
-    /// Predicted time of a prefill of this many tokens that begins at once, seconds.
-    pub fn prefill_time(&self, tokens: u64) -> f64 {
-        tokens as f64 / self.prefill_rate
-    }
-
-    /// The prefill engine that would compute a prompt first, of those that were not tried, and the
-    /// predicted time until it would begin, seconds.
-    pub fn best_prefill(
-        &self,
-        service: &str,
-        zone: &str,
-        tried: &[FastStr],
-        now: Duration,
-    ) -> Option<(BackendInfo, f64)> {
-        let engines = self.engines(service, EngineRole::Prefill, now);
-        let untried = engines.filter(|view| !tried.contains(&view.info.id));
-        let scored = untried.map(|view| {
-            let away = f64::from(u8::from(view.info.zone != zone)) * AWAY_DELAY;
-            let away = away + f64::from(u8::from(!view.is_preferred)) * OUTSIDE_DELAY;
-            let backlog = view.prefill_backlog(self.prefill_rate, now);
-            (view, backlog, backlog + away, rand::random::<u16>())
-        });
-        let best = scored.min_by(|a, b| a.2.total_cmp(&b.2).then(a.3.cmp(&b.3)))?;
-        Some((best.0.info.clone(), best.1))
-    }
-
-    fn engines<'a>(
-        &'a self,
-        service: &'a str,
-        role: EngineRole,
-        now: Duration,
-    ) -> impl Iterator<Item = &'a BackendView> {
-        self.usable(service)
-            .filter(move |view| view.info.role == Some(role))
-            .filter(move |view| !self.is_passed_over(view, now) && now >= view.declines_until)
-    }
-
-    /// A prefill of this many tokens took this long.
-    pub fn prefill_observed(&mut self, id: &str, tokens: u64, took: Duration, now: Duration) {
-        let seen = tokens as f64 / took.as_secs_f64().max(0.001);
-        self.prefill_rate = self.prefill_rate.max(seen);
-        let own = Duration::from_secs_f64(tokens as f64 / self.prefill_rate);
-        if let Some(view) = self.views.get_mut(id) {
-            view.prefill_delay = Some((took.saturating_sub(own), now));
-        }
-    }
-
-    fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a BackendView> {
+    pub(super) fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a BackendView> {
         self.views
             .values()
             .filter(move |view| view.info.service == service && !view.info.leaving)
@@ -435,7 +327,7 @@
     (score * 1_000.0) as u64
 }
 
-fn sorted<'a, K: Ord>(
+pub(super) fn sorted<'a, K: Ord>(
     views: impl Iterator<Item = &'a BackendView>,
     key: impl Fn(&BackendView) -> K,
 ) -> Vec<BackendInfo> {
--- a/src/relay/policy/mod.rs
+++ b/src/relay/policy/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod book;
 pub(crate) mod budget;
 pub(crate) mod changes;
+mod engines;
 pub(crate) mod kept;
 pub(crate) mod line;
 pub(crate) mod loads;
