Old news stay old: at hosts that were just started, and on their way

The time until when a view is the newest was kept as a time since the host's start, so that a host which had just started took news of 1.8 s for new as of its start, and reported so; the head of its zone believed it. The age was also counted from an answer's arrival, so that each hop made it a little newer.

The time may lie before the host's start; an answer says for how long its question was held, and counts from the question. Both have a test that fails without them.

--- a/src/relay/belief/cluster.rs
+++ b/src/relay/belief/cluster.rs
@@ -4,7 +4,10 @@
 //! newer version is never replaced by an older one.
 
 use {
-    super::history::{ChangeHistory, KindNews, MissingNews},
+    super::{
+        history::{ChangeHistory, KindNews, MissingNews},
+        view_time::ViewTime,
+    },
     crate::relay::{
         backend::BackendInfo,
         config::RelayConfig,
@@ -44,8 +47,8 @@
     // When the store was back after at least that time, as seen from here or told by another host.
     outage_ended: Option<Duration>,
     // Until when the configuration and the list of backend servers are known to be the newest.
-    config_confirmed: Option<Duration>,
-    backends_confirmed: Option<Duration>,
+    config_confirmed: Option<ViewTime>,
+    backends_confirmed: Option<ViewTime>,
     // When the list of backend servers was last read from the store, be it one that lagged.
     backends_read: Option<Duration>,
     // The store does not answer this host, or whom it follows.
@@ -114,8 +117,13 @@
         self.host_history.revision()
     }
 
-    /// What is known of a kind was the newest at this time.
+    /// What is known of a kind was the newest at this time of the host's clock.
     pub fn confirm(&mut self, kind: StoreKind, at: Duration) {
+        self.confirm_as(kind, ViewTime::at(at));
+    }
+
+    /// What is known of a kind was the newest then, be it before the host's start.
+    pub fn confirm_as(&mut self, kind: StoreKind, at: ViewTime) {
         let confirmed = match kind {
             StoreKind::Config => &mut self.config_confirmed,
             StoreKind::Backends => &mut self.backends_confirmed,
@@ -126,13 +134,13 @@
 
     /// Until when the older of configuration and backend servers is known to be the newest; none before both are
     /// known.
-    pub fn confirmed(&self) -> Option<Duration> {
+    pub fn confirmed(&self) -> Option<ViewTime> {
         Some(self.config_confirmed?.min(self.backends_confirmed?))
     }
 
     /// How old the older of configuration and backend servers may be; none before both are known.
     pub fn age(&self, now: Duration) -> Option<Duration> {
-        Some(now.saturating_sub(self.confirmed()?))
+        Some(self.confirmed()?.age(now))
     }
 
     /// Takes a configuration if it is newer than the one in force.
@@ -167,8 +175,9 @@
 
     // A list that nobody could renew for so long ends an outage.
     fn look_for_outage(&mut self, now: Duration) {
-        let known = self.backends_confirmed.max(self.backends_read);
-        if known.is_some_and(|at| now.saturating_sub(at) >= self.outage_least) {
+        let read = self.backends_read.map(ViewTime::at);
+        let known = self.backends_confirmed.max(read);
+        if known.is_some_and(|at| at.age(now) >= self.outage_least) {
             self.note_outage(now);
         }
     }
--- a/src/relay/belief/mod.rs
+++ b/src/relay/belief/mod.rs
@@ -3,5 +3,6 @@
 
 pub(crate) mod cluster;
 pub(crate) mod history;
+pub(crate) mod view_time;
 
-pub use self::{cluster::*, history::*};
+pub use self::{cluster::*, history::*, view_time::*};
--- a/src/relay/news/follow.rs
+++ b/src/relay/news/follow.rs
@@ -5,6 +5,7 @@
     crate::{
         event,
         relay::{
+            belief::view_time::ViewTime,
             link::HostEntry,
             parts::shared::RelayParts,
             policy::source::{self, NewsSource, SourceChoice, SourceRules},
@@ -82,7 +83,7 @@
     chosen_by: Cell<(u64, usize)>,
     // The reporter with the newest view, and until when that view was the newest; told when it is newer than this
     // host's.
-    newest_report: RefCell<Option<(FastStr, Duration)>>,
+    newest_report: RefCell<Option<(FastStr, ViewTime)>>,
     newer: Notify,
     // Told when the store has answered this host in its turn, while it is silent to others.
     served: Notify,
@@ -124,7 +125,7 @@
     /// Another host reported how old its view is.
     pub fn note_report(&self, name: &FastStr, age: Option<Duration>) {
         let Some(age) = age else { return };
-        let confirmed = self.parts.now().saturating_sub(age);
+        let confirmed = ViewTime::at(self.parts.now()).before(age);
         let mut newest = self.newest_report.borrow_mut();
         if newest.as_ref().is_none_or(|(_, known)| confirmed > *known) {
             *newest = Some((name.clone(), confirmed));
@@ -247,6 +248,7 @@
         let patience = patience.min(left - wait);
         // One that knows nothing cannot have it from the store sooner.
         let held = self.held(wait, !self.knows_all());
+        let asked = self.parts.now();
         let answer = self.links.follow(entry.peers, held, patience).await;
         let now = self.parts.now();
         match answer {
@@ -254,7 +256,7 @@
                 self.choice.borrow_mut().note_heard(&entry.name, now);
                 let is_lost = news.is_lost;
                 self.parts.cluster.borrow_mut().set_store_lost(is_lost);
-                self.take(news, entry.peers).await;
+                self.take(news, entry.peers, asked).await;
             }
             Err(error) => {
                 log::debug!("host {} gave no news: {error}", entry.name);
@@ -276,6 +278,7 @@
                 ..self.held(SEED_WAIT.min(left / 2), true)
             };
             let patience = SEED_ANSWER_TIME.min(left / 2);
+            let asked = self.parts.now();
             let answer = self.links.follow(address, held, patience).await;
             if answer.is_ok() {
                 self.choice.borrow_mut().note_seed();
@@ -285,7 +288,7 @@
                     *self.guides.borrow_mut() = news.guides;
                     return;
                 }
-                Ok(news) => self.take(news, address).await,
+                Ok(news) => self.take(news, address, asked).await,
                 Err(error) => log::debug!("host at {address} gave no news: {error}"),
             }
             if self.knows_all() {
@@ -314,8 +317,9 @@
 
     async fn ask(&self, address: SocketAddr) {
         let held = self.held(Duration::ZERO, true);
+        let asked = self.parts.now();
         match self.links.follow(address, held, ANSWER_PATIENCE).await {
-            Ok(news) => self.take(news, address).await,
+            Ok(news) => self.take(news, address, asked).await,
             Err(error) => log::debug!("host at {address} gave no news: {error}"),
         }
     }
@@ -343,7 +347,9 @@
         let cluster = self.parts.cluster.borrow();
         let own = cluster.confirmed()?;
         let newest = self.newest_report.borrow();
-        let (name, _) = newest.as_ref().filter(|(_, at)| *at > own + NEWER_BY)?;
+        let (name, _) = newest
+            .as_ref()
+            .filter(|(_, at)| at.before(NEWER_BY) > own)?;
         cluster.hosts().find(|entry| entry.name == *name).cloned()
     }
 }
--- a/src/relay/news/message.rs
+++ b/src/relay/news/message.rs
@@ -4,7 +4,7 @@
     crate::{
         news_capnp::{cluster_news, held_news, kind_news, load_report},
         relay::{
-            belief::history::KindNews,
+            belief::{history::KindNews, view_time::ViewTime},
             config::RelayConfig,
             link::HostEntry,
             policy::loads::{EngineKey, EngineLoad, LoadReport, ServiceDemand},
@@ -43,6 +43,8 @@
 pub struct ClusterNews {
     /// How old the sender's view of configuration and backend servers may be; none where it has none.
     pub age: Option<Duration>,
+    /// How long the sender held the question until it answered.
+    pub held: Duration,
     /// How long ago the store was back after an outage in which entries may have lapsed, if there was one.
     pub outage: Option<Duration>,
     /// Version of the sender's configuration; 0 where it has none.
@@ -61,6 +63,15 @@
 }
 
 impl ClusterNews {
+    /// Until when the sender's view is known to be the newest, on the clock of an asker that asked at `asked`; none
+    /// where the sender has no view.
+    ///
+    /// Never later than it was: counted from the answer's arrival, each hop would make the view newer by the
+    /// time that the answer took, and hosts that hear each other's while the store is away would take it for new forever.
+    pub fn confirmed(&self, asked: Duration) -> Option<ViewTime> {
+        Some(ViewTime::at(asked + self.held).before(self.age?))
+    }
+
     /// Whether there is anything that an asker with this lacks.
     pub fn has_more_than(&self, held: &HeldNews) -> bool {
         let kinds = [&self.backends, &self.hosts];
@@ -143,6 +154,7 @@
     to.set_outage_ms(to_ms(news.outage));
     to.set_config_version(news.config_version);
     to.set_is_lost(news.is_lost);
+    to.set_held_ms(news.held.as_millis().try_into().unwrap_or(NEVER_MS));
     if let Some(config) = &news.config {
         to.set_config(&to_json(config)?);
     }
@@ -174,6 +186,7 @@
         hosts: read_kind(from.get_hosts()?)?,
         guides,
         is_lost: from.get_is_lost(),
+        held: Duration::from_millis(u64::from(from.get_held_ms())),
     })
 }
 
--- a/src/relay/news/news.capnp
+++ b/src/relay/news/news.capnp
@@ -41,6 +41,8 @@
   guides @6 :Data;
   # The store does not answer the sender, or whom the sender follows.
   isLost @7 :Bool;
+  # How long the question was held: the age is as of then, not as of the answer's arrival.
+  heldMs @8 :UInt32;
 }
 
 # Eight bytes each: reports go out several times a second.
--- a/src/relay/news/news_capnp.rs
+++ b/src/relay/news/news_capnp.rs
@@ -759,6 +759,10 @@
         pub fn get_is_lost(self) -> bool {
             self.reader.get_bool_field(128)
         }
+        #[inline]
+        pub fn get_held_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(5)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -909,6 +913,14 @@
         pub fn set_is_lost(&mut self, value: bool)  {
             self.builder.set_bool_field(128, value);
         }
+        #[inline]
+        pub fn get_held_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn set_held_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(5, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -926,7 +938,7 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 140] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 155] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(192, 15, 59, 78, 52, 184, 25, 176),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
@@ -936,70 +948,77 @@
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 67, 108, 117, 115, 116),
             ::capnp::word(101, 114, 78, 101, 119, 115, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1067,6 +1086,14 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 101, 108, 100, 77, 115, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1078,6 +1105,7 @@
                 5 => <crate::news_capnp::kind_news::Owned as ::capnp::introspect::Introspect>::introspect(),
                 6 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 7 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                8 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1091,9 +1119,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,3,2,6,5,7,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,3,2,6,8,5,7,1];
         pub(crate) const TYPE_ID: u64 = 0xb019_b834_4e3b_0fc0;
     }
 }
--- a/src/relay/news/take.rs
+++ b/src/relay/news/take.rs
@@ -5,15 +5,15 @@
         follow::{ANSWER_PATIENCE, NewsFollower},
         message::ClusterNews,
     },
-    crate::relay::link::StoreKind,
+    crate::relay::{belief::view_time::ViewTime, link::StoreKind},
     std::{net::SocketAddr, time::Duration},
 };
 
 impl NewsFollower {
-    /// Takes news of a host at an address: lists first, then the configuration; what is older than this host's is left.
-    pub(super) async fn take(&self, news: ClusterNews, from: SocketAddr) {
-        let now = self.parts.now();
-        let confirmed = news.age.map(|age| now.saturating_sub(age));
+    /// Takes news of a host at an address that was asked at `asked`: lists first, then the configuration; what is older
+    /// than this host's is left.
+    pub(super) async fn take(&self, news: ClusterNews, from: SocketAddr, asked: Duration) {
+        let confirmed = news.confirmed(asked);
         self.take_lists(&news, confirmed);
         let held = self.parts.cluster.borrow().config_version();
         let is_known = match news.config {
@@ -26,11 +26,11 @@
         };
         if let Some(at) = confirmed.filter(|_| is_known) {
             let mut cluster = self.parts.cluster.borrow_mut();
-            cluster.confirm(StoreKind::Config, at);
+            cluster.confirm_as(StoreKind::Config, at);
         }
     }
 
-    fn take_lists(&self, news: &ClusterNews, confirmed: Option<Duration>) {
+    fn take_lists(&self, news: &ClusterNews, confirmed: Option<ViewTime>) {
         let now = self.parts.now();
         let mut cluster = self.parts.cluster.borrow_mut();
         if let Some(age) = news.outage {
@@ -40,7 +40,7 @@
         cluster.take_backend_news(news.backends.clone(), now);
         cluster.take_host_news(news.hosts.clone());
         if let Some(at) = confirmed {
-            cluster.confirm(StoreKind::Backends, at);
+            cluster.confirm_as(StoreKind::Backends, at);
         }
         let has_changed = cluster.changes_seen() != before;
         drop(cluster);
--- a/src/relay/news/tell.rs
+++ b/src/relay/news/tell.rs
@@ -21,12 +21,16 @@
 
 /// Tells an asker what is newer than what it has, once there is something or its wait is over.
 pub async fn tell_news(parts: Rc<RelayParts>, held: HeldNews) -> ClusterNews {
-    let until = Instant::now() + held.wait.min(WAIT_LIMIT);
+    let asked = Instant::now();
+    let until = asked + held.wait.min(WAIT_LIMIT);
     loop {
         let changed = parts.news.notified();
         tokio::pin!(changed);
         changed.as_mut().enable();
-        let news = news_now(&parts, &held);
+        let news = ClusterNews {
+            held: asked.elapsed(),
+            ..news_now(&parts, &held)
+        };
         let is_enough = has_more(&parts, &news, &held);
         if is_enough || Instant::now() >= until {
             parts.metrics.news_told.inc();
@@ -72,6 +76,7 @@
     ClusterNews {
         age: cluster.age(now),
         is_lost: cluster.is_store_lost(),
+        held: Duration::ZERO,
         outage: cluster.outage_age(now),
         config_version: cluster.config_version(),
         config: told.cloned(),
--- a/tests/relay_news.rs
+++ b/tests/relay_news.rs
@@ -2,8 +2,9 @@
 
 use {
     bayplank::relay::{
-        self, BackendInfo, ChangeHistory, ClusterState, HostEntry, MissingNews, NewsSource,
-        SourceChoice, SourceRules, StoreChange, StoreItem, StoreKind, StoreValue,
+        self, BackendInfo, ChangeHistory, ClusterNews, ClusterState, HostEntry, MissingNews,
+        NewsSource, SourceChoice, SourceRules, StoreChange, StoreItem, StoreKind, StoreValue,
+        ViewTime,
     },
     bolero::check,
     faststr::FastStr,
@@ -461,3 +462,48 @@
         }
     });
 }
+
+#[test]
+fn news_that_go_round_among_hosts_never_make_a_view_newer_than_it_was() {
+    // Hosts ask each other at random while the store answers nobody; questions and answers take their time.
+    check!().with_type::<Vec<(u8, u8, u8)>>().for_each(|asks| {
+        let mut views = [ViewTime::at(Duration::ZERO); 5];
+        let mut now = 10_000;
+        for (who, question, answer) in asks {
+            let (asker, asked) = (usize::from(who % 5), usize::from(who / 5 % 5));
+            let (question, hold, answer) = (
+                u64::from(*question),
+                u64::from(who % 3) * 100,
+                u64::from(*answer),
+            );
+            let told_at = now + question + hold;
+            let news = ClusterNews {
+                age: Some(views[asked].age(millis(told_at))),
+                held: millis(hold),
+                ..ClusterNews::default()
+            };
+            views[asker] = views[asker].max(news.confirmed(millis(now)).unwrap());
+            now = told_at + answer;
+            let newest = views.iter().max().copied();
+            assert_eq!(
+                newest,
+                Some(ViewTime::at(Duration::ZERO)),
+                "nobody has heard from the store since"
+            );
+        }
+    });
+}
+
+#[test]
+fn a_host_that_was_just_started_takes_old_news_for_as_old_as_they_are() {
+    let news = ClusterNews {
+        age: Some(millis(1_800)),
+        held: millis(20),
+        ..ClusterNews::default()
+    };
+    let mut state = ClusterState::default();
+    for kind in [StoreKind::Config, StoreKind::Backends] {
+        state.confirm_as(kind, news.confirmed(millis(50)).unwrap());
+    }
+    assert_eq!(state.age(millis(80)), Some(millis(1_810)));
+}
