--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -4,7 +4,7 @@
 //! functions.
 
 use {
-    crate::engine::EngineRole,
+    crate::{engine::EngineRole, web::PoolUse},
     bytes::Bytes,
     faststr::FastStr,
     http::{HeaderMap, Method, StatusCode},
@@ -65,6 +65,8 @@
     pub path: String,
     /// A JSON body, or nothing.
     pub body: Bytes,
+    /// What it is for.
+    pub purpose: PoolUse,
 }
 
 /// A KV cache that waits at a prefill engine.
--- a/src/relay/figures.rs
+++ b/src/relay/figures.rs
@@ -3,7 +3,7 @@
 
 use {
     super::parts::{metrics::StoreCause, shared::RelayParts},
-    crate::event,
+    crate::{event, web::PoolUse},
     std::{rc::Rc, time::Duration},
 };
 
@@ -23,6 +23,7 @@
 pub fn log_once(parts: &RelayParts) {
     let metrics = &parts.metrics;
     let age = parts.cluster.borrow().age(parts.now());
+    let opened = |purpose| parts.pool.counts(purpose).opened;
     event::emit(
         &event::HOST_FIGURES,
         &[
@@ -33,6 +34,12 @@
             ("entry", &metrics.store_calls(StoreCause::Entry)),
             ("opened", &parts.pool.opened()),
             ("reused", &parts.pool.reused()),
+            ("opened_plain", &opened(PoolUse::Plain)),
+            ("opened_prefill", &opened(PoolUse::Prefill)),
+            ("opened_decode", &opened(PoolUse::Decode)),
+            ("opened_reserve", &opened(PoolUse::Reserve)),
+            ("opened_free", &opened(PoolUse::Free)),
+            ("opened_ask", &opened(PoolUse::Ask)),
             ("news_told", &metrics.news_told.get()),
             ("age_ms", &age.map_or(-1, |age| age.as_millis() as i64)),
         ],
--- a/src/relay/objects.rs
+++ b/src/relay/objects.rs
@@ -12,6 +12,7 @@
         object::{ObjectSet, PassRouteSpec, Typed},
         operation::RunVerdict,
         route::ServerInfo,
+        web::PoolUse,
     },
     bytes::Bytes,
     faststr::FastStr,
@@ -161,6 +162,7 @@
             method: Method::GET,
             path: "/".into(),
             body: Bytes::new(),
+            purpose: PoolUse::Ask,
         }
     }
     EngineDialect {
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -16,7 +16,7 @@
             },
             settings::RelaySettings,
         },
-        web::{ConnectionPool, FailureCause, PoolLane, PooledAnswer, SendFailure},
+        web::{ConnectionPool, FailureCause, PooledAnswer, SendFailure},
     },
     bytes::Bytes,
     faststr::FastStr,
@@ -125,6 +125,7 @@
         backend: &BackendInfo,
         call: BackendCall,
     ) -> Result<PooledAnswer, SendFailure> {
+        let target = self.pool_target(backend, call.purpose);
         let mut request = Request::new(Full::new(call.body));
         *request.method_mut() = call.method;
         // Names that backend servers gave stand in paths; one of them may be no part of a path.
@@ -141,7 +142,6 @@
             HeaderValue::from_static("application/json"),
         );
         (self.dialect.name_backend)(headers, &backend.id);
-        let target = self.pool_target(backend, PoolLane::Control);
         self.pool.send(target, request).await
     }
 }
--- a/src/relay/parts/shares.rs
+++ b/src/relay/parts/shares.rs
@@ -11,7 +11,7 @@
                 loads::{EngineKey, LoadReport, ServiceDemand},
             },
         },
-        web::{PoolLane, PoolTarget},
+        web::{PoolTarget, PoolUse},
     },
     faststr::FastStr,
     std::time::Duration,
@@ -124,10 +124,10 @@
     }
 
     /// Where a request to a backend server goes, and this host's share of the connections there.
-    pub fn pool_target(&self, backend: &BackendInfo, lane: PoolLane) -> PoolTarget {
+    pub fn pool_target(&self, backend: &BackendInfo, purpose: PoolUse) -> PoolTarget {
         PoolTarget {
             address: backend.address,
-            lane,
+            purpose,
             limit: self
                 .connection_share(&backend.service)
                 .unwrap_or(usize::MAX),
--- a/src/relay/request/decode.rs
+++ b/src/relay/request/decode.rs
@@ -8,7 +8,7 @@
     crate::{
         operation::RunVerdict,
         relay::{backend::BackendInfo, dialect::DecodeStart, policy::view::BackendFailure},
-        web::{PoolLane, PooledAnswer, SendFailure},
+        web::{PoolUse, PooledAnswer, SendFailure},
     },
     std::time::Duration,
 };
@@ -39,7 +39,7 @@
             false => HEAD_PATIENCE,
         };
         let patience = patience.min(self.call.time_left());
-        let target = parts.pool_target(engine, PoolLane::Requests);
+        let target = parts.pool_target(engine, PoolUse::Decode);
         let sending = parts.pool.send(target, request);
         let sent = tokio::time::timeout(patience, sending)
             .await
--- a/src/relay/request/prefill.rs
+++ b/src/relay/request/prefill.rs
@@ -8,7 +8,7 @@
             backend::BackendInfo, dialect::PromptCache, parts::shared::RelayParts,
             policy::view::BackendFailure,
         },
-        web::PoolLane,
+        web::PoolUse,
     },
     faststr::FastStr,
     http::StatusCode,
@@ -164,7 +164,7 @@
 ) -> Result<PromptCache, PrefillFailure> {
     let dialect = &parts.dialect;
     let request = call.request_to(engine, dialect, dialect.engines.as_prefill);
-    let target = parts.pool_target(engine, PoolLane::Requests);
+    let target = parts.pool_target(engine, PoolUse::Prefill);
     let sent = parts.pool.send(target, request).await;
     let answer = sent.map_err(|failure| {
         if failure.verdict == RunVerdict::NotRun {
--- a/src/relay/request/send.rs
+++ b/src/relay/request/send.rs
@@ -5,7 +5,7 @@
     crate::{
         operation::RunVerdict,
         relay::{backend::BackendInfo, parts::shared::RelayParts, policy::view::BackendFailure},
-        web::{PoolLane, PooledAnswer, PooledBody},
+        web::{PoolUse, PooledAnswer, PooledBody},
     },
     bytes::Bytes,
     http::{HeaderMap, StatusCode},
@@ -58,7 +58,7 @@
 ) -> SendOutcome {
     let guard = CallGuard::begin(parts, backend);
     let request = call.request_to(backend, &parts.dialect, |_| ());
-    let target = parts.pool_target(backend, PoolLane::Requests);
+    let target = parts.pool_target(backend, PoolUse::Plain);
     let sent = parts.pool.send(target, request).await;
     let answer = match sent {
         Ok(answer) => answer,
--- a/src/web/pool.rs
+++ b/src/web/pool.rs
@@ -13,8 +13,8 @@
     hyper_util::rt::TokioIo,
     socket2::SockRef,
     std::{
-        cell::{Cell, RefCell},
-        collections::HashMap,
+        cell::RefCell,
+        collections::{BTreeMap, HashMap},
         fmt, io,
         net::SocketAddr,
         rc::Rc,
@@ -51,13 +51,49 @@
     Control,
 }
 
+/// What is sent over a connection, for the account of who opens them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum PoolUse {
+    /// A caller's request to a plain service.
+    Plain,
+    /// A caller's prompt to a prefill engine.
+    Prefill,
+    /// A caller's request to a decode engine.
+    Decode,
+    /// A reservation of an engine's memory.
+    Reserve,
+    /// Giving back what is held at an engine.
+    Free,
+    /// Questions and orders to an engine, and calls to the store.
+    Ask,
+}
+
+impl PoolUse {
+    /// What its connection is used for besides.
+    pub fn lane(self) -> PoolLane {
+        match self {
+            Self::Plain | Self::Prefill | Self::Decode => PoolLane::Requests,
+            Self::Reserve | Self::Free | Self::Ask => PoolLane::Control,
+        }
+    }
+}
+
+/// Connections of one use since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct UseCounts {
+    /// Opened.
+    pub opened: u64,
+    /// Sends over one that was open already.
+    pub reused: u64,
+}
+
 /// Where a request goes.
 #[derive(Debug, Clone, Copy)]
 pub struct PoolTarget {
     /// The server.
     pub address: SocketAddr,
-    /// What its connection is used for.
-    pub lane: PoolLane,
+    /// What is sent.
+    pub purpose: PoolUse,
     /// Connections that may be open to the address at most, of both uses together.
     pub limit: usize,
 }
@@ -166,8 +202,7 @@
     idle: RefCell<HashMap<PoolKey, Vec<IdleConnection>>>,
     settings: PoolSettings,
     open: OpenCounts,
-    opened: Cell<u64>,
-    reused: Cell<u64>,
+    counts: RefCell<BTreeMap<PoolUse, UseCounts>>,
 }
 
 impl fmt::Debug for ConnectionPool {
@@ -201,8 +236,7 @@
             idle: RefCell::default(),
             settings,
             open: Rc::default(),
-            opened: Cell::new(0),
-            reused: Cell::new(0),
+            counts: RefCell::default(),
         });
         let swept = Rc::downgrade(&pool);
         tokio::task::spawn_local(async move {
@@ -217,12 +251,33 @@
 
     /// Connections opened since the start.
     pub fn opened(&self) -> u64 {
-        self.opened.get()
+        self.counts
+            .borrow()
+            .values()
+            .map(|count| count.opened)
+            .sum()
+    }
+
+    /// Connections of one use since the start.
+    pub fn counts(&self, purpose: PoolUse) -> UseCounts {
+        let counts = self.counts.borrow();
+        counts.get(&purpose).copied().unwrap_or_default()
+    }
+
+    fn count_use(&self, purpose: PoolUse, is_new: bool) {
+        let mut counts = self.counts.borrow_mut();
+        let count = counts.entry(purpose).or_default();
+        count.opened += u64::from(is_new);
+        count.reused += u64::from(!is_new);
     }
 
     /// Sends over connections that were open already, since the start.
     pub fn reused(&self) -> u64 {
-        self.reused.get()
+        self.counts
+            .borrow()
+            .values()
+            .map(|count| count.reused)
+            .sum()
     }
 
     /// Connections that are open.
@@ -305,7 +360,7 @@
                 log::debug!("connection to {address} ended: {error}");
             }
         });
-        self.opened.set(self.opened.get() + 1);
+        self.count_use(target.purpose, true);
         Ok(PooledConnection {
             sender,
             task: task.abort_handle(),
@@ -321,7 +376,7 @@
         target: PoolTarget,
         mut request: Request<Full<Bytes>>,
     ) -> Result<PooledAnswer, SendFailure> {
-        let key = (target.address, target.lane);
+        let key = (target.address, target.purpose.lane());
         loop {
             let kept = self.take(key);
             let is_kept = kept.is_some();
@@ -331,7 +386,9 @@
             };
             match connection.sender.try_send_request(request).await {
                 Ok(answer) => {
-                    self.reused.set(self.reused.get() + u64::from(is_kept));
+                    if is_kept {
+                        self.count_use(target.purpose, false);
+                    }
                     return Ok(self.answer(key, connection, answer));
                 }
                 Err(mut error) => match error.take_message() {
--- a/tools/account.py
+++ b/tools/account.py
@@ -4,7 +4,8 @@
 import re
 
 # Figures of the line that each host logs in five seconds, in the order of the table.
-FIGURES = ("lists", "watches", "while_lost", "lease", "entry", "opened", "reused", "news_told")
+FIGURES = ("lists", "watches", "while_lost", "lease", "entry", "opened", "reused", "news_told",
+           "opened_plain", "opened_prefill", "opened_decode", "opened_reserve", "opened_free", "opened_ask")
 STORE_FIGURES = FIGURES[:5]
 WINDOW_S = 5
 # Ejections of one server further apart than this are of different troubles.
@@ -52,7 +53,7 @@
     def take_figures(self, at, fields, before):
         window = int(at // WINDOW_S) * WINDOW_S
         for name in FIGURES:
-            now = int(fields[name])
+            now = int(fields.get(name, 0))
             self.sums[name] += now - before.get(name, 0)
             self.windows[window][name] += now - before.get(name, 0)
             before[name] = now
@@ -66,6 +67,8 @@
         calls = sum(self.windows[most][name] for name in STORE_FIGURES) / self.days
         yield "calls in the busiest five seconds", f"{calls:.0f}, from second {most}"
         yield "connections opened to backend servers", f"{per_day['opened']:.0f}"
+        for name in FIGURES[8:]:
+            yield f"of them for: {name.removeprefix('opened_')}", f"{per_day[name]:.0f}"
         sends = per_day["opened"] + per_day["reused"]
         yield "sends over a connection that was open", f"{per_day['reused'] / max(sends, 1):.3f} of {sends:.0f}"
         yield "answers to other hosts", f"{per_day['news_told']:.0f}"
