--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -6,9 +6,12 @@
 mod ingress;
 mod patience;
 mod pool;
+mod pool_target;
 mod reply;
+mod send_failure;
 mod server;
 
 pub use self::{
-    body::*, client::*, headers::*, ingress::*, patience::*, pool::*, reply::*, server::*,
+    body::*, client::*, headers::*, ingress::*, patience::*, pool::*, pool_target::*, reply::*,
+    send_failure::*, server::*,
 };
--- a/src/web/pool.rs
+++ b/src/web/pool.rs
@@ -5,6 +5,10 @@
 //! written decides what may be promised of it.
 
 use {
+    super::{
+        pool_target::{PoolLane, PoolTarget, PoolUse, UseCounts},
+        send_failure::{FailureCause, SendFailure, not_sent},
+    },
     crate::operation::RunVerdict,
     bytes::Bytes,
     http::{HeaderMap, Request, StatusCode, header},
@@ -42,103 +46,6 @@
     pub silence_limit: Duration,
 }
 
-/// What a connection is used for; an answer too many on one use is then never read by the other.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum PoolLane {
-    /// Callers' requests.
-    Requests,
-    /// The host's own calls.
-    Control,
-}
-
-/// What is sent over a connection, for the account of who opens them.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum PoolUse {
-    /// A caller's request to a plain service.
-    Plain,
-    /// A caller's prompt to a prefill engine.
-    Prefill,
-    /// A caller's request to a decode engine.
-    Decode,
-    /// A reservation of an engine's memory.
-    Reserve,
-    /// Giving back what is held at an engine.
-    Free,
-    /// Questions and orders to an engine, and calls to the store.
-    Ask,
-}
-
-impl PoolUse {
-    /// What its connection is used for besides.
-    pub fn lane(self) -> PoolLane {
-        match self {
-            Self::Plain | Self::Prefill | Self::Decode => PoolLane::Requests,
-            Self::Reserve | Self::Free | Self::Ask => PoolLane::Control,
-        }
-    }
-}
-
-/// Connections of one use since the start.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct UseCounts {
-    /// Opened.
-    pub opened: u64,
-    /// Sends over one that was open already.
-    pub reused: u64,
-}
-
-/// Where a request goes.
-#[derive(Debug, Clone, Copy)]
-pub struct PoolTarget {
-    /// The server.
-    pub address: SocketAddr,
-    /// What is sent.
-    pub purpose: PoolUse,
-    /// Connections that may be open to the address at most, of both uses together.
-    pub limit: usize,
-}
-
-/// What kept a request from its answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum FailureCause {
-    /// The connection failed, or broke off.
-    Broken,
-    /// Nothing came in time.
-    Silent,
-    /// As many connections are open to the server as may be, and all are in use.
-    Limited,
-}
-
-/// Why a request got no answer.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SendFailure {
-    /// Whether it may have run.
-    pub verdict: RunVerdict,
-    /// What kept it.
-    pub cause: FailureCause,
-    /// What happened.
-    pub detail: String,
-}
-
-impl fmt::Display for SendFailure {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.detail)
-    }
-}
-
-impl std::error::Error for SendFailure {}
-
-impl SendFailure {
-    /// A request was handed over and nothing came in time.
-    pub fn no_answer_in_time() -> Self {
-        Self {
-            verdict: RunVerdict::MayHaveRun,
-            cause: FailureCause::Silent,
-            detail: "no answer in time".into(),
-        }
-    }
-}
-
 type Sender = http1::SendRequest<Full<Bytes>>;
 
 struct IdleConnection {
@@ -486,14 +393,6 @@
     Ok(stream)
 }
 
-fn not_sent(detail: impl Into<String>) -> SendFailure {
-    SendFailure {
-        verdict: RunVerdict::NotRun,
-        cause: FailureCause::Broken,
-        detail: detail.into(),
-    }
-}
-
 // How long a connection may be idle and still be used, by what the server announces.
 fn idle_time(headers: &HeaderMap) -> Duration {
     let announced = headers
--- /dev/null
+++ b/src/web/send_failure.rs
@@ -0,0 +1,53 @@
+//! Why a request got no answer, and whether it may have run.
+
+use {crate::operation::RunVerdict, std::fmt};
+
+/// What kept a request from its answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FailureCause {
+    /// The connection failed, or broke off.
+    Broken,
+    /// Nothing came in time.
+    Silent,
+    /// As many connections are open to the server as may be, and all are in use.
+    Limited,
+}
+
+/// Why a request got no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SendFailure {
+    /// Whether it may have run.
+    pub verdict: RunVerdict,
+    /// What kept it.
+    pub cause: FailureCause,
+    /// What happened.
+    pub detail: String,
+}
+
+impl fmt::Display for SendFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.detail)
+    }
+}
+
+impl std::error::Error for SendFailure {}
+
+impl SendFailure {
+    /// A request was handed over and nothing came in time.
+    pub fn no_answer_in_time() -> Self {
+        Self {
+            verdict: RunVerdict::MayHaveRun,
+            cause: FailureCause::Silent,
+            detail: "no answer in time".into(),
+        }
+    }
+}
+
+/// Nothing of a request was handed over.
+pub(super) fn not_sent(detail: impl Into<String>) -> SendFailure {
+    SendFailure {
+        verdict: RunVerdict::NotRun,
+        cause: FailureCause::Broken,
+        detail: detail.into(),
+    }
+}
--- a/tests/relay_loads.rs
+++ b/tests/relay_loads.rs
@@ -1,5 +1,7 @@
 //! What hosts report to each other of their requests, and what is made of it.
 
+mod backends;
+
 use {
     bayplank::{
         engine::EngineRole,
@@ -8,7 +10,6 @@
             LoadReport, LoadReporter, ServiceDemand,
         },
     },
-    faststr::FastStr,
     std::time::Duration,
 };
 
@@ -18,14 +19,8 @@
 
 fn backend(id: &str, leaving: bool) -> BackendInfo {
     BackendInfo {
-        id: FastStr::new(id),
-        service: "one".into(),
-        address: "127.0.0.1:9".parse().unwrap(),
-        zone: "z-a".into(),
         leaving,
-        slots: 6,
-        role: None,
-        orders_taken: 0,
+        ..backends::backend(id, "z-a", None)
     }
 }
 
