--- a/src/relay/policy/subset.rs
+++ b/src/relay/policy/subset.rs
@@ -3,8 +3,8 @@
 //!
 //! Answers fleets of many hosts, each with little traffic: one with a stream a second before 41 engines is back at the
 //! same one after 40 s, and servers close idle connections after ten. With the subset 0.83 of the prompts and 0.55 of the
-//! decodes find one open (a quiet day of 295 hosts before 256 engines). A plain function of the lists, so that all hosts agree without talking; where there are few hosts the subset is
-//! all engines.
+//! decodes find one open (a quiet day of 295 hosts before 256 engines). A plain function of the lists, so that all hosts
+//! agree without talking; where there are few hosts the subset is all engines.
 
 use {
     crate::peer,
