--- a/src/relay/belief/cluster.rs
+++ b/src/relay/belief/cluster.rs
@@ -46,6 +46,10 @@
     // Until when the configuration and the list of backend servers are known to be the newest.
     config_confirmed: Option<Duration>,
     backends_confirmed: Option<Duration>,
+    // When the list of backend servers was last read from the store, be it one that lagged.
+    backends_read: Option<Duration>,
+    // The store does not answer this host, or whom it follows.
+    store_lost: bool,
 }
 
 impl Default for ClusterState {
@@ -68,9 +72,21 @@
             outage_ended: None,
             config_confirmed: None,
             backends_confirmed: None,
+            backends_read: None,
+            store_lost: false,
         }
     }
 
+    /// Whether the store fails to answer this host, which reads it, or whom this host follows.
+    pub fn set_store_lost(&mut self, is_lost: bool) {
+        self.store_lost = is_lost;
+    }
+
+    /// The same.
+    pub fn is_store_lost(&self) -> bool {
+        self.store_lost
+    }
+
     /// The routes in force.
     pub fn routes(&self) -> Option<Rc<RouteTable>> {
         self.routes.clone()
@@ -133,6 +149,12 @@
         true
     }
 
+    /// The list of backend servers was read from the store, be it one that lags: what is gone at the next reading went
+    /// since then.
+    pub fn note_backends_read(&mut self, now: Duration) {
+        self.backends_read = Some(now);
+    }
+
     /// Another host found the store back after an outage at this time.
     pub fn note_outage(&mut self, ended: Duration) {
         self.outage_ended = self.outage_ended.max(Some(ended));
@@ -145,7 +167,7 @@
 
     // A list that nobody could renew for so long ends an outage.
     fn look_for_outage(&mut self, now: Duration) {
-        let known = self.backends_confirmed;
+        let known = self.backends_confirmed.max(self.backends_read);
         if known.is_some_and(|at| now.saturating_sub(at) >= self.outage_least) {
             self.note_outage(now);
         }
--- a/src/relay/news/feed.rs
+++ b/src/relay/news/feed.rs
@@ -40,7 +40,9 @@
 /// a fraction of a second.
 const HOSTS_FIRST_DELAY: Duration = Duration::from_millis(1_000);
 
-/// How long the watch that follows a list waits which may lag: it only has to bring what the list lacked.
+/// How long the watch waits that follows a list which may lag, or a time without reading: it only has to bring what the
+/// host lacks. A host that tries a silent store in its turn is of use to the others only then, 0.9 s sooner than by a
+/// usual watch.
 const CONFIRMING_WATCH_TIME: Duration = Duration::from_millis(1);
 
 /// How often lapsed entries are looked at.
@@ -60,7 +62,10 @@
     // Which of the two urgent watches did not answer last time.
     config_lost: Cell<bool>,
     backends_lost: Cell<bool>,
-    // The list of backend servers is from a reading that may lag, and no watch has confirmed it yet.
+    // Told when the store answers after it did not.
+    answered: Notify,
+    // The list of backend servers is from a reading that may lag, or from before a time without reading, and no watch has
+    // confirmed it yet.
     backends_lag: Cell<bool>,
 }
 
@@ -76,6 +81,7 @@
             config_revision: Cell::new(0),
             config_lost: Cell::new(true),
             backends_lost: Cell::new(true),
+            answered: Notify::new(),
             backends_lag: Cell::new(false),
         });
         vital::spawn_vital("configuration", feed.clone().follow(StoreKind::Config));
@@ -103,6 +109,17 @@
         self.config_lost.get() || self.backends_lost.get()
     }
 
+    /// Waits until the store answers after it did not.
+    pub async fn answered(&self) {
+        self.answered.notified().await;
+    }
+
+    // Those that follow this host hear of it.
+    fn tell_whether_lost(&self) {
+        let mut cluster = self.parts.cluster.borrow_mut();
+        cluster.set_store_lost(self.is_lost());
+    }
+
     /// Reads the configuration once.
     pub async fn read_config(&self) -> Result<(), StoreFailure> {
         self.list(StoreKind::Config, ListAge::Newest).await
@@ -189,8 +206,11 @@
 
     async fn wanted(&self, kind: StoreKind) {
         while !self.is_wanted(kind) {
-            if kind == StoreKind::Config {
-                self.config_revision.set(0);
+            // Who reads again has to know soon whether it knows all: a watch would tell so only at its end.
+            match kind {
+                StoreKind::Config => self.config_revision.set(0),
+                StoreKind::Backends => self.backends_lag.set(true),
+                StoreKind::Hosts | StoreKind::Leases => {}
             }
             let resumed = self.resumed.notified();
             tokio::pin!(resumed);
@@ -254,6 +274,8 @@
             return;
         };
         if lost.replace(false) {
+            self.tell_whether_lost();
+            self.answered.notify_one();
             // The hosts are read again too.
             self.resumed.notify_waiters();
             event::emit(&event::PLATFORM_BACK, &[("kind", &format!("{kind:?}"))]);
@@ -267,6 +289,7 @@
             return;
         };
         if !lost.replace(true) {
+            self.tell_whether_lost();
             let kind = format!("{kind:?}");
             event::emit(
                 &event::PLATFORM_LOST,
@@ -286,6 +309,7 @@
                 let backends = list.items.into_iter().filter_map(backend_of).collect();
                 let mut cluster = self.parts.cluster.borrow_mut();
                 let taken = cluster.set_backends(backends, list.revision, now);
+                cluster.note_backends_read(now);
                 drop(cluster);
                 if taken {
                     self.parts.publish_backends();
--- a/src/relay/news/follow.rs
+++ b/src/relay/news/follow.rs
@@ -25,6 +25,7 @@
         rc::Rc,
         time::Duration,
     },
+    tokio::sync::Notify,
 };
 
 /// How long another host may wait for something newer before it answers.
@@ -83,8 +84,12 @@
     guides: RefCell<Vec<HostEntry>>,
     // The revision of the hosts' list by which the choice goes, and how many guides it was given.
     chosen_by: Cell<(u64, usize)>,
-    // The reporter with the newest view, and until when that view was the newest.
+    // The reporter with the newest view, and until when that view was the newest; told when it is newer than this
+    // host's.
     newest_report: RefCell<Option<(FastStr, Duration)>>,
+    newer: Notify,
+    // Told when the store has answered this host in its turn, while it is silent to others.
+    served: Notify,
 }
 
 impl NewsFollower {
@@ -108,6 +113,8 @@
             guides: RefCell::default(),
             chosen_by: Cell::default(),
             newest_report: RefCell::default(),
+            newer: Notify::new(),
+            served: Notify::new(),
         });
         vital::spawn_vital("news", follower.clone().run());
         follower
@@ -126,6 +133,15 @@
         if newest.as_ref().is_none_or(|(_, known)| confirmed > *known) {
             *newest = Some((name.clone(), confirmed));
         }
+        drop(newest);
+        if self.newer_host().is_some() {
+            self.newer.notify_one();
+        }
+    }
+
+    /// Waits until this host has news that its head should hear of at once.
+    pub async fn served(&self) {
+        self.served.notified().await;
     }
 
     async fn run(self: Rc<Self>) {
@@ -138,13 +154,17 @@
                     }
                     // Who has just been told everything can follow at once.
                     if knew || !self.knows_all() {
-                        tokio::time::sleep(LOOK_PERIOD).await;
+                        tokio::select! {
+                            () = tokio::time::sleep(LOOK_PERIOD) => {}
+                            () = self.feed.answered() => {}
+                            () = self.newer.notified() => self.ask_newer().await,
+                        }
                     }
                 }
                 NewsSource::Host(entry) => {
-                    self.follow(&entry).await;
-                    if self.newer_host().is_some() {
-                        self.ask_others().await;
+                    tokio::select! {
+                        () = self.follow(&entry) => {}
+                        () = self.newer.notified() => self.ask_newer().await,
                     }
                 }
                 NewsSource::Seeds => self.ask_seeds().await,
@@ -157,18 +177,31 @@
         cluster.age(self.parts.now()).is_some()
     }
 
+    fn is_listed(&self) -> bool {
+        let cluster = self.parts.cluster.borrow();
+        let mut hosts = cluster.hosts();
+        hosts.any(|entry| entry.name == self.parts.settings.name)
+    }
+
     fn choose(&self) -> NewsSource {
         let now = self.parts.now();
         let age = self.parts.cluster.borrow().age(now);
         self.update_hosts();
+        let is_lost = self.parts.cluster.borrow().is_store_lost();
         let (source, is_reader) = {
             let mut choice = self.choice.borrow_mut();
-            (choice.choose(age, now), choice.is_reader(now))
+            let served = choice.served();
+            let source = choice.choose(age, is_lost, now);
+            if choice.served() != served {
+                self.served.notify_one();
+            }
+            (source, choice.is_reader(now))
         };
         let reads = source == NewsSource::Store;
-        let knows_hosts = self.parts.cluster.borrow().hosts_revision() > 0;
+        // One that is not listed yet cannot know that it is to read the hosts.
+        let is_listed = self.is_listed();
         self.feed
-            .set_reading(reads, is_reader || (reads && !knows_hosts));
+            .set_reading(reads, is_reader || (reads && !is_listed));
         let before = self.last.replace(source.clone());
         if before != source {
             tell_change(&source, age);
@@ -184,11 +217,14 @@
         if self.chosen_by.replace(seen) == seen {
             return;
         }
-        let mut choice = self.choice.borrow_mut();
-        match cluster.hosts_revision() {
-            0 => choice.set_hosts(guides.iter()),
-            _ => choice.set_hosts(cluster.hosts()),
+        {
+            let mut choice = self.choice.borrow_mut();
+            match cluster.hosts_revision() {
+                0 => choice.set_hosts(guides.iter()),
+                _ => choice.set_hosts(cluster.hosts()),
+            }
         }
+        self.parts.prefer_engines();
     }
 
     fn held(&self, wait: Duration, wants_config: bool) -> HeldNews {
@@ -220,6 +256,8 @@
         match answer {
             Ok(news) => {
                 self.choice.borrow_mut().note_heard(&entry.name, now);
+                let is_lost = news.is_lost;
+                self.parts.cluster.borrow_mut().set_store_lost(is_lost);
                 self.take(news, entry.peers).await;
             }
             Err(error) => {
@@ -262,20 +300,31 @@
         tokio::time::sleep(SEEDS_PAUSE.min(left)).await;
     }
 
-    // The store does not answer this host, or whom it follows: others may be served by it.
+    // The store does not answer this host: others may be served by it.
     async fn ask_others(&self) {
-        let asked = self.others_to_ask().into_iter().map(|address| async move {
-            let held = self.held(Duration::ZERO, true);
-            match self.links.follow(address, held, ANSWER_PATIENCE).await {
-                Ok(news) => self.take(news, address).await,
-                Err(error) => log::debug!("host at {address} gave no news: {error}"),
-            }
-        });
-        future::join_all(asked).await;
+        let asked = self.others_to_ask().into_iter();
+        future::join_all(asked.map(|address| self.ask(address))).await;
+    }
+
+    // A host of the zone has reported a newer view than this one's.
+    async fn ask_newer(&self) {
+        let Some(entry) = self.newer_host() else {
+            return;
+        };
+        self.ask(entry.peers).await;
+        // One that does not answer, or knew less than it reported, is not asked over and over.
+        self.newest_report.take();
+    }
+
+    async fn ask(&self, address: SocketAddr) {
+        let held = self.held(Duration::ZERO, true);
+        match self.links.follow(address, held, ANSWER_PATIENCE).await {
+            Ok(news) => self.take(news, address).await,
+            Err(error) => log::debug!("host at {address} gave no news: {error}"),
+        }
     }
 
-    // Some heads of other zones, and whoever has reported a newer view than this host's. Who knows no hosts asks those
-    // that the settings name.
+    // Some heads of other zones. Who knows no hosts asks those that the settings name.
     fn others_to_ask(&self) -> Vec<SocketAddr> {
         let heads = self.choice.borrow().other_heads(self.parts.now());
         let mut addresses: Vec<SocketAddr> = heads.into_iter().map(|entry| entry.peers).collect();
@@ -290,7 +339,6 @@
         }
         addresses.shuffle(&mut rand::rng());
         addresses.truncate(ASKED_HOSTS);
-        addresses.extend(self.newer_host().map(|entry| entry.peers));
         addresses
     }
 
--- a/src/relay/news/message.rs
+++ b/src/relay/news/message.rs
@@ -53,6 +53,8 @@
     pub backends: KindNews,
     /// The hosts.
     pub hosts: KindNews,
+    /// The store does not answer the sender, or whom the sender follows.
+    pub is_lost: bool,
     /// The hosts of the asker's zone that it may follow, in order; only for one that starts in a large fleet, and
     /// then in place of everything else.
     pub guides: Vec<HostEntry>,
@@ -140,6 +142,7 @@
     to.set_age_ms(to_ms(news.age));
     to.set_outage_ms(to_ms(news.outage));
     to.set_config_version(news.config_version);
+    to.set_is_lost(news.is_lost);
     if let Some(config) = &news.config {
         to.set_config(&to_json(config)?);
     }
@@ -170,6 +173,7 @@
         backends: read_kind(from.get_backends()?)?,
         hosts: read_kind(from.get_hosts()?)?,
         guides,
+        is_lost: from.get_is_lost(),
     })
 }
 
@@ -186,6 +190,10 @@
         place.set_memory_blocks(u16::try_from(blocks).unwrap_or(u16::MAX));
         place.set_passed_over(u16::try_from(load.passed_over).unwrap_or(u16::MAX));
     }
+    let mut wanted = to.reborrow().init_wanted(report.wanted.len() as u32);
+    for (index, key) in report.wanted.iter().enumerate() {
+        wanted.set(index as u32, key.0);
+    }
     let mut demands = to.init_demands(report.demands.len() as u32);
     for (index, demand) in report.demands.iter().enumerate() {
         let mut place = demands.reborrow().get(index as u32);
@@ -212,5 +220,6 @@
     Ok(LoadReport {
         loads: loads.collect(),
         demands: demands.collect::<Result<_>>()?,
+        wanted: from.get_wanted()?.iter().map(EngineKey).collect(),
     })
 }
--- a/src/relay/news/news.capnp
+++ b/src/relay/news/news.capnp
@@ -39,6 +39,8 @@
   hosts @5 :KindNews;
   # JSON, only for a starting asker of a large fleet: the hosts of its zone that it may follow, in order.
   guides @6 :Data;
+  # The store does not answer the sender, or whom the sender follows.
+  isLost @7 :Bool;
 }
 
 # Eight bytes each: reports go out several times a second.
@@ -61,6 +63,8 @@
 struct LoadReport {
   loads @0 :List(EngineLoad);
   demands @1 :List(ServiceDemand);
+  # Engines of which the reporter wants to be told whatever they are like: those that it works with.
+  wanted @2 :List(UInt32);
 }
 
 interface NewsPeer {
--- a/src/relay/news/news_capnp.rs
+++ b/src/relay/news/news_capnp.rs
@@ -755,11 +755,15 @@
         pub fn has_guides(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_is_lost(self) -> bool {
+            self.reader.get_bool_field(128)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -897,6 +901,14 @@
         pub fn has_guides(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
+        #[inline]
+        pub fn get_is_lost(self) -> bool {
+            self.builder.get_bool_field(128)
+        }
+        #[inline]
+        pub fn set_is_lost(&mut self, value: bool)  {
+            self.builder.set_bool_field(128, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -914,73 +926,80 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 125] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 140] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(192, 15, 59, 78, 52, 184, 25, 176),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(35, 152, 123, 90, 14, 108, 31, 212),
             ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 67, 108, 117, 115, 116),
             ::capnp::word(101, 114, 78, 101, 119, 115, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 128, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1040,6 +1059,14 @@
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 76, 111, 115, 116, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1050,6 +1077,7 @@
                 4 => <crate::news_capnp::kind_news::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <crate::news_capnp::kind_news::Owned as ::capnp::introspect::Introspect>::introspect(),
                 6 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                7 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1063,9 +1091,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,3,2,6,5,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,3,2,6,5,7,1];
         pub(crate) const TYPE_ID: u64 = 0xb019_b834_4e3b_0fc0;
     }
 }
@@ -1665,11 +1693,19 @@
         pub fn has_demands(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_wanted(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u32>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_wanted(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1751,6 +1787,22 @@
         pub fn has_demands(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_wanted(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u32>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_wanted(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u32>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_wanted(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u32> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_wanted(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1762,38 +1814,45 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 55] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 74] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(58, 255, 45, 183, 55, 74, 6, 226),
             ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(35, 152, 123, 90, 14, 108, 31, 212),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 76, 111, 97, 100, 82),
             ::capnp::word(101, 112, 111, 114, 116, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(89, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(108, 111, 97, 100, 115, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1818,11 +1877,24 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 110, 116, 101, 100, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::struct_list::Owned<crate::news_capnp::engine_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::struct_list::Owned<crate::news_capnp::service_demand::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1836,9 +1908,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
         pub(crate) const TYPE_ID: u64 = 0xe206_4a37_b72d_ff3a;
     }
 }
--- a/src/relay/news/share.rs
+++ b/src/relay/news/share.rs
@@ -89,7 +89,10 @@
 
     async fn run(self: Rc<Self>) {
         for turn in 0_u32.. {
-            tokio::time::sleep(self.period()).await;
+            tokio::select! {
+                () = tokio::time::sleep(self.period()) => {}
+                () = self.follower.served() => {}
+            }
             match self.follower.head() {
                 Some(entry) => self.report_to(&entry).await,
                 None => {
--- a/src/relay/news/tell.rs
+++ b/src/relay/news/tell.rs
@@ -71,6 +71,7 @@
     });
     ClusterNews {
         age: cluster.age(now),
+        is_lost: cluster.is_store_lost(),
         outage: cluster.outage_age(now),
         config_version: cluster.config_version(),
         config: told.cloned(),
--- a/src/relay/parts/publish.rs
+++ b/src/relay/parts/publish.rs
@@ -3,10 +3,15 @@
 use {
     super::shared::RelayParts,
     crate::{
+        engine::EngineRole,
         event,
-        relay::{config::RelayConfig, policy::changes::BackendChanges},
+        relay::{
+            config::RelayConfig,
+            policy::{changes::BackendChanges, subset},
+        },
     },
     faststr::FastStr,
+    std::collections::HashMap,
 };
 
 /// Names that a line of the log shows at most.
@@ -32,6 +37,7 @@
         let usable = self.cluster.borrow().usable();
         let count = usable.len();
         let changes = self.book.borrow_mut().set_backends(usable);
+        self.prefer_engines();
         if !changes.is_empty() {
             self.log_changes(&changes, count);
         }
@@ -43,6 +49,28 @@
         self.news.notify_waiters();
     }
 
+    /// Works out anew which engines of its zone this host works with first.
+    pub fn prefer_engines(&self) {
+        let own = &self.settings.name;
+        let zone = &self.settings.zone;
+        let cluster = self.cluster.borrow();
+        let near = cluster.hosts().filter(|entry| entry.zone == *zone);
+        let hosts: Vec<FastStr> = near.map(|entry| entry.name.clone()).collect();
+        let mut pools: HashMap<(&FastStr, EngineRole), Vec<FastStr>> = HashMap::new();
+        for backend in cluster.backends() {
+            let Some(role) = backend.role else { continue };
+            if backend.zone == *zone && !backend.leaving {
+                let pool = pools.entry((&backend.service, role)).or_default();
+                pool.push(backend.id.clone());
+            }
+        }
+        let subsets = pools
+            .values()
+            .map(|engines| subset::subset_of(own, &hosts, engines));
+        let preferred = subsets.flatten().collect();
+        self.book.borrow_mut().set_preferred(&preferred);
+    }
+
     fn log_changes(&self, changes: &BackendChanges, count: usize) {
         let cluster = self.cluster.borrow();
         let age = cluster.age(self.now());
--- a/src/relay/parts/shares.rs
+++ b/src/relay/parts/shares.rs
@@ -8,7 +8,7 @@
             policy::{
                 book::OTHERS_LIFE,
                 budget::{DemandCounts, FleetDemand, RetryAllowance, WindowBudget},
-                loads::{LoadReport, ServiceDemand},
+                loads::{EngineKey, LoadReport, ServiceDemand},
             },
         },
         web::{PoolLane, PoolTarget},
@@ -29,6 +29,9 @@
 /// allowance is to be shared out: enough for one or two. Operators allow at least two for each host.
 const EXTRA_UNKNOWN: f64 = 3.0;
 
+/// Engines of which this host asks to be told at most: four bytes each in a report, eight in its answer.
+const WANTED_MOST: usize = 32;
+
 /// What all other hosts together count by service, as they last told.
 #[derive(Debug, Default)]
 pub(super) struct OthersDemand {
@@ -176,9 +179,17 @@
         LoadReport {
             loads: self.book.borrow().loads(now),
             demands: demands.collect(),
+            wanted: self.wanted_keys(),
         }
     }
 
+    // Where there are few hosts all engines are worked with, and the fullest of them are told anyway.
+    fn wanted_keys(&self) -> Vec<EngineKey> {
+        let mut keys = self.book.borrow().preferred_keys();
+        keys.truncate(WANTED_MOST);
+        keys
+    }
+
     /// Takes what all other hosts tell together.
     pub fn take_others(&self, report: LoadReport) {
         let now = self.now();
--- a/src/relay/policy/book.rs
+++ b/src/relay/policy/book.rs
@@ -10,7 +10,10 @@
     },
     crate::{engine::EngineRole, relay::backend::BackendInfo},
     faststr::FastStr,
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
 };
 
 /// Longest time that one is passed over: a restart takes a few seconds.
@@ -28,6 +31,10 @@
 /// Delay that a prefill engine of another zone counts as: its KV cache takes the dearer way.
 const AWAY_DELAY: f64 = 0.04;
 
+/// Delay that a prefill engine outside the host's subset counts as, seconds: a new connection takes a millisecond, but what
+/// is known of its queue is older.
+const OUTSIDE_DELAY: f64 = 0.03;
+
 /// How long an engine that declined is passed over: a change of role takes some seconds, and each look
 /// costs a repeat.
 const DECLINE_TIME: Duration = Duration::from_millis(1_500);
@@ -101,6 +108,20 @@
         changes
     }
 
+    /// Takes the engines that this host works with first; all others come after them.
+    pub fn set_preferred(&mut self, preferred: &BTreeSet<FastStr>) {
+        for view in self.views.values_mut() {
+            view.is_preferred = preferred.contains(&view.info.id);
+        }
+    }
+
+    /// The engines that this host works with first, as reports name them.
+    pub fn preferred_keys(&self) -> Vec<EngineKey> {
+        let engines = self.views.values().filter(|view| view.info.role.is_some());
+        let preferred = engines.filter(|view| view.is_preferred);
+        preferred.map(|view| view.key).collect()
+    }
+
     /// What is known of one.
     pub fn view(&self, id: &str) -> Option<&BackendView> {
         self.views.get(id)
@@ -212,8 +233,8 @@
         view.is_out(now) || view.is_on_trial() || others_do
     }
 
-    /// The decode engines that have room for a request as far as is known, best first: own zone, least
-    /// taken. `memory` is what an engine's memory holds.
+    /// The decode engines that have room for a request as far as is known, best first: own zone, those that this host
+    /// works with, least taken. `memory` is what an engine's memory holds.
     pub fn rank_decodes(
         &self,
         service: &str,
@@ -228,7 +249,12 @@
             .filter(|view| self.fits(view, tokens, memory, now));
         sorted(views, |view| {
             let noise = rand::random::<u64>() % LOAD_NOISE;
-            (view.info.zone != zone, self.known_tokens(view, now) + noise)
+            let is_other = view.info.zone != zone;
+            (
+                is_other,
+                !view.is_preferred,
+                self.known_tokens(view, now) + noise,
+            )
         })
     }
 
@@ -271,6 +297,7 @@
         let untried = engines.filter(|view| !tried.contains(&view.info.id));
         let scored = untried.map(|view| {
             let away = f64::from(u8::from(view.info.zone != zone)) * AWAY_DELAY;
+            let away = away + f64::from(u8::from(!view.is_preferred)) * OUTSIDE_DELAY;
             let backlog = view.prefill_backlog(self.prefill_rate, now);
             (view, backlog, backlog + away, rand::random::<u16>())
         });
--- a/src/relay/policy/loads.rs
+++ b/src/relay/policy/loads.rs
@@ -13,8 +13,8 @@
 /// Age from which a report no longer counts: some reports may be lost, and the host itself may be.
 const REPORT_LIFE: Duration = Duration::from_millis(1_500);
 
-/// Engines that one answer names at most: those that fail and the fullest, which are to be left alone. With all engines
-/// of a large zone in each answer, the link of the host that adds up would be full.
+/// Engines that one answer names at most besides those that the asker works with: those that fail and the fullest, which
+/// are to be left alone. With all engines of a large zone in each answer, the link of the host that adds up would be full.
 const TOLD_ENGINES: usize = 48;
 
 /// A backend server's run in reports: a hash of its id. Two of some thousand runs share one once in some
@@ -58,6 +58,8 @@
     pub loads: Vec<EngineLoad>,
     /// By service.
     pub demands: Vec<ServiceDemand>,
+    /// Engines of which the reporter wants to be told whatever they are like: those that it works with.
+    pub wanted: Vec<EngineKey>,
 }
 
 /// Who reports.
@@ -81,9 +83,11 @@
         self.reports.insert(reporter, (report, now));
     }
 
-    /// What all but this host report, as far as it is not old; of the engines the fullest.
-    pub fn others_of(&self, host: &str, now: Duration) -> LoadReport {
-        self.total(now, |reporter| match reporter {
+    /// What all but this host report, as far as it is not old; of the engines those that it wants, and the fullest.
+    pub fn others_of(&self, host: &FastStr, now: Duration) -> LoadReport {
+        let own = self.reports.get(&LoadReporter::Host(host.clone()));
+        let wanted = own.map_or(&[][..], |(report, _)| &report.wanted);
+        self.total(now, wanted, |reporter| match reporter {
             LoadReporter::Host(name) => name != host,
             LoadReporter::Zone(_) => true,
         })
@@ -91,7 +95,9 @@
 
     /// What the zone's own hosts report; of the engines the fullest.
     pub fn of_zone(&self, now: Duration) -> LoadReport {
-        self.total(now, |reporter| matches!(reporter, LoadReporter::Host(_)))
+        self.total(now, &[], |reporter| {
+            matches!(reporter, LoadReporter::Host(_))
+        })
     }
 
     /// Forgets reports that no longer count.
@@ -99,7 +105,12 @@
         self.reports.retain(|_, (_, at)| is_recent(*at, now));
     }
 
-    fn total(&self, now: Duration, counts: impl Fn(&LoadReporter) -> bool) -> LoadReport {
+    fn total(
+        &self,
+        now: Duration,
+        wanted: &[EngineKey],
+        counts: impl Fn(&LoadReporter) -> bool,
+    ) -> LoadReport {
         let mut loads: BTreeMap<EngineKey, EngineLoad> = BTreeMap::new();
         let mut demands: BTreeMap<&FastStr, ServiceDemand> = BTreeMap::new();
         for (reporter, (report, at)) in &self.reports {
@@ -120,16 +131,22 @@
             }
         }
         LoadReport {
-            loads: fullest(loads.into_values().collect()),
+            loads: told(loads.into_values().collect(), wanted),
             demands: demands.into_values().collect(),
+            wanted: Vec::new(),
         }
     }
 }
 
-fn fullest(mut loads: Vec<EngineLoad>) -> Vec<EngineLoad> {
-    loads.sort_by_key(|load| Reverse((load.passed_over, load.memory_tokens)));
-    loads.truncate(TOLD_ENGINES);
-    loads
+// The loads that are wanted, then the fullest of the rest.
+fn told(loads: Vec<EngineLoad>, wanted: &[EngineKey]) -> Vec<EngineLoad> {
+    let (mut told, mut rest): (Vec<EngineLoad>, Vec<EngineLoad>) = loads
+        .into_iter()
+        .partition(|load| wanted.contains(&load.engine));
+    rest.sort_by_key(|load| Reverse((load.passed_over, load.memory_tokens)));
+    rest.truncate(TOLD_ENGINES);
+    told.extend(rest);
+    told
 }
 
 fn is_recent(at: Duration, now: Duration) -> bool {
--- a/src/relay/policy/mod.rs
+++ b/src/relay/policy/mod.rs
@@ -13,10 +13,11 @@
 pub(crate) mod route;
 pub(crate) mod source;
 pub(crate) mod split;
+pub(crate) mod subset;
 pub(crate) mod view;
 pub(crate) mod waited;
 
 pub use self::{
     admission::*, book::*, budget::*, changes::*, kept::*, line::*, loads::*, pauses::*, room::*,
-    route::*, source::*, split::*, view::*, waited::*,
+    route::*, source::*, split::*, subset::*, view::*, waited::*,
 };
--- a/src/relay/policy/source.rs
+++ b/src/relay/policy/source.rs
@@ -52,8 +52,8 @@
 /// calls a second.
 const READERS: usize = 2;
 
-/// How much longer than until news are old the store has to be silent before hosts try it in turn: three hosts that pass
-/// news on make them 0.9 s older, and a reader may need a second to find that the store is back.
+/// How much longer than until news are old the store has to be silent before hosts try it in turn where no reader has
+/// said that it is lost: three hosts that pass news on make them 0.9 s older.
 const SILENCE_MARGIN: Duration = Duration::from_millis(800);
 
 /// How long one host of a zone tries a silent store before it is another one's turn: long enough for a call of each
@@ -202,14 +202,19 @@
         others.cloned().collect()
     }
 
+    /// When the store last answered this host in its turn, while it was silent to the readers.
+    pub fn served(&self) -> Option<Duration> {
+        self.served
+    }
+
     /// How long this host may yet hear nobody until it reads the store itself.
     pub fn time_left(&self, now: Duration) -> Duration {
         (self.heard + self.rules.old_news).saturating_sub(now)
     }
 
     /// Whom to ask next. `age` is how long ago the store answered anybody of whom this host heard; none while it
-    /// does not know everything yet.
-    pub fn choose(&mut self, age: Option<Duration>, now: Duration) -> NewsSource {
+    /// does not know everything yet. `is_lost` says that it fails to answer whom this host follows.
+    pub fn choose(&mut self, age: Option<Duration>, is_lost: bool, now: Duration) -> NewsSource {
         if self.is_reader(now) {
             self.heard = now;
             return NewsSource::Store;
@@ -219,7 +224,7 @@
                 self.heard = now;
                 return self.choose_at_start(now);
             }
-            Some(age) => self.look_whether_to_read(age, now),
+            Some(age) => self.look_whether_to_read(age, is_lost, now),
         }
         match self.reading {
             Some(_) => NewsSource::Store,
@@ -241,8 +246,12 @@
             .map_or(NewsSource::Seeds, NewsSource::Host)
     }
 
-    fn look_whether_to_read(&mut self, age: Duration, now: Duration) {
-        let is_silent = age >= self.rules.old_news + SILENCE_MARGIN;
+    fn look_whether_to_read(&mut self, age: Duration, is_lost: bool, now: Duration) {
+        let margin = match is_lost {
+            true => Duration::ZERO,
+            false => SILENCE_MARGIN,
+        };
+        let is_silent = age >= self.rules.old_news + margin;
         self.reading = match self.reading {
             Some((OwnReading::Trial, _)) if !is_silent => {
                 self.served = Some(now);
--- a/src/relay/policy/split.rs
+++ b/src/relay/policy/split.rs
@@ -9,10 +9,11 @@
 };
 
 /// Part of a service's engines that compute prompts, and what is added for bursts per square root of their
-/// number: the more there are, the less of them stands by. By measured runs with 12, 18, 60 and 90 engines
-/// (docs/design/routing.md).
-const PREFILL_SHARE: f64 = 0.165;
-const PREFILL_SPARE: f64 = 0.4;
+/// number, before any traffic is known. By measured runs with 9 to 256 engines: prompts queue where they are sent, memory can be
+/// looked for, so prefill engines are to be busy 0.6 times as much as memory is full. With 0.165 and 0.4 (49 of 256) a
+/// third of the streams was late for its prefill in bursts; with 96 memory was short (docs/worth.md).
+const PREFILL_SHARE: f64 = 0.26;
+const PREFILL_SPARE: f64 = 0.1;
 
 /// An engine that is to change its role.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/relay/policy/view.rs
+++ b/src/relay/policy/view.rs
@@ -44,6 +44,8 @@
     pub info: BackendInfo,
     // The same in reports of other hosts.
     pub(super) key: EngineKey,
+    // Whether it is an engine that this host works with first.
+    pub(super) is_preferred: bool,
     // When each request in progress was sent, by its number.
     pub(super) calls: BTreeMap<u64, Duration>,
     pub(super) failures: u32,
@@ -71,6 +73,7 @@
         Self {
             key: EngineKey::of(&info.id),
             info,
+            is_preferred: true,
             calls: BTreeMap::new(),
             failures: 0,
             out_until: Duration::ZERO,
--- a/tools/troubles.py
+++ b/tools/troubles.py
@@ -2,12 +2,17 @@
 """Plays each kind of trouble alone, early and late, and prints a table of what came of it; with --pairs,
 the most dangerous pairs at once.
 
-Usage: tools/troubles.py FLEETBENCH SITE [JOBS] [--pairs] > TABLE
+Usage: tools/troubles.py FLEETBENCH SITE [JOBS] [--pairs] [--small] [--only NUMBER,...] > TABLE
+
+  --pairs  the most dangerous pairs at once, in place of each kind alone
+  --small  the small twin of a large deployment
+  --only   these rows of the table only, by their number
 
 The kinds and their variants are read from what `FLEETBENCH kinds SITE` lists and from the site's own
 list of troubles, so that new ones are played without a change here. The days go to a temporary folder.
 """
 
+import argparse
 import concurrent.futures
 import json
 import os
@@ -15,7 +20,8 @@
 import subprocess
 import sys
 import tempfile
-import tomllib
+
+import worth
 
 MOMENTS_S = (2.0, 15.0)  # early, and in the middle of a day
 CLOSINGS = ("power_off_all", "kill_all")
@@ -24,7 +30,7 @@
 # Words of the list that are no variants of their own.
 NO_VARIANTS = {"how", "and", "or", "with", "of", "all", "them", "for", "they", "are", "x", "s", "after",
                "the", "on", "a", "these", "is", "lose", "off", "killed", "share", "cut"}
-DAY_TIMEOUT_S = 120
+DAY_TIMEOUT_S = 300
 
 # Pairs: each store trouble with each loss of hosts, with leaving servers and with configurations, and some
 # that meet in a request.
@@ -82,11 +88,14 @@
 
 
 def day_text(quiet, name, troubles, closing):
+    """The text of a day with these troubles; what a small twin needs is the quiet day's."""
     plan = [one for one in troubles if one["kind"] in PLANNED]
     faults = [one for one in troubles if one["kind"] not in PLANNED]
     lines = ["[[day]]", f"name = {json.dumps(name)}", f"seed = {quiet['seed']}"]
     if closing:
         lines += [f'closing = {{ kind = "{closing}", down_s = 1.0 }}', "length_s = 41.0"]
+    if "small" in quiet:
+        lines.append(f"small = {worth.toml_value(quiet['small'])}")
     for key, entries in (("plan", plan), ("faults", faults)):
         lines.append(f"{key} = [" + ", ".join(entry_text(one) for one in entries) + "]")
     return "\n".join(lines) + "\n"
@@ -111,13 +120,14 @@
         yield names, [{**a, "at": PAIR_AT_S}, {**b, "at": PAIR_AT_S + 0.5}]
 
 
-def play(bench, site, folder, number, text):
+def play(bench, site, folder, number, text, is_small):
     day = os.path.join(folder, f"day-{number}.toml")
     report = os.path.join(folder, f"day-{number}.json")
     with open(day, "w", encoding="utf-8") as file:
         file.write(text)
     command = [bench, "run", site, day, "--no-cpu", "--jobs", "1", "--report", report,
                "--why", "troubles of our own, alone or in pairs"]
+    command += ["--small"] if is_small else []
     try:
         run = subprocess.run(command, capture_output=True, text=True, timeout=DAY_TIMEOUT_S)
     except subprocess.TimeoutExpired:
@@ -128,41 +138,53 @@
         return json.load(file), ""
 
 
+def parse_options():
+    parser = argparse.ArgumentParser(add_help=True, usage=__doc__)
+    parser.add_argument("bench")
+    parser.add_argument("site")
+    parser.add_argument("jobs", type=int, nargs="?", default=4)
+    parser.add_argument("--pairs", action="store_true")
+    parser.add_argument("--small", action="store_true")
+    parser.add_argument("--only", type=lambda text: [int(number) for number in text.split(",")], default=[])
+    return parser.parse_args()
+
+
 def main():
-    words = [word for word in sys.argv[1:] if word != "--pairs"]
-    as_pairs = "--pairs" in sys.argv
-    bench, site = words[:2]
-    jobs = int(words[2]) if len(words) > 2 else 4
-    with open(site, encoding="utf-8") as file:
-        # What follows the site's tables is sealed.
-        text = file.read().split("\n[[day]]")[0]
-        spec = tomllib.loads(text)
-    with open(site, encoding="utf-8") as file:
-        quiet = {"seed": int(re.search(r"\[\[day\]\].*?seed = (\d+)", file.read(), re.S)[1])}
+    options = parse_options()
+    bench, site = options.bench, options.site
+    spec = worth.read_site(site)
+    first = spec["day"][0]
+    quiet = {key: first[key] for key in ("seed", "small") if key in first}
     days = [("quiet", "", "", [])]
-    if as_pairs:
+    if options.pairs:
         days += [(first, second, PAIR_AT_S, both) for (first, second), both in pairs()]
     else:
         for one in entries(bench, site, spec):
             for moment in MOMENTS_S:
                 days.append((one["kind"], one.get("how", ""), moment, [{**one, "at": moment}]))
         days += [("closing", kind, "end", []) for kind in CLOSINGS]
+    wanted = {0, *options.only} if options.only else set(range(len(days)))
+    numbered = [(number, day) for number, day in enumerate(days) if number in wanted]
     with tempfile.TemporaryDirectory() as folder:
         def job(item):
             number, (kind, how, moment, troubles) = item
             closing = how if kind == "closing" else None
-            return play(bench, site, folder, number, day_text(quiet, f"own-{number}", troubles, closing))
+            text = day_text(quiet, f"own-{number}", troubles, closing)
+            return play(bench, site, folder, number, text, options.small)
 
-        with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
-            results = list(pool.map(job, enumerate(days)))
+        with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
+            results = list(pool.map(job, numbered))
     base = results[0][0]["G"] if results[0][0] else 0.0
-    print("| kind | how | at s | rules broken | worth | against quiet |\n| --- | --- | --- | --- | --- | --- |")
-    for (kind, how, moment, _), (report, problem) in zip(days, results):
+    print("| number | kind | how | at s | rules broken | worth | against quiet |")
+    print("| --- | --- | --- | --- | --- | --- | --- |")
+    for (number, (kind, how, moment, _)), (report, problem) in zip(numbered, results):
         if report is None:
-            print(f"| {kind} | {how} | {moment} | not played: {problem} | | |")
+            print(f"| {number} | {kind} | {how} | {moment} | not played: {problem} | | |")
             continue
         broken = ", ".join(report["breaks"]) or report["fault"] or "none"
-        print(f"| {kind} | {how} | {moment} | {broken} | {report['G']:.3f} | {report['G'] - base:+.3f} |")
+        row = (number, kind, how, moment, broken, f"{report['G']:.3f}", f"{report['G'] - base:+.3f}")
+        print("| " + " | ".join(map(str, row)) + " |")
 
 
-main()
+if __name__ == "__main__":
+    main()
--- a/tools/worth.py
+++ b/tools/worth.py
@@ -2,7 +2,7 @@
 """Plays days of a site several times and says where their worth goes; by default without processor time.
 
 Usage: tools/worth.py FLEETBENCH SITE [--days NAME,...] [--seeds N,...] [--without KIND,...]...
-                      [--jobs N] [--causes] [--why TEXT] > TABLES
+                      [--jobs N] [--causes] [--account] [--small] [--why TEXT] > TABLES
 
   --days     names of standard days; left out: all that have a closing, which are those with trouble
   --seeds    seeds to play each day with; left out: 11,12,13
@@ -10,6 +10,9 @@
              them; may be given several times: the bounds of what the trouble takes
   --jobs     days at once; left out: 4
   --causes   reads the hosts' logs: at which step streams lost their time, and the stricter figure
+  --account  reads the hosts' logs: calls to the store by cause, connections, how evenly engines are used, how soon
+             all hosts know of a server that fails
+  --small    the small twins of large days
   --why      a line for the journal
 
 Exit codes: 0 played, 2 a site, day or bench that cannot be read, or a day that was not played.
@@ -26,9 +29,11 @@
 import tempfile
 import tomllib
 
+import account
+
 # What a retry that fails costs of its request's worth, as a second refusal does.
 RETRY_CHARGE = 0.3
-DAY_TIMEOUT_S = 300
+DAY_TIMEOUT_S = 900
 WINDOW_S = 2
 # Share of its time for which a request may be held in vain until that costs its whole worth: the letter's
 # charge grows without steps.
@@ -87,8 +92,10 @@
     report = f"{stem}.json"
     command = [options.bench, "run", options.site, target, "--seed", str(seed), "--no-cpu", "--jobs", "1",
                "--report", report, "--why", options.why]
-    if options.causes:
+    if options.causes or options.account:
         command += ["--log", "all"]
+    if options.small:
+        command += ["--small"]
     try:
         run = subprocess.run(command, capture_output=True, text=True, timeout=DAY_TIMEOUT_S, check=False)
     except OSError as error:
@@ -297,6 +304,13 @@
     table(["size of the prompt", "tries", "in time"], rows)
 
 
+def print_account(played):
+    figures = account.Account()
+    for _, log in played.values():
+        figures.take(log)
+    table(["account, mean of a day", "value"], [list(row) for row in figures.rows()])
+
+
 def play_all(options, spec, folder):
     """Plays all days; gives reports and logs by variant, then by day and seed."""
     known = {day["name"]: day for day in spec.get("day", [])}
@@ -329,6 +343,8 @@
     parser.add_argument("--without", type=lambda text: text.split(","), action="append", default=[])
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("--causes", action="store_true")
+    parser.add_argument("--account", action="store_true")
+    parser.add_argument("--small", action="store_true")
     parser.add_argument("--why", default="where the worth goes")
     return parser.parse_args()
 
@@ -353,6 +369,8 @@
         print_groups(reports.values(), "windows", "from second")
         print_groups(reports.values(), "classes", "kind")
         print_groups(reports.values(), "zones", "zone")
+        if options.account:
+            print_account(played)
         if options.causes:
             causes = Causes()
             for report, log in played.values():
