--- a/src/host/passing.rs
+++ b/src/host/passing.rs
@@ -6,6 +6,7 @@
 use {
     super::traffic::Traffic,
     crate::{
+        account::{KeyRules, LimitTolerance},
         control::ControlSnapshot,
         operation::OnceSignal,
         relay::{self, HostEntry, RelayBounds, RelayParts, RelaySettings, RetryAllowance},
@@ -125,6 +126,11 @@
             silence_limit: SILENCE_LIMIT,
         },
         bounds: RelayBounds {
+            keys: KeyRules {
+                revoke_time: None,
+                apply_time: Duration::MAX,
+            },
+            limits: LimitTolerance::NONE,
             retries: RetryAllowance {
                 share: settings.retry_share,
                 extra: REPEATS_EXTRA,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! `docs/architecture.md` has the map; a request passes the folders in this order: [`web`],
 //! [`filter`], [`operation`], [`route`], [`engine`]. [`control`] keeps what they read.
 
+pub mod account;
 pub mod bench;
 pub mod cli;
 pub mod conf;
--- a/src/relay/belief/cluster.rs
+++ b/src/relay/belief/cluster.rs
@@ -49,6 +49,8 @@
     // Until when the configuration and the list of backend servers are known to be the newest.
     config_confirmed: Option<ViewTime>,
     backends_confirmed: Option<ViewTime>,
+    // When the configuration was surely the newest: a call that was sent then found nothing newer.
+    config_proved: Option<ViewTime>,
     // When the list of backend servers was last read from the store, be it one that lagged.
     backends_read: Option<Duration>,
     // The store does not answer this host, or whom it follows.
@@ -75,6 +77,7 @@
             outage_ended: None,
             config_confirmed: None,
             backends_confirmed: None,
+            config_proved: None,
             backends_read: None,
             store_lost: false,
         }
@@ -132,6 +135,16 @@
         *confirmed = Some(confirmed.map_or(at, |before| before.max(at)));
     }
 
+    /// The configuration was surely the newest at this time, be it before the host's start.
+    pub fn prove_config(&mut self, at: ViewTime) {
+        self.config_proved = self.config_proved.max(Some(at));
+    }
+
+    /// How long ago the configuration was surely the newest; none where that was never so.
+    pub fn proof_age(&self, now: Duration) -> Option<Duration> {
+        Some(self.config_proved?.age(now))
+    }
+
     /// Until when the older of configuration and backend servers is known to be the newest; none before both are
     /// known.
     pub fn confirmed(&self) -> Option<ViewTime> {
--- a/src/relay/config.rs
+++ b/src/relay/config.rs
@@ -1,6 +1,7 @@
 //! What operators configure for requests that are passed through: routes, services, limits.
 
 use {
+    crate::account::ClientAccount,
     faststr::FastStr,
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -17,6 +18,10 @@
     pub services: Vec<RelayService>,
     /// What callers may send.
     pub limits: CallerLimits,
+    /// The client accounts; none where requests need no key. Where there is a list, a request on a route that is
+    /// not public needs a key of one of them, also where the list is empty.
+    #[serde(default)]
+    pub accounts: Option<Vec<ClientAccount>>,
 }
 
 impl RelayConfig {
@@ -49,6 +54,9 @@
     pub priority: u8,
     /// The services, with their shares of the requests.
     pub shares: Vec<ServiceShare>,
+    /// Its requests need no key.
+    #[serde(default)]
+    pub is_public: bool,
 }
 
 /// How a request may be run and how it is answered.
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -4,7 +4,7 @@
 //! functions.
 
 use {
-    crate::{engine::EngineRole, web::PoolUse},
+    crate::{account::ShownKey, engine::EngineRole, web::PoolUse},
     bytes::Bytes,
     faststr::FastStr,
     http::{HeaderMap, Method, StatusCode},
@@ -26,6 +26,8 @@
     pub answer_hint: Option<u64>,
     /// The last event that the caller has.
     pub last_event: Option<FastStr>,
+    /// The key that it shows.
+    pub key: ShownKey,
     /// Id of the prompt's last part, which is this request's own or its session's: engines name what they
     /// keep of a prompt by it.
     pub last_part: Option<FastStr>,
@@ -54,6 +56,8 @@
     pub backend: &'a str,
     /// What is left of the caller's time.
     pub time_left: Duration,
+    /// The client account that the request is for, if it is known.
+    pub account: Option<&'a str>,
 }
 
 /// A call of our own to a backend server.
@@ -151,7 +155,7 @@
     pub read_call: fn(&HeaderMap) -> CallMarks,
     /// Removes headers that only this host may set.
     pub strip_call: fn(&mut HeaderMap),
-    /// Names the backend server and the time that is left.
+    /// Names the backend server, the client account and the time that is left.
     pub address_call: fn(&mut HeaderMap, CallAddress<'_>),
     /// Names the run of the backend server that a call of our own is meant for.
     pub name_backend: fn(&mut HeaderMap, &str),
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -120,7 +120,9 @@
         let follower = NewsFollower::start(self.parts.clone(), feed, links.clone());
         let share = LoadShare::start(self.parts.clone(), follower, links);
         let parts = self.parts.clone();
+        let keeper = parts.clone();
         let answers = NewsAnswers {
+            charges: Box::new(move |account, units| keeper.answer_charge(account, units)),
             news: Box::new(move |held| news::tell_news(parts.clone(), held).boxed_local()),
             loads: Box::new(move |reporter, loads, age| share.answer(reporter, loads, age)),
         };
--- a/src/relay/news/feed.rs
+++ b/src/relay/news/feed.rs
@@ -5,6 +5,7 @@
         event,
         relay::{
             backend::BackendInfo,
+            belief::view_time::ViewTime,
             link::{
                 HostEntry, ListAge, StoreChange, StoreChanges, StoreItem, StoreKind, StoreLink,
                 StoreList, StoreValue,
@@ -128,10 +129,14 @@
     async fn list(&self, kind: StoreKind, age: ListAge) -> Result<(), StoreFailure> {
         let metrics = &self.parts.metrics;
         let cause = self.cause(kind, StoreCause::List);
+        let asked = self.parts.now();
         match (self.store.list)(kind, age).await {
             Ok(list) => {
                 metrics.store_called(cause, list.calls);
                 self.take_list(kind, list);
+                if age == ListAge::Newest {
+                    self.prove(kind, asked);
+                }
                 Ok(())
             }
             Err(failure) => {
@@ -243,19 +248,47 @@
         let wait = match kind {
             StoreKind::Hosts => HOSTS_WATCH_TIME,
             StoreKind::Backends if self.backends_lag.get() => CONFIRMING_WATCH_TIME,
-            _ => old_news(self.parts.settings.bounds.change_time).mul_f64(WATCH_PART),
+            StoreKind::Config => self.config_watch_time(),
+            _ => self.watch_time(),
         };
+        let asked = self.parts.now();
         self.parts
             .metrics
             .store_called(self.cause(kind, StoreCause::Watch), 1);
         let changes = (self.store.watch)(kind, held, wait).await?;
         self.take_changes(kind, changes);
+        self.prove(kind, asked);
         if kind == StoreKind::Backends {
             self.backends_lag.set(false);
         }
         Ok(())
     }
 
+    fn watch_time(&self) -> Duration {
+        old_news(self.parts.settings.bounds.change_time).mul_f64(WATCH_PART)
+    }
+
+    // Where keys are bound to a proof, it is renewed with each watch.
+    fn config_watch_time(&self) -> Duration {
+        let has_accounts = self
+            .parts
+            .routes()
+            .is_some_and(|routes| routes.accounts().is_some());
+        let renewed = self.parts.settings.bounds.keys.renew_time();
+        match renewed.filter(|_| has_accounts) {
+            Some(time) => time.min(self.watch_time()),
+            None => self.watch_time(),
+        }
+    }
+
+    // What was answered to a call sent at `asked` was the newest then, whenever the answer was read.
+    fn prove(&self, kind: StoreKind, asked: Duration) {
+        if kind == StoreKind::Config {
+            let mut cluster = self.parts.cluster.borrow_mut();
+            cluster.prove_config(ViewTime::at(asked));
+        }
+    }
+
     fn lost_flag(&self, kind: StoreKind) -> Option<&Cell<bool>> {
         match kind {
             StoreKind::Config => Some(&self.config_lost),
--- a/src/relay/news/link.rs
+++ b/src/relay/news/link.rs
@@ -3,6 +3,7 @@
 use {
     super::message::{self, ClusterNews, HeldNews},
     crate::{
+        account::AccountKey,
         metric::HostMetrics,
         news_capnp::news_peer,
         peer::{self, PeerLinks},
@@ -21,12 +22,17 @@
 /// Takes a report, and how old the reporter's view is; gives what the others report together.
 pub type LoadAnswer = dyn Fn(LoadReporter, LoadReport, Option<Duration>) -> LoadReport;
 
+/// Lets a request of an account in, or says when its caller is to come back.
+pub type ChargeCall = dyn Fn(AccountKey, u32) -> Result<(), Duration>;
+
 /// What a host answers to others.
 pub struct NewsAnswers {
     /// To those that follow it.
     pub news: Box<NewsAnswer>,
     /// To those that report to it.
     pub loads: Box<LoadAnswer>,
+    /// To those whose books it keeps.
+    pub charges: Box<ChargeCall>,
 }
 
 struct NewsServer {
@@ -61,8 +67,26 @@
         message::write_report(results.get().init_others(), &others);
         Ok(())
     }
+
+    async fn charge(
+        self: CapRc<Self>,
+        params: news_peer::ChargeParams,
+        mut results: news_peer::ChargeResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let account = AccountKey(params.get_account());
+        let mut results = results.get();
+        match (self.answers.charges)(account, params.get_units()) {
+            Ok(()) => results.set_is_let_in(true),
+            Err(wait) => results.set_wait_ms(message::to_ms(Some(wait)).min(WAIT_MOST_MS)),
+        }
+        Ok(())
+    }
 }
 
+// A wait that was refused on the wire; no ledger tells one as long.
+const WAIT_MOST_MS: u32 = 3_600_000;
+
 /// Answers other hosts on a listening socket, for as long as the host runs.
 pub async fn serve_news(listener: TcpListener, answers: NewsAnswers, metrics: Arc<HostMetrics>) {
     let client: news_peer::Client = capnp_rpc::new_client(NewsServer { answers });
@@ -96,6 +120,30 @@
             .await
     }
 
+    /// Asks a host for an account's units: let in, or when to come back.
+    pub async fn charge(
+        &self,
+        address: SocketAddr,
+        account: AccountKey,
+        units: u32,
+        patience: Duration,
+    ) -> Result<Result<(), Duration>, Error> {
+        self.0
+            .call(address, patience, |client| async move {
+                let mut request = client.charge_request();
+                request.get().set_account(account.0);
+                request.get().set_units(units);
+                let response = request.send().promise.await?;
+                let answer = response.get()?;
+                let wait = Duration::from_millis(u64::from(answer.get_wait_ms()));
+                Ok(match answer.get_is_let_in() {
+                    true => Ok(()),
+                    false => Err(wait),
+                })
+            })
+            .await
+    }
+
     /// Reports to a host, with the age of one's own view; gives what the others report together.
     pub async fn share(
         &self,
--- a/src/relay/news/message.rs
+++ b/src/relay/news/message.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        account::{AccountKey, AccountUse, LedgerLife, NearAccount, UseReport},
         news_capnp::{cluster_news, held_news, kind_news, load_report},
         relay::{
             belief::{history::KindNews, view_time::ViewTime},
@@ -19,6 +20,9 @@
 /// Milliseconds that stand for "never" or "not known".
 const NEVER_MS: u32 = u32::MAX;
 
+/// Added to a proof's age before it is cut to whole milliseconds: on its way it must not become younger.
+const ROUNDED_UP: Duration = Duration::from_millis(1);
+
 /// What the asker has; 0 for what it needs whole.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct HeldNews {
@@ -43,6 +47,8 @@
 pub struct ClusterNews {
     /// How old the sender's view of configuration and backend servers may be; none where it has none.
     pub age: Option<Duration>,
+    /// How long ago the sender's configuration was surely the newest; none where that was never so.
+    pub proof: Option<Duration>,
     /// How long the sender held the question until it answered.
     pub held: Duration,
     /// How long ago the store was back after an outage in which entries may have lapsed, if there was one.
@@ -72,6 +78,11 @@
         Some(ViewTime::at(asked + self.held).before(self.age?))
     }
 
+    /// When the sender's configuration was surely the newest, on the clock of an asker that asked at `asked`.
+    pub fn proved(&self, asked: Duration) -> Option<ViewTime> {
+        Some(ViewTime::at(asked + self.held).before(self.proof?))
+    }
+
     /// Whether there is anything that an asker with this lacks.
     pub fn has_more_than(&self, held: &HeldNews) -> bool {
         let kinds = [&self.backends, &self.hosts];
@@ -151,6 +162,7 @@
 /// Writes news.
 pub fn write_news(mut to: cluster_news::Builder<'_>, news: &ClusterNews) -> Result<()> {
     to.set_age_ms(to_ms(news.age));
+    to.set_proof_ms(to_ms(news.proof.map(|proof| proof + ROUNDED_UP)));
     to.set_outage_ms(to_ms(news.outage));
     to.set_config_version(news.config_version);
     to.set_is_lost(news.is_lost);
@@ -179,6 +191,7 @@
     };
     Ok(ClusterNews {
         age: from_ms(from.get_age_ms()),
+        proof: from_ms(from.get_proof_ms()),
         outage: from_ms(from.get_outage_ms()),
         config_version: from.get_config_version(),
         config,
@@ -207,6 +220,7 @@
     for (index, key) in report.wanted.iter().enumerate() {
         wanted.set(index as u32, key.0);
     }
+    write_uses(to.reborrow(), &report.accounts);
     let mut demands = to.init_demands(report.demands.len() as u32);
     for (index, demand) in report.demands.iter().enumerate() {
         let mut place = demands.reborrow().get(index as u32);
@@ -216,6 +230,50 @@
     }
 }
 
+// A share of 1 on the wire.
+const WHOLE_SHARE: f64 = 65_535.0;
+
+fn write_uses(mut to: load_report::Builder<'_>, report: &UseReport) {
+    let mut uses = to.reborrow().init_uses(report.uses.len() as u32);
+    for (index, used) in report.uses.iter().enumerate() {
+        let mut place = uses.reborrow().get(index as u32);
+        place.set_account(used.account.0);
+        place.set_asked(used.asked);
+        place.set_taken(used.taken);
+    }
+    let mut nears = to.reborrow().init_near(report.near.len() as u32);
+    for (index, near) in report.near.iter().enumerate() {
+        let mut place = nears.reborrow().get(index as u32);
+        place.set_account(near.account.0);
+        place.set_share((near.share * WHOLE_SHARE) as u16);
+    }
+    if let Some(ledger) = report.ledger {
+        to.set_ledger_id(ledger.id);
+        to.set_ledger_age_ms(ledger.age.as_millis() as u64);
+    }
+}
+
+fn read_uses(from: load_report::Reader<'_>) -> Result<UseReport> {
+    let uses = from.get_uses()?.iter().map(|used| AccountUse {
+        account: AccountKey(used.get_account()),
+        asked: used.get_asked(),
+        taken: used.get_taken(),
+    });
+    let near = from.get_near()?.iter().map(|near| NearAccount {
+        account: AccountKey(near.get_account()),
+        share: f64::from(near.get_share()) / WHOLE_SHARE,
+    });
+    let id = from.get_ledger_id();
+    Ok(UseReport {
+        uses: uses.collect(),
+        near: near.collect(),
+        ledger: (id != 0).then(|| LedgerLife {
+            id,
+            age: Duration::from_millis(from.get_ledger_age_ms()),
+        }),
+    })
+}
+
 /// Reads a report; what is not well formed is an error.
 pub fn read_report(from: load_report::Reader<'_>) -> Result<LoadReport> {
     let loads = from.get_loads()?.iter().map(|load| EngineLoad {
@@ -234,5 +292,6 @@
         loads: loads.collect(),
         demands: demands.collect::<Result<_>>()?,
         wanted: from.get_wanted()?.iter().map(EngineKey).collect(),
+        accounts: read_uses(from)?,
     })
 }
--- a/src/relay/news/news.capnp
+++ b/src/relay/news/news.capnp
@@ -43,6 +43,9 @@
   isLost @7 :Bool;
   # How long the question was held: the age is as of then, not as of the answer's arrival.
   heldMs @8 :UInt32;
+  # How long ago, as of then too, the sender's configuration was surely the newest; the largest number where that is
+  # not known. Keys open routes for a bounded time after it.
+  proofMs @9 :UInt32;
 }
 
 # Eight bytes each: reports go out several times a second.
@@ -62,11 +65,31 @@
   repeats @2 :UInt32;
 }
 
+# Of a host, since its last report; of a zone, since its ledger began. Modulo 2^32.
+struct AccountUse {
+  # Hash of the account's name.
+  account @0 :UInt64;
+  asked @1 :UInt32;
+  taken @2 :UInt32;
+}
+
+# An account that the zone's ledger is to be asked for.
+struct NearAccount {
+  account @0 :UInt64;
+  # Share of its requests that fits into its limit, in 1/65535.
+  share @1 :UInt16;
+}
+
 struct LoadReport {
   loads @0 :List(EngineLoad);
   demands @1 :List(ServiceDemand);
   # Engines of which the reporter wants to be told whatever they are like: those that it works with.
   wanted @2 :List(UInt32);
+  uses @3 :List(AccountUse);
+  near @4 :List(NearAccount);
+  # Which ledger a zone's sums are of, 0 for none, and how long ago it began.
+  ledgerId @5 :UInt64;
+  ledgerAgeMs @6 :UInt64;
 }
 
 interface NewsPeer {
@@ -75,4 +98,6 @@
   # of its hosts and is told what the other zone's hosts take. A reporter also says how old its own view is, so
   # that a host which the store turns away knows whom to ask.
   share @1 (reporter :Text, isZone :Bool, report :LoadReport, ageMs :UInt32) -> (others :LoadReport);
+  # Lets a request of an account in, or says when its caller is to come back.
+  charge @2 (account :UInt64, units :UInt32) -> (isLetIn :Bool, waitMs :UInt32);
 }
--- a/src/relay/news/share.rs
+++ b/src/relay/news/share.rs
@@ -2,16 +2,20 @@
 
 use {
     super::{follow::NewsFollower, link::NewsLinks},
-    crate::relay::{
-        link::HostEntry,
-        parts::shared::RelayParts,
-        policy::{
-            loads::{LoadBoard, LoadReport, LoadReporter},
-            source,
+    crate::{
+        account::UseReport,
+        relay::{
+            link::HostEntry,
+            parts::{accounts::LedgerAsk, shared::RelayParts},
+            policy::{
+                loads::{LoadBoard, LoadReport, LoadReporter},
+                source,
+            },
+            vital,
         },
-        vital,
     },
     faststr::FastStr,
+    futures::FutureExt,
     std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration},
 };
 
@@ -64,10 +68,27 @@
             board: RefCell::default(),
             zone_failures: RefCell::default(),
         });
+        share.parts.accounts.set_ask(share.clone().ledger_ask());
         vital::spawn_vital("loads", share.clone().run());
         share
     }
 
+    // The head of the zone keeps its books.
+    fn ledger_ask(self: Rc<Self>) -> Rc<LedgerAsk> {
+        Rc::new(move |account, units, patience| {
+            let head = self.follower.head()?;
+            let links = self.links.clone();
+            let asking = async move {
+                let answer = links.charge(head.peers, account, units, patience).await;
+                if let Err(error) = &answer {
+                    log::debug!("host {} gave no account: {error}", head.name);
+                }
+                answer.ok()
+            };
+            Some(asking.boxed_local())
+        })
+    }
+
     /// Answers a report of another host or zone.
     pub fn answer(
         &self,
@@ -79,11 +100,23 @@
             self.follower.note_report(name, age);
         }
         let now = self.parts.now();
+        let accounts = self.answer_accounts(&reporter, &report.accounts);
         let mut board = self.board.borrow_mut();
         board.take(reporter.clone(), report, now);
-        match reporter {
+        let answer = match reporter {
             LoadReporter::Host(name) => board.others_of(&name, now),
             LoadReporter::Zone(_) => board.of_zone(now),
+        };
+        LoadReport { accounts, ..answer }
+    }
+
+    fn answer_accounts(&self, reporter: &LoadReporter, report: &UseReport) -> UseReport {
+        match reporter {
+            LoadReporter::Host(_) => self.parts.answer_uses(&report.uses),
+            LoadReporter::Zone(zone) => {
+                self.parts.take_sums(zone, report);
+                self.parts.account_sums()
+            }
         }
     }
 
@@ -97,7 +130,8 @@
                 Some(entry) => self.report_to(&entry).await,
                 None => {
                     self.collect_own();
-                    if turn.is_multiple_of(ZONE_PERIOD) {
+                    let is_near = self.parts.keep_books();
+                    if is_near || turn.is_multiple_of(ZONE_PERIOD) {
                         self.report_to_zones().await;
                     }
                 }
@@ -131,25 +165,33 @@
 
     async fn report_to(&self, entry: &HostEntry) {
         let own = self.parts.own_report();
+        let uses = own.accounts.uses.clone();
         let reporter = self.own_reporter();
         let sent = self
             .links
             .share(entry.peers, &reporter, &own, self.age(), REPORT_PATIENCE);
         match sent.await {
             Ok(others) => self.parts.take_others(others),
-            Err(error) => log::debug!("host {} took no report: {error}", entry.name),
+            Err(error) => {
+                log::debug!("host {} took no report: {error}", entry.name);
+                self.parts.put_back_uses(uses);
+            }
         }
     }
 
     async fn report_to_zones(&self) {
         let reporter = LoadReporter::Zone(self.parts.settings.zone.clone());
         for (zone, entry) in self.zone_hosts() {
-            let report = self.board.borrow().of_zone(self.parts.now());
+            let report = LoadReport {
+                accounts: self.parts.account_sums(),
+                ..self.board.borrow().of_zone(self.parts.now())
+            };
             let sent = self
                 .links
                 .share(entry.peers, &reporter, &report, None, REPORT_PATIENCE);
             match sent.await {
                 Ok(theirs) => {
+                    self.parts.take_sums(&zone, &theirs.accounts);
                     let now = self.parts.now();
                     let mut board = self.board.borrow_mut();
                     board.take(LoadReporter::Zone(zone.clone()), theirs, now);
--- a/src/relay/news/take.rs
+++ b/src/relay/news/take.rs
@@ -14,6 +14,7 @@
     /// than this host's is left.
     pub(super) async fn take(&self, news: ClusterNews, from: SocketAddr, asked: Duration) {
         let confirmed = news.confirmed(asked);
+        let proved = news.proved(asked);
         self.take_lists(&news, confirmed);
         let held = self.parts.cluster.borrow().config_version();
         let is_known = match news.config {
@@ -24,10 +25,17 @@
             None if news.config_version <= held => true,
             None => self.fetch_config(from).await,
         };
-        if let Some(at) = confirmed.filter(|_| is_known) {
-            let mut cluster = self.parts.cluster.borrow_mut();
+        if !is_known {
+            return;
+        }
+        let mut cluster = self.parts.cluster.borrow_mut();
+        if let Some(at) = confirmed {
             cluster.confirm_as(StoreKind::Config, at);
         }
+        // The configuration in force here is the sender's or a newer one.
+        if let Some(at) = proved {
+            cluster.prove_config(at);
+        }
     }
 
     fn take_lists(&self, news: &ClusterNews, confirmed: Option<ViewTime>) {
--- a/src/relay/news/tell.rs
+++ b/src/relay/news/tell.rs
@@ -75,6 +75,7 @@
     });
     ClusterNews {
         age: cluster.age(now),
+        proof: cluster.proof_age(now),
         is_lost: cluster.is_store_lost(),
         held: Duration::ZERO,
         outage: cluster.outage_age(now),
--- a/src/relay/objects.rs
+++ b/src/relay/objects.rs
@@ -34,6 +34,7 @@
     let routes = objects.pass_routes.values();
     let services = objects.services.keys();
     RelayConfig {
+        accounts: None,
         version,
         routes: routes.map(|route| relay_route(objects, route)).collect(),
         services: services.cloned().map(relay_service).collect(),
@@ -53,6 +54,7 @@
         })
     });
     RelayRoute {
+        is_public: true,
         name: route.metadata.name.clone(),
         host: FastStr::from_string(spec.host.to_ascii_lowercase()),
         path_prefix: spec.path_prefix.clone(),
--- /dev/null
+++ b/src/relay/parts/accounts.rs
@@ -0,0 +1,277 @@
+//! Client accounts at this host: whose a request is, and whether it fits into the account's limit.
+
+use {
+    super::shared::RelayParts,
+    crate::{
+        account::{
+            self, AccountDirectory, AccountKey, AccountLimit, AccountUse, AllowanceDesk,
+            ClientAccount, KeyStanding, ShownKey, UseChoice, UseReport, ZoneLedger,
+        },
+        operation::{Refusal, RefusalCode},
+        relay::config::RelayRoute,
+    },
+    faststr::FastStr,
+    futures::future::LocalBoxFuture,
+    rand::RngExt,
+    std::{cell::RefCell, collections::BTreeSet, fmt, ops::RangeInclusive, rc::Rc, time::Duration},
+};
+
+/// When a caller is to come back to a host that cannot say whether its key is in force: others may know, and this one
+/// hears of the store again within a second or two. Spread, since all callers of the host are told so.
+const COME_BACK_UNSURE: RangeInclusive<Duration> =
+    Duration::from_millis(300)..=Duration::from_millis(900);
+
+/// Part of the wait that a caller over its limit is told, added by draw: those that were refused in the same
+/// moment come back one after the other.
+const WAIT_SPREAD: f64 = 0.2;
+
+/// Part of a request's latency target for which the ledger's answer is waited for, and the most: it comes within
+/// milliseconds, and a guess is not much worse.
+const ASK_SHARE: f64 = 0.2;
+const ASK_LONGEST: Duration = Duration::from_millis(120);
+
+/// What a ledger answers: let in, or when to come back; none where it did not answer.
+pub type ChargeAnswer = Option<Result<(), Duration>>;
+
+/// Asks the host that keeps the zone's books; gives nothing where that is this one or is not known.
+pub type LedgerAsk =
+    dyn Fn(AccountKey, u32, Duration) -> Option<LocalBoxFuture<'static, ChargeAnswer>>;
+
+/// Units that were charged for a request.
+#[derive(Debug, Clone, Copy)]
+pub struct UseCharge {
+    account: AccountKey,
+    units: f64,
+}
+
+/// The use of client accounts, as far as this host has to do with it.
+pub struct AccountGate {
+    desk: RefCell<AllowanceDesk>,
+    ledger: RefCell<ZoneLedger>,
+    ask: RefCell<Option<Rc<LedgerAsk>>>,
+}
+
+impl fmt::Debug for AccountGate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("AccountGate")
+    }
+}
+
+impl AccountGate {
+    pub(super) fn new(ledger: ZoneLedger) -> Self {
+        Self {
+            desk: RefCell::default(),
+            ledger: RefCell::new(ledger),
+            ask: RefCell::default(),
+        }
+    }
+
+    /// Takes the way to the zone's ledger.
+    pub fn set_ask(&self, ask: Rc<LedgerAsk>) {
+        *self.ask.borrow_mut() = Some(ask);
+    }
+}
+
+impl RelayParts {
+    /// The account that a request is for, by the key that it shows; none where none is needed.
+    pub fn identify(
+        &self,
+        route: &RelayRoute,
+        shown: ShownKey,
+    ) -> Result<Option<Rc<ClientAccount>>, Refusal> {
+        let routes = self.routes();
+        let accounts = routes.as_ref().and_then(|routes| routes.accounts());
+        let proof = self.cluster.borrow().proof_age(self.now());
+        let rules = &self.settings.bounds.keys;
+        match account::judge_key(accounts, shown, route.is_public, proof, rules) {
+            KeyStanding::Account(account) => Ok(Some(account)),
+            KeyStanding::Open => Ok(None),
+            KeyStanding::Unknown => Err(Refusal::not_run(
+                RefusalCode::UnknownCaller,
+                "no key in force was shown",
+            )),
+            KeyStanding::Unsure => {
+                self.metrics.unsure_keys.inc();
+                let age = proof.map_or(-1, |age| age.as_millis() as i64);
+                let text = format!(
+                    "this host cannot tell whether the key is in force; it was sure {age} ms ago"
+                );
+                let refusal = Refusal::not_run(RefusalCode::NotConfigured, text);
+                Err(refusal.after(rand::rng().random_range(COME_BACK_UNSURE)))
+            }
+        }
+    }
+
+    /// Lets a request of so many tokens in if it fits into its account's limit.
+    pub async fn let_in(
+        &self,
+        account: &ClientAccount,
+        tokens: u64,
+        target: Duration,
+    ) -> Result<Option<UseCharge>, Refusal> {
+        let Some(limit) = account.limit else {
+            return Ok(None);
+        };
+        let charge = UseCharge {
+            account: AccountKey::of(&account.name),
+            units: limit.charge(tokens),
+        };
+        let choice = self
+            .accounts
+            .desk
+            .borrow()
+            .choose(charge.account, self.now());
+        let is_let_in = match choice {
+            UseChoice::Free => self.guess(charge, 1.0),
+            UseChoice::Guess(share) => self.guess(charge, share),
+            UseChoice::Ask => match self.ask_ledger(charge, limit, target).await {
+                Ok(answer) => answer,
+                Err(share) => self.guess(charge, share),
+            },
+        };
+        match is_let_in {
+            Ok(()) => Ok(Some(charge)),
+            Err(wait) => Err(self.over_limit(account, wait)),
+        }
+    }
+
+    fn over_limit(&self, account: &ClientAccount, wait: Duration) -> Refusal {
+        let spread = rand::random_range(1.0..=1.0 + WAIT_SPREAD);
+        let text = format!("account {} is over its limit", account.name);
+        Refusal::not_run(RefusalCode::OverLimit, text).after(wait.mul_f64(spread))
+    }
+
+    // Without the ledger: this share of requests is let in.
+    fn guess(&self, charge: UseCharge, share: f64) -> Result<(), Duration> {
+        let is_let_in = rand::random_bool(share.clamp(0.0, 1.0));
+        let mut desk = self.accounts.desk.borrow_mut();
+        desk.note(charge.account, charge.units, is_let_in);
+        match is_let_in {
+            true => Ok(()),
+            false => Err(Duration::from_secs(1)),
+        }
+    }
+
+    // What the ledger says; where it is silent, the share to guess by.
+    async fn ask_ledger(
+        &self,
+        charge: UseCharge,
+        limit: AccountLimit,
+        target: Duration,
+    ) -> Result<Result<(), Duration>, f64> {
+        let patience = target.mul_f64(ASK_SHARE).min(ASK_LONGEST);
+        let ask = self.accounts.ask.borrow().clone();
+        let units = charge.units.round() as u32;
+        let asking = ask.and_then(|ask| ask(charge.account, units, patience));
+        let Some(asking) = asking else {
+            let now = self.now();
+            let mut ledger = self.accounts.ledger.borrow_mut();
+            return Ok(ledger.charge(charge.account, limit, charge.units, now));
+        };
+        self.metrics.ledger_asks.inc();
+        if let Some(answer) = asking.await {
+            return Ok(answer);
+        }
+        self.metrics.ledger_silences.inc();
+        let mut desk = self.accounts.desk.borrow_mut();
+        desk.note_silent(self.now());
+        match desk.choose(charge.account, self.now()) {
+            UseChoice::Guess(share) => Err(share),
+            UseChoice::Free | UseChoice::Ask => Err(1.0),
+        }
+    }
+
+    /// A request that was let in has certainly not run.
+    pub fn give_back(&self, charge: UseCharge) {
+        let mut desk = self.accounts.desk.borrow_mut();
+        desk.give_back(charge.account, charge.units);
+    }
+
+    /// What this host let in by itself since it last told.
+    pub fn untold_uses(&self) -> Vec<AccountUse> {
+        self.accounts.desk.borrow_mut().take_untold()
+    }
+
+    /// What was to be told did not arrive.
+    pub fn put_back_uses(&self, uses: Vec<AccountUse>) {
+        self.accounts.desk.borrow_mut().put_back(uses);
+    }
+
+    /// Takes what the zone's ledger tells of accounts.
+    pub fn take_near(&self, report: &UseReport) {
+        let mut desk = self.accounts.desk.borrow_mut();
+        desk.set_near(&report.near, self.now());
+    }
+}
+
+/// Calls of `work` are made with the accounts in force; nothing is done where there are none.
+fn with_accounts<T>(parts: &RelayParts, work: impl FnOnce(&AccountDirectory) -> T) -> Option<T> {
+    let routes = parts.routes()?;
+    routes.accounts().map(work)
+}
+
+impl RelayParts {
+    /// Keeps the books for another host of the zone, or for this one: what it let in goes in, which accounts it is to
+    /// ask for comes out.
+    pub fn answer_uses(&self, uses: &[AccountUse]) -> UseReport {
+        let now = self.now();
+        let near = with_accounts(self, |accounts| {
+            let mut ledger = self.accounts.ledger.borrow_mut();
+            for used in uses {
+                let account = accounts.account(used.account);
+                if let Some(limit) = account.and_then(|account| account.limit) {
+                    ledger.note(*used, limit, now);
+                }
+            }
+            ledger.near(accounts, now)
+        });
+        UseReport {
+            near: near.unwrap_or_default(),
+            ..UseReport::default()
+        }
+    }
+
+    /// Answers a host that asks for a request's units.
+    pub fn answer_charge(&self, account: AccountKey, units: u32) -> Result<(), Duration> {
+        let now = self.now();
+        let answer = with_accounts(self, |accounts| {
+            let limit = accounts.account(account)?.limit?;
+            let mut ledger = self.accounts.ledger.borrow_mut();
+            Some(ledger.charge(account, limit, f64::from(units), now))
+        });
+        // An account or limit that this host does not know yet bounds nothing here.
+        answer.flatten().unwrap_or(Ok(()))
+    }
+
+    /// The sums of this zone.
+    pub fn account_sums(&self) -> UseReport {
+        self.accounts.ledger.borrow().sums(self.now())
+    }
+
+    /// Takes the sums of another zone.
+    pub fn take_sums(&self, zone: &FastStr, sums: &UseReport) {
+        let now = self.now();
+        with_accounts(self, |accounts| {
+            let mut ledger = self.accounts.ledger.borrow_mut();
+            ledger.take_sums(zone, sums, accounts, now);
+        });
+    }
+
+    /// Brings the books up to date with the zones that have hosts and with the accounts in force. Gives whether any
+    /// account is near its limit.
+    pub fn keep_books(&self) -> bool {
+        let own = &self.settings.zone;
+        let cluster = self.cluster.borrow();
+        let zones = cluster.hosts().map(|entry| entry.zone.clone());
+        let zones: BTreeSet<FastStr> = zones.filter(|zone| zone != own).collect();
+        drop(cluster);
+        let now = self.now();
+        let mut ledger = self.accounts.ledger.borrow_mut();
+        ledger.set_zones(&zones);
+        let is_near = with_accounts(self, |accounts| {
+            ledger.forget_old(accounts, now);
+            !ledger.near(accounts, now).is_empty()
+        });
+        is_near.unwrap_or(false)
+    }
+}
--- a/src/relay/parts/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -90,6 +90,14 @@
     pub news_age: Gauge,
     /// Answers to other hosts that asked for news.
     pub news_told: Counter,
+    /// How long ago the configuration was surely the newest, milliseconds; -1 where that was never so.
+    pub proof_age: Gauge,
+    /// Requests refused since this host could not tell whether their key is in force.
+    pub unsure_keys: Counter,
+    /// Requests for which the zone's ledger was asked.
+    pub ledger_asks: Counter,
+    /// Of these, those that it did not answer in time.
+    pub ledger_silences: Counter,
 }
 
 impl fmt::Debug for RelayMetrics {
@@ -128,6 +136,10 @@
             connections_reused: Gauge::default(),
             news_age: Gauge::default(),
             news_told: Counter::default(),
+            proof_age: Gauge::default(),
+            unsure_keys: Counter::default(),
+            ledger_asks: Counter::default(),
+            ledger_silences: Counter::default(),
         };
         metrics.register();
         metrics
@@ -184,6 +196,11 @@
                 "Age of the host's view of the store",
                 &self.news_age,
             ),
+            (
+                "proof_age_ms",
+                "Time since the configuration was surely the newest",
+                &self.proof_age,
+            ),
         ];
         for (name, help, gauge) in gauges {
             r.register(name, help, gauge.clone());
@@ -206,6 +223,21 @@
                 "Answers to other hosts that asked for news",
                 &self.news_told,
             ),
+            (
+                "unsure_keys",
+                "Requests refused since nobody could tell whether their key is in force",
+                &self.unsure_keys,
+            ),
+            (
+                "ledger_asks",
+                "Requests for which the zone's ledger was asked",
+                &self.ledger_asks,
+            ),
+            (
+                "ledger_silences",
+                "Questions that the zone's ledger did not answer in time",
+                &self.ledger_silences,
+            ),
         ];
         for (name, help, counter) in counters {
             r.register(name, help, counter.clone());
--- a/src/relay/parts/mod.rs
+++ b/src/relay/parts/mod.rs
@@ -1,9 +1,10 @@
 //! What the tasks of a relaying host share: its beliefs, its decisions and its figures, in one place.
 //! Methods here connect several of them; what is done with a request is a matter of `request`.
 
+pub(crate) mod accounts;
 pub(crate) mod metrics;
 pub(crate) mod publish;
 pub(crate) mod shared;
 pub(crate) mod shares;
 
-pub use self::{metrics::*, shared::*};
+pub use self::{accounts::*, metrics::*, shared::*};
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -1,8 +1,9 @@
 //! What the tasks of a relaying host share; all run on one thread.
 
 use {
-    super::{metrics::RelayMetrics, shares::OthersDemand},
+    super::{accounts::AccountGate, metrics::RelayMetrics, shares::OthersDemand},
     crate::{
+        account::ZoneLedger,
         event,
         host::StopGate,
         operation::RunVerdict,
@@ -48,6 +49,8 @@
     pub budgets: RefCell<HashMap<FastStr, WindowBudget>>,
     /// What the other hosts count by service.
     pub(super) others: RefCell<OthersDemand>,
+    /// The use of client accounts.
+    pub accounts: AccountGate,
     /// How long callers say that they will wait.
     pub waits: RefCell<CallerWaits>,
     /// Requests that wait for engines.
@@ -68,6 +71,9 @@
     pub fn new(settings: RelaySettings, dialect: CallDialect, gate: Arc<StopGate>) -> Rc<Self> {
         let pool = ConnectionPool::start(settings.pool.clone());
         let cluster = ClusterState::new(settings.bounds.heartbeat);
+        // 0 stands for no ledger on the wire.
+        let ledger_id = rand::random_range(1..=u64::MAX);
+        let ledger = ZoneLedger::new(ledger_id, settings.bounds.limits, Duration::ZERO);
         Rc::new(Self {
             settings,
             dialect,
@@ -77,6 +83,7 @@
             cluster: RefCell::new(cluster),
             budgets: RefCell::default(),
             others: RefCell::default(),
+            accounts: AccountGate::new(ledger),
             waits: RefCell::default(),
             line: RefCell::default(),
             freed: Notify::new(),
@@ -235,6 +242,10 @@
         metrics
             .news_age
             .set(age.map_or(-1, |age| age.as_millis() as i64));
+        let proof = cluster.proof_age(self.now());
+        metrics
+            .proof_age
+            .set(proof.map_or(-1, |age| age.as_millis() as i64));
         metrics.config_version.set(cluster.config_version() as i64);
         metrics.backends.set(cluster.usable().len() as i64);
         metrics.page()
--- a/src/relay/parts/shares.rs
+++ b/src/relay/parts/shares.rs
@@ -3,6 +3,7 @@
 use {
     super::shared::RelayParts,
     crate::{
+        account::UseReport,
         relay::{
             backend::BackendInfo,
             policy::{
@@ -180,6 +181,10 @@
             loads: self.book.borrow().loads(now),
             demands: demands.collect(),
             wanted: self.wanted_keys(),
+            accounts: UseReport {
+                uses: self.untold_uses(),
+                ..UseReport::default()
+            },
         }
     }
 
@@ -193,6 +198,7 @@
     /// Takes what all other hosts tell together.
     pub fn take_others(&self, report: LoadReport) {
         let now = self.now();
+        self.take_near(&report.accounts);
         self.book.borrow_mut().set_others(&report.loads, now);
         *self.others.borrow_mut() = OthersDemand {
             demands: report.demands,
--- a/src/relay/policy/loads.rs
+++ b/src/relay/policy/loads.rs
@@ -5,6 +5,7 @@
 //! the others take and saw.
 
 use {
+    crate::account::UseReport,
     faststr::FastStr,
     std::{cmp::Reverse, collections::BTreeMap, time::Duration},
     xxhash_rust::xxh3,
@@ -52,7 +53,7 @@
 }
 
 /// What one host, or several together, tell of their requests.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct LoadReport {
     /// By backend server.
     pub loads: Vec<EngineLoad>,
@@ -60,6 +61,8 @@
     pub demands: Vec<ServiceDemand>,
     /// Engines of which the reporter wants to be told whatever they are like: those that it works with.
     pub wanted: Vec<EngineKey>,
+    /// By client account; the board leaves them to the zone's ledger.
+    pub accounts: UseReport,
 }
 
 /// Who reports.
@@ -134,6 +137,7 @@
             loads: told(loads.into_values().collect(), wanted),
             demands: demands.into_values().collect(),
             wanted: Vec::new(),
+            accounts: UseReport::default(),
         }
     }
 }
--- a/src/relay/policy/route.rs
+++ b/src/relay/policy/route.rs
@@ -1,7 +1,10 @@
 //! Finding the route of a request: by host, then by the longest path prefix.
 
 use {
-    crate::relay::config::{RelayConfig, RelayRoute, RelayService},
+    crate::{
+        account::AccountDirectory,
+        relay::config::{RelayConfig, RelayRoute, RelayService},
+    },
     faststr::FastStr,
     rand::RngExt,
     std::{collections::HashMap, rc::Rc},
@@ -15,6 +18,7 @@
     by_host: HashMap<FastStr, Vec<usize>>,
     routes: Vec<Rc<RelayRoute>>,
     services: HashMap<FastStr, Rc<RelayService>>,
+    accounts: Option<AccountDirectory>,
 }
 
 impl RouteTable {
@@ -33,11 +37,13 @@
             .iter()
             .map(|service| (service.name.clone(), Rc::new(service.clone())))
             .collect();
+        let accounts = config.accounts.as_deref().map(AccountDirectory::new);
         Self {
             config,
             by_host,
             routes,
             services,
+            accounts,
         }
     }
 
@@ -46,6 +52,11 @@
         &self.config
     }
 
+    /// The client accounts; none where requests need no key.
+    pub fn accounts(&self) -> Option<&AccountDirectory> {
+        self.accounts.as_ref()
+    }
+
     /// The route of a request, by its `Host` header and path.
     pub fn find(&self, host: &str, path: &str) -> Option<Rc<RelayRoute>> {
         let name = bare_host(host);
--- a/src/relay/request/call.rs
+++ b/src/relay/request/call.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        account::ClientAccount,
         operation::{Refusal, RefusalCode},
         relay::{
             backend::BackendInfo,
@@ -33,6 +34,8 @@
     pub marks: CallMarks,
     /// Its route.
     pub route: Rc<RelayRoute>,
+    /// The client account that it is for, if a key in force was shown.
+    pub account: Option<Rc<ClientAccount>>,
     /// Version of the configuration that the route is of.
     pub config_version: u64,
     /// When its head had arrived.
@@ -44,6 +47,12 @@
 }
 
 impl RelayCall {
+    /// How urgent it is, 0 the most: its account's priority goes before its route's.
+    pub fn priority(&self) -> u8 {
+        let account = self.account.as_ref().and_then(|account| account.priority);
+        account.unwrap_or(self.route.priority)
+    }
+
     /// What is left of its time.
     pub fn time_left(&self) -> Duration {
         self.until.saturating_duration_since(Instant::now())
@@ -63,6 +72,7 @@
         let address = CallAddress {
             backend: &backend.id,
             time_left: self.time_left(),
+            account: self.account.as_ref().map(|account| account.name.as_str()),
         };
         (dialect.address_call)(request.headers_mut(), address);
         prepare(request.headers_mut());
@@ -103,6 +113,7 @@
         body,
         marks,
         route,
+        account: None,
         config_version: config.version,
         arrived,
         waited: Duration::ZERO,
--- a/src/relay/request/handler.rs
+++ b/src/relay/request/handler.rs
@@ -8,10 +8,10 @@
     },
     crate::{
         event,
-        operation::{Refusal, RefusalCode},
+        operation::{Refusal, RefusalCode, RunVerdict},
         relay::{
             config::{CallerLimits, RelayRoute},
-            parts::shared::RelayParts,
+            parts::{accounts::UseCharge, shared::RelayParts},
             policy::route::RouteTable,
         },
     },
@@ -71,20 +71,41 @@
     let limits = &routes.config().limits;
     check_headers(&head, limits)?;
     let route = find_route(&routes, &head)?;
+    let shown = (parts.dialect.read_call)(&head.headers).key;
+    parts.identify(&route, shown)?;
     let service = routes.draw_service(&route).ok_or_else(|| {
         let text = format!("route {} leads to no service", route.name);
         Refusal::not_run(RefusalCode::NoBackend, text).after(COME_BACK)
     })?;
     let call = call::read_call(head, body, route, routes.config(), &parts.dialect).await?;
+    // Again: the body may have taken longer than a key was in force.
+    let account = parts.identify(&call.route, call.marks.key)?;
+    let call = RelayCall { account, ..call };
+    let charge = charge(parts, &call).await?;
     parts.count_request(&service.name);
     let call = Rc::new(with_waited(parts, call));
     let name = service.name.clone();
     let answer = match is_engine_stream(&call, service.engine.is_some()) {
-        true => stream::relay_stream(parts.clone(), call, name).await?,
-        false => plain::relay_plain(parts.clone(), call, name).await?,
+        true => stream::relay_stream(parts.clone(), call, name).await,
+        false => plain::relay_plain(parts.clone(), call, name).await,
     };
+    if let (Err(refusal), Some(charge)) = (&answer, charge)
+        && refusal.verdict == RunVerdict::NotRun
+    {
+        parts.give_back(charge);
+    }
     // In progress until the caller has its last byte.
-    Ok(answer.map(|body| answer::kept_with(body, entry)))
+    Ok(answer?.map(|body| answer::kept_with(body, entry)))
+}
+
+// What the request uses of its account's limit.
+async fn charge(parts: &RelayParts, call: &RelayCall) -> Result<Option<UseCharge>, Refusal> {
+    let Some(account) = &call.account else {
+        return Ok(None);
+    };
+    let tokens = call.marks.prompt_tokens + call.marks.answer_limit;
+    let target = call.route.latency_target;
+    parts.let_in(account, tokens, target).await
 }
 
 // A caller that was refused before is known by the time that it still has.
--- a/src/relay/request/reserve.rs
+++ b/src/relay/request/reserve.rs
@@ -110,7 +110,7 @@
             arrived: parts.at(call.arrived),
             waited: call.waited,
             target: call.route.latency_target,
-            priority: call.route.priority,
+            priority: call.priority(),
             tokens: call.marks.prompt_tokens + call.marks.answer_hint.unwrap_or_default(),
         };
         let key = entrant.key(line.ticket(), parts.now());
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -2,7 +2,10 @@
 
 use {
     super::policy::budget::RetryAllowance,
-    crate::web::PoolSettings,
+    crate::{
+        account::{KeyRules, LimitTolerance},
+        web::PoolSettings,
+    },
     faststr::FastStr,
     std::{net::SocketAddr, time::Duration},
 };
@@ -56,4 +59,8 @@
     pub stop_grace: Duration,
     /// Engines refuse orders with an older token.
     pub engines_check_tokens: bool,
+    /// By when keys that were taken away, or added, have to be known.
+    pub keys: KeyRules,
+    /// What may go beyond the limits of client accounts.
+    pub limits: LimitTolerance,
 }
--- /dev/null
+++ b/tests/account_keys.rs
@@ -0,0 +1,257 @@
+//! Keys of client accounts: what is known of them, whom they are for, and when they open a route.
+
+mod fleet_sim;
+
+use {
+    crate::fleet_sim::{STEP, SimFleet, SimTrouble},
+    bayplank::{
+        account::{
+            AccountDirectory, ClientAccount, KeyHash, KeyRules, KeyStanding, ShownKey, judge_key,
+        },
+        relay::{ClusterNews, ClusterState, ViewTime},
+    },
+    faststr::FastStr,
+    std::time::Duration,
+};
+
+const REVOKE: u64 = 5_000;
+
+fn rules() -> KeyRules {
+    KeyRules {
+        revoke_time: Some(Duration::from_millis(REVOKE)),
+        apply_time: Duration::from_millis(3_000),
+    }
+}
+
+fn account(name: &'static str, keys: &[&str]) -> ClientAccount {
+    ClientAccount {
+        name: FastStr::from_static_str(name),
+        keys: keys.iter().map(|key| KeyHash::of(key.as_bytes())).collect(),
+        priority: None,
+        limit: None,
+    }
+}
+
+fn shown(key: &str) -> ShownKey {
+    ShownKey::One(KeyHash::of(key.as_bytes()))
+}
+
+fn judge(directory: &AccountDirectory, shown: ShownKey, proof: Option<u64>) -> KeyStanding {
+    let proof = proof.map(Duration::from_millis);
+    judge_key(Some(directory), shown, false, proof, &rules())
+}
+
+#[test]
+fn a_hash_is_written_and_read_and_shows_no_key() {
+    let hash = KeyHash::of(b"secret");
+    let text = serde_json::to_string(&hash).unwrap();
+    assert!(text.starts_with("\"sha256:2bb80d53"), "{text}");
+    assert_eq!(serde_json::from_str::<KeyHash>(&text).unwrap(), hash);
+    for wrong in ["\"secret\"", "\"sha256:zz\"", "\"sha256:\u{e9}\"", "7"] {
+        let error = serde_json::from_str::<KeyHash>(wrong).unwrap_err();
+        assert!(!error.to_string().contains("secret"), "{error}");
+    }
+    let account = account("a", &["secret"]);
+    assert!(!format!("{account:?}").contains("secret"));
+}
+
+#[test]
+fn a_key_opens_its_account_alone_and_a_claimed_one_opens_nothing() {
+    let directory = AccountDirectory::new(&[
+        account("a", &["k-1", "both", "k-1"]),
+        account("b", &["k-2", "both"]),
+        account("c", &[]),
+    ]);
+    let holder = |key: &str| match judge(&directory, shown(key), Some(100)) {
+        KeyStanding::Account(account) => account.name.to_string(),
+        other => format!("{other:?}"),
+    };
+    assert_eq!((holder("k-1"), holder("k-2")), ("a".into(), "b".into()));
+    assert_eq!(holder("both"), "Unknown");
+    assert_eq!(holder("K-1"), "Unknown");
+    for shown in [ShownKey::None, ShownKey::Several] {
+        assert_eq!(judge(&directory, shown, Some(100)), KeyStanding::Unknown);
+    }
+}
+
+#[test]
+fn a_key_opens_while_the_configuration_is_proved_and_an_unknown_one_is_refused_for_good_only_then()
+{
+    let directory = AccountDirectory::new(&[account("a", &["k-1"])]);
+    let life = rules().proof_life().unwrap().as_millis() as u64;
+    assert!(
+        life < REVOKE - 1_000,
+        "a deaf watch may be wrong by a second"
+    );
+    let known = |proof| judge(&directory, shown("k-1"), proof);
+    assert!(matches!(known(Some(life - 1)), KeyStanding::Account(_)));
+    for proof in [Some(life), Some(60_000), None] {
+        assert_eq!(known(proof), KeyStanding::Unsure);
+    }
+    let unknown = |proof| judge(&directory, shown("k-2"), proof);
+    assert_eq!(unknown(Some(2_999)), KeyStanding::Unknown);
+    for proof in [Some(3_000), None] {
+        assert_eq!(unknown(proof), KeyStanding::Unsure, "it may be new");
+    }
+    // Without a key there is nothing that a newer configuration could know.
+    assert_eq!(
+        judge(&directory, ShownKey::None, None),
+        KeyStanding::Unknown
+    );
+}
+
+#[test]
+fn public_routes_go_on_and_a_list_without_accounts_opens_nothing_else() {
+    let directory = AccountDirectory::new(&[account("a", &["k-1"])]);
+    let public = |shown| judge_key(Some(&directory), shown, true, None, &rules());
+    assert_eq!(public(ShownKey::None), KeyStanding::Open);
+    assert_eq!(public(shown("k-2")), KeyStanding::Open);
+    assert!(matches!(public(shown("k-1")), KeyStanding::Account(_)));
+    let none = AccountDirectory::new(&[]);
+    assert_eq!(judge(&none, shown("k-1"), Some(1)), KeyStanding::Unknown);
+    let open = judge_key(None, ShownKey::None, false, None, &rules());
+    assert_eq!(open, KeyStanding::Open, "no list, no keys");
+}
+
+#[test]
+fn a_proof_never_becomes_younger_on_its_way() {
+    // Whatever each hop's question took, asked and held, the moment told on is never later than it was.
+    for (asked, held, age) in [(1_000, 0, 400), (1_000, 290, 400), (5_000, 12, 0)] {
+        let news = ClusterNews {
+            proof: Some(Duration::from_millis(age)),
+            held: Duration::from_millis(held),
+            ..ClusterNews::default()
+        };
+        let at = news.proved(Duration::from_millis(asked)).unwrap();
+        assert_eq!(at, ViewTime::at(Duration::from_millis(asked + held - age)));
+    }
+    assert_eq!(ClusterNews::default().proved(Duration::ZERO), None);
+    let mut cluster = ClusterState::default();
+    assert_eq!(cluster.proof_age(Duration::ZERO), None);
+    cluster.prove_config(ViewTime::at(Duration::from_millis(900)));
+    cluster.prove_config(ViewTime::at(Duration::from_millis(300)));
+    let age = cluster.proof_age(Duration::from_millis(1_000));
+    assert_eq!(age, Some(Duration::from_millis(100)), "the newest counts");
+    // A proof from before this host's start stays as old as it is.
+    let mut cluster = ClusterState::default();
+    let early = ViewTime::at(Duration::from_millis(50)).before(Duration::from_secs(4));
+    cluster.prove_config(early);
+    let age = cluster.proof_age(Duration::from_millis(1_050));
+    assert_eq!(age, Some(Duration::from_secs(5)));
+}
+
+// Runs a fleet while its keys change; no host lets a request in by a version older than one that was acknowledged more
+// than the bound before. Gives the share of host steps in which requests were let in.
+fn let_in_share(fleet: &mut SimFleet, trouble: &SimTrouble, changes: &[u64], time: u64) -> f64 {
+    let life = rules().proof_life().unwrap().as_millis() as u64;
+    let mut acknowledged: Vec<(u64, u64)> = Vec::new();
+    let start = fleet.now;
+    let (mut open, mut all) = (0_u64, 0_u64);
+    while fleet.now < start + time {
+        if changes.contains(&(fleet.now - start)) {
+            fleet.version += 1;
+            acknowledged.push((fleet.version, fleet.now));
+        }
+        fleet.run(trouble, STEP);
+        for host in fleet.hosts.iter().filter(|host| host.is_up) {
+            let lets_in = host.proved.is_some_and(|at| fleet.now - at < life);
+            all += 1;
+            open += u64::from(lets_in);
+            let closed = acknowledged.iter().rfind(|(_, at)| fleet.now > at + REVOKE);
+            let needed = closed.map_or(0, |(version, _)| *version);
+            assert!(
+                !lets_in || host.version >= needed,
+                "{} lets in by version {} where {needed} is due",
+                host.entry.name,
+                host.version
+            );
+        }
+    }
+    open as f64 / all as f64
+}
+
+fn is_third(entry: &bayplank::relay::HostEntry) -> bool {
+    let sum: u32 = entry.name.bytes().map(u32::from).sum();
+    sum.is_multiple_of(3)
+}
+
+const TROUBLES: [(&str, SimTrouble, f64); 5] = [
+    ("calm", fleet_sim::CALM, 0.999),
+    (
+        "a third turned away",
+        SimTrouble {
+            store: |entry| !is_third(entry),
+            path: |_, _| true,
+        },
+        0.9,
+    ),
+    (
+        "readers and a third turned away",
+        SimTrouble {
+            store: |entry| !is_third(entry) && !entry.name.ends_with("-0"),
+            path: |_, _| true,
+        },
+        0.9,
+    ),
+    (
+        "the store silent for all",
+        SimTrouble {
+            store: |_| false,
+            path: |_, _| true,
+        },
+        0.2,
+    ),
+    (
+        "a zone cut off, the store on the other side",
+        SimTrouble {
+            store: |entry| entry.zone != "z-a",
+            path: |from, to| (from.zone == "z-a") == (to.zone == "z-a"),
+        },
+        0.6,
+    ),
+];
+
+#[test]
+fn keys_that_were_taken_away_open_nothing_anywhere_after_the_bound() {
+    for (zones, hosts) in [(3, 3), (3, 29), (5, 59)] {
+        for (name, trouble, least) in &TROUBLES {
+            let mut fleet = SimFleet::running(zones, hosts);
+            let changes = [0, 500, 1_000, 4_000, 4_025, 8_000];
+            let share = let_in_share(&mut fleet, trouble, &changes, 12_000);
+            assert!(
+                share >= *least,
+                "{name}, {zones} zones of {hosts}: {share:.3} let in"
+            );
+            // Afterwards all come back.
+            fleet.time_to_force(&fleet_sim::CALM, 4_000);
+            let_in_share(&mut fleet, &fleet_sim::CALM, &[0, 3_000], 4_000);
+            let share = let_in_share(&mut fleet, &fleet_sim::CALM, &[], 1_000);
+            assert!(share > 0.999, "{name}, afterwards: {share:.3}");
+        }
+    }
+}
+
+#[test]
+fn hosts_that_freeze_or_restart_amid_it_let_in_by_no_older_key() {
+    for seed in 0..6 {
+        let mut fleet = SimFleet::running(3, 29);
+        for turn in 0..6_u64 {
+            // Those that stand still keep what they know, and wake with it.
+            let frozen: Vec<usize> = (0..fleet.hosts.len())
+                .filter(|index| (*index as u64 + turn + seed).is_multiple_of(7))
+                .collect();
+            for index in &frozen {
+                fleet.hosts[*index].is_up = false;
+            }
+            let (_, trouble, _) = &TROUBLES[((turn + seed) % 5) as usize];
+            let_in_share(&mut fleet, trouble, &[0, 1_000], 4_000);
+            for (place, index) in frozen.iter().enumerate() {
+                fleet.hosts[*index].is_up = true;
+                if place % 2 == 0 {
+                    fleet.restart(*index);
+                }
+            }
+            let_in_share(&mut fleet, trouble, &[], 700);
+        }
+    }
+}
--- a/tests/fleet_sim/mod.rs
+++ b/tests/fleet_sim/mod.rs
@@ -38,6 +38,10 @@
     // Until when its view is known to be the newest, and what it shows.
     pub confirmed: Option<u64>,
     pub version: u64,
+    // When its configuration was surely the newest: the sending of a call that was answered.
+    pub proved: Option<u64>,
+    // When its last watch was sent; it is answered when the host looks again.
+    pub watched: Option<u64>,
     // What it waits for, until then.
     pub busy_until: u64,
     pub asked: Option<usize>,
@@ -119,6 +123,8 @@
                 knows_hosts: true,
                 confirmed: Some(9_900),
                 version: 1,
+                proved: Some(9_900),
+                watched: None,
                 busy_until: 10_000 + fleet.rng.random_range(0..QUESTION),
                 asked: None,
                 failures: 0,
@@ -147,6 +153,7 @@
         host.busy_until = self.now;
         (host.is_up, host.knows_hosts) = (true, false);
         (host.confirmed, host.version, host.failures) = (None, 0, 0);
+        (host.proved, host.watched) = (None, None);
         (host.asked, host.newest) = (None, None);
     }
 
@@ -242,13 +249,19 @@
     }
 
     fn take(&mut self, index: usize, from: usize) {
-        let (confirmed, version, knows) = {
+        let (confirmed, version, knows, proved) = {
             let other = &self.hosts[from];
-            (other.confirmed, other.version, other.knows_hosts)
+            (
+                other.confirmed,
+                other.version,
+                other.knows_hosts,
+                other.proved,
+            )
         };
         let host = &mut self.hosts[index];
         host.confirmed = host.confirmed.max(confirmed);
         host.version = host.version.max(version);
+        host.proved = host.proved.max(proved);
         if knows && confirmed.is_some() && !host.knows_hosts {
             self.learn_hosts(index);
         }
@@ -287,6 +300,9 @@
         let draw = self.rng.random::<f64>();
         let host = &mut self.hosts[index];
         if is_served {
+            // What is answered now was sent at the last look; the first call is answered at once.
+            host.proved = host.proved.max(Some(host.watched.unwrap_or(now)));
+            host.watched = Some(now);
             (host.confirmed, host.version, host.failures) = (Some(now), self.version, 0);
             host.is_lost = false;
             let (choice, started) = (&mut host.choice, host.started);
@@ -310,6 +326,7 @@
         };
         host.busy_until = now + pauses.after(host.failures, draw).as_millis() as u64;
         host.failures += 1;
+        host.watched = None;
         host.is_lost = true;
         self.ask_others(index, trouble);
     }
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -24,6 +24,7 @@
 
 fn route(name: &'static str, prefix: &'static str, shares: &[(&'static str, u32)]) -> RelayRoute {
     RelayRoute {
+        is_public: false,
         name: name.into(),
         host: "shop.example".into(),
         path_prefix: prefix.into(),
@@ -45,6 +46,7 @@
 
 fn config(version: u64) -> RelayConfig {
     RelayConfig {
+        accounts: None,
         version,
         routes: vec![
             route("short", "/a/", &[("one", 1)]),
