--- a/src/account/ledger.rs
+++ b/src/account/ledger.rs
@@ -40,6 +40,9 @@
 /// other zones.
 const LAG_SECONDS: f64 = 1.5;
 
+/// How often the accounts that are near their limits are worked out.
+const NEAR_PERIOD: Duration = Duration::from_millis(100);
+
 /// Time after which a ledger has heard of all hosts of its zone and of the other zones.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
@@ -188,6 +191,9 @@
     zones: BTreeMap<FastStr, Option<Duration>>,
     // What other ledgers told, by their ids.
     seen: BTreeMap<u64, SeenLedger>,
+    // The accounts near their limits, as last worked out, and when that was.
+    near: Vec<NearAccount>,
+    near_at: Option<Duration>,
     // When a host was last answered that asked or told of its uses.
     kept: Option<Duration>,
 }
@@ -203,6 +209,8 @@
             books: BTreeMap::new(),
             zones: BTreeMap::new(),
             seen: BTreeMap::new(),
+            near: Vec::new(),
+            near_at: None,
             kept: None,
         }
     }
@@ -394,8 +402,20 @@
         now.saturating_sub(self.began) >= SETTLE_TIME
     }
 
-    /// The accounts of which hosts are to ask before they let a request in.
-    pub fn near(&self, accounts: &AccountDirectory, now: Duration) -> Vec<NearAccount> {
+    /// The accounts of which hosts are to ask before they let a request in; worked out anew each tenth of a second, since
+    /// all hosts of the zone are told it several times a second.
+    pub fn near(&mut self, accounts: &AccountDirectory, now: Duration) -> &[NearAccount] {
+        let is_due = self
+            .near_at
+            .is_none_or(|at| now.saturating_sub(at) >= NEAR_PERIOD);
+        if is_due {
+            self.near = self.near_now(accounts, now);
+            self.near_at = Some(now);
+        }
+        &self.near
+    }
+
+    fn near_now(&self, accounts: &AccountDirectory, now: Duration) -> Vec<NearAccount> {
         let books = self.books.iter();
         let near = books.filter_map(|(account, book)| {
             let limit = accounts.account(*account)?.limit?;
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -127,7 +127,7 @@
             charges: Box::new(move |account, units| charged.answer_charge(account, units)),
             sums: Box::new(move |theirs| settled.answer_sums(&theirs)),
             news: Box::new(move |held| news::tell_news(parts.clone(), held).boxed_local()),
-            loads: Box::new(move |reporter, loads, age| share.answer(reporter, loads, age)),
+            loads: Box::new(move |reporter, loads, view| share.answer(reporter, loads, view)),
         };
         vital::spawn_vital(
             "answers to hosts",
--- a/src/relay/news/follow.rs
+++ b/src/relay/news/follow.rs
@@ -1,7 +1,11 @@
 //! Following other hosts: whom to ask, and taking what they tell.
 
 use {
-    super::{feed::StoreFeed, link::NewsLinks, message::HeldNews},
+    super::{
+        feed::StoreFeed,
+        link::NewsLinks,
+        message::{HeldNews, ReportedView},
+    },
     crate::{
         event,
         relay::{
@@ -70,6 +74,16 @@
 /// Pause before the hosts that the settings name are asked again, after none of them answered.
 const SEEDS_PAUSE: Duration = Duration::from_millis(50);
 
+// A host that reported a newer view than others.
+#[derive(Debug)]
+struct NewestReport {
+    name: FastStr,
+    // Until when its view was the newest.
+    confirmed: ViewTime,
+    // It shows changes that this host did not know.
+    has_more: bool,
+}
+
 /// Follows other hosts while it is not this host's turn to read the store.
 pub struct NewsFollower {
     pub(super) parts: Rc<RelayParts>,
@@ -83,7 +97,7 @@
     chosen_by: Cell<(u64, usize)>,
     // The reporter with the newest view, and until when that view was the newest; told when it is newer than this
     // host's.
-    newest_report: RefCell<Option<(FastStr, ViewTime)>>,
+    newest_report: RefCell<Option<NewestReport>>,
     newer: Notify,
     // Told when the store has answered this host in its turn, while it is silent to others.
     served: Notify,
@@ -114,6 +128,7 @@
             served: Notify::new(),
         });
         vital::spawn_vital("news", follower.clone().run());
+        vital::spawn_vital("changes told", follower.clone().tell_changes());
         follower
     }
 
@@ -128,13 +143,27 @@
         self.choice.borrow_mut().note_unreported(name, now);
     }
 
-    /// Another host reported how old its view is.
-    pub fn note_report(&self, name: &FastStr, age: Option<Duration>) {
-        let Some(age) = age else { return };
+    /// The head of the zone hears from the store.
+    pub fn note_store_back(&self) {
+        let now = self.parts.now();
+        self.choice.borrow_mut().note_store_back(now);
+    }
+
+    /// Another host reported how new its view is.
+    pub fn note_report(&self, name: &FastStr, view: ReportedView) {
+        let Some(age) = view.age else { return };
         let confirmed = ViewTime::at(self.parts.now()).before(age);
+        let has_more = self.shows_more(view);
         let mut newest = self.newest_report.borrow_mut();
-        if newest.as_ref().is_none_or(|(_, known)| confirmed > *known) {
-            *newest = Some((name.clone(), confirmed));
+        let is_newer = newest
+            .as_ref()
+            .is_none_or(|known| (has_more, confirmed) > (known.has_more, known.confirmed));
+        if is_newer {
+            *newest = Some(NewestReport {
+                name: name.clone(),
+                confirmed,
+                has_more,
+            });
         }
         drop(newest);
         if self.newer_host().is_some() {
@@ -142,11 +171,32 @@
         }
     }
 
+    // Whether a view shows changes that this host's does not.
+    fn shows_more(&self, view: ReportedView) -> bool {
+        let cluster = self.parts.cluster.borrow();
+        view.config_version > cluster.config_version()
+            || view.backends_revision > cluster.backends_revision()
+    }
+
+    // This host reads the store out of its place, and has just heard of a change.
+    fn note_change(&self) {
+        if self.choice.borrow().is_served(self.parts.now()) {
+            self.served.notify_one();
+        }
+    }
+
     /// Waits until this host has news that its head should hear of at once.
     pub async fn served(&self) {
         self.served.notified().await;
     }
 
+    async fn tell_changes(self: Rc<Self>) {
+        loop {
+            self.parts.news.notified().await;
+            self.note_change();
+        }
+    }
+
     async fn run(self: Rc<Self>) {
         loop {
             match self.choose() {
@@ -353,10 +403,11 @@
         let cluster = self.parts.cluster.borrow();
         let own = cluster.confirmed()?;
         let newest = self.newest_report.borrow();
-        let (name, _) = newest
+        let newest = newest
             .as_ref()
-            .filter(|(_, at)| at.before(NEWER_BY) > own)?;
-        cluster.hosts().find(|entry| entry.name == *name).cloned()
+            .filter(|newest| newest.has_more || newest.confirmed.before(NEWER_BY) > own)?;
+        let mut hosts = cluster.hosts();
+        hosts.find(|entry| entry.name == newest.name).cloned()
     }
 }
 
--- a/src/relay/news/link.rs
+++ b/src/relay/news/link.rs
@@ -1,7 +1,7 @@
 //! Asking other hosts for news, and answering them: `capnp-rpc` over TCP.
 
 use {
-    super::message::{self, ClusterNews, HeldNews},
+    super::message::{self, ClusterNews, HeldNews, ReportedView},
     crate::{
         account::{AccountKey, LedgerSums},
         metric::HostMetrics,
@@ -22,8 +22,8 @@
 /// Gives the news for an asker, once there are some or its wait is over.
 pub type NewsAnswer = dyn Fn(HeldNews) -> LocalBoxFuture<'static, ClusterNews>;
 
-/// Takes a report, and how old the reporter's view is; gives what the others report together.
-pub type LoadAnswer = dyn Fn(LoadReporter, LoadReport, Option<Duration>) -> LoadReport;
+/// Takes a report, and how new the reporter's view is; gives what the others report together.
+pub type LoadAnswer = dyn Fn(LoadReporter, LoadReport, ReportedView) -> LoadReport;
 
 /// Lets a request of an account in, or says when its caller is to come back.
 pub type ChargeCall = dyn Fn(AccountKey, u32) -> Result<(), Duration>;
@@ -70,8 +70,12 @@
             false => LoadReporter::Host(name),
         };
         let report = message::read_report(params.get_report()?)?;
-        let age = message::from_ms(params.get_age_ms());
-        let others = (self.answers.loads)(reporter, report, age);
+        let view = ReportedView {
+            age: message::from_ms(params.get_age_ms()),
+            config_version: params.get_config_version(),
+            backends_revision: params.get_backends_revision(),
+        };
+        let others = (self.answers.loads)(reporter, report, view);
         message::write_report(results.get().init_others(), &others);
         Ok(())
     }
@@ -185,13 +189,13 @@
             .await
     }
 
-    /// Reports to a host, with the age of one's own view; gives what the others report together.
+    /// Reports to a host, with how new one's own view is; gives what the others report together.
     pub async fn share(
         &self,
         address: SocketAddr,
         reporter: &LoadReporter,
         report: &LoadReport,
-        age: Option<Duration>,
+        view: ReportedView,
         patience: Duration,
     ) -> Result<LoadReport, Error> {
         self.0
@@ -204,7 +208,9 @@
                 };
                 params.set_reporter(name.as_str());
                 params.set_is_zone(is_zone);
-                params.set_age_ms(message::to_ms(age));
+                params.set_age_ms(message::to_ms(view.age));
+                params.set_config_version(view.config_version);
+                params.set_backends_revision(view.backends_revision);
                 message::write_report(params.init_report(), report);
                 let response = request.send().promise.await?;
                 message::read_report(response.get()?.get_others()?)
--- a/src/relay/news/message.rs
+++ b/src/relay/news/message.rs
@@ -42,6 +42,17 @@
     pub zone: FastStr,
 }
 
+/// How new a reporter's own view is.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ReportedView {
+    /// How old it may be; none where there is none.
+    pub age: Option<Duration>,
+    /// Version of its configuration.
+    pub config_version: u64,
+    /// The store's revision up to which it knows the backend servers.
+    pub backends_revision: u64,
+}
+
 /// What one host tells another.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct ClusterNews {
@@ -220,6 +231,7 @@
     for (index, key) in report.wanted.iter().enumerate() {
         wanted.set(index as u32, key.0);
     }
+    to.set_is_store_lost(report.is_store_lost);
     write_uses(to.reborrow(), &report.accounts);
     let mut demands = to.init_demands(report.demands.len() as u32);
     for (index, demand) in report.demands.iter().enumerate() {
@@ -314,5 +326,6 @@
         demands: demands.collect::<Result<_>>()?,
         wanted: from.get_wanted()?.iter().map(EngineKey).collect(),
         accounts: read_uses(from)?,
+        is_store_lost: from.get_is_store_lost(),
     })
 }
--- a/src/relay/news/news.capnp
+++ b/src/relay/news/news.capnp
@@ -89,6 +89,8 @@
   near @4 :List(NearAccount);
   # Whether the ledger can say yet which accounts are near their limits.
   knowsNear @5 :Bool;
+  # In answers: the store fails to answer the host that adds up, or whom that one follows.
+  isStoreLost @6 :Bool;
 }
 
 # What a host that keeps books has let in, through all hosts that ask it.
@@ -104,9 +106,10 @@
 interface NewsPeer {
   follow @0 (held :HeldNews) -> (news :ClusterNews);
   # What the reporter's requests take, for what those of all others take. A whole zone reports through one
-  # of its hosts and is told what the other zone's hosts take. A reporter also says how old its own view is, so
-  # that a host which the store turns away knows whom to ask.
-  share @1 (reporter :Text, isZone :Bool, report :LoadReport, ageMs :UInt32) -> (others :LoadReport);
+  # of its hosts and is told what the other zone's hosts take. A reporter also says how old its own view is and
+  # what it shows, so that a host which the store turns away knows whom to ask.
+  share @1 (reporter :Text, isZone :Bool, report :LoadReport, ageMs :UInt32,
+    configVersion :UInt64, backendsRevision :UInt64) -> (others :LoadReport);
   # Lets a request of an account in, or says when its caller is to come back.
   charge @2 (account :UInt64, units :UInt32) -> (isLetIn :Bool, waitMs :UInt32);
   # The asker's sums for those of the asked, and of the ledgers of which that one heard lately.
--- a/src/relay/news/news_capnp.rs
+++ b/src/relay/news/news_capnp.rs
@@ -2251,6 +2251,10 @@
         pub fn get_knows_near(self) -> bool {
             self.reader.get_bool_field(0)
         }
+        #[inline]
+        pub fn get_is_store_lost(self) -> bool {
+            self.reader.get_bool_field(1)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -2393,6 +2397,14 @@
         pub fn set_knows_near(&mut self, value: bool)  {
             self.builder.set_bool_field(0, value);
         }
+        #[inline]
+        pub fn get_is_store_lost(self) -> bool {
+            self.builder.get_bool_field(1)
+        }
+        #[inline]
+        pub fn set_is_store_lost(&mut self, value: bool)  {
+            self.builder.set_bool_field(1, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2404,7 +2416,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 128] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 144] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(58, 255, 45, 183, 55, 74, 6, 226),
             ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
@@ -2414,56 +2426,63 @@
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 76, 111, 97, 100, 82),
             ::capnp::word(101, 112, 111, 114, 116, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(108, 111, 97, 100, 115, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2533,6 +2552,15 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 83, 116, 111, 114, 101, 76),
+            ::capnp::word(111, 115, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2542,6 +2570,7 @@
                 3 => <::capnp::struct_list::Owned<crate::news_capnp::account_use::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::struct_list::Owned<crate::news_capnp::near_account::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 5 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                6 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2555,9 +2584,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,5,0,4,3,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,6,5,0,4,3,2];
         pub(crate) const TYPE_ID: u64 = 0xe206_4a37_b72d_ff3a;
     }
 }
@@ -3495,11 +3524,19 @@
             pub fn get_age_ms(self) -> u32 {
                 self.reader.get_data_field::<u32>(1)
             }
+            #[inline]
+            pub fn get_config_version(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn get_backends_revision(self) -> u64 {
+                self.reader.get_data_field::<u64>(2)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3597,6 +3634,22 @@
             pub fn set_age_ms(&mut self, value: u32)  {
                 self.builder.set_data_field::<u32>(1, value);
             }
+            #[inline]
+            pub fn get_config_version(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_config_version(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
+            }
+            #[inline]
+            pub fn get_backends_revision(self) -> u64 {
+                self.builder.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn set_backends_revision(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(2, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3611,17 +3664,17 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 112] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(182, 241, 242, 237, 191, 126, 119, 243),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
@@ -3629,35 +3682,49 @@
                 ::capnp::word(101, 101, 114, 46, 115, 104, 97, 114),
                 ::capnp::word(101, 36, 80, 97, 114, 97, 109, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(153, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(161, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(165, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(113, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(169, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(173, 0, 0, 0, 114, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(181, 0, 0, 0, 138, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(114, 101, 112, 111, 114, 116, 101, 114),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -3691,6 +3758,25 @@
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 110, 102, 105, 103, 86, 101),
+                ::capnp::word(114, 115, 105, 111, 110, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(98, 97, 99, 107, 101, 110, 100, 115),
+                ::capnp::word(82, 101, 118, 105, 115, 105, 111, 110),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -3698,6 +3784,8 @@
                     1 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     2 => <crate::news_capnp::load_report::Owned as ::capnp::introspect::Introspect>::introspect(),
                     3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3711,9 +3799,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,1,2,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,5,4,1,2,0];
             pub(crate) const TYPE_ID: u64 = 0xf377_7ebf_edf2_f1b6;
         }
     }
--- a/src/relay/news/share.rs
+++ b/src/relay/news/share.rs
@@ -1,7 +1,7 @@
 //! Telling the other hosts what this one's requests take, and hearing what theirs take.
 
 use {
-    super::{follow::NewsFollower, link::NewsLinks, targets::ZoneTargets},
+    super::{follow::NewsFollower, link::NewsLinks, message::ReportedView, targets::ZoneTargets},
     crate::{
         account::UseReport,
         relay::{
@@ -71,10 +71,10 @@
         &self,
         reporter: LoadReporter,
         report: LoadReport,
-        age: Option<Duration>,
+        view: ReportedView,
     ) -> LoadReport {
         if let LoadReporter::Host(name) = &reporter {
-            self.follower.note_report(name, age);
+            self.follower.note_report(name, view);
         }
         let now = self.parts.now();
         let accounts = self.answer_accounts(&reporter, &report.accounts);
@@ -84,7 +84,11 @@
             LoadReporter::Host(name) => board.others_of(&name, now),
             LoadReporter::Zone(_) => board.of_zone(now),
         };
-        LoadReport { accounts, ..answer }
+        LoadReport {
+            accounts,
+            is_store_lost: self.parts.cluster.borrow().is_store_lost(),
+            ..answer
+        }
     }
 
     fn answer_accounts(&self, reporter: &LoadReporter, report: &UseReport) -> UseReport {
@@ -118,10 +122,14 @@
         report_period(cluster.hosts().filter(|entry| entry.zone == *own).count())
     }
 
-    // How old this host's view of the store may be.
-    fn age(&self) -> Option<Duration> {
+    // How new this host's view of the store is.
+    fn view(&self) -> ReportedView {
         let cluster = self.parts.cluster.borrow();
-        cluster.age(self.parts.now())
+        ReportedView {
+            age: cluster.age(self.parts.now()),
+            config_version: cluster.config_version(),
+            backends_revision: cluster.backends_revision(),
+        }
     }
 
     fn own_reporter(&self) -> LoadReporter {
@@ -131,7 +139,7 @@
     // This host adds up for its zone.
     fn collect_own(&self) {
         let own = self.parts.own_report();
-        let others = self.answer(self.own_reporter(), own, None);
+        let others = self.answer(self.own_reporter(), own, ReportedView::default());
         self.board.borrow_mut().forget_old(self.parts.now());
         self.parts.take_others(others);
     }
@@ -142,9 +150,14 @@
         let reporter = self.own_reporter();
         let sent = self
             .links
-            .share(entry.peers, &reporter, &own, self.age(), REPORT_PATIENCE);
+            .share(entry.peers, &reporter, &own, self.view(), REPORT_PATIENCE);
         match sent.await {
-            Ok(others) => self.parts.take_others(others),
+            Ok(others) => {
+                if !others.is_store_lost {
+                    self.follower.note_store_back();
+                }
+                self.parts.take_others(others);
+            }
             Err(error) => {
                 log::debug!("host {} took no report: {error}", entry.name);
                 self.follower.note_unreported(&entry.name);
@@ -159,9 +172,13 @@
         let targets = self.targets.of(&self.parts.cluster.borrow(), own_zone);
         for entry in targets {
             let report = self.board.borrow().of_zone(self.parts.now());
-            let sent = self
-                .links
-                .share(entry.peers, &reporter, &report, None, REPORT_PATIENCE);
+            let sent = self.links.share(
+                entry.peers,
+                &reporter,
+                &report,
+                ReportedView::default(),
+                REPORT_PATIENCE,
+            );
             let answer = sent.await;
             self.targets.note(&entry.zone, answer.is_ok());
             match answer {
--- a/src/relay/parts/accounts.rs
+++ b/src/relay/parts/accounts.rs
@@ -226,7 +226,7 @@
                 }
             }
             let is_settled = ledger.is_settled(now);
-            is_settled.then(|| ledger.near(accounts, now))
+            is_settled.then(|| ledger.near(accounts, now).to_vec())
         });
         UseReport {
             near: near.flatten(),
@@ -277,11 +277,11 @@
     pub fn near_accounts(&self) -> BTreeSet<AccountKey> {
         let now = self.now();
         let near = with_accounts(self, |accounts| {
-            let ledger = self.accounts.ledger.borrow();
-            ledger.near(accounts, now)
+            let mut ledger = self.accounts.ledger.borrow_mut();
+            let near = ledger.near(accounts, now).iter();
+            near.map(|near| near.account).collect()
         });
-        let near = near.unwrap_or_default().into_iter();
-        near.map(|near| near.account).collect()
+        near.unwrap_or_default()
     }
 
     /// The sums of this host's ledger that are to be told now, of all accounts where `is_whole`; none where no host goes
--- a/src/relay/parts/shares.rs
+++ b/src/relay/parts/shares.rs
@@ -185,6 +185,7 @@
                 uses: self.untold_uses(),
                 ..UseReport::default()
             },
+            is_store_lost: false,
         }
     }
 
--- a/src/relay/policy/loads.rs
+++ b/src/relay/policy/loads.rs
@@ -68,6 +68,8 @@
     pub wanted: Vec<EngineKey>,
     /// By client account; the board leaves them to the zone's ledger.
     pub accounts: UseReport,
+    /// In answers: the store fails to answer the host that adds up, or whom that one follows.
+    pub is_store_lost: bool,
 }
 
 /// Who reports.
@@ -143,6 +145,7 @@
             demands: demands.into_values().collect(),
             wanted: Vec::new(),
             accounts: UseReport::default(),
+            is_store_lost: false,
         }
     }
 }
--- a/src/relay/policy/source.rs
+++ b/src/relay/policy/source.rs
@@ -60,8 +60,8 @@
 /// kind, so that a zone adds two or three calls a second whatever its size.
 const TRIAL_TURN: Duration = Duration::from_secs(1);
 
-/// How long a host that the store answered in its turn has each further turn: troubles in which a store turns some
-/// hosts away last seconds.
+/// How long a host that the store answered in its turn goes on reading, and has each further turn: troubles in which a
+/// store turns some hosts away last seconds.
 const SERVED_TIME: Duration = Duration::from_secs(10);
 
 /// Hosts of its own zone that a starting host is told it may follow: the head, the standby, and one in case one of them
@@ -108,6 +108,8 @@
     Unheard,
     /// It is its turn to try a silent store.
     Trial,
+    /// The store answers it while it is silent to the readers.
+    Served,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -216,6 +218,19 @@
         others.cloned().collect()
     }
 
+    /// The head of the zone hears from the store: who was served in its place need not go on.
+    pub fn note_store_back(&mut self, now: Duration) {
+        if matches!(self.reading, Some((OwnReading::Served, _))) {
+            self.heard = now;
+            self.reading = None;
+        }
+    }
+
+    /// Whether this host reads the store since it answers it while it is silent to the readers.
+    pub fn is_served(&self, now: Duration) -> bool {
+        matches!(self.reading, Some((OwnReading::Served, until)) if now < until)
+    }
+
     /// When the store last answered this host in its turn, while it was silent to the readers.
     pub fn served(&self) -> Option<Duration> {
         self.served
@@ -267,11 +282,13 @@
         };
         let is_silent = age >= self.rules.old_news + margin;
         self.reading = match self.reading {
+            // It goes on: a change is then known at once, not at its next turn, which is two seconds later.
             Some((OwnReading::Trial, _)) if !is_silent => {
                 self.served = Some(now);
                 self.heard = now;
-                None
+                Some((OwnReading::Served, now + SERVED_TIME))
             }
+            Some((OwnReading::Served, _)) if is_silent => None,
             Some((why, until)) if now < until => Some((why, until)),
             Some(_) => {
                 // What it read until now was as good as an answer.
--- a/tests/relay_fleet.rs
+++ b/tests/relay_fleet.rs
@@ -193,6 +193,29 @@
     fleet.time_to_force(&CALM, 1_000);
 }
 
+// Served hosts read on: with a look each two seconds changes were in force 3.0 s after their acknowledgement.
+#[test]
+fn changes_that_follow_each_other_are_known_soon_while_the_store_turns_many_away() {
+    let a_third = SimTrouble {
+        store: |entry| {
+            let is_reader = ["-0", "-1"].iter().any(|end| entry.name.ends_with(end));
+            let sum: u32 = entry.name.bytes().map(u32::from).sum();
+            !is_reader && !sum.is_multiple_of(3)
+        },
+        ..CALM
+    };
+    for (zones, hosts) in [(3, 29), (5, 59)] {
+        let mut fleet = SimFleet::running(zones, hosts);
+        fleet.run(&a_third, 4_000);
+        for pause in [100, 1_900, 700, 400, 1_300, 250] {
+            fleet.run(&a_third, pause);
+            fleet.version += 1;
+            let time = fleet.time_to_force(&a_third, 4_000);
+            assert!(time <= 1_500, "{zones} zones of {hosts}: {time} ms");
+        }
+    }
+}
+
 #[test]
 fn a_store_that_turns_away_the_readers_and_a_third_of_the_others_delays_changes_little() {
     let a_third = SimTrouble {
