--- a/src/relay/parts/accounts.rs
+++ b/src/relay/parts/accounts.rs
@@ -1,7 +1,7 @@
 //! Client accounts at this host: whose a request is, and whether it fits into the account's limit.
 
 use {
-    super::shared::RelayParts,
+    super::{metrics::LimitEnd, shared::RelayParts},
     crate::{
         account::{
             self, AccountDirectory, AccountKey, AccountLimit, AccountUse, AllowanceDesk,
@@ -129,6 +129,11 @@
                 Err(share) => self.guess(charge, share),
             },
         };
+        let end = match is_let_in {
+            Ok(()) => LimitEnd::LetIn,
+            Err(_) => LimitEnd::OverLimit,
+        };
+        self.metrics.limited(&account.name, charge.units, end);
         match is_let_in {
             Ok(()) => Ok(Some(charge)),
             Err(wait) => Err(self.over_limit(account, wait)),
@@ -183,7 +188,9 @@
     }
 
     /// A request that was let in has certainly not run.
-    pub fn give_back(&self, charge: UseCharge) {
+    pub fn give_back(&self, account: &FastStr, charge: UseCharge) {
+        self.metrics
+            .limited(account, charge.units, LimitEnd::GivenBack);
         let mut desk = self.accounts.desk.borrow_mut();
         desk.give_back(charge.account, charge.units);
     }
--- a/src/relay/parts/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -31,6 +31,29 @@
     pub status: u16,
 }
 
+/// Accounts that have series of their own; the rest share the name "other".
+const ACCOUNT_LABELS_MAX: usize = 64;
+
+/// What became of a request at its account's limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum LimitEnd {
+    /// It was let in.
+    LetIn,
+    /// The account is over its limit.
+    OverLimit,
+    /// It was let in, did certainly not run, and was given back.
+    GivenBack,
+}
+
+/// Which requests of accounts a series counts.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AccountLabels {
+    /// The account's name.
+    pub account: String,
+    /// What became of them.
+    pub end: LimitEnd,
+}
+
 /// Why the store is called.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum StoreCause {
@@ -59,6 +82,9 @@
 pub struct RelayMetrics {
     registry: Registry,
     known: RefCell<HashSet<FastStr>>,
+    known_accounts: RefCell<HashSet<FastStr>>,
+    account_requests: Family<AccountLabels, Counter>,
+    account_units: Family<AccountLabels, Counter>,
     answers: Family<EndLabels, Counter>,
     head_time: RouteHistogram,
     reserve_time: RouteHistogram,
@@ -118,6 +144,9 @@
         let mut metrics = Self {
             registry: Registry::with_prefix("bayplank_relay"),
             known: RefCell::default(),
+            known_accounts: RefCell::default(),
+            account_requests: Family::default(),
+            account_units: Family::default(),
             answers: Family::default(),
             head_time: Family::new_with_constructor(time_buckets),
             reserve_time: Family::new_with_constructor(time_buckets),
@@ -154,6 +183,16 @@
             "Answers by route and status",
             self.answers.clone(),
         );
+        r.register(
+            "account_requests",
+            "Requests by account and what became of them at its limit",
+            self.account_requests.clone(),
+        );
+        r.register(
+            "account_units",
+            "Units of these requests",
+            self.account_units.clone(),
+        );
         r.register(
             "store_calls",
             "Calls to the store by cause",
@@ -257,6 +296,18 @@
         self.store_calls.get_or_create(&CauseLabels { cause }).get()
     }
 
+    /// A request of so many units met its account's limit.
+    pub fn limited(&self, account: &FastStr, units: f64, end: LimitEnd) {
+        let labels = AccountLabels {
+            account: bounded_label(&self.known_accounts, account, ACCOUNT_LABELS_MAX),
+            end,
+        };
+        self.account_requests.get_or_create(&labels).inc();
+        self.account_units
+            .get_or_create(&labels)
+            .inc_by(units as u64);
+    }
+
     /// An answer went to its caller.
     pub fn answered(&self, route: Option<&RelayRoute>, status: u16, head_time: Duration) {
         let name = route.map_or_else(String::new, |route| self.label(route));
@@ -288,14 +339,7 @@
     }
 
     fn label(&self, route: &RelayRoute) -> String {
-        let mut known = self.known.borrow_mut();
-        if known.len() < ROUTE_LABELS_MAX {
-            known.insert(route.name.clone());
-        }
-        match known.contains(&route.name) {
-            true => route.name.to_string(),
-            false => "other".to_owned(),
-        }
+        bounded_label(&self.known, &route.name, ROUTE_LABELS_MAX)
     }
 
     /// The metrics as a page of the OpenMetrics text format.
@@ -307,3 +351,15 @@
         page
     }
 }
+
+// The first names have series of their own.
+fn bounded_label(known: &RefCell<HashSet<FastStr>>, name: &FastStr, most: usize) -> String {
+    let mut known = known.borrow_mut();
+    if known.len() < most {
+        known.insert(name.clone());
+    }
+    match known.contains(name) {
+        true => name.to_string(),
+        false => "other".to_owned(),
+    }
+}
--- a/src/relay/request/handler.rs
+++ b/src/relay/request/handler.rs
@@ -84,15 +84,16 @@
     let charge = charge(parts, &call).await?;
     parts.count_request(&service.name);
     let call = Rc::new(with_waited(parts, call));
+    let account = call.account.clone();
     let name = service.name.clone();
     let answer = match is_engine_stream(&call, service.engine.is_some()) {
         true => stream::relay_stream(parts.clone(), call, name).await,
         false => plain::relay_plain(parts.clone(), call, name).await,
     };
-    if let (Err(refusal), Some(charge)) = (&answer, charge)
+    if let (Err(refusal), Some(account), Some(charge)) = (&answer, account, charge)
         && refusal.verdict == RunVerdict::NotRun
     {
-        parts.give_back(charge);
+        parts.give_back(&account.name, charge);
     }
     // In progress until the caller has its last byte.
     Ok(answer?.map(|body| answer::kept_with(body, entry)))
