--- a/src/account/ledger.rs
+++ b/src/account/ledger.rs
@@ -7,9 +7,12 @@
 
 use {
     super::{
+        account_book::{self, AccountBook, ReservedRate},
         bucket::{BucketRate, RateBucket},
         client_account::{AccountKey, AccountLimit},
         directory::AccountDirectory,
+        seen_ledger::SeenLedger,
+        tolerance::LimitTolerance,
         use_report::{AccountUse, LedgerSums, NearAccount},
     },
     faststr::FastStr,
@@ -22,17 +25,6 @@
 /// How long a zone may go unheard until its share of each limit is left to it: three of its reports.
 const CUT_AFTER: Duration = Duration::from_millis(1_000);
 
-/// Part of its share of a limit that a side of a cut uses: the sides know the demand of each other a little differently.
-const CUT_PART: f64 = 0.88;
-
-/// Time over which demand is averaged, seconds: long against the pause between two requests of a small account, short
-/// against the window in which operators count.
-const DEMAND_SECONDS: f64 = 3.0;
-
-/// Time over which the demand is averaged that zones share limits by in a cut, seconds: with three, a single large
-/// request moves the share of a small account by a quarter.
-const SHARE_SECONDS: f64 = 20.0;
-
 /// How many times its present demand an account is taken to ask for all at once, before its hosts hear of it.
 const SURGE: f64 = 8.0;
 
@@ -66,9 +58,6 @@
 /// Most that is added, as part of the burst, for what a zone used beyond its share while it was not heard of.
 const HEALED_LEVEL: f64 = 1.0;
 
-/// Demand of a zone that asks for nothing, as part of the rate: its first requests find some room.
-const IDLE_DEMAND: f64 = 0.02;
-
 /// Seconds of an account's rate that a zone asks for until it tells the others, if the account is far under its limit.
 const TELL_SECONDS: f64 = 0.25;
 
@@ -78,116 +67,6 @@
 /// How long an account that is not used is told of, and a ledger that is not heard of remembered.
 const BOOK_LIFE: Duration = Duration::from_secs(30);
 
-/// What may go beyond a limit, as operators tolerate it: `share` of what a window allows, and `extra` units.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct LimitTolerance {
-    /// Part of what the window allows.
-    pub share: f64,
-    /// Units beyond that.
-    pub extra: f64,
-    /// The window.
-    pub window: Duration,
-}
-
-impl LimitTolerance {
-    /// Nothing is tolerated.
-    pub const NONE: Self = Self {
-        share: 0.0,
-        extra: 0.0,
-        window: Duration::from_secs(1),
-    };
-}
-
-/// Units a second, averaged over some seconds.
-#[derive(Debug, Clone, Copy, Default)]
-struct DemandRate {
-    // Over the last seconds, and over many: a surge shows in the one, shares of zones are steady in the other.
-    quick: f64,
-    slow: f64,
-    at: Duration,
-}
-
-impl DemandRate {
-    fn quick(&self, now: Duration) -> f64 {
-        self.quick * self.left(DEMAND_SECONDS, now)
-    }
-
-    fn slow(&self, now: Duration) -> f64 {
-        self.slow * self.left(SHARE_SECONDS, now)
-    }
-
-    fn left(&self, seconds: f64, now: Duration) -> f64 {
-        let passed = now.saturating_sub(self.at).as_secs_f64();
-        (-passed / seconds).exp()
-    }
-
-    fn add(&mut self, units: f64, now: Duration) {
-        self.quick = self.quick(now) + units / DEMAND_SECONDS;
-        self.slow = self.slow(now) + units / SHARE_SECONDS;
-        self.at = now;
-    }
-}
-
-/// What is known of an account in another zone.
-#[derive(Debug, Clone, Copy, Default)]
-struct AwayUse {
-    demand: DemandRate,
-    // The same as of when all zones were last heard, units a second.
-    known_demand: f64,
-    // Units that it was taken to use while it was not heard of.
-    assumed: f64,
-}
-
-/// What another ledger told.
-#[derive(Debug, Default)]
-struct SeenLedger {
-    // When it told last, on this host's clock, and how old it was then.
-    told: Duration,
-    age: Duration,
-    zone: FastStr,
-    sums: BTreeMap<AccountKey, AccountUse>,
-}
-
-/// What unheard zones are taken to use of an account's limit.
-#[derive(Debug, Default)]
-struct ReservedRate {
-    // Share of the limit for all of them, 0 to 1.
-    share: f64,
-    // Each with its part, units a second, and since when.
-    zones: Vec<(FastStr, f64, Duration)>,
-}
-
-impl ReservedRate {
-    // What is left for this side, 0 to 1.
-    fn own_share(&self) -> f64 {
-        match self.zones.is_empty() {
-            true => 1.0,
-            false => (1.0 - self.share) * CUT_PART,
-        }
-    }
-}
-
-/// The books of an account.
-#[derive(Debug, Clone, Default)]
-struct AccountBook {
-    bucket: RateBucket,
-    // The last time of any use.
-    used: Duration,
-    // Time up to which what unheard zones use was assumed.
-    settled: Duration,
-    // Sums of the own zone since the ledger began.
-    asked: u32,
-    taken: u32,
-    // What of them was told to the other ledgers last, and from how much more on it is told again.
-    told: u32,
-    told_taken: u32,
-    tell_from: f64,
-    demand: DemandRate,
-    // Demand of the own zone as all zones knew it when all were last heard, units a second.
-    known_demand: f64,
-    away: BTreeMap<FastStr, AwayUse>,
-}
-
 /// The books of an availability zone.
 #[derive(Debug)]
 pub struct ZoneLedger {
@@ -252,7 +131,7 @@
         book.settle(&reserved, now);
         let taken = book.bucket.take(units, bounds, now);
         if taken.is_ok() {
-            book.taken = book.taken.wrapping_add(whole(units));
+            book.taken = book.taken.wrapping_add(account_book::whole(units));
         }
         taken
     }
@@ -323,7 +202,7 @@
             account: *account,
             asked: book.asked,
             taken: book.taken,
-            level: whole(book.bucket.level()),
+            level: account_book::whole(book.bucket.level()),
         });
         LedgerSums {
             id: self.id,
@@ -359,21 +238,7 @@
         // Sums of a ledger that is older than this one go back to before what this one knows.
         let is_older = sums.age > now.saturating_sub(self.began);
         let seen = self.seen.entry(sums.id).or_default();
-        seen.zone = sums.zone.clone();
-        (seen.told, seen.age) = (now, sums.age);
-        let mut changes = Vec::new();
-        for sum in &sums.uses {
-            let before = seen.sums.get(&sum.account).copied();
-            let before = before.unwrap_or(match is_older {
-                true => *sum,
-                false => AccountUse::default(),
-            });
-            // What a third one heard may be older than what is known already.
-            if let Some(change) = use_since(before, *sum) {
-                seen.sums.insert(sum.account, *sum);
-                changes.push(change);
-            }
-        }
+        let changes = seen.take(sums, is_older, now);
         for change in changes {
             let account = accounts.account(change.account);
             if let Some(limit) = account.and_then(|account| account.limit) {
@@ -456,21 +321,15 @@
         near.collect()
     }
 
-    // Units that may go beyond a limit within its window.
-    fn tolerated(&self, limit: AccountLimit) -> f64 {
-        let allowed = limit.rate * self.tolerance.window.as_secs_f64() + limit.burst;
-        allowed * self.tolerance.share + self.tolerance.extra
-    }
-
     // Units beyond the burst that are let in on purpose.
     fn granted_beyond(&self, limit: AccountLimit) -> f64 {
-        GRANTED_PART * self.tolerated(limit)
+        GRANTED_PART * self.tolerance.beyond(limit)
     }
 
     // Whether the account could go beyond its limit by more than is tolerated before its hosts hear of it.
     fn may_surge(&self, book: &AccountBook, limit: AccountLimit, demand: f64) -> bool {
         let window = self.tolerance.window.as_secs_f64();
-        let tolerated = self.tolerated(limit);
+        let tolerated = self.tolerance.beyond(limit);
         let unused = limit.burst - book.bucket.level() + (limit.rate - demand) * window;
         let room = FREE_PART * (tolerated + unused);
         demand * SURGE * LAG_SECONDS > room
@@ -561,73 +420,9 @@
     }
 }
 
-impl AccountBook {
-    // All zones were heard lately: what is known of their demand is known to all of them.
-    fn note_known(&mut self, now: Duration) {
-        self.known_demand = self.demand.slow(now);
-        for away in self.away.values_mut() {
-            away.known_demand = away.demand.slow(now);
-        }
-    }
-
-    fn has_more_to_tell(&self) -> bool {
-        f64::from(self.asked.wrapping_sub(self.told)) >= self.tell_from
-    }
-
-    fn note_asked(&mut self, units: f64, now: Duration) {
-        if units > 0.0 {
-            self.asked = self.asked.wrapping_add(whole(units));
-            self.demand.add(units, now);
-        }
-    }
-
-    // The unheard zones are taken to have used their shares since the last call: what each did use is told when it is
-    // heard of again.
-    fn settle(&mut self, reserved: &ReservedRate, now: Duration) {
-        let passed = now.saturating_sub(self.settled);
-        self.settled = now;
-        for (zone, rate, time) in &reserved.zones {
-            let away = self.away.entry(zone.clone()).or_insert_with(|| AwayUse {
-                // Not known: as much as here.
-                demand: DemandRate::default(),
-                known_demand: self.known_demand,
-                assumed: 0.0,
-            });
-            away.assumed += rate * passed.min(*time).as_secs_f64();
-        }
-    }
-
-    fn total_demand(&self, now: Duration) -> f64 {
-        let away: f64 = self.away.values().map(|away| away.demand.quick(now)).sum();
-        self.demand.quick(now) + away
-    }
-
-    fn idle_demand(&self) -> f64 {
-        let most = self.away.values().map(|away| away.known_demand);
-        IDLE_DEMAND * most.fold(self.known_demand, f64::max).max(1.0)
-    }
-}
-
 fn fitting_share(limit: AccountLimit, demand: f64) -> f64 {
     match demand > limit.rate {
         true => limit.rate / demand,
         false => 1.0,
     }
 }
-
-// What was used between two sums of a ledger, counted modulo 2^32; none where the second one is the older.
-fn use_since(before: AccountUse, sum: AccountUse) -> Option<AccountUse> {
-    let asked = sum.asked.wrapping_sub(before.asked);
-    let is_later = (asked as i32) >= 0;
-    is_later.then(|| AccountUse {
-        account: sum.account,
-        asked,
-        taken: sum.taken.wrapping_sub(before.taken),
-        level: sum.level,
-    })
-}
-
-// Sums are of whole units.
-fn whole(units: f64) -> u32 {
-    units.round().clamp(0.0, f64::from(u32::MAX)) as u32
-}
--- a/src/account/mod.rs
+++ b/src/account/mod.rs
@@ -3,16 +3,19 @@
 //! Plain state machines and functions on a given time, without clock, socket or task: the chain of filters and the
 //! relay both call them.
 
+mod account_book;
 mod bucket;
 mod client_account;
 mod desk;
 mod directory;
 mod key;
 mod ledger;
+mod seen_ledger;
 mod standing;
+mod tolerance;
 mod use_report;
 
 pub use self::{
     bucket::*, client_account::*, desk::*, directory::*, key::*, ledger::*, standing::*,
-    use_report::*,
+    tolerance::*, use_report::*,
 };
