One bucket and one hash of keys serve both paths

Cause: filter/limit.rs had a bucket of its own and object/kinds.rs a hash of keys of its own beside src/account's. Change: both call src/account; waits are now each caller's own place.

--- a/src/account/bucket.rs
+++ b/src/account/bucket.rs
@@ -65,24 +65,34 @@
     }
 
     /// Takes units if it is not full; gives otherwise when to come back.
-    ///
-    /// Each caller that is sent away is promised its own place behind those before it: told the same moment, all
-    /// would return at once and be refused again.
     pub fn take(&mut self, units: f64, bounds: BucketRate, now: Duration) -> Result<(), Duration> {
-        self.drain(bounds.rate, now);
-        if self.level < bounds.burst {
-            self.add(units);
-            return Ok(());
+        if self.is_full(bounds, now) {
+            return Err(self.turn_away(units, bounds));
         }
+        self.add(units);
+        Ok(())
+    }
+
+    /// Whether nothing more is let in.
+    pub fn is_full(&mut self, bounds: BucketRate, now: Duration) -> bool {
+        self.drain(bounds.rate, now);
+        self.level >= bounds.burst
+    }
+
+    /// When a caller is to come back that found it full with so many units.
+    ///
+    /// Each is promised its own place behind those before it: told the same moment, all would return at once and be
+    /// refused again.
+    pub fn turn_away(&mut self, units: f64, bounds: BucketRate) -> Duration {
         if bounds.rate <= 0.0 {
-            return Err(WAIT_LONGEST);
+            return WAIT_LONGEST;
         }
         let wait = (self.promised - bounds.burst) / bounds.rate;
         let longest = WAIT_LONGEST.as_secs_f64();
         if wait < longest {
             self.promised += units;
         }
-        let wait = Duration::from_secs_f64(wait.min(longest));
-        Err(wait.max(WAIT_LEAST))
+        let wait = Duration::from_secs_f64(wait.clamp(0.0, longest));
+        wait.max(WAIT_LEAST)
     }
 }
--- a/src/filter/limit.rs
+++ b/src/filter/limit.rs
@@ -3,6 +3,7 @@
 use {
     super::call::{CallContext, CallKind, FilterEnd},
     crate::{
+        account::{BucketRate, RateBucket},
         engine,
         host::Traffic,
         object::TenantLimits,
@@ -70,24 +71,10 @@
     concurrent: u32,
 }
 
-/// A rate that refills with time and may go into debt by one request.
-#[derive(Debug, Default)]
-struct RateBucket {
-    used: f64,
-    last: Duration,
-}
-
-impl RateBucket {
-    // How long until there is room; zero when there is.
-    fn wait(&mut self, rate: f64, now: Duration) -> Duration {
-        let passed = now.saturating_sub(self.last).as_secs_f64();
-        self.last = self.last.max(now);
-        self.used = (self.used - passed * rate).max(0.0);
-        let over = self.used - rate * BURST_SECONDS;
-        if over < 0.0 {
-            return Duration::ZERO;
-        }
-        Duration::from_secs_f64((over / rate).clamp(0.001, 60.0))
+fn bounds_of(rate: f64) -> BucketRate {
+    BucketRate {
+        rate,
+        burst: rate * BURST_SECONDS,
     }
 }
 
@@ -125,29 +112,27 @@
         let token_rate = limits
             .prompt_tokens_per_second
             .map(|rate| rate as f64 * share);
-        if let Some(rate) = request_rate {
-            let wait = used.requests.wait(rate, now);
-            if !wait.is_zero() {
-                return Err(OverLimit {
-                    what: "requests a second",
-                    wait,
-                });
-            }
+        if let Some(rate) = request_rate
+            && used.requests.is_full(bounds_of(rate), now)
+        {
+            return Err(OverLimit {
+                what: "requests a second",
+                wait: used.requests.turn_away(1.0, bounds_of(rate)),
+            });
         }
-        if let Some(rate) = token_rate {
-            let wait = used.tokens.wait(rate, now);
-            if !wait.is_zero() {
-                return Err(OverLimit {
-                    what: "prompt tokens a second",
-                    wait,
-                });
-            }
+        if let Some(rate) = token_rate
+            && used.tokens.is_full(bounds_of(rate), now)
+        {
+            return Err(OverLimit {
+                what: "prompt tokens a second",
+                wait: used.tokens.turn_away(tokens as f64, bounds_of(rate)),
+            });
         }
         if request_rate.is_some() {
-            used.requests.used += 1.0;
+            used.requests.add(1.0);
         }
         if token_rate.is_some() {
-            used.tokens.used += tokens as f64;
+            used.tokens.add(tokens as f64);
         }
         used.concurrent += 1;
         Ok(LimitPermit {
--- a/src/object/kinds.rs
+++ b/src/object/kinds.rs
@@ -5,10 +5,9 @@
         fault::ObjectFault,
         selector::{LabelMap, LabelSelector},
     },
-    crate::{engine::EngineRole, relay::RequestKind},
+    crate::{account::KeyHash, engine::EngineRole, relay::RequestKind},
     faststr::FastStr,
     serde::{Deserialize, Serialize},
-    sha2::{Digest, Sha256},
     std::net::SocketAddr,
 };
 
@@ -293,7 +292,5 @@
 
 /// The hash under which a tenant's key is kept.
 pub fn hash_key(key: &str) -> FastStr {
-    let hash = Sha256::digest(key.as_bytes());
-    let digits: String = hash.iter().map(|byte| format!("{byte:02x}")).collect();
-    FastStr::from_string(format!("sha256:{digits}"))
+    FastStr::from_string(KeyHash::of(key.as_bytes()).to_string())
 }
