--- a/src/account/account_book.rs
+++ b/src/account/account_book.rs
@@ -24,9 +24,9 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct DemandRate {
     // Over the last seconds, and over many: a surge shows in the one, shares of zones are steady in the other.
-    pub(super) quick: f64,
-    pub(super) slow: f64,
-    pub(super) at: Duration,
+    quick: f64,
+    slow: f64,
+    at: Duration,
 }
 
 impl DemandRate {
@@ -38,7 +38,7 @@
         self.slow * self.left(SHARE_SECONDS, now)
     }
 
-    pub(super) fn left(&self, seconds: f64, now: Duration) -> f64 {
+    fn left(&self, seconds: f64, now: Duration) -> f64 {
         let passed = now.saturating_sub(self.at).as_secs_f64();
         (-passed / seconds).exp()
     }
@@ -60,13 +60,22 @@
     pub(super) assumed: f64,
 }
 
+/// A zone that is not heard of.
+#[derive(Debug)]
+pub(super) struct UnheardZone {
+    pub(super) name: FastStr,
+    // Its part of the limit, units a second.
+    pub(super) rate: f64,
+    // How long it has been taken to use that.
+    pub(super) time: Duration,
+}
+
 /// What unheard zones are taken to use of an account's limit.
 #[derive(Debug, Default)]
 pub(super) struct ReservedRate {
     // Share of the limit for all of them, 0 to 1.
     pub(super) share: f64,
-    // Each with its part, units a second, and since when.
-    pub(super) zones: Vec<(FastStr, f64, Duration)>,
+    pub(super) zones: Vec<UnheardZone>,
 }
 
 impl ReservedRate {
@@ -125,14 +134,17 @@
     pub(super) fn settle(&mut self, reserved: &ReservedRate, now: Duration) {
         let passed = now.saturating_sub(self.settled);
         self.settled = now;
-        for (zone, rate, time) in &reserved.zones {
-            let away = self.away.entry(zone.clone()).or_insert_with(|| AwayUse {
-                // Not known: as much as here.
-                demand: DemandRate::default(),
-                known_demand: self.known_demand,
-                assumed: 0.0,
-            });
-            away.assumed += rate * passed.min(*time).as_secs_f64();
+        for zone in &reserved.zones {
+            let away = self
+                .away
+                .entry(zone.name.clone())
+                .or_insert_with(|| AwayUse {
+                    // Not known: as much as here.
+                    demand: DemandRate::default(),
+                    known_demand: self.known_demand,
+                    assumed: 0.0,
+                });
+            away.assumed += zone.rate * passed.min(zone.time).as_secs_f64();
         }
     }
 
--- a/src/account/ledger.rs
+++ b/src/account/ledger.rs
@@ -7,7 +7,7 @@
 
 use {
     super::{
-        account_book::{self, AccountBook, ReservedRate},
+        account_book::{self, AccountBook, ReservedRate, UnheardZone},
         bucket::{BucketRate, RateBucket},
         client_account::{AccountKey, AccountLimit},
         directory::AccountDirectory,
@@ -371,10 +371,14 @@
         let whole: f64 = own + self.zones.keys().map(demand_of).sum::<f64>();
         let zones = unheard.into_iter().map(|(zone, time)| {
             let rate = limit.rate * demand_of(zone) / whole;
-            (zone.clone(), rate, time)
+            UnheardZone {
+                name: zone.clone(),
+                rate,
+                time,
+            }
         });
-        let zones: Vec<(FastStr, f64, Duration)> = zones.collect();
-        let rate: f64 = zones.iter().map(|(_, rate, _)| rate).sum();
+        let zones: Vec<UnheardZone> = zones.collect();
+        let rate: f64 = zones.iter().map(|zone| zone.rate).sum();
         ReservedRate {
             share: rate / limit.rate,
             zones,
