--- a/src/relay/parts/accounts.rs
+++ b/src/relay/parts/accounts.rs
@@ -84,7 +84,15 @@
         let proof = self.cluster.borrow().proof_age(self.now());
         let rules = &self.settings.bounds.keys;
         match account::judge_key(accounts, shown, route.is_public, proof, rules) {
-            KeyStanding::Account(account) => Ok(Some(account)),
+            KeyStanding::Account(account) => {
+                let life = rules.proof_life();
+                let is_proved = life.is_none_or(|life| proof.is_some_and(|age| age < life));
+                assert!(
+                    is_proved || route.is_public,
+                    "keys that may have been taken away open nothing"
+                );
+                Ok(Some(account))
+            }
             KeyStanding::Open => Ok(None),
             KeyStanding::Unknown => Err(Refusal::not_run(
                 RefusalCode::UnknownCaller,
