--- a/src/relay/news/tell.rs
+++ b/src/relay/news/tell.rs
@@ -14,6 +14,9 @@
 /// followers. Larger ones would fill the link of a small host; followers read them from the store.
 const TOLD_ROUTES: usize = 64;
 
+/// The same for client accounts: some 80 bytes a key.
+const TOLD_ACCOUNTS: usize = 64;
+
 /// Hosts up to which a starting one is told everything by whomever it asks. In a larger fleet a third of it would ask
 /// each of the hosts that the settings name, for some 100 kB each; these need not be strong, so they only name the
 /// hosts that the asker may follow.
@@ -70,7 +73,8 @@
     let routes = cluster.routes();
     let config = routes.as_ref().map(|routes| routes.config());
     let told = config.filter(|config| {
-        let is_small = config.routes.len() <= TOLD_ROUTES;
+        let accounts = config.accounts.as_ref().map_or(0, Vec::len);
+        let is_small = config.routes.len() <= TOLD_ROUTES && accounts <= TOLD_ACCOUNTS;
         config.version > held.config_version && (is_small || held.wants_config)
     });
     ClusterNews {
