--- a/tests/account_limits.rs
+++ b/tests/account_limits.rs
@@ -133,7 +133,7 @@
 }
 
 // With the share of its requests that fits, told each report, a host lets in far more when demand rises: 1.37 of what is
-// tolerated in place of 0.89 (88 hosts, four accounts at 7.5 times their usual), 1.97 of what limits cover after a kill.
+// tolerated in place of 0.89 (87 hosts, four accounts at 7.5 times their usual), 1.97 of what limits cover after a kill.
 #[test]
 fn letting_in_a_share_without_asking_goes_beyond_the_limits() {
     let mut sim = fleet(LimitWay::Thin, FLEETS[1]);
