--- a/src/relay/figures.rs
+++ b/src/relay/figures.rs
@@ -11,7 +11,7 @@
 /// requests; what is counted after the last line of a host that loses its power is not seen.
 const FIGURES_PERIOD: Duration = Duration::from_secs(5);
 
-/// Logs the figures for as long as the host runs; all are sums since its start, but for the age.
+/// Logs the figures for as long as the host runs; all are sums since its start, but for the two ages.
 pub async fn log_figures(parts: Rc<RelayParts>) {
     loop {
         tokio::time::sleep(FIGURES_PERIOD).await;
@@ -41,6 +41,7 @@
             ("opened_free", &opened(PoolUse::Free)),
             ("opened_ask", &opened(PoolUse::Ask)),
             ("news_told", &metrics.news_told.get()),
+            ("store_heard_ms", &parts.store_heard_ms()),
             ("age_ms", &age.map_or(-1, |age| age.as_millis() as i64)),
         ],
     );
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -94,6 +94,8 @@
         );
         let gate = StopGate::new(settings.requests_limit);
         let parts = RelayParts::new(settings, dialect, gate);
+        let noting = parts.clone();
+        let store = store.with_note(Rc::new(move || noting.note_store_answer()));
         let store = Rc::new(store);
         let host = Self {
             parts: parts.clone(),
--- a/src/relay/link.rs
+++ b/src/relay/link.rs
@@ -4,9 +4,9 @@
     super::{backend::BackendInfo, config::RelayConfig},
     crate::{control::LeaseSpec, store::StoreFailure},
     faststr::FastStr,
-    futures::future::LocalBoxFuture,
+    futures::{FutureExt, future::LocalBoxFuture},
     serde::{Deserialize, Serialize},
-    std::{fmt, net::SocketAddr, time::Duration},
+    std::{fmt, net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// The kinds of objects that a host reads or writes.
@@ -123,6 +123,43 @@
     pub delete: Box<DeleteCall>,
 }
 
+/// Told of each call that the store answered, once its answer is there.
+pub type AnswerNote = dyn Fn();
+
+impl StoreLink {
+    /// The same calls, with a note of each that the store answered, be it that the call failed.
+    pub fn with_note(self, note: Rc<AnswerNote>) -> Self {
+        let notes = [(); 5].map(|()| note.clone());
+        let [list_note, watch_note, get_note, put_note, delete_note] = notes;
+        let Self {
+            list,
+            watch,
+            get,
+            put,
+            delete,
+        } = self;
+        Self {
+            list: Box::new(move |kind, age| noted(list(kind, age), &list_note)),
+            watch: Box::new(move |kind, since, wait| noted(watch(kind, since, wait), &watch_note)),
+            get: Box::new(move |kind, name| noted(get(kind, name), &get_note)),
+            put: Box::new(move |kind, item| noted(put(kind, item), &put_note)),
+            delete: Box::new(move |kind, name| noted(delete(kind, name), &delete_note)),
+        }
+    }
+}
+
+fn noted<T: 'static>(call: StoreCall<T>, note: &Rc<AnswerNote>) -> StoreCall<T> {
+    let note = note.clone();
+    let calling = async move {
+        let answer = call.await;
+        if answer.as_ref().err().is_none_or(StoreFailure::is_answer) {
+            note();
+        }
+        answer
+    };
+    calling.boxed_local()
+}
+
 impl fmt::Debug for StoreLink {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("StoreLink")
--- a/src/relay/news/feed.rs
+++ b/src/relay/news/feed.rs
@@ -165,6 +165,7 @@
         loop {
             self.wanted(kind).await;
             let before = self.parts.cluster.borrow().changes_seen();
+            let asked = self.parts.now();
             match self.read_once(kind, forgotten).await {
                 Ok(()) => {
                     (forgotten, failures) = (false, 0);
@@ -175,6 +176,7 @@
                 Err(failure) => {
                     self.note_failure(kind, &failure);
                     let pause = self.pauses().after(failures, rand::random());
+                    self.tell_unanswered(kind, &failure, asked, pause);
                     failures += 1;
                     tokio::time::sleep(pause).await;
                 }
@@ -182,6 +184,25 @@
         }
     }
 
+    fn tell_unanswered(
+        &self,
+        kind: StoreKind,
+        failure: &StoreFailure,
+        asked: Duration,
+        pause: Duration,
+    ) {
+        let waited = self.parts.now().saturating_sub(asked);
+        event::emit(
+            &event::STORE_UNANSWERED,
+            &[
+                ("kind", &format!("{kind:?}")),
+                ("waited_ms", &waited.as_millis()),
+                ("pause_ms", &pause.as_millis()),
+                ("cause", failure),
+            ],
+        );
+    }
+
     fn pauses(&self) -> &'static StorePauses {
         match self.reading_hosts.get() {
             true => &READER_PAUSES,
--- a/src/relay/parts/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -114,6 +114,8 @@
     pub connections_reused: Gauge,
     /// How old the host's view of the store may be, milliseconds; -1 before it knows everything.
     pub news_age: Gauge,
+    /// How long ago the store last answered this host, whatever it was asked, milliseconds; -1 where it never did.
+    pub store_heard: Gauge,
     /// Answers to other hosts that asked for news.
     pub news_told: Counter,
     /// How long ago the configuration was surely the newest, milliseconds; -1 where that was never so.
@@ -164,6 +166,7 @@
             connections_opened: Gauge::default(),
             connections_reused: Gauge::default(),
             news_age: Gauge::default(),
+            store_heard: Gauge::default(),
             news_told: Counter::default(),
             proof_age: Gauge::default(),
             unsure_keys: Counter::default(),
@@ -235,6 +238,11 @@
                 "Age of the host's view of the store",
                 &self.news_age,
             ),
+            (
+                "store_heard_ms",
+                "Time since the store last answered this host",
+                &self.store_heard,
+            ),
             (
                 "proof_age_ms",
                 "Time since the configuration was surely the newest",
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -23,7 +23,13 @@
     faststr::FastStr,
     http::{HeaderValue, Request, StatusCode, header},
     http_body_util::Full,
-    std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        collections::HashMap,
+        rc::Rc,
+        sync::Arc,
+        time::Duration,
+    },
     tokio::{sync::Notify, time::Instant},
 };
 
@@ -59,6 +65,8 @@
     pub freed: Notify,
     /// Told when the configuration, the backend servers or the hosts have changed.
     pub news: Notify,
+    /// When the store last answered this host, whatever it was asked; none where it never did.
+    pub store_heard: Cell<Option<Duration>>,
     /// What is counted.
     pub metrics: RelayMetrics,
     /// Counts requests in progress and closes for a planned stop.
@@ -89,6 +97,7 @@
             line: RefCell::default(),
             freed: Notify::new(),
             news: Notify::new(),
+            store_heard: Cell::new(None),
             metrics: RelayMetrics::default(),
             gate,
             start: Instant::now(),
@@ -100,6 +109,16 @@
         self.start.elapsed()
     }
 
+    /// The store answered a call of this host.
+    pub fn note_store_answer(&self) {
+        self.store_heard.set(Some(self.now()));
+    }
+
+    /// How long ago the store last answered this host, milliseconds; -1 where it never did.
+    pub fn store_heard_ms(&self) -> i64 {
+        millis_since(self.store_heard.get(), self.now())
+    }
+
     /// The routes in force, once a configuration is known.
     pub fn routes(&self) -> Option<Rc<RouteTable>> {
         self.cluster.borrow().routes()
@@ -154,6 +173,11 @@
     }
 }
 
+// -1 where there is no such time.
+fn millis_since(time: Option<Duration>, now: Duration) -> i64 {
+    time.map_or(-1, |time| now.saturating_sub(time).as_millis() as i64)
+}
+
 impl SendFailure {
     /// How the backend server failed, for the book; none where that was not its doing.
     pub fn kind(&self) -> Option<BackendFailure> {
@@ -242,6 +266,7 @@
         metrics.connections.set(self.pool.open() as i64);
         metrics.connections_opened.set(self.pool.opened() as i64);
         metrics.connections_reused.set(self.pool.reused() as i64);
+        metrics.store_heard.set(self.store_heard_ms());
         let age = cluster.age(self.now());
         metrics
             .news_age
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -43,6 +43,16 @@
     Unknown(String),
 }
 
+impl StoreFailure {
+    /// Whether the store answered at all, be it that the call failed.
+    pub fn is_answer(&self) -> bool {
+        match self {
+            Self::Conflict(_) | Self::NotFound | Self::Gone | Self::Refused(_) => true,
+            Self::Unreachable(_) | Self::Unknown(_) => false,
+        }
+    }
+}
+
 impl fmt::Display for StoreFailure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
