--- a/src/web/pool.rs
+++ b/src/web/pool.rs
@@ -372,9 +372,21 @@
     }
 
     /// Reads the whole body, of at most `limit` bytes.
-    pub async fn read(mut self, limit: usize) -> Result<Bytes, String> {
+    pub async fn read(self, limit: usize) -> Result<Bytes, String> {
+        self.read_unless_silent(limit, Duration::MAX).await
+    }
+
+    /// The same, as long as some of it comes within each `silence`.
+    pub async fn read_unless_silent(
+        mut self,
+        limit: usize,
+        silence: Duration,
+    ) -> Result<Bytes, String> {
         let mut whole = bytes::BytesMut::new();
-        while let Some(chunk) = self.chunk().await {
+        loop {
+            let next = tokio::time::timeout(silence, self.chunk()).await;
+            let next = next.map_err(|_| "the answer falls silent".to_owned())?;
+            let Some(chunk) = next else { break };
             let chunk = chunk.map_err(|error| error.to_string())?;
             if whole.len() + chunk.len() > limit {
                 return Err(format!("the answer has more than {limit} bytes"));
