--- a/src/relay/news/feed.rs
+++ b/src/relay/news/feed.rs
@@ -7,8 +7,8 @@
             backend::BackendInfo,
             belief::view_time::ViewTime,
             link::{
-                HostEntry, ListAge, StoreChange, StoreChanges, StoreItem, StoreKind, StoreLink,
-                StoreList, StoreValue,
+                HostEntry, ListAge, StoreCall, StoreChange, StoreChanges, StoreItem, StoreKind,
+                StoreLink, StoreList, StoreValue,
             },
             parts::{metrics::StoreCause, shared::RelayParts},
             policy::{
@@ -63,8 +63,11 @@
     // Which of the two urgent watches did not answer last time.
     config_lost: Cell<bool>,
     backends_lost: Cell<bool>,
-    // Told when the store answers after it did not.
+    // Told when the store answers for the first time, or after it did not.
     answered: Notify,
+    // Told when the store answers after a call to it failed, for calls that are out since before.
+    returned: Notify,
+    has_failed: Cell<bool>,
     // The list of backend servers is from a reading that may lag, or from before a time without reading, and no watch has
     // confirmed it yet.
     backends_lag: Cell<bool>,
@@ -83,6 +86,8 @@
             config_lost: Cell::new(true),
             backends_lost: Cell::new(true),
             answered: Notify::new(),
+            returned: Notify::new(),
+            has_failed: Cell::new(false),
             backends_lag: Cell::new(false),
         });
         vital::spawn_vital("configuration", feed.clone().follow(StoreKind::Config));
@@ -276,7 +281,11 @@
         self.parts
             .metrics
             .store_called(self.cause(kind, StoreCause::Watch), 1);
-        let changes = (self.store.watch)(kind, held, wait).await?;
+        let watch = (self.store.watch)(kind, held, wait);
+        let changes = match kind {
+            StoreKind::Hosts => self.unless_outlived(watch).await?,
+            _ => watch.await?,
+        };
         self.take_changes(kind, changes);
         self.prove(kind, asked);
         if kind == StoreKind::Backends {
@@ -285,6 +294,20 @@
         Ok(())
     }
 
+    // A long watch that was out while the store fell silent is not answered any more: it is sent again once another call
+    // is answered. Waited for to its end, hosts that came meanwhile were not known for 20 s (a test with one silence).
+    async fn unless_outlived(
+        &self,
+        watch: StoreCall<StoreChanges>,
+    ) -> Result<StoreChanges, StoreFailure> {
+        tokio::select! {
+            changes = watch => changes,
+            () = self.returned.notified() => {
+                Err(StoreFailure::Unknown("the store fell silent meanwhile".into()))
+            }
+        }
+    }
+
     fn watch_time(&self) -> Duration {
         old_news(self.parts.settings.bounds.change_time).mul_f64(WATCH_PART)
     }
@@ -330,6 +353,9 @@
         if lost.replace(false) {
             self.tell_whether_lost();
             self.answered.notify_one();
+            if self.has_failed.replace(false) {
+                self.returned.notify_waiters();
+            }
             // The hosts are read again too.
             self.resumed.notify_waiters();
             event::emit(&event::PLATFORM_BACK, &[("kind", &format!("{kind:?}"))]);
@@ -338,6 +364,7 @@
 
     fn note_failure(&self, kind: StoreKind, failure: &StoreFailure) {
         self.parts.metrics.store_failures.inc();
+        self.has_failed.set(true);
         let Some(lost) = self.lost_flag(kind) else {
             log::debug!("the store's list of {kind:?} could not be read: {failure}");
             return;
