A host that knows nothing asks whoever knows all and asks it

Cause: hosts that start in a silence of the store know nobody, those that the settings name may have started with them, and who survived did not tell them. Change: a question names where its sender can be asked; a host that knows nothing asks back.

--- a/src/relay/news/follow.rs
+++ b/src/relay/news/follow.rs
@@ -296,6 +296,7 @@
             wait,
             is_starting: false,
             zone: self.parts.settings.zone.clone(),
+            peers: Some(self.parts.settings.peers),
         }
     }
 
@@ -394,7 +395,7 @@
         }
     }
 
-    // Some heads of other zones. Who knows no hosts asks those that the settings name.
+    // Some heads of other zones. Who knows no hosts asks those that the settings name, and whoever knows all and asked it.
     fn others_to_ask(&self) -> Vec<SocketAddr> {
         let heads = self.choice.borrow().other_heads(self.parts.now());
         let mut addresses: Vec<SocketAddr> = heads.into_iter().map(|entry| entry.peers).collect();
@@ -409,6 +410,7 @@
         }
         addresses.shuffle(&mut rand::rng());
         addresses.truncate(ASKED_HOSTS);
+        addresses.extend(self.parts.informed.take());
         addresses
     }
 
--- a/src/relay/news/message.rs
+++ b/src/relay/news/message.rs
@@ -14,7 +14,7 @@
     capnp::{Error, Result, struct_list},
     faststr::FastStr,
     serde::{Serialize, de::DeserializeOwned},
-    std::time::Duration,
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// Milliseconds that stand for "never" or "not known".
@@ -40,6 +40,15 @@
     pub is_starting: bool,
     /// Its availability zone.
     pub zone: FastStr,
+    /// Where it can be asked itself; none where that is not said.
+    pub peers: Option<SocketAddr>,
+}
+
+impl HeldNews {
+    /// Whether the asker has a configuration and a list of backend servers.
+    pub fn has_all(&self) -> bool {
+        self.config_version > 0 && self.backends_revision > 0
+    }
 }
 
 /// How new a reporter's own view is.
@@ -133,6 +142,20 @@
     to.set_wait_ms(to_ms(Some(held.wait)));
     to.set_is_starting(held.is_starting);
     to.set_zone(held.zone.as_str());
+    if let Some(address) = held.peers {
+        to.set_peers(address.to_string());
+    }
+}
+
+// None for the empty text, which stands for no address.
+fn read_address(text: &str) -> Result<Option<SocketAddr>> {
+    if text.is_empty() {
+        return Ok(None);
+    }
+    let address = text.parse();
+    address
+        .map(Some)
+        .map_err(|_| Error::failed(format!("{text:?} is no address")))
 }
 
 /// Reads what the asker has; what is not well formed is an error.
@@ -145,6 +168,7 @@
         wait: Duration::from_millis(u64::from(from.get_wait_ms())),
         is_starting: from.get_is_starting(),
         zone: FastStr::new(from.get_zone()?.to_str()?),
+        peers: read_address(from.get_peers()?.to_str()?)?,
     })
 }
 
--- a/src/relay/news/news.capnp
+++ b/src/relay/news/news.capnp
@@ -16,6 +16,8 @@
   isStarting @5 :Bool;
   # The asker's availability zone.
   zone @6 :Text;
+  # Where the asker can be asked, as ADDRESS:PORT: one that knows less asks it in its turn.
+  peers @7 :Text;
 }
 
 struct KindNews {
--- a/src/relay/news/news_capnp.rs
+++ b/src/relay/news/news_capnp.rs
@@ -98,11 +98,19 @@
         pub fn has_zone(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
+        #[inline]
+        pub fn get_peers(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_peers(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -216,6 +224,22 @@
         pub fn has_zone(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
+        #[inline]
+        pub fn get_peers(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_peers(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_peers(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_peers(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -227,73 +251,80 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 128] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 143] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(154, 19, 119, 199, 114, 45, 18, 242),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(35, 152, 123, 90, 14, 108, 31, 212),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 72, 101, 108, 100, 78),
             ::capnp::word(101, 119, 115, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 193, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(99, 111, 110, 102, 105, 103, 86, 101),
             ::capnp::word(114, 115, 105, 111, 110, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -356,6 +387,14 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 115, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -366,6 +405,7 @@
                 4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 6 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -379,9 +419,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2,5,4,3,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2,5,7,4,3,6];
         pub(crate) const TYPE_ID: u64 = 0xf212_2d72_c777_139a;
     }
 }
--- a/src/relay/news/tell.rs
+++ b/src/relay/news/tell.rs
@@ -24,6 +24,7 @@
 
 /// Tells an asker what is newer than what it has, once there is something or its wait is over.
 pub async fn tell_news(parts: Rc<RelayParts>, held: HeldNews) -> ClusterNews {
+    note_informed(&parts, &held);
     let asked = Instant::now();
     let until = asked + held.wait.min(WAIT_LIMIT);
     loop {
@@ -52,6 +53,16 @@
     }
 }
 
+// Hosts that start while the store is silent know nobody, and those that the settings name may have started with them. Who
+// survived asks them, as heads: without this four hosts of seven refused all requests for the nine seconds that a silence
+// lasted, while the other three knew what was in force.
+fn note_informed(parts: &RelayParts, held: &HeldNews) {
+    let knows_all = parts.cluster.borrow().age(parts.now()).is_some();
+    if !knows_all && held.has_all() {
+        parts.informed.set(held.peers);
+    }
+}
+
 // One that starts waits for all there is to know: what comes in parts would be asked for again at once.
 fn has_more(parts: &RelayParts, news: &ClusterNews, held: &HeldNews) -> bool {
     if !held.is_starting {
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -26,6 +26,7 @@
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
+        net::SocketAddr,
         rc::Rc,
         sync::Arc,
         time::Duration,
@@ -65,6 +66,8 @@
     pub freed: Notify,
     /// Told when the configuration, the backend servers or the hosts have changed.
     pub news: Notify,
+    /// A host that knows all and asked this one while it knew nothing.
+    pub informed: Cell<Option<SocketAddr>>,
     /// When the store last answered this host, whatever it was asked; none where it never did.
     pub store_heard: Cell<Option<Duration>>,
     /// What is counted.
@@ -97,6 +100,7 @@
             line: RefCell::default(),
             freed: Notify::new(),
             news: Notify::new(),
+            informed: Cell::new(None),
             store_heard: Cell::new(None),
             metrics: RelayMetrics::default(),
             gate,
