--- a/src/relay/news/feed.rs
+++ b/src/relay/news/feed.rs
@@ -1,15 +1,12 @@
 //! Keeping a host's beliefs up to date from the store, while it is the host's turn to read it.
 
 use {
+    super::contact::StoreContact,
     crate::{
         event,
         relay::{
-            backend::BackendInfo,
             belief::view_time::ViewTime,
-            link::{
-                HostEntry, ListAge, StoreCall, StoreChange, StoreChanges, StoreItem, StoreKind,
-                StoreLink, StoreList, StoreValue,
-            },
+            link::{ListAge, StoreCall, StoreChanges, StoreKind, StoreLink},
             parts::{metrics::StoreCause, shared::RelayParts},
             policy::{
                 pauses::{FOLLOWER_PAUSES, READER_PAUSES, StorePauses},
@@ -52,22 +49,15 @@
 /// Reads the store while that is wanted of this host.
 #[derive(Debug)]
 pub struct StoreFeed {
-    parts: Rc<RelayParts>,
+    pub(super) parts: Rc<RelayParts>,
     store: Rc<StoreLink>,
     // Whether configuration and backend servers are read, and whether the hosts are.
     reading: Cell<bool>,
     reading_hosts: Cell<bool>,
     resumed: Notify,
     // The store's revision up to which the configuration is known; 0 after a time without reading.
-    config_revision: Cell<u64>,
-    // Which of the two urgent watches did not answer last time.
-    config_lost: Cell<bool>,
-    backends_lost: Cell<bool>,
-    // Told when the store answers for the first time, or after it did not.
-    answered: Notify,
-    // Told when the store answers after a call to it failed, for calls that are out since before.
-    returned: Notify,
-    has_failed: Cell<bool>,
+    pub(super) config_revision: Cell<u64>,
+    contact: StoreContact,
     // The list of backend servers is from a reading that may lag, or from before a time without reading, and no watch has
     // confirmed it yet.
     backends_lag: Cell<bool>,
@@ -83,11 +73,7 @@
             reading_hosts: Cell::new(false),
             resumed: Notify::new(),
             config_revision: Cell::new(0),
-            config_lost: Cell::new(true),
-            backends_lost: Cell::new(true),
-            answered: Notify::new(),
-            returned: Notify::new(),
-            has_failed: Cell::new(false),
+            contact: StoreContact::default(),
             backends_lag: Cell::new(false),
         });
         vital::spawn_vital("configuration", feed.clone().follow(StoreKind::Config));
@@ -102,8 +88,7 @@
         self.reading.set(reading);
         self.reading_hosts.set(hosts);
         if !reading {
-            self.config_lost.set(false);
-            self.backends_lost.set(false);
+            self.contact.forget();
         }
         if reading || hosts {
             self.resumed.notify_waiters();
@@ -112,12 +97,12 @@
 
     /// Whether the store did not answer last time.
     pub fn is_lost(&self) -> bool {
-        self.config_lost.get() || self.backends_lost.get()
+        self.contact.is_lost()
     }
 
     /// Waits until the store answers after it did not.
     pub async fn answered(&self) {
-        self.answered.notified().await;
+        self.contact.answered().await;
     }
 
     // Those that follow this host hear of it.
@@ -153,8 +138,9 @@
 
     // What is asked of a store that did not answer last time is asked for another reason.
     fn cause(&self, kind: StoreKind, usual: StoreCause) -> StoreCause {
-        let lost = self.lost_flag(kind).is_some_and(Cell::get);
-        match lost && self.parts.cluster.borrow().age(self.parts.now()).is_some() {
+        match self.contact.is_kind_lost(kind)
+            && self.parts.cluster.borrow().age(self.parts.now()).is_some()
+        {
             true => StoreCause::WhileLost,
             false => usual,
         }
@@ -302,7 +288,7 @@
     ) -> Result<StoreChanges, StoreFailure> {
         tokio::select! {
             changes = watch => changes,
-            () = self.returned.notified() => {
+            () = self.contact.returned() => {
                 Err(StoreFailure::Unknown("the store fell silent meanwhile".into()))
             }
         }
@@ -333,29 +319,14 @@
         }
     }
 
-    fn lost_flag(&self, kind: StoreKind) -> Option<&Cell<bool>> {
-        match kind {
-            StoreKind::Config => Some(&self.config_lost),
-            StoreKind::Backends => Some(&self.backends_lost),
-            StoreKind::Hosts | StoreKind::Leases => None,
-        }
-    }
-
     fn note_answer(&self, kind: StoreKind) {
-        let now = self.parts.now();
         if kind == StoreKind::Backends && self.backends_lag.get() {
             return;
         }
+        let now = self.parts.now();
         self.parts.cluster.borrow_mut().confirm(kind, now);
-        let Some(lost) = self.lost_flag(kind) else {
-            return;
-        };
-        if lost.replace(false) {
+        if self.contact.note_answer(kind) {
             self.tell_whether_lost();
-            self.answered.notify_one();
-            if self.has_failed.replace(false) {
-                self.returned.notify_waiters();
-            }
             // The hosts are read again too.
             self.resumed.notify_waiters();
             event::emit(&event::PLATFORM_BACK, &[("kind", &format!("{kind:?}"))]);
@@ -364,12 +335,7 @@
 
     fn note_failure(&self, kind: StoreKind, failure: &StoreFailure) {
         self.parts.metrics.store_failures.inc();
-        self.has_failed.set(true);
-        let Some(lost) = self.lost_flag(kind) else {
-            log::debug!("the store's list of {kind:?} could not be read: {failure}");
-            return;
-        };
-        if !lost.replace(true) {
+        if self.contact.note_failure(kind) {
             self.tell_whether_lost();
             let kind = format!("{kind:?}");
             event::emit(
@@ -379,72 +345,6 @@
         }
     }
 
-    fn take_list(&self, kind: StoreKind, list: StoreList) {
-        let now = self.parts.now();
-        match kind {
-            StoreKind::Config => {
-                self.take_configs(list.items);
-                self.config_revision.set(list.revision);
-            }
-            StoreKind::Backends => {
-                let backends = list.items.into_iter().filter_map(backend_of).collect();
-                let mut cluster = self.parts.cluster.borrow_mut();
-                let taken = cluster.set_backends(backends, list.revision, now);
-                cluster.note_backends_read(now);
-                drop(cluster);
-                if taken {
-                    self.parts.publish_backends();
-                }
-            }
-            StoreKind::Hosts => {
-                let hosts = list.items.into_iter().filter_map(host_of).collect();
-                let mut cluster = self.parts.cluster.borrow_mut();
-                cluster.set_hosts(hosts, list.revision);
-                drop(cluster);
-                self.parts.news.notify_waiters();
-            }
-            StoreKind::Leases => {}
-        }
-    }
-
-    fn take_changes(&self, kind: StoreKind, changes: StoreChanges) {
-        let now = self.parts.now();
-        let StoreChanges { changes, revision } = changes;
-        let is_news = !changes.is_empty();
-        match kind {
-            StoreKind::Config => {
-                self.take_configs(changes.into_iter().filter_map(set_item).collect());
-                self.config_revision
-                    .set(revision.max(self.config_revision.get()));
-            }
-            StoreKind::Backends => {
-                let mut cluster = self.parts.cluster.borrow_mut();
-                cluster.change_backends(changes, revision, now);
-                drop(cluster);
-                if is_news {
-                    self.parts.publish_backends();
-                }
-            }
-            StoreKind::Hosts => {
-                let mut cluster = self.parts.cluster.borrow_mut();
-                cluster.change_hosts(changes, revision);
-                drop(cluster);
-                if is_news {
-                    self.parts.news.notify_waiters();
-                }
-            }
-            StoreKind::Leases => {}
-        }
-    }
-
-    fn take_configs(&self, items: Vec<StoreItem>) {
-        for item in items {
-            if let StoreValue::Config(config) = item.value {
-                self.parts.offer_config(config, "store");
-            }
-        }
-    }
-
     async fn expire(self: Rc<Self>) {
         loop {
             tokio::time::sleep(EXPIRE_PERIOD).await;
@@ -465,24 +365,3 @@
         _ => ListAge::Newest,
     }
 }
-
-fn set_item(change: StoreChange) -> Option<StoreItem> {
-    match change {
-        StoreChange::Set(item) => Some(item),
-        StoreChange::Removed(_) => None,
-    }
-}
-
-fn backend_of(item: StoreItem) -> Option<BackendInfo> {
-    match item.value {
-        StoreValue::Backend(info) => Some(info),
-        _ => None,
-    }
-}
-
-fn host_of(item: StoreItem) -> Option<HostEntry> {
-    match item.value {
-        StoreValue::Host(entry) => Some(entry),
-        _ => None,
-    }
-}
--- a/src/relay/news/follow.rs
+++ b/src/relay/news/follow.rs
@@ -5,6 +5,7 @@
         feed::StoreFeed,
         link::NewsLinks,
         message::{ClusterNews, HeldNews, ReportedView},
+        start,
     },
     crate::{
         event,
@@ -18,11 +19,10 @@
     },
     faststr::FastStr,
     futures::future,
-    rand::{RngExt, seq::SliceRandom},
+    rand::seq::SliceRandom,
     std::{
         cell::{Cell, RefCell},
         net::SocketAddr,
-        ops::Range,
         rc::Rc,
         time::Duration,
     },
@@ -50,30 +50,6 @@
 /// How much newer than this host's another one's view has to be for it to be asked: less is the usual delay of reports.
 const NEWER_BY: Duration = Duration::from_millis(500);
 
-/// How long a host that the others' settings name waits at its start for other hosts to tell it everything. They
-/// answer within milliseconds if they know it; if not, it is the first to read.
-const SEED_PATIENCE: Duration = Duration::from_millis(60);
-
-/// The same for any other host, milliseconds. After all were killed callers wait for every one of them: with 500 to 1,000
-/// ms fleets of seven served 0.15 s later, which took 0.008 of a day's worth (fifteen days, the same seeds); each host that
-/// reads by itself is three calls. Spread, so that the store is not asked by all at once.
-const START_PATIENCE_MS: Range<u64> = 150..350;
-
-/// The same once a named host has answered: a fleet of 295 whose hosts all start at once knows everything 0.3 s later, and
-/// with the shorter patience all of them would read, 900 calls more.
-const TOLD_PATIENCE_MS: Range<u64> = 700..1_400;
-
-/// The same at the first start of a whole fleet, whose hosts enter themselves in the store first; callers come later.
-const FIRST_START_PATIENCE_MS: Range<u64> = 3_000..4_500;
-
-/// How long a host that the settings name may wait until it knows enough to answer, and how long its answer may take
-/// beyond that. One that has no power yet does not answer at all, and a connection to it would hang for a second.
-const SEED_WAIT: Duration = Duration::from_millis(150);
-const SEED_ANSWER_TIME: Duration = Duration::from_millis(100);
-
-/// Pause before the hosts that the settings name are asked again, after none of them answered.
-const SEEDS_PAUSE: Duration = Duration::from_millis(50);
-
 // A host that reported a newer view than others.
 #[derive(Debug)]
 struct NewestReport {
@@ -89,10 +65,10 @@
     pub(super) parts: Rc<RelayParts>,
     pub(super) feed: Rc<StoreFeed>,
     pub(super) links: Rc<NewsLinks>,
-    choice: RefCell<SourceChoice>,
+    pub(super) choice: RefCell<SourceChoice>,
     last: RefCell<NewsSource>,
     // The hosts that this one was told it may follow before it knows any.
-    guides: RefCell<Vec<HostEntry>>,
+    pub(super) guides: RefCell<Vec<HostEntry>>,
     // The revision of the hosts' list by which the choice goes, and how many guides it was given.
     chosen_by: Cell<(u64, usize)>,
     // The reporter with the newest view, and until when that view was the newest; told when it is newer than this
@@ -107,7 +83,7 @@
     /// Starts to follow.
     pub fn start(parts: Rc<RelayParts>, feed: Rc<StoreFeed>, links: Rc<NewsLinks>) -> Rc<Self> {
         let settings = &parts.settings;
-        let (start_patience, told_patience) = start_patience(&parts);
+        let (start_patience, told_patience) = start::start_patience(&parts);
         let rules = SourceRules {
             own: settings.name.clone(),
             zone: settings.zone.clone(),
@@ -226,7 +202,7 @@
         }
     }
 
-    fn knows_all(&self) -> bool {
+    pub(super) fn knows_all(&self) -> bool {
         let cluster = self.parts.cluster.borrow();
         cluster.age(self.parts.now()).is_some()
     }
@@ -336,40 +312,6 @@
         }
     }
 
-    // No host is known yet: those that the settings name tell whom to follow, or everything in a small fleet.
-    async fn ask_seeds(&self) {
-        let settings = &self.parts.settings;
-        let mut seeds = settings.seeds.clone();
-        seeds.retain(|address| *address != settings.peers);
-        seeds.shuffle(&mut rand::rng());
-        for address in seeds {
-            let left = self.choice.borrow().patience_left(self.parts.now());
-            let held = HeldNews {
-                is_starting: true,
-                ..self.held(SEED_WAIT.min(left / 2), true)
-            };
-            let patience = SEED_ANSWER_TIME.min(left / 2);
-            let asked = self.parts.now();
-            let answer = self.links.follow(address, held, patience).await;
-            if answer.is_ok() {
-                self.choice.borrow_mut().note_seed();
-            }
-            match answer {
-                Ok(news) if !news.guides.is_empty() => {
-                    *self.guides.borrow_mut() = news.guides;
-                    return;
-                }
-                Ok(news) => self.take(news, address, asked).await,
-                Err(error) => log::debug!("host at {address} gave no news: {error}"),
-            }
-            if self.knows_all() {
-                return;
-            }
-        }
-        let left = self.choice.borrow().patience_left(self.parts.now());
-        tokio::time::sleep(SEEDS_PAUSE.min(left)).await;
-    }
-
     // The store does not answer this host: others may be served by it.
     async fn ask_others(&self) {
         let asked = self.others_to_ask().into_iter();
@@ -427,20 +369,6 @@
     }
 }
 
-// How long a starting host waits for others to answer, and how long once one has.
-fn start_patience(parts: &RelayParts) -> (Duration, Duration) {
-    let settings = &parts.settings;
-    if settings.seeds.contains(&settings.peers) || settings.seeds.is_empty() {
-        return (SEED_PATIENCE, SEED_PATIENCE);
-    }
-    let (before, after) = match settings.first_start {
-        true => (FIRST_START_PATIENCE_MS, FIRST_START_PATIENCE_MS),
-        false => (START_PATIENCE_MS, TOLD_PATIENCE_MS),
-    };
-    let drawn = |spread| Duration::from_millis(rand::rng().random_range(spread));
-    (drawn(before), drawn(after))
-}
-
 fn tell_change(source: &NewsSource, age: Option<Duration>) {
     let name = match source {
         NewsSource::Store => "the store",
--- a/src/relay/news/mod.rs
+++ b/src/relay/news/mod.rs
@@ -1,6 +1,7 @@
 //! What hosts tell each other: news of the configuration, the backend servers and the hosts, which few
 //! hosts of a zone read from the store for the others; and what each one's requests take at engines.
 
+mod contact;
 pub(crate) mod entry;
 pub(crate) mod feed;
 pub(crate) mod follow;
@@ -8,6 +9,8 @@
 pub(crate) mod message;
 pub(crate) mod settle;
 pub(crate) mod share;
+mod start;
+mod store_news;
 mod take;
 mod targets;
 pub(crate) mod tell;
