--- a/tests/account_limits.rs
+++ b/tests/account_limits.rs
@@ -223,6 +223,35 @@
     }
 }
 
+// What the three books of that day let in while none had heard of another: each drained at the account's whole rate.
+#[test]
+fn books_that_have_just_begun_share_the_rate_until_they_hear_of_each_other() {
+    let limit = AccountLimit {
+        unit: LimitUnit::Tokens { unnamed: 200 },
+        rate: 90_000.0,
+        burst: 61_000.0,
+    };
+    let account = AccountKey::of("hot");
+    let names: Vec<FastStr> = ["z-a", "z-b", "z-c"].map(FastStr::from).to_vec();
+    let tolerance = limit_sim::TOLERANCE;
+    let unheard = Duration::from_millis(600);
+    let mut let_in = 0.0;
+    for (index, zone) in names.iter().enumerate() {
+        let mut ledger = ZoneLedger::new(index as u64 + 1, zone.clone(), tolerance, Duration::ZERO);
+        let others = names.iter().filter(|other| *other != zone);
+        ledger.set_zones(&others.cloned().collect::<BTreeSet<_>>());
+        for now in (0..unheard.as_millis() as u64).step_by(10) {
+            let now = Duration::from_millis(now);
+            if ledger.charge(account, limit, REQUEST_UNITS, now).is_ok() {
+                let_in += REQUEST_UNITS;
+            }
+        }
+    }
+    let left = 0.1 * (limit.burst + tolerance.beyond(limit));
+    let most = left + limit.rate * unheard.as_secs_f64() + names.len() as f64 * REQUEST_UNITS;
+    assert!(let_in <= most, "{let_in} of {most}");
+}
+
 // Of the same day: in the second after the start zones let in 132,000, 71,000 and 110,000 units of one account, each by books
 // that had just begun and had not heard of the others': three times what is left of a limit then.
 #[test]
