--- a/tests/account_limits.rs
+++ b/tests/account_limits.rs
@@ -204,9 +204,9 @@
 }
 
 // After all hosts were killed an account at six times its usual ran 1,032,000 units in 8 s where 999,000 were tolerated (88
-// hosts, one play of four). Its callers came back at once, to hosts that knew the configuration and not yet who keeps
-// the books, or whose question was not answered: those let in everything. In the second after the start 7 of its
-// requests were refused, in the second before it 115; 350,000 units were let in within 0.8 s.
+// hosts, one run of four). In the second after the start 7 of its requests were refused, in the second before it 115; 350,000
+// units were let in within 0.8 s. Suspected, and not proved to be the cause: callers come back at once, to hosts that know the
+// configuration and not yet who keeps the books, or whose question is not answered, and those let in everything.
 #[test]
 fn hosts_that_nobody_has_told_of_use_do_not_let_everything_in() {
     for size in [FLEETS[0], FLEETS[1], FLEETS[2]] {
@@ -223,7 +223,7 @@
     }
 }
 
-// What the three books of that day let in while none had heard of another: each drained at the account's whole rate.
+// Suspected of the same: three books that have not heard of each other each drain at the account's whole rate.
 #[test]
 fn books_that_have_just_begun_share_the_rate_until_they_hear_of_each_other() {
     let limit = AccountLimit {
@@ -252,8 +252,8 @@
     assert!(let_in <= most, "{let_in} of {most}");
 }
 
-// Of the same day: in the second after the start zones let in 132,000, 71,000 and 110,000 units of one account, each by books
-// that had just begun and had not heard of the others': three times what is left of a limit then.
+// Suspected of the same: in the second after the start zones let in 132,000, 71,000 and 110,000 units of the account, three times
+// what is left of its limit then, as books would that have just begun and have not heard of each other.
 #[test]
 fn books_that_have_just_begun_share_what_is_left_of_a_limit() {
     let limit = AccountLimit {
