--- a/src/account/ledger.rs
+++ b/src/account/ledger.rs
@@ -13,7 +13,7 @@
         directory::AccountDirectory,
         seen_ledger::SeenLedger,
         tolerance::LimitTolerance,
-        use_report::{AccountUse, LedgerSums, NearAccount},
+        use_report::{AccountUse, NearAccount},
     },
     faststr::FastStr,
     std::{
@@ -23,7 +23,7 @@
 };
 
 /// How long a zone may go unheard until its share of each limit is left to it: three of its reports.
-const CUT_AFTER: Duration = Duration::from_millis(1_000);
+pub(super) const CUT_AFTER: Duration = Duration::from_millis(1_000);
 
 /// How many times its present demand an account is taken to ask for all at once, before its hosts hear of it.
 const SURGE: f64 = 8.0;
@@ -48,15 +48,7 @@
 const BEGIN_LEVEL: f64 = 0.9;
 
 /// Seconds of the rate that a bucket may be over its burst: what went beyond is repaid later, but no longer than that.
-const DEBT_SECONDS: f64 = 2.0;
-
-/// Part of what two ledgers' levels differ by that is made up each time one tells the other. What one of them missed
-/// would otherwise stay for as long as the account is at its limit, and its zone get less than its share: with an
-/// account at eight times its usual, 0.46 of one zone's requests were refused and 0.17 of another's.
-const LEVEL_PULL: f64 = 0.3;
-
-/// Most that is added, as part of the burst, for what a zone used beyond its share while it was not heard of.
-const HEALED_LEVEL: f64 = 1.0;
+pub(super) const DEBT_SECONDS: f64 = 2.0;
 
 /// Seconds of an account's rate that a zone asks for until it tells the others, if the account is far under its limit.
 const TELL_SECONDS: f64 = 0.25;
@@ -65,20 +57,20 @@
 const KEPT_TIME: Duration = Duration::from_millis(2_000);
 
 /// How long an account that is not used is told of, and a ledger that is not heard of remembered.
-const BOOK_LIFE: Duration = Duration::from_secs(30);
+pub(super) const BOOK_LIFE: Duration = Duration::from_secs(30);
 
 /// The books of an availability zone.
 #[derive(Debug)]
 pub struct ZoneLedger {
-    id: u64,
-    zone: FastStr,
-    began: Duration,
+    pub(super) id: u64,
+    pub(super) zone: FastStr,
+    pub(super) began: Duration,
     tolerance: LimitTolerance,
-    books: BTreeMap<AccountKey, AccountBook>,
+    pub(super) books: BTreeMap<AccountKey, AccountBook>,
     // The other zones that have hosts, and when each was last heard of.
-    zones: BTreeMap<FastStr, Option<Duration>>,
+    pub(super) zones: BTreeMap<FastStr, Option<Duration>>,
     // What other ledgers told, by their ids.
-    seen: BTreeMap<u64, SeenLedger>,
+    pub(super) seen: BTreeMap<u64, SeenLedger>,
     // The accounts near their limits, as last worked out, and when that was.
     near: Vec<NearAccount>,
     near_at: Option<Duration>,
@@ -162,133 +154,6 @@
             .is_some_and(|at| now.saturating_sub(at) < KEPT_TIME)
     }
 
-    /// The sums of this ledger that are told to all others now: of all accounts in use, or of those that are near their
-    /// limits or have used much since they were told last.
-    pub fn tell_sums(
-        &mut self,
-        is_whole: bool,
-        near: &BTreeSet<AccountKey>,
-        now: Duration,
-    ) -> LedgerSums {
-        let sums = self.sums_of(now, |account, book| {
-            is_whole || near.contains(account) || book.has_more_to_tell()
-        });
-        for told in &sums.uses {
-            if let Some(book) = self.books.get_mut(&told.account) {
-                book.told = told.asked;
-                book.told_taken = told.taken;
-            }
-        }
-        sums
-    }
-
-    /// The sums of this ledger for one that asks: of some accounts, or of those that have used much; none where no host
-    /// goes by it, since it knows its zone's use from others only.
-    pub fn answer_sums(&self, some: &BTreeSet<AccountKey>, now: Duration) -> Option<LedgerSums> {
-        self.is_kept(now).then(|| {
-            self.sums_of(now, |account, book| {
-                some.contains(account) || book.has_more_to_tell()
-            })
-        })
-    }
-
-    fn sums_of(
-        &self,
-        now: Duration,
-        is_due: impl Fn(&AccountKey, &AccountBook) -> bool,
-    ) -> LedgerSums {
-        let books = self.books.iter();
-        let used = books.filter(|(_, book)| now.saturating_sub(book.used) < BOOK_LIFE);
-        let due = used.filter(|(account, book)| is_due(account, book));
-        let uses = due.map(|(account, book)| AccountUse {
-            account: *account,
-            asked: book.asked,
-            taken: book.taken,
-            level: account_book::whole(book.bucket.level()),
-        });
-        LedgerSums {
-            id: self.id,
-            age: now.saturating_sub(self.began),
-            zone: self.zone.clone(),
-            uses: uses.collect(),
-        }
-    }
-
-    /// What other ledgers told lately of some accounts: hosts that keep books may not all hear each other.
-    pub fn heard_sums(&self, some: &BTreeSet<AccountKey>, now: Duration) -> Vec<LedgerSums> {
-        let seen = self.seen.iter();
-        let seen = seen.filter(|(_, ledger)| now.saturating_sub(ledger.told) < CUT_AFTER);
-        seen.map(|(id, ledger)| LedgerSums {
-            id: *id,
-            age: ledger.age + now.saturating_sub(ledger.told),
-            zone: ledger.zone.clone(),
-            uses: some
-                .iter()
-                .filter_map(|account| ledger.sums.get(account))
-                // Its level has changed since.
-                .map(|sum| AccountUse { level: 0, ..*sum })
-                .collect(),
-        })
-        .collect()
-    }
-
-    /// Takes the sums of another ledger, from itself or from a third one.
-    pub fn take_sums(&mut self, sums: &LedgerSums, accounts: &AccountDirectory, now: Duration) {
-        if sums.id == self.id {
-            return;
-        }
-        // Sums of a ledger that is older than this one go back to before what this one knows.
-        let is_older = sums.age > now.saturating_sub(self.began);
-        let seen = self.seen.entry(sums.id).or_default();
-        let changes = seen.take(sums, is_older, now);
-        for change in changes {
-            let account = accounts.account(change.account);
-            if let Some(limit) = account.and_then(|account| account.limit) {
-                self.note_away(&sums.zone, change, limit, now);
-            }
-        }
-        if sums.zone != self.zone {
-            self.zones.insert(sums.zone.clone(), Some(now));
-        }
-    }
-
-    fn note_away(
-        &mut self,
-        zone: &FastStr,
-        change: AccountUse,
-        limit: AccountLimit,
-        now: Duration,
-    ) {
-        let reserved = self.reserve(change.account, limit, now);
-        let rate = self.own_rate(limit, &reserved, now);
-        let book = self.book(change.account, limit, now);
-        book.settle(&reserved, now);
-        book.bucket.drain(rate, now);
-        let away = book.away.entry(zone.clone()).or_default();
-        if change.asked > 0 {
-            away.demand.add(f64::from(change.asked), now);
-        }
-        let assumed = std::mem::take(&mut away.assumed);
-        let used = f64::from(change.taken as i32);
-        match assumed > 0.0 {
-            false => {
-                book.bucket.add(used);
-                // The other one has not heard what was let in here since the sums were last told.
-                let unheard = book.taken.wrapping_sub(book.told_taken) as i32;
-                let theirs = f64::from(change.level) + f64::from(unheard);
-                let apart = theirs - book.bucket.level();
-                if change.level > 0 {
-                    book.bucket.add(apart * LEVEL_PULL);
-                }
-            }
-            // What it used beyond its share was spread over the whole cut and has drained for the most part.
-            true => book
-                .bucket
-                .add((used - assumed).min(limit.burst * HEALED_LEVEL)),
-        }
-        book.bucket.cap(limit.burst + DEBT_SECONDS * limit.rate);
-    }
-
     /// Whether it has heard enough to say which accounts are far under their limits. Until then hosts ask for all: with
     /// 1.4 million units a second asked for after all hosts were killed, 0.3 s without asking went 0.11 beyond what is
     /// tolerated (tests/account_limits.rs).
@@ -348,7 +213,12 @@
     }
 
     // Units a second that drain for this side of a cut, or for this one of several ledgers that have just begun.
-    fn own_rate(&self, limit: AccountLimit, reserved: &ReservedRate, now: Duration) -> f64 {
+    pub(super) fn own_rate(
+        &self,
+        limit: AccountLimit,
+        reserved: &ReservedRate,
+        now: Duration,
+    ) -> f64 {
         limit.rate * reserved.own_share() * self.begin_part(now)
     }
 
@@ -374,7 +244,12 @@
 
     // What is left to zones that are not heard of: their shares of the demand as all zones knew it when they last heard
     // of each other, so that the shares of all sides of a cut together are the whole.
-    fn reserve(&self, account: AccountKey, limit: AccountLimit, now: Duration) -> ReservedRate {
+    pub(super) fn reserve(
+        &self,
+        account: AccountKey,
+        limit: AccountLimit,
+        now: Duration,
+    ) -> ReservedRate {
         let times = self.zones.iter().map(|(zone, heard)| {
             let time = self.unheard_time(*heard, now);
             (zone, time)
@@ -411,7 +286,7 @@
         }
     }
 
-    fn book(
+    pub(super) fn book(
         &mut self,
         account: AccountKey,
         limit: AccountLimit,
--- a/src/account/mod.rs
+++ b/src/account/mod.rs
@@ -10,6 +10,7 @@
 mod directory;
 mod key;
 mod ledger;
+mod ledger_sums;
 mod seen_ledger;
 mod standing;
 mod tolerance;
