A line and a counter for each request under which a backend server ended, with the request's digest

A connection that breaks off is followed by one new connection to the server, opened once for all of the host's requests there; nobody listening tells an end from a reset. The line (307) has the digest of account, path, query and body, and how long the request had run. No decision changes but one: a request waits up to 60 ms for that answer before it is sent on.

--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -48,6 +48,7 @@
     BACKENDS_CHANGED = 306, "backends-changed", Info, "The backend servers that this host may send to are others than before.", "None; a server that is missing too long has not been listed by the platform since.";
     ENGINE_LEAVING = 302, "engine-leaving", Info, "An engine leaves; it gets no new work.", "None.";
     ENGINE_SWEPT = 303, "engine-swept", Info, "Attempts that a lost host left at an engine were cancelled.", "None.";
+    BACKEND_ENDED = 307, "backend-ended", Warn, "A backend server ended while it ran a request of this host; one line for each of them.", "Of several servers with the same digest: that request ends its servers.";
     CONFIG_IN_FORCE = 401, "config-in-force", Info, "A newer accepted configuration is in force on this host.", "None.";
     CONFIG_REJECTED = 402, "config-rejected", Error, "The objects at the platform do not pass the checks; the last good set stays in force.", "Correct the named object and field.";
     CONFIG_ACCEPTED = 403, "config-accepted", Info, "This host checked the objects and wrote them as the accepted configuration.", "None.";
--- a/src/relay/parts/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -54,6 +54,16 @@
     pub end: LimitEnd,
 }
 
+/// Services that have series of their own; the rest share the name "other".
+const SERVICE_LABELS_MAX: usize = 64;
+
+/// Which service's requests a series counts.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServiceLabels {
+    /// The service's name.
+    pub service: String,
+}
+
 /// Why the store is called.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum StoreCause {
@@ -83,6 +93,7 @@
     registry: Registry,
     known: RefCell<HashSet<FastStr>>,
     known_accounts: RefCell<HashSet<FastStr>>,
+    known_services: RefCell<HashSet<FastStr>>,
     account_requests: Family<AccountLabels, Counter>,
     account_units: Family<AccountLabels, Counter>,
     answers: Family<EndLabels, Counter>,
@@ -108,6 +119,7 @@
     /// Calls to the store that failed.
     pub store_failures: Counter,
     store_calls: Family<CauseLabels, Counter>,
+    ended_under: Family<ServiceLabels, Counter>,
     /// Connections to backend servers that were opened.
     pub connections_opened: Gauge,
     /// Sends to backend servers over a connection that was open already.
@@ -147,6 +159,7 @@
             registry: Registry::with_prefix("bayplank_relay"),
             known: RefCell::default(),
             known_accounts: RefCell::default(),
+            known_services: RefCell::default(),
             account_requests: Family::default(),
             account_units: Family::default(),
             answers: Family::default(),
@@ -163,6 +176,7 @@
             connection_limits: Counter::default(),
             store_failures: Counter::default(),
             store_calls: Family::default(),
+            ended_under: Family::default(),
             connections_opened: Gauge::default(),
             connections_reused: Gauge::default(),
             news_age: Gauge::default(),
@@ -201,6 +215,11 @@
             "Calls to the store by cause",
             self.store_calls.clone(),
         );
+        r.register(
+            "ended_under",
+            "Requests under which a backend server ended, by service",
+            self.ended_under.clone(),
+        );
         let times = [
             ("head", "Arrival to the head of the answer", &self.head_time),
             ("reserve", "Wait for an engine's memory", &self.reserve_time),
@@ -291,6 +310,17 @@
         }
     }
 
+    /// A backend server of a service ended under a request.
+    pub fn ended_under(&self, service: &FastStr) {
+        self.ended_under.get_or_create(&self.service(service)).inc();
+    }
+
+    fn service(&self, service: &FastStr) -> ServiceLabels {
+        ServiceLabels {
+            service: bounded_label(&self.known_services, service, SERVICE_LABELS_MAX),
+        }
+    }
+
     /// The store was called so many times.
     pub fn store_called(&self, cause: StoreCause, calls: u32) {
         let labels = CauseLabels { cause };
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -1,7 +1,9 @@
 //! What the tasks of a relaying host share; all run on one thread.
 
 use {
-    super::{accounts::AccountGate, metrics::RelayMetrics, shares::OthersDemand},
+    super::{
+        accounts::AccountGate, ends::EndQuestions, metrics::RelayMetrics, shares::OthersDemand,
+    },
     crate::{
         account::ZoneLedger,
         event,
@@ -58,6 +60,8 @@
     pub(super) others: RefCell<OthersDemand>,
     /// The use of client accounts.
     pub accounts: AccountGate,
+    /// Backend servers of which it is being found out whether they ended.
+    pub(super) end_questions: EndQuestions,
     /// How long callers say that they will wait.
     pub waits: RefCell<CallerWaits>,
     /// Requests that wait for engines.
@@ -96,6 +100,7 @@
             budgets: RefCell::default(),
             others: RefCell::default(),
             accounts: AccountGate::new(ledger),
+            end_questions: EndQuestions::default(),
             waits: RefCell::default(),
             line: RefCell::default(),
             freed: Notify::new(),
--- a/src/relay/policy/book.rs
+++ b/src/relay/policy/book.rs
@@ -119,6 +119,12 @@
             .is_some_and(|view| view.info.born == backend.born)
     }
 
+    /// Whether a later run is listed under the id of this one.
+    pub fn has_begun_anew(&self, backend: &BackendInfo) -> bool {
+        self.view(&backend.id)
+            .is_some_and(|view| view.info.born > backend.born)
+    }
+
     /// What is known of all.
     pub fn views(&self) -> impl Iterator<Item = &BackendView> {
         self.views.values()
--- a/src/relay/policy/mod.rs
+++ b/src/relay/policy/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod book;
 pub(crate) mod budget;
 pub(crate) mod changes;
+pub(crate) mod digest;
 mod engines;
 pub(crate) mod kept;
 pub(crate) mod line;
@@ -19,6 +20,6 @@
 pub(crate) mod waited;
 
 pub use self::{
-    admission::*, book::*, budget::*, changes::*, kept::*, line::*, loads::*, pauses::*, room::*,
-    route::*, source::*, split::*, subset::*, view::*, waited::*,
+    admission::*, book::*, budget::*, changes::*, digest::*, kept::*, line::*, loads::*, pauses::*,
+    room::*, route::*, source::*, split::*, subset::*, view::*, waited::*,
 };
--- a/src/relay/request/call.rs
+++ b/src/relay/request/call.rs
@@ -8,6 +8,7 @@
             backend::BackendInfo,
             config::{CallerLimits, RelayConfig, RelayRoute},
             dialect::{CallAddress, CallDialect, CallMarks},
+            policy::digest::RequestDigest,
         },
         web,
     },
@@ -15,7 +16,7 @@
     http::{HeaderMap, Method, Request, request::Parts},
     http_body_util::{BodyExt, Full},
     hyper::body::Incoming,
-    std::{rc::Rc, time::Duration},
+    std::{cell::OnceCell, rc::Rc, time::Duration},
     tokio::time::Instant,
 };
 
@@ -44,6 +45,7 @@
     pub waited: Duration,
     /// When its caller has to have an answer.
     pub until: Instant,
+    digest: OnceCell<RequestDigest>,
 }
 
 impl RelayCall {
@@ -58,6 +60,28 @@
         self.account.as_ref().map_or("", |account| &account.name)
     }
 
+    /// The same call, of this client account.
+    pub fn of_account(self, account: Option<Rc<ClientAccount>>) -> Self {
+        let digest = OnceCell::new();
+        Self {
+            account,
+            digest,
+            ..self
+        }
+    }
+
+    /// The same call, of a caller that had waited for so long.
+    pub fn with_waited(self, waited: Duration) -> Self {
+        Self { waited, ..self }
+    }
+
+    /// Which request it is, whatever its id; worked out when it is first asked for.
+    pub fn digest(&self) -> RequestDigest {
+        *self
+            .digest
+            .get_or_init(|| RequestDigest::of(self.account_name(), &self.target, &self.body))
+    }
+
     /// What is left of its time.
     pub fn time_left(&self) -> Duration {
         self.until.saturating_duration_since(Instant::now())
@@ -123,6 +147,7 @@
         arrived,
         waited: Duration::ZERO,
         until,
+        digest: OnceCell::new(),
     })
 }
 
--- a/src/relay/request/chunks.rs
+++ b/src/relay/request/chunks.rs
@@ -13,7 +13,29 @@
     /// Some bytes of it were.
     Passed,
     /// Nothing follows; how it ended.
-    Ended(&'static str),
+    Ended(ChunkEnd),
+}
+
+/// How an answer that was passed on ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ChunkEnd {
+    /// The backend server came to its end.
+    Whole,
+    /// Its connection broke off.
+    Broken,
+    /// The caller's time is over.
+    TimeLimit,
+}
+
+impl ChunkEnd {
+    /// The end as the log has it.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::Broken => "broken",
+            Self::TimeLimit => "time-limit",
+        }
+    }
 }
 
 /// Gives an answer's bytes as they come until its end, a break, or the caller's time limit, and tells `note`
@@ -34,16 +56,16 @@
                     yield Ok(chunk);
                 }
                 Ok(None) => {
-                    note(&mut kept, ChunkStep::Ended("whole"));
+                    note(&mut kept, ChunkStep::Ended(ChunkEnd::Whole));
                     return;
                 }
                 Ok(Some(Err(error))) => {
-                    note(&mut kept, ChunkStep::Ended("broken"));
+                    note(&mut kept, ChunkStep::Ended(ChunkEnd::Broken));
                     yield Err(BrokenBody(format!("the backend server broke off: {error}")));
                     return;
                 }
                 Err(_) => {
-                    note(&mut kept, ChunkStep::Ended("time-limit"));
+                    note(&mut kept, ChunkStep::Ended(ChunkEnd::TimeLimit));
                     yield Err(BrokenBody("the time limit was reached".into()));
                     return;
                 }
--- a/src/relay/request/decode.rs
+++ b/src/relay/request/decode.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        guard::CallGuard,
         prefill::WaitingCache,
         stream::{RoundFailure, StreamRelay},
     },
@@ -29,6 +30,7 @@
         &self,
         engine: &BackendInfo,
         start: &DecodeStart,
+        guard: &CallGuard,
     ) -> Result<PooledAnswer, RoundFailure> {
         let parts = &self.parts;
         let request = self.call.request_to(engine, &parts.dialect, |headers| {
@@ -44,12 +46,17 @@
         let sent = tokio::time::timeout(patience, sending)
             .await
             .unwrap_or_else(|_| Err(SendFailure::no_answer_in_time()));
-        sent.map_err(|failure| {
-            parts.note_send_failure(engine, &failure);
-            RoundFailure {
-                verdict: failure.verdict,
-                detail: format!("decode at {}: {}", engine.id, failure.detail),
-            }
+        let failure = match sent {
+            Ok(answer) => return Ok(answer),
+            Err(failure) => failure,
+        };
+        parts.note_send_failure(engine, &failure);
+        if failure.is_break() {
+            guard.settle_break(&self.call).await;
+        }
+        Err(RoundFailure {
+            verdict: failure.verdict,
+            detail: format!("decode at {}: {}", engine.id, failure.detail),
         })
     }
 
--- a/src/relay/request/guard.rs
+++ b/src/relay/request/guard.rs
@@ -1,15 +1,24 @@
-//! Counting requests in progress at backend servers.
+//! A request in progress at a backend server: counted, and what is found out where its connection breaks off.
 
 use {
-    crate::relay::{backend::BackendInfo, parts::shared::RelayParts},
-    faststr::FastStr,
-    std::rc::Rc,
+    super::call::RelayCall,
+    crate::{
+        event,
+        relay::{backend::BackendInfo, parts::shared::RelayParts, policy::digest::RequestDigest},
+    },
+    std::{rc::Rc, time::Duration},
+    tokio::{task::JoinHandle, time::Instant},
 };
 
+/// Longest time for which a request waits until it is known whether its server ended, before it is sent on: the answer
+/// of a host that is there takes one to some milliseconds.
+const SETTLE_TIME: Duration = Duration::from_millis(60);
+
 /// A request in progress at a backend server, counted until dropped.
 pub struct CallGuard {
     parts: Rc<RelayParts>,
-    backend: FastStr,
+    backend: BackendInfo,
+    began: Instant,
     call: u64,
 }
 
@@ -20,15 +29,87 @@
         let call = parts.book.borrow_mut().call_began(&backend.id, now);
         Self {
             parts: parts.clone(),
-            backend: backend.id.clone(),
+            backend: backend.clone(),
+            began: Instant::now(),
             call,
         }
     }
+
+    /// The request's connection broke off while it ran, or may have: finds out whether the backend server ended, and
+    /// waits a moment for that, so that whoever sends the request on knows.
+    pub async fn settle_break(&self, call: &RelayCall) {
+        let Some(learning) = self.note_break(call) else {
+            return;
+        };
+        match tokio::time::timeout(SETTLE_TIME, learning).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => log::error!("finding out about {}: {error}", self.backend.id),
+            Err(_) => log::debug!("nobody can say yet whether {} ended", self.backend.id),
+        }
+    }
+
+    /// The same without waiting; none where the backend server was to end, or is no longer listed.
+    pub fn note_break(&self, call: &RelayCall) -> Option<JoinHandle<()>> {
+        let book = self.parts.book.borrow();
+        let view = book.view(&self.backend.id)?;
+        if view.info.born != self.backend.born || view.info.leaving {
+            return None;
+        }
+        let broken = BrokenRun {
+            backend: self.backend.clone(),
+            request: call.marks.id.to_string(),
+            route: call.route.name.to_string(),
+            account: call.account_name().to_owned(),
+            digest: call.digest(),
+            ran: self.began.elapsed(),
+            beside: view.calls().saturating_sub(1),
+        };
+        let parts = self.parts.clone();
+        Some(tokio::task::spawn_local(broken.learn(parts)))
+    }
 }
 
 impl Drop for CallGuard {
     fn drop(&mut self) {
         let mut book = self.parts.book.borrow_mut();
-        book.call_ended(&self.backend, self.call);
+        book.call_ended(&self.backend.id, self.call);
+    }
+}
+
+// A request whose connection broke off, as it was then.
+struct BrokenRun {
+    backend: BackendInfo,
+    request: String,
+    route: String,
+    account: String,
+    digest: RequestDigest,
+    ran: Duration,
+    // Other requests of this host at the same server.
+    beside: usize,
+}
+
+impl BrokenRun {
+    async fn learn(self, parts: Rc<RelayParts>) {
+        if parts.has_ended(&self.backend).await {
+            parts.metrics.ended_under(&self.backend.service);
+            self.log();
+        }
+    }
+
+    fn log(&self) {
+        event::emit(
+            &event::BACKEND_ENDED,
+            &[
+                ("backend", &self.backend.id),
+                ("service", &self.backend.service),
+                ("zone", &self.backend.zone),
+                ("request", &self.request),
+                ("route", &self.route),
+                ("account", &self.account),
+                ("digest", &self.digest),
+                ("ran_ms", &self.ran.as_millis()),
+                ("beside", &self.beside),
+            ],
+        );
     }
 }
--- a/src/relay/request/handler.rs
+++ b/src/relay/request/handler.rs
@@ -80,7 +80,7 @@
     let call = call::read_call(head, body, route, routes.config(), &parts.dialect).await?;
     // Again: the body may have taken longer than a key was in force.
     let account = parts.identify(&call.route, call.marks.key)?;
-    let call = RelayCall { account, ..call };
+    let call = call.of_account(account);
     let charge = charge(parts, &call).await?;
     parts.count_request(&service.name);
     let call = Rc::new(with_waited(parts, call));
@@ -116,7 +116,7 @@
     };
     let mut waits = parts.waits.borrow_mut();
     let waited = waits.waited(&call.route.name, left);
-    RelayCall { waited, ..call }
+    call.with_waited(waited)
 }
 
 fn is_engine_stream(call: &RelayCall, has_engines: bool) -> bool {
--- a/src/relay/request/plain.rs
+++ b/src/relay/request/plain.rs
@@ -4,7 +4,7 @@
     super::{
         answer::{self, RelayAnswer},
         call::RelayCall,
-        chunks::{self, ChunkStep},
+        chunks::{self, ChunkEnd, ChunkStep},
         guard::CallGuard,
         send::{self, PlainAnswer, PlainBody, SendOutcome},
     },
@@ -112,7 +112,12 @@
             let until = relay.call.until;
             let note = |kept: &mut (PlainRelay, CallGuard), step: ChunkStep| match step {
                 ChunkStep::Passed => {}
-                ChunkStep::Ended(end) => kept.0.log_end(end),
+                ChunkStep::Ended(end) => {
+                    if end == ChunkEnd::Broken {
+                        kept.1.note_break(&kept.0.call);
+                    }
+                    kept.0.log_end(end.as_str());
+                }
             };
             answer::streamed_body(chunks::pass_on(body, until, (relay, guard), note))
         }
--- a/src/relay/request/prefill.rs
+++ b/src/relay/request/prefill.rs
@@ -121,7 +121,7 @@
     (engine, backlog): (BackendInfo, f64),
 ) -> Result<WaitingCache, PrefillFailure> {
     let _load = PrefillLoad::begin(parts, &engine, call.marks.prompt_tokens);
-    let _guard = CallGuard::begin(parts, &engine);
+    let guard = CallGuard::begin(parts, &engine);
     let began = parts.now();
     let predicted = predict(parts, call, backlog);
     let patience = (predicted + PREFILL_PATIENCE).min(call.time_left());
@@ -148,6 +148,9 @@
         }
         Err(failure) if failure.verdict != RunVerdict::NotRun => {
             parts.note_failure(&engine, failure.kind, &failure.detail);
+            if failure.kind == BackendFailure::Broken {
+                guard.settle_break(call).await;
+            }
         }
         Err(_) => {}
     }
--- a/src/relay/request/resume.rs
+++ b/src/relay/request/resume.rs
@@ -64,7 +64,10 @@
                     yield Err(BrokenBody("the time limit was reached".into()));
                     return;
                 }
-                StreamStep::Broke(why) => (why, None),
+                StreamStep::Broke(why) => {
+                    running.held.guard.settle_break(&relay.call).await;
+                    (why, None)
+                }
                 StreamStep::Movable(hold) => ("the engine fell silent".to_owned(), Some(*hold)),
             };
             // Closes the connection, on which the engine stops, before another one begins.
--- a/src/relay/request/send.rs
+++ b/src/relay/request/send.rs
@@ -64,10 +64,13 @@
         Ok(answer) => answer,
         Err(failure) => {
             parts.note_send_failure(backend, &failure);
-            return match failure.verdict {
-                RunVerdict::NotRun => SendOutcome::Unsent(failure.detail),
-                _ => SendOutcome::Lost(failure.detail),
-            };
+            if failure.verdict == RunVerdict::NotRun {
+                return SendOutcome::Unsent(failure.detail);
+            }
+            if failure.is_break() {
+                guard.settle_break(call).await;
+            }
+            return SendOutcome::Lost(failure.detail);
         }
     };
     let marks = (parts.dialect.read_answer)(answer.status, &answer.headers);
@@ -79,7 +82,11 @@
     if call.route.kind.is_stream() && answer.status.is_success() {
         return SendOutcome::Answered(Box::new(running(answer, guard)));
     }
-    read_whole(parts, backend, answer, marks.not_run).await
+    let outcome = read_whole(parts, backend, answer, marks.not_run).await;
+    if matches!(outcome, SendOutcome::Lost(_)) {
+        guard.settle_break(call).await;
+    }
+    outcome
 }
 
 fn running(answer: PooledAnswer, guard: CallGuard) -> PlainAnswer {
--- a/src/relay/request/stream.rs
+++ b/src/relay/request/stream.rs
@@ -7,7 +7,7 @@
     super::{
         answer::{self, RelayAnswer},
         call::RelayCall,
-        chunks::{self, ChunkStep},
+        chunks::{self, ChunkEnd, ChunkStep},
         guard::CallGuard,
         pace::EventPace,
         prefill::{self, PrefillFailure, WaitingCache},
@@ -57,13 +57,13 @@
     pub(super) status: StatusCode,
     headers: HeaderMap,
     pub(super) body: PooledBody,
-    held: EngineHeld,
+    pub(super) held: EngineHeld,
 }
 
 /// What a running request counts for at its engine, until dropped.
-struct EngineHeld {
+pub(super) struct EngineHeld {
     _memory: MemoryHold,
-    _guard: CallGuard,
+    pub(super) guard: CallGuard,
 }
 
 /// Why a round brought no stream.
@@ -158,7 +158,12 @@
             let RunningStream { body, held, .. } = running;
             let note = |kept: &mut (StreamRelay, EngineHeld), step: ChunkStep| match step {
                 ChunkStep::Passed => kept.0.pace.passed(Instant::now()),
-                ChunkStep::Ended(end) => kept.0.log_end(end),
+                ChunkStep::Ended(end) => {
+                    if end == ChunkEnd::Broken {
+                        kept.1.guard.note_break(&kept.0.call);
+                    }
+                    kept.0.log_end(end.as_str());
+                }
             };
             answer::streamed_body(chunks::pass_on(body, until, (relay, held), note))
         }
@@ -357,7 +362,7 @@
             after_event: after,
         };
         let guard = CallGuard::begin(&self.parts, &hold.engine);
-        let answer = self.send_decode(&hold.engine, &start).await?;
+        let answer = self.send_decode(&hold.engine, &start, &guard).await?;
         let answer = self.check_answer(&hold.engine, cache, answer).await?;
         Ok(RunningStream {
             status: answer.status,
@@ -365,7 +370,7 @@
             body: answer.body,
             held: EngineHeld {
                 _memory: hold,
-                _guard: guard,
+                guard,
             },
         })
     }
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -7,11 +7,12 @@
 mod patience;
 mod pool;
 mod pool_target;
+mod probe;
 mod reply;
 mod send_failure;
 mod server;
 
 pub use self::{
-    body::*, client::*, headers::*, ingress::*, patience::*, pool::*, pool_target::*, reply::*,
-    send_failure::*, server::*,
+    body::*, client::*, headers::*, ingress::*, patience::*, pool::*, pool_target::*, probe::*,
+    reply::*, send_failure::*, server::*,
 };
--- a/src/web/send_failure.rs
+++ b/src/web/send_failure.rs
@@ -33,6 +33,11 @@
 impl std::error::Error for SendFailure {}
 
 impl SendFailure {
+    /// Whether the connection broke off after the request was handed over.
+    pub fn is_break(&self) -> bool {
+        self.cause == FailureCause::Broken && self.verdict == RunVerdict::MayHaveRun
+    }
+
     /// A request was handed over and nothing came in time.
     pub fn no_answer_in_time() -> Self {
         Self {
