--- a/src/relay/parts/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -120,6 +120,9 @@
     pub store_failures: Counter,
     store_calls: Family<CauseLabels, Counter>,
     ended_under: Family<ServiceLabels, Counter>,
+    fatal_refused: Family<ServiceLabels, Counter>,
+    /// Requests that are held to end their servers.
+    pub fatal_requests: Gauge,
     /// Connections to backend servers that were opened.
     pub connections_opened: Gauge,
     /// Sends to backend servers over a connection that was open already.
@@ -177,6 +180,8 @@
             store_failures: Counter::default(),
             store_calls: Family::default(),
             ended_under: Family::default(),
+            fatal_refused: Family::default(),
+            fatal_requests: Gauge::default(),
             connections_opened: Gauge::default(),
             connections_reused: Gauge::default(),
             news_age: Gauge::default(),
@@ -220,6 +225,11 @@
             "Requests under which a backend server ended, by service",
             self.ended_under.clone(),
         );
+        r.register(
+            "fatal_refused",
+            "Requests refused since backend servers end under them, by service",
+            self.fatal_refused.clone(),
+        );
         let times = [
             ("head", "Arrival to the head of the answer", &self.head_time),
             ("reserve", "Wait for an engine's memory", &self.reserve_time),
@@ -242,6 +252,11 @@
                 &self.config_version,
             ),
             ("backends", "Backend servers in use", &self.backends),
+            (
+                "fatal_requests",
+                "Requests that are held to end their servers",
+                &self.fatal_requests,
+            ),
             (
                 "connections_opened",
                 "Connections opened to backend servers since the start",
@@ -315,6 +330,13 @@
         self.ended_under.get_or_create(&self.service(service)).inc();
     }
 
+    /// A request was refused since backend servers of the service end under it.
+    pub fn fatal_refused(&self, service: &FastStr) {
+        self.fatal_refused
+            .get_or_create(&self.service(service))
+            .inc();
+    }
+
     fn service(&self, service: &FastStr) -> ServiceLabels {
         ServiceLabels {
             service: bounded_label(&self.known_services, service, SERVICE_LABELS_MAX),
--- a/src/relay/parts/mod.rs
+++ b/src/relay/parts/mod.rs
@@ -2,10 +2,11 @@
 //! Methods here connect several of them; what is done with a request is a matter of `request`.
 
 pub(crate) mod accounts;
+pub(crate) mod crashes;
 pub(crate) mod ends;
 pub(crate) mod metrics;
 pub(crate) mod publish;
 pub(crate) mod shared;
 pub(crate) mod shares;
 
-pub use self::{accounts::*, metrics::*, shared::*};
+pub use self::{accounts::*, crashes::*, metrics::*, shared::*};
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        accounts::AccountGate, ends::EndQuestions, metrics::RelayMetrics, shares::OthersDemand,
+        accounts::AccountGate, crashes::CrashDesk, ends::EndQuestions, metrics::RelayMetrics,
+        shares::OthersDemand,
     },
     crate::{
         account::ZoneLedger,
@@ -62,6 +63,8 @@
     pub accounts: AccountGate,
     /// Backend servers of which it is being found out whether they ended.
     pub(super) end_questions: EndQuestions,
+    /// Requests that end their servers.
+    pub crashes: CrashDesk,
     /// How long callers say that they will wait.
     pub waits: RefCell<CallerWaits>,
     /// Requests that wait for engines.
@@ -86,8 +89,9 @@
     pub fn new(settings: RelaySettings, dialect: CallDialect, gate: Arc<StopGate>) -> Rc<Self> {
         let pool = ConnectionPool::start(settings.pool.clone());
         let cluster = ClusterState::new(settings.bounds.heartbeat);
-        // 0 stands for no ledger on the wire.
+        // 0 stands for no ledger and no book on the wire.
         let ledger_id = rand::random_range(1..=u64::MAX);
+        let book_id = rand::random_range(1..=u64::MAX);
         let zone = settings.zone.clone();
         let ledger = ZoneLedger::new(ledger_id, zone, settings.bounds.limits, Duration::ZERO);
         Rc::new(Self {
@@ -101,6 +105,7 @@
             others: RefCell::default(),
             accounts: AccountGate::new(ledger),
             end_questions: EndQuestions::default(),
+            crashes: CrashDesk::new(book_id),
             waits: RefCell::default(),
             line: RefCell::default(),
             freed: Notify::new(),
@@ -276,6 +281,9 @@
         metrics.connections_opened.set(self.pool.opened() as i64);
         metrics.connections_reused.set(self.pool.reused() as i64);
         metrics.store_heard.set(self.store_heard_ms());
+        metrics
+            .fatal_requests
+            .set(self.crashes.fatal_count() as i64);
         let age = cluster.age(self.now());
         metrics
             .news_age
--- /dev/null
+++ b/src/relay/policy/crash_book.rs
@@ -0,0 +1,260 @@
+//! Which requests end the backend servers that run them: what this host saw and what others told.
+//!
+//! A plain state machine. A server that ends has up to some twenty requests under it, and one of them may be the cause.
+//! Ends are counted by request and by server run: who was under three of them, and has not run well since, is held to be
+//! the cause and is refused by all hosts.
+
+use {
+    super::{
+        crash_mark::{BookPlace, CrashMark, CrashNews},
+        crash_record::{CrashJudgement, CrashRecord, ENDS_TO_JUDGE},
+        digest::RequestDigest,
+        loads::EngineKey,
+        past_time::PastTime,
+    },
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// Requests that are remembered. Each that is held to be fatal has cost three servers, so that whoever makes up others
+/// pushes out those under which the fewest ended first, the longest unseen of them: 512 records are some 100 kB.
+const RECORDS_MOST: usize = 512;
+
+/// How long a request is remembered that does not come again.
+const RECORD_LIFE: Duration = Duration::from_secs(1_800);
+
+/// Ends from which on all hosts are told: those under whom one server ended are twenty for each that is the cause, and
+/// only hosts that add up need them.
+const ENDS_TO_TELL: usize = 2;
+
+/// How long after a change hosts tell of it to one that they have not told of anything yet.
+const TELL_LIFE: Duration = Duration::from_secs(30);
+
+/// Whom a mark came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MarkSource {
+    /// This host saw it, or a host that reports to this one did: others are to be told.
+    Reported,
+    /// A host that tells all others itself.
+    Told,
+}
+
+/// What has become of a judgement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CrashChange {
+    /// The request is held to end its servers from now on.
+    Judged,
+    /// It no longer is.
+    Cleared,
+}
+
+#[derive(Debug)]
+struct HeldRecord {
+    record: CrashRecord,
+    // The book's revision of its last change, and of the last one that others are to be told of.
+    changed: u64,
+    reported: u64,
+    reported_at: Duration,
+    // Whether it was ever one that all hosts are told of.
+    is_grave: bool,
+}
+
+/// All requests under which backend servers ended.
+#[derive(Debug)]
+pub struct CrashBook {
+    id: u64,
+    records: BTreeMap<RequestDigest, HeldRecord>,
+    revision: u64,
+}
+
+impl CrashBook {
+    /// A book in which nothing stands; `id` is drawn at random.
+    pub fn new(id: u64) -> Self {
+        Self {
+            id,
+            records: BTreeMap::new(),
+            revision: 0,
+        }
+    }
+
+    /// What somebody has been told who was told everything; its revision grows with each change.
+    pub fn place(&self) -> BookPlace {
+        BookPlace {
+            book: self.id,
+            revision: self.revision,
+        }
+    }
+
+    /// Whether no request is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Requests that are remembered.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Requests that are held to end their servers.
+    pub fn fatal_count(&self) -> usize {
+        let records = self.records.values();
+        records
+            .filter(|held| held.record.count() >= ENDS_TO_JUDGE)
+            .count()
+    }
+
+    /// What a request is held to be.
+    pub fn judge(&self, digest: RequestDigest, now: Duration) -> CrashJudgement {
+        let held = self.records.get(&digest);
+        held.map_or(CrashJudgement::Harmless, |held| held.record.judge(now))
+    }
+
+    /// A server's run ended under a request of this host.
+    pub fn note_end(
+        &mut self,
+        digest: RequestDigest,
+        run: EngineKey,
+        now: Duration,
+    ) -> Option<CrashChange> {
+        let at = PastTime::at(now);
+        self.change(digest, at, MarkSource::Reported, now, |record| {
+            record.note_end(run, at)
+        })
+    }
+
+    /// A request ran well here.
+    pub fn note_good_run(&mut self, digest: RequestDigest, now: Duration) -> Option<CrashChange> {
+        if !self.records.contains_key(&digest) {
+            return None;
+        }
+        let at = PastTime::at(now);
+        self.change(digest, at, MarkSource::Reported, now, CrashRecord::excuse)
+    }
+
+    /// A request came that is remembered: its record lives on.
+    pub fn note_seen(&mut self, digest: RequestDigest, now: Duration) {
+        let at = PastTime::at(now);
+        if self.records.contains_key(&digest) {
+            self.change(digest, at, MarkSource::Reported, now, |record| {
+                record.note_seen(at)
+            });
+        }
+    }
+
+    /// Whether a request may be tried now, once by all hosts together; if so, the trial begins.
+    pub fn grant_trial(&mut self, digest: RequestDigest, now: Duration) -> bool {
+        let is_due = self.judge(digest, now) == CrashJudgement::TrialDue;
+        if is_due {
+            let at = PastTime::at(now);
+            self.change(digest, at, MarkSource::Reported, now, |record| {
+                record.note_trial(at);
+                true
+            });
+        }
+        is_due
+    }
+
+    /// Takes what another host told; gives the requests of which the judgement has changed.
+    pub fn take(
+        &mut self,
+        marks: &[CrashMark],
+        source: MarkSource,
+        now: Duration,
+    ) -> Vec<(RequestDigest, CrashChange)> {
+        let changes = marks.iter().filter_map(|mark| {
+            let theirs = &CrashRecord::told(mark, now);
+            if is_old(theirs, now) {
+                return None;
+            }
+            let change = self.change(mark.digest, theirs.seen(), source, now, |record| {
+                record.merge(theirs)
+            });
+            Some((mark.digest, change?))
+        });
+        changes.collect()
+    }
+
+    // Changes a request's record, or begins one as of `seen`.
+    fn change(
+        &mut self,
+        digest: RequestDigest,
+        seen: PastTime,
+        source: MarkSource,
+        now: Duration,
+        change: impl FnOnce(&mut CrashRecord) -> bool,
+    ) -> Option<CrashChange> {
+        let held = self.records.entry(digest).or_insert_with(|| HeldRecord {
+            record: CrashRecord::new(seen),
+            changed: 0,
+            reported: 0,
+            reported_at: now,
+            is_grave: false,
+        });
+        let was_fatal = held.record.count() >= ENDS_TO_JUDGE;
+        if !change(&mut held.record) {
+            return None;
+        }
+        self.revision += 1;
+        held.changed = self.revision;
+        if source == MarkSource::Reported {
+            held.reported = self.revision;
+            held.reported_at = now;
+        }
+        held.is_grave |= held.record.count() >= ENDS_TO_TELL;
+        let is_fatal = held.record.count() >= ENDS_TO_JUDGE;
+        self.forget(now);
+        match (was_fatal, is_fatal) {
+            (false, true) => Some(CrashChange::Judged),
+            (true, false) => Some(CrashChange::Cleared),
+            _ => None,
+        }
+    }
+
+    fn forget(&mut self, now: Duration) {
+        self.records.retain(|_, held| !is_old(&held.record, now));
+        while self.records.len() > RECORDS_MOST {
+            let records = self.records.iter();
+            let least = records
+                .min_by_key(|(digest, held)| (held.record.count(), held.record.seen(), **digest));
+            let Some(digest) = least.map(|(digest, _)| *digest) else {
+                return;
+            };
+            self.records.remove(&digest);
+        }
+    }
+
+    /// What an asker is to know of which all hosts are told; `known` is what it has been told of this book.
+    pub fn grave_news(&self, known: BookPlace, now: Duration) -> CrashNews {
+        let since = match known.book == self.id {
+            true => known.revision,
+            false => 0,
+        };
+        let marks = self.marks(now, |held| {
+            // One that is excused by now concerns nobody who was never told of it.
+            let is_wanted = held.record.count() >= ENDS_TO_TELL || (held.is_grave && since > 0);
+            is_wanted && held.changed > since
+        });
+        CrashNews {
+            place: self.place(),
+            marks,
+        }
+    }
+
+    /// What a host that adds up, or tells others, is to hear of this one, after a revision of this book. Where it was never
+    /// told anything that is what has changed lately: whoever added up before has told the rest.
+    pub fn reported_since(&self, revision: Option<u64>, now: Duration) -> Vec<CrashMark> {
+        self.marks(now, |held| match revision {
+            Some(revision) => held.reported > revision,
+            None => held.reported > 0 && now.saturating_sub(held.reported_at) < TELL_LIFE,
+        })
+    }
+
+    fn marks(&self, now: Duration, is_wanted: impl Fn(&HeldRecord) -> bool) -> Vec<CrashMark> {
+        let wanted = self.records.iter().filter(|(_, held)| is_wanted(held));
+        let marks = wanted.map(|(digest, held)| held.record.mark(*digest, now));
+        marks.collect()
+    }
+}
+
+fn is_old(record: &CrashRecord, now: Duration) -> bool {
+    record.seen().age(now) >= RECORD_LIFE
+}
--- a/src/relay/policy/mod.rs
+++ b/src/relay/policy/mod.rs
@@ -5,11 +5,15 @@
 pub(crate) mod book;
 pub(crate) mod budget;
 pub(crate) mod changes;
+pub(crate) mod crash_book;
+pub(crate) mod crash_mark;
+pub(crate) mod crash_record;
 pub(crate) mod digest;
 mod engines;
 pub(crate) mod kept;
 pub(crate) mod line;
 pub(crate) mod loads;
+pub(crate) mod past_time;
 pub(crate) mod pauses;
 pub(crate) mod room;
 pub(crate) mod route;
@@ -20,6 +24,7 @@
 pub(crate) mod waited;
 
 pub use self::{
-    admission::*, book::*, budget::*, changes::*, digest::*, kept::*, line::*, loads::*, pauses::*,
-    room::*, route::*, source::*, split::*, subset::*, view::*, waited::*,
+    admission::*, book::*, budget::*, changes::*, crash_book::*, crash_mark::*, crash_record::*,
+    digest::*, kept::*, line::*, loads::*, past_time::*, pauses::*, room::*, route::*, source::*,
+    split::*, subset::*, view::*, waited::*,
 };
--- a/src/relay/belief/view_time.rs
+++ b/src/relay/policy/past_time.rs
@@ -1,13 +1,13 @@
-//! Since when a view of the store is known to be the newest.
+//! When something was, on the host's own clock, also before the host started.
 
 use std::time::Duration;
 
 /// A time on the host's clock, microseconds since its start; negative where another host's view is older than this host.
 /// Taken for no older than this host's start, old news would look new at each host that starts, and be passed on so.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct ViewTime(i64);
+pub struct PastTime(i64);
 
-impl ViewTime {
+impl PastTime {
     /// A time since the host's start.
     pub fn at(time: Duration) -> Self {
         Self(micros(time))
--- a/src/relay/request/call.rs
+++ b/src/relay/request/call.rs
@@ -45,6 +45,10 @@
     pub waited: Duration,
     /// When its caller has to have an answer.
     pub until: Instant,
+    /// Servers ended under it before.
+    pub is_suspected: bool,
+    /// It is held to end its servers, and is tried once.
+    pub is_on_trial: bool,
     digest: OnceCell<RequestDigest>,
 }
 
@@ -75,6 +79,22 @@
         Self { waited, ..self }
     }
 
+    /// The same call, under which servers ended before.
+    pub fn suspected(self) -> Self {
+        Self {
+            is_suspected: true,
+            ..self
+        }
+    }
+
+    /// The same call, to be sent once.
+    pub fn on_trial(self) -> Self {
+        Self {
+            is_on_trial: true,
+            ..self
+        }
+    }
+
     /// Which request it is, whatever its id; worked out when it is first asked for.
     pub fn digest(&self) -> RequestDigest {
         *self
@@ -147,6 +167,8 @@
         arrived,
         waited: Duration::ZERO,
         until,
+        is_suspected: false,
+        is_on_trial: false,
         digest: OnceCell::new(),
     })
 }
--- a/src/relay/request/decode.rs
+++ b/src/relay/request/decode.rs
@@ -54,10 +54,8 @@
         if failure.is_break() {
             guard.settle_break(&self.call).await;
         }
-        Err(RoundFailure {
-            verdict: failure.verdict,
-            detail: format!("decode at {}: {}", engine.id, failure.detail),
-        })
+        let detail = format!("decode at {}: {}", engine.id, failure.detail);
+        Err(RoundFailure::new(failure.verdict, detail))
     }
 
     /// Whether the answer is this request's, and whether the engine took it.
@@ -72,10 +70,8 @@
         if marks.is_anothers(&self.call.marks.id) {
             let detail = "an answer to another request";
             parts.note_failure(engine, BackendFailure::Broken, detail);
-            return Err(RoundFailure {
-                verdict: RunVerdict::MayHaveRun,
-                detail: format!("decode at {}: {detail}", engine.id),
-            });
+            let detail = format!("decode at {}: {detail}", engine.id);
+            return Err(RoundFailure::new(RunVerdict::MayHaveRun, detail));
         }
         if marks.not_run {
             return Err(self.take_decline(engine, cache, answer).await);
@@ -106,9 +102,7 @@
         if let Err(detail) = answer.body.read(DECLINE_LIMIT).await {
             log::debug!("a declining answer of {} broke off: {detail}", engine.id);
         }
-        RoundFailure {
-            verdict: RunVerdict::NotRun,
-            detail: format!("decode at {} declined with status {status}", engine.id),
-        }
+        let detail = format!("decode at {} declined with status {status}", engine.id);
+        RoundFailure::new(RunVerdict::NotRun, detail)
     }
 }
--- a/src/relay/request/guard.rs
+++ b/src/relay/request/guard.rs
@@ -1,7 +1,7 @@
 //! A request in progress at a backend server: counted, and what is found out where its connection breaks off.
 
 use {
-    super::call::RelayCall,
+    super::{call::RelayCall, chunks::ChunkEnd},
     crate::{
         event,
         relay::{backend::BackendInfo, parts::shared::RelayParts, policy::digest::RequestDigest},
@@ -17,7 +17,7 @@
 /// A request in progress at a backend server, counted until dropped.
 pub struct CallGuard {
     parts: Rc<RelayParts>,
-    backend: BackendInfo,
+    backend: Box<BackendInfo>,
     began: Instant,
     call: u64,
 }
@@ -29,7 +29,7 @@
         let call = parts.book.borrow_mut().call_began(&backend.id, now);
         Self {
             parts: parts.clone(),
-            backend: backend.clone(),
+            backend: Box::new(backend.clone()),
             began: Instant::now(),
             call,
         }
@@ -48,6 +48,15 @@
         }
     }
 
+    /// The answer that was being passed on came to an end.
+    pub(super) fn note_chunk_end(&self, call: &RelayCall, end: ChunkEnd) {
+        match end {
+            ChunkEnd::Whole => self.parts.note_good_run(|| call.digest()),
+            ChunkEnd::Broken => drop(self.note_break(call)),
+            ChunkEnd::TimeLimit => {}
+        }
+    }
+
     /// The same without waiting; none where the backend server was to end, or is no longer listed.
     pub fn note_break(&self, call: &RelayCall) -> Option<JoinHandle<()>> {
         let book = self.parts.book.borrow();
@@ -56,7 +65,7 @@
             return None;
         }
         let broken = BrokenRun {
-            backend: self.backend.clone(),
+            backend: BackendInfo::clone(&self.backend),
             request: call.marks.id.to_string(),
             route: call.route.name.to_string(),
             account: call.account_name().to_owned(),
@@ -92,6 +101,7 @@
     async fn learn(self, parts: Rc<RelayParts>) {
         if parts.has_ended(&self.backend).await {
             parts.metrics.ended_under(&self.backend.service);
+            parts.note_end(self.digest, &self.backend);
             self.log();
         }
     }
--- a/src/relay/request/handler.rs
+++ b/src/relay/request/handler.rs
@@ -4,7 +4,7 @@
     super::{
         answer::{self, RelayAnswer},
         call::{self, RelayCall},
-        plain, stream,
+        judge, plain, stream,
     },
     crate::{
         event,
@@ -81,6 +81,7 @@
     // Again: the body may have taken longer than a key was in force.
     let account = parts.identify(&call.route, call.marks.key)?;
     let call = call.of_account(account);
+    let call = judge::admit(parts, call, &service.name).await?;
     let charge = charge(parts, &call).await?;
     parts.count_request(&service.name);
     let call = Rc::new(with_waited(parts, call));
--- /dev/null
+++ b/src/relay/request/judge.rs
@@ -0,0 +1,79 @@
+//! Whether a request may be sent to backend servers at all: one that ends them is sent to none.
+
+use {
+    super::call::RelayCall,
+    crate::{
+        operation::{Refusal, RefusalCode, RunVerdict},
+        relay::{parts::shared::RelayParts, policy::crash_record::CrashJudgement},
+    },
+    faststr::FastStr,
+    std::time::Duration,
+};
+
+/// Longest time that a caller is told to stay away: what its request does may change with the servers' next version.
+const COME_BACK_MOST: Duration = Duration::from_secs(60);
+
+/// When a caller is to come back whose request may be tried, and that another host does not allow now.
+const COME_BACK_TRIAL: Duration = Duration::from_secs(5);
+
+/// Lets a request in that is not held to end its servers, and one that may be tried.
+pub(super) async fn admit(
+    parts: &RelayParts,
+    call: RelayCall,
+    service: &FastStr,
+) -> Result<RelayCall, Refusal> {
+    if parts.crashes.is_empty() {
+        return Ok(call);
+    }
+    match parts.judge(call.digest()) {
+        CrashJudgement::Harmless => Ok(call),
+        CrashJudgement::Suspected(_) => Ok(call.suspected()),
+        CrashJudgement::Fatal(wait) => {
+            Err(refusal(parts, &call, service, RunVerdict::NotRun, wait))
+        }
+        CrashJudgement::TrialDue => match parts.ask_trial(call.digest()).await {
+            true => Ok(call.suspected().on_trial()),
+            false => Err(refusal(
+                parts,
+                &call,
+                service,
+                RunVerdict::NotRun,
+                COME_BACK_TRIAL,
+            )),
+        },
+    }
+}
+
+/// Whether a request may be sent now, after sends of which `verdict` is known: what became of them, and of others' sends
+/// meanwhile, may have shown that it ends its servers.
+pub(super) fn check_send(
+    parts: &RelayParts,
+    call: &RelayCall,
+    service: &FastStr,
+    verdict: RunVerdict,
+) -> Result<(), Refusal> {
+    if parts.crashes.is_empty() {
+        return Ok(());
+    }
+    let wait = match parts.judge(call.digest()) {
+        CrashJudgement::Harmless | CrashJudgement::Suspected(_) => return Ok(()),
+        // A trial is one run.
+        _ if call.is_on_trial && verdict == RunVerdict::NotRun => return Ok(()),
+        CrashJudgement::Fatal(wait) => wait,
+        CrashJudgement::TrialDue => COME_BACK_TRIAL,
+    };
+    Err(refusal(parts, call, service, verdict, wait))
+}
+
+fn refusal(
+    parts: &RelayParts,
+    call: &RelayCall,
+    service: &FastStr,
+    verdict: RunVerdict,
+    wait: Duration,
+) -> Refusal {
+    parts.metrics.fatal_refused(service);
+    let digest = call.digest();
+    let text = format!("backend servers end under this request ({digest}), so it is sent to none");
+    Refusal::new(verdict, RefusalCode::EndsServers, text).after(wait.min(COME_BACK_MOST))
+}
--- a/src/relay/request/mod.rs
+++ b/src/relay/request/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod events;
 pub(crate) mod guard;
 pub(crate) mod handler;
+pub(crate) mod judge;
 pub(crate) mod pace;
 pub(crate) mod plain;
 pub(crate) mod prefill;
--- a/src/relay/request/plain.rs
+++ b/src/relay/request/plain.rs
@@ -4,8 +4,9 @@
     super::{
         answer::{self, RelayAnswer},
         call::RelayCall,
-        chunks::{self, ChunkEnd, ChunkStep},
+        chunks::{self, ChunkStep},
         guard::CallGuard,
+        judge,
         send::{self, PlainAnswer, PlainBody, SendOutcome},
     },
     crate::{
@@ -56,6 +57,8 @@
     arrived: bool,
     // Whether all servers that are left fail.
     is_unreachable: bool,
+    // Why it may not be sent any more.
+    refused: Option<Refusal>,
     verdict: RunVerdict,
     detail: String,
     // Each server tried and what it answered, for the log.
@@ -90,6 +93,7 @@
         declines: 0,
         arrived: false,
         is_unreachable: false,
+        refused: None,
         verdict: RunVerdict::NotRun,
         detail: "no backend server can take it".into(),
         trail: String::new(),
@@ -113,9 +117,7 @@
             let note = |kept: &mut (PlainRelay, CallGuard), step: ChunkStep| match step {
                 ChunkStep::Passed => {}
                 ChunkStep::Ended(end) => {
-                    if end == ChunkEnd::Broken {
-                        kept.1.note_break(&kept.0.call);
-                    }
+                    kept.1.note_chunk_end(&kept.0.call, end);
                     kept.0.log_end(end.as_str());
                 }
             };
@@ -146,7 +148,8 @@
                     }
                 }
                 () = tokio::time::sleep_until(hedge_at) => {
-                    if self.may_send_again() {
+                    // Two servers at a time would end under it.
+                    if self.may_send_again() && !self.call.is_suspected {
                         self.launch(&mut running);
                     }
                     hedge_at = self.hedge_time();
@@ -184,6 +187,11 @@
     // Sends to the best server not tried yet. It costs a repeat if a send before it has reached its server or
     // is under way; when a zone is cut off, many requests find a server that cannot be reached first.
     fn launch(&mut self, running: &mut FuturesUnordered<Sending>) -> bool {
+        let checked = judge::check_send(&self.parts, &self.call, &self.service, self.verdict);
+        if let Err(refusal) = checked {
+            self.refused = Some(refusal);
+            return false;
+        }
         let now = self.parts.now();
         let zone = &self.parts.settings.zone;
         let book = self.parts.book.borrow();
@@ -253,6 +261,9 @@
                 self.note_step(backend, answer.status.as_str());
                 let is_good = !answer.status.is_server_error();
                 self.parts.book.borrow_mut().answered(&backend.id, is_good);
+                if is_good && matches!(answer.body, PlainBody::Whole(_)) {
+                    self.parts.note_good_run(|| self.call.digest());
+                }
                 if is_good || !self.call.route.kind.is_repeatable() {
                     return Some(*answer);
                 }
@@ -279,7 +290,10 @@
         self.detail = format!("{} {step}: {detail}", backend.id);
     }
 
-    fn refusal(&self, code: RefusalCode) -> Refusal {
+    fn refusal(&mut self, code: RefusalCode) -> Refusal {
+        if let Some(refusal) = self.refused.take() {
+            return refusal;
+        }
         let refusal = Refusal::new(self.verdict, code, self.detail.clone());
         match self.is_unreachable {
             true => refusal.after(rand::random_range(COME_BACK_UNREACHABLE)),
--- a/src/relay/request/resume.rs
+++ b/src/relay/request/resume.rs
@@ -56,6 +56,7 @@
                     if let Some(rest) = splitter.take_rest() {
                         yield Ok(rest);
                     }
+                    relay.parts.note_good_run(|| relay.call.digest());
                     relay.log_end("whole");
                     return;
                 }
--- a/src/relay/request/stream.rs
+++ b/src/relay/request/stream.rs
@@ -7,8 +7,9 @@
     super::{
         answer::{self, RelayAnswer},
         call::RelayCall,
-        chunks::{self, ChunkEnd, ChunkStep},
+        chunks::{self, ChunkStep},
         guard::CallGuard,
+        judge,
         pace::EventPace,
         prefill::{self, PrefillFailure, WaitingCache},
         reserve::{self, MemoryHold},
@@ -70,6 +71,27 @@
 pub(super) struct RoundFailure {
     pub(super) verdict: RunVerdict,
     pub(super) detail: String,
+    /// Why no further round may follow.
+    pub(super) refused: Option<Refusal>,
+}
+
+impl RoundFailure {
+    /// One after which another round may follow.
+    pub(super) fn new(verdict: RunVerdict, detail: impl Into<String>) -> Self {
+        Self {
+            verdict,
+            detail: detail.into(),
+            refused: None,
+        }
+    }
+
+    // The failure, unless the request is refused for good.
+    fn or_refused(self) -> Result<Self, Refusal> {
+        match self.refused {
+            Some(refusal) => Err(refusal),
+            None => Ok(self),
+        }
+    }
 }
 
 /// A streamed request on its way.
@@ -159,9 +181,7 @@
             let note = |kept: &mut (StreamRelay, EngineHeld), step: ChunkStep| match step {
                 ChunkStep::Passed => kept.0.pace.passed(Instant::now()),
                 ChunkStep::Ended(end) => {
-                    if end == ChunkEnd::Broken {
-                        kept.1.guard.note_break(&kept.0.call);
-                    }
+                    kept.1.guard.note_chunk_end(&kept.0.call, end);
                     kept.0.log_end(end.as_str());
                 }
             };
@@ -182,7 +202,7 @@
         for round in 1.. {
             let failure = match self.round(None, since).await? {
                 Ok(running) => return Ok(running),
-                Err(failure) => failure,
+                Err(failure) => failure.or_refused()?,
             };
             let again = failure.verdict.allows_retry(self.is_resumable());
             if !again || round >= ROUNDS_MAX || self.call.time_left().is_zero() {
@@ -216,7 +236,7 @@
             };
             let failure = match result {
                 Ok(running) => return Ok(running),
-                Err(failure) => failure,
+                Err(failure) => failure.or_refused()?,
             };
             if round >= RESUME_ROUNDS_MAX || self.call.time_left().is_zero() {
                 let refusal = Refusal::new(self.verdict, RefusalCode::BackendLost, failure.detail);
@@ -265,6 +285,7 @@
         hold: MemoryHold,
         after: Option<FastStr>,
     ) -> Result<RunningStream, RoundFailure> {
+        self.check_send()?;
         self.rounds += 1;
         self.times.reserved = self.call.arrived.elapsed();
         self.engine = hold.engine.id.clone();
@@ -282,7 +303,9 @@
     // the one that was asked failed.
     async fn compute(&mut self, hold: &MemoryHold) -> Option<WaitingCache> {
         let mut tried = Vec::new();
-        let is_needless = self.skip_prefill || std::mem::take(&mut self.is_kept);
+        // A trial is one send.
+        let is_trial = self.call.is_on_trial;
+        let is_needless = self.skip_prefill || is_trial || std::mem::take(&mut self.is_kept);
         while !is_needless && tried.len() < PREFILLS_MAX {
             let zone = &hold.engine.zone;
             let chosen = prefill::choose_engine(&self.parts, &self.service, zone, &tried)?;
@@ -340,6 +363,22 @@
         self.repeat_paid
     }
 
+    // While it waited and its prompt was computed, servers may have ended under it elsewhere.
+    fn check_send(&self) -> Result<(), RoundFailure> {
+        let Self {
+            parts,
+            call,
+            service,
+            verdict,
+            ..
+        } = self;
+        judge::check_send(parts, call, service, *verdict).map_err(|refusal| RoundFailure {
+            verdict: RunVerdict::NotRun,
+            detail: refusal.message.clone(),
+            refused: Some(refusal),
+        })
+    }
+
     async fn decode(
         &mut self,
         mut hold: MemoryHold,
@@ -347,11 +386,10 @@
         after: Option<FastStr>,
     ) -> Result<RunningStream, RoundFailure> {
         if self.decodes > 0 && !std::mem::take(&mut self.repeat_paid) && !self.may_decode_again() {
-            return Err(RoundFailure {
-                verdict: RunVerdict::NotRun,
-                detail: "no repeats are left for another decode".into(),
-            });
+            let detail = "no repeats are left for another decode";
+            return Err(RoundFailure::new(RunVerdict::NotRun, detail));
         }
+        self.check_send()?;
         self.decodes += 1;
         let source = cache
             .as_ref()
--- a/tests/account_keys.rs
+++ b/tests/account_keys.rs
@@ -8,7 +8,7 @@
         account::{
             AccountDirectory, ClientAccount, KeyHash, KeyRules, KeyStanding, ShownKey, judge_key,
         },
-        relay::{ClusterNews, ClusterState, ViewTime},
+        relay::{ClusterNews, ClusterState, PastTime},
     },
     faststr::FastStr,
     std::time::Duration,
@@ -123,18 +123,18 @@
             ..ClusterNews::default()
         };
         let at = news.proved(Duration::from_millis(asked)).unwrap();
-        assert_eq!(at, ViewTime::at(Duration::from_millis(asked + held - age)));
+        assert_eq!(at, PastTime::at(Duration::from_millis(asked + held - age)));
     }
     assert_eq!(ClusterNews::default().proved(Duration::ZERO), None);
     let mut cluster = ClusterState::default();
     assert_eq!(cluster.proof_age(Duration::ZERO), None);
-    cluster.prove_config(ViewTime::at(Duration::from_millis(900)));
-    cluster.prove_config(ViewTime::at(Duration::from_millis(300)));
+    cluster.prove_config(PastTime::at(Duration::from_millis(900)));
+    cluster.prove_config(PastTime::at(Duration::from_millis(300)));
     let age = cluster.proof_age(Duration::from_millis(1_000));
     assert_eq!(age, Some(Duration::from_millis(100)), "the newest counts");
     // A proof from before this host's start stays as old as it is.
     let mut cluster = ClusterState::default();
-    let early = ViewTime::at(Duration::from_millis(50)).before(Duration::from_secs(4));
+    let early = PastTime::at(Duration::from_millis(50)).before(Duration::from_secs(4));
     cluster.prove_config(early);
     let age = cluster.proof_age(Duration::from_millis(1_050));
     assert_eq!(age, Some(Duration::from_secs(5)));
--- a/tests/relay_history.rs
+++ b/tests/relay_history.rs
@@ -4,8 +4,8 @@
 
 use {
     bayplank::relay::{
-        BackendInfo, ChangeHistory, ClusterNews, ClusterState, MissingNews, StoreChange, StoreItem,
-        StoreKind, StoreValue, ViewTime,
+        BackendInfo, ChangeHistory, ClusterNews, ClusterState, MissingNews, PastTime, StoreChange,
+        StoreItem, StoreKind, StoreValue,
     },
     bolero::check,
     faststr::FastStr,
@@ -159,7 +159,7 @@
 fn news_that_go_round_among_hosts_never_make_a_view_newer_than_it_was() {
     // Hosts ask each other at random while the store answers nobody; questions and answers take their time.
     check!().with_type::<Vec<(u8, u8, u8)>>().for_each(|asks| {
-        let mut views = [ViewTime::at(Duration::ZERO); 5];
+        let mut views = [PastTime::at(Duration::ZERO); 5];
         let mut now = 10_000;
         for (who, question, answer) in asks {
             let (asker, asked) = (usize::from(who % 5), usize::from(who / 5 % 5));
@@ -179,7 +179,7 @@
             let newest = views.iter().max().copied();
             assert_eq!(
                 newest,
-                Some(ViewTime::at(Duration::ZERO)),
+                Some(PastTime::at(Duration::ZERO)),
                 "nobody has heard from the store since"
             );
         }
