--- a/src/relay/policy/crash_book.rs
+++ b/src/relay/policy/crash_book.rs
@@ -54,8 +54,6 @@
     changed: u64,
     reported: u64,
     reported_at: Duration,
-    // Whether it was ever one that all hosts are told of.
-    is_grave: bool,
 }
 
 /// All requests under which backend servers ended.
@@ -187,7 +185,6 @@
             changed: 0,
             reported: 0,
             reported_at: now,
-            is_grave: false,
         });
         let was_fatal = held.record.count() >= ENDS_TO_JUDGE;
         if !change(&mut held.record) {
@@ -199,7 +196,6 @@
             held.reported = self.revision;
             held.reported_at = now;
         }
-        held.is_grave |= held.record.count() >= ENDS_TO_TELL;
         let is_fatal = held.record.count() >= ENDS_TO_JUDGE;
         self.forget(now);
         match (was_fatal, is_fatal) {
@@ -229,9 +225,8 @@
             false => 0,
         };
         let marks = self.marks(now, |held| {
-            // One that is excused by now concerns nobody who was never told of it.
-            let is_wanted = held.record.count() >= ENDS_TO_TELL || (held.is_grave && since > 0);
-            is_wanted && held.changed > since
+            // Those that are excused too: others may have heard of the ends alone.
+            held.record.runs() >= ENDS_TO_TELL && held.changed > since
         });
         CrashNews {
             place: self.place(),
--- a/src/relay/policy/crash_record.rs
+++ b/src/relay/policy/crash_record.rs
@@ -105,6 +105,11 @@
         self.seen
     }
 
+    /// Ends that are known, those that are excused too.
+    pub fn runs(&self) -> usize {
+        self.ends.len()
+    }
+
     /// Ends that count: server runs, whoever saw them.
     pub fn count(&self) -> usize {
         self.ends.iter().filter(|end| !end.is_excused).count()
