--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -8,7 +8,7 @@
         link::{StoreKind, StoreLink},
         news::{
             self,
-            crashes::{self, CrashShare},
+            crashes::CrashShare,
             entry,
             feed::StoreFeed,
             follow::NewsFollower,
@@ -124,15 +124,15 @@
         let links = Rc::new(NewsLinks::new(metrics.clone()));
         let follower = NewsFollower::start(self.parts.clone(), feed, links.clone());
         LedgerLink::start(self.parts.clone(), follower.clone(), links.clone());
-        CrashShare::start(self.parts.clone(), follower.clone(), links.clone());
+        let crashes = CrashShare::start(self.parts.clone(), follower.clone(), links.clone());
         let share = LoadShare::start(self.parts.clone(), follower, links);
         let parts = self.parts.clone();
         let (charged, settled) = (parts.clone(), parts.clone());
-        let (told, tried) = (parts.clone(), parts.clone());
+        let tried = parts.clone();
         let answers = NewsAnswers {
             charges: Box::new(move |account, units| charged.answer_charge(account, units)),
             sums: Box::new(move |theirs| settled.answer_sums(&theirs)),
-            crashes: Box::new(move |marks, is_zone| crashes::take_told(&told, &marks, is_zone)),
+            crashes: Box::new(move |marks, is_zone| crashes.take_told(&marks, is_zone)),
             trials: Box::new(move |digest| tried.grant_trial(digest)),
             news: Box::new(move |held| news::tell_news(parts.clone(), held).boxed_local()),
             loads: Box::new(move |reporter, loads, view| share.answer(reporter, loads, view)),
--- a/src/relay/news/crashes.rs
+++ b/src/relay/news/crashes.rs
@@ -1,7 +1,7 @@
 //! Telling other hosts at once which requests end their servers.
 //!
-//! A host tells the head of its zone, the head tells one host of each other zone, and all others hear it with the news that
-//! they wait for. What is not taken is told again.
+//! A host tells the head of its zone, the head tells one host of each zone, and all others hear it with the news that they
+//! wait for. What is not taken is told again.
 
 use {
     super::{follow::NewsFollower, link::NewsLinks, targets::ZoneTargets},
@@ -59,8 +59,23 @@
 }
 
 impl CrashShare {
+    /// Takes what another host told of ended servers.
+    pub fn take_told(&self, marks: &[CrashMark], is_zone: bool) {
+        // What one tells for its zone it tells all zones itself; a host that is no head has to tell its own.
+        let is_head = self.follower.head().is_none();
+        let source = match is_zone && is_head {
+            true => MarkSource::Told,
+            false => MarkSource::Reported,
+        };
+        self.parts.take_marks(marks, source);
+    }
+
     /// Starts to tell.
-    pub fn start(parts: Rc<RelayParts>, follower: Rc<NewsFollower>, links: Rc<NewsLinks>) {
+    pub fn start(
+        parts: Rc<RelayParts>,
+        follower: Rc<NewsFollower>,
+        links: Rc<NewsLinks>,
+    ) -> Rc<Self> {
         let share = Rc::new(Self {
             parts,
             follower,
@@ -73,7 +88,8 @@
             asking.clone().ask_trial(digest).boxed_local()
         }));
         vital::spawn_vital("requests that end servers", share.clone().run());
-        vital::spawn_vital("learning what ends servers", share.learn());
+        vital::spawn_vital("learning what ends servers", share.clone().learn());
+        share
     }
 
     // A host that starts asks some others as soon as it knows any: one that reads the store would hear it from nobody. If
@@ -127,8 +143,12 @@
     // Gives whether everybody knows.
     async fn tell_all(&self) -> bool {
         let targets = self.tell_targets();
-        let known = |target: &TellTarget| targets.iter().any(|(known, _)| known == target);
-        self.told.borrow_mut().retain(|target, _| known(target));
+        // What an earlier head had heard may have ended with it. Zones stay.
+        let is_kept = |target: &TellTarget| match target {
+            TellTarget::Head(_) => targets.iter().any(|(known, _)| known == target),
+            TellTarget::Zone(_) => true,
+        };
+        self.told.borrow_mut().retain(|target, _| is_kept(target));
         let telling = targets
             .iter()
             .map(|(target, entry)| self.tell(target, entry));
@@ -140,8 +160,11 @@
         if let Some(head) = self.follower.head() {
             return vec![(TellTarget::Head(head.name.clone()), head)];
         }
-        let own_zone = &self.parts.settings.zone;
-        let entries = self.targets.of(&self.parts.cluster.borrow(), own_zone);
+        let own = &self.parts.settings.name;
+        let now = self.parts.now();
+        let entries = self
+            .targets
+            .with_own(&self.parts.cluster.borrow(), own, now);
         let targets = entries.into_iter();
         targets
             .map(|entry| (TellTarget::Zone(entry.zone.clone()), entry))
@@ -150,15 +173,20 @@
 
     async fn tell(&self, target: &TellTarget, entry: &HostEntry) -> bool {
         let since = self.told.borrow().get(target).copied();
+        let since = match target {
+            TellTarget::Head(_) => since,
+            // What a zone was not told while it was cut off it is told however late.
+            TellTarget::Zone(_) => Some(since.unwrap_or_default()),
+        };
         let (marks, revision) = self.parts.marks_to_report(since);
-        // Nobody was told a thing where there is nothing to tell: the first to be told hears of the last changes.
-        if marks.is_empty() && (since.is_some() || revision == 0) {
+        if marks.is_empty() {
+            self.told.borrow_mut().insert(target.clone(), revision);
             return true;
         }
         let is_zone = matches!(target, TellTarget::Zone(_));
         let sent = self.send(entry, &marks, is_zone).await;
-        if let TellTarget::Zone(zone) = target {
-            self.targets.note(zone, sent);
+        if is_zone {
+            self.targets.note(&entry.name, sent, self.parts.now());
         }
         if sent {
             self.told.borrow_mut().insert(target.clone(), revision);
@@ -206,12 +234,3 @@
         hosts
     }
 }
-
-/// Takes what another host told of ended servers; what one tells for its whole zone it tells all other zones itself.
-pub fn take_told(parts: &RelayParts, marks: &[CrashMark], is_zone: bool) {
-    let source = match is_zone {
-        true => MarkSource::Told,
-        false => MarkSource::Reported,
-    };
-    parts.take_marks(marks, source);
-}
--- a/src/relay/news/settle.rs
+++ b/src/relay/news/settle.rs
@@ -95,7 +95,8 @@
     // One host of each other zone; and the head of the own zone where that is another one: hosts may not agree on it.
     fn targets(&self) -> Vec<HostEntry> {
         let own_zone = &self.parts.settings.zone;
-        let mut entries = self.targets.of(&self.parts.cluster.borrow(), own_zone);
+        let now = self.parts.now();
+        let mut entries = self.targets.of(&self.parts.cluster.borrow(), own_zone, now);
         entries.extend(self.follower.head());
         entries
     }
@@ -103,7 +104,8 @@
     async fn settle_with(&self, entry: HostEntry, sums: &LedgerSums) {
         let exchange = self.links.exchange(entry.peers, sums, SETTLE_PATIENCE);
         let answer = exchange.await;
-        self.targets.note(&entry.zone, answer.is_ok());
+        let now = self.parts.now();
+        self.targets.note(&entry.name, answer.is_ok(), now);
         match answer {
             Ok(theirs) => self.parts.take_sums(&theirs),
             Err(error) => log::debug!("host {} took no sums: {error}", entry.name),
--- a/src/relay/news/share.rs
+++ b/src/relay/news/share.rs
@@ -169,7 +169,8 @@
     async fn report_to_zones(&self) {
         let reporter = LoadReporter::Zone(self.parts.settings.zone.clone());
         let own_zone = &self.parts.settings.zone;
-        let targets = self.targets.of(&self.parts.cluster.borrow(), own_zone);
+        let now = self.parts.now();
+        let targets = self.targets.of(&self.parts.cluster.borrow(), own_zone, now);
         for entry in targets {
             let report = self.board.borrow().of_zone(self.parts.now());
             let sent = self.links.share(
@@ -180,10 +181,10 @@
                 REPORT_PATIENCE,
             );
             let answer = sent.await;
-            self.targets.note(&entry.zone, answer.is_ok());
+            let now = self.parts.now();
+            self.targets.note(&entry.name, answer.is_ok(), now);
             match answer {
                 Ok(theirs) => {
-                    let now = self.parts.now();
                     let mut board = self.board.borrow_mut();
                     board.take(LoadReporter::Zone(entry.zone), theirs, now);
                 }
--- a/tests/fleet_sim/mod.rs
+++ b/tests/fleet_sim/mod.rs
@@ -2,7 +2,11 @@
 //!
 //! Each host's choice is the code that runs; the store, the questions between hosts and the time are this file's.
 
+#[allow(dead_code)]
+pub mod crashes;
+
 use {
+    self::crashes::SimCrashes,
     bayplank::relay::{
         self, FOLLOWER_PAUSES, HostEntry, NewsSource, READER_PAUSES, SourceChoice, SourceRules,
     },
@@ -50,6 +54,7 @@
     pub is_lost: bool,
     // The host that reported the newest view, and until when that was the newest.
     pub newest: Option<(usize, u64)>,
+    pub crashes: SimCrashes,
 }
 
 /// Whom the store answers, and who hears whom.
@@ -130,6 +135,7 @@
                 failures: 0,
                 is_lost: false,
                 newest: None,
+                crashes: SimCrashes::new(fleet.hosts.len() as u64 + 1),
             });
         }
         fleet.run(&CALM, 3_000);
@@ -155,6 +161,7 @@
         (host.confirmed, host.version, host.failures) = (None, 0, 0);
         (host.proved, host.watched) = (None, None);
         (host.asked, host.newest) = (None, None);
+        host.crashes = SimCrashes::new(self.rng.random());
     }
 
     pub fn run(&mut self, trouble: &SimTrouble, time: u64) {
@@ -185,6 +192,8 @@
 
     fn step(&mut self, index: usize, trouble: &SimTrouble) {
         self.report(index, trouble);
+        self.learn_crashes(index, trouble);
+        self.tell_crashes(index, trouble);
         if let Some(asked) = self.hosts[index].asked {
             self.hear(index, asked, trouble);
             return;
@@ -235,7 +244,8 @@
             }
             return;
         }
-        let is_newer = other.version > self.hosts[index].version;
+        let is_newer =
+            other.version > self.hosts[index].version || self.has_crash_news(index, asked);
         if !is_newer && self.now < since + QUESTION {
             return;
         }
@@ -254,6 +264,7 @@
     }
 
     fn take(&mut self, index: usize, from: usize) {
+        self.take_crashes(index, from);
         let (confirmed, version, knows, proved) = {
             let other = &self.hosts[from];
             (
