--- a/src/relay/request/resume.rs
+++ b/src/relay/request/resume.rs
@@ -3,6 +3,7 @@
 
 use {
     super::{
+        chunks::ChunkEnd,
         events::EventSplitter,
         reserve::{self, MemoryHold},
         stream::{RunningStream, StreamRelay},
@@ -56,7 +57,7 @@
                     if let Some(rest) = splitter.take_rest() {
                         yield Ok(rest);
                     }
-                    relay.parts.note_good_run(|| relay.call.digest());
+                    relay.note_end(&running.held.guard, ChunkEnd::Whole);
                     relay.log_end("whole");
                     return;
                 }
--- a/src/relay/request/stream.rs
+++ b/src/relay/request/stream.rs
@@ -7,7 +7,7 @@
     super::{
         answer::{self, RelayAnswer},
         call::RelayCall,
-        chunks::{self, ChunkStep},
+        chunks::{self, ChunkEnd, ChunkStep},
         guard::CallGuard,
         judge,
         pace::EventPace,
@@ -19,8 +19,10 @@
         event,
         operation::{Refusal, RefusalCode, RunVerdict},
         relay::{
-            config::RequestKind, dialect::DecodeStart, parts::shared::RelayParts,
-            policy::kept::KeptAt,
+            config::RequestKind,
+            dialect::DecodeStart,
+            parts::shared::RelayParts,
+            policy::{kept::KeptAt, view::BackendFailure},
         },
         web::PooledBody,
     },
@@ -102,6 +104,8 @@
     rounds: u32,
     // Whether the one prefill that costs no repeat was sent.
     computed: bool,
+    // Whether an engine broke off while it computed the prompt: that it runs well elsewhere then speaks for nothing.
+    pub(super) prefill_broke: bool,
     // Decodes that were sent, run or not.
     decodes: u32,
     pub(super) skip_prefill: bool,
@@ -151,6 +155,7 @@
         service,
         rounds: 0,
         computed: false,
+        prefill_broke: false,
         decodes: 0,
         skip_prefill: false,
         is_kept: false,
@@ -181,7 +186,7 @@
             let note = |kept: &mut (StreamRelay, EngineHeld), step: ChunkStep| match step {
                 ChunkStep::Passed => kept.0.pace.passed(Instant::now()),
                 ChunkStep::Ended(end) => {
-                    kept.1.guard.note_chunk_end(&kept.0.call, end);
+                    kept.0.note_end(&kept.1.guard, end);
                     kept.0.log_end(end.as_str());
                 }
             };
@@ -247,6 +252,13 @@
         unreachable!("the rounds are bounded")
     }
 
+    /// The answer of an engine came to its end.
+    pub(super) fn note_end(&self, guard: &CallGuard, end: ChunkEnd) {
+        if !(self.prefill_broke && end == ChunkEnd::Whole) {
+            guard.note_chunk_end(&self.call, end);
+        }
+    }
+
     fn with_verdict(&self, refusal: Refusal) -> Refusal {
         Refusal {
             verdict: refusal.verdict.max(self.verdict),
@@ -321,6 +333,7 @@
                 Err(failure) => failure,
             };
             self.log_prefill_failure(&engine, &failure);
+            self.prefill_broke |= failure.arrived && failure.kind == BackendFailure::Broken;
             if failure.arrived {
                 self.computed = true;
                 self.parts.count_repeat(&self.service);
