--- a/tests/relay_crash_innocents.rs
+++ b/tests/relay_crash_innocents.rs
@@ -225,10 +225,9 @@
             .book
             .rank_decodes("one", zone_of(at), TOKENS, Some(17_000), now);
         let chosen = ranked.into_iter().find_map(|info| {
-            let engine = self.engines.iter().position(|engine| {
+            self.engines.iter().position(|engine| {
                 engine.info.id == info.id && engine.down.is_none() && engine.runs.len() < PLACES
-            });
-            engine
+            })
         });
         let Some(engine) = chosen else {
             self.coming.push((self.now + 500, request));
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -243,10 +243,7 @@
     let mut book = BackendBook::default();
     book.set_backends(vec![backend("d-1", "z", Some(EngineRole::Decode))]);
     book.refused("d-1", 3_000, millis(0));
-    let count = |tokens, now| {
-        book.rank_decodes("one", "z", tokens, None, false, now)
-            .len()
-    };
+    let count = |tokens, now| book.rank_decodes("one", "z", tokens, None, now).len();
     assert_eq!(count(3_000, millis(10)), 0);
     assert_eq!(count(1_000, millis(10)), 1);
     assert_eq!(count(3_000, millis(100)), 1);
--- a/tests/relay_loads.rs
+++ b/tests/relay_loads.rs
@@ -184,7 +184,7 @@
     });
     book.set_backends(engines.to_vec());
     let ranked = |book: &BackendBook, now| {
-        let engines = book.rank_decodes("one", "z-a", 4_000, Some(30_000), false, now);
+        let engines = book.rank_decodes("one", "z-a", 4_000, Some(30_000), now);
         engines
             .into_iter()
             .map(|engine| engine.id)
