--- /dev/null
+++ b/src/clock/host_clock.rs
@@ -0,0 +1,40 @@
+//! A clock of one host, since its start.
+
+use {
+    std::{fmt, sync::Arc, time::Duration},
+    tokio::time::Instant,
+};
+
+/// Tells the time since the host's start: all ages that a promise rests on are counted on it.
+#[derive(Clone)]
+pub struct HostClock {
+    read: Arc<dyn Fn() -> Duration + Send + Sync>,
+    start: Duration,
+}
+
+impl fmt::Debug for HostClock {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "HostClock({:?})", self.now())
+    }
+}
+
+impl HostClock {
+    /// The system's clock, from now on.
+    pub fn system() -> Self {
+        let began = Instant::now();
+        Self::reading(move || began.elapsed())
+    }
+
+    /// A clock that reads another one, from now on.
+    pub fn reading(read: impl Fn() -> Duration + Send + Sync + 'static) -> Self {
+        Self {
+            start: read(),
+            read: Arc::new(read),
+        }
+    }
+
+    /// Time since the start.
+    pub fn now(&self) -> Duration {
+        (self.read)().saturating_sub(self.start)
+    }
+}
--- a/src/host/passing.rs
+++ b/src/host/passing.rs
@@ -7,6 +7,7 @@
     super::traffic::Traffic,
     crate::{
         account::{KeyRules, LimitTolerance},
+        clock::HostClock,
         control::ControlSnapshot,
         operation::OnceSignal,
         relay::{self, HostEntry, RelayBounds, RelayParts, RelaySettings, RetryAllowance},
@@ -91,7 +92,12 @@
 async fn serve(traffic: Arc<Traffic>, listener: std::net::TcpListener, closing: Arc<OnceSignal>) {
     let listener = TcpListener::from_std(listener).expect("a socket on this runtime");
     let settings = relay_settings(&traffic);
-    let parts = RelayParts::new(settings, relay::server_dialect(), traffic.gate.clone());
+    let parts = RelayParts::new(
+        settings,
+        relay::server_dialect(),
+        traffic.gate.clone(),
+        HostClock::system(),
+    );
     relay::spawn_vital("objects in force", follow(traffic.clone(), parts.clone()));
     relay::spawn_vital("metrics", show_metrics(traffic.clone(), parts.clone()));
     let handler: web::IngressHandler =
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod account;
 pub mod bench;
 pub mod cli;
+pub mod clock;
 pub mod conf;
 pub mod control;
 pub mod engine;
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -26,6 +26,7 @@
         vital,
     },
     crate::{
+        clock::HostClock,
         event,
         host::StopGate,
         metric::HostMetrics,
@@ -78,6 +79,7 @@
         mut settings: RelaySettings,
         dialect: CallDialect,
         store: StoreLink,
+        clock: HostClock,
     ) -> eyre::Result<Self> {
         let callers = open("callers", &mut settings.callers)?;
         let checks = open("checks", &mut settings.checks)?;
@@ -95,7 +97,7 @@
             ],
         );
         let gate = StopGate::new(settings.requests_limit);
-        let parts = RelayParts::new(settings, dialect, gate);
+        let parts = RelayParts::new(settings, dialect, gate, clock);
         let noting = parts.clone();
         let store = store.with_note(Rc::new(move || noting.note_store_answer()));
         let store = Rc::new(store);
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -7,6 +7,7 @@
     },
     crate::{
         account::ZoneLedger,
+        clock::HostClock,
         event,
         host::StopGate,
         operation::RunVerdict,
@@ -81,12 +82,19 @@
     pub metrics: RelayMetrics,
     /// Counts requests in progress and closes for a planned stop.
     pub gate: Arc<StopGate>,
+    /// The clock of all ages.
+    pub clock: HostClock,
     start: Instant,
 }
 
 impl RelayParts {
     /// The parts of a host that knows nothing yet.
-    pub fn new(settings: RelaySettings, dialect: CallDialect, gate: Arc<StopGate>) -> Rc<Self> {
+    pub fn new(
+        settings: RelaySettings,
+        dialect: CallDialect,
+        gate: Arc<StopGate>,
+        clock: HostClock,
+    ) -> Rc<Self> {
         let pool = ConnectionPool::start(settings.pool.clone());
         let cluster = ClusterState::new(settings.bounds.heartbeat);
         // 0 stands for no ledger and no book on the wire.
@@ -114,13 +122,14 @@
             store_heard: Cell::new(None),
             metrics: RelayMetrics::default(),
             gate,
+            clock,
             start: Instant::now(),
         })
     }
 
     /// Time since the host started.
     pub fn now(&self) -> Duration {
-        self.start.elapsed()
+        self.clock.now()
     }
 
     /// The store answered a call of this host.
