A host that was suspended counts that time

Cause: what proves a key, a lease, a caller's time and idle connections were counted on the steady clock, which stands meanwhile; after ten seconds of suspension all of them were taken for ten seconds newer than they were. Change: one clock of the host (CLOCK_BOOTTIME), handed to it at its start; after a suspension a request's key is proved anew before it is sent, and one whose time is over is sent to nobody. Not played: a real suspension.

--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -6,6 +6,7 @@
         run::{MODEL, RunPlan},
     },
     crate::{
+        clock::HostClock,
         control,
         engine::{
             self, AttemptNamer, CallFailure, Canceller, EngineLink, EngineRole, RefusalCause,
@@ -87,7 +88,7 @@
             let index = hosts.len() as u64;
             let zone = FastStr::from_static_str(zone);
             let seed = plan.seed ^ (index << 32);
-            let desk = SharedDesk::new(zone, plan.tuning.clone(), seed);
+            let desk = SharedDesk::new(zone, plan.tuning.clone(), seed, HostClock::of_runtime());
             let infos = engines.iter().map(|engine| (info(engine), false)).collect();
             desk.change(|desk, _| desk.set_engines(infos));
             let links = desk.clone();
--- a/src/clock/host_clock.rs
+++ b/src/clock/host_clock.rs
@@ -1,15 +1,20 @@
 //! A clock of one host, since its start.
 
 use {
+    nix::time::{ClockId, clock_gettime},
     std::{fmt, sync::Arc, time::Duration},
     tokio::time::Instant,
 };
 
 /// Tells the time since the host's start: all ages that a promise rests on are counted on it.
+///
+/// It counts the time for which the host was suspended. On the steady clock, which stands meanwhile, whatever is ten
+/// seconds old would pass for new after ten seconds of suspension: what proved a key, a lease, a caller's time.
 #[derive(Clone)]
 pub struct HostClock {
     read: Arc<dyn Fn() -> Duration + Send + Sync>,
     start: Duration,
+    steady_start: Instant,
 }
 
 impl fmt::Debug for HostClock {
@@ -21,6 +26,14 @@
 impl HostClock {
     /// The system's clock, from now on.
     pub fn system() -> Self {
+        Self::reading(|| {
+            let time = clock_gettime(ClockId::CLOCK_BOOTTIME);
+            time.expect("the kernel has this clock").into()
+        })
+    }
+
+    /// The clock of the current runtime, from now on; tests and simulations pause it.
+    pub fn of_runtime() -> Self {
         let began = Instant::now();
         Self::reading(move || began.elapsed())
     }
@@ -30,6 +43,7 @@
         Self {
             start: read(),
             read: Arc::new(read),
+            steady_start: Instant::now(),
         }
     }
 
@@ -37,4 +51,9 @@
     pub fn now(&self) -> Duration {
         (self.read)().saturating_sub(self.start)
     }
+
+    /// For how much of that the host was suspended.
+    pub fn suspended(&self) -> Duration {
+        self.now().saturating_sub(self.steady_start.elapsed())
+    }
 }
--- a/src/control/parts.rs
+++ b/src/control/parts.rs
@@ -109,7 +109,12 @@
 }
 
 impl ControlParts {
-    /// Time on the clock of membership, leases and sweeps.
+    /// Time on the clock of leases: one that ran out while this host was suspended is another host's.
+    pub(super) fn lease_now(&self) -> Duration {
+        self.traffic.clock.now()
+    }
+
+    /// Time on the clock of membership and sweeps.
     pub(super) fn now(&self) -> Duration {
         self.traffic.uptime()
     }
--- a/src/control/roles.rs
+++ b/src/control/roles.rs
@@ -105,7 +105,7 @@
     async fn step_lease(&self) -> Result<(), StoreFailure> {
         self.traffic.metrics.platform_calls.inc();
         let seen = self.read_lease().await?;
-        let now = self.now();
+        let now = self.lease_now();
         let write = self.state.borrow_mut().lease.read(seen, now);
         let Some(write) = write else {
             return Ok(());
@@ -116,7 +116,7 @@
         match store::write_marked(&self.platform, object, mark).await {
             Ok(written) => {
                 let version = written.metadata.resource_version;
-                let now = self.now();
+                let now = self.lease_now();
                 let is_new = self.state.borrow_mut().lease.written(&write, version, now);
                 if is_new {
                     event::emit(&event::LEASE_TAKEN, &[("token", &version)]);
@@ -124,7 +124,7 @@
                 Ok(())
             }
             Err(StoreFailure::Conflict(text)) => {
-                let had = self.state.borrow().lease.held(self.now()).is_some();
+                let had = self.state.borrow().lease.held(self.lease_now()).is_some();
                 self.state.borrow_mut().lease.lost();
                 if had {
                     event::emit(&event::LEASE_LOST, &[("why", &text)]);
@@ -175,7 +175,10 @@
 
     // The lease, if it lasts longer than an order takes.
     fn order_lease(&self) -> Option<FencedLease> {
-        self.state.borrow().lease.held(self.now() + ORDER_TIME)
+        self.state
+            .borrow()
+            .lease
+            .held(self.lease_now() + ORDER_TIME)
     }
 
     fn wanted_roles(&self) -> BTreeMap<FastStr, (SocketAddr, WantedRole)> {
--- a/src/host/passing.rs
+++ b/src/host/passing.rs
@@ -7,7 +7,6 @@
     super::traffic::Traffic,
     crate::{
         account::{KeyRules, LimitTolerance},
-        clock::HostClock,
         control::ControlSnapshot,
         operation::OnceSignal,
         relay::{self, HostEntry, RelayBounds, RelayParts, RelaySettings, RetryAllowance},
@@ -96,7 +95,7 @@
         settings,
         relay::server_dialect(),
         traffic.gate.clone(),
-        HostClock::system(),
+        traffic.clock.clone(),
     );
     relay::spawn_vital("objects in force", follow(traffic.clone(), parts.clone()));
     relay::spawn_vital("metrics", show_metrics(traffic.clone(), parts.clone()));
--- a/src/host/traffic.rs
+++ b/src/host/traffic.rs
@@ -3,6 +3,7 @@
 use {
     super::gate::StopGate,
     crate::{
+        clock::HostClock,
         conf::HostSettings,
         control::ControlSnapshot,
         engine::{AttemptNamer, Canceller},
@@ -62,6 +63,8 @@
     pub metrics: Arc<HostMetrics>,
     /// Metrics of requests that are passed through, as a page; empty where there are none.
     pub relay_page: ArcSwap<String>,
+    /// The clock of ages that promises rest on.
+    pub clock: HostClock,
     started: Instant,
     next_request: AtomicU64,
 }
@@ -76,8 +79,14 @@
     /// The shared parts of a new incarnation.
     pub fn new(settings: HostSettings, callers: SocketAddr) -> Arc<Self> {
         let number: u64 = rand::random();
+        let clock = HostClock::system();
         let incarnation = peer::incarnation_name(number);
-        let desk = SharedDesk::new(settings.zone.clone(), settings.tuning(), rand::random());
+        let desk = SharedDesk::new(
+            settings.zone.clone(),
+            settings.tuning(),
+            rand::random(),
+            clock.clone(),
+        );
         let links = desk.clone();
         let canceller =
             Canceller::new(Box::new(move |engine| links.read(|desk| desk.link(engine))));
@@ -101,6 +110,7 @@
             client: WebClient::new(CONNECT_TIMEOUT),
             metrics: Arc::default(),
             relay_page: ArcSwap::default(),
+            clock,
             started: Instant::now(),
             next_request: AtomicU64::new(1),
             incarnation,
@@ -109,7 +119,8 @@
         })
     }
 
-    /// Time since this incarnation started.
+    /// Time since this incarnation started, less what it was suspended: others were not silent while this host could not
+    /// hear them, and what a host that is taken for lost left at engines is cancelled.
     pub fn uptime(&self) -> Duration {
         self.started.elapsed()
     }
--- a/src/relay/news/tell.rs
+++ b/src/relay/news/tell.rs
@@ -4,7 +4,6 @@
     super::message::{ClusterNews, HeldNews},
     crate::relay::{parts::shared::RelayParts, policy::source},
     std::{rc::Rc, time::Duration},
-    tokio::time::Instant,
 };
 
 /// Longest time that an answer waits for something newer.
@@ -25,18 +24,18 @@
 /// Tells an asker what is newer than what it has, once there is something or its wait is over.
 pub async fn tell_news(parts: Rc<RelayParts>, held: HeldNews) -> ClusterNews {
     note_informed(&parts, &held);
-    let asked = Instant::now();
+    let asked = parts.now();
     let until = asked + held.wait.min(WAIT_LIMIT);
     loop {
         let changed = parts.news.notified();
         tokio::pin!(changed);
         changed.as_mut().enable();
         let news = ClusterNews {
-            held: asked.elapsed(),
+            held: parts.now().saturating_sub(asked),
             ..news_now(&parts, &held)
         };
         let is_enough = has_more(&parts, &news, &held);
-        if is_enough || Instant::now() >= until {
+        if is_enough || parts.now() >= until {
             parts.metrics.news_told.inc();
             // One that starts would take a part for all there is, and whom to follow it would not know.
             let is_part = held.is_starting && !is_enough;
@@ -48,7 +47,7 @@
         }
         tokio::select! {
             () = changed => {}
-            () = tokio::time::sleep_until(until) => {}
+            () = tokio::time::sleep(until.saturating_sub(parts.now())) => {}
         }
     }
 }
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -35,7 +35,7 @@
         sync::Arc,
         time::Duration,
     },
-    tokio::{sync::Notify, time::Instant},
+    tokio::sync::Notify,
 };
 
 /// Bytes that an answer to a call of our own may have.
@@ -84,7 +84,6 @@
     pub gate: Arc<StopGate>,
     /// The clock of all ages.
     pub clock: HostClock,
-    start: Instant,
 }
 
 impl RelayParts {
@@ -95,7 +94,7 @@
         gate: Arc<StopGate>,
         clock: HostClock,
     ) -> Rc<Self> {
-        let pool = ConnectionPool::start(settings.pool.clone());
+        let pool = ConnectionPool::start(settings.pool.clone(), clock.clone());
         let cluster = ClusterState::new(settings.bounds.heartbeat);
         // 0 stands for no ledger and no book on the wire.
         let ledger_id = rand::random_range(1..=u64::MAX);
@@ -123,7 +122,6 @@
             metrics: RelayMetrics::default(),
             gate,
             clock,
-            start: Instant::now(),
         })
     }
 
@@ -263,11 +261,6 @@
 const FREE_PATIENCE: Duration = Duration::from_millis(600);
 
 impl RelayParts {
-    /// A time as the host's own clock counts it.
-    pub fn at(&self, time: Instant) -> Duration {
-        time.saturating_duration_since(self.start)
-    }
-
     /// Sends a call that frees something at a backend server; nobody waits for it.
     pub fn call_later(self: Rc<Self>, backend: BackendInfo, call: BackendCall) {
         tokio::task::spawn_local(async move {
--- a/src/relay/request/call.rs
+++ b/src/relay/request/call.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         account::ClientAccount,
+        clock::HostClock,
         operation::{Refusal, RefusalCode},
         relay::{
             backend::BackendInfo,
@@ -17,7 +18,6 @@
     http_body_util::{BodyExt, Full},
     hyper::body::Incoming,
     std::{cell::OnceCell, rc::Rc, time::Duration},
-    tokio::time::Instant,
 };
 
 /// A caller's request.
@@ -39,16 +39,19 @@
     pub account: Option<Rc<ClientAccount>>,
     /// Version of the configuration that the route is of.
     pub config_version: u64,
-    /// When its head had arrived.
-    pub arrived: Instant,
+    /// When its head had arrived, on the host's clock.
+    pub arrived: Duration,
     /// How long its caller had waited before, with an earlier try.
     pub waited: Duration,
-    /// When its caller has to have an answer.
-    pub until: Instant,
+    /// When its caller has to have an answer, on the host's clock.
+    pub until: Duration,
+    /// For how long the host had been suspended when the call was let in.
+    pub suspended: Duration,
     /// Servers ended under it before.
     pub is_suspected: bool,
     /// It is held to end its servers, and is tried once.
     pub is_on_trial: bool,
+    clock: HostClock,
     digest: OnceCell<RequestDigest>,
 }
 
@@ -104,7 +107,12 @@
 
     /// What is left of its time.
     pub fn time_left(&self) -> Duration {
-        self.until.saturating_duration_since(Instant::now())
+        self.until.saturating_sub(self.clock.now())
+    }
+
+    /// Time since its arrival.
+    pub fn age(&self) -> Duration {
+        self.clock.now().saturating_sub(self.arrived)
     }
 
     /// The request to a backend server; `prepare` adds what the kind of backend server needs.
@@ -136,8 +144,9 @@
     route: Rc<RelayRoute>,
     config: &RelayConfig,
     dialect: &CallDialect,
+    clock: &HostClock,
 ) -> Result<RelayCall, Refusal> {
-    let arrived = Instant::now();
+    let arrived = clock.now();
     let marks = (dialect.read_call)(&parts.headers);
     let patience = match marks.time_left {
         Some(left) => left.min(route.time_limit),
@@ -145,7 +154,7 @@
     };
     let until = arrived + patience;
     let reading = read_body(body, &config.limits);
-    let body = tokio::time::timeout_at(until, reading)
+    let body = tokio::time::timeout(patience, reading)
         .await
         .unwrap_or_else(|_| Err(slow_body()))?;
     let target = parts
@@ -167,8 +176,10 @@
         arrived,
         waited: Duration::ZERO,
         until,
+        suspended: clock.suspended(),
         is_suspected: false,
         is_on_trial: false,
+        clock: clock.clone(),
         digest: OnceCell::new(),
     })
 }
--- a/src/relay/request/chunks.rs
+++ b/src/relay/request/chunks.rs
@@ -1,10 +1,11 @@
 //! Passing a running answer on to its caller.
 
 use {
+    super::call::RelayCall,
     crate::web::{BrokenBody, PooledBody},
     bytes::Bytes,
     futures::Stream,
-    tokio::time::Instant,
+    std::rc::Rc,
 };
 
 /// What became of an answer that is being passed on.
@@ -42,7 +43,7 @@
 /// each step. What is `kept` is held for as long as the answer runs.
 pub(super) fn pass_on<K: 'static>(
     mut body: PooledBody,
-    until: Instant,
+    call: Rc<RelayCall>,
     kept: K,
     note: impl Fn(&mut K, ChunkStep) + 'static,
 ) -> impl Stream<Item = Result<Bytes, BrokenBody>> {
@@ -50,7 +51,7 @@
         // The block takes the whole: of fields that it does not name it would take none.
         let mut kept = kept;
         loop {
-            match tokio::time::timeout_at(until, body.chunk()).await {
+            match tokio::time::timeout(call.time_left(), body.chunk()).await {
                 Ok(Some(Ok(chunk))) => {
                     note(&mut kept, ChunkStep::Passed);
                     yield Ok(chunk);
--- a/src/relay/request/handler.rs
+++ b/src/relay/request/handler.rs
@@ -77,7 +77,15 @@
         let text = format!("route {} leads to no service", route.name);
         Refusal::not_run(RefusalCode::NoBackend, text).after(COME_BACK)
     })?;
-    let call = call::read_call(head, body, route, routes.config(), &parts.dialect).await?;
+    let call = call::read_call(
+        head,
+        body,
+        route,
+        routes.config(),
+        &parts.dialect,
+        &parts.clock,
+    )
+    .await?;
     // Again: the body may have taken longer than a key was in force.
     let account = parts.identify(&call.route, call.marks.key)?;
     let call = call.of_account(account);
--- a/src/relay/request/judge.rs
+++ b/src/relay/request/judge.rs
@@ -44,6 +44,10 @@
     }
 }
 
+/// Suspension of the host from which on a key that it had looked at counts as not looked at: what may have been taken away
+/// meanwhile it cannot have heard of. Shorter ones are within what a check and a send lie apart anyhow.
+const SUSPENSION_LEAST: Duration = Duration::from_millis(200);
+
 /// Whether a request may be sent now, after sends of which `verdict` is known: what became of them, and of others' sends
 /// meanwhile, may have shown that it ends its servers.
 pub(super) fn check_send(
@@ -52,6 +56,7 @@
     service: &FastStr,
     verdict: RunVerdict,
 ) -> Result<(), Refusal> {
+    check_time(parts, call).map_err(|refusal| Refusal { verdict, ..refusal })?;
     if parts.crashes.is_empty() {
         return Ok(());
     }
@@ -65,6 +70,20 @@
     Err(refusal(parts, call, service, verdict, wait))
 }
 
+// What was so when the call was let in need not be any more: a server would work for nobody, and after a suspension, which
+// timers do not count, a key may have been taken away.
+fn check_time(parts: &RelayParts, call: &RelayCall) -> Result<(), Refusal> {
+    if call.time_left().is_zero() {
+        let text = "its time is over";
+        return Err(Refusal::not_run(RefusalCode::DeadlinePassed, text));
+    }
+    let suspended = parts.clock.suspended().saturating_sub(call.suspended);
+    if suspended < SUSPENSION_LEAST {
+        return Ok(());
+    }
+    parts.identify(&call.route, call.marks.key).map(drop)
+}
+
 fn refusal(
     parts: &RelayParts,
     call: &RelayCall,
--- a/src/relay/request/plain.rs
+++ b/src/relay/request/plain.rs
@@ -113,7 +113,7 @@
     let body = match answer.body {
         PlainBody::Whole(body) => answer::whole_body(body),
         PlainBody::Running(body, guard) => {
-            let until = relay.call.until;
+            let call = relay.call.clone();
             let note = |kept: &mut (PlainRelay, CallGuard), step: ChunkStep| match step {
                 ChunkStep::Passed => {}
                 ChunkStep::Ended(end) => {
@@ -121,7 +121,7 @@
                     kept.0.log_end(end.as_str());
                 }
             };
-            answer::streamed_body(chunks::pass_on(body, until, (relay, guard), note))
+            answer::streamed_body(chunks::pass_on(body, call, (relay, guard), note))
         }
     };
     Ok(answer::relayed(answer.status, answer.headers, body))
@@ -154,7 +154,7 @@
                     }
                     hedge_at = self.hedge_time();
                 }
-                () = tokio::time::sleep_until(self.call.until) => {
+                () = tokio::time::sleep(self.call.time_left()) => {
                     // A process that was paused wakes up late: what is there already still counts.
                     if let Ok(Some((backend, outcome))) = web::within(Duration::ZERO, running.next()).await
                         && let Some(answer) = self.take(&backend, outcome)
@@ -240,13 +240,13 @@
                 ("config", &call.config_version),
                 ("end", &end),
                 ("tried", &self.trail),
-                ("ended_ms", &call.arrived.elapsed().as_millis()),
+                ("ended_ms", &call.age().as_millis()),
             ],
         );
     }
 
     fn note_step(&mut self, backend: &BackendInfo, step: &str) {
-        let at = self.call.arrived.elapsed().as_millis();
+        let at = self.call.age().as_millis();
         let between = if self.trail.is_empty() { "" } else { "," };
         let step = format!("{between}{}:{step}@{at}", backend.id);
         self.trail.push_str(&step);
--- a/src/relay/request/reserve.rs
+++ b/src/relay/request/reserve.rs
@@ -19,7 +19,6 @@
     faststr::FastStr,
     http::StatusCode,
     std::{rc::Rc, time::Duration},
-    tokio::time::Instant,
 };
 
 /// Longest wait for the answer to a reservation; engines answer these at once.
@@ -109,7 +108,7 @@
     fn join(parts: &Rc<RelayParts>, call: &RelayCall) -> Self {
         let mut line = parts.line.borrow_mut();
         let entrant = LineEntrant {
-            arrived: parts.at(call.arrived),
+            arrived: call.arrived,
             waited: call.waited,
             target: call.route.latency_target,
             priority: call.priority(),
@@ -152,7 +151,7 @@
     parts: &Rc<RelayParts>,
     call: &RelayCall,
     service: &str,
-    since: Instant,
+    since: Duration,
     kept: Option<&KeptAt>,
 ) -> Result<MemoryHold, Refusal> {
     let tokens = admission::reserved_tokens(&call.marks);
@@ -165,15 +164,15 @@
         if place.is_first()
             && let Some(hold) = ask_round(parts, call, service, kept, place.key.late).await
         {
-            parts.metrics.reserved(&call.route, call.arrived.elapsed());
+            parts.metrics.reserved(&call.route, call.age());
             return Ok(hold);
         }
-        let pause = Instant::now() + ROUND_PAUSE;
+        let left = give_up.saturating_sub(parts.now());
         tokio::select! {
             () = freed => {}
-            () = tokio::time::sleep_until(pause.min(give_up)) => {}
+            () = tokio::time::sleep(ROUND_PAUSE.min(left)) => {}
         }
-        if Instant::now() >= give_up {
+        if parts.now() >= give_up {
             return Err(no_room(parts, service, tokens));
         }
         place.update();
--- a/src/relay/request/resume.rs
+++ b/src/relay/request/resume.rs
@@ -96,16 +96,16 @@
 // An engine that is silent may go on by itself: its stream is only left once there is memory elsewhere and
 // the repeat is allowed.
 async fn next_step(relay: &mut StreamRelay, running: &mut RunningStream) -> StreamStep {
-    let silent_at = (Instant::now() + SILENCE_LIMIT).min(relay.call.until);
-    if let Ok(next) = tokio::time::timeout_at(silent_at, running.body.chunk()).await {
+    let patience = SILENCE_LIMIT.min(relay.call.time_left());
+    if let Ok(next) = tokio::time::timeout(patience, running.body.chunk()).await {
         return step_of(next);
     }
-    while Instant::now() < relay.call.until {
+    while !relay.call.time_left().is_zero() {
         let seeking = reserve::reserve(
             &relay.parts,
             &relay.call,
             &relay.service,
-            Instant::now(),
+            relay.parts.now(),
             None,
         );
         tokio::select! {
--- a/src/relay/request/stream.rs
+++ b/src/relay/request/stream.rs
@@ -181,7 +181,7 @@
             answer::streamed_body(resume::resumable_chunks(relay, running))
         }
         _ => {
-            let until = relay.call.until;
+            let call = relay.call.clone();
             let RunningStream { body, held, .. } = running;
             let note = |kept: &mut (StreamRelay, EngineHeld), step: ChunkStep| match step {
                 ChunkStep::Passed => kept.0.pace.passed(Instant::now()),
@@ -190,7 +190,7 @@
                     kept.0.log_end(end.as_str());
                 }
             };
-            answer::streamed_body(chunks::pass_on(body, until, (relay, held), note))
+            answer::streamed_body(chunks::pass_on(body, call, (relay, held), note))
         }
     };
     Ok(answer::relayed(status, headers, body))
@@ -203,7 +203,7 @@
 
     // Rounds until an engine answers; a round that may have run ends the tries unless the stream is
     // resumable. What any round may have run stays so.
-    async fn begin(&mut self, since: Instant) -> Result<RunningStream, Refusal> {
+    async fn begin(&mut self, since: Duration) -> Result<RunningStream, Refusal> {
         for round in 1.. {
             let failure = match self.round(None, since).await? {
                 Ok(running) => return Ok(running),
@@ -224,12 +224,13 @@
         after: Option<FastStr>,
         hold: Option<MemoryHold>,
     ) -> Result<RunningStream, Refusal> {
-        let since = Instant::now() + RESUME_EXTRA_WAIT;
-        let pay_until = self.call.until.min(Instant::now() + RESUME_PATIENCE);
+        let now = self.parts.now();
+        let since = now + RESUME_EXTRA_WAIT;
+        let pay_until = self.call.until.min(now + RESUME_PATIENCE);
         let mut hold = hold;
         for round in 1.. {
             while !self.pay_repeat() {
-                if Instant::now() >= pay_until {
+                if self.parts.now() >= pay_until {
                     let detail = "no repeats are left to go on with the stream";
                     return Err(Refusal::new(self.verdict, RefusalCode::BackendLost, detail));
                 }
@@ -269,7 +270,7 @@
     async fn round(
         &mut self,
         after: Option<FastStr>,
-        since: Instant,
+        since: Duration,
     ) -> Result<Result<RunningStream, RoundFailure>, Refusal> {
         let kept = self.find_kept(after.is_some()).await;
         let (parts, call) = (&self.parts, &self.call);
@@ -299,12 +300,12 @@
     ) -> Result<RunningStream, RoundFailure> {
         self.check_send()?;
         self.rounds += 1;
-        self.times.reserved = self.call.arrived.elapsed();
+        self.times.reserved = self.call.age();
         self.engine = hold.engine.id.clone();
         let cache = self.compute(&hold).await;
-        self.times.computed = self.call.arrived.elapsed();
+        self.times.computed = self.call.age();
         let running = self.decode(hold, cache, after).await;
-        self.times.answered = self.call.arrived.elapsed();
+        self.times.answered = self.call.age();
         if let Err(failure) = &running {
             self.verdict = self.verdict.max(failure.verdict);
         }
@@ -360,7 +361,7 @@
                 ("engine", engine),
                 ("verdict", &failure.verdict),
                 ("cause", &failure.detail),
-                ("after_ms", &self.call.arrived.elapsed().as_millis()),
+                ("after_ms", &self.call.age().as_millis()),
             ],
         );
     }
@@ -455,7 +456,7 @@
                 ("reserved_ms", &self.times.reserved.as_millis()),
                 ("computed_ms", &self.times.computed.as_millis()),
                 ("answered_ms", &self.times.answered.as_millis()),
-                ("ended_ms", &call.arrived.elapsed().as_millis()),
+                ("ended_ms", &call.age().as_millis()),
             ],
         );
     }
--- a/src/route/shared.rs
+++ b/src/route/shared.rs
@@ -6,7 +6,10 @@
         place::{DeskAnswer, PlaceRequest},
         policy::RouteTuning,
     },
-    crate::operation::{Refusal, RefusalCode},
+    crate::{
+        clock::HostClock,
+        operation::{Refusal, RefusalCode},
+    },
     faststr::FastStr,
     std::{
         collections::HashMap,
@@ -16,10 +19,7 @@
         },
         time::Duration,
     },
-    tokio::{
-        sync::{Notify, oneshot},
-        time::Instant,
-    },
+    tokio::sync::{Notify, oneshot},
 };
 
 /// How often waiting requests are looked at when nothing else happens.
@@ -29,7 +29,7 @@
 #[derive(Debug)]
 pub struct SharedDesk {
     inner: Mutex<DeskInner>,
-    start: Instant,
+    clock: HostClock,
     asked: Notify,
     next_ticket: AtomicU64,
 }
@@ -42,13 +42,13 @@
 
 impl SharedDesk {
     /// A desk of a host in `zone`.
-    pub fn new(zone: FastStr, tuning: RouteTuning, seed: u64) -> Arc<Self> {
+    pub fn new(zone: FastStr, tuning: RouteTuning, seed: u64, clock: HostClock) -> Arc<Self> {
         Arc::new(Self {
             inner: Mutex::new(DeskInner {
                 desk: PlaceDesk::new(zone, tuning, seed),
                 answers: HashMap::new(),
             }),
-            start: Instant::now(),
+            clock,
             asked: Notify::new(),
             next_ticket: AtomicU64::new(1),
         })
@@ -56,7 +56,7 @@
 
     /// Time since the desk was made; all its times are on this clock.
     pub fn now(&self) -> Duration {
-        self.start.elapsed()
+        self.clock.now()
     }
 
     /// Reads the desk.
--- a/src/route/tests.rs
+++ b/src/route/tests.rs
@@ -9,6 +9,7 @@
         view::EngineInfo,
     },
     crate::{
+        clock::HostClock,
         engine::{self, EngineRole, LoadReport},
         object::{LabelMap, LabelSelector},
         operation::RefusalCode,
@@ -150,7 +151,7 @@
         .build()
         .expect("a runtime");
     runtime.block_on(async {
-        let shared = SharedDesk::new(ZONE, RouteTuning::default(), 1);
+        let shared = SharedDesk::new(ZONE, RouteTuning::default(), 1, HostClock::of_runtime());
         shared.change(|desk, now| {
             desk.set_engines(vec![
                 (info("p", "prefill"), false),
--- a/src/web/pool.rs
+++ b/src/web/pool.rs
@@ -9,7 +9,7 @@
         pool_target::{PoolLane, PoolTarget, PoolUse, UseCounts},
         send_failure::{FailureCause, SendFailure, not_sent},
     },
-    crate::operation::RunVerdict,
+    crate::{clock::HostClock, operation::RunVerdict},
     bytes::Bytes,
     http::{HeaderMap, Request, StatusCode, header},
     http_body_util::{BodyExt, Full},
@@ -24,7 +24,7 @@
         rc::Rc,
         time::Duration,
     },
-    tokio::{net::TcpStream, task::AbortHandle, time::Instant},
+    tokio::{net::TcpStream, task::AbortHandle},
 };
 
 /// Seconds of idleness after which a connection is not used again where the server announces none:
@@ -50,7 +50,8 @@
 
 struct IdleConnection {
     connection: PooledConnection,
-    until: Instant,
+    // On the pool's clock: servers close it meanwhile while this host is suspended.
+    until: Duration,
 }
 
 // An open connection; dropping it closes the socket.
@@ -110,6 +111,7 @@
     settings: PoolSettings,
     open: OpenCounts,
     counts: RefCell<BTreeMap<PoolUse, UseCounts>>,
+    clock: HostClock,
 }
 
 impl fmt::Debug for ConnectionPool {
@@ -138,12 +140,13 @@
 
 impl ConnectionPool {
     /// A pool without connections; closes idle ones in time for as long as it lives.
-    pub fn start(settings: PoolSettings) -> Rc<Self> {
+    pub fn start(settings: PoolSettings, clock: HostClock) -> Rc<Self> {
         let pool = Rc::new(Self {
             idle: RefCell::default(),
             settings,
             open: Rc::default(),
             counts: RefCell::default(),
+            clock,
         });
         let swept = Rc::downgrade(&pool);
         tokio::task::spawn_local(async move {
@@ -199,7 +202,7 @@
     }
 
     fn sweep(&self) {
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         for connections in idle.values_mut() {
             connections.retain(|known| now < known.until && !known.connection.sender.is_closed());
@@ -208,7 +211,7 @@
     }
 
     fn take(&self, key: PoolKey) -> Option<PooledConnection> {
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&key)?;
         while let Some(known) = connections.pop() {
@@ -340,7 +343,7 @@
             if connection.sender.ready().await.is_err() {
                 return;
             }
-            let until = Instant::now() + idle;
+            let until = pool.clock.now() + idle;
             let mut known = pool.idle.borrow_mut();
             let connections = known.entry(key).or_default();
             connections.push(IdleConnection { connection, until });
