--- a/src/relay/parts/ends.rs
+++ b/src/relay/parts/ends.rs
@@ -94,12 +94,16 @@
 }
 
 async fn probe_patiently(backend: &BackendInfo) -> ProbeOutcome {
+    let mut last = ProbeOutcome::Silent;
     for pause in PROBE_PAUSES {
         tokio::time::sleep(pause).await;
         let outcome = web::probe(backend.address, PROBE_PATIENCE).await;
-        if outcome != ProbeOutcome::Silent {
+        // A process that ends closes one socket after the other: what it still takes at once says nothing.
+        let is_sure = outcome == ProbeOutcome::Refused || outcome == last;
+        if is_sure && outcome != ProbeOutcome::Silent {
             return outcome;
         }
+        last = outcome;
     }
-    ProbeOutcome::Silent
+    last
 }
