Hosts that are all killed at once find in the store which requests end servers

What a request cost three servers to learn was gone with the hosts' memory, and the users kill all hosts at once. Change: the first host to know writes it to its own entry in the store, which hosts read before they are ready; one or two writes for a judgement. A host that starts takes over what its own entry keeps. Moved on the way: what the log says of streams, and how the stand-in engine computes prompts, have files of their own. Left: a planned stop removes the entry with what it keeps; the other hosts know it, until they are all killed as well.

--- a/src/host/passing.rs
+++ b/src/host/passing.rs
@@ -194,6 +194,7 @@
 // Hosts are only counted here, for their shares of the repeats.
 fn host_entry(name: &FastStr, zone: &FastStr, address: SocketAddr) -> HostEntry {
     HostEntry {
+        judged: Vec::new(),
         name: name.clone(),
         zone: zone.clone(),
         peers: address,
--- a/src/relay/link.rs
+++ b/src/relay/link.rs
@@ -1,7 +1,7 @@
 //! The store as a relaying host needs it: typed objects, read, watched and written under a condition.
 
 use {
-    super::{backend::BackendInfo, config::RelayConfig},
+    super::{backend::BackendInfo, config::RelayConfig, policy::crash_mark::KeptJudgement},
     crate::{control::LeaseSpec, store::StoreFailure},
     faststr::FastStr,
     futures::{FutureExt, future::LocalBoxFuture},
@@ -34,6 +34,9 @@
     /// How much it can do for others, in Mbit/s of its link; 0 where that is not known.
     #[serde(default)]
     pub strength: u32,
+    /// Requests that end their servers, of which this host was the first to know.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub judged: Vec<KeptJudgement>,
 }
 
 /// What an object holds.
--- a/src/relay/news/entry.rs
+++ b/src/relay/news/entry.rs
@@ -27,17 +27,22 @@
 
 /// Keeps the host's entry in the store for as long as the host runs and is not about to stop.
 pub async fn keep_entry(parts: Rc<RelayParts>, store: Rc<StoreLink>) {
-    let entry = own_entry(&parts);
     if !parts.settings.first_start {
         wait_for_list(&parts).await;
     }
-    let mut missing_since = match is_listed(&parts, &entry) {
+    let mut missing_since = match is_listed(&parts, &own_entry(&parts)) {
         true => None,
         false => Some(Duration::ZERO),
     };
     let mut written = None;
+    let mut written_entry: Option<HostEntry> = None;
     loop {
         let now = parts.now();
+        let entry = own_entry(&parts);
+        // What it is to keep has changed: others need not hear of that in a hurry, but the store is to have it.
+        let is_other = written_entry
+            .as_ref()
+            .is_some_and(|before| *before != entry);
         match is_listed(&parts, &entry) {
             true => missing_since = None,
             false => missing_since = missing_since.or(Some(now)),
@@ -46,11 +51,12 @@
         let is_missing = missing_since.is_some_and(|since| {
             since == Duration::ZERO || now.saturating_sub(since) >= MISSING_TIME
         });
-        if is_missing && is_new && !parts.gate.is_stopping() {
+        if (is_other || (is_missing && is_new)) && !parts.gate.is_stopping() {
             write_entry(&parts, &store, &entry).await;
             written = Some(parts.now());
             missing_since = Some(parts.now());
         }
+        written_entry = Some(entry);
         tokio::time::sleep(LOOK_PERIOD).await;
     }
 }
@@ -62,6 +68,7 @@
         zone: settings.zone.clone(),
         peers: settings.peers,
         strength: settings.strength,
+        judged: parts.kept_judgements(),
     }
 }
 
--- a/src/relay/parts/crashes.rs
+++ b/src/relay/parts/crashes.rs
@@ -6,9 +6,10 @@
         event,
         relay::{
             backend::BackendInfo,
+            link::HostEntry,
             policy::{
                 crash_book::{CrashBook, CrashChange, MarkSource},
-                crash_mark::{BookPlace, CrashMark, CrashNews},
+                crash_mark::{BookPlace, CrashMark, CrashNews, KeptJudgement},
                 crash_record::CrashJudgement,
                 digest::RequestDigest,
                 loads::EngineKey,
@@ -18,7 +19,7 @@
     futures::future::LocalBoxFuture,
     std::{
         cell::{Cell, RefCell},
-        collections::HashMap,
+        collections::{BTreeSet, HashMap},
         fmt,
         net::SocketAddr,
         rc::Rc,
@@ -26,12 +27,17 @@
     tokio::sync::Notify,
 };
 
+/// Requests that a host's entry keeps at most: a fleet with more of them has lost two dozen servers to them already.
+const KEPT_MOST: usize = 8;
+
 /// Asks the host whose turn it is whether a request may be tried.
 pub type TrialAsk = dyn Fn(RequestDigest) -> LocalBoxFuture<'static, bool>;
 
 /// The book, and what goes with it.
 pub struct CrashDesk {
     book: RefCell<CrashBook>,
+    // Those that this host's entry in the store keeps.
+    kept: RefCell<BTreeSet<RequestDigest>>,
     // Up to where this host was told of each other's book, by its address.
     told: RefCell<HashMap<SocketAddr, BookPlace>>,
     // Whether another host has told what it knows, or none is there that could.
@@ -52,6 +58,7 @@
     pub fn new(id: u64) -> Self {
         Self {
             book: RefCell::new(CrashBook::new(id)),
+            kept: RefCell::default(),
             told: RefCell::default(),
             has_learned: Cell::default(),
             trial_ask: RefCell::default(),
@@ -153,6 +160,9 @@
     }
 
     fn crash_noted(&self, digest: RequestDigest, change: Option<CrashChange>) {
+        if change == Some(CrashChange::Judged) {
+            self.keep_judgement(digest);
+        }
         self.log_judgements(
             &change
                 .map(|change| (digest, change))
@@ -178,11 +188,55 @@
             return;
         }
         if source == MarkSource::Reported {
+            let judged = changes
+                .iter()
+                .filter(|(_, change)| *change == CrashChange::Judged);
+            judged.for_each(|(digest, _)| self.keep_judgement(*digest));
             self.crashes.reported.notify_one();
         }
         self.news.notify_waiters();
     }
 
+    // Who is told is not the first to know: one or two hosts write a judgement to the store.
+    fn keep_judgement(&self, digest: RequestDigest) {
+        let mut kept = self.crashes.kept.borrow_mut();
+        if kept.len() < KEPT_MOST {
+            kept.insert(digest);
+        }
+    }
+
+    /// What this host's entry in the store is to keep.
+    pub fn kept_judgements(&self) -> Vec<KeptJudgement> {
+        let book = self.crashes.book.borrow();
+        let mut kept = self.crashes.kept.borrow_mut();
+        kept.retain(|digest| book.fatal_mark(*digest, self.now()).is_some());
+        let marks = kept
+            .iter()
+            .filter_map(|digest| book.fatal_mark(*digest, self.now()));
+        marks.map(|mark| KeptJudgement::of(&mark)).collect()
+    }
+
+    /// Takes what the hosts' entries in the store keep: after all hosts were lost nothing else tells it.
+    pub fn take_kept(&self) {
+        let cluster = self.cluster.borrow();
+        let listed = cluster.hosts().filter(|entry| !entry.judged.is_empty());
+        let entries: Vec<HostEntry> = listed.cloned().collect();
+        drop(cluster);
+        for entry in entries {
+            let marks: Vec<CrashMark> = entry
+                .judged
+                .iter()
+                .filter_map(KeptJudgement::mark)
+                .collect();
+            if entry.name == self.settings.name {
+                marks
+                    .iter()
+                    .for_each(|mark| self.keep_judgement(mark.digest));
+            }
+            self.take_marks(&marks, MarkSource::Told);
+        }
+    }
+
     /// Takes what the host at an address told with its news.
     pub fn take_crash_news(&self, news: &CrashNews, from: SocketAddr) {
         self.take_marks(&news.marks, MarkSource::Told);
@@ -196,7 +250,7 @@
     /// What an asker lacks that all hosts are to know. A host that has only just started does not pass for one that knows.
     pub fn crash_news(&self, known: BookPlace) -> CrashNews {
         let book = self.crashes.book.borrow();
-        let news = book.grave_news(known, self.now());
+        let news = book.news_since(known, self.now());
         let place = match self.crashes.has_learned.get() {
             true => news.place,
             false => BookPlace::default(),
--- a/src/relay/policy/crash_book.rs
+++ b/src/relay/policy/crash_book.rs
@@ -219,7 +219,7 @@
     }
 
     /// What an asker is to know of which all hosts are told; `known` is what it has been told of this book.
-    pub fn grave_news(&self, known: BookPlace, now: Duration) -> CrashNews {
+    pub fn news_since(&self, known: BookPlace, now: Duration) -> CrashNews {
         let since = match known.book == self.id {
             true => known.revision,
             false => 0,
@@ -243,6 +243,13 @@
         })
     }
 
+    /// A request that is held to end its servers, as it is told; none where it no longer is.
+    pub fn fatal_mark(&self, digest: RequestDigest, now: Duration) -> Option<CrashMark> {
+        let held = self.records.get(&digest)?;
+        let is_fatal = held.record.count() >= ENDS_TO_JUDGE;
+        is_fatal.then(|| held.record.mark(digest, now))
+    }
+
     /// What has changed last, of so many requests at the most: hosts that all tell each other need no more.
     pub fn latest(&self, most: usize, now: Duration) -> Vec<CrashMark> {
         let mut held: Vec<(&RequestDigest, &HeldRecord)> = self.records.iter().collect();
--- a/src/relay/policy/crash_mark.rs
+++ b/src/relay/policy/crash_mark.rs
@@ -3,6 +3,7 @@
 
 use {
     super::{digest::RequestDigest, loads::EngineKey},
+    faststr::FastStr,
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
@@ -31,6 +32,47 @@
     pub seen: Duration,
 }
 
+/// A request that is held to end its servers, as a host's entry in the store keeps it for hosts that all start at once.
+///
+/// Without ages, since no clock outlives them all: its trials are as of when it is read, at worst that much later.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptJudgement {
+    /// The request's digest in hex: the store's readers need not know numbers of this size.
+    pub digest: FastStr,
+    /// Hashes of the runs that ended.
+    pub runs: Vec<u32>,
+    /// How often it was tried.
+    pub trials: u8,
+}
+
+impl KeptJudgement {
+    /// The judgement that a mark shows.
+    pub fn of(mark: &CrashMark) -> Self {
+        let counted = mark.ends.iter().filter(|end| !end.is_excused);
+        Self {
+            digest: FastStr::from_string(format!("{:032x}", mark.digest.0)),
+            runs: counted.map(|end| end.run.0).collect(),
+            trials: mark.trials.len() as u8,
+        }
+    }
+
+    /// The mark of this judgement, as of now; none where its digest is not one.
+    pub fn mark(&self) -> Option<CrashMark> {
+        let digest = u128::from_str_radix(&self.digest, 16).ok()?;
+        let ends = self.runs.iter().map(|run| EndMark {
+            run: EngineKey(*run),
+            age: Duration::ZERO,
+            is_excused: false,
+        });
+        Some(CrashMark {
+            digest: RequestDigest(digest),
+            ends: ends.collect(),
+            trials: vec![Duration::ZERO; usize::from(self.trials)],
+            seen: Duration::ZERO,
+        })
+    }
+}
+
 /// Up to which revision of which book somebody was told.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct BookPlace {
--- a/src/relay/policy/crash_record.rs
+++ b/src/relay/policy/crash_record.rs
@@ -150,6 +150,10 @@
 
     /// A trial begins.
     pub fn note_trial(&mut self, now: PastTime) {
+        assert!(
+            self.trials.len() < TRIAL_PAUSES.len(),
+            "a request that ends its servers is tried twice at the most"
+        );
         self.trials.push(now);
     }
 
--- a/src/relay/request/mod.rs
+++ b/src/relay/request/mod.rs
@@ -17,5 +17,6 @@
 pub(crate) mod seek;
 pub(crate) mod send;
 pub(crate) mod stream;
+mod stream_log;
 
 pub use self::{answer::*, call::*, events::*, handler::*, prefill::*, reserve::*};
--- a/src/relay/request/stream.rs
+++ b/src/relay/request/stream.rs
@@ -11,12 +11,12 @@
         guard::CallGuard,
         judge,
         pace::EventPace,
-        prefill::{self, PrefillFailure, WaitingCache},
+        prefill::{self, WaitingCache},
         reserve::{self, MemoryHold},
         resume, seek,
+        stream_log::StreamTimes,
     },
     crate::{
-        event,
         operation::{Refusal, RefusalCode, RunVerdict},
         relay::{
             config::RequestKind,
@@ -101,7 +101,7 @@
     pub(super) parts: Rc<RelayParts>,
     pub(super) call: Rc<RelayCall>,
     pub(super) service: FastStr,
-    rounds: u32,
+    pub(super) rounds: u32,
     // Whether the one prefill that costs no repeat was sent.
     computed: bool,
     // Whether an engine broke off while it computed the prompt: that it runs well elsewhere then speaks for nothing.
@@ -112,35 +112,18 @@
     // Whether the engine whose memory is reserved keeps the prompt from an earlier run.
     is_kept: bool,
     // The engine that kept the prompt when the stream went on, for the log.
-    kept_at: FastStr,
+    pub(super) kept_at: FastStr,
     // Whether any decode so far may have run.
     verdict: RunVerdict,
     // Whether the repeat of the next decode is counted already.
     repeat_paid: bool,
-    times: StreamTimes,
+    pub(super) times: StreamTimes,
     /// When events were passed on.
     pub(super) pace: EventPace,
     // The decode engine of the last round.
-    engine: FastStr,
+    pub(super) engine: FastStr,
     // Whether the end was logged.
-    ended: bool,
-}
-
-impl Drop for StreamRelay {
-    // The caller left: its connection drops whatever is being done for it.
-    fn drop(&mut self) {
-        if !self.ended {
-            self.log_end("caller-gone");
-        }
-    }
-}
-
-/// When each step of a streamed request was done, since its arrival.
-#[derive(Debug, Default, Clone, Copy)]
-struct StreamTimes {
-    reserved: Duration,
-    computed: Duration,
-    answered: Duration,
+    pub(super) ended: bool,
 }
 
 /// Answers a streamed request.
@@ -353,19 +336,6 @@
         }
     }
 
-    fn log_prefill_failure(&self, engine: &FastStr, failure: &PrefillFailure) {
-        event::emit(
-            &event::PREFILL_FAILED,
-            &[
-                ("request", &self.call.marks.id),
-                ("engine", engine),
-                ("verdict", &failure.verdict),
-                ("cause", &failure.detail),
-                ("after_ms", &self.call.age().as_millis()),
-            ],
-        );
-    }
-
     fn may_decode_again(&self) -> bool {
         self.parts.spend_repeat(&self.service)
     }
@@ -427,37 +397,3 @@
         })
     }
 }
-
-impl StreamRelay {
-    pub(super) fn log_end(&mut self, end: &str) {
-        self.ended = true;
-        let call = &self.call;
-        let after_event = call.marks.last_event.as_deref().unwrap_or_default();
-        let pause_limit = call.route.event_gap_target.unwrap_or_default();
-        event::emit(
-            &event::REQUEST_ENDED,
-            &[
-                ("request", &call.marks.id),
-                ("route", &call.route.name),
-                ("account", &call.account_name()),
-                ("config", &call.config_version),
-                ("end", &end),
-                ("engine", &self.engine),
-                ("rounds", &self.rounds),
-                ("prompt_tokens", &call.marks.prompt_tokens),
-                ("answer_limit", &call.marks.answer_limit),
-                ("answer_hint", &call.marks.answer_hint.unwrap_or_default()),
-                ("after_event", &after_event),
-                ("waited_ms", &call.waited.as_millis()),
-                ("target_ms", &call.route.latency_target.as_millis()),
-                ("pause_limit_ms", &pause_limit.as_millis()),
-                ("pause_ms", &self.pace.longest().as_millis()),
-                ("kept_at", &self.kept_at),
-                ("reserved_ms", &self.times.reserved.as_millis()),
-                ("computed_ms", &self.times.computed.as_millis()),
-                ("answered_ms", &self.times.answered.as_millis()),
-                ("ended_ms", &call.age().as_millis()),
-            ],
-        );
-    }
-}
--- a/src/standin/engine/mod.rs
+++ b/src/standin/engine/mod.rs
@@ -5,6 +5,7 @@
 mod core;
 mod decode;
 mod params;
+mod prefill;
 mod server;
 mod state;
 
--- a/tests/fleet_sim/crashes.rs
+++ b/tests/fleet_sim/crashes.rs
@@ -129,7 +129,7 @@
     pub(super) fn has_crash_news(&self, index: usize, from: usize) -> bool {
         let known = self.hosts[index].crashes.places.get(&from).copied();
         let book = &self.hosts[from].crashes.book;
-        let news = book.grave_news(known.unwrap_or_default(), self.crash_now());
+        let news = book.news_since(known.unwrap_or_default(), self.crash_now());
         !news.marks.is_empty()
     }
 
@@ -137,7 +137,7 @@
         let now = self.crash_now();
         let known = self.hosts[index].crashes.places.get(&from).copied();
         let teller = &mut self.hosts[from].crashes;
-        let news = teller.book.grave_news(known.unwrap_or_default(), now);
+        let news = teller.book.news_since(known.unwrap_or_default(), now);
         teller.sent_bytes += bytes_of(&news.marks);
         let crashes = &mut self.hosts[index].crashes;
         crashes.book.take(&news.marks, MarkSource::Told, now);
--- a/tests/fleet_sim/mod.rs
+++ b/tests/fleet_sim/mod.rs
@@ -83,6 +83,7 @@
     for zone in &names[..zones] {
         for index in 0..hosts {
             entries.push(HostEntry {
+                judged: Vec::new(),
                 name: FastStr::from_string(format!("{zone}-{index}")),
                 zone: FastStr::new(zone),
                 peers: "127.0.0.1:9".parse().unwrap(),
--- a/tests/relay_crash_innocents.rs
+++ b/tests/relay_crash_innocents.rs
@@ -324,7 +324,7 @@
             self.hub.take(&marks, MarkSource::Reported, now);
         }
         for host in &mut self.hosts {
-            let news = self.hub.grave_news(host.place, now);
+            let news = self.hub.news_since(host.place, now);
             host.crashes.take(&news.marks, MarkSource::Told, now);
             host.place = news.place;
         }
--- a/tests/relay_crashes.rs
+++ b/tests/relay_crashes.rs
@@ -37,7 +37,7 @@
 
 // All that a book would tell anybody.
 fn all_marks(book: &CrashBook, now: Duration) -> Vec<CrashMark> {
-    let mut marks = book.grave_news(BookPlace::default(), now).marks;
+    let mut marks = book.news_since(BookPlace::default(), now).marks;
     marks.extend(book.reported_since(Some(0), now));
     marks
 }
@@ -118,15 +118,15 @@
     for innocent in 100..120 {
         book.note_end(RequestDigest(innocent), run(1), now);
     }
-    let news = book.grave_news(BookPlace::default(), now);
+    let news = book.news_since(BookPlace::default(), now);
     assert!(news.marks.is_empty(), "one end is nobody's affair");
     assert_eq!(book.reported_since(None, now).len(), 20);
     book.note_end(RequestDigest(100), run(2), now);
-    let next = book.grave_news(news.place, now);
+    let next = book.news_since(news.place, now);
     assert_eq!(next.marks.len(), 1);
-    assert!(book.grave_news(next.place, now).marks.is_empty());
+    assert!(book.news_since(next.place, now).marks.is_empty());
     book.note_good_run(RequestDigest(100), now);
-    assert_eq!(book.grave_news(next.place, now).marks.len(), 1);
+    assert_eq!(book.news_since(next.place, now).marks.len(), 1);
     let told_late = book.reported_since(None, now + seconds(31));
     assert!(told_late.is_empty(), "whoever added up before has told it");
 }
