Entries of the store tell which requests end servers only to hosts that all start at once

Read in the diff: entries of lost hosts stay, so that each start of a host would have had a request refused again for good; and what a host takes from its own entry lived as long as the entry. Now a host goes by entries only if none of those that it asks at its start knows more, and takes over what its own keeps. What hosts told is forgotten with them: nothing had called that.

--- a/src/relay/news/crashes.rs
+++ b/src/relay/news/crashes.rs
@@ -92,17 +92,17 @@
         share
     }
 
-    // A host that starts asks some others as soon as it knows any: one that reads the store would hear it from nobody. If
-    // none of them knows more they have all just started.
+    // A host that starts asks some others as soon as it knows the list of hosts: one that reads the store would hear it from
+    // nobody.
     async fn learn(self: Rc<Self>) {
-        while self.hosts_to_ask().is_empty() {
+        while self.parts.cluster.borrow().hosts_revision() == 0 {
             // News that came between the look and the wait are found at the next look.
             let looked = tokio::time::timeout(LOOK_PERIOD, self.parts.news.notified()).await;
-            log::trace!("looked for hosts to ask: {looked:?}");
+            log::trace!("looked for the list of hosts: {looked:?}");
         }
         let asking = self.hosts_to_ask().into_iter();
         future::join_all(asking.map(|entry| self.ask(entry))).await;
-        self.parts.note_crashes_asked();
+        self.parts.finish_learning();
     }
 
     fn hosts_to_ask(&self) -> Vec<HostEntry> {
--- a/src/relay/news/entry.rs
+++ b/src/relay/news/entry.rs
@@ -84,7 +84,8 @@
             let news = parts.news.notified();
             tokio::pin!(news);
             news.as_mut().enable();
-            if parts.cluster.borrow().hosts_revision() > 0 {
+            // What an earlier run's entry keeps is taken over first.
+            if parts.cluster.borrow().hosts_revision() > 0 && parts.knows_crashes() {
                 return;
             }
             news.await;
--- a/src/relay/news/store_news.rs
+++ b/src/relay/news/store_news.rs
@@ -31,7 +31,7 @@
                 let mut cluster = self.parts.cluster.borrow_mut();
                 cluster.set_hosts(hosts, list.revision);
                 drop(cluster);
-                self.parts.take_kept();
+                self.parts.note_hosts();
                 self.parts.news.notify_waiters();
             }
             StoreKind::Leases => {}
@@ -61,7 +61,7 @@
                 cluster.change_hosts(changes, revision);
                 drop(cluster);
                 if is_news {
-                    self.parts.take_kept();
+                    self.parts.note_hosts();
                     self.parts.news.notify_waiters();
                 }
             }
--- a/src/relay/news/take.rs
+++ b/src/relay/news/take.rs
@@ -54,7 +54,7 @@
         let has_changed = cluster.changes_seen() != before;
         drop(cluster);
         if news.hosts.is_whole || !news.hosts.changes.is_empty() {
-            self.parts.take_kept();
+            self.parts.note_hosts();
         }
         if has_changed {
             self.parts.publish_backends();
--- a/src/relay/parts/crashes.rs
+++ b/src/relay/parts/crashes.rs
@@ -16,6 +16,7 @@
             },
         },
     },
+    faststr::FastStr,
     futures::future::LocalBoxFuture,
     std::{
         cell::{Cell, RefCell},
@@ -40,7 +41,7 @@
     kept: RefCell<BTreeSet<RequestDigest>>,
     // Up to where this host was told of each other's book, by its address.
     told: RefCell<HashMap<SocketAddr, BookPlace>>,
-    // Whether another host has told what it knows, or none is there that could.
+    // Whether another host has told what it knows, or none is there that could, and the store was looked at.
     has_learned: Cell<bool>,
     trial_ask: RefCell<Option<Rc<TrialAsk>>>,
     /// Told when there is something that other hosts are to hear of this one.
@@ -90,8 +91,8 @@
             .unwrap_or_default()
     }
 
-    /// Forgets what hosts told that are listed no longer.
-    pub fn keep_told(&self, is_listed: impl Fn(&SocketAddr) -> bool) {
+    // Forgets what hosts told that are listed no longer.
+    fn keep_told(&self, is_listed: impl Fn(&SocketAddr) -> bool) {
         self.told
             .borrow_mut()
             .retain(|address, _| is_listed(address));
@@ -163,12 +164,9 @@
         if change == Some(CrashChange::Judged) {
             self.keep_judgement(digest);
         }
-        self.log_judgements(
-            &change
-                .map(|change| (digest, change))
-                .into_iter()
-                .collect::<Vec<_>>(),
-        );
+        if let Some(change) = change {
+            self.log_judgements(&[(digest, change)]);
+        }
         self.crashes.reported.notify_one();
         self.news.notify_waiters();
     }
@@ -216,25 +214,33 @@
         marks.map(|mark| KeptJudgement::of(&mark)).collect()
     }
 
-    /// Takes what the hosts' entries in the store keep: after all hosts were lost nothing else tells it.
-    pub fn take_kept(&self) {
+    /// The list of hosts has changed.
+    pub fn note_hosts(&self) {
+        let cluster = self.cluster.borrow();
+        self.crashes
+            .keep_told(|address| cluster.hosts().any(|entry| entry.peers == *address));
+    }
+
+    /// All that could tell were asked. If none of them knew, all have started at once, and what entries in the store keep is
+    /// all that is known. Otherwise they count for nothing: those of lost hosts stay, and would keep a request refused for good.
+    pub fn finish_learning(&self) {
         let cluster = self.cluster.borrow();
-        let listed = cluster.hosts().filter(|entry| !entry.judged.is_empty());
-        let entries: Vec<HostEntry> = listed.cloned().collect();
+        let kept = cluster
+            .hosts()
+            .map(|entry| (entry.name.clone(), kept_marks(entry)));
+        let kept: Vec<(FastStr, Vec<CrashMark>)> = kept.collect();
         drop(cluster);
-        for entry in entries {
-            let marks: Vec<CrashMark> = entry
-                .judged
-                .iter()
-                .filter_map(KeptJudgement::mark)
-                .collect();
-            if entry.name == self.settings.name {
-                marks
-                    .iter()
-                    .for_each(|mark| self.keep_judgement(mark.digest));
+        for (name, marks) in kept {
+            if name == self.settings.name {
+                let own = marks.iter();
+                own.for_each(|mark| self.keep_judgement(mark.digest));
+            }
+            if !self.crashes.has_learned.get() {
+                self.take_marks(&marks, MarkSource::Told);
             }
-            self.take_marks(&marks, MarkSource::Told);
         }
+        self.crashes.has_learned.set(true);
+        self.news.notify_waiters();
     }
 
     /// Takes what the host at an address told with its news.
@@ -265,16 +271,9 @@
         (marks, book.place().revision)
     }
 
-    /// Whether this host was told which requests end servers, or knows nobody who could tell it.
+    /// Whether this host was told which requests end servers, as far as anybody could tell it.
     pub fn knows_crashes(&self) -> bool {
-        let cluster = self.cluster.borrow();
-        let mut hosts = cluster.hosts();
-        self.crashes.has_learned.get() || hosts.all(|entry| entry.name == self.settings.name)
-    }
-
-    /// All that could tell were asked, or are not there.
-    pub fn note_crashes_asked(&self) {
-        self.crashes.has_learned.set(true);
+        self.crashes.has_learned.get() || self.cluster.borrow().hosts_revision() == 0
     }
 
     fn log_judgements(&self, changes: &[(RequestDigest, CrashChange)]) {
@@ -287,3 +286,8 @@
         }
     }
 }
+
+fn kept_marks(entry: &HostEntry) -> Vec<CrashMark> {
+    let kept = entry.judged.iter();
+    kept.filter_map(KeptJudgement::mark).collect()
+}
