--- a/src/account/ledger.rs
+++ b/src/account/ledger.rs
@@ -20,6 +20,7 @@
         collections::{BTreeMap, BTreeSet},
         time::Duration,
     },
+    xxhash_rust::xxh3,
 };
 
 /// How long a zone may go unheard until its share of each limit is left to it: three of its reports.
@@ -157,7 +158,8 @@
 
     // Other ledgers take it for another one: its sums begin anew.
     fn begin(&mut self, now: Duration) {
-        self.id = self.id.wrapping_add(1).max(1);
+        let drawn = xxh3::xxh3_64_with_seed(&self.id.to_le_bytes(), now.as_nanos() as u64);
+        self.id = drawn.max(1);
         self.began = now;
         self.books.clear();
         self.near.clear();
