Hosts read the limit that a backend server names, and say so in the log

Cause: logs could not tell three hypotheses of the incident apart: hosts do not read a server's limit; each host keeps to it alone; sends beyond the first of a request pass by whatever holds the first ones back. No line of any host said that a server names a limit. Change: what an answer says of its server's limit is read as requests a second of all hosts together and believed by the newest answer, the one to the request that was sent last. Event 311 (server-limit) when a limit is first believed, changes or goes, with its value, where it was heard and how old that is; two figures. What is no plain decimal number counts as not said, and is counted. No choice changed with it.

--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -52,6 +52,7 @@
     REQUEST_JUDGED = 308, "request-judged", Warn, "A request is held to end its servers, since three of them ended under it: this host sends it to none.", "Find it by its digest in the backend-ended lines (307); tell its caller.";
     REQUEST_CLEARED = 309, "request-cleared", Info, "A request that was held to end its servers has run well, and is let in again.", "None.";
     REQUEST_TRIED = 310, "request-tried", Info, "A request that is held to end its servers may be tried once, by all hosts together.", "None; a backend-ended line (307) with its digest follows if it still does.";
+    SERVER_LIMIT = 311, "server-limit", Info, "A backend server names how many requests a second it takes from all hosts together, another number than before, or none any more.", "With limit other than none: the server is in need; look at it. Requests go to others of its service first.";
     CONFIG_IN_FORCE = 401, "config-in-force", Info, "A newer accepted configuration is in force on this host.", "None.";
     CONFIG_REJECTED = 402, "config-rejected", Error, "The objects at the platform do not pass the checks; the last good set stays in force.", "Correct the named object and field.";
     CONFIG_ACCEPTED = 403, "config-accepted", Info, "This host checked the objects and wrote them as the accepted configuration.", "None.";
--- a/src/relay/backend.rs
+++ b/src/relay/backend.rs
@@ -1,6 +1,7 @@
 //! Backend servers as the store lists them.
 
 use {
+    super::policy::loads::EngineKey,
     crate::engine::EngineRole,
     faststr::FastStr,
     serde::{Deserialize, Serialize},
@@ -31,3 +32,10 @@
     /// Orders that it has taken; an order may name the count it expects.
     pub orders_taken: u64,
 }
+
+impl BackendInfo {
+    /// The run as hosts name it to each other.
+    pub fn key(&self) -> EngineKey {
+        EngineKey::of_run(&self.id, self.born)
+    }
+}
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -4,10 +4,11 @@
 //! functions.
 
 use {
+    super::policy::server_limit::LimitMark,
     crate::{account::ShownKey, engine::EngineRole, web::PoolUse},
     bytes::Bytes,
     faststr::FastStr,
-    http::{HeaderMap, Method, StatusCode},
+    http::{HeaderMap, HeaderName, Method, StatusCode},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -34,12 +35,14 @@
 }
 
 /// What a backend server's answer says of itself.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerMarks {
     /// Id of the request that it answers.
     pub id: Option<FastStr>,
     /// The backend server states that the request did not run.
     pub not_run: bool,
+    /// What it says of the limit to its requests.
+    pub limit: LimitMark,
 }
 
 impl AnswerMarks {
@@ -49,6 +52,12 @@
     }
 }
 
+/// What the header of this name in an answer says of its server's limit.
+pub fn read_limit(headers: &HeaderMap, name: &HeaderName) -> LimitMark {
+    let values = headers.get_all(name).iter();
+    LimitMark::read(values.map(|value| value.as_bytes()))
+}
+
 /// Whom a request is meant for, and how long it may take.
 #[derive(Debug, Clone, Copy)]
 pub struct CallAddress<'a> {
--- a/src/relay/parts/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -141,6 +141,10 @@
     pub ledger_asks: Counter,
     /// Of these, those that it did not answer in time.
     pub ledger_silences: Counter,
+    /// Answers that name a limit which is none.
+    pub unreadable_limits: Counter,
+    /// Backend servers that name a limit.
+    pub servers_in_need: Gauge,
 }
 
 impl fmt::Debug for RelayMetrics {
@@ -191,6 +195,8 @@
             unsure_keys: Counter::default(),
             ledger_asks: Counter::default(),
             ledger_silences: Counter::default(),
+            unreadable_limits: Counter::default(),
+            servers_in_need: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -252,6 +258,11 @@
                 &self.config_version,
             ),
             ("backends", "Backend servers in use", &self.backends),
+            (
+                "servers_in_need",
+                "Backend servers that name a limit, as far as this host knows",
+                &self.servers_in_need,
+            ),
             (
                 "fatal_requests",
                 "Requests that are held to end their servers",
@@ -319,6 +330,11 @@
                 "Questions that the zone's ledger did not answer in time",
                 &self.ledger_silences,
             ),
+            (
+                "unreadable_limits",
+                "Answers of backend servers that name a limit which is none",
+                &self.unreadable_limits,
+            ),
         ];
         for (name, help, counter) in counters {
             r.register(name, help, counter.clone());
--- a/src/relay/parts/mod.rs
+++ b/src/relay/parts/mod.rs
@@ -5,8 +5,9 @@
 pub(crate) mod crashes;
 pub(crate) mod ends;
 pub(crate) mod metrics;
+pub(crate) mod needs;
 pub(crate) mod publish;
 pub(crate) mod shared;
 pub(crate) mod shares;
 
-pub use self::{accounts::*, crashes::*, metrics::*, shared::*};
+pub use self::{accounts::*, crashes::*, metrics::*, needs::*, shared::*};
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         accounts::AccountGate, crashes::CrashDesk, ends::EndQuestions, metrics::RelayMetrics,
-        shares::OthersDemand,
+        needs::AnswerKind, shares::OthersDemand,
     },
     crate::{
         account::ZoneLedger,
@@ -190,7 +190,11 @@
             HeaderValue::from_static("application/json"),
         );
         (self.dialect.name_backend)(headers, &backend.id);
-        self.pool.send(target, request).await
+        let sent = self.now();
+        let answer = self.pool.send(target, request).await?;
+        let marks = (self.dialect.read_answer)(answer.status, &answer.headers);
+        self.note_limit(backend, marks.limit, AnswerKind::Other, sent);
+        Ok(answer)
     }
 }
 
@@ -286,6 +290,9 @@
         metrics
             .fatal_requests
             .set(self.crashes.fatal_count() as i64);
+        metrics
+            .servers_in_need
+            .set(self.book.borrow().needs.len() as i64);
         let age = cluster.age(self.now());
         metrics
             .news_age
--- a/src/relay/policy/book.rs
+++ b/src/relay/policy/book.rs
@@ -6,6 +6,8 @@
     super::{
         changes::BackendChanges,
         loads::{EngineKey, EngineLoad},
+        need_book::{LimitSaying, NeedBook},
+        server_limit::ServerLimit,
         view::{BackendFailure, BackendView, EJECT_FIRST, FAILURES_TO_EJECT},
     },
     crate::relay::backend::BackendInfo,
@@ -59,6 +61,8 @@
     others_at: Option<Duration>,
     // Prompt tokens a second that prefill engines were seen to compute at best.
     pub(super) prefill_rate: f64,
+    /// Those that name a limit.
+    pub needs: NeedBook,
 }
 
 impl Default for BackendBook {
@@ -68,6 +72,7 @@
             next_call: 0,
             others_at: None,
             prefill_rate: PREFILL_RATE,
+            needs: NeedBook::default(),
         }
     }
 }
@@ -91,6 +96,8 @@
             self.views.insert(view.info.id.clone(), view);
         }
         changes.gone = known.into_keys().collect();
+        let listed = self.views.values().map(|view| view.key).collect();
+        self.needs.keep_listed(&listed);
         changes
     }
 
@@ -125,6 +132,19 @@
             .is_some_and(|view| view.info.born > backend.born)
     }
 
+    /// Takes what one said of its limit; gives the limit believed before, where another one is believed now. What an
+    /// earlier run said, or one that is no longer listed, tells nothing.
+    pub fn take_limit(
+        &mut self,
+        backend: &BackendInfo,
+        saying: LimitSaying,
+    ) -> Option<Option<ServerLimit>> {
+        if !self.is_current(backend) {
+            return None;
+        }
+        self.needs.take(backend.key(), saying)
+    }
+
     /// What is known of all.
     pub fn views(&self) -> impl Iterator<Item = &BackendView> {
         self.views.values()
--- a/src/relay/policy/mod.rs
+++ b/src/relay/policy/mod.rs
@@ -13,10 +13,12 @@
 pub(crate) mod kept;
 pub(crate) mod line;
 pub(crate) mod loads;
+pub(crate) mod need_book;
 pub(crate) mod past_time;
 pub(crate) mod pauses;
 pub(crate) mod room;
 pub(crate) mod route;
+pub(crate) mod server_limit;
 pub(crate) mod source;
 pub(crate) mod split;
 pub(crate) mod subset;
@@ -25,6 +27,6 @@
 
 pub use self::{
     admission::*, book::*, budget::*, changes::*, crash_book::*, crash_mark::*, crash_record::*,
-    digest::*, kept::*, line::*, loads::*, past_time::*, pauses::*, room::*, route::*, source::*,
-    split::*, subset::*, view::*, waited::*,
+    digest::*, kept::*, line::*, loads::*, need_book::*, past_time::*, pauses::*, room::*,
+    route::*, server_limit::*, source::*, split::*, subset::*, view::*, waited::*,
 };
--- a/src/relay/policy/view.rs
+++ b/src/relay/policy/view.rs
@@ -76,7 +76,7 @@
     /// One of which nothing is known yet.
     pub(super) fn new(info: BackendInfo) -> Self {
         Self {
-            key: EngineKey::of_run(&info.id, info.born),
+            key: info.key(),
             info,
             is_preferred: true,
             calls: BTreeMap::new(),
--- a/src/relay/request/decode.rs
+++ b/src/relay/request/decode.rs
@@ -8,7 +8,10 @@
     },
     crate::{
         operation::RunVerdict,
-        relay::{backend::BackendInfo, dialect::DecodeStart, policy::view::BackendFailure},
+        relay::{
+            backend::BackendInfo, dialect::DecodeStart, parts::needs::AnswerKind,
+            policy::view::BackendFailure,
+        },
         web::{PoolUse, PooledAnswer, SendFailure},
     },
     std::time::Duration,
@@ -62,6 +65,7 @@
     pub(super) async fn check_answer(
         &mut self,
         engine: &BackendInfo,
+        guard: &CallGuard,
         cache: Option<WaitingCache>,
         answer: PooledAnswer,
     ) -> Result<PooledAnswer, RoundFailure> {
@@ -73,6 +77,7 @@
             let detail = format!("decode at {}: {detail}", engine.id);
             return Err(RoundFailure::new(RunVerdict::MayHaveRun, detail));
         }
+        guard.note_limit(marks.limit, AnswerKind::of(answer.status, marks.not_run));
         if marks.not_run {
             return Err(self.take_decline(engine, cache, answer).await);
         }
--- a/src/relay/request/guard.rs
+++ b/src/relay/request/guard.rs
@@ -4,7 +4,11 @@
     super::{call::RelayCall, chunks::ChunkEnd},
     crate::{
         event,
-        relay::{backend::BackendInfo, parts::shared::RelayParts, policy::digest::RequestDigest},
+        relay::{
+            backend::BackendInfo,
+            parts::{needs::AnswerKind, shared::RelayParts},
+            policy::{digest::RequestDigest, server_limit::LimitMark},
+        },
     },
     std::{rc::Rc, time::Duration},
     tokio::{task::JoinHandle, time::Instant},
@@ -19,6 +23,7 @@
     parts: Rc<RelayParts>,
     backend: Box<BackendInfo>,
     began: Instant,
+    sent: Duration,
     call: u64,
 }
 
@@ -34,10 +39,16 @@
             parts: parts.clone(),
             backend: Box::new(backend.clone()),
             began: Instant::now(),
+            sent: now,
             call,
         }
     }
 
+    /// The request was answered, well or not: takes what the answer says of its server's limit.
+    pub(super) fn note_limit(&self, mark: LimitMark, kind: AnswerKind) {
+        self.parts.note_limit(&self.backend, mark, kind, self.sent);
+    }
+
     /// The request's connection broke off while it ran, or may have: finds out whether the backend server ended, and
     /// waits a moment for that, so that whoever sends the request on knows.
     pub async fn settle_break(&self, call: &RelayCall) {
--- a/src/relay/request/prefill.rs
+++ b/src/relay/request/prefill.rs
@@ -5,7 +5,9 @@
     crate::{
         operation::RunVerdict,
         relay::{
-            backend::BackendInfo, dialect::PromptCache, parts::shared::RelayParts,
+            backend::BackendInfo,
+            dialect::PromptCache,
+            parts::{needs::AnswerKind, shared::RelayParts},
             policy::view::BackendFailure,
         },
         web::PoolUse,
@@ -125,7 +127,7 @@
     let began = parts.now();
     let predicted = predict(parts, call, backlog);
     let patience = (predicted + PREFILL_PATIENCE).min(call.time_left());
-    let computing = send(parts, call, &engine);
+    let computing = send(parts, call, &engine, &guard);
     let result = tokio::time::timeout(patience, computing)
         .await
         .unwrap_or_else(|_| {
@@ -166,6 +168,7 @@
     parts: &Rc<RelayParts>,
     call: &RelayCall,
     engine: &BackendInfo,
+    guard: &CallGuard,
 ) -> Result<PromptCache, PrefillFailure> {
     let dialect = &parts.dialect;
     let request = call.request_to(engine, dialect, dialect.engines.as_prefill);
@@ -187,6 +190,7 @@
         answer.status,
         (dialect.read_answer)(answer.status, &answer.headers),
     );
+    guard.note_limit(marks.limit, AnswerKind::of(status, marks.not_run));
     let body = answer.body.read(ANSWER_LIMIT).await;
     let body = body.map_err(|detail| PrefillFailure {
         verdict: RunVerdict::MayHaveRun,
--- a/src/relay/request/send.rs
+++ b/src/relay/request/send.rs
@@ -4,7 +4,11 @@
     super::{call::RelayCall, guard::CallGuard},
     crate::{
         operation::RunVerdict,
-        relay::{backend::BackendInfo, parts::shared::RelayParts, policy::view::BackendFailure},
+        relay::{
+            backend::BackendInfo,
+            parts::{needs::AnswerKind, shared::RelayParts},
+            policy::view::BackendFailure,
+        },
         web::{PoolUse, PooledAnswer, PooledBody},
     },
     bytes::Bytes,
@@ -79,6 +83,7 @@
         parts.note_failure(backend, BackendFailure::Broken, detail);
         return SendOutcome::Lost(detail.into());
     }
+    guard.note_limit(marks.limit, AnswerKind::of(answer.status, marks.not_run));
     if call.route.kind.is_stream() && answer.status.is_success() {
         return SendOutcome::Answered(Box::new(running(answer, guard)));
     }
--- a/src/relay/request/stream.rs
+++ b/src/relay/request/stream.rs
@@ -385,7 +385,9 @@
         };
         let guard = CallGuard::begin(&self.parts, &hold.engine, self.call.is_suspected);
         let answer = self.send_decode(&hold.engine, &start, &guard).await?;
-        let answer = self.check_answer(&hold.engine, cache, answer).await?;
+        let answer = self
+            .check_answer(&hold.engine, &guard, cache, answer)
+            .await?;
         Ok(RunningStream {
             status: answer.status,
             headers: answer.headers,
