--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -15,6 +15,7 @@
             link::{NewsAnswers, NewsLinks},
             settle::LedgerLink,
             share::LoadShare,
+            turns::TurnLink,
         },
         parts::{metrics::StoreCause, shared::RelayParts},
         request::{
@@ -123,15 +124,19 @@
     fn share_news(&self, listener: TcpListener) {
         let metrics = Arc::new(HostMetrics::default());
         let feed = StoreFeed::start(self.parts.clone(), self.store.clone());
-        let links = Rc::new(NewsLinks::new(metrics.clone()));
+        let clock = self.parts.clock.clone();
+        let links = Rc::new(NewsLinks::new(metrics.clone(), clock.clone()));
         let follower = NewsFollower::start(self.parts.clone(), feed, links.clone());
         LedgerLink::start(self.parts.clone(), follower.clone(), links.clone());
+        TurnLink::start(self.parts.clone(), links.clone());
         let crashes = CrashShare::start(self.parts.clone(), follower.clone(), links.clone());
         let share = LoadShare::start(self.parts.clone(), follower, links);
         let parts = self.parts.clone();
         let (charged, settled) = (parts.clone(), parts.clone());
-        let tried = parts.clone();
+        let (tried, dealt) = (parts.clone(), parts.clone());
         let answers = NewsAnswers {
+            clock,
+            turns: Box::new(move |ask| dealt.deal_turns(&ask)),
             charges: Box::new(move |account, units| charged.answer_charge(account, units)),
             sums: Box::new(move |theirs| settled.answer_sums(&theirs)),
             crashes: Box::new(move |marks, is_zone| crashes.take_told(&marks, is_zone)),
--- a/src/relay/news/link.rs
+++ b/src/relay/news/link.rs
@@ -4,9 +4,11 @@
     super::{
         crash_message,
         message::{self, ClusterNews, HeldNews, ReportedView},
+        turn_message,
     },
     crate::{
         account::{AccountKey, LedgerSums},
+        clock::HostClock,
         metric::HostMetrics,
         news_capnp::news_peer,
         peer::{self, PeerLinks},
@@ -14,6 +16,7 @@
             crash_mark::CrashMark,
             digest::RequestDigest,
             loads::{LoadReport, LoadReporter},
+            turn_desk::{TurnAsk, TurnGrant},
         },
     },
     capnp::{Error, capability::Rc as CapRc},
@@ -44,8 +47,13 @@
 /// Takes the sums of another ledger; gives this host's, and those that it knows of others.
 pub type SumsCall = dyn Fn(LedgerSums) -> Vec<LedgerSums>;
 
+/// Deals out turns at a server in need.
+pub type DealCall = dyn Fn(TurnAsk) -> TurnGrant;
+
 /// What a host answers to others.
 pub struct NewsAnswers {
+    /// The clock of ages that are told.
+    pub clock: HostClock,
     /// To those that follow it.
     pub news: Box<NewsAnswer>,
     /// To those that report to it.
@@ -58,6 +66,8 @@
     pub crashes: Box<CrashTold>,
     /// To those that would try a request.
     pub trials: Box<TrialCall>,
+    /// To those that would send to servers in need.
+    pub turns: Box<DealCall>,
 }
 
 struct NewsServer {
@@ -147,6 +157,18 @@
         results.get().set_is_allowed(is_allowed);
         Ok(())
     }
+
+    async fn deal(
+        self: CapRc<Self>,
+        params: news_peer::DealParams,
+        mut results: news_peer::DealResults,
+    ) -> Result<(), Error> {
+        let now = self.answers.clock.now();
+        let ask = turn_message::read_ask(params.get()?, now)?;
+        let grant = (self.answers.turns)(ask);
+        turn_message::write_grant(results.get(), &grant, now);
+        Ok(())
+    }
 }
 
 /// Answers other hosts on a listening socket, for as long as the host runs.
@@ -163,12 +185,19 @@
 }
 
 /// Connections to hosts that are asked for news.
-pub struct NewsLinks(PeerLinks<news_peer::Client>);
+pub struct NewsLinks {
+    links: PeerLinks<news_peer::Client>,
+    // The clock of ages that are told.
+    clock: HostClock,
+}
 
 impl NewsLinks {
     /// No connections yet.
-    pub fn new(metrics: Arc<HostMetrics>) -> Self {
-        Self(PeerLinks::new(metrics))
+    pub fn new(metrics: Arc<HostMetrics>, clock: HostClock) -> Self {
+        Self {
+            links: PeerLinks::new(metrics),
+            clock,
+        }
     }
 
     /// Asks a host for what is newer than `held`; the answer is due `patience` after the wait.
@@ -179,7 +208,7 @@
         patience: Duration,
     ) -> Result<ClusterNews, Error> {
         let time = held.wait + patience;
-        self.0
+        self.links
             .call(address, time, |client| async move {
                 let mut request = client.follow_request();
                 message::write_held(request.get().init_held(), &held);
@@ -197,7 +226,7 @@
         units: u32,
         patience: Duration,
     ) -> Result<Result<(), Duration>, Error> {
-        self.0
+        self.links
             .call(address, patience, |client| async move {
                 let mut request = client.charge_request();
                 request.get().set_account(account.0);
@@ -220,7 +249,7 @@
         sums: &LedgerSums,
         patience: Duration,
     ) -> Result<Vec<LedgerSums>, Error> {
-        self.0
+        self.links
             .call(address, patience, |client| async move {
                 let mut request = client.exchange_request();
                 message::write_sums(request.get().init_sums(), sums);
@@ -239,7 +268,7 @@
         is_zone: bool,
         patience: Duration,
     ) -> Result<(), Error> {
-        self.0
+        self.links
             .call(address, patience, |client| async move {
                 let mut request = client.tell_crashes_request();
                 let mut params = request.get();
@@ -258,7 +287,7 @@
         digest: RequestDigest,
         patience: Duration,
     ) -> Result<bool, Error> {
-        self.0
+        self.links
             .call(address, patience, |client| async move {
                 let mut request = client.allow_trial_request();
                 let (high, low) = crash_message::halves(digest);
@@ -270,6 +299,23 @@
             .await
     }
 
+    /// Asks a host for turns at a server in need.
+    pub async fn deal(
+        &self,
+        address: SocketAddr,
+        ask: &TurnAsk,
+        patience: Duration,
+    ) -> Result<TurnGrant, Error> {
+        self.links
+            .call(address, patience, |client| async move {
+                let mut request = client.deal_request();
+                turn_message::write_ask(request.get(), ask, self.clock.now());
+                let response = request.send().promise.await?;
+                turn_message::read_grant(response.get()?, self.clock.now())
+            })
+            .await
+    }
+
     /// Reports to a host, with how new one's own view is; gives what the others report together.
     pub async fn share(
         &self,
@@ -279,7 +325,7 @@
         view: ReportedView,
         patience: Duration,
     ) -> Result<LoadReport, Error> {
-        self.0
+        self.links
             .call(address, patience, |client| async move {
                 let mut request = client.share_request();
                 let mut params = request.get();
--- a/src/relay/news/mod.rs
+++ b/src/relay/news/mod.rs
@@ -16,5 +16,7 @@
 mod take;
 mod targets;
 pub(crate) mod tell;
+mod turn_message;
+pub(crate) mod turns;
 
 pub use self::{feed::*, follow::*, link::*, message::*, share::*, tell::*};
--- a/src/relay/news/news.capnp
+++ b/src/relay/news/news.capnp
@@ -135,6 +135,15 @@
   uses @3 :List(AccountUse);
 }
 
+# What a backend server said of the requests a second that it takes from all hosts together.
+struct LimitSaying {
+  # Meant only where it named one.
+  perSecond @0 :Float64;
+  isNamed @1 :Bool;
+  # How long ago the request was sent whose answer said so.
+  ageMs @2 :UInt32;
+}
+
 interface NewsPeer {
   follow @0 (held :HeldNews) -> (news :ClusterNews);
   # What the reporter's requests take, for what those of all others take. A whole zone reports through one
@@ -150,4 +159,8 @@
   tellCrashes @4 (marks :List(CrashMark), isZone :Bool) -> ();
   # Whether a request that is held to end its servers may be tried, once by all hosts together.
   allowTrial @5 (high :UInt64, low :UInt64) -> (isAllowed :Bool);
+  # Turns at a server in need, from the host that deals them out for all; or when one is likely. The rank says how urgent the
+  # request is, 0 the most. With none wanted it only tells what the server said.
+  deal @6 (server :UInt32, wanted :UInt16, rank :UInt8, saying :LimitSaying)
+    -> (turns :UInt16, waitMs :UInt32, saying :LimitSaying);
 }
--- a/src/relay/news/news_capnp.rs
+++ b/src/relay/news/news_capnp.rs
@@ -3718,6 +3718,258 @@
     }
 }
 
+pub mod limit_saying {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_per_second(self) -> f64 {
+            self.reader.get_data_field::<f64>(0)
+        }
+        #[inline]
+        pub fn get_is_named(self) -> bool {
+            self.reader.get_bool_field(64)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_per_second(self) -> f64 {
+            self.builder.get_data_field::<f64>(0)
+        }
+        #[inline]
+        pub fn set_per_second(&mut self, value: f64)  {
+            self.builder.set_data_field::<f64>(0, value);
+        }
+        #[inline]
+        pub fn get_is_named(self) -> bool {
+            self.builder.get_bool_field(64)
+        }
+        #[inline]
+        pub fn set_is_named(&mut self, value: bool)  {
+            self.builder.set_bool_field(64, value);
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(155, 17, 115, 248, 91, 31, 137, 213),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(35, 152, 123, 90, 14, 108, 31, 212),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 76, 105, 109, 105, 116),
+            ::capnp::word(83, 97, 121, 105, 110, 103, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 64, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 101, 114, 83, 101, 99, 111, 110),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 78, 97, 109, 101, 100, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <f64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
+        pub(crate) const TYPE_ID: u64 = 0xd589_1f5b_f873_119b;
+    }
+}
+
 
 pub mod news_peer {
     #![allow(unused_variables)]
@@ -3733,6 +3985,8 @@
     pub type TellCrashesResults<> = ::capnp::capability::Results<crate::news_capnp::news_peer::tell_crashes_results::Owned>;
     pub type AllowTrialParams<> = ::capnp::capability::Params<crate::news_capnp::news_peer::allow_trial_params::Owned>;
     pub type AllowTrialResults<> = ::capnp::capability::Results<crate::news_capnp::news_peer::allow_trial_results::Owned>;
+    pub type DealParams<> = ::capnp::capability::Params<crate::news_capnp::news_peer::deal_params::Owned>;
+    pub type DealResults<> = ::capnp::capability::Results<crate::news_capnp::news_peer::deal_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -3800,6 +4054,9 @@
         pub fn allow_trial_request(&self) -> ::capnp::capability::Request<crate::news_capnp::news_peer::allow_trial_params::Owned,crate::news_capnp::news_peer::allow_trial_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
         }
+        pub fn deal_request(&self) -> ::capnp::capability::Request<crate::news_capnp::news_peer::deal_params::Owned,crate::news_capnp::news_peer::deal_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 6, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn follow(self: ::capnp::capability::Rc<Self>, _: FollowParams<>, _: FollowResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method news_peer::Server::follow not implemented".to_string()))) }
@@ -3808,6 +4065,7 @@
         fn exchange(self: ::capnp::capability::Rc<Self>, _: ExchangeParams<>, _: ExchangeResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method news_peer::Server::exchange not implemented".to_string()))) }
         fn tell_crashes(self: ::capnp::capability::Rc<Self>, _: TellCrashesParams<>, _: TellCrashesResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method news_peer::Server::tell_crashes not implemented".to_string()))) }
         fn allow_trial(self: ::capnp::capability::Rc<Self>, _: AllowTrialParams<>, _: AllowTrialResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method news_peer::Server::allow_trial not implemented".to_string()))) }
+        fn deal(self: ::capnp::capability::Rc<Self>, _: DealParams<>, _: DealResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method news_peer::Server::deal not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -3843,6 +4101,7 @@
                 3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::exchange(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::tell_crashes(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::allow_trial(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                6 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::deal(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -6547,4 +6806,565 @@
             pub(crate) const TYPE_ID: u64 = 0x95e4_03e4_f368_898b;
         }
     }
+
+    pub mod deal_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_server(self) -> u32 {
+                self.reader.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn get_wanted(self) -> u16 {
+                self.reader.get_data_field::<u16>(2)
+            }
+            #[inline]
+            pub fn get_rank(self) -> u8 {
+                self.reader.get_data_field::<u8>(6)
+            }
+            #[inline]
+            pub fn get_saying(self) -> ::capnp::Result<crate::news_capnp::limit_saying::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_saying(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_server(self) -> u32 {
+                self.builder.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn set_server(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(0, value);
+            }
+            #[inline]
+            pub fn get_wanted(self) -> u16 {
+                self.builder.get_data_field::<u16>(2)
+            }
+            #[inline]
+            pub fn set_wanted(&mut self, value: u16)  {
+                self.builder.set_data_field::<u16>(2, value);
+            }
+            #[inline]
+            pub fn get_rank(self) -> u8 {
+                self.builder.get_data_field::<u8>(6)
+            }
+            #[inline]
+            pub fn set_rank(&mut self, value: u8)  {
+                self.builder.set_data_field::<u8>(6, value);
+            }
+            #[inline]
+            pub fn get_saying(self) -> ::capnp::Result<crate::news_capnp::limit_saying::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_saying(&mut self, value: crate::news_capnp::limit_saying::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_saying(self, ) -> crate::news_capnp::limit_saying::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            }
+            #[inline]
+            pub fn has_saying(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+            pub fn get_saying(&self) -> crate::news_capnp::limit_saying::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 77] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(172, 139, 221, 208, 8, 172, 179, 134),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 78, 101, 119, 115, 80),
+                ::capnp::word(101, 101, 114, 46, 100, 101, 97, 108),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 6, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 101, 114, 118, 101, 114, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 97, 110, 116, 101, 100, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 97, 110, 107, 0, 0, 0, 0),
+                ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 97, 121, 105, 110, 103, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(155, 17, 115, 248, 91, 31, 137, 213),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <crate::news_capnp::limit_saying::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,0,1];
+            pub(crate) const TYPE_ID: u64 = 0x86b3_ac08_d0dd_8bac;
+        }
+    }
+
+    pub mod deal_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_turns(self) -> u16 {
+                self.reader.get_data_field::<u16>(0)
+            }
+            #[inline]
+            pub fn get_wait_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(1)
+            }
+            #[inline]
+            pub fn get_saying(self) -> ::capnp::Result<crate::news_capnp::limit_saying::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_saying(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_turns(self) -> u16 {
+                self.builder.get_data_field::<u16>(0)
+            }
+            #[inline]
+            pub fn set_turns(&mut self, value: u16)  {
+                self.builder.set_data_field::<u16>(0, value);
+            }
+            #[inline]
+            pub fn get_wait_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(1)
+            }
+            #[inline]
+            pub fn set_wait_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(1, value);
+            }
+            #[inline]
+            pub fn get_saying(self) -> ::capnp::Result<crate::news_capnp::limit_saying::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_saying(&mut self, value: crate::news_capnp::limit_saying::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_saying(self, ) -> crate::news_capnp::limit_saying::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            }
+            #[inline]
+            pub fn has_saying(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+            pub fn get_saying(&self) -> crate::news_capnp::limit_saying::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(196, 227, 169, 96, 243, 237, 0, 215),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 78, 101, 119, 115, 80),
+                ::capnp::word(101, 101, 114, 46, 100, 101, 97, 108),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(116, 117, 114, 110, 115, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 97, 105, 116, 77, 115, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 97, 121, 105, 110, 103, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(155, 17, 115, 248, 91, 31, 137, 213),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <crate::news_capnp::limit_saying::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
+            pub(crate) const TYPE_ID: u64 = 0xd700_edf3_60a9_e3c4;
+        }
+    }
 }
--- a/src/relay/news/share.rs
+++ b/src/relay/news/share.rs
@@ -76,6 +76,9 @@
         if let LoadReporter::Host(name) = &reporter {
             self.follower.note_report(name, view);
         }
+        if reporter != self.own_reporter() {
+            self.parts.note_peer();
+        }
         let now = self.parts.now();
         let accounts = self.answer_accounts(&reporter, &report.accounts);
         let mut board = self.board.borrow_mut();
@@ -153,6 +156,7 @@
             .share(entry.peers, &reporter, &own, self.view(), REPORT_PATIENCE);
         match sent.await {
             Ok(others) => {
+                self.parts.note_peer();
                 if !others.is_store_lost {
                     self.follower.note_store_back();
                 }
@@ -185,6 +189,7 @@
             self.targets.note(&entry.name, answer.is_ok(), now);
             match answer {
                 Ok(theirs) => {
+                    self.parts.note_peer();
                     let mut board = self.board.borrow_mut();
                     board.take(LoadReporter::Zone(entry.zone), theirs, now);
                 }
--- /dev/null
+++ b/src/relay/news/turn_message.rs
@@ -0,0 +1,73 @@
+//! Limits of backend servers and turns at them, in the messages between hosts.
+
+use {
+    super::message,
+    crate::{
+        news_capnp::{limit_saying, news_peer},
+        relay::policy::{
+            loads::EngineKey,
+            need_book::LimitSaying,
+            server_limit::ServerLimit,
+            turn_desk::{TurnAsk, TurnGrant},
+        },
+    },
+    capnp::{Error, Result},
+    std::time::Duration,
+};
+
+fn write_saying(mut to: limit_saying::Builder<'_>, saying: &LimitSaying, now: Duration) {
+    if let Some(limit) = saying.limit {
+        to.set_is_named(true);
+        to.set_per_second(limit.per_second());
+    }
+    to.set_age_ms(message::to_ms(Some(saying.age(now))));
+}
+
+// A number that is no limit is an error: taken for none at all it would let everything through.
+fn read_saying(from: limit_saying::Reader<'_>, now: Duration) -> Result<LimitSaying> {
+    let limit = match from.get_is_named() {
+        true => Some(read_limit(from.get_per_second())?),
+        false => None,
+    };
+    let age = Duration::from_millis(u64::from(from.get_age_ms()));
+    Ok(LimitSaying::told(limit, age, now))
+}
+
+fn read_limit(per_second: f64) -> Result<ServerLimit> {
+    let limit = ServerLimit::new(per_second);
+    limit.ok_or_else(|| Error::failed(format!("{per_second} is no limit")))
+}
+
+/// Writes a question.
+pub fn write_ask(mut to: news_peer::deal_params::Builder<'_>, ask: &TurnAsk, now: Duration) {
+    to.set_server(ask.server.0);
+    to.set_wanted(u16::try_from(ask.wanted).unwrap_or(u16::MAX));
+    to.set_rank(ask.rank);
+    write_saying(to.init_saying(), &ask.saying, now);
+}
+
+/// Reads a question; what is not well formed is an error.
+pub fn read_ask(from: news_peer::deal_params::Reader<'_>, now: Duration) -> Result<TurnAsk> {
+    Ok(TurnAsk {
+        server: EngineKey(from.get_server()),
+        saying: read_saying(from.get_saying()?, now)?,
+        wanted: u32::from(from.get_wanted()),
+        rank: from.get_rank(),
+    })
+}
+
+/// Writes an answer.
+pub fn write_grant(mut to: news_peer::deal_results::Builder<'_>, grant: &TurnGrant, now: Duration) {
+    to.set_turns(u16::try_from(grant.turns).unwrap_or(u16::MAX));
+    to.set_wait_ms(message::to_ms(Some(grant.wait)));
+    write_saying(to.init_saying(), &grant.saying, now);
+}
+
+/// Reads an answer; what is not well formed is an error.
+pub fn read_grant(from: news_peer::deal_results::Reader<'_>, now: Duration) -> Result<TurnGrant> {
+    Ok(TurnGrant {
+        turns: u32::from(from.get_turns()),
+        wait: Duration::from_millis(u64::from(from.get_wait_ms())),
+        saying: read_saying(from.get_saying()?, now)?,
+    })
+}
--- a/src/relay/parts/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -121,6 +121,7 @@
     store_calls: Family<CauseLabels, Counter>,
     ended_under: Family<ServiceLabels, Counter>,
     fatal_refused: Family<ServiceLabels, Counter>,
+    held_back: Family<ServiceLabels, Counter>,
     /// Requests that are held to end their servers.
     pub fatal_requests: Gauge,
     /// Connections to backend servers that were opened.
@@ -185,6 +186,7 @@
             store_calls: Family::default(),
             ended_under: Family::default(),
             fatal_refused: Family::default(),
+            held_back: Family::default(),
             fatal_requests: Gauge::default(),
             connections_opened: Gauge::default(),
             connections_reused: Gauge::default(),
@@ -236,6 +238,11 @@
             "Requests refused since backend servers end under them, by service",
             self.fatal_refused.clone(),
         );
+        r.register(
+            "held_back",
+            "Requests refused since servers in need had no turn for them, by service",
+            self.held_back.clone(),
+        );
         let times = [
             ("head", "Arrival to the head of the answer", &self.head_time),
             ("reserve", "Wait for an engine's memory", &self.reserve_time),
@@ -346,6 +353,11 @@
         self.ended_under.get_or_create(&self.service(service)).inc();
     }
 
+    /// A request was refused since servers of the service that are in need had no turn for it.
+    pub fn held_back(&self, service: &FastStr) {
+        self.held_back.get_or_create(&self.service(service)).inc();
+    }
+
     /// A request was refused since backend servers of the service end under it.
     pub fn fatal_refused(&self, service: &FastStr) {
         self.fatal_refused
--- a/src/relay/parts/needs.rs
+++ b/src/relay/parts/needs.rs
@@ -1,21 +1,47 @@
-//! Backend servers in need: hearing the limits that they name.
+//! Backend servers in need: hearing the limits that they name, and turns for requests to them.
 
 use {
     super::shared::RelayParts,
     crate::{
         event,
+        operation::{Refusal, RefusalCode, RunVerdict},
         relay::{
             backend::BackendInfo,
             policy::{
-                need_book::LimitSaying,
+                loads::EngineKey,
+                need_book::{LimitSaying, TurnState, TurnWait},
                 server_limit::{LimitMark, ServerLimit},
+                turn_desk::{TurnAsk, TurnDesk, TurnGrant},
             },
         },
     },
+    faststr::FastStr,
+    futures::future::LocalBoxFuture,
     http::StatusCode,
-    std::{fmt, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        fmt,
+        rc::Rc,
+        time::Duration,
+    },
 };
 
+/// Part of its share of a limit that a host takes which reaches no other one. Hosts on the other side of a cut may keep the
+/// whole, and with the shares of all that are cut off it stays under one and a half times the limit.
+const CUT_PART: f64 = 0.5;
+
+/// Hosts that a host takes itself for one of before it knows any.
+const HOSTS_UNKNOWN: usize = 64;
+
+/// How long ago another host was heard of at the most by one that is in touch: hosts report twice a second.
+const TOUCH_TIME: Duration = Duration::from_millis(2_000);
+
+/// Part of a caller's wait that is added by draw: two are not sent back into the same turn.
+const WAIT_SPREAD: f64 = 0.2;
+
+/// Asks the host that deals out the turns at a server of a zone.
+pub type TurnCall = dyn Fn(FastStr, TurnAsk) -> LocalBoxFuture<'static, TurnGrant>;
+
 /// Which answer names or does not name a limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AnswerKind {
@@ -47,6 +73,54 @@
     }
 }
 
+/// The turns that this host deals out, for all hosts or for itself alone, and the way to the others that do.
+#[derive(Default)]
+pub struct TurnGate {
+    desk: RefCell<TurnDesk>,
+    // While it reaches nobody who deals them out for all.
+    alone: RefCell<TurnDesk>,
+    call: RefCell<Option<Rc<TurnCall>>>,
+    // When another host last answered or asked.
+    peer_heard: Cell<Option<Duration>>,
+}
+
+impl fmt::Debug for TurnGate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("TurnGate")
+    }
+}
+
+impl TurnGate {
+    /// Takes the way to the hosts that deal out turns.
+    pub fn set_call(&self, call: Rc<TurnCall>) {
+        *self.call.borrow_mut() = Some(call);
+    }
+}
+
+/// Leave to send one request to a backend server; given back when dropped unused.
+#[must_use]
+pub struct ServerTurn {
+    parts: Rc<RelayParts>,
+    // None where the server is in no need.
+    server: Option<EngineKey>,
+}
+
+impl ServerTurn {
+    /// The request is sent.
+    pub fn use_up(mut self) {
+        self.server = None;
+    }
+}
+
+impl Drop for ServerTurn {
+    fn drop(&mut self) {
+        if let Some(server) = self.server.take() {
+            let now = self.parts.now();
+            self.parts.book.borrow_mut().needs.give_back(server, now);
+        }
+    }
+}
+
 impl RelayParts {
     /// Takes what an answer of a backend server says of its limit; the request was sent at `sent`.
     pub fn note_limit(
@@ -62,7 +136,12 @@
             (LimitMark::Unsaid, AnswerKind::GoodRun) => None,
             (LimitMark::Unsaid, AnswerKind::Other) => return,
         };
-        self.take_limit(backend, LimitSaying { limit, said: sent }, "answer");
+        let age = self.now().saturating_sub(sent);
+        let saying = LimitSaying::told(limit, age, self.now());
+        let was_in_need = self.take_limit(backend, saying, "answer");
+        if was_in_need && limit.is_none() {
+            self.tell_end(backend, saying);
+        }
     }
 
     // Counted for all, logged for those who look: a server could fill the log with it.
@@ -71,13 +150,12 @@
         log::debug!("{} names a limit that is none", backend.id);
     }
 
-    fn take_limit(&self, backend: &BackendInfo, saying: LimitSaying, from: &str) {
-        let mut book = self.book.borrow_mut();
-        let Some(changed) = book.take_limit(backend, saying) else {
-            return;
-        };
-        drop(book);
-        let age = self.now().saturating_sub(saying.said);
+    // Gives whether the server was believed to be in need.
+    fn take_limit(&self, backend: &BackendInfo, saying: LimitSaying, from: &str) -> bool {
+        let now = self.now();
+        let changed = self.book.borrow_mut().take_limit(backend, saying, now);
+        let Some(before) = changed else { return false };
+        let age = saying.age(now);
         event::emit(
             &event::SERVER_LIMIT,
             &[
@@ -85,10 +163,134 @@
                 ("service", &backend.service),
                 ("zone", &backend.zone),
                 ("limit", &ShownLimit(saying.limit)),
-                ("was", &ShownLimit(changed)),
+                ("was", &ShownLimit(before)),
                 ("from", &from),
                 ("age_ms", &age.as_millis()),
             ],
         );
+        before.is_some()
+    }
+
+    // Whoever deals out the turns there hears it from this host only if it asks, which it has no reason to do any more.
+    fn tell_end(&self, backend: &BackendInfo, saying: LimitSaying) {
+        let Some(call) = self.turns.call.borrow().clone() else {
+            return;
+        };
+        let telling = call(
+            backend.zone.clone(),
+            TurnAsk {
+                server: backend.key(),
+                saying,
+                wanted: 0,
+                rank: u8::MAX,
+            },
+        );
+        tokio::task::spawn_local(async move {
+            telling.await;
+        });
+    }
+
+    /// Leave to send a request of a rank to a backend server; otherwise when a turn there is likely.
+    pub async fn take_turn(
+        self: &Rc<Self>,
+        backend: &BackendInfo,
+        rank: u8,
+    ) -> Result<ServerTurn, TurnWait> {
+        let server = backend.key();
+        // Asked for once: what is dealt out may go to another request of this host meanwhile.
+        for has_asked in [false, true] {
+            let now = self.now();
+            let state = self.book.borrow().needs.turn(server, rank, now);
+            match state {
+                TurnState::Free => return Ok(self.turn_at(None)),
+                TurnState::Held => {
+                    let is_used = self.book.borrow_mut().needs.use_turn(server, now);
+                    assert!(is_used, "a request to a server in need has a turn there");
+                    return Ok(self.turn_at(Some(server)));
+                }
+                TurnState::Empty(time) => return Err(TurnWait { server, time }),
+                TurnState::Ask if has_asked => break,
+                TurnState::Ask => self.ask_turn(backend, rank).await,
+            }
+        }
+        let time = Duration::ZERO;
+        Err(TurnWait { server, time })
+    }
+
+    fn turn_at(self: &Rc<Self>, server: Option<EngineKey>) -> ServerTurn {
+        ServerTurn {
+            parts: self.clone(),
+            server,
+        }
+    }
+
+    async fn ask_turn(&self, backend: &BackendInfo, rank: u8) {
+        let server = backend.key();
+        let ask = self.book.borrow().needs.ask(server, rank, self.now());
+        let Some(ask) = ask else { return };
+        let call = self.turns.call.borrow().clone();
+        let grant = match call {
+            Some(call) => call(backend.zone.clone(), ask).await,
+            // Nobody deals them out for all: each host has its share.
+            None => self.deal_share(&ask, 1.0),
+        };
+        self.take_limit(backend, grant.saying, "host");
+        let now = self.now();
+        let mut book = self.book.borrow_mut();
+        book.needs.take_grant(server, rank, &grant, now);
+    }
+
+    /// Deals out turns for all hosts.
+    pub fn deal_turns(&self, ask: &TurnAsk) -> TurnGrant {
+        let now = self.now();
+        self.turns.desk.borrow_mut().deal(ask, 1.0, now)
+    }
+
+    /// Deals out turns to this host alone, which reaches nobody who deals them out for all.
+    pub fn deal_alone(&self, ask: &TurnAsk) -> TurnGrant {
+        self.deal_share(ask, CUT_PART)
+    }
+
+    // This host's share of a limit, or a part of that.
+    fn deal_share(&self, ask: &TurnAsk, part: f64) -> TurnGrant {
+        let hosts = match self.cluster.borrow().hosts_revision() {
+            0 => HOSTS_UNKNOWN,
+            _ => self.cluster.borrow().host_count(),
+        };
+        let part = if hosts == 1 { 1.0 } else { part / hosts as f64 };
+        let now = self.now();
+        self.turns.alone.borrow_mut().deal(ask, part, now)
+    }
+
+    /// Another host answered or asked.
+    pub fn note_peer(&self) {
+        self.turns.peer_heard.set(Some(self.now()));
+    }
+
+    /// Whether this host hears of others, or is the only one.
+    pub fn is_in_touch(&self) -> bool {
+        let now = self.now();
+        let heard = self.turns.peer_heard.get();
+        let is_heard = heard.is_some_and(|at| now.saturating_sub(at) < TOUCH_TIME);
+        is_heard || self.cluster.borrow().hosts().count() == 1
+    }
+
+    /// The refusal of a request for which servers in need have no turn before a time is over.
+    pub fn no_turn(&self, service: &FastStr, verdict: RunVerdict, wait: TurnWait) -> Refusal {
+        self.metrics.held_back(service);
+        self.book.borrow_mut().needs.note_sent_away(wait.server);
+        let spread = rand::random_range(1.0..=1.0 + WAIT_SPREAD);
+        let text = format!(
+            "the servers of {service} that could take it name how much they take, and no turn is left"
+        );
+        Refusal::new(verdict, RefusalCode::Overloaded, text).after(wait.time.mul_f64(spread))
+    }
+
+    /// Forgets limits that nobody has heard renewed for long.
+    pub fn forget_limits(&self) {
+        let gone = self.book.borrow_mut().needs.forget_old(self.now());
+        if !gone.is_empty() {
+            log::info!("{} limits of servers were not heard for long", gone.len());
+        }
     }
 }
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -2,8 +2,12 @@
 
 use {
     super::{
-        accounts::AccountGate, crashes::CrashDesk, ends::EndQuestions, metrics::RelayMetrics,
-        needs::AnswerKind, shares::OthersDemand,
+        accounts::AccountGate,
+        crashes::CrashDesk,
+        ends::EndQuestions,
+        metrics::RelayMetrics,
+        needs::{AnswerKind, TurnGate},
+        shares::OthersDemand,
     },
     crate::{
         account::ZoneLedger,
@@ -66,6 +70,8 @@
     pub(super) end_questions: EndQuestions,
     /// Requests that end their servers.
     pub crashes: CrashDesk,
+    /// Turns at backend servers in need.
+    pub turns: TurnGate,
     /// How long callers say that they will wait.
     pub waits: RefCell<CallerWaits>,
     /// Requests that wait for engines.
@@ -113,6 +119,7 @@
             accounts: AccountGate::new(ledger),
             end_questions: EndQuestions::default(),
             crashes: CrashDesk::new(book_id),
+            turns: TurnGate::default(),
             waits: RefCell::default(),
             line: RefCell::default(),
             freed: Notify::new(),
--- a/src/relay/policy/book.rs
+++ b/src/relay/policy/book.rs
@@ -6,7 +6,7 @@
     super::{
         changes::BackendChanges,
         loads::{EngineKey, EngineLoad},
-        need_book::{LimitSaying, NeedBook},
+        need_book::{LimitSaying, NeedBook, TurnState, TurnWait},
         server_limit::ServerLimit,
         view::{BackendFailure, BackendView, EJECT_FIRST, FAILURES_TO_EJECT},
     },
@@ -41,6 +41,15 @@
 /// it.
 const OTHERS_TO_EJECT: u32 = 2;
 
+/// What is known of a send, for the choice of its server.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SendWish {
+    /// How urgent the request is, 0 the most.
+    pub rank: u8,
+    /// It is sent while another send of the request is in progress.
+    pub is_hedge: bool,
+}
+
 /// Where a plain request is sent next.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PlainChoice {
@@ -48,6 +57,8 @@
     Send(BackendInfo),
     /// To none: all that are left fail, and others show whether they answer again.
     Unreachable,
+    /// To none: all that are left are in need, and no turn is left there before this time is over.
+    NoTurn(TurnWait),
     /// To none: all were tried, or none is listed.
     NoneLeft,
 }
@@ -138,11 +149,12 @@
         &mut self,
         backend: &BackendInfo,
         saying: LimitSaying,
+        now: Duration,
     ) -> Option<Option<ServerLimit>> {
         if !self.is_current(backend) {
             return None;
         }
-        self.needs.take(backend.key(), saying)
+        self.needs.take(backend.key(), saying, now)
     }
 
     /// What is known of all.
@@ -186,11 +198,25 @@
         service: &str,
         zone: &str,
         tried: &[FastStr],
+        wish: SendWish,
         now: Duration,
     ) -> PlainChoice {
-        let ranked = self.rank_plain(service, zone, tried, now);
+        let mut ranked = self.rank_plain(service, zone, tried, now);
+        let mut wait = None;
+        ranked.retain(|info| {
+            let server = info.key();
+            match self.needs.turn(server, wish.rank, now) {
+                TurnState::Free => true,
+                // A turn that only hastens an answer would be another request's.
+                TurnState::Held | TurnState::Ask => !wish.is_hedge,
+                TurnState::Empty(time) => {
+                    wait = Some(TurnWait::least(wait, TurnWait { server, time }));
+                    false
+                }
+            }
+        });
         let Some(best) = ranked.first() else {
-            return PlainChoice::NoneLeft;
+            return wait.map_or(PlainChoice::NoneLeft, PlainChoice::NoTurn);
         };
         let view = &self.views[&best.id];
         if !self.is_passed_over(view, now) {
@@ -205,6 +231,18 @@
         }
     }
 
+    /// The servers of a service that are in need and have no turn left for a request of a rank.
+    pub fn without_turn(&self, service: &str, rank: u8, now: Duration) -> Vec<FastStr> {
+        if self.needs.is_empty() {
+            return Vec::new();
+        }
+        let is_empty = |view: &&BackendView| {
+            matches!(self.needs.turn(view.key, rank, now), TurnState::Empty(_))
+        };
+        let views = self.usable(service).filter(is_empty);
+        views.map(|view| view.info.id.clone()).collect()
+    }
+
     /// What the requests of this host take at engines, and which backend servers it passes over.
     pub fn loads(&self, now: Duration) -> Vec<EngineLoad> {
         let views = self.views.values();
--- a/src/relay/policy/engines.rs
+++ b/src/relay/policy/engines.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         book::{self, BackendBook},
+        need_book::{TurnState, TurnWait},
         view::BackendView,
     },
     crate::{engine::EngineRole, relay::backend::BackendInfo},
@@ -74,6 +75,20 @@
             .collect()
     }
 
+    /// When a turn is likely at a decode engine of a service, for a request of a rank, where all that are not passed over are
+    /// in need and none has one left; nothing where another one may take the request.
+    pub fn decode_wait(&self, service: &str, rank: u8, now: Duration) -> Option<TurnWait> {
+        let mut least = None;
+        for view in self.engines(service, EngineRole::Decode, now) {
+            let server = view.key;
+            let TurnState::Empty(time) = self.needs.turn(server, rank, now) else {
+                return None;
+            };
+            least = Some(TurnWait::least(least, TurnWait { server, time }));
+        }
+        least
+    }
+
     /// Predicted time of a prefill of this many tokens that begins at once, seconds.
     pub fn prefill_time(&self, tokens: u64) -> f64 {
         tokens as f64 / self.prefill_rate
--- a/src/relay/policy/need_book.rs
+++ b/src/relay/policy/need_book.rs
@@ -1,16 +1,40 @@
 //! Which backend servers are in need, as far as this host knows: those that name how many requests a second they take
-//! from all hosts together.
+//! from all hosts together; and the turns at them that this host holds.
 //!
 //! A plain state machine. What it holds grows with the servers in need, not with those that are listed.
 
 use {
-    super::{loads::EngineKey, server_limit::ServerLimit},
+    super::{
+        loads::EngineKey,
+        past_time::PastTime,
+        server_limit::ServerLimit,
+        turn_desk::{TURNS_LEAST, TurnAsk, TurnGrant},
+    },
     std::{
         collections::{BTreeMap, BTreeSet},
         time::Duration,
     },
 };
 
+/// How long a turn is held that no request of this host has used: it counts as used where it was dealt out.
+const TURN_LIFE: Duration = Duration::from_millis(300);
+
+/// How long a host goes by it that no turn is left, at the most: other hosts may leave theirs.
+const EMPTY_TIME: Duration = Duration::from_millis(250);
+
+/// Time whose requests are asked for together.
+const ASK_AHEAD: Duration = Duration::from_millis(250);
+
+/// Most turns that are asked for together.
+const TURNS_MOST: u32 = 16;
+
+/// How long a limit is believed that nobody hears renewed: whoever sends there hears within seconds what is so, and what is
+/// remembered for nobody is forgotten at last.
+const BELIEF_LIFE: Duration = Duration::from_secs(60);
+
+/// Longest time that a caller is told to stay away: a server's need may end any time.
+const WAIT_MOST: Duration = Duration::from_secs(30);
+
 /// What a server said of its limit, and since when that is surely so.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LimitSaying {
@@ -18,14 +42,99 @@
     pub limit: Option<ServerLimit>,
     /// When the request was sent whose answer said so. Of two answers the one to the later request is the newer, in
     /// whichever order they are read.
-    pub said: Duration,
+    pub said: PastTime,
+}
+
+/// Whether a request may be sent to a server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum TurnState {
+    /// The server is in no need.
+    Free,
+    /// It is in need, and a turn is held.
+    Held,
+    /// It is in need, and its keeper is to be asked.
+    Ask,
+    /// No turn is left; one is likely after this time.
+    Empty(Duration),
+}
+
+/// When a turn is likely, and at which server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TurnWait {
+    /// The server.
+    pub server: EngineKey,
+    /// After how long.
+    pub time: Duration,
+}
+
+impl TurnWait {
+    /// The shorter one.
+    pub fn least(one: Option<Self>, other: Self) -> Self {
+        match one {
+            Some(one) if one.time <= other.time => one,
+            _ => other,
+        }
+    }
 }
 
-/// What is known of a server in need.
+// That no turn is left, for requests of a rank or less urgent ones.
+#[derive(Debug, Clone, Copy)]
+struct EmptyTurns {
+    rank: u8,
+    until: Duration,
+    // When the next caller that is sent away is to come back.
+    next: Duration,
+}
+
+// What is known of a server in need.
 #[derive(Debug, Clone)]
 struct ServerNeed {
+    saying: LimitSaying,
     limit: ServerLimit,
-    said: Duration,
+    held: u32,
+    held_until: Duration,
+    empty: Option<EmptyTurns>,
+    // Turns used in the present period of asking ahead and in the one before, and when the present one began.
+    used: u32,
+    used_before: u32,
+    period: Duration,
+}
+
+impl ServerNeed {
+    fn new(saying: LimitSaying, limit: ServerLimit, now: Duration) -> Self {
+        Self {
+            saying,
+            limit,
+            held: 0,
+            held_until: now,
+            empty: None,
+            used: 0,
+            used_before: 0,
+            period: now,
+        }
+    }
+
+    fn held(&self, now: Duration) -> u32 {
+        match now < self.held_until {
+            true => self.held,
+            false => 0,
+        }
+    }
+
+    fn empty(&self, rank: u8, now: Duration) -> Option<EmptyTurns> {
+        self.empty
+            .filter(|empty| now < empty.until && rank >= empty.rank)
+    }
+
+    fn note_used(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.period);
+        if passed >= ASK_AHEAD {
+            self.used_before = if passed < ASK_AHEAD * 2 { self.used } else { 0 };
+            self.used = 0;
+            self.period = now;
+        }
+        self.used += 1;
+    }
 }
 
 /// The servers in need.
@@ -52,28 +161,136 @@
 
     /// Takes what a server said, from its own answer or from another host. Gives the limit that was believed before,
     /// where another one is believed now.
-    pub fn take(&mut self, server: EngineKey, saying: LimitSaying) -> Option<Option<ServerLimit>> {
-        let known = self.needs.get(&server);
-        let before = known.map(|need| need.limit);
-        if known.is_some_and(|need| need.said > saying.said) {
+    pub fn take(
+        &mut self,
+        server: EngineKey,
+        saying: LimitSaying,
+        now: Duration,
+    ) -> Option<Option<ServerLimit>> {
+        let known = self.needs.get_mut(&server);
+        if known
+            .as_ref()
+            .is_some_and(|need| need.saying.said > saying.said)
+        {
             return None;
         }
-        match saying.limit {
-            Some(limit) => {
-                let said = saying.said;
-                let need = self.needs.entry(server);
-                let need = need.or_insert(ServerNeed { limit, said });
-                (need.limit, need.said) = (limit, said);
+        let before = known.as_ref().map(|need| need.limit);
+        match (known, saying.limit) {
+            (Some(need), Some(limit)) => {
+                // More than before: those who were told that nothing is left may ask again.
+                if limit > need.limit {
+                    need.empty = None;
+                }
+                (need.saying, need.limit) = (saying, limit);
             }
-            None => {
+            (None, Some(limit)) => {
+                let need = ServerNeed::new(saying, limit, now);
+                self.needs.insert(server, need);
+            }
+            (_, None) => {
                 self.needs.remove(&server);
             }
         }
         (before != saying.limit).then_some(before)
     }
 
+    /// Whether a request of a rank may be sent to a server now.
+    pub fn turn(&self, server: EngineKey, rank: u8, now: Duration) -> TurnState {
+        let Some(need) = self.needs.get(&server) else {
+            return TurnState::Free;
+        };
+        if need.held(now) > 0 {
+            return TurnState::Held;
+        }
+        match need.empty(rank, now) {
+            Some(empty) => TurnState::Empty(empty.next.saturating_sub(now).min(WAIT_MOST)),
+            None => TurnState::Ask,
+        }
+    }
+
+    /// Uses a turn that is held, if there is one.
+    pub fn use_turn(&mut self, server: EngineKey, now: Duration) -> bool {
+        let Some(need) = self.needs.get_mut(&server) else {
+            return false;
+        };
+        if need.held(now) == 0 {
+            return false;
+        }
+        need.held -= 1;
+        need.note_used(now);
+        true
+    }
+
+    /// A turn was taken and no request was sent for it: the next one may have it.
+    pub fn give_back(&mut self, server: EngineKey, now: Duration) {
+        if let Some(need) = self.needs.get_mut(&server) {
+            need.held = need.held(now) + 1;
+            need.held_until = need.held_until.max(now + TURN_LIFE);
+        }
+    }
+
+    /// What the keeper of a server's turns is to be asked for a request of a rank; nothing where the server is in no need.
+    pub fn ask(&self, server: EngineKey, rank: u8, now: Duration) -> Option<TurnAsk> {
+        let need = self.needs.get(&server)?;
+        let is_recent = now.saturating_sub(need.period) < ASK_AHEAD * 2;
+        let used = if is_recent {
+            need.used.max(need.used_before)
+        } else {
+            0
+        };
+        Some(TurnAsk {
+            server,
+            saying: need.saying,
+            wanted: used.clamp(1, TURNS_MOST),
+            rank,
+        })
+    }
+
+    /// Takes the keeper's answer; what the server said is taken apart.
+    pub fn take_grant(&mut self, server: EngineKey, rank: u8, grant: &TurnGrant, now: Duration) {
+        let Some(need) = self.needs.get_mut(&server) else {
+            return;
+        };
+        need.held = need.held(now) + grant.turns;
+        if grant.turns > 0 {
+            need.held_until = now + TURN_LIFE;
+            need.empty = None;
+            return;
+        }
+        need.empty = Some(EmptyTurns {
+            rank,
+            until: now + grant.wait.min(EMPTY_TIME),
+            next: now + grant.wait,
+        });
+    }
+
+    /// A request is sent away for want of a turn; those after it are told a later time, each one its own.
+    pub fn note_sent_away(&mut self, server: EngineKey) {
+        let Some(need) = self.needs.get_mut(&server) else {
+            return;
+        };
+        let pause = 1.0 / need.limit.per_second().max(TURNS_LEAST);
+        if let Some(empty) = &mut need.empty {
+            empty.next += Duration::from_secs_f64(pause);
+        }
+    }
+
     /// Forgets servers that are no longer listed.
     pub fn keep_listed(&mut self, listed: &BTreeSet<EngineKey>) {
         self.needs.retain(|server, _| listed.contains(server));
     }
+
+    /// Forgets limits that nobody has heard renewed for long; gives whose they were.
+    pub fn forget_old(&mut self, now: Duration) -> Vec<EngineKey> {
+        let old = |need: &ServerNeed| need.saying.age(now) >= BELIEF_LIFE;
+        let needs = self.needs.iter();
+        let gone: Vec<EngineKey> = needs
+            .filter(|(_, need)| old(need))
+            .map(|(server, _)| *server)
+            .collect();
+        for server in &gone {
+            self.needs.remove(server);
+        }
+        gone
+    }
 }
--- /dev/null
+++ b/src/relay/policy/turn_desk.rs
@@ -0,0 +1,183 @@
+//! Turns at backend servers in need, as the host deals them out that keeps them for a server.
+//!
+//! A plain state machine. A server in need names how many requests a second it takes from all hosts together, and one
+//! host deals these out as turns, so that the bound holds wherever the requests come from. What it holds grows with the
+//! servers in need that it keeps.
+
+use {
+    super::{
+        loads::EngineKey, need_book::LimitSaying, past_time::PastTime, server_limit::ServerLimit,
+    },
+    crate::account::{BucketRate, RateBucket},
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// Least turns a second that are dealt out, whatever the server names: a request in 1.7 s shows whether it still names a
+/// limit, and a server that names 0 is bounded at five in four seconds.
+pub const TURNS_LEAST: f64 = 0.6;
+
+/// Turns that may be dealt out at once, as seconds of the limit and besides: requests do not come evenly. With the life of
+/// a turn in a host's hands and with one keeper after another it stays under what a server allows.
+const BURST_SECONDS: f64 = 0.5;
+const BURST_LEAST: f64 = 0.25;
+
+/// Part of that which is left to less urgent requests while more urgent ones come.
+const LESS_URGENT_PART: f64 = 0.1;
+
+/// Part of it up to which a host gets more turns than it needs now.
+const SPARE_PART: f64 = 0.5;
+
+/// How long more urgent requests are taken to come on.
+const URGENT_TIME: Duration = Duration::from_secs(2);
+
+/// How long a server is remembered of which nobody asks: longer than it takes until all hosts have heard of its end.
+const SHEET_LIFE: Duration = Duration::from_secs(30);
+
+/// A host's question for turns at a server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TurnAsk {
+    /// The server.
+    pub server: EngineKey,
+    /// What the asker knows that the server said.
+    pub saying: LimitSaying,
+    /// Turns that the asker has use for: one at the least, unless it only tells what it knows.
+    pub wanted: u32,
+    /// How urgent the request is, 0 the most.
+    pub rank: u8,
+}
+
+/// The answer.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TurnGrant {
+    /// Turns that the asker may use up soon.
+    pub turns: u32,
+    /// Where there is none: when one is likely.
+    pub wait: Duration,
+    /// What the keeper knows that the server said.
+    pub saying: LimitSaying,
+}
+
+#[derive(Debug)]
+struct TurnSheet {
+    saying: LimitSaying,
+    bucket: RateBucket,
+    asked: Duration,
+    // The most urgent rank that asked lately, and when.
+    urgent: (u8, Duration),
+}
+
+/// Turns at all servers that a host keeps.
+#[derive(Debug, Default)]
+pub struct TurnDesk {
+    sheets: BTreeMap<EngineKey, TurnSheet>,
+}
+
+impl TurnDesk {
+    /// Deals out turns. `part` of a server's limit is this desk's, 1 where no other host keeps it.
+    pub fn deal(&mut self, ask: &TurnAsk, part: f64, now: Duration) -> TurnGrant {
+        self.sheets
+            .retain(|_, sheet| now.saturating_sub(sheet.asked) < SHEET_LIFE);
+        let sheet = self.sheets.entry(ask.server).or_insert_with(|| TurnSheet {
+            saying: ask.saying,
+            bucket: full_bucket(ask.saying.limit, part, now),
+            asked: now,
+            urgent: (ask.rank, now),
+        });
+        sheet.take_saying(ask.saying, part, now);
+        sheet.asked = now;
+        let Some(limit) = sheet.saying.limit else {
+            return sheet.grant(ask.wanted, Duration::ZERO);
+        };
+        sheet.deal(limit, ask, part, now)
+    }
+
+    /// What is known of a server: what it said, and turns that are dealt out and not yet made up for.
+    pub fn sheet(&self, server: EngineKey) -> Option<(LimitSaying, f64)> {
+        let sheet = self.sheets.get(&server)?;
+        Some((sheet.saying, sheet.bucket.level()))
+    }
+}
+
+// What was dealt out before by another host is not known: as much as may be at once.
+fn full_bucket(limit: Option<ServerLimit>, part: f64, now: Duration) -> RateBucket {
+    let burst = limit.map_or(0.0, |limit| bounds(limit, part).burst);
+    RateBucket::filled(burst + 1.0, now)
+}
+
+/// Turns a second at a server that names a limit, and how many at once.
+fn bounds(limit: ServerLimit, part: f64) -> BucketRate {
+    let rate = limit.per_second().max(TURNS_LEAST) * part;
+    BucketRate {
+        rate,
+        burst: BURST_LEAST + BURST_SECONDS * rate,
+    }
+}
+
+impl TurnSheet {
+    fn take_saying(&mut self, saying: LimitSaying, part: f64, now: Duration) {
+        if saying.said <= self.saying.said {
+            return;
+        }
+        // A server that comes to be in need once more has been sent whatever came.
+        if self.saying.limit.is_none() && saying.limit.is_some() {
+            self.bucket = full_bucket(saying.limit, part, now);
+        }
+        self.saying = saying;
+    }
+
+    fn deal(&mut self, limit: ServerLimit, ask: &TurnAsk, part: f64, now: Duration) -> TurnGrant {
+        let whole = bounds(limit, part);
+        let own = match self.is_less_urgent(ask.rank, now) {
+            true => BucketRate {
+                burst: whole.burst * LESS_URGENT_PART,
+                ..whole
+            },
+            false => whole,
+        };
+        // What was dealt out at a higher limit is not made up for at a lower one.
+        self.bucket.cap(whole.burst + 1.0);
+        if ask.wanted == 0 {
+            return self.grant(0, Duration::ZERO);
+        }
+        if let Err(wait) = self.bucket.take(1.0, own, now) {
+            return self.grant(0, wait);
+        }
+        let spare = whole.burst * SPARE_PART - self.bucket.level();
+        let more = (spare.max(0.0) as u32).min(ask.wanted - 1);
+        self.bucket.add(f64::from(more));
+        self.grant(1 + more, Duration::ZERO)
+    }
+
+    fn is_less_urgent(&mut self, rank: u8, now: Duration) -> bool {
+        let (most, seen) = self.urgent;
+        let is_less = rank > most && now.saturating_sub(seen) < URGENT_TIME;
+        if !is_less {
+            self.urgent = (rank, now);
+        }
+        is_less
+    }
+
+    fn grant(&self, turns: u32, wait: Duration) -> TurnGrant {
+        TurnGrant {
+            turns,
+            wait,
+            saying: self.saying,
+        }
+    }
+}
+
+/// The times of sayings as they are told: how long ago.
+impl LimitSaying {
+    /// A saying that is so old.
+    pub fn told(limit: Option<ServerLimit>, age: Duration, now: Duration) -> Self {
+        Self {
+            limit,
+            said: PastTime::at(now).before(age),
+        }
+    }
+
+    /// How old it is.
+    pub fn age(&self, now: Duration) -> Duration {
+        self.said.age(now)
+    }
+}
--- a/src/relay/request/plain.rs
+++ b/src/relay/request/plain.rs
@@ -14,8 +14,12 @@
         operation::{Refusal, RefusalCode, RunVerdict},
         relay::{
             backend::BackendInfo,
-            parts::shared::RelayParts,
-            policy::{book::PlainChoice, view::BackendFailure},
+            parts::{needs::ServerTurn, shared::RelayParts},
+            policy::{
+                book::{PlainChoice, SendWish},
+                need_book::TurnWait,
+                view::BackendFailure,
+            },
         },
         web,
     },
@@ -32,6 +36,9 @@
 /// Servers that decline one after the other before the caller is told to come back.
 const DECLINES_MAX: usize = 3;
 
+/// Servers in need that are asked for a turn one after the other: each takes a moment of the caller's time.
+const TURN_ASKS: usize = 4;
+
 /// When a caller is to come back after a refusal of a plain request.
 const COME_BACK: Duration = Duration::from_millis(100);
 
@@ -57,6 +64,8 @@
     arrived: bool,
     // Whether all servers that are left fail.
     is_unreachable: bool,
+    // Where servers in need had no turn for it: when one is likely.
+    turn_wait: Option<TurnWait>,
     // Why it may not be sent any more.
     refused: Option<Refusal>,
     verdict: RunVerdict,
@@ -93,6 +102,7 @@
         declines: 0,
         arrived: false,
         is_unreachable: false,
+        turn_wait: None,
         refused: None,
         verdict: RunVerdict::NotRun,
         detail: "no backend server can take it".into(),
@@ -130,7 +140,7 @@
 impl PlainRelay {
     async fn run(&mut self) -> Result<PlainAnswer, Refusal> {
         let mut running: FuturesUnordered<Sending> = FuturesUnordered::new();
-        if !self.launch(&mut running) {
+        if !self.launch(&mut running, false).await {
             return Err(self.refusal(RefusalCode::NoBackend));
         }
         let mut hedge_at = self.hedge_time();
@@ -141,7 +151,7 @@
                         return Ok(answer);
                     }
                     if self.may_send_again() {
-                        self.launch(&mut running);
+                        self.launch(&mut running, false).await;
                     }
                     if running.is_empty() {
                         return self.fallback.take().ok_or_else(|| self.refusal(RefusalCode::BackendLost));
@@ -150,7 +160,7 @@
                 () = tokio::time::sleep_until(hedge_at) => {
                     // Two servers at a time would end under it.
                     if self.may_send_again() && !self.call.is_suspected {
-                        self.launch(&mut running);
+                        self.launch(&mut running, true).await;
                     }
                     hedge_at = self.hedge_time();
                 }
@@ -186,29 +196,15 @@
 
     // Sends to the best server not tried yet. It costs a repeat if a send before it has reached its server or
     // is under way; when a zone is cut off, many requests find a server that cannot be reached first.
-    fn launch(&mut self, running: &mut FuturesUnordered<Sending>) -> bool {
-        let checked = judge::check_send(&self.parts, &self.call, &self.service, self.verdict);
-        if let Err(refusal) = checked {
-            self.refused = Some(refusal);
+    async fn launch(&mut self, running: &mut FuturesUnordered<Sending>, is_hedge: bool) -> bool {
+        let Some((backend, turn)) = self.next_server(is_hedge).await else {
             return false;
-        }
-        let now = self.parts.now();
-        let zone = &self.parts.settings.zone;
-        let book = self.parts.book.borrow();
-        let choice = book.choose_plain(&self.service, zone, &self.tried, now);
-        drop(book);
-        let backend = match choice {
-            PlainChoice::Send(backend) => backend,
-            PlainChoice::Unreachable => {
-                self.is_unreachable = true;
-                return false;
-            }
-            PlainChoice::NoneLeft => return false,
         };
         let is_repeat = self.arrived || !self.open.is_empty();
         if is_repeat && !self.parts.spend_repeat(&self.service) {
             return false;
         }
+        turn.use_up();
         self.tried.push(backend.id.clone());
         self.open.push(backend.clone());
         self.sends += 1;
@@ -220,6 +216,40 @@
         true
     }
 
+    // The best server not tried yet that has a turn for the request, if it is in need.
+    async fn next_server(&mut self, is_hedge: bool) -> Option<(BackendInfo, ServerTurn)> {
+        let rank = self.call.priority();
+        let wish = SendWish { rank, is_hedge };
+        for _ in 0..TURN_ASKS {
+            let checked = judge::check_send(&self.parts, &self.call, &self.service, self.verdict);
+            if let Err(refusal) = checked {
+                self.refused = Some(refusal);
+                return None;
+            }
+            let backend = self.choose(wish)?;
+            match self.parts.take_turn(&backend, rank).await {
+                Ok(turn) => return Some((backend, turn)),
+                Err(wait) => self.turn_wait = Some(wait),
+            }
+        }
+        None
+    }
+
+    fn choose(&mut self, wish: SendWish) -> Option<BackendInfo> {
+        let now = self.parts.now();
+        let zone = &self.parts.settings.zone;
+        let book = self.parts.book.borrow();
+        let choice = book.choose_plain(&self.service, zone, &self.tried, wish, now);
+        drop(book);
+        match choice {
+            PlainChoice::Send(backend) => return Some(backend),
+            PlainChoice::Unreachable => self.is_unreachable = true,
+            PlainChoice::NoTurn(wait) => self.turn_wait = Some(wait),
+            PlainChoice::NoneLeft => {}
+        }
+        None
+    }
+
     fn may_send_again(&self) -> bool {
         let allowed = self
             .verdict
@@ -294,6 +324,11 @@
         if let Some(refusal) = self.refused.take() {
             return refusal;
         }
+        if let Some(wait) = self.turn_wait
+            && self.verdict == RunVerdict::NotRun
+        {
+            return self.parts.no_turn(&self.service, self.verdict, wait);
+        }
         let refusal = Refusal::new(self.verdict, code, self.detail.clone());
         match self.is_unreachable {
             true => refusal.after(rand::random_range(COME_BACK_UNREACHABLE)),
--- a/src/relay/request/reserve.rs
+++ b/src/relay/request/reserve.rs
@@ -3,11 +3,11 @@
 use {
     super::call::RelayCall,
     crate::{
-        operation::{Refusal, RefusalCode},
+        operation::{Refusal, RefusalCode, RunVerdict},
         relay::{
             backend::BackendInfo,
             config::EngineLimits,
-            parts::shared::RelayParts,
+            parts::{needs::ServerTurn, shared::RelayParts},
             policy::{
                 admission::{self, LineEntrant},
                 kept::KeptAt,
@@ -62,11 +62,13 @@
     /// The engine.
     pub engine: BackendInfo,
     hold: EngineHold,
+    // Leave to send the request there; none once it was used.
+    turn: Option<ServerTurn>,
     tokens: u64,
 }
 
 impl MemoryHold {
-    fn new(hold: EngineHold, tokens: u64) -> Self {
+    fn new(hold: EngineHold, turn: ServerTurn, tokens: u64) -> Self {
         let (parts, engine) = (hold.parts.clone(), hold.engine.clone());
         let mut book = parts.book.borrow_mut();
         book.answered(&engine.id, true);
@@ -76,12 +78,16 @@
             parts,
             engine,
             hold,
+            turn: Some(turn),
             tokens,
         }
     }
 
-    /// The name of the reservation, to be used now.
+    /// The name of the reservation, to be used now with the request's turn at the engine.
     pub fn use_up(&mut self) -> Option<FastStr> {
+        if let Some(turn) = self.turn.take() {
+            turn.use_up();
+        }
         self.hold.name.take()
     }
 }
@@ -155,6 +161,7 @@
     kept: Option<&KeptAt>,
 ) -> Result<MemoryHold, Refusal> {
     let tokens = admission::reserved_tokens(&call.marks);
+    let rank = call.priority();
     let give_up = call.until.min(since + admission::WAIT_LIMIT);
     let mut place = LinePlace::join(parts, call);
     loop {
@@ -167,6 +174,11 @@
             parts.metrics.reserved(&call.route, call.age());
             return Ok(hold);
         }
+        let wait = parts.book.borrow().decode_wait(service, rank, parts.now());
+        if let Some(wait) = wait {
+            let service = FastStr::new(service);
+            return Err(parts.no_turn(&service, RunVerdict::NotRun, wait));
+        }
         let left = give_up.saturating_sub(parts.now());
         tokio::select! {
             () = freed => {}
@@ -195,9 +207,10 @@
     is_late: bool,
 ) -> Option<MemoryHold> {
     let tokens = admission::reserved_tokens(&call.marks);
+    let rank = call.priority();
     if let Some(kept) = kept {
         let lacked = tokens.saturating_sub(kept.tokens).max(LACKED_LEAST);
-        if let Some(hold) = ask_beside(parts, kept.engine.clone(), lacked, 0).await {
+        if let Some(hold) = ask_beside(parts, kept.engine.clone(), rank, lacked, 0).await {
             return Some(hold);
         }
     }
@@ -206,11 +219,14 @@
     let memory = engine_limits(parts, service).map(|limits| limits.memory_tokens);
     let engines = {
         let book = parts.book.borrow();
-        book.rank_decodes(service, zone, tokens, memory, now)
+        let without_turn = book.without_turn(service, rank, now);
+        let mut engines = book.rank_decodes(service, zone, tokens, memory, now);
+        engines.retain(|engine| !without_turn.contains(&engine.id));
+        engines
     };
     let headroom = memory.map_or(0, |memory| admission::headroom(memory, tokens, is_late));
     for engine in engines.into_iter().take(HOLD_TRIES) {
-        if let Some(hold) = ask_beside(parts, engine, tokens, headroom).await {
+        if let Some(hold) = ask_beside(parts, engine, rank, tokens, headroom).await {
             return Some(hold);
         }
     }
@@ -218,20 +234,23 @@
 }
 
 // Memory for a request where as much again as `headroom` is free. That is seen by reserving it, for as long
-// as the request's own memory is asked for.
+// as the request's own memory is asked for. Where the engine is in need the request's turn there is taken first: memory
+// without a turn would be held for nobody.
 async fn ask_beside(
     parts: &Rc<RelayParts>,
     engine: BackendInfo,
+    rank: u8,
     tokens: u64,
     headroom: u64,
 ) -> Option<MemoryHold> {
+    let turn = parts.take_turn(&engine, rank).await.ok()?;
     let beside = match headroom {
         0 => None,
         _ => Some(ask(parts, &engine, headroom, HEADROOM_TIME).await?),
     };
     let hold = ask(parts, &engine, tokens, HOLD_TIME).await;
     drop(beside);
-    Some(MemoryHold::new(hold?, tokens))
+    Some(MemoryHold::new(hold?, turn, tokens))
 }
 
 fn engine_limits(parts: &RelayParts, service: &str) -> Option<EngineLimits> {
--- a/src/relay/request/stream.rs
+++ b/src/relay/request/stream.rs
@@ -304,11 +304,18 @@
         let is_needless = self.skip_prefill || is_trial || std::mem::take(&mut self.is_kept);
         while !is_needless && tried.len() < PREFILLS_MAX {
             let zone = &hold.engine.zone;
-            let chosen = prefill::choose_engine(&self.parts, &self.service, zone, &tried)?;
+            let (parts, rank) = (&self.parts, self.call.priority());
+            let chosen = prefill::choose_engine(parts, &self.service, zone, rank, &tried)?;
+            let engine = chosen.0.id.clone();
+            // In need and without a turn: as one that the request does not reach.
+            let Ok(turn) = parts.take_turn(&chosen.0, rank).await else {
+                tried.push(engine);
+                continue;
+            };
             if !self.may_compute() {
                 return None;
             }
-            let engine = chosen.0.id.clone();
+            turn.use_up();
             let failure = match prefill::compute_prompt(&self.parts, &self.call, chosen).await {
                 Ok(cache) => {
                     self.computed = true;
--- a/tests/relay_needs.rs
+++ b/tests/relay_needs.rs
@@ -1,12 +1,14 @@
 //! Limits that backend servers name: what is read as one, and what is believed.
 
 use {
-    bayplank::relay::{EngineKey, LimitMark, LimitSaying, NeedBook, ServerLimit},
+    bayplank::relay::{EngineKey, LimitMark, LimitSaying, NeedBook, PastTime, ServerLimit},
     std::time::Duration,
 };
 
 const SERVER: EngineKey = EngineKey(7);
 
+const NOW: Duration = Duration::from_millis(40);
+
 fn read(values: &[&str]) -> LimitMark {
     LimitMark::read(values.iter().map(|value| value.as_bytes()))
 }
@@ -43,19 +45,19 @@
 fn saying(limit: Option<f64>, said: u64) -> LimitSaying {
     LimitSaying {
         limit: limit.and_then(ServerLimit::new),
-        said: Duration::from_millis(said),
+        said: PastTime::at(Duration::from_millis(said)),
     }
 }
 
 #[test]
 fn an_older_answer_that_is_read_late_does_not_undo_a_newer_one() {
     let mut book = NeedBook::default();
-    assert_eq!(book.take(SERVER, saying(Some(3.0), 20)), Some(None));
-    assert_eq!(book.take(SERVER, saying(None, 10)), None);
-    assert_eq!(book.take(SERVER, saying(Some(9.0), 15)), None);
+    assert_eq!(book.take(SERVER, saying(Some(3.0), 20), NOW), Some(None));
+    assert_eq!(book.take(SERVER, saying(None, 10), NOW), None);
+    assert_eq!(book.take(SERVER, saying(Some(9.0), 15), NOW), None);
     assert_eq!(book.limit(SERVER), ServerLimit::new(3.0));
     assert_eq!(
-        book.take(SERVER, saying(None, 30)),
+        book.take(SERVER, saying(None, 30), NOW),
         Some(ServerLimit::new(3.0))
     );
     assert!(book.is_empty());
@@ -64,7 +66,7 @@
 #[test]
 fn servers_that_are_no_longer_listed_are_forgotten() {
     let mut book = NeedBook::default();
-    book.take(SERVER, saying(Some(3.0), 20));
+    book.take(SERVER, saying(Some(3.0), 20), NOW);
     book.keep_listed(&[EngineKey(8)].into());
     assert!(book.is_empty());
 }
--- a/tests/relay_reach.rs
+++ b/tests/relay_reach.rs
@@ -4,7 +4,7 @@
 
 use {
     crate::backends::backend,
-    bayplank::relay::{BackendBook, BackendFailure, PlainChoice},
+    bayplank::relay::{BackendBook, BackendFailure, PlainChoice, SendWish},
     faststr::FastStr,
     std::time::Duration,
 };
@@ -21,7 +21,9 @@
     for id in ["near", "far"] {
         book.failed(id, BackendFailure::Silent, millis(0));
     }
-    let choose = |book: &BackendBook, at| book.choose_plain("one", "z", &[], millis(at));
+    let choose = |book: &BackendBook, at| {
+        book.choose_plain("one", "z", &[], SendWish::default(), millis(at))
+    };
     let PlainChoice::Send(first) = choose(&book, 10) else {
         panic!("one request is to try");
     };
@@ -33,7 +35,7 @@
     book.call_began(&second.id, false, millis(11));
     assert_eq!(choose(&book, 12), PlainChoice::Unreachable);
     let tried = [first.id.clone()];
-    let again = book.choose_plain("one", "z", &tried, millis(12));
+    let again = book.choose_plain("one", "z", &tried, SendWish::default(), millis(12));
     assert_eq!(again, PlainChoice::Unreachable, "it would be held in vain");
     book.answered(&first.id, true);
     book.call_ended(&first.id, call);
@@ -53,7 +55,9 @@
             book.call_ended(&id, call);
             book.failed(&id, BackendFailure::Silent, millis(until));
         }
-        if let PlainChoice::Send(server) = book.choose_plain("one", "z", &[], millis(at)) {
+        if let PlainChoice::Send(server) =
+            book.choose_plain("one", "z", &[], SendWish::default(), millis(at))
+        {
             held += 1;
             let call = book.call_began(&server.id, false, millis(at));
             open.push((server.id, call, at + 300));
