The book of what hosts tell each other is one for any kind of finding

Cause: which changes others lack, and which they are to be told, was written into the book of requests that end servers; servers in need are to be told the same way.

--- a/src/relay/news/crashes.rs
+++ b/src/relay/news/crashes.rs
@@ -10,7 +10,7 @@
         relay::{
             link::HostEntry,
             parts::shared::RelayParts,
-            policy::{crash_book::MarkSource, crash_mark::CrashMark, digest::RequestDigest},
+            policy::{crash_mark::CrashMark, digest::RequestDigest, told_book::MarkSource},
             vital,
         },
     },
--- a/src/relay/news/message.rs
+++ b/src/relay/news/message.rs
@@ -10,9 +10,10 @@
             config::RelayConfig,
             link::HostEntry,
             policy::{
-                crash_mark::{BookPlace, CrashNews},
+                crash_mark::CrashNews,
                 loads::{EngineKey, EngineLoad, LoadReport, ServiceDemand},
                 past_time::PastTime,
+                told_book::BookPlace,
             },
         },
     },
--- a/src/relay/policy/crash_book.rs
+++ b/src/relay/policy/crash_book.rs
@@ -6,13 +6,14 @@
 
 use {
     super::{
-        crash_mark::{BookPlace, CrashMark, CrashNews},
+        crash_mark::{CrashMark, CrashNews},
         crash_record::{CrashJudgement, CrashRecord, ENDS_TO_JUDGE},
         digest::RequestDigest,
         loads::EngineKey,
         past_time::PastTime,
+        told_book::{BookPlace, MarkSource, ToldBook},
     },
-    std::{cmp::Reverse, collections::BTreeMap, time::Duration},
+    std::{cmp::Reverse, time::Duration},
 };
 
 /// Requests that are remembered. Each that is held to be fatal has cost three servers, so that whoever makes up others
@@ -26,18 +27,6 @@
 /// only hosts that add up need them.
 const ENDS_TO_TELL: usize = 2;
 
-/// How long after a change hosts tell of it to one that they have not told of anything yet.
-const TELL_LIFE: Duration = Duration::from_secs(30);
-
-/// Whom a mark came from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum MarkSource {
-    /// This host saw it, or a host that reports to this one did: others are to be told.
-    Reported,
-    /// A host that tells all others itself.
-    Told,
-}
-
 /// What has become of a judgement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CrashChange {
@@ -47,39 +36,23 @@
     Cleared,
 }
 
-#[derive(Debug)]
-struct HeldRecord {
-    record: CrashRecord,
-    // The book's revision of its last change, and of the last one that others are to be told of.
-    changed: u64,
-    reported: u64,
-    reported_at: Duration,
-}
-
 /// All requests under which backend servers ended.
 #[derive(Debug)]
 pub struct CrashBook {
-    id: u64,
-    records: BTreeMap<RequestDigest, HeldRecord>,
-    revision: u64,
+    records: ToldBook<RequestDigest, CrashRecord>,
 }
 
 impl CrashBook {
     /// A book in which nothing stands; `id` is drawn at random.
     pub fn new(id: u64) -> Self {
         Self {
-            id,
-            records: BTreeMap::new(),
-            revision: 0,
+            records: ToldBook::new(id),
         }
     }
 
     /// What somebody has been told who was told everything; its revision grows with each change.
     pub fn place(&self) -> BookPlace {
-        BookPlace {
-            book: self.id,
-            revision: self.revision,
-        }
+        self.records.place()
     }
 
     /// Whether no request is remembered.
@@ -94,16 +67,15 @@
 
     /// Requests that are held to end their servers.
     pub fn fatal_count(&self) -> usize {
-        let records = self.records.values();
-        records
-            .filter(|held| held.record.count() >= ENDS_TO_JUDGE)
-            .count()
+        let records = self.records.iter();
+        let fatal = records.filter(|(_, record)| record.count() >= ENDS_TO_JUDGE);
+        fatal.count()
     }
 
     /// What a request is held to be.
     pub fn judge(&self, digest: RequestDigest, now: Duration) -> CrashJudgement {
-        let held = self.records.get(&digest);
-        held.map_or(CrashJudgement::Harmless, |held| held.record.judge(now))
+        let record = self.records.get(&digest);
+        record.map_or(CrashJudgement::Harmless, |record| record.judge(now))
     }
 
     /// A server's run ended under a request of this host.
@@ -121,7 +93,7 @@
 
     /// A request ran well here.
     pub fn note_good_run(&mut self, digest: RequestDigest, now: Duration) -> Option<CrashChange> {
-        if !self.records.contains_key(&digest) {
+        if self.records.get(&digest).is_none() {
             return None;
         }
         let at = PastTime::at(now);
@@ -131,7 +103,7 @@
     /// A request came that is remembered: its record lives on.
     pub fn note_seen(&mut self, digest: RequestDigest, now: Duration) {
         let at = PastTime::at(now);
-        if self.records.contains_key(&digest) {
+        if self.records.get(&digest).is_some() {
             self.change(digest, at, MarkSource::Reported, now, |record| {
                 record.note_seen(at)
             });
@@ -180,23 +152,12 @@
         now: Duration,
         change: impl FnOnce(&mut CrashRecord) -> bool,
     ) -> Option<CrashChange> {
-        let held = self.records.entry(digest).or_insert_with(|| HeldRecord {
-            record: CrashRecord::new(seen),
-            changed: 0,
-            reported: 0,
-            reported_at: now,
-        });
-        let was_fatal = held.record.count() >= ENDS_TO_JUDGE;
-        if !change(&mut held.record) {
+        let was_fatal = self.is_fatal(digest);
+        let begin = || CrashRecord::new(seen);
+        if !self.records.change(digest, begin, source, now, change) {
             return None;
         }
-        self.revision += 1;
-        held.changed = self.revision;
-        if source == MarkSource::Reported {
-            held.reported = self.revision;
-            held.reported_at = now;
-        }
-        let is_fatal = held.record.count() >= ENDS_TO_JUDGE;
+        let is_fatal = self.is_fatal(digest);
         self.forget(now);
         match (was_fatal, is_fatal) {
             (false, true) => Some(CrashChange::Judged),
@@ -205,12 +166,17 @@
         }
     }
 
+    fn is_fatal(&self, digest: RequestDigest) -> bool {
+        let record = self.records.get(&digest);
+        record.is_some_and(|record| record.count() >= ENDS_TO_JUDGE)
+    }
+
     fn forget(&mut self, now: Duration) {
-        self.records.retain(|_, held| !is_old(&held.record, now));
+        self.records.retain(|_, record| !is_old(record, now));
         while self.records.len() > RECORDS_MOST {
             let records = self.records.iter();
-            let least = records
-                .min_by_key(|(digest, held)| (held.record.count(), held.record.seen(), **digest));
+            let least =
+                records.min_by_key(|(digest, record)| (record.count(), record.seen(), **digest));
             let Some(digest) = least.map(|(digest, _)| *digest) else {
                 return;
             };
@@ -220,14 +186,12 @@
 
     /// What an asker is to know of which all hosts are told; `known` is what it has been told of this book.
     pub fn news_since(&self, known: BookPlace, now: Duration) -> CrashNews {
-        let since = match known.book == self.id {
-            true => known.revision,
-            false => 0,
-        };
-        let marks = self.marks(now, |held| {
-            // Those that are excused too: others may have heard of the ends alone.
-            held.record.runs() >= ENDS_TO_TELL && held.changed > since
-        });
+        // Those that are excused too: others may have heard of the ends alone.
+        let told = self.records.since(known);
+        let told = told.filter(|(_, record)| record.runs() >= ENDS_TO_TELL);
+        let marks = told
+            .map(|(digest, record)| record.mark(*digest, now))
+            .collect();
         CrashNews {
             place: self.place(),
             marks,
@@ -237,35 +201,29 @@
     /// What a host that adds up, or tells others, is to hear of this one, after a revision of this book. Where it was never
     /// told anything that is what has changed lately: whoever added up before has told the rest.
     pub fn reported_since(&self, revision: Option<u64>, now: Duration) -> Vec<CrashMark> {
-        self.marks(now, |held| match revision {
-            Some(revision) => held.reported > revision,
-            None => held.reported > 0 && now.saturating_sub(held.reported_at) < TELL_LIFE,
-        })
+        let reported = self.records.reported_since(revision, now);
+        let marks = reported.map(|(digest, record)| record.mark(*digest, now));
+        marks.collect()
     }
 
     /// A request that is held to end its servers, as it is told; none where it no longer is.
     pub fn fatal_mark(&self, digest: RequestDigest, now: Duration) -> Option<CrashMark> {
-        let held = self.records.get(&digest)?;
-        let is_fatal = held.record.count() >= ENDS_TO_JUDGE;
-        is_fatal.then(|| held.record.mark(digest, now))
+        let record = self.records.get(&digest)?;
+        self.is_fatal(digest).then(|| record.mark(digest, now))
     }
 
     /// What has changed last, of so many requests at the most: hosts that all tell each other need no more.
     pub fn latest(&self, most: usize, now: Duration) -> Vec<CrashMark> {
-        let mut held: Vec<(&RequestDigest, &HeldRecord)> = self.records.iter().collect();
-        held.sort_by_key(|(_, held)| Reverse((held.record.count(), held.changed)));
-        held.truncate(most);
-        let marks = held.into_iter();
+        let mut latest: Vec<(&RequestDigest, &CrashRecord)> = self.records.iter().collect();
+        latest.sort_by_key(|(digest, record)| {
+            Reverse((record.count(), self.records.changed(digest)))
+        });
+        latest.truncate(most);
+        let marks = latest.into_iter();
         marks
-            .map(|(digest, held)| held.record.mark(*digest, now))
+            .map(|(digest, record)| record.mark(*digest, now))
             .collect()
     }
-
-    fn marks(&self, now: Duration, is_wanted: impl Fn(&HeldRecord) -> bool) -> Vec<CrashMark> {
-        let wanted = self.records.iter().filter(|(_, held)| is_wanted(held));
-        let marks = wanted.map(|(digest, held)| held.record.mark(*digest, now));
-        marks.collect()
-    }
 }
 
 fn is_old(record: &CrashRecord, now: Duration) -> bool {
--- a/src/relay/policy/crash_mark.rs
+++ b/src/relay/policy/crash_mark.rs
@@ -2,7 +2,7 @@
 //! requests themselves.
 
 use {
-    super::{digest::RequestDigest, loads::EngineKey},
+    super::{digest::RequestDigest, loads::EngineKey, told_book::BookNews},
     faststr::FastStr,
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -73,20 +73,5 @@
     }
 }
 
-/// Up to which revision of which book somebody was told.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct BookPlace {
-    /// The book; 0 for none.
-    pub book: u64,
-    /// Its revision.
-    pub revision: u64,
-}
-
-/// What an asker lacks of a book.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct CrashNews {
-    /// What the asker has been told with this.
-    pub place: BookPlace,
-    /// What it lacked.
-    pub marks: Vec<CrashMark>,
-}
+/// What an asker lacks of a book of requests that end their servers.
+pub type CrashNews = BookNews<CrashMark>;
--- a/src/relay/policy/mod.rs
+++ b/src/relay/policy/mod.rs
@@ -22,6 +22,7 @@
 pub(crate) mod source;
 pub(crate) mod split;
 pub(crate) mod subset;
+pub(crate) mod told_book;
 pub(crate) mod turn_desk;
 pub(crate) mod view;
 pub(crate) mod waited;
@@ -29,5 +30,6 @@
 pub use self::{
     admission::*, book::*, budget::*, changes::*, crash_book::*, crash_mark::*, crash_record::*,
     digest::*, kept::*, line::*, loads::*, need_book::*, past_time::*, pauses::*, room::*,
-    route::*, server_limit::*, source::*, split::*, subset::*, turn_desk::*, view::*, waited::*,
+    route::*, server_limit::*, source::*, split::*, subset::*, told_book::*, turn_desk::*, view::*,
+    waited::*,
 };
