--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -7,10 +7,9 @@
         figures,
         link::{StoreKind, StoreLink},
         news::{
-            self,
-            crashes::CrashShare,
-            entry,
+            self, entry,
             feed::StoreFeed,
+            findings::FindingShare,
             follow::NewsFollower,
             link::{NewsAnswers, NewsLinks},
             settle::LedgerLink,
@@ -129,7 +128,7 @@
         let follower = NewsFollower::start(self.parts.clone(), feed, links.clone());
         LedgerLink::start(self.parts.clone(), follower.clone(), links.clone());
         TurnLink::start(self.parts.clone(), links.clone());
-        let crashes = CrashShare::start(self.parts.clone(), follower.clone(), links.clone());
+        let findings = FindingShare::start(self.parts.clone(), follower.clone(), links.clone());
         let share = LoadShare::start(self.parts.clone(), follower, links);
         let parts = self.parts.clone();
         let (charged, settled) = (parts.clone(), parts.clone());
@@ -139,7 +138,7 @@
             turns: Box::new(move |ask| dealt.deal_turns(&ask)),
             charges: Box::new(move |account, units| charged.answer_charge(account, units)),
             sums: Box::new(move |theirs| settled.answer_sums(&theirs)),
-            crashes: Box::new(move |marks, is_zone| crashes.take_told(&marks, is_zone)),
+            findings: Box::new(move |told, is_zone| findings.take_told(&told, is_zone)),
             trials: Box::new(move |digest| tried.grant_trial(digest)),
             news: Box::new(move |held| news::tell_news(parts.clone(), held).boxed_local()),
             loads: Box::new(move |reporter, loads, view| share.answer(reporter, loads, view)),
--- a/src/relay/news/crashes.rs
+++ b/src/relay/news/findings.rs
@@ -1,4 +1,4 @@
-//! Telling other hosts at once which requests end their servers.
+//! Telling other hosts at once what requests have shown: which of them end their servers, and which servers are in need.
 //!
 //! A host tells the head of its zone, the head tells one host of each zone, and all others hear it with the news that they
 //! wait for. What is not taken is told again.
@@ -10,7 +10,11 @@
         relay::{
             link::HostEntry,
             parts::shared::RelayParts,
-            policy::{crash_mark::CrashMark, digest::RequestDigest, told_book::MarkSource},
+            policy::{
+                digest::RequestDigest,
+                told_book::MarkSource,
+                told_findings::{ToldFindings, ToldRevisions},
+            },
             vital,
         },
     },
@@ -49,25 +53,26 @@
 }
 
 /// Tells and hears.
-pub struct CrashShare {
+pub struct FindingShare {
     parts: Rc<RelayParts>,
     follower: Rc<NewsFollower>,
     links: Rc<NewsLinks>,
     targets: ZoneTargets,
-    // Up to which revision of the own book each was told.
-    told: RefCell<BTreeMap<TellTarget, u64>>,
+    // Up to which revisions of the own books each was told.
+    told: RefCell<BTreeMap<TellTarget, ToldRevisions>>,
 }
 
-impl CrashShare {
-    /// Takes what another host told of ended servers.
-    pub fn take_told(&self, marks: &[CrashMark], is_zone: bool) {
+impl FindingShare {
+    /// Takes what another host told.
+    pub fn take_told(&self, findings: &ToldFindings, is_zone: bool) {
         // What one tells for its zone it tells all zones itself; a host that is no head has to tell its own.
         let is_head = self.follower.head().is_none();
         let source = match is_zone && is_head {
             true => MarkSource::Told,
             false => MarkSource::Reported,
         };
-        self.parts.take_marks(marks, source);
+        self.parts.take_marks(&findings.crashes, source);
+        self.parts.take_needs(&findings.needs, source);
     }
 
     /// Starts to tell.
@@ -87,8 +92,8 @@
         share.parts.crashes.set_trial_ask(Rc::new(move |digest| {
             asking.clone().ask_trial(digest).boxed_local()
         }));
-        vital::spawn_vital("requests that end servers", share.clone().run());
-        vital::spawn_vital("learning what ends servers", share.clone().learn());
+        vital::spawn_vital("findings", share.clone().run());
+        vital::spawn_vital("learning others' findings", share.clone().learn());
         share
     }
 
@@ -121,15 +126,18 @@
     async fn ask(&self, entry: HostEntry) {
         let held = self.follower.held(entry.peers, Duration::ZERO, false);
         match self.links.follow(entry.peers, held, LEARN_PATIENCE).await {
-            Ok(news) => self.parts.take_crash_news(&news.crashes, entry.peers),
-            Err(error) => log::debug!("host {} told of no ended servers: {error}", entry.name),
+            Ok(news) => {
+                self.parts.take_crash_news(&news.crashes, entry.peers);
+                self.parts.take_need_news(&news.needs, entry.peers);
+            }
+            Err(error) => log::debug!("host {} told of no findings: {error}", entry.name),
         }
     }
 
     async fn run(self: Rc<Self>) {
         loop {
             tokio::select! {
-                () = self.parts.crashes.reported.notified() => {}
+                () = self.parts.reported.notified() => {}
                 () = tokio::time::sleep(LOOK_PERIOD) => {}
             }
             let mut all_told = self.tell_all().await;
@@ -178,30 +186,42 @@
             // What a zone was not told while it was cut off it is told however late.
             TellTarget::Zone(_) => Some(since.unwrap_or_default()),
         };
-        let (marks, revision) = self.parts.marks_to_report(since);
-        if marks.is_empty() {
-            self.told.borrow_mut().insert(target.clone(), revision);
+        let (findings, revisions) = self.findings_to_tell(since);
+        if findings.is_empty() {
+            self.told.borrow_mut().insert(target.clone(), revisions);
             return true;
         }
         let is_zone = matches!(target, TellTarget::Zone(_));
-        let sent = self.send(entry, &marks, is_zone).await;
+        let sent = self.send(entry, &findings, is_zone).await;
         if is_zone {
             self.targets.note(&entry.name, sent, self.parts.now());
         }
         if sent {
-            self.told.borrow_mut().insert(target.clone(), revision);
+            self.told.borrow_mut().insert(target.clone(), revisions);
         }
         sent
     }
 
-    async fn send(&self, entry: &HostEntry, marks: &[CrashMark], is_zone: bool) -> bool {
+    fn findings_to_tell(&self, since: Option<ToldRevisions>) -> (ToldFindings, ToldRevisions) {
+        let parts = &self.parts;
+        let (crashes, crash_revision) = parts.marks_to_report(since.map(|since| since.crashes));
+        let (needs, need_revision) = parts.needs_to_report(since.map(|since| since.needs));
+        let findings = ToldFindings { crashes, needs };
+        let revisions = ToldRevisions {
+            crashes: crash_revision,
+            needs: need_revision,
+        };
+        (findings, revisions)
+    }
+
+    async fn send(&self, entry: &HostEntry, findings: &ToldFindings, is_zone: bool) -> bool {
         let telling = self
             .links
-            .tell_crashes(entry.peers, marks, is_zone, TELL_PATIENCE);
+            .tell_findings(entry.peers, findings, is_zone, TELL_PATIENCE);
         match telling.await {
             Ok(()) => true,
             Err(error) => {
-                log::debug!("host {} was not told of ended servers: {error}", entry.name);
+                log::debug!("host {} was told of no findings: {error}", entry.name);
                 if !is_zone {
                     self.follower.note_unreported(&entry.name);
                 }
--- a/src/relay/news/link.rs
+++ b/src/relay/news/link.rs
@@ -4,7 +4,7 @@
     super::{
         crash_message,
         message::{self, ClusterNews, HeldNews, ReportedView},
-        turn_message,
+        need_message,
     },
     crate::{
         account::{AccountKey, LedgerSums},
@@ -13,9 +13,9 @@
         news_capnp::news_peer,
         peer::{self, PeerLinks},
         relay::policy::{
-            crash_mark::CrashMark,
             digest::RequestDigest,
             loads::{LoadReport, LoadReporter},
+            told_findings::ToldFindings,
             turn_desk::{TurnAsk, TurnGrant},
         },
     },
@@ -38,8 +38,8 @@
 /// Lets a request of an account in, or says when its caller is to come back; none where the account is not known.
 pub type ChargeCall = dyn Fn(AccountKey, u32) -> Option<Result<(), Duration>>;
 
-/// Takes what another host told of requests that end their servers, and whether it tells that for its whole zone.
-pub type CrashTold = dyn Fn(Vec<CrashMark>, bool);
+/// Takes what another host told, and whether it tells that for its whole zone.
+pub type FindingsTold = dyn Fn(ToldFindings, bool);
 
 /// Whether a request that is held to end its servers may be tried.
 pub type TrialCall = dyn Fn(RequestDigest) -> bool;
@@ -62,8 +62,8 @@
     pub charges: Box<ChargeCall>,
     /// To others that keep books.
     pub sums: Box<SumsCall>,
-    /// To those that saw servers end.
-    pub crashes: Box<CrashTold>,
+    /// To those that saw servers end, or in need.
+    pub findings: Box<FindingsTold>,
     /// To those that would try a request.
     pub trials: Box<TrialCall>,
     /// To those that would send to servers in need.
@@ -135,14 +135,17 @@
         Ok(())
     }
 
-    async fn tell_crashes(
+    async fn tell_findings(
         self: CapRc<Self>,
-        params: news_peer::TellCrashesParams,
-        _results: news_peer::TellCrashesResults,
+        params: news_peer::TellFindingsParams,
+        _results: news_peer::TellFindingsResults,
     ) -> Result<(), Error> {
         let params = params.get()?;
-        let marks = crash_message::read_marks(params.get_marks()?)?;
-        (self.answers.crashes)(marks, params.get_is_zone());
+        let findings = ToldFindings {
+            crashes: crash_message::read_marks(params.get_marks()?)?,
+            needs: need_message::read_marks(params.get_needs()?)?,
+        };
+        (self.answers.findings)(findings, params.get_is_zone());
         Ok(())
     }
 
@@ -164,9 +167,9 @@
         mut results: news_peer::DealResults,
     ) -> Result<(), Error> {
         let now = self.answers.clock.now();
-        let ask = turn_message::read_ask(params.get()?, now)?;
+        let ask = need_message::read_ask(params.get()?, now)?;
         let grant = (self.answers.turns)(ask);
-        turn_message::write_grant(results.get(), &grant, now);
+        need_message::write_grant(results.get(), &grant, now);
         Ok(())
     }
 }
@@ -260,20 +263,23 @@
             .await
     }
 
-    /// Tells a host of requests that end their servers.
-    pub async fn tell_crashes(
+    /// Tells a host of findings.
+    pub async fn tell_findings(
         &self,
         address: SocketAddr,
-        marks: &[CrashMark],
+        findings: &ToldFindings,
         is_zone: bool,
         patience: Duration,
     ) -> Result<(), Error> {
         self.links
             .call(address, patience, |client| async move {
-                let mut request = client.tell_crashes_request();
+                let mut request = client.tell_findings_request();
                 let mut params = request.get();
                 params.set_is_zone(is_zone);
-                crash_message::write_marks(params.init_marks(marks.len() as u32), marks);
+                let ToldFindings { crashes, needs } = findings;
+                let list = params.reborrow().init_marks(crashes.len() as u32);
+                crash_message::write_marks(list, crashes);
+                need_message::write_marks(params.init_needs(needs.len() as u32), needs);
                 request.send().promise.await?;
                 Ok(())
             })
@@ -309,9 +315,9 @@
         self.links
             .call(address, patience, |client| async move {
                 let mut request = client.deal_request();
-                turn_message::write_ask(request.get(), ask, self.clock.now());
+                need_message::write_ask(request.get(), ask, self.clock.now());
                 let response = request.send().promise.await?;
-                turn_message::read_grant(response.get()?, self.clock.now())
+                need_message::read_grant(response.get()?, self.clock.now())
             })
             .await
     }
--- a/src/relay/news/message.rs
+++ b/src/relay/news/message.rs
@@ -1,7 +1,7 @@
 //! What hosts ask and tell each other, and the messages that carry it.
 
 use {
-    super::crash_message,
+    super::{crash_message, need_message},
     crate::{
         account::{AccountKey, AccountUse, LedgerSums, NearAccount, UseReport},
         news_capnp::{account_use, cluster_news, held_news, kind_news, ledger_sums, load_report},
@@ -12,8 +12,9 @@
             policy::{
                 crash_mark::CrashNews,
                 loads::{EngineKey, EngineLoad, LoadReport, ServiceDemand},
+                need_news::NeedMark,
                 past_time::PastTime,
-                told_book::BookPlace,
+                told_book::{BookNews, BookPlace},
             },
         },
     },
@@ -50,6 +51,8 @@
     pub peers: Option<SocketAddr>,
     /// What it was told of the asked host's book of requests that end their servers.
     pub crashes: BookPlace,
+    /// The same of its book of servers in need.
+    pub needs: BookPlace,
 }
 
 impl HeldNews {
@@ -96,6 +99,8 @@
     pub guides: Vec<HostEntry>,
     /// What the asker lacks of the sender's book of requests that end their servers.
     pub crashes: CrashNews,
+    /// The same of its book of servers in need.
+    pub needs: BookNews<NeedMark>,
 }
 
 impl ClusterNews {
@@ -118,6 +123,7 @@
         let kinds = [&self.backends, &self.hosts];
         self.config_version > held.config_version
             || !self.crashes.marks.is_empty()
+            || !self.needs.marks.is_empty()
             || kinds
                 .iter()
                 .any(|kind| kind.is_whole || !kind.changes.is_empty())
@@ -155,6 +161,8 @@
     to.set_zone(held.zone.as_str());
     to.set_crash_book(held.crashes.book);
     to.set_crash_revision(held.crashes.revision);
+    to.set_need_book(held.needs.book);
+    to.set_need_revision(held.needs.revision);
     if let Some(address) = held.peers {
         to.set_peers(address.to_string());
     }
@@ -186,6 +194,10 @@
             book: from.get_crash_book(),
             revision: from.get_crash_revision(),
         },
+        needs: BookPlace {
+            book: from.get_need_book(),
+            revision: from.get_need_revision(),
+        },
     })
 }
 
@@ -230,6 +242,11 @@
     to.set_crash_revision(place.revision);
     let list = to.reborrow().init_crashes(marks.len() as u32);
     crash_message::write_marks(list, marks);
+    let BookNews { place, marks } = &news.needs;
+    to.set_need_book(place.book);
+    to.set_need_revision(place.revision);
+    let list = to.reborrow().init_needs(marks.len() as u32);
+    need_message::write_marks(list, marks);
     write_kind(to.reborrow().init_backends(), &news.backends)?;
     write_kind(to.init_hosts(), &news.hosts)
 }
@@ -264,6 +281,13 @@
             },
             marks: crash_message::read_marks(from.get_crashes()?)?,
         },
+        needs: BookNews {
+            place: BookPlace {
+                book: from.get_need_book(),
+                revision: from.get_need_revision(),
+            },
+            marks: need_message::read_marks(from.get_needs()?)?,
+        },
     })
 }
 
--- a/src/relay/news/mod.rs
+++ b/src/relay/news/mod.rs
@@ -3,12 +3,13 @@
 
 mod contact;
 mod crash_message;
-pub(crate) mod crashes;
 pub(crate) mod entry;
 pub(crate) mod feed;
+pub(crate) mod findings;
 pub(crate) mod follow;
 pub(crate) mod link;
 pub(crate) mod message;
+mod need_message;
 pub(crate) mod settle;
 pub(crate) mod share;
 mod start;
@@ -16,7 +17,6 @@
 mod take;
 mod targets;
 pub(crate) mod tell;
-mod turn_message;
 pub(crate) mod turns;
 
 pub use self::{feed::*, follow::*, link::*, message::*, share::*, tell::*};
--- a/src/relay/news/turn_message.rs
+++ b/src/relay/news/need_message.rs
@@ -1,36 +1,36 @@
-//! Limits of backend servers and turns at them, in the messages between hosts.
+//! Servers in need and turns at them, in the messages between hosts.
 
 use {
     super::message,
     crate::{
-        news_capnp::{limit_saying, news_peer},
+        news_capnp::{limit_saying, need_mark, news_peer},
         relay::policy::{
             loads::EngineKey,
             need_book::LimitSaying,
+            need_news::NeedMark,
             server_limit::ServerLimit,
             turn_desk::{TurnAsk, TurnGrant},
         },
     },
-    capnp::{Error, Result},
+    capnp::{Error, Result, struct_list},
     std::time::Duration,
 };
 
-fn write_saying(mut to: limit_saying::Builder<'_>, saying: &LimitSaying, now: Duration) {
-    if let Some(limit) = saying.limit {
+fn write_saying(mut to: limit_saying::Builder<'_>, limit: Option<ServerLimit>, age: Duration) {
+    if let Some(limit) = limit {
         to.set_is_named(true);
         to.set_per_second(limit.per_second());
     }
-    to.set_age_ms(message::to_ms(Some(saying.age(now))));
+    to.set_age_ms(message::to_ms(Some(age)));
 }
 
 // A number that is no limit is an error: taken for none at all it would let everything through.
-fn read_saying(from: limit_saying::Reader<'_>, now: Duration) -> Result<LimitSaying> {
+fn read_saying(from: limit_saying::Reader<'_>) -> Result<(Option<ServerLimit>, Duration)> {
     let limit = match from.get_is_named() {
         true => Some(read_limit(from.get_per_second())?),
         false => None,
     };
-    let age = Duration::from_millis(u64::from(from.get_age_ms()));
-    Ok(LimitSaying::told(limit, age, now))
+    Ok((limit, Duration::from_millis(u64::from(from.get_age_ms()))))
 }
 
 fn read_limit(per_second: f64) -> Result<ServerLimit> {
@@ -43,14 +43,15 @@
     to.set_server(ask.server.0);
     to.set_wanted(u16::try_from(ask.wanted).unwrap_or(u16::MAX));
     to.set_rank(ask.rank);
-    write_saying(to.init_saying(), &ask.saying, now);
+    write_saying(to.init_saying(), ask.saying.limit, ask.saying.age(now));
 }
 
 /// Reads a question; what is not well formed is an error.
 pub fn read_ask(from: news_peer::deal_params::Reader<'_>, now: Duration) -> Result<TurnAsk> {
+    let (limit, age) = read_saying(from.get_saying()?)?;
     Ok(TurnAsk {
         server: EngineKey(from.get_server()),
-        saying: read_saying(from.get_saying()?, now)?,
+        saying: LimitSaying::told(limit, age, now),
         wanted: u32::from(from.get_wanted()),
         rank: from.get_rank(),
     })
@@ -60,14 +61,38 @@
 pub fn write_grant(mut to: news_peer::deal_results::Builder<'_>, grant: &TurnGrant, now: Duration) {
     to.set_turns(u16::try_from(grant.turns).unwrap_or(u16::MAX));
     to.set_wait_ms(message::to_ms(Some(grant.wait)));
-    write_saying(to.init_saying(), &grant.saying, now);
+    write_saying(to.init_saying(), grant.saying.limit, grant.saying.age(now));
 }
 
 /// Reads an answer; what is not well formed is an error.
 pub fn read_grant(from: news_peer::deal_results::Reader<'_>, now: Duration) -> Result<TurnGrant> {
+    let (limit, age) = read_saying(from.get_saying()?)?;
     Ok(TurnGrant {
         turns: u32::from(from.get_turns()),
         wait: Duration::from_millis(u64::from(from.get_wait_ms())),
-        saying: read_saying(from.get_saying()?, now)?,
+        saying: LimitSaying::told(limit, age, now),
+    })
+}
+
+/// Writes marks.
+pub fn write_marks(mut to: struct_list::Builder<'_, need_mark::Owned>, marks: &[NeedMark]) {
+    for (index, mark) in marks.iter().enumerate() {
+        let mut place = to.reborrow().get(index as u32);
+        place.set_server(mark.server.0);
+        write_saying(place.init_saying(), mark.limit, mark.age);
+    }
+}
+
+/// Reads marks; what is not well formed is an error.
+pub fn read_marks(from: struct_list::Reader<'_, need_mark::Owned>) -> Result<Vec<NeedMark>> {
+    from.iter().map(read_mark).collect()
+}
+
+fn read_mark(from: need_mark::Reader<'_>) -> Result<NeedMark> {
+    let (limit, age) = read_saying(from.get_saying()?)?;
+    Ok(NeedMark {
+        server: EngineKey(from.get_server()),
+        limit,
+        age,
     })
 }
--- a/src/relay/news/news.capnp
+++ b/src/relay/news/news.capnp
@@ -21,6 +21,16 @@
   # The asked host's book of requests that end their servers, up to which revision of it the asker was told.
   crashBook @8 :UInt64;
   crashRevision @9 :UInt64;
+  # The same of its book of servers in need.
+  needBook @10 :UInt64;
+  needRevision @11 :UInt64;
+}
+
+# What a server in need said.
+struct NeedMark {
+  # Hash of the id of the server's run.
+  server @0 :UInt32;
+  saying @1 :LimitSaying;
 }
 
 # A run of a backend server that ended under a request.
@@ -76,6 +86,10 @@
   crashes @10 :List(CrashMark);
   crashBook @11 :UInt64;
   crashRevision @12 :UInt64;
+  # The same of the sender's book of servers in need.
+  needs @13 :List(NeedMark);
+  needBook @14 :UInt64;
+  needRevision @15 :UInt64;
 }
 
 # Eight bytes each: reports go out several times a second.
@@ -155,8 +169,8 @@
   charge @2 (account :UInt64, units :UInt32) -> (isLetIn :Bool, waitMs :UInt32);
   # The asker's sums for those of the asked, and of the ledgers of which that one heard lately.
   exchange @3 (sums :LedgerSums) -> (sums :List(LedgerSums));
-  # Requests under which servers ended, from a host of the zone or from one that tells its whole zone's.
-  tellCrashes @4 (marks :List(CrashMark), isZone :Bool) -> ();
+  # Requests under which servers ended and servers in need, from a host of the zone or from one that tells its whole zone's.
+  tellFindings @4 (marks :List(CrashMark), isZone :Bool, needs :List(NeedMark)) -> ();
   # Whether a request that is held to end its servers may be tried, once by all hosts together.
   allowTrial @5 (high :UInt64, low :UInt64) -> (isAllowed :Bool);
   # Turns at a server in need, from the host that deals them out for all; or when one is likely. The rank says how urgent the
--- a/src/relay/news/news_capnp.rs
+++ b/src/relay/news/news_capnp.rs
@@ -114,11 +114,19 @@
         pub fn get_crash_revision(self) -> u64 {
             self.reader.get_data_field::<u64>(5)
         }
+        #[inline]
+        pub fn get_need_book(self) -> u64 {
+            self.reader.get_data_field::<u64>(6)
+        }
+        #[inline]
+        pub fn get_need_revision(self) -> u64 {
+            self.reader.get_data_field::<u64>(7)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -264,6 +272,22 @@
         pub fn set_crash_revision(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(5, value);
         }
+        #[inline]
+        pub fn get_need_book(self) -> u64 {
+            self.builder.get_data_field::<u64>(6)
+        }
+        #[inline]
+        pub fn set_need_book(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(6, value);
+        }
+        #[inline]
+        pub fn get_need_revision(self) -> u64 {
+            self.builder.get_data_field::<u64>(7)
+        }
+        #[inline]
+        pub fn set_need_revision(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(7, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -275,94 +299,108 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 175] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 207] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(154, 19, 119, 199, 114, 45, 18, 242),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 6, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 8, 0),
             ::capnp::word(35, 152, 123, 90, 14, 108, 31, 212),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 72, 101, 108, 100, 78),
             ::capnp::word(101, 119, 115, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 193, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(113, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(117, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(99, 111, 110, 102, 105, 103, 86, 101),
             ::capnp::word(114, 115, 105, 111, 110, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -451,6 +489,24 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 101, 100, 66, 111, 111, 107),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 101, 100, 82, 101, 118, 105),
+            ::capnp::word(115, 105, 111, 110, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -464,6 +520,8 @@
                 7 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                11 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -477,13 +535,251 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,8,9,2,5,7,4,3,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,8,9,2,5,10,11,7,4,3,6];
         pub(crate) const TYPE_ID: u64 = 0xf212_2d72_c777_139a;
     }
 }
 
+pub mod need_mark {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_server(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_saying(self) -> ::capnp::Result<crate::news_capnp::limit_saying::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_saying(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_server(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_server(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_saying(self) -> ::capnp::Result<crate::news_capnp::limit_saying::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_saying(&mut self, value: crate::news_capnp::limit_saying::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_saying(self, ) -> crate::news_capnp::limit_saying::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_saying(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+        pub fn get_saying(&self) -> crate::news_capnp::limit_saying::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(89, 209, 186, 78, 199, 174, 220, 250),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(35, 152, 123, 90, 14, 108, 31, 212),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 78, 101, 101, 100, 77),
+            ::capnp::word(97, 114, 107, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 114, 118, 101, 114, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 97, 121, 105, 110, 103, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(155, 17, 115, 248, 91, 31, 137, 213),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <crate::news_capnp::limit_saying::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xfadc_aec7_4eba_d159;
+    }
+}
+
 pub mod server_end {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -1473,11 +1769,27 @@
         pub fn get_crash_revision(self) -> u64 {
             self.reader.get_data_field::<u64>(5)
         }
+        #[inline]
+        pub fn get_needs(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::news_capnp::need_mark::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_needs(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
+        #[inline]
+        pub fn get_need_book(self) -> u64 {
+            self.reader.get_data_field::<u64>(6)
+        }
+        #[inline]
+        pub fn get_need_revision(self) -> u64 {
+            self.reader.get_data_field::<u64>(7)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 6 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1671,6 +1983,38 @@
         pub fn set_crash_revision(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(5, value);
         }
+        #[inline]
+        pub fn get_needs(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::news_capnp::need_mark::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_needs(&mut self, value: ::capnp::struct_list::Reader<'_,crate::news_capnp::need_mark::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
+        }
+        #[inline]
+        pub fn init_needs(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::news_capnp::need_mark::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), size)
+        }
+        #[inline]
+        pub fn has_needs(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
+        #[inline]
+        pub fn get_need_book(self) -> u64 {
+            self.builder.get_data_field::<u64>(6)
+        }
+        #[inline]
+        pub fn set_need_book(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(6, value);
+        }
+        #[inline]
+        pub fn get_need_revision(self) -> u64 {
+            self.builder.get_data_field::<u64>(7)
+        }
+        #[inline]
+        pub fn set_need_revision(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(7, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1688,115 +2032,136 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 221] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 272] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(192, 15, 59, 78, 52, 184, 25, 176),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 6, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 8, 0),
             ::capnp::word(35, 152, 123, 90, 14, 108, 31, 212),
-            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 223, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 135, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 67, 108, 117, 115, 116),
             ::capnp::word(101, 114, 78, 101, 119, 115, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(201, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(229, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(1, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(37, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1910,6 +2275,36 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 101, 100, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(89, 209, 186, 78, 199, 174, 220, 250),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 101, 100, 66, 111, 111, 107),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 101, 100, 82, 101, 118, 105),
+            ::capnp::word(115, 105, 111, 110, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1926,6 +2321,9 @@
                 10 => <::capnp::struct_list::Owned<crate::news_capnp::crash_mark::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 11 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 12 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                13 => <::capnp::struct_list::Owned<crate::news_capnp::need_mark::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                14 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                15 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1939,9 +2337,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,3,2,11,12,10,6,8,5,7,1,9];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,3,2,11,12,10,6,8,5,7,14,15,13,1,9];
         pub(crate) const TYPE_ID: u64 = 0xb019_b834_4e3b_0fc0;
     }
 }
@@ -3981,8 +4379,8 @@
     pub type ChargeResults<> = ::capnp::capability::Results<crate::news_capnp::news_peer::charge_results::Owned>;
     pub type ExchangeParams<> = ::capnp::capability::Params<crate::news_capnp::news_peer::exchange_params::Owned>;
     pub type ExchangeResults<> = ::capnp::capability::Results<crate::news_capnp::news_peer::exchange_results::Owned>;
-    pub type TellCrashesParams<> = ::capnp::capability::Params<crate::news_capnp::news_peer::tell_crashes_params::Owned>;
-    pub type TellCrashesResults<> = ::capnp::capability::Results<crate::news_capnp::news_peer::tell_crashes_results::Owned>;
+    pub type TellFindingsParams<> = ::capnp::capability::Params<crate::news_capnp::news_peer::tell_findings_params::Owned>;
+    pub type TellFindingsResults<> = ::capnp::capability::Results<crate::news_capnp::news_peer::tell_findings_results::Owned>;
     pub type AllowTrialParams<> = ::capnp::capability::Params<crate::news_capnp::news_peer::allow_trial_params::Owned>;
     pub type AllowTrialResults<> = ::capnp::capability::Results<crate::news_capnp::news_peer::allow_trial_results::Owned>;
     pub type DealParams<> = ::capnp::capability::Params<crate::news_capnp::news_peer::deal_params::Owned>;
@@ -4048,7 +4446,7 @@
         pub fn exchange_request(&self) -> ::capnp::capability::Request<crate::news_capnp::news_peer::exchange_params::Owned,crate::news_capnp::news_peer::exchange_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
         }
-        pub fn tell_crashes_request(&self) -> ::capnp::capability::Request<crate::news_capnp::news_peer::tell_crashes_params::Owned,crate::news_capnp::news_peer::tell_crashes_results::Owned> {
+        pub fn tell_findings_request(&self) -> ::capnp::capability::Request<crate::news_capnp::news_peer::tell_findings_params::Owned,crate::news_capnp::news_peer::tell_findings_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
         }
         pub fn allow_trial_request(&self) -> ::capnp::capability::Request<crate::news_capnp::news_peer::allow_trial_params::Owned,crate::news_capnp::news_peer::allow_trial_results::Owned> {
@@ -4063,7 +4461,7 @@
         fn share(self: ::capnp::capability::Rc<Self>, _: ShareParams<>, _: ShareResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method news_peer::Server::share not implemented".to_string()))) }
         fn charge(self: ::capnp::capability::Rc<Self>, _: ChargeParams<>, _: ChargeResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method news_peer::Server::charge not implemented".to_string()))) }
         fn exchange(self: ::capnp::capability::Rc<Self>, _: ExchangeParams<>, _: ExchangeResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method news_peer::Server::exchange not implemented".to_string()))) }
-        fn tell_crashes(self: ::capnp::capability::Rc<Self>, _: TellCrashesParams<>, _: TellCrashesResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method news_peer::Server::tell_crashes not implemented".to_string()))) }
+        fn tell_findings(self: ::capnp::capability::Rc<Self>, _: TellFindingsParams<>, _: TellFindingsResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method news_peer::Server::tell_findings not implemented".to_string()))) }
         fn allow_trial(self: ::capnp::capability::Rc<Self>, _: AllowTrialParams<>, _: AllowTrialResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method news_peer::Server::allow_trial not implemented".to_string()))) }
         fn deal(self: ::capnp::capability::Rc<Self>, _: DealParams<>, _: DealResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method news_peer::Server::deal not implemented".to_string()))) }
     }
@@ -4099,7 +4497,7 @@
                 1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::share(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::charge(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::exchange(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::tell_crashes(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::tell_findings(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::allow_trial(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 6 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::deal(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
@@ -5981,7 +6379,7 @@
         }
     }
 
-    pub mod tell_crashes_params {
+    pub mod tell_findings_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -6054,11 +6452,19 @@
             pub fn get_is_zone(self) -> bool {
                 self.reader.get_bool_field(0)
             }
+            #[inline]
+            pub fn get_needs(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::news_capnp::need_mark::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_needs(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6132,6 +6538,22 @@
             pub fn set_is_zone(&mut self, value: bool)  {
                 self.builder.set_bool_field(0, value);
             }
+            #[inline]
+            pub fn get_needs(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::news_capnp::need_mark::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_needs(&mut self, value: ::capnp::struct_list::Reader<'_,crate::news_capnp::need_mark::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            }
+            #[inline]
+            pub fn init_needs(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::news_capnp::need_mark::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+            }
+            #[inline]
+            pub fn has_needs(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6143,39 +6565,46 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 71] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(108, 138, 177, 95, 227, 95, 140, 232),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 66, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 78, 101, 119, 115, 80),
                 ::capnp::word(101, 101, 114, 46, 116, 101, 108, 108),
-                ::capnp::word(67, 114, 97, 115, 104, 101, 115, 36),
-                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(70, 105, 110, 100, 105, 110, 103, 115),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(61, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(89, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(93, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(56, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(109, 97, 114, 107, 115, 0, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6196,11 +6625,24 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(110, 101, 101, 100, 115, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(89, 209, 186, 78, 199, 174, 220, 250),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::struct_list::Owned<crate::news_capnp::crash_mark::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::struct_list::Owned<crate::news_capnp::need_mark::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6214,14 +6656,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
             pub(crate) const TYPE_ID: u64 = 0xe88c_5fe3_5fb1_8a6c;
         }
     }
 
-    pub mod tell_crashes_results {
+    pub mod tell_findings_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -6347,14 +6789,14 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 18] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(181, 244, 251, 179, 136, 81, 201, 193),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 66, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 74, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6363,8 +6805,9 @@
                 ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 78, 101, 119, 115, 80),
                 ::capnp::word(101, 101, 114, 46, 116, 101, 108, 108),
-                ::capnp::word(67, 114, 97, 115, 104, 101, 115, 36),
-                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
+                ::capnp::word(70, 105, 110, 100, 105, 110, 103, 115),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_field_index(index)
--- a/src/relay/parts/crashes.rs
+++ b/src/relay/parts/crashes.rs
@@ -26,7 +26,6 @@
         net::SocketAddr,
         rc::Rc,
     },
-    tokio::sync::Notify,
 };
 
 /// Requests that a host's entry keeps at most: a fleet with more of them has lost two dozen servers to them already.
@@ -45,8 +44,6 @@
     // Whether another host has told what it knows, or none is there that could, and the store was looked at.
     has_learned: Cell<bool>,
     trial_ask: RefCell<Option<Rc<TrialAsk>>>,
-    /// Told when there is something that other hosts are to hear of this one.
-    pub reported: Notify,
 }
 
 impl fmt::Debug for CrashDesk {
@@ -64,7 +61,6 @@
             told: RefCell::default(),
             has_learned: Cell::default(),
             trial_ask: RefCell::default(),
-            reported: Notify::new(),
         }
     }
 
@@ -168,7 +164,7 @@
         if let Some(change) = change {
             self.log_judgements(&[(digest, change)]);
         }
-        self.crashes.reported.notify_one();
+        self.reported.notify_one();
         self.news.notify_waiters();
     }
 
@@ -191,7 +187,7 @@
                 .iter()
                 .filter(|(_, change)| *change == CrashChange::Judged);
             judged.for_each(|(digest, _)| self.keep_judgement(*digest));
-            self.crashes.reported.notify_one();
+            self.reported.notify_one();
         }
         self.news.notify_waiters();
     }
@@ -218,8 +214,9 @@
     /// The list of hosts has changed.
     pub fn note_hosts(&self) {
         let cluster = self.cluster.borrow();
-        self.crashes
-            .keep_told(|address| cluster.hosts().any(|entry| entry.peers == *address));
+        let is_listed = |address: &SocketAddr| cluster.hosts().any(|entry| entry.peers == *address);
+        self.crashes.keep_told(is_listed);
+        self.turns.keep_told(is_listed);
     }
 
     /// All that could tell were asked. If none of them knew, all have started at once, and what entries in the store keep is
--- a/src/relay/parts/needs.rs
+++ b/src/relay/parts/needs.rs
@@ -10,7 +10,9 @@
             policy::{
                 loads::EngineKey,
                 need_book::{LimitSaying, TurnState, TurnWait},
+                need_news::{NeedMark, NeedNews},
                 server_limit::{LimitMark, ServerLimit},
+                told_book::{BookNews, BookPlace, MarkSource},
                 turn_desk::{TurnAsk, TurnDesk, TurnGrant},
             },
         },
@@ -20,7 +22,9 @@
     http::StatusCode,
     std::{
         cell::{Cell, RefCell},
+        collections::{BTreeMap, HashMap},
         fmt,
+        net::SocketAddr,
         rc::Rc,
         time::Duration,
     },
@@ -39,6 +43,9 @@
 /// Part of a caller's wait that is added by draw: two are not sent back into the same turn.
 const WAIT_SPREAD: f64 = 0.2;
 
+/// Lines that are logged of limits that were told at once.
+const SHOWN_MOST: usize = 16;
+
 /// Asks the host that deals out the turns at a server of a zone.
 pub type TurnCall = dyn Fn(FastStr, TurnAsk) -> LocalBoxFuture<'static, TurnGrant>;
 
@@ -74,7 +81,6 @@
 }
 
 /// The turns that this host deals out, for all hosts or for itself alone, and the way to the others that do.
-#[derive(Default)]
 pub struct TurnGate {
     desk: RefCell<TurnDesk>,
     // While it reaches nobody who deals them out for all.
@@ -82,6 +88,9 @@
     call: RefCell<Option<Rc<TurnCall>>>,
     // When another host last answered or asked.
     peer_heard: Cell<Option<Duration>>,
+    // What others are told, and up to where they told this host.
+    news: RefCell<NeedNews>,
+    told: RefCell<HashMap<SocketAddr, BookPlace>>,
 }
 
 impl fmt::Debug for TurnGate {
@@ -91,6 +100,30 @@
 }
 
 impl TurnGate {
+    /// Nothing is known; `id` is drawn at random.
+    pub(super) fn new(id: u64) -> Self {
+        Self {
+            desk: RefCell::default(),
+            alone: RefCell::default(),
+            call: RefCell::default(),
+            peer_heard: Cell::default(),
+            news: RefCell::new(NeedNews::new(id)),
+            told: RefCell::default(),
+        }
+    }
+
+    /// Up to where this host was told the book of the host at an address.
+    pub fn place_at(&self, address: SocketAddr) -> BookPlace {
+        let told = self.told.borrow();
+        told.get(&address).copied().unwrap_or_default()
+    }
+
+    // Forgets what hosts told that are listed no longer.
+    pub(super) fn keep_told(&self, is_listed: impl Fn(&SocketAddr) -> bool) {
+        let mut told = self.told.borrow_mut();
+        told.retain(|address, _| is_listed(address));
+    }
+
     /// Takes the way to the hosts that deal out turns.
     pub fn set_call(&self, call: Rc<TurnCall>) {
         *self.call.borrow_mut() = Some(call);
@@ -153,9 +186,37 @@
     // Gives whether the server was believed to be in need.
     fn take_limit(&self, backend: &BackendInfo, saying: LimitSaying, from: &str) -> bool {
         let now = self.now();
-        let changed = self.book.borrow_mut().take_limit(backend, saying, now);
-        let Some(before) = changed else { return false };
-        let age = saying.age(now);
+        let mut book = self.book.borrow_mut();
+        if !book.is_current(backend) {
+            return false;
+        }
+        let was_in_need = book.needs.limit(backend.key()).is_some();
+        let shown = book.needs.take(backend.key(), saying, now);
+        drop(book);
+        if was_in_need || saying.limit.is_some() {
+            self.note_for_others(backend, saying);
+        }
+        if let Some(before) = shown {
+            self.show_limit(backend, saying, before, from);
+        }
+        was_in_need
+    }
+
+    fn note_for_others(&self, backend: &BackendInfo, saying: LimitSaying) {
+        let mut news = self.turns.news.borrow_mut();
+        if news.note(backend.key(), saying, MarkSource::Reported, self.now()) {
+            self.reported.notify_one();
+            self.news.notify_waiters();
+        }
+    }
+
+    fn show_limit(
+        &self,
+        backend: &BackendInfo,
+        saying: LimitSaying,
+        before: Option<ServerLimit>,
+        from: &str,
+    ) {
         event::emit(
             &event::SERVER_LIMIT,
             &[
@@ -165,10 +226,9 @@
                 ("limit", &ShownLimit(saying.limit)),
                 ("was", &ShownLimit(before)),
                 ("from", &from),
-                ("age_ms", &age.as_millis()),
+                ("age_ms", &saying.age(self.now()).as_millis()),
             ],
         );
-        before.is_some()
     }
 
     // Whoever deals out the turns there hears it from this host only if it asks, which it has no reason to do any more.
@@ -286,9 +346,68 @@
         Refusal::new(verdict, RefusalCode::Overloaded, text).after(wait.time.mul_f64(spread))
     }
 
+    /// Takes what another host told of servers in need.
+    pub fn take_needs(&self, marks: &[NeedMark], source: MarkSource) {
+        let now = self.now();
+        let mut shown = BTreeMap::new();
+        let mut has_news = false;
+        for mark in marks {
+            let saying = LimitSaying::told(mark.limit, mark.age, now);
+            let taken = self.book.borrow_mut().needs.take(mark.server, saying, now);
+            if let Some(before) = taken {
+                shown.insert(mark.server, (saying, before));
+            }
+            let mut news = self.turns.news.borrow_mut();
+            has_news |= news.note(mark.server, saying, source, now);
+        }
+        self.show_told(&shown);
+        if !has_news {
+            return;
+        }
+        if source == MarkSource::Reported {
+            self.reported.notify_one();
+        }
+        self.news.notify_waiters();
+    }
+
+    // One line each, but for many at once.
+    fn show_told(&self, shown: &BTreeMap<EngineKey, (LimitSaying, Option<ServerLimit>)>) {
+        let listed = match shown.is_empty() {
+            true => return,
+            false => self.book.borrow().listed(&shown.keys().copied().collect()),
+        };
+        for backend in listed.iter().take(SHOWN_MOST) {
+            let (saying, before) = shown[&backend.key()];
+            self.show_limit(backend, saying, before, "news");
+        }
+        let more = listed.len().saturating_sub(SHOWN_MOST);
+        if more > 0 {
+            log::info!("limits of {more} more servers were told at once");
+        }
+    }
+
+    /// Takes what the host at an address told of servers in need with its news.
+    pub fn take_need_news(&self, news: &BookNews<NeedMark>, from: SocketAddr) {
+        self.take_needs(&news.marks, MarkSource::Told);
+        if news.place.book != 0 {
+            self.turns.told.borrow_mut().insert(from, news.place);
+        }
+    }
+
+    /// What an asker lacks that all hosts are to know of servers in need.
+    pub fn need_news(&self, known: BookPlace) -> BookNews<NeedMark> {
+        self.turns.news.borrow().since(known, self.now())
+    }
+
+    /// What another host is to hear of this one of servers in need, after a revision; and the revision to which that goes.
+    pub fn needs_to_report(&self, since: Option<u64>) -> (Vec<NeedMark>, u64) {
+        self.turns.news.borrow().reported_since(since, self.now())
+    }
+
     /// Forgets limits that nobody has heard renewed for long.
     pub fn forget_limits(&self) {
         let gone = self.book.borrow_mut().needs.forget_old(self.now());
+        self.turns.news.borrow_mut().forget_old(self.now());
         if !gone.is_empty() {
             log::info!("{} limits of servers were not heard for long", gone.len());
         }
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -78,6 +78,8 @@
     pub line: RefCell<WaitLine>,
     /// Told when memory or a place in the line may have become free.
     pub freed: Notify,
+    /// Told when others are to hear of what requests of this host, or of those that report to it, have shown.
+    pub reported: Notify,
     /// Told when the configuration, the backend servers or the hosts have changed.
     pub news: Notify,
     /// A host that knows all and asked this one while it knew nothing.
@@ -119,10 +121,11 @@
             accounts: AccountGate::new(ledger),
             end_questions: EndQuestions::default(),
             crashes: CrashDesk::new(book_id),
-            turns: TurnGate::default(),
+            turns: TurnGate::new(book_id),
             waits: RefCell::default(),
             line: RefCell::default(),
             freed: Notify::new(),
+            reported: Notify::new(),
             news: Notify::new(),
             informed: Cell::new(None),
             store_heard: Cell::new(None),
--- a/src/relay/policy/book.rs
+++ b/src/relay/policy/book.rs
@@ -6,8 +6,7 @@
     super::{
         changes::BackendChanges,
         loads::{EngineKey, EngineLoad},
-        need_book::{LimitSaying, NeedBook, TurnState, TurnWait},
-        server_limit::ServerLimit,
+        need_book::{NeedBook, TurnState, TurnWait},
         view::{BackendFailure, BackendView, EJECT_FIRST, FAILURES_TO_EJECT},
     },
     crate::relay::backend::BackendInfo,
@@ -107,8 +106,6 @@
             self.views.insert(view.info.id.clone(), view);
         }
         changes.gone = known.into_keys().collect();
-        let listed = self.views.values().map(|view| view.key).collect();
-        self.needs.keep_listed(&listed);
         changes
     }
 
@@ -137,26 +134,19 @@
             .is_some_and(|view| view.info.born == backend.born)
     }
 
+    /// Those of some runs that are listed.
+    pub fn listed(&self, runs: &BTreeSet<EngineKey>) -> Vec<BackendInfo> {
+        let views = self.views.values();
+        let listed = views.filter(|view| runs.contains(&view.key));
+        listed.map(|view| view.info.clone()).collect()
+    }
+
     /// Whether a later run is listed under the id of this one.
     pub fn has_begun_anew(&self, backend: &BackendInfo) -> bool {
         self.view(&backend.id)
             .is_some_and(|view| view.info.born > backend.born)
     }
 
-    /// Takes what one said of its limit; gives the limit believed before, where another one is believed now. What an
-    /// earlier run said, or one that is no longer listed, tells nothing.
-    pub fn take_limit(
-        &mut self,
-        backend: &BackendInfo,
-        saying: LimitSaying,
-        now: Duration,
-    ) -> Option<Option<ServerLimit>> {
-        if !self.is_current(backend) {
-            return None;
-        }
-        self.needs.take(backend.key(), saying, now)
-    }
-
     /// What is known of all.
     pub fn views(&self) -> impl Iterator<Item = &BackendView> {
         self.views.values()
--- a/src/relay/policy/mod.rs
+++ b/src/relay/policy/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod line;
 pub(crate) mod loads;
 pub(crate) mod need_book;
+pub(crate) mod need_news;
 pub(crate) mod past_time;
 pub(crate) mod pauses;
 pub(crate) mod room;
@@ -23,13 +24,14 @@
 pub(crate) mod split;
 pub(crate) mod subset;
 pub(crate) mod told_book;
+pub(crate) mod told_findings;
 pub(crate) mod turn_desk;
 pub(crate) mod view;
 pub(crate) mod waited;
 
 pub use self::{
     admission::*, book::*, budget::*, changes::*, crash_book::*, crash_mark::*, crash_record::*,
-    digest::*, kept::*, line::*, loads::*, need_book::*, past_time::*, pauses::*, room::*,
-    route::*, server_limit::*, source::*, split::*, subset::*, told_book::*, turn_desk::*, view::*,
-    waited::*,
+    digest::*, kept::*, line::*, loads::*, need_book::*, need_news::*, past_time::*, pauses::*,
+    room::*, route::*, server_limit::*, source::*, split::*, subset::*, told_book::*,
+    told_findings::*, turn_desk::*, view::*, waited::*,
 };
--- a/src/relay/policy/need_book.rs
+++ b/src/relay/policy/need_book.rs
@@ -10,10 +10,7 @@
         server_limit::ServerLimit,
         turn_desk::{TURNS_LEAST, TurnAsk, TurnGrant},
     },
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        time::Duration,
-    },
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// How long a turn is held that no request of this host has used: it counts as used where it was dealt out.
@@ -28,15 +25,18 @@
 /// Most turns that are asked for together.
 const TURNS_MOST: u32 = 16;
 
-/// How long a limit is believed that nobody hears renewed: whoever sends there hears within seconds what is so, and what is
-/// remembered for nobody is forgotten at last.
-const BELIEF_LIFE: Duration = Duration::from_secs(60);
+/// How long a limit is believed that nobody hears renewed, and its end told on: whoever sends there hears within seconds what
+/// is so, and what is remembered for nobody is forgotten at last.
+pub(super) const BELIEF_LIFE: Duration = Duration::from_secs(60);
 
 /// Longest time that a caller is told to stay away: a server's need may end any time.
 const WAIT_MOST: Duration = Duration::from_secs(30);
 
+/// How often a limit that changes is shown to operators.
+const SHOW_PAUSE: Duration = Duration::from_secs(1);
+
 /// What a server said of its limit, and since when that is surely so.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LimitSaying {
     /// The limit; none where it named none.
     pub limit: Option<ServerLimit>,
@@ -91,6 +91,9 @@
 struct ServerNeed {
     saying: LimitSaying,
     limit: ServerLimit,
+    // The limit that operators were shown last, and when.
+    shown: ServerLimit,
+    shown_at: Duration,
     held: u32,
     held_until: Duration,
     empty: Option<EmptyTurns>,
@@ -105,6 +108,8 @@
         Self {
             saying,
             limit,
+            shown: limit,
+            shown_at: now,
             held: 0,
             held_until: now,
             empty: None,
@@ -114,6 +119,14 @@
         }
     }
 
+    fn take(&mut self, saying: LimitSaying, limit: ServerLimit) {
+        // More than before: those who were told that nothing is left may ask again.
+        if limit > self.limit {
+            self.empty = None;
+        }
+        (self.saying, self.limit) = (saying, limit);
+    }
+
     fn held(&self, now: Duration) -> u32 {
         match now < self.held_until {
             true => self.held,
@@ -159,39 +172,35 @@
         self.needs.is_empty()
     }
 
-    /// Takes what a server said, from its own answer or from another host. Gives the limit that was believed before,
-    /// where another one is believed now.
+    /// Takes what a server said, from its own answer or from another host. Gives the limit that operators were shown
+    /// before, where they are to be shown another one now.
     pub fn take(
         &mut self,
         server: EngineKey,
         saying: LimitSaying,
         now: Duration,
     ) -> Option<Option<ServerLimit>> {
-        let known = self.needs.get_mut(&server);
-        if known
-            .as_ref()
-            .is_some_and(|need| need.saying.said > saying.said)
-        {
+        let Some(need) = self.needs.get_mut(&server) else {
+            let limit = saying.limit?;
+            self.needs
+                .insert(server, ServerNeed::new(saying, limit, now));
+            return Some(None);
+        };
+        if need.saying.said > saying.said {
             return None;
         }
-        let before = known.as_ref().map(|need| need.limit);
-        match (known, saying.limit) {
-            (Some(need), Some(limit)) => {
-                // More than before: those who were told that nothing is left may ask again.
-                if limit > need.limit {
-                    need.empty = None;
-                }
-                (need.saying, need.limit) = (saying, limit);
-            }
-            (None, Some(limit)) => {
-                let need = ServerNeed::new(saying, limit, now);
-                self.needs.insert(server, need);
-            }
-            (_, None) => {
-                self.needs.remove(&server);
-            }
+        let shown = need.shown;
+        let Some(limit) = saying.limit else {
+            self.needs.remove(&server);
+            return Some(Some(shown));
+        };
+        need.take(saying, limit);
+        let is_due = now.saturating_sub(need.shown_at) >= SHOW_PAUSE;
+        if limit == shown || !is_due {
+            return None;
         }
-        (before != saying.limit).then_some(before)
+        (need.shown, need.shown_at) = (limit, now);
+        Some(Some(shown))
     }
 
     /// Whether a request of a rank may be sent to a server now.
@@ -275,11 +284,6 @@
         }
     }
 
-    /// Forgets servers that are no longer listed.
-    pub fn keep_listed(&mut self, listed: &BTreeSet<EngineKey>) {
-        self.needs.retain(|server, _| listed.contains(server));
-    }
-
     /// Forgets limits that nobody has heard renewed for long; gives whose they were.
     pub fn forget_old(&mut self, now: Duration) -> Vec<EngineKey> {
         let old = |need: &ServerNeed| need.saying.age(now) >= BELIEF_LIFE;
--- a/src/relay/policy/server_limit.rs
+++ b/src/relay/policy/server_limit.rs
@@ -9,6 +9,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 pub struct ServerLimit(f64);
 
+// It is always a number.
+impl Eq for ServerLimit {}
+
 impl ServerLimit {
     /// A limit of so many requests a second; none where that is no number of requests.
     pub fn new(per_second: f64) -> Option<Self> {
