--- a/src/relay/belief/cluster.rs
+++ b/src/relay/belief/cluster.rs
@@ -336,7 +336,7 @@
     }
 
     /// The hosts that are listed.
-    pub fn hosts(&self) -> impl Iterator<Item = &HostEntry> {
+    pub fn hosts(&self) -> impl Iterator<Item = &HostEntry> + Clone {
         self.hosts.values()
     }
 
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -127,15 +127,17 @@
         let links = Rc::new(NewsLinks::new(metrics.clone(), clock.clone()));
         let follower = NewsFollower::start(self.parts.clone(), feed, links.clone());
         LedgerLink::start(self.parts.clone(), follower.clone(), links.clone());
-        TurnLink::start(self.parts.clone(), links.clone());
+        let turns = TurnLink::start(self.parts.clone(), links.clone());
         let findings = FindingShare::start(self.parts.clone(), follower.clone(), links.clone());
         let share = LoadShare::start(self.parts.clone(), follower, links);
         let parts = self.parts.clone();
         let (charged, settled) = (parts.clone(), parts.clone());
-        let (tried, dealt) = (parts.clone(), parts.clone());
+        let tried = parts.clone();
         let answers = NewsAnswers {
             clock,
-            turns: Box::new(move |ask| dealt.deal_turns(&ask)),
+            turns: Box::new(move |ask, is_passed_on| {
+                turns.clone().answer(ask, is_passed_on).boxed_local()
+            }),
             charges: Box::new(move |account, units| charged.answer_charge(account, units)),
             sums: Box::new(move |theirs| settled.answer_sums(&theirs)),
             findings: Box::new(move |told, is_zone| findings.take_told(&told, is_zone)),
--- a/src/relay/news/link.rs
+++ b/src/relay/news/link.rs
@@ -47,8 +47,8 @@
 /// Takes the sums of another ledger; gives this host's, and those that it knows of others.
 pub type SumsCall = dyn Fn(LedgerSums) -> Vec<LedgerSums>;
 
-/// Deals out turns at a server in need.
-pub type DealCall = dyn Fn(TurnAsk) -> TurnGrant;
+/// Deals out turns at a server in need, or has them dealt out; whether the question was passed on already.
+pub type DealCall = dyn Fn(TurnAsk, bool) -> LocalBoxFuture<'static, TurnGrant>;
 
 /// What a host answers to others.
 pub struct NewsAnswers {
@@ -167,9 +167,10 @@
         mut results: news_peer::DealResults,
     ) -> Result<(), Error> {
         let now = self.answers.clock.now();
-        let ask = need_message::read_ask(params.get()?, now)?;
-        let grant = (self.answers.turns)(ask);
-        need_message::write_grant(results.get(), &grant, now);
+        let params = params.get()?;
+        let ask = need_message::read_ask(params, now)?;
+        let grant = (self.answers.turns)(ask, params.get_is_passed_on()).await;
+        need_message::write_grant(results.get(), &grant, self.answers.clock.now());
         Ok(())
     }
 }
@@ -310,12 +311,14 @@
         &self,
         address: SocketAddr,
         ask: &TurnAsk,
+        is_passed_on: bool,
         patience: Duration,
     ) -> Result<TurnGrant, Error> {
         self.links
             .call(address, patience, |client| async move {
                 let mut request = client.deal_request();
                 need_message::write_ask(request.get(), ask, self.clock.now());
+                request.get().set_is_passed_on(is_passed_on);
                 let response = request.send().promise.await?;
                 need_message::read_grant(response.get()?, self.clock.now())
             })
--- a/src/relay/news/news.capnp
+++ b/src/relay/news/news.capnp
@@ -174,7 +174,8 @@
   # Whether a request that is held to end its servers may be tried, once by all hosts together.
   allowTrial @5 (high :UInt64, low :UInt64) -> (isAllowed :Bool);
   # Turns at a server in need, from the host that deals them out for all; or when one is likely. The rank says how urgent the
-  # request is, 0 the most. With none wanted it only tells what the server said.
-  deal @6 (server :UInt32, wanted :UInt16, rank :UInt8, saying :LimitSaying)
+  # request is, 0 the most. With none wanted it only tells what the server said. A question that was passed on is not passed
+  # on again.
+  deal @6 (server :UInt32, wanted :UInt16, rank :UInt8, isPassedOn :Bool, saying :LimitSaying)
     -> (turns :UInt16, waitMs :UInt32, saying :LimitSaying);
 }
--- a/src/relay/news/news_capnp.rs
+++ b/src/relay/news/news_capnp.rs
@@ -7324,6 +7324,10 @@
                 self.reader.get_data_field::<u8>(6)
             }
             #[inline]
+            pub fn get_is_passed_on(self) -> bool {
+                self.reader.get_bool_field(56)
+            }
+            #[inline]
             pub fn get_saying(self) -> ::capnp::Result<crate::news_capnp::limit_saying::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
@@ -7410,6 +7414,14 @@
                 self.builder.set_data_field::<u8>(6, value);
             }
             #[inline]
+            pub fn get_is_passed_on(self) -> bool {
+                self.builder.get_bool_field(56)
+            }
+            #[inline]
+            pub fn set_is_passed_on(&mut self, value: bool)  {
+                self.builder.set_bool_field(56, value);
+            }
+            #[inline]
             pub fn get_saying(self) -> ::capnp::Result<crate::news_capnp::limit_saying::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
@@ -7439,7 +7451,7 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 77] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(172, 139, 221, 208, 8, 172, 179, 134),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
@@ -7449,42 +7461,49 @@
                 ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 78, 101, 119, 115, 80),
                 ::capnp::word(101, 101, 114, 46, 100, 101, 97, 108),
                 ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 6, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 56, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(137, 0, 0, 0, 90, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(145, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(115, 101, 114, 118, 101, 114, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7509,6 +7528,15 @@
                 ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 115, 80, 97, 115, 115, 101, 100),
+                ::capnp::word(79, 110, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(115, 97, 121, 105, 110, 103, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(155, 17, 115, 248, 91, 31, 137, 213),
@@ -7523,7 +7551,8 @@
                     0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u8 as ::capnp::introspect::Introspect>::introspect(),
-                    3 => <crate::news_capnp::limit_saying::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <crate::news_capnp::limit_saying::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7537,9 +7566,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,2,4,0,1];
             pub(crate) const TYPE_ID: u64 = 0x86b3_ac08_d0dd_8bac;
         }
     }
--- a/src/relay/news/turns.rs
+++ b/src/relay/news/turns.rs
@@ -1,73 +1,72 @@
-//! Asking the host that deals out the turns at a server in need.
-//!
-//! All hosts agree on it without talk: it is drawn from the hosts of the server's zone, which reach the server whenever
-//! anybody does. A host that reaches none of them keeps to a part of its own share.
+//! Asking the host that deals out the turns at a server in need. A host that reaches none keeps to a part of its own share.
 
 use {
     super::link::NewsLinks,
-    crate::{
-        peer,
-        relay::{
-            link::HostEntry,
-            parts::shared::RelayParts,
-            policy::{
-                loads::EngineKey,
-                turn_desk::{TurnAsk, TurnGrant},
-            },
-            vital,
-        },
+    crate::relay::{
+        link::HostEntry,
+        parts::shared::RelayParts,
+        policy::turn_desk::{TurnAsk, TurnGrant},
+        vital,
     },
+    capnp::ErrorKind,
     faststr::FastStr,
     futures::FutureExt,
-    std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration},
+    std::{rc::Rc, time::Duration},
 };
 
-/// Keepers of a zone: enough that none has much to do with it, few enough that a host asks over few connections.
-const KEEPERS_A_ZONE: u32 = 8;
-
 /// Hosts that are asked one after the other for a request: entries of lost hosts stay.
 const KEEPERS_ASKED: usize = 2;
 
 /// Longest wait for the answer; hosts are a millisecond apart, some run slowly for a while.
 const DEAL_PATIENCE: Duration = Duration::from_millis(80);
 
-/// How long a host that does not answer is not asked, at first and at the most; doubled each time.
-const PASS_OVER_FIRST: Duration = Duration::from_secs(1);
-const PASS_OVER_MOST: Duration = Duration::from_secs(16);
+/// The same where the question is passed on: its asker waits behind it.
+const PASS_ON_PATIENCE: Duration = Duration::from_millis(35);
+
+/// When a caller is to come back to a host that has asked in vain too often lately.
+const UNASKED_WAIT: Duration = Duration::from_millis(500);
 
 /// How often limits are looked for that nobody has heard renewed for long.
 const FORGET_PERIOD: Duration = Duration::from_secs(5);
 
-/// A host that did not answer.
-#[derive(Debug, Clone, Copy)]
-struct SilentKeeper {
-    until: Duration,
-    pause: Duration,
-}
-
 /// The way to the hosts that deal out turns.
 pub struct TurnLink {
     parts: Rc<RelayParts>,
     links: Rc<NewsLinks>,
-    silent: RefCell<HashMap<FastStr, SilentKeeper>>,
 }
 
 impl TurnLink {
     /// Hands the way to the host's tasks.
-    pub fn start(parts: Rc<RelayParts>, links: Rc<NewsLinks>) {
+    pub fn start(parts: Rc<RelayParts>, links: Rc<NewsLinks>) -> Rc<Self> {
         let link = Rc::new(Self {
             parts: parts.clone(),
             links,
-            silent: RefCell::default(),
         });
-        let call = move |zone, ask| link.clone().ask(zone, ask).boxed_local();
+        vital::spawn_vital("limits of servers", link.clone().forget_old());
+        let asking = link.clone();
+        let call = move |zone, ask| asking.clone().ask(zone, ask).boxed_local();
         parts.turns.set_call(Rc::new(call));
-        vital::spawn_vital("limits of servers", forget_limits(parts));
+        link
+    }
+
+    /// Answers a host that takes this one for the keeper. Where this one knows another the question is passed on, so that one
+    /// alone deals out turns although the asker cannot reach it.
+    pub async fn answer(self: Rc<Self>, ask: TurnAsk, is_passed_on: bool) -> TurnGrant {
+        let zone = self.parts.settings.zone.clone();
+        let keeper = self.parts.keeper(&zone, ask.server);
+        let other = keeper.filter(|keeper| keeper.name != self.parts.settings.name);
+        match other {
+            Some(keeper) if !is_passed_on => {
+                let grant = self.ask_keeper(&keeper, &ask, true, PASS_ON_PATIENCE).await;
+                grant.unwrap_or_else(|| self.parts.deal_turns(&ask))
+            }
+            _ => self.parts.deal_turns(&ask),
+        }
     }
 
     async fn ask(self: Rc<Self>, zone: FastStr, ask: TurnAsk) -> TurnGrant {
         for _ in 0..KEEPERS_ASKED {
-            let Some(keeper) = self.keeper(&zone, ask.server) else {
+            let Some(keeper) = self.parts.keeper(&zone, ask.server) else {
                 break;
             };
             if keeper.name == self.parts.settings.name {
@@ -77,50 +76,62 @@
                     false => self.parts.deal_alone(&ask),
                 };
             }
-            match self.links.deal(keeper.peers, &ask, DEAL_PATIENCE).await {
-                Ok(grant) => {
-                    self.silent.borrow_mut().remove(&keeper.name);
-                    return grant;
-                }
-                Err(error) => {
-                    log::debug!("host {} dealt out no turn: {error}", keeper.name);
-                    self.pass_over(&keeper.name);
-                }
+            if !self.may_ask() {
+                return unasked(&ask);
+            }
+            let asked = self.ask_keeper(&keeper, &ask, false, DEAL_PATIENCE);
+            if let Some(grant) = asked.await {
+                return grant;
             }
         }
         self.parts.deal_alone(&ask)
     }
 
-    fn pass_over(&self, name: &FastStr) {
+    fn may_ask(&self) -> bool {
         let now = self.parts.now();
-        let mut silent = self.silent.borrow_mut();
-        let before = silent.get(name).map(|keeper| keeper.pause * 2);
-        let pause = before.unwrap_or(PASS_OVER_FIRST).min(PASS_OVER_MOST);
-        let until = now + pause;
-        silent.insert(name.clone(), SilentKeeper { until, pause });
+        self.parts.turns.keepers.borrow_mut().may_ask(now)
     }
 
-    // The first by draw of those that answer, from the hosts of the zone or, where it has none, from all.
-    fn keeper(&self, zone: &FastStr, server: EngineKey) -> Option<HostEntry> {
-        let about = format!("turns {}", server.0 % KEEPERS_A_ZONE);
-        let now = self.parts.now();
-        let silent = self.silent.borrow();
-        let cluster = self.parts.cluster.borrow();
-        let is_near = |entry: &&HostEntry| entry.zone == *zone;
-        let has_near = cluster.hosts().any(|entry| is_near(&entry));
-        let candidates = cluster.hosts().filter(|entry| !has_near || is_near(entry));
-        let heard = candidates.filter(|entry| {
-            let keeper = silent.get(&entry.name);
-            keeper.is_none_or(|keeper| now >= keeper.until)
-        });
-        let first = heard.max_by_key(|entry| peer::draw(&entry.name, &about));
-        first.cloned()
+    async fn ask_keeper(
+        &self,
+        keeper: &HostEntry,
+        ask: &TurnAsk,
+        is_passed_on: bool,
+        patience: Duration,
+    ) -> Option<TurnGrant> {
+        let asking = self.links.deal(keeper.peers, ask, is_passed_on, patience);
+        let answer = asking.await;
+        let mut keepers = self.parts.turns.keepers.borrow_mut();
+        match answer {
+            Ok(grant) => {
+                keepers.note_heard(&keeper.name);
+                if grant.turns == 0 && ask.wanted > 0 {
+                    keepers.note_denied();
+                }
+                Some(grant)
+            }
+            Err(error) => {
+                log::debug!("host {} dealt out no turn: {error}", keeper.name);
+                let is_gone = error.kind == ErrorKind::Disconnected;
+                keepers.note_silent(&keeper.name, is_gone, self.parts.now());
+                None
+            }
+        }
+    }
+
+    async fn forget_old(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(FORGET_PERIOD).await;
+            self.parts.forget_limits();
+        }
     }
 }
 
-async fn forget_limits(parts: Rc<RelayParts>) {
-    loop {
-        tokio::time::sleep(FORGET_PERIOD).await;
-        parts.forget_limits();
+// No turn, as far as this host goes.
+fn unasked(ask: &TurnAsk) -> TurnGrant {
+    TurnGrant {
+        turns: 0,
+        wait: UNASKED_WAIT,
+        saying: ask.saying,
     }
 }
--- a/src/relay/parts/crashes.rs
+++ b/src/relay/parts/crashes.rs
@@ -217,6 +217,8 @@
         let is_listed = |address: &SocketAddr| cluster.hosts().any(|entry| entry.peers == *address);
         self.crashes.keep_told(is_listed);
         self.turns.keep_told(is_listed);
+        drop(cluster);
+        self.mark_all_own();
     }
 
     /// All that could tell were asked. If none of them knew, all have started at once, and what entries in the store keep is
--- a/src/relay/parts/needs.rs
+++ b/src/relay/parts/needs.rs
@@ -7,6 +7,7 @@
         operation::{Refusal, RefusalCode, RunVerdict},
         relay::{
             backend::BackendInfo,
+            link::HostEntry,
             policy::{
                 loads::EngineKey,
                 need_book::{LimitSaying, TurnState, TurnWait},
@@ -14,6 +15,7 @@
                 server_limit::{LimitMark, ServerLimit},
                 told_book::{BookNews, BookPlace, MarkSource},
                 turn_desk::{TurnAsk, TurnDesk, TurnGrant},
+                turn_keepers::TurnKeepers,
             },
         },
     },
@@ -30,10 +32,6 @@
     },
 };
 
-/// Part of its share of a limit that a host takes which reaches no other one. Hosts on the other side of a cut may keep the
-/// whole, and with the shares of all that are cut off it stays under one and a half times the limit.
-const CUT_PART: f64 = 0.5;
-
 /// Hosts that a host takes itself for one of before it knows any.
 const HOSTS_UNKNOWN: usize = 64;
 
@@ -88,6 +86,8 @@
     call: RefCell<Option<Rc<TurnCall>>>,
     // When another host last answered or asked.
     peer_heard: Cell<Option<Duration>>,
+    /// Whom this host hears of those that deal them out.
+    pub keepers: RefCell<TurnKeepers>,
     // What others are told, and up to where they told this host.
     news: RefCell<NeedNews>,
     told: RefCell<HashMap<SocketAddr, BookPlace>>,
@@ -107,6 +107,7 @@
             alone: RefCell::default(),
             call: RefCell::default(),
             peer_heard: Cell::default(),
+            keepers: RefCell::default(),
             news: RefCell::new(NeedNews::new(id)),
             told: RefCell::default(),
         }
@@ -196,6 +197,9 @@
         if was_in_need || saying.limit.is_some() {
             self.note_for_others(backend, saying);
         }
+        if !was_in_need {
+            self.mark_own(backend);
+        }
         if let Some(before) = shown {
             self.show_limit(backend, saying, before, from);
         }
@@ -291,8 +295,8 @@
         let call = self.turns.call.borrow().clone();
         let grant = match call {
             Some(call) => call(backend.zone.clone(), ask).await,
-            // Nobody deals them out for all: each host has its share.
-            None => self.deal_share(&ask, 1.0),
+            // Hosts of the own interface: nobody deals them out for all.
+            None => self.deal_alone(&ask),
         };
         self.take_limit(backend, grant.saying, "host");
         let now = self.now();
@@ -300,26 +304,25 @@
         book.needs.take_grant(server, rank, &grant, now);
     }
 
-    /// Deals out turns for all hosts.
+    /// Deals out turns to all hosts. What their answers said this host then knows as well.
     pub fn deal_turns(&self, ask: &TurnAsk) -> TurnGrant {
         let now = self.now();
-        self.turns.desk.borrow_mut().deal(ask, 1.0, now)
+        let grant = self.turns.desk.borrow_mut().deal(ask, now);
+        let mut book = self.book.borrow_mut();
+        if book.needs.limit(ask.server).is_some() {
+            book.needs.take(ask.server, grant.saying, now);
+        }
+        grant
     }
 
     /// Deals out turns to this host alone, which reaches nobody who deals them out for all.
     pub fn deal_alone(&self, ask: &TurnAsk) -> TurnGrant {
-        self.deal_share(ask, CUT_PART)
-    }
-
-    // This host's share of a limit, or a part of that.
-    fn deal_share(&self, ask: &TurnAsk, part: f64) -> TurnGrant {
         let hosts = match self.cluster.borrow().hosts_revision() {
             0 => HOSTS_UNKNOWN,
-            _ => self.cluster.borrow().host_count(),
+            _ => self.others_left() + 1,
         };
-        let part = if hosts == 1 { 1.0 } else { part / hosts as f64 };
-        let now = self.now();
-        self.turns.alone.borrow_mut().deal(ask, part, now)
+        let mut desk = self.turns.alone.borrow_mut();
+        desk.deal_alone(ask, hosts, rand::random(), self.now())
     }
 
     /// Another host answered or asked.
@@ -332,7 +335,14 @@
         let now = self.now();
         let heard = self.turns.peer_heard.get();
         let is_heard = heard.is_some_and(|at| now.saturating_sub(at) < TOUCH_TIME);
-        is_heard || self.cluster.borrow().hosts().count() == 1
+        let knows_hosts = self.cluster.borrow().hosts_revision() > 0;
+        is_heard || (knows_hosts && self.others_left() == 0)
+    }
+
+    // Other hosts that are listed, less those that are gone for sure.
+    fn others_left(&self) -> usize {
+        let others = self.cluster.borrow().host_count() - 1;
+        others.saturating_sub(self.turns.keepers.borrow().gone())
     }
 
     /// The refusal of a request for which servers in need have no turn before a time is over.
@@ -346,6 +356,32 @@
         Refusal::new(verdict, RefusalCode::Overloaded, text).after(wait.time.mul_f64(spread))
     }
 
+    // Whether this host deals out the turns at a server is asked for each request: it is worked out when that may change.
+    fn mark_own(&self, backend: &BackendInfo) {
+        let keeper = self.keeper(&backend.zone, backend.key());
+        let is_own = keeper.is_some_and(|keeper| keeper.name == self.settings.name);
+        let mut book = self.book.borrow_mut();
+        book.needs.set_own(backend.key(), is_own);
+    }
+
+    /// The backend servers or the hosts are others than before.
+    pub fn mark_all_own(&self) {
+        let needs = self.book.borrow().needs.servers();
+        if needs.is_empty() {
+            return;
+        }
+        let listed = self.book.borrow().listed(&needs.into_iter().collect());
+        listed.iter().for_each(|backend| self.mark_own(backend));
+    }
+
+    /// The host that deals out the turns at a server of a zone, as this one sees it; none where it hears none.
+    pub fn keeper(&self, zone: &str, server: EngineKey) -> Option<HostEntry> {
+        let cluster = self.cluster.borrow();
+        let keepers = self.turns.keepers.borrow();
+        let keeper = keepers.keeper(cluster.hosts(), zone, server, self.now());
+        keeper.cloned()
+    }
+
     /// Takes what another host told of servers in need.
     pub fn take_needs(&self, marks: &[NeedMark], source: MarkSource) {
         let now = self.now();
@@ -361,6 +397,9 @@
             has_news |= news.note(mark.server, saying, source, now);
         }
         self.show_told(&shown);
+        if has_news {
+            self.mark_all_own();
+        }
         if !has_news {
             return;
         }
@@ -404,8 +443,14 @@
         self.turns.news.borrow().reported_since(since, self.now())
     }
 
-    /// Forgets limits that nobody has heard renewed for long.
+    /// Forgets limits that nobody has heard renewed for long, and turns that nobody asks for.
     pub fn forget_limits(&self) {
+        for desk in [&self.turns.desk, &self.turns.alone] {
+            desk.borrow_mut().forget_old(self.now());
+        }
+        let cluster = self.cluster.borrow();
+        let is_listed = |name: &FastStr| cluster.hosts().any(|entry| entry.name == *name);
+        self.turns.keepers.borrow_mut().keep_listed(is_listed);
         let gone = self.book.borrow_mut().needs.forget_old(self.now());
         self.turns.news.borrow_mut().forget_old(self.now());
         if !gone.is_empty() {
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -21,7 +21,7 @@
             dialect::{BackendCall, CallDialect},
             policy::{
                 book::BackendBook, budget::WindowBudget, kept::KeptPrompts, line::WaitLine,
-                route::RouteTable, view::BackendFailure, waited::CallerWaits,
+                need_book::NeedBook, route::RouteTable, view::BackendFailure, waited::CallerWaits,
             },
             settings::RelaySettings,
         },
@@ -108,12 +108,14 @@
         let ledger_id = rand::random_range(1..=u64::MAX);
         let book_id = rand::random_range(1..=u64::MAX);
         let zone = settings.zone.clone();
+        let mut book = BackendBook::default();
+        book.needs = NeedBook::new(&settings.name);
         let ledger = ZoneLedger::new(ledger_id, zone, settings.bounds.limits, Duration::ZERO);
         Rc::new(Self {
             settings,
             dialect,
             pool,
-            book: RefCell::default(),
+            book: RefCell::new(book),
             kept: RefCell::default(),
             cluster: RefCell::new(cluster),
             budgets: RefCell::default(),
--- a/src/relay/policy/book.rs
+++ b/src/relay/policy/book.rs
@@ -174,6 +174,7 @@
             (
                 self.is_passed_over(view, now),
                 order(view.plain_score(zone, now)),
+                self.needs.order(view.key, now),
             )
         })
     }
--- a/src/relay/policy/crash_book.rs
+++ b/src/relay/policy/crash_book.rs
@@ -93,9 +93,7 @@
 
     /// A request ran well here.
     pub fn note_good_run(&mut self, digest: RequestDigest, now: Duration) -> Option<CrashChange> {
-        if self.records.get(&digest).is_none() {
-            return None;
-        }
+        self.records.get(&digest)?;
         let at = PastTime::at(now);
         self.change(digest, at, MarkSource::Reported, now, CrashRecord::excuse)
     }
--- a/src/relay/policy/mod.rs
+++ b/src/relay/policy/mod.rs
@@ -26,6 +26,7 @@
 pub(crate) mod told_book;
 pub(crate) mod told_findings;
 pub(crate) mod turn_desk;
+pub(crate) mod turn_keepers;
 pub(crate) mod view;
 pub(crate) mod waited;
 
@@ -33,5 +34,5 @@
     admission::*, book::*, budget::*, changes::*, crash_book::*, crash_mark::*, crash_record::*,
     digest::*, kept::*, line::*, loads::*, need_book::*, need_news::*, past_time::*, pauses::*,
     room::*, route::*, server_limit::*, source::*, split::*, subset::*, told_book::*,
-    told_findings::*, turn_desk::*, view::*, waited::*,
+    told_findings::*, turn_desk::*, turn_keepers::*, view::*, waited::*,
 };
--- a/src/relay/policy/need_book.rs
+++ b/src/relay/policy/need_book.rs
@@ -11,6 +11,7 @@
         turn_desk::{TURNS_LEAST, TurnAsk, TurnGrant},
     },
     std::{collections::BTreeMap, time::Duration},
+    xxhash_rust::xxh3,
 };
 
 /// How long a turn is held that no request of this host has used: it counts as used where it was dealt out.
@@ -19,6 +20,11 @@
 /// How long a host goes by it that no turn is left, at the most: other hosts may leave theirs.
 const EMPTY_TIME: Duration = Duration::from_millis(250);
 
+/// Time after which a server in need is sent a request although others have room, to hear whether it still is: by the host
+/// that deals out the turns there, which knows whatever others heard; by others only where that one has no requests.
+const LOOK_TIME: Duration = Duration::from_millis(800);
+const AWAY_LOOK_TIME: Duration = Duration::from_secs(5);
+
 /// Time whose requests are asked for together.
 const ASK_AHEAD: Duration = Duration::from_millis(250);
 
@@ -97,6 +103,8 @@
     held: u32,
     held_until: Duration,
     empty: Option<EmptyTurns>,
+    // This host deals out the turns there itself.
+    is_own: bool,
     // Turns used in the present period of asking ahead and in the one before, and when the present one began.
     used: u32,
     used_before: u32,
@@ -113,6 +121,7 @@
             held: 0,
             held_until: now,
             empty: None,
+            is_own: false,
             used: 0,
             used_before: 0,
             period: now,
@@ -153,10 +162,51 @@
 /// The servers in need.
 #[derive(Debug, Default)]
 pub struct NeedBook {
+    // Another one at each host.
+    seed: u64,
     needs: BTreeMap<EngineKey, ServerNeed>,
 }
 
 impl NeedBook {
+    /// The servers in need as a host of this name knows them: none yet.
+    pub fn new(host: &str) -> Self {
+        Self {
+            seed: xxh3::xxh3_64(host.as_bytes()),
+            needs: BTreeMap::new(),
+        }
+    }
+
+    /// The servers in need.
+    pub fn servers(&self) -> Vec<EngineKey> {
+        self.needs.keys().copied().collect()
+    }
+
+    /// Whether this host deals out the turns at a server.
+    pub fn set_own(&mut self, server: EngineKey, is_own: bool) {
+        if let Some(need) = self.needs.get_mut(&server) {
+            need.is_own = is_own;
+        }
+    }
+
+    /// The place of a server in the order in which this host goes to those that are alike otherwise: those in no need first,
+    /// and those that have not said for a while whether they still are; then those at which it deals out the turns itself,
+    /// without a question; then each host goes to others first.
+    pub fn order(&self, server: EngineKey, now: Duration) -> u64 {
+        let Some(need) = self.needs.get(&server) else {
+            return 0;
+        };
+        let look_time = if need.is_own {
+            LOOK_TIME
+        } else {
+            AWAY_LOOK_TIME
+        };
+        match need.is_own {
+            _ if need.saying.age(now) >= look_time => 0,
+            true => 1,
+            false => xxh3::xxh3_64_with_seed(&server.0.to_le_bytes(), self.seed).max(2),
+        }
+    }
+
     /// The limit that a server names; none where it is in no need as far as is known.
     pub fn limit(&self, server: EngineKey) -> Option<ServerLimit> {
         self.needs.get(&server).map(|need| need.limit)
--- a/src/relay/policy/turn_desk.rs
+++ b/src/relay/policy/turn_desk.rs
@@ -18,7 +18,7 @@
 
 /// Turns that may be dealt out at once, as seconds of the limit and besides: requests do not come evenly. With the life of
 /// a turn in a host's hands and with one keeper after another it stays under what a server allows.
-const BURST_SECONDS: f64 = 0.5;
+const BURST_SECONDS: f64 = 0.3;
 const BURST_LEAST: f64 = 0.25;
 
 /// Part of that which is left to less urgent requests while more urgent ones come.
@@ -30,6 +30,15 @@
 /// How long more urgent requests are taken to come on.
 const URGENT_TIME: Duration = Duration::from_secs(2);
 
+/// How long a host that has come to deal out the turns at a server may not be the only one: others learn within that
+/// time whom to ask. Meanwhile it deals out a part.
+pub(super) const TAKE_OVER_TIME: Duration = Duration::from_secs(2);
+const TAKE_OVER_PART: f64 = 0.5;
+
+/// Part of its share of a limit that a host takes which reaches nobody who deals out turns. On the other side of a cut
+/// somebody may deal out the whole; with the shares of all that are cut off it stays under what a server allows.
+const CUT_PART: f64 = 0.3;
+
 /// How long a server is remembered of which nobody asks: longer than it takes until all hosts have heard of its end.
 const SHEET_LIFE: Duration = Duration::from_secs(30);
 
@@ -61,6 +70,7 @@
 struct TurnSheet {
     saying: LimitSaying,
     bucket: RateBucket,
+    began: Duration,
     asked: Duration,
     // The most urgent rank that asked lately, and when.
     urgent: (u8, Duration),
@@ -73,35 +83,67 @@
 }
 
 impl TurnDesk {
-    /// Deals out turns. `part` of a server's limit is this desk's, 1 where no other host keeps it.
-    pub fn deal(&mut self, ask: &TurnAsk, part: f64, now: Duration) -> TurnGrant {
-        self.sheets
-            .retain(|_, sheet| now.saturating_sub(sheet.asked) < SHEET_LIFE);
-        let sheet = self.sheets.entry(ask.server).or_insert_with(|| TurnSheet {
+    /// Deals out turns to all hosts.
+    pub fn deal(&mut self, ask: &TurnAsk, now: Duration) -> TurnGrant {
+        self.deal_part(ask, 1.0, 1.0, now)
+    }
+
+    /// Deals out turns to one host alone, of so many, as a part of its share of a limit; `level` from 0 to 1 is drawn at
+    /// random, so that not all hosts that are cut off together send in the same moment.
+    pub fn deal_alone(
+        &mut self,
+        ask: &TurnAsk,
+        hosts: usize,
+        level: f64,
+        now: Duration,
+    ) -> TurnGrant {
+        let part = if hosts <= 1 {
+            1.0
+        } else {
+            CUT_PART / hosts as f64
+        };
+        self.deal_part(ask, part, level, now)
+    }
+
+    // `part` of a server's limit is this desk's.
+    fn deal_part(&mut self, ask: &TurnAsk, part: f64, level: f64, now: Duration) -> TurnGrant {
+        let sheets = &mut self.sheets;
+        let sheet = sheets.entry(ask.server).or_insert_with(|| TurnSheet {
             saying: ask.saying,
-            bucket: full_bucket(ask.saying.limit, part, now),
+            bucket: begun_bucket(ask.saying.limit, part, level, now),
+            began: now,
             asked: now,
             urgent: (ask.rank, now),
         });
-        sheet.take_saying(ask.saying, part, now);
+        sheet.take_saying(ask.saying, part, level, now);
         sheet.asked = now;
-        let Some(limit) = sheet.saying.limit else {
-            return sheet.grant(ask.wanted, Duration::ZERO);
-        };
-        sheet.deal(limit, ask, part, now)
+        match sheet.saying.limit {
+            Some(limit) => sheet.deal(limit, ask, part, now),
+            None => sheet.grant(ask.wanted, Duration::ZERO),
+        }
     }
 
-    /// What is known of a server: what it said, and turns that are dealt out and not yet made up for.
-    pub fn sheet(&self, server: EngineKey) -> Option<(LimitSaying, f64)> {
-        let sheet = self.sheets.get(&server)?;
-        Some((sheet.saying, sheet.bucket.level()))
+    /// Forgets servers of which nobody has asked for long.
+    pub fn forget_old(&mut self, now: Duration) {
+        self.sheets
+            .retain(|_, sheet| now.saturating_sub(sheet.asked) < SHEET_LIFE);
+    }
+
+    /// Servers that are remembered.
+    pub fn len(&self) -> usize {
+        self.sheets.len()
+    }
+
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.sheets.is_empty()
     }
 }
 
 // What was dealt out before by another host is not known: as much as may be at once.
-fn full_bucket(limit: Option<ServerLimit>, part: f64, now: Duration) -> RateBucket {
+fn begun_bucket(limit: Option<ServerLimit>, part: f64, level: f64, now: Duration) -> RateBucket {
     let burst = limit.map_or(0.0, |limit| bounds(limit, part).burst);
-    RateBucket::filled(burst + 1.0, now)
+    RateBucket::filled(burst + level, now)
 }
 
 /// Turns a second at a server that names a limit, and how many at once.
@@ -114,19 +156,23 @@
 }
 
 impl TurnSheet {
-    fn take_saying(&mut self, saying: LimitSaying, part: f64, now: Duration) {
+    fn take_saying(&mut self, saying: LimitSaying, part: f64, level: f64, now: Duration) {
         if saying.said <= self.saying.said {
             return;
         }
         // A server that comes to be in need once more has been sent whatever came.
         if self.saying.limit.is_none() && saying.limit.is_some() {
-            self.bucket = full_bucket(saying.limit, part, now);
+            self.bucket = begun_bucket(saying.limit, part, level, now);
         }
         self.saying = saying;
     }
 
     fn deal(&mut self, limit: ServerLimit, ask: &TurnAsk, part: f64, now: Duration) -> TurnGrant {
-        let whole = bounds(limit, part);
+        let begun = match now.saturating_sub(self.began) < TAKE_OVER_TIME {
+            true => TAKE_OVER_PART,
+            false => 1.0,
+        };
+        let whole = bounds(limit, part * begun);
         let own = match self.is_less_urgent(ask.rank, now) {
             true => BucketRate {
                 burst: whole.burst * LESS_URGENT_PART,
--- a/tests/relay_needs.rs
+++ b/tests/relay_needs.rs
@@ -5,6 +5,7 @@
         BookPlace, EngineKey, LimitMark, LimitSaying, MarkSource, NeedBook, NeedNews, PastTime,
         ServerLimit, TurnAsk, TurnDesk, TurnGrant, TurnState,
     },
+    bolero::check,
     std::time::Duration,
 };
 
@@ -101,7 +102,7 @@
 // Turns that a desk deals out in a time to one that asks every so often.
 fn dealt(desk: &mut TurnDesk, ask: TurnAsk, from: u64, until: u64, step: usize) -> u32 {
     let times = (from..until).step_by(step);
-    let grants = times.map(|at| desk.deal(&ask, 1.0, Duration::from_millis(at)));
+    let grants = times.map(|at| desk.deal(&ask, Duration::from_millis(at)));
     grants.map(|grant| grant.turns).sum()
 }
 
@@ -138,9 +139,9 @@
         let now = Duration::from_millis(at);
         // Many that are less urgent come between any two that are urgent; these are four fifths of what the server takes.
         if at % 400 == 0 {
-            urgent += desk.deal(&ask(3.0, 1, 1, 0), 1.0, now).turns;
+            urgent += desk.deal(&ask(3.0, 1, 1, 0), now).turns;
         }
-        other += desk.deal(&ask(3.0, 1, 1, 2), 1.0, now).turns;
+        other += desk.deal(&ask(3.0, 1, 1, 2), now).turns;
     }
     assert!(urgent >= 45, "{urgent} of 50 urgent requests had a turn");
     assert!(
@@ -153,7 +154,7 @@
 fn those_who_get_no_turn_are_told_times_apart() {
     let mut desk = TurnDesk::default();
     let waits: Vec<Duration> = (0..6)
-        .map(|_| desk.deal(&ask(2.0, 1, 1, 0), 1.0, NOW).wait)
+        .map(|_| desk.deal(&ask(2.0, 1, 1, 0), NOW).wait)
         .filter(|wait| !wait.is_zero())
         .collect();
     assert!(waits.len() >= 5);
@@ -200,14 +201,14 @@
 #[test]
 fn a_keeper_hears_the_end_of_a_need_and_tells_it_on() {
     let mut desk = TurnDesk::default();
-    desk.deal(&ask(0.0, 5, 1, 0), 1.0, NOW);
+    desk.deal(&ask(0.0, 5, 1, 0), NOW);
     let end = TurnAsk {
         saying: saying(None, 20),
         wanted: 0,
         ..ask(0.0, 5, 1, 0)
     };
-    assert_eq!(desk.deal(&end, 1.0, NOW).turns, 0);
-    let grant = desk.deal(&ask(0.0, 10, 4, 0), 1.0, NOW);
+    assert_eq!(desk.deal(&end, NOW).turns, 0);
+    let grant = desk.deal(&ask(0.0, 10, 4, 0), NOW);
     assert_eq!(
         (grant.turns, grant.saying.limit),
         (4, None),
@@ -242,3 +243,126 @@
     assert!(news.note(SERVER, saying(None, 30), source, NOW));
     assert_eq!(news.since(told.place, NOW).marks[0].limit, None);
 }
+
+/// A moment in a fleet of five hosts, one desk of which deals out the turns.
+#[derive(Debug, Clone, bolero::TypeGenerator)]
+struct FleetMoment {
+    // Time since the last one: milliseconds, or now and then long enough for turns to gather.
+    gap: u8,
+    host: u8,
+    wanted: u8,
+    is_urgent: bool,
+    // How long the answer to a question takes, milliseconds, or that it is lost.
+    delay: u8,
+    is_lost: bool,
+    // A turn is taken and no request is sent for it.
+    is_given_back: bool,
+    // The host is told, once more, something that was said before the need began.
+    is_told: bool,
+}
+
+const FLEET_HOSTS: usize = 5;
+
+struct BookFleet {
+    now: u64,
+    desk: TurnDesk,
+    books: Vec<NeedBook>,
+    answers: Vec<(u64, usize, u8, TurnGrant)>,
+    // Turns that were used and not given back: when.
+    sent: Vec<u64>,
+}
+
+impl BookFleet {
+    fn new(limit: f64) -> Self {
+        let mut books: Vec<NeedBook> = (0..FLEET_HOSTS)
+            .map(|host| NeedBook::new(&format!("host-{host}")))
+            .collect();
+        for book in &mut books {
+            book.take(SERVER, saying(Some(limit), 0), Duration::ZERO);
+        }
+        Self {
+            now: 1,
+            desk: TurnDesk::default(),
+            books,
+            answers: Vec::new(),
+            sent: Vec::new(),
+        }
+    }
+
+    fn happen(&mut self, moment: &FleetMoment) {
+        self.pass(match moment.gap {
+            250.. => 20_000,
+            gap => u64::from(gap % 64),
+        });
+        let now = Duration::from_millis(self.now);
+        let host = usize::from(moment.host) % FLEET_HOSTS;
+        let rank = u8::from(!moment.is_urgent);
+        if moment.is_told {
+            let age = Duration::from_millis(self.now + 1 + u64::from(moment.delay));
+            let told = LimitSaying::told(None, age, now);
+            self.books[host].take(SERVER, told, now);
+        }
+        if self.books[host].turn(SERVER, rank, now) == TurnState::Ask {
+            self.ask(host, rank, moment);
+        }
+        let book = &mut self.books[host];
+        if !book.use_turn(SERVER, now) {
+            return;
+        }
+        match moment.is_given_back {
+            true => book.give_back(SERVER, now),
+            false => self.sent.push(self.now),
+        }
+    }
+
+    fn ask(&mut self, host: usize, rank: u8, moment: &FleetMoment) {
+        let now = Duration::from_millis(self.now);
+        let ask = self.books[host].ask(SERVER, rank, now).expect("in need");
+        let ask = TurnAsk {
+            wanted: ask.wanted.max(u32::from(moment.wanted % 16)),
+            ..ask
+        };
+        let grant = self.desk.deal(&ask, now);
+        if !moment.is_lost {
+            let at = self.now + u64::from(moment.delay % 80);
+            self.answers.push((at, host, rank, grant));
+        }
+    }
+
+    fn pass(&mut self, time: u64) {
+        self.now += time;
+        let now = Duration::from_millis(self.now);
+        let due = |answer: &(u64, usize, u8, TurnGrant)| answer.0 <= self.now;
+        let (due, later) = std::mem::take(&mut self.answers).into_iter().partition(due);
+        self.answers = later;
+        for (_, host, rank, grant) in due {
+            self.books[host].take(SERVER, grant.saying, now);
+            self.books[host].take_grant(SERVER, rank, &grant, now);
+        }
+    }
+
+    fn most_in_window(&self) -> usize {
+        let counts = self.sent.iter().map(|from| {
+            let window = *from..*from + 4_000;
+            self.sent.iter().filter(|at| window.contains(*at)).count()
+        });
+        counts.max().unwrap_or_default()
+    }
+}
+
+#[test]
+fn hosts_together_never_use_more_turns_than_the_server_allows() {
+    check!()
+        .with_type::<(u8, Vec<FleetMoment>)>()
+        .for_each(|(limit, moments)| {
+            let limit = [0.0, 0.3, 1.9, 7.0, 40.0][usize::from(*limit) % 5];
+            let mut fleet = BookFleet::new(limit);
+            // The same again and again: callers come all the time.
+            for moment in moments.iter().cycle().take(1_500) {
+                fleet.happen(moment);
+            }
+            let allowed = (1.5 * limit * 4.0 + 5.0) as usize;
+            let most = fleet.most_in_window();
+            assert!(most <= allowed, "{most} of {allowed} at {limit} a second");
+        });
+}
