Servers in need on the product's own interface, a page of them for operators, and what else may be so of a server in need

Cause: plain services of the own interface could name no limit, and where one is in force was in the log only. Change: a server names `bayplank-server-limit`, also on routes that are passed through; the same books and desk, with an equal share for each known host, since hosts of this interface do not deal out turns to each other; `status` shows the limits in force. On the users' platform the address for checks has a page of servers in need: limit, age, who deals out the turns, how many are held here.

--- a/src/filter/plain.rs
+++ b/src/filter/plain.rs
@@ -59,17 +59,25 @@
 ) -> PlainOutcome {
     let time = Duration::from_millis(service.spec.timeout_ms);
     let mut tried = Vec::new();
+    let mut turn_wait = None;
     let mut last = no_server(service);
     traffic.parts.budget.lock().expect("budget").earn();
     let crashes = &traffic.parts.crashes;
-    for _ in 0..TRIES {
+    let mut sends = 0;
+    while sends < TRIES {
         crashes.check(digest, last.verdict)?;
         let Some(choice) = traffic
             .servers
             .choose(&route.servers, &traffic.settings.zone, &tried)
         else {
-            return Err(last);
+            return Err(with_wait(last, turn_wait));
         };
+        if let Err(wait) = traffic.needs.take_turn(&choice.info, known_hosts(traffic)) {
+            turn_wait = Some(turn_wait.map_or(wait, |least: Duration| least.min(wait)));
+            tried.push(choice.name());
+            continue;
+        }
+        sends += 1;
         let sent = web::within(time, send(traffic, &choice, &call)).await;
         let failure = match sent {
             Ok(Ok(reply)) => {
@@ -99,6 +107,22 @@
     Err(last)
 }
 
+// This host and all others that are known, heard or not: who is cut off keeps to his share.
+fn known_hosts(traffic: &Traffic) -> usize {
+    1 + traffic.snapshot.load().peers.len()
+}
+
+// Where servers in need had no turn, the caller is to come back when one is likely.
+fn with_wait(refusal: Refusal, turn_wait: Option<Duration>) -> Refusal {
+    match turn_wait {
+        Some(wait) => Refusal {
+            code: RefusalCode::Overloaded,
+            ..refusal.after(wait)
+        },
+        None => refusal,
+    }
+}
+
 fn no_server(service: &Typed<ServiceSpec>) -> Refusal {
     let name = &service.metadata.name;
     let text = format!("no backend server of service {name} can take work");
@@ -120,6 +144,7 @@
     choice: &ServerChoice,
     call: &PlainCall,
 ) -> Result<PlainReply, WebFailure> {
+    let sent = traffic.needs.now();
     let response = traffic
         .client
         .send(
@@ -135,6 +160,8 @@
         .await
         .map_err(|failure| WebFailure::Unanswered(format!("answer: {failure:?}")))?;
     let mut headers = parts.headers;
+    let ran_well = parts.status.is_success();
+    traffic.needs.note(&choice.info, &headers, ran_well, sent);
     web::strip_hop_headers(&mut headers);
     Ok(PlainReply {
         status: parts.status.as_u16(),
--- a/src/host/operators.rs
+++ b/src/host/operators.rs
@@ -77,7 +77,13 @@
         .iter()
         .map(|peer| json!({"name": peer.name, "zone": peer.zone, "live": peer.is_live}))
         .collect();
+    let servers = traffic.servers.servers();
+    let limits = traffic.needs.limits(servers.iter()).into_iter();
+    let limits: Vec<_> = limits
+        .map(|(name, limit)| json!({"server": name, "perSecondOfAllHosts": limit}))
+        .collect();
     json!({
+        "serverLimits": limits,
         "host": traffic.settings.name,
         "zone": traffic.settings.zone,
         "incarnation": traffic.incarnation,
--- a/src/host/traffic.rs
+++ b/src/host/traffic.rs
@@ -13,7 +13,7 @@
             LifeLimits, OperationTable, RetryBudget, RunnerParts, SharedCrashes, TicketBook,
         },
         peer,
-        route::{ServerBook, SharedDesk},
+        route::{ServerBook, ServerNeeds, SharedDesk},
         web::WebClient,
     },
     arc_swap::ArcSwap,
@@ -51,6 +51,8 @@
     pub desk: Arc<SharedDesk>,
     /// Servers of plain services.
     pub servers: Arc<ServerBook>,
+    /// Which of them name how much they take.
+    pub needs: ServerNeeds,
     /// Operations by key.
     pub operations: Mutex<OperationTable>,
     /// Tickets of this incarnation.
@@ -106,6 +108,7 @@
             parts,
             desk,
             servers: Arc::default(),
+            needs: ServerNeeds::new(&settings.name, clock.clone()),
             operations: Mutex::new(OperationTable::new(settings.remember)),
             tickets: TicketBook::new(settings.name.clone(), incarnation.clone()),
             limits: Arc::default(),
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -61,6 +61,9 @@
 /// Path of the metrics, beside the balancer's question.
 const METRICS_PATH: &str = "/metrics";
 
+/// Path of the page of backend servers in need, beside it too.
+const NEEDS_PATH: &str = "/servers-in-need";
+
 /// A running host.
 #[derive(Debug)]
 pub struct RelayHost {
@@ -258,6 +261,7 @@
 fn check(parts: &RelayParts, path: &str) -> RelayAnswer {
     match path {
         METRICS_PATH => page(200, parts.metrics_page()),
+        NEEDS_PATH => page(200, parts.needs_page()),
         _ if path != parts.settings.ready_path => page(404, "no such page"),
         _ if parts.gate.is_stopping() => page(503, "stopping"),
         _ if parts.routes().is_none() => page(503, "no configuration yet"),
--- a/src/relay/objects.rs
+++ b/src/relay/objects.rs
@@ -13,7 +13,7 @@
         filter::VERDICT_HEADER,
         object::{ObjectSet, PassRouteSpec, Typed},
         operation::RunVerdict,
-        route::ServerInfo,
+        route::{LIMIT_HEADER, ServerInfo},
         web::PoolUse,
     },
     bytes::Bytes,
@@ -31,9 +31,6 @@
 /// The server that a request is meant for.
 const SERVER: HeaderName = HeaderName::from_static("bayplank-server");
 
-/// Requests a second that the server takes from all hosts together, in its answers for as long as it is in need.
-const SERVER_LIMIT: HeaderName = HeaderName::from_static("bayplank-server-limit");
-
 /// The configuration that the objects in force make.
 pub fn relay_config(objects: &ObjectSet, version: u64, body_bytes: usize) -> RelayConfig {
     let routes = objects.pass_routes.values();
@@ -160,7 +157,7 @@
     AnswerMarks {
         id: text(REQUEST_ID.as_str()).map(FastStr::new),
         not_run: text(VERDICT_HEADER) == Some(RunVerdict::NotRun.as_str()),
-        limit: dialect::read_limit(headers, &SERVER_LIMIT),
+        limit: dialect::read_limit(headers, &LIMIT_HEADER),
     }
 }
 
--- a/src/relay/parts/needs.rs
+++ b/src/relay/parts/needs.rs
@@ -443,6 +443,28 @@
         self.turns.news.borrow().reported_since(since, self.now())
     }
 
+    /// The servers in need as a page for operators: one line each.
+    pub fn needs_page(&self) -> String {
+        let servers = self.book.borrow().needs.servers();
+        let listed = self.book.borrow().listed(&servers.into_iter().collect());
+        let lines = listed.iter().map(|backend| self.need_line(backend));
+        lines.collect()
+    }
+
+    fn need_line(&self, backend: &BackendInfo) -> String {
+        let now = self.now();
+        let (server, book) = (backend.key(), self.book.borrow());
+        let limit = ShownLimit(book.needs.limit(server));
+        let age = book.needs.age(server, now).as_millis();
+        let held = book.needs.held(server, now);
+        let keeper = self.keeper(&backend.zone, server);
+        let keeper = keeper.map_or_else(FastStr::default, |keeper| keeper.name);
+        format!(
+            "backend={} service={} zone={} limit={limit} age_ms={age} keeper={keeper:?} turns_held={held}\n",
+            backend.id, backend.service, backend.zone
+        )
+    }
+
     /// Forgets limits that nobody has heard renewed for long, and turns that nobody asks for.
     pub fn forget_limits(&self) {
         for desk in [&self.turns.desk, &self.turns.alone] {
--- a/src/relay/policy/need_book.rs
+++ b/src/relay/policy/need_book.rs
@@ -212,6 +212,17 @@
         self.needs.get(&server).map(|need| need.limit)
     }
 
+    /// How long ago the request was sent whose answer last told of a server's need; zero where none is known.
+    pub fn age(&self, server: EngineKey, now: Duration) -> Duration {
+        let need = self.needs.get(&server);
+        need.map_or(Duration::ZERO, |need| need.saying.age(now))
+    }
+
+    /// Turns at a server that this host holds.
+    pub fn held(&self, server: EngineKey, now: Duration) -> u32 {
+        self.needs.get(&server).map_or(0, |need| need.held(now))
+    }
+
     /// How many servers are in need.
     pub fn len(&self) -> usize {
         self.needs.len()
--- a/src/relay/policy/turn_desk.rs
+++ b/src/relay/policy/turn_desk.rs
@@ -105,6 +105,17 @@
         self.deal_part(ask, part, level, now)
     }
 
+    /// Deals out turns to one host of so many that all hear each other and take an equal share each.
+    pub fn deal_share(
+        &mut self,
+        ask: &TurnAsk,
+        hosts: usize,
+        level: f64,
+        now: Duration,
+    ) -> TurnGrant {
+        self.deal_part(ask, 1.0 / hosts.max(1) as f64, level, now)
+    }
+
     // `part` of a server's limit is this desk's.
     fn deal_part(&mut self, ask: &TurnAsk, part: f64, level: f64, now: Duration) -> TurnGrant {
         let sheets = &mut self.sheets;
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -3,6 +3,7 @@
 mod choose;
 mod desk;
 mod explain;
+mod needs;
 mod observe;
 mod place;
 mod policy;
@@ -14,5 +15,5 @@
 mod view;
 
 pub use self::{
-    choose::*, desk::*, explain::*, place::*, policy::*, servers::*, shared::*, view::*,
+    choose::*, desk::*, explain::*, needs::*, place::*, policy::*, servers::*, shared::*, view::*,
 };
--- a/src/route/servers.rs
+++ b/src/route/servers.rs
@@ -95,6 +95,12 @@
         })
     }
 
+    /// All servers.
+    pub fn servers(&self) -> Vec<ServerInfo> {
+        let views = self.views.lock().expect("server book");
+        views.values().map(|view| view.info.clone()).collect()
+    }
+
     fn finish(&self, name: &FastStr) {
         let mut views = self.views.lock().expect("server book");
         if let Some(view) = views.get_mut(name) {
@@ -114,7 +120,8 @@
 #[derive(Debug)]
 pub struct ServerChoice {
     book: Arc<ServerBook>,
-    info: ServerInfo,
+    /// The server.
+    pub info: ServerInfo,
 }
 
 impl ServerChoice {
--- a/src/standin/service/mod.rs
+++ b/src/standin/service/mod.rs
@@ -1,9 +1,10 @@
 //! A stand-in plain service that counts how often each call ran.
 
 use {
-    crate::web,
+    crate::{route, web},
     faststr::FastStr,
     futures::FutureExt,
+    http::HeaderValue,
     serde_json::json,
     std::{
         collections::HashMap,
@@ -27,6 +28,8 @@
     runs: Mutex<HashMap<String, u64>>,
     delay_ms: AtomicU64,
     lose_answers: AtomicBool,
+    // What its answers name as the calls a second that it takes; empty for none.
+    limit: Mutex<String>,
 }
 
 impl ServiceCore {
@@ -54,6 +57,11 @@
         self.lose_answers.store(lose, Ordering::Relaxed);
     }
 
+    /// Names this many calls a second in its answers from now on; none where the text is empty.
+    pub fn set_limit(&self, per_second: &str) {
+        *self.limit.lock().expect("service limit") = per_second.to_owned();
+    }
+
     async fn answer(self: Arc<Self>, request: Request) -> Response {
         let (parts, content) = request.into_parts();
         let Ok(bytes) = web::read_body(content, BODY_LIMIT, BODY_TIME).await else {
@@ -79,7 +87,16 @@
             "received": text,
             "run": run,
         });
-        web::json_reply(200, &answer)
+        let mut reply = web::json_reply(200, &answer);
+        let limit = self.limit.lock().expect("service limit").clone();
+        match HeaderValue::from_str(&limit) {
+            Ok(value) if !limit.is_empty() => {
+                reply.headers_mut().insert(route::LIMIT_HEADER, value);
+            }
+            Ok(_) => {}
+            Err(error) => log::warn!("the limit {limit:?} cannot be named: {error}"),
+        }
+        reply
     }
 }
 
