A caller whom another server declined is not told to wait for a turn at one in need

Callers saw: with one server of six in need and naming 0, a call that the others declined was refused as if all were in need, and told to come back after seconds (4.35 s in the test). Cause: once a server in need had no turn for a request, its wait went into whatever refusal followed. Now only into that of a request which no server was sent. Test first: 4.35 s before, 0.1 s after.

--- a/src/relay/request/plain.rs
+++ b/src/relay/request/plain.rs
@@ -324,8 +324,9 @@
         if let Some(refusal) = self.refused.take() {
             return refusal;
         }
+        // Whom another server declined is told to come back soon: turns at those in need may be far between.
         if let Some(wait) = self.turn_wait
-            && self.verdict == RunVerdict::NotRun
+            && self.tried.is_empty()
         {
             return self.parts.no_turn(&self.service, self.verdict, wait);
         }
