--- a/src/relay/parts/crashes.rs
+++ b/src/relay/parts/crashes.rs
@@ -216,7 +216,7 @@
         let cluster = self.cluster.borrow();
         let is_listed = |address: &SocketAddr| cluster.hosts().any(|entry| entry.peers == *address);
         self.crashes.keep_told(is_listed);
-        self.turns.keep_told(is_listed);
+        self.needs.keep_told(is_listed);
         drop(cluster);
         self.mark_all_own();
     }
--- a/src/relay/parts/mod.rs
+++ b/src/relay/parts/mod.rs
@@ -9,5 +9,6 @@
 pub(crate) mod publish;
 pub(crate) mod shared;
 pub(crate) mod shares;
+pub(crate) mod turns;
 
-pub use self::{accounts::*, crashes::*, metrics::*, needs::*, shared::*};
+pub use self::{accounts::*, crashes::*, metrics::*, needs::*, shared::*, turns::*};
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -6,8 +6,9 @@
         crashes::CrashDesk,
         ends::EndQuestions,
         metrics::RelayMetrics,
-        needs::{AnswerKind, TurnGate},
+        needs::{AnswerKind, NeedDesk},
         shares::OthersDemand,
+        turns::TurnGate,
     },
     crate::{
         account::ZoneLedger,
@@ -70,7 +71,9 @@
     pub(super) end_questions: EndQuestions,
     /// Requests that end their servers.
     pub crashes: CrashDesk,
-    /// Turns at backend servers in need.
+    /// Backend servers in need, as others hear of them.
+    pub needs: NeedDesk,
+    /// Turns at these.
     pub turns: TurnGate,
     /// How long callers say that they will wait.
     pub waits: RefCell<CallerWaits>,
@@ -123,7 +126,8 @@
             accounts: AccountGate::new(ledger),
             end_questions: EndQuestions::default(),
             crashes: CrashDesk::new(book_id),
-            turns: TurnGate::new(book_id),
+            turns: TurnGate::default(),
+            needs: NeedDesk::new(book_id),
             waits: RefCell::default(),
             line: RefCell::default(),
             freed: Notify::new(),
--- a/src/relay/request/plain.rs
+++ b/src/relay/request/plain.rs
@@ -14,7 +14,7 @@
         operation::{Refusal, RefusalCode, RunVerdict},
         relay::{
             backend::BackendInfo,
-            parts::{needs::ServerTurn, shared::RelayParts},
+            parts::{shared::RelayParts, turns::ServerTurn},
             policy::{
                 book::{PlainChoice, SendWish},
                 need_book::TurnWait,
--- a/src/relay/request/reserve.rs
+++ b/src/relay/request/reserve.rs
@@ -7,7 +7,7 @@
         relay::{
             backend::BackendInfo,
             config::EngineLimits,
-            parts::{needs::ServerTurn, shared::RelayParts},
+            parts::{shared::RelayParts, turns::ServerTurn},
             policy::{
                 admission::{self, LineEntrant},
                 kept::KeptAt,
