What a host keeps of requests that end servers outlasts its planned stop

Callers would see: a request that had ended three servers ends three more, after the host that had found it out was stopped as planned and all others were killed later. Cause: who keeps a judgement in the store was decided once, when it came; a planned stop takes the entry away. Change: when the list of hosts changes the first by draw of those that know keeps what nobody's entry does. Test first: waited in vain for 20 s before, passes after.

--- a/src/relay/parts/crashes.rs
+++ b/src/relay/parts/crashes.rs
@@ -3,7 +3,7 @@
 use {
     super::shared::RelayParts,
     crate::{
-        event,
+        event, peer,
         relay::{
             backend::BackendInfo,
             link::HostEntry,
@@ -218,9 +218,24 @@
         self.crashes.keep_told(is_listed);
         self.needs.keep_told(is_listed);
         drop(cluster);
+        self.take_over_judgements();
         self.mark_all_own();
     }
 
+    // A planned stop takes a host's entry away with what it keeps; the first by draw of those that are left keeps it then.
+    fn take_over_judgements(&self) {
+        let cluster = self.cluster.borrow();
+        let own = &self.settings.name;
+        for digest in self.crashes.book.borrow().fatal_digests() {
+            let about = digest.to_string();
+            let others = cluster.hosts().map(|entry| entry.name.as_str());
+            let is_first = peer::is_among_first(own, others, &about, 1);
+            if is_first && !cluster.hosts().any(|entry| keeps(entry, digest)) {
+                self.keep_judgement(digest);
+            }
+        }
+    }
+
     /// All that could tell were asked. If none of them knew, all have started at once, and what entries in the store keep is
     /// all that is known. Otherwise they count for nothing: those of lost hosts stay, and would keep a request refused for good.
     pub fn finish_learning(&self) {
@@ -287,6 +302,10 @@
     }
 }
 
+fn keeps(entry: &HostEntry, digest: RequestDigest) -> bool {
+    kept_marks(entry).iter().any(|mark| mark.digest == digest)
+}
+
 fn kept_marks(entry: &HostEntry) -> Vec<CrashMark> {
     let kept = entry.judged.iter();
     kept.filter_map(KeptJudgement::mark).collect()
--- a/src/relay/policy/crash_book.rs
+++ b/src/relay/policy/crash_book.rs
@@ -67,9 +67,14 @@
 
     /// Requests that are held to end their servers.
     pub fn fatal_count(&self) -> usize {
+        self.fatal_digests().len()
+    }
+
+    /// The requests that are held to end their servers.
+    pub fn fatal_digests(&self) -> Vec<RequestDigest> {
         let records = self.records.iter();
         let fatal = records.filter(|(_, record)| record.count() >= ENDS_TO_JUDGE);
-        fatal.count()
+        fatal.map(|(digest, _)| *digest).collect()
     }
 
     /// What a request is held to be.
