--- a/src/relay/policy/turn_desk.rs
+++ b/src/relay/policy/turn_desk.rs
@@ -202,6 +202,10 @@
         let spare = whole.burst * SPARE_PART - self.bucket.level();
         let more = (spare.max(0.0) as u32).min(ask.wanted - 1);
         self.bucket.add(f64::from(more));
+        assert!(
+            self.bucket.level() <= whole.burst + 1.0,
+            "no more turns are dealt out at once than a server takes"
+        );
         self.grant(1 + more, Duration::ZERO)
     }
 
