A plain call of the own interface that may have run is not refused as not run for want of a turn

Callers would see: a call whose answer was lost at one server is refused with 503 and 'may-have-run', since the next server is in need and has no turn; 503 says that it may be sent again, and it runs twice. Cause: the refusal for want of a turn took the place of whatever refusal stood, with its status. Change: only where the call has not run. Why it holds: the status of a refusal that may have run stays what the failed send made it.

--- a/src/filter/plain.rs
+++ b/src/filter/plain.rs
@@ -112,14 +112,15 @@
     1 + traffic.snapshot.load().peers.len()
 }
 
-// Where servers in need had no turn, the caller is to come back when one is likely.
+// Where servers in need had no turn, the caller is to come back when one is likely; not one whose call may have run at
+// another: that it was not run would not be true.
 fn with_wait(refusal: Refusal, turn_wait: Option<Duration>) -> Refusal {
     match turn_wait {
-        Some(wait) => Refusal {
+        Some(wait) if refusal.verdict == RunVerdict::NotRun => Refusal {
             code: RefusalCode::Overloaded,
             ..refusal.after(wait)
         },
-        None => refusal,
+        _ => refusal,
     }
 }
 
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -198,7 +198,8 @@
         Ok(())
     }
 
-    fn start_service(&mut self, name: &str, zone: &str) -> Result<()> {
+    /// Starts a server of the plain service and lists it.
+    pub fn start_service(&mut self, name: &str, zone: &str) -> Result<()> {
         let runtime = runtime(name)?;
         let (listener, address) = runtime.block_on(web::listen(loopback()))?;
         let core = ServiceCore::new(FastStr::new(name));
--- a/tests/limited_services.rs
+++ b/tests/limited_services.rs
@@ -5,6 +5,7 @@
 use {
     bayplank::standin::{caller::Caller, fleet::Fleet},
     common::{KEY, host, wait},
+    http::Method,
     std::time::{Duration, Instant},
     tokio::runtime::Runtime,
 };
@@ -69,3 +70,39 @@
         call_for(&fleet, &runtime, Duration::from_millis(300)).refused == 0
     });
 }
+
+// What callers would see: a call that may have run at one server, whose answer was lost, is refused as not run since the next
+// server is in need and has no turn for it; they send it again, and it runs twice.
+#[test]
+fn a_call_that_may_have_run_is_not_refused_as_one_that_waits_for_a_turn() {
+    let mut fleet = Fleet::start(common::plan(1)).expect("the fleet starts");
+    fleet
+        .start_service("orderdesk-more", "zone-a")
+        .expect("one more server");
+    fleet.wait_ready().expect("all are known");
+    let runtime = Runtime::new().expect("a runtime");
+    let caller = Caller::new(KEY);
+    let servers: Vec<_> = fleet.services.values().cloned().collect();
+    assert!(servers.len() >= 2, "one to lose answers, one to be in need");
+    let look = |number: u32| {
+        let path = format!("/orderdesk/look/{number}");
+        let calling = caller.call(host(&fleet, 0), Method::GET, &path, &[], "");
+        runtime.block_on(calling).expect("a reply")
+    };
+    // The second is known to be in need, and its turns are used up.
+    servers[1].set_limit("0");
+    for number in 0..20 {
+        look(number);
+    }
+    servers[0].set_lose_answers(true);
+    for number in 20..22 {
+        let reply = look(number);
+        let is_promise = matches!(reply.status, 408 | 421 | 429 | 503);
+        assert!(
+            !is_promise || reply.verdict() == "not-run",
+            "{} {}",
+            reply.status,
+            reply.verdict()
+        );
+    }
+}
