Servers in need that are asked in vain do not stand before one that has room

Callers saw (in a test, twenty servers that name 0 beside one in no need): 35 of 240 calls refused for want of a turn while a server was idle. Cause: servers that have not said for a while whether they are still in need are asked first, at most four of them for a call, and after four in vain the call was refused. Change: the last choice is among servers in no need. Why it holds: the choice then leaves out every server that asks for a turn. Test first: 35 refused before, none after.

--- a/src/relay/policy/book.rs
+++ b/src/relay/policy/book.rs
@@ -45,8 +45,9 @@
 pub struct SendWish {
     /// How urgent the request is, 0 the most.
     pub rank: u8,
-    /// It is sent while another send of the request is in progress.
-    pub is_hedge: bool,
+    /// Only servers in no need come into question: a second send while another is in progress, whose turn would be
+    /// another request's, or one that had no turn at several.
+    pub needs_no_turn: bool,
 }
 
 /// Where a plain request is sent next.
@@ -198,8 +199,7 @@
             let server = info.key();
             match self.needs.turn(server, wish.rank, now) {
                 TurnState::Free => true,
-                // A turn that only hastens an answer would be another request's.
-                TurnState::Held | TurnState::Ask => !wish.is_hedge,
+                TurnState::Held | TurnState::Ask => !wish.needs_no_turn,
                 TurnState::Empty(time) => {
                     wait = Some(TurnWait::least(wait, TurnWait { server, time }));
                     false
--- a/src/relay/request/plain.rs
+++ b/src/relay/request/plain.rs
@@ -216,17 +216,21 @@
         true
     }
 
-    // The best server not tried yet that has a turn for the request, if it is in need.
+    // The best server not tried yet that has a turn for the request, if it is in need. Those that are asked in vain do not
+    // stand before one that is in no need.
     async fn next_server(&mut self, is_hedge: bool) -> Option<(BackendInfo, ServerTurn)> {
         let rank = self.call.priority();
-        let wish = SendWish { rank, is_hedge };
-        for _ in 0..TURN_ASKS {
+        for asked in 0..=TURN_ASKS {
             let checked = judge::check_send(&self.parts, &self.call, &self.service, self.verdict);
             if let Err(refusal) = checked {
                 self.refused = Some(refusal);
                 return None;
             }
-            let backend = self.choose(wish)?;
+            let needs_no_turn = is_hedge || asked == TURN_ASKS;
+            let backend = self.choose(SendWish {
+                rank,
+                needs_no_turn,
+            })?;
             match self.parts.take_turn(&backend, rank).await {
                 Ok(turn) => return Some((backend, turn)),
                 Err(wait) => self.turn_wait = Some(wait),
