Answers' words on their servers are decoded, logged and counted; no choice changes

What an answer says of its server (limit, leaving, backoff) is one typed reading, and a book holds who is leaving and who asked for a backoff. Nothing chooses by the book yet.

--- a/src/relay/backend.rs
+++ b/src/relay/backend.rs
@@ -1,7 +1,7 @@
 //! Backend servers as the store lists them.
 
 use {
-    super::policy::loads::EngineKey,
+    super::policy::{availability::ServerRun, loads::EngineKey},
     crate::engine::EngineRole,
     faststr::FastStr,
     serde::{Deserialize, Serialize},
@@ -34,6 +34,15 @@
 }
 
 impl BackendInfo {
+    /// The run, told from all others.
+    pub fn run(&self) -> ServerRun {
+        ServerRun {
+            id: self.id.clone(),
+            born: self.born,
+            address: self.address,
+        }
+    }
+
     /// The run as hosts name it to each other.
     pub fn key(&self) -> EngineKey {
         EngineKey::of_run(&self.id, self.born)
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -4,11 +4,14 @@
 //! functions.
 
 use {
-    super::policy::server_limit::LimitMark,
+    super::policy::{
+        server_limit::LimitMark,
+        server_marks::{BackoffMark, LeavingMark, ServerMarks},
+    },
     crate::{account::ShownKey, engine::EngineRole, web::PoolUse},
     bytes::Bytes,
     faststr::FastStr,
-    http::{HeaderMap, HeaderName, Method, StatusCode},
+    http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -41,8 +44,8 @@
     pub id: Option<FastStr>,
     /// The backend server states that the request did not run.
     pub not_run: bool,
-    /// What it says of the limit to its requests.
-    pub limit: LimitMark,
+    /// What it says of its server.
+    pub server: ServerMarks,
 }
 
 impl AnswerMarks {
@@ -52,10 +55,34 @@
     }
 }
 
-/// What the header of this name in an answer says of its server's limit.
-pub fn read_limit(headers: &HeaderMap, name: &HeaderName) -> LimitMark {
-    let values = headers.get_all(name).iter();
-    LimitMark::read(values.map(|value| value.as_bytes()))
+/// The headers in which an answer says something of its server.
+#[derive(Debug, Clone)]
+pub struct ServerHeaders {
+    /// Requests a second that it takes from all hosts together.
+    pub limit: HeaderName,
+    /// That it is leaving.
+    pub leaving: HeaderName,
+}
+
+/// What an answer says of its server.
+pub fn read_server_marks(
+    status: StatusCode,
+    headers: &HeaderMap,
+    names: &ServerHeaders,
+) -> ServerMarks {
+    let values = |name: &HeaderName| headers.get_all(name).iter().map(HeaderValue::as_bytes);
+    ServerMarks {
+        limit: LimitMark::read(values(&names.limit)),
+        leaving: match status {
+            // That of another run, which has the address now.
+            StatusCode::MISDIRECTED_REQUEST => LeavingMark::Unsaid,
+            _ => LeavingMark::read(values(&names.leaving)),
+        },
+        backoff: match status {
+            StatusCode::SERVICE_UNAVAILABLE => BackoffMark::read(values(&header::RETRY_AFTER)),
+            _ => BackoffMark::Unsaid,
+        },
+    }
 }
 
 /// Whom a request is meant for, and how long it may take.
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -64,6 +64,12 @@
 /// Path of the page of backend servers in need, beside it too.
 const NEEDS_PATH: &str = "/servers-in-need";
 
+/// Path of the page of backend servers that take no new requests of this host, beside it too.
+const AVAILABILITY_PATH: &str = "/servers-unavailable";
+
+/// How often it is looked whose backoff is over.
+const AVAILABILITY_PERIOD: Duration = Duration::from_millis(500);
+
 /// A running host.
 #[derive(Debug)]
 pub struct RelayHost {
@@ -113,6 +119,7 @@
         host.share_news(peers);
         vital::spawn_vital("own entry", entry::keep_entry(parts.clone(), store.clone()));
         vital::spawn_vital("figures", figures::log_figures(parts.clone()));
+        vital::spawn_vital("availability", keep_availability(parts.clone()));
         vital::spawn_vital("engine roles", keeper::keep_roles(parts, store));
         host.serve(callers, host.caller_handler(), host.closing.clone());
         host.serve(checks, host.check_handler(), host.checks_closing.clone());
@@ -221,6 +228,13 @@
     limits.idle_time.max(limits.header_time) + IDLE_MARGIN
 }
 
+async fn keep_availability(parts: Rc<RelayParts>) {
+    loop {
+        tokio::time::sleep(AVAILABILITY_PERIOD).await;
+        parts.evict_availability();
+    }
+}
+
 // New connections are bounded as the configuration in force says.
 async fn follow_limits(parts: Rc<RelayParts>, limits: Rc<IngressLimits>) {
     loop {
@@ -262,6 +276,7 @@
     match path {
         METRICS_PATH => page(200, parts.metrics_page()),
         NEEDS_PATH => page(200, parts.needs_page()),
+        AVAILABILITY_PATH => page(200, parts.availability_page()),
         _ if path != parts.settings.ready_path => page(404, "no such page"),
         _ if parts.gate.is_stopping() => page(503, "stopping"),
         _ if parts.routes().is_none() => page(503, "no configuration yet"),
--- a/src/relay/objects.rs
+++ b/src/relay/objects.rs
@@ -13,7 +13,7 @@
         filter::VERDICT_HEADER,
         object::{ObjectSet, PassRouteSpec, Typed},
         operation::RunVerdict,
-        route::{LIMIT_HEADER, ServerInfo},
+        route::{SERVER_HEADERS, ServerInfo},
         web::PoolUse,
     },
     bytes::Bytes,
@@ -152,12 +152,12 @@
     }
 }
 
-fn read_answer(_: StatusCode, headers: &HeaderMap) -> AnswerMarks {
+fn read_answer(status: StatusCode, headers: &HeaderMap) -> AnswerMarks {
     let text = |name: &str| headers.get(name)?.to_str().ok();
     AnswerMarks {
         id: text(REQUEST_ID.as_str()).map(FastStr::new),
         not_run: text(VERDICT_HEADER) == Some(RunVerdict::NotRun.as_str()),
-        limit: dialect::read_limit(headers, &LIMIT_HEADER),
+        server: dialect::read_server_marks(status, headers, &SERVER_HEADERS),
     }
 }
 
--- a/src/relay/parts/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -122,6 +122,8 @@
     ended_under: Family<ServiceLabels, Counter>,
     fatal_refused: Family<ServiceLabels, Counter>,
     held_back: Family<ServiceLabels, Counter>,
+    left_service: Family<ServiceLabels, Counter>,
+    backed_off: Family<ServiceLabels, Counter>,
     /// Requests that are held to end their servers.
     pub fatal_requests: Gauge,
     /// Connections to backend servers that were opened.
@@ -144,6 +146,10 @@
     pub ledger_silences: Counter,
     /// Answers that name a limit which is none.
     pub unreadable_limits: Counter,
+    /// Answers that say something else where they may say that their server leaves or wants a backoff.
+    pub unreadable_marks: Counter,
+    /// Backend servers that take no new requests of this host by what their answers said.
+    pub servers_unavailable: Gauge,
     /// Backend servers that name a limit.
     pub servers_in_need: Gauge,
 }
@@ -187,6 +193,8 @@
             ended_under: Family::default(),
             fatal_refused: Family::default(),
             held_back: Family::default(),
+            left_service: Family::default(),
+            backed_off: Family::default(),
             fatal_requests: Gauge::default(),
             connections_opened: Gauge::default(),
             connections_reused: Gauge::default(),
@@ -198,6 +206,8 @@
             ledger_asks: Counter::default(),
             ledger_silences: Counter::default(),
             unreadable_limits: Counter::default(),
+            unreadable_marks: Counter::default(),
+            servers_unavailable: Gauge::default(),
             servers_in_need: Gauge::default(),
         };
         metrics.register();
@@ -243,6 +253,16 @@
             "Requests refused since servers in need had no turn for them, by service",
             self.held_back.clone(),
         );
+        r.register(
+            "servers_leaving",
+            "Backend servers whose answers said that they are leaving, by service",
+            self.left_service.clone(),
+        );
+        r.register(
+            "server_backoffs",
+            "Backoffs that backend servers asked this host for, by service",
+            self.backed_off.clone(),
+        );
         let times = [
             ("head", "Arrival to the head of the answer", &self.head_time),
             ("reserve", "Wait for an engine's memory", &self.reserve_time),
@@ -270,6 +290,11 @@
                 "Backend servers that name a limit, as far as this host knows",
                 &self.servers_in_need,
             ),
+            (
+                "servers_unavailable",
+                "Backend servers that are leaving or wait for a backoff to end, by their answers",
+                &self.servers_unavailable,
+            ),
             (
                 "fatal_requests",
                 "Requests that are held to end their servers",
@@ -342,6 +367,11 @@
                 "Answers of backend servers that name a limit which is none",
                 &self.unreadable_limits,
             ),
+            (
+                "unreadable_marks",
+                "Answers with an unreadable word on leaving or on a backoff",
+                &self.unreadable_marks,
+            ),
         ];
         for (name, help, counter) in counters {
             r.register(name, help, counter.clone());
@@ -358,6 +388,18 @@
         self.held_back.get_or_create(&self.service(service)).inc();
     }
 
+    /// A backend server of a service said that it is leaving.
+    pub fn left_service(&self, service: &FastStr) {
+        self.left_service
+            .get_or_create(&self.service(service))
+            .inc();
+    }
+
+    /// A backend server of a service asked this host to back off.
+    pub fn backed_off(&self, service: &FastStr) {
+        self.backed_off.get_or_create(&self.service(service)).inc();
+    }
+
     /// A request was refused since backend servers of the service end under it.
     pub fn fatal_refused(&self, service: &FastStr) {
         self.fatal_refused
--- a/src/relay/parts/mod.rs
+++ b/src/relay/parts/mod.rs
@@ -2,6 +2,7 @@
 //! Methods here connect several of them; what is done with a request is a matter of `request`.
 
 pub(crate) mod accounts;
+pub(crate) mod availability;
 pub(crate) mod crashes;
 pub(crate) mod ends;
 pub(crate) mod metrics;
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -209,7 +209,7 @@
         let sent = self.now();
         let answer = self.pool.send(target, request).await?;
         let marks = (self.dialect.read_answer)(answer.status, &answer.headers);
-        self.note_limit(backend, marks.limit, AnswerKind::Other, sent);
+        self.note_marks(backend, &marks.server, AnswerKind::Other, sent);
         Ok(answer)
     }
 }
@@ -309,6 +309,13 @@
         metrics
             .servers_in_need
             .set(self.book.borrow().needs.len() as i64);
+        let unavailable = self
+            .book
+            .borrow()
+            .availability
+            .unavailable(self.now())
+            .count();
+        metrics.servers_unavailable.set(unavailable as i64);
         let age = cluster.age(self.now());
         metrics
             .news_age
--- a/src/relay/policy/book.rs
+++ b/src/relay/policy/book.rs
@@ -4,6 +4,7 @@
 
 use {
     super::{
+        availability::{AvailabilityBook, ServerRun},
         changes::BackendChanges,
         loads::{EngineKey, EngineLoad},
         need_book::{NeedBook, TurnState, TurnWait},
@@ -74,6 +75,8 @@
     pub(super) prefill_rate: f64,
     /// Those that name a limit.
     pub needs: NeedBook,
+    /// Those that are leaving, or asked this host to back off.
+    pub availability: AvailabilityBook,
 }
 
 impl Default for BackendBook {
@@ -84,6 +87,7 @@
             others_at: None,
             prefill_rate: PREFILL_RATE,
             needs: NeedBook::default(),
+            availability: AvailabilityBook::default(),
         }
     }
 }
@@ -153,6 +157,16 @@
         self.views.values()
     }
 
+    /// Evicts what is no longer of use of servers' availability; gives the runs whose backoff is over.
+    pub fn evict_availability(&mut self, now: Duration) -> Vec<ServerRun> {
+        let views = &self.views;
+        let is_listed = |run: &ServerRun| {
+            let view = views.get(&run.id);
+            view.is_some_and(|view| view.info.run() == *run)
+        };
+        self.availability.evict_expired(is_listed, now)
+    }
+
     /// One says itself, or by silence, that it takes no new work.
     pub fn set_leaving(&mut self, id: &str) {
         if let Some(view) = self.views.get_mut(id) {
--- a/src/relay/policy/server_limit.rs
+++ b/src/relay/policy/server_limit.rs
@@ -1,9 +1,6 @@
 //! The limit that a backend server names in its answers while it is in need.
 
-use std::fmt;
-
-/// Most characters of a number that is taken for one: a limit of a billion to six places has fewer.
-const DIGITS_MOST: usize = 24;
+use {super::plain_number::read_plain_number, std::fmt};
 
 /// Requests a second that a backend server takes from all hosts together, for as long as its answers say so.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
@@ -47,20 +44,12 @@
     pub fn read<'a>(mut values: impl Iterator<Item = &'a [u8]>) -> Self {
         match (values.next(), values.next()) {
             (None, _) => Self::Unsaid,
-            (Some(value), None) => read_number(value).map_or(Self::Unreadable, Self::Named),
+            (Some(value), None) => read_limit(value).map_or(Self::Unreadable, Self::Named),
             (Some(_), Some(_)) => Self::Unreadable,
         }
     }
 }
 
-// A plain decimal number: what Rust reads besides, such as `inf` or `1e9`, is none.
-fn read_number(value: &[u8]) -> Option<ServerLimit> {
-    let text = std::str::from_utf8(value).ok()?.trim();
-    let is_plain = text
-        .bytes()
-        .all(|byte| byte.is_ascii_digit() || byte == b'.');
-    if !is_plain || text.len() > DIGITS_MOST {
-        return None;
-    }
-    ServerLimit::new(text.parse().ok()?)
+fn read_limit(value: &[u8]) -> Option<ServerLimit> {
+    ServerLimit::new(read_plain_number(value)?)
 }
--- a/src/relay/request/decode.rs
+++ b/src/relay/request/decode.rs
@@ -8,10 +8,7 @@
     },
     crate::{
         operation::RunVerdict,
-        relay::{
-            backend::BackendInfo, dialect::DecodeStart, parts::needs::AnswerKind,
-            policy::view::BackendFailure,
-        },
+        relay::{backend::BackendInfo, dialect::DecodeStart, policy::view::BackendFailure},
         web::{PoolUse, PooledAnswer, SendFailure},
     },
     std::time::Duration,
@@ -71,13 +68,13 @@
     ) -> Result<PooledAnswer, RoundFailure> {
         let parts = self.parts.clone();
         let marks = (parts.dialect.read_answer)(answer.status, &answer.headers);
+        guard.note_marks(answer.status, &marks);
         if marks.is_anothers(&self.call.marks.id) {
             let detail = "an answer to another request";
             parts.note_failure(engine, BackendFailure::Broken, detail);
             let detail = format!("decode at {}: {detail}", engine.id);
             return Err(RoundFailure::new(RunVerdict::MayHaveRun, detail));
         }
-        guard.note_limit(marks.limit, AnswerKind::of(answer.status, marks.not_run));
         if marks.not_run {
             return Err(self.take_decline(engine, cache, answer).await);
         }
--- a/src/relay/request/guard.rs
+++ b/src/relay/request/guard.rs
@@ -6,10 +6,12 @@
         event,
         relay::{
             backend::BackendInfo,
+            dialect::AnswerMarks,
             parts::{needs::AnswerKind, shared::RelayParts},
-            policy::{digest::RequestDigest, server_limit::LimitMark},
+            policy::digest::RequestDigest,
         },
     },
+    http::StatusCode,
     std::{rc::Rc, time::Duration},
     tokio::{task::JoinHandle, time::Instant},
 };
@@ -44,9 +46,11 @@
         }
     }
 
-    /// The request was answered, well or not: takes what the answer says of its server's limit.
-    pub(super) fn note_limit(&self, mark: LimitMark, kind: AnswerKind) {
-        self.parts.note_limit(&self.backend, mark, kind, self.sent);
+    /// The request was answered, well or not: takes what the answer says of its server.
+    pub(super) fn note_marks(&self, status: StatusCode, marks: &AnswerMarks) {
+        let kind = AnswerKind::of(status, marks.not_run);
+        let parts = &self.parts;
+        parts.note_marks(&self.backend, &marks.server, kind, self.sent);
     }
 
     /// The request's connection broke off while it ran, or may have: finds out whether the backend server ended, and
--- a/src/relay/request/prefill.rs
+++ b/src/relay/request/prefill.rs
@@ -5,9 +5,7 @@
     crate::{
         operation::RunVerdict,
         relay::{
-            backend::BackendInfo,
-            dialect::PromptCache,
-            parts::{needs::AnswerKind, shared::RelayParts},
+            backend::BackendInfo, dialect::PromptCache, parts::shared::RelayParts,
             policy::view::BackendFailure,
         },
         web::PoolUse,
@@ -193,7 +191,7 @@
         answer.status,
         (dialect.read_answer)(answer.status, &answer.headers),
     );
-    guard.note_limit(marks.limit, AnswerKind::of(status, marks.not_run));
+    guard.note_marks(status, &marks);
     let body = answer.body.read(ANSWER_LIMIT).await;
     let body = body.map_err(|detail| PrefillFailure {
         verdict: RunVerdict::MayHaveRun,
--- a/src/relay/request/send.rs
+++ b/src/relay/request/send.rs
@@ -4,11 +4,7 @@
     super::{call::RelayCall, guard::CallGuard},
     crate::{
         operation::RunVerdict,
-        relay::{
-            backend::BackendInfo,
-            parts::{needs::AnswerKind, shared::RelayParts},
-            policy::view::BackendFailure,
-        },
+        relay::{backend::BackendInfo, parts::shared::RelayParts, policy::view::BackendFailure},
         web::{PoolUse, PooledAnswer, PooledBody},
     },
     bytes::Bytes,
@@ -78,12 +74,12 @@
         }
     };
     let marks = (parts.dialect.read_answer)(answer.status, &answer.headers);
+    guard.note_marks(answer.status, &marks);
     if marks.is_anothers(&call.marks.id) {
         let detail = "an answer to another request came";
         parts.note_failure(backend, BackendFailure::Broken, detail);
         return SendOutcome::Lost(detail.into());
     }
-    guard.note_limit(marks.limit, AnswerKind::of(answer.status, marks.not_run));
     if call.route.kind.is_stream() && answer.status.is_success() {
         return SendOutcome::Answered(Box::new(running(answer, guard)));
     }
--- a/src/route/needs.rs
+++ b/src/route/needs.rs
@@ -8,7 +8,7 @@
     super::servers::ServerInfo,
     crate::{
         clock::HostClock,
-        relay::{EngineKey, LimitMark, LimitSaying, NeedBook, TurnDesk, TurnState},
+        relay::{EngineKey, LimitMark, LimitSaying, NeedBook, ServerHeaders, TurnDesk, TurnState},
     },
     faststr::FastStr,
     http::{HeaderMap, HeaderName},
@@ -18,8 +18,11 @@
     },
 };
 
-/// Calls a second that a server takes from all hosts together, in its answers for as long as it is in need.
-pub const LIMIT_HEADER: HeaderName = HeaderName::from_static("bayplank-server-limit");
+/// What a server's answers say of it: the calls a second that it takes from all hosts together, and that it is leaving.
+pub const SERVER_HEADERS: ServerHeaders = ServerHeaders {
+    limit: HeaderName::from_static("bayplank-server-limit"),
+    leaving: HeaderName::from_static("bayplank-server-leaving"),
+};
 
 // All calls of this interface are alike urgent.
 const RANK: u8 = 0;
@@ -61,7 +64,7 @@
 
     /// Takes what an answer says; the call was sent at `sent` and ran well or not.
     pub fn note(&self, server: &ServerInfo, headers: &HeaderMap, ran_well: bool, sent: Duration) {
-        let values = headers.get_all(&LIMIT_HEADER).iter();
+        let values = headers.get_all(&SERVER_HEADERS.limit).iter();
         let limit = match LimitMark::read(values.map(|value| value.as_bytes())) {
             LimitMark::Named(limit) => Some(limit),
             LimitMark::Unsaid if ran_well => None,
--- a/src/standin/service/mod.rs
+++ b/src/standin/service/mod.rs
@@ -91,7 +91,9 @@
         let limit = self.limit.lock().expect("service limit").clone();
         match HeaderValue::from_str(&limit) {
             Ok(value) if !limit.is_empty() => {
-                reply.headers_mut().insert(route::LIMIT_HEADER, value);
+                reply
+                    .headers_mut()
+                    .insert(route::SERVER_HEADERS.limit, value);
             }
             Ok(_) => {}
             Err(error) => log::warn!("the limit {limit:?} cannot be named: {error}"),
