A server whose answers say that it is leaving gets no new requests, whatever the list says

Callers saw nothing; operators saw requests reach a server up to 3.7 s after its answer had told the host that it leaves. Cause: a host learned it from the store's list alone, which was 12.7 s late; the answer's word was passed on unread. Why it holds: the word is kept by run, apart from the list, so nothing but a later run undoes it; one function, BackendBook::in_rotation, is asked by each choice, and each send asks again when its connection is there and nothing is written. A decode whose memory was reserved before the word may still go within 300 ms. Idle connections are closed. Where all servers of a service are leaving callers are refused at once, told to come back in about a second; a stream that goes on waits. What is held there is still let go: nobody else can.

--- a/src/relay/parts/availability.rs
+++ b/src/relay/parts/availability.rs
@@ -4,17 +4,29 @@
     super::{needs::AnswerKind, shared::RelayParts},
     crate::{
         event,
+        operation::{Refusal, RefusalCode, RunVerdict},
         relay::{
             backend::BackendInfo,
             policy::{
                 availability::ServerAvailability,
+                book::RotationWait,
                 server_marks::{BackoffMark, LeavingMark, ServerMarks},
             },
         },
+        web::{PoolUse, PooledAnswer, SendFailure},
     },
-    std::{collections::BTreeMap, time::Duration},
+    bytes::Bytes,
+    faststr::FastStr,
+    http::Request,
+    http_body_util::Full,
+    std::{collections::BTreeMap, ops::RangeInclusive, time::Duration},
 };
 
+/// When callers are to come back where all servers are leaving: others are started within seconds, and those who were
+/// refused together are not to come back together.
+const COME_BACK_LEAVING: RangeInclusive<Duration> =
+    Duration::from_millis(700)..=Duration::from_millis(1_300);
+
 impl RelayParts {
     /// Takes what an answer says of its server; the request was sent at `sent`.
     pub fn note_marks(
@@ -28,6 +40,31 @@
         self.note_availability(backend, marks);
     }
 
+    /// Whether a request may be sent to a server now; `admitted` is when memory was reserved there for it, if that was so.
+    pub fn may_send(&self, backend: &BackendInfo, admitted: Option<Duration>) -> bool {
+        let book = self.book.borrow();
+        book.may_send(backend, admitted, self.now())
+    }
+
+    /// Sends a request to a server that still takes it when a connection is there.
+    pub async fn send_to(
+        &self,
+        backend: &BackendInfo,
+        purpose: PoolUse,
+        request: Request<Full<Bytes>>,
+        admitted: Option<Duration>,
+    ) -> Result<PooledAnswer, SendFailure> {
+        let target = self.pool_target(backend, purpose);
+        let check = || match self.may_send(backend, admitted) {
+            true => Ok(()),
+            false => Err(SendFailure::withheld(format!(
+                "{} takes no new requests",
+                backend.id
+            ))),
+        };
+        self.pool.send_if(target, request, check).await
+    }
+
     fn note_availability(&self, backend: &BackendInfo, marks: &ServerMarks) {
         let is_unreadable =
             marks.leaving == LeavingMark::Unreadable || marks.backoff == BackoffMark::Unreadable;
@@ -41,6 +78,8 @@
         let change = book.availability.note(&backend.run(), marks, now);
         drop(book);
         if change.is_leaving {
+            self.pool.forget(backend.address);
+            self.prefer_engines();
             self.metrics.left_service(&backend.service);
             self.log_leaving(backend);
         }
@@ -80,11 +119,39 @@
     pub fn evict_availability(&self) {
         let now = self.now();
         let ended = self.book.borrow_mut().evict_availability(now);
+        self.close_idle();
         for run in ended {
             event::emit(&event::SERVER_BACKOFF_ENDED, &[("backend", &run.id)]);
         }
     }
 
+    // Connections to leaving servers on which requests were in progress when they said so.
+    fn close_idle(&self) {
+        let book = self.book.borrow();
+        let unavailable = book.availability.unavailable(self.now());
+        let leaving = unavailable.filter(|known| known.1 == ServerAvailability::Leaving);
+        // Another server may have the address of one that is listed no longer.
+        let listed = leaving.filter_map(|(run, _)| book.view(&run.id));
+        for view in listed {
+            self.pool.forget(view.info.address);
+        }
+    }
+
+    /// The refusal of a request for a service whose servers take no new requests.
+    pub fn out_of_rotation(
+        &self,
+        service: &FastStr,
+        verdict: RunVerdict,
+        wait: RotationWait,
+    ) -> Refusal {
+        self.metrics.held_off(service);
+        let wait = match wait {
+            RotationWait::NoneReturns => rand::random_range(COME_BACK_LEAVING),
+        };
+        let text = format!("all servers of {service} take no new requests for now");
+        Refusal::new(verdict, RefusalCode::NoBackend, text).after(wait)
+    }
+
     /// The servers that take no new requests of this host by what their answers said, as a page for operators: one line each.
     pub fn availability_page(&self) -> String {
         let now = self.now();
--- a/src/relay/parts/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -122,6 +122,7 @@
     ended_under: Family<ServiceLabels, Counter>,
     fatal_refused: Family<ServiceLabels, Counter>,
     held_back: Family<ServiceLabels, Counter>,
+    held_off: Family<ServiceLabels, Counter>,
     left_service: Family<ServiceLabels, Counter>,
     backed_off: Family<ServiceLabels, Counter>,
     /// Requests that are held to end their servers.
@@ -193,6 +194,7 @@
             ended_under: Family::default(),
             fatal_refused: Family::default(),
             held_back: Family::default(),
+            held_off: Family::default(),
             left_service: Family::default(),
             backed_off: Family::default(),
             fatal_requests: Gauge::default(),
@@ -253,6 +255,11 @@
             "Requests refused since servers in need had no turn for them, by service",
             self.held_back.clone(),
         );
+        r.register(
+            "held_off",
+            "Requests refused since all servers were leaving or waiting for a backoff to end, by service",
+            self.held_off.clone(),
+        );
         r.register(
             "servers_leaving",
             "Backend servers whose answers said that they are leaving, by service",
@@ -388,6 +395,11 @@
         self.held_back.get_or_create(&self.service(service)).inc();
     }
 
+    /// A request was refused since all servers of the service take no new requests.
+    pub fn held_off(&self, service: &FastStr) {
+        self.held_off.get_or_create(&self.service(service)).inc();
+    }
+
     /// A backend server of a service said that it is leaving.
     pub fn left_service(&self, service: &FastStr) {
         self.left_service
--- a/src/relay/parts/publish.rs
+++ b/src/relay/parts/publish.rs
@@ -61,10 +61,13 @@
         let cluster = self.cluster.borrow();
         let near = cluster.hosts().filter(|entry| entry.zone == *zone);
         let hosts: Vec<FastStr> = near.map(|entry| entry.name.clone()).collect();
+        let now = self.now();
+        let mut book = self.book.borrow_mut();
         let mut pools: HashMap<(&FastStr, EngineRole), Vec<FastStr>> = HashMap::new();
         for backend in cluster.backends() {
             let Some(role) = backend.role else { continue };
-            if backend.zone == *zone && !backend.leaving {
+            let is_leaving = backend.leaving || book.availability.is_leaving(&backend.run(), now);
+            if backend.zone == *zone && !is_leaving {
                 let pool = pools.entry((&backend.service, role)).or_default();
                 pool.push(backend.id.clone());
             }
@@ -73,7 +76,7 @@
             .values()
             .map(|engines| subset::subset_of(own, &hosts, engines));
         let preferred = subsets.flatten().collect();
-        self.book.borrow_mut().set_preferred(&preferred);
+        book.set_preferred(&preferred);
     }
 
     fn log_changes(&self, changes: &BackendChanges, count: usize) {
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -26,7 +26,7 @@
             },
             settings::RelaySettings,
         },
-        web::{ConnectionPool, FailureCause, PooledAnswer, SendFailure},
+        web::{ConnectionPool, FailureCause, PoolUse, PooledAnswer, SendFailure},
     },
     bytes::Bytes,
     faststr::FastStr,
@@ -189,7 +189,7 @@
         backend: &BackendInfo,
         call: BackendCall,
     ) -> Result<PooledAnswer, SendFailure> {
-        let target = self.pool_target(backend, call.purpose);
+        let purpose = call.purpose;
         let mut request = Request::new(Full::new(call.body));
         *request.method_mut() = call.method;
         // Names that backend servers gave stand in paths; one of them may be no part of a path.
@@ -207,7 +207,14 @@
         );
         (self.dialect.name_backend)(headers, &backend.id);
         let sent = self.now();
-        let answer = self.pool.send(target, request).await?;
+        let answer = match purpose {
+            // What is held at a server is let go also where it takes no new requests: nobody else can.
+            PoolUse::Free => {
+                let target = self.pool_target(backend, purpose);
+                self.pool.send(target, request).await?
+            }
+            _ => self.send_to(backend, purpose, request, None).await?,
+        };
         let marks = (self.dialect.read_answer)(answer.status, &answer.headers);
         self.note_marks(backend, &marks.server, AnswerKind::Other, sent);
         Ok(answer)
@@ -225,7 +232,7 @@
         match self.cause {
             FailureCause::Broken => Some(BackendFailure::Broken),
             FailureCause::Silent => Some(BackendFailure::Silent),
-            FailureCause::Limited => None,
+            FailureCause::Limited | FailureCause::Withheld => None,
         }
     }
 }
@@ -258,13 +265,13 @@
 
     /// A send to a backend server got no answer.
     pub fn note_send_failure(&self, backend: &BackendInfo, failure: &SendFailure) {
-        match failure.kind() {
-            Some(kind) => self.note_failure(backend, kind, &failure.detail),
-            None => {
-                self.metrics.connection_limits.inc();
-                log::debug!("{}: {}", backend.id, failure.detail);
-            }
+        if let Some(kind) = failure.kind() {
+            return self.note_failure(backend, kind, &failure.detail);
+        }
+        if failure.cause == FailureCause::Limited {
+            self.metrics.connection_limits.inc();
         }
+        log::debug!("{}: {}", backend.id, failure.detail);
     }
 
     /// A backend server declined a request.
--- a/src/relay/policy/availability.rs
+++ b/src/relay/policy/availability.rs
@@ -108,6 +108,11 @@
         }
     }
 
+    /// Whether nothing is known of any server.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+
     /// Whether a server takes new requests.
     pub fn availability(&self, run: &ServerRun, now: Duration) -> ServerAvailability {
         let Some(known) = self.known(run) else {
@@ -121,18 +126,17 @@
         self.availability(run, now) == ServerAvailability::Leaving
     }
 
-    /// Whether a request may be sent to a server that was reserved memory there at a time, or chosen for it.
-    pub fn may_send(&self, run: &ServerRun, admitted: Duration, now: Duration) -> bool {
+    /// Whether a request may be sent to a server now; `admitted` is when memory was reserved there for it, if that was so.
+    pub fn may_send(&self, run: &ServerRun, admitted: Option<Duration>, now: Duration) -> bool {
         let Some(known) = self.known(run) else {
             return true;
         };
-        let is_admitted = |since: Duration| admitted < since && now < since + ADMITTED_GRACE;
+        let is_admitted = |since: Duration| {
+            admitted.is_some_and(|admitted| admitted < since) && now < since + ADMITTED_GRACE
+        };
         match known.availability(run, now) {
-            ServerAvailability::Available => true,
-            ServerAvailability::BackingOff(_) => known
-                .backoff
-                .is_some_and(|backoff| is_admitted(backoff.since)),
             ServerAvailability::Leaving => known.leaving_since.is_some_and(is_admitted),
+            ServerAvailability::Available | ServerAvailability::BackingOff(_) => true,
         }
     }
 
--- a/src/relay/policy/book.rs
+++ b/src/relay/policy/book.rs
@@ -10,7 +10,7 @@
         need_book::{NeedBook, TurnState, TurnWait},
         view::{BackendFailure, BackendView, EJECT_FIRST, FAILURES_TO_EJECT},
     },
-    crate::relay::backend::BackendInfo,
+    crate::{engine::EngineRole, relay::backend::BackendInfo},
     faststr::FastStr,
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -64,6 +64,13 @@
     NoneLeft,
 }
 
+/// When a server gets new requests again, where all of a service get none now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RotationWait {
+    /// All are leaving: when others are listed.
+    NoneReturns,
+}
+
 /// All backend servers that this host may send to.
 #[derive(Debug)]
 pub struct BackendBook {
@@ -105,7 +112,11 @@
             }
             // A run that begins anew under its id knows nothing of before, and nothing is known of it.
             let view = match before {
-                Some(view) if view.info.born == info.born => BackendView { info, ..view },
+                Some(view) if view.info.born == info.born => BackendView {
+                    run: info.run(),
+                    info,
+                    ..view
+                },
                 _ => BackendView::new(info),
             };
             self.views.insert(view.info.id.clone(), view);
@@ -183,7 +194,7 @@
         now: Duration,
     ) -> Vec<BackendInfo> {
         let views = self
-            .usable(service)
+            .usable(service, now)
             .filter(|view| !tried.contains(&view.info.id));
         sorted(views, |view| {
             (
@@ -244,7 +255,7 @@
         let is_empty = |view: &&BackendView| {
             matches!(self.needs.turn(view.key, rank, now), TurnState::Empty(_))
         };
-        let views = self.usable(service).filter(is_empty);
+        let views = self.usable(service, now).filter(is_empty);
         views.map(|view| view.info.id.clone()).collect()
     }
 
@@ -294,10 +305,52 @@
         view.is_out(now) || view.is_on_trial() || others_do
     }
 
-    pub(super) fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a BackendView> {
+    /// Whether a server is leaving, by the list or by its answers.
+    pub fn is_leaving(&self, view: &BackendView, now: Duration) -> bool {
+        view.info.leaving || self.availability.is_leaving(&view.run, now)
+    }
+
+    /// Whether a server gets new requests of this host. Each choice of a server asks here.
+    pub fn in_rotation(&self, view: &BackendView, now: Duration) -> bool {
+        !self.is_leaving(view, now)
+    }
+
+    /// Whether a request may be sent to a server at the last moment before it; `admitted` is when memory was reserved there
+    /// for it, if that was so.
+    pub fn may_send(
+        &self,
+        backend: &BackendInfo,
+        admitted: Option<Duration>,
+        now: Duration,
+    ) -> bool {
+        self.availability.is_empty() || self.availability.may_send(&backend.run(), admitted, now)
+    }
+
+    /// When a server of a service, or an engine of a role, gets new requests again; nothing where one gets them now, or
+    /// none is listed.
+    pub fn rotation_wait(
+        &self,
+        service: &str,
+        role: Option<EngineRole>,
+        now: Duration,
+    ) -> Option<RotationWait> {
+        let of_service = |view: &&BackendView| view.info.service == service;
+        let of_role = |view: &&BackendView| role.is_none() || view.info.role == role;
+        let mut views = self.views.values().filter(of_service).filter(of_role);
+        let first = views.next()?;
+        let is_out = |view: &BackendView| !self.in_rotation(view, now);
+        let all_out = is_out(first) && views.all(is_out);
+        all_out.then_some(RotationWait::NoneReturns)
+    }
+
+    pub(super) fn usable<'a>(
+        &'a self,
+        service: &'a str,
+        now: Duration,
+    ) -> impl Iterator<Item = &'a BackendView> {
         self.views
             .values()
-            .filter(move |view| view.info.service == service && !view.info.leaving)
+            .filter(move |view| view.info.service == service && self.in_rotation(view, now))
     }
 
     /// A request was sent, under which servers ended before or not; its number ends it.
--- a/src/relay/policy/engines.rs
+++ b/src/relay/policy/engines.rs
@@ -121,7 +121,7 @@
         role: EngineRole,
         now: Duration,
     ) -> impl Iterator<Item = &'a BackendView> {
-        self.usable(service)
+        self.usable(service, now)
             .filter(move |view| view.info.role == Some(role))
             .filter(move |view| !self.is_passed_over(view, now) && now >= view.declines_until)
     }
--- a/src/relay/policy/room.rs
+++ b/src/relay/policy/room.rs
@@ -49,7 +49,8 @@
     ) -> Self {
         let is_decode = |view: &&BackendView| {
             let info = &view.info;
-            info.service == service && !info.leaving && info.role == Some(EngineRole::Decode)
+            let is_decode = info.service == service && info.role == Some(EngineRole::Decode);
+            is_decode && !book.is_leaving(view, now)
         };
         let mut room = Self::default();
         for view in book.views().filter(is_decode) {
--- a/src/relay/policy/view.rs
+++ b/src/relay/policy/view.rs
@@ -1,7 +1,7 @@
 //! What this host knows of one backend server.
 
 use {
-    super::loads::EngineKey,
+    super::{availability::ServerRun, loads::EngineKey},
     crate::relay::backend::BackendInfo,
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -45,6 +45,8 @@
 pub struct BackendView {
     /// Who it is.
     pub info: BackendInfo,
+    // The same, told from all other runs.
+    pub(super) run: ServerRun,
     // The same in reports of other hosts.
     pub(super) key: EngineKey,
     // Whether it is an engine that this host works with first.
@@ -77,6 +79,7 @@
     pub(super) fn new(info: BackendInfo) -> Self {
         Self {
             key: info.key(),
+            run: info.run(),
             info,
             is_preferred: true,
             calls: BTreeMap::new(),
--- a/src/relay/request/decode.rs
+++ b/src/relay/request/decode.rs
@@ -4,6 +4,7 @@
     super::{
         guard::CallGuard,
         prefill::WaitingCache,
+        reserve::MemoryHold,
         stream::{RoundFailure, StreamRelay},
     },
     crate::{
@@ -28,11 +29,11 @@
     /// Sends the request to the engine that holds memory for it and waits for the head of its answer.
     pub(super) async fn send_decode(
         &self,
-        engine: &BackendInfo,
+        hold: &MemoryHold,
         start: &DecodeStart,
         guard: &CallGuard,
     ) -> Result<PooledAnswer, RoundFailure> {
-        let parts = &self.parts;
+        let (parts, engine) = (&self.parts, &hold.engine);
         let request = self.call.request_to(engine, &parts.dialect, |headers| {
             (parts.dialect.engines.as_decode)(headers, start);
         });
@@ -41,8 +42,8 @@
             false => HEAD_PATIENCE,
         };
         let patience = patience.min(self.call.time_left());
-        let target = parts.pool_target(engine, PoolUse::Decode);
-        let sending = parts.pool.send(target, request);
+        let admitted = Some(hold.reserved_at);
+        let sending = parts.send_to(engine, PoolUse::Decode, request, admitted);
         let sent = tokio::time::timeout(patience, sending)
             .await
             .unwrap_or_else(|_| Err(SendFailure::no_answer_in_time()));
--- a/src/relay/request/guard.rs
+++ b/src/relay/request/guard.rs
@@ -79,7 +79,8 @@
     pub fn note_break(&self, call: &RelayCall) -> Option<JoinHandle<()>> {
         let book = self.parts.book.borrow();
         let view = book.view(&self.backend.id)?;
-        if view.info.born != self.backend.born || view.info.leaving {
+        let is_leaving = book.is_leaving(view, self.parts.now());
+        if view.info.born != self.backend.born || is_leaving {
             return None;
         }
         let broken = BrokenRun {
--- a/src/relay/request/plain.rs
+++ b/src/relay/request/plain.rs
@@ -232,7 +232,9 @@
                 needs_no_turn,
             })?;
             match self.parts.take_turn(&backend, rank).await {
-                Ok(turn) => return Some((backend, turn)),
+                Ok(turn) if self.parts.may_send(&backend, None) => return Some((backend, turn)),
+                // It said meanwhile that it takes no new requests, and is not chosen again.
+                Ok(_) => {}
                 Err(wait) => self.turn_wait = Some(wait),
             }
         }
@@ -334,6 +336,19 @@
         {
             return self.parts.no_turn(&self.service, self.verdict, wait);
         }
+        let now = self.parts.now();
+        let wait = self
+            .parts
+            .book
+            .borrow()
+            .rotation_wait(&self.service, None, now);
+        if let Some(wait) = wait
+            && self.verdict == RunVerdict::NotRun
+        {
+            return self
+                .parts
+                .out_of_rotation(&self.service, self.verdict, wait);
+        }
         let refusal = Refusal::new(self.verdict, code, self.detail.clone());
         match self.is_unreachable {
             true => refusal.after(rand::random_range(COME_BACK_UNREACHABLE)),
--- a/src/relay/request/prefill.rs
+++ b/src/relay/request/prefill.rs
@@ -173,8 +173,7 @@
 ) -> Result<PromptCache, PrefillFailure> {
     let dialect = &parts.dialect;
     let request = call.request_to(engine, dialect, dialect.engines.as_prefill);
-    let target = parts.pool_target(engine, PoolUse::Prefill);
-    let sent = parts.pool.send(target, request).await;
+    let sent = parts.send_to(engine, PoolUse::Prefill, request, None).await;
     let answer = sent.map_err(|failure| {
         if failure.verdict == RunVerdict::NotRun {
             parts.note_send_failure(engine, &failure);
--- a/src/relay/request/reserve.rs
+++ b/src/relay/request/reserve.rs
@@ -3,6 +3,7 @@
 use {
     super::call::RelayCall,
     crate::{
+        engine::EngineRole,
         operation::{Refusal, RefusalCode, RunVerdict},
         relay::{
             backend::BackendInfo,
@@ -61,6 +62,8 @@
     parts: Rc<RelayParts>,
     /// The engine.
     pub engine: BackendInfo,
+    /// When the memory was reserved.
+    pub reserved_at: Duration,
     hold: EngineHold,
     // Leave to send the request there; none once it was used.
     turn: Option<ServerTurn>,
@@ -75,6 +78,7 @@
         book.memory_taken(&engine.id, tokens);
         drop(book);
         Self {
+            reserved_at: parts.now(),
             parts,
             engine,
             hold,
@@ -153,11 +157,13 @@
 /// Waits for memory at a decode engine of the service and reserves it; the wait counts from `since`, the
 /// request's arrival or the moment its stream broke. An engine that keeps the prompt is asked before the others,
 /// and for no more than it lacks: memory for the whole would drive out what others' streams find there.
+/// A stream that goes on waits also where all engines take no new requests for now: its caller has part of the answer.
 pub async fn reserve(
     parts: &Rc<RelayParts>,
     call: &RelayCall,
     service: &str,
     since: Duration,
+    goes_on: bool,
     kept: Option<&KeptAt>,
 ) -> Result<MemoryHold, Refusal> {
     let tokens = admission::reserved_tokens(&call.marks);
@@ -174,6 +180,15 @@
             parts.metrics.reserved(&call.route, call.age());
             return Ok(hold);
         }
+        let decode = Some(EngineRole::Decode);
+        let wait = parts
+            .book
+            .borrow()
+            .rotation_wait(service, decode, parts.now());
+        if let Some(wait) = wait.filter(|_| !goes_on) {
+            let service = FastStr::new(service);
+            return Err(parts.out_of_rotation(&service, RunVerdict::NotRun, wait));
+        }
         let wait = parts.book.borrow().decode_wait(service, rank, parts.now());
         if let Some(wait) = wait {
             let service = FastStr::new(service);
--- a/src/relay/request/resume.rs
+++ b/src/relay/request/resume.rs
@@ -106,6 +106,7 @@
             &relay.call,
             &relay.service,
             relay.parts.now(),
+            true,
             None,
         );
         tokio::select! {
--- a/src/relay/request/send.rs
+++ b/src/relay/request/send.rs
@@ -58,8 +58,7 @@
 ) -> SendOutcome {
     let guard = CallGuard::begin(parts, backend, call.is_suspected);
     let request = call.request_to(backend, &parts.dialect, |_| ());
-    let target = parts.pool_target(backend, PoolUse::Plain);
-    let sent = parts.pool.send(target, request).await;
+    let sent = parts.send_to(backend, PoolUse::Plain, request, None).await;
     let answer = match sent {
         Ok(answer) => answer,
         Err(failure) => {
--- a/src/relay/request/stream.rs
+++ b/src/relay/request/stream.rs
@@ -255,9 +255,11 @@
         after: Option<FastStr>,
         since: Duration,
     ) -> Result<Result<RunningStream, RoundFailure>, Refusal> {
-        let kept = self.find_kept(after.is_some()).await;
+        let goes_on = after.is_some();
+        let kept = self.find_kept(goes_on).await;
         let (parts, call) = (&self.parts, &self.call);
-        let reserved = reserve::reserve(parts, call, &self.service, since, kept.as_ref()).await;
+        let service = &self.service;
+        let reserved = reserve::reserve(parts, call, service, since, goes_on, kept.as_ref()).await;
         let hold = reserved.map_err(|refusal| self.with_verdict(refusal))?;
         self.is_kept = kept
             .as_ref()
@@ -312,6 +314,10 @@
                 tried.push(engine);
                 continue;
             };
+            if !parts.may_send(&chosen.0, None) {
+                tried.push(engine);
+                continue;
+            }
             if !self.may_compute() {
                 return None;
             }
@@ -376,6 +382,10 @@
         cache: Option<WaitingCache>,
         after: Option<FastStr>,
     ) -> Result<RunningStream, RoundFailure> {
+        if !self.parts.may_send(&hold.engine, Some(hold.reserved_at)) {
+            let detail = format!("{} takes no new requests", hold.engine.id);
+            return Err(RoundFailure::new(RunVerdict::NotRun, detail));
+        }
         if self.decodes > 0 && !std::mem::take(&mut self.repeat_paid) && !self.may_decode_again() {
             let detail = "no repeats are left for another decode";
             return Err(RoundFailure::new(RunVerdict::NotRun, detail));
@@ -391,7 +401,7 @@
             after_event: after,
         };
         let guard = CallGuard::begin(&self.parts, &hold.engine, self.call.is_suspected);
-        let answer = self.send_decode(&hold.engine, &start, &guard).await?;
+        let answer = self.send_decode(&hold, &start, &guard).await?;
         let answer = self
             .check_answer(&hold.engine, &guard, cache, answer)
             .await?;
--- a/src/relay/roles/keeper.rs
+++ b/src/relay/roles/keeper.rs
@@ -136,12 +136,14 @@
             false => split::plan_roles,
         };
         let cluster = self.parts.cluster.borrow();
+        let book = self.parts.book.borrow();
         let services = routes.config().services.iter();
         let mut changes = Vec::new();
         for service in services.filter(|service| service.engine.is_some()) {
             let engines: Vec<BackendInfo> = cluster
                 .backends()
                 .filter(|backend| backend.service == service.name)
+                .filter(|backend| !book.availability.is_leaving(&backend.run(), now))
                 .cloned()
                 .collect();
             changes.extend(plan(&engines));
--- a/src/web/pool.rs
+++ b/src/web/pool.rs
@@ -282,17 +282,32 @@
     ///
     /// A caller that stops waiting closes the connection.
     pub async fn send(
+        self: &Rc<Self>,
+        target: PoolTarget,
+        request: Request<Full<Bytes>>,
+    ) -> Result<PooledAnswer, SendFailure> {
+        self.send_if(target, request, || Ok(())).await
+    }
+
+    /// The same, where `check` still allows it when a connection is there and nothing is written yet.
+    pub async fn send_if(
         self: &Rc<Self>,
         target: PoolTarget,
         mut request: Request<Full<Bytes>>,
+        check: impl Fn() -> Result<(), SendFailure>,
     ) -> Result<PooledAnswer, SendFailure> {
         let key = (target.address, target.purpose.lane());
         loop {
+            check()?;
             let kept = self.take(key);
             let is_kept = kept.is_some();
             let mut connection = match kept {
                 Some(connection) => connection,
-                None => self.connect(target).await?,
+                None => {
+                    let connection = self.connect(target).await?;
+                    check()?;
+                    connection
+                }
             };
             match connection.sender.try_send_request(request).await {
                 Ok(answer) => {
--- a/src/web/send_failure.rs
+++ b/src/web/send_failure.rs
@@ -11,6 +11,8 @@
     Silent,
     /// As many connections are open to the server as may be, and all are in use.
     Limited,
+    /// The server takes no new requests.
+    Withheld,
 }
 
 /// Why a request got no answer.
@@ -38,6 +40,14 @@
         self.cause == FailureCause::Broken && self.verdict == RunVerdict::MayHaveRun
     }
 
+    /// Nothing was sent: the server takes no new requests.
+    pub fn withheld(detail: impl Into<String>) -> Self {
+        Self {
+            cause: FailureCause::Withheld,
+            ..not_sent(detail)
+        }
+    }
+
     /// A request was handed over and nothing came in time.
     pub fn no_answer_in_time() -> Self {
         Self {
