A server that asks for a backoff gets no requests of this host before it is over

Cause: Retry-After of a server's 503 was read nowhere; the request went elsewhere, the next one came. Why it holds: the backoff is kept by run on the clock that counts suspensions, the last to end of several, and BackendBook::in_rotation and the check before each send ask it as they do for leaving servers; choices that fall back to servers passed over never see it. It counts as no failure. Its end brings work back over a second. Where all servers wait callers are refused at once with the time of the first, spread, the more urgent first.

--- a/src/relay/parts/availability.rs
+++ b/src/relay/parts/availability.rs
@@ -27,6 +27,15 @@
 const COME_BACK_LEAVING: RangeInclusive<Duration> =
     Duration::from_millis(700)..=Duration::from_millis(1_300);
 
+/// Time over which callers come back after a backoff, so that they do not return together.
+const BACKOFF_SPREAD: Duration = Duration::from_millis(600);
+
+/// How much later than the next more urgent ones callers are told to come back after a backoff.
+const RANK_DELAY: Duration = Duration::from_millis(100);
+
+/// Ranks from which on callers come back no later.
+const RANKS_DELAYED: u8 = 4;
+
 impl RelayParts {
     /// Takes what an answer says of its server; the request was sent at `sent`.
     pub fn note_marks(
@@ -143,9 +152,14 @@
         service: &FastStr,
         verdict: RunVerdict,
         wait: RotationWait,
+        rank: u8,
     ) -> Refusal {
         self.metrics.held_off(service);
         let wait = match wait {
+            RotationWait::Until(time) => {
+                let after_others = RANK_DELAY * u32::from(rank.min(RANKS_DELAYED));
+                time + after_others + rand::random_range(Duration::ZERO..=BACKOFF_SPREAD)
+            }
             RotationWait::NoneReturns => rand::random_range(COME_BACK_LEAVING),
         };
         let text = format!("all servers of {service} take no new requests for now");
--- a/src/relay/policy/availability.rs
+++ b/src/relay/policy/availability.rs
@@ -135,8 +135,11 @@
             admitted.is_some_and(|admitted| admitted < since) && now < since + ADMITTED_GRACE
         };
         match known.availability(run, now) {
+            ServerAvailability::Available => true,
+            ServerAvailability::BackingOff(_) => known
+                .backoff
+                .is_some_and(|backoff| is_admitted(backoff.since)),
             ServerAvailability::Leaving => known.leaving_since.is_some_and(is_admitted),
-            ServerAvailability::Available | ServerAvailability::BackingOff(_) => true,
         }
     }
 
--- a/src/relay/policy/book.rs
+++ b/src/relay/policy/book.rs
@@ -4,7 +4,7 @@
 
 use {
     super::{
-        availability::{AvailabilityBook, ServerRun},
+        availability::{AvailabilityBook, ServerAvailability, ServerRun},
         changes::BackendChanges,
         loads::{EngineKey, EngineLoad},
         need_book::{NeedBook, TurnState, TurnWait},
@@ -37,6 +37,9 @@
 /// How long what other hosts' requests take at engines is taken to stay as they last reported.
 pub(crate) const OTHERS_LIFE: Duration = Duration::from_millis(1_500);
 
+/// Requests in progress that a backoff which has just ended counts as: work comes back step by step.
+const RETURN_PENALTY: f64 = 6.0;
+
 /// Other hosts from which on a backend server is passed over that fails them: one alone may be cut off from
 /// it.
 const OTHERS_TO_EJECT: u32 = 2;
@@ -65,8 +68,10 @@
 }
 
 /// When a server gets new requests again, where all of a service get none now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RotationWait {
+    /// The first backoff is over after this time.
+    Until(Duration),
     /// All are leaving: when others are listed.
     NoneReturns,
 }
@@ -197,9 +202,10 @@
             .usable(service, now)
             .filter(|view| !tried.contains(&view.info.id));
         sorted(views, |view| {
+            let returning = self.availability.returning(&view.run, now) * RETURN_PENALTY;
             (
                 self.is_passed_over(view, now),
-                order(view.plain_score(zone, now)),
+                order(view.plain_score(zone, now) + returning),
                 self.needs.order(view.key, now),
             )
         })
@@ -312,7 +318,8 @@
 
     /// Whether a server gets new requests of this host. Each choice of a server asks here.
     pub fn in_rotation(&self, view: &BackendView, now: Duration) -> bool {
-        !self.is_leaving(view, now)
+        let availability = self.availability.availability(&view.run, now);
+        !view.info.leaving && availability == ServerAvailability::Available
     }
 
     /// Whether a request may be sent to a server at the last moment before it; `admitted` is when memory was reserved there
@@ -336,11 +343,21 @@
     ) -> Option<RotationWait> {
         let of_service = |view: &&BackendView| view.info.service == service;
         let of_role = |view: &&BackendView| role.is_none() || view.info.role == role;
-        let mut views = self.views.values().filter(of_service).filter(of_role);
-        let first = views.next()?;
-        let is_out = |view: &BackendView| !self.in_rotation(view, now);
-        let all_out = is_out(first) && views.all(is_out);
-        all_out.then_some(RotationWait::NoneReturns)
+        let views = self.views.values().filter(of_service).filter(of_role);
+        let mut wait = None;
+        for view in views {
+            if self.in_rotation(view, now) {
+                return None;
+            }
+            let here = match self.availability.availability(&view.run, now) {
+                ServerAvailability::BackingOff(time) if !view.info.leaving => {
+                    RotationWait::Until(time)
+                }
+                _ => RotationWait::NoneReturns,
+            };
+            wait = Some(wait.map_or(here, |least: RotationWait| least.min(here)));
+        }
+        wait
     }
 
     pub(super) fn usable<'a>(
--- a/src/relay/policy/engines.rs
+++ b/src/relay/policy/engines.rs
@@ -27,6 +27,12 @@
 /// one as the emptiest would all send there. The usual size of a request.
 const LOAD_NOISE: u64 = 4_000;
 
+/// Tokens that a backoff which has just ended counts as at a decode engine: work comes back step by step.
+const RETURN_TOKENS: f64 = 16_000.0;
+
+/// The same at a prefill engine, seconds of delay.
+const RETURN_DELAY: f64 = 0.12;
+
 impl BackendBook {
     /// The decode engines that have room for a request as far as is known, best first: where no suspect of this host runs, own
     /// zone, those that this host works with, least taken. `memory` is what an engine's memory holds.
@@ -49,11 +55,15 @@
                 view.runs_suspects(),
                 is_other,
                 !view.is_preferred,
-                self.known_tokens(view, now) + noise,
+                self.known_tokens(view, now) + noise + self.return_tokens(view, now),
             )
         })
     }
 
+    fn return_tokens(&self, view: &BackendView, now: Duration) -> u64 {
+        (self.availability.returning(&view.run, now) * RETURN_TOKENS) as u64
+    }
+
     /// Whether an engine has room for a request, as far as is known.
     pub(super) fn fits(
         &self,
@@ -108,6 +118,7 @@
         let scored = untried.map(|view| {
             let away = f64::from(u8::from(view.info.zone != zone)) * AWAY_DELAY;
             let away = away + f64::from(u8::from(!view.is_preferred)) * OUTSIDE_DELAY;
+            let away = away + self.availability.returning(&view.run, now) * RETURN_DELAY;
             let backlog = view.prefill_backlog(self.prefill_rate, now);
             (view, backlog, backlog + away, rand::random::<u16>())
         });
--- a/src/relay/policy/room.rs
+++ b/src/relay/policy/room.rs
@@ -11,6 +11,8 @@
 pub struct DecodeRoom {
     /// All that are listed and do not leave.
     pub listed: usize,
+    /// Asked this host to back off.
+    pub backing_off: usize,
     /// Passed over since they fail, or on trial.
     pub passed_over: usize,
     /// Declined a request lately.
@@ -25,6 +27,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
             listed,
+            backing_off,
             passed_over,
             declining,
             full,
@@ -32,7 +35,7 @@
         } = self;
         write!(
             f,
-            "of {listed} decode engines {passed_over} are passed over, {declining} declined, {full} are \
+            "of {listed} decode engines {backing_off} asked for a backoff, {passed_over} are passed over, {declining} declined, {full} are \
              believed full, {refused} had no room"
         )
     }
@@ -56,6 +59,7 @@
         for view in book.views().filter(is_decode) {
             room.listed += 1;
             let against = match () {
+                () if !book.in_rotation(view, now) => &mut room.backing_off,
                 () if book.is_passed_over(view, now) => &mut room.passed_over,
                 () if now < view.declines_until => &mut room.declining,
                 () if !book.fits(view, tokens, memory, now) => &mut room.full,
--- a/src/relay/request/decode.rs
+++ b/src/relay/request/decode.rs
@@ -97,10 +97,13 @@
     ) -> RoundFailure {
         let status = answer.status;
         self.parts.note_decline(engine, status);
-        let blamed = cache.as_ref().map_or(engine, |cache| &cache.engine);
-        let now = self.parts.now();
-        self.parts.book.borrow_mut().declined(&blamed.id, now);
-        self.skip_prefill = cache.is_some();
+        // One that asks for a backoff turned the request away for itself.
+        if self.parts.may_send(engine, None) {
+            let blamed = cache.as_ref().map_or(engine, |cache| &cache.engine);
+            let now = self.parts.now();
+            self.parts.book.borrow_mut().declined(&blamed.id, now);
+            self.skip_prefill = cache.is_some();
+        }
         // Read to its end, so that the connection can be used again.
         if let Err(detail) = answer.body.read(DECLINE_LIMIT).await {
             log::debug!("a declining answer of {} broke off: {detail}", engine.id);
--- a/src/relay/request/plain.rs
+++ b/src/relay/request/plain.rs
@@ -345,9 +345,12 @@
         if let Some(wait) = wait
             && self.verdict == RunVerdict::NotRun
         {
-            return self
-                .parts
-                .out_of_rotation(&self.service, self.verdict, wait);
+            return self.parts.out_of_rotation(
+                &self.service,
+                self.verdict,
+                wait,
+                self.call.priority(),
+            );
         }
         let refusal = Refusal::new(self.verdict, code, self.detail.clone());
         match self.is_unreachable {
--- a/src/relay/request/prefill.rs
+++ b/src/relay/request/prefill.rs
@@ -200,7 +200,10 @@
     })?;
     if marks.not_run {
         parts.note_decline(engine, status);
-        parts.book.borrow_mut().declined(&engine.id, parts.now());
+        // A backoff says nothing of the time after it.
+        if parts.may_send(engine, None) {
+            parts.book.borrow_mut().declined(&engine.id, parts.now());
+        }
         return Err(PrefillFailure {
             verdict: RunVerdict::NotRun,
             arrived: true,
--- a/src/relay/request/reserve.rs
+++ b/src/relay/request/reserve.rs
@@ -187,7 +187,7 @@
             .rotation_wait(service, decode, parts.now());
         if let Some(wait) = wait.filter(|_| !goes_on) {
             let service = FastStr::new(service);
-            return Err(parts.out_of_rotation(&service, RunVerdict::NotRun, wait));
+            return Err(parts.out_of_rotation(&service, RunVerdict::NotRun, wait, rank));
         }
         let wait = parts.book.borrow().decode_wait(service, rank, parts.now());
         if let Some(wait) = wait {
@@ -290,6 +290,8 @@
     let answer = parts.call_backend(engine, call, HOLD_PATIENCE).await;
     let name = match answer {
         Ok((StatusCode::OK, body)) => (engines.read_hold)(&body),
+        // What it says of itself is noted already.
+        Ok((StatusCode::SERVICE_UNAVAILABLE, _)) if !parts.may_send(engine, None) => return None,
         Ok((StatusCode::SERVICE_UNAVAILABLE, _)) => None,
         Ok((status, _)) => {
             parts.note_decline(engine, status);
