A plain server that turns requests away loses work instead of drawing it

Each send on to another server is a repeat, since operators count what is turned away too, and the host's share of repeats ran out; from then on the decline was the caller's answer. Why it holds: each request turned away weighs four requests in progress at its server, halved every half second, so a server that is full gets a look now and then and the others the work.

--- a/src/relay/policy/book.rs
+++ b/src/relay/policy/book.rs
@@ -427,6 +427,13 @@
         true
     }
 
+    /// A plain server turned a request away. One that does so at once has few in progress, and is not to draw more by that.
+    pub fn turned_away(&mut self, id: &str, now: Duration) {
+        if let Some(view) = self.views.get_mut(id) {
+            view.note_turned_away(now);
+        }
+    }
+
     /// An engine declined its part of a request, or its part was of no use: it may be changing its
     /// role, or its caches may lapse too soon.
     pub fn declined(&mut self, id: &str, now: Duration) {
--- a/src/relay/policy/view.rs
+++ b/src/relay/policy/view.rs
@@ -28,6 +28,12 @@
 /// Requests in progress that a share of failed answers of 1 counts as.
 const ERROR_PENALTY: f64 = 12.0;
 
+/// Requests in progress that a request counts as which the server has just turned away.
+const TURNED_AWAY_PENALTY: f64 = 4.0;
+
+/// Time in which the weight of requests that were turned away halves: queues empty in some hundred milliseconds.
+const TURNED_AWAY_HALF_LIFE: Duration = Duration::from_millis(500);
+
 /// How long an observed delay of a prefill engine tells of its present queue.
 const DELAY_MEMORY: Duration = Duration::from_millis(300);
 
@@ -61,6 +67,8 @@
     pub(super) failing_since: Duration,
     pub(super) out_time: Duration,
     pub(super) error_share: f64,
+    // Weight of the plain requests that it turned away, as of a time.
+    pub(super) turned_away: (f64, Duration),
     pub(super) memory_tokens: u64,
     // What the requests of other hosts take.
     pub(super) others_tokens: u64,
@@ -89,6 +97,7 @@
             failing_since: Duration::ZERO,
             out_time: EJECT_FIRST,
             error_share: 0.0,
+            turned_away: (0.0, Duration::ZERO),
             memory_tokens: 0,
             others_tokens: 0,
             others_out: 0,
@@ -144,6 +153,20 @@
         self.memory_tokens
     }
 
+    /// It turned a plain request away.
+    pub(super) fn note_turned_away(&mut self, now: Duration) {
+        self.turned_away = (self.turned_away_weight(now) + 1.0, now);
+    }
+
+    fn turned_away_weight(&self, now: Duration) -> f64 {
+        let (weight, at) = self.turned_away;
+        if weight == 0.0 {
+            return 0.0;
+        }
+        let age = now.saturating_sub(at).as_secs_f64();
+        weight * (-age / TURNED_AWAY_HALF_LIFE.as_secs_f64()).exp2()
+    }
+
     fn is_doubtful(&self, now: Duration) -> bool {
         let oldest = self.calls.values().min();
         oldest.is_some_and(|sent| now.saturating_sub(*sent) >= DOUBT_AFTER)
@@ -153,7 +176,8 @@
     pub(super) fn plain_score(&self, zone: &str, now: Duration) -> f64 {
         let away = f64::from(u8::from(self.info.zone != zone)) * AWAY_PENALTY;
         let doubt = f64::from(u8::from(self.is_doubtful(now))) * DOUBT_PENALTY;
-        self.calls.len() as f64 + away + doubt + self.error_share * ERROR_PENALTY
+        let turned_away = self.turned_away_weight(now) * TURNED_AWAY_PENALTY;
+        self.calls.len() as f64 + away + doubt + turned_away + self.error_share * ERROR_PENALTY
     }
 
     /// Whether it had no room lately for as many tokens.
