A silent stream that may go nowhere else asks again after a pause, not at once

Cause: such a refusal comes without any wait, and the loop that looks for another engine was paced by that wait alone. Found on reading the same path for leaving servers and backoffs, where the wait stays.

--- a/src/relay/request/resume.rs
+++ b/src/relay/request/resume.rs
@@ -115,7 +115,11 @@
             reserved = seeking => match reserved {
                 Ok(hold) if relay.pay_repeat() => return StreamStep::Movable(Box::new(hold)),
                 Ok(_) => tokio::time::sleep(REPEAT_PAUSE).await,
-                Err(refusal) => log::debug!("a silent stream stays where it is: {refusal}"),
+                // Refused at once where no engine may be asked, so that it is not the wait for memory that paces the asking.
+                Err(refusal) => {
+                    log::debug!("a silent stream stays where it is: {refusal}");
+                    tokio::time::sleep(REPEAT_PAUSE).await;
+                }
             }
         }
     }
