--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -368,16 +368,22 @@
 fn a_refusal_for_lack_of_memory_says_what_speaks_against_each_engine() {
     let mut book = BackendBook::default();
     let decode = |id: &str| backend(id, "a", Some(EngineRole::Decode));
-    let engines = ["e-1", "e-2", "e-3", "e-4", "e-5"].map(decode);
+    let engines = ["e-1", "e-2", "e-3", "e-4", "e-5", "e-6"].map(decode);
     book.set_backends(engines.to_vec());
     let now = Duration::from_secs(1);
+    let said = relay::ServerMarks {
+        backoff: relay::BackoffMark::Lasting(now),
+        ..relay::ServerMarks::default()
+    };
+    book.availability.note(&engines[5].run(), &said, now);
     book.failed("e-1", BackendFailure::Silent, now);
     book.declined("e-2", now);
     book.memory_taken("e-3", 40_000);
     book.refused("e-4", 3_000, now);
     let room = relay::DecodeRoom::of(&book, "one", 3_000, Some(30_000), now);
     let expected = relay::DecodeRoom {
-        listed: 5,
+        listed: 6,
+        backing_off: 1,
         passed_over: 1,
         declining: 1,
         full: 1,
