Own interface: a server whose listener closes after its connections counts as ended

Cause: a process that ends closes one socket after the other; this interface opened one connection, took a listener that was still open for a living server, and sent the request on. Evidence: a test with a listener that closes 40 ms later is red with the one connection, three of three servers missed. The relay's path already asks until two answers agree; both use that one copy now, here for at most 350 ms.

--- a/src/operation/crashes.rs
+++ b/src/operation/crashes.rs
@@ -17,8 +17,8 @@
     },
 };
 
-/// Longest wait until it is known whether a server ended that broke off; one that is there answers in milliseconds.
-const PROBE_PATIENCE: Duration = Duration::from_millis(100);
+/// Longest wait until it is known whether a server ended that broke off; the call is sent on after it.
+const LEARN_PATIENCE: Duration = Duration::from_millis(350);
 
 /// Marks that an exchange with another host carries at most, those of the last changes: some 3 kB.
 const MARKS_TOLD: usize = 16;
@@ -72,7 +72,8 @@
     ///
     /// A server that starts again under its name passes for the same run: the platform tells no others apart.
     pub async fn learn_end(&self, digest: RequestDigest, server: &str, address: SocketAddr) {
-        if web::probe(address, PROBE_PATIENCE).await != ProbeOutcome::Refused {
+        let probing = web::within(LEARN_PATIENCE, web::probe_patiently(address));
+        if probing.await != Ok(ProbeOutcome::Refused) {
             return;
         }
         event::emit(
--- a/src/relay/parts/ends.rs
+++ b/src/relay/parts/ends.rs
@@ -15,16 +15,6 @@
     tokio::sync::Notify,
 };
 
-/// Longest wait for the answer to a new connection; hosts of a zone are a millisecond apart, regions some tens.
-const PROBE_PATIENCE: Duration = Duration::from_millis(250);
-
-/// Pauses before each new connection, as long as there is no answer: packets are lost, cuts last seconds.
-const PROBE_PAUSES: [Duration; 3] = [
-    Duration::ZERO,
-    Duration::from_millis(100),
-    Duration::from_millis(400),
-];
-
 /// When it is looked whether the server has begun anew under its id, where its address does not tell: starts take
 /// seconds, and their entries come a moment later.
 const BEGUN_PAUSES: [Duration; 3] = [
@@ -73,7 +63,7 @@
             .0
             .borrow_mut()
             .insert(key, question.clone());
-        let outcome = probe_patiently(backend).await;
+        let outcome = web::probe_patiently(backend.address).await;
         self.end_questions.0.borrow_mut().remove(&key);
         question.outcome.set(Some(outcome));
         question.answered.notify_waiters();
@@ -92,18 +82,3 @@
         }
     }
 }
-
-async fn probe_patiently(backend: &BackendInfo) -> ProbeOutcome {
-    let mut last = ProbeOutcome::Silent;
-    for pause in PROBE_PAUSES {
-        tokio::time::sleep(pause).await;
-        let outcome = web::probe(backend.address, PROBE_PATIENCE).await;
-        // A process that ends closes one socket after the other: what it still takes at once says nothing.
-        let is_sure = outcome == ProbeOutcome::Refused || outcome == last;
-        if is_sure && outcome != ProbeOutcome::Silent {
-            return outcome;
-        }
-        last = outcome;
-    }
-    last
-}
--- a/src/web/probe.rs
+++ b/src/web/probe.rs
@@ -16,9 +16,34 @@
     Silent,
 }
 
-/// Opens a connection to an address, and closes it at once.
-pub async fn probe(address: SocketAddr, patience: Duration) -> ProbeOutcome {
-    match tokio::time::timeout(patience, TcpStream::connect(address)).await {
+/// Longest wait for the answer to a new connection; hosts of a zone are a millisecond apart, regions some tens.
+const PROBE_PATIENCE: Duration = Duration::from_millis(250);
+
+/// Pauses before each new connection, as long as there is no answer: packets are lost, cuts last seconds.
+const PROBE_PAUSES: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(100),
+    Duration::from_millis(400),
+];
+
+/// Opens connections to an address, and closes them at once, until it is sure whether anybody listens.
+pub async fn probe_patiently(address: SocketAddr) -> ProbeOutcome {
+    let mut last = ProbeOutcome::Silent;
+    for pause in PROBE_PAUSES {
+        tokio::time::sleep(pause).await;
+        let outcome = probe(address).await;
+        // A process that ends closes one socket after the other: what it still takes at once says nothing.
+        let is_sure = outcome == ProbeOutcome::Refused || outcome == last;
+        if is_sure && outcome != ProbeOutcome::Silent {
+            return outcome;
+        }
+        last = outcome;
+    }
+    last
+}
+
+async fn probe(address: SocketAddr) -> ProbeOutcome {
+    match tokio::time::timeout(PROBE_PATIENCE, TcpStream::connect(address)).await {
         Ok(Ok(_)) => ProbeOutcome::Taken,
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => ProbeOutcome::Refused,
         Ok(Err(error)) => {
--- a/tests/fatal_requests.rs
+++ b/tests/fatal_requests.rs
@@ -6,7 +6,10 @@
 
 use {
     bayplank::{
+        clock::HostClock,
         engine::EngineRole,
+        operation::{RunVerdict, SharedCrashes},
+        relay::RequestDigest,
         standin::{caller::Caller, fleet::Fleet},
     },
     common::{KEY, MODEL, expected, host, wait},
@@ -59,6 +62,25 @@
     ended
 }
 
+#[test]
+fn a_server_whose_listener_closes_after_its_connections_counts_as_ended() {
+    let runtime = Runtime::new().expect("a runtime");
+    let crashes = SharedCrashes::new(HostClock::system());
+    let digest = RequestDigest::of("account", "/path", b"body");
+    runtime.block_on(async {
+        for server in ["a", "b", "c"] {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            tokio::spawn(async move {
+                tokio::time::sleep(Duration::from_millis(40)).await;
+                drop(listener);
+            });
+            crashes.learn_end(digest, server, address).await;
+        }
+    });
+    assert!(crashes.check(digest, RunVerdict::MayHaveRun).is_err());
+}
+
 #[test]
 fn a_request_that_ends_its_engines_is_soon_sent_to_none() {
     let (mut fleet, runtime) = start();
