Own interface: plain servers that leave by their answers, or ask for a backoff, get no new calls

The same book of the same decisions; a call that a server turned away as not run goes to another one within the budget; where all wait the caller hears when the first comes back. /status lists them. Tests: calls after the word at three servers, none or two at most; the two tests of servers that serve on were red before (no such header was read).

--- a/src/filter/plain.rs
+++ b/src/filter/plain.rs
@@ -1,17 +1,17 @@
 //! Plain calls: one server of the service, tried again only when nothing can run twice.
 
 use {
-    super::call::{CallContext, CallKind, CallRoute, FORWARDED_HEADER},
+    super::call::{CallContext, CallKind, CallRoute, FORWARDED_HEADER, VERDICT_HEADER},
     crate::{
         host::Traffic,
         object::{ServiceSpec, Typed},
         operation::{PlainOutcome, PlainReply, Refusal, RefusalCode, RunVerdict},
-        relay::RequestDigest,
-        route::ServerChoice,
+        relay::{RequestDigest, ServerAvailability},
+        route::{ServerChoice, ServerInfo},
         web::{self, WebFailure},
     },
     bytes::Bytes,
-    http::{HeaderMap, HeaderValue, Method, header},
+    http::{HeaderMap, HeaderValue, Method, StatusCode, header},
     std::{net::SocketAddr, time::Duration},
     volo_http::response::Response,
 };
@@ -22,6 +22,9 @@
 /// Added to the time that a passed call may take by itself.
 const PASS_MARGIN: Duration = Duration::from_secs(1);
 
+/// Time over which callers come back after a backoff, so that they do not return together.
+const BACKOFF_SPREAD: Duration = Duration::from_millis(600);
+
 /// Longest answer of a plain service.
 const REPLY_LIMIT: usize = 4 << 20;
 
@@ -66,11 +69,16 @@
     let mut sends = 0;
     while sends < TRIES {
         crashes.check(digest, last.verdict)?;
-        let Some(choice) = traffic
+        let in_rotation = |server: &ServerInfo| {
+            traffic.needs.availability(server) == ServerAvailability::Available
+        };
+        let zone = &traffic.settings.zone;
+        let chosen = traffic
             .servers
-            .choose(&route.servers, &traffic.settings.zone, &tried)
-        else {
-            return Err(with_wait(last, turn_wait));
+            .choose(&route.servers, zone, &tried, in_rotation);
+        let Some(choice) = chosen else {
+            let wait = turn_wait.or_else(|| backoff_wait(traffic, route));
+            return Err(with_wait(last, wait));
         };
         if let Err(wait) = traffic.needs.take_turn(&choice.info, known_hosts(traffic)) {
             turn_wait = Some(turn_wait.map_or(wait, |least: Duration| least.min(wait)));
@@ -80,6 +88,22 @@
         sends += 1;
         let sent = web::within(time, send(traffic, &choice, &call)).await;
         let failure = match sent {
+            Ok(Ok(reply)) if is_turned_away(&reply) => {
+                let again = traffic
+                    .parts
+                    .budget
+                    .lock()
+                    .expect("budget")
+                    .spend(now(traffic));
+                if !again {
+                    return Ok(reply);
+                }
+                let text = format!("backend server {} turned it away", choice.name());
+                last = Refusal::new(last.verdict, RefusalCode::BackendLost, text)
+                    .after(Duration::from_secs(1));
+                tried.push(choice.name());
+                continue;
+            }
             Ok(Ok(reply)) => {
                 if reply.status < 500 {
                     crashes.note_good_run(digest);
@@ -98,8 +122,14 @@
         choice.failed();
         last = refusal_of(&choice, &failure, last.verdict);
         let again = last.verdict.allows_retry(route.repeatable);
-        let now = traffic.desk.now();
-        if !again || !traffic.parts.budget.lock().expect("budget").spend(now) {
+        if !again
+            || !traffic
+                .parts
+                .budget
+                .lock()
+                .expect("budget")
+                .spend(now(traffic))
+        {
             return Err(last);
         }
         tried.push(choice.name());
@@ -107,6 +137,32 @@
     Err(last)
 }
 
+fn now(traffic: &Traffic) -> Duration {
+    traffic.desk.now()
+}
+
+// The server did not run it.
+fn is_turned_away(reply: &PlainReply) -> bool {
+    let verdict = reply.headers.get(VERDICT_HEADER);
+    let is_not_run = verdict.is_some_and(|verdict| verdict == RunVerdict::NotRun.as_str());
+    reply.status == StatusCode::SERVICE_UNAVAILABLE.as_u16() && is_not_run
+}
+
+// When the first server of a call's service takes calls again, where all of them wait for a backoff to end or are leaving;
+// those that come back then are spread.
+fn backoff_wait(traffic: &Traffic, route: &CallRoute) -> Option<Duration> {
+    let servers = traffic.servers.servers();
+    let picked = servers
+        .iter()
+        .filter(|server| server.is_picked_by(&route.servers));
+    let waits = picked.filter_map(|server| match traffic.needs.availability(server) {
+        ServerAvailability::BackingOff(left) => Some(left),
+        ServerAvailability::Available | ServerAvailability::Leaving => None,
+    });
+    let spread = rand::random_range(Duration::ZERO..=BACKOFF_SPREAD);
+    waits.min().map(|wait| wait + spread)
+}
+
 // This host and all others that are known, heard or not: who is cut off keeps to his share.
 fn known_hosts(traffic: &Traffic) -> usize {
     1 + traffic.snapshot.load().peers.len()
@@ -161,8 +217,9 @@
         .await
         .map_err(|failure| WebFailure::Unanswered(format!("answer: {failure:?}")))?;
     let mut headers = parts.headers;
-    let ran_well = parts.status.is_success();
-    traffic.needs.note(&choice.info, &headers, ran_well, sent);
+    traffic
+        .needs
+        .note(&choice.info, parts.status, &headers, sent);
     web::strip_hop_headers(&mut headers);
     Ok(PlainReply {
         status: parts.status.as_u16(),
--- a/src/host/operators.rs
+++ b/src/host/operators.rs
@@ -2,7 +2,7 @@
 
 use {
     super::traffic::Traffic,
-    crate::web,
+    crate::{relay::ServerAvailability, web},
     bytes::Bytes,
     http::Method,
     serde_json::json,
@@ -82,8 +82,20 @@
     let limits: Vec<_> = limits
         .map(|(name, limit)| json!({"server": name, "perSecondOfAllHosts": limit}))
         .collect();
+    let unavailable = servers.iter().filter_map(|server| {
+        let shown = match traffic.needs.availability(server) {
+            ServerAvailability::Available => return None,
+            ServerAvailability::BackingOff(left) => {
+                json!({"server": server.name, "state": "backing-off", "leftMs": left.as_millis() as u64})
+            }
+            ServerAvailability::Leaving => json!({"server": server.name, "state": "leaving"}),
+        };
+        Some(shown)
+    });
+    let unavailable: Vec<_> = unavailable.collect();
     json!({
         "serverLimits": limits,
+        "serversUnavailable": unavailable,
         "host": traffic.settings.name,
         "zone": traffic.settings.zone,
         "incarnation": traffic.incarnation,
--- a/src/route/needs.rs
+++ b/src/route/needs.rs
@@ -8,11 +8,16 @@
     super::servers::ServerInfo,
     crate::{
         clock::HostClock,
-        relay::{EngineKey, LimitMark, LimitSaying, NeedBook, ServerHeaders, TurnDesk, TurnState},
+        event,
+        relay::{
+            self, AvailabilityBook, EngineKey, LimitMark, LimitSaying, NeedBook,
+            ServerAvailability, ServerHeaders, ServerMarks, ServerRun, TurnDesk, TurnState,
+        },
     },
     faststr::FastStr,
-    http::{HeaderMap, HeaderName},
+    http::{HeaderMap, HeaderName, StatusCode},
     std::{
+        collections::HashSet,
         sync::{Mutex, MutexGuard},
         time::Duration,
     },
@@ -31,6 +36,7 @@
 struct OwnTurns {
     needs: NeedBook,
     desk: TurnDesk,
+    availability: AvailabilityBook,
 }
 
 /// Which servers are in need, and this host's turns there.
@@ -46,6 +52,7 @@
         let turns = OwnTurns {
             needs: NeedBook::new(host),
             desk: TurnDesk::default(),
+            availability: AvailabilityBook::default(),
         };
         Self {
             turns: Mutex::new(turns),
@@ -62,10 +69,18 @@
         self.clock.now()
     }
 
-    /// Takes what an answer says; the call was sent at `sent` and ran well or not.
-    pub fn note(&self, server: &ServerInfo, headers: &HeaderMap, ran_well: bool, sent: Duration) {
-        let values = headers.get_all(&SERVER_HEADERS.limit).iter();
-        let limit = match LimitMark::read(values.map(|value| value.as_bytes())) {
+    /// Takes what an answer says of its server; the call was sent at `sent`.
+    pub fn note(
+        &self,
+        server: &ServerInfo,
+        status: StatusCode,
+        headers: &HeaderMap,
+        sent: Duration,
+    ) {
+        let marks = relay::read_server_marks(status, headers, &SERVER_HEADERS);
+        self.note_availability(server, &marks);
+        let ran_well = status.is_success();
+        let limit = match marks.limit {
             LimitMark::Named(limit) => Some(limit),
             LimitMark::Unsaid if ran_well => None,
             LimitMark::Unsaid => return,
@@ -79,6 +94,49 @@
         self.turns().needs.take(key_of(server), saying, now);
     }
 
+    fn note_availability(&self, server: &ServerInfo, marks: &ServerMarks) {
+        let now = self.clock.now();
+        let mut turns = self.turns();
+        let change = turns.availability.note(&server.run(), marks, now);
+        drop(turns);
+        if change.is_leaving {
+            event::emit(
+                &event::SERVER_LEAVING,
+                &[("backend", &server.name), ("from", &"answer")],
+            );
+        }
+        if let Some(time) = change.backoff {
+            event::emit(
+                &event::SERVER_BACKOFF,
+                &[
+                    ("backend", &server.name),
+                    ("from", &"answer"),
+                    ("backoff_ms", &time.as_millis()),
+                ],
+            );
+        }
+    }
+
+    /// Whether a server takes new calls of this host, as far as its answers say.
+    pub fn availability(&self, server: &ServerInfo) -> ServerAvailability {
+        let now = self.clock.now();
+        self.turns().availability.availability(&server.run(), now)
+    }
+
+    /// Evicts what is no longer of use of servers that are not listed.
+    pub fn evict_expired(&self, listed: &[ServerInfo]) {
+        let now = self.clock.now();
+        let runs: HashSet<ServerRun> = listed.iter().map(ServerInfo::run).collect();
+        let mut turns = self.turns();
+        let ended = turns
+            .availability
+            .evict_expired(|run| runs.contains(run), now);
+        drop(turns);
+        for run in ended {
+            event::emit(&event::SERVER_BACKOFF_ENDED, &[("backend", &run.id)]);
+        }
+    }
+
     /// Takes a turn at a server for one of so many hosts; otherwise when one is likely. A server in no need takes all.
     pub fn take_turn(&self, server: &ServerInfo, hosts: usize) -> Result<(), Duration> {
         let now = self.clock.now();
--- a/src/route/servers.rs
+++ b/src/route/servers.rs
@@ -1,7 +1,7 @@
 //! Choosing a server of a plain service: the one with the fewest calls of this host in progress.
 
 use {
-    crate::object,
+    crate::{object, relay::ServerRun},
     faststr::FastStr,
     rand::RngExt,
     std::{
@@ -31,6 +31,23 @@
     pub leaving: bool,
 }
 
+impl ServerInfo {
+    /// Whether one of the selectors picks it.
+    pub fn is_picked_by(&self, selectors: &[object::LabelSelector]) -> bool {
+        let mut selectors = selectors.iter();
+        selectors.any(|selector| selector.matches(&self.labels))
+    }
+
+    /// Its run as far as it can be told from others: by its name and address.
+    pub fn run(&self) -> ServerRun {
+        ServerRun {
+            id: self.name.clone(),
+            born: 0,
+            address: self.address,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct ServerView {
     info: ServerInfo,
@@ -64,13 +81,14 @@
         }
     }
 
-    /// A server that one of the selectors picks and that was not tried yet: of this zone if it can
+    /// A server that one of the selectors picks, that is in rotation and was not tried yet: of this zone if it can
     /// be, reachable if it can be, least busy, at random among equals.
     pub fn choose(
         self: &Arc<Self>,
         selectors: &[object::LabelSelector],
         zone: &FastStr,
         tried: &[FastStr],
+        in_rotation: impl Fn(&ServerInfo) -> bool,
     ) -> Option<ServerChoice> {
         let now = Instant::now();
         let mut views = self.views.lock().expect("server book");
@@ -78,11 +96,7 @@
         let best = views
             .values_mut()
             .filter(|view| !view.info.leaving && !tried.contains(&view.info.name))
-            .filter(|view| {
-                selectors
-                    .iter()
-                    .any(|selector| selector.matches(&view.info.labels))
-            })
+            .filter(|view| view.info.is_picked_by(selectors) && in_rotation(&view.info))
             .min_by_key(|view| {
                 let avoided = view.avoid_until.is_some_and(|until| now < until);
                 let away = view.info.zone != *zone;
--- a/src/standin/service/mod.rs
+++ b/src/standin/service/mod.rs
@@ -1,10 +1,10 @@
 //! A stand-in plain service that counts how often each call ran.
 
 use {
-    crate::{route, web},
+    crate::{filter::VERDICT_HEADER, operation::RunVerdict, route, web},
     faststr::FastStr,
     futures::FutureExt,
-    http::HeaderValue,
+    http::{HeaderValue, header},
     serde_json::json,
     std::{
         collections::HashMap,
@@ -30,6 +30,11 @@
     lose_answers: AtomicBool,
     // What its answers name as the calls a second that it takes; empty for none.
     limit: Mutex<String>,
+    is_leaving: AtomicBool,
+    // The seconds for which it turns all away and asks for a backoff; empty where it does not.
+    backoff: Mutex<String>,
+    // Calls that came, run or not.
+    arrivals: AtomicU64,
 }
 
 impl ServiceCore {
@@ -62,7 +67,54 @@
         *self.limit.lock().expect("service limit") = per_second.to_owned();
     }
 
+    /// Says in its answers that it is leaving, or no more.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.is_leaving.store(is_leaving, Ordering::Relaxed);
+    }
+
+    /// Turns all calls away and asks for a backoff of so many seconds; not any more where the text is empty.
+    pub fn set_backoff(&self, seconds: &str) {
+        *self.backoff.lock().expect("service backoff") = seconds.to_owned();
+    }
+
+    /// Calls that came, run or not.
+    pub fn arrivals(&self) -> u64 {
+        self.arrivals.load(Ordering::Relaxed)
+    }
+
     async fn answer(self: Arc<Self>, request: Request) -> Response {
+        self.arrivals.fetch_add(1, Ordering::Relaxed);
+        let mut reply = self.answer_call(request).await;
+        if self.is_leaving.load(Ordering::Relaxed) {
+            let said = HeaderValue::from_static("1");
+            reply
+                .headers_mut()
+                .insert(route::SERVER_HEADERS.leaving, said);
+        }
+        reply
+    }
+
+    // The answer that turns a call away, where it does so.
+    fn turned_away(&self) -> Option<Response> {
+        let seconds = self.backoff.lock().expect("service backoff").clone();
+        if seconds.is_empty() {
+            return None;
+        }
+        let mut reply = web::text_reply(503, "no more calls for now");
+        let headers = reply.headers_mut();
+        match HeaderValue::from_str(&seconds) {
+            Ok(value) => drop(headers.insert(header::RETRY_AFTER, value)),
+            Err(error) => log::warn!("the backoff {seconds:?} cannot be named: {error}"),
+        }
+        let verdict = HeaderValue::from_static(RunVerdict::NotRun.as_str());
+        headers.insert(VERDICT_HEADER, verdict);
+        Some(reply)
+    }
+
+    async fn answer_call(&self, request: Request) -> Response {
+        if let Some(reply) = self.turned_away() {
+            return reply;
+        }
         let (parts, content) = request.into_parts();
         let Ok(bytes) = web::read_body(content, BODY_LIMIT, BODY_TIME).await else {
             return web::text_reply(413, "too large or too slow");
--- a/tests/limited_services.rs
+++ b/tests/limited_services.rs
@@ -32,7 +32,12 @@
         if began.elapsed() >= time {
             break;
         }
-        let calling = caller.plain(host(fleet, number % 3), "/orderdesk/look", None, "{}");
+        let calling = caller.plain(
+            host(fleet, number % fleet.hosts.len()),
+            "/orderdesk/look",
+            None,
+            "{}",
+        );
         let reply = runtime.block_on(calling).expect("a reply");
         match reply.status {
             200 => counted.good += 1,
@@ -106,3 +111,56 @@
         );
     }
 }
+
+fn two_servers() -> (Fleet, Runtime) {
+    let mut fleet = Fleet::start(common::plan(1)).expect("the fleet starts");
+    fleet
+        .start_service("orderdesk-more", "zone-a")
+        .expect("one more server");
+    fleet.wait_ready().expect("all are known");
+    (fleet, Runtime::new().expect("a runtime"))
+}
+
+#[test]
+fn a_service_server_whose_answers_say_leaving_gets_no_more_calls() {
+    let (fleet, runtime) = two_servers();
+    let servers: Vec<_> = fleet.services.values().cloned().collect();
+    servers[0].set_leaving(true);
+    call_for(&fleet, &runtime, Duration::from_millis(500));
+    let before = servers[0].arrivals();
+    let counted = call_for(&fleet, &runtime, Duration::from_millis(1_500));
+    assert_eq!(servers[0].arrivals(), before);
+    assert_eq!(counted.refused, 0, "the other one serves");
+}
+
+#[test]
+fn a_service_server_that_asks_for_a_backoff_gets_it_and_work_again_after_it() {
+    let (fleet, runtime) = two_servers();
+    let servers: Vec<_> = fleet.services.values().cloned().collect();
+    servers[0].set_backoff("1.5");
+    let counted = call_for(&fleet, &runtime, Duration::from_millis(1_000));
+    let arrived = servers[0].arrivals();
+    assert!(arrived <= 2, "{arrived} calls during the backoff");
+    assert_eq!(counted.refused, 0, "the other one serves");
+    servers[0].set_backoff("");
+    servers[1].set_leaving(true);
+    wait(&fleet, "work again", || {
+        call_for(&fleet, &runtime, Duration::from_millis(50));
+        servers[0].arrivals() > arrived
+    });
+}
+
+#[test]
+fn a_service_whose_servers_all_ask_for_a_backoff_tells_callers_when_it_is_over() {
+    let (fleet, runtime) = two_servers();
+    for server in fleet.services.values() {
+        server.set_backoff("3");
+    }
+    call_for(&fleet, &runtime, Duration::from_millis(200));
+    let caller = Caller::new(KEY);
+    let calling = caller.plain(host(&fleet, 0), "/orderdesk/look", None, "{}");
+    let reply = runtime.block_on(calling).expect("a reply");
+    assert_eq!((reply.status, reply.verdict()), (503, "not-run"));
+    let wait: f64 = reply.header("retry-after").parse().expect("seconds");
+    assert!((2.0..=4.0).contains(&wait), "{wait}");
+}
