--- a/src/control/parts.rs
+++ b/src/control/parts.rs
@@ -182,7 +182,9 @@
             tokio::time::sleep(EXPIRE_PERIOD).await;
             let traffic = &self.traffic;
             traffic.operations.lock().expect("operation table").expire();
-            traffic.needs.evict_expired(&traffic.servers.servers());
+            traffic
+                .server_states
+                .evict_expired(&traffic.servers.servers());
             let metrics = &traffic.metrics;
             metrics.in_flight.set(traffic.gate.in_flight() as i64);
             let open = traffic.parts.canceller.open();
--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -52,7 +52,7 @@
     REQUEST_JUDGED = 308, "request-judged", Warn, "A request is held to end its servers, since three of them ended under it: this host sends it to none.", "Find it by its digest in the backend-ended lines (307); tell its caller.";
     REQUEST_CLEARED = 309, "request-cleared", Info, "A request that was held to end its servers has run well, and is let in again.", "None.";
     REQUEST_TRIED = 310, "request-tried", Info, "A request that is held to end its servers may be tried once, by all hosts together.", "None; a backend-ended line (307) with its digest follows if it still does.";
-    SERVER_LIMIT = 311, "server-limit", Info, "A backend server names how many requests a second it takes from all hosts together, another number than before, or none any more.", "With limit other than none: the server is in need; look at it. Requests go to others of its service first.";
+    SERVER_LIMIT = 311, "server-limit", Info, "A backend server names how many requests a second it takes from all hosts together, another number than before, or none any more.", "With limit other than none: the server is rate-limited; look at it. Requests go to others of its service first.";
     SERVER_LEAVING = 312, "server-leaving", Info, "An answer of a backend server says that it is leaving; listed_leaving tells whether the platform's list said so before.", "None; without backends-changed (306) for it soon after, the platform's list is late or away.";
     SERVER_BACKOFF = 313, "server-backoff", Info, "A backend server turned a request away and asked this host for a backoff.", "If it repeats, look at that server: it is overloaded.";
     SERVER_BACKOFF_ENDED = 314, "server-backoff-ended", Info, "A backoff is over; requests go to the server again.", "None.";
--- a/src/filter/plain.rs
+++ b/src/filter/plain.rs
@@ -62,7 +62,7 @@
 ) -> PlainOutcome {
     let time = Duration::from_millis(service.spec.timeout_ms);
     let mut tried = Vec::new();
-    let mut turn_wait = None;
+    let mut permit_wait = None;
     let mut last = no_server(service);
     traffic.parts.budget.lock().expect("budget").earn();
     let crashes = &traffic.parts.crashes;
@@ -70,18 +70,21 @@
     while sends < TRIES {
         crashes.check(digest, last.verdict)?;
         let in_rotation = |server: &ServerInfo| {
-            traffic.needs.availability(server) == ServerAvailability::Available
+            traffic.server_states.availability(server) == ServerAvailability::Available
         };
         let zone = &traffic.settings.zone;
         let chosen = traffic
             .servers
             .choose(&route.servers, zone, &tried, in_rotation);
         let Some(choice) = chosen else {
-            let wait = turn_wait.or_else(|| backoff_wait(traffic, route));
+            let wait = permit_wait.or_else(|| backoff_wait(traffic, route));
             return Err(with_wait(last, wait));
         };
-        if let Err(wait) = traffic.needs.take_turn(&choice.info, known_hosts(traffic)) {
-            turn_wait = Some(turn_wait.map_or(wait, |least: Duration| least.min(wait)));
+        if let Err(wait) = traffic
+            .server_states
+            .take_permit(&choice.info, known_hosts(traffic))
+        {
+            permit_wait = Some(permit_wait.map_or(wait, |least: Duration| least.min(wait)));
             tried.push(choice.name());
             continue;
         }
@@ -155,7 +158,7 @@
     let picked = servers
         .iter()
         .filter(|server| server.is_picked_by(&route.servers));
-    let waits = picked.filter_map(|server| match traffic.needs.availability(server) {
+    let waits = picked.filter_map(|server| match traffic.server_states.availability(server) {
         ServerAvailability::BackingOff(left) => Some(left),
         ServerAvailability::Available | ServerAvailability::Leaving => None,
     });
@@ -168,10 +171,10 @@
     1 + traffic.snapshot.load().peers.len()
 }
 
-// Where servers in need had no turn, the caller is to come back when one is likely; not one whose call may have run at
+// Where rate-limited servers had no permit, the caller is to come back when one is likely; not one whose call may have run at
 // another: that it was not run would not be true.
-fn with_wait(refusal: Refusal, turn_wait: Option<Duration>) -> Refusal {
-    match turn_wait {
+fn with_wait(refusal: Refusal, permit_wait: Option<Duration>) -> Refusal {
+    match permit_wait {
         Some(wait) if refusal.verdict == RunVerdict::NotRun => Refusal {
             code: RefusalCode::Overloaded,
             ..refusal.after(wait)
@@ -201,7 +204,7 @@
     choice: &ServerChoice,
     call: &PlainCall,
 ) -> Result<PlainReply, WebFailure> {
-    let sent = traffic.needs.now();
+    let sent = traffic.server_states.now();
     let response = traffic
         .client
         .send(
@@ -218,7 +221,7 @@
         .map_err(|failure| WebFailure::Unanswered(format!("answer: {failure:?}")))?;
     let mut headers = parts.headers;
     traffic
-        .needs
+        .server_states
         .note(&choice.info, parts.status, &headers, sent);
     web::strip_hop_headers(&mut headers);
     Ok(PlainReply {
--- a/src/host/operators.rs
+++ b/src/host/operators.rs
@@ -78,12 +78,12 @@
         .map(|peer| json!({"name": peer.name, "zone": peer.zone, "live": peer.is_live}))
         .collect();
     let servers = traffic.servers.servers();
-    let limits = traffic.needs.limits(servers.iter()).into_iter();
+    let limits = traffic.server_states.limits(servers.iter()).into_iter();
     let limits: Vec<_> = limits
         .map(|(name, limit)| json!({"server": name, "perSecondOfAllHosts": limit}))
         .collect();
     let unavailable = servers.iter().filter_map(|server| {
-        let shown = match traffic.needs.availability(server) {
+        let shown = match traffic.server_states.availability(server) {
             ServerAvailability::Available => return None,
             ServerAvailability::BackingOff(left) => {
                 json!({"server": server.name, "state": "backing-off", "leftMs": left.as_millis() as u64})
--- a/src/host/traffic.rs
+++ b/src/host/traffic.rs
@@ -13,7 +13,7 @@
             LifeLimits, OperationTable, RetryBudget, RunnerParts, SharedCrashes, TicketBook,
         },
         peer,
-        route::{ServerBook, ServerNeeds, SharedDesk},
+        route::{ServerBook, ServerStates, SharedDesk},
         web::WebClient,
     },
     arc_swap::ArcSwap,
@@ -52,7 +52,7 @@
     /// Servers of plain services.
     pub servers: Arc<ServerBook>,
     /// Which of them name how much they take.
-    pub needs: ServerNeeds,
+    pub server_states: ServerStates,
     /// Operations by key.
     pub operations: Mutex<OperationTable>,
     /// Tickets of this incarnation.
@@ -108,7 +108,7 @@
             parts,
             desk,
             servers: Arc::default(),
-            needs: ServerNeeds::new(&settings.name, clock.clone()),
+            server_states: ServerStates::new(&settings.name, clock.clone()),
             operations: Mutex::new(OperationTable::new(settings.remember)),
             tickets: TicketBook::new(settings.name.clone(), incarnation.clone()),
             limits: Arc::default(),
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -12,9 +12,9 @@
             findings::FindingShare,
             follow::NewsFollower,
             link::{NewsAnswers, NewsLinks},
+            permits::PermitLink,
             settle::LedgerLink,
             share::LoadShare,
-            turns::TurnLink,
         },
         parts::{metrics::StoreCause, shared::RelayParts},
         request::{
@@ -61,8 +61,8 @@
 /// Path of the metrics, beside the balancer's question.
 const METRICS_PATH: &str = "/metrics";
 
-/// Path of the page of backend servers in need, beside it too.
-const NEEDS_PATH: &str = "/servers-in-need";
+/// Path of the page of rate-limited backend servers, beside it too.
+const LIMITS_PATH: &str = "/servers-limited";
 
 /// Path of the page of backend servers that take no new requests of this host, beside it too.
 const AVAILABILITY_PATH: &str = "/servers-unavailable";
@@ -137,7 +137,7 @@
         let links = Rc::new(NewsLinks::new(metrics.clone(), clock.clone()));
         let follower = NewsFollower::start(self.parts.clone(), feed, links.clone());
         LedgerLink::start(self.parts.clone(), follower.clone(), links.clone());
-        let turns = TurnLink::start(self.parts.clone(), links.clone());
+        let permits = PermitLink::start(self.parts.clone(), links.clone());
         let findings = FindingShare::start(self.parts.clone(), follower.clone(), links.clone());
         let share = LoadShare::start(self.parts.clone(), follower, links);
         let parts = self.parts.clone();
@@ -145,8 +145,8 @@
         let tried = parts.clone();
         let answers = NewsAnswers {
             clock,
-            turns: Box::new(move |ask, is_passed_on| {
-                turns.clone().answer(ask, is_passed_on).boxed_local()
+            permits: Box::new(move |ask, is_passed_on| {
+                permits.clone().answer(ask, is_passed_on).boxed_local()
             }),
             charges: Box::new(move |account, units| charged.answer_charge(account, units)),
             sums: Box::new(move |theirs| settled.answer_sums(&theirs)),
@@ -275,7 +275,7 @@
 fn check(parts: &RelayParts, path: &str) -> RelayAnswer {
     match path {
         METRICS_PATH => page(200, parts.metrics_page()),
-        NEEDS_PATH => page(200, parts.needs_page()),
+        LIMITS_PATH => page(200, parts.limits_page()),
         AVAILABILITY_PATH => page(200, parts.availability_page()),
         _ if path != parts.settings.ready_path => page(404, "no such page"),
         _ if parts.gate.is_stopping() => page(503, "stopping"),
--- a/src/relay/news/findings.rs
+++ b/src/relay/news/findings.rs
@@ -1,4 +1,4 @@
-//! Telling other hosts at once what requests have shown: which of them end their servers, and which servers are in need.
+//! Telling other hosts at once what requests have shown: which of them end their servers, and which servers are rate-limited.
 //!
 //! A host tells the head of its zone, the head tells one host of each zone, and all others hear it with the news that they
 //! wait for. What is not taken is told again.
@@ -12,8 +12,8 @@
             parts::shared::RelayParts,
             policy::{
                 digest::RequestDigest,
-                told_book::MarkSource,
-                told_findings::{ToldFindings, ToldRevisions},
+                findings_cache::MarkSource,
+                shared_findings::{SharedFindings, SharedRevisions},
             },
             vital,
         },
@@ -59,12 +59,12 @@
     links: Rc<NewsLinks>,
     targets: ZoneTargets,
     // Up to which revisions of the own books each was told.
-    told: RefCell<BTreeMap<TellTarget, ToldRevisions>>,
+    told: RefCell<BTreeMap<TellTarget, SharedRevisions>>,
 }
 
 impl FindingShare {
     /// Takes what another host told.
-    pub fn take_told(&self, findings: &ToldFindings, is_zone: bool) {
+    pub fn take_told(&self, findings: &SharedFindings, is_zone: bool) {
         // What one tells for its zone it tells all zones itself; a host that is no head has to tell its own.
         let is_head = self.follower.head().is_none();
         let source = match is_zone && is_head {
@@ -72,7 +72,7 @@
             false => MarkSource::Reported,
         };
         self.parts.take_marks(&findings.crashes, source);
-        self.parts.take_needs(&findings.needs, source);
+        self.parts.take_limits(&findings.limits, source);
     }
 
     /// Starts to tell.
@@ -128,7 +128,7 @@
         match self.links.follow(entry.peers, held, LEARN_PATIENCE).await {
             Ok(news) => {
                 self.parts.take_crash_news(&news.crashes, entry.peers);
-                self.parts.take_need_news(&news.needs, entry.peers);
+                self.parts.take_limit_updates(&news.limits, entry.peers);
             }
             Err(error) => log::debug!("host {} told of no findings: {error}", entry.name),
         }
@@ -202,19 +202,22 @@
         sent
     }
 
-    fn findings_to_tell(&self, since: Option<ToldRevisions>) -> (ToldFindings, ToldRevisions) {
+    fn findings_to_tell(
+        &self,
+        since: Option<SharedRevisions>,
+    ) -> (SharedFindings, SharedRevisions) {
         let parts = &self.parts;
         let (crashes, crash_revision) = parts.marks_to_report(since.map(|since| since.crashes));
-        let (needs, need_revision) = parts.needs_to_report(since.map(|since| since.needs));
-        let findings = ToldFindings { crashes, needs };
-        let revisions = ToldRevisions {
+        let (limits, limit_revision) = parts.limits_to_report(since.map(|since| since.limits));
+        let findings = SharedFindings { crashes, limits };
+        let revisions = SharedRevisions {
             crashes: crash_revision,
-            needs: need_revision,
+            limits: limit_revision,
         };
         (findings, revisions)
     }
 
-    async fn send(&self, entry: &HostEntry, findings: &ToldFindings, is_zone: bool) -> bool {
+    async fn send(&self, entry: &HostEntry, findings: &SharedFindings, is_zone: bool) -> bool {
         let telling = self
             .links
             .tell_findings(entry.peers, findings, is_zone, TELL_PATIENCE);
--- a/src/relay/news/follow.rs
+++ b/src/relay/news/follow.rs
@@ -275,7 +275,7 @@
             zone: self.parts.settings.zone.clone(),
             peers: Some(self.parts.settings.peers),
             crashes: self.parts.crashes.place_at(address),
-            needs: self.parts.needs.place_at(address),
+            limits: self.parts.limits.place_at(address),
         }
     }
 
--- a/src/relay/news/need_message.rs
+++ b/src/relay/news/limit_message.rs
@@ -1,15 +1,15 @@
-//! Servers in need and turns at them, in the messages between hosts.
+//! Rate-limited servers and permits at them, in the messages between hosts.
 
 use {
     super::message,
     crate::{
-        news_capnp::{limit_saying, need_mark, news_peer},
+        news_capnp::{limit_saying, limit_update, news_peer},
         relay::policy::{
+            limit_book::LimitSaying,
+            limit_updates::LimitUpdate,
             loads::EngineKey,
-            need_book::LimitSaying,
-            need_news::NeedMark,
+            permit_allocator::{PermitGrant, PermitRequest},
             server_limit::ServerLimit,
-            turn_desk::{TurnAsk, TurnGrant},
         },
     },
     capnp::{Error, Result, struct_list},
@@ -39,7 +39,7 @@
 }
 
 /// Writes a question.
-pub fn write_ask(mut to: news_peer::deal_params::Builder<'_>, ask: &TurnAsk, now: Duration) {
+pub fn write_ask(mut to: news_peer::deal_params::Builder<'_>, ask: &PermitRequest, now: Duration) {
     to.set_server(ask.server.0);
     to.set_wanted(u16::try_from(ask.wanted).unwrap_or(u16::MAX));
     to.set_rank(ask.rank);
@@ -47,9 +47,9 @@
 }
 
 /// Reads a question; what is not well formed is an error.
-pub fn read_ask(from: news_peer::deal_params::Reader<'_>, now: Duration) -> Result<TurnAsk> {
+pub fn read_ask(from: news_peer::deal_params::Reader<'_>, now: Duration) -> Result<PermitRequest> {
     let (limit, age) = read_saying(from.get_saying()?)?;
-    Ok(TurnAsk {
+    Ok(PermitRequest {
         server: EngineKey(from.get_server()),
         saying: LimitSaying::told(limit, age, now),
         wanted: u32::from(from.get_wanted()),
@@ -58,24 +58,28 @@
 }
 
 /// Writes an answer.
-pub fn write_grant(mut to: news_peer::deal_results::Builder<'_>, grant: &TurnGrant, now: Duration) {
-    to.set_turns(u16::try_from(grant.turns).unwrap_or(u16::MAX));
+pub fn write_grant(
+    mut to: news_peer::deal_results::Builder<'_>,
+    grant: &PermitGrant,
+    now: Duration,
+) {
+    to.set_permits(u16::try_from(grant.permits).unwrap_or(u16::MAX));
     to.set_wait_ms(message::to_ms(Some(grant.wait)));
     write_saying(to.init_saying(), grant.saying.limit, grant.saying.age(now));
 }
 
 /// Reads an answer; what is not well formed is an error.
-pub fn read_grant(from: news_peer::deal_results::Reader<'_>, now: Duration) -> Result<TurnGrant> {
+pub fn read_grant(from: news_peer::deal_results::Reader<'_>, now: Duration) -> Result<PermitGrant> {
     let (limit, age) = read_saying(from.get_saying()?)?;
-    Ok(TurnGrant {
-        turns: u32::from(from.get_turns()),
+    Ok(PermitGrant {
+        permits: u32::from(from.get_permits()),
         wait: Duration::from_millis(u64::from(from.get_wait_ms())),
         saying: LimitSaying::told(limit, age, now),
     })
 }
 
 /// Writes marks.
-pub fn write_marks(mut to: struct_list::Builder<'_, need_mark::Owned>, marks: &[NeedMark]) {
+pub fn write_marks(mut to: struct_list::Builder<'_, limit_update::Owned>, marks: &[LimitUpdate]) {
     for (index, mark) in marks.iter().enumerate() {
         let mut place = to.reborrow().get(index as u32);
         place.set_server(mark.server.0);
@@ -84,13 +88,13 @@
 }
 
 /// Reads marks; what is not well formed is an error.
-pub fn read_marks(from: struct_list::Reader<'_, need_mark::Owned>) -> Result<Vec<NeedMark>> {
+pub fn read_marks(from: struct_list::Reader<'_, limit_update::Owned>) -> Result<Vec<LimitUpdate>> {
     from.iter().map(read_mark).collect()
 }
 
-fn read_mark(from: need_mark::Reader<'_>) -> Result<NeedMark> {
+fn read_mark(from: limit_update::Reader<'_>) -> Result<LimitUpdate> {
     let (limit, age) = read_saying(from.get_saying()?)?;
-    Ok(NeedMark {
+    Ok(LimitUpdate {
         server: EngineKey(from.get_server()),
         limit,
         age,
--- a/src/relay/news/link.rs
+++ b/src/relay/news/link.rs
@@ -2,9 +2,8 @@
 
 use {
     super::{
-        crash_message,
+        crash_message, limit_message,
         message::{self, ClusterNews, HeldNews, ReportedView},
-        need_message,
     },
     crate::{
         account::{AccountKey, LedgerSums},
@@ -15,8 +14,8 @@
         relay::policy::{
             digest::RequestDigest,
             loads::{LoadReport, LoadReporter},
-            told_findings::ToldFindings,
-            turn_desk::{TurnAsk, TurnGrant},
+            permit_allocator::{PermitGrant, PermitRequest},
+            shared_findings::SharedFindings,
         },
     },
     capnp::{Error, capability::Rc as CapRc},
@@ -39,7 +38,7 @@
 pub type ChargeCall = dyn Fn(AccountKey, u32) -> Option<Result<(), Duration>>;
 
 /// Takes what another host told, and whether it tells that for its whole zone.
-pub type FindingsTold = dyn Fn(ToldFindings, bool);
+pub type FindingsTold = dyn Fn(SharedFindings, bool);
 
 /// Whether a request that is held to end its servers may be tried.
 pub type TrialCall = dyn Fn(RequestDigest) -> bool;
@@ -47,8 +46,8 @@
 /// Takes the sums of another ledger; gives this host's, and those that it knows of others.
 pub type SumsCall = dyn Fn(LedgerSums) -> Vec<LedgerSums>;
 
-/// Deals out turns at a server in need, or has them dealt out; whether the question was passed on already.
-pub type DealCall = dyn Fn(TurnAsk, bool) -> LocalBoxFuture<'static, TurnGrant>;
+/// Allocates permits at a rate-limited server, or has them allocated; whether the question was passed on already.
+pub type DealCall = dyn Fn(PermitRequest, bool) -> LocalBoxFuture<'static, PermitGrant>;
 
 /// What a host answers to others.
 pub struct NewsAnswers {
@@ -62,12 +61,12 @@
     pub charges: Box<ChargeCall>,
     /// To others that keep books.
     pub sums: Box<SumsCall>,
-    /// To those that saw servers end, or in need.
+    /// To those that saw servers end, or name a limit.
     pub findings: Box<FindingsTold>,
     /// To those that would try a request.
     pub trials: Box<TrialCall>,
-    /// To those that would send to servers in need.
-    pub turns: Box<DealCall>,
+    /// To those that would send to rate-limited servers.
+    pub permits: Box<DealCall>,
 }
 
 struct NewsServer {
@@ -141,9 +140,9 @@
         _results: news_peer::TellFindingsResults,
     ) -> Result<(), Error> {
         let params = params.get()?;
-        let findings = ToldFindings {
+        let findings = SharedFindings {
             crashes: crash_message::read_marks(params.get_marks()?)?,
-            needs: need_message::read_marks(params.get_needs()?)?,
+            limits: limit_message::read_marks(params.get_limits()?)?,
         };
         (self.answers.findings)(findings, params.get_is_zone());
         Ok(())
@@ -168,9 +167,9 @@
     ) -> Result<(), Error> {
         let now = self.answers.clock.now();
         let params = params.get()?;
-        let ask = need_message::read_ask(params, now)?;
-        let grant = (self.answers.turns)(ask, params.get_is_passed_on()).await;
-        need_message::write_grant(results.get(), &grant, self.answers.clock.now());
+        let ask = limit_message::read_ask(params, now)?;
+        let grant = (self.answers.permits)(ask, params.get_is_passed_on()).await;
+        limit_message::write_grant(results.get(), &grant, self.answers.clock.now());
         Ok(())
     }
 }
@@ -268,7 +267,7 @@
     pub async fn tell_findings(
         &self,
         address: SocketAddr,
-        findings: &ToldFindings,
+        findings: &SharedFindings,
         is_zone: bool,
         patience: Duration,
     ) -> Result<(), Error> {
@@ -277,10 +276,10 @@
                 let mut request = client.tell_findings_request();
                 let mut params = request.get();
                 params.set_is_zone(is_zone);
-                let ToldFindings { crashes, needs } = findings;
+                let SharedFindings { crashes, limits } = findings;
                 let list = params.reborrow().init_marks(crashes.len() as u32);
                 crash_message::write_marks(list, crashes);
-                need_message::write_marks(params.init_needs(needs.len() as u32), needs);
+                limit_message::write_marks(params.init_limits(limits.len() as u32), limits);
                 request.send().promise.await?;
                 Ok(())
             })
@@ -306,21 +305,21 @@
             .await
     }
 
-    /// Asks a host for turns at a server in need.
+    /// Asks a host for permits at a rate-limited server.
     pub async fn deal(
         &self,
         address: SocketAddr,
-        ask: &TurnAsk,
+        ask: &PermitRequest,
         is_passed_on: bool,
         patience: Duration,
-    ) -> Result<TurnGrant, Error> {
+    ) -> Result<PermitGrant, Error> {
         self.links
             .call(address, patience, |client| async move {
                 let mut request = client.deal_request();
-                need_message::write_ask(request.get(), ask, self.clock.now());
+                limit_message::write_ask(request.get(), ask, self.clock.now());
                 request.get().set_is_passed_on(is_passed_on);
                 let response = request.send().promise.await?;
-                need_message::read_grant(response.get()?, self.clock.now())
+                limit_message::read_grant(response.get()?, self.clock.now())
             })
             .await
     }
--- a/src/relay/news/message.rs
+++ b/src/relay/news/message.rs
@@ -1,7 +1,7 @@
 //! What hosts ask and tell each other, and the messages that carry it.
 
 use {
-    super::{crash_message, need_message},
+    super::{crash_message, limit_message},
     crate::{
         account::{AccountKey, AccountUse, LedgerSums, NearAccount, UseReport},
         news_capnp::{account_use, cluster_news, held_news, kind_news, ledger_sums, load_report},
@@ -11,10 +11,10 @@
             link::HostEntry,
             policy::{
                 crash_mark::CrashNews,
+                findings_cache::{CachePosition, CacheUpdates},
+                limit_updates::LimitUpdate,
                 loads::{EngineKey, EngineLoad, LoadReport, ServiceDemand},
-                need_news::NeedMark,
                 past_time::PastTime,
-                told_book::{BookNews, BookPlace},
             },
         },
     },
@@ -50,9 +50,9 @@
     /// Where it can be asked itself; none where that is not said.
     pub peers: Option<SocketAddr>,
     /// What it was told of the asked host's book of requests that end their servers.
-    pub crashes: BookPlace,
-    /// The same of its book of servers in need.
-    pub needs: BookPlace,
+    pub crashes: CachePosition,
+    /// The same of its book of rate-limited servers.
+    pub limits: CachePosition,
 }
 
 impl HeldNews {
@@ -99,8 +99,8 @@
     pub guides: Vec<HostEntry>,
     /// What the asker lacks of the sender's book of requests that end their servers.
     pub crashes: CrashNews,
-    /// The same of its book of servers in need.
-    pub needs: BookNews<NeedMark>,
+    /// The same of its book of rate-limited servers.
+    pub limits: CacheUpdates<LimitUpdate>,
 }
 
 impl ClusterNews {
@@ -123,7 +123,7 @@
         let kinds = [&self.backends, &self.hosts];
         self.config_version > held.config_version
             || !self.crashes.marks.is_empty()
-            || !self.needs.marks.is_empty()
+            || !self.limits.marks.is_empty()
             || kinds
                 .iter()
                 .any(|kind| kind.is_whole || !kind.changes.is_empty())
@@ -161,8 +161,8 @@
     to.set_zone(held.zone.as_str());
     to.set_crash_book(held.crashes.book);
     to.set_crash_revision(held.crashes.revision);
-    to.set_need_book(held.needs.book);
-    to.set_need_revision(held.needs.revision);
+    to.set_limit_book(held.limits.book);
+    to.set_limit_revision(held.limits.revision);
     if let Some(address) = held.peers {
         to.set_peers(address.to_string());
     }
@@ -190,13 +190,13 @@
         is_starting: from.get_is_starting(),
         zone: FastStr::new(from.get_zone()?.to_str()?),
         peers: read_address(from.get_peers()?.to_str()?)?,
-        crashes: BookPlace {
+        crashes: CachePosition {
             book: from.get_crash_book(),
             revision: from.get_crash_revision(),
         },
-        needs: BookPlace {
-            book: from.get_need_book(),
-            revision: from.get_need_revision(),
+        limits: CachePosition {
+            book: from.get_limit_book(),
+            revision: from.get_limit_revision(),
         },
     })
 }
@@ -242,11 +242,11 @@
     to.set_crash_revision(place.revision);
     let list = to.reborrow().init_crashes(marks.len() as u32);
     crash_message::write_marks(list, marks);
-    let BookNews { place, marks } = &news.needs;
-    to.set_need_book(place.book);
-    to.set_need_revision(place.revision);
-    let list = to.reborrow().init_needs(marks.len() as u32);
-    need_message::write_marks(list, marks);
+    let CacheUpdates { place, marks } = &news.limits;
+    to.set_limit_book(place.book);
+    to.set_limit_revision(place.revision);
+    let list = to.reborrow().init_limits(marks.len() as u32);
+    limit_message::write_marks(list, marks);
     write_kind(to.reborrow().init_backends(), &news.backends)?;
     write_kind(to.init_hosts(), &news.hosts)
 }
@@ -275,18 +275,18 @@
         is_lost: from.get_is_lost(),
         held: Duration::from_millis(u64::from(from.get_held_ms())),
         crashes: CrashNews {
-            place: BookPlace {
+            place: CachePosition {
                 book: from.get_crash_book(),
                 revision: from.get_crash_revision(),
             },
             marks: crash_message::read_marks(from.get_crashes()?)?,
         },
-        needs: BookNews {
-            place: BookPlace {
-                book: from.get_need_book(),
-                revision: from.get_need_revision(),
+        limits: CacheUpdates {
+            place: CachePosition {
+                book: from.get_limit_book(),
+                revision: from.get_limit_revision(),
             },
-            marks: need_message::read_marks(from.get_needs()?)?,
+            marks: limit_message::read_marks(from.get_limits()?)?,
         },
     })
 }
--- a/src/relay/news/mod.rs
+++ b/src/relay/news/mod.rs
@@ -7,9 +7,10 @@
 pub(crate) mod feed;
 pub(crate) mod findings;
 pub(crate) mod follow;
+mod limit_message;
 pub(crate) mod link;
 pub(crate) mod message;
-mod need_message;
+pub(crate) mod permits;
 pub(crate) mod settle;
 pub(crate) mod share;
 mod start;
@@ -17,6 +18,5 @@
 mod take;
 mod targets;
 pub(crate) mod tell;
-pub(crate) mod turns;
 
 pub use self::{feed::*, follow::*, link::*, message::*, share::*, tell::*};
--- a/src/relay/news/news.capnp
+++ b/src/relay/news/news.capnp
@@ -16,18 +16,18 @@
   isStarting @5 :Bool;
   # The asker's availability zone.
   zone @6 :Text;
-  # Where the asker can be asked, as ADDRESS:PORT: one that knows less asks it in its turn.
+  # Where the asker can be asked, as ADDRESS:PORT: one that knows less asks it in its permit.
   peers @7 :Text;
   # The asked host's book of requests that end their servers, up to which revision of it the asker was told.
   crashBook @8 :UInt64;
   crashRevision @9 :UInt64;
-  # The same of its book of servers in need.
-  needBook @10 :UInt64;
-  needRevision @11 :UInt64;
+  # The same of its book of rate-limited servers.
+  limitBook @10 :UInt64;
+  limitRevision @11 :UInt64;
 }
 
-# What a server in need said.
-struct NeedMark {
+# What a rate-limited server said.
+struct LimitUpdate {
   # Hash of the id of the server's run.
   server @0 :UInt32;
   saying @1 :LimitSaying;
@@ -86,10 +86,10 @@
   crashes @10 :List(CrashMark);
   crashBook @11 :UInt64;
   crashRevision @12 :UInt64;
-  # The same of the sender's book of servers in need.
-  needs @13 :List(NeedMark);
-  needBook @14 :UInt64;
-  needRevision @15 :UInt64;
+  # The same of the sender's book of rate-limited servers.
+  limits @13 :List(LimitUpdate);
+  limitBook @14 :UInt64;
+  limitRevision @15 :UInt64;
 }
 
 # Eight bytes each: reports go out several times a second.
@@ -169,13 +169,13 @@
   charge @2 (account :UInt64, units :UInt32) -> (isLetIn :Bool, waitMs :UInt32);
   # The asker's sums for those of the asked, and of the ledgers of which that one heard lately.
   exchange @3 (sums :LedgerSums) -> (sums :List(LedgerSums));
-  # Requests under which servers ended and servers in need, from a host of the zone or from one that tells its whole zone's.
-  tellFindings @4 (marks :List(CrashMark), isZone :Bool, needs :List(NeedMark)) -> ();
+  # Requests under which servers ended and rate-limited servers, from a host of the zone or from one that tells its whole zone's.
+  tellFindings @4 (marks :List(CrashMark), isZone :Bool, limits :List(LimitUpdate)) -> ();
   # Whether a request that is held to end its servers may be tried, once by all hosts together.
   allowTrial @5 (high :UInt64, low :UInt64) -> (isAllowed :Bool);
-  # Turns at a server in need, from the host that deals them out for all; or when one is likely. The rank says how urgent the
+  # Permits at a rate-limited server, from the host that allocates them for all; or when one is likely. The rank says how urgent the
   # request is, 0 the most. With none wanted it only tells what the server said. A question that was passed on is not passed
   # on again.
   deal @6 (server :UInt32, wanted :UInt16, rank :UInt8, isPassedOn :Bool, saying :LimitSaying)
-    -> (turns :UInt16, waitMs :UInt32, saying :LimitSaying);
+    -> (permits :UInt16, waitMs :UInt32, saying :LimitSaying);
 }
--- a/src/relay/news/news_capnp.rs
+++ b/src/relay/news/news_capnp.rs
@@ -115,11 +115,11 @@
             self.reader.get_data_field::<u64>(5)
         }
         #[inline]
-        pub fn get_need_book(self) -> u64 {
+        pub fn get_limit_book(self) -> u64 {
             self.reader.get_data_field::<u64>(6)
         }
         #[inline]
-        pub fn get_need_revision(self) -> u64 {
+        pub fn get_limit_revision(self) -> u64 {
             self.reader.get_data_field::<u64>(7)
         }
     }
@@ -273,19 +273,19 @@
             self.builder.set_data_field::<u64>(5, value);
         }
         #[inline]
-        pub fn get_need_book(self) -> u64 {
+        pub fn get_limit_book(self) -> u64 {
             self.builder.get_data_field::<u64>(6)
         }
         #[inline]
-        pub fn set_need_book(&mut self, value: u64)  {
+        pub fn set_limit_book(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(6, value);
         }
         #[inline]
-        pub fn get_need_revision(self) -> u64 {
+        pub fn get_limit_revision(self) -> u64 {
             self.builder.get_data_field::<u64>(7)
         }
         #[inline]
-        pub fn set_need_revision(&mut self, value: u64)  {
+        pub fn set_limit_revision(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(7, value);
         }
     }
@@ -390,14 +390,14 @@
             ::capnp::word(10, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
             ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(145, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
             ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
@@ -489,8 +489,8 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(110, 101, 101, 100, 66, 111, 111, 107),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 66, 111, 111),
+            ::capnp::word(107, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -498,8 +498,8 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(110, 101, 101, 100, 82, 101, 118, 105),
-            ::capnp::word(115, 105, 111, 110, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 82, 101, 118),
+            ::capnp::word(105, 115, 105, 111, 110, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -542,7 +542,7 @@
     }
 }
 
-pub mod need_mark {
+pub mod limit_update {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -709,20 +709,20 @@
     mod _private {
         pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(89, 209, 186, 78, 199, 174, 220, 250),
+            ::capnp::word(47, 225, 135, 120, 228, 89, 32, 132),
             ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(35, 152, 123, 90, 14, 108, 31, 212),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 78, 101, 101, 100, 77),
-            ::capnp::word(97, 114, 107, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 76, 105, 109, 105, 116),
+            ::capnp::word(85, 112, 100, 97, 116, 101, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -776,7 +776,7 @@
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
-        pub(crate) const TYPE_ID: u64 = 0xfadc_aec7_4eba_d159;
+        pub(crate) const TYPE_ID: u64 = 0x8420_59e4_7887_e12f;
     }
 }
 
@@ -1770,19 +1770,19 @@
             self.reader.get_data_field::<u64>(5)
         }
         #[inline]
-        pub fn get_needs(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::news_capnp::need_mark::Owned>> {
+        pub fn get_limits(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::news_capnp::limit_update::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_needs(&self) -> bool {
+        pub fn has_limits(&self) -> bool {
             !self.reader.get_pointer_field(5).is_null()
         }
         #[inline]
-        pub fn get_need_book(self) -> u64 {
+        pub fn get_limit_book(self) -> u64 {
             self.reader.get_data_field::<u64>(6)
         }
         #[inline]
-        pub fn get_need_revision(self) -> u64 {
+        pub fn get_limit_revision(self) -> u64 {
             self.reader.get_data_field::<u64>(7)
         }
     }
@@ -1984,35 +1984,35 @@
             self.builder.set_data_field::<u64>(5, value);
         }
         #[inline]
-        pub fn get_needs(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::news_capnp::need_mark::Owned>> {
+        pub fn get_limits(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::news_capnp::limit_update::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_needs(&mut self, value: ::capnp::struct_list::Reader<'_,crate::news_capnp::need_mark::Owned>) -> ::capnp::Result<()> {
+        pub fn set_limits(&mut self, value: ::capnp::struct_list::Reader<'_,crate::news_capnp::limit_update::Owned>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
         }
         #[inline]
-        pub fn init_needs(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::news_capnp::need_mark::Owned> {
+        pub fn init_limits(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::news_capnp::limit_update::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), size)
         }
         #[inline]
-        pub fn has_needs(&self) -> bool {
+        pub fn has_limits(&self) -> bool {
             !self.builder.is_pointer_field_null(5)
         }
         #[inline]
-        pub fn get_need_book(self) -> u64 {
+        pub fn get_limit_book(self) -> u64 {
             self.builder.get_data_field::<u64>(6)
         }
         #[inline]
-        pub fn set_need_book(&mut self, value: u64)  {
+        pub fn set_limit_book(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(6, value);
         }
         #[inline]
-        pub fn get_need_revision(self) -> u64 {
+        pub fn get_limit_revision(self) -> u64 {
             self.builder.get_data_field::<u64>(7)
         }
         #[inline]
-        pub fn set_need_revision(&mut self, value: u64)  {
+        pub fn set_limit_revision(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(7, value);
         }
     }
@@ -2144,21 +2144,21 @@
             ::capnp::word(13, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
             ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(29, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
             ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(37, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
             ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
@@ -2275,20 +2275,20 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(110, 101, 101, 100, 115, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 115, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 209, 186, 78, 199, 174, 220, 250),
+            ::capnp::word(47, 225, 135, 120, 228, 89, 32, 132),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(110, 101, 101, 100, 66, 111, 111, 107),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 66, 111, 111),
+            ::capnp::word(107, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2296,8 +2296,8 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(110, 101, 101, 100, 82, 101, 118, 105),
-            ::capnp::word(115, 105, 111, 110, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 82, 101, 118),
+            ::capnp::word(105, 115, 105, 111, 110, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2321,7 +2321,7 @@
                 10 => <::capnp::struct_list::Owned<crate::news_capnp::crash_mark::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 11 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 12 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                13 => <::capnp::struct_list::Owned<crate::news_capnp::need_mark::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                13 => <::capnp::struct_list::Owned<crate::news_capnp::limit_update::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 14 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 15 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
@@ -6453,11 +6453,11 @@
                 self.reader.get_bool_field(0)
             }
             #[inline]
-            pub fn get_needs(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::news_capnp::need_mark::Owned>> {
+            pub fn get_limits(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::news_capnp::limit_update::Owned>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_needs(&self) -> bool {
+            pub fn has_limits(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
         }
@@ -6539,19 +6539,19 @@
                 self.builder.set_bool_field(0, value);
             }
             #[inline]
-            pub fn get_needs(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::news_capnp::need_mark::Owned>> {
+            pub fn get_limits(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::news_capnp::limit_update::Owned>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_needs(&mut self, value: ::capnp::struct_list::Reader<'_,crate::news_capnp::need_mark::Owned>) -> ::capnp::Result<()> {
+            pub fn set_limits(&mut self, value: ::capnp::struct_list::Reader<'_,crate::news_capnp::limit_update::Owned>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
             }
             #[inline]
-            pub fn init_needs(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::news_capnp::need_mark::Owned> {
+            pub fn init_limits(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::news_capnp::limit_update::Owned> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
             }
             #[inline]
-            pub fn has_needs(&self) -> bool {
+            pub fn has_limits(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
         }
@@ -6601,7 +6601,7 @@
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(93, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(93, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
@@ -6625,13 +6625,13 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(110, 101, 101, 100, 115, 0, 0, 0),
+                ::capnp::word(108, 105, 109, 105, 116, 115, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(89, 209, 186, 78, 199, 174, 220, 250),
+                ::capnp::word(47, 225, 135, 120, 228, 89, 32, 132),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -6642,7 +6642,7 @@
                 match index {
                     0 => <::capnp::struct_list::Owned<crate::news_capnp::crash_mark::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     1 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <::capnp::struct_list::Owned<crate::news_capnp::need_mark::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::struct_list::Owned<crate::news_capnp::limit_update::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6658,7 +6658,7 @@
             );
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
             pub(crate) const TYPE_ID: u64 = 0xe88c_5fe3_5fb1_8a6c;
         }
     }
@@ -7635,7 +7635,7 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_turns(self) -> u16 {
+            pub fn get_permits(self) -> u16 {
                 self.reader.get_data_field::<u16>(0)
             }
             #[inline]
@@ -7705,11 +7705,11 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_turns(self) -> u16 {
+            pub fn get_permits(self) -> u16 {
                 self.builder.get_data_field::<u16>(0)
             }
             #[inline]
-            pub fn set_turns(&mut self, value: u16)  {
+            pub fn set_permits(&mut self, value: u16)  {
                 self.builder.set_data_field::<u16>(0, value);
             }
             #[inline]
@@ -7772,7 +7772,7 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
@@ -7790,7 +7790,7 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(116, 117, 114, 110, 115, 0, 0, 0),
+                ::capnp::word(112, 101, 114, 109, 105, 116, 115, 0),
                 ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7835,7 +7835,7 @@
             );
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
             pub(crate) const TYPE_ID: u64 = 0xd700_edf3_60a9_e3c4;
         }
     }
--- a/src/relay/news/turns.rs
+++ b/src/relay/news/permits.rs
@@ -1,11 +1,11 @@
-//! Asking the host that deals out the turns at a server in need. A host that reaches none keeps to a part of its own share.
+//! Asking the host that allocates the permits at a rate-limited server. A host that reaches none keeps to a part of its own share.
 
 use {
     super::link::NewsLinks,
     crate::relay::{
         link::HostEntry,
         parts::shared::RelayParts,
-        policy::turn_desk::{TurnAsk, TurnGrant},
+        policy::permit_allocator::{PermitGrant, PermitRequest},
         vital,
     },
     capnp::ErrorKind,
@@ -15,7 +15,7 @@
 };
 
 /// Hosts that are asked one after the other for a request: entries of lost hosts stay.
-const KEEPERS_ASKED: usize = 2;
+const OWNERS_ASKED: usize = 2;
 
 /// Longest wait for the answer; hosts are a millisecond apart, some run slowly for a while.
 const DEAL_PATIENCE: Duration = Duration::from_millis(80);
@@ -23,19 +23,19 @@
 /// The same where the question is passed on: its asker waits behind it.
 const PASS_ON_PATIENCE: Duration = Duration::from_millis(35);
 
-/// When a caller is to come back to a host that has asked in vain too often lately.
+/// When a caller is to come back to a host that was denied too often lately.
 const UNASKED_WAIT: Duration = Duration::from_millis(500);
 
 /// How often limits are looked for that nobody has heard renewed for long.
 const FORGET_PERIOD: Duration = Duration::from_secs(5);
 
-/// The way to the hosts that deal out turns.
-pub struct TurnLink {
+/// The way to the hosts that allocate permits.
+pub struct PermitLink {
     parts: Rc<RelayParts>,
     links: Rc<NewsLinks>,
 }
 
-impl TurnLink {
+impl PermitLink {
     /// Hands the way to the host's tasks.
     pub fn start(parts: Rc<RelayParts>, links: Rc<NewsLinks>) -> Rc<Self> {
         let link = Rc::new(Self {
@@ -45,75 +45,75 @@
         vital::spawn_vital("limits of servers", link.clone().forget_old());
         let asking = link.clone();
         let call = move |zone, ask| asking.clone().ask(zone, ask).boxed_local();
-        parts.turns.set_call(Rc::new(call));
+        parts.permits.set_call(Rc::new(call));
         link
     }
 
-    /// Answers a host that takes this one for the keeper. Where this one knows another the question is passed on, so that one
-    /// alone deals out turns although the asker cannot reach it.
-    pub async fn answer(self: Rc<Self>, ask: TurnAsk, is_passed_on: bool) -> TurnGrant {
+    /// Answers a host that takes this one for the owner. Where this one knows another the question is passed on, so that one
+    /// alone allocates permits although the asker cannot reach it.
+    pub async fn answer(self: Rc<Self>, ask: PermitRequest, is_passed_on: bool) -> PermitGrant {
         let zone = self.parts.settings.zone.clone();
-        let keeper = self.parts.keeper(&zone, ask.server);
-        let other = keeper.filter(|keeper| keeper.name != self.parts.settings.name);
+        let owner = self.parts.owner(&zone, ask.server);
+        let other = owner.filter(|owner| owner.name != self.parts.settings.name);
         match other {
-            Some(keeper) if !is_passed_on => {
-                let grant = self.ask_keeper(&keeper, &ask, true, PASS_ON_PATIENCE).await;
-                grant.unwrap_or_else(|| self.parts.deal_turns(&ask))
+            Some(owner) if !is_passed_on => {
+                let grant = self.ask_owner(&owner, &ask, true, PASS_ON_PATIENCE).await;
+                grant.unwrap_or_else(|| self.parts.allocate_permits(&ask))
             }
-            _ => self.parts.deal_turns(&ask),
+            _ => self.parts.allocate_permits(&ask),
         }
     }
 
-    async fn ask(self: Rc<Self>, zone: FastStr, ask: TurnAsk) -> TurnGrant {
-        for _ in 0..KEEPERS_ASKED {
-            let Some(keeper) = self.parts.keeper(&zone, ask.server) else {
+    async fn ask(self: Rc<Self>, zone: FastStr, ask: PermitRequest) -> PermitGrant {
+        for _ in 0..OWNERS_ASKED {
+            let Some(owner) = self.parts.owner(&zone, ask.server) else {
                 break;
             };
-            if keeper.name == self.parts.settings.name {
+            if owner.name == self.parts.settings.name {
                 // Cut off from all others it does not know what they do.
                 return match self.parts.is_in_touch() {
-                    true => self.parts.deal_turns(&ask),
-                    false => self.parts.deal_alone(&ask),
+                    true => self.parts.allocate_permits(&ask),
+                    false => self.parts.allocate_alone(&ask),
                 };
             }
             if !self.may_ask() {
                 return unasked(&ask);
             }
-            let asked = self.ask_keeper(&keeper, &ask, false, DEAL_PATIENCE);
+            let asked = self.ask_owner(&owner, &ask, false, DEAL_PATIENCE);
             if let Some(grant) = asked.await {
                 return grant;
             }
         }
-        self.parts.deal_alone(&ask)
+        self.parts.allocate_alone(&ask)
     }
 
     fn may_ask(&self) -> bool {
         let now = self.parts.now();
-        self.parts.turns.keepers.borrow_mut().may_ask(now)
+        self.parts.permits.owners.borrow_mut().may_ask(now)
     }
 
-    async fn ask_keeper(
+    async fn ask_owner(
         &self,
-        keeper: &HostEntry,
-        ask: &TurnAsk,
+        owner: &HostEntry,
+        ask: &PermitRequest,
         is_passed_on: bool,
         patience: Duration,
-    ) -> Option<TurnGrant> {
-        let asking = self.links.deal(keeper.peers, ask, is_passed_on, patience);
+    ) -> Option<PermitGrant> {
+        let asking = self.links.deal(owner.peers, ask, is_passed_on, patience);
         let answer = asking.await;
-        let mut keepers = self.parts.turns.keepers.borrow_mut();
+        let mut owners = self.parts.permits.owners.borrow_mut();
         match answer {
             Ok(grant) => {
-                keepers.note_heard(&keeper.name);
-                if grant.turns == 0 && ask.wanted > 0 {
-                    keepers.note_denied();
+                owners.note_heard(&owner.name);
+                if grant.permits == 0 && ask.wanted > 0 {
+                    owners.note_denied();
                 }
                 Some(grant)
             }
             Err(error) => {
-                log::debug!("host {} dealt out no turn: {error}", keeper.name);
+                log::debug!("host {} allocated no permit: {error}", owner.name);
                 let is_gone = error.kind == ErrorKind::Disconnected;
-                keepers.note_silent(&keeper.name, is_gone, self.parts.now());
+                owners.note_silent(&owner.name, is_gone, self.parts.now());
                 None
             }
         }
@@ -127,10 +127,10 @@
     }
 }
 
-// No turn, as far as this host goes.
-fn unasked(ask: &TurnAsk) -> TurnGrant {
-    TurnGrant {
-        turns: 0,
+// No permit, as far as this host goes.
+fn unasked(ask: &PermitRequest) -> PermitGrant {
+    PermitGrant {
+        permits: 0,
         wait: UNASKED_WAIT,
         saying: ask.saying,
     }
--- a/src/relay/news/take.rs
+++ b/src/relay/news/take.rs
@@ -16,7 +16,7 @@
         let confirmed = news.confirmed(asked);
         let proved = news.proved(asked);
         self.parts.take_crash_news(&news.crashes, from);
-        self.parts.take_need_news(&news.needs, from);
+        self.parts.take_limit_updates(&news.limits, from);
         self.take_lists(&news, confirmed);
         let held = self.parts.cluster.borrow().config_version();
         let is_known = match news.config {
--- a/src/relay/news/tell.rs
+++ b/src/relay/news/tell.rs
@@ -99,6 +99,6 @@
         hosts: cluster.host_news(held.hosts_revision),
         guides: Vec::new(),
         crashes: parts.crash_news(held.crashes),
-        needs: parts.need_news(held.needs),
+        limits: parts.limit_updates(held.limits),
     }
 }
--- a/src/relay/parts/accounts.rs
+++ b/src/relay/parts/accounts.rs
@@ -33,7 +33,7 @@
 /// Hosts of the zone that one which was told nothing asks in turn. After all hosts were killed and the first of each zone
 /// stayed dark, each host would guess for its first requests: 0.68 to 0.74 of them were let in untold, none with a
 /// second question (100 requests, three runs of a test).
-const KEEPERS_ASKED: usize = 2;
+const OWNERS_ASKED: usize = 2;
 
 /// What a ledger answers: let in, or when to come back; none where it did not answer.
 pub type ChargeAnswer = Option<Result<(), Duration>>;
@@ -179,9 +179,9 @@
     ) -> Result<Result<(), Duration>, f64> {
         let patience = target.mul_f64(ASK_SHARE).min(ASK_LONGEST);
         let is_untold = self.accounts.desk.borrow().is_untold();
-        let keepers = if is_untold { KEEPERS_ASKED } else { 1 };
+        let keepers = if is_untold { OWNERS_ASKED } else { 1 };
         for _ in 0..keepers {
-            let asked = self.ask_keeper(charge, limit, patience).await?;
+            let asked = self.ask_owner(charge, limit, patience).await?;
             if let Some(answer) = asked {
                 return Ok(answer);
             }
@@ -192,7 +192,7 @@
     }
 
     // Asks whoever keeps the zone's books now; none where that one does not answer.
-    async fn ask_keeper(
+    async fn ask_owner(
         &self,
         charge: UseCharge,
         limit: AccountLimit,
--- a/src/relay/parts/availability.rs
+++ b/src/relay/parts/availability.rs
@@ -1,7 +1,7 @@
 //! Servers that say in their answers that they are leaving, or that this host is to back off.
 
 use {
-    super::{needs::AnswerKind, shared::RelayParts},
+    super::{server_limits::AnswerKind, shared::RelayParts},
     crate::{
         event,
         operation::{Refusal, RefusalCode, RunVerdict},
--- a/src/relay/parts/crashes.rs
+++ b/src/relay/parts/crashes.rs
@@ -12,8 +12,8 @@
                 crash_mark::{CrashMark, CrashNews, KeptJudgement},
                 crash_record::CrashJudgement,
                 digest::RequestDigest,
+                findings_cache::{CachePosition, MarkSource},
                 loads::EngineKey,
-                told_book::{BookPlace, MarkSource},
             },
         },
     },
@@ -31,7 +31,7 @@
 /// Requests that a host's entry keeps at most: a fleet with more of them has lost two dozen servers to them already.
 const KEPT_MOST: usize = 8;
 
-/// Asks the host whose turn it is whether a request may be tried.
+/// Asks the host whose permit it is whether a request may be tried.
 pub type TrialAsk = dyn Fn(RequestDigest) -> LocalBoxFuture<'static, bool>;
 
 /// The book, and what goes with it.
@@ -40,7 +40,7 @@
     // Those that this host's entry in the store keeps.
     kept: RefCell<BTreeSet<RequestDigest>>,
     // Up to where this host was told of each other's book, by its address.
-    told: RefCell<HashMap<SocketAddr, BookPlace>>,
+    told: RefCell<HashMap<SocketAddr, CachePosition>>,
     // Whether another host has told what it knows, or none is there that could, and the store was looked at.
     has_learned: Cell<bool>,
     trial_ask: RefCell<Option<Rc<TrialAsk>>>,
@@ -80,7 +80,7 @@
     }
 
     /// What this host has been told of the book of the host at an address.
-    pub fn place_at(&self, address: SocketAddr) -> BookPlace {
+    pub fn place_at(&self, address: SocketAddr) -> CachePosition {
         self.told
             .borrow()
             .get(&address)
@@ -148,7 +148,7 @@
         granted
     }
 
-    /// Asks whether a request may be tried, of the host whose turn it is.
+    /// Asks whether a request may be tried, of the host whose permit it is.
     pub async fn ask_trial(&self, digest: RequestDigest) -> bool {
         let ask = self.crashes.trial_ask.borrow().clone();
         match ask {
@@ -216,7 +216,7 @@
         let cluster = self.cluster.borrow();
         let is_listed = |address: &SocketAddr| cluster.hosts().any(|entry| entry.peers == *address);
         self.crashes.keep_told(is_listed);
-        self.needs.keep_told(is_listed);
+        self.limits.keep_told(is_listed);
         drop(cluster);
         self.take_over_judgements();
         self.mark_all_own();
@@ -269,12 +269,12 @@
     }
 
     /// What an asker lacks that all hosts are to know. A host that has only just started does not pass for one that knows.
-    pub fn crash_news(&self, known: BookPlace) -> CrashNews {
+    pub fn crash_news(&self, known: CachePosition) -> CrashNews {
         let book = self.crashes.book.borrow();
         let news = book.news_since(known, self.now());
         let place = match self.crashes.has_learned.get() {
             true => news.place,
-            false => BookPlace::default(),
+            false => CachePosition::default(),
         };
         CrashNews { place, ..news }
     }
--- a/src/relay/parts/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -152,7 +152,7 @@
     /// Backend servers that take no new requests of this host by what their answers said.
     pub servers_unavailable: Gauge,
     /// Backend servers that name a limit.
-    pub servers_in_need: Gauge,
+    pub servers_limited: Gauge,
 }
 
 impl fmt::Debug for RelayMetrics {
@@ -210,7 +210,7 @@
             unreadable_limits: Counter::default(),
             unreadable_marks: Counter::default(),
             servers_unavailable: Gauge::default(),
-            servers_in_need: Gauge::default(),
+            servers_limited: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -252,7 +252,7 @@
         );
         r.register(
             "held_back",
-            "Requests refused since servers in need had no turn for them, by service",
+            "Requests refused since rate-limited servers had no permit for them, by service",
             self.held_back.clone(),
         );
         r.register(
@@ -293,9 +293,9 @@
             ),
             ("backends", "Backend servers in use", &self.backends),
             (
-                "servers_in_need",
+                "servers_limited",
                 "Backend servers that name a limit, as far as this host knows",
-                &self.servers_in_need,
+                &self.servers_limited,
             ),
             (
                 "servers_unavailable",
@@ -390,7 +390,7 @@
         self.ended_under.get_or_create(&self.service(service)).inc();
     }
 
-    /// A request was refused since servers of the service that are in need had no turn for it.
+    /// A request was refused since servers of the service that are rate-limited had no permit for it.
     pub fn held_back(&self, service: &FastStr) {
         self.held_back.get_or_create(&self.service(service)).inc();
     }
--- a/src/relay/parts/mod.rs
+++ b/src/relay/parts/mod.rs
@@ -6,10 +6,10 @@
 pub(crate) mod crashes;
 pub(crate) mod ends;
 pub(crate) mod metrics;
-pub(crate) mod needs;
+pub(crate) mod permits;
 pub(crate) mod publish;
+pub(crate) mod server_limits;
 pub(crate) mod shared;
 pub(crate) mod shares;
-pub(crate) mod turns;
 
-pub use self::{accounts::*, crashes::*, metrics::*, needs::*, shared::*, turns::*};
+pub use self::{accounts::*, crashes::*, metrics::*, permits::*, server_limits::*, shared::*};
--- a/src/relay/parts/needs.rs
+++ b/src/relay/parts/server_limits.rs
@@ -1,4 +1,4 @@
-//! Backend servers in need: hearing the limits that they name, and telling others of them.
+//! Rate-limited backend servers: hearing the limits that they name, and telling others of them.
 
 use {
     super::shared::RelayParts,
@@ -7,12 +7,12 @@
         relay::{
             backend::BackendInfo,
             policy::{
+                findings_cache::{CachePosition, CacheUpdates, MarkSource},
+                limit_book::LimitSaying,
+                limit_updates::{LimitUpdate, LimitUpdates},
                 loads::EngineKey,
-                need_book::LimitSaying,
-                need_news::{NeedMark, NeedNews},
+                permit_allocator::PermitRequest,
                 server_limit::{LimitMark, ServerLimit},
-                told_book::{BookNews, BookPlace, MarkSource},
-                turn_desk::TurnAsk,
             },
         },
     },
@@ -49,25 +49,25 @@
     }
 }
 
-/// What hosts tell each other of servers in need.
+/// What hosts tell each other of rate-limited servers.
 #[derive(Debug)]
-pub struct NeedDesk {
-    news: RefCell<NeedNews>,
+pub struct LimitExchange {
+    news: RefCell<LimitUpdates>,
     // Up to where others told this host.
-    told: RefCell<HashMap<SocketAddr, BookPlace>>,
+    told: RefCell<HashMap<SocketAddr, CachePosition>>,
 }
 
-impl NeedDesk {
+impl LimitExchange {
     /// Nothing is known; `id` is drawn at random.
     pub(super) fn new(id: u64) -> Self {
         Self {
-            news: RefCell::new(NeedNews::new(id)),
+            news: RefCell::new(LimitUpdates::new(id)),
             told: RefCell::default(),
         }
     }
 
     /// Up to where this host was told the book of the host at an address.
-    pub fn place_at(&self, address: SocketAddr) -> BookPlace {
+    pub fn place_at(&self, address: SocketAddr) -> CachePosition {
         let told = self.told.borrow();
         told.get(&address).copied().unwrap_or_default()
     }
@@ -108,8 +108,8 @@
         };
         let age = self.now().saturating_sub(sent);
         let saying = LimitSaying::told(limit, age, self.now());
-        let was_in_need = self.take_limit(backend, saying, "answer");
-        if was_in_need && limit.is_none() {
+        let was_limited = self.take_limit(backend, saying, "answer");
+        if was_limited && limit.is_none() {
             self.tell_end(backend, saying);
         }
     }
@@ -120,7 +120,7 @@
         log::debug!("{} names a limit that is none", backend.id);
     }
 
-    // Gives whether the server was believed to be in need.
+    // Gives whether the server was believed to be rate-limited.
     pub(super) fn take_limit(
         &self,
         backend: &BackendInfo,
@@ -132,24 +132,24 @@
         if !book.is_current(backend) {
             return false;
         }
-        let was_in_need = book.needs.limit(backend.key()).is_some();
-        if !was_in_need && saying.limit.is_none() {
+        let was_limited = book.limits.limit(backend.key()).is_some();
+        if !was_limited && saying.limit.is_none() {
             return false;
         }
-        let shown = book.needs.take(backend.key(), saying, now);
+        let shown = book.limits.take(backend.key(), saying, now);
         drop(book);
         self.note_for_others(backend, saying);
-        if !was_in_need {
+        if !was_limited {
             self.mark_own(backend);
         }
         if let Some(before) = shown {
             self.show_limit(backend, saying, before, from);
         }
-        was_in_need
+        was_limited
     }
 
     fn note_for_others(&self, backend: &BackendInfo, saying: LimitSaying) {
-        let mut news = self.needs.news.borrow_mut();
+        let mut news = self.limits.news.borrow_mut();
         if news.note(backend.key(), saying, MarkSource::Reported, self.now()) {
             self.reported.notify_one();
             self.news.notify_waiters();
@@ -177,14 +177,14 @@
         );
     }
 
-    // Whoever deals out the turns there hears it from this host only if it asks, which it has no reason to do any more.
+    // Whoever allocates the permits there hears it from this host only if it asks, which it has no reason to do any more.
     fn tell_end(&self, backend: &BackendInfo, saying: LimitSaying) {
-        let Some(call) = self.turns.call() else {
+        let Some(call) = self.permits.call() else {
             return;
         };
         let telling = call(
             backend.zone.clone(),
-            TurnAsk {
+            PermitRequest {
                 server: backend.key(),
                 saying,
                 wanted: 0,
@@ -196,36 +196,36 @@
         });
     }
 
-    // Whether this host deals out the turns at a server is asked for each request: it is worked out when that may change.
+    // Whether this host allocates the permits at a server is asked for each request: it is worked out when that may change.
     fn mark_own(&self, backend: &BackendInfo) {
-        let keeper = self.keeper(&backend.zone, backend.key());
-        let is_own = keeper.is_some_and(|keeper| keeper.name == self.settings.name);
+        let owner = self.owner(&backend.zone, backend.key());
+        let is_own = owner.is_some_and(|owner| owner.name == self.settings.name);
         let mut book = self.book.borrow_mut();
-        book.needs.set_own(backend.key(), is_own);
+        book.limits.set_own(backend.key(), is_own);
     }
 
     /// The backend servers or the hosts are others than before.
     pub fn mark_all_own(&self) {
-        let needs = self.book.borrow().needs.servers();
-        if needs.is_empty() {
+        let limits = self.book.borrow().limits.servers();
+        if limits.is_empty() {
             return;
         }
-        let listed = self.book.borrow().listed(&needs.into_iter().collect());
+        let listed = self.book.borrow().listed(&limits.into_iter().collect());
         listed.iter().for_each(|backend| self.mark_own(backend));
     }
 
-    /// Takes what another host told of servers in need.
-    pub fn take_needs(&self, marks: &[NeedMark], source: MarkSource) {
+    /// Takes what another host told of rate-limited servers.
+    pub fn take_limits(&self, marks: &[LimitUpdate], source: MarkSource) {
         let now = self.now();
         let mut shown = BTreeMap::new();
         let mut has_news = false;
         for mark in marks {
             let saying = LimitSaying::told(mark.limit, mark.age, now);
-            let taken = self.book.borrow_mut().needs.take(mark.server, saying, now);
+            let taken = self.book.borrow_mut().limits.take(mark.server, saying, now);
             if let Some(before) = taken {
                 shown.insert(mark.server, (saying, before));
             }
-            let mut news = self.needs.news.borrow_mut();
+            let mut news = self.limits.news.borrow_mut();
             has_news |= news.note(mark.server, saying, source, now);
         }
         self.show_told(&shown);
@@ -257,53 +257,53 @@
         }
     }
 
-    /// Takes what the host at an address told of servers in need with its news.
-    pub fn take_need_news(&self, news: &BookNews<NeedMark>, from: SocketAddr) {
-        self.take_needs(&news.marks, MarkSource::Told);
+    /// Takes what the host at an address told of rate-limited servers with its news.
+    pub fn take_limit_updates(&self, news: &CacheUpdates<LimitUpdate>, from: SocketAddr) {
+        self.take_limits(&news.marks, MarkSource::Told);
         if news.place.book != 0 {
-            self.needs.told.borrow_mut().insert(from, news.place);
+            self.limits.told.borrow_mut().insert(from, news.place);
         }
     }
 
-    /// What an asker lacks that all hosts are to know of servers in need.
-    pub fn need_news(&self, known: BookPlace) -> BookNews<NeedMark> {
-        self.needs.news.borrow().since(known, self.now())
+    /// What an asker lacks that all hosts are to know of rate-limited servers.
+    pub fn limit_updates(&self, known: CachePosition) -> CacheUpdates<LimitUpdate> {
+        self.limits.news.borrow().since(known, self.now())
     }
 
-    /// What another host is to hear of this one of servers in need, after a revision; and the revision to which that goes.
-    pub fn needs_to_report(&self, since: Option<u64>) -> (Vec<NeedMark>, u64) {
-        self.needs.news.borrow().reported_since(since, self.now())
+    /// What another host is to hear of this one of rate-limited servers, after a revision; and the revision to which that goes.
+    pub fn limits_to_report(&self, since: Option<u64>) -> (Vec<LimitUpdate>, u64) {
+        self.limits.news.borrow().reported_since(since, self.now())
     }
 
-    /// The servers in need as a page for operators: one line each.
-    pub fn needs_page(&self) -> String {
-        let servers = self.book.borrow().needs.servers();
+    /// The rate-limited servers as a page for operators: one line each.
+    pub fn limits_page(&self) -> String {
+        let servers = self.book.borrow().limits.servers();
         let listed = self.book.borrow().listed(&servers.into_iter().collect());
-        let lines = listed.iter().map(|backend| self.need_line(backend));
+        let lines = listed.iter().map(|backend| self.limit_line(backend));
         lines.collect()
     }
 
-    fn need_line(&self, backend: &BackendInfo) -> String {
+    fn limit_line(&self, backend: &BackendInfo) -> String {
         let now = self.now();
         let (server, book) = (backend.key(), self.book.borrow());
-        let limit = ShownLimit(book.needs.limit(server));
-        let age = book.needs.age(server, now).as_millis();
-        let held = book.needs.held(server, now);
-        let keeper = self.keeper(&backend.zone, server);
-        let keeper = keeper.map_or_else(FastStr::default, |keeper| keeper.name);
+        let limit = ShownLimit(book.limits.limit(server));
+        let age = book.limits.age(server, now).as_millis();
+        let held = book.limits.held(server, now);
+        let owner = self.owner(&backend.zone, server);
+        let owner = owner.map_or_else(FastStr::default, |owner| owner.name);
         format!(
-            "backend={} service={} zone={} limit={limit} age_ms={age} keeper={keeper:?} turns_held={held}\n",
+            "backend={} service={} zone={} limit={limit} age_ms={age} owner={owner:?} permits_held={held}\n",
             backend.id, backend.service, backend.zone
         )
     }
 
-    /// Forgets limits that nobody has heard renewed for long, and turns that nobody asks for.
+    /// Forgets limits that nobody has heard renewed for long, and permits that nobody asks for.
     pub fn forget_limits(&self) {
         let cluster = self.cluster.borrow();
         let is_listed = |name: &FastStr| cluster.hosts().any(|entry| entry.name == *name);
-        self.turns.forget_old(is_listed, self.now());
-        let gone = self.book.borrow_mut().needs.forget_old(self.now());
-        self.needs.news.borrow_mut().forget_old(self.now());
+        self.permits.forget_old(is_listed, self.now());
+        let gone = self.book.borrow_mut().limits.forget_old(self.now());
+        self.limits.news.borrow_mut().forget_old(self.now());
         if !gone.is_empty() {
             log::info!("{} limits of servers were not heard for long", gone.len());
         }
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -6,9 +6,9 @@
         crashes::CrashDesk,
         ends::EndQuestions,
         metrics::RelayMetrics,
-        needs::{AnswerKind, NeedDesk},
+        permits::PermitGate,
+        server_limits::{AnswerKind, LimitExchange},
         shares::OthersDemand,
-        turns::TurnGate,
     },
     crate::{
         account::ZoneLedger,
@@ -21,8 +21,8 @@
             belief::cluster::ClusterState,
             dialect::{BackendCall, CallDialect},
             policy::{
-                book::BackendBook, budget::WindowBudget, kept::KeptPrompts, line::WaitLine,
-                need_book::NeedBook, route::RouteTable, view::BackendFailure, waited::CallerWaits,
+                book::BackendBook, budget::WindowBudget, kept::KeptPrompts, limit_book::LimitBook,
+                line::WaitLine, route::RouteTable, view::BackendFailure, waited::CallerWaits,
             },
             settings::RelaySettings,
         },
@@ -71,10 +71,10 @@
     pub(super) end_questions: EndQuestions,
     /// Requests that end their servers.
     pub crashes: CrashDesk,
-    /// Backend servers in need, as others hear of them.
-    pub needs: NeedDesk,
+    /// Rate-limited backend servers, as others hear of them.
+    pub limits: LimitExchange,
     /// Turns at these.
-    pub turns: TurnGate,
+    pub permits: PermitGate,
     /// How long callers say that they will wait.
     pub waits: RefCell<CallerWaits>,
     /// Requests that wait for engines.
@@ -112,7 +112,7 @@
         let book_id = rand::random_range(1..=u64::MAX);
         let zone = settings.zone.clone();
         let mut book = BackendBook::default();
-        book.needs = NeedBook::new(&settings.name);
+        book.limits = LimitBook::new(&settings.name);
         let ledger = ZoneLedger::new(ledger_id, zone, settings.bounds.limits, Duration::ZERO);
         Rc::new(Self {
             settings,
@@ -126,8 +126,8 @@
             accounts: AccountGate::new(ledger),
             end_questions: EndQuestions::default(),
             crashes: CrashDesk::new(book_id),
-            turns: TurnGate::default(),
-            needs: NeedDesk::new(book_id),
+            permits: PermitGate::default(),
+            limits: LimitExchange::new(book_id),
             waits: RefCell::default(),
             line: RefCell::default(),
             freed: Notify::new(),
@@ -314,8 +314,8 @@
             .fatal_requests
             .set(self.crashes.fatal_count() as i64);
         metrics
-            .servers_in_need
-            .set(self.book.borrow().needs.len() as i64);
+            .servers_limited
+            .set(self.book.borrow().limits.len() as i64);
         let unavailable = self
             .book
             .borrow()
--- a/src/relay/policy/book.rs
+++ b/src/relay/policy/book.rs
@@ -6,8 +6,8 @@
     super::{
         availability::{AvailabilityBook, ServerAvailability, ServerRun},
         changes::BackendChanges,
+        limit_book::{LimitBook, PermitState, PermitWait},
         loads::{EngineKey, EngineLoad},
-        need_book::{NeedBook, TurnState, TurnWait},
         view::{BackendFailure, BackendView, EJECT_FIRST, FAILURES_TO_EJECT},
     },
     crate::{engine::EngineRole, relay::backend::BackendInfo},
@@ -49,9 +49,9 @@
 pub struct SendWish {
     /// How urgent the request is, 0 the most.
     pub rank: u8,
-    /// Only servers in no need come into question: a second send while another is in progress, whose turn would be
-    /// another request's, or one that had no turn at several.
-    pub needs_no_turn: bool,
+    /// Only servers without a limit come into question: a second send while another is in progress, whose permit would be
+    /// another request's, or one that had no permit at several.
+    pub needs_no_permit: bool,
 }
 
 /// Where a plain request is sent next.
@@ -61,8 +61,8 @@
     Send(BackendInfo),
     /// To none: all that are left fail, and others show whether they answer again.
     Unreachable,
-    /// To none: all that are left are in need, and no turn is left there before this time is over.
-    NoTurn(TurnWait),
+    /// To none: all that are left are rate-limited, and no permit is left there before this time is over.
+    NoPermit(PermitWait),
     /// To none: all were tried, or none is listed.
     NoneLeft,
 }
@@ -86,7 +86,7 @@
     // Prompt tokens a second that prefill engines were seen to compute at best.
     pub(super) prefill_rate: f64,
     /// Those that name a limit.
-    pub needs: NeedBook,
+    pub limits: LimitBook,
     /// Those that are leaving, or asked this host to back off.
     pub availability: AvailabilityBook,
 }
@@ -98,7 +98,7 @@
             next_call: 0,
             others_at: None,
             prefill_rate: PREFILL_RATE,
-            needs: NeedBook::default(),
+            limits: LimitBook::default(),
             availability: AvailabilityBook::default(),
         }
     }
@@ -206,7 +206,7 @@
             (
                 self.is_passed_over(view, now),
                 order(view.plain_score(zone, now) + returning),
-                self.needs.order(view.key, now),
+                self.limits.order(view.key, now),
             )
         })
     }
@@ -228,17 +228,17 @@
         let mut wait = None;
         ranked.retain(|info| {
             let server = info.key();
-            match self.needs.turn(server, wish.rank, now) {
-                TurnState::Free => true,
-                TurnState::Held | TurnState::Ask => !wish.needs_no_turn,
-                TurnState::Empty(time) => {
-                    wait = Some(TurnWait::least(wait, TurnWait { server, time }));
+            match self.limits.permit(server, wish.rank, now) {
+                PermitState::Free => true,
+                PermitState::Held | PermitState::Ask => !wish.needs_no_permit,
+                PermitState::Empty(time) => {
+                    wait = Some(PermitWait::least(wait, PermitWait { server, time }));
                     false
                 }
             }
         });
         let Some(best) = ranked.first() else {
-            return wait.map_or(PlainChoice::NoneLeft, PlainChoice::NoTurn);
+            return wait.map_or(PlainChoice::NoneLeft, PlainChoice::NoPermit);
         };
         let view = &self.views[&best.id];
         if !self.is_passed_over(view, now) {
@@ -253,13 +253,16 @@
         }
     }
 
-    /// The servers of a service that are in need and have no turn left for a request of a rank.
-    pub fn without_turn(&self, service: &str, rank: u8, now: Duration) -> Vec<FastStr> {
-        if self.needs.is_empty() {
+    /// The servers of a service that are rate-limited and have no permit left for a request of a rank.
+    pub fn without_permit(&self, service: &str, rank: u8, now: Duration) -> Vec<FastStr> {
+        if self.limits.is_empty() {
             return Vec::new();
         }
         let is_empty = |view: &&BackendView| {
-            matches!(self.needs.turn(view.key, rank, now), TurnState::Empty(_))
+            matches!(
+                self.limits.permit(view.key, rank, now),
+                PermitState::Empty(_)
+            )
         };
         let views = self.usable(service, now).filter(is_empty);
         views.map(|view| view.info.id.clone()).collect()
--- a/src/relay/policy/crash_book.rs
+++ b/src/relay/policy/crash_book.rs
@@ -9,9 +9,9 @@
         crash_mark::{CrashMark, CrashNews},
         crash_record::{CrashJudgement, CrashRecord, ENDS_TO_JUDGE},
         digest::RequestDigest,
+        findings_cache::{CachePosition, FindingsCache, MarkSource},
         loads::EngineKey,
         past_time::PastTime,
-        told_book::{BookPlace, MarkSource, ToldBook},
     },
     std::{cmp::Reverse, time::Duration},
 };
@@ -39,19 +39,19 @@
 /// All requests under which backend servers ended.
 #[derive(Debug)]
 pub struct CrashBook {
-    records: ToldBook<RequestDigest, CrashRecord>,
+    records: FindingsCache<RequestDigest, CrashRecord>,
 }
 
 impl CrashBook {
     /// A book in which nothing stands; `id` is drawn at random.
     pub fn new(id: u64) -> Self {
         Self {
-            records: ToldBook::new(id),
+            records: FindingsCache::new(id),
         }
     }
 
     /// What somebody has been told who was told everything; its revision grows with each change.
-    pub fn place(&self) -> BookPlace {
+    pub fn place(&self) -> CachePosition {
         self.records.place()
     }
 
@@ -188,7 +188,7 @@
     }
 
     /// What an asker is to know of which all hosts are told; `known` is what it has been told of this book.
-    pub fn news_since(&self, known: BookPlace, now: Duration) -> CrashNews {
+    pub fn news_since(&self, known: CachePosition, now: Duration) -> CrashNews {
         // Those that are excused too: others may have heard of the ends alone.
         let told = self.records.since(known);
         let told = told.filter(|(_, record)| record.runs() >= ENDS_TO_TELL);
--- a/src/relay/policy/crash_mark.rs
+++ b/src/relay/policy/crash_mark.rs
@@ -2,7 +2,7 @@
 //! requests themselves.
 
 use {
-    super::{digest::RequestDigest, loads::EngineKey, told_book::BookNews},
+    super::{digest::RequestDigest, findings_cache::CacheUpdates, loads::EngineKey},
     faststr::FastStr,
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -74,4 +74,4 @@
 }
 
 /// What an asker lacks of a book of requests that end their servers.
-pub type CrashNews = BookNews<CrashMark>;
+pub type CrashNews = CacheUpdates<CrashMark>;
--- a/src/relay/policy/engines.rs
+++ b/src/relay/policy/engines.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         book::{self, BackendBook},
-        need_book::{TurnState, TurnWait},
+        limit_book::{PermitState, PermitWait},
         view::BackendView,
     },
     crate::{engine::EngineRole, relay::backend::BackendInfo},
@@ -85,16 +85,16 @@
             .collect()
     }
 
-    /// When a turn is likely at a decode engine of a service, for a request of a rank, where all that are not passed over are
-    /// in need and none has one left; nothing where another one may take the request.
-    pub fn decode_wait(&self, service: &str, rank: u8, now: Duration) -> Option<TurnWait> {
+    /// When a permit is likely at a decode engine of a service, for a request of a rank, where all that are not passed over are
+    /// rate-limited and none has one left; nothing where another one may take the request.
+    pub fn decode_wait(&self, service: &str, rank: u8, now: Duration) -> Option<PermitWait> {
         let mut least = None;
         for view in self.engines(service, EngineRole::Decode, now) {
             let server = view.key;
-            let TurnState::Empty(time) = self.needs.turn(server, rank, now) else {
+            let PermitState::Empty(time) = self.limits.permit(server, rank, now) else {
                 return None;
             };
-            least = Some(TurnWait::least(least, TurnWait { server, time }));
+            least = Some(PermitWait::least(least, PermitWait { server, time }));
         }
         least
     }
--- a/src/relay/policy/told_book.rs
+++ b/src/relay/policy/findings_cache.rs
@@ -9,7 +9,7 @@
 
 /// Up to where somebody was told a book.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct BookPlace {
+pub struct CachePosition {
     /// The book's id, drawn when its host began it; 0 for none.
     pub book: u64,
     /// The revision.
@@ -18,17 +18,17 @@
 
 /// What an asker lacks of a book.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct BookNews<M> {
+pub struct CacheUpdates<M> {
     /// What the asker has been told with this.
-    pub place: BookPlace,
+    pub place: CachePosition,
     /// What it lacked.
     pub marks: Vec<M>,
 }
 
-impl<M> Default for BookNews<M> {
+impl<M> Default for CacheUpdates<M> {
     fn default() -> Self {
         Self {
-            place: BookPlace::default(),
+            place: CachePosition::default(),
             marks: Vec::new(),
         }
     }
@@ -44,7 +44,7 @@
 }
 
 #[derive(Debug)]
-struct ToldEntry<V> {
+struct CachedFinding<V> {
     value: V,
     // The book's revision of its last change, and of the last one that others are to be told of.
     changed: u64,
@@ -54,13 +54,13 @@
 
 /// Findings by what they are about.
 #[derive(Debug)]
-pub struct ToldBook<K, V> {
+pub struct FindingsCache<K, V> {
     id: u64,
-    entries: BTreeMap<K, ToldEntry<V>>,
+    entries: BTreeMap<K, CachedFinding<V>>,
     revision: u64,
 }
 
-impl<K: Ord + Copy, V> ToldBook<K, V> {
+impl<K: Ord + Copy, V> FindingsCache<K, V> {
     /// A book in which nothing stands; `id` is drawn at random.
     pub fn new(id: u64) -> Self {
         Self {
@@ -71,8 +71,8 @@
     }
 
     /// What somebody has been told who was told everything.
-    pub fn place(&self) -> BookPlace {
-        BookPlace {
+    pub fn place(&self) -> CachePosition {
+        CachePosition {
             book: self.id,
             revision: self.revision,
         }
@@ -108,7 +108,7 @@
         now: Duration,
         change: impl FnOnce(&mut V) -> bool,
     ) -> bool {
-        let entry = self.entries.entry(about).or_insert_with(|| ToldEntry {
+        let entry = self.entries.entry(about).or_insert_with(|| CachedFinding {
             value: begin(),
             changed: 0,
             reported: 0,
@@ -138,7 +138,7 @@
     }
 
     /// What has changed since an asker was told up to a place in this book or another one.
-    pub fn since(&self, known: BookPlace) -> impl Iterator<Item = (&K, &V)> {
+    pub fn since(&self, known: CachePosition) -> impl Iterator<Item = (&K, &V)> {
         let since = match known.book == self.id {
             true => known.revision,
             false => 0,
@@ -159,7 +159,10 @@
         })
     }
 
-    fn wanted(&self, is_wanted: impl Fn(&ToldEntry<V>) -> bool) -> impl Iterator<Item = (&K, &V)> {
+    fn wanted(
+        &self,
+        is_wanted: impl Fn(&CachedFinding<V>) -> bool,
+    ) -> impl Iterator<Item = (&K, &V)> {
         let entries = self.entries.iter();
         let wanted = entries.filter(move |(_, entry)| is_wanted(entry));
         wanted.map(|(about, entry)| (about, &entry.value))
--- a/src/relay/policy/need_news.rs
+++ b/src/relay/policy/limit_updates.rs
@@ -1,20 +1,20 @@
-//! What hosts tell each other of servers in need: that one names a limit, or names none any more.
+//! What hosts tell each other of rate-limited servers: that one names a limit, or names none any more.
 //!
-//! Numbers that only change are not told: whoever sends there asks for a turn, and hears them with it.
+//! Numbers that only change are not told: whoever sends there asks for a permit, and hears them with it.
 
 use {
     super::{
+        findings_cache::{CachePosition, CacheUpdates, FindingsCache, MarkSource},
+        limit_book::{BELIEF_LIFE, LimitSaying},
         loads::EngineKey,
-        need_book::{BELIEF_LIFE, LimitSaying},
         server_limit::ServerLimit,
-        told_book::{BookNews, BookPlace, MarkSource, ToldBook},
     },
     std::time::Duration,
 };
 
 /// What a server said, as it is told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct NeedMark {
+pub struct LimitUpdate {
     /// The server's run.
     pub server: EngineKey,
     /// The limit; none where it named none.
@@ -23,17 +23,17 @@
     pub age: Duration,
 }
 
-/// What was found of servers in need.
+/// What was found of rate-limited servers.
 #[derive(Debug)]
-pub struct NeedNews {
-    sayings: ToldBook<EngineKey, LimitSaying>,
+pub struct LimitUpdates {
+    sayings: FindingsCache<EngineKey, LimitSaying>,
 }
 
-impl NeedNews {
+impl LimitUpdates {
     /// A book in which nothing stands; `id` is drawn at random.
     pub fn new(id: u64) -> Self {
         Self {
-            sayings: ToldBook::new(id),
+            sayings: FindingsCache::new(id),
         }
     }
 
@@ -58,9 +58,9 @@
     }
 
     /// What an asker lacks that was told up to a place.
-    pub fn since(&self, known: BookPlace, now: Duration) -> BookNews<NeedMark> {
+    pub fn since(&self, known: CachePosition, now: Duration) -> CacheUpdates<LimitUpdate> {
         let marks = self.sayings.since(known);
-        BookNews {
+        CacheUpdates {
             place: self.sayings.place(),
             marks: marks
                 .map(|(server, saying)| mark(*server, *saying, now))
@@ -70,7 +70,7 @@
 
     /// What a host that adds up, or tells others, is to hear of this one, after a revision; and the revision to which
     /// that goes.
-    pub fn reported_since(&self, revision: Option<u64>, now: Duration) -> (Vec<NeedMark>, u64) {
+    pub fn reported_since(&self, revision: Option<u64>, now: Duration) -> (Vec<LimitUpdate>, u64) {
         let marks = self.sayings.reported_since(revision, now);
         let marks = marks.map(|(server, saying)| mark(*server, *saying, now));
         (marks.collect(), self.sayings.place().revision)
@@ -82,8 +82,8 @@
     }
 }
 
-fn mark(server: EngineKey, saying: LimitSaying, now: Duration) -> NeedMark {
-    NeedMark {
+fn mark(server: EngineKey, saying: LimitSaying, now: Duration) -> LimitUpdate {
+    LimitUpdate {
         server,
         limit: saying.limit,
         age: saying.age(now),
--- a/src/relay/policy/mod.rs
+++ b/src/relay/policy/mod.rs
@@ -11,32 +11,32 @@
 pub(crate) mod crash_record;
 pub(crate) mod digest;
 mod engines;
+pub(crate) mod findings_cache;
 pub(crate) mod kept;
+pub(crate) mod limit_book;
+pub(crate) mod limit_updates;
 pub(crate) mod line;
 pub(crate) mod loads;
-pub(crate) mod need_book;
-pub(crate) mod need_news;
 pub(crate) mod past_time;
 pub(crate) mod pauses;
+pub(crate) mod permit_allocator;
+pub(crate) mod permit_owners;
 mod plain_number;
 pub(crate) mod room;
 pub(crate) mod route;
 pub(crate) mod server_limit;
 pub(crate) mod server_marks;
+pub(crate) mod shared_findings;
 pub(crate) mod source;
 pub(crate) mod split;
 pub(crate) mod subset;
-pub(crate) mod told_book;
-pub(crate) mod told_findings;
-pub(crate) mod turn_desk;
-pub(crate) mod turn_keepers;
 pub(crate) mod view;
 pub(crate) mod waited;
 
 pub use self::{
     admission::*, availability::*, book::*, budget::*, changes::*, crash_book::*, crash_mark::*,
-    crash_record::*, digest::*, kept::*, line::*, loads::*, need_book::*, need_news::*,
-    past_time::*, pauses::*, room::*, route::*, server_limit::*, server_marks::*, source::*,
-    split::*, subset::*, told_book::*, told_findings::*, turn_desk::*, turn_keepers::*, view::*,
-    waited::*,
+    crash_record::*, digest::*, findings_cache::*, kept::*, limit_book::*, limit_updates::*,
+    line::*, loads::*, past_time::*, pauses::*, permit_allocator::*, permit_owners::*, room::*,
+    route::*, server_limit::*, server_marks::*, shared_findings::*, source::*, split::*, subset::*,
+    view::*, waited::*,
 };
--- a/src/relay/policy/turn_desk.rs
+++ b/src/relay/policy/permit_allocator.rs
@@ -1,55 +1,55 @@
-//! Turns at backend servers in need, as the host deals them out that keeps them for a server.
+//! Permits at rate-limited backend servers, as the host allocates them that keeps them for a server.
 //!
-//! A plain state machine. A server in need names how many requests a second it takes from all hosts together, and one
-//! host deals these out as turns, so that the bound holds wherever the requests come from. What it holds grows with the
-//! servers in need that it keeps.
+//! A plain state machine. A rate-limited server names how many requests a second it takes from all hosts together, and one
+//! host allocates these as permits, so that the bound holds wherever the requests come from. What it holds grows with the
+//! rate-limited servers that it keeps.
 
 use {
     super::{
-        loads::EngineKey, need_book::LimitSaying, past_time::PastTime, server_limit::ServerLimit,
+        limit_book::LimitSaying, loads::EngineKey, past_time::PastTime, server_limit::ServerLimit,
     },
     crate::account::{BucketRate, RateBucket},
     std::{collections::BTreeMap, time::Duration},
 };
 
-/// Least turns a second that are dealt out, whatever the server names: a request in 1.7 s shows whether it still names a
+/// Least permits a second that are allocated, whatever the server names: a request in 1.7 s shows whether it still names a
 /// limit, and a server that names 0 is bounded at five in four seconds.
-pub const TURNS_LEAST: f64 = 0.6;
+pub const PERMITS_LEAST: f64 = 0.6;
 
-/// Turns that may be dealt out at once, as seconds of the limit and besides: requests do not come evenly. With the life of
-/// a turn in a host's hands and with one keeper after another it stays under what a server allows.
+/// Permits that may be allocated at once, as seconds of the limit and besides: requests do not come evenly. With the life of
+/// a permit in a host's hands and with one owner after another it stays under what a server allows.
 const BURST_SECONDS: f64 = 0.3;
 const BURST_LEAST: f64 = 0.25;
 
 /// Part of that which is left to less urgent requests while more urgent ones come.
 const LESS_URGENT_PART: f64 = 0.1;
 
-/// Part of it up to which a host gets more turns than it needs now.
+/// Part of it up to which a host gets more permits than it needs now.
 const SPARE_PART: f64 = 0.5;
 
 /// How long more urgent requests are taken to come on.
 const URGENT_TIME: Duration = Duration::from_secs(2);
 
-/// How long a host that has come to deal out the turns at a server may not be the only one: others learn within that
-/// time whom to ask. Meanwhile it deals out a part.
+/// How long a host that has come to allocate the permits at a server may not be the only one: others learn within that
+/// time whom to ask. Meanwhile it allocates a part.
 pub(super) const TAKE_OVER_TIME: Duration = Duration::from_secs(2);
 const TAKE_OVER_PART: f64 = 0.5;
 
-/// Part of its share of a limit that a host takes which reaches nobody who deals out turns. On the other side of a cut
-/// somebody may deal out the whole; with the shares of all that are cut off it stays under what a server allows.
+/// Part of its share of a limit that a host takes which reaches nobody who allocates permits. On the other side of a cut
+/// somebody may allocate the whole; with the shares of all that are cut off it stays under what a server allows.
 const CUT_PART: f64 = 0.3;
 
 /// How long a server is remembered of which nobody asks: longer than it takes until all hosts have heard of its end.
 const SHEET_LIFE: Duration = Duration::from_secs(30);
 
-/// A host's question for turns at a server.
+/// A host's question for permits at a server.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct TurnAsk {
+pub struct PermitRequest {
     /// The server.
     pub server: EngineKey,
     /// What the asker knows that the server said.
     pub saying: LimitSaying,
-    /// Turns that the asker has use for: one at the least, unless it only tells what it knows.
+    /// Permits that the asker has use for: one at the least, unless it only tells what it knows.
     pub wanted: u32,
     /// How urgent the request is, 0 the most.
     pub rank: u8,
@@ -57,17 +57,17 @@
 
 /// The answer.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct TurnGrant {
-    /// Turns that the asker may use up soon.
-    pub turns: u32,
+pub struct PermitGrant {
+    /// Permits that the asker may use up soon.
+    pub permits: u32,
     /// Where there is none: when one is likely.
     pub wait: Duration,
-    /// What the keeper knows that the server said.
+    /// What the owner knows that the server said.
     pub saying: LimitSaying,
 }
 
 #[derive(Debug)]
-struct TurnSheet {
+struct ServerPermits {
     saying: LimitSaying,
     bucket: RateBucket,
     began: Duration,
@@ -76,50 +76,56 @@
     urgent: (u8, Duration),
 }
 
-/// Turns at all servers that a host keeps.
+/// Permits at all servers that a host keeps.
 #[derive(Debug, Default)]
-pub struct TurnDesk {
-    sheets: BTreeMap<EngineKey, TurnSheet>,
+pub struct PermitAllocator {
+    sheets: BTreeMap<EngineKey, ServerPermits>,
 }
 
-impl TurnDesk {
-    /// Deals out turns to all hosts.
-    pub fn deal(&mut self, ask: &TurnAsk, now: Duration) -> TurnGrant {
-        self.deal_part(ask, 1.0, 1.0, now)
+impl PermitAllocator {
+    /// Allocates permits to all hosts.
+    pub fn deal(&mut self, ask: &PermitRequest, now: Duration) -> PermitGrant {
+        self.allocate_part(ask, 1.0, 1.0, now)
     }
 
-    /// Deals out turns to one host alone, of so many, as a part of its share of a limit; `level` from 0 to 1 is drawn at
+    /// Allocates permits to one host alone, of so many, as a part of its share of a limit; `level` from 0 to 1 is drawn at
     /// random, so that not all hosts that are cut off together send in the same moment.
-    pub fn deal_alone(
+    pub fn allocate_alone(
         &mut self,
-        ask: &TurnAsk,
+        ask: &PermitRequest,
         hosts: usize,
         level: f64,
         now: Duration,
-    ) -> TurnGrant {
+    ) -> PermitGrant {
         let part = if hosts <= 1 {
             1.0
         } else {
             CUT_PART / hosts as f64
         };
-        self.deal_part(ask, part, level, now)
+        self.allocate_part(ask, part, level, now)
     }
 
-    /// Deals out turns to one host of so many that all hear each other and take an equal share each.
-    pub fn deal_share(
+    /// Allocates permits to one host of so many that all hear each other and take an equal share each.
+    pub fn allocate_share(
         &mut self,
-        ask: &TurnAsk,
+        ask: &PermitRequest,
         hosts: usize,
         level: f64,
         now: Duration,
-    ) -> TurnGrant {
-        self.deal_part(ask, 1.0 / hosts.max(1) as f64, level, now)
+    ) -> PermitGrant {
+        self.allocate_part(ask, 1.0 / hosts.max(1) as f64, level, now)
     }
 
-    // `part` of a server's limit is this desk's.
-    fn deal_part(&mut self, ask: &TurnAsk, part: f64, level: f64, now: Duration) -> TurnGrant {
+    // `part` of a server's limit is this host's.
+    fn allocate_part(
+        &mut self,
+        ask: &PermitRequest,
+        part: f64,
+        level: f64,
+        now: Duration,
+    ) -> PermitGrant {
         let sheets = &mut self.sheets;
-        let sheet = sheets.entry(ask.server).or_insert_with(|| TurnSheet {
+        let sheet = sheets.entry(ask.server).or_insert_with(|| ServerPermits {
             saying: ask.saying,
             bucket: begun_bucket(ask.saying.limit, part, level, now),
             began: now,
@@ -151,34 +157,40 @@
     }
 }
 
-// What was dealt out before by another host is not known: as much as may be at once.
+// What was allocated before by another host is not known: as much as may be at once.
 fn begun_bucket(limit: Option<ServerLimit>, part: f64, level: f64, now: Duration) -> RateBucket {
     let burst = limit.map_or(0.0, |limit| bounds(limit, part).burst);
     RateBucket::filled(burst + level, now)
 }
 
-/// Turns a second at a server that names a limit, and how many at once.
+/// Permits a second at a server that names a limit, and how many at once.
 fn bounds(limit: ServerLimit, part: f64) -> BucketRate {
-    let rate = limit.per_second().max(TURNS_LEAST) * part;
+    let rate = limit.per_second().max(PERMITS_LEAST) * part;
     BucketRate {
         rate,
         burst: BURST_LEAST + BURST_SECONDS * rate,
     }
 }
 
-impl TurnSheet {
+impl ServerPermits {
     fn take_saying(&mut self, saying: LimitSaying, part: f64, level: f64, now: Duration) {
         if saying.said <= self.saying.said {
             return;
         }
-        // A server that comes to be in need once more has been sent whatever came.
+        // A server that comes to be rate-limited again has been sent whatever came.
         if self.saying.limit.is_none() && saying.limit.is_some() {
             self.bucket = begun_bucket(saying.limit, part, level, now);
         }
         self.saying = saying;
     }
 
-    fn deal(&mut self, limit: ServerLimit, ask: &TurnAsk, part: f64, now: Duration) -> TurnGrant {
+    fn deal(
+        &mut self,
+        limit: ServerLimit,
+        ask: &PermitRequest,
+        part: f64,
+        now: Duration,
+    ) -> PermitGrant {
         let begun = match now.saturating_sub(self.began) < TAKE_OVER_TIME {
             true => TAKE_OVER_PART,
             false => 1.0,
@@ -191,7 +203,7 @@
             },
             false => whole,
         };
-        // What was dealt out at a higher limit is not made up for at a lower one.
+        // What was allocated at a higher limit is not made up for at a lower one.
         self.bucket.cap(whole.burst + 1.0);
         if ask.wanted == 0 {
             return self.grant(0, Duration::ZERO);
@@ -204,7 +216,7 @@
         self.bucket.add(f64::from(more));
         assert!(
             self.bucket.level() <= whole.burst + 1.0,
-            "no more turns are dealt out at once than a server takes"
+            "no more permits are allocated at once than a server takes"
         );
         self.grant(1 + more, Duration::ZERO)
     }
@@ -218,9 +230,9 @@
         is_less
     }
 
-    fn grant(&self, turns: u32, wait: Duration) -> TurnGrant {
-        TurnGrant {
-            turns,
+    fn grant(&self, permits: u32, wait: Duration) -> PermitGrant {
+        PermitGrant {
+            permits,
             wait,
             saying: self.saying,
         }
--- a/src/relay/policy/turn_keepers.rs
+++ b/src/relay/policy/permit_owners.rs
@@ -1,10 +1,10 @@
-//! Which host deals out the turns at a server in need.
+//! Which host allocates the permits at a rate-limited server.
 //!
 //! A plain state machine. All hosts agree on it without talk: it is drawn from the hosts of the server's zone, which reach
 //! the server whenever anybody does.
 
 use {
-    super::{loads::EngineKey, turn_desk::TAKE_OVER_TIME},
+    super::{loads::EngineKey, permit_allocator::TAKE_OVER_TIME},
     crate::{
         account::{BucketRate, RateBucket},
         peer,
@@ -14,38 +14,38 @@
     std::{collections::HashMap, time::Duration},
 };
 
-/// Questions of a host a second that are answered with no turn, and how many at once: where all servers are in need, more of
-/// them find no more turns.
+/// Questions of a host a second that are answered with no permit, and how many at once: where all servers are rate-limited, more of
+/// them find no more permits.
 const DENIALS: BucketRate = BucketRate {
     rate: 5.0,
     burst: 20.0,
 };
 
 /// How long a host that does not answer is not asked, at first and at the most; doubled each time. While some hosts ask it again
-/// and others do not yet, two deal out turns.
+/// and others do not yet, two allocate permits.
 const PASS_OVER_FIRST: Duration = Duration::from_millis(500);
 const PASS_OVER_MOST: Duration = TAKE_OVER_TIME;
 
 // A host that did not answer.
 #[derive(Debug, Clone, Copy)]
-struct SilentKeeper {
+struct SilentOwner {
     until: Duration,
     pause: Duration,
     // Its machine answered that nobody listens there: it is no host behind a cut.
     is_gone: bool,
 }
 
-/// The hosts that deal out turns, as one host sees them.
+/// The hosts that allocate permits, as one host sees them.
 #[derive(Debug, Default)]
-pub struct TurnKeepers {
-    silent: HashMap<FastStr, SilentKeeper>,
+pub struct PermitOwners {
+    silent: HashMap<FastStr, SilentOwner>,
     denials: RateBucket,
 }
 
-impl TurnKeepers {
-    /// The keeper for a server of a zone: the first by draw of those that answer, from the listed hosts of the zone or, where
-    /// it has none, from all. Each server has its own, so that many servers in need are many hosts' work.
-    pub fn keeper<'a>(
+impl PermitOwners {
+    /// The owner for a server of a zone: the first by draw of those that answer, from the listed hosts of the zone or, where
+    /// it has none, from all. Each server has its own, so that many rate-limited servers are many hosts' work.
+    pub fn owner<'a>(
         &self,
         hosts: impl Iterator<Item = &'a HostEntry> + Clone,
         zone: &str,
@@ -61,7 +61,7 @@
 
     fn is_heard(&self, name: &FastStr, now: Duration) -> bool {
         let silent = self.silent.get(name);
-        silent.is_none_or(|keeper| now >= keeper.until)
+        silent.is_none_or(|owner| now >= owner.until)
     }
 
     /// A host answered.
@@ -71,27 +71,27 @@
 
     /// A host did not answer; or nobody listens at its address any more.
     pub fn note_silent(&mut self, name: &FastStr, is_gone: bool, now: Duration) {
-        let before = self.silent.get(name).map(|keeper| keeper.pause * 2);
+        let before = self.silent.get(name).map(|owner| owner.pause * 2);
         let pause = before.unwrap_or(PASS_OVER_FIRST).min(PASS_OVER_MOST);
-        let keeper = SilentKeeper {
+        let owner = SilentOwner {
             until: now + pause,
             pause,
             is_gone,
         };
-        self.silent.insert(name.clone(), keeper);
+        self.silent.insert(name.clone(), owner);
     }
 
     /// Hosts that are listed and that are gone for sure.
     pub fn gone(&self) -> usize {
-        self.silent.values().filter(|keeper| keeper.is_gone).count()
+        self.silent.values().filter(|owner| owner.is_gone).count()
     }
 
-    /// Whether another host may be asked for a turn.
+    /// Whether another host may be asked for a permit.
     pub fn may_ask(&mut self, now: Duration) -> bool {
         !self.denials.is_full(DENIALS, now)
     }
 
-    /// Another host had no turn.
+    /// Another host had no permit.
     pub fn note_denied(&mut self) {
         self.denials.add(1.0);
     }
--- a/src/relay/policy/server_limit.rs
+++ b/src/relay/policy/server_limit.rs
@@ -1,4 +1,4 @@
-//! The limit that a backend server names in its answers while it is in need.
+//! The limit that a backend server names in its answers while it is rate-limited.
 
 use {super::plain_number::read_plain_number, std::fmt};
 
@@ -30,7 +30,7 @@
 /// What an answer says of its server's limit.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub enum LimitMark {
-    /// Nothing: the server is in no need.
+    /// Nothing: the server is not rate-limited.
     #[default]
     Unsaid,
     /// Something that is no number of requests a second, or several things: as if nothing were said.
--- a/src/relay/policy/told_findings.rs
+++ b/src/relay/policy/shared_findings.rs
@@ -1,28 +1,28 @@
 //! What a host tells another at once of what requests have shown.
 
-use super::{crash_mark::CrashMark, need_news::NeedMark};
+use super::{crash_mark::CrashMark, limit_updates::LimitUpdate};
 
 /// Findings of one host, or of a whole zone.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct ToldFindings {
+pub struct SharedFindings {
     /// Requests under which servers ended.
     pub crashes: Vec<CrashMark>,
-    /// Servers in need.
-    pub needs: Vec<NeedMark>,
+    /// Rate-limited servers.
+    pub limits: Vec<LimitUpdate>,
 }
 
-impl ToldFindings {
+impl SharedFindings {
     /// Whether there is none.
     pub fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.needs.is_empty()
+        self.crashes.is_empty() && self.limits.is_empty()
     }
 }
 
 /// Up to which revisions of a host's books another one was told.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct ToldRevisions {
+pub struct SharedRevisions {
     /// Of requests under which servers ended.
     pub crashes: u64,
-    /// Of servers in need.
-    pub needs: u64,
+    /// Of rate-limited servers.
+    pub limits: u64,
 }
--- a/src/relay/request/guard.rs
+++ b/src/relay/request/guard.rs
@@ -7,7 +7,7 @@
         relay::{
             backend::BackendInfo,
             dialect::AnswerMarks,
-            parts::{needs::AnswerKind, shared::RelayParts},
+            parts::{server_limits::AnswerKind, shared::RelayParts},
             policy::digest::RequestDigest,
         },
     },
--- a/src/relay/request/plain.rs
+++ b/src/relay/request/plain.rs
@@ -14,10 +14,10 @@
         operation::{Refusal, RefusalCode, RunVerdict},
         relay::{
             backend::BackendInfo,
-            parts::{shared::RelayParts, turns::ServerTurn},
+            parts::{permits::ServerPermit, shared::RelayParts},
             policy::{
                 book::{PlainChoice, SendWish},
-                need_book::TurnWait,
+                limit_book::PermitWait,
                 view::BackendFailure,
             },
         },
@@ -36,8 +36,8 @@
 /// Servers that decline one after the other before the caller is told to come back.
 const DECLINES_MAX: usize = 3;
 
-/// Servers in need that are asked for a turn one after the other: each takes a moment of the caller's time.
-const TURN_ASKS: usize = 4;
+/// Rate-limited servers that are asked for a permit one after the other: each takes a moment of the caller's time.
+const PERMIT_REQUESTS: usize = 4;
 
 /// When a caller is to come back after a refusal of a plain request.
 const COME_BACK: Duration = Duration::from_millis(100);
@@ -64,8 +64,8 @@
     arrived: bool,
     // Whether all servers that are left fail.
     is_unreachable: bool,
-    // Where servers in need had no turn for it: when one is likely.
-    turn_wait: Option<TurnWait>,
+    // Where rate-limited servers had no permit for it: when one is likely.
+    permit_wait: Option<PermitWait>,
     // Why it may not be sent any more.
     refused: Option<Refusal>,
     verdict: RunVerdict,
@@ -102,7 +102,7 @@
         declines: 0,
         arrived: false,
         is_unreachable: false,
-        turn_wait: None,
+        permit_wait: None,
         refused: None,
         verdict: RunVerdict::NotRun,
         detail: "no backend server can take it".into(),
@@ -197,14 +197,14 @@
     // Sends to the best server not tried yet. It costs a repeat if a send before it has reached its server or
     // is under way; when a zone is cut off, many requests find a server that cannot be reached first.
     async fn launch(&mut self, running: &mut FuturesUnordered<Sending>, is_hedge: bool) -> bool {
-        let Some((backend, turn)) = self.next_server(is_hedge).await else {
+        let Some((backend, permit)) = self.next_server(is_hedge).await else {
             return false;
         };
         let is_repeat = self.arrived || !self.open.is_empty();
         if is_repeat && !self.parts.spend_repeat(&self.service) {
             return false;
         }
-        turn.use_up();
+        permit.use_up();
         self.tried.push(backend.id.clone());
         self.open.push(backend.clone());
         self.sends += 1;
@@ -216,26 +216,28 @@
         true
     }
 
-    // The best server not tried yet that has a turn for the request, if it is in need. Those that are asked in vain do not
-    // stand before one that is in no need.
-    async fn next_server(&mut self, is_hedge: bool) -> Option<(BackendInfo, ServerTurn)> {
+    // The best server not tried yet that has a permit for the request, if it is rate-limited. Those that deny one do not
+    // stand before one that is not rate-limited.
+    async fn next_server(&mut self, is_hedge: bool) -> Option<(BackendInfo, ServerPermit)> {
         let rank = self.call.priority();
-        for asked in 0..=TURN_ASKS {
+        for asked in 0..=PERMIT_REQUESTS {
             let checked = judge::check_send(&self.parts, &self.call, &self.service, self.verdict);
             if let Err(refusal) = checked {
                 self.refused = Some(refusal);
                 return None;
             }
-            let needs_no_turn = is_hedge || asked == TURN_ASKS;
+            let needs_no_permit = is_hedge || asked == PERMIT_REQUESTS;
             let backend = self.choose(SendWish {
                 rank,
-                needs_no_turn,
+                needs_no_permit,
             })?;
-            match self.parts.take_turn(&backend, rank).await {
-                Ok(turn) if self.parts.may_send(&backend, None) => return Some((backend, turn)),
+            match self.parts.take_permit(&backend, rank).await {
+                Ok(permit) if self.parts.may_send(&backend, None) => {
+                    return Some((backend, permit));
+                }
                 // It said meanwhile that it takes no new requests, and is not chosen again.
                 Ok(_) => {}
-                Err(wait) => self.turn_wait = Some(wait),
+                Err(wait) => self.permit_wait = Some(wait),
             }
         }
         None
@@ -250,7 +252,7 @@
         match choice {
             PlainChoice::Send(backend) => return Some(backend),
             PlainChoice::Unreachable => self.is_unreachable = true,
-            PlainChoice::NoTurn(wait) => self.turn_wait = Some(wait),
+            PlainChoice::NoPermit(wait) => self.permit_wait = Some(wait),
             PlainChoice::NoneLeft => {}
         }
         None
@@ -330,11 +332,11 @@
         if let Some(refusal) = self.refused.take() {
             return refusal;
         }
-        // Whom another server declined is told to come back soon: turns at those in need may be far between.
-        if let Some(wait) = self.turn_wait
+        // Whom another server declined is told to come back soon: permits at rate-limited servers may be far between.
+        if let Some(wait) = self.permit_wait
             && self.tried.is_empty()
         {
-            return self.parts.no_turn(&self.service, self.verdict, wait);
+            return self.parts.permit_denied(&self.service, self.verdict, wait);
         }
         let now = self.parts.now();
         let wait = self
--- a/src/relay/request/prefill.rs
+++ b/src/relay/request/prefill.rs
@@ -96,7 +96,7 @@
 }
 
 /// The prefill engine to send to, best near the decode engine's zone; none where the decode engine
-/// would compute the prompt sooner by itself. One in need has to have a turn for a request of this rank.
+/// would compute the prompt sooner by itself. A rate-limited one has to have a permit for a request of this rank.
 pub fn choose_engine(
     parts: &RelayParts,
     service: &str,
@@ -106,7 +106,7 @@
 ) -> Option<(BackendInfo, f64)> {
     let now = parts.now();
     let book = parts.book.borrow();
-    let mut passed_over = book.without_turn(service, rank, now);
+    let mut passed_over = book.without_permit(service, rank, now);
     passed_over.extend_from_slice(tried);
     let best = book.best_prefill(service, zone, &passed_over, now)?;
     (best.1 < OVERFLOW_BACKLOG).then_some(best)
--- a/src/relay/request/reserve.rs
+++ b/src/relay/request/reserve.rs
@@ -8,7 +8,7 @@
         relay::{
             backend::BackendInfo,
             config::EngineLimits,
-            parts::{shared::RelayParts, turns::ServerTurn},
+            parts::{permits::ServerPermit, shared::RelayParts},
             policy::{
                 admission::{self, LineEntrant},
                 kept::KeptAt,
@@ -66,12 +66,12 @@
     pub reserved_at: Duration,
     hold: EngineHold,
     // Leave to send the request there; none once it was used.
-    turn: Option<ServerTurn>,
+    permit: Option<ServerPermit>,
     tokens: u64,
 }
 
 impl MemoryHold {
-    fn new(hold: EngineHold, turn: ServerTurn, tokens: u64) -> Self {
+    fn new(hold: EngineHold, permit: ServerPermit, tokens: u64) -> Self {
         let (parts, engine) = (hold.parts.clone(), hold.engine.clone());
         let mut book = parts.book.borrow_mut();
         book.answered(&engine.id, true);
@@ -82,15 +82,15 @@
             parts,
             engine,
             hold,
-            turn: Some(turn),
+            permit: Some(permit),
             tokens,
         }
     }
 
-    /// The name of the reservation, to be used now with the request's turn at the engine.
+    /// The name of the reservation, to be used now with the request's permit at the engine.
     pub fn use_up(&mut self) -> Option<FastStr> {
-        if let Some(turn) = self.turn.take() {
-            turn.use_up();
+        if let Some(permit) = self.permit.take() {
+            permit.use_up();
         }
         self.hold.name.take()
     }
@@ -192,7 +192,7 @@
         let wait = parts.book.borrow().decode_wait(service, rank, parts.now());
         if let Some(wait) = wait {
             let service = FastStr::new(service);
-            return Err(parts.no_turn(&service, RunVerdict::NotRun, wait));
+            return Err(parts.permit_denied(&service, RunVerdict::NotRun, wait));
         }
         let left = give_up.saturating_sub(parts.now());
         tokio::select! {
@@ -234,9 +234,9 @@
     let memory = engine_limits(parts, service).map(|limits| limits.memory_tokens);
     let engines = {
         let book = parts.book.borrow();
-        let without_turn = book.without_turn(service, rank, now);
+        let without_permit = book.without_permit(service, rank, now);
         let mut engines = book.rank_decodes(service, zone, tokens, memory, now);
-        engines.retain(|engine| !without_turn.contains(&engine.id));
+        engines.retain(|engine| !without_permit.contains(&engine.id));
         engines
     };
     let headroom = memory.map_or(0, |memory| admission::headroom(memory, tokens, is_late));
@@ -249,8 +249,8 @@
 }
 
 // Memory for a request where as much again as `headroom` is free. That is seen by reserving it, for as long
-// as the request's own memory is asked for. Where the engine is in need the request's turn there is taken first: memory
-// without a turn would be held for nobody.
+// as the request's own memory is asked for. Where the engine is rate-limited the request's permit there is taken first: memory
+// without a permit would be held for nobody.
 async fn ask_beside(
     parts: &Rc<RelayParts>,
     engine: BackendInfo,
@@ -258,14 +258,14 @@
     tokens: u64,
     headroom: u64,
 ) -> Option<MemoryHold> {
-    let turn = parts.take_turn(&engine, rank).await.ok()?;
+    let permit = parts.take_permit(&engine, rank).await.ok()?;
     let beside = match headroom {
         0 => None,
         _ => Some(ask(parts, &engine, headroom, HEADROOM_TIME).await?),
     };
     let hold = ask(parts, &engine, tokens, HOLD_TIME).await;
     drop(beside);
-    Some(MemoryHold::new(hold?, turn, tokens))
+    Some(MemoryHold::new(hold?, permit, tokens))
 }
 
 fn engine_limits(parts: &RelayParts, service: &str) -> Option<EngineLimits> {
--- a/src/relay/request/stream.rs
+++ b/src/relay/request/stream.rs
@@ -309,8 +309,8 @@
             let (parts, rank) = (&self.parts, self.call.priority());
             let chosen = prefill::choose_engine(parts, &self.service, zone, rank, &tried)?;
             let engine = chosen.0.id.clone();
-            // In need and without a turn: as one that the request does not reach.
-            let Ok(turn) = parts.take_turn(&chosen.0, rank).await else {
+            // Rate-limited and without a permit: as one that the request does not reach.
+            let Ok(permit) = parts.take_permit(&chosen.0, rank).await else {
                 tried.push(engine);
                 continue;
             };
@@ -321,7 +321,7 @@
             if !self.may_compute() {
                 return None;
             }
-            turn.use_up();
+            permit.use_up();
             let failure = match prefill::compute_prompt(&self.parts, &self.call, chosen).await {
                 Ok(cache) => {
                     self.computed = true;
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -3,11 +3,11 @@
 mod choose;
 mod desk;
 mod explain;
-mod needs;
 mod observe;
 mod place;
 mod policy;
 mod rank;
+mod server_states;
 mod servers;
 mod shared;
 #[cfg(test)]
@@ -15,5 +15,6 @@
 mod view;
 
 pub use self::{
-    choose::*, desk::*, explain::*, needs::*, place::*, policy::*, servers::*, shared::*, view::*,
+    choose::*, desk::*, explain::*, place::*, policy::*, server_states::*, servers::*, shared::*,
+    view::*,
 };
--- a/src/route/needs.rs
+++ b/src/route/server_states.rs
@@ -1,7 +1,7 @@
 //! Servers of plain services that name how many calls a second they take from all hosts together, on the product's own
 //! interface.
 //!
-//! Hosts of this interface do not deal out turns to each other: each takes an equal share of what a server names, by the
+//! Hosts of this interface do not allocate permits to each other: each takes an equal share of what a server names, by the
 //! number of hosts.
 
 use {
@@ -10,8 +10,8 @@
         clock::HostClock,
         event,
         relay::{
-            self, AvailabilityBook, EngineKey, LimitMark, LimitSaying, NeedBook,
-            ServerAvailability, ServerHeaders, ServerMarks, ServerRun, TurnDesk, TurnState,
+            self, AvailabilityBook, EngineKey, LimitBook, LimitMark, LimitSaying, PermitAllocator,
+            PermitState, ServerAvailability, ServerHeaders, ServerMarks, ServerRun,
         },
     },
     faststr::FastStr,
@@ -33,35 +33,35 @@
 const RANK: u8 = 0;
 
 #[derive(Debug)]
-struct OwnTurns {
-    needs: NeedBook,
-    desk: TurnDesk,
+struct KnownStates {
+    limits: LimitBook,
+    allocator: PermitAllocator,
     availability: AvailabilityBook,
 }
 
-/// Which servers are in need, and this host's turns there.
+/// Which servers are rate-limited, and this host's permits there.
 #[derive(Debug)]
-pub struct ServerNeeds {
-    turns: Mutex<OwnTurns>,
+pub struct ServerStates {
+    permits: Mutex<KnownStates>,
     clock: HostClock,
 }
 
-impl ServerNeeds {
-    /// None is known to be in need.
+impl ServerStates {
+    /// None is known to be rate-limited.
     pub fn new(host: &str, clock: HostClock) -> Self {
-        let turns = OwnTurns {
-            needs: NeedBook::new(host),
-            desk: TurnDesk::default(),
+        let permits = KnownStates {
+            limits: LimitBook::new(host),
+            allocator: PermitAllocator::default(),
             availability: AvailabilityBook::default(),
         };
         Self {
-            turns: Mutex::new(turns),
+            permits: Mutex::new(permits),
             clock,
         }
     }
 
-    fn turns(&self) -> MutexGuard<'_, OwnTurns> {
-        self.turns.lock().expect("server needs")
+    fn permits(&self) -> MutexGuard<'_, KnownStates> {
+        self.permits.lock().expect("server limits")
     }
 
     /// Time on the clock that sends are noted by.
@@ -91,14 +91,14 @@
         };
         let now = self.clock.now();
         let saying = LimitSaying::told(limit, now.saturating_sub(sent), now);
-        self.turns().needs.take(key_of(server), saying, now);
+        self.permits().limits.take(key_of(server), saying, now);
     }
 
     fn note_availability(&self, server: &ServerInfo, marks: &ServerMarks) {
         let now = self.clock.now();
-        let mut turns = self.turns();
-        let change = turns.availability.note(&server.run(), marks, now);
-        drop(turns);
+        let mut permits = self.permits();
+        let change = permits.availability.note(&server.run(), marks, now);
+        drop(permits);
         if change.is_leaving {
             event::emit(
                 &event::SERVER_LEAVING,
@@ -120,52 +120,54 @@
     /// Whether a server takes new calls of this host, as far as its answers say.
     pub fn availability(&self, server: &ServerInfo) -> ServerAvailability {
         let now = self.clock.now();
-        self.turns().availability.availability(&server.run(), now)
+        self.permits().availability.availability(&server.run(), now)
     }
 
     /// Evicts what is no longer of use of servers that are not listed.
     pub fn evict_expired(&self, listed: &[ServerInfo]) {
         let now = self.clock.now();
         let runs: HashSet<ServerRun> = listed.iter().map(ServerInfo::run).collect();
-        let mut turns = self.turns();
-        let ended = turns
+        let mut permits = self.permits();
+        let ended = permits
             .availability
             .evict_expired(|run| runs.contains(run), now);
-        drop(turns);
+        drop(permits);
         for run in ended {
             event::emit(&event::SERVER_BACKOFF_ENDED, &[("backend", &run.id)]);
         }
     }
 
-    /// Takes a turn at a server for one of so many hosts; otherwise when one is likely. A server in no need takes all.
-    pub fn take_turn(&self, server: &ServerInfo, hosts: usize) -> Result<(), Duration> {
+    /// Takes a permit at a server for one of so many hosts; otherwise when one is likely. A server without a limit takes all.
+    pub fn take_permit(&self, server: &ServerInfo, hosts: usize) -> Result<(), Duration> {
         let now = self.clock.now();
         let server = key_of(server);
-        let turns = &mut *self.turns();
-        turns.needs.forget_old(now);
-        turns.desk.forget_old(now);
-        if turns.needs.turn(server, RANK, now) == TurnState::Ask
-            && let Some(ask) = turns.needs.ask(server, RANK, now)
+        let permits = &mut *self.permits();
+        permits.limits.forget_old(now);
+        permits.allocator.forget_old(now);
+        if permits.limits.permit(server, RANK, now) == PermitState::Ask
+            && let Some(ask) = permits.limits.ask(server, RANK, now)
         {
-            let grant = turns.desk.deal_share(&ask, hosts, rand::random(), now);
-            turns.needs.take_grant(server, RANK, &grant, now);
+            let grant = permits
+                .allocator
+                .allocate_share(&ask, hosts, rand::random(), now);
+            permits.limits.take_grant(server, RANK, &grant, now);
         }
-        match turns.needs.turn(server, RANK, now) {
-            TurnState::Free => Ok(()),
-            TurnState::Held if turns.needs.use_turn(server, now) => Ok(()),
-            TurnState::Empty(wait) => {
-                turns.needs.note_sent_away(server);
+        match permits.limits.permit(server, RANK, now) {
+            PermitState::Free => Ok(()),
+            PermitState::Held if permits.limits.use_permit(server, now) => Ok(()),
+            PermitState::Empty(wait) => {
+                permits.limits.note_sent_away(server);
                 Err(wait)
             }
-            TurnState::Held | TurnState::Ask => Err(Duration::ZERO),
+            PermitState::Held | PermitState::Ask => Err(Duration::ZERO),
         }
     }
 
     /// The limits that are believed of some servers, for operators: calls a second of all hosts.
     pub fn limits<'a>(&self, servers: impl Iterator<Item = &'a ServerInfo>) -> Vec<(FastStr, f64)> {
-        let turns = self.turns();
+        let permits = self.permits();
         let limit = |server: &ServerInfo| {
-            let limit = turns.needs.limit(key_of(server))?;
+            let limit = permits.limits.limit(key_of(server))?;
             Some((server.name.clone(), limit.per_second()))
         };
         servers.filter_map(limit).collect()
--- a/tests/fleet_sim/crashes.rs
+++ b/tests/fleet_sim/crashes.rs
@@ -3,7 +3,7 @@
 use {
     super::{PATIENCE, STEP, SimFleet, SimTrouble},
     bayplank::relay::{
-        BookPlace, CrashBook, CrashJudgement, CrashMark, EngineKey, MarkSource, RequestDigest,
+        CachePosition, CrashBook, CrashJudgement, CrashMark, EngineKey, MarkSource, RequestDigest,
     },
     faststr::FastStr,
     rand::seq::SliceRandom,
@@ -24,7 +24,7 @@
 pub struct SimCrashes {
     pub book: CrashBook,
     // Up to where this host was told of each other's book.
-    places: BTreeMap<usize, BookPlace>,
+    places: BTreeMap<usize, CachePosition>,
     // Up to which revision of its own book it has told the head of its zone, or another zone.
     told: BTreeMap<(FastStr, bool), u64>,
     // Hosts of zones that did not answer, and until when none of it is sent to them.
--- a/tests/limited_services.rs
+++ b/tests/limited_services.rs
@@ -77,7 +77,7 @@
 }
 
 // What callers would see: a call that may have run at one server, whose answer was lost, is refused as not run since the next
-// server is in need and has no turn for it; they send it again, and it runs twice.
+// server is rate-limited and has no permit for it; they send it again, and it runs twice.
 #[test]
 fn a_call_that_may_have_run_is_not_refused_as_one_that_waits_for_a_turn() {
     let mut fleet = Fleet::start(common::plan(1)).expect("the fleet starts");
@@ -88,13 +88,16 @@
     let runtime = Runtime::new().expect("a runtime");
     let caller = Caller::new(KEY);
     let servers: Vec<_> = fleet.services.values().cloned().collect();
-    assert!(servers.len() >= 2, "one to lose answers, one to be in need");
+    assert!(
+        servers.len() >= 2,
+        "one to lose answers, one to be rate-limited"
+    );
     let look = |number: u32| {
         let path = format!("/orderdesk/look/{number}");
         let calling = caller.call(host(&fleet, 0), Method::GET, &path, &[], "");
         runtime.block_on(calling).expect("a reply")
     };
-    // The second is known to be in need, and its turns are used up.
+    // The second is known to be rate-limited, and its permits are used up.
     servers[1].set_limit("0");
     for number in 0..20 {
         look(number);
--- a/tests/need_sim/mod.rs
+++ b/tests/permit_sim/mod.rs
@@ -1,12 +1,12 @@
-//! Hundreds of hosts before servers in need, as state machines on a clock of their own.
+//! Hundreds of hosts before rate-limited servers, as state machines on a clock of their own.
 //!
-//! Books, desks and keepers are the code that runs; demand, ways between hosts and troubles are this file's. Requests are
+//! Books, allocators and owners are the code that runs; demand, ways between hosts and troubles are this file's. Requests are
 //! counted at the servers, as their operators count them.
 
 use {
     bayplank::relay::{
-        EngineKey, HostEntry, LimitSaying, NeedBook, ServerLimit, TurnAsk, TurnDesk, TurnGrant,
-        TurnKeepers, TurnState,
+        EngineKey, HostEntry, LimitBook, LimitSaying, PermitAllocator, PermitGrant, PermitOwners,
+        PermitRequest, PermitState, ServerLimit,
     },
     faststr::FastStr,
     rand::{RngExt, SeedableRng, rngs::StdRng},
@@ -17,10 +17,10 @@
 const STEP: u64 = 5;
 /// Time from a send until the server's answer is read.
 const ANSWER_TIME: u64 = 30;
-/// Time until all hosts in reach have heard that a server is in need, where they are told.
+/// Time until all hosts in reach have heard that a server is rate-limited, where they are told.
 const TELL_TIME: u64 = 400;
-/// Hosts that are asked for a turn one after the other, and servers that are tried.
-const KEEPERS_ASKED: usize = 2;
+/// Hosts that are asked for a permit one after the other, and servers that are tried.
+const OWNERS_ASKED: usize = 2;
 const SERVERS_TRIED: usize = 4;
 /// Bounds of the operators: when the bound counts after a server first named a limit, and when a host after its first answer.
 const CONTACT: u64 = 3_000;
@@ -44,10 +44,10 @@
     // Hosts with another number do not reach each other.
     side: usize,
     heard: u64,
-    needs: NeedBook,
-    desk: TurnDesk,
-    alone: TurnDesk,
-    keepers: TurnKeepers,
+    limits: LimitBook,
+    allocator: PermitAllocator,
+    alone: PermitAllocator,
+    owners: PermitOwners,
     // When it first passed an answer on that names a limit, by server.
     told: BTreeMap<usize, u64>,
 }
@@ -71,7 +71,7 @@
 }
 
 /// A fleet.
-pub struct NeedSim {
+pub struct PermitSim {
     pub now: u64,
     hosts: Vec<SimHost>,
     servers: Vec<SimServer>,
@@ -95,7 +95,7 @@
     Duration::from_millis(time)
 }
 
-impl NeedSim {
+impl PermitSim {
     pub fn new(hosts: usize, zones: usize, servers: usize, limit: Option<f64>, seed: u64) -> Self {
         let zone = |index: usize| FastStr::from_string(format!("z-{}", index % zones));
         let host = |index: usize| SimHost {
@@ -109,10 +109,10 @@
             is_up: true,
             side: 0,
             heard: 0,
-            needs: NeedBook::new(&format!("host-{index}")),
-            desk: TurnDesk::default(),
-            alone: TurnDesk::default(),
-            keepers: TurnKeepers::default(),
+            limits: LimitBook::new(&format!("host-{index}")),
+            allocator: PermitAllocator::default(),
+            alone: PermitAllocator::default(),
+            owners: PermitOwners::default(),
             told: BTreeMap::new(),
         };
         let server = |index: usize| SimServer {
@@ -183,10 +183,10 @@
         for index in killed {
             let host = &mut self.hosts[index];
             host.is_up = false;
-            host.needs = NeedBook::new(&host.entry.name);
-            host.desk = TurnDesk::default();
-            host.alone = TurnDesk::default();
-            host.keepers = TurnKeepers::default();
+            host.limits = LimitBook::new(&host.entry.name);
+            host.allocator = PermitAllocator::default();
+            host.alone = PermitAllocator::default();
+            host.owners = PermitOwners::default();
             host.told.clear();
         }
     }
@@ -197,13 +197,13 @@
         }
     }
 
-    /// The host that deals out turns at a server, as a host of its zone sees it.
-    pub fn keeper_of(&self, server: usize) -> usize {
+    /// The host that allocates permits at a server, as a host of its zone sees it.
+    pub fn owner_of(&self, server: usize) -> usize {
         let about = &self.servers[server];
         let entries = self.entries[&about.zone].iter();
-        let fresh = TurnKeepers::default();
-        let keeper = fresh.keeper(entries, &about.zone, about.key, millis(self.now));
-        usize::from(keeper.expect("a host").peers.port())
+        let fresh = PermitOwners::default();
+        let owner = fresh.owner(entries, &about.zone, about.key, millis(self.now));
+        usize::from(owner.expect("a host").peers.port())
     }
 
     pub fn run(&mut self, time: u64) {
@@ -276,8 +276,8 @@
             return;
         }
         let saying = LimitSaying::told(limit, millis(self.now - sent), now);
-        let was = self.hosts[host].needs.limit(key);
-        self.hosts[host].needs.take(key, saying, now);
+        let was = self.hosts[host].limits.limit(key);
+        self.hosts[host].limits.take(key, saying, now);
         self.mark_own(host, server);
         if limit.is_some() {
             self.servers[server].first_named.get_or_insert(self.now);
@@ -294,7 +294,7 @@
                 .push((host, server, saying));
         }
         if limit.is_none() {
-            let ask = TurnAsk {
+            let ask = PermitRequest {
                 server: key,
                 saying,
                 wanted: 0,
@@ -308,7 +308,7 @@
         let key = self.servers[server].key;
         for index in 0..self.hosts.len() {
             if self.reaches(from, index) {
-                self.hosts[index].needs.take(key, saying, millis(self.now));
+                self.hosts[index].limits.take(key, saying, millis(self.now));
                 self.mark_own(index, server);
             }
         }
@@ -318,18 +318,18 @@
         let key = self.servers[server].key;
         // Hosts of other zones than the server's keep none there.
         let is_near = self.hosts[host].entry.zone == self.servers[server].zone;
-        let is_own = is_near && self.keeper_seen_by(host, server) == Some(host);
-        self.hosts[host].needs.set_own(key, is_own);
+        let is_own = is_near && self.owner_seen_by(host, server) == Some(host);
+        self.hosts[host].limits.set_own(key, is_own);
     }
 
-    // As a host does: servers one after the other until one has a turn for it.
+    // As a host does: servers one after the other until one has a permit for it.
     fn request(&mut self, host: usize) {
         let mut tried = Vec::new();
         for _ in 0..SERVERS_TRIED {
             let server = self.draw_server(host, &tried);
             let Some(server) = server else { break };
             tried.push(server);
-            if self.take_turn(host, server) {
+            if self.take_permit(host, server) {
                 self.send(host, server);
                 return;
             }
@@ -337,7 +337,7 @@
         self.counts.held_back += 1;
     }
 
-    // Servers of the own zone first, those in no need, then in the host's own order.
+    // Servers of the own zone first, those without a limit, then in the host's own order.
     fn draw_server(&mut self, host: usize, tried: &[usize]) -> Option<usize> {
         let zone = self.hosts[host].entry.zone.clone();
         let near = self.zone_servers.get(&zone).cloned().unwrap_or_default();
@@ -350,127 +350,132 @@
 
     fn best_server(&mut self, host: usize, among: &[usize], tried: &[usize]) -> Option<usize> {
         let now = millis(self.now);
-        let needs = &self.hosts[host].needs;
+        let limits = &self.hosts[host].limits;
         let noise = self.rng.random_range(0..self.servers.len());
         let left = among.iter().filter(|index| {
             let key = self.servers[**index].key;
-            let is_empty = matches!(needs.turn(key, 1, now), TurnState::Empty(_));
+            let is_empty = matches!(limits.permit(key, 1, now), PermitState::Empty(_));
             !tried.contains(index) && !is_empty
         });
         let best = left.min_by_key(|index| {
             let drawn = (**index + noise) % self.servers.len();
-            (needs.order(self.servers[**index].key, now), drawn)
+            (limits.order(self.servers[**index].key, now), drawn)
         });
         best.copied()
     }
 
-    fn take_turn(&mut self, host: usize, server: usize) -> bool {
+    fn take_permit(&mut self, host: usize, server: usize) -> bool {
         let key = self.servers[server].key;
         let now = millis(self.now);
-        match self.hosts[host].needs.turn(key, 1, now) {
-            TurnState::Free => return true,
-            TurnState::Held => return self.hosts[host].needs.use_turn(key, now),
-            TurnState::Empty(_) => return false,
-            TurnState::Ask => {}
+        match self.hosts[host].limits.permit(key, 1, now) {
+            PermitState::Free => return true,
+            PermitState::Held => return self.hosts[host].limits.use_permit(key, now),
+            PermitState::Empty(_) => return false,
+            PermitState::Ask => {}
         }
-        let ask = self.hosts[host].needs.ask(key, 1, now).expect("in need");
+        let ask = self.hosts[host]
+            .limits
+            .ask(key, 1, now)
+            .expect("rate-limited");
         let grant = self.deal(host, server, &ask);
-        let needs = &mut self.hosts[host].needs;
-        needs.take(key, grant.saying, now);
-        needs.take_grant(key, 1, &grant, now);
-        match needs.turn(key, 1, now) {
-            TurnState::Free => true,
-            _ => needs.use_turn(key, now),
+        let limits = &mut self.hosts[host].limits;
+        limits.take(key, grant.saying, now);
+        limits.take_grant(key, 1, &grant, now);
+        match limits.permit(key, 1, now) {
+            PermitState::Free => true,
+            _ => limits.use_permit(key, now),
         }
     }
 
-    fn deal(&mut self, host: usize, server: usize, ask: &TurnAsk) -> TurnGrant {
+    fn deal(&mut self, host: usize, server: usize, ask: &PermitRequest) -> PermitGrant {
         let now = millis(self.now);
-        for _ in 0..KEEPERS_ASKED {
-            let Some(keeper) = self.keeper_seen_by(host, server) else {
+        for _ in 0..OWNERS_ASKED {
+            let Some(owner) = self.owner_seen_by(host, server) else {
                 break;
             };
-            if keeper == host {
+            if owner == host {
                 let is_in_touch = self.now - self.hosts[host].heard < 2_000;
                 if is_in_touch || self.others_left(host) == 0 {
                     return self.deal_to_all(host, ask);
                 }
                 break;
             }
-            if !self.hosts[host].keepers.may_ask(now) {
-                return TurnGrant {
-                    turns: 0,
+            if !self.hosts[host].owners.may_ask(now) {
+                return PermitGrant {
+                    permits: 0,
                     wait: millis(500),
                     saying: ask.saying,
                 };
             }
             self.counts.asks += 1;
-            self.answered[keeper] += 1;
-            if self.reaches(host, keeper) {
-                let grant = self.answer(keeper, server, ask);
-                let name = self.hosts[keeper].entry.name.clone();
-                let keepers = &mut self.hosts[host].keepers;
-                keepers.note_heard(&name);
-                if grant.turns == 0 && ask.wanted > 0 {
-                    keepers.note_denied();
+            self.answered[owner] += 1;
+            if self.reaches(host, owner) {
+                let grant = self.answer(owner, server, ask);
+                let name = self.hosts[owner].entry.name.clone();
+                let owners = &mut self.hosts[host].owners;
+                owners.note_heard(&name);
+                if grant.permits == 0 && ask.wanted > 0 {
+                    owners.note_denied();
                 }
                 return grant;
             }
-            self.note_silent(host, keeper);
+            self.note_silent(host, owner);
         }
         let hosts = self.others_left(host) + 1;
         let level = self.rng.random();
-        self.hosts[host].alone.deal_alone(ask, hosts, level, now)
+        self.hosts[host]
+            .alone
+            .allocate_alone(ask, hosts, level, now)
     }
 
-    fn keeper_seen_by(&self, host: usize, server: usize) -> Option<usize> {
+    fn owner_seen_by(&self, host: usize, server: usize) -> Option<usize> {
         let about = &self.servers[server];
         let entries = self.entries[&about.zone].iter();
-        let keepers = &self.hosts[host].keepers;
-        let keeper = keepers.keeper(entries, &about.zone, about.key, millis(self.now))?;
-        Some(usize::from(keeper.peers.port()))
+        let owners = &self.hosts[host].owners;
+        let owner = owners.owner(entries, &about.zone, about.key, millis(self.now))?;
+        Some(usize::from(owner.peers.port()))
     }
 
-    // A host that is taken for the keeper passes the question on where it knows another.
-    fn answer(&mut self, host: usize, server: usize, ask: &TurnAsk) -> TurnGrant {
+    // A host that is taken for the owner passes the question on where it knows another.
+    fn answer(&mut self, host: usize, server: usize, ask: &PermitRequest) -> PermitGrant {
         let other = self
-            .keeper_seen_by(host, server)
-            .filter(|keeper| *keeper != host);
-        let Some(keeper) = other else {
+            .owner_seen_by(host, server)
+            .filter(|owner| *owner != host);
+        let Some(owner) = other else {
             return self.deal_to_all(host, ask);
         };
         self.counts.asks += 1;
-        self.answered[keeper] += 1;
-        let name = self.hosts[keeper].entry.name.clone();
-        if self.reaches(host, keeper) {
-            self.hosts[host].keepers.note_heard(&name);
-            return self.deal_to_all(keeper, ask);
+        self.answered[owner] += 1;
+        let name = self.hosts[owner].entry.name.clone();
+        if self.reaches(host, owner) {
+            self.hosts[host].owners.note_heard(&name);
+            return self.deal_to_all(owner, ask);
         }
-        self.note_silent(host, keeper);
+        self.note_silent(host, owner);
         self.deal_to_all(host, ask)
     }
 
-    fn deal_to_all(&mut self, host: usize, ask: &TurnAsk) -> TurnGrant {
+    fn deal_to_all(&mut self, host: usize, ask: &PermitRequest) -> PermitGrant {
         let now = millis(self.now);
         let host = &mut self.hosts[host];
-        let grant = host.desk.deal(ask, now);
-        if host.needs.limit(ask.server).is_some() {
-            host.needs.take(ask.server, grant.saying, now);
+        let grant = host.allocator.deal(ask, now);
+        if host.limits.limit(ask.server).is_some() {
+            host.limits.take(ask.server, grant.saying, now);
         }
         grant
     }
 
     fn others_left(&self, host: usize) -> usize {
-        (self.hosts.len() - 1).saturating_sub(self.hosts[host].keepers.gone())
+        (self.hosts.len() - 1).saturating_sub(self.hosts[host].owners.gone())
     }
 
     // Nobody listens at a killed host's address; behind a cut nothing is heard.
-    fn note_silent(&mut self, host: usize, keeper: usize) {
-        let other = &self.hosts[keeper];
+    fn note_silent(&mut self, host: usize, owner: usize) {
+        let other = &self.hosts[owner];
         let is_gone = !other.is_up && other.side == self.hosts[host].side;
         let name = other.entry.name.clone();
         let now = millis(self.now);
-        self.hosts[host].keepers.note_silent(&name, is_gone, now);
+        self.hosts[host].owners.note_silent(&name, is_gone, now);
     }
 
     fn send(&mut self, host: usize, server: usize) {
--- a/tests/relay_crash_innocents.rs
+++ b/tests/relay_crash_innocents.rs
@@ -9,8 +9,8 @@
     bayplank::{
         engine::EngineRole,
         relay::{
-            BackendBook, BackendInfo, BookPlace, CrashBook, CrashJudgement, EngineKey, EngineLoad,
-            MarkSource, RequestDigest,
+            BackendBook, BackendInfo, CachePosition, CrashBook, CrashJudgement, EngineKey,
+            EngineLoad, MarkSource, RequestDigest,
         },
     },
     rand::{RngExt, SeedableRng, rngs::StdRng},
@@ -60,7 +60,7 @@
 struct SimHost {
     book: BackendBook,
     crashes: CrashBook,
-    place: BookPlace,
+    place: CachePosition,
     told: u64,
 }
 
@@ -101,7 +101,7 @@
         let hosts = (0..HOSTS).map(|index| SimHost {
             book: BackendBook::default(),
             crashes: CrashBook::new(index as u64 + 1),
-            place: BookPlace::default(),
+            place: CachePosition::default(),
             told: 0,
         });
         let engines = (0..ENGINES).map(|index| SimEngine {
--- a/tests/relay_crashes.rs
+++ b/tests/relay_crashes.rs
@@ -2,7 +2,7 @@
 
 use {
     bayplank::relay::{
-        BookPlace, CrashBook, CrashChange, CrashJudgement, CrashMark, EngineKey, MarkSource,
+        CachePosition, CrashBook, CrashChange, CrashJudgement, CrashMark, EngineKey, MarkSource,
         RequestDigest,
     },
     bolero::check,
@@ -37,7 +37,7 @@
 
 // All that a book would tell anybody.
 fn all_marks(book: &CrashBook, now: Duration) -> Vec<CrashMark> {
-    let mut marks = book.news_since(BookPlace::default(), now).marks;
+    let mut marks = book.news_since(CachePosition::default(), now).marks;
     marks.extend(book.reported_since(Some(0), now));
     marks
 }
@@ -118,7 +118,7 @@
     for innocent in 100..120 {
         book.note_end(RequestDigest(innocent), run(1), now);
     }
-    let news = book.news_since(BookPlace::default(), now);
+    let news = book.news_since(CachePosition::default(), now);
     assert!(news.marks.is_empty(), "one end is nobody's affair");
     assert_eq!(book.reported_since(None, now).len(), 20);
     book.note_end(RequestDigest(100), run(2), now);
--- a/tests/relay_need_choices.rs
+++ b/tests/relay_limited_choices.rs
@@ -1,4 +1,4 @@
-//! Which server a request goes to where some are in need: beside failures, leaving, and engines.
+//! Which server a request goes to where some are rate-limited: beside failures, leaving, and engines.
 
 mod backends;
 
@@ -7,8 +7,8 @@
     bayplank::{
         engine::EngineRole,
         relay::{
-            BackendBook, BackendFailure, BackendInfo, LimitSaying, PlainChoice, SendWish,
-            ServerLimit, TurnGrant,
+            BackendBook, BackendFailure, BackendInfo, LimitSaying, PermitGrant, PlainChoice,
+            SendWish, ServerLimit,
         },
     },
     std::time::Duration,
@@ -20,15 +20,15 @@
     LimitSaying::told(ServerLimit::new(2.0), Duration::ZERO, NOW)
 }
 
-// It is in need, and no turn is left for so long.
+// It is rate-limited, and no permit is left for so long.
 fn empty(book: &mut BackendBook, server: &BackendInfo, wait: u64) {
-    book.needs.take(server.key(), saying(), NOW);
-    let grant = TurnGrant {
-        turns: 0,
+    book.limits.take(server.key(), saying(), NOW);
+    let grant = PermitGrant {
+        permits: 0,
         wait: Duration::from_millis(wait),
         saying: saying(),
     };
-    book.needs.take_grant(server.key(), 0, &grant, NOW);
+    book.limits.take_grant(server.key(), 0, &grant, NOW);
 }
 
 fn book_of(servers: &[BackendInfo]) -> BackendBook {
@@ -50,9 +50,9 @@
     ];
     let mut book = book_of(&servers);
     empty(&mut book, &servers[0], 300);
-    book.needs.take(servers[1].key(), saying(), NOW);
+    book.limits.take(servers[1].key(), saying(), NOW);
     assert_eq!(choose(&book), PlainChoice::Send(servers[2].clone()));
-    // The one in need is next.
+    // The rate-limited one is next.
     let tried = [servers[2].id.clone()];
     let next = book.choose_plain("one", "z", &tried, SendWish::default(), NOW);
     assert_eq!(next, PlainChoice::Send(servers[1].clone()));
@@ -64,7 +64,7 @@
     let mut book = book_of(&servers);
     empty(&mut book, &servers[0], 700);
     book.set_leaving("b");
-    let PlainChoice::NoTurn(wait) = choose(&book) else {
+    let PlainChoice::NoPermit(wait) = choose(&book) else {
         panic!("{:?}", choose(&book));
     };
     assert_eq!(
@@ -74,19 +74,19 @@
 }
 
 #[test]
-fn a_server_in_need_that_leaves_gets_nothing() {
+fn a_rate_limited_server_that_leaves_gets_nothing() {
     let servers = [backend("a", "z", None)];
     let mut book = book_of(&servers);
-    book.needs.take(servers[0].key(), saying(), NOW);
+    book.limits.take(servers[0].key(), saying(), NOW);
     book.set_leaving("a");
     assert_eq!(choose(&book), PlainChoice::NoneLeft);
 }
 
 #[test]
-fn a_server_in_need_that_fails_is_passed_over_all_the_same() {
+fn a_rate_limited_server_that_fails_is_passed_over_all_the_same() {
     let servers = [backend("a", "z", None), backend("b", "z", None)];
     let mut book = book_of(&servers);
-    book.needs.take(servers[0].key(), saying(), NOW);
+    book.limits.take(servers[0].key(), saying(), NOW);
     book.failed("a", BackendFailure::Silent, NOW);
     assert_eq!(choose(&book), PlainChoice::Send(servers[1].clone()));
 }
@@ -112,14 +112,14 @@
     empty(&mut book, &decodes[0], 300);
     assert_eq!(book.decode_wait("one", 0, NOW), None);
     empty(&mut book, &decodes[1], 200);
-    let wait = book.decode_wait("one", 0, NOW).expect("none has a turn");
+    let wait = book.decode_wait("one", 0, NOW).expect("none has a permit");
     assert_eq!(
         (wait.server, wait.time),
         (decodes[1].key(), Duration::from_millis(200))
     );
-    assert_eq!(book.without_turn("one", 0, NOW).len(), 2);
-    // A prefill engine without a turn is none that a stream could not do without.
+    assert_eq!(book.without_permit("one", 0, NOW).len(), 2);
+    // A prefill engine without a permit is none that a stream could not do without.
     empty(&mut book, &prefill, 100);
-    let best = book.best_prefill("one", "z", &book.without_turn("one", 0, NOW), NOW);
+    let best = book.best_prefill("one", "z", &book.without_permit("one", 0, NOW), NOW);
     assert!(best.is_none());
 }
--- a/tests/relay_news.rs
+++ b/tests/relay_news.rs
@@ -203,7 +203,7 @@
             }
         }
     }
-    assert!(tried.len() > 15, "{} of 29 in 57 turns", tried.len());
+    assert!(tried.len() > 15, "{} of 29 in 57 permits", tried.len());
     // The store answers it: it goes on reading, so that it knows the next change at once, until the head hears from the
     // store again; it reads at once when the others' news are old.
     let (mut choice, at) = served.unwrap();
--- a/tests/relay_need_fleet.rs
+++ b/tests/relay_permit_fleet.rs
@@ -1,22 +1,22 @@
-//! Servers in need before whole fleets: what they get at the most, and that they get what they take.
+//! Rate-limited servers before whole fleets: what they get at the most, and that they get what they take.
 
-mod need_sim;
+mod permit_sim;
 
-use crate::need_sim::{NeedSim, SimDemand};
+use crate::permit_sim::{PermitSim, SimDemand};
 
 /// Hosts and zones.
 const FLEETS: [(usize, usize); 5] = [(2, 1), (9, 3), (88, 3), (300, 5), (420, 7)];
 
 const LIMITS: [f64; 4] = [0.2, 1.9, 20.0, 200.0];
 
-// A server in need that is alone in its service: all demand is for it.
-fn one_server(hosts: usize, zones: usize, limit: f64, seed: u64) -> NeedSim {
-    let mut sim = NeedSim::new(hosts, zones, 1, Some(limit), seed);
+// A rate-limited server that is alone in its service: all demand is for it.
+fn one_server(hosts: usize, zones: usize, limit: f64, seed: u64) -> PermitSim {
+    let mut sim = PermitSim::new(hosts, zones, 1, Some(limit), seed);
     sim.rate = (limit * 8.0).max(40.0);
     sim
 }
 
-fn check_use(sim: &NeedSim, limit: f64, seconds: f64, about: &str) {
+fn check_use(sim: &PermitSim, limit: f64, seconds: f64, about: &str) {
     let got = sim.arrived(0) as f64;
     if limit >= 0.6 {
         assert!(
@@ -27,7 +27,7 @@
 }
 
 #[test]
-fn a_server_in_need_gets_what_it_takes_and_no_more() {
+fn a_rate_limited_server_gets_what_it_takes_and_no_more() {
     for (hosts, zones) in FLEETS {
         for limit in LIMITS {
             for demand in [SimDemand::All, SimDemand::One(0), SimDemand::Moving] {
@@ -82,14 +82,14 @@
         for limit in LIMITS {
             let mut sim = one_server(hosts, zones, limit, 4);
             sim.run(5_000);
-            let keeper = sim.keeper_of(0);
-            sim.cut_host(keeper, true);
+            let owner = sim.owner_of(0);
+            sim.cut_host(owner, true);
             sim.run(6_000);
             sim.forget_counts();
             sim.run(10_000);
             let about = format!("{hosts} hosts, {limit} a second");
             check_use(&sim, limit, 10.0, &about);
-            sim.cut_host(keeper, false);
+            sim.cut_host(owner, false);
             sim.run(8_000);
             assert!(sim.worst(limit) <= 1.0, "{about}: {}", sim.worst(limit));
         }
@@ -102,14 +102,14 @@
         for limit in LIMITS {
             let mut sim = one_server(hosts, zones, limit, 5);
             sim.run(6_000);
-            let keeper = sim.keeper_of(0);
-            sim.kill([keeper].into_iter());
+            let owner = sim.owner_of(0);
+            sim.kill([owner].into_iter());
             sim.run(3_000);
             sim.forget_counts();
             sim.run(10_000);
-            let about = format!("{hosts} hosts, {limit} a second, keeper killed");
+            let about = format!("{hosts} hosts, {limit} a second, owner killed");
             check_use(&sim, limit, 10.0, &about);
-            sim.start([keeper].into_iter());
+            sim.start([owner].into_iter());
             sim.run(10_000);
             assert!(sim.worst(limit) <= 1.0, "{about}: {}", sim.worst(limit));
         }
@@ -172,7 +172,7 @@
 #[test]
 fn where_others_have_room_nobody_is_held_back() {
     for (hosts, zones) in FLEETS {
-        let mut sim = NeedSim::new(hosts, zones, 6, None, 9);
+        let mut sim = PermitSim::new(hosts, zones, 6, None, 9);
         sim.set_limit(0, Some(1.9));
         sim.rate = 60.0;
         sim.run(6_000);
@@ -188,8 +188,8 @@
 }
 
 #[test]
-fn every_server_of_the_largest_fleet_in_need_at_once() {
-    let mut sim = NeedSim::new(420, 7, 1_700, Some(3.0), 10);
+fn every_server_of_the_largest_fleet_rate_limited_at_once() {
+    let mut sim = PermitSim::new(420, 7, 1_700, Some(3.0), 10);
     sim.rate = 8_600.0;
     sim.run(3_000);
     sim.forget_counts();
--- a/tests/relay_needs.rs
+++ b/tests/relay_server_limits.rs
@@ -2,8 +2,8 @@
 
 use {
     bayplank::relay::{
-        BookPlace, EngineKey, LimitMark, LimitSaying, MarkSource, NeedBook, NeedNews, PastTime,
-        ServerLimit, TurnAsk, TurnDesk, TurnGrant, TurnState,
+        CachePosition, EngineKey, LimitBook, LimitMark, LimitSaying, LimitUpdates, MarkSource,
+        PastTime, PermitAllocator, PermitGrant, PermitRequest, PermitState, ServerLimit,
     },
     bolero::check,
     std::time::Duration,
@@ -55,7 +55,7 @@
 
 #[test]
 fn an_older_answer_that_is_read_late_does_not_undo_a_newer_one() {
-    let mut book = NeedBook::default();
+    let mut book = LimitBook::default();
     assert_eq!(book.take(SERVER, saying(Some(3.0), 20), NOW), Some(None));
     assert_eq!(book.take(SERVER, saying(None, 10), NOW), None);
     assert_eq!(book.take(SERVER, saying(Some(9.0), 15), NOW), None);
@@ -69,7 +69,7 @@
 
 #[test]
 fn a_limit_that_nobody_hears_renewed_ends_after_a_minute() {
-    let mut book = NeedBook::default();
+    let mut book = LimitBook::default();
     book.take(SERVER, saying(Some(3.0), 20), NOW);
     assert!(book.forget_old(Duration::from_secs(59)).is_empty());
     assert_eq!(book.forget_old(Duration::from_secs(61)), [SERVER]);
@@ -78,7 +78,7 @@
 
 #[test]
 fn a_limit_that_changes_with_each_answer_is_shown_once_a_second() {
-    let mut book = NeedBook::default();
+    let mut book = LimitBook::default();
     let mut shown = 0;
     for at in (0..5_000).step_by(10) {
         let saying = saying(Some(at as f64), at);
@@ -90,8 +90,8 @@
     assert_eq!(shown, 5);
 }
 
-fn ask(limit: f64, said: u64, wanted: u32, rank: u8) -> TurnAsk {
-    TurnAsk {
+fn ask(limit: f64, said: u64, wanted: u32, rank: u8) -> PermitRequest {
+    PermitRequest {
         server: SERVER,
         saying: saying(Some(limit), said),
         wanted,
@@ -99,22 +99,28 @@
     }
 }
 
-// Turns that a desk deals out in a time to one that asks every so often.
-fn dealt(desk: &mut TurnDesk, ask: TurnAsk, from: u64, until: u64, step: usize) -> u32 {
+// Permits that an allocator hands out in a time to one that asks every so often.
+fn dealt(
+    allocator: &mut PermitAllocator,
+    ask: PermitRequest,
+    from: u64,
+    until: u64,
+    step: usize,
+) -> u32 {
     let times = (from..until).step_by(step);
-    let grants = times.map(|at| desk.deal(&ask, Duration::from_millis(at)));
-    grants.map(|grant| grant.turns).sum()
+    let grants = times.map(|at| allocator.deal(&ask, Duration::from_millis(at)));
+    grants.map(|grant| grant.permits).sum()
 }
 
 #[test]
 fn a_desk_deals_out_what_the_server_takes() {
     for limit in [0.8_f64, 1.9, 3.0, 20.0, 400.0] {
-        let mut desk = TurnDesk::default();
-        let turns = dealt(&mut desk, ask(limit, 1, 16, 0), 0, 10_000, 1);
-        let share = f64::from(turns) / (limit * 10.0);
+        let mut allocator = PermitAllocator::default();
+        let permits = dealt(&mut allocator, ask(limit, 1, 16, 0), 0, 10_000, 1);
+        let share = f64::from(permits) / (limit * 10.0);
         assert!(
             (0.85..=1.15).contains(&share),
-            "{turns} turns of {limit} a second"
+            "{permits} permits of {limit} a second"
         );
     }
 }
@@ -122,28 +128,28 @@
 #[test]
 fn a_server_that_takes_next_to_nothing_is_neither_forgotten_nor_hammered() {
     for limit in [0.0, 0.01, 0.2] {
-        let mut desk = TurnDesk::default();
-        let turns = dealt(&mut desk, ask(limit, 1, 16, 0), 0, 40_000, 10);
+        let mut allocator = PermitAllocator::default();
+        let permits = dealt(&mut allocator, ask(limit, 1, 16, 0), 0, 40_000, 10);
         assert!(
-            (20..=25).contains(&turns),
-            "{turns} turns in 40 s of {limit} a second"
+            (20..=25).contains(&permits),
+            "{permits} permits in 40 s of {limit} a second"
         );
     }
 }
 
 #[test]
 fn more_urgent_requests_get_the_turns_first() {
-    let mut desk = TurnDesk::default();
+    let mut allocator = PermitAllocator::default();
     let (mut urgent, mut other) = (0, 0);
     for at in (0..20_000).step_by(20) {
         let now = Duration::from_millis(at);
         // Many that are less urgent come between any two that are urgent; these are four fifths of what the server takes.
         if at % 400 == 0 {
-            urgent += desk.deal(&ask(3.0, 1, 1, 0), now).turns;
+            urgent += allocator.deal(&ask(3.0, 1, 1, 0), now).permits;
         }
-        other += desk.deal(&ask(3.0, 1, 1, 2), now).turns;
+        other += allocator.deal(&ask(3.0, 1, 1, 2), now).permits;
     }
-    assert!(urgent >= 45, "{urgent} of 50 urgent requests had a turn");
+    assert!(urgent >= 45, "{urgent} of 50 urgent requests had a permit");
     assert!(
         urgent + other >= 51,
         "{other} less urgent ones had what was left"
@@ -152,9 +158,9 @@
 
 #[test]
 fn those_who_get_no_turn_are_told_times_apart() {
-    let mut desk = TurnDesk::default();
+    let mut allocator = PermitAllocator::default();
     let waits: Vec<Duration> = (0..6)
-        .map(|_| desk.deal(&ask(2.0, 1, 1, 0), NOW).wait)
+        .map(|_| allocator.deal(&ask(2.0, 1, 1, 0), NOW).wait)
         .filter(|wait| !wait.is_zero())
         .collect();
     assert!(waits.len() >= 5);
@@ -165,52 +171,52 @@
 
 #[test]
 fn callers_of_one_host_are_sent_into_turns_of_their_own() {
-    let mut book = NeedBook::default();
+    let mut book = LimitBook::default();
     book.take(SERVER, saying(Some(2.0), 1), NOW);
     let wait = Duration::from_millis(300);
-    let grant = TurnGrant {
-        turns: 0,
+    let grant = PermitGrant {
+        permits: 0,
         wait,
         saying: saying(Some(2.0), 1),
     };
-    assert_eq!(book.turn(SERVER, 1, NOW), TurnState::Ask);
+    assert_eq!(book.permit(SERVER, 1, NOW), PermitState::Ask);
     book.take_grant(SERVER, 1, &grant, NOW);
-    assert_eq!(book.turn(SERVER, 1, NOW), TurnState::Empty(wait));
+    assert_eq!(book.permit(SERVER, 1, NOW), PermitState::Empty(wait));
     book.note_sent_away(SERVER);
     let next = wait + Duration::from_millis(500);
-    assert_eq!(book.turn(SERVER, 1, NOW), TurnState::Empty(next));
+    assert_eq!(book.permit(SERVER, 1, NOW), PermitState::Empty(next));
     assert_eq!(
-        book.turn(SERVER, 0, NOW),
-        TurnState::Ask,
+        book.permit(SERVER, 0, NOW),
+        PermitState::Ask,
         "a more urgent one may have it"
     );
 }
 
 #[test]
 fn a_turn_that_was_not_used_goes_to_the_next_request_and_then_lapses() {
-    let mut book = NeedBook::default();
+    let mut book = LimitBook::default();
     book.take(SERVER, saying(Some(2.0), 1), NOW);
     book.give_back(SERVER, NOW);
-    assert_eq!(book.turn(SERVER, 3, NOW), TurnState::Held);
-    assert!(book.use_turn(SERVER, NOW));
-    assert!(!book.use_turn(SERVER, NOW), "it is used once");
+    assert_eq!(book.permit(SERVER, 3, NOW), PermitState::Held);
+    assert!(book.use_permit(SERVER, NOW));
+    assert!(!book.use_permit(SERVER, NOW), "it is used once");
     book.give_back(SERVER, NOW);
-    assert!(!book.use_turn(SERVER, NOW + Duration::from_millis(300)));
+    assert!(!book.use_permit(SERVER, NOW + Duration::from_millis(300)));
 }
 
 #[test]
 fn a_keeper_hears_the_end_of_a_need_and_tells_it_on() {
-    let mut desk = TurnDesk::default();
-    desk.deal(&ask(0.0, 5, 1, 0), NOW);
-    let end = TurnAsk {
+    let mut allocator = PermitAllocator::default();
+    allocator.deal(&ask(0.0, 5, 1, 0), NOW);
+    let end = PermitRequest {
         saying: saying(None, 20),
         wanted: 0,
         ..ask(0.0, 5, 1, 0)
     };
-    assert_eq!(desk.deal(&end, NOW).turns, 0);
-    let grant = desk.deal(&ask(0.0, 10, 4, 0), NOW);
+    assert_eq!(allocator.deal(&end, NOW).permits, 0);
+    let grant = allocator.deal(&ask(0.0, 10, 4, 0), NOW);
     assert_eq!(
-        (grant.turns, grant.saying.limit),
+        (grant.permits, grant.saying.limit),
         (4, None),
         "an older saying does not undo it"
     );
@@ -218,15 +224,15 @@
 
 #[test]
 fn what_was_dealt_out_at_a_higher_limit_is_not_made_up_for_at_a_lower_one() {
-    let mut desk = TurnDesk::default();
-    dealt(&mut desk, ask(1_000.0, 1, 16, 0), 0, 5_000, 1);
-    let turns = dealt(&mut desk, ask(2.0, 6_000, 16, 0), 5_000, 15_000, 10);
-    assert!((16..=22).contains(&turns), "{turns} turns in 10 s");
+    let mut allocator = PermitAllocator::default();
+    dealt(&mut allocator, ask(1_000.0, 1, 16, 0), 0, 5_000, 1);
+    let permits = dealt(&mut allocator, ask(2.0, 6_000, 16, 0), 5_000, 15_000, 10);
+    assert!((16..=22).contains(&permits), "{permits} permits in 10 s");
 }
 
 #[test]
 fn only_the_beginning_and_the_end_of_a_need_are_told() {
-    let mut news = NeedNews::new(3);
+    let mut news = LimitUpdates::new(3);
     let source = MarkSource::Reported;
     assert!(news.note(SERVER, saying(Some(3.0), 10), source, NOW));
     assert!(
@@ -237,17 +243,17 @@
         !news.note(SERVER, saying(None, 15), source, NOW),
         "said earlier"
     );
-    let told = news.since(BookPlace::default(), NOW);
+    let told = news.since(CachePosition::default(), NOW);
     assert_eq!(told.marks[0].limit, ServerLimit::new(4.0));
     assert!(news.since(told.place, NOW).marks.is_empty());
     assert!(news.note(SERVER, saying(None, 30), source, NOW));
     assert_eq!(news.since(told.place, NOW).marks[0].limit, None);
 }
 
-/// A moment in a fleet of five hosts, one desk of which deals out the turns.
+/// A moment in a fleet of five hosts, one of which allocates the permits.
 #[derive(Debug, Clone, bolero::TypeGenerator)]
 struct FleetMoment {
-    // Time since the last one: milliseconds, or now and then long enough for turns to gather.
+    // Time since the last one: milliseconds, or now and then long enough for permits to gather.
     gap: u8,
     host: u8,
     wanted: u8,
@@ -255,7 +261,7 @@
     // How long the answer to a question takes, milliseconds, or that it is lost.
     delay: u8,
     is_lost: bool,
-    // A turn is taken and no request is sent for it.
+    // A permit is taken and no request is sent for it.
     is_given_back: bool,
     // The host is told, once more, something that was said before the need began.
     is_told: bool,
@@ -265,24 +271,24 @@
 
 struct BookFleet {
     now: u64,
-    desk: TurnDesk,
-    books: Vec<NeedBook>,
-    answers: Vec<(u64, usize, u8, TurnGrant)>,
-    // Turns that were used and not given back: when.
+    allocator: PermitAllocator,
+    books: Vec<LimitBook>,
+    answers: Vec<(u64, usize, u8, PermitGrant)>,
+    // Permits that were used and not given back: when.
     sent: Vec<u64>,
 }
 
 impl BookFleet {
     fn new(limit: f64) -> Self {
-        let mut books: Vec<NeedBook> = (0..FLEET_HOSTS)
-            .map(|host| NeedBook::new(&format!("host-{host}")))
+        let mut books: Vec<LimitBook> = (0..FLEET_HOSTS)
+            .map(|host| LimitBook::new(&format!("host-{host}")))
             .collect();
         for book in &mut books {
             book.take(SERVER, saying(Some(limit), 0), Duration::ZERO);
         }
         Self {
             now: 1,
-            desk: TurnDesk::default(),
+            allocator: PermitAllocator::default(),
             books,
             answers: Vec::new(),
             sent: Vec::new(),
@@ -302,11 +308,11 @@
             let told = LimitSaying::told(None, age, now);
             self.books[host].take(SERVER, told, now);
         }
-        if self.books[host].turn(SERVER, rank, now) == TurnState::Ask {
+        if self.books[host].permit(SERVER, rank, now) == PermitState::Ask {
             self.ask(host, rank, moment);
         }
         let book = &mut self.books[host];
-        if !book.use_turn(SERVER, now) {
+        if !book.use_permit(SERVER, now) {
             return;
         }
         match moment.is_given_back {
@@ -317,12 +323,14 @@
 
     fn ask(&mut self, host: usize, rank: u8, moment: &FleetMoment) {
         let now = Duration::from_millis(self.now);
-        let ask = self.books[host].ask(SERVER, rank, now).expect("in need");
-        let ask = TurnAsk {
+        let ask = self.books[host]
+            .ask(SERVER, rank, now)
+            .expect("rate-limited");
+        let ask = PermitRequest {
             wanted: ask.wanted.max(u32::from(moment.wanted % 16)),
             ..ask
         };
-        let grant = self.desk.deal(&ask, now);
+        let grant = self.allocator.deal(&ask, now);
         if !moment.is_lost {
             let at = self.now + u64::from(moment.delay % 80);
             self.answers.push((at, host, rank, grant));
@@ -332,7 +340,7 @@
     fn pass(&mut self, time: u64) {
         self.now += time;
         let now = Duration::from_millis(self.now);
-        let due = |answer: &(u64, usize, u8, TurnGrant)| answer.0 <= self.now;
+        let due = |answer: &(u64, usize, u8, PermitGrant)| answer.0 <= self.now;
         let (due, later) = std::mem::take(&mut self.answers).into_iter().partition(due);
         self.answers = later;
         for (_, host, rank, grant) in due {
