--- a/src/relay/figures.rs
+++ b/src/relay/figures.rs
@@ -2,7 +2,7 @@
 //! and how often, without a line for each call.
 
 use {
-    super::parts::{metrics::StoreCause, shared::RelayParts},
+    super::parts::{metric_labels::StoreCause, shared::RelayParts},
     crate::{event, web::PoolUse},
     std::{rc::Rc, time::Duration},
 };
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -16,7 +16,7 @@
             settle::LedgerLink,
             share::LoadShare,
         },
-        parts::{metrics::StoreCause, shared::RelayParts},
+        parts::{metric_labels::StoreCause, shared::RelayParts},
         request::{
             answer::{self, RelayAnswer},
             handler,
--- a/src/relay/news/entry.rs
+++ b/src/relay/news/entry.rs
@@ -4,7 +4,7 @@
     crate::{
         relay::{
             link::{HostEntry, StoreItem, StoreKind, StoreLink, StoreValue},
-            parts::{metrics::StoreCause, shared::RelayParts},
+            parts::{metric_labels::StoreCause, shared::RelayParts},
         },
         store::StoreFailure,
     },
--- a/src/relay/news/feed.rs
+++ b/src/relay/news/feed.rs
@@ -6,7 +6,7 @@
         event,
         relay::{
             link::{ListAge, StoreCall, StoreChanges, StoreKind, StoreLink},
-            parts::{metrics::StoreCause, shared::RelayParts},
+            parts::{metric_labels::StoreCause, shared::RelayParts},
             policy::past_time::PastTime,
             policy::{
                 pauses::{FOLLOWER_PAUSES, READER_PAUSES, StorePauses},
--- a/src/relay/parts/accounts.rs
+++ b/src/relay/parts/accounts.rs
@@ -1,7 +1,7 @@
 //! Client accounts at this host: whose a request is, and whether it fits into the account's limit.
 
 use {
-    super::{metrics::LimitEnd, shared::RelayParts},
+    super::{metric_labels::LimitEnd, shared::RelayParts},
     crate::{
         account::{
             self, AccountDirectory, AccountKey, AccountLimit, AccountUse, AllowanceDesk,
--- a/src/relay/parts/availability.rs
+++ b/src/relay/parts/availability.rs
@@ -9,7 +9,7 @@
             backend::BackendInfo,
             policy::{
                 availability::ServerAvailability,
-                book::RotationWait,
+                rotation::RotationWait,
                 server_marks::{BackoffMark, LeavingMark, ServerMarks},
             },
         },
@@ -124,7 +124,7 @@
         );
     }
 
-    /// Logs the backoffs that are over, and evicts what is no longer of use of servers' availability.
+    /// Logs backoffs that are over, and evicts expired entries of servers' availability.
     pub fn evict_availability(&self) {
         let now = self.now();
         let ended = self.book.borrow_mut().evict_availability(now);
@@ -139,10 +139,12 @@
         let book = self.book.borrow();
         let unavailable = book.availability.unavailable(self.now());
         let leaving = unavailable.filter(|known| known.1 == ServerAvailability::Leaving);
-        // Another server may have the address of one that is listed no longer.
-        let listed = leaving.filter_map(|(run, _)| book.view(&run.id));
-        for view in listed {
-            self.pool.forget(view.info.address);
+        for (run, _) in leaving {
+            // Another run may have the address of one that is listed no longer.
+            let view = book.view(&run.id);
+            if view.is_some_and(|view| view.info.run() == *run) {
+                self.pool.forget(run.address);
+            }
         }
     }
 
--- a/src/relay/parts/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -1,91 +1,20 @@
 //! What a relaying host counts: requests by route and end, times by route, and what it holds.
 
 use {
+    super::metric_labels::{
+        self, AccountLabels, CauseLabels, EndLabels, LimitEnd, RouteLabels, ServiceLabels,
+        StoreCause,
+    },
     crate::relay::config::RelayRoute,
     faststr::FastStr,
     prometheus_client::{
-        encoding::{EncodeLabelSet, EncodeLabelValue, text},
+        encoding::text,
         metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
         registry::{Registry, Unit},
     },
     std::{cell::RefCell, collections::HashSet, fmt, time::Duration},
 };
 
-/// Routes that have series of their own; the rest share the name "other": configurations may hold
-/// hundreds of routes that carry nothing.
-const ROUTE_LABELS_MAX: usize = 64;
-
-/// Which requests a series counts.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct RouteLabels {
-    /// The route's name.
-    pub route: String,
-}
-
-/// How requests ended.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct EndLabels {
-    /// The route's name; empty where none was found.
-    pub route: String,
-    /// The status that the caller got.
-    pub status: u16,
-}
-
-/// Accounts that have series of their own; the rest share the name "other".
-const ACCOUNT_LABELS_MAX: usize = 64;
-
-/// What became of a request at its account's limit.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
-pub enum LimitEnd {
-    /// It was let in.
-    LetIn,
-    /// The account is over its limit.
-    OverLimit,
-    /// It was let in, did certainly not run, and was given back.
-    GivenBack,
-}
-
-/// Which requests of accounts a series counts.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct AccountLabels {
-    /// The account's name.
-    pub account: String,
-    /// What became of them.
-    pub end: LimitEnd,
-}
-
-/// Services that have series of their own; the rest share the name "other".
-const SERVICE_LABELS_MAX: usize = 64;
-
-/// Which service's requests a series counts.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct ServiceLabels {
-    /// The service's name.
-    pub service: String,
-}
-
-/// Why the store is called.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
-pub enum StoreCause {
-    /// To read all objects of a kind.
-    List,
-    /// To hear of changes.
-    Watch,
-    /// To look whether it answers again.
-    WhileLost,
-    /// For the lease under which engines are given orders.
-    Lease,
-    /// For the host's own entry.
-    Entry,
-}
-
-/// Which calls to the store a series counts.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct CauseLabels {
-    /// Why they were made.
-    pub cause: StoreCause,
-}
-
 type RouteHistogram = Family<RouteLabels, Histogram, fn() -> Histogram>;
 
 /// All metrics of a relaying host.
@@ -421,7 +350,11 @@
 
     fn service(&self, service: &FastStr) -> ServiceLabels {
         ServiceLabels {
-            service: bounded_label(&self.known_services, service, SERVICE_LABELS_MAX),
+            service: metric_labels::bounded_label(
+                &self.known_services,
+                service,
+                metric_labels::SERVICE_LABELS_MAX,
+            ),
         }
     }
 
@@ -441,7 +374,11 @@
     /// A request of so many units met its account's limit.
     pub fn limited(&self, account: &FastStr, units: f64, end: LimitEnd) {
         let labels = AccountLabels {
-            account: bounded_label(&self.known_accounts, account, ACCOUNT_LABELS_MAX),
+            account: metric_labels::bounded_label(
+                &self.known_accounts,
+                account,
+                metric_labels::ACCOUNT_LABELS_MAX,
+            ),
             end,
         };
         self.account_requests.get_or_create(&labels).inc();
@@ -481,7 +418,7 @@
     }
 
     fn label(&self, route: &RelayRoute) -> String {
-        bounded_label(&self.known, &route.name, ROUTE_LABELS_MAX)
+        metric_labels::bounded_label(&self.known, &route.name, metric_labels::ROUTE_LABELS_MAX)
     }
 
     /// The metrics as a page of the OpenMetrics text format.
@@ -493,15 +430,3 @@
         page
     }
 }
-
-// The first names have series of their own.
-fn bounded_label(known: &RefCell<HashSet<FastStr>>, name: &FastStr, most: usize) -> String {
-    let mut known = known.borrow_mut();
-    if known.len() < most {
-        known.insert(name.clone());
-    }
-    match known.contains(name) {
-        true => name.to_string(),
-        false => "other".to_owned(),
-    }
-}
--- a/src/relay/parts/mod.rs
+++ b/src/relay/parts/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod availability;
 pub(crate) mod crashes;
 pub(crate) mod ends;
+pub(crate) mod metric_labels;
 pub(crate) mod metrics;
 pub(crate) mod permits;
 pub(crate) mod publish;
@@ -12,4 +13,6 @@
 pub(crate) mod shared;
 pub(crate) mod shares;
 
-pub use self::{accounts::*, crashes::*, metrics::*, permits::*, server_limits::*, shared::*};
+pub use self::{
+    accounts::*, crashes::*, metric_labels::*, metrics::*, permits::*, server_limits::*, shared::*,
+};
--- a/src/relay/policy/availability.rs
+++ b/src/relay/policy/availability.rs
@@ -10,8 +10,8 @@
     std::{collections::HashMap, net::SocketAddr, time::Duration},
 };
 
-/// How long after a server's word a request may still be sent that had memory reserved there before it: its prompt is
-/// being computed, and users allow half a second.
+/// How long after a server's word a request may still be sent that had memory reserved there before it, since its prompt is
+/// being computed. Less than the half second after which servers count.
 const ADMITTED_GRACE: Duration = Duration::from_millis(300);
 
 /// Time after a backoff over which work comes back step by step.
@@ -152,7 +152,7 @@
         (1.0 - over.as_secs_f64() / RETURN_TIME.as_secs_f64()).max(0.0)
     }
 
-    /// Takes the listed runs and evicts what is no longer of use; gives the runs whose backoff is over.
+    /// Evicts expired entries, later those of listed runs; gives the runs whose backoff is over.
     pub fn evict_expired(
         &mut self,
         is_listed: impl Fn(&ServerRun) -> bool,
--- a/src/relay/policy/mod.rs
+++ b/src/relay/policy/mod.rs
@@ -23,6 +23,7 @@
 pub(crate) mod permit_owners;
 mod plain_number;
 pub(crate) mod room;
+pub(crate) mod rotation;
 pub(crate) mod route;
 pub(crate) mod server_limit;
 pub(crate) mod server_marks;
@@ -37,6 +38,6 @@
     admission::*, availability::*, book::*, budget::*, changes::*, crash_book::*, crash_mark::*,
     crash_record::*, digest::*, findings_cache::*, kept::*, limit_book::*, limit_updates::*,
     line::*, loads::*, past_time::*, pauses::*, permit_allocator::*, permit_owners::*, room::*,
-    route::*, server_limit::*, server_marks::*, shared_findings::*, source::*, split::*, subset::*,
-    view::*, waited::*,
+    rotation::*, route::*, server_limit::*, server_marks::*, shared_findings::*, source::*,
+    split::*, subset::*, view::*, waited::*,
 };
--- a/src/relay/roles/keeper.rs
+++ b/src/relay/roles/keeper.rs
@@ -10,7 +10,7 @@
             backend::BackendInfo,
             dialect::{EngineReport, RoleOrder},
             link::{StoreItem, StoreKind, StoreLink, StoreValue},
-            parts::{metrics::StoreCause, shared::RelayParts},
+            parts::{metric_labels::StoreCause, shared::RelayParts},
             policy::split::{self, RoleChange},
         },
         store::StoreFailure,
--- a/src/route/server_states.rs
+++ b/src/route/server_states.rs
@@ -1,5 +1,5 @@
-//! Servers of plain services that name how many calls a second they take from all hosts together, on the product's own
-//! interface.
+//! What answers of plain services' servers say about them, on the product's own interface: how many calls a second they take
+//! from all hosts together, that they are leaving, that this host is to back off.
 //!
 //! Hosts of this interface do not allocate permits to each other: each takes an equal share of what a server names, by the
 //! number of hosts.
@@ -39,29 +39,29 @@
     availability: AvailabilityBook,
 }
 
-/// Which servers are rate-limited, and this host's permits there.
+/// Which servers are rate-limited, leaving or waiting for a backoff to end, and this host's permits.
 #[derive(Debug)]
 pub struct ServerStates {
-    permits: Mutex<KnownStates>,
+    known: Mutex<KnownStates>,
     clock: HostClock,
 }
 
 impl ServerStates {
-    /// None is known to be rate-limited.
+    /// Nothing is known yet.
     pub fn new(host: &str, clock: HostClock) -> Self {
-        let permits = KnownStates {
+        let known = KnownStates {
             limits: LimitBook::new(host),
             allocator: PermitAllocator::default(),
             availability: AvailabilityBook::default(),
         };
         Self {
-            permits: Mutex::new(permits),
+            known: Mutex::new(known),
             clock,
         }
     }
 
-    fn permits(&self) -> MutexGuard<'_, KnownStates> {
-        self.permits.lock().expect("server limits")
+    fn known(&self) -> MutexGuard<'_, KnownStates> {
+        self.known.lock().expect("server states")
     }
 
     /// Time on the clock that sends are noted by.
@@ -91,14 +91,14 @@
         };
         let now = self.clock.now();
         let saying = LimitSaying::told(limit, now.saturating_sub(sent), now);
-        self.permits().limits.take(key_of(server), saying, now);
+        self.known().limits.take(key_of(server), saying, now);
     }
 
     fn note_availability(&self, server: &ServerInfo, marks: &ServerMarks) {
         let now = self.clock.now();
-        let mut permits = self.permits();
-        let change = permits.availability.note(&server.run(), marks, now);
-        drop(permits);
+        let mut known = self.known();
+        let change = known.availability.note(&server.run(), marks, now);
+        drop(known);
         if change.is_leaving {
             event::emit(
                 &event::SERVER_LEAVING,
@@ -120,18 +120,18 @@
     /// Whether a server takes new calls of this host, as far as its answers say.
     pub fn availability(&self, server: &ServerInfo) -> ServerAvailability {
         let now = self.clock.now();
-        self.permits().availability.availability(&server.run(), now)
+        self.known().availability.availability(&server.run(), now)
     }
 
     /// Evicts what is no longer of use of servers that are not listed.
     pub fn evict_expired(&self, listed: &[ServerInfo]) {
         let now = self.clock.now();
         let runs: HashSet<ServerRun> = listed.iter().map(ServerInfo::run).collect();
-        let mut permits = self.permits();
-        let ended = permits
+        let mut known = self.known();
+        let ended = known
             .availability
             .evict_expired(|run| runs.contains(run), now);
-        drop(permits);
+        drop(known);
         for run in ended {
             event::emit(&event::SERVER_BACKOFF_ENDED, &[("backend", &run.id)]);
         }
@@ -141,22 +141,22 @@
     pub fn take_permit(&self, server: &ServerInfo, hosts: usize) -> Result<(), Duration> {
         let now = self.clock.now();
         let server = key_of(server);
-        let permits = &mut *self.permits();
-        permits.limits.forget_old(now);
-        permits.allocator.forget_old(now);
-        if permits.limits.permit(server, RANK, now) == PermitState::Ask
-            && let Some(ask) = permits.limits.ask(server, RANK, now)
+        let known = &mut *self.known();
+        known.limits.forget_old(now);
+        known.allocator.forget_old(now);
+        if known.limits.permit(server, RANK, now) == PermitState::Ask
+            && let Some(ask) = known.limits.ask(server, RANK, now)
         {
-            let grant = permits
+            let grant = known
                 .allocator
                 .allocate_share(&ask, hosts, rand::random(), now);
-            permits.limits.take_grant(server, RANK, &grant, now);
+            known.limits.take_grant(server, RANK, &grant, now);
         }
-        match permits.limits.permit(server, RANK, now) {
+        match known.limits.permit(server, RANK, now) {
             PermitState::Free => Ok(()),
-            PermitState::Held if permits.limits.use_permit(server, now) => Ok(()),
+            PermitState::Held if known.limits.use_permit(server, now) => Ok(()),
             PermitState::Empty(wait) => {
-                permits.limits.note_sent_away(server);
+                known.limits.note_sent_away(server);
                 Err(wait)
             }
             PermitState::Held | PermitState::Ask => Err(Duration::ZERO),
@@ -165,9 +165,9 @@
 
     /// The limits that are believed of some servers, for operators: calls a second of all hosts.
     pub fn limits<'a>(&self, servers: impl Iterator<Item = &'a ServerInfo>) -> Vec<(FastStr, f64)> {
-        let permits = self.permits();
+        let known = self.known();
         let limit = |server: &ServerInfo| {
-            let limit = permits.limits.limit(key_of(server))?;
+            let limit = known.limits.limit(key_of(server))?;
             Some((server.name.clone(), limit.per_second()))
         };
         servers.filter_map(limit).collect()
--- a/tests/server_availability.rs
+++ b/tests/server_availability.rs
@@ -8,7 +8,7 @@
         engine::EngineRole,
         relay::{
             BACKOFF_LONGEST, BackendBook, BackendFailure, BackendInfo, BackoffMark, LeavingMark,
-            LimitMark, PlainChoice, RotationWait, SendWish, ServerMarks,
+            LimitMark, LimitSaying, PlainChoice, RotationWait, SendWish, ServerLimit, ServerMarks,
         },
     },
     bolero::{TypeGenerator, check},
@@ -200,6 +200,20 @@
     assert!(book.availability.is_empty());
 }
 
+#[test]
+fn a_rate_limited_server_that_backs_off_or_leaves_is_asked_for_no_permit() {
+    for said in [marks(true, None), marks(false, lasting(500))] {
+        let mut book = BackendBook::default();
+        let server = backend("a", "z", None);
+        book.set_backends(vec![server.clone()]);
+        let limit = LimitSaying::told(ServerLimit::new(3.0), millis(0), millis(0));
+        book.limits.take(server.key(), limit, millis(0));
+        book.availability.note(&server.run(), &said, millis(0));
+        assert_eq!(choose(&book, millis(1)), PlainChoice::NoneLeft);
+        assert!(book.without_permit("one", 0, millis(1)).is_empty());
+    }
+}
+
 /// Something that happens to a book of five servers.
 #[derive(Debug, Clone, TypeGenerator)]
 enum BookMoment {
