--- a/tests/account_keys.rs
+++ b/tests/account_keys.rs
@@ -10,6 +10,7 @@
         },
         relay::{ClusterNews, ClusterState, PastTime},
     },
+    bolero::{TypeGenerator, check},
     faststr::FastStr,
     std::time::Duration,
 };
@@ -143,8 +144,18 @@
 // Runs a fleet while its keys change; no host lets a request in by a version older than one that was acknowledged more
 // than the bound before. Gives the share of host steps in which requests were let in.
 fn let_in_share(fleet: &mut SimFleet, trouble: &SimTrouble, changes: &[u64], time: u64) -> f64 {
+    let_in_since(fleet, trouble, changes, time, &mut Vec::new())
+}
+
+// The same where versions were acknowledged before: each with its time.
+fn let_in_since(
+    fleet: &mut SimFleet,
+    trouble: &SimTrouble,
+    changes: &[u64],
+    time: u64,
+    acknowledged: &mut Vec<(u64, u64)>,
+) -> f64 {
     let life = rules().proof_life().unwrap().as_millis() as u64;
-    let mut acknowledged: Vec<(u64, u64)> = Vec::new();
     let start = fleet.now;
     let (mut open, mut all) = (0_u64, 0_u64);
     while fleet.now < start + time {
@@ -255,3 +266,50 @@
         }
     }
 }
+
+/// Something that happens to a fleet of nine hosts whose keys change.
+#[derive(Debug, Clone, TypeGenerator)]
+enum KeyMoment {
+    // The trouble that goes on for a time, and when within it keys are taken.
+    Trouble(u8, u16, [u16; 2]),
+    Freezes(u8),
+    // One that was frozen wakes with what it knew, or is started anew.
+    Wakes(u8, bool),
+}
+
+#[test]
+fn no_key_that_was_taken_away_opens_anything_whatever_happens_meanwhile() {
+    check!()
+        .with_iterations(300)
+        .with_type::<Vec<KeyMoment>>()
+        .for_each(|moments| {
+            let mut fleet = SimFleet::running(3, 3);
+            let mut acknowledged = Vec::new();
+            let count = fleet.hosts.len();
+            for moment in moments.iter().take(24) {
+                match moment {
+                    KeyMoment::Trouble(trouble, time, changes) => {
+                        let (_, trouble, _) = &TROUBLES[usize::from(*trouble) % TROUBLES.len()];
+                        let time = u64::from(*time) % 6_000;
+                        let steps = |at: &u16| u64::from(*at) % time.max(1) / STEP * STEP;
+                        let changes: Vec<u64> = changes.iter().map(steps).collect();
+                        // All may stand still.
+                        if fleet.hosts.iter().any(|host| host.is_up) {
+                            let time = time.max(STEP);
+                            let_in_since(&mut fleet, trouble, &changes, time, &mut acknowledged);
+                        }
+                    }
+                    KeyMoment::Freezes(host) => {
+                        fleet.hosts[usize::from(*host) % count].is_up = false;
+                    }
+                    KeyMoment::Wakes(host, is_anew) => {
+                        let index = usize::from(*host) % count;
+                        fleet.hosts[index].is_up = true;
+                        if *is_anew {
+                            fleet.restart(index);
+                        }
+                    }
+                }
+            }
+        });
+}
