--- a/src/relay/policy/findings_cache.rs
+++ b/src/relay/policy/findings_cache.rs
@@ -1,25 +1,25 @@
-//! A book of findings that hosts tell each other: what each has been told of it, and what it lacks.
+//! A cache of findings that hosts exchange: what each peer has received of it, and what it lacks.
 //!
 //! A plain state machine. Its revision grows with each change, so that an asker names the revision up to which it was told.
 
 use std::{collections::BTreeMap, time::Duration};
 
-/// How long after a change hosts tell of it to one that they have not told of anything yet.
+/// How long a change is sent to a peer that has received nothing yet.
 const TELL_LIFE: Duration = Duration::from_secs(30);
 
-/// Up to where somebody was told a book.
+/// The position up to which a peer has received a cache.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct CachePosition {
-    /// The book's id, drawn when its host began it; 0 for none.
+    /// The cache's id, drawn when its host created it; 0 for none.
     pub book: u64,
     /// The revision.
     pub revision: u64,
 }
 
-/// What an asker lacks of a book.
+/// What a peer lacks of a cache.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CacheUpdates<M> {
-    /// What the asker has been told with this.
+    /// The position that the peer has with this.
     pub place: CachePosition,
     /// What it lacked.
     pub marks: Vec<M>,
@@ -34,7 +34,7 @@
     }
 }
 
-/// Whom a finding came from.
+/// The source of a finding.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MarkSource {
     /// This host saw it, or a host that reports to this one did: others are to be told.
@@ -46,7 +46,7 @@
 #[derive(Debug)]
 struct CachedFinding<V> {
     value: V,
-    // The book's revision of its last change, and of the last one that others are to be told of.
+    // The cache's revision of its last change, and of the last one that others are to be told of.
     changed: u64,
     reported: u64,
     reported_at: Duration,
@@ -61,7 +61,7 @@
 }
 
 impl<K: Ord + Copy, V> FindingsCache<K, V> {
-    /// A book in which nothing stands; `id` is drawn at random.
+    /// An empty cache; `id` is drawn at random.
     pub fn new(id: u64) -> Self {
         Self {
             id,
@@ -70,7 +70,7 @@
         }
     }
 
-    /// What somebody has been told who was told everything.
+    /// The position of a peer that has received everything.
     pub fn place(&self) -> CachePosition {
         CachePosition {
             book: self.id,
@@ -137,7 +137,7 @@
             .retain(|about, entry| is_kept(about, &entry.value));
     }
 
-    /// What has changed since an asker was told up to a place in this book or another one.
+    /// What has changed since a peer received it up to a position in this cache or another one.
     pub fn since(&self, known: CachePosition) -> impl Iterator<Item = (&K, &V)> {
         let since = match known.book == self.id {
             true => known.revision,
@@ -146,7 +146,7 @@
         self.wanted(move |entry| entry.changed > since)
     }
 
-    /// What a host that adds up, or tells others, is to hear of this one, after a revision of this book. Where it was never
+    /// What a host that adds up, or tells others, is to hear of this one, after a revision of this cache. Where it was never
     /// told anything that is what has changed lately: whoever added up before has told the rest.
     pub fn reported_since(
         &self,
@@ -168,7 +168,7 @@
         wanted.map(|(about, entry)| (about, &entry.value))
     }
 
-    /// The book's revision of a finding's last change; 0 where there was none.
+    /// The cache's revision of a finding's last change; 0 where there was none.
     pub fn changed(&self, about: &K) -> u64 {
         self.entries.get(about).map_or(0, |entry| entry.changed)
     }
--- a/src/relay/policy/limit_updates.rs
+++ b/src/relay/policy/limit_updates.rs
@@ -30,7 +30,7 @@
 }
 
 impl LimitUpdates {
-    /// A book in which nothing stands; `id` is drawn at random.
+    /// An empty cache; `id` is drawn at random.
     pub fn new(id: u64) -> Self {
         Self {
             sayings: FindingsCache::new(id),
