Own interface: a call that may have run at one server is not answered by another one's 'not run'

Found on reading the diff, before anybody met it: a repeatable call whose answer was lost at one server and that the next turned away got the second one's 503, not-run, as its answer where the budget of repeats was spent between the two. Now the refusal keeps what the earlier try may have run. By reading: no test hits the one repeat that is left.

--- a/src/filter/plain.rs
+++ b/src/filter/plain.rs
@@ -92,18 +92,13 @@
         let sent = web::within(time, send(traffic, &choice, &call)).await;
         let failure = match sent {
             Ok(Ok(reply)) if is_turned_away(&reply) => {
-                let again = traffic
-                    .parts
-                    .budget
-                    .lock()
-                    .expect("budget")
-                    .spend(now(traffic));
-                if !again {
-                    return Ok(reply);
-                }
                 let text = format!("backend server {} turned it away", choice.name());
+                // What an earlier try may have run stays so: its own answer would promise that nothing ran.
                 last = Refusal::new(last.verdict, RefusalCode::BackendLost, text)
                     .after(Duration::from_secs(1));
+                if !may_repeat(traffic) {
+                    return Err(last);
+                }
                 tried.push(choice.name());
                 continue;
             }
@@ -125,14 +120,7 @@
         choice.failed();
         last = refusal_of(&choice, &failure, last.verdict);
         let again = last.verdict.allows_retry(route.repeatable);
-        if !again
-            || !traffic
-                .parts
-                .budget
-                .lock()
-                .expect("budget")
-                .spend(now(traffic))
-        {
+        if !again || !may_repeat(traffic) {
             return Err(last);
         }
         tried.push(choice.name());
@@ -140,8 +128,10 @@
     Err(last)
 }
 
-fn now(traffic: &Traffic) -> Duration {
-    traffic.desk.now()
+// Whether the budget of repeats allows one more; it is counted then.
+fn may_repeat(traffic: &Traffic) -> bool {
+    let now = traffic.desk.now();
+    traffic.parts.budget.lock().expect("budget").spend(now)
 }
 
 // The server did not run it.
