The test of the digest's time counts processor time of its thread

Cause: the clock on the wall. The bound and the count are the same; what the code takes is held to as strictly as before.

--- a/tests/relay_crashes.rs
+++ b/tests/relay_crashes.rs
@@ -6,7 +6,8 @@
         RequestDigest,
     },
     bolero::check,
-    std::time::{Duration, Instant},
+    nix::time::{ClockId, clock_gettime},
+    std::time::Duration,
 };
 
 const FATAL: RequestDigest = RequestDigest(7);
@@ -275,14 +276,20 @@
     assert_eq!(all[0], RequestDigest::of("", "/a/1", b"x"));
 }
 
+// Processor time of this thread: other processes on the machine do not count.
+fn thread_time() -> Duration {
+    let time = clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID);
+    Duration::from(time.expect("a clock of the thread"))
+}
+
 #[test]
 fn a_large_body_is_summed_up_soon() {
     let body = vec![b'x'; 64 << 10];
     let mut times: Vec<Duration> = (0..101)
         .map(|_| {
-            let began = Instant::now();
+            let began = thread_time();
             std::hint::black_box(RequestDigest::of("account", "/path", &body));
-            began.elapsed()
+            thread_time() - began
         })
         .collect();
     times.sort();
