--- a/tests/server_availability.rs
+++ b/tests/server_availability.rs
@@ -231,8 +231,14 @@
     TurnsAway(u8),
     Declines(u8),
     Evicts,
-    // Memory is reserved at the best decode engine, and the decode sent after this time.
-    Decodes(u16),
+    // Memory is reserved at the best decode engine; after a time the engine says something, and after another one the
+    // decode is to be sent.
+    Decodes {
+        before: u8,
+        is_leaving: bool,
+        backoff: Option<u16>,
+        after: u16,
+    },
 }
 
 const SERVERS: usize = 5;
@@ -335,7 +341,16 @@
                 self.book.declined(&id, now);
             }
             BookMoment::Evicts => drop(self.book.evict_availability(now)),
-            BookMoment::Decodes(time) => self.decode(u64::from(*time % 2_000)),
+            BookMoment::Decodes {
+                before,
+                is_leaving,
+                backoff,
+                after,
+            } => self.decode(
+                u64::from(*before),
+                (*is_leaving, *backoff),
+                u64::from(*after % 2_000),
+            ),
         }
         self.check();
     }
@@ -358,7 +373,7 @@
         }
     }
 
-    fn decode(&mut self, time: u64) {
+    fn decode(&mut self, before: u64, said: (bool, Option<u16>), after: u64) {
         let engines = self
             .book
             .rank_decodes("one", "z", 100, None, millis(self.now));
@@ -366,8 +381,10 @@
             return;
         };
         let reserved = self.now;
-        self.now += time;
         let index = SERVERS - 1;
+        self.now += before;
+        self.say(index, said.0, said.1);
+        self.now += after;
         let goes_out = self
             .book
             .may_send(&engine, Some(millis(reserved)), millis(self.now));
