--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -64,6 +64,8 @@
     PLATFORM_BACK = 502, "platform-back", Info, "The platform answers again.", "None.";
     NEWS_SOURCE = 503, "news-source", Info, "The host reads the store itself from now on, or follows the named host.", "None; if it changes every few seconds, look at the named hosts and their way to the store.";
     STORE_UNANSWERED = 504, "store-unanswered", Info, "A reading call to the store gave nothing; how long it was out, and the pause before the next one.", "None; if waited_ms goes on for seconds after other hosts have platform-back, calls of this host hang.";
+    STORE_LIST_OLDER = 505, "store-list-older", Warn, "A list of the store shows an older revision than this host knows and is left; logged once for each revision that is held.", "If it repeats, compare held and told: a store that stays behind what it said before has lost changes.";
+    STORE_HISTORY_GONE = 506, "store-history-gone", Info, "The store does not have the changes after the revision that this host holds; the whole list is read.", "None; if it repeats for one revision, look for store-list-older (505).";
     PEER_SUSPECTED = 601, "peer-suspected", Warn, "Another entry host has not been heard of for a while.", "If it is not being replaced, look at it and at the network.";
     PEER_BACK = 602, "peer-back", Info, "A suspected entry host was heard of again.", "None.";
     PEER_REPLACED = 603, "peer-replaced", Info, "An entry host came back as a new incarnation.", "None.";
--- a/src/relay/belief/cluster.rs
+++ b/src/relay/belief/cluster.rs
@@ -286,13 +286,14 @@
     }
 
     /// Takes the whole list of hosts as of a revision, unless a newer one is known.
-    pub fn set_hosts(&mut self, hosts: Vec<HostEntry>, revision: u64) {
+    pub fn set_hosts(&mut self, hosts: Vec<HostEntry>, revision: u64) -> bool {
         if revision < self.hosts_revision() {
-            return;
+            return false;
         }
         let named = hosts.into_iter().map(|entry| (entry.name.clone(), entry));
         self.hosts = named.collect();
         self.host_history.restart(revision);
+        true
     }
 
     /// Takes changes of hosts up to a revision, unless a newer one is known.
--- a/src/relay/news/feed.rs
+++ b/src/relay/news/feed.rs
@@ -1,7 +1,7 @@
 //! Keeping a host's beliefs up to date from the store, while it is the host's turn to read it.
 
 use {
-    super::contact::StoreContact,
+    super::{contact::StoreContact, store_log::LoggedPlaces},
     crate::{
         event,
         relay::{
@@ -61,6 +61,7 @@
     // The list of backend servers is from a reading that may lag, or from before a time without reading, and no watch has
     // confirmed it yet.
     backends_lag: Cell<bool>,
+    pub(super) logged: LoggedPlaces,
 }
 
 impl StoreFeed {
@@ -75,6 +76,7 @@
             config_revision: Cell::new(0),
             contact: StoreContact::default(),
             backends_lag: Cell::new(false),
+            logged: LoggedPlaces::default(),
         });
         vital::spawn_vital("configuration", feed.clone().follow(StoreKind::Config));
         vital::spawn_vital("backend servers", feed.clone().follow(StoreKind::Backends));
@@ -163,11 +165,14 @@
                     self.note_answer(kind);
                     tokio::time::sleep(self.pause_after(kind, before)).await;
                 }
-                Err(StoreFailure::Gone) => forgotten = true,
+                Err(StoreFailure::Gone) => {
+                    self.log_history_gone(kind);
+                    forgotten = true;
+                }
                 Err(failure) => {
                     self.note_failure(kind, &failure);
                     let pause = self.pauses().after(failures, rand::random());
-                    self.tell_unanswered(kind, &failure, asked, pause);
+                    self.log_unanswered(kind, &failure, asked, pause);
                     failures += 1;
                     tokio::time::sleep(pause).await;
                 }
@@ -175,25 +180,6 @@
         }
     }
 
-    fn tell_unanswered(
-        &self,
-        kind: StoreKind,
-        failure: &StoreFailure,
-        asked: Duration,
-        pause: Duration,
-    ) {
-        let waited = self.parts.now().saturating_sub(asked);
-        event::emit(
-            &event::STORE_UNANSWERED,
-            &[
-                ("kind", &format!("{kind:?}")),
-                ("waited_ms", &waited.as_millis()),
-                ("pause_ms", &pause.as_millis()),
-                ("cause", failure),
-            ],
-        );
-    }
-
     fn pauses(&self) -> &'static StorePauses {
         match self.reading_hosts.get() {
             true => &READER_PAUSES,
@@ -238,7 +224,7 @@
         }
     }
 
-    fn held_revision(&self, kind: StoreKind) -> u64 {
+    pub(super) fn held_revision(&self, kind: StoreKind) -> u64 {
         let cluster = self.parts.cluster.borrow();
         match kind {
             StoreKind::Config => self.config_revision.get(),
--- a/src/relay/news/mod.rs
+++ b/src/relay/news/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod settle;
 pub(crate) mod share;
 mod start;
+mod store_log;
 mod store_news;
 mod take;
 mod targets;
--- a/src/relay/news/store_news.rs
+++ b/src/relay/news/store_news.rs
@@ -22,15 +22,19 @@
                 let taken = cluster.set_backends(backends, list.revision, now);
                 cluster.note_backends_read(now);
                 drop(cluster);
-                if taken {
-                    self.parts.publish_backends();
+                match taken {
+                    true => self.parts.publish_backends(),
+                    false => self.log_older_list(kind, list.revision),
                 }
             }
             StoreKind::Hosts => {
                 let hosts = list.items.into_iter().filter_map(host_of).collect();
                 let mut cluster = self.parts.cluster.borrow_mut();
-                cluster.set_hosts(hosts, list.revision);
+                let taken = cluster.set_hosts(hosts, list.revision);
                 drop(cluster);
+                if !taken {
+                    self.log_older_list(kind, list.revision);
+                }
                 self.parts.note_hosts();
                 self.parts.news.notify_waiters();
             }
--- a/src/relay/parts/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -47,6 +47,8 @@
     pub connection_limits: Counter,
     /// Calls to the store that failed.
     pub store_failures: Counter,
+    /// Lists of the store that were left, since they show an older revision than is known.
+    pub older_lists: Counter,
     store_calls: Family<CauseLabels, Counter>,
     ended_under: Family<ServiceLabels, Counter>,
     fatal_refused: Family<ServiceLabels, Counter>,
@@ -119,6 +121,7 @@
             ejections: Counter::default(),
             connection_limits: Counter::default(),
             store_failures: Counter::default(),
+            older_lists: Counter::default(),
             store_calls: Family::default(),
             ended_under: Family::default(),
             fatal_refused: Family::default(),
@@ -278,6 +281,11 @@
                 "Failed calls to the store",
                 &self.store_failures,
             ),
+            (
+                "older_lists",
+                "Lists of the store left since they show an older revision than is known",
+                &self.older_lists,
+            ),
             (
                 "news_told",
                 "Answers to other hosts that asked for news",
