--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -64,8 +64,10 @@
     PLATFORM_BACK = 502, "platform-back", Info, "The platform answers again.", "None.";
     NEWS_SOURCE = 503, "news-source", Info, "The host reads the store itself from now on, or follows the named host.", "None; if it changes every few seconds, look at the named hosts and their way to the store.";
     STORE_UNANSWERED = 504, "store-unanswered", Info, "A reading call to the store gave nothing; how long it was out, and the pause before the next one.", "None; if waited_ms goes on for seconds after other hosts have platform-back, calls of this host hang.";
-    STORE_LIST_OLDER = 505, "store-list-older", Warn, "A list of the store shows an older revision than this host knows and is left; logged once for each revision that is held.", "If it repeats, compare held and told: a store that stays behind what it said before has lost changes.";
-    STORE_HISTORY_GONE = 506, "store-history-gone", Info, "The store does not have the changes after the revision that this host holds; the whole list is read.", "None; if it repeats for one revision, look for store-list-older (505).";
+    STORE_LIST_OLDER = 505, "store-list-older", Warn, "A list of the store shows an older position than this host knows and is left; logged once for each position that is held.", "If it repeats, compare held and told: a store that stays behind what it said before has lost changes.";
+    STORE_HISTORY_GONE = 506, "store-history-gone", Info, "The store does not have the changes after the position that this host holds; the whole list is read.", "None; if it repeats for one position, look for store-list-older (505).";
+    STORE_RESTORED = 507, "store-restored", Warn, "The store names a later era: it came back from a copy and may have lost what it had accepted. The host reads it again and goes on with what it knows; held is the position of its list of backend servers.", "See docs/OPERATIONS.md for what was lost and which hosts know it.";
+    STORE_REREAD = 508, "store-reread", Info, "This host has the backend servers and hosts of the era that the store began.", "None; a host without this line seconds after store-restored (507) hears of nothing new: look at its news-source (503).";
     PEER_SUSPECTED = 601, "peer-suspected", Warn, "Another entry host has not been heard of for a while.", "If it is not being replaced, look at it and at the network.";
     PEER_BACK = 602, "peer-back", Info, "A suspected entry host was heard of again.", "None.";
     PEER_REPLACED = 603, "peer-replaced", Info, "An entry host came back as a new incarnation.", "None.";
--- a/src/host/passing.rs
+++ b/src/host/passing.rs
@@ -10,6 +10,7 @@
         control::ControlSnapshot,
         operation::OnceSignal,
         relay::{self, HostEntry, RelayBounds, RelayParts, RelaySettings, RetryAllowance},
+        store::StorePosition,
         web::{self, IngressLimits, PoolSettings},
     },
     eyre::WrapErr,
@@ -96,6 +97,7 @@
         relay::server_dialect(),
         traffic.gate.clone(),
         traffic.clock.clone(),
+        Rc::default(),
     );
     relay::spawn_vital("objects in force", follow(traffic.clone(), parts.clone()));
     relay::spawn_vital("metrics", show_metrics(traffic.clone(), parts.clone()));
@@ -184,9 +186,10 @@
         traffic.callers,
     );
     let now = parts.now();
+    let position = StorePosition::new(0, revision);
     let mut cluster = parts.cluster.borrow_mut();
-    cluster.set_hosts(hosts.chain([own]).collect(), revision);
-    cluster.set_backends(backends, revision, now);
+    cluster.set_hosts(hosts.chain([own]).collect(), position, now);
+    cluster.set_backends(backends, position, now);
     drop(cluster);
     parts.publish_backends();
 }
--- a/src/relay/belief/cluster.rs
+++ b/src/relay/belief/cluster.rs
@@ -1,24 +1,22 @@
 //! What a host believes of the configuration, the backend servers and the other hosts.
 //!
 //! A plain state machine: what the store or another host said goes in, what is in force comes out. A
-//! newer version is never replaced by an older one.
+//! newer version is never replaced by an older one, also where the store was restored from a copy that has the older.
 
 use {
-    super::history::{ChangeHistory, KindNews, MissingNews},
-    crate::relay::{
-        backend::BackendInfo,
-        config::RelayConfig,
-        link::{HostEntry, StoreChange, StoreItem, StoreKind, StoreValue},
-        policy::{past_time::PastTime, route::RouteTable},
+    super::{backend_list::BackendList, history::KindNews, host_list::HostList},
+    crate::{
+        relay::{
+            backend::BackendInfo,
+            config::RelayConfig,
+            link::{HostEntry, StoreChange, StoreKind},
+            policy::{past_time::PastTime, route::RouteTable},
+        },
+        store::StorePosition,
     },
-    faststr::FastStr,
-    std::{collections::BTreeMap, rc::Rc, time::Duration},
+    std::{rc::Rc, time::Duration},
 };
 
-/// How long a backend server whose entry lapsed while the store was away is still used: those that
-/// live are listed again within about two seconds of the store's return.
-const LAPSE_GRACE: Duration = Duration::from_millis(1_700);
-
 /// How long after an outage of the store a missing entry may have lapsed for that reason.
 const OUTAGE_TIME: Duration = Duration::from_secs(3);
 
@@ -34,11 +32,13 @@
 #[derive(Debug)]
 pub struct ClusterState {
     routes: Option<Rc<RouteTable>>,
-    backends: BTreeMap<FastStr, BackendInfo>,
-    backend_history: ChangeHistory,
-    lapsed: BTreeMap<FastStr, (BackendInfo, Duration)>,
-    hosts: BTreeMap<FastStr, HostEntry>,
-    host_history: ChangeHistory,
+    backends: BackendList,
+    hosts: HostList,
+    // The latest era of the store that was seen, and when it was found restored.
+    era: u32,
+    restored: Option<RestoreMark>,
+    // How long operators and servers have to write again what a restored store lacks.
+    settle_time: Duration,
     // The shortest time without the store in which entries lapse by themselves.
     outage_least: Duration,
     // When the store was back after at least that time, as seen from here or told by another host.
@@ -54,6 +54,14 @@
     store_lost: bool,
 }
 
+/// When the store was found restored.
+#[derive(Debug, Clone, Copy)]
+struct RestoreMark {
+    seen: Duration,
+    // All lists that other hosts follow have been read again.
+    is_reread: bool,
+}
+
 impl Default for ClusterState {
     fn default() -> Self {
         Self::new(HEARTBEAT_USUAL)
@@ -65,11 +73,11 @@
     pub fn new(heartbeat: Duration) -> Self {
         Self {
             routes: None,
-            backends: BTreeMap::new(),
-            backend_history: ChangeHistory::default(),
-            lapsed: BTreeMap::new(),
-            hosts: BTreeMap::new(),
-            host_history: ChangeHistory::default(),
+            backends: BackendList::new(heartbeat),
+            hosts: HostList::default(),
+            era: 0,
+            restored: None,
+            settle_time: heartbeat,
             outage_least: heartbeat.saturating_mul(HEARTBEATS_TO_LAPSE),
             outage_ended: None,
             config_confirmed: None,
@@ -102,19 +110,63 @@
             .map_or(0, |routes| routes.config().version)
     }
 
-    /// The store's revision that the list of backend servers shows.
-    pub fn backends_revision(&self) -> u64 {
-        self.backend_history.revision()
+    /// The store's position that the list of backend servers shows.
+    pub fn backends_position(&self) -> StorePosition {
+        self.backends.position()
     }
 
     /// Counts the lists and changes of backend servers that were taken.
     pub fn changes_seen(&self) -> u64 {
-        self.backend_history.recorded()
+        self.backends.recorded()
+    }
+
+    /// The store's position that the list of hosts shows.
+    pub fn hosts_position(&self) -> StorePosition {
+        self.hosts.position()
+    }
+
+    /// The latest era of the store that was seen.
+    pub fn era(&self) -> u32 {
+        self.era
     }
 
-    /// The store's revision that the list of hosts shows.
-    pub fn hosts_revision(&self) -> u64 {
-        self.host_history.revision()
+    /// The store, or another host, named an era; gives the one before where the store was restored since.
+    pub fn note_era(&mut self, era: u32, now: Duration) -> Option<u32> {
+        if era <= self.era {
+            return None;
+        }
+        let before = std::mem::replace(&mut self.era, era);
+        let knows_more = self.backends_position().is_known() || self.hosts_position().is_known();
+        if before == 0 && !knows_more {
+            return None;
+        }
+        self.restored = Some(RestoreMark {
+            seen: now,
+            is_reread: false,
+        });
+        Some(before)
+    }
+
+    /// Whether all lists have been read again since the store was restored; true once.
+    pub fn take_reread(&mut self) -> bool {
+        let era = self.era;
+        let is_read = self.backends_position().era == era && self.hosts_position().era == era;
+        match &mut self.restored {
+            Some(mark) if is_read && !mark.is_reread => {
+                mark.is_reread = true;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    // Whether a reading at this time shows all that was accepted: what a restored store has lost has to be written again.
+    fn is_settled(&self, at: PastTime) -> bool {
+        let settled = |mark: RestoreMark| {
+            let settled = mark.seen.saturating_add(self.settle_time);
+            at >= PastTime::at(settled)
+        };
+        self.restored.is_none_or(settled)
     }
 
     /// What is known of a kind was the newest at this time of the host's clock.
@@ -126,15 +178,27 @@
     pub fn confirm_as(&mut self, kind: StoreKind, at: PastTime) {
         let confirmed = match kind {
             StoreKind::Config => &mut self.config_confirmed,
-            StoreKind::Backends => &mut self.backends_confirmed,
-            StoreKind::Hosts | StoreKind::Leases => return,
+            StoreKind::Backends => {
+                self.backends.set_unconfirmed(false);
+                &mut self.backends_confirmed
+            }
+            StoreKind::Hosts => return self.hosts.set_unconfirmed(false),
+            StoreKind::Leases => return,
         };
         *confirmed = Some(confirmed.map_or(at, |before| before.max(at)));
     }
 
-    /// The configuration was surely the newest at this time, be it before the host's start.
+    /// The configuration was surely the newest at this time, be it before the host's start: the store was read, or
+    /// another host says so.
     pub fn prove_config(&mut self, at: PastTime) {
-        self.config_proved = self.config_proved.max(Some(at));
+        if self.is_before_restore(at) || self.is_settled(at) {
+            self.config_proved = self.config_proved.max(Some(at));
+        }
+    }
+
+    fn is_before_restore(&self, at: PastTime) -> bool {
+        let restored = self.restored.as_ref();
+        restored.is_some_and(|mark| at < PastTime::at(mark.seen))
     }
 
     /// How long ago the configuration was surely the newest; none where that was never so.
@@ -196,203 +260,122 @@
         self.outage_age(now).is_some_and(|age| age < OUTAGE_TIME)
     }
 
-    /// Takes the whole list of backend servers as of a revision, unless a newer one is known.
-    pub fn set_backends(&mut self, list: Vec<BackendInfo>, revision: u64, now: Duration) -> bool {
-        if revision < self.backends_revision() {
+    /// Takes the whole list of backend servers as of a position, unless a newer one is known.
+    pub fn set_backends(
+        &mut self,
+        list: Vec<BackendInfo>,
+        position: StorePosition,
+        now: Duration,
+    ) -> bool {
+        if position < self.backends_position() {
             return false;
         }
         self.look_for_outage(now);
-        let mut before = std::mem::take(&mut self.backends);
-        for info in list {
-            before.remove(&info.id);
-            self.lapsed.remove(&info.id);
-            self.backends.insert(info.id.clone(), info);
+        let had_outage = self.had_outage(now);
+        self.backends.set(list, &[], position, had_outage, now)
+    }
+
+    /// The list of a kind that was just taken may lag.
+    pub fn doubt(&mut self, kind: StoreKind) {
+        match kind {
+            StoreKind::Backends => self.backends.set_unconfirmed(true),
+            StoreKind::Hosts => self.hosts.set_unconfirmed(true),
+            StoreKind::Config | StoreKind::Leases => {}
         }
-        for info in before.into_values() {
-            self.remove(info, now);
+    }
+
+    /// The store does not have the position that a kind is known up to, if its list may have lagged.
+    pub fn drop_doubted(&mut self, kind: StoreKind) {
+        match kind {
+            StoreKind::Backends => self.backends.drop_unconfirmed(),
+            StoreKind::Hosts => self.hosts.drop_unconfirmed(),
+            StoreKind::Config | StoreKind::Leases => {}
         }
-        self.backend_history.restart(revision);
-        true
     }
 
-    /// Takes changes of backend servers up to a revision, unless a newer one is known.
-    pub fn change_backends(&mut self, changes: Vec<StoreChange>, revision: u64, now: Duration) {
-        if revision < self.backends_revision() {
+    /// Takes changes of backend servers up to a position, unless a newer one is known.
+    pub fn change_backends(
+        &mut self,
+        changes: Vec<StoreChange>,
+        position: StorePosition,
+        now: Duration,
+    ) {
+        if position < self.backends_position() {
             return;
         }
         self.look_for_outage(now);
-        for change in &changes {
-            match change {
-                StoreChange::Set(StoreItem {
-                    value: StoreValue::Backend(info),
-                    ..
-                }) => {
-                    self.lapsed.remove(&info.id);
-                    self.backends.insert(info.id.clone(), info.clone());
-                }
-                StoreChange::Set(_) => {}
-                StoreChange::Removed(id) => {
-                    if let Some(info) = self.backends.remove(id) {
-                        self.remove(info, now);
-                    }
-                }
-            }
-        }
-        self.backend_history.record(revision, changes);
+        let had_outage = self.had_outage(now);
+        self.backends.change(changes, position, had_outage, now);
     }
 
     /// Takes what another host told of the backend servers.
     pub fn take_backend_news(&mut self, news: KindNews, now: Duration) {
-        match news.is_whole {
-            true => {
-                let list = news.changes.into_iter().filter_map(backend_of).collect();
-                self.set_backends(list, news.revision, now);
-            }
-            false => self.change_backends(news.changes, news.revision, now),
+        if news.position < self.backends_position() {
+            return;
         }
+        self.look_for_outage(now);
+        let had_outage = self.had_outage(now);
+        self.backends.take_news(news, had_outage, now);
     }
 
     /// What another host lacks of the backend servers that knows them up to `held`.
-    pub fn backend_news(&self, held: u64) -> KindNews {
-        kind_news(&self.backend_history, held, || {
-            self.backends.values().map(backend_item).collect()
-        })
+    pub fn backend_news(&self, held: StorePosition) -> KindNews {
+        self.backends.news(held)
     }
 
-    // An entry that is removed while the store is well means that its server leaves.
-    fn remove(&mut self, info: BackendInfo, now: Duration) {
-        if self.had_outage(now) && !info.leaving {
-            let until = now + LAPSE_GRACE;
-            self.lapsed.insert(info.id.clone(), (info, until));
-        }
-    }
-
-    /// Forgets lapsed entries whose time is over; gives whether there were any.
+    /// Evicts what was kept for a time that is over; gives whether other backend servers may be used than before.
     pub fn expire(&mut self, now: Duration) -> bool {
-        let before = self.lapsed.len();
-        self.lapsed.retain(|_, (_, until)| now < *until);
-        self.lapsed.len() != before
+        self.hosts.expire(now);
+        self.backends.expire(now)
     }
 
     /// The backend servers that may be used.
     pub fn usable(&self) -> Vec<BackendInfo> {
-        let lapsed = self.lapsed.values().map(|(info, _)| info);
-        self.backends.values().chain(lapsed).cloned().collect()
+        self.backends.usable()
     }
 
     /// The backend servers that are listed.
     pub fn backends(&self) -> impl Iterator<Item = &BackendInfo> {
-        self.backends.values()
+        self.backends.listed()
     }
 
-    /// Takes the whole list of hosts as of a revision, unless a newer one is known.
-    pub fn set_hosts(&mut self, hosts: Vec<HostEntry>, revision: u64) -> bool {
-        if revision < self.hosts_revision() {
-            return false;
-        }
-        let named = hosts.into_iter().map(|entry| (entry.name.clone(), entry));
-        self.hosts = named.collect();
-        self.host_history.restart(revision);
-        true
+    /// Takes the whole list of hosts as of a position, unless a newer one is known.
+    pub fn set_hosts(
+        &mut self,
+        hosts: Vec<HostEntry>,
+        position: StorePosition,
+        now: Duration,
+    ) -> bool {
+        self.hosts.set(hosts, position, now)
     }
 
-    /// Takes changes of hosts up to a revision, unless a newer one is known.
-    pub fn change_hosts(&mut self, changes: Vec<StoreChange>, revision: u64) {
-        if revision < self.hosts_revision() {
-            return;
-        }
-        for change in &changes {
-            match change {
-                StoreChange::Set(StoreItem {
-                    value: StoreValue::Host(entry),
-                    ..
-                }) => {
-                    self.hosts.insert(entry.name.clone(), entry.clone());
-                }
-                StoreChange::Set(_) => {}
-                StoreChange::Removed(name) => {
-                    self.hosts.remove(name);
-                }
-            }
-        }
-        self.host_history.record(revision, changes);
+    /// Takes changes of hosts up to a position, unless a newer one is known.
+    pub fn change_hosts(&mut self, changes: Vec<StoreChange>, position: StorePosition) {
+        self.hosts.change(changes, position);
     }
 
     /// Takes what another host told of the hosts.
-    pub fn take_host_news(&mut self, news: KindNews) {
-        match news.is_whole {
-            true => {
-                let hosts = news.changes.into_iter().filter_map(host_of).collect();
-                self.set_hosts(hosts, news.revision);
-            }
-            false => self.change_hosts(news.changes, news.revision),
-        }
+    pub fn take_host_news(&mut self, news: KindNews, now: Duration) {
+        self.hosts.take_news(news, now);
     }
 
     /// What another host lacks of the hosts that knows them up to `held`.
-    pub fn host_news(&self, held: u64) -> KindNews {
-        kind_news(&self.host_history, held, || {
-            self.hosts.values().map(host_item).collect()
-        })
+    pub fn host_news(&self, held: StorePosition) -> KindNews {
+        self.hosts.news(held)
     }
 
-    /// The hosts that are listed.
+    /// The hosts that are known.
     pub fn hosts(&self) -> impl Iterator<Item = &HostEntry> + Clone {
-        self.hosts.values()
-    }
-
-    /// Hosts that are listed, at least this one.
-    pub fn host_count(&self) -> usize {
-        self.hosts.len().max(1)
-    }
-}
-
-fn kind_news(history: &ChangeHistory, held: u64, all: impl FnOnce() -> Vec<StoreItem>) -> KindNews {
-    let missing = history.since(held);
-    KindNews {
-        revision: history.revision(),
-        is_whole: missing == MissingNews::Whole,
-        changes: match missing {
-            MissingNews::Nothing => Vec::new(),
-            MissingNews::Changes(changes) => changes,
-            MissingNews::Whole => all().into_iter().map(StoreChange::Set).collect(),
-        },
-    }
-}
-
-// Revisions of single objects are not kept: nothing is written under their condition.
-fn backend_item(info: &BackendInfo) -> StoreItem {
-    StoreItem {
-        name: info.id.clone(),
-        revision: 0,
-        value: StoreValue::Backend(info.clone()),
+        self.hosts.entries()
     }
-}
 
-fn host_item(entry: &HostEntry) -> StoreItem {
-    StoreItem {
-        name: entry.name.clone(),
-        revision: 0,
-        value: StoreValue::Host(entry.clone()),
+    /// Whether the store lists a host with this entry.
+    pub fn is_host_listed(&self, entry: &HostEntry) -> bool {
+        self.hosts.is_listed(entry)
     }
-}
 
-fn backend_of(change: StoreChange) -> Option<BackendInfo> {
-    match change {
-        StoreChange::Set(StoreItem {
-            value: StoreValue::Backend(info),
-            ..
-        }) => Some(info),
-        _ => None,
-    }
-}
-
-fn host_of(change: StoreChange) -> Option<HostEntry> {
-    match change {
-        StoreChange::Set(StoreItem {
-            value: StoreValue::Host(entry),
-            ..
-        }) => Some(entry),
-        _ => None,
+    /// Hosts that are known, at least this one.
+    pub fn host_count(&self) -> usize {
+        self.hosts.count().max(1)
     }
 }
--- a/src/relay/belief/history.rs
+++ b/src/relay/belief/history.rs
@@ -1,6 +1,9 @@
 //! The latest changes of one kind of objects, for hosts that lack only these.
 
-use {crate::relay::link::StoreChange, std::collections::VecDeque};
+use {
+    crate::{relay::link::StoreChange, store::StorePosition},
+    std::collections::VecDeque,
+};
 
 /// Changes that are remembered at most: some minutes of a busy day, 150 bytes each.
 const CHANGES_KEPT: usize = 512;
@@ -19,29 +22,30 @@
 /// What became of one kind of objects.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct KindNews {
-    /// The store's revision up to which this goes.
-    pub revision: u64,
-    /// Whether the changes are all objects there are, in place of what the asker has.
+    /// The store's position up to which this goes.
+    pub position: StorePosition,
+    /// Whether the changes are all objects there are, in place of what the asker has, and then those that are known to
+    /// have gone.
     pub is_whole: bool,
     /// The changes, in order.
     pub changes: Vec<StoreChange>,
 }
 
-/// The latest changes, each batch with the store's revision up to which it goes.
+/// The latest changes, each batch with the store's position up to which it goes.
 #[derive(Debug, Default)]
 pub struct ChangeHistory {
-    batches: VecDeque<(u64, Vec<StoreChange>)>,
+    batches: VecDeque<(StorePosition, Vec<StoreChange>)>,
     kept: usize,
-    // Changes up to this revision are forgotten.
-    forgotten: u64,
-    revision: u64,
+    // Changes up to this position are forgotten.
+    forgotten: StorePosition,
+    position: StorePosition,
     recorded: u64,
 }
 
 impl ChangeHistory {
-    /// The store's revision up to which everything is known; 0 when nothing is.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// The store's position up to which everything is known.
+    pub fn position(&self) -> StorePosition {
+        self.position
     }
 
     /// Counts the lists and batches of changes that were taken.
@@ -49,38 +53,51 @@
         self.recorded
     }
 
-    /// Takes changes up to a revision; older ones than are known are ignored.
-    pub fn record(&mut self, revision: u64, changes: Vec<StoreChange>) {
-        if revision < self.revision {
+    /// Takes changes up to a position; older ones than are known are ignored.
+    pub fn record(&mut self, position: StorePosition, changes: Vec<StoreChange>) {
+        if position < self.position {
             return;
         }
-        self.revision = revision;
+        self.position = position;
         if changes.is_empty() {
             return;
         }
         self.recorded += 1;
         self.kept += changes.len();
-        self.batches.push_back((revision, changes));
+        self.batches.push_back((position, changes));
         while self.kept > CHANGES_KEPT {
-            let Some((revision, oldest)) = self.batches.pop_front() else {
+            let Some((position, oldest)) = self.batches.pop_front() else {
                 return;
             };
             self.kept -= oldest.len();
-            self.forgotten = revision;
+            self.forgotten = position;
         }
     }
 
-    /// The whole list was taken as of a revision: what came and went before is not known, so hosts that
+    /// The whole list was taken as of a position: what came and went before is not known, so hosts that
     /// follow need the whole too.
-    pub fn restart(&mut self, revision: u64) {
+    pub fn restart(&mut self, position: StorePosition) {
+        assert!(
+            position >= self.position,
+            "a list of {position} was taken at {}",
+            self.position
+        );
         self.recorded += 1;
         self.batches.clear();
         self.kept = 0;
-        (self.forgotten, self.revision) = (revision, revision);
+        (self.forgotten, self.position) = (position, position);
+    }
+
+    /// The position turned out to be none that the store has; any list of the era is newer.
+    pub fn forget_revision(&mut self) {
+        self.batches.clear();
+        self.kept = 0;
+        self.position.revision = 0;
+        self.forgotten = self.position;
     }
 
     /// What a host lacks that knows everything up to `held`.
-    pub fn since(&self, held: u64) -> MissingNews {
+    pub fn since(&self, held: StorePosition) -> MissingNews {
         let last = self.batches.back().map_or(self.forgotten, |batch| batch.0);
         if held >= last {
             return MissingNews::Nothing;
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -106,9 +106,11 @@
             ],
         );
         let gate = StopGate::new(settings.requests_limit);
-        let parts = RelayParts::new(settings, dialect, gate, clock);
+        let parts = RelayParts::new(settings, dialect, gate, clock, store.eras.clone());
         let noting = parts.clone();
-        let store = store.with_note(Rc::new(move || noting.note_store_answer()));
+        let store = store.with_note(Rc::new(move |is_answered| {
+            noting.note_store_call(is_answered)
+        }));
         let store = Rc::new(store);
         let host = Self {
             parts: parts.clone(),
--- a/src/relay/link.rs
+++ b/src/relay/link.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{backend::BackendInfo, config::RelayConfig, policy::crash_mark::KeptJudgement},
-    crate::{control::LeaseSpec, store::StoreFailure},
+    crate::{
+        control::LeaseSpec,
+        store::{EraTracker, StoreFailure, StorePosition},
+    },
     faststr::FastStr,
     futures::{FutureExt, future::LocalBoxFuture},
     serde::{Deserialize, Serialize},
@@ -57,8 +60,9 @@
 pub struct StoreItem {
     /// Its name within its kind.
     pub name: FastStr,
-    /// The store's revision of its last change.
-    pub revision: u64,
+    /// The store's position of its last change; that of an object that is not there where none is known.
+    #[serde(flatten)]
+    pub position: StorePosition,
     /// What it holds.
     pub value: StoreValue,
 }
@@ -68,7 +72,7 @@
 pub enum ListAge {
     /// The newest there is.
     Newest,
-    /// It may be some seconds behind, for a tenth of the price; its revision tells how far, and a watch from there
+    /// It may be some seconds behind, for a tenth of the price; its position tells how far, and a watch from there
     /// brings the rest.
     MayLag,
 }
@@ -78,8 +82,8 @@
 pub struct StoreList {
     /// The objects.
     pub items: Vec<StoreItem>,
-    /// The store's revision that the list shows.
-    pub revision: u64,
+    /// The store's position that the list shows.
+    pub position: StorePosition,
     /// Calls that it took: long lists come in pages.
     pub calls: u32,
 }
@@ -93,44 +97,47 @@
     Removed(FastStr),
 }
 
-/// The changes after a revision.
+/// The changes after a position.
 #[derive(Debug, Clone, PartialEq)]
 pub struct StoreChanges {
     /// The changes, in order.
     pub changes: Vec<StoreChange>,
-    /// The store's revision up to which they go.
-    pub revision: u64,
+    /// The store's position up to which they go.
+    pub position: StorePosition,
 }
 
 /// The future of a call to the store.
 pub type StoreCall<T> = LocalBoxFuture<'static, Result<T, StoreFailure>>;
 
 type ListCall = dyn Fn(StoreKind, ListAge) -> StoreCall<StoreList>;
-type WatchCall = dyn Fn(StoreKind, u64, Duration) -> StoreCall<StoreChanges>;
+type WatchCall = dyn Fn(StoreKind, StorePosition, Duration) -> StoreCall<StoreChanges>;
 type GetCall = dyn Fn(StoreKind, &str) -> StoreCall<StoreItem>;
-type PutCall = dyn Fn(StoreKind, StoreItem) -> StoreCall<u64>;
+type PutCall = dyn Fn(StoreKind, StoreItem) -> StoreCall<StorePosition>;
 type DeleteCall = dyn Fn(StoreKind, &str) -> StoreCall<()>;
 
 /// The calls to the store; each is made once and answers within a bounded time.
 pub struct StoreLink {
     /// Reads all objects of a kind.
     pub list: Box<ListCall>,
-    /// Waits at most this long for changes after a revision; gives none when there are none.
+    /// Waits at most this long for changes after a position; gives none when there are none. A position of an
+    /// earlier era is one whose history is gone.
     pub watch: Box<WatchCall>,
     /// Reads an object.
     pub get: Box<GetCall>,
-    /// Writes an object if it still has the item's revision, 0 for one that is not there; gives its
-    /// new revision.
+    /// Writes an object if it still has the item's position, an unknown one for one that is not there; gives its
+    /// new position. What was read in an earlier era is no condition that a write can have.
     pub put: Box<PutCall>,
     /// Removes an object.
     pub delete: Box<DeleteCall>,
+    /// The era that its answers name.
+    pub eras: Rc<EraTracker>,
 }
 
-/// Told of each call that the store answered, once its answer is there.
-pub type AnswerNote = dyn Fn();
+/// Told of each call once it is over, and whether the store answered it.
+pub type AnswerNote = dyn Fn(bool);
 
 impl StoreLink {
-    /// The same calls, with a note of each that the store answered, be it that the call failed.
+    /// The same calls, with a note of each that is over.
     pub fn with_note(self, note: Rc<AnswerNote>) -> Self {
         let notes = [(); 5].map(|()| note.clone());
         let [list_note, watch_note, get_note, put_note, delete_note] = notes;
@@ -140,6 +147,7 @@
             get,
             put,
             delete,
+            eras,
         } = self;
         Self {
             list: Box::new(move |kind, age| noted(list(kind, age), &list_note)),
@@ -147,6 +155,7 @@
             get: Box::new(move |kind, name| noted(get(kind, name), &get_note)),
             put: Box::new(move |kind, item| noted(put(kind, item), &put_note)),
             delete: Box::new(move |kind, name| noted(delete(kind, name), &delete_note)),
+            eras,
         }
     }
 }
@@ -155,9 +164,7 @@
     let note = note.clone();
     let calling = async move {
         let answer = call.await;
-        if answer.as_ref().err().is_none_or(StoreFailure::is_answer) {
-            note();
-        }
+        note(answer.as_ref().err().is_none_or(StoreFailure::is_answer));
         answer
     };
     calling.boxed_local()
--- a/src/relay/news/entry.rs
+++ b/src/relay/news/entry.rs
@@ -6,7 +6,7 @@
             link::{HostEntry, StoreItem, StoreKind, StoreLink, StoreValue},
             parts::{metric_labels::StoreCause, shared::RelayParts},
         },
-        store::StoreFailure,
+        store::{StoreFailure, StorePosition},
     },
     std::{rc::Rc, time::Duration},
 };
@@ -73,8 +73,7 @@
 }
 
 fn is_listed(parts: &RelayParts, entry: &HostEntry) -> bool {
-    let cluster = parts.cluster.borrow();
-    cluster.hosts().any(|listed| listed == entry)
+    parts.cluster.borrow().is_host_listed(entry)
 }
 
 // Until the host knows the list, or that takes too long.
@@ -85,7 +84,7 @@
             tokio::pin!(news);
             news.as_mut().enable();
             // What an earlier run's entry keeps is taken over first.
-            if parts.cluster.borrow().hosts_revision() > 0 && parts.knows_crashes() {
+            if parts.cluster.borrow().hosts_position().is_known() && parts.knows_crashes() {
                 return;
             }
             news.await;
@@ -99,11 +98,11 @@
 // Writes who this host is, until that has succeeded.
 async fn write_entry(parts: &RelayParts, store: &StoreLink, entry: &HostEntry) {
     let value = StoreValue::Host(entry.clone());
-    let mut revision = 0;
+    let mut position = StorePosition::default();
     loop {
         let item = StoreItem {
             name: entry.name.clone(),
-            revision,
+            position,
             value: value.clone(),
         };
         parts.metrics.store_called(StoreCause::Entry, 1);
@@ -114,8 +113,8 @@
                 parts.metrics.store_called(StoreCause::Entry, 1);
                 match (store.get)(StoreKind::Hosts, &entry.name).await {
                     Ok(found) if found.value == value => return,
-                    Ok(found) => revision = found.revision,
-                    Err(StoreFailure::NotFound) => revision = 0,
+                    Ok(found) => position = found.position,
+                    Err(StoreFailure::NotFound) => position = StorePosition::default(),
                     Err(failure) => log::debug!("the host's entry: {failure}"),
                 }
             }
--- a/src/relay/news/feed.rs
+++ b/src/relay/news/feed.rs
@@ -14,7 +14,7 @@
             },
             vital,
         },
-        store::StoreFailure,
+        store::{StoreFailure, StorePosition},
     },
     std::{cell::Cell, rc::Rc, time::Duration},
     tokio::sync::Notify,
@@ -55,8 +55,8 @@
     reading: Cell<bool>,
     reading_hosts: Cell<bool>,
     resumed: Notify,
-    // The store's revision up to which the configuration is known; 0 after a time without reading.
-    pub(super) config_revision: Cell<u64>,
+    // The store's position up to which the configuration is known; unknown after a time without reading.
+    pub(super) config_position: Cell<StorePosition>,
     contact: StoreContact,
     // The list of backend servers is from a reading that may lag, or from before a time without reading, and no watch has
     // confirmed it yet.
@@ -73,7 +73,7 @@
             reading: Cell::new(false),
             reading_hosts: Cell::new(false),
             resumed: Notify::new(),
-            config_revision: Cell::new(0),
+            config_position: Cell::default(),
             contact: StoreContact::default(),
             backends_lag: Cell::new(false),
             logged: LoggedPlaces::default(),
@@ -122,12 +122,21 @@
         let metrics = &self.parts.metrics;
         let cause = self.cause(kind, StoreCause::List);
         let asked = self.parts.now();
+        let held = self.held_position(kind);
         match (self.store.list)(kind, age).await {
             Ok(list) => {
                 metrics.store_called(cause, list.calls);
-                self.take_list(kind, list);
-                if age == ListAge::Newest {
-                    self.prove(kind, asked);
+                self.parts.note_store_era(list.position.era, "store");
+                let is_taken = self.take_list(kind, list);
+                match (age, is_taken) {
+                    (ListAge::Newest, true) => self.prove(kind, asked),
+                    (ListAge::MayLag, true) => self.parts.cluster.borrow_mut().doubt(kind),
+                    // Another host has told more meanwhile.
+                    (_, false) if self.held_position(kind) != held => {}
+                    (ListAge::MayLag, false) => {}
+                    (ListAge::Newest, false) => {
+                        return Err(StoreFailure::Unknown("an older list than is known".into()));
+                    }
                 }
                 Ok(())
             }
@@ -154,20 +163,32 @@
             tokio::time::sleep(HOSTS_FIRST_DELAY).await;
         }
         let mut failures = 0;
+        // Whether the history from what is known is gone, and how often that was so since a watch was answered.
         let mut forgotten = false;
+        let mut gone = 0;
         loop {
             self.wanted(kind).await;
             let before = self.parts.cluster.borrow().changes_seen();
             let asked = self.parts.now();
+            let is_list = forgotten || !self.held_position(kind).is_known();
             match self.read_once(kind, forgotten).await {
                 Ok(()) => {
                     (forgotten, failures) = (false, 0);
-                    self.note_answer(kind);
+                    if !is_list {
+                        gone = 0;
+                    }
+                    self.note_answer(kind, is_list);
                     tokio::time::sleep(self.pause_after(kind, before)).await;
                 }
                 Err(StoreFailure::Gone) => {
                     self.log_history_gone(kind);
+                    self.parts.cluster.borrow_mut().drop_doubted(kind);
                     forgotten = true;
+                    gone += 1;
+                    if gone > 1 {
+                        let pause = self.pauses().after(gone - 2, rand::random());
+                        tokio::time::sleep(pause).await;
+                    }
                 }
                 Err(failure) => {
                     self.note_failure(kind, &failure);
@@ -201,7 +222,8 @@
         match kind {
             // Nothing urgent depends on them: a silent store is tried for the other kinds.
             StoreKind::Hosts => {
-                self.reading_hosts.get() && (self.held_revision(kind) == 0 || !self.is_lost())
+                self.reading_hosts.get()
+                    && (!self.held_position(kind).is_known() || !self.is_lost())
             }
             _ => self.reading.get(),
         }
@@ -211,7 +233,7 @@
         while !self.is_wanted(kind) {
             // Who reads again has to know soon whether it knows all: a watch would tell so only at its end.
             match kind {
-                StoreKind::Config => self.config_revision.set(0),
+                StoreKind::Config => self.config_position.set(StorePosition::default()),
                 StoreKind::Backends => self.backends_lag.set(true),
                 StoreKind::Hosts | StoreKind::Leases => {}
             }
@@ -224,19 +246,19 @@
         }
     }
 
-    pub(super) fn held_revision(&self, kind: StoreKind) -> u64 {
+    pub(super) fn held_position(&self, kind: StoreKind) -> StorePosition {
         let cluster = self.parts.cluster.borrow();
         match kind {
-            StoreKind::Config => self.config_revision.get(),
-            StoreKind::Backends => cluster.backends_revision(),
-            StoreKind::Hosts => cluster.hosts_revision(),
-            StoreKind::Leases => 0,
+            StoreKind::Config => self.config_position.get(),
+            StoreKind::Backends => cluster.backends_position(),
+            StoreKind::Hosts => cluster.hosts_position(),
+            StoreKind::Leases => StorePosition::default(),
         }
     }
 
     async fn read_once(&self, kind: StoreKind, forgotten: bool) -> Result<(), StoreFailure> {
-        let held = self.held_revision(kind);
-        if held == 0 || forgotten {
+        let held = self.held_position(kind);
+        if !held.is_known() || forgotten {
             let age = list_age(kind, forgotten);
             if kind == StoreKind::Backends {
                 self.backends_lag.set(age == ListAge::MayLag);
@@ -305,8 +327,14 @@
         }
     }
 
-    fn note_answer(&self, kind: StoreKind) {
-        if kind == StoreKind::Backends && self.backends_lag.get() {
+    fn note_answer(&self, kind: StoreKind, is_list: bool) {
+        // A list that may lag confirms nothing.
+        let is_lagging = match kind {
+            StoreKind::Backends => self.backends_lag.get(),
+            StoreKind::Hosts => is_list,
+            StoreKind::Config | StoreKind::Leases => false,
+        };
+        if is_lagging {
             return;
         }
         let now = self.parts.now();
--- a/src/relay/news/findings.rs
+++ b/src/relay/news/findings.rs
@@ -100,7 +100,7 @@
     // A host that starts asks some others as soon as it knows the list of hosts: one that reads the store would hear it from
     // nobody.
     async fn learn(self: Rc<Self>) {
-        while self.parts.cluster.borrow().hosts_revision() == 0 {
+        while !self.parts.cluster.borrow().hosts_position().is_known() {
             // News that came between the look and the wait are found at the next look.
             let looked = tokio::time::timeout(LOOK_PERIOD, self.parts.news.notified()).await;
             log::trace!("looked for the list of hosts: {looked:?}");
--- a/src/relay/news/follow.rs
+++ b/src/relay/news/follow.rs
@@ -16,6 +16,7 @@
             policy::source::{self, NewsSource, SourceChoice, SourceRules},
             vital,
         },
+        store::StorePosition,
     },
     faststr::FastStr,
     futures::future,
@@ -69,8 +70,8 @@
     last: RefCell<NewsSource>,
     // The hosts that this one was told it may follow before it knows any.
     pub(super) guides: RefCell<Vec<HostEntry>>,
-    // The revision of the hosts' list by which the choice goes, and how many guides it was given.
-    chosen_by: Cell<(u64, usize)>,
+    // The position of the hosts' list by which the choice goes, how many hosts it has, and how many guides it was given.
+    chosen_by: Cell<(StorePosition, usize, usize)>,
     // The reporter with the newest view, and until when that view was the newest; told when it is newer than this
     // host's.
     newest_report: RefCell<Option<NewestReport>>,
@@ -151,7 +152,7 @@
     fn shows_more(&self, view: ReportedView) -> bool {
         let cluster = self.parts.cluster.borrow();
         view.config_version > cluster.config_version()
-            || view.backends_revision > cluster.backends_revision()
+            || view.backends_position > cluster.backends_position()
     }
 
     // This host reads the store out of its place, and has just heard of a change.
@@ -248,15 +249,15 @@
     fn update_hosts(&self) {
         let cluster = self.parts.cluster.borrow();
         let guides = self.guides.borrow();
-        let seen = (cluster.hosts_revision(), guides.len());
+        let seen = (cluster.hosts_position(), cluster.host_count(), guides.len());
         if self.chosen_by.replace(seen) == seen {
             return;
         }
         {
             let mut choice = self.choice.borrow_mut();
-            match cluster.hosts_revision() {
-                0 => choice.set_hosts(guides.iter()),
-                _ => choice.set_hosts(cluster.hosts()),
+            match cluster.hosts_position().is_known() {
+                false => choice.set_hosts(guides.iter()),
+                true => choice.set_hosts(cluster.hosts()),
             }
         }
         self.parts.prefer_engines();
@@ -267,8 +268,8 @@
         let cluster = self.parts.cluster.borrow();
         HeldNews {
             config_version: cluster.config_version(),
-            backends_revision: cluster.backends_revision(),
-            hosts_revision: cluster.hosts_revision(),
+            backends_position: cluster.backends_position(),
+            hosts_position: cluster.hosts_position(),
             wants_config,
             wait,
             is_starting: false,
--- a/src/relay/news/link.rs
+++ b/src/relay/news/link.rs
@@ -17,6 +17,7 @@
             permit_allocator::{PermitGrant, PermitRequest},
             shared_findings::SharedFindings,
         },
+        store::StorePosition,
     },
     capnp::{Error, capability::Rc as CapRc},
     faststr::FastStr,
@@ -99,7 +100,7 @@
         let view = ReportedView {
             age: message::from_ms(params.get_age_ms()),
             config_version: params.get_config_version(),
-            backends_revision: params.get_backends_revision(),
+            backends_position: StorePosition::of_number(params.get_backends_revision()),
         };
         let others = (self.answers.loads)(reporter, report, view);
         message::write_report(results.get().init_others(), &others);
@@ -345,7 +346,7 @@
                 params.set_is_zone(is_zone);
                 params.set_age_ms(message::to_ms(view.age));
                 params.set_config_version(view.config_version);
-                params.set_backends_revision(view.backends_revision);
+                params.set_backends_revision(view.backends_position.number());
                 message::write_report(params.init_report(), report);
                 let response = request.send().promise.await?;
                 message::read_report(response.get()?.get_others()?)
--- a/src/relay/news/message.rs
+++ b/src/relay/news/message.rs
@@ -17,6 +17,7 @@
                 past_time::PastTime,
             },
         },
+        store::StorePosition,
     },
     capnp::{Error, Result, struct_list},
     faststr::FastStr,
@@ -35,10 +36,10 @@
 pub struct HeldNews {
     /// Version of its configuration.
     pub config_version: u64,
-    /// The store's revision up to which it knows the backend servers.
-    pub backends_revision: u64,
-    /// The store's revision up to which it knows the hosts.
-    pub hosts_revision: u64,
+    /// The store's position up to which it knows the backend servers.
+    pub backends_position: StorePosition,
+    /// The store's position up to which it knows the hosts.
+    pub hosts_position: StorePosition,
     /// It cannot read the configuration from the store.
     pub wants_config: bool,
     /// How long the answer may wait for something newer.
@@ -58,7 +59,7 @@
 impl HeldNews {
     /// Whether the asker has a configuration and a list of backend servers.
     pub fn has_all(&self) -> bool {
-        self.config_version > 0 && self.backends_revision > 0
+        self.config_version > 0 && self.backends_position.is_known()
     }
 }
 
@@ -69,8 +70,8 @@
     pub age: Option<Duration>,
     /// Version of its configuration.
     pub config_version: u64,
-    /// The store's revision up to which it knows the backend servers.
-    pub backends_revision: u64,
+    /// The store's position up to which it knows the backend servers.
+    pub backends_position: StorePosition,
 }
 
 /// What one host tells another.
@@ -153,8 +154,8 @@
 /// Writes what the asker has.
 pub fn write_held(mut to: held_news::Builder<'_>, held: &HeldNews) {
     to.set_config_version(held.config_version);
-    to.set_backends_revision(held.backends_revision);
-    to.set_hosts_revision(held.hosts_revision);
+    to.set_backends_revision(held.backends_position.number());
+    to.set_hosts_revision(held.hosts_position.number());
     to.set_wants_config(held.wants_config);
     to.set_wait_ms(to_ms(Some(held.wait)));
     to.set_is_starting(held.is_starting);
@@ -183,8 +184,8 @@
 pub fn read_held(from: held_news::Reader<'_>) -> Result<HeldNews> {
     Ok(HeldNews {
         config_version: from.get_config_version(),
-        backends_revision: from.get_backends_revision(),
-        hosts_revision: from.get_hosts_revision(),
+        backends_position: StorePosition::of_number(from.get_backends_revision()),
+        hosts_position: StorePosition::of_number(from.get_hosts_revision()),
         wants_config: from.get_wants_config(),
         wait: Duration::from_millis(u64::from(from.get_wait_ms())),
         is_starting: from.get_is_starting(),
@@ -202,7 +203,7 @@
 }
 
 fn write_kind(mut to: kind_news::Builder<'_>, kind: &KindNews) -> Result<()> {
-    to.set_revision(kind.revision);
+    to.set_revision(kind.position.number());
     to.set_is_whole(kind.is_whole);
     if !kind.changes.is_empty() {
         to.set_changes(&to_json(&kind.changes)?);
@@ -217,7 +218,7 @@
         false => from_json(bytes)?,
     };
     Ok(KindNews {
-        revision: from.get_revision(),
+        position: StorePosition::of_number(from.get_revision()),
         is_whole: from.get_is_whole(),
         changes,
     })
--- a/src/relay/news/share.rs
+++ b/src/relay/news/share.rs
@@ -131,7 +131,7 @@
         ReportedView {
             age: cluster.age(self.parts.now()),
             config_version: cluster.config_version(),
-            backends_revision: cluster.backends_revision(),
+            backends_position: cluster.backends_position(),
         }
     }
 
--- a/src/relay/news/store_log.rs
+++ b/src/relay/news/store_log.rs
@@ -2,25 +2,29 @@
 
 use {
     super::feed::StoreFeed,
-    crate::{event, relay::link::StoreKind, store::StoreFailure},
+    crate::{
+        event,
+        relay::link::StoreKind,
+        store::{StoreFailure, StorePosition},
+    },
     std::{cell::RefCell, collections::HashMap, time::Duration},
 };
 
-/// Why the changes after a held revision cannot be read.
+/// Why the changes after a held position cannot be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum StuckReason {
     HistoryGone,
     ListOlder,
 }
 
-/// The held revision for which each reason was last logged, by kind.
+/// The held position for which each reason was last logged, by kind.
 #[derive(Debug, Default)]
 pub(super) struct LoggedPlaces {
-    places: RefCell<HashMap<(StuckReason, StoreKind), u64>>,
+    places: RefCell<HashMap<(StuckReason, StoreKind), StorePosition>>,
 }
 
 impl LoggedPlaces {
-    fn is_first(&self, reason: StuckReason, kind: StoreKind, held: u64) -> bool {
+    fn is_first(&self, reason: StuckReason, kind: StoreKind, held: StorePosition) -> bool {
         let before = self.places.borrow_mut().insert((reason, kind), held);
         before != Some(held)
     }
@@ -47,7 +51,7 @@
     }
 
     pub(super) fn log_history_gone(&self, kind: StoreKind) {
-        let held = self.held_revision(kind);
+        let held = self.held_position(kind);
         if self.logged.is_first(StuckReason::HistoryGone, kind, held) {
             event::emit(
                 &event::STORE_HISTORY_GONE,
@@ -56,9 +60,9 @@
         }
     }
 
-    pub(super) fn log_older_list(&self, kind: StoreKind, told: u64) {
+    pub(super) fn log_older_list(&self, kind: StoreKind, told: StorePosition) {
         self.parts.metrics.older_lists.inc();
-        let held = self.held_revision(kind);
+        let held = self.held_position(kind);
         if self.logged.is_first(StuckReason::ListOlder, kind, held) {
             event::emit(
                 &event::STORE_LIST_OLDER,
--- a/src/relay/news/store_news.rs
+++ b/src/relay/news/store_news.rs
@@ -9,52 +9,60 @@
 };
 
 impl StoreFeed {
-    pub(super) fn take_list(&self, kind: StoreKind, list: StoreList) {
+    /// Gives whether the list is as new as what is known.
+    pub(super) fn take_list(&self, kind: StoreKind, list: StoreList) -> bool {
         let now = self.parts.now();
-        match kind {
+        let StoreList {
+            items, position, ..
+        } = list;
+        let is_taken = match kind {
             StoreKind::Config => {
-                self.take_configs(list.items);
-                self.config_revision.set(list.revision);
+                self.take_configs(items);
+                self.config_position.set(position);
+                true
             }
             StoreKind::Backends => {
-                let backends = list.items.into_iter().filter_map(backend_of).collect();
+                let backends = items.into_iter().filter_map(backend_of).collect();
                 let mut cluster = self.parts.cluster.borrow_mut();
-                let taken = cluster.set_backends(backends, list.revision, now);
+                let is_taken = cluster.set_backends(backends, position, now);
                 cluster.note_backends_read(now);
                 drop(cluster);
-                match taken {
-                    true => self.parts.publish_backends(),
-                    false => self.log_older_list(kind, list.revision),
+                if is_taken {
+                    self.parts.publish_backends();
                 }
+                is_taken
             }
             StoreKind::Hosts => {
-                let hosts = list.items.into_iter().filter_map(host_of).collect();
+                let hosts = items.into_iter().filter_map(host_of).collect();
                 let mut cluster = self.parts.cluster.borrow_mut();
-                let taken = cluster.set_hosts(hosts, list.revision);
+                let is_taken = cluster.set_hosts(hosts, position, now);
                 drop(cluster);
-                if !taken {
-                    self.log_older_list(kind, list.revision);
-                }
                 self.parts.note_hosts();
                 self.parts.news.notify_waiters();
+                is_taken
             }
-            StoreKind::Leases => {}
+            StoreKind::Leases => true,
+        };
+        match is_taken {
+            true => self.parts.note_reread(),
+            false => self.log_older_list(kind, position),
         }
+        is_taken
     }
 
     pub(super) fn take_changes(&self, kind: StoreKind, changes: StoreChanges) {
         let now = self.parts.now();
-        let StoreChanges { changes, revision } = changes;
+        let StoreChanges { changes, position } = changes;
         let is_news = !changes.is_empty();
         match kind {
             StoreKind::Config => {
                 self.take_configs(changes.into_iter().filter_map(set_item).collect());
-                self.config_revision
-                    .set(revision.max(self.config_revision.get()));
+                self.config_position
+                    .set(position.max(self.config_position.get()));
             }
             StoreKind::Backends => {
                 let mut cluster = self.parts.cluster.borrow_mut();
-                cluster.change_backends(changes, revision, now);
+                cluster.change_backends(changes, position, now);
                 drop(cluster);
                 if is_news {
                     self.parts.publish_backends();
@@ -62,7 +70,7 @@
             }
             StoreKind::Hosts => {
                 let mut cluster = self.parts.cluster.borrow_mut();
-                cluster.change_hosts(changes, revision);
+                cluster.change_hosts(changes, position);
                 drop(cluster);
                 if is_news {
                     self.parts.note_hosts();
--- a/src/relay/news/take.rs
+++ b/src/relay/news/take.rs
@@ -15,6 +15,8 @@
     pub(super) async fn take(&self, news: ClusterNews, from: SocketAddr, asked: Duration) {
         let confirmed = news.confirmed(asked);
         let proved = news.proved(asked);
+        let told = news.backends.position.max(news.hosts.position);
+        self.parts.note_store_era(told.era, "host");
         self.parts.take_crash_news(&news.crashes, from);
         self.parts.take_limit_updates(&news.limits, from);
         self.take_lists(&news, confirmed);
@@ -48,8 +50,10 @@
         }
         let before = cluster.changes_seen();
         cluster.take_backend_news(news.backends.clone(), now);
-        cluster.take_host_news(news.hosts.clone());
-        if let Some(at) = confirmed {
+        cluster.take_host_news(news.hosts.clone(), now);
+        // What was the newest before the store was restored says nothing of what it holds now.
+        let is_same_era = news.backends.position.era == cluster.backends_position().era;
+        if let Some(at) = confirmed.filter(|_| is_same_era) {
             cluster.confirm_as(StoreKind::Backends, at);
         }
         let has_changed = cluster.changes_seen() != before;
@@ -60,6 +64,7 @@
         if has_changed {
             self.parts.publish_backends();
         }
+        self.parts.note_reread();
     }
 
     // A large configuration is read from the store; the host that told of it sends it only if it must.
--- a/src/relay/news/tell.rs
+++ b/src/relay/news/tell.rs
@@ -68,7 +68,7 @@
         return news.has_more_than(held);
     }
     let knows_all = parts.cluster.borrow().age(parts.now()).is_some();
-    !news.guides.is_empty() || (knows_all && news.hosts.revision > 0)
+    !news.guides.is_empty() || (knows_all && news.hosts.position.is_known())
 }
 
 fn news_now(parts: &RelayParts, held: &HeldNews) -> ClusterNews {
@@ -95,8 +95,8 @@
         outage: cluster.outage_age(now),
         config_version: cluster.config_version(),
         config: told.cloned(),
-        backends: cluster.backend_news(held.backends_revision),
-        hosts: cluster.host_news(held.hosts_revision),
+        backends: cluster.backend_news(held.backends_position),
+        hosts: cluster.host_news(held.hosts_position),
         guides: Vec::new(),
         crashes: parts.crash_news(held.crashes),
         limits: parts.limit_updates(held.limits),
--- a/src/relay/parts/accounts.rs
+++ b/src/relay/parts/accounts.rs
@@ -203,7 +203,7 @@
         let asking = ask.and_then(|ask| ask(charge.account, units, patience));
         let Some(asking) = asking else {
             // Any host may keep the zone's books: each of them would let in what is left of a limit.
-            if self.cluster.borrow().hosts_revision() == 0 {
+            if !self.cluster.borrow().hosts_position().is_known() {
                 return Err(self.accounts.desk.borrow().guessed_share(charge.account));
             }
             let now = self.now();
--- a/src/relay/parts/crashes.rs
+++ b/src/relay/parts/crashes.rs
@@ -288,7 +288,7 @@
 
     /// Whether this host was told which requests end servers, as far as anybody could tell it.
     pub fn knows_crashes(&self) -> bool {
-        self.crashes.has_learned.get() || self.cluster.borrow().hosts_revision() == 0
+        self.crashes.has_learned.get() || !self.cluster.borrow().hosts_position().is_known()
     }
 
     fn log_judgements(&self, changes: &[(RequestDigest, CrashChange)]) {
--- a/src/relay/parts/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -66,6 +66,10 @@
     pub news_age: Gauge,
     /// How long ago the store last answered this host, whatever it was asked, milliseconds; -1 where it never did.
     pub store_heard: Gauge,
+    /// The latest era of the store that this host knows of; it rises when the store was restored from a copy.
+    pub store_era: Gauge,
+    /// Answers of the store that named no era, none that can be read, or an earlier one.
+    pub doubtful_eras: Gauge,
     /// Answers to other hosts that asked for news.
     pub news_told: Counter,
     /// How long ago the configuration was surely the newest, milliseconds; -1 where that was never so.
@@ -134,6 +138,8 @@
             connections_reused: Gauge::default(),
             news_age: Gauge::default(),
             store_heard: Gauge::default(),
+            store_era: Gauge::default(),
+            doubtful_eras: Gauge::default(),
             news_told: Counter::default(),
             proof_age: Gauge::default(),
             unsure_keys: Counter::default(),
@@ -259,6 +265,16 @@
                 "Time since the store last answered this host",
                 &self.store_heard,
             ),
+            (
+                "store_era",
+                "Latest era of the store; it rises when the store was restored from a copy",
+                &self.store_era,
+            ),
+            (
+                "doubtful_eras",
+                "Answers of the store without an era that can be read, or of an earlier one",
+                &self.doubtful_eras,
+            ),
             (
                 "proof_age_ms",
                 "Time since the configuration was surely the newest",
--- a/src/relay/parts/permits.rs
+++ b/src/relay/parts/permits.rs
@@ -176,9 +176,9 @@
     }
 
     fn sharing_hosts(&self) -> usize {
-        match self.cluster.borrow().hosts_revision() {
-            0 => HOSTS_UNKNOWN,
-            _ => self.others_left() + 1,
+        match self.cluster.borrow().hosts_position().is_known() {
+            false => HOSTS_UNKNOWN,
+            true => self.others_left() + 1,
         }
     }
 
@@ -192,7 +192,7 @@
         let now = self.now();
         let heard = self.permits.peer_heard.get();
         let is_heard = heard.is_some_and(|at| now.saturating_sub(at) < TOUCH_TIME);
-        let knows_hosts = self.cluster.borrow().hosts_revision() > 0;
+        let knows_hosts = self.cluster.borrow().hosts_position().is_known();
         is_heard || (knows_hosts && self.others_left() == 0)
     }
 
--- a/src/relay/parts/publish.rs
+++ b/src/relay/parts/publish.rs
@@ -85,7 +85,7 @@
         event::emit(
             &event::BACKENDS_CHANGED,
             &[
-                ("revision", &cluster.backends_revision()),
+                ("position", &cluster.backends_position()),
                 ("age_ms", &age.map_or(-1, |age| age.as_millis() as i64)),
                 ("backends", &count),
                 ("added", &changes.added),
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -26,6 +26,7 @@
             },
             settings::RelaySettings,
         },
+        store::EraTracker,
         web::{ConnectionPool, FailureCause, PoolUse, PooledAnswer, SendFailure},
     },
     bytes::Bytes,
@@ -89,6 +90,8 @@
     pub informed: Cell<Option<SocketAddr>>,
     /// When the store last answered this host, whatever it was asked; none where it never did.
     pub store_heard: Cell<Option<Duration>>,
+    /// The era that the store's answers name.
+    pub eras: Rc<EraTracker>,
     /// What is counted.
     pub metrics: RelayMetrics,
     /// Counts requests in progress and closes for a planned stop.
@@ -104,6 +107,7 @@
         dialect: CallDialect,
         gate: Arc<StopGate>,
         clock: HostClock,
+        eras: Rc<EraTracker>,
     ) -> Rc<Self> {
         let pool = ConnectionPool::start(settings.pool.clone(), clock.clone());
         let cluster = ClusterState::new(settings.bounds.heartbeat);
@@ -135,6 +139,7 @@
             news: Notify::new(),
             informed: Cell::new(None),
             store_heard: Cell::new(None),
+            eras,
             metrics: RelayMetrics::default(),
             gate,
             clock,
@@ -146,9 +151,45 @@
         self.clock.now()
     }
 
-    /// The store answered a call of this host.
-    pub fn note_store_answer(&self) {
-        self.store_heard.set(Some(self.now()));
+    /// A call of this host to the store is over.
+    pub fn note_store_call(&self, is_answered: bool) {
+        if is_answered {
+            self.store_heard.set(Some(self.now()));
+        }
+        self.note_store_era(self.eras.latest(), "store");
+    }
+
+    /// The store, or another host, named an era.
+    pub fn note_store_era(&self, era: u32, from: &str) {
+        self.eras.note(era);
+        let mut cluster = self.cluster.borrow_mut();
+        let held = cluster.backends_position();
+        if let Some(before) = cluster.note_era(era, self.now()) {
+            event::emit(
+                &event::STORE_RESTORED,
+                &[
+                    ("before", &before),
+                    ("era", &era),
+                    ("held", &held),
+                    ("from", &from),
+                ],
+            );
+        }
+    }
+
+    /// A list was taken: perhaps the last one to be read again after the store was restored.
+    pub fn note_reread(&self) {
+        let mut cluster = self.cluster.borrow_mut();
+        if cluster.take_reread() {
+            event::emit(
+                &event::STORE_REREAD,
+                &[
+                    ("backends", &cluster.backends_position()),
+                    ("hosts", &cluster.hosts_position()),
+                    ("config", &cluster.config_version()),
+                ],
+            );
+        }
     }
 
     /// How long ago the store last answered this host, milliseconds; -1 where it never did.
@@ -331,6 +372,8 @@
         metrics
             .proof_age
             .set(proof.map_or(-1, |age| age.as_millis() as i64));
+        metrics.store_era.set(i64::from(cluster.era()));
+        metrics.doubtful_eras.set(self.eras.doubtful() as i64);
         metrics.config_version.set(cluster.config_version() as i64);
         metrics.backends.set(cluster.usable().len() as i64);
         metrics.page()
--- a/src/relay/roles/keeper.rs
+++ b/src/relay/roles/keeper.rs
@@ -13,7 +13,7 @@
             parts::{metric_labels::StoreCause, shared::RelayParts},
             policy::split::{self, RoleChange},
         },
-        store::StoreFailure,
+        store::{StoreFailure, StorePosition},
     },
     faststr::FastStr,
     http::StatusCode,
@@ -163,7 +163,8 @@
         };
         self.count_call();
         match (self.store.put)(StoreKind::Leases, lease_item(&write)).await {
-            Ok(version) => {
+            Ok(position) => {
+                let version = position.number();
                 let is_new = self.lease.written(&write, version, self.parts.now());
                 if is_new {
                     event::emit(&event::LEASE_TAKEN, &[("token", &version)]);
@@ -185,11 +186,11 @@
     async fn read_lease(&self) -> Result<SeenLease, StoreFailure> {
         match (self.store.get)(StoreKind::Leases, LEASE_NAME).await {
             Ok(StoreItem {
-                revision,
+                position,
                 value: StoreValue::Lease(spec),
                 ..
             }) => Ok(SeenLease {
-                version: revision,
+                version: position.number(),
                 spec,
             }),
             Ok(_) => Err(StoreFailure::Refused("not a lease".into())),
@@ -271,7 +272,7 @@
 fn lease_item(write: &LeaseWrite) -> StoreItem {
     StoreItem {
         name: FastStr::from_static_str(LEASE_NAME),
-        revision: write.version,
+        position: StorePosition::of_number(write.version),
         value: StoreValue::Lease(write.spec.clone()),
     }
 }
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -12,6 +12,7 @@
             RelayConfig, RelayRoute, RelayService, RequestKind, RouteTable, ServiceShare,
             StoreChange, StoreItem, StoreKind, StoreValue, WaitLine,
         },
+        store::StorePosition,
     },
     bolero::check,
     faststr::FastStr,
@@ -88,30 +89,35 @@
 #[test]
 fn versions_of_the_configuration_and_of_the_list_never_fall() {
     check!()
-        .with_type::<Vec<(u8, u8, bool)>>()
+        .with_type::<Vec<(u8, u8, u8, bool)>>()
         .for_each(|steps| {
             let mut cluster = ClusterState::default();
             let mut now = Duration::ZERO;
-            for (version, revision, is_list) in steps {
+            for (version, era, revision, is_list) in steps {
                 now += millis(10);
-                let before = (cluster.config_version(), cluster.backends_revision());
+                let position = StorePosition::new(u32::from(era % 4), u64::from(*revision));
+                let before = (cluster.config_version(), cluster.backends_position());
                 cluster.offer_config(config(u64::from(*version)));
                 match is_list {
                     true => {
-                        cluster.set_backends(Vec::new(), u64::from(*revision), now);
+                        cluster.set_backends(Vec::new(), position, now);
                     }
-                    false => cluster.change_backends(Vec::new(), u64::from(*revision), now),
+                    false => cluster.change_backends(Vec::new(), position, now),
                 }
-                let after = (cluster.config_version(), cluster.backends_revision());
+                let after = (cluster.config_version(), cluster.backends_position());
                 assert!(after.0 >= before.0 && after.1 >= before.1);
             }
         });
 }
 
+fn at(revision: u64) -> StorePosition {
+    StorePosition::new(1, revision)
+}
+
 fn listed(id: &str, revision: u64) -> StoreChange {
     StoreChange::Set(StoreItem {
         name: FastStr::new(id),
-        revision,
+        position: at(revision),
         value: StoreValue::Backend(backend(id, "z", None)),
     })
 }
@@ -119,10 +125,10 @@
 // A server that was listed and confirmed at zero, and is gone at the next look, at this time.
 fn gone_at(now: u64) -> ClusterState {
     let mut cluster = ClusterState::new(millis(1_200));
-    cluster.change_backends(vec![listed("w-1", 2)], 2, millis(0));
+    cluster.change_backends(vec![listed("w-1", 2)], at(2), millis(0));
     cluster.confirm(StoreKind::Backends, millis(0));
     let gone = vec![StoreChange::Removed("w-1".into())];
-    cluster.change_backends(gone, 3, millis(now));
+    cluster.change_backends(gone, at(3), millis(now));
     cluster
 }
 
@@ -146,20 +152,20 @@
 #[test]
 fn an_entry_that_goes_soon_after_an_outage_may_have_lapsed_in_it() {
     let mut cluster = ClusterState::new(millis(1_200));
-    cluster.change_backends(vec![listed("w-1", 2)], 2, millis(0));
+    cluster.change_backends(vec![listed("w-1", 2)], at(2), millis(0));
     cluster.confirm(StoreKind::Backends, millis(0));
-    cluster.change_backends(Vec::new(), 2, millis(4_000));
+    cluster.change_backends(Vec::new(), at(2), millis(4_000));
     cluster.confirm(StoreKind::Backends, millis(4_000));
     let gone = vec![StoreChange::Removed("w-1".into())];
-    cluster.change_backends(gone.clone(), 3, millis(4_600));
+    cluster.change_backends(gone.clone(), at(3), millis(4_600));
     assert_eq!(cluster.usable().len(), 1);
     // Another host that was told of the outage takes it the same way, until it is long ago.
     for (ended, kept) in [(4_000, 1), (1_000, 0)] {
         let mut told = ClusterState::new(millis(1_200));
-        told.change_backends(vec![listed("w-1", 2)], 2, millis(4_300));
+        told.change_backends(vec![listed("w-1", 2)], at(2), millis(4_300));
         told.confirm(StoreKind::Backends, millis(4_300));
         told.note_outage(millis(ended));
-        told.change_backends(gone.clone(), 3, millis(4_600));
+        told.change_backends(gone.clone(), at(3), millis(4_600));
         assert_eq!(told.usable().len(), kept);
     }
 }
@@ -167,9 +173,9 @@
 #[test]
 fn an_older_list_brings_no_server_back() {
     let mut cluster = ClusterState::default();
-    cluster.set_backends(vec![backend("w-1", "z", None)], 5, millis(1));
-    cluster.set_backends(Vec::new(), 9, millis(2));
-    assert!(!cluster.set_backends(vec![backend("w-1", "z", None)], 5, millis(3)));
+    cluster.set_backends(vec![backend("w-1", "z", None)], at(5), millis(1));
+    cluster.set_backends(Vec::new(), at(9), millis(2));
+    assert!(!cluster.set_backends(vec![backend("w-1", "z", None)], at(5), millis(3)));
     assert!(cluster.usable().is_empty());
 }
 
--- a/tests/relay_history.rs
+++ b/tests/relay_history.rs
@@ -3,15 +3,22 @@
 mod backends;
 
 use {
-    bayplank::relay::{
-        BackendInfo, ChangeHistory, ClusterNews, ClusterState, MissingNews, PastTime, StoreChange,
-        StoreItem, StoreKind, StoreValue,
+    bayplank::{
+        relay::{
+            BackendInfo, ChangeHistory, ClusterNews, ClusterState, MissingNews, PastTime,
+            StoreChange, StoreItem, StoreKind, StoreValue,
+        },
+        store::StorePosition,
     },
     bolero::check,
     faststr::FastStr,
     std::{collections::BTreeMap, time::Duration},
 };
 
+fn at(revision: u64) -> StorePosition {
+    StorePosition::new(1, revision)
+}
+
 fn millis(count: u64) -> Duration {
     Duration::from_millis(count)
 }
@@ -26,7 +33,7 @@
 fn set(info: BackendInfo) -> StoreChange {
     StoreChange::Set(StoreItem {
         name: info.id.clone(),
-        revision: 0,
+        position: StorePosition::default(),
         value: StoreValue::Backend(info),
     })
 }
@@ -34,25 +41,25 @@
 #[test]
 fn a_history_gives_what_is_missing_and_the_whole_where_it_forgot() {
     let mut history = ChangeHistory::default();
-    history.restart(10);
-    assert_eq!(history.since(0), MissingNews::Whole);
-    assert_eq!(history.since(10), MissingNews::Nothing);
-    history.record(12, Vec::new());
+    history.restart(at(10));
+    assert_eq!(history.since(StorePosition::default()), MissingNews::Whole);
+    assert_eq!(history.since(at(10)), MissingNews::Nothing);
+    history.record(at(12), Vec::new());
     assert_eq!(
-        (history.revision(), history.since(11)),
-        (12, MissingNews::Nothing)
+        (history.position(), history.since(at(11))),
+        (at(12), MissingNews::Nothing)
     );
-    history.record(14, vec![set(backend("b", false))]);
-    history.record(13, vec![set(backend("late", false))]);
+    history.record(at(14), vec![set(backend("b", false))]);
+    history.record(at(13), vec![set(backend("late", false))]);
     assert_eq!(
-        history.since(12),
+        history.since(at(12)),
         MissingNews::Changes(vec![set(backend("b", false))])
     );
     for revision in 15..1_000 {
-        history.record(revision, vec![set(backend("c", false))]);
+        history.record(at(revision), vec![set(backend("c", false))]);
     }
-    assert_eq!(history.since(14), MissingNews::Whole);
-    assert!(matches!(history.since(998), MissingNews::Changes(changes) if changes.len() == 1));
+    assert_eq!(history.since(at(14)), MissingNews::Whole);
+    assert!(matches!(history.since(at(998)), MissingNews::Changes(changes) if changes.len() == 1));
 }
 
 #[test]
@@ -97,29 +104,29 @@
     fn read(&mut self, reader: usize, whole: bool) {
         let revision = self.revision();
         let state = &mut self.readers[reader];
-        let held = state.backends_revision();
-        if whole || held == 0 {
+        let held = state.backends_position();
+        if whole || !held.is_known() {
             let list = self.listed.values().cloned().collect();
-            state.set_backends(list, revision, Duration::ZERO);
+            state.set_backends(list, at(revision), Duration::ZERO);
             return;
         }
-        let missing = self.log.iter().filter(|entry| entry.0 > held);
+        let missing = self.log.iter().filter(|entry| entry.0 > held.revision);
         let changes = missing.map(|entry| entry.1.clone()).collect();
-        state.change_backends(changes, revision, Duration::ZERO);
+        state.change_backends(changes, at(revision), Duration::ZERO);
     }
 
     fn follow(&mut self, reader: usize) {
-        let held = self.follower.backends_revision();
+        let held = self.follower.backends_position();
         let news = self.readers[reader].backend_news(held);
         self.follower.take_backend_news(news, Duration::ZERO);
-        assert!(self.follower.backends_revision() >= held, "never goes back");
+        assert!(self.follower.backends_position() >= held, "never goes back");
     }
 
     fn assert_follower_is_right(&self) {
         // What the store held at the follower's revision.
-        let held = self.follower.backends_revision();
+        let held = self.follower.backends_position();
         let mut then = BTreeMap::new();
-        for (_, change) in self.log.iter().filter(|entry| entry.0 <= held) {
+        for (_, change) in self.log.iter().filter(|entry| entry.0 <= held.revision) {
             match change {
                 StoreChange::Set(StoreItem {
                     value: StoreValue::Backend(info),
@@ -148,7 +155,7 @@
                 3 => fleet.read(usize::from(choice % 2), choice % 16 == 0),
                 _ => fleet.follow(usize::from(choice % 2)),
             }
-            if fleet.follower.backends_revision() > 0 {
+            if fleet.follower.backends_position().is_known() {
                 fleet.assert_follower_is_right();
             }
         }
