A lease of the engines' roles does not outlive the store's era

What callers saw: nothing yet; the users' workers would have seen orders of two holders. A host went on giving orders under a lease that the restored store had lost, and a copy that lacks the lease made it free at once; a reading of it was taken for an older one for good, so that no order was given again (none in 20 s in the red test).

Change: a host that sees the store restored holds nothing (LeaseKeeper::wait_out), also between two orders, and nobody takes the lease until the time of a holder who may not have heard of it is over. The host's own name in the lease counts only if it claimed the lease since: a write of before may be done late, under a condition that has come to be true again.

Why it holds: of two holders one has waited out the other's time on its own clock, counted from a moment after the restore.

--- a/src/control/lease.rs
+++ b/src/control/lease.rs
@@ -65,6 +65,10 @@
     seen: SeenLease,
     seen_since: Option<Duration>,
     held: Option<FencedLease>,
+    // Whether the lease was asked for since the store last lost what it had accepted.
+    has_claimed: bool,
+    // Until when somebody may hold the lease whom the store does not name.
+    unknown_until: Option<Duration>,
 }
 
 impl LeaseKeeper {
@@ -76,9 +80,25 @@
             seen: SeenLease::default(),
             seen_since: None,
             held: None,
+            has_claimed: false,
+            unknown_until: None,
         }
     }
 
+    /// The store has lost what it had accepted, leases among it: nothing is held any more, and a holder that has not
+    /// heard of it may give orders until its time is over.
+    pub fn wait_out(&mut self, now: Duration) {
+        self.held = None;
+        self.seen = SeenLease::default();
+        self.seen_since = None;
+        self.has_claimed = false;
+        self.unknown_until = Some(now + self.silence_time());
+    }
+
+    fn silence_time(&self) -> Duration {
+        self.time.mul_f64(1.0 + TAKER_MARGIN)
+    }
+
     /// The lease, if it is held and orders may still be given.
     pub fn held(&self, now: Duration) -> Option<FencedLease> {
         self.held.filter(|lease| now < lease.until)
@@ -94,11 +114,17 @@
             self.seen = lease;
             self.seen_since = Some(now);
         }
-        if self.seen.version > 0 && self.seen.spec.holder == self.own {
+        // What the host itself wrote before the store lost it says nothing of who holds the lease now.
+        let is_own = self.seen.version > 0 && self.seen.spec.holder == self.own;
+        if is_own && self.has_claimed {
             return Some(self.renewal(now));
         }
         self.held = None;
-        self.may_take(now).then(|| LeaseWrite {
+        if !self.may_take(now) {
+            return None;
+        }
+        self.has_claimed = true;
+        Some(LeaseWrite {
             version: self.seen.version,
             spec: LeaseSpec {
                 holder: self.own.clone(),
@@ -110,9 +136,12 @@
     }
 
     fn may_take(&self, now: Duration) -> bool {
+        if self.unknown_until.is_some_and(|until| now < until) {
+            return false;
+        }
         let is_free = self.seen.version == 0 || self.seen.spec.holder.is_empty();
         let silence = now.saturating_sub(self.seen_since.unwrap_or(now));
-        is_free || silence >= self.time.mul_f64(1.0 + TAKER_MARGIN)
+        is_free || silence >= self.silence_time()
     }
 
     fn renewal(&self, now: Duration) -> LeaseWrite {
--- a/src/relay/belief/cluster.rs
+++ b/src/relay/belief/cluster.rs
@@ -37,6 +37,7 @@
     // The latest era of the store that was seen, and when it was found restored.
     era: u32,
     restored: Option<RestoreMark>,
+    restores: u32,
     // How long operators and servers have to write again what a restored store lacks.
     settle_time: Duration,
     // The shortest time without the store in which entries lapse by themselves.
@@ -77,6 +78,7 @@
             hosts: HostList::default(),
             era: 0,
             restored: None,
+            restores: 0,
             settle_time: heartbeat,
             outage_least: heartbeat.saturating_mul(HEARTBEATS_TO_LAPSE),
             outage_ended: None,
@@ -130,6 +132,11 @@
         self.era
     }
 
+    /// How often the store was found restored since the host's start.
+    pub fn restores(&self) -> u32 {
+        self.restores
+    }
+
     /// The store, or another host, named an era; gives the one before where the store was restored since.
     pub fn note_era(&mut self, era: u32, now: Duration) -> Option<u32> {
         if era <= self.era {
@@ -140,6 +147,7 @@
         if before == 0 && !knows_more {
             return None;
         }
+        self.restores += 1;
         self.restored = Some(RestoreMark {
             seen: now,
             is_reread: false,
--- a/src/relay/roles/keeper.rs
+++ b/src/relay/roles/keeper.rs
@@ -4,7 +4,7 @@
 
 use {
     crate::{
-        control::{LeaseKeeper, LeaseWrite, SeenLease},
+        control::{FencedLease, LeaseKeeper, LeaseWrite, SeenLease},
         event,
         relay::{
             backend::BackendInfo,
@@ -57,6 +57,8 @@
     parts: Rc<RelayParts>,
     store: Rc<StoreLink>,
     lease: LeaseKeeper,
+    // Restores of the store that the lease has been through.
+    restores: u32,
     // When each engine may be ordered again.
     ordered: BTreeMap<FastStr, Duration>,
     // Engines to change as of the last look, and since when the same.
@@ -70,6 +72,7 @@
     let time = parts.settings.bounds.lease_time.mul_f64(LEASE_FACTOR);
     let mut keeper = RoleKeeper {
         lease: LeaseKeeper::new(own, time),
+        restores: 0,
         parts,
         store,
         ordered: BTreeMap::new(),
@@ -89,6 +92,7 @@
 
 impl RoleKeeper {
     async fn look(&mut self) -> Result<(), StoreFailure> {
+        self.note_restores();
         let now = self.parts.now();
         let changes = self.due_changes(now);
         let (least, settle) = match self.parts.has_served() {
@@ -119,6 +123,23 @@
         Ok(())
     }
 
+    // Leases are among what a restored store may have lost. Gives whether it was restored since the last look.
+    fn note_restores(&mut self) -> bool {
+        let restores = self.parts.cluster.borrow().restores();
+        if restores == self.restores {
+            return false;
+        }
+        self.restores = restores;
+        self.lease.wait_out(self.parts.now());
+        true
+    }
+
+    // The lease as it may be used at a time.
+    fn lease_at(&mut self, time: Duration) -> Option<FencedLease> {
+        self.note_restores();
+        self.lease.held(time)
+    }
+
     // Hosts take their turn in the order of their names, so that not all of them try at once.
     fn turn_delay(&self) -> Duration {
         let own = self.parts.name();
@@ -158,12 +179,16 @@
     async fn step_lease(&mut self) -> Result<(), StoreFailure> {
         self.count_call();
         let seen = self.read_lease().await?;
+        self.note_restores();
         let Some(write) = self.lease.read(seen, self.parts.now()) else {
             return Ok(());
         };
         self.count_call();
         match (self.store.put)(StoreKind::Leases, lease_item(&write)).await {
             Ok(position) => {
+                if self.note_restores() {
+                    return Ok(());
+                }
                 let version = position.number();
                 let is_new = self.lease.written(&write, version, self.parts.now());
                 if is_new {
@@ -219,7 +244,7 @@
 
     async fn give_order(&mut self, change: RoleChange) {
         let now = self.parts.now();
-        if self.lease.held(now).is_none() {
+        if self.lease_at(now).is_none() {
             return;
         }
         let report = self.read_report(&change.engine).await;
@@ -231,7 +256,7 @@
         };
         let now = self.parts.now();
         // The order has to arrive while the lease holds.
-        let Some(lease) = self.lease.held(now + ORDER_PATIENCE) else {
+        let Some(lease) = self.lease_at(now + ORDER_PATIENCE) else {
             return;
         };
         let order = RoleOrder {
--- a/tests/matrix/leases.rs
+++ b/tests/matrix/leases.rs
@@ -128,6 +128,54 @@
     holds(&[&first, &second], at(2))
 }
 
+fn lost_unheard_by_holder() -> String {
+    let (mut first, mut second) = (keeper("first"), keeper("second"));
+    let mut store = SeenLease::default();
+    step(&mut first, &mut store, at(0));
+    step(&mut second, &mut store, at(0));
+    let mut store = SeenLease::default();
+    second.wait_out(at(1));
+    for now in 1..=12 {
+        step(&mut second, &mut store, at(now));
+        let held = second.held(at(now));
+        assert_eq!(held, None, "the holder may not have heard of it");
+    }
+    holds(&[&first, &second], at(7))
+}
+
+fn lost_and_waited_out() -> String {
+    let (mut first, mut second) = (keeper("first"), keeper("second"));
+    let mut store = SeenLease::default();
+    step(&mut first, &mut store, at(0));
+    let mut store = SeenLease::default();
+    second.wait_out(at(1));
+    step(&mut second, &mut store, at(13));
+    holds(&[&first, &second], at(13))
+}
+
+fn lost_heard_by_holder() -> String {
+    let mut first = keeper("first");
+    let mut store = SeenLease::default();
+    step(&mut first, &mut store, at(0));
+    first.wait_out(at(1));
+    holds(&[&first], at(1))
+}
+
+// A write of before the loss finds its condition true again; another host has taken the lease meanwhile.
+fn late_write_after_loss() -> String {
+    let (mut first, mut second) = (keeper("first"), keeper("second"));
+    let mut store = SeenLease::default();
+    let late = first.read(store.clone(), at(0)).expect("free");
+    first.wait_out(at(1));
+    write(&mut store, &late).expect("its condition is true again");
+    for now in 2..=12 {
+        step(&mut first, &mut store, at(now));
+        assert_eq!(first.held(at(now)), None, "its own name proves nothing");
+    }
+    step(&mut second, &mut store, at(2));
+    holds(&[&first, &second], at(12))
+}
+
 fn platform_gone() -> String {
     let mut first = keeper("first");
     let mut store = SeenLease::default();
@@ -224,6 +272,30 @@
         "first with token 1 may order",
         stale_reading,
     ),
+    (
+        "held",
+        "the store loses it, another host hears of that first",
+        "first with token 1 may order",
+        lost_unheard_by_holder,
+    ),
+    (
+        "held",
+        "the store loses it, another host has waited for the holder's time",
+        "second with token 1 may order",
+        lost_and_waited_out,
+    ),
+    (
+        "held",
+        "the store loses it and the holder hears of that",
+        "nobody may order",
+        lost_heard_by_holder,
+    ),
+    (
+        "being taken",
+        "the store loses it, a write of before is done late",
+        "nobody may order",
+        late_write_after_loss,
+    ),
     (
         "held",
         "the platform is gone",
