--- a/src/relay/belief/backend_list.rs
+++ b/src/relay/belief/backend_list.rs
@@ -5,7 +5,7 @@
 //! and who is not in the copy has not gone.
 
 use {
-    super::history::{ChangeHistory, KindNews, MissingNews},
+    super::history::{ChangeHistory, DepartedRun, KindNews, MissingNews},
     crate::{
         relay::{
             backend::BackendInfo,
@@ -30,7 +30,7 @@
 
 /// A run of a backend server that has gone, or is leaving whatever a restored entry says.
 #[derive(Debug, Clone, Copy)]
-struct DepartedRun {
+struct RunEnd {
     born: u64,
     is_gone: bool,
     until: Duration,
@@ -49,9 +49,10 @@
     listed: BTreeMap<FastStr, BackendInfo>,
     // Servers that may be used although they are not listed.
     unlisted: BTreeMap<FastStr, LimitedEntry>,
-    // Servers that are not used although they are listed: their run had gone before the store was restored.
+    // Servers that are not used although they are listed: their run had gone, or a later one had come, before the store
+    // was restored.
     withheld: BTreeMap<FastStr, LimitedEntry>,
-    departed: BTreeMap<FastStr, DepartedRun>,
+    departed: BTreeMap<FastStr, RunEnd>,
     history: ChangeHistory,
     relist_time: Duration,
     // The list may lag and no watch has gone on from it yet.
@@ -94,12 +95,12 @@
         }
     }
 
-    /// Takes the whole list as of a position, unless a newer one is known. `departed` are servers of which the sender knows
+    /// Takes the whole list as of a position, unless a newer one is known. `departed` are runs of which the sender knows
     /// that they have gone; `had_outage` says that entries may have lapsed while the store was away.
     pub fn set(
         &mut self,
         list: Vec<BackendInfo>,
-        departed: &[FastStr],
+        departed: &[DepartedRun],
         position: StorePosition,
         had_outage: bool,
         now: Duration,
@@ -108,7 +109,7 @@
         if position < held {
             return false;
         }
-        let is_restored = position.era > held.era && !self.listed.is_empty();
+        let is_restored = position.era > held.era && self.recorded() > 0;
         let mut before = mem::take(&mut self.listed);
         let mut withheld = mem::take(&mut self.withheld);
         for info in list {
@@ -125,8 +126,8 @@
                 false => self.remove(info, had_outage, now),
             }
         }
-        for id in departed {
-            self.take_departed(id, now);
+        for run in departed {
+            self.take_departed(run, now);
         }
         self.history.restart(position);
         true
@@ -164,22 +165,12 @@
             position,
             is_whole,
             changes,
+            departed,
         } = news;
         if !is_whole {
             return self.change(changes, position, had_outage, now);
         }
-        let mut list = Vec::new();
-        let mut departed = Vec::new();
-        for change in changes {
-            match change {
-                StoreChange::Set(StoreItem {
-                    value: StoreValue::Backend(info),
-                    ..
-                }) => list.push(info),
-                StoreChange::Set(_) => {}
-                StoreChange::Removed(id) => departed.push(id),
-            }
-        }
+        let list = changes.into_iter().filter_map(backend_of).collect();
         self.set(list, &departed, position, had_outage, now);
     }
 
@@ -188,28 +179,39 @@
         if self.is_unconfirmed {
             return KindNews::default();
         }
-        let missing = self.history.since(held);
-        KindNews {
-            position: self.position(),
-            is_whole: missing == MissingNews::Whole,
-            changes: match missing {
-                MissingNews::Nothing => Vec::new(),
-                MissingNews::Changes(changes) => changes,
-                MissingNews::Whole => self.whole(),
+        let position = self.position();
+        match self.history.since(held) {
+            MissingNews::Nothing => KindNews {
+                position,
+                ..KindNews::default()
+            },
+            MissingNews::Changes(changes) => KindNews {
+                position,
+                changes,
+                ..KindNews::default()
+            },
+            MissingNews::Whole => KindNews {
+                position,
+                is_whole: true,
+                changes: self.entries().map(StoreChange::Set).collect(),
+                departed: self.departed_runs(),
             },
         }
     }
 
-    // The entries as the store has them, then the servers that have gone nevertheless.
-    fn whole(&self) -> Vec<StoreChange> {
+    // As the store has them.
+    fn entries(&self) -> impl Iterator<Item = StoreItem> {
         let withheld = self.withheld.values().map(|entry| &entry.info);
-        let entries = self.listed.values().chain(withheld).map(backend_item);
-        let gone = self
-            .departed
-            .iter()
-            .filter(|(id, run)| run.is_gone && !self.listed.contains_key(*id));
-        let gone = gone.map(|(id, _)| StoreChange::Removed(id.clone()));
-        entries.map(StoreChange::Set).chain(gone).collect()
+        self.listed.values().chain(withheld).map(backend_item)
+    }
+
+    fn departed_runs(&self) -> Vec<DepartedRun> {
+        let runs = self.departed.iter().map(|(id, run)| DepartedRun {
+            id: id.clone(),
+            born: run.born,
+            is_gone: run.is_gone,
+        });
+        runs.collect()
     }
 
     // An entry of a copy that is older than what is known.
@@ -219,9 +221,12 @@
             return self.withhold(info, now);
         }
         match known {
-            Some(known) if known.born > info.born => self.keep_unlisted(known, now),
+            Some(known) if known.born > info.born => {
+                self.keep_unlisted(known, now);
+                self.withhold(info, now);
+            }
             Some(known) if known.born == info.born && known.leaving => {
-                self.keep_leaving(&known, Duration::MAX);
+                self.note_run(&known.id, known.born, false, Duration::MAX);
                 self.take_written(info);
             }
             _ => self.take_written(info),
@@ -255,23 +260,34 @@
 
     fn take_removed(&mut self, id: &FastStr, had_outage: bool, now: Duration) {
         let withheld = self.withheld.remove(id).map(|entry| entry.info);
-        match self.listed.remove(id).or(withheld) {
-            Some(info) => self.remove(info, had_outage, now),
-            None => {
-                self.unlisted.remove(id);
-            }
+        let unlisted = self.unlisted.remove(id);
+        match (self.listed.remove(id).or(withheld), unlisted) {
+            (Some(info), _) => self.remove(info, had_outage, now),
+            (None, Some(entry)) => self.note_gone(id, entry.info.born, now),
+            (None, None) => {}
         }
     }
 
-    // The sender of a list knows that the server has gone, be it that the list shows it.
-    fn take_departed(&mut self, id: &FastStr, now: Duration) {
-        let unlisted = self.unlisted.remove(id);
-        if let Some(entry) = unlisted {
-            self.note_gone(&entry.info, now);
+    // The sender of a list knows that a run has gone or is leaving, be it that the list shows it as current.
+    fn take_departed(&mut self, run: &DepartedRun, now: Duration) {
+        let is_later = |info: &BackendInfo| info.born > run.born;
+        let unlisted = self.unlisted.get(&run.id).map(|entry| &entry.info);
+        let current = self.listed.get(&run.id).or(unlisted);
+        let is_known = |known: &RunEnd| {
+            known.born > run.born || (known.born == run.born && known.is_gone >= run.is_gone)
+        };
+        if current.is_some_and(is_later) || self.departed.get(&run.id).is_some_and(is_known) {
+            return;
         }
-        if let Some(info) = self.listed.remove(id) {
-            self.note_gone(&info, now);
-            self.withhold(info, now);
+        self.unlisted.remove(&run.id);
+        match run.is_gone {
+            true => self.note_gone(&run.id, run.born, now),
+            false => self.note_run(&run.id, run.born, false, Duration::MAX),
+        }
+        match self.listed.remove(&run.id) {
+            Some(info) if self.has_gone(&info) => self.withhold(info, now),
+            Some(info) => self.take_written(info),
+            None => {}
         }
     }
 
@@ -283,30 +299,26 @@
             self.unlisted.insert(entry.info.id.clone(), entry);
             return;
         }
-        self.note_gone(&info, now);
+        self.note_gone(&info.id, info.born, now);
     }
 
-    fn note_gone(&mut self, info: &BackendInfo, now: Duration) {
-        let run = DepartedRun {
-            born: info.born,
-            is_gone: true,
-            until: now + DEPARTURES_KEPT,
-        };
-        self.departed.insert(info.id.clone(), run);
+    fn note_gone(&mut self, id: &FastStr, born: u64, now: Duration) {
+        self.note_run(id, born, true, now + DEPARTURES_KEPT);
     }
 
-    fn keep_leaving(&mut self, info: &BackendInfo, until: Duration) {
-        let run = DepartedRun {
-            born: info.born,
-            is_gone: false,
+    fn note_run(&mut self, id: &FastStr, born: u64, is_gone: bool, until: Duration) {
+        let end = RunEnd {
+            born,
+            is_gone,
             until,
         };
-        self.departed.insert(info.id.clone(), run);
+        self.departed.insert(id.clone(), end);
     }
 
+    // Whether the run of an entry has gone, or a later one under its name has come.
     fn has_gone(&self, info: &BackendInfo) -> bool {
         let run = self.departed.get(&info.id);
-        run.is_some_and(|run| run.is_gone && run.born == info.born)
+        run.is_some_and(|run| run.born > info.born || (run.is_gone && run.born == info.born))
     }
 
     fn withhold(&mut self, info: BackendInfo, now: Duration) {
@@ -318,7 +330,7 @@
     // The copy does not have it: it was not yet written.
     fn keep_unlisted(&mut self, info: BackendInfo, now: Duration) {
         if info.leaving {
-            return self.keep_leaving(&info, now + DEPARTURES_KEPT);
+            return self.note_run(&info.id, info.born, false, now + DEPARTURES_KEPT);
         }
         let until = now.saturating_add(self.relist_time);
         let entry = LimitedEntry { info, until };
@@ -360,3 +372,13 @@
         value: StoreValue::Backend(info.clone()),
     }
 }
+
+fn backend_of(change: StoreChange) -> Option<BackendInfo> {
+    match change {
+        StoreChange::Set(StoreItem {
+            value: StoreValue::Backend(info),
+            ..
+        }) => Some(info),
+        _ => None,
+    }
+}
--- a/src/relay/belief/history.rs
+++ b/src/relay/belief/history.rs
@@ -2,6 +2,8 @@
 
 use {
     crate::{relay::link::StoreChange, store::StorePosition},
+    faststr::FastStr,
+    serde::{Deserialize, Serialize},
     std::collections::VecDeque,
 };
 
@@ -24,11 +26,23 @@
 pub struct KindNews {
     /// The store's position up to which this goes.
     pub position: StorePosition,
-    /// Whether the changes are all objects there are, in place of what the asker has, and then those that are known to
-    /// have gone.
+    /// Whether the changes are all objects there are, in place of what the asker has.
     pub is_whole: bool,
     /// The changes, in order.
     pub changes: Vec<StoreChange>,
+    /// With all objects, runs of backend servers that have gone or are leaving whatever the objects say.
+    pub departed: Vec<DepartedRun>,
+}
+
+/// A run of a backend server that has gone, or is leaving.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DepartedRun {
+    /// The server's id.
+    pub id: FastStr,
+    /// When the run began.
+    pub born: u64,
+    /// Whether it has gone.
+    pub is_gone: bool,
 }
 
 /// The latest changes, each batch with the store's position up to which it goes.
--- a/src/relay/belief/host_list.rs
+++ b/src/relay/belief/host_list.rs
@@ -158,6 +158,7 @@
                 MissingNews::Changes(changes) => changes,
                 MissingNews::Whole => self.shown().map(host_item).map(StoreChange::Set).collect(),
             },
+            departed: Vec::new(),
         }
     }
 
--- a/src/relay/news/feed.rs
+++ b/src/relay/news/feed.rs
@@ -5,7 +5,7 @@
     crate::{
         event,
         relay::{
-            link::{ListAge, StoreCall, StoreChanges, StoreKind, StoreLink},
+            link::{ListAge, StoreCall, StoreChanges, StoreKind, StoreLink, StoreList},
             parts::{metric_labels::StoreCause, shared::RelayParts},
             policy::past_time::PastTime,
             policy::{
@@ -126,6 +126,10 @@
         match (self.store.list)(kind, age).await {
             Ok(list) => {
                 metrics.store_called(cause, list.calls);
+                let list = match age {
+                    ListAge::Newest => self.count_restore(kind, held, list),
+                    ListAge::MayLag => list,
+                };
                 self.parts.note_store_era(list.position.era, "store");
                 let is_taken = self.take_list(kind, list);
                 match (age, is_taken) {
@@ -147,6 +151,23 @@
         }
     }
 
+    // The newest list of a store that names no eras shows less than was known before it was asked for: the store was
+    // restored from a copy.
+    fn count_restore(
+        &self,
+        kind: StoreKind,
+        held: StorePosition,
+        mut list: StoreList,
+    ) -> StoreList {
+        if list.position < held
+            && self.held_position(kind) == held
+            && let Some(era) = self.parts.eras.count_restore(held.era)
+        {
+            list.position.era = era;
+        }
+        list
+    }
+
     // What is asked of a store that did not answer last time is asked for another reason.
     fn cause(&self, kind: StoreKind, usual: StoreCause) -> StoreCause {
         match self.contact.is_kind_lost(kind)
--- a/src/relay/news/message.rs
+++ b/src/relay/news/message.rs
@@ -208,22 +208,29 @@
     if !kind.changes.is_empty() {
         to.set_changes(&to_json(&kind.changes)?);
     }
+    if !kind.departed.is_empty() {
+        to.set_departed(&to_json(&kind.departed)?);
+    }
     Ok(())
 }
 
 fn read_kind(from: kind_news::Reader<'_>) -> Result<KindNews> {
-    let bytes = from.get_changes()?;
-    let changes = match bytes.is_empty() {
-        true => Vec::new(),
-        false => from_json(bytes)?,
-    };
     Ok(KindNews {
         position: StorePosition::of_number(from.get_revision()),
         is_whole: from.get_is_whole(),
-        changes,
+        changes: read_json_list(from.get_changes()?)?,
+        departed: read_json_list(from.get_departed()?)?,
     })
 }
 
+// Empty bytes stand for an empty list.
+fn read_json_list<T: DeserializeOwned>(bytes: &[u8]) -> Result<Vec<T>> {
+    match bytes.is_empty() {
+        true => Ok(Vec::new()),
+        false => from_json(bytes),
+    }
+}
+
 /// Writes news.
 pub fn write_news(mut to: cluster_news::Builder<'_>, news: &ClusterNews) -> Result<()> {
     to.set_age_ms(to_ms(news.age));
@@ -259,11 +266,7 @@
         true => None,
         false => Some(from_json(config)?),
     };
-    let guides = from.get_guides()?;
-    let guides = match guides.is_empty() {
-        true => Vec::new(),
-        false => from_json(guides)?,
-    };
+    let guides = read_json_list(from.get_guides()?)?;
     Ok(ClusterNews {
         age: from_ms(from.get_age_ms()),
         proof: from_ms(from.get_proof_ms()),
--- a/src/relay/news/news.capnp
+++ b/src/relay/news/news.capnp
@@ -3,7 +3,8 @@
 @0xd41f6c0e5a7b9823;
 
 struct HeldNews {
-  # What the asker has; 0 for what it needs whole.
+  # What the asker has; 0 for what it needs whole. Revisions are numbers of positions: the era of the store in the upper 24
+  # bits, the revision in the lower 40.
   configVersion @0 :UInt64;
   backendsRevision @1 :UInt64;
   hostsRevision @2 :UInt64;
@@ -55,12 +56,14 @@
 }
 
 struct KindNews {
-  # The store's revision up to which this goes.
+  # The number of the store's position up to which this goes.
   revision @0 :UInt64;
   # Whether the changes are all objects there are, in place of what the asker has.
   isWhole @1 :Bool;
   # JSON, empty where nothing changed.
   changes @2 :Data;
+  # With all objects: JSON, runs that are known to have gone whatever the objects say; empty for none.
+  departed @3 :Data;
 }
 
 struct ClusterNews {
--- a/src/relay/news/news_capnp.rs
+++ b/src/relay/news/news_capnp.rs
@@ -1449,11 +1449,19 @@
         pub fn has_changes(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
+        #[inline]
+        pub fn get_departed(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_departed(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1535,6 +1543,22 @@
         pub fn has_changes(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
+        #[inline]
+        pub fn get_departed(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_departed(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(1).set_data(value);
+        }
+        #[inline]
+        pub fn init_departed(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(1).init_data(size)
+        }
+        #[inline]
+        pub fn has_departed(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1546,45 +1570,52 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(38, 102, 9, 87, 156, 91, 16, 202),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(35, 152, 123, 90, 14, 108, 31, 212),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 75, 105, 110, 100, 78),
             ::capnp::word(101, 119, 115, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -1610,12 +1641,22 @@
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 101, 112, 97, 114, 116, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1629,9 +1670,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,1,0];
         pub(crate) const TYPE_ID: u64 = 0xca10_5b9c_5709_6626;
     }
 }
--- a/src/relay/news/tell.rs
+++ b/src/relay/news/tell.rs
@@ -24,6 +24,8 @@
 /// Tells an asker what is newer than what it has, once there is something or its wait is over.
 pub async fn tell_news(parts: Rc<RelayParts>, held: HeldNews) -> ClusterNews {
     note_informed(&parts, &held);
+    let known = held.backends_position.max(held.hosts_position);
+    parts.note_store_era(known.era, "host");
     let asked = parts.now();
     let until = asked + held.wait.min(WAIT_LIMIT);
     loop {
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -26,7 +26,7 @@
             },
             settings::RelaySettings,
         },
-        store::EraTracker,
+        store::{EraName, EraTracker},
         web::{ConnectionPool, FailureCause, PoolUse, PooledAnswer, SendFailure},
     },
     bytes::Bytes,
@@ -168,8 +168,8 @@
             event::emit(
                 &event::STORE_RESTORED,
                 &[
-                    ("before", &before),
-                    ("era", &era),
+                    ("before", &EraName(before)),
+                    ("era", &EraName(era)),
                     ("held", &held),
                     ("from", &from),
                 ],
--- a/src/store/position.rs
+++ b/src/store/position.rs
@@ -1,6 +1,7 @@
 //! Where the store stands.
 
 use {
+    super::era::EraName,
     serde::{Deserialize, Serialize},
     std::fmt,
 };
@@ -19,7 +20,7 @@
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 pub struct StorePosition {
-    /// Counts the restores; 0 for a store that does not tell.
+    /// Counts the restores, as [`EraTracker`](super::EraTracker) tells; 0 before any is known of.
     #[serde(default)]
     pub era: u32,
     /// The revision; 0 where none is known.
@@ -54,6 +55,6 @@
 
 impl fmt::Display for StorePosition {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/{}", self.era, self.revision)
+        write!(f, "{}/{}", EraName(self.era), self.revision)
     }
 }
