Hosts that a restored store does not list write their entries spread over time

Ten milliseconds for each host that is known: 420 hosts write within 4.2 s instead of one, within a small store's 400 writes a second.

--- a/src/relay/news/entry.rs
+++ b/src/relay/news/entry.rs
@@ -25,6 +25,10 @@
 /// earlier run of the host took away as it stopped may still show in it.
 const MISSING_TIME: Duration = Duration::from_secs(3);
 
+/// Time for each host that is listed over which hosts spread the writes of missing entries: a store that was restored may
+/// lack those of all.
+const WRITE_SPACING: Duration = Duration::from_millis(10);
+
 /// Keeps the host's entry in the store for as long as the host runs and is not about to stop.
 pub async fn keep_entry(parts: Rc<RelayParts>, store: Rc<StoreLink>) {
     if !parts.settings.first_start {
@@ -34,6 +38,7 @@
         true => None,
         false => Some(Duration::ZERO),
     };
+    let mut missing_time = MISSING_TIME;
     let mut written = None;
     let mut written_entry: Option<HostEntry> = None;
     loop {
@@ -45,11 +50,15 @@
             .is_some_and(|before| *before != entry);
         match is_listed(&parts, &entry) {
             true => missing_since = None,
-            false => missing_since = missing_since.or(Some(now)),
+            false if missing_since.is_none() => {
+                missing_since = Some(now);
+                missing_time = spread_missing_time(&parts);
+            }
+            false => {}
         }
-        let is_new = written.is_none_or(|at| now.saturating_sub(at) >= MISSING_TIME);
+        let is_new = written.is_none_or(|at| now.saturating_sub(at) >= missing_time);
         let is_missing = missing_since.is_some_and(|since| {
-            since == Duration::ZERO || now.saturating_sub(since) >= MISSING_TIME
+            since == Duration::ZERO || now.saturating_sub(since) >= missing_time
         });
         if (is_other || (is_missing && is_new)) && !parts.gate.is_stopping() {
             write_entry(&parts, &store, &entry).await;
@@ -61,6 +70,12 @@
     }
 }
 
+fn spread_missing_time(parts: &RelayParts) -> Duration {
+    let hosts = parts.cluster.borrow().host_count();
+    let spread = WRITE_SPACING * u32::try_from(hosts).unwrap_or(u32::MAX);
+    MISSING_TIME + spread.mul_f64(rand::random())
+}
+
 fn own_entry(parts: &RelayParts) -> HostEntry {
     let settings = &parts.settings;
     HostEntry {
