--- a/src/relay/figures.rs
+++ b/src/relay/figures.rs
@@ -41,6 +41,7 @@
             ("opened_free", &opened(PoolUse::Free)),
             ("opened_ask", &opened(PoolUse::Ask)),
             ("news_told", &metrics.news_told.get()),
+            ("position", &parts.cluster.borrow().backends_position()),
             ("store_heard_ms", &parts.store_heard_ms()),
             ("age_ms", &age.map_or(-1, |age| age.as_millis() as i64)),
         ],
