--- a/src/relay/news/feed.rs
+++ b/src/relay/news/feed.rs
@@ -310,7 +310,7 @@
     }
 
     // A long watch that was out while the store fell silent is not answered any more: it is sent again once another call
-    // is answered. Waited for to its end, hosts that came meanwhile were not known for 20 s (a test with one silence).
+    // is answered.
     async fn unless_outlived(
         &self,
         watch: StoreCall<StoreChanges>,
--- a/src/relay/news/start.rs
+++ b/src/relay/news/start.rs
@@ -11,13 +11,12 @@
 /// answer within milliseconds if they know it; if not, it is the first to read.
 const SEED_PATIENCE: Duration = Duration::from_millis(60);
 
-/// The same for any other host, milliseconds. After all were killed callers wait for every one of them: with 500 to 1,000
-/// ms fleets of seven served 0.15 s later, which took 0.008 of a day's worth (fifteen days, the same seeds); each host that
+/// The same for any other host, milliseconds. After all were killed callers wait for every one of them; but each host that
 /// reads by itself is three calls. Spread, so that the store is not asked by all at once.
 const START_PATIENCE_MS: Range<u64> = 150..350;
 
-/// The same once a named host has answered: a fleet of 295 whose hosts all start at once knows everything 0.3 s later, and
-/// with the shorter patience all of them would read, 900 calls more.
+/// The same once a named host has answered: it will be able to tell everything soon, and a whole fleet that starts at
+/// once is not to read by itself.
 const TOLD_PATIENCE_MS: Range<u64> = 700..1_400;
 
 /// The same at the first start of a whole fleet, whose hosts enter themselves in the store first; callers come later.
--- a/src/relay/news/tell.rs
+++ b/src/relay/news/tell.rs
@@ -55,8 +55,7 @@
 }
 
 // Hosts that start while the store is silent know nobody, and those that the settings name may have started with them. Who
-// survived asks them, as heads: without this four hosts of seven refused all requests for the nine seconds that a silence
-// lasted, while the other three knew what was in force.
+// survived asks them, as heads.
 fn note_informed(parts: &RelayParts, held: &HeldNews) {
     let knows_all = parts.cluster.borrow().age(parts.now()).is_some();
     if !knows_all && held.has_all() {
--- a/src/relay/policy/admission.rs
+++ b/src/relay/policy/admission.rs
@@ -11,19 +11,18 @@
 
 /// Part of an engine's memory that has to be free beside what a request reserves: answers grow into it
 /// beyond what is reserved for them. Where none is free one of those is put back and computed anew, which
-/// costs more than a request that waits; by measured runs (docs/design/routing.md).
+/// costs more than a request that waits.
 const HEADROOM_SHARE: f64 = 0.055;
 
 /// The same for a request that can no longer be in time: memory that others could still use in time is left to
-/// them, also to those that wait at other hosts. Gains 0.008 of a day's worth (docs/worth.md, round 18); with 0.35 the
-/// same.
+/// them, also to those that wait at other hosts.
 const LATE_HEADROOM_SHARE: f64 = 0.2;
 
 /// From the reservation to the first event: the prefill and the first step.
 const SERVICE_TIME: Duration = Duration::from_millis(250);
 
 /// Part of an answer's expected tokens that is reserved for it alone; the rest it finds in the headroom, which
-/// all answers of an engine share. By measured runs (docs/design/routing.md).
+/// all answers of an engine share.
 const RESERVED_ANSWER: f64 = 0.3;
 
 /// Tokens of a request of the usual size, prompt and answer.
@@ -35,12 +34,12 @@
 const SIZE_FACTOR_MOST: f64 = 2.0;
 
 /// Longest wait of a request for memory: callers give a stream up after some seconds without events. Longer waits
-/// serve more of them late and fewer in time (docs/worth.md: 2.4 s took 0.007 of a day's worth).
+/// serve more of them late and fewer in time.
 pub(crate) const WAIT_LIMIT: Duration = Duration::from_millis(1_200);
 
 /// When callers are to come back after a refusal for lack of memory: what fills it runs for some three seconds, and a
-/// burst lasts four or five. Who comes back after one second is mostly refused again. Gains 0.011 of a day's worth over 0.7 to
-/// 1.3 s with 1.8 to 3.8 s, and 0.008 more with these (five days, three seeds each). Spread, so that those refused together come back apart.
+/// burst lasts four or five. Who comes back after one second is mostly refused again. Spread, so that those refused
+/// together come back apart.
 pub(crate) const COME_BACK: RangeInclusive<Duration> =
     Duration::from_millis(2_400)..=Duration::from_millis(4_600);
 
--- a/src/relay/policy/engines.rs
+++ b/src/relay/policy/engines.rs
@@ -15,8 +15,7 @@
 const AWAY_DELAY: f64 = 0.04;
 
 /// Delay that a prefill engine outside the host's subset counts as, seconds: a new connection takes a millisecond, but what
-/// is known of its queue is older. With 0.12 in place of 0.03 a day's worth was 0.007 more (five
-/// days, three seeds each), and no more beside a later return of refused callers: little above noise.
+/// is known of its queue is older.
 const OUTSIDE_DELAY: f64 = 0.12;
 
 /// Part of an engine's memory that all requests together may be expected to take at their end; beyond it,
--- a/src/relay/policy/source.rs
+++ b/src/relay/policy/source.rs
@@ -46,8 +46,7 @@
 const PASS_OVER_FIRST: Duration = Duration::from_secs(2);
 
 /// How long a host that answers and knows nothing is not asked by one that knows something: it is told within that time where
-/// anybody can tell it. It is not for its followers to wait with it: in a silence of the store in which heads
-/// were started anew, zones knew a change up to 5.9 s after another zone (six zones each in three runs).
+/// anybody can tell it. Its followers are not to wait with it.
 const PASS_OVER_UNKNOWING: Duration = Duration::from_secs(1);
 
 /// Longest time for which one is not asked again; doubled up to here while it stays silent.
--- a/src/relay/policy/split.rs
+++ b/src/relay/policy/split.rs
@@ -9,9 +9,8 @@
 };
 
 /// Part of a service's engines that compute prompts, and what is added for bursts per square root of their
-/// number, before any traffic is known. By measured runs with 9 to 256 engines: prompts queue where they are sent, memory can be
-/// looked for, so prefill engines are to be busy 0.6 times as much as memory is full. With 0.165 and 0.4 (49 of 256) a
-/// third of the streams was late for its prefill in bursts; with 96 memory was short (docs/worth.md).
+/// number, before any traffic is known. Prompts queue where they are sent, while memory can be looked for elsewhere, so
+/// prefill engines are to be the less busy.
 const PREFILL_SHARE: f64 = 0.26;
 const PREFILL_SPARE: f64 = 0.1;
 
--- a/src/relay/policy/view.rs
+++ b/src/relay/policy/view.rs
@@ -138,7 +138,7 @@
     }
 
     /// Whether requests of this host run there under which servers ended before. Others are sent elsewhere if they
-    /// can be: 298 of 1.44 million innocent requests are refused in place of 359 (tests/relay_crash_innocents.rs, 60 seeds).
+    /// can be, so that fewer innocent ones are lost with it.
     pub(super) fn runs_suspects(&self) -> bool {
         !self.suspects.is_empty()
     }
