--- a/tests/fleet_sim/mod.rs
+++ b/tests/fleet_sim/mod.rs
@@ -32,6 +32,8 @@
 const START_CALLS: u64 = 3;
 /// Kinds that are watched.
 pub const KINDS: u64 = 2;
+/// Calls more of a host that reads a restored store: its watches and that of the hosts are refused, the lists are read.
+const RESTORE_CALLS: u64 = KINDS + 2;
 
 pub struct SimHost {
     pub entry: HostEntry,
@@ -42,6 +44,9 @@
     // Until when its view is known to be the newest, and what it shows.
     pub confirmed: Option<u64>,
     pub version: u64,
+    pub era: u32,
+    // Whole lists that others were told since the store was restored.
+    pub told_whole: u64,
     // When its configuration was surely the newest: the sending of a call that was answered.
     pub proved: Option<u64>,
     // When its last watch was sent; it is answered when the host looks again.
@@ -73,6 +78,7 @@
     pub hosts: Vec<SimHost>,
     pub seeds: [usize; 3],
     pub version: u64,
+    pub era: u32,
     pub calls: u64,
     pub rng: StdRng,
 }
@@ -114,6 +120,7 @@
             hosts: Vec::new(),
             seeds: [5, hosts + 7, 2 * hosts + 9].map(|index| index % (zones * hosts)),
             version: 1,
+            era: 1,
             calls: 0,
             rng: StdRng::seed_from_u64(7),
         };
@@ -129,6 +136,8 @@
                 knows_hosts: true,
                 confirmed: Some(9_900),
                 version: 1,
+                era: 1,
+                told_whole: 0,
                 proved: Some(9_900),
                 watched: None,
                 busy_until: 10_000 + fleet.rng.random_range(0..QUESTION),
@@ -160,6 +169,7 @@
         host.busy_until = self.now;
         (host.is_up, host.knows_hosts) = (true, false);
         (host.confirmed, host.version, host.failures) = (None, 0, 0);
+        host.era = 0;
         (host.proved, host.watched) = (None, None);
         (host.asked, host.newest) = (None, None);
         host.crashes = SimCrashes::new(self.rng.random());
@@ -191,6 +201,15 @@
         self.now - start
     }
 
+    /// The store comes back from a copy, and something is written at once.
+    pub fn restore(&mut self) {
+        self.era += 1;
+        self.version += 1;
+        for host in &mut self.hosts {
+            host.told_whole = 0;
+        }
+    }
+
     fn step(&mut self, index: usize, trouble: &SimTrouble) {
         self.report(index, trouble);
         self.learn_crashes(index, trouble);
@@ -200,7 +219,7 @@
             return;
         }
         let reads_newer =
-            self.hosts[index].version < self.version && self.hosts[index].failures == 0;
+            self.position_of(index) < (self.era, self.version) && self.hosts[index].failures == 0;
         if self.now < self.hosts[index].busy_until && !reads_newer {
             return;
         }
@@ -219,6 +238,11 @@
         }
     }
 
+    fn position_of(&self, index: usize) -> (u32, u64) {
+        let host = &self.hosts[index];
+        (host.era, host.version)
+    }
+
     fn choose(&mut self, index: usize) -> NewsSource {
         let now = self.now;
         let host = &mut self.hosts[index];
@@ -246,7 +270,7 @@
             return;
         }
         let is_newer =
-            other.version > self.hosts[index].version || self.has_crash_news(index, asked);
+            self.position_of(asked) > self.position_of(index) || self.has_crash_news(index, asked);
         if !is_newer && self.now < since + QUESTION {
             return;
         }
@@ -275,7 +299,12 @@
                 other.proved,
             )
         };
+        let era = self.hosts[from].era;
+        if era > self.hosts[index].era {
+            self.hosts[from].told_whole += 1;
+        }
         let host = &mut self.hosts[index];
+        host.era = host.era.max(era);
         host.confirmed = host.confirmed.max(confirmed);
         host.version = host.version.max(version);
         host.proved = host.proved.max(proved);
@@ -311,6 +340,10 @@
         let is_served = (trouble.store)(&self.hosts[index].entry);
         let knew = self.hosts[index].confirmed.is_some();
         self.calls += if knew { KINDS } else { START_CALLS };
+        if is_served && knew && self.hosts[index].era < self.era {
+            self.calls += RESTORE_CALLS;
+        }
+        let era = self.era;
         if !self.hosts[index].knows_hosts && is_served {
             self.learn_hosts(index);
         }
@@ -325,7 +358,7 @@
             host.proved = host.proved.max(Some(host.watched.unwrap_or(now)));
             host.watched = Some(now);
             (host.confirmed, host.version, host.failures) = (Some(now), self.version, 0);
-            host.is_lost = false;
+            (host.is_lost, host.era) = (false, era);
             let (choice, started) = (&mut host.choice, host.started);
             let served = choice.served();
             choice.choose(
--- a/tests/relay_fleet.rs
+++ b/tests/relay_fleet.rs
@@ -50,6 +50,36 @@
     }
 }
 
+#[test]
+fn a_restored_store_is_read_again_by_few_and_all_soon_know_what_is_written_after_it() {
+    for (zones, hosts) in [(3, 3), (5, 59), (7, 60)] {
+        let away = SimTrouble {
+            store: |_| false,
+            ..CALM
+        };
+        let mut fleet = SimFleet::running(zones, hosts);
+        fleet.run(&away, 700);
+        fleet.calls = 0;
+        fleet.restore();
+        let time = fleet.time_to_force(&CALM, 4_000);
+        assert!(time <= 1_500, "{zones} zones of {hosts}: {time} ms");
+        assert!(fleet.hosts.iter().all(|host| host.era == fleet.era));
+        fleet.run(&CALM, 9_000 - time);
+        // What readers call anyway, and what each of them reads anew.
+        assert!(
+            fleet.calls <= 44 + 12,
+            "{zones} zones of {hosts}: {}",
+            fleet.calls
+        );
+        let told = fleet.hosts.iter().map(|host| host.told_whole);
+        let busiest = told.max().unwrap();
+        assert!(
+            busiest <= hosts as u64,
+            "{zones} zones of {hosts}: {busiest} whole lists"
+        );
+    }
+}
+
 #[test]
 fn a_store_that_turns_away_the_readers_only_is_read_by_others() {
     let no_heads = SimTrouble {
