--- a/tests/fleet_sim/mod.rs
+++ b/tests/fleet_sim/mod.rs
@@ -4,6 +4,8 @@
 
 #[allow(dead_code)]
 pub mod crashes;
+#[allow(dead_code)]
+pub mod restores;
 
 use {
     self::crashes::SimCrashes,
@@ -201,15 +203,6 @@
         self.now - start
     }
 
-    /// The store comes back from a copy, and something is written at once.
-    pub fn restore(&mut self) {
-        self.era += 1;
-        self.version += 1;
-        for host in &mut self.hosts {
-            host.told_whole = 0;
-        }
-    }
-
     fn step(&mut self, index: usize, trouble: &SimTrouble) {
         self.report(index, trouble);
         self.learn_crashes(index, trouble);
