--- a/src/relay/belief/backend_list.rs
+++ b/src/relay/belief/backend_list.rs
@@ -28,7 +28,7 @@
 /// How long it is remembered that a run has gone: copies are some seconds old.
 const DEPARTURES_KEPT: Duration = Duration::from_secs(60);
 
-/// A run of a backend server that has gone, or is leaving whatever a restored entry says.
+/// The end of a run of a backend server, which has gone or is leaving whatever a restored entry says.
 #[derive(Debug, Clone, Copy)]
 struct RunEnd {
     born: u64,
@@ -96,7 +96,7 @@
     }
 
     /// Takes the whole list as of a position, unless a newer one is known. `departed` are runs of which the sender knows
-    /// that they have gone; `had_outage` says that entries may have lapsed while the store was away.
+    /// that they have gone or are leaving; `had_outage` says that entries may have lapsed while the store was away.
     pub fn set(
         &mut self,
         list: Vec<BackendInfo>,
@@ -280,11 +280,13 @@
             return;
         }
         self.unlisted.remove(&run.id);
-        match run.is_gone {
-            true => self.note_gone(&run.id, run.born, now),
+        let listed = self.listed.remove(&run.id);
+        let is_listed = listed.as_ref().is_some_and(|info| info.born == run.born);
+        match run.is_gone || !is_listed {
+            true => self.note_run(&run.id, run.born, run.is_gone, now + DEPARTURES_KEPT),
             false => self.note_run(&run.id, run.born, false, Duration::MAX),
         }
-        match self.listed.remove(&run.id) {
+        match listed {
             Some(info) if self.has_gone(&info) => self.withhold(info, now),
             Some(info) => self.take_written(info),
             None => {}
--- a/src/relay/news/feed.rs
+++ b/src/relay/news/feed.rs
@@ -5,7 +5,7 @@
     crate::{
         event,
         relay::{
-            link::{ListAge, StoreCall, StoreChanges, StoreKind, StoreLink, StoreList},
+            link::{ListAge, StoreCall, StoreChanges, StoreKind, StoreLink},
             parts::{metric_labels::StoreCause, shared::RelayParts},
             policy::past_time::PastTime,
             policy::{
@@ -151,23 +151,6 @@
         }
     }
 
-    // The newest list of a store that names no eras shows less than was known before it was asked for: the store was
-    // restored from a copy.
-    fn count_restore(
-        &self,
-        kind: StoreKind,
-        held: StorePosition,
-        mut list: StoreList,
-    ) -> StoreList {
-        if list.position < held
-            && self.held_position(kind) == held
-            && let Some(era) = self.parts.eras.count_restore(held.era)
-        {
-            list.position.era = era;
-        }
-        list
-    }
-
     // What is asked of a store that did not answer last time is asked for another reason.
     fn cause(&self, kind: StoreKind, usual: StoreCause) -> StoreCause {
         match self.contact.is_kind_lost(kind)
--- a/src/relay/news/store_news.rs
+++ b/src/relay/news/store_news.rs
@@ -2,13 +2,35 @@
 
 use {
     super::feed::StoreFeed,
-    crate::relay::{
-        backend::BackendInfo,
-        link::{HostEntry, StoreChange, StoreChanges, StoreItem, StoreKind, StoreList, StoreValue},
+    crate::{
+        relay::{
+            backend::BackendInfo,
+            link::{
+                HostEntry, StoreChange, StoreChanges, StoreItem, StoreKind, StoreList, StoreValue,
+            },
+        },
+        store::StorePosition,
     },
 };
 
 impl StoreFeed {
+    // The newest list of a store that names no eras shows less than was known before it was asked for: the store was
+    // restored from a copy.
+    pub(super) fn count_restore(
+        &self,
+        kind: StoreKind,
+        held: StorePosition,
+        mut list: StoreList,
+    ) -> StoreList {
+        if list.position < held
+            && self.held_position(kind) == held
+            && let Some(era) = self.parts.eras.count_restore(held.era)
+        {
+            list.position.era = era;
+        }
+        list
+    }
+
     /// Gives whether the list is as new as what is known.
     pub(super) fn take_list(&self, kind: StoreKind, list: StoreList) -> bool {
         let now = self.parts.now();
