--- a/src/relay/cluster/backend_list.rs
+++ b/src/relay/cluster/backend_list.rs
@@ -5,7 +5,7 @@
 //! is still leaving, a server that had departed is not used, and a server missing from the backup has not departed.
 
 use {
-    super::history::{ChangeHistory, ChangesSince, DepartedRun, KindNews},
+    super::history::{ChangeHistory, ChangesSince, DepartedRun, KindNews, list_difference},
     crate::{
         relay::{
             backend::BackendInfo,
@@ -111,6 +111,10 @@
             return false;
         }
         let is_restored = position.era > held.era && self.update_count() > 0;
+        let difference = self
+            .history
+            .is_continued_by(position)
+            .then(|| self.difference(&list));
         let mut before = mem::take(&mut self.listed);
         let mut withheld = mem::take(&mut self.withheld);
         for info in list {
@@ -127,13 +131,26 @@
                 false => self.remove(info, had_outage, now),
             }
         }
+        let mut has_new_departures = false;
         for run in departed {
-            self.apply_departed_run(run, now);
+            has_new_departures |= self.apply_departed_run(run, now);
+        }
+        self.history.set_object_count(self.listed.len());
+        match difference.filter(|_| !has_new_departures) {
+            Some(changes) => self.history.record_difference(position, changes),
+            None => self.history.restart(position),
         }
-        self.history.restart(position);
         true
     }
 
+    // The changes that a list of the store shows since the known one.
+    fn difference(&self, list: &[BackendInfo]) -> Vec<StoreChange> {
+        let entries = self.entries().map(|info| (info.id.clone(), info.clone()));
+        let before: BTreeMap<FastStr, BackendInfo> = entries.collect();
+        let after = list.iter().map(|info| (&info.id, info));
+        list_difference(&before, after, backend_item)
+    }
+
     /// Applies changes up to a position, unless a newer one is known. Changes of another era are ignored, as they
     /// continue from a list that this host does not have.
     pub fn change(
@@ -157,6 +174,7 @@
                 StoreChange::Removed(id) => self.apply_removed(id, had_outage, now),
             }
         }
+        self.history.set_object_count(self.listed.len());
         self.history.record(position, changes);
     }
 
@@ -194,16 +212,20 @@
             ChangesSince::Evicted => KindNews {
                 position,
                 is_whole: true,
-                changes: self.entries().map(StoreChange::Set).collect(),
+                changes: self
+                    .entries()
+                    .map(backend_item)
+                    .map(StoreChange::Set)
+                    .collect(),
                 departed: self.departed_run_list(),
             },
         }
     }
 
     // All entries that the store lists, including withheld ones.
-    fn entries(&self) -> impl Iterator<Item = StoreItem> {
+    fn entries(&self) -> impl Iterator<Item = &BackendInfo> {
         let withheld = self.withheld.values().map(|entry| &entry.info);
-        self.listed.values().chain(withheld).map(backend_item)
+        self.listed.values().chain(withheld)
     }
 
     fn departed_run_list(&self) -> Vec<DepartedRun> {
@@ -270,8 +292,8 @@
     }
 
     // Applies the sender's knowledge that a run has departed or is leaving, even if the sender's list shows it as
-    // current.
-    fn apply_departed_run(&mut self, run: &DepartedRun, now: Duration) {
+    // current. Returns whether this host did not know it yet.
+    fn apply_departed_run(&mut self, run: &DepartedRun, now: Duration) -> bool {
         let is_later = |info: &BackendInfo| info.born > run.born;
         let unlisted = self.unlisted.get(&run.id).map(|entry| &entry.info);
         let current = self.listed.get(&run.id).or(unlisted);
@@ -279,7 +301,7 @@
             known.born > run.born || (known.born == run.born && known.is_gone >= run.is_gone)
         };
         if current.is_some_and(is_later) || self.departed.get(&run.id).is_some_and(is_known) {
-            return;
+            return false;
         }
         self.unlisted.remove(&run.id);
         let listed = self.listed.remove(&run.id);
@@ -293,6 +315,7 @@
             Some(info) => self.apply_written(info),
             None => {}
         }
+        true
     }
 
     // An entry that is removed while the store is available means that its server has departed.
--- a/src/relay/cluster/history.rs
+++ b/src/relay/cluster/history.rs
@@ -1,14 +1,18 @@
 //! A bounded history of the changes of one kind of objects, for hosts that need only the latest ones.
 
 use {
-    crate::{relay::link::StoreChange, store::StorePosition},
+    crate::{
+        relay::link::{StoreChange, StoreItem},
+        store::StorePosition,
+    },
     faststr::FastStr,
     serde::{Deserialize, Serialize},
-    std::collections::VecDeque,
+    std::collections::{BTreeMap, BTreeSet, VecDeque},
 };
 
-/// Maximum number of changes kept: a few minutes of a busy day, at 150 bytes each.
-const MAX_CHANGES: usize = 512;
+/// Minimum number of changes that are kept even if the list itself is shorter: a few minutes of a busy day, at 150
+/// bytes each.
+const MIN_CHANGES_KEPT: usize = 512;
 
 /// The changes after a position, for a host that knows everything up to it.
 #[derive(Debug, Clone, PartialEq)]
@@ -45,11 +49,23 @@
     pub is_gone: bool,
 }
 
-/// The latest changes in batches, each with the store position up to which it goes.
+/// Changes from one store position to another.
+#[derive(Debug)]
+struct ChangeBatch {
+    after: StorePosition,
+    position: StorePosition,
+    changes: Vec<StoreChange>,
+    // The difference of two lists, which lacks what was changed and changed back in between.
+    is_difference: bool,
+}
+
+/// The latest changes in batches, as many as a list of half the objects has entries: a host that lacks more is better
+/// off with the list.
 #[derive(Debug, Default)]
 pub struct ChangeHistory {
-    batches: VecDeque<(StorePosition, Vec<StoreChange>)>,
+    batches: VecDeque<ChangeBatch>,
     change_count: usize,
+    object_count: usize,
     // Changes up to this position are no longer kept.
     evicted_position: StorePosition,
     position: StorePosition,
@@ -67,39 +83,76 @@
         self.update_count
     }
 
+    /// Sets the number of objects in the list that the changes lead to.
+    pub fn set_object_count(&mut self, count: usize) {
+        self.object_count = count;
+    }
+
     /// Records changes up to a position; those up to an older position than the current one are ignored.
     pub fn record(&mut self, position: StorePosition, changes: Vec<StoreChange>) {
         if position < self.position {
             return;
         }
-        self.position = position;
+        let after = std::mem::replace(&mut self.position, position);
         if changes.is_empty() {
             return;
         }
+        self.push(ChangeBatch {
+            after,
+            position,
+            changes,
+            is_difference: false,
+        });
+    }
+
+    /// Records the difference between the list as of the current position and that of a later position of the same era.
+    pub fn record_difference(&mut self, position: StorePosition, changes: Vec<StoreChange>) {
+        self.check_order(position);
+        let after = std::mem::replace(&mut self.position, position);
+        self.push(ChangeBatch {
+            after,
+            position,
+            changes,
+            is_difference: true,
+        });
+    }
+
+    fn push(&mut self, batch: ChangeBatch) {
         self.update_count += 1;
-        self.change_count += changes.len();
-        self.batches.push_back((position, changes));
-        while self.change_count > MAX_CHANGES {
-            let Some((position, oldest)) = self.batches.pop_front() else {
+        self.change_count += batch.changes.len();
+        self.batches.push_back(batch);
+        let kept = MIN_CHANGES_KEPT.max(self.object_count / 2);
+        while self.change_count > kept || self.batches.len() > kept {
+            let Some(oldest) = self.batches.pop_front() else {
                 return;
             };
-            self.change_count -= oldest.len();
-            self.evicted_position = position;
+            self.change_count -= oldest.changes.len();
+            self.evicted_position = oldest.position;
         }
     }
 
     /// Starts a new history from a complete list as of a position. The changes before it are unknown, so hosts that
     /// follow this one need the complete list too.
     pub fn restart(&mut self, position: StorePosition) {
+        self.check_order(position);
+        self.update_count += 1;
+        self.batches.clear();
+        self.change_count = 0;
+        (self.evicted_position, self.position) = (position, position);
+    }
+
+    fn check_order(&self, position: StorePosition) {
         assert!(
             position >= self.position,
             "a list at {position} cannot replace one at {}",
             self.position
         );
-        self.update_count += 1;
-        self.batches.clear();
-        self.change_count = 0;
-        (self.evicted_position, self.position) = (position, position);
+    }
+
+    /// Whether a list of this position continues the known one, so that their difference is all that changed.
+    pub fn is_continued_by(&self, position: StorePosition) -> bool {
+        let has_list = self.update_count > 0 && self.position.revision > 0;
+        has_list && self.position.era == position.era
     }
 
     /// Forgets a revision that the store turned out not to have, so that any list of the same era counts as newer.
@@ -115,14 +168,35 @@
         let last = self
             .batches
             .back()
-            .map_or(self.evicted_position, |batch| batch.0);
+            .map_or(self.evicted_position, |batch| batch.position);
         if held >= last {
             return ChangesSince::UpToDate;
         }
-        if held < self.evicted_position {
+        let missing = self.batches.iter().filter(|batch| batch.position > held);
+        let mut incomplete = missing
+            .clone()
+            .filter(|batch| batch.is_difference && batch.after < held);
+        if held < self.evicted_position || incomplete.next().is_some() {
             return ChangesSince::Evicted;
         }
-        let missing = self.batches.iter().filter(|batch| batch.0 > held);
-        ChangesSince::Changes(missing.flat_map(|batch| batch.1.clone()).collect())
+        ChangesSince::Changes(missing.flat_map(|batch| batch.changes.clone()).collect())
+    }
+}
+
+/// The changes that turn one list of objects into another; `to_item` makes the store's item of an object.
+pub fn list_difference<'a, T: PartialEq + 'a>(
+    before: &BTreeMap<FastStr, T>,
+    after: impl Iterator<Item = (&'a FastStr, &'a T)>,
+    to_item: impl Fn(&T) -> StoreItem,
+) -> Vec<StoreChange> {
+    let mut removed: BTreeSet<&FastStr> = before.keys().collect();
+    let mut changes = Vec::new();
+    for (name, object) in after {
+        removed.remove(name);
+        if before.get(name) != Some(object) {
+            changes.push(StoreChange::Set(to_item(object)));
+        }
     }
+    changes.extend(removed.into_iter().cloned().map(StoreChange::Removed));
+    changes
 }
--- a/src/relay/cluster/host_list.rs
+++ b/src/relay/cluster/host_list.rs
@@ -1,7 +1,7 @@
 //! The hosts listed in the store, and those that a restored store does not list yet.
 
 use {
-    super::history::{ChangeHistory, ChangesSince, KindNews},
+    super::history::{ChangeHistory, ChangesSince, KindNews, list_difference},
     crate::{
         relay::link::{HostEntry, StoreChange, StoreItem, StoreValue},
         store::StorePosition,
@@ -73,14 +73,31 @@
         }
         let named = list.into_iter().map(|entry| (entry.name.clone(), entry));
         let shown: BTreeMap<FastStr, HostEntry> = named.collect();
+        let difference = self
+            .history
+            .is_continued_by(position)
+            .then(|| self.difference(&shown));
         match position.era > held.era && !self.known.is_empty() {
             true => self.apply_restored(shown, now),
             false => self.apply_listed(shown),
         }
-        self.history.restart(position);
+        self.history.set_object_count(self.known.len());
+        match difference {
+            Some(changes) => self.history.record_difference(position, changes),
+            None => self.history.restart(position),
+        }
         true
     }
 
+    // The changes that a list of the store shows since the known one.
+    fn difference(&self, list: &BTreeMap<FastStr, HostEntry>) -> Vec<StoreChange> {
+        let entries = self
+            .shown()
+            .map(|entry| (entry.name.clone(), entry.clone()));
+        let before: BTreeMap<FastStr, HostEntry> = entries.collect();
+        list_difference(&before, list.iter(), host_item)
+    }
+
     // Keeps the known entries, which are newer than the backup, until each host has rewritten its own.
     fn apply_restored(&mut self, mut shown: BTreeMap<FastStr, HostEntry>, now: Duration) {
         let expires_at = now + REWRITE_TIMEOUT;
@@ -133,6 +150,7 @@
                 }
             }
         }
+        self.history.set_object_count(self.known.len());
         self.history.record(position, changes);
     }
 
--- a/tests/relay_history.rs
+++ b/tests/relay_history.rs
@@ -5,8 +5,8 @@
 use {
     bayplank::{
         relay::{
-            BackendInfo, ChangeHistory, ChangesSince, ClusterNews, ClusterState, PastTime,
-            StoreChange, StoreItem, StoreKind, StoreValue,
+            BackendInfo, ChangeHistory, ChangesSince, ClusterNews, ClusterState, HostEntry,
+            PastTime, StoreChange, StoreItem, StoreKind, StoreValue,
         },
         store::StorePosition,
     },
@@ -65,6 +65,75 @@
     assert!(matches!(history.since(at(998)), ChangesSince::Changes(changes) if changes.len() == 1));
 }
 
+// A host that read `count` servers, and the position of a follower that has them too.
+fn informed_host(count: usize) -> (ClusterState, StorePosition) {
+    let mut state = ClusterState::default();
+    state.set_backends(servers(count), at(10), Duration::ZERO);
+    (state, at(10))
+}
+
+fn servers(count: usize) -> Vec<BackendInfo> {
+    let ids = (0..count).map(|index| format!("b-{index:05}"));
+    ids.map(|id| backend(&id, false)).collect()
+}
+
+// Number of entries that a follower is sent, and whether they are the whole list.
+fn sent(state: &ClusterState, held: StorePosition) -> (usize, bool) {
+    let news = state.backend_news(held);
+    (news.changes.len(), news.is_whole)
+}
+
+#[test]
+fn a_large_batch_of_changes_is_not_sent_as_the_whole_list() {
+    for count in [1_000, 10_000, 20_000] {
+        let (mut state, held) = informed_host(count);
+        let leaving = servers(count).into_iter().take(count / 5);
+        let changes = leaving.map(|info| {
+            set(BackendInfo {
+                leaving: true,
+                ..info
+            })
+        });
+        state.change_backends(changes.collect(), at(11), Duration::ZERO);
+        assert_eq!(sent(&state, held), (count / 5, false), "of {count} servers");
+    }
+}
+
+#[test]
+fn a_list_that_is_read_again_is_sent_as_the_changes_that_it_shows() {
+    for count in [100, 10_000] {
+        let (mut state, held) = informed_host(count);
+        let mut list = servers(count);
+        list[0].leaving = true;
+        list.remove(1);
+        list.push(backend("new", false));
+        state.set_backends(list, at(12), Duration::ZERO);
+        assert_eq!(sent(&state, held), (3, false), "of {count} servers");
+        // A follower that was informed in between by another host may know of changes that were undone since.
+        assert_eq!(sent(&state, at(11)), (count, true), "of {count} servers");
+    }
+}
+
+#[test]
+fn a_list_of_hosts_that_is_read_again_is_sent_as_the_changes_that_it_shows() {
+    let entry = |index: usize| HostEntry {
+        name: FastStr::from_string(format!("h-{index}")),
+        zone: "z-a".into(),
+        peers: "127.0.0.1:9".parse().unwrap(),
+        link_mbps: 0,
+        judged: Vec::new(),
+    };
+    let mut state = ClusterState::default();
+    state.set_hosts((0..986).map(entry).collect(), at(10), Duration::ZERO);
+    state.set_hosts((1..987).map(entry).collect(), at(12), Duration::ZERO);
+    let news = state.host_news(at(10));
+    assert_eq!((news.changes.len(), news.is_whole), (2, false));
+    let mut follower = ClusterState::default();
+    follower.set_hosts((0..986).map(entry).collect(), at(10), Duration::ZERO);
+    follower.apply_host_news(news, Duration::ZERO);
+    assert!(follower.hosts().eq(state.hosts()));
+}
+
 #[test]
 fn the_age_is_that_of_the_older_kind_and_an_older_confirmation_does_not_raise_it() {
     let mut state = ClusterState::default();
