--- a/tests/relay_subset.rs
+++ b/tests/relay_subset.rs
@@ -76,6 +76,18 @@
         });
 }
 
+#[test]
+fn the_work_grows_with_a_zone_and_not_with_hosts_times_engines() {
+    let visited = |hosts, engines| {
+        relay::plan_subsets(&names("h", hosts), &names("e", engines)).engines_visited
+    };
+    let (small, large) = (visited(60, 180), visited(600, 1_800));
+    assert!(
+        large <= 12 * small,
+        "{small} engines visited for 60 hosts and 180 engines, {large} for ten times as many"
+    );
+}
+
 #[test]
 fn adding_or_removing_a_host_or_engine_changes_few_subsets() {
     let (hosts, engines) = (names("h", 59), names("e", 37));
