--- a/src/relay/cluster/backend_list.rs
+++ b/src/relay/cluster/backend_list.rs
@@ -5,7 +5,10 @@
 //! is still leaving, a server that had departed is not used, and a server missing from the backup has not departed.
 
 use {
-    super::history::{ChangeHistory, ChangesSince, DepartedRun, KindNews, list_difference},
+    super::{
+        history::{ChangeHistory, ChangesSince, DepartedRun, KindNews, list_difference},
+        list_parts::{ListCursor, ListPart},
+    },
     crate::{
         relay::{
             backend::BackendInfo,
@@ -14,7 +17,7 @@
         store::StorePosition,
     },
     faststr::FastStr,
-    std::{collections::BTreeMap, mem, time::Duration},
+    std::{collections::BTreeMap, mem, ops::Bound, time::Duration},
 };
 
 /// How long a backend server whose entry expired during a store outage is still used: servers that are alive are
@@ -148,7 +151,7 @@
         let entries = self.entries().map(|info| (info.id.clone(), info.clone()));
         let before: BTreeMap<FastStr, BackendInfo> = entries.collect();
         let after = list.iter().map(|info| (&info.id, info));
-        list_difference(&before, after, backend_item)
+        list_difference(&before, after, StoreChange::of_backend)
     }
 
     /// Applies changes up to a position, unless a newer one is known. Changes of another era are ignored, as they
@@ -185,6 +188,7 @@
             is_whole,
             changes,
             departed,
+            part: _,
         } = news;
         if !is_whole {
             return self.change(changes, position, had_outage, now);
@@ -214,14 +218,67 @@
                 is_whole: true,
                 changes: self
                     .entries()
-                    .map(backend_item)
-                    .map(StoreChange::Set)
+                    .cloned()
+                    .map(StoreChange::of_backend)
                     .collect(),
                 departed: self.departed_run_list(),
+                part: None,
             },
         }
     }
 
+    /// The same as `news`, but of the complete list only the part of at most `count` entries that follows the
+    /// requester's cursor. Starts again with the first part if the changes since then are not known here.
+    pub fn news_part(
+        &self,
+        held: StorePosition,
+        cursor: Option<&ListCursor>,
+        count: usize,
+    ) -> KindNews {
+        if self.is_unconfirmed || self.history.covers(held) {
+            return self.news(held);
+        }
+        let position = self.position();
+        let can_continue = |cursor: &&ListCursor| {
+            let is_same_era = cursor.started.era == position.era;
+            is_same_era && cursor.latest <= position && self.history.covers(cursor.started)
+        };
+        let (started, after) = match cursor.filter(can_continue) {
+            Some(cursor) => (cursor.started, cursor.after.clone()),
+            None => (position, FastStr::empty()),
+        };
+        let entries = self.entries_after(&after, count);
+        let is_last = entries.len() < count;
+        let (changes, departed) = match is_last {
+            true => (self.news(started).changes, self.departed_run_list()),
+            false => (Vec::new(), Vec::new()),
+        };
+        KindNews {
+            position,
+            is_whole: true,
+            changes,
+            departed,
+            part: Some(ListPart {
+                started,
+                after,
+                entries,
+                is_last,
+            }),
+        }
+    }
+
+    // The entries that follow an id.
+    fn entries_after(&self, id: &str, count: usize) -> Vec<BackendInfo> {
+        let range = (Bound::Excluded(id), Bound::Unbounded);
+        let listed = self.listed.range::<str, _>(range).take(count);
+        let withheld = self.withheld.range::<str, _>(range).take(count);
+        let listed = listed.map(|(_, info)| info);
+        let withheld = withheld.map(|(_, entry)| &entry.info);
+        let mut entries: Vec<&BackendInfo> = listed.chain(withheld).collect();
+        entries.sort_by(|a, b| a.id.cmp(&b.id));
+        entries.into_iter().take(count).cloned().collect()
+    }
+
     // All entries that the store lists, including withheld ones.
     fn entries(&self) -> impl Iterator<Item = &BackendInfo> {
         let withheld = self.withheld.values().map(|entry| &entry.info);
@@ -393,15 +450,6 @@
     }
 }
 
-// Positions of individual objects are not kept, since no conditional write uses them.
-fn backend_item(info: &BackendInfo) -> StoreItem {
-    StoreItem {
-        name: info.id.clone(),
-        position: StorePosition::default(),
-        value: StoreValue::Backend(info.clone()),
-    }
-}
-
 fn backend_of(change: StoreChange) -> Option<BackendInfo> {
     match change {
         StoreChange::Set(StoreItem {
--- a/src/relay/cluster/history.rs
+++ b/src/relay/cluster/history.rs
@@ -1,10 +1,8 @@
 //! A bounded history of the changes of one kind of objects, for hosts that need only the latest ones.
 
 use {
-    crate::{
-        relay::link::{StoreChange, StoreItem},
-        store::StorePosition,
-    },
+    super::list_parts::ListPart,
+    crate::{relay::link::StoreChange, store::StorePosition},
     faststr::FastStr,
     serde::{Deserialize, Serialize},
     std::collections::{BTreeMap, BTreeSet, VecDeque},
@@ -36,6 +34,8 @@
     pub changes: Vec<StoreChange>,
     /// In a complete list, the runs of backend servers that have departed or are leaving, whatever the objects say.
     pub departed: Vec<DepartedRun>,
+    /// A part of the complete list. The last part comes with the changes since the first one.
+    pub part: Option<ListPart>,
 }
 
 /// A run of a backend server that has departed or is leaving.
@@ -163,6 +163,13 @@
         self.evicted_position = self.position;
     }
 
+    /// Whether all changes are kept for a host that knows everything up to `held`.
+    pub fn covers(&self, held: StorePosition) -> bool {
+        let is_within = |batch: &ChangeBatch| batch.after < held && held < batch.position;
+        let mut differences = self.batches.iter().filter(|batch| batch.is_difference);
+        held >= self.evicted_position && !differences.any(is_within)
+    }
+
     /// The changes for a host that knows everything up to `held`.
     pub fn since(&self, held: StorePosition) -> ChangesSince {
         let last = self
@@ -172,29 +179,26 @@
         if held >= last {
             return ChangesSince::UpToDate;
         }
-        let missing = self.batches.iter().filter(|batch| batch.position > held);
-        let mut incomplete = missing
-            .clone()
-            .filter(|batch| batch.is_difference && batch.after < held);
-        if held < self.evicted_position || incomplete.next().is_some() {
+        if !self.covers(held) {
             return ChangesSince::Evicted;
         }
+        let missing = self.batches.iter().filter(|batch| batch.position > held);
         ChangesSince::Changes(missing.flat_map(|batch| batch.changes.clone()).collect())
     }
 }
 
-/// The changes that turn one list of objects into another; `to_item` makes the store's item of an object.
-pub fn list_difference<'a, T: PartialEq + 'a>(
+/// The changes that turn one list of objects into another.
+pub fn list_difference<'a, T: Clone + PartialEq + 'a>(
     before: &BTreeMap<FastStr, T>,
     after: impl Iterator<Item = (&'a FastStr, &'a T)>,
-    to_item: impl Fn(&T) -> StoreItem,
+    to_change: impl Fn(T) -> StoreChange,
 ) -> Vec<StoreChange> {
     let mut removed: BTreeSet<&FastStr> = before.keys().collect();
     let mut changes = Vec::new();
     for (name, object) in after {
         removed.remove(name);
         if before.get(name) != Some(object) {
-            changes.push(StoreChange::Set(to_item(object)));
+            changes.push(to_change(object.clone()));
         }
     }
     changes.extend(removed.into_iter().cloned().map(StoreChange::Removed));
--- a/src/relay/cluster/host_list.rs
+++ b/src/relay/cluster/host_list.rs
@@ -95,7 +95,7 @@
             .shown()
             .map(|entry| (entry.name.clone(), entry.clone()));
         let before: BTreeMap<FastStr, HostEntry> = entries.collect();
-        list_difference(&before, list.iter(), host_item)
+        list_difference(&before, list.iter(), host_change)
     }
 
     // Keeps the known entries, which are newer than the backup, until each host has rewritten its own.
@@ -174,11 +174,10 @@
             changes: match missing {
                 ChangesSince::UpToDate => Vec::new(),
                 ChangesSince::Changes(changes) => changes,
-                ChangesSince::Evicted => {
-                    self.shown().map(host_item).map(StoreChange::Set).collect()
-                }
+                ChangesSince::Evicted => self.shown().cloned().map(host_change).collect(),
             },
             departed: Vec::new(),
+            part: None,
         }
     }
 
@@ -206,12 +205,12 @@
     }
 }
 
-fn host_item(entry: &HostEntry) -> StoreItem {
-    StoreItem {
+fn host_change(entry: HostEntry) -> StoreChange {
+    StoreChange::Set(StoreItem {
         name: entry.name.clone(),
         position: StorePosition::default(),
-        value: StoreValue::Host(entry.clone()),
-    }
+        value: StoreValue::Host(entry),
+    })
 }
 
 fn host_of(change: StoreChange) -> Option<HostEntry> {
--- a/src/relay/cluster/mod.rs
+++ b/src/relay/cluster/mod.rs
@@ -4,6 +4,7 @@
 mod backend_list;
 pub(crate) mod history;
 mod host_list;
+pub(crate) mod list_parts;
 pub(crate) mod state;
 
-pub use self::{backend_list::*, history::*, host_list::*, state::*};
+pub use self::{backend_list::*, history::*, host_list::*, list_parts::*, state::*};
--- a/src/relay/cluster/state.rs
+++ b/src/relay/cluster/state.rs
@@ -5,7 +5,12 @@
 //! contains the older one.
 
 use {
-    super::{backend_list::BackendList, history::KindNews, host_list::HostList},
+    super::{
+        backend_list::BackendList,
+        history::KindNews,
+        host_list::HostList,
+        list_parts::{ListCursor, PartialList},
+    },
     crate::{
         relay::{
             backend::BackendInfo,
@@ -34,6 +39,8 @@
 pub struct ClusterState {
     routes: Option<Rc<RouteTable>>,
     backends: BackendList,
+    // The list of backend servers that is being received from another host.
+    partial_backends: PartialList,
     hosts: HostList,
     // The latest store era observed, and when a restore was last detected.
     era: u32,
@@ -76,6 +83,7 @@
         Self {
             routes: None,
             backends: BackendList::new(heartbeat),
+            partial_backends: PartialList::default(),
             hosts: HostList::default(),
             era: 0,
             last_restore: None,
@@ -281,6 +289,7 @@
         if position < self.backends_position() {
             return false;
         }
+        self.partial_backends.clear();
         self.detect_outage(now);
         let had_outage = self.had_outage(now);
         self.backends.set(list, &[], position, had_outage, now)
@@ -320,14 +329,26 @@
         self.backends.change(changes, position, had_outage, now);
     }
 
-    /// Applies an update of the backend servers received from another host.
-    pub fn apply_backend_news(&mut self, news: KindNews, now: Duration) {
+    /// Applies an update of the backend servers received from another host. Returns false if it is a part of the list
+    /// and others are missing.
+    pub fn apply_backend_news(&mut self, news: KindNews, now: Duration) -> bool {
+        let news = match news.part.is_some() {
+            true => match self.partial_backends.add(news) {
+                Some(news) => news,
+                None => return false,
+            },
+            false => news,
+        };
+        if news.position.is_known() {
+            self.partial_backends.clear();
+        }
         if news.position < self.backends_position() {
-            return;
+            return true;
         }
         self.detect_outage(now);
         let had_outage = self.had_outage(now);
         self.backends.apply_news(news, had_outage, now);
+        true
     }
 
     /// The update of the backend servers for another host that knows them up to `held`.
@@ -335,6 +356,21 @@
         self.backends.news(held)
     }
 
+    /// The same, but of the complete list only the part of at most `count` entries that follows the cursor.
+    pub fn backend_news_part(
+        &self,
+        held: StorePosition,
+        cursor: Option<&ListCursor>,
+        count: usize,
+    ) -> KindNews {
+        self.backends.news_part(held, cursor, count)
+    }
+
+    /// Where the list of backend servers is to be continued, if parts of it were received.
+    pub fn list_cursor(&self) -> Option<&ListCursor> {
+        self.partial_backends.cursor()
+    }
+
     /// Evicts entries whose retention time is over, and returns whether the set of usable backend servers changed.
     pub fn expire(&mut self, now: Duration) -> bool {
         self.hosts.expire(now);
--- a/src/relay/link.rs
+++ b/src/relay/link.rs
@@ -97,6 +97,18 @@
     Removed(FastStr),
 }
 
+impl StoreChange {
+    /// The change that lists this entry. Positions of individual backend servers are not kept, since no conditional
+    /// write uses them.
+    pub fn of_backend(info: BackendInfo) -> Self {
+        Self::Set(StoreItem {
+            name: info.id.clone(),
+            position: StorePosition::default(),
+            value: StoreValue::Backend(info),
+        })
+    }
+}
+
 /// The changes after a position.
 #[derive(Debug, Clone, PartialEq)]
 pub struct StoreChanges {
--- a/src/relay/news/answer.rs
+++ b/src/relay/news/answer.rs
@@ -2,7 +2,9 @@
 
 use {
     super::message::{ClusterNews, HeldNews},
-    crate::relay::{parts::shared::RelayParts, policy::source},
+    crate::relay::{
+        cluster::list_parts::PART_ENTRIES_MAX, parts::shared::RelayParts, policy::source,
+    },
     std::{rc::Rc, time::Duration},
 };
 
@@ -99,7 +101,14 @@
         outage: cluster.outage_age(now),
         config_version: cluster.config_version(),
         config: sent_config.cloned(),
-        backends: cluster.backend_news(held.backends_position),
+        backends: match held.reads_parts {
+            true => cluster.backend_news_part(
+                held.backends_position,
+                held.list_cursor.as_ref(),
+                PART_ENTRIES_MAX,
+            ),
+            false => cluster.backend_news(held.backends_position),
+        },
         hosts: cluster.host_news(held.hosts_position),
         guides: Vec::new(),
         crashes: parts.crash_news(held.crashes),
--- a/src/relay/news/follow.rs
+++ b/src/relay/news/follow.rs
@@ -287,13 +287,17 @@
             peers: Some(self.parts.settings.peers),
             crashes: self.parts.crashes.received_position(address),
             limits: self.parts.limits.received_position(address),
+            reads_parts: true,
+            list_cursor: cluster.list_cursor().cloned(),
         }
     }
 
     async fn follow(&self, entry: &HostEntry) {
         // Bounds the call so that this host does not go without any answer for too long.
         let left = self.choice.borrow().time_left(self.parts.now());
-        let (hold, timeout) = match self.has_complete_view() {
+        // A host that sends parts of a list is up, but may be sending them to many.
+        let is_answering = self.parts.cluster.borrow().list_cursor().is_some();
+        let (hold, timeout) = match self.has_complete_view() || is_answering {
             true => (POLL_HOLD, RESPONSE_TIMEOUT),
             false => (START_POLL_HOLD, START_RESPONSE_TIMEOUT),
         };
--- /dev/null
+++ b/src/relay/news/list_table.rs
@@ -0,0 +1,135 @@
+//! Compact encoding of entries of backend servers: JSON rows without field names, with each service and zone named once.
+//! An entry takes some 75 bytes, compared to 270 as an object of its own.
+
+use {
+    crate::{
+        engine::EngineRole,
+        relay::{
+            backend::BackendInfo,
+            link::{StoreChange, StoreItem, StoreValue},
+        },
+    },
+    capnp::{Error, Result},
+    faststr::FastStr,
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+};
+
+/// Changes of backend servers, in order.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub struct ChangeTable {
+    // Names of services and zones, to which rows refer by their index.
+    names: Vec<FastStr>,
+    rows: Vec<ChangeRow>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(untagged)]
+enum ChangeRow {
+    Set(EntryRow),
+    Removed(FastStr),
+}
+
+/// Id, start of the run, index of the service, address, index of the zone, whether it is leaving, slots, role, orders
+/// taken.
+#[derive(Debug, Serialize, Deserialize)]
+struct EntryRow(
+    FastStr,
+    u64,
+    usize,
+    SocketAddr,
+    usize,
+    bool,
+    u32,
+    Option<EngineRole>,
+    u64,
+);
+
+impl ChangeTable {
+    /// The table of changes; those of other kinds of objects are left out.
+    pub fn of_changes(changes: &[StoreChange]) -> Self {
+        let mut table = Self::default();
+        for change in changes {
+            match change {
+                StoreChange::Set(StoreItem {
+                    value: StoreValue::Backend(info),
+                    ..
+                }) => table.push_entry(info),
+                StoreChange::Set(_) => {}
+                StoreChange::Removed(id) => table.rows.push(ChangeRow::Removed(id.clone())),
+            }
+        }
+        table
+    }
+
+    /// The table of entries.
+    pub fn of_entries(entries: &[BackendInfo]) -> Self {
+        let mut table = Self::default();
+        entries.iter().for_each(|info| table.push_entry(info));
+        table
+    }
+
+    fn push_entry(&mut self, info: &BackendInfo) {
+        let row = EntryRow(
+            info.id.clone(),
+            info.born,
+            self.index_of(&info.service),
+            info.address,
+            self.index_of(&info.zone),
+            info.leaving,
+            info.slots,
+            info.role,
+            info.orders_taken,
+        );
+        self.rows.push(ChangeRow::Set(row));
+    }
+
+    fn index_of(&mut self, name: &FastStr) -> usize {
+        let known = self.names.iter().position(|known| known == name);
+        known.unwrap_or_else(|| {
+            self.names.push(name.clone());
+            self.names.len() - 1
+        })
+    }
+
+    /// The changes; fails if a row refers to a name that the table lacks.
+    pub fn into_changes(self) -> Result<Vec<StoreChange>> {
+        let Self { names, rows } = self;
+        let changes = rows.into_iter().map(|row| match row {
+            ChangeRow::Set(row) => Ok(StoreChange::of_backend(row.into_backend(&names)?)),
+            ChangeRow::Removed(id) => Ok(StoreChange::Removed(id)),
+        });
+        changes.collect()
+    }
+
+    /// The entries; fails if a row refers to a name that the table lacks.
+    pub fn into_entries(self) -> Result<Vec<BackendInfo>> {
+        let Self { names, rows } = self;
+        let entries = rows.into_iter().filter_map(|row| match row {
+            ChangeRow::Set(row) => Some(row.into_backend(&names)),
+            ChangeRow::Removed(_) => None,
+        });
+        entries.collect()
+    }
+}
+
+impl EntryRow {
+    fn into_backend(self, names: &[FastStr]) -> Result<BackendInfo> {
+        let Self(id, born, service, address, zone, leaving, slots, role, orders_taken) = self;
+        let name = |index: usize| {
+            let name = names.get(index).cloned();
+            name.ok_or_else(|| Error::failed(format!("no name {index} in a table of entries")))
+        };
+        Ok(BackendInfo {
+            id,
+            born,
+            service: name(service)?,
+            address,
+            zone: name(zone)?,
+            leaving,
+            slots,
+            role,
+            orders_taken,
+        })
+    }
+}
--- a/src/relay/news/message.rs
+++ b/src/relay/news/message.rs
@@ -1,12 +1,15 @@
 //! Messages between hosts and their encoding.
 
 use {
-    super::{crash_message, limit_message},
+    super::{crash_message, limit_message, list_table::ChangeTable},
     crate::{
         account::{AccountKey, AccountUse, LedgerSums, NearAccount, UseReport},
         news_capnp::{account_use, cluster_news, held_news, kind_news, ledger_sums, load_report},
         relay::{
-            cluster::history::KindNews,
+            cluster::{
+                history::KindNews,
+                list_parts::{ListCursor, ListPart},
+            },
             config::RelayConfig,
             link::HostEntry,
             policy::{
@@ -55,6 +58,10 @@
     pub crashes: CachePosition,
     /// The position up to which it has the receiver's records of rate-limited servers.
     pub limits: CachePosition,
+    /// Whether it reads tables of changes, and lists in parts.
+    pub reads_parts: bool,
+    /// Where its list of backend servers is to be continued, if it has received parts of it.
+    pub list_cursor: Option<ListCursor>,
 }
 
 impl HeldNews {
@@ -170,6 +177,12 @@
     if let Some(address) = held.peers {
         to.set_peers(address.to_string());
     }
+    to.set_reads_parts(held.reads_parts);
+    if let Some(cursor) = &held.list_cursor {
+        to.set_part_revision(cursor.started.number());
+        to.set_part_latest(cursor.latest.number());
+        to.set_part_after(cursor.after.as_str());
+    }
 }
 
 // An empty text stands for no address.
@@ -202,15 +215,45 @@
             cache_id: from.get_limit_book(),
             revision: from.get_limit_revision(),
         },
+        reads_parts: from.get_reads_parts(),
+        list_cursor: Some(ListCursor {
+            started: StorePosition::of_number(from.get_part_revision()),
+            latest: StorePosition::of_number(from.get_part_latest()),
+            after: FastStr::new(from.get_part_after()?.to_str()?),
+        })
+        .filter(|cursor| !cursor.after.is_empty()),
     })
 }
 
+// Encodes the changes of backend servers for a requester that reads tables.
+fn write_backends(mut to: kind_news::Builder<'_>, kind: &KindNews) -> Result<()> {
+    to.set_revision(kind.position.number());
+    if !kind.changes.is_empty() {
+        to.set_table(&to_json(&ChangeTable::of_changes(&kind.changes))?);
+    }
+    write_departed(to.reborrow(), kind)?;
+    let Some(part) = &kind.part else {
+        return Ok(());
+    };
+    to.set_is_whole(true);
+    to.set_is_part(true);
+    to.set_is_last_part(part.is_last);
+    to.set_entries(&to_json(&ChangeTable::of_entries(&part.entries))?);
+    to.set_part_after(part.after.as_str());
+    to.set_part_revision(part.started.number());
+    Ok(())
+}
+
 fn write_kind(mut to: kind_news::Builder<'_>, kind: &KindNews) -> Result<()> {
     to.set_revision(kind.position.number());
     to.set_is_whole(kind.is_whole);
     if !kind.changes.is_empty() {
         to.set_changes(&to_json(&kind.changes)?);
     }
+    write_departed(to, kind)
+}
+
+fn write_departed(mut to: kind_news::Builder<'_>, kind: &KindNews) -> Result<()> {
     if !kind.departed.is_empty() {
         to.set_departed(&to_json(&kind.departed)?);
     }
@@ -218,14 +261,40 @@
 }
 
 fn read_kind(from: kind_news::Reader<'_>) -> Result<KindNews> {
+    let table = read_table(from.get_table()?)?;
     Ok(KindNews {
         position: StorePosition::of_number(from.get_revision()),
         is_whole: from.get_is_whole(),
-        changes: read_json_list(from.get_changes()?)?,
+        changes: match table {
+            Some(table) => table.into_changes()?,
+            None => read_json_list(from.get_changes()?)?,
+        },
         departed: read_json_list(from.get_departed()?)?,
+        part: match from.get_is_part() {
+            true => Some(read_part(from)?),
+            false => None,
+        },
+    })
+}
+
+fn read_part(from: kind_news::Reader<'_>) -> Result<ListPart> {
+    let table = read_table(from.get_entries()?)?.unwrap_or_default();
+    Ok(ListPart {
+        started: StorePosition::of_number(from.get_part_revision()),
+        after: FastStr::new(from.get_part_after()?.to_str()?),
+        entries: table.into_entries()?,
+        is_last: from.get_is_last_part(),
     })
 }
 
+// No bytes stand for no table.
+fn read_table(bytes: &[u8]) -> Result<Option<ChangeTable>> {
+    match bytes.is_empty() {
+        true => Ok(None),
+        false => Ok(Some(from_json(bytes)?)),
+    }
+}
+
 // No bytes stand for an empty list.
 fn read_json_list<T: DeserializeOwned>(bytes: &[u8]) -> Result<Vec<T>> {
     match bytes.is_empty() {
@@ -234,8 +303,12 @@
     }
 }
 
-/// Encodes a response.
-pub fn write_news(mut to: cluster_news::Builder<'_>, news: &ClusterNews) -> Result<()> {
+/// Encodes a response for a requester that reads tables and lists in parts, or for one that does not.
+pub fn write_news(
+    mut to: cluster_news::Builder<'_>,
+    news: &ClusterNews,
+    reads_parts: bool,
+) -> Result<()> {
     to.set_age_ms(to_ms(news.age));
     to.set_proof_ms(to_ms(news.proof.map(|proof| proof + PROOF_AGE_MARGIN)));
     to.set_outage_ms(to_ms(news.outage));
@@ -258,7 +331,10 @@
     to.set_limit_revision(position.revision);
     let list = to.reborrow().init_limits(findings.len() as u32);
     limit_message::write_updates(list, findings);
-    write_kind(to.reborrow().init_backends(), &news.backends)?;
+    match reads_parts {
+        true => write_backends(to.reborrow().init_backends(), &news.backends)?,
+        false => write_kind(to.reborrow().init_backends(), &news.backends)?,
+    }
     write_kind(to.init_hosts(), &news.hosts)
 }
 
--- a/src/relay/news/mod.rs
+++ b/src/relay/news/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod findings;
 pub(crate) mod follow;
 mod limit_message;
+mod list_table;
 pub(crate) mod message;
 pub(crate) mod permits;
 mod reachability;
--- a/src/relay/news/news.capnp
+++ b/src/relay/news/news.capnp
@@ -25,6 +25,14 @@
   # The same for the receiver's cache of rate-limited servers.
   limitBook @10 :UInt64;
   limitRevision @11 :UInt64;
+  # The requester reads tables of changes and lists in parts.
+  readsParts @12 :Bool;
+  # Of the list of backend servers that it is receiving in parts: encoded position of the sender at the first part, and
+  # the id of the last entry; empty if it has none.
+  partRevision @13 :UInt64;
+  partAfter @14 :Text;
+  # The latest position of a sender of a part.
+  partLatest @15 :UInt64;
 }
 
 # What a rate-limited server reported.
@@ -64,6 +72,17 @@
   changes @2 :Data;
   # Only with a complete list: JSON, runs that are known to be gone even if the list contains them; empty for none.
   departed @3 :Data;
+  # JSON table in place of `changes`, for requesters that read it; empty if nothing changed.
+  table @4 :Data;
+  # A part of the complete list, with the changes since the first part if it is the last one. The list replaces what the
+  # receiver has once all parts are there.
+  isPart @5 :Bool;
+  isLastPart @6 :Bool;
+  # JSON table of the entries of the part, which follow this id in the list.
+  entries @7 :Data;
+  partAfter @8 :Text;
+  # Encoded position of the sender at the first part.
+  partRevision @9 :UInt64;
 }
 
 struct ClusterNews {
--- a/src/relay/news/news_capnp.rs
+++ b/src/relay/news/news_capnp.rs
@@ -122,11 +122,31 @@
         pub fn get_limit_revision(self) -> u64 {
             self.reader.get_data_field::<u64>(7)
         }
+        #[inline]
+        pub fn get_reads_parts(self) -> bool {
+            self.reader.get_bool_field(194)
+        }
+        #[inline]
+        pub fn get_part_revision(self) -> u64 {
+            self.reader.get_data_field::<u64>(8)
+        }
+        #[inline]
+        pub fn get_part_after(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_part_after(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_part_latest(self) -> u64 {
+            self.reader.get_data_field::<u64>(9)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 10, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -288,6 +308,46 @@
         pub fn set_limit_revision(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(7, value);
         }
+        #[inline]
+        pub fn get_reads_parts(self) -> bool {
+            self.builder.get_bool_field(194)
+        }
+        #[inline]
+        pub fn set_reads_parts(&mut self, value: bool)  {
+            self.builder.set_bool_field(194, value);
+        }
+        #[inline]
+        pub fn get_part_revision(self) -> u64 {
+            self.builder.get_data_field::<u64>(8)
+        }
+        #[inline]
+        pub fn set_part_revision(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(8, value);
+        }
+        #[inline]
+        pub fn get_part_after(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_part_after(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_part_after(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(2).init_text(size)
+        }
+        #[inline]
+        pub fn has_part_after(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_part_latest(self) -> u64 {
+            self.builder.get_data_field::<u64>(9)
+        }
+        #[inline]
+        pub fn set_part_latest(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(9, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -299,108 +359,136 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 207] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 271] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(154, 19, 119, 199, 114, 45, 18, 242),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 8, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 10, 0),
             ::capnp::word(35, 152, 123, 90, 14, 108, 31, 212),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 135, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 72, 101, 108, 100, 78),
             ::capnp::word(101, 119, 115, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(185, 1, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 193, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(229, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(1, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 194, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(17, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(33, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(99, 111, 110, 102, 105, 103, 86, 101),
             ::capnp::word(114, 115, 105, 111, 110, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -507,6 +595,42 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 97, 100, 115, 80, 97, 114),
+            ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 114, 116, 82, 101, 118, 105),
+            ::capnp::word(115, 105, 111, 110, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 114, 116, 65, 102, 116, 101),
+            ::capnp::word(114, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 114, 116, 76, 97, 116, 101),
+            ::capnp::word(115, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -522,6 +646,10 @@
                 9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 11 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                12 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                13 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                14 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                15 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -535,9 +663,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,8,9,2,5,10,11,7,4,3,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,8,9,2,5,10,11,14,15,13,7,12,4,3,6];
         pub(crate) const TYPE_ID: u64 = 0xf212_2d72_c777_139a;
     }
 }
@@ -1457,11 +1585,47 @@
         pub fn has_departed(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_table(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_table(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_is_part(self) -> bool {
+            self.reader.get_bool_field(65)
+        }
+        #[inline]
+        pub fn get_is_last_part(self) -> bool {
+            self.reader.get_bool_field(66)
+        }
+        #[inline]
+        pub fn get_entries(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_entries(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+        #[inline]
+        pub fn get_part_after(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_part_after(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
+        #[inline]
+        pub fn get_part_revision(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 5 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1559,6 +1723,78 @@
         pub fn has_departed(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_table(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_table(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(2).set_data(value);
+        }
+        #[inline]
+        pub fn init_table(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(2).init_data(size)
+        }
+        #[inline]
+        pub fn has_table(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_is_part(self) -> bool {
+            self.builder.get_bool_field(65)
+        }
+        #[inline]
+        pub fn set_is_part(&mut self, value: bool)  {
+            self.builder.set_bool_field(65, value);
+        }
+        #[inline]
+        pub fn get_is_last_part(self) -> bool {
+            self.builder.get_bool_field(66)
+        }
+        #[inline]
+        pub fn set_is_last_part(&mut self, value: bool)  {
+            self.builder.set_bool_field(66, value);
+        }
+        #[inline]
+        pub fn get_entries(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_entries(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(3).set_data(value);
+        }
+        #[inline]
+        pub fn init_entries(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(3).init_data(size)
+        }
+        #[inline]
+        pub fn has_entries(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+        #[inline]
+        pub fn get_part_after(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_part_after(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_part_after(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(4).init_text(size)
+        }
+        #[inline]
+        pub fn has_part_after(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
+        #[inline]
+        pub fn get_part_revision(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_part_revision(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1570,52 +1806,94 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 172] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(38, 102, 9, 87, 156, 91, 16, 202),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(35, 152, 123, 90, 14, 108, 31, 212),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 75, 105, 110, 100, 78),
             ::capnp::word(101, 119, 115, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 65, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(37, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -1650,6 +1928,57 @@
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 97, 98, 108, 101, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 80, 97, 114, 116, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 76, 97, 115, 116, 80, 97),
+            ::capnp::word(114, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 116, 114, 105, 101, 115, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 114, 116, 65, 102, 116, 101),
+            ::capnp::word(114, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 114, 116, 82, 101, 118, 105),
+            ::capnp::word(115, 105, 111, 110, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1657,6 +1986,12 @@
                 1 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                5 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                6 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1670,9 +2005,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,1,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,7,6,5,1,8,9,0,4];
         pub(crate) const TYPE_ID: u64 = 0xca10_5b9c_5709_6626;
     }
 }
--- a/src/relay/news/rpc.rs
+++ b/src/relay/news/rpc.rs
@@ -81,8 +81,9 @@
         mut results: news_peer::FollowResults,
     ) -> Result<(), Error> {
         let held = message::read_held(params.get()?.get_held()?)?;
+        let reads_parts = held.reads_parts;
         let news = (self.handlers.follow)(held).await;
-        message::write_news(results.get().init_news(), &news)
+        message::write_news(results.get().init_news(), &news, reads_parts)
     }
 
     async fn share(
--- a/src/relay/news/take.rs
+++ b/src/relay/news/take.rs
@@ -19,7 +19,10 @@
         self.parts.record_store_era(position.era, "host");
         self.parts.merge_crash_news(&news.crashes, from);
         self.parts.apply_limit_updates(&news.limits, from);
-        self.apply_lists(&news, confirmed);
+        if !self.apply_lists(&news, confirmed) {
+            let now = self.parts.now();
+            self.choice.borrow_mut().note_list_part(now);
+        }
         let held = self.parts.cluster.borrow().config_version();
         let has_config = match news.config {
             Some(config) => {
@@ -42,18 +45,19 @@
         }
     }
 
-    fn apply_lists(&self, news: &ClusterNews, confirmed: Option<PastTime>) {
+    // Returns false if parts of a list are still missing.
+    fn apply_lists(&self, news: &ClusterNews, confirmed: Option<PastTime>) -> bool {
         let now = self.parts.now();
         let mut cluster = self.parts.cluster.borrow_mut();
         if let Some(age) = news.outage {
             cluster.record_outage(now.saturating_sub(age));
         }
         let before = cluster.backend_update_count();
-        cluster.apply_backend_news(news.backends.clone(), now);
+        let is_complete = cluster.apply_backend_news(news.backends.clone(), now);
         cluster.apply_host_news(news.hosts.clone(), now);
         // A view that was current before the store was restored says nothing about the store's content now.
         let is_same_era = news.backends.position.era == cluster.backends_position().era;
-        if let Some(at) = confirmed.filter(|_| is_same_era) {
+        if let Some(at) = confirmed.filter(|_| is_same_era && is_complete) {
             cluster.confirm_at(StoreKind::Backends, at);
         }
         let has_changed = cluster.backend_update_count() != before;
@@ -65,6 +69,7 @@
             self.parts.publish_backends();
         }
         self.parts.log_reread();
+        is_complete
     }
 
     // Reads a large configuration from the store, or gets it from the host that announced it if the store does not
--- a/src/relay/policy/source.rs
+++ b/src/relay/policy/source.rs
@@ -69,6 +69,10 @@
 /// store rejects some hosts last for seconds.
 const SERVED_TIME: Duration = Duration::from_secs(10);
 
+/// How long a starting host waits for the next part of a list before it reads the store: as long as several calls to
+/// other hosts take.
+const LIST_PART_WAIT: Duration = Duration::from_millis(1_000);
+
 /// Number of hosts of its own zone that a starting host is given to follow: the head, the standby, and one more in
 /// case one of them is gone. It is given as many heads of other zones.
 const STARTING_POINTS: usize = 3;
@@ -173,6 +177,11 @@
         self.start_wait = self.start_wait.max(self.settings.seed_wait);
     }
 
+    /// Records that a part of a list arrived from another host, which will send the rest sooner than the store.
+    pub fn note_list_part(&mut self, now: Duration) {
+        self.start_wait = self.start_wait.max(now + LIST_PART_WAIT);
+    }
+
     /// How much longer a starting host waits for other hosts.
     pub fn start_wait_left(&self, now: Duration) -> Duration {
         self.start_wait.saturating_sub(now)
--- a/tests/relay_history.rs
+++ b/tests/relay_history.rs
@@ -4,8 +4,9 @@
 
 use {
     bayplank::{
+        news_capnp::cluster_news,
         relay::{
-            BackendInfo, ChangeHistory, ChangesSince, ClusterNews, ClusterState, HostEntry,
+            self, BackendInfo, ChangeHistory, ChangesSince, ClusterNews, ClusterState, HostEntry,
             PastTime, StoreChange, StoreItem, StoreKind, StoreValue,
         },
         store::StorePosition,
@@ -195,6 +196,19 @@
         assert!(position >= held, "the follower's position went back");
     }
 
+    // Requests a part of at most two entries from a reader, where it lacks the list.
+    fn follow_in_parts(&mut self, reader: usize) {
+        let held = self.follower.backends_position();
+        let cursor = self.follower.list_cursor().cloned();
+        let news = self.readers[reader].backend_news_part(held, cursor.as_ref(), 2);
+        assert!(
+            news.part
+                .as_ref()
+                .is_none_or(|part| part.entries.len() <= 2)
+        );
+        self.follower.apply_backend_news(news, Duration::ZERO);
+    }
+
     fn assert_follower_is_right(&self) {
         // The store's content at the follower's revision.
         let held = self.follower.backends_position();
@@ -235,6 +249,77 @@
     });
 }
 
+#[test]
+fn a_follower_that_receives_the_list_in_parts_knows_the_content_of_the_store_at_its_revision() {
+    check!().with_type::<Vec<(u8, u8)>>().for_each(|steps| {
+        let mut fleet = Fleet::default();
+        for (step, choice) in steps {
+            match step % 8 {
+                0..=1 => fleet.write(*choice, (step / 8) % 3),
+                2 => fleet.read(usize::from(choice % 2), choice % 16 == 0),
+                3 if choice % 8 == 0 => fleet.follower = ClusterState::default(),
+                _ => fleet.follow_in_parts(usize::from(choice % 2)),
+            }
+            if fleet.follower.backends_position().is_known() {
+                fleet.assert_follower_is_right();
+            }
+        }
+    });
+}
+
+#[test]
+fn no_message_of_a_list_grows_with_the_list() {
+    for count in [3_000, 10_000, 20_000] {
+        let (sender, _) = informed_host(count);
+        let mut follower = ClusterState::default();
+        let mut sizes = Vec::new();
+        while !follower.backends_position().is_known() {
+            let held = follower.backends_position();
+            let cursor = follower.list_cursor();
+            let part = sender.backend_news_part(held, cursor, relay::PART_ENTRIES_MAX);
+            let (bytes, received) = transmitted(&ClusterNews {
+                backends: part,
+                ..ClusterNews::default()
+            });
+            sizes.push(bytes);
+            follower.apply_backend_news(received.backends, Duration::ZERO);
+        }
+        assert!(follower.backends().eq(sender.backends()));
+        let largest = *sizes.iter().max().unwrap();
+        assert!(largest < 40_000, "{largest} bytes of {count} servers");
+        let whole: usize = sizes.iter().sum();
+        assert!(whole < 80 * count, "{whole} bytes for {count} servers");
+    }
+}
+
+// The size in bytes of a message, and what its receiver reads.
+fn transmitted(news: &ClusterNews) -> (usize, ClusterNews) {
+    let mut message = capnp::message::Builder::new_default();
+    let root = message.init_root::<cluster_news::Builder<'_>>();
+    relay::write_news(root, news, true).unwrap();
+    let bytes = capnp::serialize::write_message_to_words(&message);
+    let options = capnp::message::ReaderOptions::new();
+    let reader = capnp::serialize::read_message(&bytes[..], options).unwrap();
+    let received = relay::read_news(reader.get_root().unwrap()).unwrap();
+    (bytes.len(), received)
+}
+
+#[test]
+fn changes_reach_the_receiver_as_they_were_sent() {
+    let (mut sender, held) = informed_host(3);
+    let changes = vec![
+        StoreChange::Removed("b-00001".into()),
+        set(backend("b-00001", true)),
+        StoreChange::Removed("b-00002".into()),
+    ];
+    sender.change_backends(changes.clone(), at(12), Duration::ZERO);
+    let news = ClusterNews {
+        backends: sender.backend_news(held),
+        ..ClusterNews::default()
+    };
+    assert_eq!(transmitted(&news).1.backends.changes, changes);
+}
+
 #[test]
 fn news_exchanged_between_hosts_never_makes_a_view_look_newer_than_it_is() {
     // Hosts query each other at random while the store is down; requests and responses have random delays.
--- a/tests/store_restores.rs
+++ b/tests/store_restores.rs
@@ -325,7 +325,9 @@
 
     fn follow(&mut self, other: &Self, now: Duration) {
         let news = other.state.backend_news(self.state.backends_position());
-        self.step(|state| state.apply_backend_news(news, now));
+        self.step(|state| {
+            state.apply_backend_news(news, now);
+        });
     }
 }
 
