Updates, reports and choices look only at the servers that they concern

A host went through the whole list of backend servers at each change of one entry (four times: entries, subsets, prompt caches, ownership), at each report of loads, 0.6 s apart, and in each round of each request, which then asks nine engines at most.

The list of the store now names the servers whose entry may have changed, and the registry keeps them by service, role and zone and by the key of their run. A request ranks its preferred engines, then others only as far as it needs them, at most 256 of a zone. A better prefill engine outside the subset is looked for only where the best one inside it is worse than the penalty.

The random test of restored stores now also compares what routing uses with the list.

--- a/src/relay/cluster/backend_list.rs
+++ b/src/relay/cluster/backend_list.rs
@@ -17,7 +17,12 @@
         store::StorePosition,
     },
     faststr::FastStr,
-    std::{collections::BTreeMap, mem, ops::Bound, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        mem,
+        ops::Bound,
+        time::Duration,
+    },
 };
 
 /// How long a backend server whose entry expired during a store outage is still used: servers that are alive are
@@ -56,6 +61,8 @@
     // later one had started.
     withheld: BTreeMap<FastStr, ExpiringEntry>,
     departed: BTreeMap<FastStr, RunEnd>,
+    // Servers whose usable entry may differ from when the touched ones were last taken.
+    touched: BTreeSet<FastStr>,
     history: ChangeHistory,
     rewrite_timeout: Duration,
     // The list may have been read from a lagging replica, and no watch has continued from it yet.
@@ -70,6 +77,7 @@
             unlisted: BTreeMap::new(),
             withheld: BTreeMap::new(),
             departed: BTreeMap::new(),
+            touched: BTreeSet::new(),
             history: ChangeHistory::default(),
             rewrite_timeout: heartbeat.saturating_mul(HEARTBEATS_TO_REWRITE),
             is_unconfirmed: false,
@@ -118,6 +126,7 @@
             .history
             .is_continued_by(position)
             .then(|| self.difference(&list));
+        self.touched.extend(self.listed.keys().cloned());
         let mut before = mem::take(&mut self.listed);
         let mut withheld = mem::take(&mut self.withheld);
         for info in list {
@@ -326,6 +335,7 @@
 
     // Lists a server that has written its entry and is therefore alive.
     fn apply_written(&mut self, mut info: BackendInfo) {
+        self.touched.insert(info.id.clone());
         self.unlisted.remove(&info.id);
         self.withheld.remove(&info.id);
         let run = self.departed.get(&info.id);
@@ -339,6 +349,7 @@
     }
 
     fn apply_removed(&mut self, id: &FastStr, had_outage: bool, now: Duration) {
+        self.touched.insert(id.clone());
         let withheld = self.withheld.remove(id).map(|entry| entry.info);
         let unlisted = self.unlisted.remove(id);
         match (self.listed.remove(id).or(withheld), unlisted) {
@@ -360,6 +371,7 @@
         if current.is_some_and(is_later) || self.departed.get(&run.id).is_some_and(is_known) {
             return false;
         }
+        self.touched.insert(run.id.clone());
         self.unlisted.remove(&run.id);
         let listed = self.listed.remove(&run.id);
         let is_listed = listed.as_ref().is_some_and(|info| info.born == run.born);
@@ -377,6 +389,7 @@
 
     // An entry that is removed while the store is available means that its server has departed.
     fn remove(&mut self, info: BackendInfo, had_outage: bool, now: Duration) {
+        self.touched.insert(info.id.clone());
         if had_outage && !info.leaving {
             let expires_at = now + EXPIRY_GRACE;
             let entry = ExpiringEntry { info, expires_at };
@@ -406,6 +419,7 @@
     }
 
     fn withhold(&mut self, info: BackendInfo, now: Duration) {
+        self.touched.insert(info.id.clone());
         let expires_at = now.saturating_add(self.rewrite_timeout);
         let entry = ExpiringEntry { info, expires_at };
         self.withheld.insert(entry.info.id.clone(), entry);
@@ -413,6 +427,7 @@
 
     // Keeps a server that the backup lacks because its entry had not yet been written.
     fn keep_unlisted(&mut self, info: BackendInfo, now: Duration) {
+        self.touched.insert(info.id.clone());
         if info.leaving {
             return self.record_run_end(&info.id, info.born, false, now + DEPARTURE_RETENTION);
         }
@@ -425,13 +440,16 @@
     /// withheld servers whose entry is still listed are alive. Returns whether the set of usable servers changed.
     pub fn expire(&mut self, now: Duration) -> bool {
         self.departed.retain(|_, run| now < run.expires_at);
-        let before = self.unlisted.len();
-        self.unlisted.retain(|_, entry| now < entry.expires_at);
+        let ended = self
+            .unlisted
+            .extract_if(.., |_, entry| now >= entry.expires_at);
+        let ended: Vec<FastStr> = ended.map(|(id, _)| id).collect();
         let expired = self
             .withheld
             .extract_if(.., |_, entry| now >= entry.expires_at);
         let returned: Vec<BackendInfo> = expired.map(|(_, entry)| entry.info).collect();
-        let has_changed = self.unlisted.len() != before || !returned.is_empty();
+        let has_changed = !ended.is_empty() || !returned.is_empty();
+        self.touched.extend(ended);
         for info in returned {
             self.apply_written(info);
         }
@@ -444,6 +462,17 @@
         self.listed.values().chain(unlisted).cloned().collect()
     }
 
+    /// The servers whose usable entry may have changed since the last call, with that entry if they may be used.
+    pub fn take_touched(&mut self) -> Vec<(FastStr, Option<BackendInfo>)> {
+        let touched = mem::take(&mut self.touched).into_iter();
+        let entries = touched.map(|id| {
+            let unlisted = self.unlisted.get(&id).map(|entry| &entry.info);
+            let entry = self.listed.get(&id).or(unlisted).cloned();
+            (id, entry)
+        });
+        entries.collect()
+    }
+
     /// The listed backend servers.
     pub fn listed(&self) -> impl Iterator<Item = &BackendInfo> {
         self.listed.values()
--- a/src/relay/cluster/state.rs
+++ b/src/relay/cluster/state.rs
@@ -20,6 +20,7 @@
         },
         store::StorePosition,
     },
+    faststr::FastStr,
     std::{rc::Rc, time::Duration},
 };
 
@@ -382,6 +383,11 @@
         self.backends.usable()
     }
 
+    /// The backend servers whose usable entry may have changed since the last call, with that entry if they may be used.
+    pub fn take_touched_backends(&mut self) -> Vec<(FastStr, Option<BackendInfo>)> {
+        self.backends.take_touched()
+    }
+
     /// The backend servers that are listed.
     pub fn backends(&self) -> impl Iterator<Item = &BackendInfo> {
         self.backends.listed()
--- a/src/relay/parts/publish.rs
+++ b/src/relay/parts/publish.rs
@@ -3,7 +3,6 @@
 use {
     super::shared::RelayParts,
     crate::{
-        engine::EngineRole,
         event,
         relay::{
             config::RelayConfig,
@@ -11,7 +10,6 @@
         },
     },
     faststr::FastStr,
-    std::collections::HashMap,
 };
 
 /// Maximum number of names in a log line.
@@ -34,22 +32,29 @@
 
     /// Applies the current list of backend servers to routing and wakes the tasks that wait for changes.
     pub fn publish_backends(&self) {
-        let usable = self.cluster.borrow().usable();
-        let count = usable.len();
-        let changes = self.book.borrow_mut().set_backends(usable);
+        let touched = self.cluster.borrow_mut().take_touched_backends();
+        let changes = self.book.borrow_mut().update_backends(touched.into_iter());
         for earlier in &changes.restarted {
             self.prompt_caches.borrow_mut().forget(&earlier.id);
             self.pool.forget(earlier.address);
         }
-        self.update_preferred_engines();
-        self.update_all_ownership();
+        for removed in &changes.removed {
+            self.prompt_caches.borrow_mut().forget(removed);
+        }
+        let zone = &self.settings.zone;
+        if changes
+            .affected
+            .iter()
+            .any(|info| info.zone == *zone && info.role.is_some())
+        {
+            self.update_preferred_engines();
+        }
+        if !changes.affected.is_empty() {
+            self.update_all_ownership();
+        }
         if !changes.is_empty() {
-            self.log_changes(&changes, count);
+            self.log_changes(&changes);
         }
-        let book = self.book.borrow();
-        let mut kept = self.prompt_caches.borrow_mut();
-        kept.retain(|engine| book.view(engine).is_some());
-        drop((book, kept));
         self.capacity_freed.notify_waiters();
         self.state_changed.notify_waiters();
     }
@@ -61,27 +66,19 @@
         let cluster = self.cluster.borrow();
         let near = cluster.hosts().filter(|entry| entry.zone == *zone);
         let hosts: Vec<FastStr> = near.map(|entry| entry.name.clone()).collect();
-        let now = self.now();
         let mut book = self.book.borrow_mut();
-        let mut pools: HashMap<(&FastStr, EngineRole), Vec<FastStr>> = HashMap::new();
-        for backend in cluster.backends() {
-            let Some(role) = backend.role else { continue };
-            let is_leaving = backend.leaving || book.availability.is_leaving(&backend.run(), now);
-            if backend.zone == *zone && !is_leaving {
-                let pool = pools.entry((&backend.service, role)).or_default();
-                pool.push(backend.id.clone());
-            }
-        }
+        let pools = book.zone_engines(zone, self.now());
         let subsets = pools
-            .values()
+            .iter()
             .map(|engines| subset::subset_of(own, &hosts, engines));
         let preferred = subsets.flatten().collect();
-        book.set_preferred(&preferred);
+        book.set_preferred(preferred);
     }
 
-    fn log_changes(&self, changes: &BackendChanges, count: usize) {
+    fn log_changes(&self, changes: &BackendChanges) {
         let cluster = self.cluster.borrow();
         let age = cluster.age(self.now());
+        let count = self.book.borrow().count();
         event::emit(
             &event::BACKENDS_CHANGED,
             &[
--- a/src/relay/parts/shares.rs
+++ b/src/relay/parts/shares.rs
@@ -180,7 +180,7 @@
             }
         });
         LoadReport {
-            loads: self.book.borrow().loads(now),
+            loads: self.book.borrow_mut().loads(now),
             demands: demands.collect(),
             requested: self.wanted_keys(),
             accounts: UseReport {
--- a/src/relay/policy/changes.rs
+++ b/src/relay/policy/changes.rs
@@ -15,15 +15,31 @@
     pub role_changed: Vec<FastStr>,
     /// Servers that are no longer listed.
     pub removed: Vec<FastStr>,
+    /// The previous and the current entries of all servers whose entries differ.
+    pub affected: Vec<BackendInfo>,
 }
 
 impl BackendChanges {
     /// Whether anything that requests depend on has changed.
     pub fn is_empty(&self) -> bool {
-        *self == Self::default()
+        let counts = [
+            self.added,
+            self.leaving.len(),
+            self.restarted.len(),
+            self.role_changed.len(),
+            self.removed.len(),
+        ];
+        counts.iter().all(|count| *count == 0)
+    }
+
+    pub(super) fn note_removed(&mut self, info: BackendInfo) {
+        self.removed.push(info.id.clone());
+        self.affected.push(info);
     }
 
     pub(super) fn note(&mut self, before: Option<&BackendInfo>, now: &BackendInfo) {
+        self.affected.extend(before.cloned());
+        self.affected.push(now.clone());
         if now.leaving && before.is_none_or(|before| !before.leaving) {
             self.leaving.push(now.id.clone());
         }
--- a/src/relay/policy/decode_exclusions.rs
+++ b/src/relay/policy/decode_exclusions.rs
@@ -1,7 +1,7 @@
 //! Summary of why decode engines could not take a request, for the refusal's message.
 
 use {
-    super::{registry::BackendRegistry, view::BackendView},
+    super::registry::BackendRegistry,
     crate::engine::EngineRole,
     std::{fmt, time::Duration},
 };
@@ -50,13 +50,11 @@
         memory: Option<u64>,
         now: Duration,
     ) -> Self {
-        let is_decode = |view: &&BackendView| {
-            let info = &view.info;
-            let is_decode = info.service == service && info.role == Some(EngineRole::Decode);
-            is_decode && !book.is_leaving(view, now)
-        };
+        let pools = book.index.pools(service);
+        let decodes = pools.filter(|pool| pool.role == Some(EngineRole::Decode));
+        let views = book.pool_views(decodes);
         let mut room = Self::default();
-        for view in book.views().filter(is_decode) {
+        for view in views.filter(|view| !book.is_leaving(view, now)) {
             room.listed += 1;
             let count = match () {
                 () if !book.in_rotation(view, now) => &mut room.backing_off,
--- a/src/relay/policy/engines.rs
+++ b/src/relay/policy/engines.rs
@@ -3,12 +3,12 @@
 use {
     super::{
         limit_tracker::{PermitState, PermitWait},
-        registry::{self, BackendRegistry},
+        registry::BackendRegistry,
         view::BackendView,
     },
     crate::{engine::EngineRole, relay::backend::BackendInfo},
     faststr::FastStr,
-    std::time::Duration,
+    std::{cmp::Ordering, iter, time::Duration},
 };
 
 /// Delay penalty, in seconds, of a prefill engine in another zone: its KV cache takes the more expensive link.
@@ -26,6 +26,13 @@
 /// the same least loaded engine at once.
 const LOAD_JITTER: u64 = 4_000;
 
+/// Number of suitable decode engines from which no less preferred ones are ranked; a request asks fewer than that.
+const RANKED_ENGINES: usize = 32;
+
+/// Maximum number of engines of a zone that are looked at beyond the preferred ones: enough to find one with room if a
+/// few in a hundred have some.
+const SAMPLED_ENGINES: usize = 256;
+
 /// Load penalty, in tokens, of a decode engine whose backoff has just ended: its load ramps up gradually.
 const RETURN_TOKENS: f64 = 16_000.0;
 
@@ -44,20 +51,98 @@
         memory: Option<u64>,
         now: Duration,
     ) -> Vec<BackendInfo> {
-        let views = self
-            .engines(service, EngineRole::Decode, now)
-            .filter(|view| !view.has_refused(tokens, now))
-            .filter(|view| self.fits(view, tokens, memory, now));
-        registry::sorted(views, |view| {
-            let jitter = rand::random::<u64>() % LOAD_JITTER;
-            let is_other_zone = view.info.zone != zone;
-            (
-                view.runs_suspects(),
-                is_other_zone,
-                !view.is_preferred,
-                self.known_load(view, now) + jitter + self.return_tokens(view, now),
-            )
-        })
+        let role = EngineRole::Decode;
+        let need = DecodeNeed {
+            zone,
+            tokens,
+            memory,
+            now,
+        };
+        let preferred = self.preferred_engines(service, role);
+        let (near, far): (Vec<_>, Vec<_>) = preferred.partition(|view| view.info.zone == zone);
+        let mut ranked = self.suitable_decodes(near.into_iter(), &need);
+        if unsuspected(&ranked) < RANKED_ENGINES {
+            let near = self.further_engines(service, role, |other| other == zone);
+            ranked.extend(self.suitable_decodes(near, &need));
+        }
+        if unsuspected(&ranked) < RANKED_ENGINES {
+            let others = self.further_engines(service, role, |other| other != zone);
+            ranked.extend(self.suitable_decodes(far.into_iter().chain(others), &need));
+        }
+        ranked.sort_by_key(|(rank, _)| *rank);
+        ranked.into_iter().map(|(_, info)| info.clone()).collect()
+    }
+
+    fn suitable_decodes<'a>(
+        &self,
+        views: impl Iterator<Item = &'a BackendView>,
+        need: &DecodeNeed<'_>,
+    ) -> Vec<(DecodeRank, &'a BackendInfo)> {
+        let views = views.filter(|view| self.accepts(view, need.now));
+        let views = views.filter(|view| !view.has_refused(need.tokens, need.now));
+        let views = views.filter(|view| self.fits(view, need.tokens, need.memory, need.now));
+        let ranked = views.map(|view| (self.decode_rank(view, need), &view.info));
+        ranked.collect()
+    }
+
+    fn decode_rank(&self, view: &BackendView, need: &DecodeNeed<'_>) -> DecodeRank {
+        let jitter = rand::random::<u64>() % LOAD_JITTER;
+        let load = self.known_load(view, need.now) + self.return_tokens(view, need.now);
+        DecodeRank {
+            runs_suspects: view.runs_suspects(),
+            is_other_zone: view.info.zone != need.zone,
+            is_outside_subset: !self.is_preferred(view),
+            load: load + jitter,
+        }
+    }
+
+    // The preferred engines of a role.
+    fn preferred_engines<'a>(
+        &'a self,
+        service: &'a str,
+        role: EngineRole,
+    ) -> Box<dyn Iterator<Item = &'a BackendView> + 'a> {
+        let Some(preferred) = &self.preferred else {
+            let pools = self.index.pools(service);
+            return Box::new(self.pool_views(pools.filter(move |pool| pool.role == Some(role))));
+        };
+        let views = preferred.iter().filter_map(|id| self.views.get(id));
+        let views = views.inspect(|_| self.visit());
+        Box::new(
+            views.filter(move |view| view.info.role == Some(role) && view.info.service == service),
+        )
+    }
+
+    // Other engines of a role in some zones; of a large pool only a random part.
+    fn further_engines<'a>(
+        &'a self,
+        service: &'a str,
+        role: EngineRole,
+        is_in_zone: impl Fn(&str) -> bool + 'a,
+    ) -> impl Iterator<Item = &'a BackendView> {
+        let pools = self.index.pools(service);
+        let pools = pools.filter(move |pool| pool.role == Some(role) && is_in_zone(&pool.zone));
+        let ids = pools.flat_map(|pool| sample(&pool.ids));
+        let views = ids.filter_map(|id| self.views.get(id));
+        views
+            .inspect(|_| self.visit())
+            .filter(|view| !self.is_preferred(view))
+    }
+
+    /// The ids of a zone's engines that are not leaving, by service and role.
+    pub fn zone_engines(&self, zone: &str, now: Duration) -> Vec<Vec<FastStr>> {
+        let pools = self.index.zone_pools(zone);
+        let engines = pools.filter(|pool| pool.role.is_some()).map(|pool| {
+            let views = self.pool_views(iter::once(pool));
+            let staying = views.filter(|view| !self.is_leaving(view, now));
+            staying.map(|view| view.info.id.clone()).collect()
+        });
+        engines.collect()
+    }
+
+    // Whether an engine may take requests now.
+    fn accepts(&self, view: &BackendView, now: Duration) -> bool {
+        self.in_rotation(view, now) && !self.is_avoided(view, now) && now >= view.declines_until
     }
 
     fn return_tokens(&self, view: &BackendView, now: Duration) -> u64 {
@@ -78,11 +163,25 @@
         taken == 0 || limit.is_none_or(|limit| taken + tokens <= limit)
     }
 
-    /// The decode engines of a service that may take requests now.
-    pub fn decode_engines(&self, service: &str, now: Duration) -> Vec<BackendInfo> {
-        self.engines(service, EngineRole::Decode, now)
-            .map(|view| view.info.clone())
-            .collect()
+    /// Decode engines of a service that may take requests now: at most `count` of a zone and as many of all others.
+    pub fn decode_engines(
+        &self,
+        service: &str,
+        zone: &str,
+        count: usize,
+        now: Duration,
+    ) -> [Vec<BackendInfo>; 2] {
+        let pools = self.index.pools(service);
+        let decodes = pools.filter(|pool| pool.role == Some(EngineRole::Decode));
+        let (near, far): (Vec<_>, Vec<_>) = decodes.partition(|pool| pool.zone == zone);
+        [near, far].map(|pools| {
+            let of_pool = count.div_ceil(pools.len().max(1));
+            let engines = pools.into_iter().flat_map(|pool| {
+                let views = self.pool_views(iter::once(pool));
+                views.filter(|view| self.accepts(view, now)).take(of_pool)
+            });
+            engines.map(|view| view.info.clone()).take(count).collect()
+        })
     }
 
     /// The shortest wait for a permit at a decode engine, for a request of this priority. `None` if some engine can
@@ -112,18 +211,41 @@
         tried: &[FastStr],
         now: Duration,
     ) -> Option<(BackendInfo, f64)> {
-        let engines = self.engines(service, EngineRole::Prefill, now);
-        let untried = engines.filter(|view| !tried.contains(&view.info.id));
-        let scored = untried.map(|view| {
-            let penalty = f64::from(u8::from(view.info.zone != zone)) * OTHER_ZONE_DELAY;
-            let penalty = penalty + f64::from(u8::from(!view.is_preferred)) * OUTSIDE_SUBSET_DELAY;
-            let penalty =
-                penalty + self.availability.ramp_up_remaining(&view.run, now) * RETURN_DELAY;
-            let backlog = view.prefill_backlog(self.prefill_rate, now);
-            (view, backlog, backlog + penalty, rand::random::<u16>())
-        });
-        let best = scored.min_by(|a, b| a.2.total_cmp(&b.2).then(a.3.cmp(&b.3)))?;
-        Some((best.0.info.clone(), best.1))
+        let role = EngineRole::Prefill;
+        let best_of = |views: &mut dyn Iterator<Item = &'_ BackendView>| {
+            let untried = views.filter(|view| !tried.contains(&view.info.id));
+            let accepting = untried.filter(|view| self.accepts(view, now));
+            let candidates = accepting.map(|view| self.prefill_candidate(view, zone, now));
+            candidates.min_by(PrefillCandidate::order)
+        };
+        let mut best = best_of(&mut self.preferred_engines(service, role));
+        // Other engines matter only if the best one is worse than their delay penalty.
+        let penalty = OUTSIDE_SUBSET_DELAY;
+        if best.as_ref().is_none_or(|best| best.delay > penalty) {
+            let near = best_of(&mut self.further_engines(service, role, |other| other == zone));
+            best = best.into_iter().chain(near).min_by(PrefillCandidate::order);
+        }
+        let penalty = OUTSIDE_SUBSET_DELAY + OTHER_ZONE_DELAY;
+        if best.as_ref().is_none_or(|best| best.delay > penalty) {
+            let far = best_of(&mut self.further_engines(service, role, |other| other != zone));
+            best = best.into_iter().chain(far).min_by(PrefillCandidate::order);
+        }
+        best.map(|best| (best.info, best.backlog))
+    }
+
+    fn prefill_candidate(&self, view: &BackendView, zone: &str, now: Duration) -> PrefillCandidate {
+        let is_far = view.info.zone != zone;
+        let is_outside = !self.is_preferred(view);
+        let penalty = f64::from(u8::from(is_far)) * OTHER_ZONE_DELAY
+            + f64::from(u8::from(is_outside)) * OUTSIDE_SUBSET_DELAY
+            + self.availability.ramp_up_remaining(&view.run, now) * RETURN_DELAY;
+        let backlog = view.prefill_backlog(self.prefill_rate, now);
+        PrefillCandidate {
+            info: view.info.clone(),
+            backlog,
+            delay: backlog + penalty,
+            jitter: rand::random(),
+        }
     }
 
     fn engines<'a>(
@@ -132,9 +254,9 @@
         role: EngineRole,
         now: Duration,
     ) -> impl Iterator<Item = &'a BackendView> {
-        self.usable(service, now)
-            .filter(move |view| view.info.role == Some(role))
-            .filter(move |view| !self.is_avoided(view, now) && now >= view.declines_until)
+        let pools = self.index.pools(service);
+        let views = self.pool_views(pools.filter(move |pool| pool.role == Some(role)));
+        views.filter(move |view| self.accepts(view, now))
     }
 
     /// Records the duration of a prefill, which updates the throughput estimate and the engine's queueing delay.
@@ -147,3 +269,57 @@
         }
     }
 }
+
+/// What a request needs of a decode engine.
+#[derive(Debug)]
+struct DecodeNeed<'a> {
+    zone: &'a str,
+    tokens: u64,
+    // An engine's capacity in tokens.
+    memory: Option<u64>,
+    now: Duration,
+}
+
+/// The order of decode engines; the first criterion that differs decides.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct DecodeRank {
+    runs_suspects: bool,
+    is_other_zone: bool,
+    is_outside_subset: bool,
+    load: u64,
+}
+
+fn unsuspected(ranked: &[(DecodeRank, &BackendInfo)]) -> usize {
+    let unsuspected = ranked.iter().filter(|(rank, _)| !rank.runs_suspects);
+    unsuspected.count()
+}
+
+/// A prefill engine that a prompt may be sent to.
+#[derive(Debug)]
+struct PrefillCandidate {
+    info: BackendInfo,
+    // Predicted queueing delay, and the same with all penalties, in seconds.
+    backlog: f64,
+    delay: f64,
+    // Spreads the hosts over equal engines.
+    jitter: u16,
+}
+
+impl PrefillCandidate {
+    fn order(&self, other: &Self) -> Ordering {
+        let by_delay = self.delay.total_cmp(&other.delay);
+        by_delay.then(self.jitter.cmp(&other.jitter))
+    }
+}
+
+// All of a pool, or a run of it from a random place if it is large.
+fn sample(ids: &[FastStr]) -> impl Iterator<Item = &FastStr> {
+    let start = match ids.len() > SAMPLED_ENGINES {
+        true => rand::random_range(0..ids.len()),
+        false => 0,
+    };
+    ids.iter()
+        .cycle()
+        .skip(start)
+        .take(ids.len().min(SAMPLED_ENGINES))
+}
--- a/src/relay/policy/mod.rs
+++ b/src/relay/policy/mod.rs
@@ -24,6 +24,7 @@
 pub(crate) mod registry;
 pub(crate) mod rotation;
 pub(crate) mod route;
+mod server_index;
 pub(crate) mod server_limit;
 pub(crate) mod server_signals;
 pub(crate) mod shared_findings;
--- a/src/relay/policy/registry.rs
+++ b/src/relay/policy/registry.rs
@@ -8,12 +8,15 @@
         changes::BackendChanges,
         limit_tracker::{LimitTracker, PermitState, PermitWait},
         loads::{EngineKey, EngineLoad},
+        server_index::{ServerIndex, ServerPool},
         view::{BackendFailure, BackendView, EJECT_FIRST, FAILURES_TO_EJECT},
     },
     crate::relay::backend::BackendInfo,
     faststr::FastStr,
     std::{
+        cell::Cell,
         collections::{BTreeMap, BTreeSet},
+        mem,
         time::Duration,
     },
 };
@@ -71,6 +74,14 @@
 #[derive(Debug)]
 pub struct BackendRegistry {
     pub(super) views: BTreeMap<FastStr, BackendView>,
+    pub(super) index: ServerIndex,
+    // The engines that this host prefers; `None` until they are known, when it prefers all.
+    pub(super) preferred: Option<BTreeSet<FastStr>>,
+    // Servers that may have something to report: requests of this host, or an ejection.
+    reportable: BTreeSet<FastStr>,
+    // Servers for which other hosts reported something.
+    peer_reported: Vec<FastStr>,
+    visited: Cell<u64>,
     next_call: u64,
     // When the loads of other hosts were last received.
     peer_loads_at: Option<Duration>,
@@ -86,6 +97,11 @@
     fn default() -> Self {
         Self {
             views: BTreeMap::new(),
+            index: ServerIndex::default(),
+            preferred: None,
+            reportable: BTreeSet::new(),
+            peer_reported: Vec::new(),
+            visited: Cell::new(0),
             next_call: 0,
             peer_loads_at: None,
             prefill_rate: PREFILL_RATE,
@@ -98,40 +114,95 @@
 impl BackendRegistry {
     /// Replaces the list of backend servers, keeps the state of those that stay and returns the differences.
     pub fn set_backends(&mut self, backends: Vec<BackendInfo>) -> BackendChanges {
+        let named = backends.into_iter().map(|info| (info.id.clone(), info));
+        let mut listed: BTreeMap<FastStr, BackendInfo> = named.collect();
+        let known = self.views.keys().filter(|id| !listed.contains_key(*id));
+        let removed: Vec<FastStr> = known.cloned().collect();
+        let removed = removed.into_iter().map(|id| (id, None));
+        let kept = mem::take(&mut listed).into_iter();
+        let kept = kept.map(|(id, info)| (id, Some(info)));
+        self.update_backends(kept.chain(removed))
+    }
+
+    /// Applies the entries of the servers that may have changed, `None` for those that are no longer listed, and
+    /// returns the differences.
+    pub fn update_backends(
+        &mut self,
+        entries: impl Iterator<Item = (FastStr, Option<BackendInfo>)>,
+    ) -> BackendChanges {
         let mut changes = BackendChanges::default();
-        let mut known = std::mem::take(&mut self.views);
-        for info in backends {
-            let before = known.remove(&info.id);
-            if before.as_ref().is_none_or(|view| view.info != info) {
-                changes.note(before.as_ref().map(|view| &view.info), &info);
+        for (id, info) in entries {
+            self.visit();
+            match info {
+                Some(info) => self.update_backend(info, &mut changes),
+                None => self.remove_backend(id, &mut changes),
             }
-            // A server that restarted under the same id has lost its state, so what was observed of it no longer holds.
-            let view = match before {
-                Some(view) if view.info.born == info.born => BackendView {
-                    run: info.run(),
-                    info,
-                    ..view
-                },
-                _ => BackendView::new(info),
-            };
-            self.views.insert(view.info.id.clone(), view);
         }
-        changes.removed = known.into_keys().collect();
         changes
     }
 
-    /// Sets the engines that this host prefers over all others (see `subset`).
-    pub fn set_preferred(&mut self, preferred: &BTreeSet<FastStr>) {
-        for view in self.views.values_mut() {
-            view.is_preferred = preferred.contains(&view.info.id);
+    fn update_backend(&mut self, info: BackendInfo, changes: &mut BackendChanges) {
+        let Some(view) = self.views.get_mut(&info.id) else {
+            changes.note(None, &info);
+            return self.add_view(info);
+        };
+        if view.info == info {
+            return;
         }
+        changes.note(Some(&view.info), &info);
+        self.index.remove(&view.info);
+        // A server that restarted under the same id has lost its state, so what was observed of it no longer holds.
+        if view.info.born != info.born {
+            return self.add_view(info);
+        }
+        self.index.insert(&info);
+        view.run = info.run();
+        view.info = info;
+    }
+
+    fn add_view(&mut self, info: BackendInfo) {
+        self.index.insert(&info);
+        self.views.insert(info.id.clone(), BackendView::new(info));
+    }
+
+    fn remove_backend(&mut self, id: FastStr, changes: &mut BackendChanges) {
+        let Some(view) = self.views.remove(&id) else {
+            return;
+        };
+        self.index.remove(&view.info);
+        self.reportable.remove(&id);
+        changes.note_removed(view.info);
+    }
+
+    /// Number of listed backend servers.
+    pub fn count(&self) -> usize {
+        self.views.len()
+    }
+
+    /// Number of servers that decisions, reports and updates have looked at so far, a measure of their cost.
+    pub fn visited(&self) -> u64 {
+        self.visited.get()
+    }
+
+    pub(super) fn visit(&self) {
+        self.visited.set(self.visited.get() + 1);
+    }
+
+    /// Sets the engines that this host prefers over all others (see `subset`).
+    pub fn set_preferred(&mut self, preferred: BTreeSet<FastStr>) {
+        self.preferred = Some(preferred);
+    }
+
+    pub(super) fn is_preferred(&self, view: &BackendView) -> bool {
+        let preferred = self.preferred.as_ref();
+        preferred.is_none_or(|preferred| preferred.contains(&view.info.id))
     }
 
     /// Keys of the preferred engines, as used in load reports.
     pub fn preferred_keys(&self) -> Vec<EngineKey> {
-        let engines = self.views.values().filter(|view| view.info.role.is_some());
-        let preferred = engines.filter(|view| view.is_preferred);
-        preferred.map(|view| view.key).collect()
+        let preferred = self.preferred.iter().flatten();
+        let views = preferred.filter_map(|id| self.views.get(id));
+        views.map(|view| view.key).collect()
     }
 
     /// The state of one server.
@@ -147,9 +218,10 @@
 
     /// The listed servers among these runs.
     pub fn listed(&self, runs: &BTreeSet<EngineKey>) -> Vec<BackendInfo> {
-        let views = self.views.values();
-        let listed = views.filter(|view| runs.contains(&view.key));
-        listed.map(|view| view.info.clone()).collect()
+        let ids = runs.iter().filter_map(|run| self.index.by_key(*run));
+        let listed: BTreeMap<&FastStr, &BackendView> =
+            ids.filter_map(|id| self.views.get_key_value(id)).collect();
+        listed.into_values().map(|view| view.info.clone()).collect()
     }
 
     /// Whether the server has restarted since this run: a later one is listed under the same id.
@@ -249,11 +321,15 @@
     }
 
     /// The load of this host's own requests per engine, and the backend servers that it has ejected.
-    pub fn loads(&self, now: Duration) -> Vec<EngineLoad> {
-        let views = self.views.values();
-        let reported = views
-            .filter(|view| view.memory_tokens + view.prefill_tokens > 0 || view.is_ejected(now));
+    pub fn loads(&mut self, now: Duration) -> Vec<EngineLoad> {
+        let views = &self.views;
+        self.reportable.retain(|id| {
+            let view = views.get(id);
+            view.is_some_and(|view| view.is_reportable(now))
+        });
+        let reported = self.reportable.iter().filter_map(|id| views.get(id));
         reported
+            .inspect(|_| self.visit())
             .map(|view| EngineLoad {
                 engine: view.key,
                 memory_tokens: view.memory_tokens,
@@ -262,18 +338,35 @@
             .collect()
     }
 
+    fn mark_reportable(&mut self, id: &str) {
+        if let Some((id, _)) = self.views.get_key_value(id) {
+            self.reportable.insert(id.clone());
+        }
+    }
+
     /// Sets the loads of all other hosts; a server that is not listed counts as idle.
     pub fn set_peer_loads(&mut self, loads: &[EngineLoad], now: Duration) {
-        let by_engine: BTreeMap<EngineKey, &EngineLoad> =
-            loads.iter().map(|load| (load.engine, load)).collect();
-        for view in self.views.values_mut() {
-            let load = by_engine.get(&view.key);
-            view.peer_tokens = load.map_or(0, |load| load.memory_tokens);
-            view.peer_ejections = load.map_or(0, |load| load.ejected_by);
+        for id in mem::take(&mut self.peer_reported) {
+            self.set_peer_load(&id, 0, 0);
+        }
+        for load in loads {
+            let Some(id) = self.index.by_key(load.engine).cloned() else {
+                continue;
+            };
+            self.set_peer_load(&id, load.memory_tokens, load.ejected_by);
+            self.peer_reported.push(id);
         }
         self.peer_loads_at = Some(now);
     }
 
+    fn set_peer_load(&mut self, id: &FastStr, tokens: u64, ejections: u32) {
+        self.visit();
+        if let Some(view) = self.views.get_mut(id) {
+            view.peer_tokens = tokens;
+            view.peer_ejections = ejections;
+        }
+    }
+
     fn has_peer_loads(&self, now: Duration) -> bool {
         let received = self.peer_loads_at;
         received.is_some_and(|at| now.saturating_sub(at) < PEER_LOAD_TTL)
@@ -300,9 +393,18 @@
         service: &'a str,
         now: Duration,
     ) -> impl Iterator<Item = &'a BackendView> {
-        self.views
-            .values()
-            .filter(move |view| view.info.service == service && self.in_rotation(view, now))
+        self.pool_views(self.index.pools(service))
+            .filter(move |view| self.in_rotation(view, now))
+    }
+
+    // The servers of some pools.
+    pub(super) fn pool_views<'a>(
+        &'a self,
+        pools: impl Iterator<Item = &'a ServerPool>,
+    ) -> impl Iterator<Item = &'a BackendView> {
+        let ids = pools.flat_map(|pool| &pool.ids);
+        ids.filter_map(|id| self.views.get(id))
+            .inspect(|_| self.visit())
     }
 
     /// Records a request in flight and returns its number, which `call_ended` takes. `is_suspected` marks a request
@@ -359,6 +461,7 @@
         }
         view.ejected_until = now + view.ejection_time;
         view.ejection_time = (view.ejection_time * 2).min(EJECT_MAX);
+        self.mark_reportable(id);
         true
     }
 
@@ -389,6 +492,7 @@
     pub fn memory_reserved(&mut self, id: &str, tokens: u64) {
         if let Some(view) = self.views.get_mut(id) {
             view.memory_tokens += tokens;
+            self.mark_reportable(id);
         }
     }
 
@@ -404,6 +508,7 @@
     pub fn prefill_started(&mut self, id: &str, tokens: u64) {
         if let Some(view) = self.views.get_mut(id) {
             view.prefill_tokens += tokens;
+            self.mark_reportable(id);
         }
     }
 
@@ -420,7 +525,7 @@
     (score * 1_000.0) as u64
 }
 
-pub(super) fn sorted<'a, K: Ord>(
+fn sorted<'a, K: Ord>(
     views: impl Iterator<Item = &'a BackendView>,
     key: impl Fn(&BackendView) -> K,
 ) -> Vec<BackendInfo> {
--- a/src/relay/policy/rotation.rs
+++ b/src/relay/policy/rotation.rs
@@ -5,6 +5,7 @@
     super::{
         availability::{ServerAvailability, ServerRun},
         registry::BackendRegistry,
+        server_index::ServerPool,
         view::BackendView,
     },
     crate::{engine::EngineRole, relay::backend::BackendInfo},
@@ -51,9 +52,8 @@
         role: Option<EngineRole>,
         now: Duration,
     ) -> Option<RotationWait> {
-        let of_service = |view: &&BackendView| view.info.service == service;
-        let of_role = |view: &&BackendView| role.is_none() || view.info.role == role;
-        let views = self.views.values().filter(of_service).filter(of_role);
+        let of_role = |pool: &&ServerPool| role.is_none() || pool.role == role;
+        let views = self.pool_views(self.index.pools(service).filter(of_role));
         let mut wait = None;
         for view in views {
             if self.in_rotation(view, now) {
--- a/src/relay/policy/view.rs
+++ b/src/relay/policy/view.rs
@@ -55,8 +55,6 @@
     pub(super) run: ServerRun,
     // Identifies this run in load reports.
     pub(super) key: EngineKey,
-    // Whether it is in this host's subset of engines.
-    pub(super) is_preferred: bool,
     // Send time of each request in flight, by its number.
     pub(super) calls: BTreeMap<u64, Duration>,
     // Requests in flight that servers have crashed under before.
@@ -94,7 +92,6 @@
             key: info.key(),
             run: info.run(),
             info,
-            is_preferred: true,
             calls: BTreeMap::new(),
             suspects: BTreeSet::new(),
             failures: 0,
@@ -129,6 +126,11 @@
         now < self.ejected_until
     }
 
+    /// Whether other hosts need to know of it: requests of this host, or an ejection.
+    pub(super) fn is_reportable(&self, now: Duration) -> bool {
+        self.memory_tokens + self.prefill_tokens > 0 || self.is_ejected(now)
+    }
+
     /// Whether a request sent after the ejection expired probes the server: no other is sent until it responds.
     pub fn is_probing(&self) -> bool {
         let mut sent = self.calls.values();
--- a/src/relay/request/seek.rs
+++ b/src/relay/request/seek.rs
@@ -12,8 +12,8 @@
 /// Timeout of a query for an engine's cache contents; engines respond at once.
 const CACHE_QUERY_TIMEOUT: Duration = Duration::from_millis(120);
 
-/// Maximum number of engines queried at once. Zones of current deployments have up to 24 decode engines. Of a larger zone,
-/// and of the engines in all other zones, the first by id are queried.
+/// Maximum number of engines queried at once: of the host's own zone, and of all other zones together. In larger zones
+/// the first by id are queried.
 const MAX_ENGINES_QUERIED: usize = 24;
 
 /// Finds the decode engine that has most of the prompt `part` cached. The host's own zone is queried first, the other
@@ -23,12 +23,13 @@
     service: &str,
     part: &str,
 ) -> Option<CachedAt> {
-    let engines = parts.book.borrow().decode_engines(service, parts.now());
-    let zone = &parts.settings.zone;
-    let (near, far): (Vec<_>, Vec<_>) =
-        engines.into_iter().partition(|engine| engine.zone == *zone);
-    for engines in [near, far] {
-        let queried: Vec<BackendInfo> = engines.into_iter().take(MAX_ENGINES_QUERIED).collect();
+    let engines = parts.book.borrow().decode_engines(
+        service,
+        &parts.settings.zone,
+        MAX_ENGINES_QUERIED,
+        parts.now(),
+    );
+    for queried in engines {
         future::join_all(
             queried
                 .iter()
@@ -53,8 +54,9 @@
     match parts.call_backend(engine, call, CACHE_QUERY_TIMEOUT).await {
         Ok((StatusCode::OK, body)) => {
             let update = (engines.read_cache)(query, &body);
+            let is_listed = parts.book.borrow().is_current(engine);
             let mut kept = parts.prompt_caches.borrow_mut();
-            match update {
+            match update.filter(|_| is_listed) {
                 Some(update) => kept.update(&engine.id, update, parts.now()),
                 None => kept.forget(&engine.id),
             }
--- a/tests/store_restores.rs
+++ b/tests/store_restores.rs
@@ -4,7 +4,10 @@
 
 use {
     bayplank::{
-        relay::{BackendInfo, ClusterState, HostEntry, StoreChange, StoreItem, StoreValue},
+        relay::{
+            BackendInfo, BackendRegistry, ClusterState, HostEntry, StoreChange, StoreItem,
+            StoreValue,
+        },
         store::{EraTracker, StoreFailure, StorePosition},
     },
     bolero::check,
@@ -278,6 +281,8 @@
 // A model of a host, with the runs that it has learned to be leaving or departed.
 struct ModelHost {
     state: ClusterState,
+    // The servers as they were published to routing.
+    registry: BackendRegistry,
     departed: BTreeSet<(FastStr, u64)>,
 }
 
@@ -285,6 +290,7 @@
     fn new() -> Self {
         Self {
             state: ClusterState::new(HEARTBEAT),
+            registry: BackendRegistry::default(),
             departed: BTreeSet::new(),
         }
     }
@@ -309,6 +315,12 @@
         let mut current = after.iter().filter(|info| !info.leaving);
         let returned = current.find(|info| self.departed.contains(&(info.id.clone(), info.born)));
         assert_eq!(returned, None, "a departed run is current again");
+        let touched = self.state.take_touched_backends();
+        self.registry.update_backends(touched.into_iter());
+        let published = self.registry.views().map(|view| &view.info);
+        let usable = after.iter().map(|info| (&info.id, info));
+        let usable: BTreeMap<&FastStr, &BackendInfo> = usable.collect();
+        assert!(published.eq(usable.into_values()), "routing uses the list");
     }
 
     fn read(&mut self, store: &ModelStore, now: Duration) {
