Hosts with few requests each no longer all choose the same plain server

What callers saw: in a large fleet most hosts have no request at any server when the next one comes, so all servers of a zone are equal to them, and each took the first by its id: 200 hosts before 75 servers sent a burst to one of them, which answered 30 of 200 requests in time and turned the others away.

Equal servers now come in an order of the host's own, by a hash of its name and the server's run. It is the same each time, so that connections are reused as before.

--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -21,7 +21,7 @@
             cluster::state::ClusterState,
             dialect::{BackendCall, CallDialect},
             policy::{
-                budget::RetryWindow, caller_timeouts::CallerTimeouts, limit_tracker::LimitTracker,
+                budget::RetryWindow, caller_timeouts::CallerTimeouts,
                 prompt_cache::PromptCacheIndex, registry::BackendRegistry, route::RouteTable,
                 view::BackendFailure, wait_queue::WaitQueue,
             },
@@ -116,8 +116,7 @@
         let ledger_id = rand::random_range(1..=u64::MAX);
         let book_id = rand::random_range(1..=u64::MAX);
         let zone = settings.zone.clone();
-        let mut book = BackendRegistry::default();
-        book.limits = LimitTracker::new(&settings.name);
+        let book = BackendRegistry::new(&settings.name);
         let ledger = ZoneLedger::new(ledger_id, zone, settings.bounds.limits, Duration::ZERO);
         Rc::new(Self {
             settings,
--- a/src/relay/policy/registry.rs
+++ b/src/relay/policy/registry.rs
@@ -19,6 +19,7 @@
         mem,
         time::Duration,
     },
+    xxhash_rust::xxh3,
 };
 
 /// Upper bound of an ejection: a server restart takes a few seconds.
@@ -75,6 +76,8 @@
 pub struct BackendRegistry {
     pub(super) views: BTreeMap<FastStr, BackendView>,
     pub(super) index: ServerIndex,
+    // Hash of this host's name, which differs between hosts; none if it is not known.
+    seed: Option<u64>,
     // The engines that this host prefers; `None` until they are known, when it prefers all.
     pub(super) preferred: Option<BTreeSet<FastStr>>,
     // Servers that may have something to report: requests of this host, or an ejection.
@@ -96,6 +99,7 @@
 impl Default for BackendRegistry {
     fn default() -> Self {
         Self {
+            seed: None,
             views: BTreeMap::new(),
             index: ServerIndex::default(),
             preferred: None,
@@ -112,6 +116,15 @@
 }
 
 impl BackendRegistry {
+    /// The state of a host that knows no servers yet.
+    pub fn new(host: &str) -> Self {
+        Self {
+            seed: Some(xxh3::xxh3_64(host.as_bytes())),
+            limits: LimitTracker::new(host),
+            ..Self::default()
+        }
+    }
+
     /// Replaces the list of backend servers, keeps the state of those that stay and returns the differences.
     pub fn set_backends(&mut self, backends: Vec<BackendInfo>) -> BackendChanges {
         let named = backends.into_iter().map(|info| (info.id.clone(), info));
@@ -259,10 +272,18 @@
                 self.is_avoided(view, now),
                 order(view.plain_score(zone, now) + returning),
                 self.limits.order(view.key, now),
+                self.own_order(view.key),
             )
         })
     }
 
+    // The order of servers that are otherwise equal: the same each time, so that connections are reused, and another one
+    // at each host, so that hosts with few requests each do not all choose the same server.
+    fn own_order(&self, server: EngineKey) -> u64 {
+        let hash = |seed| xxh3::xxh3_64_with_seed(&server.0.to_le_bytes(), seed);
+        self.seed.map_or(0, hash)
+    }
+
     /// Chooses the server for the next attempt of a plain request.
     ///
     /// When every server of a service is down, or unreachable from a zone that has none of its own, each request
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -16,7 +16,7 @@
     },
     bolero::check,
     faststr::FastStr,
-    std::time::Duration,
+    std::{collections::BTreeMap, time::Duration},
 };
 
 fn millis(count: u64) -> Duration {
@@ -400,3 +400,23 @@
     };
     assert_eq!(room, expected);
 }
+
+#[test]
+fn requests_of_many_idle_hosts_spread_over_the_servers_of_a_zone() {
+    // Each of 200 hosts sends one request to a service of 75 servers, which work on six at a time and queue 24 more. A
+    // request takes 60 ms and is in time within 300 ms.
+    let mut in_time = 0;
+    let mut requests: BTreeMap<FastStr, usize> = BTreeMap::new();
+    for host in 0..200 {
+        let mut book = BackendRegistry::new(&format!("h-{host}"));
+        let servers = (0..75).map(|index| backend(&format!("w-{index}"), "z", None));
+        book.set_backends(servers.collect());
+        let first = book.rank_plain("one", "z", &[], millis(0))[0].id.clone();
+        let count = requests.entry(first).or_default();
+        *count += 1;
+        in_time += usize::from(*count <= 30);
+    }
+    assert_eq!(in_time, 200);
+    let most = requests.values().max().unwrap();
+    assert!(*most <= 12, "{most} of 200 requests at one of 75 servers");
+}
