bayplank capacity: what each mechanism of a host costs as the fleet grows

The tool runs the hosts' own code without a network for half a size, the size and twice the size, counts entries looked at, bytes and messages, prints the power of growth and names what outgrows the fleet.

The choice of a plain server looks at 256 servers of a zone at most, as that of engines.

--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        check, demo,
+        capacity, check, demo,
         exit::{self, CommandResult},
         load, operate, peers, standin, trace,
     },
@@ -21,6 +21,7 @@
   standin             run a stand-in platform, engines and service to try a daemon with
   load HOST           send requests to a host and measure it
   peers               measure what hosts spend on each other
+  capacity            measure how a host's costs grow with the fleet
   check FILE...       check settings (.ini) and objects (.json)
   apply FILE          write objects to the platform, after checking the whole set
   get [KIND [NAME]]   read objects from the platform
@@ -66,6 +67,7 @@
         "bench" => bench::command(arguments),
         "load" => load::run(arguments),
         "peers" => peers::run(arguments),
+        "capacity" => capacity::run(arguments),
         "standin" => standin::run(arguments),
         "check" => check::run(arguments),
         "apply" => operate::apply(arguments),
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,5 +1,6 @@
 //! The programs' command lines.
 
+mod capacity;
 mod check;
 mod command;
 mod daemon;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod account;
 pub mod bench;
+pub mod capacity;
 pub mod cli;
 pub mod clock;
 pub mod conf;
--- a/src/relay/policy/engines.rs
+++ b/src/relay/policy/engines.rs
@@ -29,10 +29,6 @@
 /// Number of suitable decode engines from which no less preferred ones are ranked; a request asks fewer than that.
 const RANKED_ENGINES: usize = 32;
 
-/// Maximum number of engines of a zone that are looked at beyond the preferred ones: enough to find one with room if a
-/// few in a hundred have some.
-const SAMPLED_ENGINES: usize = 256;
-
 /// Load penalty, in tokens, of a decode engine whose backoff has just ended: its load ramps up gradually.
 const RETURN_TOKENS: f64 = 16_000.0;
 
@@ -122,7 +118,7 @@
     ) -> impl Iterator<Item = &'a BackendView> {
         let pools = self.index.pools(service);
         let pools = pools.filter(move |pool| pool.role == Some(role) && is_in_zone(&pool.zone));
-        let ids = pools.flat_map(|pool| sample(&pool.ids));
+        let ids = pools.flat_map(|pool| pool.sample(rand::random()));
         let views = ids.filter_map(|id| self.views.get(id));
         views
             .inspect(|_| self.visit())
@@ -311,15 +307,3 @@
         by_delay.then(self.jitter.cmp(&other.jitter))
     }
 }
-
-// All of a pool, or a run of it from a random place if it is large.
-fn sample(ids: &[FastStr]) -> impl Iterator<Item = &FastStr> {
-    let start = match ids.len() > SAMPLED_ENGINES {
-        true => rand::random_range(0..ids.len()),
-        false => 0,
-    };
-    ids.iter()
-        .cycle()
-        .skip(start)
-        .take(ids.len().min(SAMPLED_ENGINES))
-}
--- a/src/relay/policy/registry.rs
+++ b/src/relay/policy/registry.rs
@@ -263,8 +263,12 @@
         tried: &[FastStr],
         now: Duration,
     ) -> Vec<BackendInfo> {
-        let views = self
-            .usable(service, now)
+        let pools = self.index.pools(service);
+        let ids = pools.flat_map(|pool| pool.sample(self.seed.unwrap_or_default()));
+        let views = ids.filter_map(|id| self.views.get(id));
+        let views = views
+            .inspect(|_| self.visit())
+            .filter(|view| self.in_rotation(view, now))
             .filter(|view| !tried.contains(&view.info.id));
         sorted(views, |view| {
             let returning = self.availability.ramp_up_remaining(&view.run, now) * RETURN_PENALTY;
--- a/src/relay/policy/server_index.rs
+++ b/src/relay/policy/server_index.rs
@@ -7,6 +7,10 @@
     std::collections::HashMap,
 };
 
+/// Maximum number of servers of a pool that a choice looks at: enough to find one with room if a few in a hundred have
+/// some.
+const SAMPLE_MAX: usize = 256;
+
 /// The servers of a service in one availability zone that have the same role.
 #[derive(Debug)]
 pub(super) struct ServerPool {
@@ -21,6 +25,16 @@
         self.role == info.role && self.zone == info.zone
     }
 
+    /// The ids of all servers, or of a part of a large pool that depends on the seed.
+    pub(super) fn sample(&self, seed: u64) -> impl Iterator<Item = &FastStr> {
+        let start = match self.ids.len() > SAMPLE_MAX {
+            true => (seed % self.ids.len() as u64) as usize,
+            false => 0,
+        };
+        let (before, after) = self.ids.split_at(start);
+        after.iter().chain(before).take(SAMPLE_MAX)
+    }
+
     fn place(&self, id: &FastStr) -> Result<usize, usize> {
         self.ids.binary_search(id)
     }
