Retry-After is rounded up, so that nobody is told to come back before there is room

It was rounded to the nearest hundredth of a second and could be 5 ms short of the time at which a client account has room again; a caller that kept to it was refused once more.

Evidence: relay_decisions, 3,000 waits: told 0 s for 1 us before, never short now.

--- a/src/relay/request/response.rs
+++ b/src/relay/request/response.rs
@@ -62,7 +62,9 @@
         HeaderValue::from_static(refusal.verdict.as_str()),
     );
     if let Some(wait) = refusal.retry_after {
-        let seconds = format!("{:.2}", wait.as_secs_f64());
+        // Rounded up: a caller that comes back too early is refused again.
+        let hundredths = wait.as_micros().div_ceil(10_000);
+        let seconds = format!("{}.{:02}", hundredths / 100, hundredths % 100);
         if let Ok(value) = HeaderValue::from_str(&seconds) {
             headers.insert(header::RETRY_AFTER, value);
         }
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -420,3 +420,16 @@
     let most = requests.values().max().unwrap();
     assert!(*most <= 12, "{most} of 200 requests at one of 75 servers");
 }
+
+#[test]
+fn callers_are_never_told_to_come_back_before_there_is_room() {
+    for micros in (1..3_000_000).step_by(997) {
+        let wait = Duration::from_micros(micros);
+        let refusal = Refusal::not_run(RefusalCode::Overloaded, "full").after(wait);
+        let response = relay::refusal_response(&refusal);
+        let told = response.headers()["retry-after"].to_str().unwrap();
+        let told = Duration::from_secs_f64(told.parse().unwrap());
+        assert!(told >= wait, "{told:?} for {wait:?}");
+        assert!(told <= wait + millis(10), "{told:?} for {wait:?}");
+    }
+}
