A changed configuration reaches followers as its difference from the one that they have

Cause: a configuration of more than 64 routes is not sent to followers, so each host of the fleet read it from the store at each change: as many calls as there are hosts. Sent whole it would fill the links of small heads.

A host now keeps the last four versions and sends a patch from the one that the follower has. Without a patch, hosts read the store as before.

--- a/src/relay/cluster/state.rs
+++ b/src/relay/cluster/state.rs
@@ -15,13 +15,14 @@
         relay::{
             backend::BackendInfo,
             config::RelayConfig,
+            config_patch::ConfigPatch,
             link::{HostEntry, StoreChange, StoreKind},
             policy::{past_time::PastTime, route::RouteTable},
         },
         store::StorePosition,
     },
     faststr::FastStr,
-    std::{rc::Rc, time::Duration},
+    std::{collections::VecDeque, rc::Rc, time::Duration},
 };
 
 /// How long after the end of a store outage a missing entry is assumed to have expired because of the outage.
@@ -32,6 +33,9 @@
 /// outage began. A server whose entry is removed after a shorter outage has left on its own.
 const HEARTBEATS_TO_EXPIRY: u32 = 2;
 
+/// Number of earlier versions of the configuration from which hosts that have one of them are patched.
+const EARLIER_CONFIGS_MAX: usize = 4;
+
 /// Default interval at which backend servers renew their entries.
 const DEFAULT_HEARTBEAT: Duration = Duration::from_secs(1);
 
@@ -39,6 +43,9 @@
 #[derive(Debug)]
 pub struct ClusterState {
     routes: Option<Rc<RouteTable>>,
+    // Earlier versions of the configuration, the latest last, and the patches from them to the current one.
+    earlier_routes: VecDeque<Rc<RouteTable>>,
+    patches: Vec<Rc<ConfigPatch>>,
     backends: BackendList,
     // The list of backend servers that is being received from another host.
     partial_backends: PartialList,
@@ -83,6 +90,8 @@
     pub fn new(heartbeat: Duration) -> Self {
         Self {
             routes: None,
+            earlier_routes: VecDeque::new(),
+            patches: Vec::new(),
             backends: BackendList::new(heartbeat),
             partial_backends: PartialList::default(),
             hosts: HostList::default(),
@@ -243,7 +252,8 @@
         if config.version <= before {
             return false;
         }
-        self.routes = Some(Rc::new(RouteTable::new(config)));
+        let earlier = self.routes.replace(Rc::new(RouteTable::new(config)));
+        self.keep_earlier_routes(earlier);
         assert!(
             self.config_version() > before,
             "a configuration never reverts"
@@ -251,6 +261,31 @@
         true
     }
 
+    fn keep_earlier_routes(&mut self, earlier: Option<Rc<RouteTable>>) {
+        self.earlier_routes.extend(earlier);
+        if self.earlier_routes.len() > EARLIER_CONFIGS_MAX {
+            self.earlier_routes.pop_front();
+        }
+        let Some(current) = &self.routes else {
+            return;
+        };
+        let bases = self.earlier_routes.iter().map(|base| base.config());
+        let patches = bases.map(|base| ConfigPatch::between(base, current.config()));
+        self.patches = patches.map(Rc::new).collect();
+    }
+
+    /// The patch from an earlier version of the configuration to the current one, if that version is known.
+    pub fn config_patch(&self, base_version: u64) -> Option<Rc<ConfigPatch>> {
+        let mut patches = self.patches.iter();
+        let patch = patches.find(|patch| patch.base_version() == base_version);
+        patch.cloned()
+    }
+
+    /// The configuration that a patch leads to; none if the patch was made for another one than the current.
+    pub fn patched_config(&self, patch: ConfigPatch) -> Option<RelayConfig> {
+        patch.apply(self.routes.as_ref()?.config())
+    }
+
     /// Records that the list of backend servers was read from the store, even if from a lagging replica: entries
     /// missing from the next read were removed after this one.
     pub fn record_backends_read(&mut self, now: Duration) {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -4,6 +4,7 @@
 mod backend;
 mod cluster;
 mod config;
+mod config_patch;
 mod critical_task;
 mod dialect;
 mod figures;
@@ -18,6 +19,6 @@
 mod settings;
 
 pub use self::{
-    backend::*, cluster::*, config::*, critical_task::*, dialect::*, host::*, link::*, news::*,
-    objects::*, parts::*, policy::*, request::*, roles::*, settings::*,
+    backend::*, cluster::*, config::*, config_patch::*, critical_task::*, dialect::*, host::*,
+    link::*, news::*, objects::*, parts::*, policy::*, request::*, roles::*, settings::*,
 };
--- a/src/relay/news/answer.rs
+++ b/src/relay/news/answer.rs
@@ -3,7 +3,8 @@
 use {
     super::message::{ClusterNews, HeldNews},
     crate::relay::{
-        cluster::list_parts::PART_ENTRIES_MAX, parts::shared::RelayParts, policy::source,
+        cluster::list_parts::PART_ENTRIES_MAX, config::RelayConfig, parts::shared::RelayParts,
+        policy::source,
     },
     std::{rc::Rc, time::Duration},
 };
@@ -12,8 +13,8 @@
 const MAX_HOLD: Duration = Duration::from_secs(2);
 
 /// Largest number of routes of a configuration that is sent without being requested: some 300 bytes each, to each of
-/// some thirty followers. Larger configurations would saturate the network link of a small host; followers read them
-/// from the store.
+/// some thirty followers. Larger configurations would saturate the network link of a small host; followers get the
+/// difference from the one that they have, or read them from the store.
 const MAX_SENT_ROUTES: usize = 64;
 
 /// Largest number of client accounts of such a configuration, at some 80 bytes per key.
@@ -88,11 +89,14 @@
     }
     let routes = cluster.routes();
     let config = routes.as_ref().map(|routes| routes.config());
-    let sent_config = config.filter(|config| {
+    let newer_config = config.filter(|config| config.version > held.config_version);
+    let is_sent = |config: &&RelayConfig| {
         let accounts = config.accounts.as_ref().map_or(0, Vec::len);
         let is_small = config.routes.len() <= MAX_SENT_ROUTES && accounts <= MAX_SENT_ACCOUNTS;
-        config.version > held.config_version && (is_small || held.wants_config)
-    });
+        is_small || held.wants_config
+    };
+    let sent_config = newer_config.filter(is_sent);
+    let is_patchable = newer_config.is_some() && sent_config.is_none() && held.reads_parts;
     ClusterNews {
         age: cluster.age(now),
         proof: cluster.proof_age(now),
@@ -101,6 +105,10 @@
         outage: cluster.outage_age(now),
         config_version: cluster.config_version(),
         config: sent_config.cloned(),
+        config_patch: match is_patchable {
+            true => cluster.config_patch(held.config_version),
+            false => None,
+        },
         backends: match held.reads_parts {
             true => cluster.backend_news_part(
                 held.backends_position,
--- a/src/relay/news/message.rs
+++ b/src/relay/news/message.rs
@@ -11,6 +11,7 @@
                 list_parts::{ListCursor, ListPart},
             },
             config::RelayConfig,
+            config_patch::ConfigPatch,
             link::HostEntry,
             policy::{
                 crash_report::CrashUpdates,
@@ -25,7 +26,7 @@
     capnp::{Error, Result, struct_list},
     faststr::FastStr,
     serde::{Serialize, de::DeserializeOwned},
-    std::{net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// Number of milliseconds that stands for "never" or "unknown".
@@ -97,6 +98,8 @@
     pub config_version: u64,
     /// The configuration, if the requester lacks it and it is small or was requested.
     pub config: Option<RelayConfig>,
+    /// The difference from the requester's configuration, in place of a large one.
+    pub config_patch: Option<Rc<ConfigPatch>>,
     /// Changes of the backend servers.
     pub backends: KindNews,
     /// Changes of the hosts.
@@ -318,6 +321,9 @@
     if let Some(config) = &news.config {
         to.set_config(&to_json(config)?);
     }
+    if let Some(patch) = &news.config_patch {
+        to.set_config_patch(&to_json(&**patch)?);
+    }
     if !news.guides.is_empty() {
         to.set_guides(&to_json(&news.guides)?);
     }
@@ -345,6 +351,11 @@
         true => None,
         false => Some(from_json(config)?),
     };
+    let patch = from.get_config_patch()?;
+    let config_patch = match patch.is_empty() {
+        true => None,
+        false => Some(Rc::new(from_json(patch)?)),
+    };
     let guides = read_json_list(from.get_guides()?)?;
     Ok(ClusterNews {
         age: from_ms(from.get_age_ms()),
@@ -352,6 +363,7 @@
         outage: from_ms(from.get_outage_ms()),
         config_version: from.get_config_version(),
         config,
+        config_patch,
         backends: read_kind(from.get_backends()?)?,
         hosts: read_kind(from.get_hosts()?)?,
         guides,
--- a/src/relay/news/news.capnp
+++ b/src/relay/news/news.capnp
@@ -112,6 +112,8 @@
   limits @13 :List(LimitUpdate);
   limitBook @14 :UInt64;
   limitRevision @15 :UInt64;
+  # JSON, for requesters that read lists in parts and have a recent configuration: the difference from that one.
+  configPatch @16 :Data;
 }
 
 # Kept to eight bytes, since reports are sent several times a second.
--- a/src/relay/news/news_capnp.rs
+++ b/src/relay/news/news_capnp.rs
@@ -2161,11 +2161,19 @@
         pub fn get_limit_revision(self) -> u64 {
             self.reader.get_data_field::<u64>(7)
         }
+        #[inline]
+        pub fn get_config_patch(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_config_patch(&self) -> bool {
+            !self.reader.get_pointer_field(6).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 6 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 7 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2391,6 +2399,22 @@
         pub fn set_limit_revision(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(7, value);
         }
+        #[inline]
+        pub fn get_config_patch(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_config_patch(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(6).set_data(value);
+        }
+        #[inline]
+        pub fn init_config_patch(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(6).init_data(size)
+        }
+        #[inline]
+        pub fn has_config_patch(&self) -> bool {
+            !self.builder.is_pointer_field_null(6)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2408,136 +2432,143 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 272] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 288] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(192, 15, 59, 78, 52, 184, 25, 176),
             ::capnp::word(11, 0, 0, 0, 1, 0, 8, 0),
             ::capnp::word(35, 152, 123, 90, 14, 108, 31, 212),
-            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 135, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 191, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 67, 108, 117, 115, 116),
             ::capnp::word(101, 114, 78, 101, 119, 115, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(229, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(1, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(21, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(29, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(37, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(57, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(65, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2681,6 +2712,15 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 102, 105, 103, 80, 97),
+            ::capnp::word(116, 99, 104, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2700,6 +2740,7 @@
                 13 => <::capnp::struct_list::Owned<crate::news_capnp::limit_update::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 14 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 15 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                16 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2713,9 +2754,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,3,2,11,12,10,6,8,5,7,14,15,13,1,9];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,3,16,2,11,12,10,6,8,5,7,14,15,13,1,9];
         pub(crate) const TYPE_ID: u64 = 0xb019_b834_4e3b_0fc0;
     }
 }
--- a/src/relay/news/take.rs
+++ b/src/relay/news/take.rs
@@ -6,7 +6,7 @@
         message::ClusterNews,
     },
     crate::relay::{link::StoreKind, policy::past_time::PastTime},
-    std::{net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
 };
 
 impl NewsFollower {
@@ -24,7 +24,9 @@
             self.choice.borrow_mut().note_list_part(now);
         }
         let held = self.parts.cluster.borrow().config_version();
-        let has_config = match news.config {
+        let patch = news.config_patch.map(Rc::unwrap_or_clone);
+        let patched = patch.and_then(|patch| self.parts.cluster.borrow().patched_config(patch));
+        let has_config = match news.config.or(patched) {
             Some(config) => {
                 self.parts.offer_config(config, "host");
                 true
