A zone's followers are served by more hosts as the zone grows

Cause: a zone's head and one standby served all its hosts, so that each answered 100 hosts three times a second in a zone of 200, sent each of them the list at a start, and all hosts that started were sent to the head alone.

There is now a serving host for each 30 of a zone, in the order of precedence as head; zones of up to 60 have the head and a standby as before. A starting host is told of all of them and follows one by its hash.

Evidence: relay_news. Now at most 60 of each in zones of 60, 200 and 400.

--- a/src/relay/news/follow.rs
+++ b/src/relay/news/follow.rs
@@ -261,7 +261,7 @@
         {
             let mut choice = self.choice.borrow_mut();
             match cluster.hosts_position().is_known() {
-                false => choice.set_hosts(guides.iter()),
+                false => choice.set_guides(guides.iter()),
                 true => choice.set_hosts(cluster.hosts()),
             }
         }
--- a/src/relay/policy/source.rs
+++ b/src/relay/policy/source.rs
@@ -2,7 +2,7 @@
 //! without I/O.
 //!
 //! All hosts of a zone sort the listed hosts into the same order. The first one that responds is the zone's head
-//! (leader), which the others follow; a large zone also has a standby that serves part of the followers. The heads of
+//! (leader), which the others follow; a large zone also has standbys that serve part of the followers. The heads of
 //! two zones read the store and the other heads follow one of them, so calls to the store grow neither with the
 //! number of hosts nor with the number of zones.
 //!
@@ -21,6 +21,16 @@
 /// whole zone, and each of the two carries half of the traffic.
 const STANDBY_FROM: usize = 9;
 
+/// Number of hosts of a zone for each host that serves the others. At three requests a second from each, and the list of
+/// servers at their start, a small host can serve as many.
+const HOSTS_PER_SERVING: usize = 30;
+
+// Number of hosts of a zone that serve the others: the head and its standbys.
+fn serving_hosts(hosts: usize) -> usize {
+    let needed = 1 + usize::from(hosts >= STANDBY_FROM);
+    needed.max(hosts.div_ceil(HOSTS_PER_SERVING))
+}
+
 /// Part of the time allowed for a change to take effect that is reserved for a host that hears from nobody and reads
 /// the store itself: it may first have to detect that a connection hangs.
 const OWN_READING_MARGIN: Duration = Duration::from_millis(600);
@@ -73,8 +83,8 @@
 /// other hosts take.
 const LIST_PART_WAIT: Duration = Duration::from_millis(1_000);
 
-/// Number of hosts of its own zone that a starting host is given to follow: the head, the standby, and one more in
-/// case one of them is gone. It is given as many heads of other zones.
+/// Number of hosts of its own zone that a starting host is given to follow at least: the head, a standby, and one more
+/// in case one of them is gone. It is given as many heads of other zones.
 const STARTING_POINTS: usize = 3;
 
 /// Sorts the hosts of a zone by their precedence as its head: the strongest first, since the head serves all others,
@@ -133,6 +143,8 @@
     settings: SourceSettings,
     // The hosts of each zone, by precedence as its head.
     zones: BTreeMap<FastStr, Vec<HostEntry>>,
+    // The hosts are only those that a starting host was told to follow.
+    is_guided: bool,
     skipped: BTreeMap<FastStr, Skip>,
     // Hosts of the own zone that did not accept a report, and until when none is sent to them. A follower of the
     // standby never queries the head and would not notice otherwise that it is gone.
@@ -154,6 +166,7 @@
             start_wait: settings.start_wait,
             settings,
             zones: BTreeMap::new(),
+            is_guided: false,
             skipped: BTreeMap::new(),
             unreported: BTreeMap::new(),
             heard: Duration::ZERO,
@@ -164,6 +177,7 @@
 
     /// Replaces the listed hosts.
     pub fn set_hosts<'a>(&mut self, hosts: impl Iterator<Item = &'a HostEntry>) {
+        self.is_guided = false;
         self.zones = by_zone(hosts.cloned());
         let zones = &self.zones;
         self.skipped.retain(|name, _| {
@@ -172,6 +186,12 @@
         });
     }
 
+    /// Sets the hosts that a starting host was told to follow.
+    pub fn set_guides<'a>(&mut self, guides: impl Iterator<Item = &'a HostEntry>) {
+        self.set_hosts(guides);
+        self.is_guided = true;
+    }
+
     /// Records that a seed host responded, with or without data.
     pub fn note_seed_response(&mut self) {
         self.start_wait = self.start_wait.max(self.settings.seed_wait);
@@ -354,7 +374,12 @@
             return self.pick_by_hash(readers);
         }
         let hosts = self.zones.get(&self.settings.zone)?.len();
-        let wanted = 1 + usize::from(hosts >= STANDBY_FROM);
+        let wanted = match self.is_guided {
+            // The last one is for the case that another one is gone.
+            true if hosts > STARTING_POINTS => hosts - 1,
+            true => 1,
+            false => serving_hosts(hosts),
+        };
         let followed: Vec<&HostEntry> = self.own_zone(now).take(wanted).collect();
         let is_standby = followed.iter().any(|entry| entry.name == self.settings.own);
         match is_standby {
@@ -416,7 +441,8 @@
 pub fn starting_points(hosts: impl Iterator<Item = HostEntry>, zone: &str) -> Vec<HostEntry> {
     let mut zones = by_zone(hosts);
     let mut points = zones.remove(zone).unwrap_or_default();
-    points.truncate(STARTING_POINTS);
+    let serving = serving_hosts(points.len());
+    points.truncate(STARTING_POINTS.max(serving + 1));
     let heads = zones
         .into_values()
         .filter_map(|entries| entries.into_iter().next());
--- a/tests/fleet_sim/mod.rs
+++ b/tests/fleet_sim/mod.rs
@@ -421,7 +421,7 @@
         let all: Vec<HostEntry> = self.hosts.iter().map(|host| host.entry.clone()).collect();
         let zone = self.hosts[index].entry.zone.clone();
         let starting_points = relay::starting_points(all.into_iter(), &zone);
-        self.hosts[index].choice.set_hosts(starting_points.iter());
+        self.hosts[index].choice.set_guides(starting_points.iter());
         self.hosts[index].busy_until = self.now;
     }
 
--- a/tests/relay_news.rs
+++ b/tests/relay_news.rs
@@ -117,6 +117,35 @@
     assert!(counts.values().all(|count| *count <= 22), "{counts:?}");
 }
 
+#[test]
+fn no_host_serves_more_followers_in_a_larger_zone() {
+    for count in [60, 200, 400] {
+        let hosts = zone(count);
+        let mut counts: BTreeMap<FastStr, usize> = BTreeMap::new();
+        for name in followed(&hosts, millis(9_000)).into_values() {
+            *counts.entry(name).or_default() += 1;
+        }
+        let most = counts.values().max().unwrap();
+        assert!(*most <= 60, "{most} followers of one of {count} hosts");
+    }
+}
+
+#[test]
+fn hosts_that_start_in_a_large_zone_spread_over_those_that_serve_it() {
+    let hosts = zone(400);
+    let guides = relay::starting_points(hosts.iter().cloned(), "z-a");
+    let mut counts: BTreeMap<FastStr, usize> = BTreeMap::new();
+    for entry in hosts.iter().skip(20) {
+        let mut choice = choice_of(&entry.name, &[]);
+        choice.set_guides(guides.iter());
+        if let UpdateSource::Host(host) = choice.choose(None, false, millis(1)) {
+            *counts.entry(host.name).or_default() += 1;
+        }
+    }
+    let most = counts.values().max().unwrap();
+    assert!(*most <= 60, "{most} starting hosts at one");
+}
+
 #[test]
 fn the_strongest_hosts_read_for_the_others() {
     let mut hosts = zone(30);
