The loads of a report are read before its other parts are

A host ended itself as soon as it reported: the registry was still borrowed for the loads while the requested engines were read. Found by the platform's tests, which all ended with it; they pass now.

--- a/src/relay/parts/shares.rs
+++ b/src/relay/parts/shares.rs
@@ -179,8 +179,9 @@
                 retries: counts.retries,
             }
         });
+        let loads = self.book.borrow_mut().loads(now);
         LoadReport {
-            loads: self.book.borrow_mut().loads(now),
+            loads,
             demands: demands.collect(),
             requested: self.wanted_keys(),
             accounts: UseReport {
