A server whose limit has to be confirmed comes before servers without a limit

Cause: both had the same place in the order of equal servers, so it depended on their ids whether a limited server was ever asked again beside one without a limit. With an order of each host's own it depended on the hosts' names.

--- a/src/relay/policy/limit_tracker.rs
+++ b/src/relay/policy/limit_tracker.rs
@@ -194,12 +194,13 @@
         }
     }
 
-    /// The sort key of a server among servers that are otherwise equal. Servers without a limit come first, together
-    /// with those whose limit has not been confirmed for a while; then those whose permits this host allocates itself
-    /// and so needs no request to another host; then the others, in a pseudo-random order that differs between hosts.
+    /// The sort key of a server among servers that are otherwise equal. Servers whose limit has not been confirmed for a
+    /// while come first, since only a request shows whether it still holds; then those without a limit; then those whose
+    /// permits this host allocates itself and so needs no request to another host; then the others, in a pseudo-random
+    /// order that differs between hosts.
     pub fn order(&self, server: EngineKey, now: Duration) -> u64 {
         let Some(known) = self.limits.get(&server) else {
-            return 0;
+            return 1;
         };
         let probe_interval = if known.is_own {
             PROBE_INTERVAL
@@ -208,8 +209,8 @@
         };
         match known.is_own {
             _ if known.reported.age(now) >= probe_interval => 0,
-            true => 1,
-            false => xxh3::xxh3_64_with_seed(&server.0.to_le_bytes(), self.seed).max(2),
+            true => 2,
+            false => xxh3::xxh3_64_with_seed(&server.0.to_le_bytes(), self.seed).max(3),
         }
     }
 
