--- a/src/relay/news/follow.rs
+++ b/src/relay/news/follow.rs
@@ -265,7 +265,7 @@
                 true => choice.set_hosts(cluster.hosts()),
             }
         }
-        self.parts.update_preferred_engines();
+        self.parts.mark_preferred_engines_outdated();
     }
 
     // What this host already has, for a request to the host at an address.
--- a/src/relay/parts/availability.rs
+++ b/src/relay/parts/availability.rs
@@ -88,7 +88,7 @@
         drop(book);
         if change.is_leaving {
             self.pool.forget(backend.address);
-            self.update_preferred_engines();
+            self.mark_preferred_engines_outdated();
             self.metrics.servers_leaving(&backend.service);
             self.log_leaving(backend);
         }
--- a/src/relay/parts/publish.rs
+++ b/src/relay/parts/publish.rs
@@ -47,7 +47,7 @@
             .iter()
             .any(|info| info.zone == *zone && info.role.is_some())
         {
-            self.update_preferred_engines();
+            self.mark_preferred_engines_outdated();
         }
         if !changes.affected.is_empty() {
             self.update_all_ownership();
@@ -59,8 +59,17 @@
         self.state_changed.notify_waiters();
     }
 
-    /// Recomputes which engines of its availability zone this host prefers.
+    /// Records that the engines of the zone or its hosts have changed. During a release they change several times a
+    /// second, so the preferred engines are planned again only when they are used.
+    pub fn mark_preferred_engines_outdated(&self) {
+        self.is_preference_outdated.set(true);
+    }
+
+    /// Plans again which engines of its availability zone this host prefers, if the lists have changed.
     pub fn update_preferred_engines(&self) {
+        if !self.is_preference_outdated.take() {
+            return;
+        }
         let own = &self.settings.name;
         let zone = &self.settings.zone;
         let cluster = self.cluster.borrow();
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -59,6 +59,8 @@
     pub pool: Rc<ConnectionPool>,
     /// The state of backend servers that routing decisions use.
     pub book: RefCell<BackendRegistry>,
+    // The lists have changed since the preferred engines in `book` were planned.
+    pub(super) is_preference_outdated: Cell<bool>,
     /// Prompt prefixes that engines have in their caches.
     pub prompt_caches: RefCell<PromptCacheIndex>,
     /// The cluster state from the store.
@@ -123,6 +125,7 @@
             dialect,
             pool,
             book: RefCell::new(book),
+            is_preference_outdated: Cell::new(true),
             prompt_caches: RefCell::default(),
             cluster: RefCell::new(cluster),
             budgets: RefCell::default(),
--- a/src/relay/parts/shares.rs
+++ b/src/relay/parts/shares.rs
@@ -195,6 +195,7 @@
     // With few hosts, every engine is preferred; the list may be cut because the load of the fullest engines is reported in
     // any case.
     fn wanted_keys(&self) -> Vec<EngineKey> {
+        self.update_preferred_engines();
         let mut keys = self.book.borrow().preferred_keys();
         keys.truncate(WANTED_ENGINES_MAX);
         keys
--- a/src/relay/request/prefill.rs
+++ b/src/relay/request/prefill.rs
@@ -107,6 +107,7 @@
     rank: u8,
     tried: &[FastStr],
 ) -> Option<(BackendInfo, f64)> {
+    parts.update_preferred_engines();
     let now = parts.now();
     let book = parts.book.borrow();
     let mut excluded = book.without_permit(service, rank, now);
--- a/src/relay/request/reserve.rs
+++ b/src/relay/request/reserve.rs
@@ -247,6 +247,7 @@
     let now = parts.now();
     let zone = &parts.settings.zone;
     let memory = engine_limits(parts, service).map(|limits| limits.memory_tokens);
+    parts.update_preferred_engines();
     let engines = {
         let book = parts.book.borrow();
         let without_permit = book.without_permit(service, rank, now);
