A large fleet retries what fails now and then

Cause: a host counts whole retries of its share. Before 986 hosts the share of one is less than one retry, so most hosts never had any.

Change: a part of a retry is granted in a part of the periods, drawn by each host for itself and the same for the whole period, so that many tries in one period gain nothing. Retries that pay only if they succeed are counted in whole ones as before.

The random test of twelve hosts with late reports holds with parts granted too.

--- a/src/relay/parts/shares.rs
+++ b/src/relay/parts/shares.rs
@@ -54,13 +54,17 @@
     }
 }
 
+fn new_window() -> RetryWindow {
+    RetryWindow::new(rand::random())
+}
+
 impl RelayParts {
     /// Counts a request for a service.
     pub fn count_request(&self, service: &FastStr) {
         let now = self.now();
         let mut budgets = self.budgets.borrow_mut();
         let window = self.allowance().window;
-        let budget = budgets.entry(service.clone()).or_default();
+        let budget = budgets.entry(service.clone()).or_insert_with(new_window);
         budget.count_request(window, now);
     }
 
@@ -88,7 +92,7 @@
         let now = self.now();
         let fleet = self.fleet_demand(service);
         let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(service.clone()).or_default();
+        let budget = budgets.entry(service.clone()).or_insert_with(new_window);
         let allowed = allows(budget, self.allowance(), &fleet, now);
         if allowed {
             budget.count_retry(now);
@@ -102,7 +106,7 @@
         let now = self.now();
         let fleet = self.fleet_demand(service);
         let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(service.clone()).or_default();
+        let budget = budgets.entry(service.clone()).or_insert_with(new_window);
         budget.allows_speculative(self.allowance(), &fleet, now)
     }
 
@@ -110,7 +114,10 @@
     pub fn count_retry(&self, service: &FastStr) {
         let now = self.now();
         let mut budgets = self.budgets.borrow_mut();
-        budgets.entry(service.clone()).or_default().count_retry(now);
+        budgets
+            .entry(service.clone())
+            .or_insert_with(new_window)
+            .count_retry(now);
         self.metrics.repeats.inc();
     }
 
--- a/src/relay/policy/budget.rs
+++ b/src/relay/policy/budget.rs
@@ -1,6 +1,12 @@
 //! Retry budget: this host's share of the retries that a service allows to all hosts together.
+//!
+//! In a large fleet the share of a host is less than one retry. A part of a retry is therefore granted in a part of the
+//! periods, which each host draws for itself, so that all hosts together use what they are allowed.
 
-use std::{collections::VecDeque, time::Duration};
+use {
+    std::{collections::VecDeque, time::Duration},
+    xxhash_rust::xxh3,
+};
 
 /// Fraction of a host's share that it uses for planned retries. The margin covers that hosts count independently and
 /// that their windows slide.
@@ -41,11 +47,30 @@
 /// Counts a service's requests and retries at this host in a sliding window.
 #[derive(Debug, Default)]
 pub struct RetryWindow {
+    // Seed of the periods in which a part of a retry is granted; none if parts are not granted.
+    seed: Option<u64>,
     requests: VecDeque<Duration>,
     retries: VecDeque<Duration>,
 }
 
 impl RetryWindow {
+    /// The window of a host that grants parts of a retry in periods drawn by this seed.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            seed: Some(seed),
+            ..Self::default()
+        }
+    }
+
+    // A part of a retry, from 0 up to 1, that is the same for a whole period.
+    fn part(&self, period: Duration, now: Duration) -> f64 {
+        let Some(seed) = self.seed else { return 0.0 };
+        let index = (now.as_millis() / period.as_millis().max(1)) as u64;
+        let mut drawn = period.as_millis().to_le_bytes().to_vec();
+        drawn.extend(index.to_le_bytes());
+        xxh3::xxh3_64_with_seed(&drawn, seed) as f64 / (u64::MAX as f64 + 1.0)
+    }
+
     /// Records a request for the service.
     pub fn count_request(&mut self, window: Duration, now: Duration) {
         self.forget(window, now);
@@ -87,7 +112,8 @@
         fleet: &FleetDemand,
         now: Duration,
     ) -> bool {
-        self.is_within(PLANNED_FRACTION, budget, fleet, now)
+        let part = self.part(budget.window, now);
+        self.is_within(PLANNED_FRACTION, part, budget, fleet, now)
     }
 
     /// Whether this host may make an attempt that counts as a retry only if it fails, or a retry that saves more work
@@ -98,12 +124,13 @@
         fleet: &FleetDemand,
         now: Duration,
     ) -> bool {
-        self.is_within(SPECULATIVE_FRACTION, budget, fleet, now)
+        self.is_within(SPECULATIVE_FRACTION, 0.0, budget, fleet, now)
     }
 
     fn is_within(
         &mut self,
         fraction: f64,
+        part: f64,
         budget: RetryBudget,
         fleet: &FleetDemand,
         now: Duration,
@@ -115,7 +142,7 @@
         if now < budget.window {
             return next <= RESTART_FACTOR * fraction * earned;
         }
-        next <= fraction * earned || self.may_pool(own, budget, fleet, now)
+        next <= fraction * earned + part || self.may_pool(own, budget, fleet, now)
     }
 
     // Whether the retry fits into this host's share of the budget that other hosts leave unused in this period.
@@ -134,7 +161,8 @@
         let left = POOLED_FRACTION * (budget.share * requests + budget.extra) - spent;
         let since = now.saturating_sub(POOL_PERIOD);
         let in_period = self.retries.iter().rev().take_while(|at| **at >= since);
-        (in_period.count() + 1) as f64 <= POOL_STEP * left * fleet.share(own.requests)
+        let granted = POOL_STEP * left * fleet.share(own.requests);
+        left >= 1.0 && (in_period.count() + 1) as f64 <= granted + self.part(POOL_PERIOD, now)
     }
 }
 
--- a/tests/relay_budget.rs
+++ b/tests/relay_budget.rs
@@ -57,6 +57,15 @@
     const HOSTS: usize = 12;
     const STEP: Duration = Duration::from_millis(300);
 
+    /// A fleet whose hosts grant parts of a retry.
+    fn of_seeds() -> Self {
+        let seeds = 0..Self::HOSTS as u64;
+        Self {
+            budgets: seeds.map(RetryWindow::new).collect(),
+            ..Self::new()
+        }
+    }
+
     fn new() -> Self {
         Self {
             allowance: RetryBudget {
@@ -136,17 +145,72 @@
     check!()
         .with_type::<(u8, Vec<(u16, u16)>)>()
         .for_each(|(lag, steps)| {
-            let mut fleet = BudgetFleet::new();
-            // After the first window of their run, in which hosts have a smaller budget.
-            let mut now = millis(10_000);
-            for (active, retrying) in steps.iter().cycle().take(steps.len().min(40) * 3) {
-                now += BudgetFleet::STEP;
-                fleet.step(*active, *retrying, usize::from(lag % 5), now);
-                fleet.assert_within(now);
+            for mut fleet in [BudgetFleet::new(), BudgetFleet::of_seeds()] {
+                // After the first window of their run, in which hosts have a smaller budget.
+                let mut now = millis(10_000);
+                for (active, retrying) in steps.iter().cycle().take(steps.len().min(40) * 3) {
+                    now += BudgetFleet::STEP;
+                    fleet.step(*active, *retrying, usize::from(lag % 5), now);
+                    fleet.assert_within(now);
+                }
             }
         });
 }
 
+// Retries that hosts of a large fleet are granted in a minute, of those that they want, and the most in ten seconds. Each
+// host gets a request in five seconds and hears of the others' counts 1.2 s late; a request in `failing` fails.
+fn granted(hosts: usize, failing: u64) -> (f64, usize) {
+    let allowance = RetryBudget {
+        share: 0.2,
+        extra: 1.05 * hosts as f64,
+        window: millis(10_000),
+    };
+    let mut budgets: Vec<RetryWindow> = (0..hosts as u64).map(RetryWindow::new).collect();
+    let mut sums: Vec<RetryCounts> = Vec::new();
+    let (mut wanted, mut most, mut retries) = (0, 0, Vec::new());
+    for step in 0..100_u64 {
+        let now = millis(20_000 + step * 600);
+        let others = sums.len().checked_sub(2).map(|seen| sums[seen]);
+        let fleet = FleetDemand { hosts, others };
+        for (index, budget) in budgets.iter_mut().enumerate() {
+            let turn = step * 600 + index as u64 * 617;
+            if turn % 5_000 >= 600 {
+                continue;
+            }
+            budget.count_request(allowance.window, now);
+            if (turn / 5_000 + index as u64 * 7) % failing != 0 {
+                continue;
+            }
+            wanted += 1;
+            if budget.allows_retry(allowance, &fleet, now) {
+                budget.count_retry(now);
+                retries.push(now);
+            }
+        }
+        let counts = budgets
+            .iter_mut()
+            .map(|budget| budget.counts(allowance.window, now));
+        sums.push(counts.fold(RetryCounts::default(), |sum, one| RetryCounts {
+            requests: sum.requests + one.requests,
+            retries: sum.retries + one.retries,
+        }));
+        most = most.max(BudgetFleet::recent(&retries, now, allowance.window));
+    }
+    (retries.len() as f64 / f64::from(wanted), most)
+}
+
+#[test]
+fn a_large_fleet_retries_what_fails_now_and_then_and_keeps_its_budget_when_all_fails() {
+    for hosts in [100, 1_000, 2_000] {
+        let budget = (0.2 * 2.0 + 1.05) * hosts as f64;
+        let (share, most) = granted(hosts, 30);
+        assert!(share >= 0.8, "{share} of the retries at {hosts} hosts");
+        assert!(most as f64 <= budget, "{most} retries of {budget}");
+        let (_, most) = granted(hosts, 1);
+        assert!(most as f64 <= budget, "{most} retries of {budget}");
+    }
+}
+
 #[test]
 fn a_host_uses_the_budget_that_others_leave_but_no_more_than_the_whole() {
     let mut fleet = BudgetFleet::new();
