--- a/src/relay/policy/registry.rs
+++ b/src/relay/policy/registry.rs
@@ -128,12 +128,11 @@
     /// Replaces the list of backend servers, keeps the state of those that stay and returns the differences.
     pub fn set_backends(&mut self, backends: Vec<BackendInfo>) -> BackendChanges {
         let named = backends.into_iter().map(|info| (info.id.clone(), info));
-        let mut listed: BTreeMap<FastStr, BackendInfo> = named.collect();
+        let listed: BTreeMap<FastStr, BackendInfo> = named.collect();
         let known = self.views.keys().filter(|id| !listed.contains_key(*id));
         let removed: Vec<FastStr> = known.cloned().collect();
         let removed = removed.into_iter().map(|id| (id, None));
-        let kept = mem::take(&mut listed).into_iter();
-        let kept = kept.map(|(id, info)| (id, Some(info)));
+        let kept = listed.into_iter().map(|(id, info)| (id, Some(info)));
         self.update_backends(kept.chain(removed))
     }
 
--- a/tests/relay_budget.rs
+++ b/tests/relay_budget.rs
@@ -178,7 +178,7 @@
                 continue;
             }
             budget.count_request(allowance.window, now);
-            if (turn / 5_000 + index as u64 * 7) % failing != 0 {
+            if !(turn / 5_000 + index as u64 * 7).is_multiple_of(failing) {
                 continue;
             }
             wanted += 1;
