Registry, list and messages in smaller files: updates, loads of other hosts, news, kinds

Moved only: the registry's updates and its exchange of loads, the list's updates from and for other hosts, and the encoding of one kind's update each have a file of their own; no line of them changed but for visibility.

--- a/src/relay/cluster/backend_list.rs
+++ b/src/relay/cluster/backend_list.rs
@@ -5,10 +5,7 @@
 //! is still leaving, a server that had departed is not used, and a server missing from the backup has not departed.
 
 use {
-    super::{
-        history::{ChangeHistory, ChangesSince, DepartedRun, KindNews, list_difference},
-        list_parts::{ListCursor, ListPart},
-    },
+    super::history::{ChangeHistory, DepartedRun, list_difference},
     crate::{
         relay::{
             backend::BackendInfo,
@@ -20,7 +17,6 @@
     std::{
         collections::{BTreeMap, BTreeSet},
         mem,
-        ops::Bound,
         time::Duration,
     },
 };
@@ -38,35 +34,35 @@
 
 /// The end of a run of a backend server that has departed or is leaving, whatever a restored entry says.
 #[derive(Debug, Clone, Copy)]
-struct RunEnd {
-    born: u64,
-    is_gone: bool,
+pub(super) struct RunEnd {
+    pub(super) born: u64,
+    pub(super) is_gone: bool,
     expires_at: Duration,
 }
 
 /// A backend server that is kept for a limited time.
 #[derive(Debug, Clone)]
-struct ExpiringEntry {
-    info: BackendInfo,
+pub(super) struct ExpiringEntry {
+    pub(super) info: BackendInfo,
     expires_at: Duration,
 }
 
 /// The backend servers listed in the store, with corrections after an outage or restore of the store.
 #[derive(Debug)]
 pub struct BackendList {
-    listed: BTreeMap<FastStr, BackendInfo>,
+    pub(super) listed: BTreeMap<FastStr, BackendInfo>,
     // Servers that may be used even though they are not listed.
     unlisted: BTreeMap<FastStr, ExpiringEntry>,
     // Servers that are not used even though they are listed: before the store was restored their run had departed, or a
     // later one had started.
-    withheld: BTreeMap<FastStr, ExpiringEntry>,
-    departed: BTreeMap<FastStr, RunEnd>,
+    pub(super) withheld: BTreeMap<FastStr, ExpiringEntry>,
+    pub(super) departed: BTreeMap<FastStr, RunEnd>,
     // Servers whose usable entry may differ from when the touched ones were last taken.
     touched: BTreeSet<FastStr>,
-    history: ChangeHistory,
+    pub(super) history: ChangeHistory,
     rewrite_timeout: Duration,
     // The list may have been read from a lagging replica, and no watch has continued from it yet.
-    is_unconfirmed: bool,
+    pub(super) is_unconfirmed: bool,
 }
 
 impl BackendList {
@@ -190,119 +186,6 @@
         self.history.record(position, changes);
     }
 
-    /// Applies an update received from another host.
-    pub fn apply_news(&mut self, news: KindNews, had_outage: bool, now: Duration) {
-        let KindNews {
-            position,
-            is_whole,
-            changes,
-            departed,
-            part: _,
-        } = news;
-        if !is_whole {
-            return self.change(changes, position, had_outage, now);
-        }
-        let list = changes.into_iter().filter_map(backend_of).collect();
-        self.set(list, &departed, position, had_outage, now);
-    }
-
-    /// The update for another host that knows everything up to `held`; empty while the list is unconfirmed.
-    pub fn news(&self, held: StorePosition) -> KindNews {
-        if self.is_unconfirmed {
-            return KindNews::default();
-        }
-        let position = self.position();
-        match self.history.since(held) {
-            ChangesSince::UpToDate => KindNews {
-                position,
-                ..KindNews::default()
-            },
-            ChangesSince::Changes(changes) => KindNews {
-                position,
-                changes,
-                ..KindNews::default()
-            },
-            ChangesSince::Evicted => KindNews {
-                position,
-                is_whole: true,
-                changes: self
-                    .entries()
-                    .cloned()
-                    .map(StoreChange::of_backend)
-                    .collect(),
-                departed: self.departed_run_list(),
-                part: None,
-            },
-        }
-    }
-
-    /// The same as `news`, but of the complete list only the part of at most `count` entries that follows the
-    /// requester's cursor. Starts again with the first part if the changes since then are not known here.
-    pub fn news_part(
-        &self,
-        held: StorePosition,
-        cursor: Option<&ListCursor>,
-        count: usize,
-    ) -> KindNews {
-        if self.is_unconfirmed || self.history.covers(held) {
-            return self.news(held);
-        }
-        let position = self.position();
-        let can_continue = |cursor: &&ListCursor| {
-            let is_same_era = cursor.started.era == position.era;
-            is_same_era && cursor.latest <= position && self.history.covers(cursor.started)
-        };
-        let (started, after) = match cursor.filter(can_continue) {
-            Some(cursor) => (cursor.started, cursor.after.clone()),
-            None => (position, FastStr::empty()),
-        };
-        let entries = self.entries_after(&after, count);
-        let is_last = entries.len() < count;
-        let (changes, departed) = match is_last {
-            true => (self.news(started).changes, self.departed_run_list()),
-            false => (Vec::new(), Vec::new()),
-        };
-        KindNews {
-            position,
-            is_whole: true,
-            changes,
-            departed,
-            part: Some(ListPart {
-                started,
-                after,
-                entries,
-                is_last,
-            }),
-        }
-    }
-
-    // The entries that follow an id.
-    fn entries_after(&self, id: &str, count: usize) -> Vec<BackendInfo> {
-        let range = (Bound::Excluded(id), Bound::Unbounded);
-        let listed = self.listed.range::<str, _>(range).take(count);
-        let withheld = self.withheld.range::<str, _>(range).take(count);
-        let listed = listed.map(|(_, info)| info);
-        let withheld = withheld.map(|(_, entry)| &entry.info);
-        let mut entries: Vec<&BackendInfo> = listed.chain(withheld).collect();
-        entries.sort_by(|a, b| a.id.cmp(&b.id));
-        entries.into_iter().take(count).cloned().collect()
-    }
-
-    // All entries that the store lists, including withheld ones.
-    fn entries(&self) -> impl Iterator<Item = &BackendInfo> {
-        let withheld = self.withheld.values().map(|entry| &entry.info);
-        self.listed.values().chain(withheld)
-    }
-
-    fn departed_run_list(&self) -> Vec<DepartedRun> {
-        let runs = self.departed.iter().map(|(id, run)| DepartedRun {
-            id: id.clone(),
-            born: run.born,
-            is_gone: run.is_gone,
-        });
-        runs.collect()
-    }
-
     // Applies an entry of a restored store, which may be older than the known one.
     fn apply_restored(&mut self, info: BackendInfo, known: Option<BackendInfo>, now: Duration) {
         let known = known.or_else(|| Some(self.unlisted.remove(&info.id)?.info));
@@ -478,13 +361,3 @@
         self.listed.values()
     }
 }
-
-fn backend_of(change: StoreChange) -> Option<BackendInfo> {
-    match change {
-        StoreChange::Set(StoreItem {
-            value: StoreValue::Backend(info),
-            ..
-        }) => Some(info),
-        _ => None,
-    }
-}
--- a/src/relay/cluster/mod.rs
+++ b/src/relay/cluster/mod.rs
@@ -2,6 +2,7 @@
 //! hosts lack. Plain state: how hosts exchange it is implemented in `news`.
 
 mod backend_list;
+mod backend_news;
 pub(crate) mod history;
 mod host_list;
 pub(crate) mod list_parts;
--- a/src/relay/news/message.rs
+++ b/src/relay/news/message.rs
@@ -1,15 +1,16 @@
 //! Messages between hosts and their encoding.
 
 use {
-    super::{crash_message, limit_message, list_table::ChangeTable},
+    super::{
+        crash_message,
+        kind_message::{read_json_list, read_kind, write_backends, write_kind},
+        limit_message,
+    },
     crate::{
         account::{AccountKey, AccountUse, LedgerSums, NearAccount, UseReport},
-        news_capnp::{account_use, cluster_news, held_news, kind_news, ledger_sums, load_report},
+        news_capnp::{account_use, cluster_news, held_news, ledger_sums, load_report},
         relay::{
-            cluster::{
-                history::KindNews,
-                list_parts::{ListCursor, ListPart},
-            },
+            cluster::{history::KindNews, list_parts::ListCursor},
             config::RelayConfig,
             config_patch::ConfigPatch,
             link::HostEntry,
@@ -156,11 +157,11 @@
     (millis != NO_TIME_MS).then(|| Duration::from_millis(u64::from(millis)))
 }
 
-fn to_json<T: Serialize>(content: &T) -> Result<Vec<u8>> {
+pub(super) fn to_json<T: Serialize>(content: &T) -> Result<Vec<u8>> {
     serde_json::to_vec(content).map_err(|error| Error::failed(error.to_string()))
 }
 
-fn from_json<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
+pub(super) fn from_json<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
     serde_json::from_slice(bytes).map_err(|error| Error::failed(error.to_string()))
 }
 
@@ -228,84 +229,6 @@
     })
 }
 
-// Encodes the changes of backend servers for a requester that reads tables.
-fn write_backends(mut to: kind_news::Builder<'_>, kind: &KindNews) -> Result<()> {
-    to.set_revision(kind.position.number());
-    if !kind.changes.is_empty() {
-        to.set_table(&to_json(&ChangeTable::of_changes(&kind.changes))?);
-    }
-    write_departed(to.reborrow(), kind)?;
-    let Some(part) = &kind.part else {
-        return Ok(());
-    };
-    to.set_is_whole(true);
-    to.set_is_part(true);
-    to.set_is_last_part(part.is_last);
-    to.set_entries(&to_json(&ChangeTable::of_entries(&part.entries))?);
-    to.set_part_after(part.after.as_str());
-    to.set_part_revision(part.started.number());
-    Ok(())
-}
-
-fn write_kind(mut to: kind_news::Builder<'_>, kind: &KindNews) -> Result<()> {
-    to.set_revision(kind.position.number());
-    to.set_is_whole(kind.is_whole);
-    if !kind.changes.is_empty() {
-        to.set_changes(&to_json(&kind.changes)?);
-    }
-    write_departed(to, kind)
-}
-
-fn write_departed(mut to: kind_news::Builder<'_>, kind: &KindNews) -> Result<()> {
-    if !kind.departed.is_empty() {
-        to.set_departed(&to_json(&kind.departed)?);
-    }
-    Ok(())
-}
-
-fn read_kind(from: kind_news::Reader<'_>) -> Result<KindNews> {
-    let table = read_table(from.get_table()?)?;
-    Ok(KindNews {
-        position: StorePosition::of_number(from.get_revision()),
-        is_whole: from.get_is_whole(),
-        changes: match table {
-            Some(table) => table.into_changes()?,
-            None => read_json_list(from.get_changes()?)?,
-        },
-        departed: read_json_list(from.get_departed()?)?,
-        part: match from.get_is_part() {
-            true => Some(read_part(from)?),
-            false => None,
-        },
-    })
-}
-
-fn read_part(from: kind_news::Reader<'_>) -> Result<ListPart> {
-    let table = read_table(from.get_entries()?)?.unwrap_or_default();
-    Ok(ListPart {
-        started: StorePosition::of_number(from.get_part_revision()),
-        after: FastStr::new(from.get_part_after()?.to_str()?),
-        entries: table.into_entries()?,
-        is_last: from.get_is_last_part(),
-    })
-}
-
-// No bytes stand for no table.
-fn read_table(bytes: &[u8]) -> Result<Option<ChangeTable>> {
-    match bytes.is_empty() {
-        true => Ok(None),
-        false => Ok(Some(from_json(bytes)?)),
-    }
-}
-
-// No bytes stand for an empty list.
-fn read_json_list<T: DeserializeOwned>(bytes: &[u8]) -> Result<Vec<T>> {
-    match bytes.is_empty() {
-        true => Ok(Vec::new()),
-        false => from_json(bytes),
-    }
-}
-
 /// Encodes a response for a requester that reads tables and lists in parts, or for one that does not.
 pub fn write_news(
     mut to: cluster_news::Builder<'_>,
--- a/src/relay/news/mod.rs
+++ b/src/relay/news/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod feed;
 pub(crate) mod findings;
 pub(crate) mod follow;
+mod kind_message;
 mod limit_message;
 mod list_table;
 pub(crate) mod message;
--- a/src/relay/parts/shares.rs
+++ b/src/relay/parts/shares.rs
@@ -9,7 +9,7 @@
             policy::{
                 budget::{FleetDemand, RetryBudget, RetryCounts, RetryWindow},
                 loads::{EngineKey, LoadReport, ServiceDemand},
-                registry::PEER_LOAD_TTL,
+                peer_loads::PEER_LOAD_TTL,
             },
         },
         web::{PoolTarget, PoolUse},
--- a/src/relay/policy/mod.rs
+++ b/src/relay/policy/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod admission;
 pub(crate) mod availability;
+mod backend_updates;
 pub(crate) mod budget;
 pub(crate) mod caller_timeouts;
 pub(crate) mod changes;
@@ -18,6 +19,7 @@
 pub(crate) mod limit_updates;
 pub(crate) mod loads;
 pub(crate) mod past_time;
+pub(crate) mod peer_loads;
 pub(crate) mod permit_allocator;
 pub(crate) mod permit_owners;
 pub(crate) mod prompt_cache;
--- a/src/relay/policy/registry.rs
+++ b/src/relay/policy/registry.rs
@@ -5,9 +5,8 @@
 use {
     super::{
         availability::AvailabilityTracker,
-        changes::BackendChanges,
         limit_tracker::{LimitTracker, PermitState, PermitWait},
-        loads::{EngineKey, EngineLoad},
+        loads::EngineKey,
         server_index::{ServerIndex, ServerPool},
         view::{BackendFailure, BackendView, EJECT_FIRST, FAILURES_TO_EJECT},
     },
@@ -16,7 +15,6 @@
     std::{
         cell::Cell,
         collections::{BTreeMap, BTreeSet},
-        mem,
         time::Duration,
     },
     xxhash_rust::xxh3,
@@ -38,9 +36,6 @@
 /// meanwhile costs a retry.
 const DECLINE_TIME: Duration = Duration::from_millis(1_500);
 
-/// Lifetime of the loads that other hosts report; older ones are ignored.
-pub(crate) const PEER_LOAD_TTL: Duration = Duration::from_millis(1_500);
-
 /// Score penalty, in requests in flight, of a server whose backoff has just ended: its load ramps up gradually.
 const RETURN_PENALTY: f64 = 6.0;
 
@@ -81,13 +76,13 @@
     // The engines that this host prefers; `None` until they are known, when it prefers all.
     pub(super) preferred: Option<BTreeSet<FastStr>>,
     // Servers that may have something to report: requests of this host, or an ejection.
-    reportable: BTreeSet<FastStr>,
+    pub(super) reportable: BTreeSet<FastStr>,
     // Servers for which other hosts reported something.
-    peer_reported: Vec<FastStr>,
+    pub(super) peer_reported: Vec<FastStr>,
     visited: Cell<u64>,
     next_call: u64,
     // When the loads of other hosts were last received.
-    peer_loads_at: Option<Duration>,
+    pub(super) peer_loads_at: Option<Duration>,
     // Best observed prefill throughput, in prompt tokens per second.
     pub(super) prefill_rate: f64,
     /// Rate limits that servers announce.
@@ -125,67 +120,6 @@
         }
     }
 
-    /// Replaces the list of backend servers, keeps the state of those that stay and returns the differences.
-    pub fn set_backends(&mut self, backends: Vec<BackendInfo>) -> BackendChanges {
-        let named = backends.into_iter().map(|info| (info.id.clone(), info));
-        let listed: BTreeMap<FastStr, BackendInfo> = named.collect();
-        let known = self.views.keys().filter(|id| !listed.contains_key(*id));
-        let removed: Vec<FastStr> = known.cloned().collect();
-        let removed = removed.into_iter().map(|id| (id, None));
-        let kept = listed.into_iter().map(|(id, info)| (id, Some(info)));
-        self.update_backends(kept.chain(removed))
-    }
-
-    /// Applies the entries of the servers that may have changed, `None` for those that are no longer listed, and
-    /// returns the differences.
-    pub fn update_backends(
-        &mut self,
-        entries: impl Iterator<Item = (FastStr, Option<BackendInfo>)>,
-    ) -> BackendChanges {
-        let mut changes = BackendChanges::default();
-        for (id, info) in entries {
-            self.visit();
-            match info {
-                Some(info) => self.update_backend(info, &mut changes),
-                None => self.remove_backend(id, &mut changes),
-            }
-        }
-        changes
-    }
-
-    fn update_backend(&mut self, info: BackendInfo, changes: &mut BackendChanges) {
-        let Some(view) = self.views.get_mut(&info.id) else {
-            changes.note(None, &info);
-            return self.add_view(info);
-        };
-        if view.info == info {
-            return;
-        }
-        changes.note(Some(&view.info), &info);
-        self.index.remove(&view.info);
-        // A server that restarted under the same id has lost its state, so what was observed of it no longer holds.
-        if view.info.born != info.born {
-            return self.add_view(info);
-        }
-        self.index.insert(&info);
-        view.run = info.run();
-        view.info = info;
-    }
-
-    fn add_view(&mut self, info: BackendInfo) {
-        self.index.insert(&info);
-        self.views.insert(info.id.clone(), BackendView::new(info));
-    }
-
-    fn remove_backend(&mut self, id: FastStr, changes: &mut BackendChanges) {
-        let Some(view) = self.views.remove(&id) else {
-            return;
-        };
-        self.index.remove(&view.info);
-        self.reportable.remove(&id);
-        changes.note_removed(view.info);
-    }
-
     /// Number of listed backend servers.
     pub fn count(&self) -> usize {
         self.views.len()
@@ -344,68 +278,6 @@
         views.map(|view| view.info.id.clone()).collect()
     }
 
-    /// The load of this host's own requests per engine, and the backend servers that it has ejected.
-    pub fn loads(&mut self, now: Duration) -> Vec<EngineLoad> {
-        let views = &self.views;
-        self.reportable.retain(|id| {
-            let view = views.get(id);
-            view.is_some_and(|view| view.is_reportable(now))
-        });
-        let reported = self.reportable.iter().filter_map(|id| views.get(id));
-        reported
-            .inspect(|_| self.visit())
-            .map(|view| EngineLoad {
-                engine: view.key,
-                memory_tokens: view.memory_tokens,
-                ejected_by: u32::from(view.is_ejected(now)),
-            })
-            .collect()
-    }
-
-    fn mark_reportable(&mut self, id: &str) {
-        if let Some((id, _)) = self.views.get_key_value(id) {
-            self.reportable.insert(id.clone());
-        }
-    }
-
-    /// Sets the loads of all other hosts; a server that is not listed counts as idle.
-    pub fn set_peer_loads(&mut self, loads: &[EngineLoad], now: Duration) {
-        for id in mem::take(&mut self.peer_reported) {
-            self.set_peer_load(&id, 0, 0);
-        }
-        for load in loads {
-            let Some(id) = self.index.by_key(load.engine).cloned() else {
-                continue;
-            };
-            self.set_peer_load(&id, load.memory_tokens, load.ejected_by);
-            self.peer_reported.push(id);
-        }
-        self.peer_loads_at = Some(now);
-    }
-
-    fn set_peer_load(&mut self, id: &FastStr, tokens: u64, ejections: u32) {
-        self.visit();
-        if let Some(view) = self.views.get_mut(id) {
-            view.peer_tokens = tokens;
-            view.peer_ejections = ejections;
-        }
-    }
-
-    fn has_peer_loads(&self, now: Duration) -> bool {
-        let received = self.peer_loads_at;
-        received.is_some_and(|at| now.saturating_sub(at) < PEER_LOAD_TTL)
-    }
-
-    /// Memory in use at an engine, in tokens, by requests of this host and, if reported recently, of others.
-    pub(super) fn known_load(&self, view: &BackendView, now: Duration) -> u64 {
-        let others = if self.has_peer_loads(now) {
-            view.peer_tokens
-        } else {
-            0
-        };
-        view.memory_tokens + others
-    }
-
     /// Whether a backend server is ejected by this host or by enough others, or is being probed after an ejection.
     pub(super) fn is_avoided(&self, view: &BackendView, now: Duration) -> bool {
         let peers_do = self.has_peer_loads(now) && view.peer_ejections >= PEER_EJECTIONS_TO_AVOID;
