--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -62,6 +62,8 @@
     SERVER_WARM = 318, "server-warm", Info, "A cold backend server is warm; requests go to it like to others.", "None.";
     SERVER_CONTENDED = 319, "server-contended", Info, "A plain backend server declined a request since it is full, or answers much slower than before; hosts ask for its places from now on.", "See /servers-contended of the host that owns its places; if it goes on, add servers.";
     SERVER_HAS_ROOM = 320, "server-has-room", Info, "Nobody has waited for a place at this backend server for a while; hosts send to it without asking.", "None.";
+    LINKS_SUSPECTED = 321, "links-suspected", Warn, "Several backend servers left this host without an answer and nothing of their groups has answered since: servers of listed, the time since the first failure and since the last answer of any server (-1: none yet), and how many of the servers other hosts pass over too.", "With passed_over_by_others=0 it is this host: look at its network.";
+    LINKS_CLEARED = 322, "links-cleared", Info, "Servers answer this host again, or those that did not are no longer listed.", "None.";
     CONFIG_IN_FORCE = 401, "config-in-force", Info, "A newer accepted configuration is in force on this host.", "None.";
     CONFIG_REJECTED = 402, "config-rejected", Error, "The objects at the platform do not pass the checks; the last good set stays in force.", "Correct the named object and field.";
     CONFIG_ACCEPTED = 403, "config-accepted", Info, "This host checked the objects and wrote them as the accepted configuration.", "None.";
--- a/src/relay/parts/availability.rs
+++ b/src/relay/parts/availability.rs
@@ -76,7 +76,9 @@
                 backend.id
             ))),
         };
-        self.pool.send_if(target, request, check).await
+        let answer = self.pool.send_if(target, request, check).await?;
+        self.record_link_answer(backend);
+        Ok(answer)
     }
 
     fn note_availability(&self, backend: &BackendInfo, marks: &ServerSignals) {
--- a/src/relay/parts/mod.rs
+++ b/src/relay/parts/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod crashes;
 pub(crate) mod ends;
 pub(crate) mod evacuations;
+pub(crate) mod links;
 pub(crate) mod metric_labels;
 pub(crate) mod metrics;
 pub(crate) mod permits;
--- a/src/relay/parts/publish.rs
+++ b/src/relay/parts/publish.rs
@@ -41,6 +41,9 @@
             self.prompt_caches.borrow_mut().forget(&earlier.id);
             self.pool.forget(earlier.address);
         }
+        if !changes.removed.is_empty() || !changes.restarted.is_empty() {
+            self.forget_unlisted_links();
+        }
         for removed in &changes.removed {
             self.prompt_caches.borrow_mut().forget(removed);
         }
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -24,7 +24,7 @@
             cluster::state::ClusterState,
             dialect::{BackendCall, CallDialect},
             policy::{
-                budget::RetryWindow, caller_timeouts::CallerTimeouts,
+                budget::RetryWindow, caller_timeouts::CallerTimeouts, link_tracker::LinkTracker,
                 prompt_cache::PromptCacheIndex, registry::BackendRegistry, route::RouteTable,
                 view::BackendFailure,
             },
@@ -62,6 +62,10 @@
     pub pool: Rc<ConnectionPool>,
     /// The state of backend servers that routing decisions use.
     pub book: RefCell<BackendRegistry>,
+    /// Which backend servers answer this host.
+    pub links: RefCell<LinkTracker>,
+    // Whether the suspicion that this host's own links are lost has been logged.
+    pub(super) is_suspicion_logged: Cell<bool>,
     // The lists have changed since the preferred engines in `book` were planned.
     pub(super) is_preference_outdated: Cell<bool>,
     /// Prompt prefixes that engines have in their caches.
@@ -132,6 +136,8 @@
             dialect,
             pool,
             book: RefCell::new(book),
+            links: RefCell::default(),
+            is_suspicion_logged: Cell::new(false),
             is_preference_outdated: Cell::new(true),
             prompt_caches: RefCell::default(),
             cluster: RefCell::new(cluster),
@@ -275,7 +281,7 @@
 }
 
 // Returns the milliseconds since `time`; -1 if there is no such time.
-fn millis_since(time: Option<Duration>, now: Duration) -> i64 {
+pub(super) fn millis_since(time: Option<Duration>, now: Duration) -> i64 {
     time.map_or(-1, |time| now.saturating_sub(time).as_millis() as i64)
 }
 
@@ -300,6 +306,7 @@
         if !self.book.borrow().is_current(backend) {
             return;
         }
+        self.record_link_failure(backend);
         let ejected = self
             .book
             .borrow_mut()
--- a/src/relay/policy/mod.rs
+++ b/src/relay/policy/mod.rs
@@ -18,6 +18,7 @@
 pub(crate) mod findings_cache;
 pub(crate) mod limit_tracker;
 pub(crate) mod limit_updates;
+pub(crate) mod link_tracker;
 pub(crate) mod loads;
 pub(crate) mod past_time;
 pub(crate) mod peer_loads;
@@ -42,8 +43,8 @@
 pub use self::{
     availability::*, budget::*, caller_timeouts::*, changes::*, cold_limit::*, crash_record::*,
     crash_report::*, crash_tracker::*, decode_exclusions::*, digest::*, findings_cache::*,
-    limit_tracker::*, limit_updates::*, loads::*, past_time::*, permit_allocator::*,
-    permit_owners::*, priority_loads::*, prompt_cache::*, regions::*, registry::*, rotation::*,
-    route::*, server_limit::*, server_signals::*, shared_findings::*, source::*, split::*,
-    store_backoff::*, subset::*, view::*,
+    limit_tracker::*, limit_updates::*, link_tracker::*, loads::*, past_time::*,
+    permit_allocator::*, permit_owners::*, priority_loads::*, prompt_cache::*, regions::*,
+    registry::*, rotation::*, route::*, server_limit::*, server_signals::*, shared_findings::*,
+    source::*, split::*, store_backoff::*, subset::*, view::*,
 };
--- a/src/relay/policy/registry.rs
+++ b/src/relay/policy/registry.rs
@@ -166,6 +166,24 @@
             .is_some_and(|view| view.info.born == backend.born)
     }
 
+    /// Whether a run of a server is listed.
+    pub fn is_listed(&self, run: EngineKey) -> bool {
+        self.index.by_key(run).is_some()
+    }
+
+    /// Number of these runs that enough other hosts have ejected.
+    pub fn passed_over(&self, runs: impl Iterator<Item = EngineKey>, now: Duration) -> usize {
+        if !self.has_peer_loads(now) {
+            return 0;
+        }
+        let views = runs
+            .filter_map(|run| self.index.by_key(run))
+            .filter_map(|id| self.views.get(id));
+        views
+            .filter(|view| view.peer_ejections >= PEER_EJECTIONS_TO_AVOID)
+            .count()
+    }
+
     /// The listed servers among these runs.
     pub fn listed(&self, runs: &BTreeSet<EngineKey>) -> Vec<BackendInfo> {
         let ids = runs.iter().filter_map(|run| self.index.by_key(*run));
