Connections to backend servers are opened through a seam

Tests need to cut one host off from one server; over loopback no address tells hosts apart. The pool and the probe for ended servers open their connections by the opener in the pool's settings, by default as before.

--- a/src/host/passing.rs
+++ b/src/host/passing.rs
@@ -137,6 +137,7 @@
         pool: PoolSettings {
             connect_time: CONNECT_TIMEOUT,
             silence_limit: SILENCE_LIMIT,
+            opener: Default::default(),
         },
         bounds: RelayBounds {
             keys: KeyRules {
--- a/src/operation/crashes.rs
+++ b/src/operation/crashes.rs
@@ -16,6 +16,7 @@
         sync::{Mutex, MutexGuard},
         time::Duration,
     },
+    tokio::net::TcpStream,
 };
 
 /// Time limit for probing a server after a broken connection; the call is retried elsewhere after it.
@@ -74,7 +75,10 @@
     ///
     /// A restarted server counts as the same server, because the platform does not distinguish runs of the same name.
     pub async fn probe_for_crash(&self, digest: RequestDigest, server: &str, address: SocketAddr) {
-        let probe = web::within(PROBE_TIME_LIMIT, web::probe_patiently(address));
+        let probe = web::within(
+            PROBE_TIME_LIMIT,
+            web::probe_patiently(TcpStream::connect, address),
+        );
         if probe.await != Ok(ProbeOutcome::Refused) {
             return;
         }
--- a/src/relay/parts/ends.rs
+++ b/src/relay/parts/ends.rs
@@ -61,7 +61,11 @@
         }
         let probe = Rc::new(EndProbe::default());
         self.end_probes.0.borrow_mut().insert(key, probe.clone());
-        let outcome = web::probe_patiently(backend.address).await;
+        let outcome = web::probe_patiently(
+            |address| self.settings.pool.opener.open(address),
+            backend.address,
+        )
+        .await;
         self.end_probes.0.borrow_mut().remove(&key);
         probe.outcome.set(Some(outcome));
         probe.finished.notify_waiters();
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -11,8 +11,9 @@
 mod reply;
 mod send_failure;
 mod server;
+mod stream_opener;
 
 pub use self::{
     body::*, client::*, headers::*, ingress::*, patience::*, pool::*, pool_target::*, probe::*,
-    reply::*, send_failure::*, server::*,
+    reply::*, send_failure::*, server::*, stream_opener::*,
 };
--- a/src/web/pool.rs
+++ b/src/web/pool.rs
@@ -8,6 +8,7 @@
     super::{
         pool_target::{PoolLane, PoolTarget, PoolUse, UseCounts},
         send_failure::{FailureCause, SendFailure, not_sent},
+        stream_opener::StreamOpener,
     },
     crate::{clock::HostClock, operation::RunVerdict},
     bytes::Bytes,
@@ -44,6 +45,8 @@
     pub connect_time: Duration,
     /// Longest time that sent bytes may stay unacknowledged before the connection is given up.
     pub silence_limit: Duration,
+    /// Opens the connections.
+    pub opener: StreamOpener,
 }
 
 type Sender = http1::SendRequest<Full<Bytes>>;
@@ -247,13 +250,21 @@
         }
     }
 
+    // Opens a connection that notices a silent peer.
+    async fn open_stream(&self, address: SocketAddr) -> io::Result<TcpStream> {
+        let stream = self.settings.opener.open(address).await?;
+        stream.set_nodelay(true)?;
+        SockRef::from(&stream).set_tcp_user_timeout(Some(self.settings.silence_limit))?;
+        Ok(stream)
+    }
+
     async fn connect(&self, target: PoolTarget) -> Result<PooledConnection, SendFailure> {
         let PoolTarget { address, limit, .. } = target;
         let counted = self.count(address, limit).ok_or_else(|| SendFailure {
             cause: FailureCause::Limited,
             ..not_sent(format!("all of {limit} connections are in use"))
         })?;
-        let opening = open_stream(address, self.settings.silence_limit);
+        let opening = self.open_stream(address);
         let stream = tokio::time::timeout(self.settings.connect_time, opening)
             .await
             .map_err(|_| SendFailure {
@@ -415,14 +426,6 @@
     }
 }
 
-/// Opens a connection that notices a silent peer.
-pub async fn open_stream(address: SocketAddr, silence_limit: Duration) -> io::Result<TcpStream> {
-    let stream = TcpStream::connect(address).await?;
-    stream.set_nodelay(true)?;
-    SockRef::from(&stream).set_tcp_user_timeout(Some(silence_limit))?;
-    Ok(stream)
-}
-
 // How long a connection may be idle and still be used, by what the server announces.
 fn idle_time(headers: &HeaderMap) -> Duration {
     let announced = headers
--- a/src/web/probe.rs
+++ b/src/web/probe.rs
@@ -1,7 +1,11 @@
 //! Whether anybody listens at an address.
 
 use {
-    std::{io::ErrorKind, net::SocketAddr, time::Duration},
+    std::{
+        io::{self, ErrorKind},
+        net::SocketAddr,
+        time::Duration,
+    },
     tokio::net::TcpStream,
 };
 
@@ -27,11 +31,14 @@
 ];
 
 /// Opens connections to an address, and closes them at once, until it is sure whether anybody listens.
-pub async fn probe_patiently(address: SocketAddr) -> ProbeOutcome {
+pub async fn probe_patiently<F>(open: impl Fn(SocketAddr) -> F, address: SocketAddr) -> ProbeOutcome
+where
+    F: Future<Output = io::Result<TcpStream>>,
+{
     let mut last = ProbeOutcome::Silent;
     for pause in PROBE_PAUSES {
         tokio::time::sleep(pause).await;
-        let outcome = probe(address).await;
+        let outcome = probe(&open, address).await;
         // A process that ends closes one socket after the other: what it still takes at once says nothing.
         let is_sure = outcome == ProbeOutcome::Refused || outcome == last;
         if is_sure && outcome != ProbeOutcome::Silent {
@@ -42,8 +49,11 @@
     last
 }
 
-async fn probe(address: SocketAddr) -> ProbeOutcome {
-    match tokio::time::timeout(PROBE_PATIENCE, TcpStream::connect(address)).await {
+async fn probe<F>(open: &impl Fn(SocketAddr) -> F, address: SocketAddr) -> ProbeOutcome
+where
+    F: Future<Output = io::Result<TcpStream>>,
+{
+    match tokio::time::timeout(PROBE_PATIENCE, open(address)).await {
         Ok(Ok(_)) => ProbeOutcome::Taken,
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => ProbeOutcome::Refused,
         Ok(Err(error)) => {
