Hosts that lose their links to backend servers reach them through other hosts

What callers saw: hosts that reached no server, while callers, the store and the other hosts reached them, served 7 of 119 and 2 of 87 first tries, their neighbours 101 of 107 and 73 of 111.

Cause: a host took each connection that failed for a fact about the server. It found all of them out one by one, at a caller's cost each time, and refused the rest; nothing asked whether it was the host, and no way led to the hosts that were answered by these very servers.

Change: the link tracker tells from the host's own outcomes when its links are suspected. Connections to such servers are then opened through another host, which joins bytes and decides nothing (CONNECT on a port of its own, listed hosts to listed servers only). A link counts as lost once the server has answered that way; it is tested by one direct connection a second. Failures of a host that suspects its links are not told to others, a refusal is confirmed elsewhere before a request counts as fatal, orders to engines never take the way.

Why it works: what is promised of a request is decided where it is sent, and a carried connection leaves that place as it is.

--- a/src/capacity/fleet_model.rs
+++ b/src/capacity/fleet_model.rs
@@ -140,6 +140,7 @@
         zone: zone(index % zones),
         peers: address(index),
         link_mbps: if is_strong { STRONG_LINK } else { WEAK_LINK },
+        carrier_port: 0,
         judged: Vec::new(),
     }
 }
--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -42,6 +42,7 @@
     HOST_FIGURES = 105, "host-figures", Info, "What the host has called, opened and told since its start; one line in five seconds.", "See docs/OPERATIONS.md for what each figure tells.";
     REQUEST_ENDED = 201, "request-ended", Info, "A request ended; its verdict and times follow.", "None.";
     REQUEST_REFUSED = 202, "request-refused", Info, "A request was refused; its code and verdict follow.", "Many with code overloaded: add engines, or look at the tenant's limits.";
+    REQUEST_CARRIED = 203, "request-carried", Info, "A request was answered by a backend server over a connection that another host carries.", "Look for links-lost (323) of this host.";
     ENGINE_EJECTED = 301, "engine-ejected", Warn, "An engine failed several times in a row and is left out for a while.", "If it repeats, look at that engine.";
     PREFILL_FAILED = 305, "prefill-failed", Info, "A prefill engine computed no KV cache; the decode engine computes the prompt itself.", "If it repeats for one engine, look at it.";
     BACKEND_EJECTED = 304, "backend-ejected", Warn, "A backend server gave no answer several times in a row and is passed over for a while.", "If it repeats, look at that server.";
@@ -64,6 +65,10 @@
     SERVER_HAS_ROOM = 320, "server-has-room", Info, "Nobody has waited for a place at this backend server for a while; hosts send to it without asking.", "None.";
     LINKS_SUSPECTED = 321, "links-suspected", Warn, "Several backend servers left this host without an answer and nothing of their groups has answered since: servers of listed, the time since the first failure and since the last answer of any server (-1: none yet), and how many of the servers other hosts pass over too.", "With passed_over_by_others=0 it is this host: look at its network.";
     LINKS_CLEARED = 322, "links-cleared", Info, "Servers answer this host again, or those that did not are no longer listed.", "None.";
+    LINKS_LOST = 323, "links-lost", Warn, "Backend servers of a service answer through other hosts and not to this host itself, which therefore reaches them through another host: how many of them when it was found, and for how long before one had failed.", "Look at this host's network.";
+    LINKS_BACK = 324, "links-back", Info, "This host reaches all listed backend servers of the service itself again.", "None.";
+    CARRIER_RETIRED = 325, "carrier-retired", Info, "A host that carries connections of this one is stopping, full or gone; new connections go through another one.", "None.";
+    CONNECTION_CARRIED = 326, "connection-carried", Info, "A connection that this host carried for another has ended. connection is its address at the other host, as in that host's request-carried lines (203).", "None.";
     CONFIG_IN_FORCE = 401, "config-in-force", Info, "A newer accepted configuration is in force on this host.", "None.";
     CONFIG_REJECTED = 402, "config-rejected", Error, "The objects at the platform do not pass the checks; the last good set stays in force.", "Correct the named object and field.";
     CONFIG_ACCEPTED = 403, "config-accepted", Info, "This host checked the objects and wrote them as the accepted configuration.", "None.";
--- a/src/host/passing.rs
+++ b/src/host/passing.rs
@@ -128,6 +128,7 @@
         // Served on the operators' port.
         metrics: None,
         peers: settings.peers,
+        carriers: None,
         seeds: Vec::new(),
         first_start: false,
         regions: BTreeMap::new(),
@@ -215,6 +216,7 @@
         zone: zone.clone(),
         peers: address,
         link_mbps: 0,
+        carrier_port: 0,
     }
 }
 
--- /dev/null
+++ b/src/relay/carry/service.rs
@@ -0,0 +1,272 @@
+//! Carries connections of other hosts to backend servers that this host reaches.
+
+use {
+    super::{
+        connect::{self, SERVER_HEADER, responses},
+        splice,
+    },
+    crate::{
+        event,
+        relay::{
+            backend::BackendInfo,
+            critical_task,
+            parts::shared::RelayParts,
+            policy::link_tracker::{LinkGroup, OpenOrder},
+        },
+        web::FailureCause,
+    },
+    bytes::Bytes,
+    http::{Method, Request, Response, StatusCode},
+    http_body_util::Empty,
+    hyper::{body::Incoming, server::conn::http1, service, upgrade},
+    hyper_util::rt::{TokioIo, TokioTimer},
+    std::{
+        cell::Cell,
+        convert::Infallible,
+        fmt,
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::Notify,
+    },
+};
+
+/// Maximum time for a server to accept a connection; the asking host waits for it.
+const SERVER_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Maximum time for the head of an asking host's request.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Pause after a failed accept, which is most often a lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Fraction of the limit on requests that is the limit on carried connections: the host's own callers go first.
+const CARRIED_FRACTION: u64 = 2;
+
+type CarrierResponse = Response<Empty<Bytes>>;
+
+/// Carries connections for other hosts.
+pub(crate) struct CarrierService {
+    parts: Rc<RelayParts>,
+    open: Cell<u64>,
+    emptied: Notify,
+}
+
+impl fmt::Debug for CarrierService {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "CarrierService({} open)", self.open.get())
+    }
+}
+
+// A carried connection, counted until dropped.
+struct CarriedCount(Rc<CarrierService>);
+
+impl Drop for CarriedCount {
+    fn drop(&mut self) {
+        let service = &self.0;
+        service.open.set(service.open.get() - 1);
+        service
+            .parts
+            .metrics
+            .links
+            .carrying
+            .set(service.open.get() as i64);
+        if service.open.get() == 0 {
+            service.emptied.notify_waiters();
+        }
+    }
+}
+
+impl CarrierService {
+    /// Starts to accept connections of other hosts, if there is a socket for them.
+    pub(crate) fn start(parts: Rc<RelayParts>, listener: Option<TcpListener>) -> Rc<Self> {
+        let service = Rc::new(Self {
+            parts,
+            open: Cell::new(0),
+            emptied: Notify::new(),
+        });
+        if let Some(listener) = listener {
+            critical_task::spawn_critical("carried connections", service.clone().accept(listener));
+        }
+        service
+    }
+
+    /// Waits until no connections are carried any more.
+    pub(crate) async fn emptied(&self) {
+        loop {
+            let emptied = self.emptied.notified();
+            tokio::pin!(emptied);
+            emptied.as_mut().enable();
+            if self.open.get() == 0 {
+                return;
+            }
+            emptied.await;
+        }
+    }
+
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, from)) => {
+                    tokio::task::spawn_local(self.clone().serve(stream, from));
+                }
+                Err(error) => {
+                    log::warn!("a host's connection could not be accepted: {error}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn serve(self: Rc<Self>, stream: TcpStream, from: SocketAddr) {
+        if let Err(error) = splice::prepare(&stream) {
+            log::debug!("the connection of host {from} ended as it came: {error}");
+            return;
+        }
+        let handler = service::service_fn(move |request| {
+            let service = self.clone();
+            async move { Ok::<_, Infallible>(service.answer(request, from).await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEADER_TIMEOUT)
+            .keep_alive(false)
+            .serve_connection(TokioIo::new(stream), handler)
+            .with_upgrades();
+        if let Err(error) = connection.await {
+            log::debug!("the connection of host {from} ended: {error}");
+        }
+    }
+
+    async fn answer(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        from: SocketAddr,
+    ) -> CarrierResponse {
+        let is_question = request.method() != Method::CONNECT;
+        if !self.knows_host(from) {
+            return respond(responses::NOT_LISTED);
+        }
+        if self.parts.gate.is_stopping() || self.open.get() >= self.limit() {
+            return respond(responses::UNAVAILABLE);
+        }
+        if is_question {
+            return respond(StatusCode::OK);
+        }
+        let Some(backend) = self.listed_server(&request) else {
+            return respond(responses::NOT_LISTED);
+        };
+        // Counted while it is being opened, so that the limit holds.
+        let count = self.clone().count();
+        match self.open(&backend).await {
+            Ok(server) => {
+                let joining = count.join(request, server, backend, from);
+                tokio::task::spawn_local(joining);
+                respond(StatusCode::OK)
+            }
+            Err(status) => respond(status),
+        }
+    }
+
+    fn limit(&self) -> u64 {
+        (self.parts.settings.requests_limit / CARRIED_FRACTION).max(1)
+    }
+
+    // Only listed hosts may use this one as a way to servers.
+    fn knows_host(&self, from: SocketAddr) -> bool {
+        let cluster = self.parts.cluster.borrow();
+        cluster.hosts().any(|entry| entry.peers.ip() == from.ip())
+    }
+
+    fn listed_server(&self, request: &Request<Incoming>) -> Option<BackendInfo> {
+        let id = request.headers().get(SERVER_HEADER)?.to_str().ok()?;
+        let address: SocketAddr = request.uri().authority()?.as_str().parse().ok()?;
+        let book = self.parts.book.borrow();
+        let info = &book.view(id)?.info;
+        (info.address == address).then(|| info.clone())
+    }
+
+    async fn open(&self, backend: &BackendInfo) -> Result<TcpStream, StatusCode> {
+        let order = self
+            .parts
+            .links
+            .borrow()
+            .open_order(backend.key(), &LinkGroup::of(backend));
+        if order == OpenOrder::CarriedFirst {
+            return Err(responses::NO_LINK);
+        }
+        let opening = self.parts.open_direct(backend);
+        match tokio::time::timeout(SERVER_CONNECT_TIMEOUT, opening).await {
+            Ok(Ok(opened)) => Ok(opened.stream),
+            Ok(Err(failure)) if failure.cause == FailureCause::Refused => {
+                Err(responses::SERVER_REFUSED)
+            }
+            Ok(Err(failure)) => {
+                log::debug!("{}: {failure}", backend.id);
+                Err(responses::SERVER_SILENT)
+            }
+            Err(_) => {
+                self.parts.record_link_failure(backend);
+                Err(responses::SERVER_SILENT)
+            }
+        }
+    }
+
+    fn count(self: Rc<Self>) -> CarriedCount {
+        self.open.set(self.open.get() + 1);
+        self.parts
+            .metrics
+            .links
+            .carrying
+            .set(self.open.get() as i64);
+        CarriedCount(self)
+    }
+}
+
+impl CarriedCount {
+    async fn join(
+        self,
+        request: Request<Incoming>,
+        server: TcpStream,
+        backend: BackendInfo,
+        from: SocketAddr,
+    ) {
+        let upgraded = match upgrade::on(request).await {
+            Ok(upgraded) => upgraded,
+            Err(error) => {
+                log::debug!("host {from} left before it was connected: {error}");
+                return;
+            }
+        };
+        let asking = match connect::into_stream(upgraded) {
+            Ok(stream) => stream,
+            Err(error) => {
+                log::warn!("the connection of host {from} cannot be joined: {error}");
+                return;
+            }
+        };
+        let started = Instant::now();
+        let bytes = splice::splice(asking, server).await;
+        let metrics = &self.0.parts.metrics.links;
+        metrics.carried_bytes.inc_by(bytes.sent + bytes.received);
+        event::emit(
+            &event::CONNECTION_CARRIED,
+            &[
+                ("connection", &from),
+                ("backend", &backend.id),
+                ("sent", &bytes.sent),
+                ("received", &bytes.received),
+                ("lasted_ms", &started.elapsed().as_millis()),
+            ],
+        );
+    }
+}
+
+fn respond(status: StatusCode) -> CarrierResponse {
+    let mut response = Response::new(Empty::new());
+    *response.status_mut() = status;
+    response
+}
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        carry::{recheck, service::CarrierService},
         config::CallerLimits,
         critical_task,
         dialect::CallDialect,
@@ -80,6 +81,7 @@
     /// State shared by the host's tasks.
     pub parts: Rc<RelayParts>,
     store: Rc<StoreLink>,
+    carrying: Rc<CarrierService>,
     closing: Arc<OnceSignal>,
     checks_closing: Arc<OnceSignal>,
 }
@@ -97,7 +99,8 @@
         let callers = listen("callers", &mut settings.callers)?;
         let checks = listen("checks", &mut settings.checks)?;
         let peers = listen("peers", &mut settings.peers)?;
-        let metrics = listen_for_metrics(&mut settings);
+        let metrics = listen_if_free("metrics", &mut settings.metrics);
+        let carriers = listen_if_free("carriers", &mut settings.carriers);
         event::emit(
             &event::HOST_STARTED,
             &[
@@ -117,6 +120,7 @@
         }));
         let store = Rc::new(store);
         let host = Self {
+            carrying: CarrierService::start(parts.clone(), carriers),
             parts: parts.clone(),
             store: store.clone(),
             closing: Arc::default(),
@@ -129,6 +133,8 @@
         );
         critical_task::spawn_critical("figures", figures::log_figures(parts.clone()));
         critical_task::spawn_critical("availability", check_availability(parts.clone()));
+        critical_task::spawn_critical("lost links", recheck::test_lost_links(parts.clone()));
+        critical_task::spawn_critical("carriers", recheck::check_carriers(parts.clone()));
         critical_task::spawn_critical("engine roles", keeper::keep_roles(parts, store));
         host.serve(callers, host.caller_handler(), host.closing.clone());
         host.serve(checks, host.check_handler(), host.checks_closing.clone());
@@ -218,6 +224,7 @@
             tokio::time::sleep(BALANCER_LAG).await;
             self.closing.set();
             gate.emptied().await;
+            self.carrying.emptied().await;
         };
         let in_time = tokio::time::timeout(grace.saturating_sub(STOP_MARGIN), finishing).await;
         if in_time.is_err() {
@@ -262,17 +269,17 @@
     }
 }
 
-// The host starts even if the port for metrics is taken.
-fn listen_for_metrics(settings: &mut RelaySettings) -> Option<TcpListener> {
-    let mut address = settings.metrics?;
-    match listen("metrics", &mut address) {
+// The host starts even if the port is taken, without what is served there.
+fn listen_if_free(key: &str, address: &mut Option<SocketAddr>) -> Option<TcpListener> {
+    let mut wanted = (*address)?;
+    match listen(key, &mut wanted) {
         Ok(listener) => {
-            settings.metrics = Some(address);
+            *address = Some(wanted);
             Some(listener)
         }
         Err(error) => {
-            log::warn!("{error:#}; metrics are served on the checks address only");
-            settings.metrics = None;
+            log::warn!("{error:#}; the host goes on without it");
+            *address = None;
             None
         }
     }
--- a/src/relay/link.rs
+++ b/src/relay/link.rs
@@ -36,6 +36,10 @@
     pub zone: FastStr,
     /// The address that other hosts connect to.
     pub peers: SocketAddr,
+    /// The port, at the same address, on which the host carries connections of other hosts to backend servers; 0 if it
+    /// carries none.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub carrier_port: u16,
     /// The host's capacity to serve other hosts: its link bandwidth in Mbit/s, 0 if unknown.
     #[serde(default, rename = "strength")]
     pub link_mbps: u32,
@@ -44,6 +48,10 @@
     pub judged: Vec<StoredVerdict>,
 }
 
+fn is_zero(port: &u16) -> bool {
+    *port == 0
+}
+
 /// The content of an object.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum StoreValue {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod admission;
 mod backend;
+mod carry;
 mod cluster;
 mod config;
 mod config_patch;
--- a/src/relay/news/entry.rs
+++ b/src/relay/news/entry.rs
@@ -84,6 +84,7 @@
         zone: settings.zone.clone(),
         peers: settings.peers,
         link_mbps: settings.link_mbps,
+        carrier_port: settings.carrier_port(),
         judged: parts.kept_judgements(),
     }
 }
--- a/src/relay/parts/availability.rs
+++ b/src/relay/parts/availability.rs
@@ -68,7 +68,6 @@
         request: Request<Full<Bytes>>,
         admitted: Option<Duration>,
     ) -> Result<PooledAnswer, SendFailure> {
-        let target = self.pool_target(backend, purpose);
         let check = || match self.may_send(backend, admitted) {
             true => Ok(()),
             false => Err(SendFailure::withheld(format!(
@@ -76,9 +75,7 @@
                 backend.id
             ))),
         };
-        let answer = self.pool.send_if(target, request, check).await?;
-        self.record_link_answer(backend);
-        Ok(answer)
+        self.send_over_link(backend, purpose, request, check).await
     }
 
     fn note_availability(&self, backend: &BackendInfo, marks: &ServerSignals) {
--- a/src/relay/parts/ends.rs
+++ b/src/relay/parts/ends.rs
@@ -38,7 +38,7 @@
     /// Returns whether a backend server has ended, after a connection to it broke.
     ///
     /// Connections also break because of a reset, a network partition or a corrupt response. An address that refuses
-    /// connections shows that the server has ended.
+    /// connections, also those of another host, shows that the server has ended.
     pub async fn has_ended(&self, backend: &BackendInfo) -> bool {
         if self.probe_once(backend).await == ProbeOutcome::Refused {
             return true;
@@ -61,11 +61,11 @@
         }
         let probe = Rc::new(EndProbe::default());
         self.end_probes.0.borrow_mut().insert(key, probe.clone());
-        let outcome = web::probe_patiently(
-            |address| self.settings.pool.opener.open(address),
-            backend.address,
-        )
-        .await;
+        let open = |address| self.settings.pool.opener.open(address);
+        let mut outcome = web::probe_patiently(open, backend.address).await;
+        if outcome == ProbeOutcome::Refused && !self.is_refused_elsewhere(backend).await {
+            outcome = ProbeOutcome::Silent;
+        }
         self.end_probes.0.borrow_mut().remove(&key);
         probe.outcome.set(Some(outcome));
         probe.finished.notify_waiters();
--- a/src/relay/parts/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        link_metrics::LinkMetrics,
         metric_labels::{
             self, AccountLabels, CauseLabels, EndLabels, LimitEnd, RouteLabels, ServiceLabels,
             StoreCause,
@@ -101,6 +102,8 @@
     pub servers_limited: Gauge,
     /// Places of contended backend servers.
     pub places: PlaceMetrics,
+    /// Lost links and carried connections.
+    pub links: LinkMetrics,
 }
 
 impl fmt::Debug for RelayMetrics {
@@ -167,6 +170,7 @@
             servers_cold: Gauge::default(),
             servers_limited: Gauge::default(),
             places: PlaceMetrics::default(),
+            links: LinkMetrics::default(),
         };
         metrics.register();
         metrics
@@ -178,6 +182,7 @@
         let r = &mut self.registry;
         self.priorities.register(r);
         self.places.register(r);
+        self.links.register(r);
         r.register(
             "answers",
             "Answers by route and status",
--- a/src/relay/parts/mod.rs
+++ b/src/relay/parts/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod crashes;
 pub(crate) mod ends;
 pub(crate) mod evacuations;
+pub(crate) mod link_metrics;
 pub(crate) mod links;
 pub(crate) mod metric_labels;
 pub(crate) mod metrics;
@@ -22,6 +23,6 @@
 pub(crate) mod shares;
 
 pub use self::{
-    accounts::*, crashes::*, metric_labels::*, metrics::*, permits::*, place_metrics::*, places::*,
-    priorities::*, priority_metrics::*, server_limits::*, shared::*,
+    accounts::*, crashes::*, link_metrics::*, metric_labels::*, metrics::*, permits::*,
+    place_metrics::*, places::*, priorities::*, priority_metrics::*, server_limits::*, shared::*,
 };
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -24,9 +24,9 @@
             cluster::state::ClusterState,
             dialect::{BackendCall, CallDialect},
             policy::{
-                budget::RetryWindow, caller_timeouts::CallerTimeouts, link_tracker::LinkTracker,
-                prompt_cache::PromptCacheIndex, registry::BackendRegistry, route::RouteTable,
-                view::BackendFailure,
+                budget::RetryWindow, caller_timeouts::CallerTimeouts, carrier_table::CarrierTable,
+                link_tracker::LinkTracker, prompt_cache::PromptCacheIndex,
+                registry::BackendRegistry, route::RouteTable, view::BackendFailure,
             },
             settings::RelaySettings,
         },
@@ -39,7 +39,7 @@
     http_body_util::Full,
     std::{
         cell::{Cell, RefCell},
-        collections::HashMap,
+        collections::{BTreeMap, HashMap},
         net::SocketAddr,
         rc::Rc,
         sync::Arc,
@@ -64,6 +64,10 @@
     pub book: RefCell<BackendRegistry>,
     /// Which backend servers answer this host.
     pub links: RefCell<LinkTracker>,
+    /// Hosts that carry connections to servers whose links are lost.
+    pub carriers: RefCell<CarrierTable>,
+    // The services to which links are lost, and since when, as they were logged.
+    pub(super) logged_losses: RefCell<BTreeMap<FastStr, Duration>>,
     // Whether the suspicion that this host's own links are lost has been logged.
     pub(super) is_suspicion_logged: Cell<bool>,
     // The lists have changed since the preferred engines in `book` were planned.
@@ -137,6 +141,8 @@
             pool,
             book: RefCell::new(book),
             links: RefCell::default(),
+            carriers: RefCell::default(),
+            logged_losses: RefCell::default(),
             is_suspicion_logged: Cell::new(false),
             is_preference_outdated: Cell::new(true),
             prompt_caches: RefCell::default(),
@@ -235,6 +241,7 @@
                 verdict: RunVerdict::MayHaveRun,
                 cause: FailureCause::Broken,
                 detail,
+                is_carried: false,
             })?;
             Ok((status, body))
         };
@@ -256,6 +263,7 @@
             verdict: RunVerdict::NotRun,
             cause: FailureCause::Broken,
             detail: format!("{:?} is no path: {error}", call.path),
+            is_carried: false,
         })?;
         let headers = request.headers_mut();
         let host = HeaderValue::from_str(&backend.address.to_string());
@@ -268,10 +276,7 @@
         let sent = self.now();
         let answer = match purpose {
             // Releases resources even at a server that accepts no new requests: no other host can release them.
-            PoolUse::Free => {
-                let target = self.pool_target(backend, purpose);
-                self.pool.send(target, request).await?
-            }
+            PoolUse::Free => self.send_unchecked(backend, purpose, request).await?,
             _ => self.send_to(backend, purpose, request, None).await?,
         };
         let marks = (self.dialect.read_response)(answer.status, &answer.headers);
@@ -289,7 +294,7 @@
     /// Returns how the backend server failed; `None` if the server did not cause the failure.
     pub fn kind(&self) -> Option<BackendFailure> {
         match self.cause {
-            FailureCause::Broken => Some(BackendFailure::Broken),
+            FailureCause::Broken | FailureCause::Refused => Some(BackendFailure::Broken),
             FailureCause::Silent => Some(BackendFailure::Silent),
             FailureCause::Limited | FailureCause::Withheld => None,
         }
@@ -306,7 +311,9 @@
         if !self.book.borrow().is_current(backend) {
             return;
         }
-        self.record_link_failure(backend);
+        if !self.is_servers_failure(backend, failure) {
+            return;
+        }
         let ejected = self
             .book
             .borrow_mut()
--- a/src/relay/parts/shares.rs
+++ b/src/relay/parts/shares.rs
@@ -141,6 +141,7 @@
             limit: self
                 .connection_share(&backend.service)
                 .unwrap_or(usize::MAX),
+            kept: self.kept_use(backend, purpose),
         }
     }
 
@@ -186,7 +187,8 @@
                 retries: counts.retries,
             }
         });
-        let loads = self.book.borrow_mut().loads(now);
+        let mut loads = self.book.borrow_mut().loads(now);
+        self.withhold_distrusted(&mut loads);
         LoadReport {
             loads,
             demands: demands.collect(),
--- a/src/relay/policy/mod.rs
+++ b/src/relay/policy/mod.rs
@@ -5,6 +5,7 @@
 mod backend_updates;
 pub(crate) mod budget;
 pub(crate) mod caller_timeouts;
+pub(crate) mod carrier_table;
 pub(crate) mod changes;
 pub(crate) mod cold_limit;
 mod cold_tracker;
@@ -41,9 +42,9 @@
 pub(crate) mod view;
 
 pub use self::{
-    availability::*, budget::*, caller_timeouts::*, changes::*, cold_limit::*, crash_record::*,
-    crash_report::*, crash_tracker::*, decode_exclusions::*, digest::*, findings_cache::*,
-    limit_tracker::*, limit_updates::*, link_tracker::*, loads::*, past_time::*,
+    availability::*, budget::*, caller_timeouts::*, carrier_table::*, changes::*, cold_limit::*,
+    crash_record::*, crash_report::*, crash_tracker::*, decode_exclusions::*, digest::*,
+    findings_cache::*, limit_tracker::*, limit_updates::*, link_tracker::*, loads::*, past_time::*,
     permit_allocator::*, permit_owners::*, priority_loads::*, prompt_cache::*, regions::*,
     registry::*, rotation::*, route::*, server_limit::*, server_signals::*, shared_findings::*,
     source::*, split::*, store_backoff::*, subset::*, view::*,
--- a/src/relay/policy/registry.rs
+++ b/src/relay/policy/registry.rs
@@ -171,6 +171,12 @@
         self.index.by_key(run).is_some()
     }
 
+    /// A listed run of a server.
+    pub fn listed_run(&self, run: EngineKey) -> Option<BackendInfo> {
+        let view = self.views.get(self.index.by_key(run)?)?;
+        Some(view.info.clone())
+    }
+
     /// Number of these runs that enough other hosts have ejected.
     pub fn passed_over(&self, runs: impl Iterator<Item = EngineKey>, now: Duration) -> usize {
         if !self.has_peer_loads(now) {
--- a/src/relay/request/decode.rs
+++ b/src/relay/request/decode.rs
@@ -50,7 +50,10 @@
             .await
             .unwrap_or_else(|_| Err(SendFailure::no_answer_in_time()));
         let failure = match sent {
-            Ok(response) => return Ok(response),
+            Ok(response) => {
+                parts.log_carried(&self.request.marks.id, engine, &response);
+                return Ok(response);
+            }
             Err(failure) => failure,
         };
         parts.record_send_failure(engine, &failure);
--- a/src/relay/request/prefill.rs
+++ b/src/relay/request/prefill.rs
@@ -197,6 +197,7 @@
             detail: failure.detail,
         }
     })?;
+    parts.log_carried(&request.marks.id, engine, &response);
     let (status, marks) = (
         response.status,
         (dialect.read_response)(response.status, &response.headers),
--- a/src/relay/request/send.rs
+++ b/src/relay/request/send.rs
@@ -84,6 +84,7 @@
             return SendOutcome::Lost(failure.detail);
         }
     };
+    parts.log_carried(&request.marks.id, backend, &response);
     let marks = (parts.dialect.read_response)(response.status, &response.headers);
     guard.record_response(response.status, &marks);
     guard.record_plain_response(request, response.status, &marks);
--- a/src/relay/roles/keeper.rs
+++ b/src/relay/roles/keeper.rs
@@ -94,6 +94,11 @@
     async fn check_split(&mut self) -> Result<(), StoreFailure> {
         self.check_restores();
         let now = self.parts.now();
+        // Another host, which reaches the engines, takes the lease over once it has expired.
+        if self.parts.has_lost_links() {
+            self.unbalanced_since = None;
+            return Ok(());
+        }
         let changes = self.pending_changes(now);
         let (min_changes, settle) = match self.parts.has_received_requests() {
             true => (CHANGES_MIN, SETTLE_TIME),
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -28,6 +28,8 @@
     pub metrics: Option<SocketAddr>,
     /// The address that other hosts connect to.
     pub peers: SocketAddr,
+    /// The address on which other hosts ask this one to carry connections to backend servers; none if it carries none.
+    pub carriers: Option<SocketAddr>,
     /// Addresses of some other hosts to contact at the start; any of them may be gone.
     pub seeds: Vec<SocketAddr>,
     /// Whether the whole fleet starts for the first time, so that the store has no host entries yet.
@@ -46,6 +48,13 @@
     pub bounds: RelayBounds,
 }
 
+impl RelaySettings {
+    /// The port of `carriers`; 0 if there is none.
+    pub fn carrier_port(&self) -> u16 {
+        self.carriers.map_or(0, |address| address.port())
+    }
+}
+
 /// Bounds on the behaviour of hosts, set by the operators.
 #[derive(Debug, Clone)]
 pub struct RelayBounds {
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP plumbing that all parts share: ways to call, ways to serve, one way to read a body.
 
 mod body;
+mod carrier;
 mod client;
 mod headers;
 mod ingress;
@@ -14,6 +15,6 @@
 mod stream_opener;
 
 pub use self::{
-    body::*, client::*, headers::*, ingress::*, patience::*, pool::*, pool_target::*, probe::*,
-    reply::*, send_failure::*, server::*, stream_opener::*,
+    body::*, carrier::*, client::*, headers::*, ingress::*, patience::*, pool::*, pool_target::*,
+    probe::*, reply::*, send_failure::*, server::*, stream_opener::*,
 };
--- a/src/web/pool.rs
+++ b/src/web/pool.rs
@@ -6,7 +6,8 @@
 
 use {
     super::{
-        pool_target::{PoolLane, PoolTarget, PoolUse, UseCounts},
+        carrier::{CarrierLink, CarrierSet, ConnectionCarrier, OpenedStream},
+        pool_target::{KeptUse, PoolLane, PoolTarget, PoolUse, UseCounts},
         send_failure::{FailureCause, SendFailure, not_sent},
         stream_opener::StreamOpener,
     },
@@ -61,9 +62,26 @@
 struct PooledConnection {
     sender: Sender,
     task: AbortHandle,
+    // The host that carries it, if any.
+    carrier: Option<Rc<CarrierLink>>,
     _counted: OpenCount,
 }
 
+impl PooledConnection {
+    fn is_usable(&self) -> bool {
+        let carrier = self.carrier.as_ref();
+        self.sender.is_ready() && carrier.is_none_or(|link| link.is_usable())
+    }
+
+    fn is_allowed(&self, kept: KeptUse) -> bool {
+        match kept {
+            KeptUse::Any => true,
+            KeptUse::Direct => self.carrier.is_none(),
+            KeptUse::Carried => self.carrier.is_some(),
+        }
+    }
+}
+
 impl Drop for PooledConnection {
     fn drop(&mut self) {
         self.task.abort();
@@ -114,6 +132,8 @@
     settings: PoolSettings,
     open: OpenCounts,
     counts: RefCell<BTreeMap<PoolUse, UseCounts>>,
+    // The hosts that carry connections.
+    carriers: CarrierSet,
     clock: HostClock,
 }
 
@@ -131,6 +151,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: PooledBody,
+    /// The host that carried it; none if the server answered directly.
+    pub carrier: Option<Rc<CarrierLink>>,
 }
 
 /// The body of an answer; the connection goes back to the pool once it was read to its end.
@@ -149,6 +171,7 @@
             settings,
             open: Rc::default(),
             counts: RefCell::default(),
+            carriers: CarrierSet::default(),
             clock,
         });
         let swept = Rc::downgrade(&pool);
@@ -213,13 +236,45 @@
         idle.retain(|_, connections| !connections.is_empty());
     }
 
-    fn take(&self, key: PoolKey) -> Option<PooledConnection> {
+    /// Closes idle connections to an address that other hosts carry.
+    pub fn forget_carried(&self, address: SocketAddr) {
+        let mut idle = self.idle.borrow_mut();
+        let lanes = idle.iter_mut().filter(|(key, _)| key.0 == address);
+        for (_, connections) in lanes {
+            connections.retain(|known| known.connection.carrier.is_none());
+        }
+    }
+
+    /// The hosts that carry open connections.
+    pub fn carriers(&self) -> Vec<Rc<ConnectionCarrier>> {
+        self.carriers.in_use()
+    }
+
+    /// Uses the connections that a host carries for what is in progress only, and closes the idle ones.
+    pub fn retire_carrier(&self, carrier: &ConnectionCarrier) {
+        self.carriers.retire(carrier);
+        let mut idle = self.idle.borrow_mut();
+        for connections in idle.values_mut() {
+            connections.retain(|known| {
+                let known = known.connection.carrier.as_ref();
+                known.is_none_or(|link| link.is_usable())
+            });
+        }
+    }
+
+    fn take(&self, key: PoolKey, kept: KeptUse) -> Option<PooledConnection> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&key)?;
-        while let Some(known) = connections.pop() {
-            let usable = known.connection.sender.is_ready() && now < known.until;
-            if usable {
+        if kept == KeptUse::Carried {
+            connections.retain(|known| known.connection.carrier.is_some());
+        }
+        while let Some(index) = connections
+            .iter()
+            .rposition(|known| known.connection.is_allowed(kept))
+        {
+            let known = connections.remove(index);
+            if known.connection.is_usable() && now < known.until {
                 return Some(known.connection);
             }
         }
@@ -250,30 +305,43 @@
         }
     }
 
-    // Opens a connection that notices a silent peer.
-    async fn open_stream(&self, address: SocketAddr) -> io::Result<TcpStream> {
-        let stream = self.settings.opener.open(address).await?;
+    /// Opens a direct connection that notices a silent peer, within the time for that.
+    pub async fn open_direct(&self, address: SocketAddr) -> Result<OpenedStream, SendFailure> {
+        let opening = async {
+            let stream = self.settings.opener.open(address).await?;
+            self.prepare(&stream)?;
+            Ok::<_, io::Error>(stream)
+        };
+        let stream = tokio::time::timeout(self.settings.connect_time, opening)
+            .await
+            .map_err(|_| SendFailure::no_connection_in_time())?
+            .map_err(open_failure)?;
+        Ok(OpenedStream {
+            stream,
+            carrier: None,
+        })
+    }
+
+    /// Sets the options of a connection to a server.
+    pub fn prepare(&self, stream: &TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
-        SockRef::from(&stream).set_tcp_user_timeout(Some(self.settings.silence_limit))?;
-        Ok(stream)
+        SockRef::from(stream).set_tcp_user_timeout(Some(self.settings.silence_limit))
     }
 
-    async fn connect(&self, target: PoolTarget) -> Result<PooledConnection, SendFailure> {
+    async fn connect(
+        &self,
+        target: PoolTarget,
+        opening: impl Future<Output = Result<OpenedStream, SendFailure>>,
+    ) -> Result<PooledConnection, SendFailure> {
         let PoolTarget { address, limit, .. } = target;
         let counted = self.count(address, limit).ok_or_else(|| SendFailure {
             cause: FailureCause::Limited,
             ..not_sent(format!("all of {limit} connections are in use"))
         })?;
-        let opening = self.open_stream(address);
-        let stream = tokio::time::timeout(self.settings.connect_time, opening)
-            .await
-            .map_err(|_| SendFailure {
-                cause: FailureCause::Silent,
-                ..not_sent("no connection in time")
-            })?
-            .map_err(|error| not_sent(format!("no connection: {error}")))?;
+        let opened = opening.await?;
+        let carrier = self.carriers.link(&opened).map_err(open_failure)?;
         let (sender, connection) = http1::Builder::new()
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(opened.stream))
             .await
             .map_err(|error| not_sent(format!("no connection: {error}")))?;
         let task = tokio::task::spawn_local(async move {
@@ -285,6 +353,7 @@
         Ok(PooledConnection {
             sender,
             task: task.abort_handle(),
+            carrier,
             _counted: counted,
         })
     }
@@ -297,25 +366,31 @@
         target: PoolTarget,
         request: Request<Full<Bytes>>,
     ) -> Result<PooledAnswer, SendFailure> {
-        self.send_if(target, request, || Ok(())).await
+        let open = || self.open_direct(target.address);
+        self.send_if(target, request, || Ok(()), open).await
     }
 
-    /// The same, where `check` still allows it when a connection is there and nothing is written yet.
-    pub async fn send_if(
+    /// The same, where `check` still allows it when a connection is there and nothing is written yet. New connections
+    /// are opened by `open`.
+    pub async fn send_if<F>(
         self: &Rc<Self>,
         target: PoolTarget,
         mut request: Request<Full<Bytes>>,
         check: impl Fn() -> Result<(), SendFailure>,
-    ) -> Result<PooledAnswer, SendFailure> {
+        open: impl Fn() -> F,
+    ) -> Result<PooledAnswer, SendFailure>
+    where
+        F: Future<Output = Result<OpenedStream, SendFailure>>,
+    {
         let key = (target.address, target.purpose.lane());
         loop {
             check()?;
-            let kept = self.take(key);
+            let kept = self.take(key, target.kept);
             let is_kept = kept.is_some();
             let mut connection = match kept {
                 Some(connection) => connection,
                 None => {
-                    let connection = self.connect(target).await?;
+                    let connection = self.connect(target, open()).await?;
                     check()?;
                     connection
                 }
@@ -336,6 +411,7 @@
                             verdict: RunVerdict::MayHaveRun,
                             cause: FailureCause::Broken,
                             detail: format!("no answer: {}", error.error()),
+                            is_carried: connection.carrier.is_some(),
                         });
                     }
                 },
@@ -354,6 +430,7 @@
         PooledAnswer {
             status: parts.status,
             headers: parts.headers,
+            carrier: connection.carrier.clone(),
             body: PooledBody {
                 content,
                 lease: Some((connection, idle)),
@@ -366,7 +443,7 @@
     fn give_back(self: &Rc<Self>, key: PoolKey, mut connection: PooledConnection, idle: Duration) {
         let pool = self.clone();
         tokio::task::spawn_local(async move {
-            if connection.sender.ready().await.is_err() {
+            if connection.sender.ready().await.is_err() || !connection.is_usable() {
                 return;
             }
             let until = pool.clock.now() + idle;
@@ -426,6 +503,17 @@
     }
 }
 
+fn open_failure(error: io::Error) -> SendFailure {
+    let cause = match error.kind() {
+        io::ErrorKind::ConnectionRefused => FailureCause::Refused,
+        _ => FailureCause::Broken,
+    };
+    SendFailure {
+        cause,
+        ..not_sent(format!("no connection: {error}"))
+    }
+}
+
 // How long a connection may be idle and still be used, by what the server announces.
 fn idle_time(headers: &HeaderMap) -> Duration {
     let announced = headers
--- a/src/web/pool_target.rs
+++ b/src/web/pool_target.rs
@@ -24,8 +24,10 @@
     Reserve,
     /// Giving back what is held at an engine.
     Free,
-    /// Questions and orders to an engine, and calls to the store.
+    /// Questions to an engine, and calls to the store.
     Ask,
+    /// Orders to an engine, which must come from the host itself.
+    Order,
 }
 
 impl PoolUse {
@@ -33,7 +35,7 @@
     pub fn lane(self) -> PoolLane {
         match self {
             Self::Plain | Self::Prefill | Self::Decode => PoolLane::Requests,
-            Self::Reserve | Self::Free | Self::Ask => PoolLane::Control,
+            Self::Reserve | Self::Free | Self::Ask | Self::Order => PoolLane::Control,
         }
     }
 }
@@ -47,6 +49,18 @@
     pub reused: u64,
 }
 
+/// Which open connections a request may use.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum KeptUse {
+    /// Any of them.
+    #[default]
+    Any,
+    /// Those that were opened directly.
+    Direct,
+    /// Those that another host carries. Others are closed, as they are not expected to work.
+    Carried,
+}
+
 /// Where a request goes.
 #[derive(Debug, Clone, Copy)]
 pub struct PoolTarget {
@@ -56,4 +70,6 @@
     pub purpose: PoolUse,
     /// Connections that may be open to the address at most, of both uses together.
     pub limit: usize,
+    /// Which open connections may be used.
+    pub kept: KeptUse,
 }
--- a/src/web/send_failure.rs
+++ b/src/web/send_failure.rs
@@ -7,6 +7,8 @@
 pub enum FailureCause {
     /// The connection failed, or broke off.
     Broken,
+    /// Nobody listens at the server's address.
+    Refused,
     /// Nothing came in time.
     Silent,
     /// As many connections are open to the server as may be, and all are in use.
@@ -24,6 +26,8 @@
     pub cause: FailureCause,
     /// What happened.
     pub detail: String,
+    /// Whether it was sent over a connection that another host carries.
+    pub is_carried: bool,
 }
 
 impl fmt::Display for SendFailure {
@@ -40,6 +44,14 @@
         self.cause == FailureCause::Broken && self.verdict == RunVerdict::MayHaveRun
     }
 
+    /// Nothing of a request was sent, since no connection could be opened in time.
+    pub fn no_connection_in_time() -> Self {
+        Self {
+            cause: FailureCause::Silent,
+            ..not_sent("no connection in time")
+        }
+    }
+
     /// Nothing was sent: the server takes no new requests.
     pub fn withheld(detail: impl Into<String>) -> Self {
         Self {
@@ -54,15 +66,17 @@
             verdict: RunVerdict::MayHaveRun,
             cause: FailureCause::Silent,
             detail: "no answer in time".into(),
+            is_carried: false,
         }
     }
 }
 
 /// Nothing of a request was handed over.
-pub(super) fn not_sent(detail: impl Into<String>) -> SendFailure {
+pub fn not_sent(detail: impl Into<String>) -> SendFailure {
     SendFailure {
         verdict: RunVerdict::NotRun,
         cause: FailureCause::Broken,
         detail: detail.into(),
+        is_carried: false,
     }
 }
--- a/tests/fleet_sim/mod.rs
+++ b/tests/fleet_sim/mod.rs
@@ -101,6 +101,7 @@
                 peers: "127.0.0.1:9".parse().unwrap(),
                 // The first host of each zone is its head.
                 link_mbps: [300, 200, 200].get(index).copied().unwrap_or(20),
+                carrier_port: 0,
             });
         }
     }
--- a/tests/permit_sim/mod.rs
+++ b/tests/permit_sim/mod.rs
@@ -120,6 +120,7 @@
                 zone: zone(index),
                 peers: ([127, 0, 0, 1], index as u16).into(),
                 link_mbps: 0,
+                carrier_port: 0,
             },
             is_up: true,
             partition: 0,
--- a/tests/relay_history.rs
+++ b/tests/relay_history.rs
@@ -123,6 +123,7 @@
         zone: "z-a".into(),
         peers: "127.0.0.1:9".parse().unwrap(),
         link_mbps: 0,
+        carrier_port: 0,
         judged: Vec::new(),
     };
     let mut state = ClusterState::default();
--- a/tests/relay_news.rs
+++ b/tests/relay_news.rs
@@ -23,6 +23,7 @@
         zone: zone.into(),
         peers: "127.0.0.1:9".parse().unwrap(),
         link_mbps: 0,
+        carrier_port: 0,
     }
 }
 
--- a/tests/store_restores.rs
+++ b/tests/store_restores.rs
@@ -140,6 +140,7 @@
         zone: "z-a".into(),
         peers: "127.0.0.1:1".parse().expect("an address"),
         link_mbps,
+        carrier_port: 0,
         judged: Vec::new(),
     }
 }
