--- a/src/relay/carry/dialer.rs
+++ b/src/relay/carry/dialer.rs
@@ -29,6 +29,10 @@
 /// Number of hosts that have to find a server silent before no more are asked.
 const SILENT_HOSTS_MAX: usize = 3;
 
+/// Number of hosts that have to find that a server refuses connections. One of them may have lost its own links a moment
+/// ago.
+const REFUSED_HOSTS_MAX: usize = 2;
+
 impl RelayParts {
     /// Opens a connection to a server, by the ways that its links allow.
     pub(crate) async fn open_link(
@@ -107,7 +111,7 @@
         let mut candidates = self.carrier_candidates(backend).into_iter();
         let mut asked = FuturesUnordered::new();
         let mut last_failure = ConnectFailure::Unavailable("no host is known to help".into());
-        let mut silent_hosts = 0;
+        let (mut silent_hosts, mut refused_hosts) = (0, 0);
         loop {
             if silent_hosts < SILENT_HOSTS_MAX
                 && let Some(host) = candidates.next()
@@ -117,12 +121,15 @@
             let next = tokio::time::timeout(NEXT_HOST_DELAY, asked.next()).await;
             match next {
                 Ok(Some(Ok(opened))) => return Ok(opened),
-                Ok(Some(Err(ConnectFailure::ServerRefused))) => {
-                    return Err(ConnectFailure::ServerRefused);
-                }
                 Ok(Some(Err(failure))) => {
                     silent_hosts += usize::from(failure == ConnectFailure::ServerSilent);
-                    last_failure = failure;
+                    refused_hosts += usize::from(failure == ConnectFailure::ServerRefused);
+                    if refused_hosts == REFUSED_HOSTS_MAX {
+                        return Err(failure);
+                    }
+                    if last_failure != ConnectFailure::ServerRefused {
+                        last_failure = failure;
+                    }
                 }
                 Ok(None) => return Err(last_failure),
                 Err(_) => {}
@@ -176,13 +183,16 @@
         carriers.candidates(query, cluster.hosts(), self.now())
     }
 
-    /// Whether a server that refuses a direct connection refuses others, too. True if no other host can tell.
+    /// Whether a server that refuses a direct connection refuses others, too. If no other host can tell, it does unless
+    /// this host suspects its own links.
     pub(crate) async fn is_refused_elsewhere(&self, backend: &BackendInfo) -> bool {
         let asking = self.open_carried(backend);
         match tokio::time::timeout(CARRIED_TIMEOUT, asking).await {
-            Ok(Ok(_)) | Ok(Err(ConnectFailure::ServerSilent)) => false,
-            Ok(Err(_)) => true,
-            Err(_) => true,
+            Ok(Ok(_) | Err(ConnectFailure::ServerSilent)) => false,
+            Ok(Err(ConnectFailure::ServerRefused)) => true,
+            Ok(Err(ConnectFailure::NoLink | ConnectFailure::Unavailable(_))) | Err(_) => {
+                !self.links.borrow().suspects(&LinkGroup::of(backend))
+            }
         }
     }
 }
--- a/src/relay/carry/service.rs
+++ b/src/relay/carry/service.rs
@@ -13,7 +13,7 @@
             parts::shared::RelayParts,
             policy::link_tracker::{LinkGroup, OpenOrder},
         },
-        web::FailureCause,
+        web::{FailureCause, SendFailure},
     },
     bytes::Bytes,
     http::{Method, Request, Response, StatusCode},
@@ -190,28 +190,27 @@
     }
 
     async fn open(&self, backend: &BackendInfo) -> Result<TcpStream, StatusCode> {
-        let order = self
-            .parts
-            .links
-            .borrow()
-            .open_order(backend.key(), &LinkGroup::of(backend));
+        let group = LinkGroup::of(backend);
+        let order = self.parts.links.borrow().open_order(backend.key(), &group);
         if order == OpenOrder::CarriedFirst {
             return Err(responses::NO_LINK);
         }
         let opening = self.parts.open_direct(backend);
-        match tokio::time::timeout(SERVER_CONNECT_TIMEOUT, opening).await {
-            Ok(Ok(opened)) => Ok(opened.stream),
-            Ok(Err(failure)) if failure.cause == FailureCause::Refused => {
-                Err(responses::SERVER_REFUSED)
-            }
-            Ok(Err(failure)) => {
-                log::debug!("{}: {failure}", backend.id);
-                Err(responses::SERVER_SILENT)
-            }
+        let failure = match tokio::time::timeout(SERVER_CONNECT_TIMEOUT, opening).await {
+            Ok(Ok(opened)) => return Ok(opened.stream),
+            Ok(Err(failure)) => failure,
             Err(_) => {
                 self.parts.record_link_failure(backend);
-                Err(responses::SERVER_SILENT)
+                SendFailure::no_connection_in_time()
             }
+        };
+        log::debug!("{}: {failure}", backend.id);
+        let now = self.parts.now();
+        let is_credible = self.parts.links.borrow().vouches(&group, now);
+        match failure.cause {
+            _ if !is_credible => Err(responses::NO_LINK),
+            FailureCause::Refused => Err(responses::SERVER_REFUSED),
+            _ => Err(responses::SERVER_SILENT),
         }
     }
 
--- a/src/relay/policy/link_tracker.rs
+++ b/src/relay/policy/link_tracker.rs
@@ -44,6 +44,9 @@
 /// Maximum number of additional successful tests before a flapping link is used again.
 const FLAPS_MAX: u32 = 2;
 
+/// Time after a direct answer of any server for which a host's word about other servers counts.
+const VOUCH_TIME: Duration = Duration::from_secs(1);
+
 /// Servers that tend to become unreachable together.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct LinkGroup {
@@ -333,6 +336,14 @@
         self.failing >= SUSPICIOUS_SERVERS && (is_failing || is_silent)
     }
 
+    /// Whether a failure to reach a server of a group says something about the server: this host does not suspect its
+    /// links, and some server has just answered it.
+    pub fn vouches(&self, group: &LinkGroup, now: Duration) -> bool {
+        let answered = self.answered_at;
+        let is_recent = answered.is_some_and(|at| now.saturating_sub(at) < VOUCH_TIME);
+        is_recent && !self.suspects(group)
+    }
+
     /// The servers that have failed since their group last answered, and since when; empty if there are too few of them
     /// to suspect this host's own links.
     pub fn suspicious(&self) -> Vec<(EngineKey, Duration)> {
