The choice of a host that carries connections looks at a few hosts; trace joins both hosts' lines

An asking host is found by its name. trace shows the helping host's line of the connection with the request's.

--- a/src/capacity/fleet_model.rs
+++ b/src/capacity/fleet_model.rs
@@ -140,7 +140,7 @@
         zone: zone(index % zones),
         peers: address(index),
         link_mbps: if is_strong { STRONG_LINK } else { WEAK_LINK },
-        carrier_port: 0,
+        carrier_port: 7_380,
         judged: Vec::new(),
     }
 }
--- a/src/capacity/mechanisms.rs
+++ b/src/capacity/mechanisms.rs
@@ -9,14 +9,17 @@
         engine::EngineRole,
         news_capnp::cluster_news,
         relay::{
-            self, BackendInfo, ClusterNews, ClusterState, EngineKey, EngineLoad, KindNews,
-            LoadAggregator, LoadReport, LoadReporter, PART_ENTRIES_MAX, PlaceAllocator,
-            PlaceMessage, PlaceRequest, SendConstraints, SourceSelector, SourceSettings,
-            StoreChange,
+            self, BackendInfo, CarrierFailure, CarrierQuery, CarrierTable, ClusterNews,
+            ClusterState, EngineKey, EngineLoad, KindNews, LinkGroup, LoadAggregator, LoadReport,
+            LoadReporter, PART_ENTRIES_MAX, PlaceAllocator, PlaceMessage, PlaceRequest,
+            SendConstraints, SourceSelector, SourceSettings, StoreChange,
         },
         store::StorePosition,
     },
-    std::time::{Duration, Instant},
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
 };
 
 /// Number of servers in the changes that are measured.
@@ -26,7 +29,7 @@
 const BUSY_ENGINES: usize = 5;
 
 /// All mechanisms.
-pub const MECHANISMS: [HostMechanism; 11] = [
+pub const MECHANISMS: [HostMechanism; 12] = [
     HostMechanism {
         name: "subset of engines",
         trigger: CostTrigger::ServerChange,
@@ -67,6 +70,11 @@
         trigger: CostTrigger::Request,
         measure: lease_place,
     },
+    HostMechanism {
+        name: "host that carries a connection",
+        trigger: CostTrigger::Request,
+        measure: choose_carrier,
+    },
     HostMechanism {
         name: "sum of a zone's reports",
         trigger: CostTrigger::Report,
@@ -293,6 +301,34 @@
     }
 }
 
+// Two thirds of the hosts that are asked have lost their links as well; the cost is that of a further connection.
+fn choose_carrier(model: &FleetModel) -> MechanismCost {
+    let own = model.own();
+    let regions = BTreeMap::new();
+    let backend = &model.servers[0];
+    let query = CarrierQuery {
+        host: &own.name,
+        zone: &own.zone,
+        regions: &regions,
+        backend,
+    };
+    let mut table = CarrierTable::default();
+    let mut choose = || table.candidates(query, model.hosts.iter(), model.position(), MODEL_NOW);
+    let candidates = choose();
+    for host in candidates.iter().take(candidates.len() * 2 / 3) {
+        let failure = CarrierFailure::NoLink(LinkGroup::of(backend));
+        table.record_failure(&host.name, failure, MODEL_NOW);
+    }
+    let before = table.visited();
+    let hosts = model.hosts.iter();
+    let (_, time) = timed(|| table.candidates(query, hosts, model.position(), MODEL_NOW));
+    MechanismCost {
+        visited: table.visited() - before,
+        time,
+        ..MechanismCost::default()
+    }
+}
+
 // All hosts of the zone report twice; the cost is that of one report of the second round.
 fn sum_reports(model: &FleetModel) -> MechanismCost {
     let engines = model.servers.iter();
--- a/src/cli/trace.rs
+++ b/src/cli/trace.rs
@@ -7,6 +7,10 @@
     std::io::{self, BufRead},
 };
 
+// The field by which two hosts name a connection that one carries for the other, and the line of the one that does.
+const CONNECTION: &str = "connection=";
+const CARRIED_LINE: &str = "name=connection-carried";
+
 /// Runs the command.
 pub fn run(mut arguments: Arguments) -> CommandResult {
     let id: Option<String> = arguments.opt_free_from_str()?;
@@ -28,12 +32,26 @@
     Ok(())
 }
 
-/// The lines that speak of a request, by time.
+/// The lines that speak of a request, or of a connection that another host carried for it, by time.
 pub fn request_story<'a>(id: &str, lines: impl Iterator<Item = &'a str>) -> Vec<&'a str> {
     let field = format!("request={id}");
-    let mut story: Vec<&str> = lines
-        .filter(|line| line.split_whitespace().any(|word| word == field))
+    let speaks_of = |line: &str, field: &str| line.split_whitespace().any(|word| word == field);
+    let lines: Vec<&str> = lines.collect();
+    let own: Vec<&str> = lines
+        .iter()
+        .copied()
+        .filter(|line| speaks_of(line, &field))
+        .collect();
+    let connections = own.iter().filter_map(|line| field_of(line, CONNECTION));
+    let connections: Vec<String> = connections
+        .map(|name| format!("{CONNECTION}{name}"))
         .collect();
+    let mut story = lines;
+    story.retain(|line| {
+        let is_carried = speaks_of(line, CARRIED_LINE);
+        let mut connections = connections.iter();
+        speaks_of(line, &field) || is_carried && connections.any(|name| speaks_of(line, name))
+    });
     story.sort_by_key(|line| field_of(line, "time="));
     story
 }
--- a/src/relay/carry/connect.rs
+++ b/src/relay/carry/connect.rs
@@ -20,6 +20,9 @@
 /// Header with the id of the server that a host asks to be connected to.
 pub(super) const SERVER_HEADER: HeaderName = HeaderName::from_static("bayplank-server");
 
+/// Header with the name of the asking host.
+pub(super) const HOST_HEADER: HeaderName = HeaderName::from_static("bayplank-host");
+
 /// The responses to a request for a connection other than success.
 pub(super) mod responses {
     use http::StatusCode;
@@ -69,17 +72,26 @@
     ConnectFailure::Unavailable(error.to_string())
 }
 
-/// Opens a connection to a server through the host at `carrier`. It comes from `own`, by which that host recognises this
-/// one.
+/// The asking host, by which the other one recognises it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct AskingHost<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// The address at which other hosts know it, and from which it connects.
+    pub address: IpAddr,
+}
+
+/// Opens a connection to a server through the host at `carrier`.
 pub(super) async fn connect_through(
     carrier: SocketAddr,
-    own: IpAddr,
+    own: AskingHost<'_>,
     backend: &BackendInfo,
 ) -> Result<TcpStream, ConnectFailure> {
-    let mut sender = open_host(carrier, own).await.map_err(unavailable)?;
+    let mut sender = open_host(carrier, own.address).await.map_err(unavailable)?;
     let request = Request::builder()
         .method(Method::CONNECT)
         .uri(backend.address.to_string())
+        .header(HOST_HEADER, own.name)
         .header(SERVER_HEADER, backend.id.as_str())
         .body(Empty::new())
         .map_err(unavailable)?;
@@ -96,10 +108,13 @@
 }
 
 /// Asks whether the host at `carrier` still carries connections.
-pub(super) async fn is_available(carrier: SocketAddr, own: IpAddr) -> bool {
+pub(super) async fn is_available(carrier: SocketAddr, own: AskingHost<'_>) -> bool {
     let asking = async {
-        let mut sender = open_host(carrier, own).await?;
-        let request = Request::new(Empty::new());
+        let mut sender = open_host(carrier, own.address).await?;
+        let request = Request::builder()
+            .header(HOST_HEADER, own.name)
+            .body(Empty::new())
+            .map_err(io::Error::other)?;
         let response = sender
             .send_request(request)
             .await
--- a/src/relay/carry/dialer.rs
+++ b/src/relay/carry/dialer.rs
@@ -1,7 +1,7 @@
 //! Opens connections to backend servers, directly or through another host, and records which way works.
 
 use {
-    super::connect::{self, ConnectFailure},
+    super::connect::{self, AskingHost, ConnectFailure},
     crate::{
         relay::{
             backend::BackendInfo,
@@ -142,8 +142,7 @@
         host: CarrierHost,
         backend: &BackendInfo,
     ) -> Result<OpenedStream, ConnectFailure> {
-        let own = self.settings.peers.ip();
-        let stream = connect::connect_through(host.address, own, backend).await;
+        let stream = connect::connect_through(host.address, self.asking_host(), backend).await;
         let group = LinkGroup::of(backend);
         let now = self.now();
         let mut carriers = self.carriers.borrow_mut();
@@ -171,6 +170,14 @@
         })
     }
 
+    /// This host, as it asks others.
+    pub(super) fn asking_host(&self) -> AskingHost<'_> {
+        AskingHost {
+            name: &self.settings.name,
+            address: self.settings.peers.ip(),
+        }
+    }
+
     fn carrier_candidates(&self, backend: &BackendInfo) -> Vec<CarrierHost> {
         let query = CarrierQuery {
             host: &self.settings.name,
@@ -179,8 +186,9 @@
             backend,
         };
         let cluster = self.cluster.borrow();
-        let carriers = self.carriers.borrow();
-        carriers.candidates(query, cluster.hosts(), self.now())
+        let mut carriers = self.carriers.borrow_mut();
+        let position = cluster.hosts_position();
+        carriers.candidates(query, cluster.hosts(), position, self.now())
     }
 
     /// Whether a server that refuses a direct connection refuses others, too. If no other host can tell, it does unless
--- a/src/relay/carry/recheck.rs
+++ b/src/relay/carry/recheck.rs
@@ -44,9 +44,8 @@
     loop {
         tokio::time::sleep(CARRIER_CHECK_INTERVAL).await;
         parts.carriers.borrow_mut().evict(parts.now());
-        let own = parts.settings.peers.ip();
         for carrier in parts.pool.carriers() {
-            if connect::is_available(carrier.address, own).await {
+            if connect::is_available(carrier.address, parts.asking_host()).await {
                 continue;
             }
             parts.pool.retire_carrier(&carrier);
--- a/src/relay/carry/service.rs
+++ b/src/relay/carry/service.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        connect::{self, SERVER_HEADER, responses},
+        connect::{self, HOST_HEADER, SERVER_HEADER, responses},
         splice,
     },
     crate::{
@@ -147,7 +147,7 @@
         from: SocketAddr,
     ) -> CarrierResponse {
         let is_question = request.method() != Method::CONNECT;
-        if !self.knows_host(from) {
+        if !self.knows_host(&request, from) {
             return respond(responses::NOT_LISTED);
         }
         if self.parts.gate.is_stopping() || self.open.get() >= self.limit() {
@@ -176,9 +176,12 @@
     }
 
     // Only listed hosts may use this one as a way to servers.
-    fn knows_host(&self, from: SocketAddr) -> bool {
+    fn knows_host(&self, request: &Request<Incoming>, from: SocketAddr) -> bool {
+        let name = request.headers().get(HOST_HEADER);
+        let name = name.and_then(|name| name.to_str().ok()).unwrap_or_default();
         let cluster = self.parts.cluster.borrow();
-        cluster.hosts().any(|entry| entry.peers.ip() == from.ip())
+        let entry = cluster.host(name);
+        entry.is_some_and(|entry| entry.peers.ip() == from.ip())
     }
 
     fn listed_server(&self, request: &Request<Incoming>) -> Option<BackendInfo> {
--- a/src/relay/cluster/host_list.rs
+++ b/src/relay/cluster/host_list.rs
@@ -42,6 +42,11 @@
         self.known.values()
     }
 
+    /// The entry of a host, if it is known.
+    pub fn entry(&self, name: &str) -> Option<&HostEntry> {
+        self.known.get(name)
+    }
+
     /// Number of known hosts.
     pub fn count(&self) -> usize {
         self.known.len()
--- a/src/relay/cluster/state.rs
+++ b/src/relay/cluster/state.rs
@@ -462,6 +462,11 @@
         self.hosts.entries()
     }
 
+    /// The entry of a host, if it is known.
+    pub fn host(&self, name: &str) -> Option<&HostEntry> {
+        self.hosts.entry(name)
+    }
+
     /// Whether the store lists exactly this entry of a host.
     pub fn is_host_listed(&self, entry: &HostEntry) -> bool {
         self.hosts.is_listed(entry)
--- a/src/relay/policy/carrier_table.rs
+++ b/src/relay/policy/carrier_table.rs
@@ -5,7 +5,10 @@
 
 use {
     super::link_tracker::LinkGroup,
-    crate::relay::{backend::BackendInfo, link::HostEntry},
+    crate::{
+        relay::{backend::BackendInfo, link::HostEntry},
+        store::StorePosition,
+    },
     faststr::FastStr,
     std::{
         collections::{BTreeMap, HashMap},
@@ -67,10 +70,20 @@
 // A host, with the group of servers that it does not reach; none if it does not help at all.
 type SkipKey = (FastStr, Option<LinkGroup>);
 
-/// The hosts that could not help lately.
+// All hosts that may connect this one to the servers of a zone, best first, and the list of hosts that they are from.
+#[derive(Debug)]
+struct RankedHosts {
+    position: StorePosition,
+    hosts: Vec<CarrierHost>,
+}
+
+/// The hosts that may help, and those that could not lately.
 #[derive(Debug, Default)]
 pub struct CarrierTable {
     skipped: HashMap<SkipKey, SkippedHost>,
+    // By the zone of the servers; ranked again once the list of hosts has changed.
+    ranked: HashMap<FastStr, RankedHosts>,
+    visited: u64,
 }
 
 impl CarrierTable {
@@ -79,43 +92,31 @@
     ///
     /// All of them are in the server's region: what may reach the server may also pass through it there.
     pub fn candidates<'a>(
-        &self,
+        &mut self,
         query: CarrierQuery<'_>,
         hosts: impl Iterator<Item = &'a HostEntry>,
+        position: StorePosition,
         now: Duration,
     ) -> Vec<CarrierHost> {
-        let CarrierQuery { regions, .. } = query;
-        let group = LinkGroup::of(query.backend);
-        let region = regions.get(&query.backend.zone);
-        let seed = xxh3::xxh3_64(query.host.as_bytes());
-        let usable = hosts.filter(|entry| {
-            entry.carrier_port != 0
-                && entry.name != *query.host
-                && regions.get(&entry.zone) == region
-                && !self.is_skipped(&entry.name, &group, now)
-        });
-        let mut ranked: Vec<_> = usable
-            .map(|entry| {
-                let distance = match &entry.zone {
-                    zone if zone == query.zone => 0_u8,
-                    zone if *zone == query.backend.zone => 1,
-                    _ => 2,
-                };
-                let order = xxh3::xxh3_64_with_seed(entry.name.as_bytes(), seed);
-                (distance, order, entry)
-            })
-            .collect();
-        let key = |ranked: &(u8, u64, &HostEntry)| (ranked.0, ranked.1);
-        if ranked.len() > CANDIDATES_MAX {
-            ranked.select_nth_unstable_by_key(CANDIDATES_MAX, key);
-            ranked.truncate(CANDIDATES_MAX);
+        let zone = &query.backend.zone;
+        let ranked = self.ranked.get(zone);
+        if ranked.is_none_or(|ranked| ranked.position != position) {
+            let hosts = rank_hosts(query, hosts);
+            let ranked = RankedHosts { position, hosts };
+            self.ranked.insert(zone.clone(), ranked);
         }
-        ranked.sort_unstable_by_key(key);
-        let hosts = ranked.into_iter().map(|(_, _, entry)| CarrierHost {
-            name: entry.name.clone(),
-            address: SocketAddr::new(entry.peers.ip(), entry.carrier_port),
-        });
-        hosts.collect()
+        let group = LinkGroup::of(query.backend);
+        let mut visited = 0;
+        let hosts = self.ranked[zone].hosts.iter().inspect(|_| visited += 1);
+        let usable = hosts.filter(|host| !self.is_skipped(&host.name, &group, now));
+        let candidates = usable.take(CANDIDATES_MAX).cloned().collect();
+        self.visited += visited;
+        candidates
+    }
+
+    /// Number of hosts that choices have looked at so far, a measure of their cost.
+    pub fn visited(&self) -> u64 {
+        self.visited
     }
 
     fn is_skipped(&self, host: &FastStr, group: &LinkGroup, now: Duration) -> bool {
@@ -161,3 +162,33 @@
             .retain(|_, skipped| now < skipped.until + SKIP_MEMORY);
     }
 }
+
+fn rank_hosts<'a>(
+    query: CarrierQuery<'_>,
+    hosts: impl Iterator<Item = &'a HostEntry>,
+) -> Vec<CarrierHost> {
+    let region = query.regions.get(&query.backend.zone);
+    let seed = xxh3::xxh3_64(query.host.as_bytes());
+    let usable = hosts.filter(|entry| {
+        entry.carrier_port != 0
+            && entry.name != *query.host
+            && query.regions.get(&entry.zone) == region
+    });
+    let mut ranked: Vec<_> = usable
+        .map(|entry| {
+            let distance = match &entry.zone {
+                zone if zone == query.zone => 0_u8,
+                zone if *zone == query.backend.zone => 1,
+                _ => 2,
+            };
+            let order = xxh3::xxh3_64_with_seed(entry.name.as_bytes(), seed);
+            (distance, order, entry)
+        })
+        .collect();
+    ranked.sort_unstable_by_key(|(distance, order, _)| (*distance, *order));
+    let hosts = ranked.into_iter().map(|(_, _, entry)| CarrierHost {
+        name: entry.name.clone(),
+        address: SocketAddr::new(entry.peers.ip(), entry.carrier_port),
+    });
+    hosts.collect()
+}
--- a/tests/capacity.rs
+++ b/tests/capacity.rs
@@ -28,6 +28,7 @@
         "choice of engines",
         "sum of a zone's reports",
         "place at a contended server",
+        "host that carries a connection",
     ] {
         assert!(named[name].power < 0.1, "{}", named[name]);
     }
--- a/tests/carrier_choice.rs
+++ b/tests/carrier_choice.rs
@@ -7,8 +7,9 @@
 
 use {
     crate::backends::backend,
-    bayplank::relay::{
-        BackendInfo, CarrierFailure, CarrierQuery, CarrierTable, HostEntry, LinkGroup,
+    bayplank::{
+        relay::{BackendInfo, CarrierFailure, CarrierQuery, CarrierTable, HostEntry, LinkGroup},
+        store::StorePosition,
     },
     faststr::FastStr,
     std::{
@@ -17,6 +18,12 @@
     },
 };
 
+/// The position of the list of hosts, which stays the same.
+const POSITION: StorePosition = StorePosition {
+    era: 1,
+    revision: 1,
+};
+
 const ZONES: [&str; 7] = ["z-a", "z-b", "z-c", "z-d", "z-e", "z-f", "z-g"];
 
 fn entry(index: usize, zones: usize) -> HostEntry {
@@ -33,7 +40,7 @@
 }
 
 fn candidates(
-    table: &CarrierTable,
+    table: &mut CarrierTable,
     host: &HostEntry,
     fleet: &[HostEntry],
     server: &BackendInfo,
@@ -46,7 +53,7 @@
         regions: &regions,
         backend: server,
     };
-    let found = table.candidates(query, fleet.iter(), now);
+    let found = table.candidates(query, fleet.iter(), POSITION, now);
     found.into_iter().map(|carrier| carrier.name).collect()
 }
 
@@ -75,7 +82,7 @@
         let now = Duration::from_secs(5);
         let mut asked = 0;
         let helper = loop {
-            let known = candidates(&table, host, &fleet, &server, now);
+            let known = candidates(&mut table, host, &fleet, &server, now);
             assert!(!known.is_empty(), "{} finds nobody to ask", host.name);
             let helper = known.into_iter().find(|name| {
                 asked += 1;
@@ -144,7 +151,7 @@
         regions: &regions,
         backend: &server,
     };
-    let found = CarrierTable::default().candidates(query, fleet.iter(), Duration::ZERO);
+    let found = CarrierTable::default().candidates(query, fleet.iter(), POSITION, Duration::ZERO);
     let zone_of = |name: &FastStr| {
         let entry = fleet.iter().find(|entry| entry.name == *name);
         entry
@@ -165,12 +172,15 @@
     for _ in 0..6 {
         table.record_failure(&fleet[1].name, CarrierFailure::Unavailable, now);
         let failed = now;
-        while candidates(&table, &fleet[0], &fleet, &server, now).is_empty() {
+        while candidates(&mut table, &fleet[0], &fleet, &server, now).is_empty() {
             now += Duration::from_millis(500);
         }
         skips.push((now - failed).as_secs());
     }
     assert_eq!(skips, [1, 2, 4, 8, 8, 8]);
     table.record_success(&fleet[1].name, &LinkGroup::of(&server));
-    assert_eq!(candidates(&table, &fleet[0], &fleet, &server, now).len(), 1);
+    assert_eq!(
+        candidates(&mut table, &fleet[0], &fleet, &server, now).len(),
+        1
+    );
 }
