--- a/src/relay/carry/connect.rs
+++ b/src/relay/carry/connect.rs
@@ -1,7 +1,7 @@
 //! Asks another host to carry a connection to a backend server.
 
 use {
-    crate::relay::backend::BackendInfo,
+    crate::{relay::backend::BackendInfo, web},
     http::{HeaderName, Method, Request, StatusCode},
     http_body_util::Empty,
     hyper::{
@@ -14,7 +14,7 @@
         net::{IpAddr, SocketAddr},
         time::Duration,
     },
-    tokio::net::{TcpSocket, TcpStream},
+    tokio::net::TcpStream,
 };
 
 /// Header with the id of the server that a host asks to be connected to.
@@ -134,12 +134,8 @@
 type HostSender = SendRequest<Empty<&'static [u8]>>;
 
 async fn open_host(carrier: SocketAddr, own: IpAddr) -> io::Result<HostSender> {
-    let socket = match carrier {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.bind(SocketAddr::new(own, 0))?;
-    let stream = tokio::time::timeout(HOST_CONNECT_TIMEOUT, socket.connect(carrier)).await??;
+    let opening = web::connect_from(own, carrier);
+    let stream = tokio::time::timeout(HOST_CONNECT_TIMEOUT, opening).await??;
     stream.set_nodelay(true)?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(io::Error::other)?;
--- a/src/relay/carry/dialer.rs
+++ b/src/relay/carry/dialer.rs
@@ -192,14 +192,14 @@
     }
 
     /// Whether a server that refuses a direct connection refuses others, too. If no other host can tell, it does unless
-    /// this host suspects its own links.
+    /// this host is known to have lost links.
     pub(crate) async fn is_refused_elsewhere(&self, backend: &BackendInfo) -> bool {
         let asking = self.open_carried(backend);
         match tokio::time::timeout(CARRIED_TIMEOUT, asking).await {
             Ok(Ok(_) | Err(ConnectFailure::ServerSilent)) => false,
             Ok(Err(ConnectFailure::ServerRefused)) => true,
             Ok(Err(ConnectFailure::NoLink | ConnectFailure::Unavailable(_))) | Err(_) => {
-                !self.links.borrow().suspects(&LinkGroup::of(backend))
+                !self.has_lost_links()
             }
         }
     }
--- a/src/relay/carry/recheck.rs
+++ b/src/relay/carry/recheck.rs
@@ -4,7 +4,9 @@
     super::connect,
     crate::{
         event,
-        relay::{parts::shared::RelayParts, policy::link_tracker::ProbeVerdict},
+        relay::{
+            backend::BackendInfo, parts::shared::RelayParts, policy::link_tracker::ProbeVerdict,
+        },
     },
     std::{rc::Rc, time::Duration},
 };
@@ -12,6 +14,9 @@
 /// Interval between checks for links that are due for a test.
 const PROBE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time for which an accepted connection has to stay open.
+const CLOSE_TIME: Duration = Duration::from_millis(20);
+
 /// Interval between questions to each host that carries connections: one that is about to stop carries those in
 /// progress to their end, and takes no new ones.
 const CARRIER_CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -26,7 +31,7 @@
         let Some(backend) = backend else {
             continue;
         };
-        let is_open = parts.pool.open_direct(backend.address).await.is_ok();
+        let is_open = stays_open(&parts, &backend).await;
         let now = parts.now();
         let verdict = parts
             .links
@@ -39,6 +44,16 @@
     }
 }
 
+// Whether a server accepts a direct connection and does not close it at once.
+async fn stays_open(parts: &RelayParts, backend: &BackendInfo) -> bool {
+    let Ok(opened) = parts.pool.open_direct(backend.address).await else {
+        return false;
+    };
+    let mut byte = [0];
+    let reading = opened.stream.peek(&mut byte);
+    tokio::time::timeout(CLOSE_TIME, reading).await.is_err()
+}
+
 /// Asks the hosts that carry connections of this one whether they still do, for as long as the host runs.
 pub(crate) async fn check_carriers(parts: Rc<RelayParts>) {
     loop {
--- a/src/web/stream_opener.rs
+++ b/src/web/stream_opener.rs
@@ -2,8 +2,12 @@
 
 use {
     futures::{FutureExt, future::LocalBoxFuture},
-    std::{fmt, io, net::SocketAddr, rc::Rc},
-    tokio::net::TcpStream,
+    std::{
+        fmt, io,
+        net::{IpAddr, SocketAddr},
+        rc::Rc,
+    },
+    tokio::net::{TcpSocket, TcpStream},
 };
 
 type OpenStream = dyn Fn(SocketAddr) -> LocalBoxFuture<'static, io::Result<TcpStream>>;
@@ -20,12 +24,27 @@
         Self(Rc::new(open))
     }
 
+    /// Opens connections that come from an address of this host, by which servers and other hosts know it.
+    pub fn bound_to(own: IpAddr) -> Self {
+        Self::new(move |address| connect_from(own, address).boxed_local())
+    }
+
     /// Opens a connection to an address.
     pub async fn open(&self, address: SocketAddr) -> io::Result<TcpStream> {
         (self.0)(address).await
     }
 }
 
+/// Opens a connection from an address of this host.
+pub async fn connect_from(own: IpAddr, address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(own, 0))?;
+    socket.connect(address).await
+}
+
 impl Default for StreamOpener {
     fn default() -> Self {
         Self::new(|address| TcpStream::connect(address).boxed_local())
