One request at a time probes a server, also when its ejection ends meanwhile

What callers saw: at a host that reaches no server, three of twenty requests waited 0.3 s where one for each of two servers should (once in six runs of a_host_that_no_other_can_help_refuses_at_once, with a trace of both probes).

Cause: a probe sent during the ejection did not count once the ejection was over, so the next request probed beside it. Any request in flight that was sent since the server began to fail counts now. The new test of relay_reach failed before.

--- a/src/relay/policy/view.rs
+++ b/src/relay/policy/view.rs
@@ -134,10 +134,9 @@
         self.memory_tokens + self.prefill_tokens > 0 || self.is_ejected(now)
     }
 
-    /// Whether a request sent after the ejection expired probes the server: no other is sent until it responds.
+    /// Whether a request in flight probes a server that failed: no other is sent until it responds.
     pub fn is_probing(&self) -> bool {
-        let mut sent = self.calls.values();
-        self.failures >= FAILURES_TO_EJECT && sent.any(|sent| *sent >= self.ejected_until)
+        self.failures >= FAILURES_TO_EJECT && self.is_being_probed()
     }
 
     /// Whether a request in flight was sent since the server began to fail, and so probes whether it responds again.
--- a/tests/relay_reach.rs
+++ b/tests/relay_reach.rs
@@ -46,6 +46,22 @@
     assert_eq!(choose(&book, 13), PlainChoice::Send(first));
 }
 
+#[test]
+fn a_probe_that_outlasts_the_ejection_stays_the_only_one() {
+    let mut book = BackendRegistry::default();
+    book.set_backends(vec![backend("w-1", "z", None)]);
+    book.note_failure("w-1", BackendFailure::Silent, millis(0));
+    let choose = |book: &BackendRegistry, at| {
+        book.choose_plain("one", "z", &[], SendConstraints::default(), millis(at))
+    };
+    assert!(matches!(choose(&book, 450), PlainChoice::Send(_)));
+    let call = book.call_started("w-1", false, millis(450));
+    // The ejection ends 500 ms after the failure.
+    assert_eq!(choose(&book, 510), PlainChoice::Unreachable);
+    book.call_ended("w-1", call);
+    assert!(matches!(choose(&book, 520), PlainChoice::Send(_)));
+}
+
 #[test]
 fn few_requests_to_unreachable_servers_are_held() {
     // 100 requests a second for two seconds; each one that is sent times out after 0.3 s without a connection.
