--- a/src/relay/parts/links.rs
+++ b/src/relay/parts/links.rs
@@ -112,6 +112,9 @@
             .borrow_mut()
             .record_answer(backend.key(), &group, now);
         self.log_suspicion();
+        if !self.logged_losses.borrow().is_empty() {
+            self.update_lost_links();
+        }
     }
 
     fn record_carried_answer(&self, backend: &BackendInfo) {
@@ -158,6 +161,16 @@
         self.links.borrow().lost().next().is_some()
     }
 
+    /// Whether this host reaches some engines through other hosts only.
+    pub(crate) fn has_lost_engines(&self) -> bool {
+        let links = self.links.borrow();
+        let book = self.book.borrow();
+        let mut lost = links
+            .lost()
+            .filter_map(|(server, _)| book.listed_run(server));
+        lost.any(|backend| backend.role.is_some())
+    }
+
     /// Reports no ejections that may be due to this host's own links.
     pub(super) fn withhold_distrusted(&self, loads: &mut [EngineLoad]) {
         let links = self.links.borrow();
--- a/src/relay/roles/keeper.rs
+++ b/src/relay/roles/keeper.rs
@@ -95,7 +95,7 @@
         self.check_restores();
         let now = self.parts.now();
         // Another host, which reaches the engines, takes the lease over once it has expired.
-        if self.parts.has_lost_links() {
+        if self.parts.has_lost_engines() {
             self.unbalanced_since = None;
             return Ok(());
         }
--- a/tests/log.rs
+++ b/tests/log.rs
@@ -47,3 +47,19 @@
     assert_eq!(story.len(), 2);
     assert!(story[0].contains("prefill-failed"));
 }
+
+#[test]
+fn a_story_has_the_lines_of_the_host_that_carried_the_requests_connection() {
+    let log = "\
+time=3 name=connection-carried connection=10.0.0.1:5 backend=s-1
+time=1 name=request-carried request=r-1 backend=s-1 host=front-2 connection=10.0.0.1:5
+time=2 name=request-ended request=r-1 end=200
+time=4 name=connection-carried connection=10.0.0.1:6 backend=s-1
+time=5 name=request-ended request=r-2 end=200";
+    let story = cli::request_story("r-1", log.lines());
+    let times: Vec<&str> = story
+        .iter()
+        .filter_map(|line| line.split(' ').next())
+        .collect();
+    assert_eq!(times, ["time=1", "time=2", "time=3"]);
+}
