--- a/src/relay/policy/link_tracker.rs
+++ b/src/relay/policy/link_tracker.rs
@@ -200,18 +200,22 @@
         link.carried_failures = 0;
         let is_new = !was_lost && self.is_lost(server);
         if is_new {
-            let returned = self.returned_at.take();
-            let is_flap = returned.is_some_and(|at| now.saturating_sub(at) < FLAP_TIME);
-            match (is_flap, returned) {
-                (true, _) => self.flaps = (self.flaps + 1).min(FLAPS_MAX),
-                (false, Some(_)) => self.flaps = 0,
-                // One of several links that were lost at the same time.
-                (false, None) => {}
-            }
+            self.count_flap(now);
         }
         is_new
     }
 
+    // Of several links that are lost at the same time, the first one counts.
+    fn count_flap(&mut self, now: Duration) {
+        let Some(returned) = self.returned_at.take() else {
+            return;
+        };
+        self.flaps = match now.saturating_sub(returned) < FLAP_TIME {
+            true => (self.flaps + 1).min(FLAPS_MAX),
+            false => 0,
+        };
+    }
+
     /// Records that no other host reached a server, or that it gave no answer through one.
     pub fn record_carried_failure(&mut self, server: EngineKey, group: &LinkGroup, now: Duration) {
         let link = self.links.entry(server);
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -5,6 +5,7 @@
 mod client;
 mod headers;
 mod ingress;
+mod open_count;
 mod patience;
 mod pool;
 mod pool_target;
--- a/src/web/pool.rs
+++ b/src/web/pool.rs
@@ -7,6 +7,7 @@
 use {
     super::{
         carrier::{CarrierLink, CarrierSet, ConnectionCarrier, OpenedStream},
+        open_count::{OpenCount, OpenCounts},
         pool_target::{KeptUse, PoolLane, PoolTarget, PoolUse, UseCounts},
         send_failure::{FailureCause, SendFailure, not_sent},
         stream_opener::StreamOpener,
@@ -88,42 +89,6 @@
     }
 }
 
-type OpenCounts = Rc<RefCell<HashMap<SocketAddr, usize>>>;
-
-// A connection that is open or being opened, counted until dropped.
-struct OpenCount {
-    open: OpenCounts,
-    address: SocketAddr,
-}
-
-impl OpenCount {
-    // None where as many are open as may be.
-    fn begin(open: &OpenCounts, address: SocketAddr, limit: usize) -> Option<Self> {
-        let mut counts = open.borrow_mut();
-        let count = counts.entry(address).or_default();
-        if *count >= limit {
-            return None;
-        }
-        *count += 1;
-        Some(Self {
-            open: open.clone(),
-            address,
-        })
-    }
-}
-
-impl Drop for OpenCount {
-    fn drop(&mut self) {
-        let mut counts = self.open.borrow_mut();
-        if let Some(count) = counts.get_mut(&self.address) {
-            *count -= 1;
-            if *count == 0 {
-                counts.remove(&self.address);
-            }
-        }
-    }
-}
-
 type PoolKey = (SocketAddr, PoolLane);
 
 /// Connections by address and use.
