--- a/src/relay/news/targets.rs
+++ b/src/relay/news/targets.rs
@@ -6,8 +6,8 @@
     std::{cell::RefCell, collections::BTreeMap, time::Duration},
 };
 
-/// How long a host that did not answer is skipped. When it was tried again each time the next host had answered, every
-/// other exchange with a zone failed by timeout while the zone's first host was gone.
+/// How long a host that did not answer is skipped, also while others answer: trying it each time would let every other
+/// exchange with its zone time out.
 const SKIP_TIME: Duration = Duration::from_secs(2);
 
 /// Selects one host of each zone: the first in the order of candidates for the zone's head that has not just failed to
--- a/src/relay/policy/mod.rs
+++ b/src/relay/policy/mod.rs
@@ -20,6 +20,7 @@
 pub(crate) mod limit_tracker;
 pub(crate) mod limit_updates;
 pub(crate) mod link_tracker;
+mod listed_runs;
 pub(crate) mod loads;
 pub(crate) mod past_time;
 pub(crate) mod peer_loads;
--- a/src/relay/policy/registry.rs
+++ b/src/relay/policy/registry.rs
@@ -42,7 +42,7 @@
 
 /// Number of other hosts that must have ejected a backend server before this host avoids it too: a single one may
 /// just have lost its connection to the server.
-const PEER_EJECTIONS_TO_AVOID: u32 = 2;
+pub(super) const PEER_EJECTIONS_TO_AVOID: u32 = 2;
 
 /// Properties of an attempt that constrain the choice of its server.
 #[derive(Debug, Clone, Copy, Default)]
@@ -166,38 +166,6 @@
             .is_some_and(|view| view.info.born == backend.born)
     }
 
-    /// Whether a run of a server is listed.
-    pub fn is_listed(&self, run: EngineKey) -> bool {
-        self.index.by_key(run).is_some()
-    }
-
-    /// A listed run of a server.
-    pub fn listed_run(&self, run: EngineKey) -> Option<BackendInfo> {
-        let view = self.views.get(self.index.by_key(run)?)?;
-        Some(view.info.clone())
-    }
-
-    /// Number of these runs that enough other hosts have ejected.
-    pub fn passed_over(&self, runs: impl Iterator<Item = EngineKey>, now: Duration) -> usize {
-        if !self.has_peer_loads(now) {
-            return 0;
-        }
-        let views = runs
-            .filter_map(|run| self.index.by_key(run))
-            .filter_map(|id| self.views.get(id));
-        views
-            .filter(|view| view.peer_ejections >= PEER_EJECTIONS_TO_AVOID)
-            .count()
-    }
-
-    /// The listed servers among these runs.
-    pub fn listed(&self, runs: &BTreeSet<EngineKey>) -> Vec<BackendInfo> {
-        let ids = runs.iter().filter_map(|run| self.index.by_key(*run));
-        let listed: BTreeMap<&FastStr, &BackendView> =
-            ids.filter_map(|id| self.views.get_key_value(id)).collect();
-        listed.into_values().map(|view| view.info.clone()).collect()
-    }
-
     /// Whether the server has restarted since this run: a later one is listed under the same id.
     pub fn has_restarted(&self, backend: &BackendInfo) -> bool {
         self.view(&backend.id)
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -9,6 +9,7 @@
 mod patience;
 mod pool;
 mod pool_target;
+mod pooled_body;
 mod probe;
 mod reply;
 mod send_failure;
@@ -17,5 +18,5 @@
 
 pub use self::{
     body::*, carrier::*, client::*, headers::*, ingress::*, patience::*, pool::*, pool_target::*,
-    probe::*, reply::*, send_failure::*, server::*, stream_opener::*,
+    pooled_body::*, probe::*, reply::*, send_failure::*, server::*, stream_opener::*,
 };
--- a/src/web/pool.rs
+++ b/src/web/pool.rs
@@ -9,13 +9,14 @@
         carrier::{CarrierLink, CarrierSet, ConnectionCarrier, OpenedStream},
         open_count::{OpenCount, OpenCounts},
         pool_target::{KeptUse, PoolLane, PoolTarget, PoolUse, UseCounts},
+        pooled_body::PooledBody,
         send_failure::{FailureCause, SendFailure, not_sent},
         stream_opener::StreamOpener,
     },
     crate::{clock::HostClock, operation::RunVerdict},
     bytes::Bytes,
     http::{HeaderMap, Request, StatusCode, header},
-    http_body_util::{BodyExt, Full},
+    http_body_util::Full,
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
     socket2::SockRef,
@@ -59,8 +60,8 @@
     until: Duration,
 }
 
-// An open connection; dropping it closes the socket.
-struct PooledConnection {
+/// An open connection; dropping it closes the socket.
+pub(super) struct PooledConnection {
     sender: Sender,
     task: AbortHandle,
     // The host that carries it, if any.
@@ -89,7 +90,7 @@
     }
 }
 
-type PoolKey = (SocketAddr, PoolLane);
+pub(super) type PoolKey = (SocketAddr, PoolLane);
 
 /// Connections by address and use.
 pub struct ConnectionPool {
@@ -120,14 +121,6 @@
     pub carrier: Option<Rc<CarrierLink>>,
 }
 
-/// The body of an answer; the connection goes back to the pool once it was read to its end.
-pub struct PooledBody {
-    content: Incoming,
-    lease: Option<(PooledConnection, Duration)>,
-    pool: Rc<ConnectionPool>,
-    key: PoolKey,
-}
-
 impl ConnectionPool {
     /// A pool without connections; closes idle ones in time for as long as it lives.
     pub fn start(settings: PoolSettings, clock: HostClock) -> Rc<Self> {
@@ -396,16 +389,16 @@
             status: parts.status,
             headers: parts.headers,
             carrier: connection.carrier.clone(),
-            body: PooledBody {
-                content,
-                lease: Some((connection, idle)),
-                pool: self.clone(),
-                key,
-            },
+            body: PooledBody::new(content, (connection, idle), self.clone(), key),
         }
     }
 
-    fn give_back(self: &Rc<Self>, key: PoolKey, mut connection: PooledConnection, idle: Duration) {
+    pub(super) fn give_back(
+        self: &Rc<Self>,
+        key: PoolKey,
+        mut connection: PooledConnection,
+        idle: Duration,
+    ) {
         let pool = self.clone();
         tokio::task::spawn_local(async move {
             if connection.sender.ready().await.is_err() || !connection.is_usable() {
@@ -419,55 +412,6 @@
     }
 }
 
-impl PooledBody {
-    /// The next bytes; none at the body's end.
-    pub async fn chunk(&mut self) -> Option<Result<Bytes, hyper::Error>> {
-        loop {
-            match self.content.frame().await {
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(data) => return Some(Ok(data)),
-                    Err(_trailers) => continue,
-                },
-                Some(Err(error)) => {
-                    self.lease = None;
-                    return Some(Err(error));
-                }
-                None => {
-                    if let Some((connection, idle)) = self.lease.take() {
-                        self.pool.give_back(self.key, connection, idle);
-                    }
-                    return None;
-                }
-            }
-        }
-    }
-
-    /// Reads the whole body, of at most `limit` bytes.
-    pub async fn read(self, limit: usize) -> Result<Bytes, String> {
-        self.read_unless_silent(limit, Duration::MAX).await
-    }
-
-    /// The same, as long as some of it comes within each `silence`.
-    pub async fn read_unless_silent(
-        mut self,
-        limit: usize,
-        silence: Duration,
-    ) -> Result<Bytes, String> {
-        let mut whole = bytes::BytesMut::new();
-        loop {
-            let next = tokio::time::timeout(silence, self.chunk()).await;
-            let next = next.map_err(|_| "the answer falls silent".to_owned())?;
-            let Some(chunk) = next else { break };
-            let chunk = chunk.map_err(|error| error.to_string())?;
-            if whole.len() + chunk.len() > limit {
-                return Err(format!("the answer has more than {limit} bytes"));
-            }
-            whole.extend_from_slice(&chunk);
-        }
-        Ok(whole.freeze())
-    }
-}
-
 fn open_failure(error: io::Error) -> SendFailure {
     let cause = match error.kind() {
         io::ErrorKind::ConnectionRefused => FailureCause::Refused,
--- /dev/null
+++ b/src/web/pooled_body.rs
@@ -0,0 +1,81 @@
+//! Bodies of answers that come over pooled connections.
+
+use {
+    super::pool::{ConnectionPool, PoolKey, PooledConnection},
+    bytes::{Bytes, BytesMut},
+    http_body_util::BodyExt,
+    hyper::body::Incoming,
+    std::{rc::Rc, time::Duration},
+};
+
+/// The body of an answer; the connection goes back to the pool once it was read to its end.
+pub struct PooledBody {
+    content: Incoming,
+    lease: Option<(PooledConnection, Duration)>,
+    pool: Rc<ConnectionPool>,
+    key: PoolKey,
+}
+
+impl PooledBody {
+    /// The body of an answer that came over a connection, which may then be idle for a time.
+    pub(super) fn new(
+        content: Incoming,
+        lease: (PooledConnection, Duration),
+        pool: Rc<ConnectionPool>,
+        key: PoolKey,
+    ) -> Self {
+        Self {
+            content,
+            lease: Some(lease),
+            pool,
+            key,
+        }
+    }
+
+    /// The next bytes; none at the body's end.
+    pub async fn chunk(&mut self) -> Option<Result<Bytes, hyper::Error>> {
+        loop {
+            match self.content.frame().await {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => return Some(Ok(data)),
+                    Err(_trailers) => continue,
+                },
+                Some(Err(error)) => {
+                    self.lease = None;
+                    return Some(Err(error));
+                }
+                None => {
+                    if let Some((connection, idle)) = self.lease.take() {
+                        self.pool.give_back(self.key, connection, idle);
+                    }
+                    return None;
+                }
+            }
+        }
+    }
+
+    /// Reads the whole body, of at most `limit` bytes.
+    pub async fn read(self, limit: usize) -> Result<Bytes, String> {
+        self.read_unless_silent(limit, Duration::MAX).await
+    }
+
+    /// The same, as long as some of it comes within each `silence`.
+    pub async fn read_unless_silent(
+        mut self,
+        limit: usize,
+        silence: Duration,
+    ) -> Result<Bytes, String> {
+        let mut whole = BytesMut::new();
+        loop {
+            let next = tokio::time::timeout(silence, self.chunk()).await;
+            let next = next.map_err(|_| "the answer falls silent".to_owned())?;
+            let Some(chunk) = next else { break };
+            let chunk = chunk.map_err(|error| error.to_string())?;
+            if whole.len() + chunk.len() > limit {
+                return Err(format!("the answer has more than {limit} bytes"));
+            }
+            whole.extend_from_slice(&chunk);
+        }
+        Ok(whole.freeze())
+    }
+}
