Orders to engines are asserted to come from the host itself; what has no test is said

Change: a debug assertion where orders are sent; the page names what is decided before a connection is opened and so has no test of its own through two hops.

--- a/src/relay/parts/links.rs
+++ b/src/relay/parts/links.rs
@@ -32,7 +32,10 @@
         let target = self.pool_target(backend, purpose);
         if purpose == PoolUse::Order {
             let open = || self.open_direct(backend);
-            return self.pool.send_if(target, request, check, open).await;
+            let sent = self.pool.send_if(target, request, check, open).await;
+            let is_carried = sent.as_ref().is_ok_and(|answer| answer.carrier.is_some());
+            debug_assert!(!is_carried, "an order must come from the host itself");
+            return sent;
         }
         let open = || self.open_link(backend);
         let sent = self.pool.send_if(target, request, check, open).await;
