Log lines of requests say how a response was framed and what decided that it ended

In the incident a stream whose engine's run crashed has the line end=whole, like any other: nothing told whether its end was marked by a length, chunks or the connection, nor whether it ended inside an event. request-ended has framing= and ended_by=, the counter response_ends has both as labels. What is done at an end is as before. A response body is read in one place (ResponseBody), followed by ResponseProgress.

--- a/src/relay/parts/metric_labels.rs
+++ b/src/relay/parts/metric_labels.rs
@@ -68,6 +68,15 @@
     pub priority: u8,
 }
 
+/// Labels of metrics by the ends of backend servers' responses.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ResponseEndLabels {
+    /// How the response's end was marked.
+    pub framing: &'static str,
+    /// What decided that it ended.
+    pub cause: &'static str,
+}
+
 /// The reason for a call to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum StoreCause {
--- a/src/relay/parts/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -4,13 +4,13 @@
     super::{
         link_metrics::LinkMetrics,
         metric_labels::{
-            self, AccountLabels, CauseLabels, EndLabels, LimitEnd, RouteLabels, ServiceLabels,
-            StoreCause,
+            self, AccountLabels, CauseLabels, EndLabels, LimitEnd, ResponseEndLabels, RouteLabels,
+            ServiceLabels, StoreCause,
         },
         place_metrics::PlaceMetrics,
         priority_metrics::PriorityMetrics,
     },
-    crate::relay::config::RelayRoute,
+    crate::relay::{config::RelayRoute, policy::response_end::ResponseEnd},
     faststr::FastStr,
     prometheus_client::{
         encoding::text,
@@ -31,6 +31,7 @@
     account_requests: Family<AccountLabels, Counter>,
     account_units: Family<AccountLabels, Counter>,
     answers: Family<EndLabels, Counter>,
+    response_ends: Family<ResponseEndLabels, Counter>,
     head_time: RouteHistogram,
     reserve_time: RouteHistogram,
     prefill_time: RouteHistogram,
@@ -129,6 +130,7 @@
             account_requests: Family::default(),
             account_units: Family::default(),
             answers: Family::default(),
+            response_ends: Family::default(),
             head_time: Family::new_with_constructor(time_buckets),
             reserve_time: Family::new_with_constructor(time_buckets),
             prefill_time: Family::new_with_constructor(time_buckets),
@@ -188,6 +190,11 @@
             "Answers by route and status",
             self.answers.clone(),
         );
+        r.register(
+            "response_ends",
+            "Responses of backend servers by how their end was marked and what decided that they ended",
+            self.response_ends.clone(),
+        );
         r.register(
             "account_requests",
             "Requests by account and what became of them at its limit",
@@ -479,6 +486,15 @@
         }
     }
 
+    /// Counts a response of a backend server that ended.
+    pub fn response_ended(&self, end: ResponseEnd) {
+        let labels = ResponseEndLabels {
+            framing: end.framing.as_str(),
+            cause: end.cause.as_str(),
+        };
+        self.response_ends.get_or_create(&labels).inc();
+    }
+
     /// Records the wait for the reservation of an engine's memory.
     pub fn reserved(&self, route: &RelayRoute, wait: Duration) {
         self.observe(&self.reserve_time, route, wait);
--- a/src/relay/policy/mod.rs
+++ b/src/relay/policy/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) mod decode_exclusions;
 pub(crate) mod digest;
 mod engines;
+pub(crate) mod event_scanner;
 pub(crate) mod findings_cache;
 pub(crate) mod limit_tracker;
 pub(crate) mod limit_updates;
@@ -30,6 +31,8 @@
 pub(crate) mod prompt_cache;
 pub(crate) mod regions;
 pub(crate) mod registry;
+pub(crate) mod response_end;
+pub(crate) mod response_progress;
 pub(crate) mod rotation;
 pub(crate) mod route;
 mod server_index;
@@ -45,8 +48,9 @@
 pub use self::{
     availability::*, budget::*, caller_timeouts::*, carrier_table::*, changes::*, cold_limit::*,
     crash_record::*, crash_report::*, crash_tracker::*, decode_exclusions::*, digest::*,
-    findings_cache::*, limit_tracker::*, limit_updates::*, link_tracker::*, loads::*, past_time::*,
-    permit_allocator::*, permit_owners::*, priority_loads::*, prompt_cache::*, regions::*,
-    registry::*, rotation::*, route::*, server_limit::*, server_signals::*, shared_findings::*,
-    source::*, split::*, store_backoff::*, subset::*, view::*,
+    event_scanner::*, findings_cache::*, limit_tracker::*, limit_updates::*, link_tracker::*,
+    loads::*, past_time::*, permit_allocator::*, permit_owners::*, priority_loads::*,
+    prompt_cache::*, regions::*, registry::*, response_end::*, response_progress::*, rotation::*,
+    route::*, server_limit::*, server_signals::*, shared_findings::*, source::*, split::*,
+    store_backoff::*, subset::*, view::*,
 };
--- /dev/null
+++ b/src/relay/policy/response_progress.rs
@@ -0,0 +1,93 @@
+//! Judges whether a backend server's response has ended, and whether all of it came.
+
+use {
+    super::{
+        event_scanner::EventScanner,
+        response_end::{BodyEnd, EndCause, ResponseEnd},
+    },
+    crate::web::BodyFraming,
+};
+
+/// What the head of a response tells about its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ResponseHead {
+    /// How the end of the body is marked.
+    pub framing: BodyFraming,
+    /// Whether the body is a stream of server-sent events.
+    pub is_event_stream: bool,
+    /// Whether it continues a stream of which the client has events.
+    pub is_continued: bool,
+}
+
+/// Follows the body of a response. It is going on until its end is reported; what the end means depends on the framing
+/// and, in an event stream, on the position:
+///
+/// | framing | body | regular end | connection lost | deadline | silence |
+/// | --- | --- | --- | --- | --- | --- |
+/// | length, chunks | no event stream | complete | broken off | broken off | going on |
+/// | length, chunks | between two events, before the first one | complete | broken off | broken off | going on |
+/// | length, chunks | inside an event | broken off | broken off | broken off | going on |
+/// | connection | no event stream | complete | broken off | broken off | going on |
+/// | connection | between two events | complete | broken off | broken off | going on |
+/// | connection | before the first event | broken off | broken off | broken off | going on |
+/// | connection | inside an event | broken off | broken off | broken off | going on |
+///
+/// - A response whose end only the connection marks is broken off by a reset, even after a whole event: the reset is the
+///   only sign by which it differs from one that is complete.
+/// - Before the first event, nothing but the end of the connection says that the response is complete, and a server
+///   that crashes ends it too. A response that continues a stream is between two events from its start.
+/// - An event ends with its blank line: after CR CR or CR LF CR it is whole, whether or not another LF follows.
+#[derive(Debug)]
+pub struct ResponseProgress {
+    head: ResponseHead,
+    scanner: EventScanner,
+}
+
+impl ResponseProgress {
+    /// A response of whose body nothing was read.
+    pub fn new(head: ResponseHead) -> Self {
+        let scanner = EventScanner::default();
+        Self { head, scanner }
+    }
+
+    /// Whether the body is a stream of server-sent events.
+    pub fn is_event_stream(&self) -> bool {
+        self.head.is_event_stream
+    }
+
+    /// Follows the next bytes of the body. Returns how many of them belong to whole events, if any do.
+    pub fn push(&mut self, bytes: &[u8]) -> Option<usize> {
+        match self.head.is_event_stream {
+            true => self.scanner.push(bytes),
+            false => None,
+        }
+    }
+
+    /// Judges the end of the body.
+    pub fn end(&self, end: BodyEnd) -> ResponseEnd {
+        let cause = match end {
+            BodyEnd::Lost => EndCause::ConnectionLost,
+            BodyEnd::TimeLimit => EndCause::TimeLimit,
+            BodyEnd::TooLarge => EndCause::TooLarge,
+            BodyEnd::Regular => self.regular_end(),
+        };
+        ResponseEnd {
+            framing: self.head.framing,
+            cause,
+        }
+    }
+
+    fn regular_end(&self) -> EndCause {
+        if self.scanner.is_inside_event() {
+            return EndCause::InsideEvent;
+        }
+        if self.head.framing != BodyFraming::Connection {
+            return EndCause::Framed;
+        }
+        let has_event = self.scanner.has_event() || self.head.is_continued;
+        match self.head.is_event_stream && !has_event {
+            true => EndCause::NoEvent,
+            false => EndCause::ConnectionEnd,
+        }
+    }
+}
--- a/src/relay/request/forward.rs
+++ b/src/relay/request/forward.rs
@@ -1,8 +1,14 @@
 //! Forwards a streamed response body to the client.
 
 use {
-    super::client_request::ClientRequest,
-    crate::web::{BrokenBody, PooledBody},
+    super::{
+        client_request::ClientRequest,
+        response_body::{BodyStep, ResponseBody},
+    },
+    crate::{
+        relay::policy::response_end::{EndCause, ResponseEnd},
+        web::BrokenBody,
+    },
     bytes::Bytes,
     futures::Stream,
     std::rc::Rc,
@@ -14,7 +20,7 @@
     /// A chunk is about to be forwarded.
     Chunk,
     /// Nothing follows.
-    End(StreamEnd),
+    End(ResponseEnd),
 }
 
 /// How a forwarded response body ended.
@@ -29,6 +35,18 @@
 }
 
 impl StreamEnd {
+    /// The end that a judged response counts as.
+    pub(super) fn of(end: ResponseEnd) -> Self {
+        match end.cause {
+            EndCause::ConnectionLost | EndCause::TooLarge => Self::Broken,
+            EndCause::TimeLimit => Self::TimeLimit,
+            EndCause::Framed
+            | EndCause::ConnectionEnd
+            | EndCause::InsideEvent
+            | EndCause::NoEvent => Self::Complete,
+        }
+    }
+
     /// The value in log events.
     pub(super) fn as_str(self) -> &'static str {
         match self {
@@ -42,7 +60,7 @@
 /// Forwards the chunks of a response body until it ends, its connection is lost or the request's deadline passes, and
 /// reports progress to `observe`. Keeps `state` until then.
 pub(super) fn forward_body<S: 'static>(
-    mut body: PooledBody,
+    mut body: ResponseBody,
     request: Rc<ClientRequest>,
     state: S,
     observe: impl Fn(&mut S, ForwardEvent) + 'static,
@@ -51,26 +69,21 @@
         // Moves all of `state` into the stream; fields that the block does not name would otherwise be dropped early.
         let mut state = state;
         loop {
-            match tokio::time::timeout(request.time_left(), body.chunk()).await {
-                Ok(Some(Ok(chunk))) => {
+            let next = tokio::time::timeout(request.time_left(), body.next()).await;
+            let stop = match next {
+                Ok(BodyStep::Chunk(bytes)) => {
                     observe(&mut state, ForwardEvent::Chunk);
-                    yield Ok(chunk);
-                }
-                Ok(None) => {
-                    observe(&mut state, ForwardEvent::End(StreamEnd::Complete));
-                    return;
-                }
-                Ok(Some(Err(error))) => {
-                    observe(&mut state, ForwardEvent::End(StreamEnd::Broken));
-                    yield Err(BrokenBody(format!("the connection to the backend server was lost: {error}")));
-                    return;
-                }
-                Err(_) => {
-                    observe(&mut state, ForwardEvent::End(StreamEnd::TimeLimit));
-                    yield Err(BrokenBody("the time limit was reached".into()));
-                    return;
+                    yield Ok(bytes);
+                    continue;
                 }
+                Ok(BodyStep::End(stop)) => stop,
+                Err(_) => body.stop_at_deadline(),
+            };
+            observe(&mut state, ForwardEvent::End(stop.end));
+            if StreamEnd::of(stop.end) != StreamEnd::Complete {
+                yield Err(BrokenBody(stop.to_string()));
             }
+            return;
         }
     }
 }
--- a/src/relay/request/mod.rs
+++ b/src/relay/request/mod.rs
@@ -13,6 +13,7 @@
 mod priority_wait;
 pub(crate) mod reserve;
 pub(crate) mod response;
+mod response_body;
 pub(crate) mod resume;
 pub(crate) mod seek;
 pub(crate) mod send;
--- a/src/relay/request/plain.rs
+++ b/src/relay/request/plain.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         client_request::ClientRequest,
-        forward::{self, ForwardEvent},
+        forward::{self, ForwardEvent, StreamEnd},
         guard::InFlightGuard,
         response::{self, RelayResponse},
         send::{self, PlainBody, PlainResponse, SendOutcome},
@@ -15,7 +15,11 @@
         relay::{
             backend::BackendInfo,
             parts::shared::RelayParts,
-            policy::{limit_tracker::PermitWait, view::BackendFailure},
+            policy::{
+                limit_tracker::PermitWait,
+                response_end::{self, ResponseEnd},
+                view::BackendFailure,
+            },
         },
         web,
     },
@@ -71,6 +75,8 @@
     // Each server tried and the outcome, for the log.
     attempt_log: String,
     fallback: Option<PlainResponse>,
+    // How the response that the client gets ended.
+    response_end: Option<ResponseEnd>,
     // Whether the end of the request was logged.
     is_end_logged: bool,
 }
@@ -109,6 +115,7 @@
         detail: "no backend server can take it".into(),
         attempt_log: String::new(),
         fallback: None,
+        response_end: None,
         is_end_logged: false,
     };
     let response = match relay.run().await {
@@ -118,23 +125,27 @@
             return Err(refusal);
         }
     };
-    if matches!(response.body, PlainBody::Full(_)) {
+    if let PlainBody::Full(_, end) = response.body {
+        relay.response_end = Some(end);
         relay.log_end(response.status.as_str());
     }
     let body = match response.body {
-        PlainBody::Full(body) => response::full_body(body),
+        PlainBody::Full(body, _) => response::full_body(body),
         PlainBody::Streaming(body, guard) => {
             let request = relay.request.clone();
             let observe = |state: &mut (PlainRelay, InFlightGuard), event: ForwardEvent| match event
             {
                 ForwardEvent::Chunk => {}
                 ForwardEvent::End(end) => {
+                    state.0.parts.metrics.response_ended(end);
+                    state.0.response_end = Some(end);
+                    let end = StreamEnd::of(end);
                     state.1.record_end(&state.0.request, end);
                     state.0.log_end(end.as_str());
                 }
             };
             response::streamed_body(forward::forward_body(
-                body,
+                *body,
                 request,
                 (relay, guard),
                 observe,
@@ -248,6 +259,7 @@
     fn log_end(&mut self, end: &str) {
         self.is_end_logged = true;
         let request = &self.request;
+        let (framing, ended_by) = response_end::log_values(self.response_end);
         event::emit(
             &event::REQUEST_ENDED,
             &[
@@ -256,6 +268,8 @@
                 ("account", &request.account_name()),
                 ("config", &request.config_version),
                 ("end", &end),
+                ("framing", &framing),
+                ("ended_by", &ended_by),
                 ("tried", &self.attempt_log),
                 ("ended_ms", &request.age().as_millis()),
             ],
@@ -285,7 +299,7 @@
                     .book
                     .borrow_mut()
                     .note_response(&backend.id, is_good);
-                if is_good && matches!(response.body, PlainBody::Full(_)) {
+                if is_good && matches!(response.body, PlainBody::Full(..)) {
                     self.parts.record_success(|| self.request.digest());
                 }
                 if is_good || !self.request.route.kind.is_repeatable() {
--- /dev/null
+++ b/src/relay/request/response_body.rs
@@ -0,0 +1,118 @@
+//! The body of a backend server's response to a client's request, followed to its end.
+
+use {
+    super::client_request::ClientRequest,
+    crate::{
+        relay::policy::{
+            response_end::{BodyEnd, ResponseEnd},
+            response_progress::{ResponseHead, ResponseProgress},
+        },
+        web::{PooledAnswer, PooledBody},
+    },
+    bytes::{Bytes, BytesMut},
+    http::{HeaderValue, header},
+    std::fmt,
+};
+
+/// What comes next of a response body.
+#[derive(Debug)]
+pub(super) enum BodyStep {
+    Chunk(Bytes),
+    /// Nothing follows.
+    End(BodyStop),
+}
+
+/// That nothing follows in a response body, and why.
+#[derive(Debug)]
+pub(super) struct BodyStop {
+    /// How the response ended.
+    pub(super) end: ResponseEnd,
+    // The error of the connection, if there was one.
+    error: Option<hyper::Error>,
+}
+
+impl fmt::Display for BodyStop {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the response ended by {}", self.end.cause.as_str())?;
+        match &self.error {
+            Some(error) => write!(f, ": {error}"),
+            None => Ok(()),
+        }
+    }
+}
+
+/// The body of a response; knows whether all of it came.
+pub(super) struct ResponseBody {
+    content: PooledBody,
+    progress: ResponseProgress,
+}
+
+impl ResponseBody {
+    /// The body of a response of which nothing was read. `is_continued`: whether it continues a stream of which the client
+    /// has events.
+    pub(super) fn new(request: &ClientRequest, response: PooledAnswer, is_continued: bool) -> Self {
+        let progress = ResponseProgress::new(ResponseHead {
+            framing: response.body.framing(),
+            is_event_stream: is_event_stream(request, &response),
+            is_continued,
+        });
+        let content = response.body;
+        Self { content, progress }
+    }
+
+    /// Waits for what comes next; nothing is lost if the wait is given up.
+    pub(super) async fn next(&mut self) -> BodyStep {
+        match self.content.chunk().await {
+            Some(Ok(bytes)) => {
+                self.progress.push(&bytes);
+                BodyStep::Chunk(bytes)
+            }
+            Some(Err(error)) => BodyStep::End(self.stop(BodyEnd::Lost, Some(error))),
+            None => BodyStep::End(self.stop(BodyEnd::Regular, None)),
+        }
+    }
+
+    /// Judges a body that is given up at the deadline.
+    pub(super) fn stop_at_deadline(&self) -> BodyStop {
+        self.stop(BodyEnd::TimeLimit, None)
+    }
+
+    fn stop(&self, end: BodyEnd, error: Option<hyper::Error>) -> BodyStop {
+        let end = self.progress.end(end);
+        BodyStop { end, error }
+    }
+
+    /// Reads the body to its end, or until it has more than `limit` bytes.
+    pub(super) async fn read(mut self, limit: usize) -> (Bytes, BodyStop) {
+        let mut whole = BytesMut::new();
+        loop {
+            match self.next().await {
+                BodyStep::Chunk(bytes) if whole.len() + bytes.len() > limit => {
+                    return (whole.freeze(), self.stop(BodyEnd::TooLarge, None));
+                }
+                BodyStep::Chunk(bytes) => whole.extend_from_slice(&bytes),
+                BodyStep::End(stop) => return (whole.freeze(), stop),
+            }
+        }
+    }
+}
+
+// A successful response on a streaming route is an event stream unless its head says something else.
+fn is_event_stream(request: &ClientRequest, response: &PooledAnswer) -> bool {
+    let headers = &response.headers;
+    let is_encoded = headers
+        .get(header::CONTENT_ENCODING)
+        .is_some_and(|coding| !coding.as_bytes().eq_ignore_ascii_case(b"identity"));
+    if is_encoded {
+        return false;
+    }
+    match headers.get(header::CONTENT_TYPE) {
+        Some(media) => is_event_media(media),
+        None => request.route.kind.is_stream() && response.status.is_success(),
+    }
+}
+
+fn is_event_media(media: &HeaderValue) -> bool {
+    let name = media.as_bytes().split(|byte| *byte == b';').next();
+    name.is_some_and(|name| name.trim_ascii().eq_ignore_ascii_case(b"text/event-stream"))
+}
--- a/src/relay/request/resume.rs
+++ b/src/relay/request/resume.rs
@@ -6,6 +6,7 @@
         event_splitter::EventSplitter,
         forward::StreamEnd,
         reserve::{self, MemoryReservation},
+        response_body::{BodyStep, BodyStop},
         stream::{DecodeStream, StreamRelay},
     },
     crate::web::BrokenBody,
@@ -27,14 +28,9 @@
 /// The next step of a running stream.
 enum StreamStep {
     Chunk(Bytes),
-    /// The stream ended regularly.
-    End,
-    /// The connection was lost.
-    Broken(String),
+    Stop(BodyStop),
     /// No data arrived, and memory is reserved at an engine to continue at.
     Stalled(Box<MemoryReservation>),
-    /// The deadline has passed.
-    TimeLimit,
 }
 
 /// Forwards whole events as they arrive. Resumes the stream at another engine if its connection is lost or it stalls.
@@ -53,22 +49,28 @@
                     }
                     continue;
                 }
-                StreamStep::End => {
-                    if let Some(rest) = splitter.take_rest() {
-                        yield Ok(rest);
+                StreamStep::Stop(stop) => {
+                    relay.note_response_end(stop.end);
+                    let end = StreamEnd::of(stop.end);
+                    match end {
+                        StreamEnd::Complete => {
+                            if let Some(rest) = splitter.take_rest() {
+                                yield Ok(rest);
+                            }
+                            relay.record_end(&running.guards.guard, end);
+                            relay.log_end(end.as_str());
+                            return;
+                        }
+                        StreamEnd::TimeLimit => {
+                            relay.log_end(end.as_str());
+                            yield Err(BrokenBody(stop.to_string()));
+                            return;
+                        }
+                        StreamEnd::Broken => {
+                            running.guards.guard.await_end_check(&relay.request).await;
+                            (stop.to_string(), None)
+                        }
                     }
-                    relay.record_end(&running.guards.guard, StreamEnd::Complete);
-                    relay.log_end("whole");
-                    return;
-                }
-                StreamStep::TimeLimit => {
-                    relay.log_end("time-limit");
-                    yield Err(BrokenBody("the time limit was reached".into()));
-                    return;
-                }
-                StreamStep::Broken(why) => {
-                    running.guards.guard.await_end_check(&relay.request).await;
-                    (why, None)
                 }
                 StreamStep::Stalled(reservation) => {
                     ("the engine stopped sending events".to_owned(), Some(*reservation))
@@ -99,7 +101,7 @@
 // budget allows it.
 async fn next_step(relay: &mut StreamRelay, running: &mut DecodeStream) -> StreamStep {
     let timeout = STALL_TIMEOUT.min(relay.request.time_left());
-    if let Ok(next) = tokio::time::timeout(timeout, running.body.chunk()).await {
+    if let Ok(next) = tokio::time::timeout(timeout, running.body.next()).await {
         return stream_step(next);
     }
     while !relay.request.time_left().is_zero() {
@@ -113,7 +115,7 @@
         );
         tokio::select! {
             biased;
-            next = running.body.chunk() => return stream_step(next),
+            next = running.body.next() => return stream_step(next),
             reserved = reserving => match reserved {
                 Ok(reservation) if relay.count_retry() => return StreamStep::Stalled(Box::new(reservation)),
                 Ok(_) => tokio::time::sleep(RETRY_DELAY).await,
@@ -125,15 +127,12 @@
             }
         }
     }
-    StreamStep::TimeLimit
+    StreamStep::Stop(running.body.stop_at_deadline())
 }
 
-fn stream_step(next: Option<Result<Bytes, hyper::Error>>) -> StreamStep {
+fn stream_step(next: BodyStep) -> StreamStep {
     match next {
-        Some(Ok(chunk)) => StreamStep::Chunk(chunk),
-        None => StreamStep::End,
-        Some(Err(error)) => {
-            StreamStep::Broken(format!("the connection to the engine was lost: {error}"))
-        }
+        BodyStep::Chunk(bytes) => StreamStep::Chunk(bytes),
+        BodyStep::End(stop) => StreamStep::Stop(stop),
     }
 }
--- a/src/relay/request/send.rs
+++ b/src/relay/request/send.rs
@@ -3,16 +3,18 @@
 use {
     super::{
         client_request::ClientRequest,
+        forward::StreamEnd,
         guard::{self, InFlightGuard},
+        response_body::ResponseBody,
     },
     crate::{
         operation::RunVerdict,
         relay::{
             backend::BackendInfo,
             parts::{places::HeldPlace, shared::RelayParts},
-            policy::view::BackendFailure,
+            policy::{response_end::ResponseEnd, view::BackendFailure},
         },
-        web::{PoolUse, PooledAnswer, PooledBody},
+        web::{PoolUse, PooledAnswer},
     },
     bytes::Bytes,
     http::{HeaderMap, StatusCode},
@@ -32,9 +34,9 @@
 /// The body of a plain response.
 pub(super) enum PlainBody {
     /// Fully buffered.
-    Full(Bytes),
+    Full(Bytes, ResponseEnd),
     /// Forwarded as it arrives; the request counts as in progress meanwhile.
-    Streaming(PooledBody, InFlightGuard),
+    Streaming(Box<ResponseBody>, InFlightGuard),
 }
 
 /// The outcome of one send.
@@ -94,10 +96,10 @@
         return SendOutcome::Lost(detail.into());
     }
     if request.route.kind.is_stream() && response.status.is_success() {
-        return SendOutcome::Responded(Box::new(streaming_response(response, guard)));
+        return SendOutcome::Responded(Box::new(streaming_response(request, response, guard)));
     }
     let is_full = guard::is_full(response.status, &marks);
-    let outcome = match read_full(parts, backend, response, marks.not_run).await {
+    let outcome = match read_full(parts, request, backend, response, marks.not_run).await {
         SendOutcome::Declined(detail) if is_full => SendOutcome::Full(detail),
         outcome => outcome,
     };
@@ -107,28 +109,38 @@
     outcome
 }
 
-fn streaming_response(response: PooledAnswer, guard: InFlightGuard) -> PlainResponse {
+fn streaming_response(
+    request: &ClientRequest,
+    response: PooledAnswer,
+    guard: InFlightGuard,
+) -> PlainResponse {
+    let is_continued = request.marks.last_event.is_some();
     PlainResponse {
         status: response.status,
-        headers: response.headers,
-        body: PlainBody::Streaming(response.body, guard),
+        headers: response.headers.clone(),
+        body: PlainBody::Streaming(
+            Box::new(ResponseBody::new(request, response, is_continued)),
+            guard,
+        ),
     }
 }
 
 async fn read_full(
     parts: &RelayParts,
+    request: &ClientRequest,
     backend: &BackendInfo,
     response: PooledAnswer,
     not_run: bool,
 ) -> SendOutcome {
-    let (status, headers) = (response.status, response.headers);
-    let body = match response.body.read(MAX_RESPONSE_BYTES).await {
-        Ok(body) => body,
-        Err(detail) => {
-            parts.record_failure(backend, BackendFailure::Broken, &detail);
-            return SendOutcome::Lost(format!("answer cut short: {detail}"));
-        }
-    };
+    let (status, headers) = (response.status, response.headers.clone());
+    let body = ResponseBody::new(request, response, false);
+    let (body, stop) = body.read(MAX_RESPONSE_BYTES).await;
+    parts.metrics.response_ended(stop.end);
+    if StreamEnd::of(stop.end) != StreamEnd::Complete {
+        let detail = stop.to_string();
+        parts.record_failure(backend, BackendFailure::Broken, &detail);
+        return SendOutcome::Lost(detail);
+    }
     if not_run {
         parts.record_decline(backend, status);
         let now = parts.now();
@@ -138,6 +150,6 @@
     SendOutcome::Responded(Box::new(PlainResponse {
         status,
         headers,
-        body: PlainBody::Full(body),
+        body: PlainBody::Full(body, stop.end),
     }))
 }
--- a/src/relay/request/stream.rs
+++ b/src/relay/request/stream.rs
@@ -13,6 +13,7 @@
         prefill::{self, PrefilledCache},
         reserve::{self, MemoryReservation},
         response::{self, RelayResponse},
+        response_body::ResponseBody,
         resume, seek, send_check,
         stream_log::StreamTimes,
     },
@@ -22,9 +23,8 @@
             config::RequestKind,
             dialect::DecodeParams,
             parts::shared::RelayParts,
-            policy::{prompt_cache::CachedAt, view::BackendFailure},
+            policy::{prompt_cache::CachedAt, response_end::ResponseEnd, view::BackendFailure},
         },
-        web::PooledBody,
     },
     faststr::FastStr,
     http::{HeaderMap, StatusCode},
@@ -59,7 +59,7 @@
 pub(super) struct DecodeStream {
     pub(super) status: StatusCode,
     headers: HeaderMap,
-    pub(super) body: PooledBody,
+    pub(super) body: ResponseBody,
     pub(super) guards: EngineGuards,
 }
 
@@ -123,6 +123,8 @@
     pub(super) event_gaps: EventGaps,
     // The decode engine of the last round.
     pub(super) decode_engine: FastStr,
+    // How the response of the last round ended.
+    pub(super) response_end: Option<ResponseEnd>,
     // Whether the end of the request was logged.
     pub(super) is_end_logged: bool,
 }
@@ -149,6 +151,7 @@
         times: StreamTimes::default(),
         event_gaps: EventGaps::default(),
         decode_engine: FastStr::default(),
+        response_end: None,
         is_end_logged: false,
     };
     let received_at = relay.request.received_at;
@@ -171,6 +174,8 @@
             {
                 ForwardEvent::Chunk => state.0.event_gaps.record(Instant::now()),
                 ForwardEvent::End(end) => {
+                    state.0.note_response_end(end);
+                    let end = StreamEnd::of(end);
                     state.0.record_end(&state.1.guard, end);
                     state.0.log_end(end.as_str());
                 }
@@ -250,6 +255,12 @@
         }
     }
 
+    /// Counts how the stream of an engine ended, and keeps it for the log.
+    pub(super) fn note_response_end(&mut self, end: ResponseEnd) {
+        self.parts.metrics.response_ended(end);
+        self.response_end = Some(end);
+    }
+
     fn with_verdict(&self, refusal: Refusal) -> Refusal {
         Refusal {
             verdict: refusal.verdict.max(self.verdict),
@@ -420,6 +431,7 @@
             reservation: reservation.use_up(),
             after_event: after,
         };
+        let is_continued = start.after_event.is_some() || self.request.marks.last_event.is_some();
         let guard = InFlightGuard::begin(
             &self.parts,
             &reservation.engine,
@@ -431,8 +443,8 @@
             .await?;
         Ok(DecodeStream {
             status: response.status,
-            headers: response.headers,
-            body: response.body,
+            headers: response.headers.clone(),
+            body: ResponseBody::new(&self.request, response, is_continued),
             guards: EngineGuards {
                 _memory: reservation,
                 guard,
--- a/src/relay/request/stream_log.rs
+++ b/src/relay/request/stream_log.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{prefill::PrefillFailure, stream::StreamRelay},
-    crate::event,
+    crate::{event, relay::policy::response_end},
     faststr::FastStr,
     std::time::Duration,
 };
@@ -45,6 +45,7 @@
         let held_back = request.held_back.get();
         let held_for = held_back.map(|held| held.for_priority.to_string());
         let held_until = held_back.map_or(0, |held| held.until.as_millis());
+        let (framing, ended_by) = response_end::log_values(self.response_end);
         let gap_limit = request.route.event_gap_target.unwrap_or_default();
         event::emit(
             &event::REQUEST_ENDED,
@@ -54,6 +55,8 @@
                 ("account", &request.account_name()),
                 ("config", &request.config_version),
                 ("end", &end),
+                ("framing", &framing),
+                ("ended_by", &ended_by),
                 ("engine", &self.decode_engine),
                 ("rounds", &self.rounds),
                 ("prompt_tokens", &request.marks.prompt_tokens),
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP plumbing that all parts share: ways to call, ways to serve, one way to read a body.
 
 mod body;
+mod body_framing;
 mod carrier;
 mod client;
 mod headers;
@@ -17,6 +18,7 @@
 mod stream_opener;
 
 pub use self::{
-    body::*, carrier::*, client::*, headers::*, ingress::*, patience::*, pool::*, pool_target::*,
-    pooled_body::*, probe::*, reply::*, send_failure::*, server::*, stream_opener::*,
+    body::*, body_framing::*, carrier::*, client::*, headers::*, ingress::*, patience::*, pool::*,
+    pool_target::*, pooled_body::*, probe::*, reply::*, send_failure::*, server::*,
+    stream_opener::*,
 };
--- a/src/web/pool.rs
+++ b/src/web/pool.rs
@@ -6,6 +6,7 @@
 
 use {
     super::{
+        body_framing::BodyFraming,
         carrier::{CarrierLink, CarrierSet, ConnectionCarrier, OpenedStream},
         open_count::{OpenCount, OpenCounts},
         pool_target::{KeptUse, PoolLane, PoolTarget, PoolUse, UseCounts},
@@ -385,11 +386,12 @@
     ) -> PooledAnswer {
         let (parts, content) = answer.into_parts();
         let idle = idle_time(&parts.headers);
+        let framing = BodyFraming::of(&parts.headers, &content);
         PooledAnswer {
             status: parts.status,
             headers: parts.headers,
             carrier: connection.carrier.clone(),
-            body: PooledBody::new(content, (connection, idle), self.clone(), key),
+            body: PooledBody::new(content, framing, (connection, idle), self.clone(), key),
         }
     }
 
--- a/src/web/pooled_body.rs
+++ b/src/web/pooled_body.rs
@@ -1,7 +1,10 @@
 //! Bodies of answers that come over pooled connections.
 
 use {
-    super::pool::{ConnectionPool, PoolKey, PooledConnection},
+    super::{
+        body_framing::BodyFraming,
+        pool::{ConnectionPool, PoolKey, PooledConnection},
+    },
     bytes::{Bytes, BytesMut},
     http_body_util::BodyExt,
     hyper::body::Incoming,
@@ -11,6 +14,7 @@
 /// The body of an answer; the connection goes back to the pool once it was read to its end.
 pub struct PooledBody {
     content: Incoming,
+    framing: BodyFraming,
     lease: Option<(PooledConnection, Duration)>,
     pool: Rc<ConnectionPool>,
     key: PoolKey,
@@ -20,18 +24,25 @@
     /// The body of an answer that came over a connection, which may then be idle for a time.
     pub(super) fn new(
         content: Incoming,
+        framing: BodyFraming,
         lease: (PooledConnection, Duration),
         pool: Rc<ConnectionPool>,
         key: PoolKey,
     ) -> Self {
         Self {
             content,
+            framing,
             lease: Some(lease),
             pool,
             key,
         }
     }
 
+    /// How its end is marked.
+    pub fn framing(&self) -> BodyFraming {
+        self.framing
+    }
+
     /// The next bytes; none at the body's end.
     pub async fn chunk(&mut self) -> Option<Result<Bytes, hyper::Error>> {
         loop {
