Resumable streams whose lines end with CR LF or CR are forwarded event by event

Callers of resumable routes got such a stream only at its end: the splitter knew LF LF alone as the end of an event. EventScanner knows the three line ends of server-sent events and comments, and follows each response once; the splitter goes by what it finds.

--- a/src/relay/request/event_splitter.rs
+++ b/src/relay/request/event_splitter.rs
@@ -1,10 +1,8 @@
-//! Splits a stream of server-sent events into whole events.
+//! Splits a stream of server-sent events into whole events, so that a stream that breaks off can be resumed after the last of
+//! them.
 
 use bytes::{Bytes, BytesMut};
 
-/// Terminates an event.
-const EVENT_END: &[u8] = b"\n\n";
-
 /// Starts the line with the id of an event.
 const ID_FIELD: &[u8] = b"id:";
 
@@ -16,15 +14,17 @@
 }
 
 impl EventSplitter {
-    /// Adds bytes and returns the events that are complete now, in one piece.
-    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
-        self.pending.extend_from_slice(bytes);
-        let end = rfind(&self.pending, EVENT_END)? + EVENT_END.len();
-        let whole = self.pending.split_to(end).freeze();
-        if let Some(id) = last_event_id(&whole) {
+    /// Adds bytes, of which the first `whole` belong to whole events, if any do. Returns the events that are complete now, in
+    /// one piece.
+    pub fn push(&mut self, bytes: &[u8], whole: Option<usize>) -> Option<Bytes> {
+        let (now, later) = bytes.split_at(whole.unwrap_or(0));
+        self.pending.extend_from_slice(now);
+        let events = whole.map(|_| self.pending.split().freeze());
+        self.pending.extend_from_slice(later);
+        if let Some(id) = events.as_deref().and_then(last_event_id) {
             self.last_id = Some(id);
         }
-        Some(whole)
+        events
     }
 
     /// Id of the last returned event.
@@ -32,12 +32,7 @@
         self.last_id.as_deref()
     }
 
-    /// Whether part of an event is buffered.
-    pub fn has_rest(&self) -> bool {
-        !self.pending.is_empty()
-    }
-
-    /// Discards the buffered part of an event, after the connection to its sender was lost.
+    /// Discards the buffered part of an event, after its sender broke off.
     pub fn drop_rest(&mut self) {
         self.pending.clear();
     }
@@ -49,13 +44,9 @@
     }
 }
 
-fn rfind(bytes: &[u8], wanted: &[u8]) -> Option<usize> {
-    bytes.windows(wanted.len()).rposition(|part| part == wanted)
-}
-
 fn last_event_id(events: &[u8]) -> Option<String> {
     let line = events
-        .split(|byte| *byte == b'\n')
+        .split(|byte| matches!(byte, b'\n' | b'\r'))
         .rev()
         .find(|line| line.starts_with(ID_FIELD))?;
     let id = String::from_utf8_lossy(&line[ID_FIELD.len()..]);
--- a/src/relay/request/forward.rs
+++ b/src/relay/request/forward.rs
@@ -71,7 +71,7 @@
         loop {
             let next = tokio::time::timeout(request.time_left(), body.next()).await;
             let stop = match next {
-                Ok(BodyStep::Chunk(bytes)) => {
+                Ok(BodyStep::Chunk(bytes, _)) => {
                     observe(&mut state, ForwardEvent::Chunk);
                     yield Ok(bytes);
                     continue;
--- a/src/relay/request/response_body.rs
+++ b/src/relay/request/response_body.rs
@@ -17,7 +17,8 @@
 /// What comes next of a response body.
 #[derive(Debug)]
 pub(super) enum BodyStep {
-    Chunk(Bytes),
+    /// Bytes, and how many of them belong to whole events, if any do.
+    Chunk(Bytes, Option<usize>),
     /// Nothing follows.
     End(BodyStop),
 }
@@ -64,8 +65,8 @@
     pub(super) async fn next(&mut self) -> BodyStep {
         match self.content.chunk().await {
             Some(Ok(bytes)) => {
-                self.progress.push(&bytes);
-                BodyStep::Chunk(bytes)
+                let whole = self.progress.push(&bytes);
+                BodyStep::Chunk(bytes, whole)
             }
             Some(Err(error)) => BodyStep::End(self.stop(BodyEnd::Lost, Some(error))),
             None => BodyStep::End(self.stop(BodyEnd::Regular, None)),
@@ -87,10 +88,10 @@
         let mut whole = BytesMut::new();
         loop {
             match self.next().await {
-                BodyStep::Chunk(bytes) if whole.len() + bytes.len() > limit => {
+                BodyStep::Chunk(bytes, _) if whole.len() + bytes.len() > limit => {
                     return (whole.freeze(), self.stop(BodyEnd::TooLarge, None));
                 }
-                BodyStep::Chunk(bytes) => whole.extend_from_slice(&bytes),
+                BodyStep::Chunk(bytes, _) => whole.extend_from_slice(&bytes),
                 BodyStep::End(stop) => return (whole.freeze(), stop),
             }
         }
--- a/src/relay/request/resume.rs
+++ b/src/relay/request/resume.rs
@@ -27,7 +27,7 @@
 
 /// The next step of a running stream.
 enum StreamStep {
-    Chunk(Bytes),
+    Chunk(Bytes, Option<usize>),
     Stop(BodyStop),
     /// No data arrived, and memory is reserved at an engine to continue at.
     Stalled(Box<MemoryReservation>),
@@ -42,8 +42,8 @@
         let mut splitter = EventSplitter::default();
         loop {
             let (cause, reservation) = match next_step(&mut relay, &mut running).await {
-                StreamStep::Chunk(chunk) => {
-                    if let Some(events) = splitter.push(&chunk) {
+                StreamStep::Chunk(bytes, whole) => {
+                    if let Some(events) = splitter.push(&bytes, whole) {
                         relay.event_gaps.record(Instant::now());
                         yield Ok(events);
                     }
@@ -132,7 +132,7 @@
 
 fn stream_step(next: BodyStep) -> StreamStep {
     match next {
-        BodyStep::Chunk(bytes) => StreamStep::Chunk(bytes),
+        BodyStep::Chunk(bytes, whole) => StreamStep::Chunk(bytes, whole),
         BodyStep::End(stop) => StreamStep::Stop(stop),
     }
 }
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -9,8 +9,9 @@
         operation::{Refusal, RefusalCode, RunVerdict},
         relay::{
             self, AllowedZones, BackendFailure, BackendRegistry, CallerLimits, ClusterState,
-            EventSplitter, QueueKey, RelayConfig, RelayRoute, RelayService, RequestKind,
-            RouteTable, ServiceShare, StoreChange, StoreItem, StoreKind, StoreValue, WaitQueue,
+            EventScanner, EventSplitter, QueueKey, RelayConfig, RelayRoute, RelayService,
+            RequestKind, RouteTable, ServiceShare, StoreChange, StoreItem, StoreKind, StoreValue,
+            WaitQueue,
         },
         store::StorePosition,
     },
@@ -303,12 +304,13 @@
         let text: String = (1..=9)
             .map(|id| format!("id: {id}\ndata: piece {id}\n\n"))
             .collect();
+        let mut scanner = EventScanner::default();
         let (mut splitter, mut given, mut rest) =
             (EventSplitter::default(), Vec::new(), text.as_bytes());
         for cut in cuts {
             let (now, later) = rest.split_at(rest.len().min(usize::from(*cut)));
             rest = later;
-            if let Some(events) = splitter.push(now) {
+            if let Some(events) = splitter.push(now, scanner.push(now)) {
                 assert!(events.ends_with(b"\n\n"));
                 given.extend_from_slice(&events);
                 let last = String::from_utf8_lossy(&given).matches("data:").count();
