What was broken off inside an event never looks complete

Callers got streams whose engine's run had crashed as complete: 200, the engine's receipt, an orderly last chunk, and a part of the answer.

Cause: each path took the regular end of a body for the end of the response. Where a response has neither a length nor chunks, the library reports a regular end whenever its connection ends, and an engine whose run crashed closes it in the regular way; the resumable path forwarded the rest of the broken event besides, and did not go on elsewhere. The request was also taken as proof that it is harmless.

Now ResponseProgress judges each end by framing, media type, position among the events and how the connection ended, for both paths of streams and for plain responses; none decides for itself. Inside an event, or before the first one where only the connection ends it, a response is broken off: its caller's body fails without a last chunk, a resumable stream goes on elsewhere after its last whole event, a repeatable plain one is sent again. Only a response that came whole counts as a success, as a service time and for its place; a broken one starts the check whether its server ended. A response of another media type on a resumable route is forwarded as it comes.

--- a/src/relay/policy/response_end.rs
+++ b/src/relay/policy/response_end.rs
@@ -69,4 +69,18 @@
     pub fn is_complete(self) -> bool {
         matches!(self.cause, EndCause::Framed | EndCause::ConnectionEnd)
     }
+
+    /// Whether its server broke it off, so that the server may have crashed.
+    pub fn is_broken(self) -> bool {
+        !self.is_complete() && self.cause != EndCause::TimeLimit
+    }
+
+    /// The end of the request in log events.
+    pub fn as_str(self) -> &'static str {
+        match self.cause {
+            EndCause::TimeLimit => "time-limit",
+            _ if self.is_complete() => "whole",
+            _ => "broken",
+        }
+    }
 }
--- a/src/relay/request/forward.rs
+++ b/src/relay/request/forward.rs
@@ -5,10 +5,7 @@
         client_request::ClientRequest,
         response_body::{BodyStep, ResponseBody},
     },
-    crate::{
-        relay::policy::response_end::{EndCause, ResponseEnd},
-        web::BrokenBody,
-    },
+    crate::{relay::policy::response_end::ResponseEnd, web::BrokenBody},
     bytes::Bytes,
     futures::Stream,
     std::rc::Rc,
@@ -23,42 +20,8 @@
     End(ResponseEnd),
 }
 
-/// How a forwarded response body ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum StreamEnd {
-    /// The backend server sent it completely.
-    Complete,
-    /// The connection to the backend server was lost.
-    Broken,
-    /// The deadline has passed.
-    TimeLimit,
-}
-
-impl StreamEnd {
-    /// The end that a judged response counts as.
-    pub(super) fn of(end: ResponseEnd) -> Self {
-        match end.cause {
-            EndCause::ConnectionLost | EndCause::TooLarge => Self::Broken,
-            EndCause::TimeLimit => Self::TimeLimit,
-            EndCause::Framed
-            | EndCause::ConnectionEnd
-            | EndCause::InsideEvent
-            | EndCause::NoEvent => Self::Complete,
-        }
-    }
-
-    /// The value in log events.
-    pub(super) fn as_str(self) -> &'static str {
-        match self {
-            Self::Complete => "whole",
-            Self::Broken => "broken",
-            Self::TimeLimit => "time-limit",
-        }
-    }
-}
-
-/// Forwards the chunks of a response body until it ends, its connection is lost or the request's deadline passes, and
-/// reports progress to `observe`. Keeps `state` until then.
+/// Forwards the chunks of a response body until it ends or the request's deadline passes, and reports progress to
+/// `observe`. Unless all of it came, the forwarded body fails. Keeps `state` until then.
 pub(super) fn forward_body<S: 'static>(
     mut body: ResponseBody,
     request: Rc<ClientRequest>,
@@ -80,7 +43,7 @@
                 Err(_) => body.stop_at_deadline(),
             };
             observe(&mut state, ForwardEvent::End(stop.end));
-            if StreamEnd::of(stop.end) != StreamEnd::Complete {
+            if !stop.end.is_complete() {
                 yield Err(BrokenBody(stop.to_string()));
             }
             return;
--- a/src/relay/request/guard.rs
+++ b/src/relay/request/guard.rs
@@ -1,7 +1,7 @@
 //! Counts the requests in progress at backend servers. When a connection is lost, checks whether the server ended.
 
 use {
-    super::{client_request::ClientRequest, forward::StreamEnd},
+    super::client_request::ClientRequest,
     crate::{
         event,
         relay::{
@@ -11,13 +11,14 @@
             parts::{places::HeldPlace, server_limits::AnswerKind, shared::RelayParts},
             policy::{
                 digest::RequestDigest,
+                response_end::ResponseEnd,
                 server_limit::LimitSignal,
                 server_signals::{BackoffSignal, LeavingSignal},
             },
         },
     },
     http::StatusCode,
-    std::{rc::Rc, time::Duration},
+    std::{cell::Cell, rc::Rc, time::Duration},
     tokio::{task::JoinHandle, time::Instant},
 };
 
@@ -33,6 +34,8 @@
     sent_at: Duration,
     call_id: u64,
     place: Option<Box<HeldPlace>>,
+    // Time until a plain server's successful response began; recorded once all of the response came.
+    response_time: Cell<Option<Duration>>,
 }
 
 impl InFlightGuard {
@@ -50,6 +53,7 @@
             sent_at: now,
             call_id,
             place: None,
+            response_time: Cell::default(),
         }
     }
 
@@ -60,20 +64,12 @@
     }
 
     /// Records the head of a plain server's response, in which it may show that it is full or short of places.
-    pub(super) fn record_plain_response(
-        &self,
-        request: &ClientRequest,
-        status: StatusCode,
-        marks: &ResponseMetadata,
-    ) {
-        let time = self.started.elapsed();
+    pub(super) fn record_plain_response(&self, status: StatusCode, marks: &ResponseMetadata) {
         if is_full(status, marks) {
             self.end_place(PlaceEnd::Declined);
             self.parts.record_full(&self.backend);
         } else if status.is_success() && !marks.not_run {
-            self.end_place(PlaceEnd::Answered(time));
-            self.parts
-                .record_response_time(&self.backend, &request.route, time);
+            self.response_time.set(Some(self.started.elapsed()));
         }
     }
 
@@ -109,12 +105,22 @@
         }
     }
 
-    /// Records how the forwarded response ended.
-    pub(super) fn record_end(&self, request: &ClientRequest, end: StreamEnd) {
-        match end {
-            StreamEnd::Complete => self.parts.record_success(|| request.digest()),
-            StreamEnd::Broken => drop(self.spawn_end_check(request)),
-            StreamEnd::TimeLimit => {}
+    /// Records how the response ended. Only one that came whole says how long the server takes and that the request is
+    /// harmless.
+    pub(super) fn record_end(&self, request: &ClientRequest, end: ResponseEnd) {
+        if end.is_complete() {
+            self.record_response_time(request);
+            self.parts.record_success(|| request.digest());
+        } else if end.is_broken() {
+            drop(self.spawn_end_check(request));
+        }
+    }
+
+    fn record_response_time(&self, request: &ClientRequest) {
+        if let Some(time) = self.response_time.take() {
+            self.end_place(PlaceEnd::Answered(time));
+            self.parts
+                .record_response_time(&self.backend, &request.route, time);
         }
     }
 
--- a/src/relay/request/plain.rs
+++ b/src/relay/request/plain.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         client_request::ClientRequest,
-        forward::{self, ForwardEvent, StreamEnd},
+        forward::{self, ForwardEvent},
         guard::InFlightGuard,
         response::{self, RelayResponse},
         send::{self, PlainBody, PlainResponse, SendOutcome},
@@ -139,7 +139,6 @@
                 ForwardEvent::End(end) => {
                     state.0.parts.metrics.response_ended(end);
                     state.0.response_end = Some(end);
-                    let end = StreamEnd::of(end);
                     state.1.record_end(&state.0.request, end);
                     state.0.log_end(end.as_str());
                 }
@@ -299,9 +298,6 @@
                     .book
                     .borrow_mut()
                     .note_response(&backend.id, is_good);
-                if is_good && matches!(response.body, PlainBody::Full(..)) {
-                    self.parts.record_success(|| self.request.digest());
-                }
                 if is_good || !self.request.route.kind.is_repeatable() {
                     return Some(*response);
                 }
--- a/src/relay/request/response_body.rs
+++ b/src/relay/request/response_body.rs
@@ -61,6 +61,11 @@
         Self { content, progress }
     }
 
+    /// Whether it is a stream of server-sent events.
+    pub(super) fn is_event_stream(&self) -> bool {
+        self.progress.is_event_stream()
+    }
+
     /// Waits for what comes next; nothing is lost if the wait is given up.
     pub(super) async fn next(&mut self) -> BodyStep {
         match self.content.chunk().await {
--- a/src/relay/request/resume.rs
+++ b/src/relay/request/resume.rs
@@ -4,7 +4,6 @@
 use {
     super::{
         event_splitter::EventSplitter,
-        forward::StreamEnd,
         reserve::{self, MemoryReservation},
         response_body::{BodyStep, BodyStop},
         stream::{DecodeStream, StreamRelay},
@@ -13,7 +12,6 @@
     bytes::Bytes,
     faststr::FastStr,
     futures::Stream,
-    http::StatusCode,
     std::time::Duration,
     tokio::time::Instant,
 };
@@ -50,27 +48,23 @@
                     continue;
                 }
                 StreamStep::Stop(stop) => {
-                    relay.note_response_end(stop.end);
-                    let end = StreamEnd::of(stop.end);
-                    match end {
-                        StreamEnd::Complete => {
-                            if let Some(rest) = splitter.take_rest() {
-                                yield Ok(rest);
-                            }
-                            relay.record_end(&running.guards.guard, end);
-                            relay.log_end(end.as_str());
-                            return;
-                        }
-                        StreamEnd::TimeLimit => {
-                            relay.log_end(end.as_str());
-                            yield Err(BrokenBody(stop.to_string()));
-                            return;
-                        }
-                        StreamEnd::Broken => {
-                            running.guards.guard.await_end_check(&relay.request).await;
-                            (stop.to_string(), None)
+                    let end = stop.end;
+                    relay.note_response_end(end);
+                    if end.is_complete() {
+                        if let Some(rest) = splitter.take_rest() {
+                            yield Ok(rest);
                         }
+                        relay.record_end(&running.guards.guard, end);
+                        relay.log_end(end.as_str());
+                        return;
+                    }
+                    if !end.is_broken() {
+                        relay.log_end(end.as_str());
+                        yield Err(BrokenBody(stop.to_string()));
+                        return;
                     }
+                    running.guards.guard.await_end_check(&relay.request).await;
+                    (stop.to_string(), None)
                 }
                 StreamStep::Stalled(reservation) => {
                     ("the engine stopped sending events".to_owned(), Some(*reservation))
@@ -81,10 +75,10 @@
             splitter.drop_rest();
             let last_event = splitter.last_id().map(FastStr::new);
             match relay.resume(last_event, reservation).await {
-                Ok(next) if next.status == StatusCode::OK => running = next,
+                Ok(next) if next.continues_events() => running = next,
                 Ok(next) => {
                     relay.log_end("broken");
-                    yield Err(BrokenBody(format!("{cause}; resuming failed with status {}", next.status)));
+                    yield Err(BrokenBody(format!("{cause}; resuming failed with status {} or no event stream", next.status)));
                     return;
                 }
                 Err(refusal) => {
--- a/src/relay/request/send.rs
+++ b/src/relay/request/send.rs
@@ -3,7 +3,6 @@
 use {
     super::{
         client_request::ClientRequest,
-        forward::StreamEnd,
         guard::{self, InFlightGuard},
         response_body::ResponseBody,
     },
@@ -89,7 +88,7 @@
     parts.log_carried(&request.marks.id, backend, &response);
     let marks = (parts.dialect.read_response)(response.status, &response.headers);
     guard.record_response(response.status, &marks);
-    guard.record_plain_response(request, response.status, &marks);
+    guard.record_plain_response(response.status, &marks);
     if marks.is_for_other_request(&request.marks.id) {
         let detail = "an answer to another request came";
         parts.record_failure(backend, BackendFailure::Broken, detail);
@@ -98,15 +97,24 @@
     if request.route.kind.is_stream() && response.status.is_success() {
         return SendOutcome::Responded(Box::new(streaming_response(request, response, guard)));
     }
-    let is_full = guard::is_full(response.status, &marks);
-    let outcome = match read_full(parts, request, backend, response, marks.not_run).await {
-        SendOutcome::Declined(detail) if is_full => SendOutcome::Full(detail),
-        outcome => outcome,
+    let status = response.status;
+    let is_full = guard::is_full(status, &marks);
+    let response = match read_full(parts, request, backend, response).await {
+        Ok(response) => response,
+        Err(detail) => {
+            guard.await_end_check(request).await;
+            return SendOutcome::Lost(detail);
+        }
     };
-    if matches!(outcome, SendOutcome::Lost(_)) {
-        guard.await_end_check(request).await;
+    if marks.not_run {
+        return record_decline(parts, backend, status, is_full);
+    }
+    if let PlainBody::Full(_, end) = response.body
+        && !status.is_server_error()
+    {
+        guard.record_end(request, end);
     }
-    outcome
+    SendOutcome::Responded(Box::new(response))
 }
 
 fn streaming_response(
@@ -125,31 +133,41 @@
     }
 }
 
+// Reads a response to its end. The error says why not all of it came.
 async fn read_full(
     parts: &RelayParts,
     request: &ClientRequest,
     backend: &BackendInfo,
     response: PooledAnswer,
-    not_run: bool,
-) -> SendOutcome {
+) -> Result<PlainResponse, String> {
     let (status, headers) = (response.status, response.headers.clone());
     let body = ResponseBody::new(request, response, false);
     let (body, stop) = body.read(MAX_RESPONSE_BYTES).await;
     parts.metrics.response_ended(stop.end);
-    if StreamEnd::of(stop.end) != StreamEnd::Complete {
+    if !stop.end.is_complete() {
         let detail = stop.to_string();
         parts.record_failure(backend, BackendFailure::Broken, &detail);
-        return SendOutcome::Lost(detail);
-    }
-    if not_run {
-        parts.record_decline(backend, status);
-        let now = parts.now();
-        parts.book.borrow_mut().note_rejection(&backend.id, now);
-        return SendOutcome::Declined(format!("status {status}"));
+        return Err(detail);
     }
-    SendOutcome::Responded(Box::new(PlainResponse {
+    Ok(PlainResponse {
         status,
         headers,
         body: PlainBody::Full(body, stop.end),
-    }))
+    })
+}
+
+fn record_decline(
+    parts: &RelayParts,
+    backend: &BackendInfo,
+    status: StatusCode,
+    is_full: bool,
+) -> SendOutcome {
+    parts.record_decline(backend, status);
+    let now = parts.now();
+    parts.book.borrow_mut().note_rejection(&backend.id, now);
+    let detail = format!("status {status}");
+    match is_full {
+        true => SendOutcome::Full(detail),
+        false => SendOutcome::Declined(detail),
+    }
 }
--- a/src/relay/request/stream.rs
+++ b/src/relay/request/stream.rs
@@ -8,7 +8,7 @@
     super::{
         client_request::ClientRequest,
         event_gaps::EventGaps,
-        forward::{self, ForwardEvent, StreamEnd},
+        forward::{self, ForwardEvent},
         guard::InFlightGuard,
         prefill::{self, PrefilledCache},
         reserve::{self, MemoryReservation},
@@ -63,6 +63,13 @@
     pub(super) guards: EngineGuards,
 }
 
+impl DecodeStream {
+    /// Whether it is a successful stream of events, which another engine can continue.
+    pub(super) fn continues_events(&self) -> bool {
+        self.status == StatusCode::OK && self.body.is_event_stream()
+    }
+}
+
 /// What a running decode occupies at its engine, released when dropped.
 pub(super) struct EngineGuards {
     _memory: MemoryReservation,
@@ -164,7 +171,7 @@
     };
     let (status, headers) = (running.status, running.headers.clone());
     let body = match relay.request.route.kind {
-        RequestKind::ResumableStream if status == StatusCode::OK => {
+        RequestKind::ResumableStream if running.continues_events() => {
             response::streamed_body(resume::resumable_body(relay, running))
         }
         _ => {
@@ -175,7 +182,6 @@
                 ForwardEvent::Chunk => state.0.event_gaps.record(Instant::now()),
                 ForwardEvent::End(end) => {
                     state.0.note_response_end(end);
-                    let end = StreamEnd::of(end);
                     state.0.record_end(&state.1.guard, end);
                     state.0.log_end(end.as_str());
                 }
@@ -249,8 +255,8 @@
     }
 
     /// Records how the stream of an engine ended.
-    pub(super) fn record_end(&self, guard: &InFlightGuard, end: StreamEnd) {
-        if !(self.prefill_broken && end == StreamEnd::Complete) {
+    pub(super) fn record_end(&self, guard: &InFlightGuard, end: ResponseEnd) {
+        if !(self.prefill_broken && end.is_complete()) {
             guard.record_end(&self.request, end);
         }
     }
