Callers of HTTP/1.0 are told of a broken response by a reset

Such a caller knows no chunks: where a response has no length either, the end of the connection is the end of the response, and one that broke off ended in the same orderly way as one that is complete. CallerStream resets the connection unless the whole body was handed over; the option is set on the socket while the response goes on, so that a killed host resets too.

--- a/src/web/ingress.rs
+++ b/src/web/ingress.rs
@@ -4,10 +4,12 @@
 //! connections one by one; a host that is rolled needs all three. `hyper` below it gives them.
 
 use {
+    super::caller_stream::{CallerStream, ResetSwitch, UnframedBody},
     crate::operation::OnceSignal,
     bytes::Bytes,
     futures::future::LocalBoxFuture,
-    http::{Request, Response},
+    http::{Request, Response, Version},
+    http_body::Body,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     socket2::SockRef,
@@ -102,10 +104,15 @@
         log::debug!("a caller's connection ended as it came: {error}");
         return;
     }
+    let switch = ResetSwitch::default();
+    let body_switch = switch.clone();
     let service = service_fn(move |request| {
+        let version = request.version();
         let answer = handler(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        let switch = body_switch.clone();
+        async move { Ok::<_, Infallible>(reset_if_broken(answer.await, version, switch)) }
     });
+    let stream = CallerStream::new(stream, switch);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_time.get())
@@ -123,3 +130,16 @@
         log::debug!("a caller's connection ended: {error}");
     }
 }
+
+// Callers of HTTP/1.0 know no chunks: where there is no length either, only a reset tells them that a response broke off.
+fn reset_if_broken(
+    response: Response<IngressBody>,
+    version: Version,
+    switch: ResetSwitch,
+) -> Response<IngressBody> {
+    let is_framed = version >= Version::HTTP_11 || response.body().size_hint().exact().is_some();
+    match is_framed {
+        true => response,
+        false => response.map(|body| Box::pin(UnframedBody::new(body, switch)) as IngressBody),
+    }
+}
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod body_framing;
+mod caller_stream;
 mod carrier;
 mod client;
 mod headers;
