A killed host resets the connections that it carried for others

A caller of a host that reaches its servers through another one got part of a plain response without a length as the whole of it when that other host was killed: the system ends the sockets of a killed process in an orderly way, which reads as the end of the response. Joined connections are set to be reset on closing from their start, in both directions, and end orderly only when one of them did.

--- a/src/relay/carry/splice.rs
+++ b/src/relay/carry/splice.rs
@@ -42,31 +42,52 @@
     socket.set_tcp_user_timeout(Some(SILENCE_LIMIT))
 }
 
-/// Passes bytes on both ways until either end closes, and then closes the other one in the same manner: a reset stays a
-/// reset, as it tells whether an answer without a length is complete.
+/// Passes bytes on both ways until either end closes, and then closes the other one in the same manner: how a connection
+/// ends tells whether a response without a length is complete. Both are reset unless one of them ended in an orderly way, also
+/// when this process is killed.
 pub(super) async fn splice(mut asking: TcpStream, mut server: TcpStream) -> SplicedBytes {
     let mut bytes = SplicedBytes::default();
-    let is_reset = {
+    set_reset_on_close(&asking, true);
+    set_reset_on_close(&server, true);
+    let result = {
         let (mut asking_in, mut asking_out) = asking.split();
         let (mut server_in, mut server_out) = server.split();
         tokio::select! {
             // Nobody waits for the rest of the answer.
-            _ = copy(&mut asking_in, &mut server_out, &mut bytes.sent) => false,
-            result = copy(&mut server_in, &mut asking_out, &mut bytes.received) => result.is_err(),
+            result = copy(&mut asking_in, &mut server_out, &mut bytes.sent) => result,
+            result = copy(&mut server_in, &mut asking_out, &mut bytes.received) => result,
         }
     };
-    if is_reset && let Err(error) = SockRef::from(&asking).set_linger(Some(Duration::ZERO)) {
-        log::warn!("a reset of a carried connection cannot be passed on: {error}");
+    match result {
+        Ok(()) => {
+            end_orderly(&mut asking).await;
+            end_orderly(&mut server).await;
+        }
+        Err(error) => log::debug!("a carried connection is reset: {error}"),
     }
     bytes
 }
 
+async fn end_orderly(stream: &mut TcpStream) {
+    set_reset_on_close(stream, false);
+    if let Err(error) = stream.shutdown().await {
+        log::debug!("a carried connection had ended already: {error}");
+    }
+}
+
+fn set_reset_on_close(stream: &TcpStream, is_on: bool) {
+    let linger = is_on.then_some(Duration::ZERO);
+    if let Err(error) = SockRef::from(stream).set_linger(linger) {
+        log::warn!("how a carried connection ends cannot be passed on: {error}");
+    }
+}
+
 async fn copy(from: &mut ReadHalf<'_>, to: &mut WriteHalf<'_>, count: &mut u64) -> io::Result<()> {
     let mut buffer = [0; BUFFER_BYTES];
     loop {
         let read = from.read(&mut buffer).await?;
         if read == 0 {
-            return to.shutdown().await;
+            return Ok(());
         }
         to.write_all(&buffer[..read]).await?;
         *count += read as u64;
