A decline without an end of its own holds no request up

A request whose engine declined it without a length, on a connection that stayed open, was held until its caller gave up: the body of the decline was read to its end without a time limit. A plain one was held to its deadline and then counted as one that may have run. Nobody needs the body of a decline: it is read for 50 ms at most so that the connection can be used again, and not at all where only the connection ends it. Such a connection is also no longer offered to the pool when it has ended.

--- a/src/relay/request/decode.rs
+++ b/src/relay/request/decode.rs
@@ -112,13 +112,7 @@
                 .note_declined(&at_fault.id, now);
             self.skip_prefill = cache.is_some();
         }
-        // The body is read to its end so that the connection can be reused.
-        if let Err(detail) = response.body.read(MAX_DECLINE_BYTES).await {
-            log::debug!(
-                "reading the response of {}, which declined a decode, failed: {detail}",
-                engine.id
-            );
-        }
+        response.body.discard(MAX_DECLINE_BYTES).await;
         let detail = format!("decode at {} declined with status {status}", engine.id);
         RoundFailure::new(RunVerdict::NotRun, detail)
     }
--- a/src/relay/request/prefill.rs
+++ b/src/relay/request/prefill.rs
@@ -203,14 +203,8 @@
         (dialect.read_response)(response.status, &response.headers),
     );
     guard.record_response(status, &marks);
-    let body = response.body.read(MAX_RESPONSE_BYTES).await;
-    let body = body.map_err(|detail| PrefillFailure {
-        verdict: RunVerdict::MayHaveRun,
-        received: true,
-        kind: BackendFailure::Broken,
-        detail,
-    })?;
     if marks.not_run {
+        response.body.discard(MAX_RESPONSE_BYTES).await;
         parts.record_decline(engine, status);
         // A decline during a backoff says nothing about the time after it.
         if parts.may_send(engine, None) {
@@ -226,6 +220,13 @@
             detail: format!("declined with status {status}"),
         });
     }
+    let body = response.body.read(MAX_RESPONSE_BYTES).await;
+    let body = body.map_err(|detail| PrefillFailure {
+        verdict: RunVerdict::MayHaveRun,
+        received: true,
+        kind: BackendFailure::Broken,
+        detail,
+    })?;
     let is_ours = !marks.is_for_other_request(&request.marks.id);
     let cache =
         (dialect.engines.read_prefill)(&body).filter(|_| is_ours && status == StatusCode::OK);
--- a/src/relay/request/send.rs
+++ b/src/relay/request/send.rs
@@ -99,6 +99,10 @@
     }
     let status = response.status;
     let is_full = guard::is_full(status, &marks);
+    if marks.not_run {
+        response.body.discard(MAX_RESPONSE_BYTES).await;
+        return record_decline(parts, backend, status, is_full);
+    }
     let response = match read_full(parts, request, backend, response).await {
         Ok(response) => response,
         Err(detail) => {
@@ -106,9 +110,6 @@
             return SendOutcome::Lost(detail);
         }
     };
-    if marks.not_run {
-        return record_decline(parts, backend, status, is_full);
-    }
     if let PlainBody::Full(_, end) = response.body
         && !status.is_server_error()
     {
--- a/src/web/pooled_body.rs
+++ b/src/web/pooled_body.rs
@@ -11,6 +11,9 @@
     std::{rc::Rc, time::Duration},
 };
 
+/// Longest wait for the rest of a body that nobody needs.
+const DISCARD_TIME: Duration = Duration::from_millis(50);
+
 /// The body of an answer; the connection goes back to the pool once it was read to its end.
 pub struct PooledBody {
     content: Incoming,
@@ -56,15 +59,38 @@
                     return Some(Err(error));
                 }
                 None => {
-                    if let Some((connection, idle)) = self.lease.take() {
-                        self.pool.give_back(self.key, connection, idle);
-                    }
+                    self.release();
                     return None;
                 }
             }
         }
     }
 
+    // A connection whose end marked that of the body is not used again.
+    fn release(&mut self) {
+        let lease = self.lease.take();
+        if self.framing == BodyFraming::Connection {
+            return;
+        }
+        if let Some((connection, idle)) = lease {
+            self.pool.give_back(self.key, connection, idle);
+        }
+    }
+
+    /// Reads a body that nobody needs, of at most `limit` bytes, so that its connection can be used again. Closes the
+    /// connection if that takes long or cannot be.
+    pub async fn discard(self, limit: usize) {
+        if self.framing == BodyFraming::Connection {
+            return;
+        }
+        let read = tokio::time::timeout(DISCARD_TIME, self.read(limit)).await;
+        match read {
+            Ok(Ok(_)) => {}
+            Ok(Err(detail)) => log::debug!("a body that nobody needs ended early: {detail}"),
+            Err(_) => log::debug!("a body that nobody needs is not read to its end"),
+        }
+    }
+
     /// Reads the whole body, of at most `limit` bytes.
     pub async fn read(self, limit: usize) -> Result<Bytes, String> {
         self.read_unless_silent(limit, Duration::MAX).await
