A request that ends its engines between two events of a response without framing is counted

Such a response can't be told from a whole one, and the request passed for harmless each time: it was sent to one engine after the other. After a response that only its connection ended, the host checks whether the server ended, 0.1 s later and by a probe only where no other connection to it is open; if it did, the end is counted, and if not, the request is held harmless.

--- a/src/relay/parts/ends.rs
+++ b/src/relay/parts/ends.rs
@@ -23,6 +23,9 @@
     Duration::from_millis(2_000),
 ];
 
+/// Time in which a server that ends closes all its connections, one after the other.
+const CLOSE_TIME: Duration = Duration::from_millis(100);
+
 // A running probe, and the tasks that wait for its outcome.
 #[derive(Debug, Default)]
 struct EndProbe {
@@ -52,6 +55,13 @@
         false
     }
 
+    /// Returns whether a backend server has ended, after it closed a connection in an orderly way. It also does that at the
+    /// end of a response that nothing else ends, so it is not probed while another connection to it is open.
+    pub async fn has_ended_orderly(&self, backend: &BackendInfo) -> bool {
+        tokio::time::sleep(CLOSE_TIME).await;
+        !self.pool.has_open_idle(backend.address) && self.has_ended(backend).await
+    }
+
     // Requests whose connections break at the same moment share one probe.
     async fn probe_once(&self, backend: &BackendInfo) -> ProbeOutcome {
         let key = EngineKey::of_run(&backend.id, backend.born);
--- a/src/relay/request/guard.rs
+++ b/src/relay/request/guard.rs
@@ -11,7 +11,7 @@
             parts::{places::HeldPlace, server_limits::AnswerKind, shared::RelayParts},
             policy::{
                 digest::RequestDigest,
-                response_end::ResponseEnd,
+                response_end::{EndCause, ResponseEnd},
                 server_limit::LimitSignal,
                 server_signals::{BackoffSignal, LeavingSignal},
             },
@@ -110,9 +110,13 @@
     pub(super) fn record_end(&self, request: &ClientRequest, end: ResponseEnd) {
         if end.is_complete() {
             self.record_response_time(request);
-            self.parts.record_success(|| request.digest());
-        } else if end.is_broken() {
-            drop(self.spawn_end_check(request));
+        }
+        match end.cause {
+            EndCause::Framed => self.parts.record_success(|| request.digest()),
+            // A server that crashes between two events closes the connection in the same way.
+            EndCause::ConnectionEnd => self.spawn_close_check(request),
+            _ if end.is_broken() => drop(self.spawn_end_check(request)),
+            _ => {}
         }
     }
 
@@ -127,13 +131,39 @@
     /// Starts the check without waiting for it. Returns `None` if the backend server was leaving anyway, or is no longer
     /// listed with this run.
     pub fn spawn_end_check(&self, request: &ClientRequest) -> Option<JoinHandle<()>> {
+        let run = self.request_run(request)?;
+        let parts = self.parts.clone();
+        Some(tokio::task::spawn_local(async move {
+            if parts.has_ended(&run.backend).await {
+                run.record_crash(&parts);
+            }
+        }))
+    }
+
+    // Checks whether the backend server ended when it closed the connection in an orderly way; if not, the request is
+    // harmless.
+    fn spawn_close_check(&self, request: &ClientRequest) {
+        let Some(run) = self.request_run(request) else {
+            return;
+        };
+        let parts = self.parts.clone();
+        tokio::task::spawn_local(async move {
+            match parts.has_ended_orderly(&run.backend).await {
+                true => run.record_crash(&parts),
+                false => parts.record_success(|| run.digest),
+            }
+        });
+    }
+
+    // Returns `None` if the backend server is leaving, or is no longer listed with this run.
+    fn request_run(&self, request: &ClientRequest) -> Option<RequestRun> {
         let book = self.parts.book.borrow();
         let view = book.view(&self.backend.id)?;
         let is_leaving = book.is_leaving(view, self.parts.now());
         if view.info.born != self.backend.born || is_leaving {
             return None;
         }
-        let broken = BrokenRequest {
+        Some(RequestRun {
             backend: BackendInfo::clone(&self.backend),
             request: request.marks.id.to_string(),
             route: request.route.name.to_string(),
@@ -141,9 +171,7 @@
             digest: request.digest(),
             ran: self.started.elapsed(),
             concurrent: view.calls().saturating_sub(1),
-        };
-        let parts = self.parts.clone();
-        Some(tokio::task::spawn_local(broken.check_end(parts)))
+        })
     }
 }
 
@@ -163,8 +191,8 @@
     }
 }
 
-// A request whose connection was lost, with the state of that moment.
-struct BrokenRequest {
+// A request whose connection ended, with the state of that moment.
+struct RequestRun {
     backend: BackendInfo,
     request: String,
     route: String,
@@ -175,13 +203,11 @@
     concurrent: usize,
 }
 
-impl BrokenRequest {
-    async fn check_end(self, parts: Rc<RelayParts>) {
-        if parts.has_ended(&self.backend).await {
-            parts.metrics.ended_under(&self.backend.service);
-            parts.record_crash(self.digest, &self.backend);
-            self.log_end();
-        }
+impl RequestRun {
+    fn record_crash(&self, parts: &RelayParts) {
+        parts.metrics.ended_under(&self.backend.service);
+        parts.record_crash(self.digest, &self.backend);
+        self.log_end();
     }
 
     fn log_end(&self) {
--- a/src/web/pool.rs
+++ b/src/web/pool.rs
@@ -180,6 +180,17 @@
         self.open.borrow().values().sum()
     }
 
+    /// Whether an idle direct connection to an address is open at both ends, so that the server there has not ended.
+    pub fn has_open_idle(&self, address: SocketAddr) -> bool {
+        let idle = self.idle.borrow();
+        let mut known = idle
+            .iter()
+            .filter(|(key, _)| key.0 == address)
+            .flat_map(|(_, connections)| connections);
+        known
+            .any(|known| known.connection.carrier.is_none() && !known.connection.sender.is_closed())
+    }
+
     /// Closes what is idle towards an address.
     pub fn forget(&self, address: SocketAddr) {
         let mut idle = self.idle.borrow_mut();
