A stream cut inside the CR LF of an event's end is broken off; property tests of ends and resumed streams

After a line that ended with CR LF, a CR alone is half of a line end: taken for a whole event, a stream cut there looked complete, and one that was resumed after it lacked the LF. Drawn streams (comments, types, data lines, three line ends, three framings, any cut, any reads) are judged complete exactly where a model says that they are between two events, and a stream that is resumed after any cut equals the whole one.

--- a/src/relay/policy/event_scanner.rs
+++ b/src/relay/policy/event_scanner.rs
@@ -19,6 +19,10 @@
     has_field: bool,
     // Whether the last byte was a CR, of which a following LF is the second half.
     is_after_cr: bool,
+    // Whether the last line end is CR LF.
+    ended_with_crlf: bool,
+    // Whether the last byte is a CR and the line before ended with CR LF, so that an LF is missing.
+    awaits_lf: bool,
     has_event: bool,
 }
 
@@ -38,16 +42,18 @@
 
     fn push_byte(&mut self, byte: u8) {
         let was_after_cr = std::mem::replace(&mut self.is_after_cr, byte == b'\r');
-        match (byte, self.line) {
-            (b'\n', _) if was_after_cr => {}
-            (b'\n' | b'\r', _) => self.end_line(),
-            (b':', LineState::Empty) => self.line = LineState::Comment,
-            (_, LineState::Empty) => self.line = LineState::Field,
-            _ => {}
+        self.awaits_lf = byte == b'\r' && self.ended_with_crlf;
+        match byte {
+            b'\n' if was_after_cr => self.ended_with_crlf = true,
+            b'\n' | b'\r' => self.end_line(),
+            _ if self.line != LineState::Empty => {}
+            b':' => self.line = LineState::Comment,
+            _ => self.line = LineState::Field,
         }
     }
 
     fn end_line(&mut self) {
+        self.ended_with_crlf = false;
         match std::mem::take(&mut self.line) {
             LineState::Empty => {
                 self.has_event |= self.has_field;
@@ -58,9 +64,9 @@
         }
     }
 
-    /// Whether the stream has come to a place inside an event or a line.
+    /// Whether the stream has come to a place inside an event, a line or a line end.
     pub fn is_inside_event(&self) -> bool {
-        self.has_field || self.line != LineState::Empty
+        self.has_field || self.line != LineState::Empty || self.awaits_lf
     }
 
     /// Whether any event has come whole.
--- a/src/relay/policy/response_progress.rs
+++ b/src/relay/policy/response_progress.rs
@@ -36,7 +36,8 @@
 ///   only sign by which it differs from one that is complete.
 /// - Before the first event, nothing but the end of the connection says that the response is complete, and a server
 ///   that crashes ends it too. A response that continues a stream is between two events from its start.
-/// - An event ends with its blank line: after CR CR or CR LF CR it is whole, whether or not another LF follows.
+/// - An event ends with its blank line. After a line that ended with CR LF, a CR alone is half of a line end: the response
+///   was broken off there, since a sender uses one kind of line end.
 #[derive(Debug)]
 pub struct ResponseProgress {
     head: ResponseHead,
