Plain calls of the own interface are judged by the same rule; a complete stream is asserted to hold no rest of an event

An event stream of a plain service on the product's own interface that ended inside an event reached its caller as complete. The call now asks ResponseProgress as the platform's paths do. In the resumable path the rest that was forwarded at a regular end is gone: a stream that is complete has none, which is asserted. A test shows that an engine's stream on the own interface that is cut at any place has no last item, so that it was gone on with already; the change to plain calls has no test of its own.

--- a/src/filter/plain.rs
+++ b/src/filter/plain.rs
@@ -7,9 +7,9 @@
         host::Traffic,
         object::{ServiceSpec, Typed},
         operation::{PlainOutcome, PlainReply, Refusal, RefusalCode, RunVerdict},
-        relay::{RequestDigest, ServerAvailability},
+        relay::{BodyEnd, RequestDigest, ResponseHead, ResponseProgress, ServerAvailability},
         route::{SelectedServer, ServerInfo},
-        web::{self, WebFailure},
+        web::{self, BodyFraming, WebFailure},
     },
     bytes::Bytes,
     http::{HeaderMap, HeaderValue, Method, StatusCode, header},
@@ -212,9 +212,20 @@
         )
         .await?;
     let (parts, content) = response.into_parts();
+    let mut progress = ResponseProgress::new(ResponseHead {
+        framing: BodyFraming::of(&parts.headers, &content),
+        is_event_stream: web::is_event_stream(&parts.headers, false),
+        is_continued: false,
+    });
     let body = web::read_body(content, MAX_REPLY_BYTES, Duration::from_secs(600))
         .await
         .map_err(|failure| WebFailure::Unanswered(format!("answer: {failure:?}")))?;
+    progress.push(&body);
+    let end = progress.end(BodyEnd::Regular);
+    if !end.is_complete() {
+        let text = format!("the response ended by {}", end.cause.as_str());
+        return Err(WebFailure::Unanswered(text));
+    }
     let mut headers = parts.headers;
     traffic
         .server_states
--- a/src/relay/request/event_splitter.rs
+++ b/src/relay/request/event_splitter.rs
@@ -37,10 +37,9 @@
         self.pending.clear();
     }
 
-    /// Returns the buffered rest when the stream ended regularly.
-    pub fn take_rest(&mut self) -> Option<Bytes> {
-        let rest = self.pending.split().freeze();
-        (!rest.is_empty()).then_some(rest)
+    /// Whether nothing of an event is buffered.
+    pub fn is_empty(&self) -> bool {
+        self.pending.is_empty()
     }
 }
 
--- a/src/relay/request/response_body.rs
+++ b/src/relay/request/response_body.rs
@@ -7,10 +7,9 @@
             response_end::{BodyEnd, ResponseEnd},
             response_progress::{ResponseHead, ResponseProgress},
         },
-        web::{PooledAnswer, PooledBody},
+        web::{self, PooledAnswer, PooledBody},
     },
     bytes::{Bytes, BytesMut},
-    http::{HeaderValue, header},
     std::fmt,
 };
 
@@ -105,20 +104,6 @@
 
 // A successful response on a streaming route is an event stream unless its head says something else.
 fn is_event_stream(request: &ClientRequest, response: &PooledAnswer) -> bool {
-    let headers = &response.headers;
-    let is_encoded = headers
-        .get(header::CONTENT_ENCODING)
-        .is_some_and(|coding| !coding.as_bytes().eq_ignore_ascii_case(b"identity"));
-    if is_encoded {
-        return false;
-    }
-    match headers.get(header::CONTENT_TYPE) {
-        Some(media) => is_event_media(media),
-        None => request.route.kind.is_stream() && response.status.is_success(),
-    }
-}
-
-fn is_event_media(media: &HeaderValue) -> bool {
-    let name = media.as_bytes().split(|byte| *byte == b';').next();
-    name.is_some_and(|name| name.trim_ascii().eq_ignore_ascii_case(b"text/event-stream"))
+    let default = request.route.kind.is_stream() && response.status.is_success();
+    web::is_event_stream(&response.headers, default)
 }
--- a/src/relay/request/resume.rs
+++ b/src/relay/request/resume.rs
@@ -51,9 +51,7 @@
                     let end = stop.end;
                     relay.note_response_end(end);
                     if end.is_complete() {
-                        if let Some(rest) = splitter.take_rest() {
-                            yield Ok(rest);
-                        }
+                        assert!(splitter.is_empty(), "a complete stream ends between two events");
                         relay.record_end(&running.guards.guard, end);
                         relay.log_end(end.as_str());
                         return;
--- a/src/web/body_framing.rs
+++ b/src/web/body_framing.rs
@@ -3,7 +3,6 @@
 use {
     http::{HeaderMap, HeaderValue, header},
     http_body::Body,
-    hyper::body::Incoming,
 };
 
 /// How a server marks the end of a response body.
@@ -19,7 +18,7 @@
 
 impl BodyFraming {
     /// The framing of a body whose head was just read.
-    pub(super) fn of(headers: &HeaderMap, content: &Incoming) -> Self {
+    pub fn of(headers: &HeaderMap, content: &impl Body) -> Self {
         if content.size_hint().exact().is_some() {
             return Self::Length;
         }
--- a/src/web/headers.rs
+++ b/src/web/headers.rs
@@ -1,6 +1,6 @@
 //! Headers that no one passes on.
 
-use http::{HeaderMap, HeaderName, header};
+use http::{HeaderMap, HeaderName, HeaderValue, header};
 
 /// Headers that speak of one connection only.
 const HOP_HEADERS: [HeaderName; 8] = [
@@ -30,3 +30,18 @@
         headers.remove(name);
     }
 }
+
+/// Whether the body of a response is a stream of server-sent events, by its media type; `default` where it names none. One
+/// with a content coding is opaque.
+pub fn is_event_stream(headers: &HeaderMap, default: bool) -> bool {
+    let is_encoded = headers
+        .get(header::CONTENT_ENCODING)
+        .is_some_and(|coding| !coding.as_bytes().eq_ignore_ascii_case(b"identity"));
+    let media = headers.get(header::CONTENT_TYPE);
+    !is_encoded && media.map_or(default, is_event_media)
+}
+
+fn is_event_media(media: &HeaderValue) -> bool {
+    let name = media.as_bytes().split(|byte| *byte == b';').next();
+    name.is_some_and(|name| name.trim_ascii().eq_ignore_ascii_case(b"text/event-stream"))
+}
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -318,8 +318,10 @@
             }
         }
         assert!(text.as_bytes().starts_with(&given));
-        given.extend_from_slice(&splitter.take_rest().unwrap_or_default());
-        assert_eq!(given.len(), text.len() - rest.len());
+        let read = text.len() - rest.len();
+        let whole = text[..read].rfind("\n\n").map_or(0, |at| at + 2);
+        assert_eq!(given.len(), whole);
+        assert_eq!(splitter.is_empty(), read == whole);
     });
 }
 
--- a/tests/response_ends.rs
+++ b/tests/response_ends.rs
@@ -3,10 +3,18 @@
 
 use {
     bayplank::{
+        engine::{self, DecodeOrder, StreamItem},
         relay::{BodyEnd, EndCause, EventScanner, EventSplitter, ResponseHead, ResponseProgress},
-        web::BodyFraming,
+        web::{BodyFraming, WebClient},
     },
     bolero::{TypeGenerator, check},
+    faststr::FastStr,
+    futures::StreamExt,
+    std::time::Duration,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
+    },
 };
 
 /// The line ends of event streams.
@@ -201,8 +209,61 @@
                     .last_id()
                     .map_or(0, |id| id.parse().expect("a number"));
                 pass_on(&mut splitter, &drawn, &drawn.text_after(after), &mut client);
-                assert_eq!(splitter.take_rest(), None);
+                assert!(splitter.is_empty());
                 assert_eq!(client, text, "cut at {cut}");
             }
         });
 }
+
+// The items of an engine's stream on the product's own interface that is cut after a number of bytes.
+async fn items_of(body: &str) -> Vec<Option<StreamItem>> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+    let response = format!("{head}{body}");
+    let serving = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut request = [0; 4096];
+        assert_ne!(stream.read(&mut request).await.unwrap(), 0);
+        stream.write_all(response.as_bytes()).await.unwrap();
+    };
+    let link = engine::http_link(&WebClient::new(Duration::from_secs(1)), address);
+    let text = FastStr::from_static_str;
+    let opening = (link.decode)(DecodeOrder {
+        attempt: text("a-1"),
+        model: text("m"),
+        handle: text("c-1"),
+        source: text("127.0.0.1:1"),
+        max_tokens: 10,
+        priority: 0,
+        tenant: text("t"),
+    });
+    let (items, ()) = tokio::join!(opening, serving);
+    let items = items.expect("a stream").map(|item| item.ok());
+    items.collect().await
+}
+
+#[tokio::test]
+async fn an_engine_stream_of_the_own_interface_that_is_cut_has_no_last_item() {
+    let token = |position| StreamItem::Token {
+        position,
+        text: FastStr::from_static_str("x"),
+    };
+    let finished = StreamItem::Finished {
+        tokens: 2,
+        reason: FastStr::from_static_str("stop"),
+        load: None,
+    };
+    let items = [token(0), token(1), finished.clone()];
+    let event = |item| format!("data: {}\n\n", serde_json::to_string(item).unwrap());
+    let text: String = items.iter().map(event).collect();
+    for cut in (0..text.len()).step_by(7) {
+        let received = items_of(&text[..cut]).await;
+        let whole = text[..cut].matches("\n\n").count();
+        let sound: Vec<StreamItem> = received.into_iter().flatten().collect();
+        assert!(sound.len() >= whole, "cut at {cut}: {sound:?}");
+        assert!(!sound.contains(&finished), "cut at {cut}");
+    }
+    let received = items_of(&text).await;
+    assert!(received.contains(&Some(finished)));
+}
