--- a/src/filter/plain.rs
+++ b/src/filter/plain.rs
@@ -215,7 +215,7 @@
     let mut progress = ResponseProgress::new(ResponseHead {
         framing: BodyFraming::of(&parts.headers, &content),
         is_event_stream: web::is_event_stream(&parts.headers, false),
-        is_continued: false,
+        may_be_empty: !parts.status.is_success(),
     });
     let body = web::read_body(content, MAX_REPLY_BYTES, Duration::from_secs(600))
         .await
--- a/src/relay/policy/response_progress.rs
+++ b/src/relay/policy/response_progress.rs
@@ -15,8 +15,9 @@
     pub framing: BodyFraming,
     /// Whether the body is a stream of server-sent events.
     pub is_event_stream: bool,
-    /// Whether it continues a stream of which the client has events.
-    pub is_continued: bool,
+    /// Whether a stream without any event can be all of the response: it continues one of which the client has events, or
+    /// reports an error.
+    pub may_be_empty: bool,
 }
 
 /// Follows the body of a response. It is going on until its end is reported; what the end means depends on the framing
@@ -35,7 +36,7 @@
 /// - A response whose end only the connection marks is broken off by a reset, even after a whole event: the reset is the
 ///   only sign by which it differs from one that is complete.
 /// - Before the first event, nothing but the end of the connection says that the response is complete, and a server
-///   that crashes ends it too. A response that continues a stream is between two events from its start.
+///   that crashes ends it too. Where the response may be empty, it is between two events from its start.
 /// - An event ends with its blank line. After a line that ended with CR LF, a CR alone is half of a line end: the response
 ///   was broken off there, since a sender uses one kind of line end.
 #[derive(Debug)]
@@ -85,7 +86,7 @@
         if self.head.framing != BodyFraming::Connection {
             return EndCause::Framed;
         }
-        let has_event = self.scanner.has_event() || self.head.is_continued;
+        let has_event = self.scanner.has_event() || self.head.may_be_empty;
         match self.head.is_event_stream && !has_event {
             true => EndCause::NoEvent,
             false => EndCause::ConnectionEnd,
--- a/src/relay/request/response_body.rs
+++ b/src/relay/request/response_body.rs
@@ -54,7 +54,7 @@
         let progress = ResponseProgress::new(ResponseHead {
             framing: response.body.framing(),
             is_event_stream: is_event_stream(request, &response),
-            is_continued,
+            may_be_empty: is_continued || !response.status.is_success(),
         });
         let content = response.body;
         Self { content, progress }
--- a/src/web/caller_stream.rs
+++ b/src/web/caller_stream.rs
@@ -26,7 +26,7 @@
 pub(super) struct CallerStream {
     stream: TcpStream,
     switch: ResetSwitch,
-    is_armed: bool,
+    resets_on_close: bool,
 }
 
 impl CallerStream {
@@ -35,31 +35,31 @@
         Self {
             stream,
             switch,
-            is_armed: false,
+            resets_on_close: false,
         }
     }
 
-    fn follow_switch(&mut self) {
-        let arms = self.switch.get();
-        if arms == self.is_armed {
+    fn apply_switch(&mut self) {
+        let resets = self.switch.get();
+        if resets == self.resets_on_close {
             return;
         }
-        self.is_armed = arms;
-        let linger = arms.then_some(Duration::ZERO);
+        self.resets_on_close = resets;
+        let linger = resets.then_some(Duration::ZERO);
         if let Err(error) = SockRef::from(&self.stream).set_linger(linger) {
-            log::warn!("a caller's connection cannot be set to end by a reset ({arms}): {error}");
+            log::warn!("a caller's connection cannot be set to end by a reset ({resets}): {error}");
         }
     }
 
     fn inner(&mut self) -> Pin<&mut TcpStream> {
-        self.follow_switch();
+        self.apply_switch();
         Pin::new(&mut self.stream)
     }
 }
 
 impl Drop for CallerStream {
     fn drop(&mut self) {
-        self.follow_switch();
+        self.apply_switch();
     }
 }
 
