--- a/src/relay/policy/event_scanner.rs
+++ b/src/relay/policy/event_scanner.rs
@@ -22,7 +22,7 @@
     // Whether the last line end is CR LF.
     ended_with_crlf: bool,
     // Whether the last byte is a CR and the line before ended with CR LF, so that an LF is missing.
-    awaits_lf: bool,
+    lacks_lf: bool,
     has_event: bool,
 }
 
@@ -42,7 +42,7 @@
 
     fn push_byte(&mut self, byte: u8) {
         let was_after_cr = std::mem::replace(&mut self.is_after_cr, byte == b'\r');
-        self.awaits_lf = byte == b'\r' && self.ended_with_crlf;
+        self.lacks_lf = byte == b'\r' && self.ended_with_crlf;
         match byte {
             b'\n' if was_after_cr => self.ended_with_crlf = true,
             b'\n' | b'\r' => self.end_line(),
@@ -66,7 +66,7 @@
 
     /// Whether the stream has come to a place inside an event, a line or a line end.
     pub fn is_inside_event(&self) -> bool {
-        self.has_field || self.line != LineState::Empty || self.awaits_lf
+        self.has_field || self.line != LineState::Empty || self.lacks_lf
     }
 
     /// Whether any event has come whole.
