Metrics by service have a file of their own; the catalogue of events tells what framing and ended_by say

Names and texts of the metrics are as they were. The catalogue (docs/events.md) said nothing of the two new fields of request-ended.

--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -40,7 +40,7 @@
     HOST_STOPPED = 103, "host-stopped", Info, "Nothing is in flight any more; the process ends.", "None.";
     SETTINGS_READ = 104, "settings-read", Info, "The settings were read again.", "None.";
     HOST_FIGURES = 105, "host-figures", Info, "What the host has called, opened and told since its start; one line in five seconds.", "See docs/OPERATIONS.md for what each figure tells.";
-    REQUEST_ENDED = 201, "request-ended", Info, "A request ended; its verdict and times follow.", "None.";
+    REQUEST_ENDED = 201, "request-ended", Info, "A request ended; its verdict and times follow. framing tells how the backend server marked the end of its response, ended_by what decided that it ended; both are empty without a response.", "With ended_by=inside-event, no-event or connection-lost: the server broke its response off; look at it.";
     REQUEST_REFUSED = 202, "request-refused", Info, "A request was refused; its code and verdict follow.", "Many with code overloaded: add engines, or look at the tenant's limits.";
     REQUEST_CARRIED = 203, "request-carried", Info, "A request was answered by a backend server over a connection that another host carries.", "Look for links-lost (323) of this host.";
     ENGINE_EJECTED = 301, "engine-ejected", Warn, "An engine failed several times in a row and is left out for a while.", "If it repeats, look at that engine.";
--- a/src/relay/parts/availability.rs
+++ b/src/relay/parts/availability.rs
@@ -93,11 +93,11 @@
         if change.is_leaving {
             self.pool.forget(backend.address);
             self.mark_preferred_engines_outdated();
-            self.metrics.servers_leaving(&backend.service);
+            self.metrics.services.servers_leaving(&backend.service);
             self.log_leaving(backend);
         }
         if let Some(time) = change.backoff {
-            self.metrics.server_backoffs(&backend.service);
+            self.metrics.services.server_backoffs(&backend.service);
             self.log_backoff(backend, time);
         }
     }
@@ -160,7 +160,7 @@
         wait: RotationWait,
         rank: u8,
     ) -> Refusal {
-        self.metrics.held_off(service);
+        self.metrics.services.held_off(service);
         let text = match wait {
             RotationWait::Evacuated => {
                 let zones: Vec<_> = self.book.borrow().evacuated().cloned().collect();
--- a/src/relay/parts/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -5,10 +5,11 @@
         link_metrics::LinkMetrics,
         metric_labels::{
             self, AccountLabels, CauseLabels, EndLabels, LimitEnd, ResponseEndLabels, RouteLabels,
-            ServiceLabels, StoreCause,
+            StoreCause,
         },
         place_metrics::PlaceMetrics,
         priority_metrics::PriorityMetrics,
+        service_metrics::ServiceMetrics,
     },
     crate::relay::{config::RelayRoute, policy::response_end::ResponseEnd},
     faststr::FastStr,
@@ -27,7 +28,6 @@
     registry: Registry,
     known_routes: RefCell<HashSet<FastStr>>,
     known_accounts: RefCell<HashSet<FastStr>>,
-    known_services: RefCell<HashSet<FastStr>>,
     account_requests: Family<AccountLabels, Counter>,
     account_units: Family<AccountLabels, Counter>,
     answers: Family<EndLabels, Counter>,
@@ -35,6 +35,8 @@
     head_time: RouteHistogram,
     reserve_time: RouteHistogram,
     prefill_time: RouteHistogram,
+    /// Metrics by service.
+    pub services: ServiceMetrics,
     /// Metrics by priority.
     pub priorities: PriorityMetrics,
     /// Requests in progress.
@@ -58,13 +60,6 @@
     /// Lists from the store that were ignored because their revision is older than the known one.
     pub older_lists: Counter,
     store_calls: Family<CauseLabels, Counter>,
-    ended_under: Family<ServiceLabels, Counter>,
-    fatal_refused: Family<ServiceLabels, Counter>,
-    region_refused: Family<ServiceLabels, Counter>,
-    held_back: Family<ServiceLabels, Counter>,
-    held_off: Family<ServiceLabels, Counter>,
-    servers_leaving: Family<ServiceLabels, Counter>,
-    server_backoffs: Family<ServiceLabels, Counter>,
     /// Requests that are judged fatal.
     pub fatal_requests: Gauge,
     /// Connections opened to backend servers.
@@ -126,7 +121,6 @@
             registry: Registry::with_prefix("bayplank_relay"),
             known_routes: RefCell::default(),
             known_accounts: RefCell::default(),
-            known_services: RefCell::default(),
             account_requests: Family::default(),
             account_units: Family::default(),
             answers: Family::default(),
@@ -134,6 +128,7 @@
             head_time: Family::new_with_constructor(time_buckets),
             reserve_time: Family::new_with_constructor(time_buckets),
             prefill_time: Family::new_with_constructor(time_buckets),
+            services: ServiceMetrics::default(),
             priorities: PriorityMetrics::default(),
             in_flight: Gauge::default(),
             waiting: Gauge::default(),
@@ -146,13 +141,6 @@
             store_failures: Counter::default(),
             older_lists: Counter::default(),
             store_calls: Family::default(),
-            ended_under: Family::default(),
-            fatal_refused: Family::default(),
-            region_refused: Family::default(),
-            held_back: Family::default(),
-            held_off: Family::default(),
-            servers_leaving: Family::default(),
-            server_backoffs: Family::default(),
             fatal_requests: Gauge::default(),
             connections_opened: Gauge::default(),
             connections_reused: Gauge::default(),
@@ -182,6 +170,7 @@
 impl RelayMetrics {
     fn register(&mut self) {
         let r = &mut self.registry;
+        self.services.register(r);
         self.priorities.register(r);
         self.places.register(r);
         self.links.register(r);
@@ -210,41 +199,6 @@
             "Calls to the store by cause",
             self.store_calls.clone(),
         );
-        r.register(
-            "ended_under",
-            "Requests under which a backend server ended, by service",
-            self.ended_under.clone(),
-        );
-        r.register(
-            "fatal_refused",
-            "Requests refused since backend servers end under them, by service",
-            self.fatal_refused.clone(),
-        );
-        r.register(
-            "region_refused",
-            "Requests refused since no server in the regions allowed to them may take them, by service",
-            self.region_refused.clone(),
-        );
-        r.register(
-            "held_back",
-            "Requests refused since rate-limited servers had no permit for them, by service",
-            self.held_back.clone(),
-        );
-        r.register(
-            "held_off",
-            "Requests refused since all servers were leaving or waiting for a backoff to end, by service",
-            self.held_off.clone(),
-        );
-        r.register(
-            "servers_leaving",
-            "Backend servers whose answers said that they are leaving, by service",
-            self.servers_leaving.clone(),
-        );
-        r.register(
-            "server_backoffs",
-            "Backoffs that backend servers asked this host for, by service",
-            self.server_backoffs.clone(),
-        );
         let times = [
             ("head", "Arrival to the head of the answer", &self.head_time),
             ("reserve", "Wait for an engine's memory", &self.reserve_time),
@@ -385,65 +339,6 @@
         }
     }
 
-    /// Counts a request under which a backend server of a service crashed.
-    pub fn ended_under(&self, service: &FastStr) {
-        self.ended_under
-            .get_or_create(&self.service_labels(service))
-            .inc();
-    }
-
-    /// Counts a request refused because the rate-limited servers of the service had no permit for it.
-    pub fn held_back(&self, service: &FastStr) {
-        self.held_back
-            .get_or_create(&self.service_labels(service))
-            .inc();
-    }
-
-    /// Counts a request refused because no server of the service accepts new requests.
-    pub fn held_off(&self, service: &FastStr) {
-        self.held_off
-            .get_or_create(&self.service_labels(service))
-            .inc();
-    }
-
-    /// Counts a backend server of a service that reported that it is leaving.
-    pub fn servers_leaving(&self, service: &FastStr) {
-        self.servers_leaving
-            .get_or_create(&self.service_labels(service))
-            .inc();
-    }
-
-    /// Counts a backoff that a backend server of a service requested from this host.
-    pub fn server_backoffs(&self, service: &FastStr) {
-        self.server_backoffs
-            .get_or_create(&self.service_labels(service))
-            .inc();
-    }
-
-    /// Counts a request refused because backend servers of the service crash under it.
-    pub fn fatal_refused(&self, service: &FastStr) {
-        self.fatal_refused
-            .get_or_create(&self.service_labels(service))
-            .inc();
-    }
-
-    /// Counts a request refused because no server of the service in the regions allowed to it may take it.
-    pub fn region_refused(&self, service: &FastStr) {
-        self.region_refused
-            .get_or_create(&self.service_labels(service))
-            .inc();
-    }
-
-    fn service_labels(&self, service: &FastStr) -> ServiceLabels {
-        ServiceLabels {
-            service: metric_labels::bounded_label(
-                &self.known_services,
-                service,
-                metric_labels::SERVICE_LABELS_MAX,
-            ),
-        }
-    }
-
     /// Counts calls to the store.
     pub fn store_called(&self, cause: StoreCause, calls: u32) {
         let labels = CauseLabels { cause };
--- a/src/relay/parts/mod.rs
+++ b/src/relay/parts/mod.rs
@@ -20,10 +20,12 @@
 pub(crate) mod priority_metrics;
 pub(crate) mod publish;
 pub(crate) mod server_limits;
+pub(crate) mod service_metrics;
 pub(crate) mod shared;
 pub(crate) mod shares;
 
 pub use self::{
     accounts::*, crashes::*, link_metrics::*, metric_labels::*, metrics::*, permits::*,
-    place_metrics::*, places::*, priorities::*, priority_metrics::*, server_limits::*, shared::*,
+    place_metrics::*, places::*, priorities::*, priority_metrics::*, server_limits::*,
+    service_metrics::*, shared::*,
 };
--- a/src/relay/parts/permits.rs
+++ b/src/relay/parts/permits.rs
@@ -238,7 +238,7 @@
         verdict: RunVerdict,
         wait: PermitWait,
     ) -> Refusal {
-        self.metrics.held_back(service);
+        self.metrics.services.held_back(service);
         self.book.borrow_mut().limits.record_rejection(wait.server);
         let spread = rand::random_range(1.0..=1.0 + RETRY_JITTER);
         let text = format!(
--- a/src/relay/request/guard.rs
+++ b/src/relay/request/guard.rs
@@ -205,7 +205,7 @@
 
 impl RequestRun {
     fn record_crash(&self, parts: &RelayParts) {
-        parts.metrics.ended_under(&self.backend.service);
+        parts.metrics.services.ended_under(&self.backend.service);
         parts.record_crash(self.digest, &self.backend);
         self.log_end();
     }
--- a/src/relay/request/handler.rs
+++ b/src/relay/request/handler.rs
@@ -135,7 +135,7 @@
     let request = request.with_allowed_zones(allowed);
     match region_refusal(parts, &request, service) {
         Some(refusal) => {
-            parts.metrics.region_refused(&service.name);
+            parts.metrics.services.region_refused(&service.name);
             Err(refusal)
         }
         None => Ok(request),
--- a/src/relay/request/send_check.rs
+++ b/src/relay/request/send_check.rs
@@ -101,7 +101,7 @@
     verdict: RunVerdict,
     wait: Duration,
 ) -> Refusal {
-    parts.metrics.fatal_refused(service);
+    parts.metrics.services.fatal_refused(service);
     let digest = request.digest();
     let text = format!("backend servers end under this request ({digest}), so it is sent to none");
     Refusal::new(verdict, RefusalCode::EndsServers, text).after(wait.min(MAX_RETRY_AFTER))
