What came before a break reaches its caller, also the head

A caller whose stream was broken off inside an event right after its head got nothing at all where the server had sent both in one write: the HTTP server drops what it has not written yet when a body fails, also the head with the status and the engine's signature. A body that fails now lets what came before be written first.

--- a/src/relay/request/forward.rs
+++ b/src/relay/request/forward.rs
@@ -9,6 +9,7 @@
     bytes::Bytes,
     futures::Stream,
     std::rc::Rc,
+    tokio::task,
 };
 
 /// Progress of a response body that is being forwarded.
@@ -20,6 +21,13 @@
     End(ResponseEnd),
 }
 
+/// The error that ends a forwarded body. Waits until what came before was written: the server drops the rest at an error,
+/// also the head.
+pub(super) async fn break_off(detail: String) -> BrokenBody {
+    task::yield_now().await;
+    BrokenBody(detail)
+}
+
 /// Forwards the chunks of a response body until it ends or the request's deadline passes, and reports progress to
 /// `observe`. Unless all of it came, the forwarded body fails. Keeps `state` until then.
 pub(super) fn forward_body<S: 'static>(
@@ -44,7 +52,7 @@
             };
             observe(&mut state, ForwardEvent::End(stop.end));
             if !stop.end.is_complete() {
-                yield Err(BrokenBody(stop.to_string()));
+                yield Err(break_off(stop.to_string()).await);
             }
             return;
         }
--- a/src/relay/request/resume.rs
+++ b/src/relay/request/resume.rs
@@ -4,6 +4,7 @@
 use {
     super::{
         event_splitter::EventSplitter,
+        forward,
         reserve::{self, MemoryReservation},
         response_body::{BodyStep, BodyStop},
         stream::{DecodeStream, StreamRelay},
@@ -58,7 +59,7 @@
                     }
                     if !end.is_broken() {
                         relay.log_end(end.as_str());
-                        yield Err(BrokenBody(stop.to_string()));
+                        yield Err(forward::break_off(stop.to_string()).await);
                         return;
                     }
                     running.guards.guard.await_end_check(&relay.request).await;
@@ -76,12 +77,12 @@
                 Ok(next) if next.continues_events() => running = next,
                 Ok(next) => {
                     relay.log_end("broken");
-                    yield Err(BrokenBody(format!("{cause}; resuming failed with status {} or no event stream", next.status)));
+                    yield Err(forward::break_off(format!("{cause}; resuming failed with status {} or no event stream", next.status)).await);
                     return;
                 }
                 Err(refusal) => {
                     relay.log_end("broken");
-                    yield Err(BrokenBody(format!("{cause}; resuming failed: {refusal}")));
+                    yield Err(forward::break_off(format!("{cause}; resuming failed: {refusal}")).await);
                     return;
                 }
             }
