Logs tell whether a poll that was given up on was idle or in the middle of an answer

The incident's logs could not tell a host that is silent from one whose answer is too large for the time of a poll. news-unanswered (509) names how long a poll was out and how many bytes came meanwhile; config-in-force (401) names how many routes came in force. No logic is changed.

--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -69,7 +69,7 @@
     LINKS_BACK = 324, "links-back", Info, "This host reaches all listed backend servers of the service itself again.", "None.";
     CARRIER_RETIRED = 325, "carrier-retired", Info, "A host that carries connections of this one is stopping, full or gone; new connections go through another one.", "None.";
     CONNECTION_CARRIED = 326, "connection-carried", Info, "A connection that this host carried for another has ended. connection is its address at the other host, as in that host's request-carried lines (203).", "None.";
-    CONFIG_IN_FORCE = 401, "config-in-force", Info, "A newer accepted configuration is in force on this host.", "None.";
+    CONFIG_IN_FORCE = 401, "config-in-force", Info, "A newer accepted configuration is in force on this host; the number of its routes, and whether the store or another host gave it.", "None.";
     CONFIG_REJECTED = 402, "config-rejected", Error, "The objects at the platform do not pass the checks; the last good set stays in force.", "Correct the named object and field.";
     CONFIG_ACCEPTED = 403, "config-accepted", Info, "This host checked the objects and wrote them as the accepted configuration.", "None.";
     CONFIG_OLDER = 404, "config-older", Warn, "An older configuration was offered and ignored.", "If it repeats, the platform serves stale reads.";
@@ -81,6 +81,7 @@
     STORE_HISTORY_GONE = 506, "store-history-gone", Info, "The store does not have the changes after the position that this host holds; the whole list is read.", "None; if it repeats for one position, look for store-list-older (505).";
     STORE_RESTORED = 507, "store-restored", Warn, "The store names a later era: it came back from a copy and may have lost what it had accepted. The host reads it again and goes on with what it knows; held is the position of its list of backend servers.", "See docs/OPERATIONS.md for what was lost and which hosts know it.";
     STORE_REREAD = 508, "store-reread", Info, "This host has the backend servers and hosts of the era that the store began.", "None; a host without this line seconds after store-restored (507) hears of nothing new: look at its news-source (503).";
+    NEWS_UNANSWERED = 509, "news-unanswered", Info, "A poll of another host was given up on; how long it was out, and how many bytes came from all hosts meanwhile.", "None; with many bytes received the answer was on its way, with few the host or the way to it is silent.";
     PEER_SUSPECTED = 601, "peer-suspected", Warn, "Another entry host has not been heard of for a while.", "If it is not being replaced, look at it and at the network.";
     PEER_BACK = 602, "peer-back", Info, "A suspected entry host was heard of again.", "None.";
     PEER_REPLACED = 603, "peer-replaced", Info, "An entry host came back as a new incarnation.", "None.";
--- a/src/peer/rpc.rs
+++ b/src/peer/rpc.rs
@@ -180,6 +180,11 @@
         }
     }
 
+    /// Number of bytes received from all hosts.
+    pub fn received_bytes(&self) -> u64 {
+        self.metrics.peer_received.get()
+    }
+
     async fn connection(&self, address: SocketAddr) -> Result<Rc<Connection<C>>, Error> {
         let known = self.connections.borrow().get(&address).cloned();
         if let Some(known) = known {
--- a/src/relay/news/follow.rs
+++ b/src/relay/news/follow.rs
@@ -307,6 +307,7 @@
         // A host without a complete view requests the configuration too, since the store would not return it sooner.
         let held = self.held_news(entry.peers, hold, !self.has_complete_view());
         let sent_at = self.parts.now();
+        let received_before = self.client.received_bytes();
         let answer = self.client.follow(entry.peers, held, timeout).await;
         let now = self.parts.now();
         match answer {
@@ -317,7 +318,8 @@
                 self.apply(news, entry.peers, sent_at).await;
             }
             Err(error) => {
-                log::debug!("host {} did not answer a poll: {error}", entry.name);
+                let received = self.client.received_bytes() - received_before;
+                log_unanswered(&entry.name, now.saturating_sub(sent_at), received, &error);
                 self.choice.borrow_mut().note_timeout(&entry.name, now);
             }
         }
@@ -389,6 +391,18 @@
     }
 }
 
+fn log_unanswered(host: &FastStr, waited: Duration, received: u64, cause: &capnp::Error) {
+    event::emit(
+        &event::NEWS_UNANSWERED,
+        &[
+            ("source", host),
+            ("waited_ms", &waited.as_millis()),
+            ("received", &received),
+            ("cause", cause),
+        ],
+    );
+}
+
 fn log_source_change(source: &UpdateSource, age: Option<Duration>) {
     let name = match source {
         UpdateSource::Store => "the store",
--- a/src/relay/news/rpc.rs
+++ b/src/relay/news/rpc.rs
@@ -226,6 +226,11 @@
         }
     }
 
+    /// Number of bytes received from all hosts.
+    pub fn received_bytes(&self) -> u64 {
+        self.links.received_bytes()
+    }
+
     /// Requests what is newer than `held` from a host; times out `timeout` after the hold time in the request.
     pub async fn follow(
         &self,
--- a/src/relay/parts/publish.rs
+++ b/src/relay/parts/publish.rs
@@ -19,13 +19,14 @@
     /// Activates a configuration from the store or another host if it is newer than the current one.
     pub fn offer_config(&self, config: RelayConfig, from: &str) {
         let version = config.version;
+        let routes = config.routes.len();
         let cold_rates = self.cold_rates();
         let is_newer = self.cluster.borrow_mut().update_config(config);
         if is_newer {
             self.apply_cold_rates(&cold_rates);
             event::emit(
                 &event::CONFIG_IN_FORCE,
-                &[("version", &version), ("from", &from)],
+                &[("version", &version), ("routes", &routes), ("from", &from)],
             );
             self.caller_waits.borrow_mut().clear();
             self.state_changed.notify_waiters();
