--- a/src/control/parts.rs
+++ b/src/control/parts.rs
@@ -11,6 +11,7 @@
             BeatFlags, HostCard, MemberChange, Membership, PeerLinks, SilenceLimits, is_among_first,
         },
         store::StoreClient,
+        web::StreamOpener,
     },
     faststr::FastStr,
     std::{
@@ -78,7 +79,7 @@
     };
     let parts = Rc::new(ControlParts {
         platform: StoreClient::new(settings.platform, settings.platform_timeout),
-        links: PeerLinks::new(traffic.metrics.clone()),
+        links: PeerLinks::new(traffic.metrics.clone(), StreamOpener::default()),
         state: RefCell::new(state),
         platform_is_lost: Cell::new(false),
         news: Notify::new(),
--- a/src/host/passing.rs
+++ b/src/host/passing.rs
@@ -11,7 +11,7 @@
         operation::OnceSignal,
         relay::{self, HostEntry, RelayBounds, RelayParts, RelaySettings, RetryBudget},
         store::StorePosition,
-        web::{self, IngressLimits, PoolSettings},
+        web::{self, IngressLimits, PoolSettings, StreamOpener},
     },
     eyre::WrapErr,
     faststr::FastStr,
@@ -134,6 +134,7 @@
         regions: BTreeMap::new(),
         link_mbps: 0,
         store: settings.platform,
+        opener: StreamOpener::default(),
         requests_limit: settings.concurrent,
         pool: PoolSettings {
             connect_time: CONNECT_TIMEOUT,
--- a/src/peer/rpc.rs
+++ b/src/peer/rpc.rs
@@ -6,7 +6,7 @@
         membership::{HostCard, PeerDigest},
         wire,
     },
-    crate::{metric::HostMetrics, peer_capnp::peer},
+    crate::{metric::HostMetrics, peer_capnp::peer, web::StreamOpener},
     capnp::{
         Error,
         capability::{Client, FromClientHook, Rc as CapRc},
@@ -169,14 +169,16 @@
 pub struct PeerLinks<C = peer::Client> {
     connections: RefCell<HashMap<SocketAddr, Rc<Connection<C>>>>,
     metrics: Arc<HostMetrics>,
+    opener: StreamOpener,
 }
 
 impl<C: FromClientHook + Clone> PeerLinks<C> {
-    /// No connections yet.
-    pub fn new(metrics: Arc<HostMetrics>) -> Self {
+    /// No connections yet; they will be opened by `opener`.
+    pub fn new(metrics: Arc<HostMetrics>, opener: StreamOpener) -> Self {
         Self {
             connections: RefCell::default(),
             metrics,
+            opener,
         }
     }
 
@@ -190,9 +192,8 @@
         if let Some(known) = known {
             return Ok(known);
         }
-        let stream = TcpStream::connect(address)
-            .await
-            .map_err(|error| Error::disconnected(error.to_string()))?;
+        let opening = self.opener.open(address).await;
+        let stream = opening.map_err(|error| Error::disconnected(error.to_string()))?;
         let network = network(stream, Side::Client, &self.metrics);
         let mut system = RpcSystem::new(Box::new(network), None);
         let client: C = system.bootstrap(Side::Server);
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -149,7 +149,8 @@
         let metrics = Arc::new(HostMetrics::default());
         let reader = StoreReader::start(self.parts.clone(), self.store.clone());
         let clock = self.parts.clock.clone();
-        let links = Rc::new(NewsClient::new(metrics.clone(), clock.clone()));
+        let opener = self.parts.settings.opener.clone();
+        let links = Rc::new(NewsClient::new(metrics.clone(), clock.clone(), opener));
         let follower = NewsFollower::start(self.parts.clone(), reader, links.clone());
         LedgerSync::start(self.parts.clone(), follower.clone(), links.clone());
         let permits = PermitService::start(self.parts.clone(), links.clone());
--- a/src/relay/news/rpc.rs
+++ b/src/relay/news/rpc.rs
@@ -22,6 +22,7 @@
             },
         },
         store::StorePosition,
+        web::StreamOpener,
     },
     capnp::{Error, capability::Rc as CapRc},
     faststr::FastStr,
@@ -218,10 +219,10 @@
 }
 
 impl NewsClient {
-    /// Creates a client without connections.
-    pub fn new(metrics: Arc<HostMetrics>, clock: HostClock) -> Self {
+    /// Creates a client without connections, which will be opened by `opener`.
+    pub fn new(metrics: Arc<HostMetrics>, clock: HostClock, opener: StreamOpener) -> Self {
         Self {
-            links: PeerLinks::new(metrics),
+            links: PeerLinks::new(metrics, opener),
             clock,
         }
     }
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -4,7 +4,7 @@
     super::policy::budget::RetryBudget,
     crate::{
         account::{KeyRules, LimitTolerance},
-        web::PoolSettings,
+        web::{PoolSettings, StreamOpener},
     },
     faststr::FastStr,
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
@@ -40,6 +40,8 @@
     pub regions: BTreeMap<FastStr, FastStr>,
     /// The store's address.
     pub store: SocketAddr,
+    /// Opens connections to other hosts.
+    pub opener: StreamOpener,
     /// Maximum number of concurrent requests.
     pub requests_limit: u64,
     /// The pool of connections to backend servers.
