--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -73,6 +73,9 @@
     CONFIG_REJECTED = 402, "config-rejected", Error, "The objects at the platform do not pass the checks; the last good set stays in force.", "Correct the named object and field.";
     CONFIG_ACCEPTED = 403, "config-accepted", Info, "This host checked the objects and wrote them as the accepted configuration.", "None.";
     CONFIG_OLDER = 404, "config-older", Warn, "An older configuration was offered and ignored.", "If it repeats, the platform serves stale reads.";
+    CONFIG_ANNOUNCED = 405, "config-announced", Info, "Another host named a newer version of the configuration than this host knew; the version in force here is held, and the pieces that this host lacks are fetched, first from the host at from.", "None; config-fetched (406) and config-in-force (401) follow. Without them look for config-given-up (407).";
+    CONFIG_FETCHED = 406, "config-fetched", Info, "All pieces of an announced configuration are there; how many were fetched, their bytes and the time since the first announcement.", "None.";
+    CONFIG_GIVEN_UP = 407, "config-given-up", Warn, "An announced configuration is not fetched any longer; the cause follows.", "If the store was not restored, compare the versions of other hosts (config_version on their metrics pages).";
     PLATFORM_LOST = 501, "platform-lost", Warn, "The platform does not answer; the host goes on with what it knows.", "Look at the platform; changes wait until it is back.";
     PLATFORM_BACK = 502, "platform-back", Info, "The platform answers again.", "None.";
     NEWS_SOURCE = 503, "news-source", Info, "The host reads the store itself from now on, or follows the named host.", "None; if it changes every few seconds, look at the named hosts and their way to the store.";
--- a/src/relay/cluster/mod.rs
+++ b/src/relay/cluster/mod.rs
@@ -4,6 +4,7 @@
 mod backend_list;
 mod backend_news;
 mod cold_times;
+pub(crate) mod config_state;
 mod evacuations;
 pub(crate) mod history;
 mod host_list;
@@ -11,5 +12,6 @@
 pub(crate) mod state;
 
 pub use self::{
-    backend_list::*, evacuations::*, history::*, host_list::*, list_parts::*, state::*,
+    backend_list::*, config_state::*, evacuations::*, history::*, host_list::*, list_parts::*,
+    state::*,
 };
--- a/src/relay/config.rs
+++ b/src/relay/config.rs
@@ -5,7 +5,7 @@
     crate::account::ClientAccount,
     faststr::FastStr,
     serde::{Deserialize, Serialize},
-    std::time::Duration,
+    std::{rc::Rc, time::Duration},
 };
 
 /// One complete version of the configuration.
@@ -14,7 +14,7 @@
     /// The version, which only increases.
     pub version: u64,
     /// The routes, which map requests to services.
-    pub routes: Vec<RelayRoute>,
+    pub routes: Vec<Rc<RelayRoute>>,
     /// The services that routes lead to.
     pub services: Vec<RelayService>,
     /// Limits on callers' requests and connections.
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -14,6 +14,7 @@
             findings::FindingsSync,
             follow::NewsFollower,
             permits::PermitService,
+            piece_service::PieceService,
             places::PlaceService,
             rpc::{NewsClient, NewsHandlers},
             settle::LedgerSync,
@@ -160,8 +161,10 @@
         let parts = self.parts.clone();
         let (charge_parts, sums_parts) = (parts.clone(), parts.clone());
         let trial_parts = parts.clone();
+        let pieces = PieceService::new(parts.clone());
         let handlers = NewsHandlers {
             clock,
+            pieces: Box::new(move |request| pieces.answer(request)),
             permits: Box::new(move |ask, is_passed_on| {
                 permits.clone().answer(ask, is_passed_on).boxed_local()
             }),
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -6,7 +6,6 @@
 mod carry;
 mod cluster;
 mod config;
-mod config_patch;
 mod critical_task;
 mod dialect;
 mod figures;
@@ -15,12 +14,14 @@
 mod news;
 mod objects;
 mod parts;
+mod pieces;
 mod policy;
 mod request;
 mod roles;
 mod settings;
 
 pub use self::{
-    admission::*, backend::*, cluster::*, config::*, config_patch::*, critical_task::*, dialect::*,
-    host::*, link::*, news::*, objects::*, parts::*, policy::*, request::*, roles::*, settings::*,
+    admission::*, backend::*, cluster::*, config::*, critical_task::*, dialect::*, host::*,
+    link::*, news::*, objects::*, parts::*, pieces::*, policy::*, request::*, roles::*,
+    settings::*,
 };
--- a/src/relay/news/answer.rs
+++ b/src/relay/news/answer.rs
@@ -12,9 +12,8 @@
 /// Longest time that a request is held until there is something newer.
 const MAX_HOLD: Duration = Duration::from_secs(2);
 
-/// Largest number of routes of a configuration that is sent without being requested: some 300 bytes each, to each of
-/// some thirty followers. Larger configurations would saturate the network link of a small host; followers get the
-/// difference from the one that they have, or read them from the store.
+/// Largest number of routes of a configuration that is sent in one message: some 300 bytes each, to each of some thirty
+/// followers. Of a larger one followers are sent the names, and fetch the pieces that they lack.
 const MAX_SENT_ROUTES: usize = 64;
 
 /// Largest number of client accounts of such a configuration, at some 80 bytes per key.
@@ -93,10 +92,13 @@
     let is_sent = |config: &&RelayConfig| {
         let accounts = config.accounts.as_ref().map_or(0, Vec::len);
         let is_small = config.routes.len() <= MAX_SENT_ROUTES && accounts <= MAX_SENT_ACCOUNTS;
-        is_small || held.wants_config
+        is_small || (held.wants_config && !held.reads_pieces)
     };
     let sent_config = newer_config.filter(is_sent);
-    let is_patchable = newer_config.is_some() && sent_config.is_none() && held.reads_parts;
+    let known_version = held.known_version.max(held.config_version);
+    let known_version = sent_config.map_or(known_version, |config| config.version);
+    let newest_root = cluster.config.newest_root();
+    let newer_root = newest_root.filter(|root| held.reads_pieces && root.version > known_version);
     let mut backends = match held.reads_parts {
         true => cluster.backend_news_part(
             held.backends_position,
@@ -114,10 +116,10 @@
         outage: cluster.outage_age(now),
         config_version: cluster.config_version(),
         config: sent_config.cloned(),
-        config_patch: match is_patchable {
-            true => cluster.config_patch(held.config_version),
-            false => None,
-        },
+        known_version: cluster.config.known_version(),
+        known_age: cluster.config.newest_age(now),
+        config_root: newer_root.cloned(),
+        config_position: cluster.config.position(),
         backends,
         hosts: cluster.host_news(held.hosts_position),
         evacuations: cluster.evacuations.news(held.evacuations_position),
--- a/src/relay/news/feed.rs
+++ b/src/relay/news/feed.rs
@@ -40,8 +40,8 @@
     reading: Cell<bool>,
     reading_hosts: Cell<bool>,
     resumed: Notify,
-    // The store position up to which the configuration is known; reset while this host does not read it.
-    pub(super) config_position: Cell<StorePosition>,
+    // No call of this host has confirmed the configuration since a period without reading.
+    pub(super) config_unconfirmed: Cell<bool>,
     reachability: StoreReachability,
     // The backend servers come from a list that may be stale, or from before a period without reading, and no watch has
     // confirmed them yet.
@@ -58,7 +58,7 @@
             reading: Cell::new(false),
             reading_hosts: Cell::new(false),
             resumed: Notify::new(),
-            config_position: Cell::default(),
+            config_unconfirmed: Cell::new(false),
             reachability: StoreReachability::default(),
             backends_unconfirmed: Cell::new(false),
             logged_positions: LoggedPositions::default(),
@@ -239,7 +239,7 @@
             // A host that resumes reading has to learn quickly whether its view is complete. A watch without changes
             // returns only at its timeout, so the next read is a list or a short watch.
             match kind {
-                StoreKind::Config => self.config_position.set(StorePosition::default()),
+                StoreKind::Config => self.config_unconfirmed.set(true),
                 StoreKind::Backends => self.backends_unconfirmed.set(true),
                 StoreKind::Hosts | StoreKind::Leases | StoreKind::Evacuations => {}
             }
@@ -255,7 +255,7 @@
     pub(super) fn known_position(&self, kind: StoreKind) -> StorePosition {
         let cluster = self.parts.cluster.borrow();
         match kind {
-            StoreKind::Config => self.config_position.get(),
+            StoreKind::Config => cluster.config.position(),
             StoreKind::Backends => cluster.backends_position(),
             StoreKind::Hosts => cluster.hosts_position(),
             StoreKind::Leases => StorePosition::default(),
@@ -284,8 +284,10 @@
         };
         self.apply_changes(kind, changes);
         self.record_proof(kind, sent_at);
-        if kind == StoreKind::Backends {
-            self.backends_unconfirmed.set(false);
+        match kind {
+            StoreKind::Config => self.config_unconfirmed.set(false),
+            StoreKind::Backends => self.backends_unconfirmed.set(false),
+            StoreKind::Hosts | StoreKind::Leases | StoreKind::Evacuations => {}
         }
         Ok(())
     }
@@ -308,7 +310,7 @@
     fn record_proof(&self, kind: StoreKind, sent_at: Duration) {
         if kind == StoreKind::Config {
             let mut cluster = self.parts.cluster.borrow_mut();
-            cluster.prove_config(PastTime::at(sent_at));
+            cluster.prove_newest_config(PastTime::at(sent_at));
         }
     }
 
--- a/src/relay/news/follow.rs
+++ b/src/relay/news/follow.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        config_fetch::ConfigFetcher,
         feed::StoreReader,
         message::{ClusterNews, HeldNews, ReportedView},
         rpc::NewsClient,
@@ -67,6 +68,7 @@
     pub(super) parts: Rc<RelayParts>,
     pub(super) reader: Rc<StoreReader>,
     pub(super) client: Rc<NewsClient>,
+    pub(super) fetcher: Rc<ConfigFetcher>,
     pub(super) choice: RefCell<SourceSelector>,
     last_source: RefCell<UpdateSource>,
     // The hosts to follow that a seed suggested, used until the list of hosts is known.
@@ -97,10 +99,12 @@
             start_wait,
             seed_wait,
         };
+        let fetcher = ConfigFetcher::new(parts.clone(), reader.clone(), client.clone());
         let follower = Rc::new(Self {
             parts,
             reader,
             client,
+            fetcher,
             choice: RefCell::new(SourceSelector::new(rules)),
             last_source: RefCell::new(UpdateSource::Seeds),
             guides: RefCell::default(),
@@ -109,6 +113,7 @@
             newer_view: Notify::new(),
             probe_update: Notify::new(),
         });
+        follower.fetcher.start(follower.clone());
         critical_task::spawn_critical("news", follower.clone().run());
         critical_task::spawn_critical("change notifications", follower.clone().watch_changes());
         follower
@@ -156,7 +161,7 @@
     // Whether a view contains changes that are missing from this host's view.
     fn has_newer_content(&self, view: ReportedView) -> bool {
         let cluster = self.parts.cluster.borrow();
-        view.config_version > cluster.config_version()
+        view.known_version > cluster.config.known_version()
             || view.backends_position > cluster.backends_position()
     }
 
@@ -218,6 +223,17 @@
         self.choice.borrow().is_stale(age)
     }
 
+    fn is_receiving(&self) -> bool {
+        let cluster = self.parts.cluster.borrow();
+        cluster.list_cursor().is_some() || cluster.config.behind_since().is_some()
+    }
+
+    /// Records that pieces of a configuration arrived from another host, which will send the rest sooner than the store.
+    pub fn record_piece(&self) {
+        let now = self.parts.now();
+        self.choice.borrow_mut().note_list_part(now);
+    }
+
     fn is_listed(&self) -> bool {
         let cluster = self.parts.cluster.borrow();
         let mut hosts = cluster.hosts();
@@ -278,6 +294,8 @@
         let cluster = self.parts.cluster.borrow();
         HeldNews {
             config_version: cluster.config_version(),
+            known_version: cluster.config.known_version(),
+            reads_pieces: true,
             backends_position: cluster.backends_position(),
             hosts_position: cluster.hosts_position(),
             evacuations_position: cluster.evacuations.position(),
@@ -296,8 +314,8 @@
     async fn follow(&self, entry: &HostEntry) {
         // Bounds the call so that this host does not go without any answer for too long.
         let left = self.choice.borrow().time_left(self.parts.now());
-        // A host that sends parts of a list is up, but may be sending them to many.
-        let is_answering = self.parts.cluster.borrow().list_cursor().is_some();
+        // A host that sends parts of a list or of the configuration is up, but may be sending them to many.
+        let is_answering = self.is_receiving();
         let (hold, timeout) = match self.has_complete_view() || is_answering {
             true => (POLL_HOLD, RESPONSE_TIMEOUT),
             false => (START_POLL_HOLD, START_RESPONSE_TIMEOUT),
--- a/src/relay/news/message.rs
+++ b/src/relay/news/message.rs
@@ -12,8 +12,8 @@
         relay::{
             cluster::{history::KindNews, list_parts::ListCursor},
             config::RelayConfig,
-            config_patch::ConfigPatch,
             link::HostEntry,
+            pieces::ConfigRoot,
             policy::{
                 crash_report::CrashUpdates,
                 findings_cache::{CachePosition, CacheUpdates},
@@ -27,7 +27,7 @@
     capnp::{Error, Result, struct_list},
     faststr::FastStr,
     serde::{Serialize, de::DeserializeOwned},
-    std::{net::SocketAddr, rc::Rc, time::Duration},
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// Number of milliseconds that stands for "never" or "unknown".
@@ -42,6 +42,10 @@
 pub struct HeldNews {
     /// Version of its configuration.
     pub config_version: u64,
+    /// The latest version that it knows of, which it may still be fetching.
+    pub known_version: u64,
+    /// Whether it fetches configurations in pieces.
+    pub reads_pieces: bool,
     /// The store position up to which it knows the backend servers.
     pub backends_position: StorePosition,
     /// The store position up to which it knows the hosts.
@@ -80,8 +84,8 @@
 pub struct ReportedView {
     /// Upper bound of its age; none if the reporter has no view.
     pub age: Option<Duration>,
-    /// Version of its configuration.
-    pub config_version: u64,
+    /// The latest version of the configuration that it knows of.
+    pub known_version: u64,
     /// The store position up to which it knows the backend servers.
     pub backends_position: StorePosition,
 }
@@ -101,8 +105,14 @@
     pub config_version: u64,
     /// The configuration, if the requester lacks it and it is small or was requested.
     pub config: Option<RelayConfig>,
-    /// The difference from the requester's configuration, in place of a large one.
-    pub config_patch: Option<Rc<ConfigPatch>>,
+    /// The latest version of the configuration that the sender knows of, which it may still be fetching.
+    pub known_version: u64,
+    /// How long ago a host that has that version confirmed it.
+    pub known_age: Duration,
+    /// The names of that version, if the requester does not know of it and fetches its pieces.
+    pub config_root: Option<ConfigRoot>,
+    /// The store position up to which that version is the newest.
+    pub config_position: StorePosition,
     /// Changes of the backend servers.
     pub backends: KindNews,
     /// Changes of the hosts.
@@ -142,7 +152,11 @@
         let kinds = [&self.backends, &self.hosts];
         // A requester that does not apply evacuations always lacks them, and would never wait.
         let has_evacuations = self.evacuations.is_whole && held.evacuations_position.is_known();
-        self.config_version > held.config_version
+        let has_config = match held.reads_pieces {
+            true => self.config.is_some() || self.config_root.is_some(),
+            false => self.config_version > held.config_version,
+        };
+        has_config
             || has_evacuations
             || !self.crashes.findings.is_empty()
             || !self.limits.findings.is_empty()
@@ -172,9 +186,19 @@
     serde_json::from_slice(bytes).map_err(|error| Error::failed(error.to_string()))
 }
 
+// Empty bytes stand for no value.
+fn read_optional<T: DeserializeOwned>(bytes: &[u8]) -> Result<Option<T>> {
+    match bytes.is_empty() {
+        true => Ok(None),
+        false => from_json(bytes).map(Some),
+    }
+}
+
 /// Encodes what the requester has.
 pub fn write_held(mut to: held_news::Builder<'_>, held: &HeldNews) {
     to.set_config_version(held.config_version);
+    to.set_known_version(held.known_version);
+    to.set_reads_pieces(held.reads_pieces);
     to.set_backends_revision(held.backends_position.number());
     to.set_hosts_revision(held.hosts_position.number());
     to.set_evacuations_revision(held.evacuations_position.number());
@@ -212,6 +236,8 @@
 pub fn read_held(from: held_news::Reader<'_>) -> Result<HeldNews> {
     Ok(HeldNews {
         config_version: from.get_config_version(),
+        known_version: from.get_known_version(),
+        reads_pieces: from.get_reads_pieces(),
         backends_position: StorePosition::of_number(from.get_backends_revision()),
         hosts_position: StorePosition::of_number(from.get_hosts_revision()),
         evacuations_position: StorePosition::of_number(from.get_evacuations_revision()),
@@ -253,9 +279,12 @@
     if let Some(config) = &news.config {
         to.set_config(&to_json(config)?);
     }
-    if let Some(patch) = &news.config_patch {
-        to.set_config_patch(&to_json(&**patch)?);
+    to.set_known_version(news.known_version);
+    to.set_known_age_ms(to_ms(Some(news.known_age)));
+    if let Some(root) = &news.config_root {
+        to.set_config_root(&to_json(root)?);
     }
+    to.set_config_revision(news.config_position.number());
     if !news.guides.is_empty() {
         to.set_guides(&to_json(&news.guides)?);
     }
@@ -281,16 +310,8 @@
 
 /// Decodes a response; fails if it is malformed.
 pub fn read_news(from: cluster_news::Reader<'_>) -> Result<ClusterNews> {
-    let config = from.get_config()?;
-    let config = match config.is_empty() {
-        true => None,
-        false => Some(from_json(config)?),
-    };
-    let patch = from.get_config_patch()?;
-    let config_patch = match patch.is_empty() {
-        true => None,
-        false => Some(Rc::new(from_json(patch)?)),
-    };
+    let config = read_optional(from.get_config()?)?;
+    let config_root = read_optional(from.get_config_root()?)?;
     let guides = read_json_list(from.get_guides()?)?;
     Ok(ClusterNews {
         age: from_ms(from.get_age_ms()),
@@ -298,7 +319,10 @@
         outage: from_ms(from.get_outage_ms()),
         config_version: from.get_config_version(),
         config,
-        config_patch,
+        known_version: from.get_known_version(),
+        known_age: from_ms(from.get_known_age_ms()).unwrap_or(Duration::MAX),
+        config_root,
+        config_position: StorePosition::of_number(from.get_config_revision()),
         backends: read_kind(from.get_backends()?)?,
         hosts: read_kind(from.get_hosts()?)?,
         evacuations: read_kind(from.get_evacuations()?)?,
--- a/src/relay/news/mod.rs
+++ b/src/relay/news/mod.rs
@@ -5,6 +5,7 @@
 //! rate-limited servers, and findings such as requests that crash their servers.
 
 pub(crate) mod answer;
+pub(crate) mod config_fetch;
 mod crash_message;
 pub(crate) mod entry;
 pub(crate) mod feed;
@@ -15,6 +16,8 @@
 mod list_table;
 pub(crate) mod message;
 pub(crate) mod permits;
+mod piece_message;
+pub(crate) mod piece_service;
 pub(crate) mod place_message;
 pub(crate) mod places;
 mod priority_message;
--- a/src/relay/news/news.capnp
+++ b/src/relay/news/news.capnp
@@ -35,6 +35,10 @@
   partLatest @15 :UInt64;
   # Encoded position up to which the requester knows the evacuations of zones.
   evacuationsRevision @16 :UInt64;
+  # The latest version of the configuration that the requester knows of, which it may still be fetching.
+  knownVersion @17 :UInt64;
+  # The requester fetches configurations in pieces.
+  readsPieces @18 :Bool;
 }
 
 # What a rate-limited server reported.
@@ -117,10 +121,17 @@
   limits @13 :List(LimitUpdate);
   limitBook @14 :UInt64;
   limitRevision @15 :UInt64;
-  # JSON, for requesters that read lists in parts and have a recent configuration: the difference from that one.
+  # Earlier versions: the difference from a recent configuration. Not sent any more.
   configPatch @16 :Data;
   # The evacuations of zones.
   evacuations @17 :KindNews;
+  # The latest version of the configuration that the sender knows of, and how long ago a host that has it confirmed it.
+  knownVersion @18 :UInt64;
+  knownAgeMs @19 :UInt32;
+  # JSON, for requesters that fetch configurations in pieces and do not know that version: the names of its lists.
+  configRoot @20 :Data;
+  # Encoded store position up to which that version is the newest.
+  configRevision @21 :UInt64;
 }
 
 # Kept to eight bytes, since reports are sent several times a second.
@@ -260,4 +271,9 @@
   # longer the server is short of places. A forwarded message is not forwarded again.
   lease @7 (request :PlaceRequest, hasRequest :Bool, returns :List(PlaceReturn), isPassedOn :Bool)
     -> (lease :UInt64, waitMs :UInt32, contendedMs :UInt32);
+  # Requests pieces of a configuration by name, 16 bytes each. Returns those that the receiver has and that fit into one
+  # message, compressed; or, if it sends pieces to many, when it will have time, and hosts that it has sent some to.
+  # `peers` is the requester's own address as ADDRESS:PORT.
+  fetch @8 (names :Data, peers :Text)
+    -> (pieces :List(Data), busyMs :UInt32, others :List(Text));
 }
--- a/src/relay/news/news_capnp.rs
+++ b/src/relay/news/news_capnp.rs
@@ -146,11 +146,19 @@
         pub fn get_evacuations_revision(self) -> u64 {
             self.reader.get_data_field::<u64>(10)
         }
+        #[inline]
+        pub fn get_known_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(11)
+        }
+        #[inline]
+        pub fn get_reads_pieces(self) -> bool {
+            self.reader.get_bool_field(195)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 11, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 12, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -360,6 +368,22 @@
         pub fn set_evacuations_revision(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(10, value);
         }
+        #[inline]
+        pub fn get_known_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(11)
+        }
+        #[inline]
+        pub fn set_known_version(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(11, value);
+        }
+        #[inline]
+        pub fn get_reads_pieces(self) -> bool {
+            self.builder.get_bool_field(195)
+        }
+        #[inline]
+        pub fn set_reads_pieces(&mut self, value: bool)  {
+            self.builder.set_bool_field(195, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -371,143 +395,157 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 288] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 320] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(154, 19, 119, 199, 114, 45, 18, 242),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 11, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 12, 0),
             ::capnp::word(35, 152, 123, 90, 14, 108, 31, 212),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 191, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 47, 4, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 72, 101, 108, 100, 78),
             ::capnp::word(101, 119, 115, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 1, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(13, 2, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(25, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(33, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(41, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 193, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(45, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(53, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(57, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(61, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(69, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(77, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(85, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(93, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(101, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(109, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(117, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 2, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(125, 2, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(17, 0, 0, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(18, 0, 0, 0, 195, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(145, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(99, 111, 110, 102, 105, 103, 86, 101),
             ::capnp::word(114, 115, 105, 111, 110, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -660,6 +698,24 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(107, 110, 111, 119, 110, 86, 101, 114),
+            ::capnp::word(115, 105, 111, 110, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 97, 100, 115, 80, 105, 101),
+            ::capnp::word(99, 101, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -680,6 +736,8 @@
                 14 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 15 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 16 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                17 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                18 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -693,9 +751,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,8,9,16,2,5,10,11,14,15,13,7,12,4,3,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,8,9,16,2,5,17,10,11,14,15,13,7,12,18,4,3,6];
         pub(crate) const TYPE_ID: u64 = 0xf212_2d72_c777_139a;
     }
 }
@@ -2236,11 +2294,31 @@
         pub fn has_evacuations(&self) -> bool {
             !self.reader.get_pointer_field(7).is_null()
         }
+        #[inline]
+        pub fn get_known_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(8)
+        }
+        #[inline]
+        pub fn get_known_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(7)
+        }
+        #[inline]
+        pub fn get_config_root(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(8), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_config_root(&self) -> bool {
+            !self.reader.get_pointer_field(8).is_null()
+        }
+        #[inline]
+        pub fn get_config_revision(self) -> u64 {
+            self.reader.get_data_field::<u64>(9)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 8 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 10, pointers: 9 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2498,6 +2576,46 @@
         pub fn has_evacuations(&self) -> bool {
             !self.builder.is_pointer_field_null(7)
         }
+        #[inline]
+        pub fn get_known_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(8)
+        }
+        #[inline]
+        pub fn set_known_version(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(8, value);
+        }
+        #[inline]
+        pub fn get_known_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(7)
+        }
+        #[inline]
+        pub fn set_known_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(7, value);
+        }
+        #[inline]
+        pub fn get_config_root(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(8), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_config_root(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(8).set_data(value);
+        }
+        #[inline]
+        pub fn init_config_root(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(8).init_data(size)
+        }
+        #[inline]
+        pub fn has_config_root(&self) -> bool {
+            !self.builder.is_pointer_field_null(8)
+        }
+        #[inline]
+        pub fn get_config_revision(self) -> u64 {
+            self.builder.get_data_field::<u64>(9)
+        }
+        #[inline]
+        pub fn set_config_revision(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(9, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2518,150 +2636,178 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 304] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 368] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(192, 15, 59, 78, 52, 184, 25, 176),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 8, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 10, 0),
             ::capnp::word(35, 152, 123, 90, 14, 108, 31, 212),
-            ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 247, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 215, 4, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 67, 108, 117, 115, 116),
             ::capnp::word(101, 114, 78, 101, 119, 115, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(88, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(89, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(93, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(101, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(109, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(113, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(121, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(125, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(129, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(133, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(137, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(141, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(161, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(169, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(177, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(197, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(205, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(213, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(221, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(18, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(229, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(228, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(19, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(237, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(236, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(245, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(244, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(21, 0, 0, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(253, 2, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(252, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2823,6 +2969,42 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(107, 110, 111, 119, 110, 86, 101, 114),
+            ::capnp::word(115, 105, 111, 110, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(107, 110, 111, 119, 110, 65, 103, 101),
+            ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 102, 105, 103, 82, 111),
+            ::capnp::word(111, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 102, 105, 103, 82, 101),
+            ::capnp::word(118, 105, 115, 105, 111, 110, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2844,6 +3026,10 @@
                 15 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 16 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 17 => <crate::news_capnp::kind_news::Owned as ::capnp::introspect::Introspect>::introspect(),
+                18 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                19 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                20 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                21 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2857,9 +3043,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,3,16,2,11,12,10,17,6,8,5,7,14,15,13,1,9];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,3,16,21,20,2,11,12,10,17,6,8,5,7,19,18,14,15,13,1,9];
         pub(crate) const TYPE_ID: u64 = 0xb019_b834_4e3b_0fc0;
     }
 }
@@ -6036,6 +6222,8 @@
     pub type DealResults<> = ::capnp::capability::Results<crate::news_capnp::news_peer::deal_results::Owned>;
     pub type LeaseParams<> = ::capnp::capability::Params<crate::news_capnp::news_peer::lease_params::Owned>;
     pub type LeaseResults<> = ::capnp::capability::Results<crate::news_capnp::news_peer::lease_results::Owned>;
+    pub type FetchParams<> = ::capnp::capability::Params<crate::news_capnp::news_peer::fetch_params::Owned>;
+    pub type FetchResults<> = ::capnp::capability::Results<crate::news_capnp::news_peer::fetch_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -6109,6 +6297,9 @@
         pub fn lease_request(&self) -> ::capnp::capability::Request<crate::news_capnp::news_peer::lease_params::Owned,crate::news_capnp::news_peer::lease_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 7, ::core::option::Option::None)
         }
+        pub fn fetch_request(&self) -> ::capnp::capability::Request<crate::news_capnp::news_peer::fetch_params::Owned,crate::news_capnp::news_peer::fetch_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 8, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn follow(self: ::capnp::capability::Rc<Self>, _: FollowParams<>, _: FollowResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method news_peer::Server::follow not implemented".to_string()))) }
@@ -6119,6 +6310,7 @@
         fn allow_trial(self: ::capnp::capability::Rc<Self>, _: AllowTrialParams<>, _: AllowTrialResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method news_peer::Server::allow_trial not implemented".to_string()))) }
         fn deal(self: ::capnp::capability::Rc<Self>, _: DealParams<>, _: DealResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method news_peer::Server::deal not implemented".to_string()))) }
         fn lease(self: ::capnp::capability::Rc<Self>, _: LeaseParams<>, _: LeaseResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method news_peer::Server::lease not implemented".to_string()))) }
+        fn fetch(self: ::capnp::capability::Rc<Self>, _: FetchParams<>, _: FetchResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method news_peer::Server::fetch not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -6156,6 +6348,7 @@
                 5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::allow_trial(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 6 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::deal(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 7 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::lease(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                8 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::fetch(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -10061,4 +10254,536 @@
             pub(crate) const TYPE_ID: u64 = 0xb7eb_5ab5_ec1d_98cb;
         }
     }
+
+    pub mod fetch_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_names(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_names(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_peers(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_peers(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_names(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_names(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_names(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_names(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_peers(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_peers(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_peers(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(1).init_text(size)
+            }
+            #[inline]
+            pub fn has_peers(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(24, 205, 174, 188, 170, 103, 37, 161),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 78, 101, 119, 115, 80),
+                ::capnp::word(101, 101, 114, 46, 102, 101, 116, 99),
+                ::capnp::word(104, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(110, 97, 109, 101, 115, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 115, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) const TYPE_ID: u64 = 0xa125_67aa_bcae_cd18;
+        }
+    }
+
+    pub mod fetch_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_pieces(self) -> ::capnp::Result<::capnp::data_list::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_pieces(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_busy_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn get_others(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_others(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_pieces(self) -> ::capnp::Result<::capnp::data_list::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_pieces(&mut self, value: ::capnp::data_list::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_pieces(self, size: u32) -> ::capnp::data_list::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_pieces(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_busy_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn set_busy_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(0, value);
+            }
+            #[inline]
+            pub fn get_others(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_others(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            }
+            #[inline]
+            pub fn init_others(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+            }
+            #[inline]
+            pub fn has_others(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 71] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(247, 237, 188, 198, 164, 82, 171, 157),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 78, 101, 119, 115, 80),
+                ::capnp::word(101, 101, 114, 46, 102, 101, 116, 99),
+                ::capnp::word(104, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(89, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(93, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(112, 105, 101, 99, 101, 115, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(98, 117, 115, 121, 77, 115, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(111, 116, 104, 101, 114, 115, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
+            pub(crate) const TYPE_ID: u64 = 0x9dab_52a4_c6bc_edf7;
+        }
+    }
 }
--- a/src/relay/news/rpc.rs
+++ b/src/relay/news/rpc.rs
@@ -4,6 +4,7 @@
     super::{
         crash_message, limit_message,
         message::{self, ClusterNews, HeldNews, ReportedView},
+        piece_message::{self, PieceAnswer, PieceRequest},
         place_message,
     },
     crate::{
@@ -58,6 +59,9 @@
 /// Leases places of contended servers, or forwards the message; the flag is set if it was forwarded already.
 pub type PlaceHandler = dyn Fn(PlaceMessage, bool) -> LocalBoxFuture<'static, PlaceAnswer>;
 
+/// Hands out pieces of the configuration.
+pub type PieceHandler = dyn Fn(&PieceRequest) -> PieceAnswer;
+
 /// Handlers of the calls of other hosts.
 pub struct NewsHandlers {
     /// The clock from which ages in messages are computed.
@@ -78,6 +82,8 @@
     pub permits: Box<PermitHandler>,
     /// Leases places of contended servers.
     pub places: Box<PlaceHandler>,
+    /// Hands out pieces of the configuration.
+    pub pieces: Box<PieceHandler>,
 }
 
 struct NewsServer {
@@ -110,7 +116,7 @@
         let report = message::read_report(params.get_report()?)?;
         let view = ReportedView {
             age: message::from_ms(params.get_age_ms()),
-            config_version: params.get_config_version(),
+            known_version: params.get_config_version(),
             backends_position: StorePosition::of_number(params.get_backends_revision()),
         };
         let others = (self.handlers.reports)(reporter, report, view);
@@ -196,6 +202,17 @@
         place_message::write_place_answer(results.get(), &answer);
         Ok(())
     }
+
+    async fn fetch(
+        self: CapRc<Self>,
+        params: news_peer::FetchParams,
+        mut results: news_peer::FetchResults,
+    ) -> Result<(), Error> {
+        let request = piece_message::read_request(params.get()?)?;
+        let answer = (self.handlers.pieces)(&request);
+        piece_message::write_answer(results.get(), &answer);
+        Ok(())
+    }
 }
 
 /// Serves the calls of other hosts on a listening socket for as long as the host runs.
@@ -376,6 +393,23 @@
             .await
     }
 
+    /// Requests pieces of a configuration from a host.
+    pub async fn fetch(
+        &self,
+        address: SocketAddr,
+        wanted: &PieceRequest,
+        timeout: Duration,
+    ) -> Result<PieceAnswer, Error> {
+        self.links
+            .call(address, timeout, |client| async move {
+                let mut request = client.fetch_request();
+                piece_message::write_request(request.get(), wanted);
+                let response = request.send().promise.await?;
+                piece_message::read_answer(response.get()?)
+            })
+            .await
+    }
+
     /// Sends a load report, and how current this host's view is, to a host; returns the sum of the others' reports.
     pub async fn share(
         &self,
@@ -396,7 +430,7 @@
                 params.set_reporter(name.as_str());
                 params.set_is_zone(is_zone);
                 params.set_age_ms(message::to_ms(view.age));
-                params.set_config_version(view.config_version);
+                params.set_config_version(view.known_version);
                 params.set_backends_revision(view.backends_position.number());
                 message::write_report(params.init_report(), report);
                 let response = request.send().promise.await?;
--- a/src/relay/news/share.rs
+++ b/src/relay/news/share.rs
@@ -130,7 +130,7 @@
         let cluster = self.parts.cluster.borrow();
         ReportedView {
             age: cluster.age(self.parts.now()),
-            config_version: cluster.config_version(),
+            known_version: cluster.config.known_version(),
             backends_position: cluster.backends_position(),
         }
     }
--- a/src/relay/news/store_updates.rs
+++ b/src/relay/news/store_updates.rs
@@ -40,7 +40,12 @@
         let is_applied = match kind {
             StoreKind::Config => {
                 self.apply_configs(items);
-                self.config_position.set(position);
+                self.config_unconfirmed.set(false);
+                self.parts
+                    .cluster
+                    .borrow_mut()
+                    .config
+                    .set_position(position);
                 true
             }
             StoreKind::Backends => {
@@ -87,8 +92,7 @@
         match kind {
             StoreKind::Config => {
                 self.apply_configs(changes.into_iter().filter_map(into_set_item).collect());
-                self.config_position
-                    .set(position.max(self.config_position.get()));
+                self.parts.cluster.borrow_mut().config.advance(position);
             }
             StoreKind::Backends => {
                 let mut cluster = self.parts.cluster.borrow_mut();
--- a/src/relay/news/take.rs
+++ b/src/relay/news/take.rs
@@ -1,12 +1,12 @@
 //! Applies updates received from other hosts to the local view.
 
 use {
-    super::{
-        follow::{NewsFollower, RESPONSE_TIMEOUT},
-        message::ClusterNews,
+    super::{follow::NewsFollower, message::ClusterNews},
+    crate::{
+        event,
+        relay::{link::StoreKind, policy::past_time::PastTime},
     },
-    crate::relay::{link::StoreKind, policy::past_time::PastTime},
-    std::{net::SocketAddr, rc::Rc, time::Duration},
+    std::{net::SocketAddr, time::Duration},
 };
 
 impl NewsFollower {
@@ -24,30 +24,55 @@
             let now = self.parts.now();
             self.choice.borrow_mut().note_list_part(now);
         }
-        let held = self.parts.cluster.borrow().config_version();
-        let patch = news.config_patch.map(Rc::unwrap_or_clone);
-        let patched = patch.and_then(|patch| self.parts.cluster.borrow().patched_config(patch));
-        let has_config = match news.config.or(patched) {
-            Some(config) => {
-                self.parts.offer_config(config, "host");
-                true
-            }
-            None if news.config_version <= held => true,
-            None => self.fetch_config(from).await,
-        };
-        if !has_config {
+        if !self.apply_config(&news, from, sent_at).await {
             return;
         }
         let mut cluster = self.parts.cluster.borrow_mut();
-        if let Some(at) = confirmed {
+        cluster.config.advance(news.config_position);
+        // Without any configuration this host cannot do its work, whatever it knows.
+        if let Some(at) = confirmed.filter(|_| cluster.config_version() > 0) {
             cluster.confirm_at(StoreKind::Config, at);
         }
-        // The configuration in force here is now the sender's or a newer one.
-        if let Some(at) = proved {
+        // Only holds if the configuration in force here is the sender's or a newer one.
+        if let Some(at) = proved.filter(|_| cluster.config_version() >= news.config_version) {
             cluster.prove_config(at);
         }
     }
 
+    // Applies a configuration, or starts fetching the one that the sender names. Returns whether this host then knows of
+    // all versions that the sender knows of.
+    async fn apply_config(&self, news: &ClusterNews, from: SocketAddr, sent_at: Duration) -> bool {
+        if let Some(config) = &news.config {
+            self.parts.offer_config(config.clone(), "host");
+        }
+        self.learn_version(news, from, sent_at);
+        let known = self.parts.cluster.borrow().config.known_version();
+        // A host of an earlier version of this program only names a large configuration.
+        let is_named_only = news.known_version == 0 && known < news.config_version;
+        match is_named_only {
+            true => self.reader.read_config().await.is_ok(),
+            false => known >= news.known_version,
+        }
+    }
+
+    // Records the newest version that the sender knows of, and starts fetching it if it is new to this host.
+    fn learn_version(&self, news: &ClusterNews, from: SocketAddr, sent_at: Duration) {
+        let now = self.parts.now();
+        let stated = PastTime::at(sent_at + news.held).before(news.known_age);
+        let mut cluster = self.parts.cluster.borrow_mut();
+        cluster.config.confirm_version(news.known_version, stated);
+        let Some(root) = &news.config_root else {
+            return;
+        };
+        let held = cluster.config_version();
+        if cluster.config.announce(root.clone(), stated, now) {
+            drop(cluster);
+            log_announced(root.version, held, from);
+            self.parts.state_changed.notify_waiters();
+            self.fetcher.fetch_from(from);
+        }
+    }
+
     // Returns false if parts of a list are still missing.
     fn apply_lists(&self, news: &ClusterNews, confirmed: Option<PastTime>) -> bool {
         let now = self.parts.now();
@@ -75,31 +100,11 @@
         self.parts.log_reread();
         is_complete
     }
+}
 
-    // Reads a large configuration from the store, or gets it from the host that announced it if the store does not
-    // answer.
-    async fn fetch_config(&self, from: SocketAddr) -> bool {
-        let Err(failure) = self.reader.read_config().await else {
-            return true;
-        };
-        log::debug!(
-            "cannot read the configuration from the store: {failure}; \
-             requesting it from the host at {from}"
-        );
-        let held = self.held_news(from, Duration::ZERO, true);
-        match self.client.follow(from, held, RESPONSE_TIMEOUT).await {
-            Ok(ClusterNews {
-                config: Some(config),
-                ..
-            }) => {
-                self.parts.offer_config(config, "host");
-                true
-            }
-            Ok(_) => false,
-            Err(error) => {
-                log::debug!("host at {from} did not send the configuration: {error}");
-                false
-            }
-        }
-    }
+fn log_announced(version: u64, held: u64, from: SocketAddr) {
+    event::emit(
+        &event::CONFIG_ANNOUNCED,
+        &[("version", &version), ("held", &held), ("from", &from)],
+    );
 }
--- a/src/relay/news/watch_time.rs
+++ b/src/relay/news/watch_time.rs
@@ -28,6 +28,7 @@
         match kind {
             StoreKind::Hosts => HOSTS_WATCH_TIME,
             StoreKind::Backends if self.backends_unconfirmed.get() => CONFIRMING_WATCH_TIME,
+            StoreKind::Config if self.config_unconfirmed.get() => CONFIRMING_WATCH_TIME,
             StoreKind::Config => self.config_watch_time(),
             StoreKind::Evacuations => self.evacuation_watch_time(),
             _ => self.watch_time(),
--- a/src/relay/objects.rs
+++ b/src/relay/objects.rs
@@ -20,7 +20,7 @@
     bytes::Bytes,
     faststr::FastStr,
     http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode},
-    std::time::Duration,
+    std::{rc::Rc, time::Duration},
 };
 
 /// Request id set by the caller; servers may repeat it in their response.
@@ -39,7 +39,9 @@
     RelayConfig {
         accounts: None,
         version,
-        routes: routes.map(|route| relay_route(objects, route)).collect(),
+        routes: routes
+            .map(|route| Rc::new(relay_route(objects, route)))
+            .collect(),
         services: services.cloned().map(relay_service).collect(),
         limits: CallerLimits {
             body_bytes,
--- a/src/relay/parts/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -7,6 +7,7 @@
             self, AccountLabels, CauseLabels, EndLabels, LimitEnd, ResponseEndLabels, RouteLabels,
             StoreCause,
         },
+        piece_metrics::PieceMetrics,
         place_metrics::PlaceMetrics,
         priority_metrics::PriorityMetrics,
         service_metrics::ServiceMetrics,
@@ -100,6 +101,8 @@
     pub places: PlaceMetrics,
     /// Lost links and carried connections.
     pub links: LinkMetrics,
+    /// Configurations in pieces.
+    pub pieces: PieceMetrics,
 }
 
 impl fmt::Debug for RelayMetrics {
@@ -161,6 +164,7 @@
             servers_limited: Gauge::default(),
             places: PlaceMetrics::default(),
             links: LinkMetrics::default(),
+            pieces: PieceMetrics::default(),
         };
         metrics.register();
         metrics
@@ -174,6 +178,7 @@
         self.priorities.register(r);
         self.places.register(r);
         self.links.register(r);
+        self.pieces.register(r);
         r.register(
             "answers",
             "Answers by route and status",
--- a/src/relay/parts/mod.rs
+++ b/src/relay/parts/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod metric_labels;
 pub(crate) mod metrics;
 pub(crate) mod permits;
+pub(crate) mod piece_metrics;
 pub(crate) mod place_metrics;
 pub(crate) mod places;
 pub(crate) mod priorities;
@@ -26,6 +27,6 @@
 
 pub use self::{
     accounts::*, crashes::*, link_metrics::*, metric_labels::*, metrics::*, permits::*,
-    place_metrics::*, places::*, priorities::*, priority_metrics::*, server_limits::*,
-    service_metrics::*, shared::*,
+    piece_metrics::*, place_metrics::*, places::*, priorities::*, priority_metrics::*,
+    server_limits::*, service_metrics::*, shared::*,
 };
--- a/src/relay/parts/publish.rs
+++ b/src/relay/parts/publish.rs
@@ -1,15 +1,17 @@
 //! Applies updates of the cluster state: activates configurations and publishes changes of the backend servers.
 
 use {
-    super::shared::RelayParts,
+    super::{cold_servers::ColdRates, shared::RelayParts},
     crate::{
         event,
         relay::{
             config::RelayConfig,
+            pieces::PieceError,
             policy::{changes::BackendChanges, subset},
         },
     },
     faststr::FastStr,
+    std::time::Duration,
 };
 
 /// Maximum number of names in a log line.
@@ -18,21 +20,46 @@
 impl RelayParts {
     /// Activates a configuration from the store or another host if it is newer than the current one.
     pub fn offer_config(&self, config: RelayConfig, from: &str) {
-        let version = config.version;
-        let routes = config.routes.len();
         let cold_rates = self.cold_rates();
         let is_newer = self.cluster.borrow_mut().update_config(config);
         if is_newer {
-            self.apply_cold_rates(&cold_rates);
-            event::emit(
-                &event::CONFIG_IN_FORCE,
-                &[("version", &version), ("routes", &routes), ("from", &from)],
-            );
-            self.caller_waits.borrow_mut().clear();
-            self.state_changed.notify_waiters();
+            self.publish_config(&cold_rates, from);
         }
     }
 
+    /// Activates the configuration whose pieces have all been fetched from other hosts. Fails if they do not fit.
+    pub fn activate_fetched_config(&self) -> Result<(), PieceError> {
+        let cold_rates = self.cold_rates();
+        let completed = self.cluster.borrow_mut().config.complete()?;
+        if completed.is_some() {
+            self.publish_config(&cold_rates, "pieces");
+        }
+        Ok(())
+    }
+
+    // Lets the newly activated configuration take effect; `cold_rates` are those of the earlier one.
+    fn publish_config(&self, cold_rates: &ColdRates, from: &str) {
+        self.apply_cold_rates(cold_rates);
+        let routes = self.routes().expect("it was just activated");
+        let config = routes.config();
+        event::emit(
+            &event::CONFIG_IN_FORCE,
+            &[
+                ("version", &config.version),
+                ("routes", &config.routes.len()),
+                ("from", &from),
+            ],
+        );
+        self.caller_waits.borrow_mut().clear();
+        self.state_changed.notify_waiters();
+    }
+
+    /// How long a newer configuration than the one in force has been known; none if there is no newer one.
+    pub fn config_lag(&self) -> Option<Duration> {
+        let since = self.cluster.borrow().config.behind_since()?;
+        Some(self.now().saturating_sub(since))
+    }
+
     /// Applies the current list of backend servers to routing and wakes the tasks that wait for changes.
     pub fn publish_backends(&self) {
         let touched = self.cluster.borrow_mut().take_touched_backends();
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -409,6 +409,10 @@
         metrics.store_era.set(i64::from(cluster.era()));
         metrics.doubtful_eras.set(self.eras.doubtful() as i64);
         metrics.config_version.set(cluster.config_version() as i64);
+        let known_version = cluster.config.known_version();
+        metrics.pieces.known_version.set(known_version as i64);
+        let behind = self.config_lag().unwrap_or_default();
+        metrics.pieces.behind.set(behind.as_millis() as i64);
         metrics.backends.set(cluster.usable().len() as i64);
         metrics.page()
     }
--- a/src/relay/policy/route.rs
+++ b/src/relay/policy/route.rs
@@ -23,7 +23,6 @@
     config: RelayConfig,
     // Indexes of a host's routes, longest prefix first.
     by_host: HashMap<FastStr, Vec<usize>>,
-    routes: Vec<Rc<RelayRoute>>,
     services: HashMap<FastStr, Rc<RelayService>>,
     accounts: Option<AccountDirectory>,
     // The different priorities of the requests to a service, most urgent first, for services that have several.
@@ -33,7 +32,7 @@
 impl RouteTable {
     /// Indexes a configuration.
     pub fn new(config: RelayConfig) -> Self {
-        let routes: Vec<_> = config.routes.iter().cloned().map(Rc::new).collect();
+        let routes = &config.routes;
         let mut by_host: HashMap<FastStr, Vec<usize>> = HashMap::new();
         for (index, route) in routes.iter().enumerate() {
             by_host.entry(route.host.clone()).or_default().push(index);
@@ -51,7 +50,6 @@
         Self {
             config,
             by_host,
-            routes,
             services,
             accounts,
             priorities,
@@ -72,10 +70,9 @@
     pub fn find(&self, host: &str, path: &str) -> Option<Rc<RelayRoute>> {
         let name = normalize_host(host);
         let indexes = self.by_host.get(name.as_str())?;
-        let index = indexes
-            .iter()
-            .find(|index| path.starts_with(self.routes[**index].path_prefix.as_str()))?;
-        Some(self.routes[*index].clone())
+        let mut routes = indexes.iter().map(|index| &self.config.routes[*index]);
+        let route = routes.find(|route| path.starts_with(route.path_prefix.as_str()))?;
+        Some(route.clone())
     }
 
     /// A service by its name.
--- a/src/relay/request/handler.rs
+++ b/src/relay/request/handler.rs
@@ -30,6 +30,15 @@
 const NO_REGION_RETRY_AFTER: RangeInclusive<Duration> =
     Duration::from_millis(700)..=Duration::from_millis(1_300);
 
+/// `Retry-After` while a newer configuration is on its way, random so that callers do not return together.
+const CONFIG_RETRY_AFTER: RangeInclusive<Duration> =
+    Duration::from_millis(300)..=Duration::from_millis(900);
+
+/// How long before the end of the time in which a change has to be in force a host stops to decide by the earlier
+/// configuration: the host learned of the change later than it was accepted, and requests take a while to reach their
+/// servers.
+const CONFIG_LAG_MARGIN: Duration = Duration::from_millis(500);
+
 /// Handles a client's request. A refusal is logged and becomes a response.
 pub async fn handle_request(parts: Rc<RelayParts>, request: Request<Incoming>) -> RelayResponse {
     let arrived = Instant::now();
@@ -74,11 +83,14 @@
 ) -> Result<RelayResponse, Refusal> {
     let entry = parts.gate.enter()?;
     let routes = parts.routes().ok_or_else(not_configured)?;
+    check_config_lag(parts)?;
     let limits = &routes.config().limits;
     check_headers(&head, limits)?;
-    let route = find_route(&routes, &head)?;
+    let route = find_route(&routes, &head).map_err(|refusal| unless_behind(parts, refusal))?;
     let api_key = (parts.dialect.read_request)(&head.headers).key;
-    parts.identify(&route, api_key)?;
+    parts
+        .identify(&route, api_key)
+        .map_err(|refusal| unless_behind(parts, refusal))?;
     let service = routes.draw_service(&route).ok_or_else(|| {
         let text = format!("route {} leads to no service", route.name);
         Refusal::not_run(RefusalCode::NoBackend, text).after(RETRY_AFTER)
@@ -93,7 +105,9 @@
     )
     .await?;
     // Checked again, because the key may have expired while the body was read.
-    let account = parts.identify(&request.route, request.marks.key)?;
+    let account = parts
+        .identify(&request.route, request.marks.key)
+        .map_err(|refusal| unless_behind(parts, refusal))?;
     let request = request.with_account(account);
     let request = restrict_zones(parts, request, &service)?;
     let request = send_check::admit(parts, request, &service.name).await?;
@@ -191,6 +205,38 @@
     Refusal::not_run(RefusalCode::NotConfigured, text).after(RETRY_AFTER)
 }
 
+// Refuses to decide by a configuration that should have been replaced by now. Other hosts that have the newer one serve
+// the caller when it comes back; forwarding the request to them would take the link that the configuration arrives on.
+fn check_config_lag(parts: &RelayParts) -> Result<(), Refusal> {
+    let bound = parts.settings.bounds.change_time;
+    let longest = bound.saturating_sub(CONFIG_LAG_MARGIN);
+    match parts.config_lag() {
+        Some(lag) if lag >= longest => Err(config_behind(lag)),
+        _ => Ok(()),
+    }
+}
+
+// The newer configuration that is on its way may contain the route or the key that this one lacks.
+fn unless_behind(parts: &RelayParts, refusal: Refusal) -> Refusal {
+    let is_final = !matches!(
+        refusal.code,
+        RefusalCode::UnknownRoute | RefusalCode::UnknownCaller
+    );
+    match parts.config_lag() {
+        Some(lag) if !is_final => config_behind(lag),
+        _ => refusal,
+    }
+}
+
+fn config_behind(lag: Duration) -> Refusal {
+    let text = format!(
+        "a newer configuration is on its way to this host, for {} ms so far",
+        lag.as_millis()
+    );
+    let wait = rand::random_range(CONFIG_RETRY_AFTER);
+    Refusal::not_run(RefusalCode::NotConfigured, text).after(wait)
+}
+
 fn check_headers(head: &Parts, limits: &CallerLimits) -> Result<(), Refusal> {
     let headers = head.headers.iter();
     let size: usize = headers
