--- a/src/relay/news/feed.rs
+++ b/src/relay/news/feed.rs
@@ -196,6 +196,11 @@
                 }
                 Err(failure) => {
                     self.record_failure(kind, &failure);
+                    if kind == StoreKind::Config {
+                        // A list has one configuration; a watch from long ago may have many.
+                        let mut cluster = self.parts.cluster.borrow_mut();
+                        cluster.config.set_position(StorePosition::default());
+                    }
                     let delay = self.retry_delays().after(failures, rand::random());
                     self.log_failed_call(kind, &failure, sent_at, delay);
                     failures += 1;
