A host that turns to the store goes on asking the head of its own zone

What was seen: in the test of 32 hosts one to five hosts lacked the change after 3 s while the others had it after one. Their news had grown old while the readers read, so they turned to the store themselves, for two seconds; meanwhile they asked heads of other zones only, and there is one zone. The store was still sending to them what their own head had had for two seconds.

Change: the head of the own zone is asked as well.

--- a/src/relay/news/follow.rs
+++ b/src/relay/news/follow.rs
@@ -376,8 +376,9 @@
         }
     }
 
-    // Some heads of other zones, or the seeds where none is known; and the last host with a complete view that polled
-    // this one while its own view was incomplete.
+    // Some heads of other zones, or the seeds where none is known; the head of the own zone, which may have what the store
+    // is still sending to this host; and the last host with a complete view that polled this one while its own view was
+    // incomplete.
     fn others_to_poll(&self) -> Vec<SocketAddr> {
         let heads = self.choice.borrow().other_heads(self.parts.now());
         let mut addresses: Vec<SocketAddr> = heads.into_iter().map(|entry| entry.peers).collect();
@@ -392,6 +393,7 @@
         }
         addresses.shuffle(&mut rand::rng());
         addresses.truncate(POLLED_HEADS);
+        addresses.extend(self.head().map(|entry| entry.peers));
         addresses.extend(self.parts.informed_peer.take());
         addresses
     }
