--- a/src/capacity/fleet_model.rs
+++ b/src/capacity/fleet_model.rs
@@ -6,13 +6,13 @@
         engine::EngineRole,
         relay::{
             BackendInfo, BackendRegistry, CallerLimits, ClusterState, HostEntry, RelayConfig,
-            subset_of,
+            RelayRoute, RequestKind, subset_of,
         },
         store::StorePosition,
     },
     faststr::FastStr,
     rand::{RngExt, SeedableRng, rngs::StdRng},
-    std::{net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// Of 100 backend servers, the number that are plain servers, and that are prefill engines; the others are decode
@@ -41,10 +41,12 @@
     pub servers: usize,
     /// Client accounts.
     pub accounts: usize,
+    /// Routes of the configuration.
+    pub routes: usize,
 }
 
 impl FleetSize {
-    /// A fleet with this many times the hosts, servers and accounts in the same zones.
+    /// A fleet with this many times the hosts, servers, accounts and routes in the same zones.
     pub fn scaled(self, factor: f64) -> Self {
         let scaled = |count: usize| (count as f64 * factor).ceil() as usize;
         Self {
@@ -52,6 +54,7 @@
             zones: self.zones,
             servers: scaled(self.servers).max(self.zones),
             accounts: scaled(self.accounts),
+            routes: scaled(self.routes),
         }
     }
 }
@@ -80,7 +83,7 @@
             size,
             hosts,
             servers: servers.collect(),
-            config: config(size.accounts),
+            config: config(size),
         }
     }
 
@@ -166,7 +169,7 @@
     }
 }
 
-fn config(accounts: usize) -> RelayConfig {
+fn config(size: FleetSize) -> RelayConfig {
     let account = |index: usize| ClientAccount {
         name: FastStr::from_string(format!("account-{index}")),
         keys: vec![KeyHash::of(format!("key-{index}").as_bytes())],
@@ -180,9 +183,26 @@
     };
     RelayConfig {
         version: 1,
-        routes: Vec::new(),
+        routes: (0..size.routes).map(route).map(Rc::new).collect(),
         services: Vec::new(),
         limits: CallerLimits::default(),
-        accounts: Some((0..accounts).map(account).collect()),
+        accounts: Some((0..size.accounts).map(account).collect()),
+    }
+}
+
+fn route(index: usize) -> RelayRoute {
+    RelayRoute {
+        name: FastStr::from_string(format!("route-{index}")),
+        host: FastStr::from_string(format!("tenant-{}.example", index % 100)),
+        path_prefix: FastStr::from_string(format!("/{index}/")),
+        kind: RequestKind::Repeatable,
+        time_limit: Duration::from_secs(4),
+        latency_target: Duration::from_millis(900),
+        event_gap_target: None,
+        attempts: 2,
+        priority: 1,
+        shares: Vec::new(),
+        is_public: false,
+        allowed_regions: None,
     }
 }
--- a/src/capacity/mechanisms.rs
+++ b/src/capacity/mechanisms.rs
@@ -11,13 +11,16 @@
         relay::{
             self, BackendInfo, CarrierFailure, CarrierQuery, CarrierTable, ClusterNews,
             ClusterState, EngineKey, EngineLoad, KindNews, LinkGroup, LoadAggregator, LoadReport,
-            LoadReporter, PART_ENTRIES_MAX, PlaceAllocator, PlaceMessage, PlaceRequest,
-            SendConstraints, SourceSelector, SourceSettings, StoreChange,
+            LoadReporter, PART_ENTRIES_MAX, PIECES_BYTES, PastTime, PlaceAllocator, PlaceMessage,
+            PlaceRequest, REQUESTED_PIECES, RelayRoute, SendConstraints, SourceSelector,
+            SourceSettings, StoreChange,
         },
         store::StorePosition,
     },
+    bytes::Bytes,
     std::{
         collections::BTreeMap,
+        rc::Rc,
         time::{Duration, Instant},
     },
 };
@@ -29,7 +32,7 @@
 const BUSY_ENGINES: usize = 5;
 
 /// All mechanisms.
-pub const MECHANISMS: [HostMechanism; 12] = [
+pub const MECHANISMS: [HostMechanism; 13] = [
     HostMechanism {
         name: "subset of engines",
         trigger: CostTrigger::ServerChange,
@@ -51,8 +54,13 @@
         measure: order_hosts,
     },
     HostMechanism {
-        name: "configuration to a follower",
+        name: "changed route to a follower",
         trigger: CostTrigger::ConfigChange,
+        measure: send_changed_route,
+    },
+    HostMechanism {
+        name: "configuration to a follower",
+        trigger: CostTrigger::Start,
         measure: send_config,
     },
     HostMechanism {
@@ -207,12 +215,69 @@
     sent(&news).0
 }
 
+// A follower that has nothing fetches the whole configuration.
 fn send_config(model: &FleetModel) -> MechanismCost {
-    let news = ClusterNews {
-        config: Some(model.config.clone()),
+    let mut sender = ClusterState::default();
+    sender.update_config(model.config.clone());
+    fetch_config(&sender, &mut ClusterState::default())
+}
+
+// A follower fetches a version in which one route is another.
+fn send_changed_route(model: &FleetModel) -> MechanismCost {
+    let mut later = model.config.clone();
+    later.version += 1;
+    if let Some(route) = later.routes.first_mut() {
+        *route = Rc::new(RelayRoute {
+            attempts: route.attempts + 1,
+            ..RelayRoute::clone(route)
+        });
+    }
+    let mut sender = ClusterState::default();
+    let mut follower = ClusterState::default();
+    for state in [&mut sender, &mut follower] {
+        state.update_config(model.config.clone());
+    }
+    sender.update_config(later);
+    fetch_config(&sender, &mut follower)
+}
+
+fn fetch_config(sender: &ClusterState, follower: &mut ClusterState) -> MechanismCost {
+    let root = sender
+        .config
+        .newest_root()
+        .expect("a configuration")
+        .clone();
+    let (mut total, announced) = sent(&ClusterNews {
+        config_root: Some(root),
         ..ClusterNews::default()
-    };
-    sent(&news).0
+    });
+    let root = announced.config_root.expect("it was sent");
+    let stated = PastTime::at(MODEL_NOW);
+    follower.config.announce(root, stated, MODEL_NOW);
+    loop {
+        let names = follower.config.missing(REQUESTED_PIECES);
+        let names = names.unwrap_or_default();
+        if names.is_empty() {
+            break;
+        }
+        let (bytes, time) = timed(|| {
+            let pieces = sender.config.pieces(&names, PIECES_BYTES);
+            let bytes = pieces.iter().map(Bytes::len).sum::<usize>() as u64;
+            for piece in pieces {
+                let added = follower.config.add_piece(piece);
+                added.expect("a piece is decoded");
+            }
+            bytes
+        });
+        total.bytes += bytes;
+        total.messages += 1;
+        total.largest = total.largest.max(bytes);
+        total.time += time;
+    }
+    let (completed, time) = timed(|| follower.config.complete());
+    completed.expect("the pieces fit");
+    total.time += time;
+    total
 }
 
 fn order_hosts(model: &FleetModel) -> MechanismCost {
--- a/src/cli/capacity.rs
+++ b/src/cli/capacity.rs
@@ -16,6 +16,7 @@
   --zones N      availability zones (default 5)
   --servers N    backend servers in all zones (default 10000)
   --accounts N   client accounts (default 970)
+  --routes N     routes of the configuration (default 10000)
   --seed N       seed of the names that are drawn (default 1)
   --format NAME  text or json (default text)
 
@@ -34,6 +35,7 @@
         zones: arguments.opt_value_from_str("--zones")?.unwrap_or(5),
         servers: arguments.opt_value_from_str("--servers")?.unwrap_or(10_000),
         accounts: arguments.opt_value_from_str("--accounts")?.unwrap_or(970),
+        routes: arguments.opt_value_from_str("--routes")?.unwrap_or(10_000),
     };
     let seed = arguments.opt_value_from_str("--seed")?.unwrap_or(1);
     let format: Option<String> = arguments.opt_value_from_str("--format")?;
--- a/src/relay/news/config_fetch.rs
+++ b/src/relay/news/config_fetch.rs
@@ -10,7 +10,7 @@
             critical_task,
             link::HostEntry,
             parts::shared::RelayParts,
-            pieces::{ByteBudget, PieceSources},
+            pieces::{ByteBudget, PieceSources, REQUESTED_PIECES},
         },
     },
     bytes::Bytes,
@@ -19,9 +19,6 @@
     tokio::sync::Notify,
 };
 
-/// Most pieces that are requested at once; a response contains as many of them as fit.
-const REQUESTED_PIECES: usize = 64;
-
 /// Timeout of a request for pieces. They fit into one small message, so that a host that needs longer is taken for silent.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_000);
 
--- a/src/relay/news/piece_service.rs
+++ b/src/relay/news/piece_service.rs
@@ -2,15 +2,14 @@
 
 use {
     super::piece_message::{PieceAnswer, PieceRequest},
-    crate::relay::{parts::shared::RelayParts, pieces::ByteBudget},
+    crate::relay::{
+        parts::shared::RelayParts,
+        pieces::{ByteBudget, PIECES_BYTES},
+    },
     bytes::Bytes,
     std::{cell::RefCell, collections::VecDeque, net::SocketAddr, rc::Rc},
 };
 
-/// Bytes of pieces after which a response takes no more: 13 ms of a link of 10 Mbit/s, during which other messages on the
-/// connection wait.
-const ANSWER_BYTES: usize = 16 << 10;
-
 /// Most hosts that are remembered as having received pieces, and most that are named to a requester.
 const RECEIVERS_MAX: usize = 8;
 const NAMED_MAX: usize = 3;
@@ -47,7 +46,7 @@
             };
         }
         let cluster = self.parts.cluster.borrow();
-        let pieces = cluster.config.pieces(&request.names, ANSWER_BYTES);
+        let pieces = cluster.config.pieces(&request.names, PIECES_BYTES);
         let bytes = pieces.iter().map(Bytes::len).sum();
         self.budget.borrow_mut().take(bytes);
         self.parts.metrics.pieces.record_sent(pieces.len(), bytes);
--- a/src/relay/pieces/piece_store.rs
+++ b/src/relay/pieces/piece_store.rs
@@ -17,6 +17,13 @@
     xxhash_rust::xxh3,
 };
 
+/// Bytes of pieces after which a message takes no more: 13 ms of a link of 10 Mbit/s, during which other messages on the
+/// connection wait.
+pub const PIECES_BYTES: usize = 16 << 10;
+
+/// Most pieces that are requested at once; a message contains as many of them as fit.
+pub const REQUESTED_PIECES: usize = 64;
+
 /// Pieces of one or several versions by name.
 #[derive(Debug, Default)]
 pub struct PieceStore {
--- a/tests/capacity.rs
+++ b/tests/capacity.rs
@@ -12,6 +12,7 @@
         zones: 5,
         servers: 5_000,
         accounts: 50,
+        routes: 5_000,
     };
     let report = GrowthReport::measure(size, 1);
     for growth in &report.mechanisms {
@@ -25,6 +26,7 @@
     for name in [
         "update of ten servers",
         "ten changes to a follower",
+        "changed route to a follower",
         "choice of engines",
         "sum of a zone's reports",
         "place at a contended server",
@@ -32,9 +34,11 @@
     ] {
         assert!(named[name].power < 0.1, "{}", named[name]);
     }
-    let starts = report.mechanisms.iter();
-    let list = starts.filter(|growth| growth.name == "list of servers to a follower");
-    for growth in list {
+    for name in [
+        "list of servers to a follower",
+        "configuration to a follower",
+    ] {
+        let growth = named[name];
         assert_eq!(growth.trigger, CostTrigger::Start.name());
         assert!(growth.costs[2].largest < 40_000, "{growth}");
     }
--- a/tests/config_model/mod.rs
+++ b/tests/config_model/mod.rs
@@ -2,16 +2,13 @@
 
 use {
     bayplank::relay::{
-        CallerLimits, ClusterState, PastTime, RelayConfig, RelayRoute, RelayService, RequestKind,
-        ServiceShare,
+        CallerLimits, ClusterState, PIECES_BYTES, PastTime, REQUESTED_PIECES, RelayConfig,
+        RelayRoute, RelayService, RequestKind, ServiceShare,
     },
     faststr::FastStr,
     std::{rc::Rc, time::Duration},
 };
 
-/// Bytes of one message with pieces, as hosts send them.
-pub const MESSAGE_BYTES: usize = 16 << 10;
-
 pub fn route(index: usize, time_limit: Duration) -> Rc<RelayRoute> {
     let name = (index as u32).wrapping_mul(2_654_435_761) & 0x0fff_ffff;
     Rc::new(RelayRoute {
@@ -78,9 +75,12 @@
 
 /// Sends one message with pieces that the receiver lacks, and returns its bytes; 0 if the sender has none of them.
 pub fn send_message(sender: &ClusterState, receiver: &mut ClusterState) -> usize {
-    let names = receiver.config.missing(64).unwrap_or_default();
+    let names = receiver
+        .config
+        .missing(REQUESTED_PIECES)
+        .unwrap_or_default();
     let mut bytes = 0;
-    for piece in sender.config.pieces(&names, MESSAGE_BYTES) {
+    for piece in sender.config.pieces(&names, PIECES_BYTES) {
         bytes += piece.len();
         receiver.config.add_piece(piece).expect("a piece is read");
     }
--- a/tests/config_pieces.rs
+++ b/tests/config_pieces.rs
@@ -4,11 +4,11 @@
 
 use {
     crate::config_model::{
-        MESSAGE_BYTES, announce, config, config_of, host_with, in_force, route, send_message,
-        transfer,
+        announce, config, config_of, host_with, in_force, route, send_message, transfer,
     },
     bayplank::relay::{
-        ByteBudget, ClusterState, PastTime, PieceError, PieceSources, RelayConfig, RelayRoute,
+        ByteBudget, ClusterState, PIECES_BYTES, PastTime, PieceError, PieceSources,
+        REQUESTED_PIECES, RelayConfig, RelayRoute,
     },
     bolero::check,
     std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
@@ -217,8 +217,11 @@
             lost,
             twice,
         } => {
-            let names = hosts[at(to)].config.missing(64).unwrap_or_default();
-            let pieces = hosts[at(from)].config.pieces(&names, MESSAGE_BYTES);
+            let names = hosts[at(to)]
+                .config
+                .missing(REQUESTED_PIECES)
+                .unwrap_or_default();
+            let pieces = hosts[at(from)].config.pieces(&names, PIECES_BYTES);
             let receiver = &mut hosts[at(to)];
             for (index, piece) in pieces.into_iter().enumerate().rev() {
                 let copies = if twice { 2 } else { 1 };
