Logs tell the software version of each server that ran a request, and which request a stream takes up

Cause: the incident's logs name the last decode engine only, and nothing in the program knows an engine's software version, so that three hypotheses could not be told apart. Change: the version is decoded at the platform's boundary into a type of its own and carried in the lists that hosts hand on: as a column beside the table, which hosts of earlier versions pass over; a list that came through one of these is read again once a host that names versions, or the store, answers. 201 has decodes, prefill and resumes, and tried names versions. No decision uses it yet.

--- a/src/capacity/fleet_model.rs
+++ b/src/capacity/fleet_model.rs
@@ -6,7 +6,7 @@
         engine::EngineRole,
         relay::{
             BackendInfo, BackendRegistry, CallerLimits, ClusterState, HostEntry, RelayConfig,
-            RelayRoute, RequestKind, subset_of,
+            RelayRoute, RequestKind, SoftwareVersion, subset_of,
         },
         store::StorePosition,
     },
@@ -166,6 +166,11 @@
         role,
         orders_taken: 0,
         cold_left: Duration::ZERO,
+        // A release that is under way.
+        software: SoftwareVersion::of_name(FastStr::from_static_str(match index % 3 {
+            0 => "v1.1",
+            _ => "v1",
+        })),
     }
 }
 
--- a/src/relay/backend.rs
+++ b/src/relay/backend.rs
@@ -1,7 +1,10 @@
 //! Backend servers as listed in the store.
 
 use {
-    super::policy::{availability::ServerRun, loads::EngineKey},
+    super::{
+        policy::{availability::ServerRun, loads::EngineKey},
+        software_version::SoftwareVersion,
+    },
     crate::engine::EngineRole,
     faststr::FastStr,
     serde::{Deserialize, Serialize},
@@ -34,6 +37,13 @@
     /// How much longer the server is cold, as of the last change of its entry; zero if it is not.
     #[serde(default, skip_serializing_if = "Duration::is_zero")]
     pub cold_left: Duration,
+    /// The version of the software that this run serves with.
+    #[serde(default, skip_serializing_if = "is_unknown")]
+    pub software: SoftwareVersion,
+}
+
+fn is_unknown(software: &SoftwareVersion) -> bool {
+    !software.is_known()
 }
 
 impl BackendInfo {
--- a/src/relay/cluster/backend_list.rs
+++ b/src/relay/cluster/backend_list.rs
@@ -67,6 +67,8 @@
     cold_times: ColdTimes,
     // The list may have been read from a lagging replica, and no watch has continued from it yet.
     pub(super) is_unconfirmed: bool,
+    // The software version of an entry is not known: a host of an earlier version has passed it on.
+    lacks_software: bool,
 }
 
 impl BackendList {
@@ -82,6 +84,7 @@
             rewrite_timeout: heartbeat.saturating_mul(HEARTBEATS_TO_REWRITE),
             cold_times: ColdTimes::default(),
             is_unconfirmed: false,
+            lacks_software: false,
         }
     }
 
@@ -108,6 +111,18 @@
         }
     }
 
+    /// Whether the software version of an entry is not known.
+    pub fn lacks_software(&self) -> bool {
+        self.lacks_software
+    }
+
+    /// Forgets the revision of a list that lacks software versions, when it can be received with them.
+    pub fn forget_incomplete(&mut self) {
+        if mem::take(&mut self.lacks_software) {
+            self.history.forget_revision();
+        }
+    }
+
     /// Replaces the list by that of a position, unless a newer one is known. `departed` are the runs that the sender
     /// knows to have departed or to be leaving; `had_outage` tells whether entries may have expired in a store outage.
     pub fn set(
@@ -127,11 +142,13 @@
             .history
             .is_continued_by(position)
             .then(|| self.difference(&list));
+        self.lacks_software = false;
         self.touched.extend(self.listed.keys().cloned());
         let mut before = mem::take(&mut self.listed);
         let mut withheld = mem::take(&mut self.withheld);
         for info in list {
             let known = before.remove(&info.id);
+            let info = with_known_software(info, known.as_ref());
             let withheld = withheld.remove(&info.id);
             match is_restored {
                 true => self.apply_restored(info, known, now),
@@ -196,7 +213,8 @@
             }) => {
                 let known = self.listed.get(&info.id);
                 let is_countdown = self.cold_times.record(known, info, now);
-                self.apply_written(info.clone());
+                let info = with_known_software(info.clone(), known);
+                self.apply_written(info);
                 return !is_countdown;
             }
             StoreChange::Set(_) => {}
@@ -248,6 +266,7 @@
                 self.departed.remove(&info.id);
             }
         }
+        self.lacks_software |= !info.software.is_known();
         self.listed.insert(info.id.clone(), info);
     }
 
@@ -389,3 +408,15 @@
     let cold_left = of_same_run.map_or(info.cold_left, |known| info.cold_left.max(known.cold_left));
     BackendInfo { cold_left, ..info }
 }
+
+// A host of an earlier version passes entries on without the software version, which a run does not change.
+fn with_known_software(info: BackendInfo, known: Option<&BackendInfo>) -> BackendInfo {
+    let of_same_run = known.filter(|known| known.run() == info.run());
+    match of_same_run.filter(|_| !info.software.is_known()) {
+        Some(known) => BackendInfo {
+            software: known.software.clone(),
+            ..info
+        },
+        None => info,
+    }
+}
--- a/src/relay/cluster/state.rs
+++ b/src/relay/cluster/state.rs
@@ -319,6 +319,18 @@
         }
     }
 
+    /// Whether the software version of a listed backend server is not known: a host of an earlier version has passed its
+    /// entry on.
+    pub fn lacks_software(&self) -> bool {
+        self.backends.lacks_software()
+    }
+
+    /// Forgets the revision up to which the backend servers are known if software versions are missing, so that the list is
+    /// received again from a host that passes them on.
+    pub fn forget_incomplete_backends(&mut self) {
+        self.backends.forget_incomplete();
+    }
+
     /// Applies changes of backend servers up to a position, unless a newer one is known.
     pub fn change_backends(
         &mut self,
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -30,11 +30,15 @@
     pub answer_hint: Option<u64>,
     /// Id of the last event that the caller received.
     pub last_event: Option<FastStr>,
+    /// Id of the request that brought the caller the first event of the stream that this one takes up.
+    pub resumes: Option<FastStr>,
     /// The API key that the request carries.
     pub key: PresentedKey,
     /// Id of the prompt's last part, which belongs to this request or to its session. Engines use it as the key of
     /// what they cache of the prompt.
     pub last_part: Option<FastStr>,
+    /// Number of tokens of that part.
+    pub last_part_tokens: u64,
 }
 
 /// The metadata in the headers of a backend server's response.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -19,9 +19,10 @@
 mod request;
 mod roles;
 mod settings;
+mod software_version;
 
 pub use self::{
     admission::*, backend::*, cluster::*, config::*, critical_task::*, dialect::*, host::*,
     link::*, news::*, objects::*, parts::*, pieces::*, policy::*, request::*, roles::*,
-    settings::*,
+    settings::*, software_version::*,
 };
--- a/src/relay/news/answer.rs
+++ b/src/relay/news/answer.rs
@@ -126,5 +126,6 @@
         guides: Vec::new(),
         crashes: parts.crash_news(held.crashes),
         limits: parts.limit_updates(held.limits),
+        tells_software: true,
     }
 }
--- a/src/relay/news/feed.rs
+++ b/src/relay/news/feed.rs
@@ -177,7 +177,8 @@
             let is_list = history_gone || !self.known_position(kind).is_known();
             match self.read_once(kind, history_gone).await {
                 Ok(()) => {
-                    (history_gone, failures) = (false, 0);
+                    history_gone = kind == StoreKind::Backends && self.lacks_software();
+                    failures = 0;
                     if !is_list {
                         gone_count = 0;
                     }
@@ -210,6 +211,11 @@
         }
     }
 
+    // The changes since an incomplete list do not complete it.
+    fn lacks_software(&self) -> bool {
+        self.parts.cluster.borrow().lacks_software()
+    }
+
     fn retry_delays(&self) -> &'static StoreBackoff {
         match self.reading_hosts.get() {
             true => &READER_BACKOFF,
--- a/src/relay/news/list_table.rs
+++ b/src/relay/news/list_table.rs
@@ -7,6 +7,7 @@
         relay::{
             backend::BackendInfo,
             link::{StoreChange, StoreItem, StoreValue},
+            software_version::SoftwareVersion,
         },
     },
     capnp::{Error, Result},
@@ -18,9 +19,13 @@
 /// Changes of backend servers, in order.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub struct ChangeTable {
-    // Names of services and zones, to which rows refer by their index.
+    // Names of services, zones and software versions, to which rows refer by their index.
     names: Vec<FastStr>,
     rows: Vec<ChangeRow>,
+    // Index of the software version of each entry, in the order of the rows that have one; none if it is not known. Not a
+    // column, since hosts of earlier versions reject rows that are longer than theirs.
+    #[serde(default)]
+    software: Vec<Option<usize>>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -85,6 +90,9 @@
             info.cold_left,
         );
         self.rows.push(ChangeRow::Set(row));
+        let software = Option::<FastStr>::from(info.software.clone());
+        let software = software.map(|name| self.index_of(&name));
+        self.software.push(software);
     }
 
     fn index_of(&mut self, name: &FastStr) -> usize {
@@ -97,9 +105,17 @@
 
     /// The changes; fails if a row refers to a name that the table lacks.
     pub fn into_changes(self) -> Result<Vec<StoreChange>> {
-        let Self { names, rows } = self;
+        let Self {
+            names,
+            rows,
+            software,
+        } = self;
+        let mut software = software.into_iter();
         let changes = rows.into_iter().map(|row| match row {
-            ChangeRow::Set(row) => Ok(StoreChange::of_backend(row.into_backend(&names)?)),
+            ChangeRow::Set(row) => {
+                let info = row.into_backend(&names, software.next().flatten())?;
+                Ok(StoreChange::of_backend(info))
+            }
             ChangeRow::Removed(id) => Ok(StoreChange::Removed(id)),
         });
         changes.collect()
@@ -107,17 +123,20 @@
 
     /// The entries; fails if a row refers to a name that the table lacks.
     pub fn into_entries(self) -> Result<Vec<BackendInfo>> {
-        let Self { names, rows } = self;
-        let entries = rows.into_iter().filter_map(|row| match row {
-            ChangeRow::Set(row) => Some(row.into_backend(&names)),
-            ChangeRow::Removed(_) => None,
+        let changes = self.into_changes()?.into_iter();
+        let entries = changes.filter_map(|change| match change {
+            StoreChange::Set(StoreItem {
+                value: StoreValue::Backend(info),
+                ..
+            }) => Some(info),
+            StoreChange::Set(_) | StoreChange::Removed(_) => None,
         });
-        entries.collect()
+        Ok(entries.collect())
     }
 }
 
 impl EntryRow {
-    fn into_backend(self, names: &[FastStr]) -> Result<BackendInfo> {
+    fn into_backend(self, names: &[FastStr], software: Option<usize>) -> Result<BackendInfo> {
         let Self(id, born, service, address, zone, leaving, slots, role, orders_taken, cold_left) =
             self;
         let name = |index: usize| {
@@ -135,6 +154,7 @@
             role,
             orders_taken,
             cold_left,
+            software: SoftwareVersion::from(software.map(name).transpose()?),
         })
     }
 }
--- a/src/relay/news/message.rs
+++ b/src/relay/news/message.rs
@@ -128,6 +128,8 @@
     pub crashes: CrashUpdates,
     /// The sender's records of rate-limited servers that the requester lacks.
     pub limits: CacheUpdates<LimitUpdate>,
+    /// Whether the entries of backend servers name their software versions.
+    pub tells_software: bool,
 }
 
 impl ClusterNews {
@@ -285,6 +287,7 @@
         to.set_config_root(&to_json(root)?);
     }
     to.set_config_revision(news.config_position.number());
+    to.set_tells_software(news.tells_software);
     if !news.guides.is_empty() {
         to.set_guides(&to_json(&news.guides)?);
     }
@@ -326,6 +329,7 @@
         backends: read_kind(from.get_backends()?)?,
         hosts: read_kind(from.get_hosts()?)?,
         evacuations: read_kind(from.get_evacuations()?)?,
+        tells_software: from.get_tells_software(),
         guides,
         is_lost: from.get_is_lost(),
         held: Duration::from_millis(u64::from(from.get_held_ms())),
--- a/src/relay/news/news.capnp
+++ b/src/relay/news/news.capnp
@@ -132,6 +132,8 @@
   configRoot @20 :Data;
   # Encoded store position up to which that version is the newest.
   configRevision @21 :UInt64;
+  # The entries of backend servers name their software versions.
+  tellsSoftware @22 :Bool;
 }
 
 # Kept to eight bytes, since reports are sent several times a second.
--- a/src/relay/news/take.rs
+++ b/src/relay/news/take.rs
@@ -88,6 +88,9 @@
         if let Some(at) = confirmed.filter(|_| is_same_era && is_complete) {
             cluster.confirm_at(StoreKind::Backends, at);
         }
+        if is_complete && news.tells_software {
+            cluster.forget_incomplete_backends();
+        }
         let has_changed = cluster.backend_update_count() != before;
         drop(cluster);
         if news.hosts.is_whole || !news.hosts.changes.is_empty() {
--- a/src/relay/objects.rs
+++ b/src/relay/objects.rs
@@ -9,6 +9,7 @@
             self, BackendCall, CallDialect, EngineDialect, RequestMetadata, RequestTarget,
             ResponseMetadata,
         },
+        software_version::SoftwareVersion,
     },
     crate::{
         filter::VERDICT_HEADER,
@@ -110,6 +111,7 @@
         role: None,
         orders_taken: 0,
         cold_left: Duration::ZERO,
+        software: SoftwareVersion::Unnamed,
     }
 }
 
--- a/src/relay/request/client_request.rs
+++ b/src/relay/request/client_request.rs
@@ -90,6 +90,11 @@
         self.account.as_ref().map_or("", |account| &account.name)
     }
 
+    /// Id of the request that began the stream that this one takes up; empty if it takes up none.
+    pub fn resumes(&self) -> &str {
+        self.marks.resumes.as_deref().unwrap_or_default()
+    }
+
     /// Sets the client account.
     pub fn with_account(self, account: Option<Rc<ClientAccount>>) -> Self {
         let digest = OnceCell::new();
--- a/src/relay/request/plain.rs
+++ b/src/relay/request/plain.rs
@@ -270,6 +270,7 @@
                 ("framing", &framing),
                 ("ended_by", &ended_by),
                 ("tried", &self.attempt_log),
+                ("resumes", &request.resumes()),
                 ("ended_ms", &request.age().as_millis()),
             ],
         );
@@ -278,7 +279,8 @@
     pub(super) fn log_attempt(&mut self, backend: &BackendInfo, outcome: &str) {
         let at_ms = self.request.age().as_millis();
         let separator = if self.attempt_log.is_empty() { "" } else { "," };
-        let entry = format!("{separator}{}:{outcome}@{at_ms}", backend.id);
+        let software = &backend.software;
+        let entry = format!("{separator}{}:{software}:{outcome}@{at_ms}", backend.id);
         self.attempt_log.push_str(&entry);
     }
 
--- a/src/relay/request/stream.rs
+++ b/src/relay/request/stream.rs
@@ -130,6 +130,10 @@
     pub(super) event_gaps: EventGaps,
     // The decode engine of the last round.
     pub(super) decode_engine: FastStr,
+    // All decode engines that the request was sent to, and the engine that computed the last prompt, each with the version of
+    // its software; for the log.
+    pub(super) decode_log: String,
+    pub(super) prefill_log: String,
     // How the response of the last round ended.
     pub(super) response_end: Option<ResponseEnd>,
     // Whether the end of the request was logged.
@@ -158,6 +162,8 @@
         times: StreamTimes::default(),
         event_gaps: EventGaps::default(),
         decode_engine: FastStr::default(),
+        decode_log: String::new(),
+        prefill_log: String::new(),
         response_end: None,
         is_end_logged: false,
     };
@@ -354,6 +360,7 @@
             permit.consume();
             let failure = match prefill::prefill_prompt(&self.parts, &self.request, chosen).await {
                 Ok(cache) => {
+                    self.log_prefill(&cache.engine);
                     self.prefill_received = true;
                     return Some(cache);
                 }
@@ -429,6 +436,7 @@
         }
         self.check_send()?;
         self.decodes_sent += 1;
+        self.log_decode(&reservation.engine);
         let cache_source = cache
             .as_ref()
             .and_then(|cache| Some((cache.engine.address, cache.handle()?)));
--- a/src/relay/request/stream_log.rs
+++ b/src/relay/request/stream_log.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{prefill::PrefillFailure, stream::StreamRelay},
-    crate::{event, relay::policy::response_end},
+    crate::{
+        event,
+        relay::{backend::BackendInfo, policy::response_end},
+    },
     faststr::FastStr,
     std::time::Duration,
 };
@@ -38,6 +41,18 @@
         );
     }
 
+    /// Keeps the engine that a decode is sent to for the log.
+    pub(super) fn log_decode(&mut self, engine: &BackendInfo) {
+        let separator = if self.decode_log.is_empty() { "" } else { "," };
+        let entry = format!("{separator}{}:{}", engine.id, engine.software);
+        self.decode_log.push_str(&entry);
+    }
+
+    /// Keeps the engine that computed a prompt for the log.
+    pub(super) fn log_prefill(&mut self, engine: &BackendInfo) {
+        self.prefill_log = format!("{}:{}", engine.id, engine.software);
+    }
+
     pub(super) fn log_end(&mut self, end: &str) {
         self.is_end_logged = true;
         let request = &self.request;
@@ -58,6 +73,9 @@
                 ("framing", &framing),
                 ("ended_by", &ended_by),
                 ("engine", &self.decode_engine),
+                ("decodes", &self.decode_log),
+                ("prefill", &self.prefill_log),
+                ("resumes", &request.resumes()),
                 ("rounds", &self.rounds),
                 ("prompt_tokens", &request.marks.prompt_tokens),
                 ("answer_limit", &request.marks.answer_limit),
--- a/tests/backends/mod.rs
+++ b/tests/backends/mod.rs
@@ -1,7 +1,10 @@
 //! Backend servers for tests of the routing decisions.
 
 use {
-    bayplank::{engine::EngineRole, relay::BackendInfo},
+    bayplank::{
+        engine::EngineRole,
+        relay::{BackendInfo, SoftwareVersion},
+    },
     faststr::FastStr,
 };
 
@@ -18,5 +21,6 @@
         role,
         orders_taken: 0,
         cold_left: std::time::Duration::ZERO,
+        software: SoftwareVersion::Unnamed,
     }
 }
