@@ -8441,86 +9675,113 @@
             }
         }
         impl Pipeline  {
+            pub fn get_saying(&self) -> crate::news_capnp::limit_saying::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 71] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(108, 138, 177, 95, 227, 95, 140, 232),
+                ::capnp::word(172, 139, 221, 208, 8, 172, 179, 134),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 66, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 78, 101, 119, 115, 80),
-                ::capnp::word(101, 101, 114, 46, 116, 101, 108, 108),
-                ::capnp::word(70, 105, 110, 100, 105, 110, 103, 115),
+                ::capnp::word(101, 101, 114, 46, 100, 101, 97, 108),
                 ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(89, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 6, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(93, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(109, 97, 114, 107, 115, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 56, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(137, 0, 0, 0, 90, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(240, 47, 88, 240, 142, 165, 88, 187),
+                ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(145, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 101, 114, 118, 101, 114, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 115, 90, 111, 110, 101, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 97, 110, 116, 101, 100, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 97, 110, 107, 0, 0, 0, 0),
+                ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 115, 80, 97, 115, 115, 101, 100),
+                ::capnp::word(79, 110, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 105, 109, 105, 116, 115, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(115, 97, 121, 105, 110, 103, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(47, 225, 135, 120, 228, 89, 32, 132),
+                ::capnp::word(155, 17, 115, 248, 91, 31, 137, 213),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::struct_list::Owned<crate::news_capnp::crash_mark::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <::capnp::struct_list::Owned<crate::news_capnp::limit_update::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <crate::news_capnp::limit_saying::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8534,14 +9795,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
-            pub(crate) const TYPE_ID: u64 = 0xe88c_5fe3_5fb1_8a6c;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,2,4,0,1];
+            pub(crate) const TYPE_ID: u64 = 0x86b3_ac08_d0dd_8bac;
         }
     }
 
-    pub mod tell_findings_results {
+    pub mod deal_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -8594,7 +9855,7 @@
             }
         }
 
-        impl <> Reader<'_,>  {
+        impl <'a,> Reader<'a,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -8602,11 +9863,27 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_permits(self) -> u16 {
+                self.reader.get_data_field::<u16>(0)
+            }
+            #[inline]
+            pub fn get_wait_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(1)
+            }
+            #[inline]
+            pub fn get_saying(self) -> ::capnp::Result<crate::news_capnp::limit_saying::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_saying(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8656,6 +9933,38 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_permits(self) -> u16 {
+                self.builder.get_data_field::<u16>(0)
+            }
+            #[inline]
+            pub fn set_permits(&mut self, value: u16)  {
+                self.builder.set_data_field::<u16>(0, value);
+            }
+            #[inline]
+            pub fn get_wait_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(1)
+            }
+            #[inline]
+            pub fn set_wait_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(1, value);
+            }
+            #[inline]
+            pub fn get_saying(self) -> ::capnp::Result<crate::news_capnp::limit_saying::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_saying(&mut self, value: crate::news_capnp::limit_saying::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_saying(self, ) -> crate::news_capnp::limit_saying::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            }
+            #[inline]
+            pub fn has_saying(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -8665,30 +9974,83 @@
             }
         }
         impl Pipeline  {
+            pub fn get_saying(&self) -> crate::news_capnp::limit_saying::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 18] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(181, 244, 251, 179, 136, 81, 201, 193),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(196, 227, 169, 96, 243, 237, 0, 215),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 74, 1, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 78, 101, 119, 115, 80),
-                ::capnp::word(101, 101, 114, 46, 116, 101, 108, 108),
-                ::capnp::word(70, 105, 110, 100, 105, 110, 103, 115),
+                ::capnp::word(101, 101, 114, 46, 100, 101, 97, 108),
                 ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(112, 101, 114, 109, 105, 116, 115, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 97, 105, 116, 77, 115, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 97, 121, 105, 110, 103, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(155, 17, 115, 248, 91, 31, 137, 213),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <crate::news_capnp::limit_saying::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -8700,14 +10062,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0xc1c9_5188_b3fb_f4b5;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
+            pub(crate) const TYPE_ID: u64 = 0xd700_edf3_60a9_e3c4;
         }
     }
 
-    pub mod allow_trial_params {
+    pub mod lease_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -8760,7 +10122,7 @@
             }
         }
 
-        impl <> Reader<'_,>  {
+        impl <'a,> Reader<'a,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -8769,18 +10131,34 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_high(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
+            pub fn get_request(self) -> ::capnp::Result<crate::news_capnp::place_request::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_request(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_has_request(self) -> bool {
+                self.reader.get_bool_field(0)
+            }
+            #[inline]
+            pub fn get_returns(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::news_capnp::place_return::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_returns(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
             }
             #[inline]
-            pub fn get_low(self) -> u64 {
-                self.reader.get_data_field::<u64>(1)
+            pub fn get_is_passed_on(self) -> bool {
+                self.reader.get_bool_field(1)
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8831,20 +10209,52 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_high(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
+            pub fn get_request(self) -> ::capnp::Result<crate::news_capnp::place_request::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_high(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
+            pub fn set_request(&mut self, value: crate::news_capnp::place_request::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn get_low(self) -> u64 {
-                self.builder.get_data_field::<u64>(1)
+            pub fn init_request(self, ) -> crate::news_capnp::place_request::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn set_low(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(1, value);
+            pub fn has_request(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_has_request(self) -> bool {
+                self.builder.get_bool_field(0)
+            }
+            #[inline]
+            pub fn set_has_request(&mut self, value: bool)  {
+                self.builder.set_bool_field(0, value);
+            }
+            #[inline]
+            pub fn get_returns(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::news_capnp::place_return::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_returns(&mut self, value: ::capnp::struct_list::Reader<'_,crate::news_capnp::place_return::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            }
+            #[inline]
+            pub fn init_returns(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::news_capnp::place_return::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+            }
+            #[inline]
+            pub fn has_returns(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+            #[inline]
+            pub fn get_is_passed_on(self) -> bool {
+                self.builder.get_bool_field(1)
+            }
+            #[inline]
+            pub fn set_is_passed_on(&mut self, value: bool)  {
+                self.builder.set_bool_field(1, value);
             }
         }
 
@@ -8855,62 +10265,103 @@
             }
         }
         impl Pipeline  {
+            pub fn get_request(&self) -> crate::news_capnp::place_request::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 84] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(116, 105, 232, 9, 6, 0, 241, 157),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(72, 127, 116, 153, 158, 12, 219, 162),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 78, 101, 119, 115, 80),
-                ::capnp::word(101, 101, 114, 46, 97, 108, 108, 111),
-                ::capnp::word(119, 84, 114, 105, 97, 108, 36, 80),
-                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(101, 101, 114, 46, 108, 101, 97, 115),
+                ::capnp::word(101, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 90, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(104, 105, 103, 104, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 90, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(131, 88, 21, 180, 183, 53, 71, 210),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 111, 119, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 97, 115, 82, 101, 113, 117, 101),
+                ::capnp::word(115, 116, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 116, 117, 114, 110, 115, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(123, 120, 205, 158, 175, 10, 50, 203),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 115, 80, 97, 115, 115, 101, 100),
+                ::capnp::word(79, 110, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::news_capnp::place_request::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::struct_list::Owned<crate::news_capnp::place_return::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8924,14 +10375,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
-            pub(crate) const TYPE_ID: u64 = 0x9df1_0006_09e8_6974;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,3,0,2];
+            pub(crate) const TYPE_ID: u64 = 0xa2db_0c9e_9974_7f48;
         }
     }
 
-    pub mod allow_trial_results {
+    pub mod lease_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -8993,14 +10444,22 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_is_allowed(self) -> bool {
-                self.reader.get_bool_field(0)
+            pub fn get_lease(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_wait_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(2)
+            }
+            #[inline]
+            pub fn get_contended_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(3)
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -9051,12 +10510,28 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_is_allowed(self) -> bool {
-                self.builder.get_bool_field(0)
+            pub fn get_lease(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn set_is_allowed(&mut self, value: bool)  {
-                self.builder.set_bool_field(0, value);
+            pub fn set_lease(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_wait_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(2)
+            }
+            #[inline]
+            pub fn set_wait_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(2, value);
+            }
+            #[inline]
+            pub fn get_contended_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(3)
+            }
+            #[inline]
+            pub fn set_contended_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(3, value);
             }
         }
 
@@ -9069,45 +10544,77 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(139, 137, 104, 243, 228, 3, 228, 149),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(203, 152, 29, 236, 181, 90, 235, 183),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 78, 101, 119, 115, 80),
-                ::capnp::word(101, 101, 114, 46, 97, 108, 108, 111),
-                ::capnp::word(119, 84, 114, 105, 97, 108, 36, 82),
-                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(101, 101, 114, 46, 108, 101, 97, 115),
+                ::capnp::word(101, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(105, 115, 65, 108, 108, 111, 119, 101),
-                ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 98, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(108, 101, 97, 115, 101, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 97, 105, 116, 77, 115, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 110, 116, 101, 110, 100, 101),
+                ::capnp::word(100, 77, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -9121,14 +10628,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0x95e4_03e4_f368_898b;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
+            pub(crate) const TYPE_ID: u64 = 0xb7eb_5ab5_ec1d_98cb;
         }
     }
 
-    pub mod deal_params {
+    pub mod fetch_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -9190,34 +10697,26 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_server(self) -> u32 {
-                self.reader.get_data_field::<u32>(0)
-            }
-            #[inline]
-            pub fn get_wanted(self) -> u16 {
-                self.reader.get_data_field::<u16>(2)
-            }
-            #[inline]
-            pub fn get_rank(self) -> u8 {
-                self.reader.get_data_field::<u8>(6)
+            pub fn get_names(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn get_is_passed_on(self) -> bool {
-                self.reader.get_bool_field(56)
+            pub fn has_names(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
-            pub fn get_saying(self) -> ::capnp::Result<crate::news_capnp::limit_saying::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            pub fn get_peers(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_saying(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
+            pub fn has_peers(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -9268,52 +10767,36 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_server(self) -> u32 {
-                self.builder.get_data_field::<u32>(0)
-            }
-            #[inline]
-            pub fn set_server(&mut self, value: u32)  {
-                self.builder.set_data_field::<u32>(0, value);
-            }
-            #[inline]
-            pub fn get_wanted(self) -> u16 {
-                self.builder.get_data_field::<u16>(2)
-            }
-            #[inline]
-            pub fn set_wanted(&mut self, value: u16)  {
-                self.builder.set_data_field::<u16>(2, value);
-            }
-            #[inline]
-            pub fn get_rank(self) -> u8 {
-                self.builder.get_data_field::<u8>(6)
+            pub fn get_names(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_rank(&mut self, value: u8)  {
-                self.builder.set_data_field::<u8>(6, value);
+            pub fn set_names(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
             }
             #[inline]
-            pub fn get_is_passed_on(self) -> bool {
-                self.builder.get_bool_field(56)
+            pub fn init_names(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
             }
             #[inline]
-            pub fn set_is_passed_on(&mut self, value: bool)  {
-                self.builder.set_bool_field(56, value);
+            pub fn has_names(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn get_saying(self) -> ::capnp::Result<crate::news_capnp::limit_saying::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            pub fn get_peers(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_saying(&mut self, value: crate::news_capnp::limit_saying::Reader<'_>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            pub fn set_peers(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
             }
             #[inline]
-            pub fn init_saying(self, ) -> crate::news_capnp::limit_saying::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            pub fn init_peers(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(1).init_text(size)
             }
             #[inline]
-            pub fn has_saying(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
+            pub fn has_peers(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
             }
         }
 
@@ -9324,113 +10807,62 @@
             }
         }
         impl Pipeline  {
-            pub fn get_saying(&self) -> crate::news_capnp::limit_saying::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(172, 139, 221, 208, 8, 172, 179, 134),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(24, 205, 174, 188, 170, 103, 37, 161),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 78, 101, 119, 115, 80),
-                ::capnp::word(101, 101, 114, 46, 100, 101, 97, 108),
-                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
-                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(101, 101, 114, 46, 102, 101, 116, 99),
+                ::capnp::word(104, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(129, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 6, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(3, 0, 0, 0, 56, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(137, 0, 0, 0, 90, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(145, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(115, 101, 114, 118, 101, 114, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(119, 97, 110, 116, 101, 100, 0, 0),
-                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(114, 97, 110, 107, 0, 0, 0, 0),
-                ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(110, 97, 109, 101, 115, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 115, 80, 97, 115, 115, 101, 100),
-                ::capnp::word(79, 110, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 115, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(115, 97, 121, 105, 110, 103, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(155, 17, 115, 248, 91, 31, 137, 213),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u16 as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <u8 as ::capnp::introspect::Introspect>::introspect(),
-                    3 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                    4 => <crate::news_capnp::limit_saying::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -9444,14 +10876,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,2,4,0,1];
-            pub(crate) const TYPE_ID: u64 = 0x86b3_ac08_d0dd_8bac;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) const TYPE_ID: u64 = 0xa125_67aa_bcae_cd18;
         }
     }
 
-    pub mod deal_results {
+    pub mod fetch_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -9513,26 +10945,30 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_permits(self) -> u16 {
-                self.reader.get_data_field::<u16>(0)
+            pub fn get_pieces(self) -> ::capnp::Result<::capnp::data_list::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn get_wait_ms(self) -> u32 {
-                self.reader.get_data_field::<u32>(1)
+            pub fn has_pieces(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
-            pub fn get_saying(self) -> ::capnp::Result<crate::news_capnp::limit_saying::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            pub fn get_busy_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(0)
             }
             #[inline]
-            pub fn has_saying(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
+            pub fn get_others(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_others(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -9583,36 +11019,44 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_permits(self) -> u16 {
-                self.builder.get_data_field::<u16>(0)
+            pub fn get_pieces(self) -> ::capnp::Result<::capnp::data_list::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_permits(&mut self, value: u16)  {
-                self.builder.set_data_field::<u16>(0, value);
+            pub fn set_pieces(&mut self, value: ::capnp::data_list::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn get_wait_ms(self) -> u32 {
-                self.builder.get_data_field::<u32>(1)
+            pub fn init_pieces(self, size: u32) -> ::capnp::data_list::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
             }
             #[inline]
-            pub fn set_wait_ms(&mut self, value: u32)  {
-                self.builder.set_data_field::<u32>(1, value);
+            pub fn has_pieces(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn get_saying(self) -> ::capnp::Result<crate::news_capnp::limit_saying::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            pub fn get_busy_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(0)
             }
             #[inline]
-            pub fn set_saying(&mut self, value: crate::news_capnp::limit_saying::Reader<'_>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            pub fn set_busy_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(0, value);
             }
             #[inline]
-            pub fn init_saying(self, ) -> crate::news_capnp::limit_saying::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            pub fn get_others(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_saying(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
+            pub fn set_others(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            }
+            #[inline]
+            pub fn init_others(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+            }
+            #[inline]
+            pub fn has_others(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
             }
         }
 
@@ -9623,19 +11067,16 @@
             }
         }
         impl Pipeline  {
-            pub fn get_saying(&self) -> crate::news_capnp::limit_saying::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 71] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(196, 227, 169, 96, 243, 237, 0, 215),
+                ::capnp::word(247, 237, 188, 198, 164, 82, 171, 157),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
@@ -9643,40 +11084,44 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 78, 101, 119, 115, 80),
-                ::capnp::word(101, 101, 114, 46, 100, 101, 97, 108),
-                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 101, 114, 46, 102, 101, 116, 99),
+                ::capnp::word(104, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(89, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(93, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(112, 101, 114, 109, 105, 116, 115, 0),
-                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(112, 105, 101, 99, 101, 115, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(119, 97, 105, 116, 77, 115, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(98, 117, 115, 121, 77, 115, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -9684,20 +11129,24 @@
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(115, 97, 121, 105, 110, 103, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(155, 17, 115, 248, 91, 31, 137, 213),
+                ::capnp::word(111, 116, 104, 101, 114, 115, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <crate::news_capnp::limit_saying::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -9713,12 +11162,12 @@
             );
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
-            pub(crate) const TYPE_ID: u64 = 0xd700_edf3_60a9_e3c4;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
+            pub(crate) const TYPE_ID: u64 = 0x9dab_52a4_c6bc_edf7;
         }
     }
 
-    pub mod lease_params {
+    pub mod tell_streams_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -9780,34 +11229,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_request(self) -> ::capnp::Result<crate::news_capnp::place_request::Reader<'a>> {
+            pub fn get_streams(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::news_capnp::streams_of_version::Owned>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_request(&self) -> bool {
+            pub fn has_streams(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
-            #[inline]
-            pub fn get_has_request(self) -> bool {
-                self.reader.get_bool_field(0)
-            }
-            #[inline]
-            pub fn get_returns(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::news_capnp::place_return::Owned>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_returns(&self) -> bool {
-                !self.reader.get_pointer_field(1).is_null()
-            }
-            #[inline]
-            pub fn get_is_passed_on(self) -> bool {
-                self.reader.get_bool_field(1)
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -9858,53 +11291,21 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_request(self) -> ::capnp::Result<crate::news_capnp::place_request::Builder<'a>> {
+            pub fn get_streams(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::news_capnp::streams_of_version::Owned>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_request(&mut self, value: crate::news_capnp::place_request::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_streams(&mut self, value: ::capnp::struct_list::Reader<'_,crate::news_capnp::streams_of_version::Owned>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_request(self, ) -> crate::news_capnp::place_request::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            pub fn init_streams(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::news_capnp::streams_of_version::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
             }
             #[inline]
-            pub fn has_request(&self) -> bool {
+            pub fn has_streams(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
-            #[inline]
-            pub fn get_has_request(self) -> bool {
-                self.builder.get_bool_field(0)
-            }
-            #[inline]
-            pub fn set_has_request(&mut self, value: bool)  {
-                self.builder.set_bool_field(0, value);
-            }
-            #[inline]
-            pub fn get_returns(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::news_capnp::place_return::Owned>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_returns(&mut self, value: ::capnp::struct_list::Reader<'_,crate::news_capnp::place_return::Owned>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
-            }
-            #[inline]
-            pub fn init_returns(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::news_capnp::place_return::Owned> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
-            }
-            #[inline]
-            pub fn has_returns(&self) -> bool {
-                !self.builder.is_pointer_field_null(1)
-            }
-            #[inline]
-            pub fn get_is_passed_on(self) -> bool {
-                self.builder.get_bool_field(1)
-            }
-            #[inline]
-            pub fn set_is_passed_on(&mut self, value: bool)  {
-                self.builder.set_bool_field(1, value);
-            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -9914,103 +11315,50 @@
             }
         }
         impl Pipeline  {
-            pub fn get_request(&self) -> crate::news_capnp::place_request::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 84] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(72, 127, 116, 153, 158, 12, 219, 162),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(28, 163, 127, 179, 177, 144, 175, 182),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 78, 101, 119, 115, 80),
-                ::capnp::word(101, 101, 114, 46, 108, 101, 97, 115),
-                ::capnp::word(101, 36, 80, 97, 114, 97, 109, 115),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(101, 101, 114, 46, 116, 101, 108, 108),
+                ::capnp::word(83, 116, 114, 101, 97, 109, 115, 36),
+                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 90, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(129, 0, 0, 0, 90, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(131, 88, 21, 180, 183, 53, 71, 210),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 97, 115, 82, 101, 113, 117, 101),
-                ::capnp::word(115, 116, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(114, 101, 116, 117, 114, 110, 115, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 116, 114, 101, 97, 109, 115, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(123, 120, 205, 158, 175, 10, 50, 203),
+                ::capnp::word(37, 236, 7, 140, 244, 79, 167, 252),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 115, 80, 97, 115, 115, 101, 100),
-                ::capnp::word(79, 110, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::news_capnp::place_request::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <::capnp::struct_list::Owned<crate::news_capnp::place_return::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                    3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::struct_list::Owned<crate::news_capnp::streams_of_version::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -10024,14 +11372,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,3,0,2];
-            pub(crate) const TYPE_ID: u64 = 0xa2db_0c9e_9974_7f48;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xb6af_90b1_b37f_a31c;
         }
     }
 
-    pub mod lease_results {
+    pub mod tell_streams_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -10092,23 +11440,11 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
-            #[inline]
-            pub fn get_lease(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn get_wait_ms(self) -> u32 {
-                self.reader.get_data_field::<u32>(2)
-            }
-            #[inline]
-            pub fn get_contended_ms(self) -> u32 {
-                self.reader.get_data_field::<u32>(3)
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -10149,38 +11485,14 @@
                 self.builder.into_reader().into()
             }
             pub fn reborrow(&mut self) -> Builder<'_,> {
-                Builder { builder: self.builder.reborrow() }
-            }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
-                self.builder.as_reader().into()
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.builder.as_reader().total_size()
-            }
-            #[inline]
-            pub fn get_lease(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn set_lease(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
-            }
-            #[inline]
-            pub fn get_wait_ms(self) -> u32 {
-                self.builder.get_data_field::<u32>(2)
-            }
-            #[inline]
-            pub fn set_wait_ms(&mut self, value: u32)  {
-                self.builder.set_data_field::<u32>(2, value);
-            }
-            #[inline]
-            pub fn get_contended_ms(self) -> u32 {
-                self.builder.get_data_field::<u32>(3)
+                Builder { builder: self.builder.reborrow() }
             }
-            #[inline]
-            pub fn set_contended_ms(&mut self, value: u32)  {
-                self.builder.set_data_field::<u32>(3, value);
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
             }
         }
 
@@ -10193,79 +11505,27 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(203, 152, 29, 236, 181, 90, 235, 183),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(118, 107, 243, 6, 26, 10, 180, 134),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 66, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 78, 101, 119, 115, 80),
-                ::capnp::word(101, 101, 114, 46, 108, 101, 97, 115),
-                ::capnp::word(101, 36, 82, 101, 115, 117, 108, 116),
-                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 98, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(108, 101, 97, 115, 101, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(119, 97, 105, 116, 77, 115, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(99, 111, 110, 116, 101, 110, 100, 101),
-                ::capnp::word(100, 77, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 101, 114, 46, 116, 101, 108, 108),
+                ::capnp::word(83, 116, 114, 101, 97, 109, 115, 36),
+                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
+                ::capnp::introspect::panic_invalid_field_index(index)
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -10277,14 +11537,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
-            pub(crate) const TYPE_ID: u64 = 0xb7eb_5ab5_ec1d_98cb;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0x86b4_0a1a_06f3_6b76;
         }
     }
 
-    pub mod fetch_params {
+    pub mod find_stream_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -10346,26 +11606,22 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_names(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_names(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
+            pub fn get_key(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn get_peers(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_peers(&self) -> bool {
-                !self.reader.get_pointer_field(1).is_null()
+            pub fn has_service(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -10416,36 +11672,28 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_names(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_names(&mut self, value: ::capnp::data::Reader<'_>)  {
-                self.builder.reborrow().get_pointer_field(0).set_data(value);
-            }
-            #[inline]
-            pub fn init_names(self, size: u32) -> ::capnp::data::Builder<'a> {
-                self.builder.get_pointer_field(0).init_data(size)
+            pub fn get_key(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn has_names(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
+            pub fn set_key(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
             }
             #[inline]
-            pub fn get_peers(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_peers(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+            pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
             }
             #[inline]
-            pub fn init_peers(self, size: u32) -> ::capnp::text::Builder<'a> {
-                self.builder.get_pointer_field(1).init_text(size)
+            pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
             }
             #[inline]
-            pub fn has_peers(&self) -> bool {
-                !self.builder.is_pointer_field_null(1)
+            pub fn has_service(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
             }
         }
 
@@ -10460,12 +11708,12 @@
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(24, 205, 174, 188, 170, 103, 37, 161),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(118, 143, 142, 125, 189, 34, 155, 208),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
@@ -10473,33 +11721,33 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 78, 101, 119, 115, 80),
-                ::capnp::word(101, 101, 114, 46, 102, 101, 116, 99),
-                ::capnp::word(104, 36, 80, 97, 114, 97, 109, 115),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 101, 114, 46, 102, 105, 110, 100),
+                ::capnp::word(83, 116, 114, 101, 97, 109, 36, 80),
+                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 34, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(110, 97, 109, 101, 115, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(112, 101, 101, 114, 115, 0, 0, 0),
+                ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -10510,7 +11758,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
@@ -10528,11 +11776,11 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
-            pub(crate) const TYPE_ID: u64 = 0xa125_67aa_bcae_cd18;
+            pub(crate) const TYPE_ID: u64 = 0xd09b_22bd_7d8e_8f76;
         }
     }
 
-    pub mod fetch_results {
+    pub mod find_stream_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -10594,25 +11842,29 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_pieces(self) -> ::capnp::Result<::capnp::data_list::Reader<'a>> {
+            pub fn get_streams(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::news_capnp::streams_of_version::Owned>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_pieces(&self) -> bool {
+            pub fn has_streams(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
-            pub fn get_busy_ms(self) -> u32 {
-                self.reader.get_data_field::<u32>(0)
-            }
-            #[inline]
-            pub fn get_others(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            pub fn get_versions(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_others(&self) -> bool {
+            pub fn has_versions(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
+            #[inline]
+            pub fn get_lacks_versions(self) -> bool {
+                self.reader.get_bool_field(0)
+            }
+            #[inline]
+            pub fn get_seen_for_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(1)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -10668,45 +11920,53 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_pieces(self) -> ::capnp::Result<::capnp::data_list::Builder<'a>> {
+            pub fn get_streams(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::news_capnp::streams_of_version::Owned>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_pieces(&mut self, value: ::capnp::data_list::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_streams(&mut self, value: ::capnp::struct_list::Reader<'_,crate::news_capnp::streams_of_version::Owned>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_pieces(self, size: u32) -> ::capnp::data_list::Builder<'a> {
+            pub fn init_streams(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::news_capnp::streams_of_version::Owned> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
             }
             #[inline]
-            pub fn has_pieces(&self) -> bool {
+            pub fn has_streams(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn get_busy_ms(self) -> u32 {
-                self.builder.get_data_field::<u32>(0)
-            }
-            #[inline]
-            pub fn set_busy_ms(&mut self, value: u32)  {
-                self.builder.set_data_field::<u32>(0, value);
-            }
-            #[inline]
-            pub fn get_others(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            pub fn get_versions(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_others(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            pub fn set_versions(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
             }
             #[inline]
-            pub fn init_others(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            pub fn init_versions(self, size: u32) -> ::capnp::text_list::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
             }
             #[inline]
-            pub fn has_others(&self) -> bool {
+            pub fn has_versions(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
+            #[inline]
+            pub fn get_lacks_versions(self) -> bool {
+                self.builder.get_bool_field(0)
+            }
+            #[inline]
+            pub fn set_lacks_versions(&mut self, value: bool)  {
+                self.builder.set_bool_field(0, value);
+            }
+            #[inline]
+            pub fn get_seen_for_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(1)
+            }
+            #[inline]
+            pub fn set_seen_for_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(1, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -10718,84 +11978,103 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 71] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 89] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(247, 237, 188, 198, 164, 82, 171, 157),
+                ::capnp::word(29, 48, 65, 210, 145, 214, 74, 246),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 78, 101, 119, 115, 80),
-                ::capnp::word(101, 101, 114, 46, 102, 101, 116, 99),
-                ::capnp::word(104, 36, 82, 101, 115, 117, 108, 116),
-                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(101, 101, 114, 46, 102, 105, 110, 100),
+                ::capnp::word(83, 116, 114, 101, 97, 109, 36, 82),
+                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(89, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(117, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(93, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(141, 0, 0, 0, 114, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(112, 105, 101, 99, 101, 115, 0, 0),
+                ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(149, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 116, 114, 101, 97, 109, 115, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(37, 236, 7, 140, 244, 79, 167, 252),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(98, 117, 115, 121, 77, 115, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(118, 101, 114, 115, 105, 111, 110, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(111, 116, 104, 101, 114, 115, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 97, 99, 107, 115, 86, 101, 114),
+                ::capnp::word(115, 105, 111, 110, 115, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 101, 101, 110, 70, 111, 114, 77),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::struct_list::Owned<crate::news_capnp::streams_of_version::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -10809,10 +12088,10 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
-            pub(crate) const TYPE_ID: u64 = 0x9dab_52a4_c6bc_edf7;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,0,1];
+            pub(crate) const TYPE_ID: u64 = 0xf64a_d691_d241_301d;
         }
     }
 }
--- a/src/relay/news/rpc.rs
+++ b/src/relay/news/rpc.rs
@@ -4,6 +4,7 @@
     super::{
         crash_message, limit_message,
         message::{self, ClusterNews, HeldNews, ReportedView},
+        origin_message,
         piece_message::{self, PieceAnswer, PieceRequest},
         place_message,
     },
@@ -15,11 +16,13 @@
         peer::{self, PeerLinks},
         relay::{
             admission::places::place_request::{PlaceAnswer, PlaceMessage},
+            parts::origins::OriginAnswer,
             policy::{
                 digest::RequestDigest,
                 loads::{LoadReport, LoadReporter},
                 permit_allocator::{PermitGrant, PermitRequest},
                 shared_findings::SharedFindings,
+                stream_origins::{StreamKey, StreamRecord},
             },
         },
         store::StorePosition,
@@ -62,6 +65,12 @@
 /// Hands out pieces of the configuration.
 pub type PieceHandler = dyn Fn(&PieceRequest) -> PieceAnswer;
 
+/// Accepts streams that another host began.
+pub type StreamsHandler = dyn Fn(Vec<StreamRecord>);
+
+/// Answers how a stream began, and which software versions of a service were seen.
+pub type OriginHandler = dyn Fn(StreamKey, &str) -> OriginAnswer;
+
 /// Handlers of the calls of other hosts.
 pub struct NewsHandlers {
     /// The clock from which ages in messages are computed.
@@ -84,6 +93,10 @@
     pub places: Box<PlaceHandler>,
     /// Hands out pieces of the configuration.
     pub pieces: Box<PieceHandler>,
+    /// Accepts streams that other hosts began.
+    pub streams: Box<StreamsHandler>,
+    /// Answers hosts that take streams up.
+    pub origins: Box<OriginHandler>,
 }
 
 struct NewsServer {
@@ -213,6 +226,28 @@
         piece_message::write_answer(results.get(), &answer);
         Ok(())
     }
+
+    async fn tell_streams(
+        self: CapRc<Self>,
+        params: news_peer::TellStreamsParams,
+        _results: news_peer::TellStreamsResults,
+    ) -> Result<(), Error> {
+        let records = origin_message::read_records(params.get()?.get_streams()?)?;
+        (self.handlers.streams)(records);
+        Ok(())
+    }
+
+    async fn find_stream(
+        self: CapRc<Self>,
+        params: news_peer::FindStreamParams,
+        mut results: news_peer::FindStreamResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let key = StreamKey(params.get_key());
+        let answer = (self.handlers.origins)(key, params.get_service()?.to_str()?);
+        origin_message::write_answer(results.get(), &answer);
+        Ok(())
+    }
 }
 
 /// Serves the calls of other hosts on a listening socket for as long as the host runs.
@@ -410,6 +445,42 @@
             .await
     }
 
+    /// Tells a host of streams that this host began.
+    pub async fn tell_streams(
+        &self,
+        address: SocketAddr,
+        records: &[StreamRecord],
+        timeout: Duration,
+    ) -> Result<(), Error> {
+        self.links
+            .call(address, timeout, |client| async move {
+                let mut request = client.tell_streams_request();
+                origin_message::write_records(request.get(), records);
+                request.send().promise.await?;
+                Ok(())
+            })
+            .await
+    }
+
+    /// Asks a host how a stream began, and which software versions of a service it has seen.
+    pub async fn find_stream(
+        &self,
+        address: SocketAddr,
+        key: StreamKey,
+        service: &str,
+        timeout: Duration,
+    ) -> Result<OriginAnswer, Error> {
+        self.links
+            .call(address, timeout, |client| async move {
+                let mut request = client.find_stream_request();
+                request.get().set_key(key.0);
+                request.get().set_service(service);
+                let response = request.send().promise.await?;
+                origin_message::read_answer(response.get()?)
+            })
+            .await
+    }
+
     /// Sends a load report, and how current this host's view is, to a host; returns the sum of the others' reports.
     pub async fn share(
         &self,
--- a/src/relay/objects.rs
+++ b/src/relay/objects.rs
@@ -111,7 +111,7 @@
         role: None,
         orders_taken: 0,
         cold_left: Duration::ZERO,
-        software: SoftwareVersion::Unnamed,
+        software: SoftwareVersion::unnamed(),
     }
 }
 
--- a/src/relay/parts/metric_labels.rs
+++ b/src/relay/parts/metric_labels.rs
@@ -77,6 +77,24 @@
     pub cause: &'static str,
 }
 
+/// Labels of metrics by service and software version.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct SoftwareLabels {
+    /// The service's name.
+    pub service: String,
+    /// The name of the version.
+    pub software: String,
+}
+
+/// Labels of metrics of streams that callers take up.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TakeUpLabels {
+    /// The service's name.
+    pub service: String,
+    /// Where the stream's version was found, or why the stream does not go on.
+    pub result: &'static str,
+}
+
 /// The reason for a call to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum StoreCause {
--- a/src/relay/parts/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -7,6 +7,7 @@
             self, AccountLabels, CauseLabels, EndLabels, LimitEnd, ResponseEndLabels, RouteLabels,
             StoreCause,
         },
+        origin_metrics::OriginMetrics,
         piece_metrics::PieceMetrics,
         place_metrics::PlaceMetrics,
         priority_metrics::PriorityMetrics,
@@ -103,6 +104,8 @@
     pub links: LinkMetrics,
     /// Configurations in pieces.
     pub pieces: PieceMetrics,
+    /// Software versions and streams that are taken up.
+    pub origins: OriginMetrics,
 }
 
 impl fmt::Debug for RelayMetrics {
@@ -165,6 +168,7 @@
             places: PlaceMetrics::default(),
             links: LinkMetrics::default(),
             pieces: PieceMetrics::default(),
+            origins: OriginMetrics::default(),
         };
         metrics.register();
         metrics
@@ -179,6 +183,7 @@
         self.places.register(r);
         self.links.register(r);
         self.pieces.register(r);
+        self.origins.register(r);
         r.register(
             "answers",
             "Answers by route and status",
--- a/src/relay/parts/mod.rs
+++ b/src/relay/parts/mod.rs
@@ -13,6 +13,8 @@
 pub(crate) mod links;
 pub(crate) mod metric_labels;
 pub(crate) mod metrics;
+pub(crate) mod origin_metrics;
+pub(crate) mod origins;
 pub(crate) mod permits;
 pub(crate) mod piece_metrics;
 pub(crate) mod place_metrics;
@@ -26,7 +28,7 @@
 pub(crate) mod shares;
 
 pub use self::{
-    accounts::*, crashes::*, link_metrics::*, metric_labels::*, metrics::*, permits::*,
-    piece_metrics::*, place_metrics::*, places::*, priorities::*, priority_metrics::*,
-    server_limits::*, service_metrics::*, shared::*,
+    accounts::*, crashes::*, link_metrics::*, metric_labels::*, metrics::*, origin_metrics::*,
+    origins::*, permits::*, piece_metrics::*, place_metrics::*, places::*, priorities::*,
+    priority_metrics::*, server_limits::*, service_metrics::*, shared::*,
 };
--- a/src/relay/parts/publish.rs
+++ b/src/relay/parts/publish.rs
@@ -65,6 +65,7 @@
         let touched = self.cluster.borrow_mut().take_touched_backends();
         let changes = self.book.borrow_mut().update_backends(touched.into_iter());
         self.apply_cold_entries(&changes.cold);
+        self.record_software(&changes);
         for earlier in &changes.restarted {
             self.prompt_caches.borrow_mut().forget(&earlier.id);
             self.pool.forget(earlier.address);
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -6,6 +6,7 @@
         crashes::CrashRecords,
         ends::EndProbes,
         metrics::RelayMetrics,
+        origins::OriginRecords,
         permits::PermitGate,
         places::PlaceGate,
         priorities::PriorityState,
@@ -86,6 +87,8 @@
     pub(super) end_probes: EndProbes,
     /// Fatal requests, under which backend servers crash.
     pub crashes: CrashRecords,
+    /// How streams began, and the software versions of servers.
+    pub origins: OriginRecords,
     /// The exchange of server limits with other hosts.
     pub limits: LimitExchange,
     /// Permits for rate-limited backend servers.
@@ -152,6 +155,7 @@
             accounts: AccountGate::new(ledger),
             end_probes: EndProbes::default(),
             crashes: CrashRecords::new(book_id),
+            origins: OriginRecords::default(),
             permits: PermitGate::default(),
             places: PlaceGate::new(rand::random()),
             limits: LimitExchange::new(book_id),
@@ -414,6 +418,9 @@
         let behind = self.config_lag().unwrap_or_default();
         metrics.pieces.behind.set(behind.as_millis() as i64);
         metrics.backends.set(cluster.usable().len() as i64);
+        let records = self.origins.stream_count();
+        metrics.origins.records.set(records as i64);
+        metrics.origins.set_servers(&self.origins.listed_software());
         metrics.page()
     }
 }
--- a/src/relay/policy/changes.rs
+++ b/src/relay/policy/changes.rs
@@ -1,6 +1,10 @@
 //! Differences between two lists of backend servers, for the log.
 
-use {crate::relay::backend::BackendInfo, faststr::FastStr, std::time::Duration};
+use {
+    crate::relay::{backend::BackendInfo, software_version::ServerSoftware},
+    faststr::FastStr,
+    std::time::Duration,
+};
 
 /// Differences of a list of backend servers from the previous one.
 #[derive(Debug, Default, PartialEq, Eq)]
@@ -19,6 +23,9 @@
     pub affected: Vec<BackendInfo>,
     /// Servers whose entry states another coldness than before.
     pub cold: Vec<BackendInfo>,
+    /// The software of servers that are listed with it now, and of those that were before.
+    pub listed_software: Vec<ServerSoftware>,
+    pub unlisted_software: Vec<ServerSoftware>,
 }
 
 impl BackendChanges {
@@ -36,10 +43,16 @@
 
     pub(super) fn note_removed(&mut self, info: BackendInfo) {
         self.removed.push(info.id.clone());
+        self.unlisted_software.push(info.server_software());
         self.affected.push(info);
     }
 
     pub(super) fn note(&mut self, before: Option<&BackendInfo>, now: &BackendInfo) {
+        let software = before.map(BackendInfo::server_software);
+        if software != Some(now.server_software()) {
+            self.unlisted_software.extend(software);
+            self.listed_software.push(now.server_software());
+        }
         self.affected.extend(before.cloned());
         self.affected.push(now.clone());
         let same_run = before.filter(|before| before.born == now.born);
--- a/src/relay/policy/engines.rs
+++ b/src/relay/policy/engines.rs
@@ -95,7 +95,7 @@
         views: impl Iterator<Item = &'a BackendView>,
         need: &DecodeNeed<'_>,
     ) -> Vec<(DecodeRank, &'a BackendInfo)> {
-        let views = views.filter(|view| need.origin.allows(&view.info.zone));
+        let views = views.filter(|view| need.origin.allows_server(&view.info));
         let views = views.filter(|view| self.accepts(view, need.now));
         let views = views.filter(|view| !view.has_refused(need.tokens, need.now));
         let views = views.filter(|view| self.fits(view, need.tokens, need.memory, need.now));
@@ -205,7 +205,7 @@
     ) -> [Vec<BackendInfo>; 2] {
         let origin = origin.into();
         let pools = self.index.pools(service);
-        let pools = pools.filter(|pool| origin.allows(&pool.zone));
+        let pools = pools.filter(|pool| origin.allows(&pool.zone, &pool.software));
         let decodes = pools.filter(|pool| pool.role == Some(EngineRole::Decode));
         let (near, far): (Vec<_>, Vec<_>) = decodes.partition(|pool| pool.zone == origin.zone);
         [near, far].map(|pools| {
@@ -230,7 +230,7 @@
         let origin = origin.into();
         let mut least = None;
         let engines = self.engines(service, EngineRole::Decode, now);
-        for view in engines.filter(|view| origin.allows(&view.info.zone)) {
+        for view in engines.filter(|view| origin.allows_server(&view.info)) {
             let server = view.key;
             let PermitState::Denied(time) = self.limits.permit(server, priority, now) else {
                 return None;
@@ -257,7 +257,7 @@
         let origin = origin.into();
         let zone = origin.zone;
         let best_of = |views: &mut dyn Iterator<Item = &'_ BackendView>| {
-            let allowed = views.filter(|view| origin.allows(&view.info.zone));
+            let allowed = views.filter(|view| origin.allows_server(&view.info));
             let untried = allowed.filter(|view| !tried.contains(&view.info.id));
             let accepting = untried.filter(|view| self.accepts(view, now));
             let candidates = accepting.map(|view| self.prefill_candidate(view, zone, now));
--- a/src/relay/policy/mod.rs
+++ b/src/relay/policy/mod.rs
@@ -23,6 +23,7 @@
 pub(crate) mod link_tracker;
 mod listed_runs;
 pub(crate) mod loads;
+pub(crate) mod origin_hosts;
 pub(crate) mod past_time;
 pub(crate) mod peer_loads;
 pub(crate) mod permit_allocator;
@@ -39,9 +40,11 @@
 pub(crate) mod server_limit;
 pub(crate) mod server_signals;
 pub(crate) mod shared_findings;
+pub(crate) mod software_history;
 pub(crate) mod source;
 pub(crate) mod split;
 pub(crate) mod store_backoff;
+pub(crate) mod stream_origins;
 pub(crate) mod subset;
 pub(crate) mod view;
 
@@ -49,8 +52,9 @@
     availability::*, budget::*, caller_timeouts::*, carrier_table::*, changes::*, cold_limit::*,
     crash_record::*, crash_report::*, crash_tracker::*, decode_exclusions::*, digest::*,
     event_scanner::*, findings_cache::*, limit_tracker::*, limit_updates::*, link_tracker::*,
-    loads::*, past_time::*, permit_allocator::*, permit_owners::*, priority_loads::*,
-    prompt_cache::*, regions::*, registry::*, response_end::*, response_progress::*, rotation::*,
-    route::*, server_limit::*, server_signals::*, shared_findings::*, source::*, split::*,
-    store_backoff::*, subset::*, view::*,
+    loads::*, origin_hosts::*, past_time::*, permit_allocator::*, permit_owners::*,
+    priority_loads::*, prompt_cache::*, regions::*, registry::*, response_end::*,
+    response_progress::*, rotation::*, route::*, server_limit::*, server_signals::*,
+    shared_findings::*, software_history::*, source::*, split::*, store_backoff::*,
+    stream_origins::*, subset::*, view::*,
 };
--- a/src/relay/policy/regions.rs
+++ b/src/relay/policy/regions.rs
@@ -2,6 +2,7 @@
 //! allow.
 
 use {
+    crate::relay::{backend::BackendInfo, software_version::SoftwareVersion},
     faststr::FastStr,
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -46,28 +47,54 @@
     }
 }
 
-/// The zone that a request prefers and the zones that it may reach.
+/// The servers that a request may reach.
+#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct AllowedServers {
+    /// Their availability zones.
+    pub zones: AllowedZones,
+    /// The version of their software, if the request continues a stream.
+    pub software: Option<SoftwareVersion>,
+}
+
+/// The zone that a request prefers and the servers that it may reach.
 #[derive(Debug, Clone, Copy)]
 pub struct RequestOrigin<'a> {
     /// The zone whose servers are preferred: usually that of the host that received the request.
     pub zone: &'a str,
     /// The zones that it may reach; `None` for all.
     pub allowed: Option<&'a AllowedZones>,
+    /// The software version of the servers that it may reach; `None` for all.
+    pub software: Option<&'a SoftwareVersion>,
 }
 
-impl RequestOrigin<'_> {
-    /// Whether the request may reach a zone.
-    pub fn allows(&self, zone: &str) -> bool {
+impl<'a> RequestOrigin<'a> {
+    /// The same for servers of one software version only.
+    pub fn of_software(self, software: &'a SoftwareVersion) -> Self {
+        Self {
+            software: Some(software),
+            ..self
+        }
+    }
+
+    /// Whether the request may reach servers of a software version in a zone.
+    pub fn allows(&self, zone: &str, software: &SoftwareVersion) -> bool {
         self.allowed.is_none_or(|allowed| allowed.contains(zone))
+            && self.software.is_none_or(|bound| software.continues(bound))
+    }
+
+    /// Whether the request may reach a server.
+    pub fn allows_server(&self, info: &BackendInfo) -> bool {
+        self.allows(&info.zone, &info.software)
     }
 }
 
-/// A request from a zone that may reach all zones.
+/// A request from a zone that may reach all servers.
 impl<'a> From<&'a str> for RequestOrigin<'a> {
     fn from(zone: &'a str) -> Self {
         Self {
             zone,
             allowed: None,
+            software: None,
         }
     }
 }
--- a/src/relay/policy/registry.rs
+++ b/src/relay/policy/registry.rs
@@ -194,7 +194,7 @@
     ) -> Vec<BackendInfo> {
         let origin = origin.into();
         let pools = self.index.pools(service);
-        let pools = pools.filter(|pool| origin.allows(&pool.zone));
+        let pools = pools.filter(|pool| origin.allows(&pool.zone, &pool.software));
         let ids = pools.flat_map(|pool| pool.sample(self.seed.unwrap_or_default()));
         let views = ids.filter_map(|id| self.views.get(id));
         let views = views
--- a/src/relay/policy/rotation.rs
+++ b/src/relay/policy/rotation.rs
@@ -100,7 +100,7 @@
         let origin = origin.into();
         let of_role = |pool: &&ServerPool| role.is_none() || pool.role == role;
         let pools = self.index.pools(service).filter(of_role);
-        let views = self.pool_views(pools.filter(|pool| origin.allows(&pool.zone)));
+        let views = self.pool_views(pools.filter(|pool| origin.allows(&pool.zone, &pool.software)));
         let mut wait = None;
         for view in views {
             if self.in_rotation(view, now) {
@@ -121,7 +121,22 @@
     ) -> bool {
         let of_role = |pool: &&ServerPool| role.is_none() || pool.role == role;
         let mut pools = self.index.pools(service).filter(of_role);
-        pools.any(|pool| origin.allows(&pool.zone))
+        pools.any(|pool| origin.allows(&pool.zone, &pool.software))
+    }
+
+    /// Whether a service lists a server that a request may reach and that is not leaving, optionally only of an engine role.
+    pub fn has_staying_server(
+        &self,
+        service: &str,
+        role: Option<EngineRole>,
+        origin: RequestOrigin<'_>,
+        now: Duration,
+    ) -> bool {
+        let of_role = |pool: &&ServerPool| role.is_none() || pool.role == role;
+        let pools = self.index.pools(service).filter(of_role);
+        let pools = pools.filter(|pool| origin.allows(&pool.zone, &pool.software));
+        let mut views = self.pool_views(pools);
+        views.any(|view| !self.is_leaving(view, now))
     }
 
     // When a server that is not in rotation returns to it.
--- a/src/relay/policy/server_index.rs
+++ b/src/relay/policy/server_index.rs
@@ -2,7 +2,10 @@
 
 use {
     super::loads::EngineKey,
-    crate::{engine::EngineRole, relay::backend::BackendInfo},
+    crate::{
+        engine::EngineRole,
+        relay::{backend::BackendInfo, software_version::SoftwareVersion},
+    },
     faststr::FastStr,
     std::collections::HashMap,
 };
@@ -11,18 +14,19 @@
 /// some.
 const SAMPLE_MAX: usize = 256;
 
-/// The servers of a service in one availability zone that have the same role.
+/// The servers of a service in one availability zone that have the same role and software version.
 #[derive(Debug)]
 pub(super) struct ServerPool {
     pub(super) role: Option<EngineRole>,
     pub(super) zone: FastStr,
+    pub(super) software: SoftwareVersion,
     // In the order of the ids.
     pub(super) ids: Vec<FastStr>,
 }
 
 impl ServerPool {
     fn is_of(&self, info: &BackendInfo) -> bool {
-        self.role == info.role && self.zone == info.zone
+        self.role == info.role && self.zone == info.zone && self.software == info.software
     }
 
     /// The ids of all servers, or of a part of a large pool that depends on the seed.
@@ -40,7 +44,7 @@
     }
 }
 
-/// Servers by service, role and zone, and by the key of their run.
+/// Servers by service, role, zone and software version, and by the key of their run.
 #[derive(Debug, Default)]
 pub(super) struct ServerIndex {
     pools: HashMap<FastStr, Vec<ServerPool>>,
@@ -57,6 +61,7 @@
             return pools.push(ServerPool {
                 role: info.role,
                 zone: info.zone.clone(),
+                software: info.software.clone(),
                 ids: vec![info.id.clone()],
             });
         };
@@ -65,7 +70,7 @@
         }
     }
 
-    /// Removes a server that was added with the same service, role, zone and run.
+    /// Removes a server that was added with the same service, role, zone, software version and run.
     pub(super) fn remove(&mut self, info: &BackendInfo) {
         let key = info.key();
         if self.keys.get(&key) == Some(&info.id) {
--- a/src/relay/request/client_request.rs
+++ b/src/relay/request/client_request.rs
@@ -12,8 +12,10 @@
             policy::{
                 digest::RequestDigest,
                 priority_loads::PriorityClass,
-                regions::{AllowedZones, RequestOrigin},
+                regions::{AllowedServers, AllowedZones, RequestOrigin},
+                stream_origins::StreamKey,
             },
+            software_version::SoftwareVersion,
         },
         web,
     },
@@ -74,6 +76,10 @@
     pub is_crash_suspect: bool,
     /// Whether it is known to crash its servers and is sent once, as a trial.
     pub is_crash_trial: bool,
+    // The software version of the servers that may run it from now on, once its client has an event.
+    bound_software: OnceCell<SoftwareVersion>,
+    // Whether its client has got an event from here.
+    has_sent_event: Cell<bool>,
     clock: HostClock,
     digest: OnceCell<RequestDigest>,
 }
@@ -118,9 +124,52 @@
         RequestOrigin {
             zone,
             allowed: Some(&self.allowed_zones),
+            software: self.bound_software.get(),
         }
     }
 
+    /// The servers that it may reach now.
+    pub fn allowed_servers(&self) -> AllowedServers {
+        AllowedServers {
+            zones: self.allowed_zones.clone(),
+            software: self.bound_software.get().cloned(),
+        }
+    }
+
+    /// Whether it takes up a stream of which its client has events.
+    pub fn is_taken_up(&self) -> bool {
+        let last_event = self.marks.last_event.as_deref();
+        self.route.kind.is_stream() && last_event.is_some_and(|last| !last.is_empty())
+    }
+
+    /// The stream that it takes up or begins.
+    pub fn stream_key(&self) -> StreamKey {
+        let began = match self.is_taken_up() {
+            true => self.resumes(),
+            false => &self.marks.id,
+        };
+        StreamKey::of(self.account_name(), &self.target, began)
+    }
+
+    /// The software version that wrote the events which its client has.
+    pub fn bound_software(&self) -> Option<&SoftwareVersion> {
+        self.bound_software.get()
+    }
+
+    /// Records that its client gets an event, and returns whether it is the first one from here.
+    pub fn is_first_event(&self) -> bool {
+        !self.has_sent_event.replace(true)
+    }
+
+    /// Records the version that writes its stream. Only servers of this version may run it from now on.
+    pub fn bind_software(&self, software: &SoftwareVersion) {
+        let bound = self.bound_software.get_or_init(|| software.clone());
+        assert_eq!(
+            bound, software,
+            "a stream is written by one software version"
+        );
+    }
+
     /// Sets how long the client waited before.
     pub fn with_prior_wait(self, prior_wait: Duration) -> Self {
         Self { prior_wait, ..self }
@@ -167,6 +216,12 @@
         self.deadline.saturating_sub(self.clock.now())
     }
 
+    /// Time for which its client may still come back.
+    pub fn client_time_left(&self) -> Duration {
+        let time = self.marks.time_left.unwrap_or(self.route.time_limit);
+        time.saturating_sub(self.age())
+    }
+
     /// Time since it was received.
     pub fn age(&self) -> Duration {
         self.clock.now().saturating_sub(self.received_at)
@@ -185,6 +240,13 @@
             backend.id,
             backend.zone
         );
+        assert!(
+            self.origin(&backend.zone).allows_server(backend),
+            "a stream that {:?} began goes on at no other software version, as {} has with {}",
+            self.bound_software(),
+            backend.id,
+            backend.software
+        );
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self
@@ -248,6 +310,8 @@
         suspended_before: clock.suspended(),
         is_crash_suspect: false,
         is_crash_trial: false,
+        bound_software: OnceCell::new(),
+        has_sent_event: Cell::new(false),
         clock: clock.clone(),
         digest: OnceCell::new(),
     })
--- a/src/relay/request/guard.rs
+++ b/src/relay/request/guard.rs
@@ -15,6 +15,7 @@
                 server_limit::LimitSignal,
                 server_signals::{BackoffSignal, LeavingSignal},
             },
+            software_version::ServerSoftware,
         },
     },
     http::StatusCode,
@@ -57,6 +58,11 @@
         }
     }
 
+    /// The software of the server.
+    pub(super) fn software(&self) -> ServerSoftware {
+        self.backend.server_software()
+    }
+
     /// Holds a place at the server for as long as the request is in progress.
     pub fn with_place(mut self, place: Option<HeldPlace>) -> Self {
         self.place = place.map(Box::new);
--- a/src/relay/request/handler.rs
+++ b/src/relay/request/handler.rs
@@ -5,7 +5,7 @@
         client_request::{self, ClientRequest},
         plain,
         response::{self, RelayResponse},
-        send_check, stream,
+        send_check, stream, take_up,
     },
     crate::{
         engine::EngineRole,
@@ -109,6 +109,7 @@
         .identify(&request.route, request.marks.key)
         .map_err(|refusal| unless_behind(parts, refusal))?;
     let request = request.with_account(account);
+    let service = take_up::bind_taken_up(parts, &request, &routes, service).await?;
     let request = restrict_zones(parts, request, &service)?;
     let request = send_check::admit(parts, request, &service.name).await?;
     let charge = charge(parts, &request).await?;
--- a/src/relay/request/mod.rs
+++ b/src/relay/request/mod.rs
@@ -21,6 +21,7 @@
 mod server_choice;
 pub(crate) mod stream;
 mod stream_log;
+mod take_up;
 
 pub use self::{
     client_request::*, event_splitter::*, handler::*, prefill::*, reserve::*, response::*,
--- a/src/relay/request/plain.rs
+++ b/src/relay/request/plain.rs
@@ -8,6 +8,7 @@
         response::{self, RelayResponse},
         send::{self, PlainBody, PlainResponse, SendOutcome},
         server_choice::ChosenServer,
+        take_up,
     },
     crate::{
         event,
@@ -135,7 +136,10 @@
             let request = relay.request.clone();
             let observe = |state: &mut (PlainRelay, InFlightGuard), event: ForwardEvent| match event
             {
-                ForwardEvent::Chunk => {}
+                ForwardEvent::Chunk => {
+                    let (parts, request) = (&state.0.parts, &state.0.request);
+                    take_up::record_first_event(parts, request, || state.1.software());
+                }
                 ForwardEvent::End(end) => {
                     state.0.parts.metrics.response_ended(end);
                     state.0.response_end = Some(end);
--- a/src/relay/request/reserve.rs
+++ b/src/relay/request/reserve.rs
@@ -4,6 +4,7 @@
     super::{
         client_request::ClientRequest,
         priority_wait::{self, PriorityWait},
+        take_up,
     },
     crate::{
         engine::EngineRole,
@@ -18,8 +19,8 @@
             config::EngineLimits,
             parts::{permits::ServerPermit, priorities::CountedWork, shared::RelayParts},
             policy::{
-                decode_exclusions::DecodeExclusions, prompt_cache::CachedAt, regions::AllowedZones,
-                rotation::RotationWait,
+                decode_exclusions::DecodeExclusions, prompt_cache::CachedAt,
+                regions::AllowedServers, rotation::RotationWait,
             },
         },
     },
@@ -143,7 +144,7 @@
 // A place in the queue for memory, given up when dropped.
 struct QueuePlace {
     parts: Rc<RelayParts>,
-    zones: AllowedZones,
+    servers: AllowedServers,
     key: QueueKey,
     entrant: QueuedRequest,
     priority: PriorityWait,
@@ -151,7 +152,7 @@
 
 impl QueuePlace {
     fn join(parts: &Rc<RelayParts>, request: &ClientRequest, is_resumed: bool) -> Self {
-        let zones = request.allowed_zones.clone();
+        let servers = request.allowed_servers();
         let mut line = parts.wait_queue.borrow_mut();
         let entrant = QueuedRequest {
             arrived: request.received_at,
@@ -161,10 +162,10 @@
             tokens: request.marks.prompt_tokens + request.marks.answer_hint.unwrap_or_default(),
         };
         let key = entrant.key(line.ticket(), parts.now());
-        line.insert(&zones, None, key);
+        line.insert(&servers, None, key);
         Self {
             parts: parts.clone(),
-            zones,
+            servers,
             key,
             entrant,
             priority: PriorityWait::begin(parts, request, is_resumed),
@@ -173,7 +174,7 @@
 
     fn is_first(&self) -> bool {
         let queue = self.parts.wait_queue.borrow();
-        queue.ahead(&self.zones, &self.key) == 0
+        queue.ahead(&self.servers, &self.key) == 0
     }
 
     // Reorders the queue by the time that has passed: a request that can no longer meet its latency target lets those
@@ -184,7 +185,7 @@
             self.parts
                 .wait_queue
                 .borrow_mut()
-                .insert(&self.zones, Some(self.key), key);
+                .insert(&self.servers, Some(self.key), key);
             self.key = key;
         }
     }
@@ -193,7 +194,7 @@
 impl Drop for QueuePlace {
     fn drop(&mut self) {
         let mut queue = self.parts.wait_queue.borrow_mut();
-        queue.remove(&self.zones, &self.key);
+        queue.remove(&self.servers, &self.key);
         drop(queue);
         self.parts.capacity_freed.notify_waiters();
     }
@@ -224,6 +225,7 @@
         let freed = parts.capacity_freed.notified();
         tokio::pin!(freed);
         freed.as_mut().enable();
+        take_up::check_software(parts, request, service, RunVerdict::NotRun)?;
         if place.is_first()
             && place.priority.may_ask(request, POLL_INTERVAL)
             && let Some(reservation) =
--- a/src/relay/request/resume.rs
+++ b/src/relay/request/resume.rs
@@ -43,6 +43,7 @@
             let (cause, reservation) = match next_step(&mut relay, &mut running).await {
                 StreamStep::Chunk(bytes, whole) => {
                     if let Some(events) = splitter.push(&bytes, whole) {
+                        relay.record_first_event(&running);
                         relay.event_gaps.record(Instant::now());
                         yield Ok(events);
                     }
--- a/src/relay/request/stream.rs
+++ b/src/relay/request/stream.rs
@@ -16,6 +16,7 @@
         response_body::ResponseBody,
         resume, seek, send_check,
         stream_log::StreamTimes,
+        take_up,
     },
     crate::{
         operation::{Refusal, RefusalCode, RunVerdict},
@@ -24,6 +25,7 @@
             dialect::DecodeParams,
             parts::shared::RelayParts,
             policy::{prompt_cache::CachedAt, response_end::ResponseEnd, view::BackendFailure},
+            software_version::ServerSoftware,
         },
     },
     faststr::FastStr,
@@ -72,10 +74,17 @@
 
 /// What a running decode occupies at its engine, released when dropped.
 pub(super) struct EngineGuards {
-    _memory: MemoryReservation,
+    memory: MemoryReservation,
     pub(super) guard: InFlightGuard,
 }
 
+impl EngineGuards {
+    // The software of the decode engine.
+    fn software(&self) -> ServerSoftware {
+        self.memory.engine.server_software()
+    }
+}
+
 /// Why a round started no stream.
 pub(super) struct RoundFailure {
     pub(super) verdict: RunVerdict,
@@ -236,6 +245,7 @@
         let budget_deadline = self.request.deadline.min(now + RESUME_BUDGET_TIMEOUT);
         let mut reservation = reservation;
         for round in 1.. {
+            self.check_software()?;
             while !self.count_retry() {
                 if self.parts.now() >= budget_deadline {
                     let detail = "no repeats are left to go on with the stream";
@@ -260,6 +270,18 @@
         unreachable!("the rounds are bounded")
     }
 
+    // Refuses to wait for a software version that no server has any more.
+    fn check_software(&self) -> Result<(), Refusal> {
+        let (parts, request, service) = (&self.parts, &self.request, &self.service);
+        take_up::check_software(parts, request, service, self.verdict)
+            .inspect_err(|_| take_up::log_refusal(parts, request, service, "gone"))
+    }
+
+    /// Binds the stream to the software of the engine that sends its first event.
+    pub(super) fn record_first_event(&self, running: &DecodeStream) {
+        take_up::record_first_event(&self.parts, &self.request, || running.guards.software());
+    }
+
     /// Records how the stream of an engine ended.
     pub(super) fn record_end(&self, guard: &InFlightGuard, end: ResponseEnd) {
         if !(self.prefill_broken && end.is_complete()) {
@@ -340,7 +362,12 @@
         let skips_prefill =
             self.skip_prefill || is_trial || std::mem::take(&mut self.is_prompt_cached);
         while !skips_prefill && tried.len() < MAX_PREFILL_ENGINES {
-            let origin = self.request.origin(&reservation.engine.zone);
+            // What one version has computed of a prompt need not fit another one.
+            let engine = &reservation.engine;
+            let origin = self
+                .request
+                .origin(&engine.zone)
+                .of_software(&engine.software);
             let (parts, rank) = (&self.parts, self.request.priority());
             let chosen =
                 prefill::choose_prefill_engine(parts, &self.service, origin, rank, &tried)?;
@@ -460,7 +487,7 @@
             headers: response.headers.clone(),
             body: ResponseBody::new(&self.request, response, is_continued),
             guards: EngineGuards {
-                _memory: reservation,
+                memory: reservation,
                 guard,
             },
         })
--- a/src/relay/software_version.rs
+++ b/src/relay/software_version.rs
@@ -3,35 +3,40 @@
 use {
     faststr::FastStr,
     serde::{Deserialize, Serialize},
-    std::fmt,
+    std::{fmt, sync::Arc},
 };
 
 /// The version of a backend server's software, which is not that of its model's weights. What two versions write of one
 /// stream does not fit together.
+///
+/// It is not known if the server's entry came through a host that does not pass versions on. An entry may also name none,
+/// which counts as a version of its own.
 #[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(from = "Option<FastStr>", into = "Option<FastStr>")]
-pub enum SoftwareVersion {
-    /// Not known: the entry came through a host that does not pass versions on.
-    #[default]
-    Unknown,
-    /// The entry names no version.
-    Unnamed,
-    /// The entry names this version.
-    Named(FastStr),
-}
+pub struct SoftwareVersion(
+    // `None` if it is not known, an empty name if the entry names none. Thousands of servers have one of a few names.
+    Option<Arc<FastStr>>,
+);
 
 impl SoftwareVersion {
-    /// The version with this name; an empty name is none.
+    /// The version with this name; an empty name if the entry names none.
     pub fn of_name(name: FastStr) -> Self {
-        match name.is_empty() {
-            true => Self::Unnamed,
-            false => Self::Named(name),
-        }
+        Self(Some(Arc::new(name)))
+    }
+
+    /// The version of servers whose entries name none.
+    pub fn unnamed() -> Self {
+        Self::of_name(FastStr::empty())
     }
 
     /// Whether it is known what the server's entry says.
     pub fn is_known(&self) -> bool {
-        *self != Self::Unknown
+        self.0.is_some()
+    }
+
+    /// Its name, empty if the entry names none; `None` if it is not known.
+    pub fn name(&self) -> Option<&str> {
+        self.0.as_ref().map(|name| name.as_str())
     }
 
     /// Whether a server of this version may continue a stream that one of `other` began. Two servers of an unknown version
@@ -39,38 +44,35 @@
     pub fn continues(&self, other: &Self) -> bool {
         self.is_known() && self == other
     }
-
-    /// Estimate of the memory of its name, in bytes.
-    pub fn name_bytes(&self) -> usize {
-        match self {
-            Self::Named(name) => name.len(),
-            Self::Unknown | Self::Unnamed => 0,
-        }
-    }
 }
 
 impl From<Option<FastStr>> for SoftwareVersion {
     fn from(name: Option<FastStr>) -> Self {
-        name.map_or(Self::Unknown, Self::of_name)
+        Self(name.map(Arc::new))
     }
 }
 
 impl From<SoftwareVersion> for Option<FastStr> {
     fn from(version: SoftwareVersion) -> Self {
-        match version {
-            SoftwareVersion::Unknown => None,
-            SoftwareVersion::Unnamed => Some(FastStr::empty()),
-            SoftwareVersion::Named(name) => Some(name),
-        }
+        version.0.map(|name| FastStr::clone(&name))
     }
 }
 
+/// The servers of a service that have one version of its software.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServerSoftware {
+    /// The service.
+    pub service: FastStr,
+    /// The version of its servers' software.
+    pub software: SoftwareVersion,
+}
+
 impl fmt::Display for SoftwareVersion {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Unknown => "unknown",
-            Self::Unnamed => "unnamed",
-            Self::Named(name) => name,
+        f.write_str(match self.name() {
+            None => "unknown",
+            Some("") => "unnamed",
+            Some(name) => name,
         })
     }
 }
--- a/tests/backends/mod.rs
+++ b/tests/backends/mod.rs
@@ -21,6 +21,6 @@
         role,
         orders_taken: 0,
         cold_left: std::time::Duration::ZERO,
-        software: SoftwareVersion::Unnamed,
+        software: SoftwareVersion::unnamed(),
     }
 }
--- a/tests/carrier_choice.rs
+++ b/tests/carrier_choice.rs
@@ -36,6 +36,7 @@
         carrier_port: 7_380,
         link_mbps: 0,
         judged: Vec::new(),
+        software: Vec::new(),
     }
 }
 
--- a/tests/fleet_sim/mod.rs
+++ b/tests/fleet_sim/mod.rs
@@ -96,6 +96,7 @@
         for index in 0..hosts {
             entries.push(HostEntry {
                 judged: Vec::new(),
+                software: Vec::new(),
                 name: FastStr::from_string(format!("{zone}-{index}")),
                 zone: FastStr::new(zone),
                 peers: "127.0.0.1:9".parse().unwrap(),
--- a/tests/permit_sim/mod.rs
+++ b/tests/permit_sim/mod.rs
@@ -116,6 +116,7 @@
         let host = |index: usize| SimHost {
             entry: HostEntry {
                 judged: Vec::new(),
+                software: Vec::new(),
                 name: FastStr::from_string(format!("host-{index}")),
                 zone: zone(index),
                 peers: ([127, 0, 0, 1], index as u16).into(),
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -8,7 +8,7 @@
         engine::EngineRole,
         operation::{Refusal, RefusalCode, RunVerdict},
         relay::{
-            self, AllowedZones, BackendFailure, BackendRegistry, CallerLimits, ClusterState,
+            self, AllowedServers, BackendFailure, BackendRegistry, CallerLimits, ClusterState,
             EventScanner, EventSplitter, QueueKey, RelayConfig, RelayRoute, RelayService,
             RequestKind, RouteTable, ServiceShare, StoreChange, StoreItem, StoreKind, StoreValue,
             WaitQueue,
@@ -362,7 +362,7 @@
         rank: millis(due),
         ticket,
     };
-    let zones = AllowedZones::default();
+    let servers = AllowedServers::default();
     let mut queue = WaitQueue::default();
     let (first, second, late) = (
         key(false, 0, 90, 1),
@@ -370,15 +370,15 @@
         key(true, 0, 1, 3),
     );
     for one in [late, second, first] {
-        queue.insert(&zones, None, one);
+        queue.insert(&servers, None, one);
     }
     assert_eq!(
-        [first, second, late].map(|one| queue.ahead(&zones, &one)),
+        [first, second, late].map(|one| queue.ahead(&servers, &one)),
         [0, 1, 2]
     );
-    queue.insert(&zones, Some(first), key(true, 0, 90, 1));
-    assert_eq!(queue.ahead(&zones, &second), 0);
-    queue.remove(&zones, &second);
+    queue.insert(&servers, Some(first), key(true, 0, 90, 1));
+    assert_eq!(queue.ahead(&servers, &second), 0);
+    queue.remove(&servers, &second);
     assert_eq!(queue.len(), 2);
 }
 
--- a/tests/relay_history.rs
+++ b/tests/relay_history.rs
@@ -124,6 +124,7 @@
         link_mbps: 0,
         carrier_port: 0,
         judged: Vec::new(),
+        software: Vec::new(),
     };
     let mut state = ClusterState::default();
     state.set_hosts((0..986).map(entry).collect(), at(10), Duration::ZERO);
--- a/tests/relay_news.rs
+++ b/tests/relay_news.rs
@@ -19,6 +19,7 @@
 fn host(name: &str, zone: &'static str) -> HostEntry {
     HostEntry {
         judged: Vec::new(),
+        software: Vec::new(),
         name: FastStr::new(name),
         zone: zone.into(),
         peers: "127.0.0.1:9".parse().unwrap(),
--- a/tests/relay_regions.rs
+++ b/tests/relay_regions.rs
@@ -8,8 +8,8 @@
     bayplank::{
         engine::EngineRole,
         relay::{
-            AllowedZones, BackendFailure, BackendInfo, BackendRegistry, PlainChoice, QueueKey,
-            RequestOrigin, SendConstraints, WaitQueue,
+            AllowedServers, AllowedZones, BackendFailure, BackendInfo, BackendRegistry,
+            PlainChoice, QueueKey, RequestOrigin, SendConstraints, WaitQueue,
         },
     },
     faststr::FastStr,
@@ -102,6 +102,7 @@
         }
         let origin = RequestOrigin {
             zone: "n-a",
+            software: None,
             allowed: Some(&allowed),
         };
         let mut tried = Vec::new();
@@ -139,6 +140,7 @@
     let has_server = |book: &BackendRegistry, role, allowed| {
         let origin = RequestOrigin {
             zone: "n-a",
+            software: None,
             allowed: Some(allowed),
         };
         book.has_server("one", role, origin)
@@ -150,6 +152,7 @@
     );
     let origin = RequestOrigin {
         zone: "n-a",
+        software: None,
         allowed: Some(&south),
     };
     assert_eq!(book.rotation_wait("one", None, origin, NOW), None);
@@ -168,7 +171,11 @@
         rank: NOW,
         ticket,
     };
-    let (all, south) = (within(&[]), within(&[&["south"]]));
+    let in_zones = |zones| AllowedServers {
+        zones,
+        software: None,
+    };
+    let (all, south) = (in_zones(within(&[])), in_zones(within(&[&["south"]])));
     queue.insert(&south, None, key(1));
     queue.insert(&all, None, key(2));
     queue.insert(&south, None, key(3));
--- a/tests/store_restores.rs
+++ b/tests/store_restores.rs
@@ -142,6 +142,7 @@
         link_mbps,
         carrier_port: 0,
         judged: Vec::new(),
+        software: Vec::new(),
     }
 }
 
