--- a/src/capacity/mechanisms.rs
+++ b/src/capacity/mechanisms.rs
@@ -11,9 +11,9 @@
         relay::{
             self, BackendInfo, CarrierFailure, CarrierQuery, CarrierTable, ClusterNews,
             ClusterState, EngineKey, EngineLoad, KindNews, LinkGroup, LoadAggregator, LoadReport,
-            LoadReporter, PART_ENTRIES_MAX, PIECES_BYTES, PastTime, PlaceAllocator, PlaceMessage,
-            PlaceRequest, REQUESTED_PIECES, RelayRoute, SendConstraints, SourceSelector,
-            SourceSettings, StoreChange,
+            LoadReporter, OriginAnswer, PART_ENTRIES_MAX, PIECES_BYTES, PastTime, PlaceAllocator,
+            PlaceMessage, PlaceRequest, REQUESTED_PIECES, RelayRoute, SeenSoftware,
+            SendConstraints, SourceSelector, SourceSettings, StoreChange, StreamKey, StreamRecord,
         },
         store::StorePosition,
     },
@@ -32,7 +32,7 @@
 const BUSY_ENGINES: usize = 5;
 
 /// All mechanisms.
-pub const MECHANISMS: [HostMechanism; 13] = [
+pub const MECHANISMS: [HostMechanism; 15] = [
     HostMechanism {
         name: "subset of engines",
         trigger: CostTrigger::ServerChange,
@@ -83,6 +83,16 @@
         trigger: CostTrigger::Request,
         measure: choose_carrier,
     },
+    HostMechanism {
+        name: "stream told to two hosts",
+        trigger: CostTrigger::Request,
+        measure: tell_stream,
+    },
+    HostMechanism {
+        name: "stream asked of the hosts",
+        trigger: CostTrigger::Request,
+        measure: ask_for_stream,
+    },
     HostMechanism {
         name: "sum of a zone's reports",
         trigger: CostTrigger::Report,
@@ -394,6 +404,57 @@
     }
 }
 
+fn stream_record(model: &FleetModel) -> StreamRecord {
+    StreamRecord {
+        key: StreamKey::of("account", "/v1/stream", "request"),
+        origin: model.servers[0].server_software(),
+        time_left: Duration::from_secs(20),
+    }
+}
+
+// While a service has several software versions.
+fn tell_stream(model: &FleetModel) -> MechanismCost {
+    let own = model.own();
+    let record = stream_record(model);
+    let (told, time) = timed(|| {
+        let hosts = model.hosts.iter();
+        relay::hosts_to_tell(hosts, &own.name, &own.zone, record.key)
+    });
+    let mut message = capnp::message::Builder::new_default();
+    relay::write_stream_records(message.init_root(), &[record]);
+    let bytes = capnp::serialize::compute_serialized_size_in_words(&message) as u64 * 8;
+    MechanismCost {
+        visited: model.hosts.len() as u64,
+        bytes: bytes * told.len() as u64,
+        messages: told.len() as u64,
+        largest: bytes,
+        time,
+    }
+}
+
+// A caller takes a stream up at a host that did not begin it; the bytes are those of the answers.
+fn ask_for_stream(model: &FleetModel) -> MechanismCost {
+    let own = model.own();
+    let record = stream_record(model);
+    let (asked, time) = timed(|| relay::hosts_to_ask(model.hosts.iter(), &own.name, record.key));
+    let mut seen = SeenSoftware::default();
+    seen.versions.extend([record.origin.software.clone()]);
+    let answer = OriginAnswer {
+        record: Some(record),
+        seen,
+    };
+    let mut message = capnp::message::Builder::new_default();
+    relay::write_origin_answer(message.init_root(), &answer);
+    let bytes = capnp::serialize::compute_serialized_size_in_words(&message) as u64 * 8;
+    MechanismCost {
+        visited: model.hosts.len() as u64,
+        bytes: bytes * asked.len() as u64,
+        messages: asked.len() as u64,
+        largest: bytes,
+        time,
+    }
+}
+
 // All hosts of the zone report twice; the cost is that of one report of the second round.
 fn sum_reports(model: &FleetModel) -> MechanismCost {
     let engines = model.servers.iter();
--- a/src/relay/news/mod.rs
+++ b/src/relay/news/mod.rs
@@ -15,7 +15,7 @@
 mod limit_message;
 mod list_table;
 pub(crate) mod message;
-mod origin_message;
+pub(crate) mod origin_message;
 pub(crate) mod origins;
 pub(crate) mod permits;
 mod piece_message;
@@ -34,4 +34,7 @@
 mod targets;
 mod watch_time;
 
-pub use self::{answer::*, feed::*, follow::*, message::*, place_message::*, rpc::*, share::*};
+pub use self::{
+    answer::*, feed::*, follow::*, message::*, origin_message::*, place_message::*, rpc::*,
+    share::*,
+};
--- a/src/relay/news/origin_message.rs
+++ b/src/relay/news/origin_message.rs
@@ -18,7 +18,7 @@
 };
 
 /// Encodes streams, those of one service and version together. Streams of unknown versions are left out.
-pub fn write_records(
+pub fn write_stream_records(
     params: news_peer::tell_streams_params::Builder<'_>,
     records: &[StreamRecord],
 ) {
@@ -63,7 +63,7 @@
 }
 
 /// Decodes streams; fails if they are malformed.
-pub fn read_records(
+pub fn read_stream_records(
     from: struct_list::Reader<'_, streams_of_version::Owned>,
 ) -> Result<Vec<StreamRecord>> {
     let mut records = Vec::new();
@@ -83,7 +83,7 @@
 }
 
 /// Encodes the answer to a host that takes a stream up.
-pub fn write_answer(
+pub fn write_origin_answer(
     mut results: news_peer::find_stream_results::Builder<'_>,
     answer: &OriginAnswer,
 ) {
@@ -103,7 +103,9 @@
 }
 
 /// Decodes such an answer; fails if it is malformed.
-pub fn read_answer(from: news_peer::find_stream_results::Reader<'_>) -> Result<OriginAnswer> {
+pub fn read_origin_answer(
+    from: news_peer::find_stream_results::Reader<'_>,
+) -> Result<OriginAnswer> {
     let mut seen = SeenSoftware {
         seen_for: Duration::from_millis(u64::from(from.get_seen_for_ms())),
         ..SeenSoftware::default()
@@ -115,7 +117,7 @@
     if from.get_lacks_versions() {
         seen.versions.insert(SoftwareVersion::default());
     }
-    let mut records = read_records(from.get_streams()?)?;
+    let mut records = read_stream_records(from.get_streams()?)?;
     Ok(OriginAnswer {
         record: records.pop(),
         seen,
--- a/src/relay/news/rpc.rs
+++ b/src/relay/news/rpc.rs
@@ -232,7 +232,7 @@
         params: news_peer::TellStreamsParams,
         _results: news_peer::TellStreamsResults,
     ) -> Result<(), Error> {
-        let records = origin_message::read_records(params.get()?.get_streams()?)?;
+        let records = origin_message::read_stream_records(params.get()?.get_streams()?)?;
         (self.handlers.streams)(records);
         Ok(())
     }
@@ -245,7 +245,7 @@
         let params = params.get()?;
         let key = StreamKey(params.get_key());
         let answer = (self.handlers.origins)(key, params.get_service()?.to_str()?);
-        origin_message::write_answer(results.get(), &answer);
+        origin_message::write_origin_answer(results.get(), &answer);
         Ok(())
     }
 }
@@ -455,7 +455,7 @@
         self.links
             .call(address, timeout, |client| async move {
                 let mut request = client.tell_streams_request();
-                origin_message::write_records(request.get(), records);
+                origin_message::write_stream_records(request.get(), records);
                 request.send().promise.await?;
                 Ok(())
             })
@@ -476,7 +476,7 @@
                 request.get().set_key(key.0);
                 request.get().set_service(service);
                 let response = request.send().promise.await?;
-                origin_message::read_answer(response.get()?)
+                origin_message::read_origin_answer(response.get()?)
             })
             .await
     }
--- a/src/relay/policy/software_history.rs
+++ b/src/relay/policy/software_history.rs
@@ -46,11 +46,39 @@
         self.versions.extend(other.versions);
         self.seen_for = self.seen_for.max(other.seen_for);
     }
+}
+
+/// What a host and those that it asked have seen of the versions of one service.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct SoftwareEvidence {
+    /// What this host has seen.
+    pub own: SeenSoftware,
+    /// Whether its list of servers is recent.
+    pub is_recent: bool,
+    /// What the hosts that answered have seen.
+    pub others: SeenSoftware,
+    /// Number of hosts that did not answer.
+    pub silent: usize,
+    /// The versions that hosts' entries in the store keep; none if the entries are not known.
+    pub kept: Option<SeenSoftware>,
+}
 
-    /// The only version, if there is one.
-    pub fn only(&self) -> Option<&SoftwareVersion> {
-        let first = self.versions.first();
-        first.filter(|version| self.versions.len() == 1 && version.is_known())
+impl SoftwareEvidence {
+    /// The only version that servers of the service had lately; `None` if there were several, or may have been.
+    pub fn only_version(self) -> Option<SoftwareVersion> {
+        // Hosts that are cut off together may not have heard of others. While no host reaches the store, all answer.
+        if !self.is_recent && self.silent > 0 {
+            return None;
+        }
+        let mut seen = self.own;
+        seen.merge(self.others);
+        // All hosts have started lately: what those before them saw is in the store.
+        if !seen.is_complete() {
+            seen.merge(self.kept?);
+        }
+        let first = seen.versions.first();
+        let only = first.filter(|version| seen.versions.len() == 1 && version.is_known());
+        only.cloned()
     }
 }
 
--- a/src/relay/request/take_up.rs
+++ b/src/relay/request/take_up.rs
@@ -11,7 +11,7 @@
             parts::{origins::OriginAnswers, shared::RelayParts},
             policy::{
                 route::RouteTable,
-                software_history::SeenSoftware,
+                software_history::SoftwareEvidence,
                 stream_origins::{MAX_STREAM_LIFETIME, StreamRecord},
             },
             software_version::ServerSoftware,
@@ -25,7 +25,7 @@
 const SILENT_HOSTS_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Age of a host's view from which a new version may be listed that it does not know.
-const MAX_VIEW_AGE: Duration = Duration::from_millis(1_000);
+const MAX_VIEW_AGE: Duration = Duration::from_millis(1_500);
 
 /// How long a caller may still come back after its time is over: the time is that of its request's arrival here.
 const COME_BACK_MARGIN: Duration = Duration::from_secs(2);
@@ -129,11 +129,11 @@
         parts.record_told_streams(vec![record]);
         return Ok((origin, OriginSource::Host(host)));
     }
-    let seen = seen_by_all(parts, service, &answers);
-    if let Some(software) = seen.as_ref().and_then(SeenSoftware::only) {
+    let evidence = software_evidence(parts, service, &answers);
+    if let Some(software) = evidence.only_version() {
         let origin = ServerSoftware {
             service: service.clone(),
-            software: software.clone(),
+            software,
         };
         return Ok((origin, OriginSource::OnlyVersion));
     }
@@ -147,21 +147,19 @@
     Err(unknown_refusal(parts, request, service, &answers))
 }
 
-// The versions that any host has seen lately; `None` if there may be others.
-fn seen_by_all(parts: &RelayParts, service: &str, answers: &OriginAnswers) -> Option<SeenSoftware> {
+fn software_evidence(
+    parts: &RelayParts,
+    service: &str,
+    answers: &OriginAnswers,
+) -> SoftwareEvidence {
     let age = parts.cluster.borrow().age(parts.now());
-    let is_fresh = age.is_some_and(|age| age < MAX_VIEW_AGE);
-    let has_others = answers.answered + answers.silent > 0;
-    if !is_fresh && has_others && answers.answered == 0 {
-        return None;
-    }
-    let mut seen = parts.seen_software(service);
-    seen.merge(answers.seen.clone());
-    // All hosts have started lately: what those before them saw is in the store.
-    if !seen.is_complete() {
-        seen.merge(parts.kept_software(service)?);
+    SoftwareEvidence {
+        own: parts.seen_software(service),
+        is_recent: age.is_some_and(|age| age < MAX_VIEW_AGE),
+        others: answers.seen.clone(),
+        silent: answers.silent,
+        kept: parts.kept_software(service),
     }
-    Some(seen)
 }
 
 fn unknown_refusal(
