--- a/src/relay/policy/engines.rs
+++ b/src/relay/policy/engines.rs
@@ -79,11 +79,11 @@
         let (near, far): (Vec<_>, Vec<_>) = preferred.partition(|view| view.info.zone == zone);
         let mut ranked = self.suitable_decodes(near.into_iter(), &need);
         if unimpaired(&ranked) < RANKED_ENGINES {
-            let near = self.further_engines(service, role, |other| other == zone);
+            let near = self.further_engines(service, role, origin, |other| other == zone);
             ranked.extend(self.suitable_decodes(near, &need));
         }
         if unimpaired(&ranked) < RANKED_ENGINES {
-            let others = self.further_engines(service, role, |other| other != zone);
+            let others = self.further_engines(service, role, origin, |other| other != zone);
             ranked.extend(self.suitable_decodes(far.into_iter().chain(others), &need));
         }
         ranked.sort_by_key(|(rank, _)| *rank);
@@ -133,15 +133,20 @@
         )
     }
 
-    // Other engines of a role in some zones; of a large pool only a random part.
+    // Other engines of a role in some zones that a request may reach; of a large pool only a random part.
     fn further_engines<'a>(
         &'a self,
         service: &'a str,
         role: EngineRole,
+        origin: RequestOrigin<'a>,
         is_in_zone: impl Fn(&str) -> bool + 'a,
     ) -> impl Iterator<Item = &'a BackendView> {
         let pools = self.index.pools(service);
-        let pools = pools.filter(move |pool| pool.role == Some(role) && is_in_zone(&pool.zone));
+        let pools = pools.filter(move |pool| {
+            pool.role == Some(role)
+                && is_in_zone(&pool.zone)
+                && origin.allows(&pool.zone, &pool.software)
+        });
         let ids = pools.flat_map(|pool| pool.sample(rand::random()));
         let views = ids.filter_map(|id| self.views.get(id));
         views
@@ -267,12 +272,14 @@
         // Other engines matter only if the best one is worse than their delay penalty.
         let penalty = OUTSIDE_SUBSET_DELAY;
         if best.as_ref().is_none_or(|best| best.delay > penalty) {
-            let near = best_of(&mut self.further_engines(service, role, |other| other == zone));
+            let near =
+                best_of(&mut self.further_engines(service, role, origin, |other| other == zone));
             best = best.into_iter().chain(near).min_by(PrefillCandidate::order);
         }
         let penalty = OUTSIDE_SUBSET_DELAY + OTHER_ZONE_DELAY;
         if best.as_ref().is_none_or(|best| best.delay > penalty) {
-            let far = best_of(&mut self.further_engines(service, role, |other| other != zone));
+            let far =
+                best_of(&mut self.further_engines(service, role, origin, |other| other != zone));
             best = best.into_iter().chain(far).min_by(PrefillCandidate::order);
         }
         best.map(|best| (best.info, best.backlog))
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -34,12 +34,11 @@
     untold: Vec<StreamRecord>,
 }
 
-/// A stream: the version of its events, and whether the host that began it has told others.
+/// A stream and the version of its events.
 struct PlayedStream {
     key: StreamKey,
     version: SoftwareVersion,
     began_at: Duration,
-    is_told: bool,
 }
 
 struct VersionPlay {
@@ -157,12 +156,11 @@
             key,
             version,
             began_at: self.now,
-            is_told: false,
         })
     }
 
     // Each host tells of its streams if the service has several versions.
-    fn tell(&mut self, streams: &mut [PlayedStream]) {
+    fn tell(&mut self) {
         for host in 0..HOSTS {
             if !self.hosts[host].is_up || !self.hosts[host].history.is_mixed(&SERVICE, self.now) {
                 continue;
@@ -179,8 +177,6 @@
                     let first = hosts.into_iter().find(|to| self.reaches(host, *to));
                     if let Some(to) = first {
                         self.hosts[to].origins.record_told(record.clone(), self.now);
-                        let told = streams.iter_mut().filter(|one| one.key == record.key);
-                        told.for_each(|stream| stream.is_told = true);
                     }
                 }
             }
@@ -293,7 +289,7 @@
         for host in 0..HOSTS {
             play.update_list(host);
         }
-        play.tell(&mut streams);
+        play.tell();
     }
     (play.went_on, play.refused)
 }
