--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -30,6 +30,8 @@
     origins: StreamOrigins,
     history: SoftwareHistory,
     listed: BTreeSet<SoftwareVersion>,
+    // The versions that hosts' entries kept when it last read them.
+    kept: BTreeSet<SoftwareVersion>,
     // Streams that it has not told of yet.
     untold: Vec<StreamRecord>,
 }
@@ -128,6 +130,7 @@
         } else {
             self.kept.extend(seen.versions);
         }
+        self.hosts[host].kept = self.kept.clone();
     }
 
     fn index_of(&self, entry: &HostEntry) -> usize {
@@ -193,7 +196,7 @@
             own: own.history.seen(&SERVICE, self.now),
             is_recent: !self.is_cut(host),
             kept: Some(SeenSoftware {
-                versions: self.kept.clone(),
+                versions: own.kept.clone(),
                 seen_for: Duration::ZERO,
             }),
             ..SoftwareEvidence::default()
