Logs and metrics tell on how many servers an attempt ran and how many its route allows; a contended server's line has the slow time

Cause: nothing named the number of servers an attempt used beside its route's, nor what made a plain server count as contended, so the hypotheses of the incident could not be told apart. Change: AttemptBudget counts the servers of plain requests and streams, without deciding anything; request-ended, server-contended and attempt_servers tell them.

--- a/src/relay/admission/places/contended_servers.rs
+++ b/src/relay/admission/places/contended_servers.rs
@@ -157,7 +157,7 @@
         false
     }
 
-    /// Records the time of a response. Returns whether the server shows by it that it is short of places.
+    /// Records the time of a response. Returns the usual time if the server shows by this one that it is short of places.
     pub fn note_response(
         &mut self,
         server: EngineKey,
@@ -165,7 +165,7 @@
         time: Duration,
         latency_target: Duration,
         now: Duration,
-    ) -> bool {
+    ) -> Option<Duration> {
         let times = self.times.entry((server, route.clone()));
         let times = times.or_insert(ResponseTimes {
             quick: time,
@@ -179,14 +179,14 @@
         times.mean = times.mean.mul_f64(1.0 - MEAN_WEIGHT) + time.mul_f64(MEAN_WEIGHT);
         let is_slow = time > times.quick.mul_f64(SLOW_FACTOR) && time > latency_target / 2;
         if !is_slow {
-            return false;
+            return None;
         }
         if now.saturating_sub(times.slow_since) >= SLOW_WINDOW {
             times.slow = 0;
             times.slow_since = now;
         }
         times.slow += 1;
-        times.slow >= SLOW_RESPONSES
+        (times.slow >= SLOW_RESPONSES).then_some(times.quick)
     }
 
     /// Removes servers that are not contended any more, and returns them.
--- a/src/relay/parts/contention.rs
+++ b/src/relay/parts/contention.rs
@@ -15,11 +15,37 @@
     std::{collections::BTreeSet, time::Duration},
 };
 
+/// What shows that a plain server is short of places.
+#[derive(Debug, Clone, Copy)]
+enum ContentionCause {
+    /// It declined a request.
+    Declined,
+    /// It answered in this time, and usually answers in the other one.
+    Slow { time: Duration, usual: Duration },
+}
+
+impl ContentionCause {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Declined => "declined",
+            Self::Slow { .. } => "slow",
+        }
+    }
+
+    // The time of the response and the usual one; zero if none came.
+    fn times(self) -> (Duration, Duration) {
+        match self {
+            Self::Declined => (Duration::ZERO, Duration::ZERO),
+            Self::Slow { time, usual } => (time, usual),
+        }
+    }
+}
+
 impl RelayParts {
     /// Records that a plain server declined a request because it is full.
     pub fn record_full(&self, backend: &BackendInfo) {
         self.metrics.places.declines.inc();
-        self.note_contended(backend, "declined");
+        self.note_contended(backend, ContentionCause::Declined);
     }
 
     /// Records the time of a successful response of a plain server.
@@ -27,13 +53,13 @@
         if !self.has_places(backend) {
             return;
         }
-        let is_slow = {
+        let usual = {
             let mut contended = self.places.contended.borrow_mut();
             let target = route.latency_target;
             contended.note_response(backend.key(), &route.name, time, target, self.now())
         };
-        if is_slow {
-            self.note_contended(backend, "slow");
+        if let Some(usual) = usual {
+            self.note_contended(backend, ContentionCause::Slow { time, usual });
         }
     }
 
@@ -42,7 +68,7 @@
         backend.slots > 0 && self.places.has_call()
     }
 
-    fn note_contended(&self, backend: &BackendInfo, cause: &str) {
+    fn note_contended(&self, backend: &BackendInfo, cause: ContentionCause) {
         if !self.has_places(backend) || !self.book.borrow().is_current(backend) {
             return;
         }
@@ -60,7 +86,9 @@
                     ("service", &backend.service),
                     ("zone", &backend.zone),
                     ("places", &backend.slots),
-                    ("cause", &cause),
+                    ("cause", &cause.name()),
+                    ("answered_ms", &cause.times().0.as_millis()),
+                    ("usual_ms", &cause.times().1.as_millis()),
                 ],
             );
         }
--- a/src/relay/parts/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        attempt_metrics::AttemptMetrics,
         link_metrics::LinkMetrics,
         metric_labels::{
             self, AccountLabels, CauseLabels, EndLabels, LimitEnd, ResponseEndLabels, RouteLabels,
@@ -98,6 +99,8 @@
     pub servers_cold: Gauge,
     /// Backend servers with a rate limit.
     pub servers_limited: Gauge,
+    /// Backend servers that attempts used.
+    pub attempts: AttemptMetrics,
     /// Places of contended backend servers.
     pub places: PlaceMetrics,
     /// Lost links and carried connections.
@@ -165,6 +168,7 @@
             zones_evacuated: Gauge::default(),
             servers_cold: Gauge::default(),
             servers_limited: Gauge::default(),
+            attempts: AttemptMetrics::default(),
             places: PlaceMetrics::default(),
             links: LinkMetrics::default(),
             pieces: PieceMetrics::default(),
@@ -180,6 +184,7 @@
         let r = &mut self.registry;
         self.services.register(r);
         self.priorities.register(r);
+        self.attempts.register(r);
         self.places.register(r);
         self.links.register(r);
         self.pieces.register(r);
--- a/src/relay/parts/mod.rs
+++ b/src/relay/parts/mod.rs
@@ -2,6 +2,7 @@
 //! Methods here combine several of these; the handling of requests is implemented in `request`.
 
 pub(crate) mod accounts;
+pub(crate) mod attempt_metrics;
 pub(crate) mod availability;
 pub(crate) mod cold_servers;
 pub(crate) mod contention;
@@ -28,7 +29,7 @@
 pub(crate) mod shares;
 
 pub use self::{
-    accounts::*, crashes::*, link_metrics::*, metric_labels::*, metrics::*, origin_metrics::*,
-    origins::*, permits::*, piece_metrics::*, place_metrics::*, places::*, priorities::*,
-    priority_metrics::*, server_limits::*, service_metrics::*, shared::*,
+    accounts::*, attempt_metrics::*, crashes::*, link_metrics::*, metric_labels::*, metrics::*,
+    origin_metrics::*, origins::*, permits::*, piece_metrics::*, place_metrics::*, places::*,
+    priorities::*, priority_metrics::*, server_limits::*, service_metrics::*, shared::*,
 };
--- a/src/relay/policy/mod.rs
+++ b/src/relay/policy/mod.rs
@@ -1,6 +1,7 @@
 //! Routing decisions as pure state machines and functions: observations and the current time are inputs, a choice is
 //! the output. Nothing in this module uses a clock, socket, task or HTTP type, so each decision can be unit tested.
 
+pub(crate) mod attempt_budget;
 pub(crate) mod availability;
 mod backend_updates;
 pub(crate) mod budget;
@@ -49,12 +50,12 @@
 pub(crate) mod view;
 
 pub use self::{
-    availability::*, budget::*, caller_timeouts::*, carrier_table::*, changes::*, cold_limit::*,
-    crash_record::*, crash_report::*, crash_tracker::*, decode_exclusions::*, digest::*,
-    event_scanner::*, findings_cache::*, limit_tracker::*, limit_updates::*, link_tracker::*,
-    loads::*, origin_hosts::*, past_time::*, permit_allocator::*, permit_owners::*,
-    priority_loads::*, prompt_cache::*, regions::*, registry::*, response_end::*,
-    response_progress::*, rotation::*, route::*, server_limit::*, server_signals::*,
-    shared_findings::*, software_history::*, source::*, split::*, store_backoff::*,
-    stream_origins::*, subset::*, view::*,
+    attempt_budget::*, availability::*, budget::*, caller_timeouts::*, carrier_table::*,
+    changes::*, cold_limit::*, crash_record::*, crash_report::*, crash_tracker::*,
+    decode_exclusions::*, digest::*, event_scanner::*, findings_cache::*, limit_tracker::*,
+    limit_updates::*, link_tracker::*, loads::*, origin_hosts::*, past_time::*,
+    permit_allocator::*, permit_owners::*, priority_loads::*, prompt_cache::*, regions::*,
+    registry::*, response_end::*, response_progress::*, rotation::*, route::*, server_limit::*,
+    server_signals::*, shared_findings::*, software_history::*, source::*, split::*,
+    store_backoff::*, stream_origins::*, subset::*, view::*,
 };
--- a/src/relay/request/client_request.rs
+++ b/src/relay/request/client_request.rs
@@ -10,6 +10,7 @@
             config::{CallerLimits, RelayConfig, RelayRoute},
             dialect::{CallDialect, RequestMetadata, RequestTarget},
             policy::{
+                attempt_budget::AttemptBudget,
                 digest::RequestDigest,
                 priority_loads::PriorityClass,
                 regions::{AllowedServers, AllowedZones, RequestOrigin},
@@ -24,7 +25,7 @@
     http_body_util::{BodyExt, Full},
     hyper::body::Incoming,
     std::{
-        cell::{Cell, OnceCell},
+        cell::{Cell, OnceCell, RefCell},
         rc::Rc,
         time::Duration,
     },
@@ -72,6 +73,8 @@
     pub priority_class: Option<PriorityClass>,
     /// How it held back for more urgent requests.
     pub held_back: Cell<Option<HeldBack>>,
+    /// The servers that it was sent to, and how many more it may be sent to.
+    pub budget: RefCell<AttemptBudget>,
     /// Whether servers ended while running this request before.
     pub is_crash_suspect: bool,
     /// Whether it is known to crash its servers and is sent once, as a trial.
@@ -292,6 +295,7 @@
     let mut headers = head.headers;
     web::strip_hop_headers(&mut headers);
     (dialect.strip_request)(&mut headers);
+    let budget = RefCell::new(AttemptBudget::new(route.attempts));
     Ok(ClientRequest {
         method: head.method,
         target: target.to_owned(),
@@ -307,6 +311,7 @@
         priority_class: None,
         held_back: Cell::default(),
         deadline,
+        budget,
         suspended_before: clock.suspended(),
         is_crash_suspect: false,
         is_crash_trial: false,
--- a/src/relay/request/plain.rs
+++ b/src/relay/request/plain.rs
@@ -239,6 +239,7 @@
             return false;
         }
         permit.consume();
+        self.request.budget.borrow_mut().record_send(backend.key());
         self.tried.push(backend.id.clone());
         self.pending.push(backend.clone());
         self.sends += 1;
@@ -263,6 +264,8 @@
         self.is_end_logged = true;
         let request = &self.request;
         let (framing, ended_by) = response_end::log_values(self.response_end);
+        let servers = request.budget.borrow().servers_used();
+        self.parts.metrics.attempts.ended(servers);
         event::emit(
             &event::REQUEST_ENDED,
             &[
@@ -274,6 +277,8 @@
                 ("framing", &framing),
                 ("ended_by", &ended_by),
                 ("tried", &self.attempt_log),
+                ("servers", &servers),
+                ("servers_max", &request.route.attempts),
                 ("resumes", &request.resumes()),
                 ("ended_ms", &request.age().as_millis()),
             ],
@@ -296,6 +301,7 @@
     ) -> Option<PlainResponse> {
         self.pending.retain(|pending| pending.id != backend.id);
         self.has_reached_server |= !matches!(outcome, SendOutcome::Unsent(_));
+        self.record_use(backend, &outcome);
         match outcome {
             SendOutcome::Responded(response) => {
                 self.log_attempt(backend, response.status.as_str());
@@ -326,6 +332,16 @@
         None
     }
 
+    fn record_use(&self, backend: &BackendInfo, outcome: &SendOutcome) {
+        let mut budget = self.request.budget.borrow_mut();
+        match outcome {
+            SendOutcome::Responded(_) | SendOutcome::Lost(_) => budget.record_run(backend.key()),
+            SendOutcome::Declined(_) | SendOutcome::Full(_) | SendOutcome::Unsent(_) => {
+                budget.record_not_run(backend.key());
+            }
+        }
+    }
+
     // Records a send that did not run.
     fn handle_decline(&mut self, backend: &BackendInfo, outcome: &str, detail: &str) {
         self.log_attempt(backend, outcome);
--- a/src/relay/request/stream.rs
+++ b/src/relay/request/stream.rs
@@ -24,9 +24,13 @@
             config::RequestKind,
             dialect::DecodeParams,
             parts::shared::RelayParts,
-            policy::{prompt_cache::CachedAt, response_end::ResponseEnd, view::BackendFailure},
+            policy::{
+                loads::EngineKey, prompt_cache::CachedAt, response_end::ResponseEnd,
+                view::BackendFailure,
+            },
             software_version::ServerSoftware,
         },
+        web::PooledAnswer,
     },
     faststr::FastStr,
     http::{HeaderMap, StatusCode},
@@ -426,6 +430,14 @@
         self.is_retry_counted
     }
 
+    fn record_use(&self, server: EngineKey, response: &Result<PooledAnswer, RoundFailure>) {
+        let mut budget = self.request.budget.borrow_mut();
+        match response {
+            Err(failure) if failure.verdict == RunVerdict::NotRun => budget.record_not_run(server),
+            Ok(_) | Err(_) => budget.record_run(server),
+        }
+    }
+
     // The request may have crashed servers elsewhere while it waited or its prompt was computed.
     fn check_send(&self) -> Result<(), RoundFailure> {
         let Self {
@@ -463,6 +475,8 @@
         }
         self.check_send()?;
         self.decodes_sent += 1;
+        let server = reservation.engine.key();
+        self.request.budget.borrow_mut().record_send(server);
         self.log_decode(&reservation.engine);
         let cache_source = cache
             .as_ref()
@@ -478,10 +492,15 @@
             &reservation.engine,
             self.request.is_crash_suspect,
         );
-        let response = self.send_decode(&reservation, &start, &guard).await?;
-        let response = self
-            .check_response(&reservation.engine, &guard, cache, response)
-            .await?;
+        let response = match self.send_decode(&reservation, &start, &guard).await {
+            Ok(response) => {
+                let engine = &reservation.engine;
+                self.check_response(engine, &guard, cache, response).await
+            }
+            Err(failure) => Err(failure),
+        };
+        self.record_use(server, &response);
+        let response = response?;
         Ok(DecodeStream {
             status: response.status,
             headers: response.headers.clone(),
--- a/src/relay/request/stream_log.rs
+++ b/src/relay/request/stream_log.rs
@@ -61,6 +61,8 @@
         let held_for = held_back.map(|held| held.for_priority.to_string());
         let held_until = held_back.map_or(0, |held| held.until.as_millis());
         let (framing, ended_by) = response_end::log_values(self.response_end);
+        let servers = request.budget.borrow().servers_used();
+        self.parts.metrics.attempts.ended(servers);
         let gap_limit = request.route.event_gap_target.unwrap_or_default();
         event::emit(
             &event::REQUEST_ENDED,
@@ -74,6 +76,8 @@
                 ("ended_by", &ended_by),
                 ("engine", &self.decode_engine),
                 ("decodes", &self.decode_log),
+                ("servers", &servers),
+                ("servers_max", &request.route.attempts),
                 ("prefill", &self.prefill_log),
                 ("resumes", &request.resumes()),
                 ("rounds", &self.rounds),
--- a/tests/place_allocation.rs
+++ b/tests/place_allocation.rs
@@ -339,8 +339,11 @@
 fn a_server_counts_as_contended_after_slow_answers_but_not_after_a_single_one() {
     let route = FastStr::from_static_str("look");
     let mut servers = ContendedServers::default();
-    let mut note =
-        |time, at| servers.note_response(SERVER, &route, millis(time), millis(150), millis(at));
+    let mut note = |time, at| {
+        servers
+            .note_response(SERVER, &route, millis(time), millis(150), millis(at))
+            .is_some()
+    };
     assert!(!note(30, 0));
     assert!(!note(200, 100), "one may be due to a lost packet");
     assert!(!note(200, 2_000), "so may another one much later");
--- a/tests/place_play/mod.rs
+++ b/tests/place_play/mod.rs
@@ -481,7 +481,9 @@
         let (target, host) = (time(call.target), call.host);
         self.hosts[host].2[server] -= 1;
         let contended = &mut self.hosts[host].0;
-        if contended.note_response(key(server), &ROUTE, time(took), target, time(self.now)) {
+        let usual =
+            contended.note_response(key(server), &ROUTE, time(took), target, time(self.now));
+        if usual.is_some() {
             self.note_contended(host, server);
         }
         self.give_back(id, Some(took));
