--- a/tests/place_allocation.rs
+++ b/tests/place_allocation.rs
@@ -185,6 +185,52 @@
     });
 }
 
+// Part of what the servers can do that hosts ask of them while links lose packets or are cut.
+const USUAL_LOAD: f64 = 0.45;
+
+/// Part of the hosts whose links are bad, in percent.
+const BAD_LINKS: usize = 80;
+
+// Three servers with room, and two seconds after the start bad links to them at most hosts.
+fn with_bad_links(hosts: usize, seed: u64, spoil: impl Fn(&mut Play, usize)) -> (Play, usize) {
+    let mut play = Play::new(hosts, 3, seed);
+    play.demand(USUAL_LOAD * 3.0 * CAPACITY, 0, 12 * SECOND);
+    play.run(2 * SECOND);
+    let bad = hosts * BAD_LINKS / 100;
+    spoil(&mut play, bad);
+    play.run(15 * SECOND);
+    (play, bad)
+}
+
+fn assert_served_as_before(play: &Play, bad: usize, case: &str) {
+    let before = play.share_in_time(bad, 0, 2 * SECOND);
+    let share = play.share_in_time(bad, 3 * SECOND, 12 * SECOND);
+    assert!(
+        share >= before - 0.02,
+        "{case}: hosts with good links get {share} in time, {before} before"
+    );
+}
+
+#[test]
+fn hosts_with_good_links_are_served_as_before_while_others_lose_packets() {
+    for_each_fleet(|hosts, seed, case| {
+        let (play, bad) = with_bad_links(hosts, seed, |play, bad| play.lossy_hosts = bad);
+        assert_served_as_before(&play, bad, case);
+    });
+}
+
+#[test]
+fn hosts_with_good_links_are_served_as_before_while_others_are_cut_off() {
+    for_each_fleet(|hosts, seed, case| {
+        let (play, bad) = with_bad_links(hosts, seed, |play, bad| {
+            play.cut_hosts = bad;
+            // Some servers declined requests a moment ago.
+            (0..3).for_each(|server| play.contend(server));
+        });
+        assert_served_as_before(&play, bad, case);
+    });
+}
+
 #[test]
 fn messages_of_a_request_grow_neither_with_servers_nor_with_hosts() {
     for (hosts, servers) in [(30, 10), (300, 10), (30, 40), (300, 40)] {
--- a/tests/place_play/mod.rs
+++ b/tests/place_play/mod.rs
@@ -27,6 +27,9 @@
 /// How often owners tell all hosts with the findings which servers are still contended.
 const RENEWAL: u64 = 3_000_000;
 const OWNER_TIMEOUT: u64 = 80_000;
+/// Probability that a lossy link loses a message, and the shortest time after which it is sent again, which doubles.
+const LOSS: f64 = 0.3;
+const RESEND: u64 = 200_000;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -38,6 +41,7 @@
     Ran(usize, usize),
     Answered(usize, usize, u64),
     Declined(usize, usize),
+    Lost(usize),
     GiveBack(usize, usize, u64, Option<u64>),
     Advance(usize, usize),
     Learned(usize),
@@ -103,6 +107,10 @@
     pub uses_places: bool,
     /// Whether requests differ in their work, of which the mean is the same.
     pub has_uneven_work: bool,
+    /// Hosts whose links to the servers lose packets: those before this one.
+    pub lossy_hosts: usize,
+    /// Hosts whose requests are lost on the way to the servers: those before this one.
+    pub cut_hosts: usize,
     tickets: BTreeMap<(usize, u64), (usize, usize)>,
     // The next time at which an owner decides again about a server.
     planned: BTreeMap<(usize, usize), u64>,
@@ -137,6 +145,8 @@
             messages: 0,
             uses_places: true,
             has_uneven_work: false,
+            lossy_hosts: 0,
+            cut_hosts: 0,
             tickets: BTreeMap::new(),
             planned: BTreeMap::new(),
         }
@@ -196,6 +206,7 @@
             Event::Ran(call, server) => self.ran(call, server),
             Event::Answered(call, server, took) => self.answered(call, server, took),
             Event::Declined(call, server) => self.declined(call, server),
+            Event::Lost(call) => self.give_back(call, None),
             Event::GiveBack(owner, server, lease, took) => {
                 self.messages += 1;
                 let end = took.map_or(PlaceEnd::Unused, |took| PlaceEnd::Answered(time(took)));
@@ -432,7 +443,26 @@
         self.calls[id].sent = self.now;
         self.calls[id].refused = None;
         self.hosts[self.calls[id].host].2[server] += 1;
-        self.at(self.now + LINK, Event::Send(id, server));
+        match self.calls[id].host < self.cut_hosts {
+            true => self.at(
+                self.calls[id].arrived + self.calls[id].budget,
+                Event::Lost(id),
+            ),
+            false => {
+                let way = self.way_time(id);
+                self.at(self.now + way, Event::Send(id, server));
+            }
+        }
+    }
+
+    // Time that a message between a call's host and a server takes.
+    fn way_time(&mut self, id: usize) -> u64 {
+        let (mut way, mut resend) = (LINK, RESEND);
+        while self.calls[id].host < self.lossy_hosts && self.rng.random_bool(LOSS) {
+            way += resend;
+            resend *= 2;
+        }
+        way
     }
 
     fn work_time(&mut self) -> u64 {
@@ -462,9 +492,10 @@
 
     fn ran(&mut self, id: usize, server: usize) {
         self.calls[id].runs += 1;
-        let took = self.now + LINK - self.calls[id].sent;
+        let way = self.way_time(id);
+        let took = self.now + way - self.calls[id].sent;
         let work_time = self.work_time();
-        self.at(self.now + LINK, Event::Answered(id, server, took));
+        self.at(self.now + way, Event::Answered(id, server, took));
         let place = &mut self.servers[server];
         match place.queued.is_empty() {
             true => place.running -= 1,
@@ -506,6 +537,11 @@
         }
     }
 
+    /// Lets all hosts know that a server is contended.
+    pub fn contend(&mut self, server: usize) {
+        self.note_contended(0, server);
+    }
+
     fn declined(&mut self, id: usize, server: usize) {
         let host = self.calls[id].host;
         self.hosts[host].2[server] -= 1;
@@ -531,6 +567,19 @@
         answers.filter(|at| (from..to).contains(at)).count()
     }
 
+    /// Of the requests that arrived between two times at hosts from this one on, the share that was answered in time.
+    pub fn share_in_time(&self, first_host: usize, from: u64, to: u64) -> f64 {
+        let calls = self.calls.iter();
+        let calls: Vec<&Call> = calls
+            .filter(|call| call.host >= first_host && (from..to).contains(&call.arrived))
+            .collect();
+        let is_in_time = |call: &&&Call| {
+            let answered = call.answered;
+            answered.is_some_and(|at| at - call.arrived <= call.target)
+        };
+        calls.iter().filter(is_in_time).count() as f64 / calls.len() as f64
+    }
+
     /// Requests that were answered within their target, of those that arrived between two times.
     pub fn in_time(&self, from: u64, to: u64) -> usize {
         let arrived = self
