An attempt's streams run on no more engines than its route allows, and go on at those that had it

Cause: the route's attempts were read by plain requests only. Change: AttemptBudget, owned by the attempt, counts servers and says no, for plain requests, streams, resumptions, hedges and moves; it is asserted at each send. When it is used up, memory is reserved only at the engines that had the attempt, the last one first; where none is left to wait for, the head gets the longer time limit. Engines that are known to have ended (their address refuses connections at other hosts too, or they are no longer listed) do not count. A stream that stopped at an engine does not move back to it.

--- a/src/relay/parts/attempt_metrics.rs
+++ b/src/relay/parts/attempt_metrics.rs
@@ -1,6 +1,9 @@
 //! Metrics of the backend servers that attempts used.
 
-use prometheus_client::{metrics::histogram::Histogram, registry::Registry};
+use prometheus_client::{
+    metrics::{counter::Counter, histogram::Histogram},
+    registry::Registry,
+};
 
 /// Numbers of servers that are counted apart.
 const SERVER_BUCKETS: [f64; 6] = [0.0, 1.0, 2.0, 3.0, 4.0, 8.0];
@@ -9,12 +12,21 @@
 #[derive(Debug)]
 pub struct AttemptMetrics {
     servers: Histogram,
+    /// Streams that stopped at an engine.
+    pub stalls: Counter,
+    /// Those with which their engine went on.
+    pub stalls_ended: Counter,
+    /// Those that moved to another engine.
+    pub moves: Counter,
 }
 
 impl Default for AttemptMetrics {
     fn default() -> Self {
         Self {
             servers: Histogram::new(SERVER_BUCKETS),
+            stalls: Counter::default(),
+            stalls_ended: Counter::default(),
+            moves: Counter::default(),
         }
     }
 }
@@ -31,5 +43,25 @@
             "Attempts by the number of backend servers on which they ran or may have run",
             self.servers.clone(),
         );
+        let counters = [
+            (
+                "stream_stalls",
+                "Streams that stopped at an engine without an end",
+                &self.stalls,
+            ),
+            (
+                "stream_stalls_ended",
+                "Stopped streams with which their engine went on",
+                &self.stalls_ended,
+            ),
+            (
+                "stream_moves",
+                "Stopped streams that moved to another engine",
+                &self.moves,
+            ),
+        ];
+        for (name, help, counter) in counters {
+            registry.register(name, help, counter.clone());
+        }
     }
 }
--- a/src/relay/parts/ends.rs
+++ b/src/relay/parts/ends.rs
@@ -8,7 +8,7 @@
     },
     std::{
         cell::{Cell, RefCell},
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         rc::Rc,
         time::Duration,
     },
@@ -33,9 +33,12 @@
     finished: Notify,
 }
 
-/// The running probes, by server run.
+/// The running probes, and the listed server runs that have been found to have ended.
 #[derive(Debug, Default)]
-pub struct EndProbes(RefCell<HashMap<EngineKey, Rc<EndProbe>>>);
+pub struct EndProbes {
+    running: RefCell<HashMap<EngineKey, Rc<EndProbe>>>,
+    ended: RefCell<HashSet<EngineKey>>,
+}
 
 impl RelayParts {
     /// Returns whether a backend server has ended, after a connection to it broke.
@@ -44,6 +47,7 @@
     /// connections, also those of another host, shows that the server has ended.
     pub async fn has_ended(&self, backend: &BackendInfo) -> bool {
         if self.probe_once(backend).await == ProbeOutcome::Refused {
+            self.end_probes.ended.borrow_mut().insert(backend.key());
             return true;
         }
         for delay in RESTART_CHECK_DELAYS {
@@ -62,21 +66,34 @@
         !self.pool.has_open_idle(backend.address) && self.has_ended(backend).await
     }
 
+    /// Whether a run of a server is known to have ended: it was found to, or is not listed any more.
+    pub fn has_known_end(&self, server: EngineKey) -> bool {
+        self.end_probes.ended.borrow().contains(&server) || !self.book.borrow().is_listed(server)
+    }
+
+    /// Forgets the ends of servers that are not listed any more.
+    pub(super) fn forget_unlisted_ends(&self) {
+        let book = self.book.borrow();
+        let mut ended = self.end_probes.ended.borrow_mut();
+        ended.retain(|server| book.is_listed(*server));
+    }
+
     // Requests whose connections break at the same moment share one probe.
     async fn probe_once(&self, backend: &BackendInfo) -> ProbeOutcome {
         let key = EngineKey::of_run(&backend.id, backend.born);
-        let running = self.end_probes.0.borrow().get(&key).cloned();
+        let running = self.end_probes.running.borrow().get(&key).cloned();
         if let Some(probe) = running {
             return probe.outcome().await;
         }
         let probe = Rc::new(EndProbe::default());
-        self.end_probes.0.borrow_mut().insert(key, probe.clone());
+        let running = &self.end_probes.running;
+        running.borrow_mut().insert(key, probe.clone());
         let open = |address| self.settings.pool.opener.open(address);
         let mut outcome = web::probe_patiently(open, backend.address).await;
         if outcome == ProbeOutcome::Refused && !self.is_refused_elsewhere(backend).await {
             outcome = ProbeOutcome::Silent;
         }
-        self.end_probes.0.borrow_mut().remove(&key);
+        running.borrow_mut().remove(&key);
         probe.outcome.set(Some(outcome));
         probe.finished.notify_waiters();
         outcome
--- a/src/relay/policy/attempt_budget.rs
+++ b/src/relay/policy/attempt_budget.rs
@@ -5,7 +5,10 @@
 
 use super::loads::EngineKey;
 
-// A server that an attempt was sent to and that has not declined it every time.
+/// Number of servers that may decline an attempt, or receive nothing of it, before it is refused.
+const DECLINES_MAX: u32 = 3;
+
+// A server that an attempt was sent to and that is not known not to have run it.
 #[derive(Debug, Clone, Copy)]
 struct UsedServer {
     server: EngineKey,
@@ -13,13 +16,19 @@
     pending: u32,
     // Whether it ran the attempt, or may have.
     has_run: bool,
+    // Whether the attempt's stream stopped there without an end.
+    has_stalled: bool,
 }
 
 /// The servers that an attempt was sent to, and how many more it may be sent to.
+///
+/// Servers that ran it and are known to have ended do not count any more: they hold nothing of it.
 #[derive(Debug)]
 pub struct AttemptBudget {
     servers_max: u32,
     servers: Vec<UsedServer>,
+    ended: u32,
+    declines: u32,
 }
 
 impl AttemptBudget {
@@ -28,27 +37,62 @@
         Self {
             servers_max: servers_max.max(1),
             servers: Vec::new(),
+            ended: 0,
+            declines: 0,
         }
     }
 
-    /// Number of servers that it may run on.
-    pub fn servers_max(&self) -> u32 {
-        self.servers_max
+    /// Whether no further server may receive it, only those that did.
+    pub fn is_used_up(&self) -> bool {
+        self.servers.len() as u32 >= self.servers_max
+    }
+
+    /// Whether a server may receive it.
+    pub fn allows(&self, server: EngineKey) -> bool {
+        !self.is_used_up() || self.servers.iter().any(|used| used.server == server)
+    }
+
+    /// Whether a stream that stopped at one server may move to another one: not back to where it stopped before.
+    pub fn allows_move(&self, server: EngineKey) -> bool {
+        let has_stalled = |used: &UsedServer| used.server == server && used.has_stalled;
+        self.allows(server) && !self.servers.iter().any(has_stalled)
+    }
+
+    /// Whether there may be a server that a stopped stream can move to.
+    pub fn has_moves_left(&self) -> bool {
+        !self.is_used_up() || self.servers.iter().any(|used| !used.has_stalled)
+    }
+
+    /// Whether another server may decline it.
+    pub fn allows_decline(&self) -> bool {
+        self.declines < DECLINES_MAX
     }
 
-    /// Number of servers that it was sent to, without those that did not run it.
+    /// The servers that received it, the last one first, after them those where its stream stopped.
+    pub fn used_servers(&self) -> Vec<EngineKey> {
+        let mut servers: Vec<UsedServer> = self.servers.iter().rev().copied().collect();
+        servers.sort_by_key(|used| used.has_stalled);
+        servers.iter().map(|used| used.server).collect()
+    }
+
+    /// Number of servers that ran it or may have, with those that have ended.
     pub fn servers_used(&self) -> u32 {
-        self.servers.len() as u32
+        self.servers.len() as u32 + self.ended
     }
 
     /// Records that it is sent to a server.
     pub fn record_send(&mut self, server: EngineKey) {
+        assert!(
+            self.allows(server),
+            "an attempt runs on no more servers than its route allows: {self:?}, {server:?}"
+        );
         match self.find(server) {
             Some(used) => used.pending += 1,
             None => self.servers.push(UsedServer {
                 server,
                 pending: 1,
                 has_run: false,
+                has_stalled: false,
             }),
         }
     }
@@ -63,12 +107,28 @@
 
     /// Records that a server did not run it: it declined, or received nothing.
     pub fn record_not_run(&mut self, server: EngineKey) {
+        self.declines += 1;
         if let Some(used) = self.find(server) {
             used.pending = used.pending.saturating_sub(1);
         }
         self.servers.retain(|used| used.pending > 0 || used.has_run);
     }
 
+    /// Records whether its stream has stopped at a server without an end.
+    pub fn record_stall(&mut self, server: EngineKey, has_stalled: bool) {
+        if let Some(used) = self.find(server) {
+            used.has_stalled = has_stalled;
+        }
+    }
+
+    /// Leaves out the servers that are known to have ended.
+    pub fn forget_ended(&mut self, has_ended: impl Fn(EngineKey) -> bool) {
+        let before = self.servers.len();
+        self.servers
+            .retain(|used| used.pending > 0 || !has_ended(used.server));
+        self.ended += (before - self.servers.len()) as u32;
+    }
+
     fn find(&mut self, server: EngineKey) -> Option<&mut UsedServer> {
         self.servers.iter_mut().find(|used| used.server == server)
     }
--- a/src/relay/policy/engines.rs
+++ b/src/relay/policy/engines.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         limit_tracker::{PermitState, PermitWait},
+        loads::EngineKey,
         regions::RequestOrigin,
         registry::BackendRegistry,
         server_index::ServerPool,
@@ -223,6 +224,20 @@
         })
     }
 
+    /// The engines among these runs that may take a request now, in the same order.
+    pub fn usable_runs(
+        &self,
+        runs: &[EngineKey],
+        origin: RequestOrigin<'_>,
+        now: Duration,
+    ) -> Vec<BackendInfo> {
+        let ids = runs.iter().filter_map(|run| self.index.by_key(*run));
+        let views = ids.filter_map(|id| self.views.get(id));
+        let usable =
+            views.filter(|view| origin.allows_server(&view.info) && self.accepts(view, now));
+        usable.map(|view| view.info.clone()).collect()
+    }
+
     /// The shortest wait for a permit at a decode engine, for a request of this priority. `None` if some engine can
     /// take the request without waiting, or if none may take requests at all.
     pub fn decode_wait<'a>(
--- a/src/relay/request/decode.rs
+++ b/src/relay/request/decode.rs
@@ -18,7 +18,7 @@
 /// Timeout for the response head of a decode engine, which it sends with the first token.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(3_000);
 
-/// The same for resumable streams, which another engine can start again. An engine that has memory and the KV cache
+/// The same for resumable streams that another engine may start again. An engine that has memory and the KV cache
 /// responds within some tens of milliseconds, one that computes the prompt itself within some hundreds.
 const RESUMABLE_HEAD_TIMEOUT: Duration = Duration::from_millis(2_000);
 
@@ -39,7 +39,8 @@
             .backend_request(engine, &parts.dialect, |headers| {
                 (parts.dialect.engines.prepare_decode)(headers, start);
             });
-        let timeout = match self.is_resumable() {
+        let may_go_elsewhere = self.is_resumable() && !self.request.budget.borrow().is_used_up();
+        let timeout = match may_go_elsewhere {
             true => RESUMABLE_HEAD_TIMEOUT,
             false => HEAD_TIMEOUT,
         };
--- a/src/relay/request/plain.rs
+++ b/src/relay/request/plain.rs
@@ -34,9 +34,6 @@
 /// (hedging), whose response can then still be in time.
 const HEDGE_DELAY_SHARE: f64 = 0.6;
 
-/// Number of servers that may decline a request before it is refused.
-const MAX_DECLINES: usize = 3;
-
 /// `Retry-After` of a refused plain request.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -55,9 +52,6 @@
     pub(super) tried: Vec<FastStr>,
     // Servers with an outstanding send.
     pub(super) pending: Vec<BackendInfo>,
-    // Number of sends that ran or may have run; declined and unsent ones do not count.
-    sends: u32,
-    declines: usize,
     // Whether any send reached its server, or may have. The next one then counts as a retry.
     has_reached_server: bool,
     // Whether all remaining servers fail.
@@ -103,8 +97,6 @@
         service,
         tried: Vec::new(),
         pending: Vec::new(),
-        sends: 0,
-        declines: 0,
         has_reached_server: false,
         is_unreachable: false,
         permit_wait: None,
@@ -242,7 +234,6 @@
         self.request.budget.borrow_mut().record_send(backend.key());
         self.tried.push(backend.id.clone());
         self.pending.push(backend.clone());
-        self.sends += 1;
         running.push(Box::pin(send::send_plain(
             self.parts.clone(),
             self.request.clone(),
@@ -256,8 +247,8 @@
         let allowed = self
             .verdict
             .allows_retry(self.request.route.kind.is_repeatable());
-        let attempts = self.request.route.attempts.max(1);
-        allowed && self.sends < attempts && self.declines < MAX_DECLINES
+        let budget = self.request.budget.borrow();
+        allowed && !budget.is_used_up() && budget.allows_decline()
     }
 
     fn log_end(&mut self, end: &str) {
@@ -345,8 +336,6 @@
     // Records a send that did not run.
     fn handle_decline(&mut self, backend: &BackendInfo, outcome: &str, detail: &str) {
         self.log_attempt(backend, outcome);
-        self.sends -= 1;
-        self.declines += 1;
         self.detail = format!("{} {outcome}: {detail}", backend.id);
     }
 
--- a/src/relay/request/reserve.rs
+++ b/src/relay/request/reserve.rs
@@ -19,8 +19,9 @@
             config::EngineLimits,
             parts::{permits::ServerPermit, priorities::CountedWork, shared::RelayParts},
             policy::{
-                decode_exclusions::DecodeExclusions, prompt_cache::CachedAt,
-                regions::AllowedServers, rotation::RotationWait,
+                attempt_budget::AttemptBudget, decode_exclusions::DecodeExclusions,
+                loads::EngineKey, prompt_cache::CachedAt, regions::AllowedServers,
+                rotation::RotationWait,
             },
         },
     },
@@ -47,6 +48,31 @@
 /// Minimum reservation for a resumed stream at an engine that has its prompt cached; room for some events.
 const MIN_UNCACHED_TOKENS: u64 = 128;
 
+/// What memory is reserved for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReservePurpose {
+    /// A response that its client has nothing of.
+    Begin,
+    /// A stream that was interrupted.
+    Resume,
+    /// A stream that has stopped at an engine, which may still go on with it.
+    Move,
+}
+
+impl ReservePurpose {
+    fn is_resumed(self) -> bool {
+        self != Self::Begin
+    }
+
+    // Whether an engine may receive the attempt.
+    fn allows(self, budget: &AttemptBudget, server: EngineKey) -> bool {
+        match self {
+            Self::Begin | Self::Resume => budget.allows(server),
+            Self::Move => budget.allows_move(server),
+        }
+    }
+}
+
 /// A reservation at an engine, released when dropped.
 struct EngineReservation {
     parts: Rc<RelayParts>,
@@ -151,7 +177,7 @@
 }
 
 impl QueuePlace {
-    fn join(parts: &Rc<RelayParts>, request: &ClientRequest, is_resumed: bool) -> Self {
+    fn join(parts: &Rc<RelayParts>, request: &ClientRequest, purpose: ReservePurpose) -> Self {
         let servers = request.allowed_servers();
         let mut line = parts.wait_queue.borrow_mut();
         let entrant = QueuedRequest {
@@ -168,7 +194,7 @@
             servers,
             key,
             entrant,
-            priority: PriorityWait::begin(parts, request, is_resumed),
+            priority: PriorityWait::begin(parts, request, purpose.is_resumed()),
         }
     }
 
@@ -206,6 +232,8 @@
 /// An engine that has the prompt cached is asked first, and only for the memory that the cache does not cover: a
 /// reservation for the whole request would evict prompts that other streams can resume from.
 ///
+/// An attempt that no further server may receive is reserved memory only at those that did.
+///
 /// A resumed stream also waits while no engine takes new requests, because its client already has part of the response;
 /// not if all are in evacuated zones, which lasts longer than its client waits.
 pub async fn reserve_memory(
@@ -213,14 +241,14 @@
     request: &ClientRequest,
     service: &str,
     since: Duration,
-    is_resumed: bool,
+    purpose: ReservePurpose,
     cached: Option<&CachedAt>,
 ) -> Result<MemoryReservation, Refusal> {
     let tokens = memory::reserved_tokens(&request.marks);
     let rank = request.priority();
     let origin = request.origin(&parts.settings.zone);
     let wait_until = request.deadline.min(since + memory::WAIT_LIMIT);
-    let mut place = QueuePlace::join(parts, request, is_resumed);
+    let mut place = QueuePlace::join(parts, request, purpose);
     loop {
         let freed = parts.capacity_freed.notified();
         tokio::pin!(freed);
@@ -229,7 +257,7 @@
         if place.is_first()
             && place.priority.may_ask(request, POLL_INTERVAL)
             && let Some(reservation) =
-                try_engines(parts, request, service, cached, place.key.late).await
+                try_engines(parts, request, service, purpose, cached, place.key.late).await
         {
             parts.metrics.reserved(&request.route, request.age());
             return Ok(reservation);
@@ -239,7 +267,8 @@
             .book
             .borrow()
             .rotation_wait(service, decode, origin, parts.now());
-        let is_refused = |wait: &RotationWait| !is_resumed || *wait == RotationWait::Evacuated;
+        let is_refused =
+            |wait: &RotationWait| !purpose.is_resumed() || *wait == RotationWait::Evacuated;
         if let Some(wait) = wait.filter(is_refused) {
             let service = FastStr::new(service);
             return Err(parts.out_of_rotation(&service, RunVerdict::NotRun, wait, rank));
@@ -287,12 +316,18 @@
     parts: &Rc<RelayParts>,
     request: &ClientRequest,
     service: &str,
+    purpose: ReservePurpose,
     cached: Option<&CachedAt>,
     is_late: bool,
 ) -> Option<MemoryReservation> {
     let tokens = memory::reserved_tokens(&request.marks);
     let rank = request.priority();
-    if let Some(cached) = cached {
+    request
+        .budget
+        .borrow_mut()
+        .forget_ended(|server| parts.has_known_end(server));
+    let is_allowed = |engine: &BackendInfo| purpose.allows(&request.budget.borrow(), engine.key());
+    if let Some(cached) = cached.filter(|cached| is_allowed(&cached.engine)) {
         let uncached = tokens
             .saturating_sub(cached.tokens)
             .max(MIN_UNCACHED_TOKENS);
@@ -313,7 +348,11 @@
         let mut engines = book.rank_decodes_by(service, origin, tokens, capacity, now, &|id| {
             room.left_free(id)
         });
-        engines.retain(|engine| !without_permit.contains(&engine.id));
+        if request.budget.borrow().is_used_up() {
+            let used = request.budget.borrow().used_servers();
+            engines = book.usable_runs(&used, origin, now);
+        }
+        engines.retain(|engine| is_allowed(engine) && !without_permit.contains(&engine.id));
         engines
     };
     let headroom = capacity.map_or(0, |capacity| memory::headroom(capacity, tokens, is_late));
--- a/src/relay/request/resume.rs
+++ b/src/relay/request/resume.rs
@@ -5,7 +5,7 @@
     super::{
         event_splitter::EventSplitter,
         forward,
-        reserve::{self, MemoryReservation},
+        reserve::{self, MemoryReservation, ReservePurpose},
         response_body::{BodyStep, BodyStop},
         stream::{DecodeStream, StreamRelay},
     },
@@ -98,20 +98,50 @@
     if let Ok(next) = tokio::time::timeout(timeout, running.body.next()).await {
         return stream_step(next);
     }
+    let engine = running.guards.engine();
+    let request = relay.request.clone();
+    let set_stalled = |has_stalled| {
+        request
+            .budget
+            .borrow_mut()
+            .record_stall(engine, has_stalled)
+    };
+    set_stalled(true);
+    relay.parts.metrics.attempts.stalls.inc();
+    let step = move_or_wait(relay, running).await;
+    if let StreamStep::Chunk(..) = step {
+        set_stalled(false);
+        relay.parts.metrics.attempts.stalls_ended.inc();
+    }
+    step
+}
+
+// Waits until a stalled engine goes on or another one can continue its stream.
+async fn move_or_wait(relay: &mut StreamRelay, running: &mut DecodeStream) -> StreamStep {
     while !relay.request.time_left().is_zero() {
+        if !relay.request.budget.borrow().has_moves_left() {
+            let left = relay.request.time_left();
+            match tokio::time::timeout(left, running.body.next()).await {
+                Ok(next) => return stream_step(next),
+                Err(_) => break,
+            }
+        }
         let reserving = reserve::reserve_memory(
             &relay.parts,
             &relay.request,
             &relay.service,
             relay.parts.now(),
-            true,
+            ReservePurpose::Move,
             None,
         );
         tokio::select! {
             biased;
             next = running.body.next() => return stream_step(next),
             reserved = reserving => match reserved {
-                Ok(reservation) if relay.count_retry() => return StreamStep::Stalled(Box::new(reservation)),
+                Ok(reservation) if relay.count_retry() => {
+                    relay.parts.metrics.attempts.moves.inc();
+                    return StreamStep::Stalled(Box::new(reservation));
+                }
                 Ok(_) => tokio::time::sleep(RETRY_DELAY).await,
                 // A refusal may come at once, without the wait for memory, if no engine may be asked.
                 Err(refusal) => {
--- a/src/relay/request/stream.rs
+++ b/src/relay/request/stream.rs
@@ -11,7 +11,7 @@
         forward::{self, ForwardEvent},
         guard::InFlightGuard,
         prefill::{self, PrefilledCache},
-        reserve::{self, MemoryReservation},
+        reserve::{self, MemoryReservation, ReservePurpose},
         response::{self, RelayResponse},
         response_body::ResponseBody,
         resume, seek, send_check,
@@ -83,6 +83,11 @@
 }
 
 impl EngineGuards {
+    /// The run of the decode engine.
+    pub(super) fn engine(&self) -> EngineKey {
+        self.memory.engine.key()
+    }
+
     // The software of the decode engine.
     fn software(&self) -> ServerSoftware {
         self.memory.engine.server_software()
@@ -315,9 +320,12 @@
         let cached = self.find_cached_prompt(is_resumed).await;
         let (parts, request) = (&self.parts, &self.request);
         let service = &self.service;
+        let purpose = match is_resumed {
+            true => ReservePurpose::Resume,
+            false => ReservePurpose::Begin,
+        };
         let reserved =
-            reserve::reserve_memory(parts, request, service, since, is_resumed, cached.as_ref())
-                .await;
+            reserve::reserve_memory(parts, request, service, since, purpose, cached.as_ref()).await;
         let reservation = reserved.map_err(|refusal| self.with_verdict(refusal))?;
         self.is_prompt_cached = cached
             .as_ref()
