--- a/src/relay/request/resume.rs
+++ b/src/relay/request/resume.rs
@@ -17,9 +17,9 @@
     tokio::time::Instant,
 };
 
-/// Time without data after which memory for the stream is sought at other engines. Engines preempt requests when their
-/// memory runs out and continue them within a second or two; clients wait some seconds.
-const STALL_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time without data after which memory for the stream is sought at other engines. Sound engines are silent for a second
+/// or two, also when they preempt a request; a move computes the prompt again.
+const STALL_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Pause before memory is sought again after the retry budget or all engines refused.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
