Places of a plain server are held for its work, not for the way of the answers; hosts without answers take no further ones

Cause: a place counted as used until its answer came or its deadline passed, at whatever fault. Requests on bad links held the places of all, and their times made the server look slow. Change: a place is free once a quick response's time has passed three times and the server has answered others since, or twice as long if it answers nobody; times are counted up to that. The play of places ejects servers as hosts do.

--- a/src/capacity/mechanisms.rs
+++ b/src/capacity/mechanisms.rs
@@ -356,7 +356,10 @@
         allocator.request(&request, MODEL_NOW);
         allocator.advance(request.server, MODEL_NOW);
     }
-    let waiting = allocator.views().map(|view| view.waiting as u64).sum();
+    let waiting = allocator
+        .views(MODEL_NOW)
+        .map(|view| view.waiting as u64)
+        .sum();
     let message = PlaceMessage {
         request: Some(request),
         returns: Vec::new(),
--- a/src/relay/admission/places/contended_servers.rs
+++ b/src/relay/admission/places/contended_servers.rs
@@ -26,6 +26,11 @@
 const SLOW_RESPONSES: u32 = 2;
 const SLOW_WINDOW: Duration = Duration::from_secs(1);
 
+/// Time without a response, also as a multiple of that of the server's quick ones, after which a place that a request of this
+/// host holds is stuck: the request or its response is held up on the way.
+const STUCK_AFTER: Duration = Duration::from_millis(300);
+const STUCK_FACTOR: f64 = 8.0;
+
 /// Growth of the quickest response time with each slower one.
 const QUICK_GROWTH: f64 = 1.02;
 
@@ -71,6 +76,8 @@
     servers: BTreeMap<EngineKey, ContendedServer>,
     // By server and route, since routes differ in the work that their requests cause.
     times: BTreeMap<(EngineKey, FastStr), ResponseTimes>,
+    // When the places were taken that requests of this host hold.
+    held: BTreeMap<EngineKey, Vec<Duration>>,
 }
 
 impl ContendedServers {
@@ -100,16 +107,56 @@
         times.map_or(Duration::ZERO, |times| times.mean)
     }
 
-    /// Chooses among servers in order of preference; `None` if there are none.
+    /// Records that a request of this host holds a place at a server from now on.
+    pub fn note_taken(&mut self, server: EngineKey, now: Duration) {
+        self.held.entry(server).or_default().push(now);
+    }
+
+    /// Records that a request gave back the place that it took at this time.
+    pub fn note_released(&mut self, server: EngineKey, taken_at: Duration) {
+        let Some(held) = self.held.get_mut(&server) else {
+            return;
+        };
+        if let Some(index) = held.iter().position(|taken| *taken == taken_at) {
+            held.swap_remove(index);
+        }
+        if held.is_empty() {
+            self.held.remove(&server);
+        }
+    }
+
+    // Whether a request of this host at a server gets no answer, so that more of them would take places from other hosts.
+    fn is_stuck(&self, server: EngineKey, now: Duration) -> bool {
+        let Some(held) = self.held.get(&server) else {
+            return false;
+        };
+        let routes = (server, FastStr::default())..;
+        let routes = self.times.range(routes);
+        let routes = routes.take_while(|((of, _), _)| *of == server);
+        let quick = routes.map(|(_, times)| times.quick).max();
+        let limit = quick
+            .unwrap_or_default()
+            .mul_f64(STUCK_FACTOR)
+            .max(STUCK_AFTER);
+        held.iter().any(|taken| now.saturating_sub(*taken) >= limit)
+    }
+
+    /// Chooses among servers in order of preference, without those at which this host's requests are stuck; `None` if there
+    /// are none.
     pub fn choose(&self, ranked: &[EngineKey], now: Duration) -> Option<PlaceChoice> {
+        let is_stuck =
+            |server: &EngineKey| self.is_contended(*server, now) && self.is_stuck(*server, now);
         let is_free = |server: &EngineKey| !self.is_contended(*server, now);
         let room_at = |server: &EngineKey| {
             let known = self.servers.get(server);
             known.map_or(now, |known| known.room_at.max(now))
         };
-        let may_have_room = |server: &EngineKey| is_free(server) || room_at(server) <= now;
+        let may_have_room =
+            |server: &EngineKey| is_free(server) || (room_at(server) <= now && !is_stuck(server));
         if !ranked.iter().any(is_free) {
-            let times = ranked.iter().map(room_at).enumerate();
+            let servers = ranked.iter().enumerate();
+            let servers = servers.filter(|(_, server)| !is_stuck(server));
+            let times = servers.map(|(index, server)| (index, room_at(server)));
             let (index, _) = times.min_by_key(|(_, time)| *time)?;
             return Some(PlaceChoice::Request {
                 index,
--- a/src/relay/admission/places/place_allocator.rs
+++ b/src/relay/admission/places/place_allocator.rs
@@ -90,8 +90,8 @@
     }
 
     /// When waiting requests of a server have to be decided again if nothing happens before.
-    pub fn next_change(&self, server: EngineKey) -> Option<Duration> {
-        self.servers.get(&server)?.next_change()
+    pub fn next_change(&self, server: EngineKey, now: Duration) -> Option<Duration> {
+        self.servers.get(&server)?.next_change(now)
     }
 
     /// The contended servers and how much longer they count as contended.
@@ -110,12 +110,14 @@
     }
 
     /// All servers whose places this host leases.
-    pub fn views(&self) -> impl Iterator<Item = ServerPlacesView> {
-        self.servers.iter().map(|(key, server)| ServerPlacesView {
-            server: *key,
-            capacity: server.capacity(),
-            leased: server.leased(),
-            waiting: server.waiting(),
-        })
+    pub fn views(&self, now: Duration) -> impl Iterator<Item = ServerPlacesView> {
+        self.servers
+            .iter()
+            .map(move |(key, server)| ServerPlacesView {
+                server: *key,
+                capacity: server.capacity(),
+                leased: server.leased(now),
+                waiting: server.waiting(),
+            })
     }
 }
--- a/src/relay/admission/places/server_places.rs
+++ b/src/relay/admission/places/server_places.rs
@@ -41,6 +41,9 @@
 /// Factor of the service time within which the requests that were sent before this host became the owner have ended.
 const TAKEOVER_SERVICE_TIMES: u32 = 2;
 
+/// Time, as a multiple of the limit for a request's work, after which a place is free although the server answers nobody.
+const SILENCE_FACTOR: u32 = 2;
+
 /// Addition to a request's deadline after which its place counts as free if it was not given back.
 const LEASE_MARGIN: Duration = Duration::from_millis(200);
 
@@ -48,9 +51,23 @@
 #[derive(Debug, Clone, Copy)]
 struct PlaceLease {
     granted_at: Duration,
+    // When the server has answered its request, if it answers others.
+    work_end: Duration,
+    // When it is taken for lost even if the server answers nobody.
+    silence_end: Duration,
     expiry: Duration,
 }
 
+impl PlaceLease {
+    // Whether its request is at the server no more although the place was not given back: the server has answered another
+    // one since, so this one's answer, or the request itself, is held up on the way. A server that answers nobody for a
+    // while is given some requests, as all that were sent may have been lost on the way.
+    fn is_overdue(&self, answered_at: Duration, now: Duration) -> bool {
+        let answers_others = answered_at > self.granted_at;
+        now >= self.silence_end || (answers_others && now >= self.work_end)
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct WaitingRequest {
     request: PlaceRequest,
@@ -79,6 +96,8 @@
     times: ServiceTimes,
     longest_in_time: Duration,
     leases: BTreeMap<u64, PlaceLease>,
+    // When the server was last known to have answered a request.
+    answered_at: Duration,
     waiting: BTreeMap<QueueKey, WaitingRequest>,
     retries: RetrySchedule,
     // When a request last waited long or was refused, or the server declined one.
@@ -100,6 +119,8 @@
         let takeover_time = times.mean() * TAKEOVER_SERVICE_TIMES;
         let assumed_lease = |index: u32| PlaceLease {
             granted_at: now,
+            work_end: now + takeover_time * (index + 1) / capacity,
+            silence_end: now + takeover_time * (index + 1) / capacity,
             expiry: now + takeover_time * (index + 1) / capacity,
         };
         Self {
@@ -113,6 +134,7 @@
             leases: (0..capacity)
                 .map(|index| (lease(), assumed_lease(index)))
                 .collect(),
+            answered_at: Duration::ZERO,
             waiting: BTreeMap::new(),
             retries: RetrySchedule::default(),
             short_at: now.saturating_sub(CALM_TIME - NEW_OWNER_TIME),
@@ -124,8 +146,12 @@
         self.capacity
     }
 
-    pub(super) fn leased(&self) -> usize {
-        self.leases.len()
+    /// Number of places whose requests are at the server.
+    pub(super) fn leased(&self, now: Duration) -> usize {
+        let leases = self.leases.values();
+        leases
+            .filter(|lease| !lease.is_overdue(self.answered_at, now))
+            .count()
     }
 
     pub(super) fn waiting(&self) -> usize {
@@ -145,10 +171,11 @@
     }
 
     /// When waiting requests have to be decided again if nothing happens before.
-    pub(super) fn next_change(&self) -> Option<Duration> {
+    pub(super) fn next_change(&self, now: Duration) -> Option<Duration> {
         let untils = self.waiting.values().map(|waiting| waiting.until);
-        let expiries = self.leases.values().map(|lease| lease.expiry);
-        untils.chain(expiries).min()
+        let leases = self.leases.values();
+        let ends = leases.flat_map(|lease| [lease.work_end, lease.silence_end, lease.expiry]);
+        untils.chain(ends.filter(|end| *end > now)).min()
     }
 
     /// Decides about a request. `ticket` is its number if it waits, and that of the lease if it is granted.
@@ -174,7 +201,7 @@
             service_time: self.times.expected(),
             due,
         };
-        match decision::decide_admission(&self.room(), &need, now) {
+        match decision::decide_admission(&self.room(now), &need, now) {
             AdmissionDecision::Admit => PlaceDecision::Answered(self.grant(ticket, request, now)),
             AdmissionDecision::Wait { until } if request.may_wait => {
                 self.note_wait(&need, until, now);
@@ -198,7 +225,7 @@
     }
 
     fn note_wait(&mut self, need: &RoomNeed, until: Duration, now: Duration) {
-        let wait = self.room().wait_for(need.ahead, need.units);
+        let wait = self.room(now).wait_for(need.ahead, need.units);
         let long_wait = until.saturating_sub(now).mul_f64(LONG_WAIT_SHARE);
         if wait.is_none_or(|wait| wait >= long_wait) {
             self.short_at = now;
@@ -213,6 +240,7 @@
         match end {
             PlaceEnd::Unused => {}
             PlaceEnd::Answered(time) => {
+                self.answered_at = now;
                 let leased_time = now.saturating_sub(lease.granted_at);
                 self.record_answer(time, leased_time.saturating_sub(time), now);
             }
@@ -242,7 +270,7 @@
         hopeless
             .iter()
             .for_each(|key| self.refuse_waiting(key, &mut decided, now));
-        while self.room().free() > 0
+        while self.room(now).free() > 0
             && let Some((key, waiting)) = self.waiting.pop_first()
         {
             let request = PlaceRequest {
@@ -264,7 +292,7 @@
     fn refuse_displaced(&mut self, decided: &mut Vec<(u64, PlaceAnswer)>, now: Duration) {
         while let Some((key, waiting)) = self.waiting.last_key_value() {
             let ahead = self.waiting.len() as u64 - 1;
-            let wait = self.room().wait_for(ahead, 1);
+            let wait = self.room(now).wait_for(ahead, 1);
             if wait.is_some_and(|wait| now + wait <= waiting.until) {
                 return;
             }
@@ -284,10 +312,10 @@
         decided.push((key.ticket, self.refuse(key.priority, now)));
     }
 
-    fn room(&self) -> ServerRoom {
+    fn room(&self, now: Duration) -> ServerRoom {
         ServerRoom {
             capacity: u64::from(self.capacity),
-            promised: self.leases.len() as u64,
+            promised: self.leased(now) as u64,
             freed_per_second: f64::from(self.capacity) / self.times.lease_time().as_secs_f64(),
         }
     }
@@ -295,11 +323,13 @@
     fn grant(&mut self, lease: u64, request: &PlaceRequest, now: Duration) -> PlaceAnswer {
         let place_lease = PlaceLease {
             granted_at: now,
+            work_end: now + self.times.work_limit() + LINK_TIME,
+            silence_end: now + self.times.work_limit() * SILENCE_FACTOR,
             expiry: now + request.time_left + LEASE_MARGIN,
         };
         self.leases.insert(lease, place_lease);
         assert!(
-            self.leases.len() <= self.capacity as usize,
+            self.leased(now) <= self.capacity as usize,
             "no more places are leased than the server has"
         );
         PlaceAnswer {
@@ -310,7 +340,7 @@
 
     // No place, and the expected wait for one behind `ahead` others.
     fn decline(&self, ahead: u64, now: Duration) -> PlaceAnswer {
-        let wait = self.room().wait_for(ahead, 1);
+        let wait = self.room(now).wait_for(ahead, 1);
         PlaceAnswer {
             lease: None,
             wait: wait.unwrap_or(CALM_TIME),
--- a/src/relay/admission/places/service_times.rs
+++ b/src/relay/admission/places/service_times.rs
@@ -1,6 +1,6 @@
 //! How long a server takes for its requests, as their hosts measure it.
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 /// Service time that is assumed until one was seen.
 pub(super) const ASSUMED_SERVICE_TIME: Duration = Duration::from_millis(50);
@@ -26,6 +26,19 @@
 /// Growth of the lowest mean with each further response, so that it follows a server that becomes slower.
 const LOWEST_GROWTH: f64 = 1.002;
 
+/// Number of recent responses of which the quick ones tell how long the server itself takes.
+const RECENT_RESPONSES: usize = 24;
+
+/// Fraction of the recent responses that are quick: also of those that come over links that lose packets.
+const QUICK_FRACTION: f64 = 0.25;
+
+/// Time, as a multiple of that of a quick response, that a response takes at most at the server. What is longer was spent on
+/// the way.
+const WORK_FACTOR: u32 = 3;
+
+/// The same for the mean by which slowness is decided.
+const STEADY_FACTOR: u32 = 2;
+
 /// Means of the times of a server's responses.
 #[derive(Debug)]
 pub(super) struct ServiceTimes {
@@ -33,6 +46,9 @@
     mean_deviation: Duration,
     // Time of a lease in which its request is not at the server: the way from the owner to the host and back.
     mean_overhead: Duration,
+    // Times of recent responses, and that of a quick one of them.
+    recent: VecDeque<Duration>,
+    quick: Duration,
     // Mean of more responses, and its lowest value.
     steady_mean: Duration,
     lowest_mean: Option<Duration>,
@@ -51,6 +67,8 @@
             mean: service_time,
             mean_deviation: Duration::ZERO,
             mean_overhead: overhead,
+            recent: VecDeque::new(),
+            quick: service_time,
             steady_mean: service_time,
             lowest_mean: None,
             responses: 1,
@@ -62,6 +80,11 @@
         self.mean
     }
 
+    /// The time after which the server has answered a request, if it answers others. A host may still wait for that answer.
+    pub(super) fn work_limit(&self) -> Duration {
+        self.quick * WORK_FACTOR
+    }
+
     /// The time within which nearly all responses come.
     pub(super) fn expected(&self) -> Duration {
         self.mean + self.mean_deviation * EXPECTED_DEVIATIONS
@@ -75,6 +98,9 @@
     /// Records a response, and the rest of the time for which its place was leased. Returns whether responses have become
     /// slow.
     pub(super) fn record(&mut self, time: Duration, overhead: Duration) -> bool {
+        self.record_quick(time);
+        let steady_time = time.min(self.quick * STEADY_FACTOR);
+        let time = time.min(self.work_limit());
         self.responses = (self.responses + 1).min(STEADY_RESPONSES);
         let first_weight = 1.0 / f64::from(self.responses);
         let weight = MEAN_WEIGHT.max(first_weight);
@@ -83,10 +109,22 @@
         self.mean_overhead = weighted(self.mean_overhead, overhead, weight);
         self.mean = weighted(self.mean, time, weight).max(MIN_SERVICE_TIME);
         let steady_weight = STEADY_WEIGHT.max(first_weight);
-        self.steady_mean = weighted(self.steady_mean, time, steady_weight).max(MIN_SERVICE_TIME);
+        let steady_mean = weighted(self.steady_mean, steady_time, steady_weight);
+        self.steady_mean = steady_mean.max(MIN_SERVICE_TIME);
         self.responses == STEADY_RESPONSES && self.update_lowest()
     }
 
+    fn record_quick(&mut self, time: Duration) {
+        if self.recent.len() == RECENT_RESPONSES {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(time);
+        let mut times: Vec<Duration> = self.recent.iter().copied().collect();
+        let index = (times.len() as f64 * QUICK_FRACTION) as usize;
+        let (_, quick, _) = times.select_nth_unstable(index);
+        self.quick = (*quick).max(MIN_SERVICE_TIME);
+    }
+
     fn update_lowest(&mut self) -> bool {
         let lowest = self.lowest_mean.unwrap_or(self.steady_mean);
         let grown = lowest.mul_f64(LOWEST_GROWTH);
--- a/src/relay/parts/contention.rs
+++ b/src/relay/parts/contention.rs
@@ -161,7 +161,7 @@
     /// Returns the number of places that this host has leased to all hosts.
     pub fn leased_places(&self) -> usize {
         let allocator = self.places.allocator.borrow();
-        allocator.views().map(|view| view.leased).sum()
+        allocator.views(self.now()).map(|view| view.leased).sum()
     }
 
     /// Returns a page for operators with one line for each contended server.
@@ -179,7 +179,9 @@
         let owner = owner.map_or_else(FastStr::default, |owner| owner.name);
         let allocator = self.places.allocator.borrow();
         // Only the owner knows the capacity and who waits.
-        let own = allocator.views().find(|view| view.server == server);
+        let own = allocator
+            .views(self.now())
+            .find(|view| view.server == server);
         let own = own.map_or_else(String::new, |view| {
             format!(
                 " capacity={} in_use={} waiting={}",
--- a/src/relay/parts/places.rs
+++ b/src/relay/parts/places.rs
@@ -153,6 +153,9 @@
 
 impl Drop for HeldPlace {
     fn drop(&mut self) {
+        let mut contended = self.parts.places.contended.borrow_mut();
+        contended.note_released(self.server, self.taken_at);
+        drop(contended);
         let end = match self.end.get() {
             // The place was in use until the end of the response, which may be a stream.
             PlaceEnd::Answered(_) => {
@@ -286,15 +289,17 @@
     ) -> Result<HeldPlace, Duration> {
         let LeasedPlace { answer, lessor } = leased;
         let mut contended = self.places.contended.borrow_mut();
-        contended.note_answer(request.server, answer.contended, answer.wait, self.now());
-        drop(contended);
+        let now = self.now();
+        contended.note_answer(request.server, answer.contended, answer.wait, now);
         let lease = answer.lease.ok_or(answer.wait)?;
+        contended.note_taken(request.server, now);
+        drop(contended);
         Ok(HeldPlace {
             parts: self.clone(),
             server: request.server,
             lease,
             lessor,
-            taken_at: self.now(),
+            taken_at: now,
             end: Cell::default(),
         })
     }
@@ -332,7 +337,11 @@
                 waited <= MAX_PLACE_WAIT || !self.places.waiting.borrow().contains_key(&ticket),
                 "a request for a place is decided within the bound"
             );
-            let next = self.places.allocator.borrow().next_change(server);
+            let next = self
+                .places
+                .allocator
+                .borrow()
+                .next_change(server, self.now());
             let pause = next.map_or(MIN_DECISION_INTERVAL, |next| {
                 next.saturating_sub(self.now())
             });
--- a/src/relay/request/server_choice.rs
+++ b/src/relay/request/server_choice.rs
@@ -22,6 +22,10 @@
 /// asked only if the first one's wait is longer than was known.
 const MAX_PLACE_REQUESTS: usize = 2;
 
+/// `Retry-After` while this host's requests are stuck at all servers. Lost links are found and passed around within about as
+/// long.
+const STUCK_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// A server to send to, and what the request needs there.
 pub(super) struct ChosenServer {
     pub(super) backend: BackendInfo,
@@ -54,7 +58,11 @@
         loop {
             let now = self.parts.now();
             let ranked = self.unlimited_servers(now);
-            let (backend, place) = match self.parts.places.choose(&ranked, now)? {
+            let Some(choice) = self.parts.places.choose(&ranked, now) else {
+                self.exclude_stuck(&ranked);
+                return None;
+            };
+            let (backend, place) = match choice {
                 PlaceChoice::Send(index) => (ranked[index].clone(), None),
                 PlaceChoice::Request { .. } if is_hedge || requests == MAX_PLACE_REQUESTS => {
                     self.exclude_contended(&ranked);
@@ -104,6 +112,15 @@
         excluded.cloned().collect()
     }
 
+    // The servers at which this host's own requests are stuck are left to other hosts for now.
+    fn exclude_stuck(&mut self, ranked: &[BackendInfo]) {
+        if !ranked.is_empty() {
+            self.exclude_contended(ranked);
+            let wait = self.place_wait.unwrap_or(STUCK_RETRY_AFTER);
+            self.place_wait = Some(wait);
+        }
+    }
+
     fn exclude_contended(&mut self, ranked: &[BackendInfo]) {
         let now = self.parts.now();
         let places = &self.parts.places;
--- a/tests/place_allocation.rs
+++ b/tests/place_allocation.rs
@@ -352,7 +352,7 @@
 fn a_server_that_declines_although_within_its_places_gets_fewer_and_more_again_later() {
     let now = Duration::from_secs(10);
     let (mut owner, leases) = full_owner(now);
-    let before = owner.views().next().expect("a server").capacity;
+    let before = owner.views(now).next().expect("a server").capacity;
     for (index, lease) in leases.iter().take(3).enumerate() {
         let returned = PlaceReturn {
             server: SERVER,
@@ -361,7 +361,7 @@
         };
         owner.give_back(&returned, now + millis(100 * index as u64));
     }
-    let capacity = owner.views().next().expect("a server").capacity;
+    let capacity = owner.views(now).next().expect("a server").capacity;
     assert_eq!(capacity, before - 3);
     let without_wait = PlaceRequest {
         may_wait: false,
@@ -377,7 +377,7 @@
             give_back(&mut owner, lease, at + millis(35));
         }
     }
-    let capacity = owner.views().next().expect("a server").capacity;
+    let capacity = owner.views(now).next().expect("a server").capacity;
     assert_eq!(capacity, before);
 }
 
--- a/tests/place_play/mod.rs
+++ b/tests/place_play/mod.rs
@@ -30,6 +30,10 @@
 /// Probability that a lossy link loses a message, and the shortest time after which it is sent again, which doubles.
 const LOSS: f64 = 0.3;
 const RESEND: u64 = 200_000;
+/// As hosts eject servers: requests without an answer in a row, the first time for which no other is sent, and the longest.
+const FAILURES_TO_EJECT: u32 = 2;
+const EJECT_FIRST: u64 = 500_000;
+const EJECT_MAX: u64 = 4_000_000;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -41,7 +45,7 @@
     Ran(usize, usize),
     Answered(usize, usize, u64),
     Declined(usize, usize),
-    Lost(usize),
+    Lost(usize, usize),
     GiveBack(usize, usize, u64, Option<u64>),
     Advance(usize, usize),
     Learned(usize),
@@ -66,6 +70,7 @@
     sent: u64,
     shortest: u64,
     held: Option<(usize, usize, u64)>,
+    held_since: u64,
 }
 
 #[derive(Debug, Default)]
@@ -111,6 +116,8 @@
     pub lossy_hosts: usize,
     /// Hosts whose requests are lost on the way to the servers: those before this one.
     pub cut_hosts: usize,
+    // Lost requests of a host at a server in a row, and until when it sends no other.
+    ejections: BTreeMap<(usize, usize), (u32, u64)>,
     tickets: BTreeMap<(usize, u64), (usize, usize)>,
     // The next time at which an owner decides again about a server.
     planned: BTreeMap<(usize, usize), u64>,
@@ -147,6 +154,7 @@
             has_uneven_work: false,
             lossy_hosts: 0,
             cut_hosts: 0,
+            ejections: BTreeMap::new(),
             tickets: BTreeMap::new(),
             planned: BTreeMap::new(),
         }
@@ -206,7 +214,7 @@
             Event::Ran(call, server) => self.ran(call, server),
             Event::Answered(call, server, took) => self.answered(call, server, took),
             Event::Declined(call, server) => self.declined(call, server),
-            Event::Lost(call) => self.give_back(call, None),
+            Event::Lost(call, server) => self.lose(call, server),
             Event::GiveBack(owner, server, lease, took) => {
                 self.messages += 1;
                 let end = took.map_or(PlaceEnd::Unused, |took| PlaceEnd::Answered(time(took)));
@@ -243,6 +251,7 @@
         let (.., in_flight) = &self.hosts[call.host];
         let servers = 0..self.servers.len();
         let usable = servers.filter(|id| !self.servers[*id].is_gone && !call.tried.contains(id));
+        let usable = usable.filter(|id| !self.is_ejected(call.host, *id));
         let mut ranked: Vec<usize> = usable.collect();
         ranked.sort_by_key(|id| (in_flight[*id], (id + call.host) % self.servers.len()));
         ranked
@@ -381,7 +390,7 @@
             }
         }
         let is_waited_for = self.tickets.values().any(|(_, waited)| *waited == server);
-        if let Some(next) = self.owners[owner].next_change(key(server))
+        if let Some(next) = self.owners[owner].next_change(key(server), time(self.now))
             && is_waited_for
         {
             let next = (next.as_micros() as u64 + 1).max(self.now + 100);
@@ -406,6 +415,8 @@
         host.note_answer(key(server), time(contended), time(wait), time(self.now));
         if let Some(lease) = lease {
             self.calls[id].held = Some((owner, server, lease));
+            self.calls[id].held_since = self.now;
+            host.note_taken(key(server), time(self.now));
             return self.send(id, server);
         }
         self.calls[id].shortest = match self.calls[id].shortest {
@@ -446,7 +457,7 @@
         match self.calls[id].host < self.cut_hosts {
             true => self.at(
                 self.calls[id].arrived + self.calls[id].budget,
-                Event::Lost(id),
+                Event::Lost(id, server),
             ),
             false => {
                 let way = self.way_time(id);
@@ -455,6 +466,22 @@
         }
     }
 
+    fn lose(&mut self, id: usize, server: usize) {
+        self.give_back(id, None);
+        let ejection = self.ejections.entry((self.calls[id].host, server));
+        let (failures, until) = ejection.or_default();
+        *failures += 1;
+        if *failures >= FAILURES_TO_EJECT {
+            let time = EJECT_FIRST << (*failures - FAILURES_TO_EJECT).min(3);
+            *until = self.now + time.min(EJECT_MAX);
+        }
+    }
+
+    fn is_ejected(&self, host: usize, server: usize) -> bool {
+        let ejection = self.ejections.get(&(host, server));
+        ejection.is_some_and(|(_, until)| self.now < *until)
+    }
+
     // Time that a message between a call's host and a server takes.
     fn way_time(&mut self, id: usize) -> u64 {
         let (mut way, mut resend) = (LINK, RESEND);
@@ -521,9 +548,12 @@
     }
 
     fn give_back(&mut self, id: usize, took: Option<u64>) {
-        if let Some((owner, server, lease)) = self.calls[id].held.take()
-            && self.lost_owner(owner, self.calls[id].host).is_none()
-        {
+        let Some((owner, server, lease)) = self.calls[id].held.take() else {
+            return;
+        };
+        let (host, since) = (self.calls[id].host, self.calls[id].held_since);
+        self.hosts[host].0.note_released(key(server), time(since));
+        if self.lost_owner(owner, host).is_none() {
             let event = Event::GiveBack(owner, server, lease, took);
             self.at(self.now + LINK + GIVE_BACK, event);
         }
