--- a/src/relay/request/decode.rs
+++ b/src/relay/request/decode.rs
@@ -5,13 +5,19 @@
         guard::InFlightGuard,
         prefill::PrefilledCache,
         reserve::MemoryReservation,
-        stream::{RoundFailure, StreamRelay},
+        response_body::ResponseBody,
+        stream::{DecodeStream, EngineGuards, RoundFailure, StreamRelay},
     },
     crate::{
         operation::RunVerdict,
-        relay::{backend::BackendInfo, dialect::DecodeParams, policy::view::BackendFailure},
+        relay::{
+            backend::BackendInfo,
+            dialect::DecodeParams,
+            policy::{loads::EngineKey, view::BackendFailure},
+        },
         web::{PoolUse, PooledAnswer, SendFailure},
     },
+    faststr::FastStr,
     std::time::Duration,
 };
 
@@ -26,6 +32,77 @@
 const MAX_DECLINE_BYTES: usize = 64 << 10;
 
 impl StreamRelay {
+    /// Sends the decode to the engine that has memory reserved and waits for its response to begin.
+    pub(super) async fn decode(
+        &mut self,
+        mut reservation: MemoryReservation,
+        cache: Option<PrefilledCache>,
+        after: Option<FastStr>,
+    ) -> Result<DecodeStream, RoundFailure> {
+        let has_permit = reservation.renew_permit(self.request.priority()).await;
+        let engine = &reservation.engine;
+        if !has_permit || !self.parts.may_send(engine, Some(reservation.reserved_at)) {
+            let detail = format!("{} takes no new requests", reservation.engine.id);
+            return Err(RoundFailure::new(RunVerdict::NotRun, detail));
+        }
+        if self.decodes_sent > 0
+            && !std::mem::take(&mut self.is_retry_counted)
+            && !self.may_decode_again()
+        {
+            let detail = "no repeats are left for another decode";
+            return Err(RoundFailure::new(RunVerdict::NotRun, detail));
+        }
+        self.check_send()?;
+        self.decodes_sent += 1;
+        let server = reservation.engine.key();
+        self.request.budget.borrow_mut().record_send(server);
+        self.log_decode(&reservation.engine);
+        let cache_source = cache
+            .as_ref()
+            .and_then(|cache| Some((cache.engine.address, cache.handle()?)));
+        let start = DecodeParams {
+            cache_source,
+            reservation: reservation.use_up(),
+            after_event: after,
+        };
+        let is_continued = start.after_event.is_some() || self.request.marks.last_event.is_some();
+        let guard = InFlightGuard::begin(
+            &self.parts,
+            &reservation.engine,
+            self.request.is_crash_suspect,
+        );
+        let response = match self.send_decode(&reservation, &start, &guard).await {
+            Ok(response) => {
+                let engine = &reservation.engine;
+                self.check_response(engine, &guard, cache, response).await
+            }
+            Err(failure) => Err(failure),
+        };
+        self.record_use(server, &response);
+        let response = response?;
+        Ok(DecodeStream {
+            status: response.status,
+            headers: response.headers.clone(),
+            body: ResponseBody::new(&self.request, response, is_continued),
+            guards: EngineGuards {
+                memory: reservation,
+                guard,
+            },
+        })
+    }
+
+    fn may_decode_again(&self) -> bool {
+        self.parts.spend_retry(&self.service)
+    }
+
+    fn record_use(&self, server: EngineKey, response: &Result<PooledAnswer, RoundFailure>) {
+        let mut budget = self.request.budget.borrow_mut();
+        match response {
+            Err(failure) if failure.verdict == RunVerdict::NotRun => budget.record_not_run(server),
+            Ok(_) | Err(_) => budget.record_run(server),
+        }
+    }
+
     /// Sends the request to the engine that has memory reserved for it and waits for the response head.
     pub(super) async fn send_decode(
         &self,
--- a/src/relay/request/prefill.rs
+++ b/src/relay/request/prefill.rs
@@ -1,7 +1,10 @@
 //! Has a prefill engine compute the KV cache of a prompt.
 
 use {
-    super::{client_request::ClientRequest, guard::InFlightGuard},
+    super::{
+        client_request::ClientRequest, guard::InFlightGuard, reserve::MemoryReservation,
+        stream::StreamRelay,
+    },
     crate::{
         operation::RunVerdict,
         relay::{
@@ -25,6 +28,9 @@
 /// takes twice as long and delays the responses that it is generating.
 const MAX_PREFILL_BACKLOG: f64 = 0.15;
 
+/// Number of prefill engines that are tried one after the other until one receives the request.
+const MAX_PREFILL_ENGINES: usize = 3;
+
 /// Maximum body size of a prefill response.
 const MAX_RESPONSE_BYTES: usize = 64 << 10;
 
@@ -237,3 +243,68 @@
         detail: format!("unusable answer, status {status}"),
     })
 }
+
+impl StreamRelay {
+    // Has a prefill engine compute the prompt. Returns `None` if none is free soon or the chosen one failed; the decode
+    // engine then computes the prompt itself.
+    pub(super) async fn prefill(
+        &mut self,
+        reservation: &MemoryReservation,
+    ) -> Option<PrefilledCache> {
+        let mut tried = Vec::new();
+        // A crash trial is a single send, which is the decode.
+        let is_trial = self.request.is_crash_trial;
+        let skips_prefill =
+            self.skip_prefill || is_trial || std::mem::take(&mut self.is_prompt_cached);
+        while !skips_prefill && tried.len() < MAX_PREFILL_ENGINES {
+            // What one version has computed of a prompt need not fit another one.
+            let engine = &reservation.engine;
+            let origin = self
+                .request
+                .origin(&engine.zone)
+                .of_software(&engine.software);
+            let (parts, rank) = (&self.parts, self.request.priority());
+            let chosen = choose_prefill_engine(parts, &self.service, origin, rank, &tried)?;
+            let engine = chosen.0.id.clone();
+            // A rate-limited engine without a permit is treated like one that cannot be reached.
+            let Ok(permit) = parts.acquire_permit(&chosen.0, rank).await else {
+                tried.push(engine);
+                continue;
+            };
+            if !parts.may_send(&chosen.0, None) {
+                tried.push(engine);
+                continue;
+            }
+            if !self.may_prefill() {
+                return None;
+            }
+            permit.consume();
+            let failure = match prefill_prompt(&self.parts, &self.request, chosen).await {
+                Ok(cache) => {
+                    self.log_prefill(&cache.engine);
+                    self.prefill_received = true;
+                    return Some(cache);
+                }
+                Err(failure) => failure,
+            };
+            self.log_prefill_failure(&engine, &failure);
+            self.prefill_broken |= failure.received && failure.kind == BackendFailure::Broken;
+            if failure.received {
+                self.prefill_received = true;
+                self.parts.count_retry(&self.service);
+                return None;
+            }
+            tried.push(engine);
+        }
+        None
+    }
+
+    // The first prefill counts as a retry only if its engine fails to do it, so until then it only has to fit into the
+    // budget.
+    fn may_prefill(&self) -> bool {
+        match self.prefill_received {
+            true => self.parts.spend_retry(&self.service),
+            false => self.parts.may_risk_retry(&self.service),
+        }
+    }
+}
--- a/src/relay/request/stream.rs
+++ b/src/relay/request/stream.rs
@@ -10,7 +10,6 @@
         event_gaps::EventGaps,
         forward::{self, ForwardEvent},
         guard::InFlightGuard,
-        prefill::{self, PrefilledCache},
         reserve::{self, MemoryReservation, ReservePurpose},
         response::{self, RelayResponse},
         response_body::ResponseBody,
@@ -22,15 +21,10 @@
         operation::{Refusal, RefusalCode, RunVerdict},
         relay::{
             config::RequestKind,
-            dialect::DecodeParams,
             parts::shared::RelayParts,
-            policy::{
-                loads::EngineKey, prompt_cache::CachedAt, response_end::ResponseEnd,
-                view::BackendFailure,
-            },
+            policy::{loads::EngineKey, prompt_cache::CachedAt, response_end::ResponseEnd},
             software_version::ServerSoftware,
         },
-        web::PooledAnswer,
     },
     faststr::FastStr,
     http::{HeaderMap, StatusCode},
@@ -38,9 +32,6 @@
     tokio::time::Instant,
 };
 
-/// Number of prefill engines that are tried one after the other until one receives the request.
-const MAX_PREFILL_ENGINES: usize = 3;
-
 /// Maximum number of rounds (reservation, prefill, decode) until the response begins.
 const MAX_ROUNDS: u32 = 3;
 
@@ -64,7 +55,7 @@
 /// A response that a decode engine is streaming.
 pub(super) struct DecodeStream {
     pub(super) status: StatusCode,
-    headers: HeaderMap,
+    pub(super) headers: HeaderMap,
     pub(super) body: ResponseBody,
     pub(super) guards: EngineGuards,
 }
@@ -78,7 +69,7 @@
 
 /// What a running decode occupies at its engine, released when dropped.
 pub(super) struct EngineGuards {
-    memory: MemoryReservation,
+    pub(super) memory: MemoryReservation,
     pub(super) guard: InFlightGuard,
 }
 
@@ -128,21 +119,21 @@
     pub(super) service: FastStr,
     pub(super) rounds: u32,
     // Whether a prefill engine has received the request. Further prefills count against the retry budget.
-    prefill_received: bool,
+    pub(super) prefill_received: bool,
     // Whether the connection to a prefill engine was lost during the prefill. A good decode elsewhere is then no evidence
     // that the request is harmless.
     pub(super) prefill_broken: bool,
     // Number of decodes sent, whether they ran or not.
-    decodes_sent: u32,
+    pub(super) decodes_sent: u32,
     pub(super) skip_prefill: bool,
     // Whether the decode engine with the reservation still has the prompt cached from an earlier run.
-    is_prompt_cached: bool,
+    pub(super) is_prompt_cached: bool,
     // The engine that had the prompt cached when the stream was resumed, for the log.
     pub(super) cache_engine: FastStr,
     // The highest verdict of all rounds: whether any decode may have run.
     verdict: RunVerdict,
     // Whether the next decode is already counted as a retry.
-    is_retry_counted: bool,
+    pub(super) is_retry_counted: bool,
     pub(super) times: StreamTimes,
     /// The gaps between the events sent to the client.
     pub(super) event_gaps: EventGaps,
@@ -365,71 +356,6 @@
         running
     }
 
-    // Has a prefill engine compute the prompt. Returns `None` if none is free soon or the chosen one failed; the decode
-    // engine then computes the prompt itself.
-    async fn prefill(&mut self, reservation: &MemoryReservation) -> Option<PrefilledCache> {
-        let mut tried = Vec::new();
-        // A crash trial is a single send, which is the decode.
-        let is_trial = self.request.is_crash_trial;
-        let skips_prefill =
-            self.skip_prefill || is_trial || std::mem::take(&mut self.is_prompt_cached);
-        while !skips_prefill && tried.len() < MAX_PREFILL_ENGINES {
-            // What one version has computed of a prompt need not fit another one.
-            let engine = &reservation.engine;
-            let origin = self
-                .request
-                .origin(&engine.zone)
-                .of_software(&engine.software);
-            let (parts, rank) = (&self.parts, self.request.priority());
-            let chosen =
-                prefill::choose_prefill_engine(parts, &self.service, origin, rank, &tried)?;
-            let engine = chosen.0.id.clone();
-            // A rate-limited engine without a permit is treated like one that cannot be reached.
-            let Ok(permit) = parts.acquire_permit(&chosen.0, rank).await else {
-                tried.push(engine);
-                continue;
-            };
-            if !parts.may_send(&chosen.0, None) {
-                tried.push(engine);
-                continue;
-            }
-            if !self.may_prefill() {
-                return None;
-            }
-            permit.consume();
-            let failure = match prefill::prefill_prompt(&self.parts, &self.request, chosen).await {
-                Ok(cache) => {
-                    self.log_prefill(&cache.engine);
-                    self.prefill_received = true;
-                    return Some(cache);
-                }
-                Err(failure) => failure,
-            };
-            self.log_prefill_failure(&engine, &failure);
-            self.prefill_broken |= failure.received && failure.kind == BackendFailure::Broken;
-            if failure.received {
-                self.prefill_received = true;
-                self.parts.count_retry(&self.service);
-                return None;
-            }
-            tried.push(engine);
-        }
-        None
-    }
-
-    // The first prefill counts as a retry only if its engine fails to do it, so until then it only has to fit into the
-    // budget.
-    fn may_prefill(&self) -> bool {
-        match self.prefill_received {
-            true => self.parts.spend_retry(&self.service),
-            false => self.parts.may_risk_retry(&self.service),
-        }
-    }
-
-    fn may_decode_again(&self) -> bool {
-        self.parts.spend_retry(&self.service)
-    }
-
     /// Counts the retry that resumes this stream at another engine, and returns whether the budget allows it. If not, the
     /// part of the response that the client has is lost, so these retries may use a larger part of the budget.
     pub(super) fn count_retry(&mut self) -> bool {
@@ -438,16 +364,8 @@
         self.is_retry_counted
     }
 
-    fn record_use(&self, server: EngineKey, response: &Result<PooledAnswer, RoundFailure>) {
-        let mut budget = self.request.budget.borrow_mut();
-        match response {
-            Err(failure) if failure.verdict == RunVerdict::NotRun => budget.record_not_run(server),
-            Ok(_) | Err(_) => budget.record_run(server),
-        }
-    }
-
     // The request may have crashed servers elsewhere while it waited or its prompt was computed.
-    fn check_send(&self) -> Result<(), RoundFailure> {
+    pub(super) fn check_send(&self) -> Result<(), RoundFailure> {
         let Self {
             parts,
             request,
@@ -461,62 +379,4 @@
             final_refusal: Some(refusal),
         })
     }
-
-    async fn decode(
-        &mut self,
-        mut reservation: MemoryReservation,
-        cache: Option<PrefilledCache>,
-        after: Option<FastStr>,
-    ) -> Result<DecodeStream, RoundFailure> {
-        let has_permit = reservation.renew_permit(self.request.priority()).await;
-        let engine = &reservation.engine;
-        if !has_permit || !self.parts.may_send(engine, Some(reservation.reserved_at)) {
-            let detail = format!("{} takes no new requests", reservation.engine.id);
-            return Err(RoundFailure::new(RunVerdict::NotRun, detail));
-        }
-        if self.decodes_sent > 0
-            && !std::mem::take(&mut self.is_retry_counted)
-            && !self.may_decode_again()
-        {
-            let detail = "no repeats are left for another decode";
-            return Err(RoundFailure::new(RunVerdict::NotRun, detail));
-        }
-        self.check_send()?;
-        self.decodes_sent += 1;
-        let server = reservation.engine.key();
-        self.request.budget.borrow_mut().record_send(server);
-        self.log_decode(&reservation.engine);
-        let cache_source = cache
-            .as_ref()
-            .and_then(|cache| Some((cache.engine.address, cache.handle()?)));
-        let start = DecodeParams {
-            cache_source,
-            reservation: reservation.use_up(),
-            after_event: after,
-        };
-        let is_continued = start.after_event.is_some() || self.request.marks.last_event.is_some();
-        let guard = InFlightGuard::begin(
-            &self.parts,
-            &reservation.engine,
-            self.request.is_crash_suspect,
-        );
-        let response = match self.send_decode(&reservation, &start, &guard).await {
-            Ok(response) => {
-                let engine = &reservation.engine;
-                self.check_response(engine, &guard, cache, response).await
-            }
-            Err(failure) => Err(failure),
-        };
-        self.record_use(server, &response);
-        let response = response?;
-        Ok(DecodeStream {
-            status: response.status,
-            headers: response.headers.clone(),
-            body: ResponseBody::new(&self.request, response, is_continued),
-            guards: EngineGuards {
-                memory: reservation,
-                guard,
-            },
-        })
-    }
 }
