A used-up attempt goes back only to engines that still decode

Cause: an engine that had an attempt may have changed its role since; the list of used engines did not ask. Change: usable_decodes filters by role. Measured: clippy clean; found by reading, no failing run.

--- a/src/relay/policy/engines.rs
+++ b/src/relay/policy/engines.rs
@@ -224,8 +224,8 @@
         })
     }
 
-    /// The engines among these runs that may take a request now, in the same order.
-    pub fn usable_runs(
+    /// The decode engines among these runs that may take a request now, in the same order.
+    pub fn usable_decodes(
         &self,
         runs: &[EngineKey],
         origin: RequestOrigin<'_>,
@@ -233,8 +233,9 @@
     ) -> Vec<BackendInfo> {
         let ids = runs.iter().filter_map(|run| self.index.by_key(*run));
         let views = ids.filter_map(|id| self.views.get(id));
+        let decodes = views.filter(|view| view.info.role == Some(EngineRole::Decode));
         let usable =
-            views.filter(|view| origin.allows_server(&view.info) && self.accepts(view, now));
+            decodes.filter(|view| origin.allows_server(&view.info) && self.accepts(view, now));
         usable.map(|view| view.info.clone()).collect()
     }
 
--- a/src/relay/request/reserve.rs
+++ b/src/relay/request/reserve.rs
@@ -350,7 +350,7 @@
         });
         if request.budget.borrow().is_used_up() {
             let used = request.budget.borrow().used_servers();
-            engines = book.usable_runs(&used, origin, now);
+            engines = book.usable_decodes(&used, origin, now);
         }
         engines.retain(|engine| is_allowed(engine) && !without_permit.contains(&engine.id));
         engines
