Logs tell the shared prompt parts of a request whose server ended, and how long it had been answering

Cause: the lines of ended servers could not tell a whole request from a part of its prompt as the cause, nor a request whose answer began just then from one that had run for seconds. Change: request metadata has the ids of the shared parts, bounded in number and length; event 307 has parts and responded_ms. Measured: compiles; no decision reads the new fields.

--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -39,6 +39,8 @@
     pub last_part: Option<FastStr>,
     /// Number of tokens of that part.
     pub last_part_tokens: u64,
+    /// Ids of the other parts of the prompt, which other requests may share; bounded in number and length.
+    pub shared_parts: Vec<FastStr>,
 }
 
 /// The metadata in the headers of a backend server's response.
--- a/src/relay/request/guard.rs
+++ b/src/relay/request/guard.rs
@@ -18,6 +18,7 @@
             software_version::ServerSoftware,
         },
     },
+    faststr::FastStr,
     http::StatusCode,
     std::{cell::Cell, rc::Rc, time::Duration},
     tokio::{task::JoinHandle, time::Instant},
@@ -32,6 +33,8 @@
     parts: Rc<RelayParts>,
     backend: Box<BackendInfo>,
     started: Instant,
+    // When the head of the response arrived.
+    responded: Cell<Option<Instant>>,
     sent_at: Duration,
     call_id: u64,
     place: Option<Box<HeldPlace>>,
@@ -51,6 +54,7 @@
             parts: parts.clone(),
             backend: Box::new(backend.clone()),
             started: Instant::now(),
+            responded: Cell::default(),
             sent_at: now,
             call_id,
             place: None,
@@ -87,6 +91,7 @@
 
     /// Records what a response, successful or not, says about its server.
     pub(super) fn record_response(&self, status: StatusCode, marks: &ResponseMetadata) {
+        self.responded.set(Some(Instant::now()));
         let kind = AnswerKind::of(status, marks.not_run);
         let parts = &self.parts;
         parts.apply_server_marks(&self.backend, &marks.server, kind, self.sent_at);
@@ -175,7 +180,9 @@
             route: request.route.name.to_string(),
             account: request.account_name().to_owned(),
             digest: request.digest(),
+            parts: request.marks.shared_parts.clone(),
             ran: self.started.elapsed(),
+            responded: self.responded.get().map(|responded| responded.elapsed()),
             concurrent: view.calls().saturating_sub(1),
         })
     }
@@ -204,7 +211,11 @@
     route: String,
     account: String,
     digest: RequestDigest,
+    // Ids of the shared parts of its prompt.
+    parts: Vec<FastStr>,
     ran: Duration,
+    // Time since the head of the response arrived.
+    responded: Option<Duration>,
     // Number of other requests of this host at the same server.
     concurrent: usize,
 }
@@ -217,6 +228,8 @@
     }
 
     fn log_end(&self) {
+        let responded_ms = self.responded.map(|responded| responded.as_millis());
+        let responded_ms = responded_ms.map_or_else(|| "none".into(), |time| time.to_string());
         event::emit(
             &event::BACKEND_ENDED,
             &[
@@ -227,7 +240,9 @@
                 ("route", &self.route),
                 ("account", &self.account),
                 ("digest", &self.digest),
+                ("parts", &self.parts.join(",")),
                 ("ran_ms", &self.ran.as_millis()),
+                ("responded_ms", &responded_ms),
                 ("beside", &self.concurrent),
             ],
         );
