--- a/src/operation/crashes.rs
+++ b/src/operation/crashes.rs
@@ -7,7 +7,7 @@
         event,
         relay::{
             CrashReport, CrashTracker, CrashVerdict, EngineKey, FindingSource, RequestDigest,
-            VerdictChange,
+            VerdictChange, VerdictChanges,
         },
         web::{self, ProbeOutcome},
     },
@@ -59,7 +59,10 @@
             CrashVerdict::Harmless | CrashVerdict::Suspected(_) => return Ok(()),
             CrashVerdict::TrialDue if verdict == RunVerdict::NotRun => {
                 book.grant_trial(digest, now);
-                event::emit(&event::REQUEST_TRIED, &[("digest", &digest)]);
+                event::emit(
+                    &event::REQUEST_TRIED,
+                    &[("suspect", &"request"), ("digest", &digest)],
+                );
                 return Ok(());
             }
             CrashVerdict::TrialDue => TRIAL_RETRY_AFTER,
@@ -87,15 +90,15 @@
             &[("backend", &server), ("digest", &digest)],
         );
         let now = self.clock.now();
-        let change = self.book().record_crash(digest, EngineKey::of(server), now);
-        log_change(digest, change);
+        let changes = self.book().record_crash(digest, EngineKey::of(server), now);
+        log_changes(&changes);
     }
 
     /// Records a successful run of a request.
     pub fn note_good_run(&self, digest: RequestDigest) {
         let now = self.clock.now();
-        let change = self.book().record_success(digest, now);
-        log_change(digest, change);
+        let changes = self.book().record_success(digest, now);
+        log_changes(&changes);
     }
 
     /// Returns the marks to send to other hosts.
@@ -111,25 +114,21 @@
         let changes = self
             .book()
             .merge(marks, FindingSource::Distributed, self.clock.now());
-        for (digest, change) in changes {
-            log_change(digest, Some(change));
-        }
+        log_changes(&changes);
     }
 
     /// Returns the number of requests that are known to crash their servers.
     pub fn fatal_count(&self) -> usize {
-        self.book().fatal_count()
+        self.book().fatal_suspects().len()
     }
 }
 
-fn log_change(digest: RequestDigest, change: Option<VerdictChange>) {
-    match change {
-        Some(VerdictChange::BecameFatal) => {
-            event::emit(&event::REQUEST_JUDGED, &[("digest", &digest)])
-        }
-        Some(VerdictChange::NoLongerFatal) => {
-            event::emit(&event::REQUEST_CLEARED, &[("digest", &digest)])
-        }
-        None => {}
+fn log_changes(changes: &VerdictChanges) {
+    for (suspect, change) in changes {
+        let kind = match change {
+            VerdictChange::BecameFatal => &event::REQUEST_JUDGED,
+            VerdictChange::NoLongerFatal => &event::REQUEST_CLEARED,
+        };
+        event::emit(kind, &[("suspect", &suspect.kind()), ("digest", suspect)]);
     }
 }
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -179,7 +179,7 @@
             charges: Box::new(move |account, units| charge_parts.charge_ledger(account, units)),
             exchange: Box::new(move |theirs| sums_parts.exchange_sums(&theirs)),
             findings: Box::new(move |told, is_zone| findings.apply_findings(&told, is_zone)),
-            trials: Box::new(move |digest| trial_parts.grant_trial(digest)),
+            trials: Box::new(move |suspect| trial_parts.grant_trial(suspect)),
             follow: Box::new(move |held| news::answer_follow(parts.clone(), held).boxed_local()),
             reports: Box::new(move |reporter, loads, view| reporting.answer(reporter, loads, view)),
         };
--- a/src/relay/news/crash_message.rs
+++ b/src/relay/news/crash_message.rs
@@ -1,12 +1,12 @@
-//! Encoding of crash records, the requests during which backend servers ended, in messages between hosts.
+//! Encoding of crash records, the requests and prompt parts under which backend servers ended, in messages between hosts.
 
 use {
     super::message,
     crate::{
-        news_capnp::crash_mark,
+        news_capnp::{crash_mark, news_peer::allow_trial_params},
         relay::policy::{
             crash_report::{CrashEntry, CrashReport},
-            digest::RequestDigest,
+            crash_suspect::CrashSuspect,
             loads::EngineKey,
         },
     },
@@ -25,6 +25,7 @@
     let (high, low) = split_digest(mark.digest);
     to.set_high(high);
     to.set_low(low);
+    to.set_is_part(mark.is_part);
     to.set_seen_ms(message::to_ms(Some(mark.seen)));
     let mut trials = to.reborrow().init_trials_ms(mark.trials.len() as u32);
     for (index, age) in mark.trials.iter().enumerate() {
@@ -52,6 +53,7 @@
     });
     Ok(CrashReport {
         digest: join_digest(from.get_high(), from.get_low()),
+        is_part: from.get_is_part(),
         crashes: ends.collect(),
         trials: from.get_trials_ms()?.iter().map(from_millis).collect(),
         seen: from_millis(from.get_seen_ms()),
@@ -62,12 +64,24 @@
     Duration::from_millis(u64::from(millis))
 }
 
-/// Splits a digest into the high and low half that messages carry.
-pub fn split_digest(digest: RequestDigest) -> (u64, u64) {
-    ((digest.0 >> 64) as u64, digest.0 as u64)
+/// Writes the suspect whose trial is requested.
+pub fn write_trial(mut to: allow_trial_params::Builder<'_>, suspect: CrashSuspect) {
+    let (high, low) = split_digest(suspect.digest());
+    to.set_high(high);
+    to.set_low(low);
+    to.set_is_part(suspect.is_part());
+}
+
+/// Reads the suspect whose trial is requested.
+pub fn read_trial(from: allow_trial_params::Reader<'_>) -> CrashSuspect {
+    let digest = join_digest(from.get_high(), from.get_low());
+    CrashSuspect::from_wire(digest, from.get_is_part())
+}
+
+fn split_digest(digest: u128) -> (u64, u64) {
+    ((digest >> 64) as u64, digest as u64)
 }
 
-/// Joins the two halves of a digest.
-pub fn join_digest(high: u64, low: u64) -> RequestDigest {
-    RequestDigest(u128::from(high) << 64 | u128::from(low))
+fn join_digest(high: u64, low: u64) -> u128 {
+    u128::from(high) << 64 | u128::from(low)
 }
--- a/src/relay/news/findings.rs
+++ b/src/relay/news/findings.rs
@@ -13,7 +13,7 @@
             link::HostEntry,
             parts::shared::RelayParts,
             policy::{
-                digest::RequestDigest,
+                crash_suspect::CrashSuspect,
                 findings_cache::FindingSource,
                 shared_findings::{SharedFindings, SharedRevisions},
             },
@@ -40,7 +40,7 @@
 /// Timeout of that fetch; until then the host is not ready, and callers wait for it.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Number of hosts that are asked in turn whether a request may be tried, since entries of lost hosts remain in the
+/// Number of hosts that are asked in turn whether a suspect may be tried, since entries of lost hosts remain in the
 /// list. During a network partition a host on each side may allow a trial, which stays within the three sends of such a
 /// request that operators allow.
 const MAX_TRIAL_HOSTS: usize = 3;
@@ -92,8 +92,8 @@
             sent_revisions: RefCell::default(),
         });
         let requester = sync.clone();
-        sync.parts.crashes.set_trial_query(Rc::new(move |digest| {
-            requester.clone().request_trial(digest).boxed_local()
+        sync.parts.crashes.set_trial_query(Rc::new(move |suspect| {
+            requester.clone().request_trial(suspect).boxed_local()
         }));
         critical_task::spawn_critical("findings", sync.clone().run());
         critical_task::spawn_critical("initial findings", sync.clone().fetch_initial());
@@ -242,13 +242,13 @@
         }
     }
 
-    // All hosts ask the same hosts in the same order, so that only one of them allows the request to be tried.
-    async fn request_trial(self: Rc<Self>, digest: RequestDigest) -> bool {
-        for entry in self.trial_hosts(digest) {
+    // All hosts ask the same hosts in the same order, so that only one of them allows the trial.
+    async fn request_trial(self: Rc<Self>, suspect: CrashSuspect) -> bool {
+        for entry in self.trial_hosts(suspect) {
             if entry.name == self.parts.settings.name {
-                return self.parts.grant_trial(digest);
+                return self.parts.grant_trial(suspect);
             }
-            let call = self.client.allow_trial(entry.peers, digest, CALL_TIMEOUT);
+            let call = self.client.allow_trial(entry.peers, suspect, CALL_TIMEOUT);
             match call.await {
                 Ok(is_allowed) => return is_allowed,
                 Err(error) => {
@@ -259,8 +259,8 @@
         false
     }
 
-    fn trial_hosts(&self, digest: RequestDigest) -> Vec<HostEntry> {
-        let key = digest.to_string();
+    fn trial_hosts(&self, suspect: CrashSuspect) -> Vec<HostEntry> {
+        let key = suspect.to_string();
         let cluster = self.parts.cluster.borrow();
         let mut hosts: Vec<HostEntry> = cluster.hosts().cloned().collect();
         hosts.sort_by_key(|entry| Reverse(peer::draw(&entry.name, &key)));
--- a/src/relay/news/news.capnp
+++ b/src/relay/news/news.capnp
@@ -62,14 +62,15 @@
 
 # Crash record: what is known about a request during which servers ended, without any of its content.
 struct CrashMark {
-  # High and low half of the request's digest.
+  # High and low half of the digest of the request, or of the part of prompts.
   high @0 :UInt64;
   low @1 :UInt64;
   ends @2 :List(ServerEnd);
-  # How long ago each trial of the request was.
+  # How long ago each trial was.
   trialsMs @3 :List(UInt32);
-  # How long ago the request was last received.
+  # How long ago it was last received.
   seenMs @4 :UInt32;
+  isPart @5 :Bool;
 }
 
 struct KindNews {
@@ -271,8 +272,9 @@
   exchange @3 (sums :LedgerSums) -> (sums :List(LedgerSums));
   # Sends crash records and rate-limited servers, either a host's own or those of the sender's whole zone.
   tellFindings @4 (marks :List(CrashMark), isZone :Bool, limits :List(LimitUpdate)) -> ();
-  # Whether a request that is considered fatal to servers may be tried; allowed once across all hosts.
-  allowTrial @5 (high :UInt64, low :UInt64) -> (isAllowed :Bool);
+  # Whether a request, or a part of prompts, that is considered fatal to servers may be tried; allowed once across all
+  # hosts.
+  allowTrial @5 (high :UInt64, low :UInt64, isPart :Bool) -> (isAllowed :Bool);
   # Requests permits at a rate-limited server from the host that allocates them for all hosts; returns the permits, or
   # when one is likely. The rank is the urgency of the request, 0 is the most urgent. With no permits wanted, the call
   # only passes on what the server reported. A forwarded request is not forwarded again.
--- a/src/relay/news/news_capnp.rs
+++ b/src/relay/news/news_capnp.rs
@@ -1366,6 +1366,10 @@
         pub fn get_seen_ms(self) -> u32 {
             self.reader.get_data_field::<u32>(4)
         }
+        #[inline]
+        pub fn get_is_part(self) -> bool {
+            self.reader.get_bool_field(160)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -1476,6 +1480,14 @@
         pub fn set_seen_ms(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(4, value);
         }
+        #[inline]
+        pub fn get_is_part(self) -> bool {
+            self.builder.get_bool_field(160)
+        }
+        #[inline]
+        pub fn set_is_part(&mut self, value: bool)  {
+            self.builder.set_bool_field(160, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1487,7 +1499,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 101] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 116] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(240, 47, 88, 240, 142, 165, 88, 187),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
@@ -1497,49 +1509,56 @@
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 67, 114, 97, 115, 104),
             ::capnp::word(77, 97, 114, 107, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 160, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(104, 105, 103, 104, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1589,6 +1608,14 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 80, 97, 114, 116, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1597,6 +1624,7 @@
                 2 => <::capnp::struct_list::Owned<crate::news_capnp::server_end::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 3 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1610,9 +1638,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1,4,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,5,1,4,3];
         pub(crate) const TYPE_ID: u64 = 0xbb58_a58e_f058_2ff0;
     }
 }
@@ -9127,11 +9155,15 @@
             pub fn get_low(self) -> u64 {
                 self.reader.get_data_field::<u64>(1)
             }
+            #[inline]
+            pub fn get_is_part(self) -> bool {
+                self.reader.get_bool_field(128)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -9197,6 +9229,14 @@
             pub fn set_low(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(1, value);
             }
+            #[inline]
+            pub fn get_is_part(self) -> bool {
+                self.builder.get_bool_field(128)
+            }
+            #[inline]
+            pub fn set_is_part(&mut self, value: bool)  {
+                self.builder.set_bool_field(128, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -9208,17 +9248,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(116, 105, 232, 9, 6, 0, 241, 157),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 101, 119, 115, 46, 99, 97, 112),
@@ -9226,21 +9266,28 @@
                 ::capnp::word(101, 101, 114, 46, 97, 108, 108, 111),
                 ::capnp::word(119, 84, 114, 105, 97, 108, 36, 80),
                 ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 34, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 128, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(104, 105, 103, 104, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -9257,11 +9304,20 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 115, 80, 97, 114, 116, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -9275,9 +9331,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
             pub(crate) const TYPE_ID: u64 = 0x9df1_0006_09e8_6974;
         }
     }
--- a/src/relay/news/rpc.rs
+++ b/src/relay/news/rpc.rs
@@ -18,7 +18,7 @@
             admission::places::place_request::{PlaceAnswer, PlaceMessage},
             parts::origins::OriginAnswer,
             policy::{
-                digest::RequestDigest,
+                crash_suspect::CrashSuspect,
                 loads::{LoadReport, LoadReporter},
                 permit_allocator::{PermitGrant, PermitRequest},
                 shared_findings::SharedFindings,
@@ -51,7 +51,7 @@
 pub type FindingsHandler = dyn Fn(SharedFindings, bool);
 
 /// Decides whether a request that is considered fatal to servers may be tried.
-pub type TrialHandler = dyn Fn(RequestDigest) -> bool;
+pub type TrialHandler = dyn Fn(CrashSuspect) -> bool;
 
 /// Accepts the totals of another ledger; returns those of this host's ledger and those known of others.
 pub type ExchangeHandler = dyn Fn(LedgerSums) -> Vec<LedgerSums>;
@@ -185,8 +185,7 @@
         mut results: news_peer::AllowTrialResults,
     ) -> Result<(), Error> {
         let params = params.get()?;
-        let digest = crash_message::join_digest(params.get_high(), params.get_low());
-        let is_allowed = (self.handlers.trials)(digest);
+        let is_allowed = (self.handlers.trials)(crash_message::read_trial(params));
         results.get().set_is_allowed(is_allowed);
         Ok(())
     }
@@ -367,19 +366,17 @@
             .await
     }
 
-    /// Asks a host whether a request that is considered fatal to servers may be tried.
+    /// Asks a host whether a suspect that is considered fatal to servers may be tried.
     pub async fn allow_trial(
         &self,
         address: SocketAddr,
-        digest: RequestDigest,
+        suspect: CrashSuspect,
         timeout: Duration,
     ) -> Result<bool, Error> {
         self.links
             .call(address, timeout, |client| async move {
                 let mut request = client.allow_trial_request();
-                let (high, low) = crash_message::split_digest(digest);
-                request.get().set_high(high);
-                request.get().set_low(low);
+                crash_message::write_trial(request.get(), suspect);
                 let response = request.send().promise.await?;
                 Ok(response.get()?.get_is_allowed())
             })
--- a/src/relay/parts/crashes.rs
+++ b/src/relay/parts/crashes.rs
@@ -1,4 +1,4 @@
-//! Fatal requests: requests under which backend servers crash. Records what this host observes and what other hosts report,
+//! Requests and prompt parts under which backend servers crash. Records what this host observes and what other hosts report,
 //! and logs and counts it.
 
 use {
@@ -11,8 +11,8 @@
             policy::{
                 crash_record::CrashVerdict,
                 crash_report::{CrashReport, CrashUpdates, StoredVerdict},
-                crash_tracker::{CrashTracker, VerdictChange},
-                digest::RequestDigest,
+                crash_suspect::CrashSuspect,
+                crash_tracker::{CrashTracker, VerdictChange, VerdictChanges},
                 findings_cache::{CachePosition, FindingSource},
                 loads::EngineKey,
             },
@@ -22,6 +22,7 @@
     futures::future::LocalBoxFuture,
     std::{
         cell::{Cell, RefCell},
+        cmp::Reverse,
         collections::{BTreeSet, HashMap},
         fmt,
         net::SocketAddr,
@@ -29,18 +30,18 @@
     },
 };
 
-/// Maximum number of fatal requests that a host's entry in the store keeps. A fleet with more of them has already lost two
+/// Maximum number of fatal suspects that a host's entry in the store keeps. A fleet with more of them has already lost two
 /// dozen servers to them.
 const KEPT_JUDGEMENTS_MAX: usize = 8;
 
-/// Asks the host that grants trials of a request whether it may be tried.
-pub type TrialQuery = dyn Fn(RequestDigest) -> LocalBoxFuture<'static, bool>;
+/// Asks the host that grants trials of a suspect whether it may be tried.
+pub type TrialQuery = dyn Fn(CrashSuspect) -> LocalBoxFuture<'static, bool>;
 
-/// This host's records of fatal requests, and the state of their exchange with other hosts.
+/// This host's records of suspects, and the state of their exchange with other hosts.
 pub struct CrashRecords {
     book: RefCell<CrashTracker>,
-    // Fatal requests that this host's entry in the store keeps.
-    kept: RefCell<BTreeSet<RequestDigest>>,
+    // Fatal suspects that this host's entry in the store keeps.
+    kept: RefCell<BTreeSet<CrashSuspect>>,
     // Position up to which this host has received the records of each other host, by its address.
     received: RefCell<HashMap<SocketAddr, CachePosition>>,
     // Whether this host has received the records of another host, or, where none could send them, those in the store.
@@ -50,7 +51,7 @@
 
 impl fmt::Debug for CrashRecords {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "CrashRecords({} requests)", self.book.borrow().len())
+        write!(f, "CrashRecords({} suspects)", self.book.borrow().len())
     }
 }
 
@@ -76,9 +77,16 @@
         self.book.borrow().is_empty()
     }
 
-    /// Number of requests that are judged fatal.
+    /// Number of requests and prompt parts that are judged fatal.
     pub fn fatal_count(&self) -> usize {
-        self.book.borrow().fatal_count()
+        self.book.borrow().fatal_suspects().len()
+    }
+
+    /// Number of prompt parts that are judged fatal.
+    pub fn fatal_part_count(&self) -> usize {
+        let book = self.book.borrow();
+        let suspects = book.fatal_suspects().iter();
+        suspects.filter(|suspect| suspect.is_part()).count()
     }
 
     /// Returns the position up to which this host has received the records of the host at an address.
@@ -99,73 +107,79 @@
 }
 
 impl RelayParts {
-    /// Returns the judgement on a request and records that the request arrived.
-    pub fn judge_request(&self, digest: RequestDigest) -> CrashVerdict {
+    /// Returns the suspects of a request that are not harmless, the worst one first, and records that they arrived.
+    pub fn judge_request(&self, suspects: &[CrashSuspect]) -> Vec<(CrashSuspect, CrashVerdict)> {
         let now = self.now();
         let mut book = self.crashes.book.borrow_mut();
-        let judgement = book.verdict(digest, now);
-        if judgement != CrashVerdict::Harmless {
-            book.record_seen(digest, now);
+        let verdicts = suspects
+            .iter()
+            .map(|suspect| (*suspect, book.verdict(*suspect, now)));
+        let mut judged: Vec<(CrashSuspect, CrashVerdict)> = verdicts
+            .filter(|(_, verdict)| *verdict != CrashVerdict::Harmless)
+            .collect();
+        for (suspect, _) in &judged {
+            book.record_seen(*suspect, now);
         }
-        judgement
+        judged.sort_by_key(|(_, verdict)| Reverse(*verdict));
+        judged
     }
 
-    /// Records that a backend server crashed while it ran a request.
-    pub fn record_crash(&self, digest: RequestDigest, backend: &BackendInfo) {
+    /// Records that a backend server crashed while it ran a request with these suspects.
+    pub fn record_crash(&self, suspects: &[CrashSuspect], backend: &BackendInfo) {
         let run = EngineKey::of_run(&backend.id, backend.born);
-        let change = {
+        let changes = {
             let mut book = self.crashes.book.borrow_mut();
-            book.record_crash(digest, run, self.now())
+            let suspects = suspects.iter();
+            suspects
+                .flat_map(|suspect| book.record_crash(*suspect, run, self.now()))
+                .collect()
         };
-        self.publish_crash_change(digest, change);
+        self.publish_crash_changes(&changes);
     }
 
-    /// Records that a request completed successfully.
-    pub fn record_success(&self, digest: impl FnOnce() -> RequestDigest) {
-        if self.crashes.is_empty() {
-            return;
-        }
-        let digest = digest();
+    /// Records that a request with these suspects completed successfully.
+    pub fn record_success(&self, suspects: &[CrashSuspect]) {
         let before = self.crashes.book.borrow().position();
-        let change = {
+        let changes = {
             let mut book = self.crashes.book.borrow_mut();
-            book.record_success(digest, self.now())
+            let suspects = suspects.iter();
+            suspects
+                .flat_map(|suspect| book.record_success(*suspect, self.now()))
+                .collect()
         };
         if self.crashes.book.borrow().position() != before {
-            self.publish_crash_change(digest, change);
+            self.publish_crash_changes(&changes);
         }
     }
 
-    /// Returns whether a fatal request may be tried now according to this host's records; if so, records the trial.
-    pub fn grant_trial(&self, digest: RequestDigest) -> bool {
+    /// Returns whether a fatal suspect may be tried now according to this host's records; if so, records the trial.
+    pub fn grant_trial(&self, suspect: CrashSuspect) -> bool {
         let granted = self
             .crashes
             .book
             .borrow_mut()
-            .grant_trial(digest, self.now());
+            .grant_trial(suspect, self.now());
         if granted {
-            event::emit(&event::REQUEST_TRIED, &[("digest", &digest)]);
-            self.publish_crash_change(digest, None);
+            let fields: [(&str, &dyn fmt::Display); 2] =
+                [("suspect", &suspect.kind()), ("digest", &suspect)];
+            event::emit(&event::REQUEST_TRIED, &fields);
+            self.publish_crash_changes(&VerdictChanges::new());
         }
         granted
     }
 
-    /// Asks the host that grants trials of a request whether it may be tried.
-    pub async fn request_trial(&self, digest: RequestDigest) -> bool {
+    /// Asks the host that grants trials of a suspect whether it may be tried.
+    pub async fn request_trial(&self, suspect: CrashSuspect) -> bool {
         let query = self.crashes.trial_query.borrow().clone();
         match query {
-            Some(query) => query(digest).await,
-            None => self.grant_trial(digest),
+            Some(query) => query(suspect).await,
+            None => self.grant_trial(suspect),
         }
     }
 
-    fn publish_crash_change(&self, digest: RequestDigest, change: Option<VerdictChange>) {
-        if change == Some(VerdictChange::BecameFatal) {
-            self.keep_judgement(digest);
-        }
-        if let Some(change) = change {
-            self.log_judgements(&[(digest, change)]);
-        }
+    fn publish_crash_changes(&self, changes: &VerdictChanges) {
+        self.keep_judgements(changes);
+        self.log_judgements(changes);
         self.findings_changed.notify_one();
         self.state_changed.notify_waiters();
     }
@@ -185,21 +199,25 @@
             return;
         }
         if source == FindingSource::Reported {
-            let judged = changes
-                .iter()
-                .filter(|(_, change)| *change == VerdictChange::BecameFatal);
-            judged.for_each(|(digest, _)| self.keep_judgement(*digest));
+            self.keep_judgements(&changes);
             self.findings_changed.notify_one();
         }
         self.state_changed.notify_waiters();
     }
 
-    // Adds a fatal request to those that this host's entry in the store keeps. Hosts that learn of the judgement in the
-    // fleet-wide exchange don't add it, so that only one or two hosts write it to the store.
-    fn keep_judgement(&self, digest: RequestDigest) {
+    // Adds the suspects that became fatal to those that this host's entry in the store keeps. Hosts that learn of a judgement
+    // in the fleet-wide exchange don't add it, so that only one or two hosts write it to the store.
+    fn keep_judgements(&self, changes: &VerdictChanges) {
+        let fatal = changes
+            .iter()
+            .filter(|(_, change)| *change == VerdictChange::BecameFatal);
+        fatal.for_each(|(suspect, _)| self.keep_judgement(*suspect));
+    }
+
+    fn keep_judgement(&self, suspect: CrashSuspect) {
         let mut kept = self.crashes.kept.borrow_mut();
         if kept.len() < KEPT_JUDGEMENTS_MAX {
-            kept.insert(digest);
+            kept.insert(suspect);
         }
     }
 
@@ -207,10 +225,10 @@
     pub fn kept_judgements(&self) -> Vec<StoredVerdict> {
         let book = self.crashes.book.borrow();
         let mut kept = self.crashes.kept.borrow_mut();
-        kept.retain(|digest| book.fatal_report(*digest, self.now()).is_some());
+        kept.retain(|suspect| book.fatal_report(*suspect, self.now()).is_some());
         let marks = kept
             .iter()
-            .filter_map(|digest| book.fatal_report(*digest, self.now()));
+            .filter_map(|suspect| book.fatal_report(*suspect, self.now()));
         marks.map(|mark| StoredVerdict::of(&mark)).collect()
     }
 
@@ -230,12 +248,12 @@
     fn adopt_judgements(&self) {
         let cluster = self.cluster.borrow();
         let own = &self.settings.name;
-        for digest in self.crashes.book.borrow().fatal_digests() {
-            let about = digest.to_string();
+        for suspect in self.crashes.book.borrow().fatal_suspects() {
+            let about = suspect.to_string();
             let others = cluster.hosts().map(|entry| entry.name.as_str());
             let is_first = peer::is_among_first(own, others, &about, 1);
-            if is_first && !cluster.hosts().any(|entry| keeps(entry, digest)) {
-                self.keep_judgement(digest);
+            if is_first && !cluster.hosts().any(|entry| keeps(entry, *suspect)) {
+                self.keep_judgement(*suspect);
             }
         }
     }
@@ -253,7 +271,7 @@
         for (name, marks) in kept {
             if name == self.settings.name {
                 let own = marks.iter();
-                own.for_each(|mark| self.keep_judgement(mark.digest));
+                own.for_each(|mark| self.keep_judgement(mark.suspect()));
             }
             if !self.crashes.has_learned.get() {
                 self.merge_crash_marks(&marks, FindingSource::Distributed);
@@ -295,24 +313,26 @@
         (marks, book.position().revision)
     }
 
-    /// Returns whether this host knows the fatal requests as far as any other host could send them.
+    /// Returns whether this host knows the fatal suspects as far as any other host could send them.
     pub fn has_crash_records(&self) -> bool {
         self.crashes.has_learned.get() || !self.cluster.borrow().hosts_position().is_known()
     }
 
-    fn log_judgements(&self, changes: &[(RequestDigest, VerdictChange)]) {
-        for (digest, change) in changes {
+    fn log_judgements(&self, changes: &VerdictChanges) {
+        for (suspect, change) in changes {
             let kind = match change {
                 VerdictChange::BecameFatal => &event::REQUEST_JUDGED,
                 VerdictChange::NoLongerFatal => &event::REQUEST_CLEARED,
             };
-            event::emit(kind, &[("digest", digest)]);
+            event::emit(kind, &[("suspect", &suspect.kind()), ("digest", suspect)]);
         }
     }
 }
 
-fn keeps(entry: &HostEntry, digest: RequestDigest) -> bool {
-    kept_marks(entry).iter().any(|mark| mark.digest == digest)
+fn keeps(entry: &HostEntry, suspect: CrashSuspect) -> bool {
+    kept_marks(entry)
+        .iter()
+        .any(|mark| mark.suspect() == suspect)
 }
 
 fn kept_marks(entry: &HostEntry) -> Vec<CrashReport> {
--- a/src/relay/parts/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -63,8 +63,10 @@
     /// Lists from the store that were ignored because their revision is older than the known one.
     pub older_lists: Counter,
     store_calls: Family<CauseLabels, Counter>,
-    /// Requests that are judged fatal.
+    /// Requests and prompt parts that are judged fatal.
     pub fatal_requests: Gauge,
+    /// Prompt parts that are judged fatal.
+    pub fatal_parts: Gauge,
     /// Connections opened to backend servers.
     pub connections_opened: Gauge,
     /// Requests sent to backend servers over an existing connection.
@@ -151,6 +153,7 @@
             older_lists: Counter::default(),
             store_calls: Family::default(),
             fatal_requests: Gauge::default(),
+            fatal_parts: Gauge::default(),
             connections_opened: Gauge::default(),
             connections_reused: Gauge::default(),
             news_age: Gauge::default(),
@@ -258,9 +261,14 @@
             ),
             (
                 "fatal_requests",
-                "Requests that are held to end their servers",
+                "Requests and parts of prompts that are held to end their servers",
                 &self.fatal_requests,
             ),
+            (
+                "fatal_parts",
+                "Parts of prompts that are held to end their servers",
+                &self.fatal_parts,
+            ),
             (
                 "connections_opened",
                 "Connections opened to backend servers since the start",
--- a/src/relay/parts/service_metrics.rs
+++ b/src/relay/parts/service_metrics.rs
@@ -2,6 +2,7 @@
 
 use {
     super::metric_labels::{self, ServiceLabels},
+    crate::relay::policy::crash_suspect::CrashSuspect,
     faststr::FastStr,
     prometheus_client::{
         metrics::{counter::Counter, family::Family},
@@ -18,6 +19,7 @@
     known_services: RefCell<HashSet<FastStr>>,
     ended_under: ServiceCounter,
     fatal_refused: ServiceCounter,
+    part_refused: ServiceCounter,
     region_refused: ServiceCounter,
     held_back: ServiceCounter,
     held_off: ServiceCounter,
@@ -38,6 +40,11 @@
                 "Requests refused since backend servers end under them, by service",
                 &self.fatal_refused,
             ),
+            (
+                "part_refused",
+                "Those of them that were refused for a part of their prompts, by service",
+                &self.part_refused,
+            ),
             (
                 "region_refused",
                 "Requests refused since no server in the regions allowed to them may take them, by service",
@@ -94,9 +101,12 @@
         self.count(&self.server_backoffs, service);
     }
 
-    /// Counts a request refused because backend servers of the service crash under it.
-    pub fn fatal_refused(&self, service: &FastStr) {
+    /// Counts a request refused because backend servers crash under a suspect of it.
+    pub fn fatal_refused(&self, service: &FastStr, suspect: CrashSuspect) {
         self.count(&self.fatal_refused, service);
+        if suspect.is_part() {
+            self.count(&self.part_refused, service);
+        }
     }
 
     /// Counts a request refused because no server of the service in the regions allowed to it may take it.
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -387,6 +387,9 @@
         metrics
             .fatal_requests
             .set(self.crashes.fatal_count() as i64);
+        metrics
+            .fatal_parts
+            .set(self.crashes.fatal_part_count() as i64);
         metrics
             .servers_limited
             .set(self.book.borrow().limits.len() as i64);
--- a/src/relay/policy/crash_record.rs
+++ b/src/relay/policy/crash_record.rs
@@ -1,19 +1,16 @@
-//! The record of one request that was running on backend servers when they crashed.
+//! The record of one suspect: a request or prompt part that was running on backend servers when they crashed.
 
 use {
     super::{
         crash_report::{CrashEntry, CrashReport},
-        digest::RequestDigest,
+        crash_suspect::CrashSuspect,
         loads::EngineKey,
         past_time::PastTime,
     },
     std::time::Duration,
 };
 
-/// Crashed server runs after which a request counts as their cause. Operators accept the loss of three.
-pub const FATAL_CRASHES: usize = 3;
-
-/// Crashed runs kept per record. More than [`FATAL_CRASHES`], so that a run that was dropped does not count again when
+/// Crashed runs kept per record. More than make a suspect fatal, so that a run that was dropped does not count again when
 /// another one is excused.
 const MAX_RUNS: usize = 8;
 
@@ -39,17 +36,19 @@
     is_excused: bool,
 }
 
-/// The verdict on a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// The verdict on a suspect, or on a request by its worst one.
+///
+/// In the order of severity.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum CrashVerdict {
-    /// No crash counts against it.
+    /// Too few crashes count against it to suspect it.
     Harmless,
     /// This many crashes count against it, too few to call it the cause.
     Suspected(usize),
-    /// It crashes servers and must not be sent to any for this long.
-    Fatal(Duration),
     /// It counts as crashing servers, and one trial is due, one for all hosts together.
     TrialDue,
+    /// It crashes servers and must not be sent to any for this long.
+    Fatal(Duration),
 }
 
 /// The crashes and trials of one request. Merging is commutative and idempotent, so hosts that received the same
@@ -91,14 +90,15 @@
     }
 
     /// The record in the form sent to other hosts.
-    pub fn report(&self, digest: RequestDigest, now: Duration) -> CrashReport {
+    pub fn report(&self, suspect: CrashSuspect, now: Duration) -> CrashReport {
         let crashes = self.crashes.iter().map(|crash| CrashEntry {
             run: crash.run,
             age: crash.at.age(now),
             is_excused: crash.is_excused,
         });
         CrashReport {
-            digest,
+            digest: suspect.digest(),
+            is_part: suspect.is_part(),
             crashes: crashes.collect(),
             trials: self.trials.iter().map(|at| at.age(now)).collect(),
             seen: self.seen.age(now),
@@ -117,10 +117,18 @@
 
     /// The number of crashes that count; each server run counts once, however many hosts saw it crash.
     pub fn counted_crashes(&self) -> usize {
-        self.crashes
-            .iter()
-            .filter(|crash| !crash.is_excused)
-            .count()
+        self.counted_runs().count()
+    }
+
+    /// The server runs whose crashes count.
+    pub fn counted_runs(&self) -> impl Iterator<Item = EngineKey> {
+        let counted = self.crashes.iter().filter(|crash| !crash.is_excused);
+        counted.map(|crash| crash.run)
+    }
+
+    /// Whether a request has completed since some of the crashes.
+    pub fn has_excused(&self) -> bool {
+        self.crashes.iter().any(|crash| crash.is_excused)
     }
 
     /// Records the crash of a run. Returns whether it was not known before.
@@ -171,16 +179,8 @@
         *self != before
     }
 
-    /// The current verdict.
-    pub fn verdict(&self, now: Duration) -> CrashVerdict {
-        match self.counted_crashes() {
-            0 => CrashVerdict::Harmless,
-            count if count < FATAL_CRASHES => CrashVerdict::Suspected(count),
-            _ => self.fatal_verdict(now),
-        }
-    }
-
-    fn fatal_verdict(&self, now: Duration) -> CrashVerdict {
+    /// The verdict on a suspect that counts as the cause of its crashes.
+    pub fn fatal_verdict(&self, now: Duration) -> CrashVerdict {
         let counted = self.crashes.iter().filter(|crash| !crash.is_excused);
         let events = counted
             .map(|crash| crash.at)
--- a/src/relay/policy/crash_report.rs
+++ b/src/relay/policy/crash_report.rs
@@ -2,45 +2,62 @@
 //! contents of requests.
 
 use {
-    super::{digest::RequestDigest, findings_cache::CacheUpdates, loads::EngineKey},
+    super::{crash_suspect::CrashSuspect, findings_cache::CacheUpdates, loads::EngineKey},
     faststr::FastStr,
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
 
-/// The crash of one server run while it was running a request, as sent to other hosts.
+/// The crash of one server run that counts against a suspect, as sent to other hosts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashEntry {
     /// The server run.
     pub run: EngineKey,
     /// How long ago it crashed.
     pub age: Duration,
-    /// The request has completed since.
+    /// A request with the suspect has completed since.
     pub is_excused: bool,
 }
 
-/// A host's record of one request, as sent to other hosts.
+/// A host's record of one suspect, as sent to other hosts.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
-    /// The digest of the request.
-    pub digest: RequestDigest,
+    /// The digest of the suspect.
+    pub digest: u128,
+    /// Whether the suspect is a part of prompts.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub is_part: bool,
     /// The server runs that crashed while they were running it.
     #[serde(rename = "ends")]
     pub crashes: Vec<CrashEntry>,
     /// How long ago each trial was.
     pub trials: Vec<Duration>,
-    /// How long ago the request was last seen.
+    /// How long ago the suspect was last seen.
     pub seen: Duration,
 }
 
-/// A fatal request, as kept in a host's store entry so that it survives a restart of all hosts at once.
+impl CrashReport {
+    /// What the crashes count against.
+    pub fn suspect(&self) -> CrashSuspect {
+        CrashSuspect::from_wire(self.digest, self.is_part)
+    }
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
+/// A fatal request or prompt part, as kept in a host's store entry so that it survives a restart of all hosts at once.
 ///
 /// It has no ages, since no host's clock survives such a restart. Its crashes and trials count as having happened when
 /// it is read, so the next trial comes later by at most the time since they happened.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredVerdict {
-    /// The digest of the request in hexadecimal, since readers of the store may not support 128-bit integers.
+    /// The digest in hexadecimal, since readers of the store may not support 128-bit integers.
     pub digest: FastStr,
+    /// Whether it is a part of prompts.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub is_part: bool,
     /// Hashes of the server runs that crashed.
     pub runs: Vec<u32>,
     /// The number of trials so far.
@@ -52,7 +69,8 @@
     pub fn of(report: &CrashReport) -> Self {
         let counted = report.crashes.iter().filter(|crash| !crash.is_excused);
         Self {
-            digest: FastStr::from_string(format!("{:032x}", report.digest.0)),
+            digest: FastStr::from_string(format!("{:032x}", report.digest)),
+            is_part: report.is_part,
             runs: counted.map(|crash| crash.run.0).collect(),
             trials: report.trials.len() as u8,
         }
@@ -67,7 +85,8 @@
             is_excused: false,
         });
         Some(CrashReport {
-            digest: RequestDigest(digest),
+            digest,
+            is_part: self.is_part,
             crashes: crashes.collect(),
             trials: vec![Duration::ZERO; usize::from(self.trials)],
             seen: Duration::ZERO,
--- a/src/relay/policy/crash_tracker.rs
+++ b/src/relay/policy/crash_tracker.rs
@@ -1,47 +1,60 @@
-//! Detects requests that crash the backend servers running them, from the crashes this host observed and those other
-//! hosts reported.
+//! Detects requests and prompt parts that crash the backend servers running them, from the crashes this host observed and
+//! those other hosts reported.
 //!
 //! A state machine without I/O. A server that crashes was running up to about twenty requests, any of which may be the
-//! cause. Crashes are counted per request, each server run once: a request that was running on three servers when they
-//! crashed, and has not completed since, is treated as the cause and rejected by all hosts.
+//! cause, as may any part of their prompts. Crashes are counted per suspect, each server run once: a suspect that was
+//! running on some servers when they crashed, and has not completed since, is treated as the cause and rejected by all
+//! hosts. A crash that a fatal suspect explains counts against no prompt part beside it.
 
 use {
     super::{
-        crash_record::{CrashRecord, CrashVerdict, FATAL_CRASHES},
+        crash_record::{CrashRecord, CrashVerdict},
         crash_report::{CrashReport, CrashUpdates},
-        digest::RequestDigest,
+        crash_suspect::CrashSuspect,
         findings_cache::{CachePosition, FindingSource, FindingsCache},
         loads::EngineKey,
         past_time::PastTime,
     },
-    std::{cmp::Reverse, time::Duration},
+    std::{
+        cmp::Reverse,
+        collections::{BTreeSet, HashSet},
+        time::Duration,
+    },
 };
 
-/// Maximum number of request records; 512 take about 100 kB. Beyond it, the record with the fewest crashes is evicted,
-/// the least recently seen first. A request counts as fatal only after three crashes, so a flood of distinct requests
-/// evicts other records first.
+/// Maximum number of records; 512 take about 100 kB. Beyond it, the record with the fewest crashes is evicted, the least
+/// recently seen first. A suspect counts as fatal only after several crashes, so a flood of distinct ones evicts other
+/// records first.
 const MAX_RECORDS: usize = 512;
 
-/// How long a record is kept after its request was last seen.
+/// How long a record is kept after its suspect was last seen.
 const RECORD_TTL: Duration = Duration::from_secs(1_800);
 
-/// Minimum number of crashes for a record to be sent to all hosts. Each crash leaves up to twenty requests with a
-/// single crash, which only the hosts that aggregate reports need to know of.
+/// Minimum number of crashes for a record to be sent to all hosts. Each crash leaves dozens of suspects with a single
+/// crash, which only the hosts that aggregate reports need to know of.
 const MIN_CRASHES_TO_SHARE: usize = 2;
 
-/// How the verdict on a request changed.
+/// Crashes that no other fatal suspect explains, without which a prompt part does not count as a cause. One may have had
+/// any other cause.
+const MIN_UNEXPLAINED_CRASHES: usize = 2;
+
+/// How the verdict on a suspect changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum VerdictChange {
-    /// The request now counts as fatal.
+    /// The suspect now counts as fatal.
     BecameFatal,
-    /// The request no longer counts as fatal.
+    /// The suspect no longer counts as fatal.
     NoLongerFatal,
 }
 
-/// The requests that were running on backend servers when those crashed.
+/// The suspects whose verdict changed.
+pub type VerdictChanges = Vec<(CrashSuspect, VerdictChange)>;
+
+/// The suspects that were running on backend servers when those crashed.
 #[derive(Debug)]
 pub struct CrashTracker {
-    records: FindingsCache<RequestDigest, CrashRecord>,
+    records: FindingsCache<CrashSuspect, CrashRecord>,
+    fatal: BTreeSet<CrashSuspect>,
 }
 
 impl CrashTracker {
@@ -49,6 +62,7 @@
     pub fn new(id: u64) -> Self {
         Self {
             records: FindingsCache::new(id),
+            fatal: BTreeSet::new(),
         }
     }
 
@@ -67,70 +81,78 @@
         self.records.len()
     }
 
-    /// The number of requests that count as fatal.
-    pub fn fatal_count(&self) -> usize {
-        self.fatal_digests().len()
-    }
-
-    /// The requests that count as fatal.
-    pub fn fatal_digests(&self) -> Vec<RequestDigest> {
-        let records = self.records.iter();
-        let fatal = records.filter(|(_, record)| record.counted_crashes() >= FATAL_CRASHES);
-        fatal.map(|(digest, _)| *digest).collect()
+    /// The suspects that count as fatal.
+    pub fn fatal_suspects(&self) -> &BTreeSet<CrashSuspect> {
+        &self.fatal
     }
 
-    /// The current verdict on a request.
-    pub fn verdict(&self, digest: RequestDigest, now: Duration) -> CrashVerdict {
-        let record = self.records.get(&digest);
-        record.map_or(CrashVerdict::Harmless, |record| record.verdict(now))
+    /// The current verdict on a suspect.
+    pub fn verdict(&self, suspect: impl Into<CrashSuspect>, now: Duration) -> CrashVerdict {
+        let suspect = suspect.into();
+        let Some(record) = self.records.get(&suspect) else {
+            return CrashVerdict::Harmless;
+        };
+        if self.fatal.contains(&suspect) {
+            return record.fatal_verdict(now);
+        }
+        match record.counted_crashes() {
+            count if count >= suspect.suspected_crashes() => CrashVerdict::Suspected(count),
+            _ => CrashVerdict::Harmless,
+        }
     }
 
-    /// Records that a server run crashed while it was running a request of this host.
+    /// Records that a server run crashed while it was running a suspect for a caller of this host.
     pub fn record_crash(
         &mut self,
-        digest: RequestDigest,
+        suspect: impl Into<CrashSuspect>,
         run: EngineKey,
         now: Duration,
-    ) -> Option<VerdictChange> {
+    ) -> VerdictChanges {
         let at = PastTime::at(now);
-        self.change(digest, at, FindingSource::Reported, now, |record| {
+        self.change(suspect.into(), at, FindingSource::Reported, now, |record| {
             record.record_crash(run, at)
-        })
+        });
+        self.update_fatal(now)
     }
 
-    /// Records that a request of this host completed.
+    /// Records that a request of this host with the suspect completed.
     pub fn record_success(
         &mut self,
-        digest: RequestDigest,
+        suspect: impl Into<CrashSuspect>,
         now: Duration,
-    ) -> Option<VerdictChange> {
-        self.records.get(&digest)?;
+    ) -> VerdictChanges {
+        let suspect = suspect.into();
+        if self.records.get(&suspect).is_none() {
+            return VerdictChanges::new();
+        }
         let at = PastTime::at(now);
         self.change(
-            digest,
+            suspect,
             at,
             FindingSource::Reported,
             now,
             CrashRecord::excuse,
-        )
+        );
+        self.update_fatal(now)
     }
 
-    /// Extends the life of a request's record, if there is one, because the request was received again.
-    pub fn record_seen(&mut self, digest: RequestDigest, now: Duration) {
-        let at = PastTime::at(now);
-        if self.records.get(&digest).is_some() {
-            self.change(digest, at, FindingSource::Reported, now, |record| {
+    /// Extends the life of a suspect's record, if there is one, because it was received again.
+    pub fn record_seen(&mut self, suspect: impl Into<CrashSuspect>, now: Duration) {
+        let (suspect, at) = (suspect.into(), PastTime::at(now));
+        if self.records.get(&suspect).is_some() {
+            self.change(suspect, at, FindingSource::Reported, now, |record| {
                 record.record_seen(at)
             });
         }
     }
 
-    /// Whether a fatal request may be sent once more as a trial, one for all hosts together. Records the trial if so.
-    pub fn grant_trial(&mut self, digest: RequestDigest, now: Duration) -> bool {
-        let is_due = self.verdict(digest, now) == CrashVerdict::TrialDue;
+    /// Whether a fatal suspect may be sent once more as a trial, one for all hosts together. Records the trial if so.
+    pub fn grant_trial(&mut self, suspect: impl Into<CrashSuspect>, now: Duration) -> bool {
+        let suspect = suspect.into();
+        let is_due = self.verdict(suspect, now) == CrashVerdict::TrialDue;
         if is_due {
             let at = PastTime::at(now);
-            self.change(digest, at, FindingSource::Reported, now, |record| {
+            self.change(suspect, at, FindingSource::Reported, now, |record| {
                 record.record_trial(at);
                 true
             });
@@ -138,64 +160,84 @@
         is_due
     }
 
-    /// Merges the records of another host; returns the requests whose verdict changed.
+    /// Merges the records of another host; returns the suspects whose verdict changed.
     pub fn merge(
         &mut self,
         reports: &[CrashReport],
         source: FindingSource,
         now: Duration,
-    ) -> Vec<(RequestDigest, VerdictChange)> {
-        let changes = reports.iter().filter_map(|report| {
+    ) -> VerdictChanges {
+        for report in reports {
             let received = &CrashRecord::from_report(report, now);
             if is_expired(received, now) {
-                return None;
+                continue;
             }
-            let change = self.change(report.digest, received.seen(), source, now, |record| {
+            self.change(report.suspect(), received.seen(), source, now, |record| {
                 record.merge(received)
             });
-            Some((report.digest, change?))
-        });
-        changes.collect()
+        }
+        self.update_fatal(now)
     }
 
-    // Changes a request's record, creating one last seen at `seen` if needed.
+    // Changes a suspect's record, creating one last seen at `seen` if needed.
     fn change(
         &mut self,
-        digest: RequestDigest,
+        suspect: CrashSuspect,
         seen: PastTime,
         source: FindingSource,
         now: Duration,
         change: impl FnOnce(&mut CrashRecord) -> bool,
-    ) -> Option<VerdictChange> {
-        let was_fatal = self.is_fatal(digest);
+    ) {
         let begin = || CrashRecord::new(seen);
-        if !self.records.change(digest, begin, source, now, change) {
-            return None;
-        }
-        let is_fatal = self.is_fatal(digest);
+        self.records.change(suspect, begin, source, now, change);
+    }
+
+    // Evicts records and determines anew which suspects count as fatal.
+    fn update_fatal(&mut self, now: Duration) -> VerdictChanges {
         self.evict(now);
-        match (was_fatal, is_fatal) {
-            (false, true) => Some(VerdictChange::BecameFatal),
-            (true, false) => Some(VerdictChange::NoLongerFatal),
-            _ => None,
-        }
+        let fatal = self.find_fatal();
+        let became = fatal.difference(&self.fatal);
+        let became = became.map(|suspect| (*suspect, VerdictChange::BecameFatal));
+        let cleared = self.fatal.difference(&fatal);
+        let cleared = cleared.map(|suspect| (*suspect, VerdictChange::NoLongerFatal));
+        let changes = became.chain(cleared).collect();
+        self.fatal = fatal;
+        changes
     }
 
-    fn is_fatal(&self, digest: RequestDigest) -> bool {
-        let record = self.records.get(&digest);
-        record.is_some_and(|record| record.counted_crashes() >= FATAL_CRASHES)
+    // Requests come first, since they are the narrower explanation, then the parts on which no answer has completed. The
+    // result depends on the records alone, so that hosts with the same records agree.
+    fn find_fatal(&self) -> BTreeSet<CrashSuspect> {
+        let records = self.records.iter();
+        let mut candidates: Vec<(&CrashSuspect, &CrashRecord)> = records
+            .filter(|(suspect, record)| record.counted_crashes() >= suspect.fatal_crashes())
+            .collect();
+        candidates
+            .sort_by_key(|(suspect, record)| (suspect.is_part(), record.has_excused(), **suspect));
+        let mut explained = HashSet::new();
+        let mut fatal = BTreeSet::new();
+        for (suspect, record) in candidates {
+            let runs = record.counted_runs();
+            let unexplained = runs.filter(|run| !explained.contains(run)).count();
+            if !suspect.is_part() || unexplained >= MIN_UNEXPLAINED_CRASHES {
+                explained.extend(record.counted_runs());
+                fatal.insert(*suspect);
+            }
+        }
+        fatal
     }
 
     fn evict(&mut self, now: Duration) {
         self.records.retain(|_, record| !is_expired(record, now));
         while self.records.len() > MAX_RECORDS {
             let records = self.records.iter();
-            let least = records
-                .min_by_key(|(digest, record)| (record.counted_crashes(), record.seen(), **digest));
-            let Some(digest) = least.map(|(digest, _)| *digest) else {
+            let least = records.min_by_key(|(suspect, record)| {
+                (record.counted_crashes(), record.seen(), **suspect)
+            });
+            let Some(suspect) = least.map(|(suspect, _)| *suspect) else {
                 return;
             };
-            self.records.remove(&digest);
+            self.records.remove(&suspect);
         }
     }
 
@@ -205,7 +247,7 @@
         let changed = self.records.changed_since(known);
         let changed = changed.filter(|(_, record)| record.crash_count() >= MIN_CRASHES_TO_SHARE);
         let reports = changed
-            .map(|(digest, record)| record.report(*digest, now))
+            .map(|(suspect, record)| record.report(*suspect, now))
             .collect();
         CrashUpdates {
             position: self.position(),
@@ -217,30 +259,31 @@
     /// report yet gets the recent changes only: the previous aggregator has distributed the earlier ones.
     pub fn reported_since(&self, revision: Option<u64>, now: Duration) -> Vec<CrashReport> {
         let reported = self.records.reported_since(revision, now);
-        let reports = reported.map(|(digest, record)| record.report(*digest, now));
+        let reports = reported.map(|(suspect, record)| record.report(*suspect, now));
         reports.collect()
     }
 
-    /// The record of a fatal request in the form sent to other hosts; `None` if the request does not count as fatal.
-    pub fn fatal_report(&self, digest: RequestDigest, now: Duration) -> Option<CrashReport> {
-        let record = self.records.get(&digest)?;
-        self.is_fatal(digest).then(|| record.report(digest, now))
+    /// The record of a fatal suspect in the form sent to other hosts; `None` if it does not count as fatal.
+    pub fn fatal_report(&self, suspect: CrashSuspect, now: Duration) -> Option<CrashReport> {
+        let record = self.records.get(&suspect)?;
+        let is_fatal = self.fatal.contains(&suspect);
+        is_fatal.then(|| record.report(suspect, now))
     }
 
     /// At most `most` records, those with the most crashes first, then the most recently changed. Enough for hosts that
     /// all exchange records with each other.
     pub fn latest(&self, most: usize, now: Duration) -> Vec<CrashReport> {
-        let mut latest: Vec<(&RequestDigest, &CrashRecord)> = self.records.iter().collect();
-        latest.sort_by_key(|(digest, record)| {
+        let mut latest: Vec<(&CrashSuspect, &CrashRecord)> = self.records.iter().collect();
+        latest.sort_by_key(|(suspect, record)| {
             Reverse((
                 record.counted_crashes(),
-                self.records.changed_revision(digest),
+                self.records.changed_revision(suspect),
             ))
         });
         latest.truncate(most);
         let reports = latest.into_iter();
         reports
-            .map(|(digest, record)| record.report(*digest, now))
+            .map(|(suspect, record)| record.report(*suspect, now))
             .collect()
     }
 }
--- a/src/relay/policy/digest.rs
+++ b/src/relay/policy/digest.rs
@@ -1,4 +1,5 @@
-//! Identifies a request by its contents, since callers may send it again to any host and under another id.
+//! Identifies a request by its contents, since callers may send it again to any host and under another id, and the parts
+//! of prompts that requests share.
 
 use {
     blake3::Hasher,
@@ -24,12 +25,7 @@
             hasher.update(part);
         }
         hasher.update(body);
-        let hash = hasher.finalize();
-        let half = hash
-            .as_bytes()
-            .first_chunk()
-            .expect("a BLAKE3 hash has 32 bytes");
-        Self(u128::from_le_bytes(*half))
+        Self(half_hash(&hasher))
     }
 }
 
@@ -39,3 +35,33 @@
         write!(f, "{:016x}", self.0 as u64)
     }
 }
+
+/// A digest of the id of a prompt part, which its caller chose. It has a fixed size, whatever the length of the id.
+///
+/// Engines cache parts by their ids for all accounts and models, so neither is included.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PartDigest(pub u128);
+
+impl PartDigest {
+    /// The digest of a part's id.
+    pub fn of(id: &str) -> Self {
+        let mut hasher = Hasher::new();
+        hasher.update(id.as_bytes());
+        Self(half_hash(&hasher))
+    }
+}
+
+impl fmt::Display for PartDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0 as u64)
+    }
+}
+
+fn half_hash(hasher: &Hasher) -> u128 {
+    let hash = hasher.finalize();
+    let half = hash
+        .as_bytes()
+        .first_chunk()
+        .expect("a BLAKE3 hash has 32 bytes");
+    u128::from_le_bytes(*half)
+}
--- a/src/relay/policy/mod.rs
+++ b/src/relay/policy/mod.rs
@@ -12,6 +12,7 @@
 mod cold_tracker;
 pub(crate) mod crash_record;
 pub(crate) mod crash_report;
+pub(crate) mod crash_suspect;
 pub(crate) mod crash_tracker;
 mod decimal;
 pub(crate) mod decode_exclusions;
@@ -51,9 +52,9 @@
 
 pub use self::{
     attempt_budget::*, availability::*, budget::*, caller_timeouts::*, carrier_table::*,
-    changes::*, cold_limit::*, crash_record::*, crash_report::*, crash_tracker::*,
-    decode_exclusions::*, digest::*, event_scanner::*, findings_cache::*, limit_tracker::*,
-    limit_updates::*, link_tracker::*, loads::*, origin_hosts::*, past_time::*,
+    changes::*, cold_limit::*, crash_record::*, crash_report::*, crash_suspect::*,
+    crash_tracker::*, decode_exclusions::*, digest::*, event_scanner::*, findings_cache::*,
+    limit_tracker::*, limit_updates::*, link_tracker::*, loads::*, origin_hosts::*, past_time::*,
     permit_allocator::*, permit_owners::*, priority_loads::*, prompt_cache::*, regions::*,
     registry::*, response_end::*, response_progress::*, rotation::*, route::*, server_limit::*,
     server_signals::*, shared_findings::*, software_history::*, source::*, split::*,
--- a/src/relay/request/client_request.rs
+++ b/src/relay/request/client_request.rs
@@ -11,7 +11,8 @@
             dialect::{CallDialect, RequestMetadata, RequestTarget},
             policy::{
                 attempt_budget::AttemptBudget,
-                digest::RequestDigest,
+                crash_suspect::CrashSuspect,
+                digest::{PartDigest, RequestDigest},
                 priority_loads::PriorityClass,
                 regions::{AllowedServers, AllowedZones, RequestOrigin},
                 stream_origins::StreamKey,
@@ -85,6 +86,7 @@
     has_sent_event: Cell<bool>,
     clock: HostClock,
     digest: OnceCell<RequestDigest>,
+    suspects: OnceCell<Vec<CrashSuspect>>,
 }
 
 impl ClientRequest {
@@ -107,9 +109,11 @@
     /// Sets the client account.
     pub fn with_account(self, account: Option<Rc<ClientAccount>>) -> Self {
         let digest = OnceCell::new();
+        let suspects = OnceCell::new();
         Self {
             account,
             digest,
+            suspects,
             ..self
         }
     }
@@ -214,6 +218,15 @@
             .get_or_init(|| RequestDigest::of(self.account_name(), &self.target, &self.body))
     }
 
+    /// What may be the cause if a server crashes under it: the request itself, or a part of its prompt that others share.
+    pub fn suspects(&self) -> &[CrashSuspect] {
+        self.suspects.get_or_init(|| {
+            let parts = self.marks.shared_parts.iter();
+            let parts = parts.map(|id| PartDigest::of(id).into());
+            std::iter::once(self.digest().into()).chain(parts).collect()
+        })
+    }
+
     /// Time left until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_sub(self.clock.now())
@@ -319,6 +332,7 @@
         has_sent_event: Cell::new(false),
         clock: clock.clone(),
         digest: OnceCell::new(),
+        suspects: OnceCell::new(),
     })
 }
 
--- a/src/relay/request/guard.rs
+++ b/src/relay/request/guard.rs
@@ -10,7 +10,7 @@
             dialect::ResponseMetadata,
             parts::{places::HeldPlace, server_limits::AnswerKind, shared::RelayParts},
             policy::{
-                digest::RequestDigest,
+                crash_suspect::CrashSuspect,
                 response_end::{EndCause, ResponseEnd},
                 server_limit::LimitSignal,
                 server_signals::{BackoffSignal, LeavingSignal},
@@ -28,6 +28,9 @@
 /// machine that is up responds within one to some milliseconds.
 const END_CHECK_TIMEOUT: Duration = Duration::from_millis(60);
 
+/// Time from the head of an answer within which a prompt part crashes the server that begins to write on it.
+const WRITE_START_TIME: Duration = Duration::from_secs(1);
+
 /// Counts a request as in progress at a backend server until dropped.
 pub struct InFlightGuard {
     parts: Rc<RelayParts>,
@@ -123,7 +126,7 @@
             self.record_response_time(request);
         }
         match end.cause {
-            EndCause::Framed => self.parts.record_success(|| request.digest()),
+            EndCause::Framed => record_success(&self.parts, request),
             // A server that crashes between two events closes the connection in the same way.
             EndCause::ConnectionEnd => self.spawn_close_check(request),
             _ if end.is_broken() => drop(self.spawn_end_check(request)),
@@ -161,7 +164,7 @@
         tokio::task::spawn_local(async move {
             match parts.has_ended_orderly(&run.backend).await {
                 true => run.record_crash(&parts),
-                false => parts.record_success(|| run.digest),
+                false => parts.record_success(&run.suspects),
             }
         });
     }
@@ -179,7 +182,7 @@
             request: request.marks.id.to_string(),
             route: request.route.name.to_string(),
             account: request.account_name().to_owned(),
-            digest: request.digest(),
+            suspects: request.suspects().to_vec(),
             parts: request.marks.shared_parts.clone(),
             ran: self.started.elapsed(),
             responded: self.responded.get().map(|responded| responded.elapsed()),
@@ -188,6 +191,13 @@
     }
 }
 
+// Digests are computed only while there are records.
+fn record_success(parts: &RelayParts, request: &ClientRequest) {
+    if !parts.crashes.is_empty() {
+        parts.record_success(request.suspects());
+    }
+}
+
 /// Whether a server declined a request because it holds as many as it can, and for no other reason that it names.
 pub(super) fn is_full(status: StatusCode, marks: &ResponseMetadata) -> bool {
     let signals = &marks.server;
@@ -210,7 +220,8 @@
     request: String,
     route: String,
     account: String,
-    digest: RequestDigest,
+    // The request itself first, then the parts of its prompt.
+    suspects: Vec<CrashSuspect>,
     // Ids of the shared parts of its prompt.
     parts: Vec<FastStr>,
     ran: Duration,
@@ -223,10 +234,27 @@
 impl RequestRun {
     fn record_crash(&self, parts: &RelayParts) {
         parts.metrics.services.ended_under(&self.backend.service);
-        parts.record_crash(self.digest, &self.backend);
+        parts.record_crash(self.accused(), &self.backend);
         self.log_end();
     }
 
+    // An engine that was well into its answer has not crashed because it began to write on a part of the prompt.
+    fn accused(&self) -> &[CrashSuspect] {
+        match self.responded {
+            Some(time) if time >= WRITE_START_TIME => &self.suspects[..1],
+            _ => &self.suspects,
+        }
+    }
+
+    // Each part's id with the digest by which other lines name it.
+    fn parts_text(&self) -> String {
+        let parts = self.parts.iter().zip(&self.suspects[1..]);
+        let parts: Vec<String> = parts
+            .map(|(id, suspect)| format!("{id}/{suspect}"))
+            .collect();
+        parts.join(",")
+    }
+
     fn log_end(&self) {
         let responded_ms = self.responded.map(|responded| responded.as_millis());
         let responded_ms = responded_ms.map_or_else(|| "none".into(), |time| time.to_string());
@@ -239,8 +267,8 @@
                 ("request", &self.request),
                 ("route", &self.route),
                 ("account", &self.account),
-                ("digest", &self.digest),
-                ("parts", &self.parts.join(",")),
+                ("digest", &self.suspects[0]),
+                ("parts", &self.parts_text()),
                 ("ran_ms", &self.ran.as_millis()),
                 ("responded_ms", &responded_ms),
                 ("beside", &self.concurrent),
--- a/src/relay/request/send_check.rs
+++ b/src/relay/request/send_check.rs
@@ -5,7 +5,10 @@
     super::client_request::ClientRequest,
     crate::{
         operation::{Refusal, RefusalCode, RunVerdict},
-        relay::{parts::shared::RelayParts, policy::crash_record::CrashVerdict},
+        relay::{
+            parts::shared::RelayParts,
+            policy::{crash_record::CrashVerdict, crash_suspect::CrashSuspect},
+        },
     },
     faststr::FastStr,
     std::time::Duration,
@@ -18,7 +21,7 @@
 /// `Retry-After` for a request that is due for a trial while the host that grants trials does not allow one.
 const TRIAL_RETRY_AFTER: Duration = Duration::from_secs(5);
 
-/// Admits a request unless it is known to crash its servers. One that is due for a trial is admitted if the host that
+/// Admits a request unless it or a part of its prompt is known to crash servers. One that is due for a trial is admitted if the host that
 /// grants trials allows it.
 pub(super) async fn admit(
     parts: &RelayParts,
@@ -28,27 +31,31 @@
     if parts.crashes.is_empty() {
         return Ok(request);
     }
-    match parts.judge_request(request.digest()) {
-        CrashVerdict::Harmless => Ok(request),
-        CrashVerdict::Suspected(_) => Ok(request.as_crash_suspect()),
-        CrashVerdict::Fatal(wait) => Err(fatal_refusal(
+    let judged = parts.judge_request(request.suspects());
+    let Some((suspect, judgement)) = judged.first().copied() else {
+        return Ok(request);
+    };
+    if let CrashVerdict::Fatal(wait) = judgement {
+        return Err(fatal_refusal(
             parts,
-            &request,
+            suspect,
             service,
             RunVerdict::NotRun,
             wait,
-        )),
-        CrashVerdict::TrialDue => match parts.request_trial(request.digest()).await {
-            true => Ok(request.as_crash_suspect().as_crash_trial()),
-            false => Err(fatal_refusal(
-                parts,
-                &request,
-                service,
-                RunVerdict::NotRun,
-                TRIAL_RETRY_AFTER,
-            )),
-        },
+        ));
+    }
+    let is_due = |(_, verdict): &&(CrashSuspect, CrashVerdict)| *verdict == CrashVerdict::TrialDue;
+    for (suspect, _) in judged.iter().filter(is_due) {
+        if !parts.request_trial(*suspect).await {
+            let (verdict, wait) = (RunVerdict::NotRun, TRIAL_RETRY_AFTER);
+            return Err(fatal_refusal(parts, *suspect, service, verdict, wait));
+        }
     }
+    let request = request.as_crash_suspect();
+    Ok(match judgement {
+        CrashVerdict::TrialDue => request.as_crash_trial(),
+        _ => request,
+    })
 }
 
 /// Suspension of the host after which a request's API key is checked again before a send: while suspended, the host
@@ -67,14 +74,18 @@
     if parts.crashes.is_empty() {
         return Ok(());
     }
-    let wait = match parts.judge_request(request.digest()) {
+    let judged = parts.judge_request(request.suspects());
+    let Some((suspect, judgement)) = judged.first().copied() else {
+        return Ok(());
+    };
+    let wait = match judgement {
         CrashVerdict::Harmless | CrashVerdict::Suspected(_) => return Ok(()),
         // The granted trial is one run, and that has not taken place yet.
         _ if request.is_crash_trial && verdict == RunVerdict::NotRun => return Ok(()),
         CrashVerdict::Fatal(wait) => wait,
         CrashVerdict::TrialDue => TRIAL_RETRY_AFTER,
     };
-    Err(fatal_refusal(parts, request, service, verdict, wait))
+    Err(fatal_refusal(parts, suspect, service, verdict, wait))
 }
 
 // Checks again what may have changed since admission: past the deadline, a server would compute a response that nobody
@@ -96,13 +107,16 @@
 
 fn fatal_refusal(
     parts: &RelayParts,
-    request: &ClientRequest,
+    suspect: CrashSuspect,
     service: &FastStr,
     verdict: RunVerdict,
     wait: Duration,
 ) -> Refusal {
-    parts.metrics.services.fatal_refused(service);
-    let digest = request.digest();
-    let text = format!("backend servers end under this request ({digest}), so it is sent to none");
+    parts.metrics.services.fatal_refused(service, suspect);
+    let subject = match suspect {
+        CrashSuspect::Request(digest) => format!("this request ({digest})"),
+        CrashSuspect::PromptPart(digest) => format!("a part of this prompt ({digest})"),
+    };
+    let text = format!("backend servers end under {subject}, so it is sent to none");
     Refusal::new(verdict, RefusalCode::EndsServers, text).after(wait.min(MAX_RETRY_AFTER))
 }
--- a/tests/relay_crashes.rs
+++ b/tests/relay_crashes.rs
@@ -57,10 +57,10 @@
 fn a_change_of_verdict_is_returned_once() {
     let mut book = book_with_crashes(2, seconds(1));
     let third = book.record_crash(FATAL, run(2), seconds(2));
-    assert_eq!(third, Some(VerdictChange::BecameFatal));
-    assert_eq!(book.record_crash(FATAL, run(3), seconds(2)), None);
+    assert_eq!(third, [(FATAL.into(), VerdictChange::BecameFatal)]);
+    assert_eq!(book.record_crash(FATAL, run(3), seconds(2)), []);
     let good = book.record_success(FATAL, seconds(3));
-    assert_eq!(good, Some(VerdictChange::NoLongerFatal));
+    assert_eq!(good, [(FATAL.into(), VerdictChange::NoLongerFatal)]);
 }
 
 #[test]
@@ -105,7 +105,7 @@
     assert!(book.grant_trial(FATAL, seconds(65)));
     assert_eq!(
         book.record_success(FATAL, seconds(66)),
-        Some(VerdictChange::NoLongerFatal)
+        [(FATAL.into(), VerdictChange::NoLongerFatal)]
     );
 }
 
