An event has a greatest size; what is beyond it is a failure of its server

What callers saw: a stream whose engine wrote an event without end got nothing until its route's timeout, then a broken answer, while the host took in 31 MB of it in four seconds. Cause: events were buffered until they ended, whatever their size, and a response that begins well clears its server's failures. Change: an event of more than 64 KiB (limits.max_event_bytes), or a body without events of more than 8 MiB, ends the response as too large: the connection is closed, the stream goes on elsewhere, and one such answer ejects the server, as a time-out does.

--- a/src/filter/plain.rs
+++ b/src/filter/plain.rs
@@ -7,7 +7,10 @@
         host::Traffic,
         object::{ServiceSpec, Typed},
         operation::{PlainOutcome, PlainReply, Refusal, RefusalCode, RunVerdict},
-        relay::{BodyEnd, RequestDigest, ResponseHead, ResponseProgress, ServerAvailability},
+        relay::{
+            BodyEnd, MAX_EVENT_BYTES, RequestDigest, ResponseHead, ResponseProgress,
+            ServerAvailability,
+        },
         route::{SelectedServer, ServerInfo},
         web::{self, BodyFraming, WebFailure},
     },
@@ -216,6 +219,7 @@
         framing: BodyFraming::of(&parts.headers, &content),
         is_event_stream: web::is_event_stream(&parts.headers, false),
         may_be_empty: !parts.status.is_success(),
+        max_event_bytes: MAX_EVENT_BYTES,
     });
     let body = web::read_body(content, MAX_REPLY_BYTES, Duration::from_secs(600))
         .await
--- a/src/host/passing.rs
+++ b/src/host/passing.rs
@@ -9,7 +9,9 @@
         account::{KeyRules, LimitTolerance},
         control::ControlSnapshot,
         operation::OnceSignal,
-        relay::{self, HostEntry, RelayBounds, RelayParts, RelaySettings, RetryBudget},
+        relay::{
+            self, HostEntry, MAX_EVENT_BYTES, RelayBounds, RelayParts, RelaySettings, RetryBudget,
+        },
         store::StorePosition,
         web::{self, IngressLimits, PoolSettings, StreamOpener},
     },
@@ -136,6 +138,7 @@
         store: settings.platform,
         opener: StreamOpener::default(),
         requests_limit: settings.concurrent,
+        max_event_bytes: MAX_EVENT_BYTES,
         pool: PoolSettings {
             connect_time: CONNECT_TIMEOUT,
             silence_limit: SILENCE_LIMIT,
--- a/src/relay/parts/links.rs
+++ b/src/relay/parts/links.rs
@@ -78,6 +78,9 @@
         backend: &BackendInfo,
         failure: BackendFailure,
     ) -> bool {
+        if failure == BackendFailure::Endless {
+            return true;
+        }
         if !self.links.borrow().is_lost(backend.key()) {
             self.record_link_failure(backend);
             return true;
--- a/src/relay/policy/event_scanner.rs
+++ b/src/relay/policy/event_scanner.rs
@@ -24,6 +24,8 @@
     // Whether the last byte is a CR and the line before ended with CR LF, so that an LF is missing.
     lacks_lf: bool,
     has_event: bool,
+    // Bytes read since the last position between two events.
+    open_bytes: usize,
 }
 
 impl EventScanner {
@@ -37,6 +39,10 @@
                 whole = Some(index + 1);
             }
         }
+        self.open_bytes = match whole {
+            Some(end) => bytes.len() - end,
+            None => self.open_bytes + bytes.len(),
+        };
         whole
     }
 
@@ -69,6 +75,11 @@
         self.has_field || self.line != LineState::Empty || self.lacks_lf
     }
 
+    /// Number of bytes of the current event that have come.
+    pub fn open_bytes(&self) -> usize {
+        self.open_bytes
+    }
+
     /// Whether any event has come whole.
     pub fn has_event(&self) -> bool {
         self.has_event
--- a/src/relay/policy/registry.rs
+++ b/src/relay/policy/registry.rs
@@ -374,6 +374,8 @@
             BackendFailure::Broken => 1,
             // One timeout is enough: every further attempt would cost requests the full timeout again.
             BackendFailure::Silent => FAILURES_TO_EJECT,
+            // So is one endless response: it takes memory and bandwidth, and its head looks like success.
+            BackendFailure::Endless => FAILURES_TO_EJECT,
         };
         if view.failures >= FAILURES_TO_EJECT && !was_failing {
             view.failing_since = now;
--- a/src/relay/policy/response_end.rs
+++ b/src/relay/policy/response_end.rs
@@ -1,6 +1,6 @@
 //! How a backend server's response ended.
 
-use crate::web::BodyFraming;
+use {super::view::BackendFailure, crate::web::BodyFraming};
 
 /// How reading the body of a response came to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -75,6 +75,14 @@
         !self.is_complete() && self.cause != EndCause::TimeLimit
     }
 
+    /// How its server failed, if it broke the response off.
+    pub fn failure(self) -> BackendFailure {
+        match self.cause {
+            EndCause::TooLarge => BackendFailure::Endless,
+            _ => BackendFailure::Broken,
+        }
+    }
+
     /// The end of the request in log events.
     pub fn as_str(self) -> &'static str {
         match self.cause {
--- a/src/relay/policy/response_progress.rs
+++ b/src/relay/policy/response_progress.rs
@@ -8,6 +8,9 @@
     crate::web::BodyFraming,
 };
 
+/// Maximum size of a body that is no event stream, in bytes.
+pub const MAX_PLAIN_BYTES: usize = 8 << 20;
+
 /// What the head of a response tells about its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ResponseHead {
@@ -18,6 +21,8 @@
     /// Whether a stream without any event can be all of the response: it continues one of which the client has events, or
     /// reports an error.
     pub may_be_empty: bool,
+    /// Maximum size of an event, in bytes.
+    pub max_event_bytes: usize,
 }
 
 /// Follows the body of a response. It is going on until its end is reported; what the end means depends on the framing
@@ -37,19 +42,25 @@
 ///   only sign by which it differs from one that is complete.
 /// - Before the first event, nothing but the end of the connection says that the response is complete, and a server
 ///   that crashes ends it too. Where the response may be empty, it is between two events from its start.
+/// - One that exceeds the maximum size of an event, or of a body without events, is broken off at once.
 /// - An event ends with its blank line. After a line that ended with CR LF, a CR alone is half of a line end: the response
 ///   was broken off there, since a sender uses one kind of line end.
 #[derive(Debug)]
 pub struct ResponseProgress {
     head: ResponseHead,
     scanner: EventScanner,
+    // Bytes of a body that is no event stream.
+    plain_bytes: usize,
 }
 
 impl ResponseProgress {
     /// A response of whose body nothing was read.
     pub fn new(head: ResponseHead) -> Self {
-        let scanner = EventScanner::default();
-        Self { head, scanner }
+        Self {
+            head,
+            scanner: EventScanner::default(),
+            plain_bytes: 0,
+        }
     }
 
     /// Whether the body is a stream of server-sent events.
@@ -61,10 +72,19 @@
     pub fn push(&mut self, bytes: &[u8]) -> Option<usize> {
         match self.head.is_event_stream {
             true => self.scanner.push(bytes),
-            false => None,
+            false => {
+                self.plain_bytes += bytes.len();
+                None
+            }
         }
     }
 
+    /// Whether more bytes came than an event, or a body without events, may have: the server writes no response.
+    pub fn is_too_large(&self) -> bool {
+        let is_event_too_large = self.scanner.open_bytes() > self.head.max_event_bytes;
+        is_event_too_large || self.plain_bytes > MAX_PLAIN_BYTES
+    }
+
     /// Judges the end of the body.
     pub fn end(&self, end: BodyEnd) -> ResponseEnd {
         let cause = match end {
--- a/src/relay/policy/view.rs
+++ b/src/relay/policy/view.rs
@@ -47,6 +47,8 @@
     Broken,
     /// The response timed out.
     Silent,
+    /// It wrote more than a response may have.
+    Endless,
 }
 
 /// Health and load of one backend server as this host observes them.
--- a/src/relay/request/decode.rs
+++ b/src/relay/request/decode.rs
@@ -83,7 +83,7 @@
         Ok(DecodeStream {
             status: response.status,
             headers: response.headers.clone(),
-            body: ResponseBody::new(&self.request, response, is_continued),
+            body: ResponseBody::new(&self.parts.settings, &self.request, response, is_continued),
             guards: EngineGuards {
                 memory: reservation,
                 guard,
--- a/src/relay/request/guard.rs
+++ b/src/relay/request/guard.rs
@@ -134,6 +134,15 @@
         }
     }
 
+    /// Records the failure of a server that writes more than a response may have.
+    pub(super) fn record_endless(&self, end: ResponseEnd) {
+        if end.cause == EndCause::TooLarge {
+            let detail = "it writes more than a response may have";
+            self.parts
+                .record_failure(&self.backend, end.failure(), detail);
+        }
+    }
+
     fn record_response_time(&self, request: &ClientRequest) {
         if let Some(time) = self.response_time.take() {
             self.end_place(PlaceEnd::Answered(time));
--- a/src/relay/request/plain.rs
+++ b/src/relay/request/plain.rs
@@ -134,6 +134,7 @@
                 }
                 ForwardEvent::End(end) => {
                     state.0.parts.metrics.response_ended(end);
+                    state.1.record_endless(end);
                     state.0.response_end = Some(end);
                     state.1.record_end(&state.0.request, end);
                     state.0.log_end(end.as_str());
--- a/src/relay/request/response_body.rs
+++ b/src/relay/request/response_body.rs
@@ -3,9 +3,12 @@
 use {
     super::client_request::ClientRequest,
     crate::{
-        relay::policy::{
-            response_end::{BodyEnd, ResponseEnd},
-            response_progress::{ResponseHead, ResponseProgress},
+        relay::{
+            policy::{
+                response_end::{BodyEnd, ResponseEnd},
+                response_progress::{ResponseHead, ResponseProgress},
+            },
+            settings::RelaySettings,
         },
         web::{self, PooledAnswer, PooledBody},
     },
@@ -50,11 +53,17 @@
 impl ResponseBody {
     /// The body of a response of which nothing was read. `is_continued`: whether it continues a stream of which the client
     /// has events.
-    pub(super) fn new(request: &ClientRequest, response: PooledAnswer, is_continued: bool) -> Self {
+    pub(super) fn new(
+        settings: &RelaySettings,
+        request: &ClientRequest,
+        response: PooledAnswer,
+        is_continued: bool,
+    ) -> Self {
         let progress = ResponseProgress::new(ResponseHead {
             framing: response.body.framing(),
             is_event_stream: is_event_stream(request, &response),
             may_be_empty: is_continued || !response.status.is_success(),
+            max_event_bytes: settings.max_event_bytes,
         });
         let content = response.body;
         Self { content, progress }
@@ -70,7 +79,10 @@
         match self.content.chunk().await {
             Some(Ok(bytes)) => {
                 let whole = self.progress.push(&bytes);
-                BodyStep::Chunk(bytes, whole)
+                match self.progress.is_too_large() {
+                    true => BodyStep::End(self.stop(BodyEnd::TooLarge, None)),
+                    false => BodyStep::Chunk(bytes, whole),
+                }
             }
             Some(Err(error)) => BodyStep::End(self.stop(BodyEnd::Lost, Some(error))),
             None => BodyStep::End(self.stop(BodyEnd::Regular, None)),
--- a/src/relay/request/resume.rs
+++ b/src/relay/request/resume.rs
@@ -51,7 +51,7 @@
                 }
                 StreamStep::Stop(stop) => {
                     let end = stop.end;
-                    relay.note_response_end(end);
+                    relay.note_response_end(&running.guards.guard, end);
                     if end.is_complete() {
                         assert!(splitter.is_empty(), "a complete stream ends between two events");
                         relay.record_end(&running.guards.guard, end);
--- a/src/relay/request/send.rs
+++ b/src/relay/request/send.rs
@@ -11,7 +11,9 @@
         relay::{
             backend::BackendInfo,
             parts::{places::HeldPlace, shared::RelayParts},
-            policy::{response_end::ResponseEnd, view::BackendFailure},
+            policy::{
+                response_end::ResponseEnd, response_progress::MAX_PLAIN_BYTES, view::BackendFailure,
+            },
         },
         web::{PoolUse, PooledAnswer},
     },
@@ -20,9 +22,6 @@
     std::rc::Rc,
 };
 
-/// Maximum size of a response body that is buffered.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
-
 /// The response of a plain service.
 pub(super) struct PlainResponse {
     pub(super) status: StatusCode,
@@ -95,12 +94,14 @@
         return SendOutcome::Lost(detail.into());
     }
     if request.route.kind.is_stream() && response.status.is_success() {
-        return SendOutcome::Responded(Box::new(streaming_response(request, response, guard)));
+        return SendOutcome::Responded(Box::new(streaming_response(
+            parts, request, response, guard,
+        )));
     }
     let status = response.status;
     let is_full = guard::is_full(status, &marks);
     if marks.not_run {
-        response.body.discard(MAX_RESPONSE_BYTES).await;
+        response.body.discard(MAX_PLAIN_BYTES).await;
         return record_decline(parts, backend, status, is_full);
     }
     let response = match read_full(parts, request, backend, response).await {
@@ -119,6 +120,7 @@
 }
 
 fn streaming_response(
+    parts: &RelayParts,
     request: &ClientRequest,
     response: PooledAnswer,
     guard: InFlightGuard,
@@ -128,7 +130,12 @@
         status: response.status,
         headers: response.headers.clone(),
         body: PlainBody::Streaming(
-            Box::new(ResponseBody::new(request, response, is_continued)),
+            Box::new(ResponseBody::new(
+                &parts.settings,
+                request,
+                response,
+                is_continued,
+            )),
             guard,
         ),
     }
@@ -142,12 +149,12 @@
     response: PooledAnswer,
 ) -> Result<PlainResponse, String> {
     let (status, headers) = (response.status, response.headers.clone());
-    let body = ResponseBody::new(request, response, false);
-    let (body, stop) = body.read(MAX_RESPONSE_BYTES).await;
+    let body = ResponseBody::new(&parts.settings, request, response, false);
+    let (body, stop) = body.read(MAX_PLAIN_BYTES).await;
     parts.metrics.response_ended(stop.end);
     if !stop.end.is_complete() {
         let detail = stop.to_string();
-        parts.record_failure(backend, BackendFailure::Broken, &detail);
+        parts.record_failure(backend, stop.end.failure(), &detail);
         return Err(detail);
     }
     Ok(PlainResponse {
--- a/src/relay/request/stream.rs
+++ b/src/relay/request/stream.rs
@@ -196,7 +196,7 @@
             {
                 ForwardEvent::Chunk => state.0.event_gaps.record(Instant::now()),
                 ForwardEvent::End(end) => {
-                    state.0.note_response_end(end);
+                    state.0.note_response_end(&state.1.guard, end);
                     state.0.record_end(&state.1.guard, end);
                     state.0.log_end(end.as_str());
                 }
@@ -290,8 +290,9 @@
     }
 
     /// Counts how the stream of an engine ended, and keeps it for the log.
-    pub(super) fn note_response_end(&mut self, end: ResponseEnd) {
+    pub(super) fn note_response_end(&mut self, guard: &InFlightGuard, end: ResponseEnd) {
         self.parts.metrics.response_ended(end);
+        guard.record_endless(end);
         self.response_end = Some(end);
     }
 
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -44,12 +44,18 @@
     pub opener: StreamOpener,
     /// Maximum number of concurrent requests.
     pub requests_limit: u64,
+    /// Maximum size of an event in a response, in bytes: what a host buffers of a stream.
+    pub max_event_bytes: usize,
     /// The pool of connections to backend servers.
     pub pool: PoolSettings,
     /// Bounds set by the operators.
     pub bounds: RelayBounds,
 }
 
+/// Default of [`RelaySettings::max_event_bytes`]. An event has some hundred bytes, with alternatives for each token some
+/// kilobytes; a hundred streams that exceed it take 6.5 MB at once.
+pub const MAX_EVENT_BYTES: usize = 64 << 10;
+
 impl RelaySettings {
     /// The port of `carriers`; 0 if there is none.
     pub fn carrier_port(&self) -> u16 {
--- a/tests/response_ends.rs
+++ b/tests/response_ends.rs
@@ -5,8 +5,8 @@
     bayplank::{
         engine::{self, DecodeOrder, StreamItem},
         relay::{
-            BodyEnd, EndCause, EventScanner, EventSplitter, ResponseEnd, ResponseHead,
-            ResponseProgress,
+            BodyEnd, EndCause, EventScanner, EventSplitter, MAX_EVENT_BYTES, ResponseEnd,
+            ResponseHead, ResponseProgress,
         },
         web::{BodyFraming, WebClient},
     },
@@ -121,6 +121,7 @@
         framing,
         is_event_stream: true,
         may_be_empty,
+        max_event_bytes: MAX_EVENT_BYTES,
     })
 }
 
@@ -178,6 +179,7 @@
                 framing,
                 is_event_stream: false,
                 may_be_empty: false,
+                max_event_bytes: MAX_EVENT_BYTES,
             });
             assert_eq!(progress.push(text.as_bytes()), None);
             assert!(progress.end(BodyEnd::Regular).is_complete());
@@ -278,3 +280,25 @@
     let received = items_of(&text).await;
     assert!(received.contains(&Some(finished)));
 }
+
+#[test]
+fn an_event_is_too_large_exactly_when_it_exceeds_the_maximum_whatever_its_reads_are() {
+    check!()
+        .with_type()
+        .for_each(|(excess, reads): &(i8, Vec<u16>)| {
+            let size = MAX_EVENT_BYTES.saturating_add_signed(isize::from(*excess));
+            let mut progress = progress(BodyFraming::Chunked, false);
+            // What came before counts for nothing.
+            progress.push(b"id: 1\ndata: one\n\n: still here\n");
+            let event = vec![b'x'; size];
+            let mut rest = &event[..];
+            let mut reads = reads.iter().chain(std::iter::repeat(&u16::MAX));
+            while !rest.is_empty() {
+                let read = reads.next().expect("reads without end");
+                let (now, later) = rest.split_at(rest.len().min(1 + usize::from(*read)));
+                progress.push(now);
+                rest = later;
+            }
+            assert_eq!(progress.is_too_large(), size > MAX_EVENT_BYTES);
+        });
+}
