The suspect with most ends explains them; news about prompt parts is bounded

What callers would have seen: a part that ends engines was let in again once requests that ran beside it three times explained its ends; callers of such requests were refused for up to 55 s. Cause: whole requests came first of several suspects, whichever had more ends. And each made-up part of a prompt was told to all heads. Change: suspects come in the order of their ends, up to four, without a whole answer, then the first to have had so many, and a fatal one explains its ends to requests too.

--- a/src/relay/parts/crashes.rs
+++ b/src/relay/parts/crashes.rs
@@ -15,6 +15,7 @@
                 crash_tracker::{CrashTracker, VerdictChange, VerdictChanges},
                 findings_cache::{CachePosition, FindingSource},
                 loads::EngineKey,
+                report_budget::ReportBudget,
             },
         },
     },
@@ -40,6 +41,7 @@
 /// This host's records of suspects, and the state of their exchange with other hosts.
 pub struct CrashRecords {
     book: RefCell<CrashTracker>,
+    budget: RefCell<ReportBudget>,
     // Fatal suspects that this host's entry in the store keeps.
     kept: RefCell<BTreeSet<CrashSuspect>>,
     // Position up to which this host has received the records of each other host, by its address.
@@ -60,6 +62,7 @@
     pub fn new(id: u64) -> Self {
         Self {
             book: RefCell::new(CrashTracker::new(id)),
+            budget: RefCell::default(),
             kept: RefCell::default(),
             received: RefCell::default(),
             has_learned: Cell::default(),
@@ -310,6 +313,7 @@
     pub fn marks_to_report(&self, since: Option<u64>) -> (Vec<CrashReport>, u64) {
         let book = self.crashes.book.borrow();
         let marks = book.reported_since(since, self.now());
+        let marks = self.crashes.budget.borrow_mut().limit(marks, self.now());
         (marks, book.position().revision)
     }
 
--- a/src/relay/policy/crash_record.rs
+++ b/src/relay/policy/crash_record.rs
@@ -126,6 +126,15 @@
         counted.map(|crash| crash.run)
     }
 
+    /// When the crash with this number of the ones that count happened, or the last one if there are fewer.
+    pub fn crash_time(&self, number: usize) -> Option<PastTime> {
+        let counted = self.crashes.iter().filter(|crash| !crash.is_excused);
+        let mut times: Vec<PastTime> = counted.map(|crash| crash.at).collect();
+        times.sort();
+        times.truncate(number);
+        times.last().copied()
+    }
+
     /// Whether a request has completed since some of the crashes.
     pub fn has_excused(&self) -> bool {
         self.crashes.iter().any(|crash| crash.is_excused)
--- a/src/relay/policy/crash_suspect.rs
+++ b/src/relay/policy/crash_suspect.rs
@@ -5,6 +5,9 @@
     std::fmt,
 };
 
+/// Crashed server runs from which a part of prompts counts as the cause.
+pub const PART_FATAL_CRASHES: usize = 4;
+
 /// What crashes count against.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum CrashSuspect {
@@ -58,7 +61,7 @@
     pub fn fatal_crashes(self) -> usize {
         match self {
             Self::Request(_) => 3,
-            Self::PromptPart(_) => 4,
+            Self::PromptPart(_) => PART_FATAL_CRASHES,
         }
     }
 }
--- a/src/relay/policy/crash_tracker.rs
+++ b/src/relay/policy/crash_tracker.rs
@@ -4,13 +4,13 @@
 //! A state machine without I/O. A server that crashes was running up to about twenty requests, any of which may be the
 //! cause, as may any part of their prompts. Crashes are counted per suspect, each server run once: a suspect that was
 //! running on some servers when they crashed, and has not completed since, is treated as the cause and rejected by all
-//! hosts. A crash that a fatal suspect explains counts against no prompt part beside it.
+//! hosts. Crashes that a fatal suspect explains make no other one fatal.
 
 use {
     super::{
         crash_record::{CrashRecord, CrashVerdict},
         crash_report::{CrashReport, CrashUpdates},
-        crash_suspect::CrashSuspect,
+        crash_suspect::{CrashSuspect, PART_FATAL_CRASHES},
         findings_cache::{CachePosition, FindingSource, FindingsCache},
         loads::EngineKey,
         past_time::PastTime,
@@ -34,8 +34,11 @@
 /// crash, which only the hosts that aggregate reports need to know of.
 const MIN_CRASHES_TO_SHARE: usize = 2;
 
-/// Crashes that no other fatal suspect explains, without which a prompt part does not count as a cause. One may have had
-/// any other cause.
+/// Maximum number of prompt parts that are not fatal in an update for all hosts, since callers choose how many there are.
+const MAX_SHARED_PARTS: usize = 8;
+
+/// Crashes that no other fatal suspect explains, without which a suspect does not count as a cause. One may have had any
+/// other cause.
 const MIN_UNEXPLAINED_CRASHES: usize = 2;
 
 /// How the verdict on a suspect changed.
@@ -205,21 +208,26 @@
         changes
     }
 
-    // Requests come first, since they are the narrower explanation, then the parts on which no answer has completed. The
-    // result depends on the records alone, so that hosts with the same records agree.
+    // A fatal suspect explains all of its crashes. Of several, the likelier cause comes first: with enough crashes for any
+    // kind of suspect, without a completed answer, the first to have had so many, and a request before a part, which it
+    // has. The result depends on the records alone, so that hosts with the same records agree.
     fn find_fatal(&self) -> BTreeSet<CrashSuspect> {
         let records = self.records.iter();
         let mut candidates: Vec<(&CrashSuspect, &CrashRecord)> = records
             .filter(|(suspect, record)| record.counted_crashes() >= suspect.fatal_crashes())
             .collect();
-        candidates
-            .sort_by_key(|(suspect, record)| (suspect.is_part(), record.has_excused(), **suspect));
+        candidates.sort_by_key(|(suspect, record)| {
+            let crashes = Reverse(record.counted_crashes().min(PART_FATAL_CRASHES));
+            let reached = record.crash_time(PART_FATAL_CRASHES);
+            let kind = suspect.is_part();
+            (crashes, record.has_excused(), reached, kind, **suspect)
+        });
         let mut explained = HashSet::new();
         let mut fatal = BTreeSet::new();
         for (suspect, record) in candidates {
             let runs = record.counted_runs();
             let unexplained = runs.filter(|run| !explained.contains(run)).count();
-            if !suspect.is_part() || unexplained >= MIN_UNEXPLAINED_CRASHES {
+            if unexplained >= MIN_UNEXPLAINED_CRASHES {
                 explained.extend(record.counted_runs());
                 fatal.insert(*suspect);
             }
@@ -246,7 +254,14 @@
         // Includes excused crashes: a peer may have received them before they were excused.
         let changed = self.records.changed_since(known);
         let changed = changed.filter(|(_, record)| record.crash_count() >= MIN_CRASHES_TO_SHARE);
-        let reports = changed
+        let is_bounded =
+            |suspect: &CrashSuspect| suspect.is_part() && !self.fatal.contains(suspect);
+        let (mut parts, mut shared): (Vec<_>, Vec<_>) =
+            changed.partition(|(suspect, _)| is_bounded(suspect));
+        parts.sort_by_key(|(_, record)| Reverse(record.crash_count()));
+        shared.extend(parts.into_iter().take(MAX_SHARED_PARTS));
+        let reports = shared
+            .into_iter()
             .map(|(suspect, record)| record.report(*suspect, now))
             .collect();
         CrashUpdates {
--- a/src/relay/policy/mod.rs
+++ b/src/relay/policy/mod.rs
@@ -34,6 +34,7 @@
 pub(crate) mod prompt_cache;
 pub(crate) mod regions;
 pub(crate) mod registry;
+pub(crate) mod report_budget;
 pub(crate) mod response_end;
 pub(crate) mod response_progress;
 pub(crate) mod rotation;
@@ -56,7 +57,7 @@
     crash_tracker::*, decode_exclusions::*, digest::*, event_scanner::*, findings_cache::*,
     limit_tracker::*, limit_updates::*, link_tracker::*, loads::*, origin_hosts::*, past_time::*,
     permit_allocator::*, permit_owners::*, priority_loads::*, prompt_cache::*, regions::*,
-    registry::*, response_end::*, response_progress::*, rotation::*, route::*, server_limit::*,
-    server_signals::*, shared_findings::*, software_history::*, source::*, split::*,
-    store_backoff::*, stream_origins::*, subset::*, view::*,
+    registry::*, report_budget::*, response_end::*, response_progress::*, rotation::*, route::*,
+    server_limit::*, server_signals::*, shared_findings::*, software_history::*, source::*,
+    split::*, store_backoff::*, stream_origins::*, subset::*, view::*,
 };
--- a/tests/fleet_sim/crashes.rs
+++ b/tests/fleet_sim/crashes.rs
@@ -3,8 +3,8 @@
 use {
     super::{QUERY_TIMEOUT, STEP, SimFaults, SimFleet},
     bayplank::relay::{
-        CachePosition, CrashReport, CrashTracker, CrashVerdict, EngineKey, FindingSource,
-        RequestDigest,
+        CachePosition, CrashReport, CrashSuspect, CrashTracker, CrashVerdict, EngineKey,
+        FindingSource, ReportBudget, RequestDigest,
     },
     faststr::FastStr,
     rand::seq::SliceRandom,
@@ -25,6 +25,7 @@
 
 pub struct SimCrashes {
     pub book: CrashTracker,
+    budget: ReportBudget,
     // Position up to which this host received each other host's book.
     positions: BTreeMap<usize, CachePosition>,
     // Revision of its own book up to which it has reported to the head of its zone, or to another zone.
@@ -40,6 +41,7 @@
     pub fn new(id: u64) -> Self {
         Self {
             book: CrashTracker::new(id),
+            budget: ReportBudget::default(),
             positions: BTreeMap::new(),
             reported: BTreeMap::new(),
             skipped: BTreeMap::new(),
@@ -64,14 +66,35 @@
 
     /// Records that a run of a server crashed while it served a request of a host.
     pub fn crash_under(&mut self, index: usize, digest: u128, run: u32) {
+        self.crash_under_suspects(index, &[RequestDigest(digest).into()], run);
+    }
+
+    /// The same for a request with these suspects.
+    pub fn crash_under_suspects(&mut self, index: usize, suspects: &[CrashSuspect], run: u32) {
         let now = self.crash_now();
         let crashes = &mut self.hosts[index].crashes;
-        crashes
-            .book
-            .record_crash(RequestDigest(digest), EngineKey(run), now);
+        for suspect in suspects {
+            crashes.book.record_crash(*suspect, EngineKey(run), now);
+        }
         crashes.next_check = self.now;
     }
 
+    /// Whether a host sends a request with a suspect now. Trials are granted by one host for all.
+    pub fn sends(&mut self, index: usize, suspect: CrashSuspect, trial_host: usize) -> bool {
+        let now = self.crash_now();
+        let book = &mut self.hosts[index].crashes.book;
+        book.record_seen(suspect, now);
+        match book.verdict(suspect, now) {
+            CrashVerdict::Harmless | CrashVerdict::Suspected(_) => true,
+            CrashVerdict::Fatal(_) => false,
+            CrashVerdict::TrialDue => {
+                let crashes = &mut self.hosts[trial_host].crashes;
+                crashes.next_check = self.now;
+                crashes.book.grant_trial(suspect, now)
+            }
+        }
+    }
+
     /// Whether a host considers a request fatal, that is, one that crashes its servers.
     pub fn considers_fatal(&self, index: usize, digest: u128) -> bool {
         let book = &self.hosts[index].crashes.book;
@@ -117,7 +140,9 @@
         let mut others: Vec<usize> = others.collect();
         others.shuffle(&mut self.rng);
         others.sort_by_key(|other| self.hosts[*other].entry.zone != own.zone);
-        others.swap(1, self.hosts.len() - 2);
+        if let Some(last) = others.len().checked_sub(1).filter(|last| *last > 0) {
+            others.swap(1, last);
+        }
         for other in others.into_iter().take(3) {
             let entry = &self.hosts[other].entry;
             if self.hosts[other].is_up && (faults.path)(&own, entry) {
@@ -216,6 +241,8 @@
             false => reported,
         };
         let marks = crashes.book.reported_since(since, now);
+        let marks = self.hosts[index].crashes.budget.limit(marks, now);
+        let crashes = &self.hosts[index].crashes;
         let revision = crashes.book.position().revision;
         if marks.is_empty() {
             let reported = &mut self.hosts[index].crashes.reported;
--- a/tests/relay_crash_fleet.rs
+++ b/tests/relay_crash_fleet.rs
@@ -5,6 +5,7 @@
 
 use {
     crate::fleet_sim::{NO_FAULTS, STEP, SimFaults, SimFleet},
+    bayplank::relay::{CrashSuspect, PartDigest, RequestDigest},
     rand::RngExt,
 };
 
@@ -145,3 +146,138 @@
         );
     }
 }
+
+/// Sizes at which the sends of requests with a fatal prompt part are counted.
+const PART_SIZES: [(usize, usize); 5] = [(1, 2), (3, 3), (4, 22), (5, 60), (7, 141)];
+
+/// Crashes after which operators bound the sends of such requests.
+const PART_CRASHES: usize = 5;
+
+/// Sends that they allow from the bound on, by all hosts together.
+const MAX_LATER_SENDS: usize = 3;
+
+/// Time from a send until its server crashes.
+const CRASH_DELAY: u64 = 100;
+
+/// How long such requests come, in milliseconds: both trials are in it.
+const PART_TIME: u64 = 70_000;
+
+// Requests with a fatal prompt part, no two alike, at random hosts, one each step. Returns when each was sent.
+fn play_fatal_part(fleet: &mut SimFleet, faults: &SimFaults) -> Vec<u64> {
+    let part: CrashSuspect = PartDigest(5).into();
+    let end = fleet.now + PART_TIME;
+    let mut sends: Vec<u64> = Vec::new();
+    let mut running: Vec<(u64, usize)> = Vec::new();
+    let mut crashes = 0;
+    while fleet.now < end {
+        let index = fleet.rng.random_range(0..fleet.hosts.len());
+        if fleet.hosts[index].is_up && fleet.sends(index, part, 1) {
+            sends.push(fleet.now);
+            running.push((fleet.now + CRASH_DELAY, index));
+        }
+        let now = fleet.now;
+        let due: Vec<usize> = running
+            .extract_if(.., |run| run.0 <= now)
+            .map(|run| run.1)
+            .collect();
+        for index in due {
+            crashes += 1;
+            let request = RequestDigest(1_000 + u128::from(crashes));
+            fleet.crash_under_suspects(index, &[request.into(), part], crashes);
+        }
+        fleet.run(faults, STEP);
+    }
+    sends
+}
+
+fn check_later_sends(what: &str, sends: &[u64]) {
+    // A crash follows its send.
+    let bound = sends[PART_CRASHES.min(sends.len()) - 1] + CRASH_DELAY + MAX_SPREAD_TIME;
+    let later = sends.iter().filter(|sent| **sent > bound).count();
+    println!("{what}: {} sends, {later} after the bound", sends.len());
+    assert!(later <= MAX_LATER_SENDS, "{what}: {later} later sends");
+}
+
+#[test]
+fn requests_with_a_fatal_prompt_part_are_sent_three_times_at_most_after_the_bound() {
+    for (zones, hosts) in PART_SIZES {
+        let mut fleet = SimFleet::running(zones, hosts);
+        let sends = play_fatal_part(&mut fleet, &NO_FAULTS);
+        check_later_sends(&format!("{} hosts", fleet.hosts.len()), &sends);
+    }
+}
+
+#[test]
+fn requests_with_a_fatal_prompt_part_are_sent_seldom_when_zone_heads_are_killed() {
+    for (zones, hosts) in SIZES {
+        let mut fleet = SimFleet::running(zones, hosts);
+        for zone in 0..zones {
+            fleet.hosts[zone * hosts].is_up = false;
+        }
+        let sends = play_fatal_part(&mut fleet, &NO_FAULTS);
+        check_later_sends(
+            &format!("{} hosts, heads killed", fleet.hosts.len()),
+            &sends,
+        );
+    }
+}
+
+#[test]
+fn a_partitioned_zone_knows_a_fatal_prompt_part_in_time_after_it_reconnects() {
+    let partition = SimFaults {
+        store: |entry| entry.zone != "z-a",
+        path: |from, to| (from.zone == "z-a") == (to.zone == "z-a"),
+    };
+    for (zones, hosts) in SIZES {
+        let mut fleet = SimFleet::running(zones, hosts);
+        fleet.run(&partition, 500);
+        let part: CrashSuspect = PartDigest(5).into();
+        for run in 0..PART_CRASHES as u32 {
+            fleet.crash_under_suspects(hosts + 1, &[part], run);
+        }
+        fleet.run(&partition, 20_000);
+        assert!(
+            fleet.sends(0, part, 0),
+            "the zone that is cut off knows nothing"
+        );
+        fleet.run(&NO_FAULTS, MAX_SPREAD_TIME);
+        let unaware = (0..fleet.hosts.len()).filter(|index| fleet.sends(*index, part, 1));
+        let unaware = unaware.count();
+        assert_eq!(unaware, 0, "{} hosts: {unaware} do not know", zones * hosts);
+    }
+}
+
+#[test]
+fn traffic_stays_small_when_prompts_have_many_parts() {
+    for (zones, hosts) in SIZES {
+        let mut fleet = SimFleet::running(zones, hosts);
+        let seconds = 30;
+        // Each second three servers crash, while each begins to write on twenty prompts with sixteen made-up parts.
+        for second in 0..seconds {
+            for run in 0..3 {
+                let number = second * 3 + run;
+                for other in 0..20 {
+                    let at = fleet.rng.random_range(0..fleet.hosts.len());
+                    let first = u128::from(number) * 10_000 + other * 100;
+                    let parts = (1..17).map(|part| PartDigest(first + part).into());
+                    let request = RequestDigest(first).into();
+                    let suspects: Vec<CrashSuspect> = parts.chain([request]).collect();
+                    fleet.crash_under_suspects(at, &suspects, number);
+                }
+                fleet.run(&NO_FAULTS, 1_000 / 3 / STEP * STEP);
+            }
+        }
+        let sent: Vec<u64> = fleet
+            .hosts
+            .iter()
+            .map(|host| host.crashes.sent_bytes / u64::from(seconds))
+            .collect();
+        let most = sent.iter().max().unwrap();
+        let mean = sent.iter().sum::<u64>() / sent.len() as u64;
+        println!("{} hosts: {mean} bytes/s, at most {most}", sent.len());
+        assert!(*most <= 4_096 * zones as u64, "{most} bytes a second");
+        assert!(mean <= 4_096, "{mean} bytes a second");
+        let mut books = fleet.hosts.iter().map(|host| &host.crashes.book);
+        assert!(books.all(|book| book.len() <= 512));
+    }
+}
--- a/tests/relay_crash_innocents.rs
+++ b/tests/relay_crash_innocents.rs
@@ -1,8 +1,8 @@
 //! How many harmless requests are rejected, and for how long, while other requests crash servers.
 //!
 //! Nine hosts send to twelve engines with twenty slots each, half of them in use. Each second a request arrives that
-//! crashes its engine, the same one for half a minute; engines also crash at random. Interrupted requests are retried
-//! at any host.
+//! crashes its engine, the same one for half a minute, or ones that share a part of their prompts; engines also crash at
+//! random. Interrupted requests are retried at any host.
 
 mod backends;
 
@@ -10,8 +10,8 @@
     bayplank::{
         engine::EngineRole,
         relay::{
-            BackendInfo, BackendRegistry, CachePosition, CrashTracker, CrashVerdict, EngineKey,
-            EngineLoad, FindingSource, RequestDigest,
+            BackendInfo, BackendRegistry, CachePosition, CrashSuspect, CrashTracker, CrashVerdict,
+            EngineKey, EngineLoad, FindingSource, PartDigest, RequestDigest,
         },
     },
     rand::{RngExt, SeedableRng, rngs::StdRng},
@@ -28,6 +28,13 @@
 const ARRIVALS: f64 = 40.0;
 /// Mean time between random crashes of an engine, in milliseconds.
 const RANDOM_CRASH_INTERVAL: f64 = 120_000.0;
+/// The same in simulations with fatal prompt parts: one engine a second.
+const FREQUENT_CRASH_INTERVAL: f64 = 12_000.0;
+/// Time from the start of an answer within which a crash counts against the parts of its prompt, as in the relay.
+const WRITE_START_TIME: u64 = 1_000;
+/// Shared prompt parts: popular ones, one of which each prompt has, and rare ones, of which each prompt has another.
+const POPULAR_PARTS: u128 = 3;
+const RARE_PARTS: u128 = 2_000;
 const RESTART: u64 = 3_000;
 /// Tokens of each request; twenty requests fill an engine.
 const TOKENS: u64 = 1_000;
@@ -43,9 +50,17 @@
     runs: Vec<SimRun>,
 }
 
+/// What crashes engines.
+#[derive(Clone, Copy, PartialEq)]
+enum FatalKind {
+    Request,
+    PromptPart,
+}
+
 #[derive(Clone)]
 struct SimRequest {
-    digest: RequestDigest,
+    // The request first, then the shared parts of its prompt.
+    suspects: Vec<CrashSuspect>,
     is_fatal: bool,
     tries: u32,
     first_rejected: Option<u64>,
@@ -55,6 +70,7 @@
     request: SimRequest,
     host: usize,
     call: u64,
+    since: u64,
     until: u64,
 }
 
@@ -70,9 +86,11 @@
     harmless: u32,
     interrupted: u32,
     rejected: u32,
+    // Of these, the ones that were rejected for a part of their prompts.
+    rejected_for_part: u32,
     longest_rejection: u64,
     crashes: u32,
-    fatal_sends: BTreeMap<RequestDigest, Vec<u64>>,
+    fatal_sends: BTreeMap<CrashSuspect, Vec<u64>>,
 }
 
 struct CrashSim {
@@ -85,7 +103,9 @@
     // Requests that will be retried, with the time.
     retries: Vec<(u64, SimRequest)>,
     next_digest: u128,
-    fatal: RequestDigest,
+    kind: FatalKind,
+    crash_interval: f64,
+    fatal: CrashSuspect,
     counts: SimCounts,
 }
 
@@ -98,7 +118,7 @@
 }
 
 impl CrashSim {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, kind: FatalKind, crash_interval: f64) -> Self {
         let hosts = (0..HOSTS).map(|index| SimHost {
             book: BackendRegistry::default(),
             crashes: CrashTracker::new(index as u64 + 1),
@@ -122,7 +142,9 @@
             engines: engines.collect(),
             retries: Vec::new(),
             next_digest: 1,
-            fatal: RequestDigest(0),
+            kind,
+            crash_interval,
+            fatal: RequestDigest(0).into(),
             counts: SimCounts::default(),
         }
     }
@@ -157,12 +179,41 @@
         RequestDigest(self.next_digest)
     }
 
+    fn new_fatal(&mut self) -> CrashSuspect {
+        let digest = self.new_digest();
+        match self.kind {
+            FatalKind::Request => digest.into(),
+            FatalKind::PromptPart => PartDigest(digest.0 << 64).into(),
+        }
+    }
+
+    // A new request with parts that others share.
+    fn new_suspects(&mut self) -> Vec<CrashSuspect> {
+        let request = self.new_digest();
+        let popular = self.rng.random_range(0..POPULAR_PARTS);
+        let rare = POPULAR_PARTS + self.rng.random_range(0..RARE_PARTS);
+        vec![
+            request.into(),
+            PartDigest(popular).into(),
+            PartDigest(rare).into(),
+        ]
+    }
+
+    fn fatal_suspects(&mut self) -> Vec<CrashSuspect> {
+        let mut suspects = self.new_suspects();
+        match self.kind {
+            FatalKind::Request => suspects[0] = self.fatal,
+            FatalKind::PromptPart => suspects.push(self.fatal),
+        }
+        suspects
+    }
+
     fn arrive(&mut self) {
         let chance = ARRIVALS * STEP as f64 / 1_000.0;
         if self.rng.random_bool(chance) {
             self.counts.harmless += 1;
             let request = SimRequest {
-                digest: self.new_digest(),
+                suspects: self.new_suspects(),
                 is_fatal: false,
                 tries: 0,
                 first_rejected: None,
@@ -170,11 +221,11 @@
             self.send(request);
         }
         if self.now.is_multiple_of(30_000) {
-            self.fatal = self.new_digest();
+            self.fatal = self.new_fatal();
         }
         if self.now.is_multiple_of(1_000) {
             let request = SimRequest {
-                digest: self.fatal,
+                suspects: self.fatal_suspects(),
                 is_fatal: true,
                 tries: 0,
                 first_rejected: None,
@@ -205,16 +256,20 @@
     fn send(&mut self, mut request: SimRequest) {
         let at = self.rng.random_range(0..HOSTS);
         let now = time(self.now);
-        let judgement = self.hosts[at].crashes.verdict(request.digest, now);
+        let crashes = &self.hosts[at].crashes;
+        let verdicts = request.suspects.iter();
+        let verdicts = verdicts.map(|suspect| (crashes.verdict(*suspect, now), *suspect));
+        let (judgement, suspect) = verdicts.max().expect("a suspect");
         let is_sent = match judgement {
             CrashVerdict::Harmless | CrashVerdict::Suspected(_) => true,
             CrashVerdict::Fatal(_) => false,
-            CrashVerdict::TrialDue => self.hub.grant_trial(request.digest, now),
+            CrashVerdict::TrialDue => self.hub.grant_trial(suspect, now),
         };
         if !is_sent {
             if !request.is_fatal {
                 let first = *request.first_rejected.get_or_insert(self.now);
                 self.counts.rejected += u32::from(first == self.now);
+                self.counts.rejected_for_part += u32::from(first == self.now && suspect.is_part());
                 self.counts.longest_rejection = self.counts.longest_rejection.max(self.now - first);
                 self.retries.push((self.now + 1_000, request));
             }
@@ -242,13 +297,14 @@
             false => self.rng.random_range(1_000..5_000),
         };
         if request.is_fatal {
-            let sends = self.counts.fatal_sends.entry(request.digest).or_default();
+            let sends = self.counts.fatal_sends.entry(self.fatal).or_default();
             sends.push(self.now);
         }
         self.engines[engine].runs.push(SimRun {
             request,
             host: at,
             call,
+            since: self.now,
             until: self.now + length,
         });
     }
@@ -269,11 +325,12 @@
             for run in &over {
                 self.finish(engine, run);
                 if run.request.is_fatal {
-                    let (digest, host) = (run.request.digest, run.host);
-                    self.crash_engine(engine, Some((digest, host)));
+                    self.crash_engine(engine, Some(run));
                 } else {
                     let crashes = &mut self.hosts[run.host].crashes;
-                    crashes.record_success(run.request.digest, time(self.now));
+                    for suspect in &run.request.suspects {
+                        crashes.record_success(*suspect, time(self.now));
+                    }
                 }
             }
         }
@@ -281,7 +338,7 @@
 
     fn crash_engines(&mut self) {
         for engine in 0..ENGINES {
-            let chance = STEP as f64 / RANDOM_CRASH_INTERVAL;
+            let chance = STEP as f64 / self.crash_interval;
             match self.engines[engine].down {
                 None if self.rng.random_bool(chance) => self.crash_engine(engine, None),
                 Some(since) if self.now >= since + RESTART => {
@@ -294,7 +351,7 @@
         }
     }
 
-    fn crash_engine(&mut self, engine: usize, cause: Option<(RequestDigest, usize)>) {
+    fn crash_engine(&mut self, engine: usize, cause: Option<&SimRun>) {
         if self.engines[engine].down.is_some() {
             return;
         }
@@ -303,11 +360,15 @@
         let info = self.engines[engine].info.clone();
         let key = EngineKey::of_run(&info.id, info.born);
         let runs = std::mem::take(&mut self.engines[engine].runs);
-        let broken = runs.iter().map(|run| (run.request.digest, run.host));
-        let broken: Vec<(RequestDigest, usize)> = broken.chain(cause).collect();
-        for (digest, host) in broken {
-            let crashes = &mut self.hosts[host].crashes;
-            crashes.record_crash(digest, key, time(self.now));
+        for run in runs.iter().chain(cause) {
+            let crashes = &mut self.hosts[run.host].crashes;
+            let accused = match self.now - run.since {
+                WRITE_START_TIME.. => &run.request.suspects[..1],
+                _ => &run.request.suspects[..],
+            };
+            for suspect in accused {
+                crashes.record_crash(*suspect, key, time(self.now));
+            }
         }
         for run in runs {
             self.finish(engine, &run);
@@ -349,18 +410,18 @@
     }
 }
 
-#[test]
-fn harmless_requests_are_served_and_fatal_ones_reach_few_servers() {
+fn check_harmless_are_served(kind: FatalKind, crash_interval: f64) {
     for seed in 1..=5 {
-        let counts = CrashSim::new(seed).simulate();
+        let counts = CrashSim::new(seed, kind, crash_interval).simulate();
         let share = f64::from(counts.rejected) / f64::from(counts.harmless);
         println!(
-            "seed {seed}: {} crashes; of {} harmless requests {} were interrupted and {} were rejected ({share:.5}), for \
-             at most {} ms",
+            "seed {seed}: {} crashes; of {} harmless requests {} were interrupted and {} were rejected ({share:.5}), {} of them \
+             for a part, for at most {} ms",
             counts.crashes,
             counts.harmless,
             counts.interrupted,
             counts.rejected,
+            counts.rejected_for_part,
             counts.longest_rejection
         );
         assert!(share < MAX_REJECTED_SHARE, "seed {seed}: {share}");
@@ -369,10 +430,29 @@
             "seed {seed}: {} ms",
             counts.longest_rejection
         );
-        for (digest, sends) in &counts.fatal_sends {
-            // Allows the three crashes, the requests already sent by then, and the trials.
-            let later = sends.iter().filter(|at| **at > sends[0] + 6_000).count();
-            assert!(later <= 3, "seed {seed}: {digest} was sent at {sends:?}");
+        for (suspect, sends) in &counts.fatal_sends {
+            // Allows the first crashes, the requests already sent by then, and the trials.
+            let first = match kind {
+                FatalKind::Request => sends[0] + 6_000,
+                FatalKind::PromptPart => sends.get(4).map_or(u64::MAX, |fifth| fifth + 3_000),
+            };
+            let later = sends.iter().filter(|at| **at > first).count();
+            assert!(later <= 3, "seed {seed}: {suspect} was sent at {sends:?}");
         }
     }
 }
+
+#[test]
+fn harmless_requests_are_served_and_fatal_ones_reach_few_servers() {
+    check_harmless_are_served(FatalKind::Request, RANDOM_CRASH_INTERVAL);
+}
+
+#[test]
+fn harmless_requests_are_served_and_fatal_prompt_parts_reach_few_servers() {
+    check_harmless_are_served(FatalKind::PromptPart, RANDOM_CRASH_INTERVAL);
+}
+
+#[test]
+fn harmless_requests_are_served_while_engines_crash_each_second() {
+    check_harmless_are_served(FatalKind::PromptPart, FREQUENT_CRASH_INTERVAL);
+}
--- a/tests/relay_crashes.rs
+++ b/tests/relay_crashes.rs
@@ -2,8 +2,8 @@
 
 use {
     bayplank::relay::{
-        CachePosition, CrashReport, CrashTracker, CrashVerdict, EngineKey, FindingSource,
-        RequestDigest, VerdictChange,
+        CachePosition, CrashReport, CrashSuspect, CrashTracker, CrashVerdict, EngineKey,
+        FindingSource, PartDigest, RequestDigest, VerdictChange,
     },
     bolero::check,
     nix::time::{ClockId, clock_gettime},
@@ -177,18 +177,27 @@
     assert!(!is_fatal(&book, later));
 }
 
+/// Requests and prompt parts of the property test below.
+const SUSPECTS: [CrashSuspect; 5] = [
+    CrashSuspect::Request(RequestDigest(0)),
+    CrashSuspect::Request(RequestDigest(1)),
+    CrashSuspect::PromptPart(PartDigest(0)),
+    CrashSuspect::PromptPart(PartDigest(1)),
+    CrashSuspect::PromptPart(PartDigest(2)),
+];
+
 // Applies random steps to the books of several hosts, for the property test below.
 fn apply_steps(books: &mut [CrashTracker], steps: &[(u8, u8, u8)], now: Duration) {
     let mut messages: Vec<Vec<CrashReport>> = Vec::new();
     for (step, at, what) in steps {
         let at = usize::from(*at) % books.len();
-        let digest = RequestDigest(u128::from(what % 3));
+        let suspect = SUSPECTS[usize::from(*what) % SUSPECTS.len()];
         match step % 6 {
             0 | 1 => {
-                books[at].record_crash(digest, run(u32::from(what / 3 % 5)), now);
+                books[at].record_crash(suspect, run(u32::from(what / 5 % 7)), now);
             }
             2 => {
-                books[at].record_success(digest, now);
+                books[at].record_success(suspect, now);
             }
             3 => messages.push(all_reports(&books[at], now)),
             // Messages arrive repeatedly, late and out of order.
@@ -222,10 +231,10 @@
                     books[to].merge(&reports, FindingSource::Reported, now);
                 }
             }
-            for digest in (0..3).map(RequestDigest) {
+            for suspect in SUSPECTS {
                 let verdicts: Vec<bool> = books
                     .iter()
-                    .map(|book| matches!(book.verdict(digest, now), CrashVerdict::Fatal(_)))
+                    .map(|book| matches!(book.verdict(suspect, now), CrashVerdict::Fatal(_)))
                     .collect();
                 assert!(
                     verdicts.iter().all(|fatal| *fatal == verdicts[0]),
