--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -51,10 +51,10 @@
     BACKENDS_CHANGED = 306, "backends-changed", Info, "The backend servers that this host may send to are others than before.", "None; a server that is missing too long has not been listed by the platform since.";
     ENGINE_LEAVING = 302, "engine-leaving", Info, "An engine leaves; it gets no new work.", "None.";
     ENGINE_SWEPT = 303, "engine-swept", Info, "Attempts that a lost host left at an engine were cancelled.", "None.";
-    BACKEND_ENDED = 307, "backend-ended", Warn, "A backend server ended while it ran a request of this host; one line for each of them.", "Of several servers with the same digest: that request ends its servers.";
-    REQUEST_JUDGED = 308, "request-judged", Warn, "A request is held to end its servers, since three of them ended under it: this host sends it to none.", "Find it by its digest in the backend-ended lines (307); tell its caller.";
-    REQUEST_CLEARED = 309, "request-cleared", Info, "A request that was held to end its servers has run well, and is let in again.", "None.";
-    REQUEST_TRIED = 310, "request-tried", Info, "A request that is held to end its servers may be tried once, by all hosts together.", "None; a backend-ended line (307) with its digest follows if it still does.";
+    BACKEND_ENDED = 307, "backend-ended", Warn, "A backend server ended while it ran a request of this host; one line for each of them.", "Of several servers with the same digest, or a digest in parts: that request, or part, ends its servers.";
+    REQUEST_JUDGED = 308, "request-judged", Warn, "A request or a part of prompts (suspect) is held to end its servers, since three of them, or four, ended under it: this host sends it to none.", "Find its digest in the backend-ended lines (307), a part's in their parts; tell its callers.";
+    REQUEST_CLEARED = 309, "request-cleared", Info, "A request or part that was held to end its servers has run well, or another one explains the ends; it is let in again.", "None.";
+    REQUEST_TRIED = 310, "request-tried", Info, "A request or part that is held to end its servers may be tried once, by all hosts together.", "None; a backend-ended line (307) with its digest follows if it still does.";
     SERVER_LIMIT = 311, "server-limit", Info, "A backend server names how many requests a second it takes from all hosts together, another number than before, or none any more.", "With limit other than none: the server is rate-limited; look at it. Requests go to others of its service first.";
     SERVER_LEAVING = 312, "server-leaving", Info, "An answer of a backend server says that it is leaving; listed_leaving tells whether the platform's list said so before.", "None; without backends-changed (306) for it soon after, the platform's list is late or away.";
     SERVER_BACKOFF = 313, "server-backoff", Info, "A backend server turned a request away and asked this host for a backoff.", "If it repeats, look at that server: it is overloaded.";
--- a/src/relay/parts/crashes.rs
+++ b/src/relay/parts/crashes.rs
@@ -41,6 +41,7 @@
 /// This host's records of suspects, and the state of their exchange with other hosts.
 pub struct CrashRecords {
     book: RefCell<CrashTracker>,
+    // What this host may still report about prompt parts.
     budget: RefCell<ReportBudget>,
     // Fatal suspects that this host's entry in the store keeps.
     kept: RefCell<BTreeSet<CrashSuspect>>,
