All suspects of one crash get one time

What callers would have seen: requests with a sound first part refused for 40 s, beside a fatal part, where no answer on the first part came whole meanwhile. Cause: each suspect's crash had its own time, and of suspects with the same crashes the first to have had them is the cause: the first part whenever a millisecond passed between the two. Change: one time for all.

--- a/src/relay/parts/crashes.rs
+++ b/src/relay/parts/crashes.rs
@@ -131,11 +131,13 @@
     /// Records that a backend server crashed while it ran a request with these suspects.
     pub fn record_crash(&self, suspects: &[CrashSuspect], backend: &BackendInfo) {
         let run = EngineKey::of_run(&backend.id, backend.born);
+        // One time for all, since of suspects with the same crashes the first to have had them counts as the cause.
+        let now = self.now();
         let changes = {
             let mut book = self.crashes.book.borrow_mut();
             let suspects = suspects.iter();
             suspects
-                .flat_map(|suspect| book.record_crash(*suspect, run, self.now()))
+                .flat_map(|suspect| book.record_crash(*suspect, run, now))
                 .collect()
         };
         self.publish_crash_changes(&changes);
