Choices of engines draw from a sequence of the host, so that simulations have one verdict

Cause of the difference: the load jitter and the samples of large pools came from the process's random numbers, so that a seed did not fix a run. The registry now draws them from a sequence seeded by the host's name.

--- a/src/relay/policy/engines.rs
+++ b/src/relay/policy/engines.rs
@@ -105,7 +105,7 @@
     }
 
     fn decode_rank(&self, view: &BackendView, need: &DecodeNeed<'_>) -> DecodeRank {
-        let jitter = rand::random::<u64>() % LOAD_JITTER;
+        let jitter = self.draw() % LOAD_JITTER;
         let load = self.known_load(view, need.now) + self.return_tokens(view, need.now);
         let left_free = (need.left_free)(&view.info.id);
         DecodeRank {
@@ -148,7 +148,7 @@
                 && is_in_zone(&pool.zone)
                 && origin.allows(&pool.zone, &pool.software)
         });
-        let ids = pools.flat_map(|pool| pool.sample(rand::random()));
+        let ids = pools.flat_map(|pool| pool.sample(self.draw()));
         let views = ids.filter_map(|id| self.views.get(id));
         views
             .inspect(|_| self.visit())
@@ -313,7 +313,7 @@
             info: view.info.clone(),
             backlog,
             delay: backlog + penalty,
-            jitter: rand::random(),
+            jitter: self.draw() as u16,
         }
     }
 
--- a/src/relay/policy/registry.rs
+++ b/src/relay/policy/registry.rs
@@ -83,6 +83,7 @@
     // Availability zones to whose servers nothing is sent.
     pub(super) evacuated: BTreeSet<FastStr>,
     visited: Cell<u64>,
+    draws: Cell<u64>,
     next_call: u64,
     // When the loads of other hosts were last received.
     pub(super) peer_loads_at: Option<Duration>,
@@ -105,6 +106,7 @@
             peer_reported: Vec::new(),
             evacuated: BTreeSet::new(),
             visited: Cell::new(0),
+            draws: Cell::new(0),
             next_call: 0,
             peer_loads_at: None,
             prefill_rate: PREFILL_RATE,
@@ -231,6 +233,13 @@
         self.seed.map_or(0, hash)
     }
 
+    // A number from a sequence that looks random and differs between hosts.
+    pub(super) fn draw(&self) -> u64 {
+        let draw = self.draws.get() + 1;
+        self.draws.set(draw);
+        xxh3::xxh3_64_with_seed(&draw.to_le_bytes(), self.seed.unwrap_or_default())
+    }
+
     /// Chooses the server for the next attempt of a plain request.
     ///
     /// When every server of a service is down, or unreachable from a zone that has none of its own, each request
--- a/tests/relay_crash_innocents.rs
+++ b/tests/relay_crash_innocents.rs
@@ -120,7 +120,7 @@
 impl CrashSim {
     fn new(seed: u64, kind: FatalKind, crash_interval: f64) -> Self {
         let hosts = (0..HOSTS).map(|index| SimHost {
-            book: BackendRegistry::default(),
+            book: BackendRegistry::new(&format!("host-{index}")),
             crashes: CrashTracker::new(index as u64 + 1),
             place: CachePosition::default(),
             sent_revision: 0,
