An answer that is being written for a second speaks for the parts of its prompt

Callers with a popular part were refused for up to two seconds after a start: four engines crashed under requests that had it before any answer with it had come whole. Cause: only a whole answer excused a part, though a crash accuses it in the first second of an answer alone. Now each answer speaks for its parts once it has been written for that second, at any host, however it ends. A test first: without the change the shared part is held fatal after four crashes while long answers go on; with it never.

--- a/src/relay/request/guard.rs
+++ b/src/relay/request/guard.rs
@@ -31,6 +31,15 @@
 /// Time from the head of an answer within which a prompt part crashes the server that begins to write on it.
 const WRITE_START_TIME: Duration = Duration::from_secs(1);
 
+/// Whether an engine has been writing an answer for so long that no part of the prompt crashes it.
+#[derive(Debug, Clone, Copy, Default)]
+enum WriteStart {
+    #[default]
+    NotBegun,
+    Begun(Instant),
+    Survived,
+}
+
 /// Counts a request as in progress at a backend server until dropped.
 pub struct InFlightGuard {
     parts: Rc<RelayParts>,
@@ -38,6 +47,7 @@
     started: Instant,
     // When the head of the response arrived.
     responded: Cell<Option<Instant>>,
+    write_start: Cell<WriteStart>,
     sent_at: Duration,
     call_id: u64,
     place: Option<Box<HeldPlace>>,
@@ -58,6 +68,7 @@
             backend: Box::new(backend.clone()),
             started: Instant::now(),
             responded: Cell::default(),
+            write_start: Cell::default(),
             sent_at: now,
             call_id,
             place: None,
@@ -119,6 +130,22 @@
         }
     }
 
+    /// Records that the server writes its answer. Once it has done so for a while, the parts of the prompt are harmless,
+    /// however the answer ends.
+    pub(super) fn record_writing(&self, request: &ClientRequest) {
+        let now = Instant::now();
+        match self.write_start.get() {
+            WriteStart::NotBegun => self.write_start.set(WriteStart::Begun(now)),
+            WriteStart::Begun(since) if now - since >= WRITE_START_TIME => {
+                self.write_start.set(WriteStart::Survived);
+                if !self.parts.crashes.is_empty() {
+                    self.parts.record_success(&request.suspects()[1..]);
+                }
+            }
+            WriteStart::Begun(_) | WriteStart::Survived => {}
+        }
+    }
+
     /// Records how the response ended. Only one that came whole says how long the server takes and that the request is
     /// harmless.
     pub(super) fn record_end(&self, request: &ClientRequest, end: ResponseEnd) {
--- a/src/relay/request/resume.rs
+++ b/src/relay/request/resume.rs
@@ -14,7 +14,6 @@
     faststr::FastStr,
     futures::Stream,
     std::time::Duration,
-    tokio::time::Instant,
 };
 
 /// Time without data after which memory for the stream is sought at other engines. Sound engines are silent for a second
@@ -44,7 +43,7 @@
                 StreamStep::Chunk(bytes, whole) => {
                     if let Some(events) = splitter.push(&bytes, whole) {
                         relay.record_first_event(&running);
-                        relay.event_gaps.record(Instant::now());
+                        relay.record_events(&running.guards.guard);
                         yield Ok(events);
                     }
                     continue;
--- a/src/relay/request/stream.rs
+++ b/src/relay/request/stream.rs
@@ -194,7 +194,7 @@
             let DecodeStream { body, guards, .. } = running;
             let observe = |state: &mut (StreamRelay, EngineGuards), event: ForwardEvent| match event
             {
-                ForwardEvent::Chunk => state.0.event_gaps.record(Instant::now()),
+                ForwardEvent::Chunk => state.0.record_events(&state.1.guard),
                 ForwardEvent::End(end) => {
                     state.0.note_response_end(&state.1.guard, end);
                     state.0.record_end(&state.1.guard, end);
@@ -282,6 +282,14 @@
         take_up::record_first_event(&self.parts, &self.request, || running.guards.software());
     }
 
+    /// Records that an engine sent events.
+    pub(super) fn record_events(&mut self, guard: &InFlightGuard) {
+        self.event_gaps.record(Instant::now());
+        if !self.prefill_broken {
+            guard.record_writing(&self.request);
+        }
+    }
+
     /// Records how the stream of an engine ended.
     pub(super) fn record_end(&self, guard: &InFlightGuard, end: ResponseEnd) {
         if !(self.prefill_broken && end.is_complete()) {
--- a/tests/relay_crash_innocents.rs
+++ b/tests/relay_crash_innocents.rs
@@ -72,6 +72,8 @@
     call: u64,
     since: u64,
     until: u64,
+    // Whether it has been recorded that its parts crash no engine that begins to write.
+    has_cleared_parts: bool,
 }
 
 struct SimHost {
@@ -154,6 +156,7 @@
         while self.now < LENGTH {
             self.arrive();
             self.finish_runs();
+            self.clear_parts();
             self.crash_engines();
             if self.now.is_multiple_of(100) {
                 self.exchange();
@@ -306,6 +309,7 @@
             call,
             since: self.now,
             until: self.now + length,
+            has_cleared_parts: false,
         });
     }
 
@@ -336,6 +340,19 @@
         }
     }
 
+    fn clear_parts(&mut self) {
+        let now = self.now;
+        let runs = self.engines.iter_mut().flat_map(|engine| &mut engine.runs);
+        let due = runs.filter(|run| !run.has_cleared_parts && now - run.since >= WRITE_START_TIME);
+        for run in due {
+            run.has_cleared_parts = true;
+            let crashes = &mut self.hosts[run.host].crashes;
+            for part in &run.request.suspects[1..] {
+                crashes.record_success(*part, time(now));
+            }
+        }
+    }
+
     fn crash_engines(&mut self) {
         for engine in 0..ENGINES {
             let chance = STEP as f64 / self.crash_interval;
