Several requests of a host ask engines for memory at the same time

Callers at the one host where most connections arrive were refused with 503 after 1.2 s although every engine had room. Cause: only the first request of the queue asked, two round trips for each, and an engine without an answer stopped all behind it for 120 ms. Now up to 16 ask together until one is refused; those behind it then wait for it as before. Memory that an engine is being asked for counts as used there, so that requests which ask together choose different ones. QueuePlace and the loads of engines moved to files of their own.

--- a/src/relay/admission/wait_queue.rs
+++ b/src/relay/admission/wait_queue.rs
@@ -2,12 +2,12 @@
 
 use {
     crate::relay::policy::regions::AllowedServers,
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        time::Duration,
-    },
+    std::{collections::BTreeMap, time::Duration},
 };
 
+/// Maximum number of requests that ask engines for memory at the same time while none has been refused.
+const MAX_CONCURRENT_ASKS: usize = 16;
+
 /// Sort key of a queued request; smaller keys are served first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct QueueKey {
@@ -21,11 +21,24 @@
     pub ticket: u64,
 }
 
+/// Whether a queued request has asked engines for memory.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum AskState {
+    /// It has not, or is asking for the first time.
+    #[default]
+    Open,
+    /// No engine had memory for it.
+    Refused,
+}
+
 /// This host's requests that wait for engine memory, in order. Requests that may reach other servers than others wait
 /// in a queue of their own: the engines that the ones lack memory at are not those that the others wait for.
+///
+/// While the engines have memory, several requests ask at the same time: one after the other, a host could begin no more
+/// than one in two round trips. Once a request is refused, those behind it wait for it.
 #[derive(Debug, Default)]
 pub struct WaitQueue {
-    waiting: BTreeMap<AllowedServers, BTreeSet<QueueKey>>,
+    waiting: BTreeMap<AllowedServers, BTreeMap<QueueKey, AskState>>,
     next_ticket: u64,
 }
 
@@ -39,10 +52,26 @@
     /// Inserts a request that may reach these servers, or moves it if it was queued under another key.
     pub fn insert(&mut self, servers: &AllowedServers, before: Option<QueueKey>, key: QueueKey) {
         let queue = self.waiting.entry(servers.clone()).or_default();
-        if let Some(before) = before {
-            queue.remove(&before);
+        let state = before.and_then(|before| queue.remove(&before));
+        queue.insert(key, state.unwrap_or_default());
+    }
+
+    /// Records that no engine had memory for a request.
+    pub fn note_refused(&mut self, servers: &AllowedServers, key: &QueueKey) {
+        let queue = self.waiting.get_mut(servers);
+        if let Some(state) = queue.and_then(|queue| queue.get_mut(key)) {
+            *state = AskState::Refused;
         }
-        queue.insert(key);
+    }
+
+    /// Whether a request may ask engines for memory now.
+    pub fn may_ask(&self, servers: &AllowedServers, key: &QueueKey) -> bool {
+        let Some(queue) = self.waiting.get(servers) else {
+            return true;
+        };
+        let mut ahead = queue.range(..key).take(MAX_CONCURRENT_ASKS);
+        let are_open = ahead.all(|(_, state)| *state == AskState::Open);
+        are_open && self.ahead(servers, key) < MAX_CONCURRENT_ASKS
     }
 
     /// Removes a request that may reach these servers.
@@ -64,7 +93,7 @@
 
     /// Number of queued requests.
     pub fn len(&self) -> usize {
-        self.waiting.values().map(BTreeSet::len).sum()
+        self.waiting.values().map(BTreeMap::len).sum()
     }
 
     /// Whether the queue is empty.
--- a/src/relay/policy/mod.rs
+++ b/src/relay/policy/mod.rs
@@ -25,6 +25,7 @@
 pub(crate) mod link_tracker;
 mod listed_runs;
 pub(crate) mod loads;
+mod memory_loads;
 pub(crate) mod origin_hosts;
 pub(crate) mod past_time;
 pub(crate) mod peer_loads;
--- a/src/relay/policy/peer_loads.rs
+++ b/src/relay/policy/peer_loads.rs
@@ -69,6 +69,6 @@
         } else {
             0
         };
-        view.memory_tokens + others
+        view.memory_tokens + view.asked_tokens + others
     }
 }
--- a/src/relay/policy/registry.rs
+++ b/src/relay/policy/registry.rs
@@ -420,37 +420,6 @@
             view.refused = Some((now + REFUSED_TIME, tokens));
         }
     }
-
-    /// Records that a request of this host reserved memory at an engine.
-    pub fn memory_reserved(&mut self, id: &str, tokens: u64) {
-        if let Some(view) = self.views.get_mut(id) {
-            view.memory_tokens += tokens;
-            self.mark_reportable(id);
-        }
-    }
-
-    /// Records that a request of this host released memory at an engine.
-    pub fn memory_released(&mut self, id: &str, tokens: u64) {
-        if let Some(view) = self.views.get_mut(id) {
-            view.memory_tokens = view.memory_tokens.saturating_sub(tokens);
-            view.refused = None;
-        }
-    }
-
-    /// Records a prefill of this many tokens in flight.
-    pub fn prefill_started(&mut self, id: &str, tokens: u64) {
-        if let Some(view) = self.views.get_mut(id) {
-            view.prefill_tokens += tokens;
-            self.mark_reportable(id);
-        }
-    }
-
-    /// Records that a prefill of this many tokens is no longer in flight.
-    pub fn prefill_ended(&mut self, id: &str, tokens: u64) {
-        if let Some(view) = self.views.get_mut(id) {
-            view.prefill_tokens = view.prefill_tokens.saturating_sub(tokens);
-        }
-    }
 }
 
 // Converts a score to an integer, which is `Ord` and can be part of a sort key.
--- a/src/relay/policy/view.rs
+++ b/src/relay/policy/view.rs
@@ -76,6 +76,8 @@
     pub(super) rejections: (f64, Duration),
     // Memory that requests of this host use.
     pub(super) memory_tokens: u64,
+    // Memory that it is being asked for.
+    pub(super) asked_tokens: u64,
     // Memory that requests of other hosts use.
     pub(super) peer_tokens: u64,
     // How many other hosts have ejected it.
@@ -106,6 +108,7 @@
             error_rate: 0.0,
             rejections: (0.0, Duration::ZERO),
             memory_tokens: 0,
+            asked_tokens: 0,
             peer_tokens: 0,
             peer_ejections: 0,
             refused: None,
--- a/src/relay/request/mod.rs
+++ b/src/relay/request/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod plain;
 pub(crate) mod prefill;
 mod priority_wait;
+mod queue_place;
 pub(crate) mod reserve;
 pub(crate) mod response;
 mod response_body;
--- a/src/relay/request/reserve.rs
+++ b/src/relay/request/reserve.rs
@@ -1,27 +1,18 @@
 //! Reserves KV memory at a decode engine, and queues requests until some is free.
 
 use {
-    super::{
-        client_request::ClientRequest,
-        priority_wait::{self, PriorityWait},
-        take_up,
-    },
+    super::{client_request::ClientRequest, priority_wait, queue_place::QueuePlace, take_up},
     crate::{
         engine::EngineRole,
         operation::{Refusal, RefusalCode, RunVerdict},
         relay::{
-            admission::{
-                memory::{self, QueuedRequest},
-                priority_work::WorkStage,
-                wait_queue::QueueKey,
-            },
+            admission::{memory, priority_work::WorkStage},
             backend::BackendInfo,
             config::EngineLimits,
             parts::{permits::ServerPermit, priorities::CountedWork, shared::RelayParts},
             policy::{
                 attempt_budget::AttemptBudget, decode_exclusions::DecodeExclusions,
-                loads::EngineKey, prompt_cache::CachedAt, regions::AllowedServers,
-                rotation::RotationWait,
+                loads::EngineKey, prompt_cache::CachedAt, rotation::RotationWait,
             },
         },
     },
@@ -43,7 +34,7 @@
 const HEADROOM_LIFETIME: Duration = Duration::from_millis(300);
 
 /// Pause before engines are asked again while no memory is known to have been released.
-const POLL_INTERVAL: Duration = Duration::from_millis(25);
+pub(super) const POLL_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Minimum reservation for a resumed stream at an engine that has its prompt cached; room for some events.
 const MIN_UNCACHED_TOKENS: u64 = 128;
@@ -60,7 +51,7 @@
 }
 
 impl ReservePurpose {
-    fn is_resumed(self) -> bool {
+    pub(super) fn is_resumed(self) -> bool {
         self != Self::Begin
     }
 
@@ -167,62 +158,28 @@
     }
 }
 
-// A place in the queue for memory, given up when dropped.
-struct QueuePlace {
+// Memory that an engine is being asked for, which counts as used there until it has responded.
+struct PendingMemory {
     parts: Rc<RelayParts>,
-    servers: AllowedServers,
-    key: QueueKey,
-    entrant: QueuedRequest,
-    priority: PriorityWait,
+    engine: FastStr,
+    tokens: u64,
 }
 
-impl QueuePlace {
-    fn join(parts: &Rc<RelayParts>, request: &ClientRequest, purpose: ReservePurpose) -> Self {
-        let servers = request.allowed_servers();
-        let mut line = parts.wait_queue.borrow_mut();
-        let entrant = QueuedRequest {
-            arrived: request.received_at,
-            waited: request.prior_wait,
-            target: request.route.latency_target,
-            priority: request.priority(),
-            tokens: request.marks.prompt_tokens + request.marks.answer_hint.unwrap_or_default(),
-        };
-        let key = entrant.key(line.ticket(), parts.now());
-        line.insert(&servers, None, key);
+impl PendingMemory {
+    fn begin(parts: &Rc<RelayParts>, engine: &BackendInfo, tokens: u64) -> Self {
+        parts.book.borrow_mut().memory_asked(&engine.id, tokens);
         Self {
             parts: parts.clone(),
-            servers,
-            key,
-            entrant,
-            priority: PriorityWait::begin(parts, request, purpose.is_resumed()),
-        }
-    }
-
-    fn is_first(&self) -> bool {
-        let queue = self.parts.wait_queue.borrow();
-        queue.ahead(&self.servers, &self.key) == 0
-    }
-
-    // Reorders the queue by the time that has passed: a request that can no longer meet its latency target lets those
-    // pass that can.
-    fn update_order(&mut self) {
-        let key = self.entrant.key(self.key.ticket, self.parts.now());
-        if key != self.key {
-            self.parts
-                .wait_queue
-                .borrow_mut()
-                .insert(&self.servers, Some(self.key), key);
-            self.key = key;
+            engine: engine.id.clone(),
+            tokens,
         }
     }
 }
 
-impl Drop for QueuePlace {
+impl Drop for PendingMemory {
     fn drop(&mut self) {
-        let mut queue = self.parts.wait_queue.borrow_mut();
-        queue.remove(&self.servers, &self.key);
-        drop(queue);
-        self.parts.capacity_freed.notify_waiters();
+        let mut book = self.parts.book.borrow_mut();
+        book.memory_answered(&self.engine, self.tokens);
     }
 }
 
@@ -254,13 +211,15 @@
         tokio::pin!(freed);
         freed.as_mut().enable();
         take_up::check_software(parts, request, service, RunVerdict::NotRun)?;
-        if place.is_first()
-            && place.priority.may_ask(request, POLL_INTERVAL)
-            && let Some(reservation) =
-                try_engines(parts, request, service, purpose, cached, place.key.late).await
-        {
-            parts.metrics.reserved(&request.route, request.age());
-            return Ok(reservation);
+        if place.may_ask(request) {
+            let is_late = place.is_late();
+            if let Some(reservation) =
+                try_engines(parts, request, service, purpose, cached, is_late).await
+            {
+                parts.metrics.reserved(&request.route, request.age());
+                return Ok(reservation);
+            }
+            place.note_refused();
         }
         let decode = Some(EngineRole::Decode);
         let wait = parts
@@ -281,7 +240,7 @@
             let service = FastStr::new(service);
             return Err(parts.permit_denied(&service, RunVerdict::NotRun, wait));
         }
-        place.priority.count_wait(request);
+        place.count_wait(request);
         let left = wait_until.saturating_sub(parts.now());
         tokio::select! {
             () = freed => {}
@@ -379,6 +338,7 @@
     headroom: u64,
 ) -> Option<MemoryReservation> {
     let rank = request.priority();
+    let _pending = PendingMemory::begin(parts, &engine, tokens);
     let permit = parts.acquire_permit(&engine, rank).await.ok()?;
     let headroom_reservation = match headroom {
         0 => None,
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -382,6 +382,51 @@
     assert_eq!(queue.len(), 2);
 }
 
+#[test]
+fn queued_requests_ask_for_memory_together_until_one_is_refused() {
+    let key = |ticket| QueueKey {
+        late: false,
+        priority: 0,
+        rank: millis(ticket),
+        ticket,
+    };
+    let servers = AllowedServers::default();
+    let mut queue = WaitQueue::default();
+    (1..=40).for_each(|ticket| queue.insert(&servers, None, key(ticket)));
+    let asking = |queue: &WaitQueue| {
+        let tickets = (1..=40).filter(|ticket| queue.may_ask(&servers, &key(*ticket)));
+        tickets.collect::<Vec<u64>>()
+    };
+    assert_eq!(asking(&queue), (1..=16).collect::<Vec<u64>>());
+    queue.note_refused(&servers, &key(3));
+    assert_eq!(asking(&queue), [1, 2, 3]);
+    // It stays refused under another key.
+    queue.insert(&servers, Some(key(3)), key(41));
+    queue.remove(&servers, &key(1));
+    assert_eq!(asking(&queue).len(), 16);
+    (2..=40).for_each(|ticket| queue.remove(&servers, &key(ticket)));
+    queue.insert(&servers, None, key(42));
+    assert!(queue.may_ask(&servers, &key(41)));
+    assert!(!queue.may_ask(&servers, &key(42)));
+}
+
+#[test]
+fn memory_that_an_engine_is_asked_for_counts_as_used_there() {
+    let mut book = BackendRegistry::default();
+    let decode = |id: &str| backend(id, "a", Some(EngineRole::Decode));
+    book.set_backends(vec![decode("e-1"), decode("e-2")]);
+    let now = Duration::from_secs(1);
+    let first = |book: &BackendRegistry| {
+        let ranked = book.rank_decodes("one", "a", 1_000, Some(100_000), now);
+        ranked[0].id.to_string()
+    };
+    book.memory_asked("e-1", 20_000);
+    assert_eq!(first(&book), "e-2");
+    book.memory_answered("e-1", 20_000);
+    book.memory_asked("e-2", 20_000);
+    assert_eq!(first(&book), "e-1");
+}
+
 #[test]
 fn a_refusal_for_lack_of_memory_counts_the_engines_by_reason() {
     let mut book = BackendRegistry::default();
