The test of a listener that closes after its connections has a clock of its own

Cause: the stand-in closed its listener after 40 ms of the machine's time on another thread; where that thread ran more than 100 ms late, the second probe was accepted too, and two accepted probes count as a server that is up.

--- a/tests/fatal_requests.rs
+++ b/tests/fatal_requests.rs
@@ -62,20 +62,29 @@
     ended
 }
 
+// With a paused clock, time passes only once all tasks wait, so that the pauses between probes are as long as they should be
+// to the tasks of the test, whatever else the machine does.
+fn paused_runtime() -> Runtime {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_all().start_paused(true).build();
+    runtime.expect("a runtime")
+}
+
 #[test]
 fn a_server_whose_listener_closes_after_its_connections_counts_as_ended() {
-    let runtime = Runtime::new().expect("a runtime");
     let crashes = SharedCrashes::new(HostClock::system());
     let digest = RequestDigest::of("account", "/path", b"body");
-    runtime.block_on(async {
+    paused_runtime().block_on(async {
         for server in ["a", "b", "c"] {
             let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
             let address = listener.local_addr().unwrap();
-            tokio::spawn(async move {
+            let closing = tokio::spawn(async move {
+                listener.accept().await.expect("the first probe");
                 tokio::time::sleep(Duration::from_millis(40)).await;
                 drop(listener);
             });
             crashes.probe_for_crash(digest, server, address).await;
+            closing.await.expect("it accepted a connection");
         }
     });
     assert!(crashes.check(digest, RunVerdict::MayHaveRun).is_err());
