Comments: what excuses a suspect

An answer that is being written for a while excuses the parts of its prompt too; comments spoke of completed requests alone. No change of the code.

--- a/src/relay/parts/crashes.rs
+++ b/src/relay/parts/crashes.rs
@@ -143,7 +143,7 @@
         self.publish_crash_changes(&changes);
     }
 
-    /// Records that a request with these suspects completed successfully.
+    /// Records that a request has shown these suspects to be harmless.
     pub fn record_success(&self, suspects: &[CrashSuspect]) {
         let before = self.crashes.book.borrow().position();
         let changes = {
--- a/src/relay/policy/crash_record.rs
+++ b/src/relay/policy/crash_record.rs
@@ -32,7 +32,7 @@
     run: EngineKey,
     // The earliest time that any host reported.
     at: PastTime,
-    // The request has completed since, so another request on that run was the cause.
+    // The suspect has run well since, so something else on that run was the cause.
     is_excused: bool,
 }
 
@@ -135,7 +135,7 @@
         times.last().copied()
     }
 
-    /// Whether a request has completed since some of the crashes.
+    /// Whether the suspect has run well since some of the crashes.
     pub fn has_excused(&self) -> bool {
         self.crashes.iter().any(|crash| crash.is_excused)
     }
@@ -150,7 +150,7 @@
         })
     }
 
-    /// Excuses all crashes so far, because the request completed. Returns whether any of them counted.
+    /// Excuses all crashes so far, because the suspect ran well. Returns whether any of them counted.
     pub fn excuse(&mut self) -> bool {
         let any_counted = self.counted_crashes() > 0;
         for crash in &mut self.crashes {
--- a/src/relay/policy/crash_report.rs
+++ b/src/relay/policy/crash_report.rs
@@ -15,7 +15,7 @@
     pub run: EngineKey,
     /// How long ago it crashed.
     pub age: Duration,
-    /// A request with the suspect has completed since.
+    /// The suspect has run well since.
     pub is_excused: bool,
 }
 
--- a/src/relay/policy/crash_tracker.rs
+++ b/src/relay/policy/crash_tracker.rs
@@ -3,7 +3,7 @@
 //!
 //! A state machine without I/O. A server that crashes was running up to about twenty requests, any of which may be the
 //! cause, as may any part of their prompts. Crashes are counted per suspect, each server run once: a suspect that was
-//! running on some servers when they crashed, and has not completed since, is treated as the cause and rejected by all
+//! running on some servers when they crashed, and has not run well since, is treated as the cause and rejected by all
 //! hosts. Crashes that a fatal suspect explains make no other one fatal.
 
 use {
@@ -118,7 +118,8 @@
         self.update_fatal(now)
     }
 
-    /// Records that a request of this host with the suspect completed.
+    /// Records that a request of this host has shown the suspect to be harmless: it completed, or its server has been writing
+    /// on the part for a while.
     pub fn record_success(
         &mut self,
         suspect: impl Into<CrashSuspect>,
@@ -209,7 +210,7 @@
     }
 
     // A fatal suspect explains all of its crashes. Of several, the likelier cause comes first: with enough crashes for any
-    // kind of suspect, without a completed answer, the first to have had so many, and a request before a part, which it
+    // kind of suspect, that no answer has cleared, the first to have had so many, and a request before a part, which it
     // has. The result depends on the records alone, so that hosts with the same records agree.
     fn find_fatal(&self) -> BTreeSet<CrashSuspect> {
         let records = self.records.iter();
