Review case 1: one of two servers has the trouble

Cause: the one server of the deployment alone had the trouble, a share of 1 where the site's list has 0.6.

Change: two servers, one of them with second copies. The settings of the hosts take their bounds from the case.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,15 +15,16 @@
 SEED = int(os.environ.get("SEED", random.randrange(1 << 30)))
 
 HOSTS = 3
-SERVERS = 1
+SERVERS = 2
 SLOTS = 6
 QUEUE = 2
 WORK_S = 0.06
 LOAD_S = 60
-# Requests a second; the server does 100.
-RATE = 130
+# Requests a second; the servers do 200.
+RATE = 260
 DEADLINE_MS = 2500
-# The trouble `garble`, how `extra late`: such a share of the answers, so long each time.
+# The trouble `garble`, how `extra late`: at half of the servers, such a share of their answers, so long each time.
+EXTRA_SERVERS = 1
 EXTRA_SHARE = 0.03
 EXTRA_FOR_S = 5.0
 EXTRA_EVERY_S = 6.0
@@ -36,6 +37,7 @@
         self.record, self.store, self.draw = record, store, draw
         self.id, self.ip, self.zone = f"i-desk{number}", ip, zone
         self.waiting = 0
+        self.has_trouble = TROUBLE and number <= EXTRA_SERVERS
         self.slots = asyncio.Semaphore(SLOTS)
         self.runs = {}
         self.answers, self.extras = 0, 0
@@ -74,7 +76,7 @@
     def is_due(self):
         """Whether an answer may be given once more: within the share of the answers since the trouble began."""
         window, at = divmod(self.record.now(), EXTRA_EVERY_S)
-        if not TROUBLE or at >= EXTRA_FOR_S:
+        if not self.has_trouble or at >= EXTRA_FOR_S:
             return False
         if window != self.window:
             self.window, self.window_extras, self.window_start = window, 0, self.answers
--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -270,26 +270,7 @@
 zones = 1
 regions = 0
 [bounds]
-seed_lag_s = 3
-addr_reuse_s = 2
-contact_ms = 3000
-ack_ms = 4000
-catch_up_s = 4
-drain_ms = 2000
-grace_s = 8
-loss_slack_ms = 200
-config_apply_ms = 2000
-rollback_slack_ms = 250
-max_stretch_ms = 5000
-retry_budget_ratio = 0.2
-budget_window_s = 10
-budget_extra = 58
-recover_s = 12
-transit_ms = 120
-again_s = 5.7
-fencing_enforced = {fencing}
-lease_ms = 3000
-thaw_ms = 300
+{bounds}
 [platform]
 address = "{store}"
 form = "objects"
@@ -301,6 +282,15 @@
 """
 
 
+# The bounds of clcs-orders; a case replaces those that differ on its site.
+BOUNDS = {
+    "seed_lag_s": 3, "addr_reuse_s": 2, "contact_ms": 3000, "ack_ms": 4000, "catch_up_s": 4, "drain_ms": 2000, "grace_s": 8,
+    "loss_slack_ms": 200, "config_apply_ms": 2000, "rollback_slack_ms": 250, "max_stretch_ms": 5000,
+    "retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_extra": 58, "recover_s": 12, "transit_ms": 120, "again_s": 5.7,
+    "fencing_enforced": True, "lease_ms": 3000, "thaw_ms": 300,
+}
+
+
 class Host:
     """A real host, started as the deploy file says."""
 
@@ -317,7 +307,8 @@
             seeds=",".join(f'"{host.ip}:{host.control}"' for host in self.fleet.hosts[:3]),
             bootstrap="true" if self.starts == 0 else "false",
             front=self.front, ready=self.ready, control=self.control,
-            memory_mb=self.fleet.memory_mb, fencing="true" if self.fleet.fencing else "false",
+            memory_mb=self.fleet.memory_mb,
+            bounds="\n".join(f"{name} = {json.dumps(value)}" for name, value in self.fleet.bounds.items()),
             store=self.fleet.store.address)
         with open(self.settings_path, "w", encoding="utf-8") as file:
             file.write(text)
@@ -357,15 +348,15 @@
 class Fleet:
     """The hosts before one store, with a temporary folder for their settings and logs."""
 
-    def __init__(self, record, store, count, memory_mb=110, fencing=True):
+    def __init__(self, record, store, count, memory_mb=110, **bounds):
         self.record, self.store = record, store
-        self.memory_mb, self.fencing = memory_mb, fencing
+        self.memory_mb, self.bounds = memory_mb, {**BOUNDS, **bounds}
         self.folder = tempfile.mkdtemp(prefix="review-")
-        block = random.randrange(10, 250)
+        block = f"127.{random.randrange(10, 250)}.{random.randrange(250)}"
         zones = ["bcw-a", "bcw-b", "bcw-c"]
         self.hosts = []
         for number in range(count):
-            host = Host(self, f"front-{number + 1}", f"127.{block}.0.{number + 1}", zones[number % 3])
+            host = Host(self, f"front-{number + 1}", f"{block}.{number + 1}", zones[number % 3])
             self.hosts.append(host)
 
     async def start(self, patience=15):
