A planned stop waits for callers' connections, not for requests in progress once

Cause: `drain` waited, once, until no request was in progress. A request is in progress from the end of its head, so heads that were arriving at that moment became requests afterwards and nothing waited for them. On kept connections a part of the next head did not keep them open.

Change: once the listening socket is closed no connection is added, so a stop waits until each has ended: idle ones are closed, the others after the answer to the request that is expected, arriving or in progress. A head may take its configured time and 1 s more. What may outlast the grace period is refused at once as not run. Queued connections are accepted before the socket closes.

Why it works: the set that is waited for can only shrink, and it contains every connection on which anything was read.

--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -37,7 +37,7 @@
 events! {
     HOST_STARTED = 101, "host-started", Info, "The entry host listens.", "None.";
     HOST_STOPPING = 102, "host-stopping", Info, "A planned stop began; /readyz fails from now on.", "None; the host waits for what is in flight.";
-    HOST_STOPPED = 103, "host-stopped", Info, "Nothing is in flight any more; the process ends.", "None.";
+    HOST_STOPPED = 103, "host-stopped", Info, "A planned stop is over and the process ends; in_flight counts the requests that it cuts off.", "With in_flight above 0: requests outlasted the stop grace period; look which in request-ended (201) with end=caller-gone.";
     SETTINGS_READ = 104, "settings-read", Info, "The settings were read again.", "None.";
     HOST_FIGURES = 105, "host-figures", Info, "What the host has called, opened and told since its start; one line in five seconds.", "See docs/OPERATIONS.md for what each figure tells.";
     REQUEST_ENDED = 201, "request-ended", Info, "A request ended; its verdict and times follow. framing tells how the backend server marked the end of its response, ended_by what decided that it ended; both are empty without a response. decodes and prefill name the engines with their software versions. servers tells on how many servers it ran or may have run, servers_max how many its route allows.", "With ended_by=inside-event, no-event or connection-lost: the server broke its response off; look at it.";
--- a/src/host/passing.rs
+++ b/src/host/passing.rs
@@ -49,8 +49,8 @@
 /// Window over which requests and retries are counted.
 const RETRY_WINDOW: Duration = Duration::from_secs(10);
 
-/// Time for connections to write their remaining bytes at shutdown.
-const CLOSE_GRACE: Duration = Duration::from_millis(150);
+/// Time for connections to end at shutdown, when all requests are answered.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// The thread that serves relayed requests.
 #[derive(Debug)]
@@ -111,10 +111,19 @@
         Rc::new(move |request| relay::handle_request(parts.clone(), request).boxed_local());
     let limits = Rc::new(IngressLimits {
         header_time: Cell::new(traffic.settings.body_time),
+        closing_header_time: Cell::new(CLOSE_TIMEOUT),
         silence_limit: SILENCE_LIMIT,
     });
-    web::serve_callers(listener, handler, limits, closing).await;
-    tokio::time::sleep(CLOSE_GRACE).await;
+    let stopping = closing.clone();
+    let serving = web::serve_callers(listener, handler, limits, closing);
+    tokio::pin!(serving);
+    tokio::select! {
+        () = serving.as_mut() => return,
+        () = stopping.wait() => {}
+    }
+    if tokio::time::timeout(CLOSE_TIMEOUT, serving).await.is_err() {
+        log::warn!("callers' connections did not end in time");
+    }
 }
 
 // The addresses for health checks, peers and the store belong to the control thread; the relay does
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -45,7 +45,7 @@
     tokio::net::TcpListener,
 };
 
-/// How long a stopping host still accepts requests: the load balancer removes it after two failed checks, a second
+/// How long a stopping host still accepts connections: the load balancer removes it after two failed checks, a second
 /// apart.
 const BALANCER_LAG: Duration = Duration::from_millis(2_600);
 
@@ -85,6 +85,7 @@
     store: Rc<StoreLink>,
     carrying: Rc<CarrierService>,
     closing: Arc<OnceSignal>,
+    callers_served: Arc<OnceSignal>,
     checks_closing: Arc<OnceSignal>,
 }
 
@@ -126,6 +127,7 @@
             parts: parts.clone(),
             store: store.clone(),
             closing: Arc::default(),
+            callers_served: Arc::default(),
             checks_closing: Arc::default(),
         };
         host.start_news_exchange(peers);
@@ -138,10 +140,17 @@
         critical_task::spawn_critical("lost links", recheck::test_lost_links(parts.clone()));
         critical_task::spawn_critical("carriers", recheck::check_carriers(parts.clone()));
         critical_task::spawn_critical("engine roles", keeper::keep_roles(parts, store));
-        host.serve(callers, host.caller_handler(), host.closing.clone());
-        host.serve(checks, host.check_handler(), host.checks_closing.clone());
+        let (served, checks_closing) = (host.callers_served.clone(), host.checks_closing.clone());
+        let serving = host.serve(callers, host.caller_handler(), host.closing.clone());
+        critical_task::spawn_critical("callers", async move {
+            serving.await;
+            served.set();
+        });
+        let serving = host.serve(checks, host.check_handler(), checks_closing.clone());
+        critical_task::spawn_critical("checks", serving);
         if let Some(metrics) = metrics {
-            host.serve(metrics, host.metrics_handler(), host.checks_closing.clone());
+            let serving = host.serve(metrics, host.metrics_handler(), checks_closing);
+            critical_task::spawn_critical("metrics", serving);
         }
         Ok(host)
     }
@@ -189,14 +198,22 @@
         );
     }
 
-    fn serve(&self, listener: TcpListener, handler: IngressHandler, closing: Arc<OnceSignal>) {
+    // Serves until `closing` is set and all connections have ended.
+    fn serve(
+        &self,
+        listener: TcpListener,
+        handler: IngressHandler,
+        closing: Arc<OnceSignal>,
+    ) -> impl Future<Output = ()> + use<> {
+        let defaults = CallerLimits::default();
         let limits = Rc::new(IngressLimits {
-            header_time: Cell::new(idle_limit(&CallerLimits::default())),
+            header_time: Cell::new(idle_limit(&defaults)),
+            closing_header_time: Cell::new(header_limit(&defaults)),
             silence_limit: CALLER_ACK_TIMEOUT,
         });
-        let serving = web::serve_callers(listener, handler, limits.clone(), closing);
-        critical_task::spawn_critical("callers", serving);
-        critical_task::spawn_critical("limits", apply_limit_changes(self.parts.clone(), limits));
+        let applying = apply_limit_changes(self.parts.clone(), limits.clone());
+        critical_task::spawn_critical("limits", applying);
+        web::serve_callers(listener, handler, limits, closing)
     }
 
     fn caller_handler(&self) -> IngressHandler {
@@ -223,23 +240,26 @@
         })
     }
 
-    /// Stops gracefully: requests in progress may finish within the stop grace period.
+    /// Stops gracefully: requests that callers have sent, or have begun to send, may finish within the stop grace period.
     pub async fn drain(&self) {
         let gate = &self.parts.gate;
         gate.begin_stop();
         event::emit(&event::HOST_STOPPING, &[("in_flight", &gate.in_flight())]);
         let grace = self.parts.settings.bounds.stop_grace;
+        let time = grace.saturating_sub(STOP_MARGIN);
+        let deadline = self.parts.now() + time;
         let finishing = async {
             tokio::time::sleep(BALANCER_LAG).await;
+            self.parts.stop_deadline.set(Some(deadline));
             self.closing.set();
-            gate.emptied().await;
+            self.callers_served.wait().await;
             self.carrying.emptied().await;
         };
-        let in_time = tokio::time::timeout(grace.saturating_sub(STOP_MARGIN), finishing).await;
-        if in_time.is_err() {
+        if tokio::time::timeout(time, finishing).await.is_err() {
             let in_flight = gate.in_flight();
             log::warn!("{in_flight} requests did not finish within the stop grace period");
         }
+        gate.close();
         self.parts.metrics.store_called(StoreCause::Entry, 1);
         let deleting = (self.store.delete)(StoreKind::Hosts, &self.parts.settings.name);
         let closing = async {
@@ -250,7 +270,7 @@
             log::debug!("failed to delete the host's entry from the store: {failure}");
         }
         figures::log_once(&self.parts);
-        event::emit(&event::HOST_STOPPED, &[]);
+        event::emit(&event::HOST_STOPPED, &[("in_flight", &gate.in_flight())]);
     }
 }
 
@@ -258,6 +278,10 @@
     limits.idle_time.max(limits.header_time) + IDLE_MARGIN
 }
 
+fn header_limit(limits: &CallerLimits) -> Duration {
+    limits.header_time + IDLE_MARGIN
+}
+
 async fn check_availability(parts: Rc<RelayParts>) {
     loop {
         tokio::time::sleep(AVAILABILITY_CHECK_INTERVAL).await;
@@ -272,7 +296,9 @@
         tokio::pin!(news);
         news.as_mut().enable();
         if let Some(routes) = parts.routes() {
-            limits.header_time.set(idle_limit(&routes.config().limits));
+            let configured = &routes.config().limits;
+            limits.header_time.set(idle_limit(configured));
+            limits.closing_header_time.set(header_limit(configured));
         }
         news.await;
     }
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -117,6 +117,9 @@
     pub metrics: RelayMetrics,
     /// Counts requests in progress and closes for a planned stop.
     pub gate: Arc<StopGate>,
+    /// When a planned stop ends, on the host's clock. Set once the host accepts no more connections; requests must then
+    /// be able to finish before.
+    pub stop_deadline: Cell<Option<Duration>>,
     /// The clock for all ages.
     pub clock: HostClock,
 }
@@ -170,6 +173,7 @@
             eras,
             metrics: RelayMetrics::default(),
             gate,
+            stop_deadline: Cell::default(),
             clock,
         })
     }
--- a/src/relay/request/client_request.rs
+++ b/src/relay/request/client_request.rs
@@ -281,6 +281,14 @@
     }
 }
 
+/// Time until the deadline of a request that arrives now.
+pub fn request_timeout(marks: &RequestMetadata, route: &RelayRoute) -> Duration {
+    match marks.time_left {
+        Some(left) => left.min(route.time_limit),
+        None => route.time_limit,
+    }
+}
+
 /// Reads a request's body within the limits.
 pub async fn read_request(
     head: Parts,
@@ -292,10 +300,7 @@
 ) -> Result<ClientRequest, Refusal> {
     let received_at = clock.now();
     let marks = (dialect.read_request)(&head.headers);
-    let timeout = match marks.time_left {
-        Some(left) => left.min(route.time_limit),
-        None => route.time_limit,
-    };
+    let timeout = request_timeout(&marks, &route);
     let deadline = received_at + timeout;
     let reading = read_body(body, &config.limits);
     let body = tokio::time::timeout(timeout, reading)
--- a/src/relay/request/handler.rs
+++ b/src/relay/request/handler.rs
@@ -26,6 +26,9 @@
 /// `Retry-After` while the host has no configuration yet, and on a route without a service.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// `Retry-After` at a host that is stopping, which other hosts replace at once.
+const STOP_RETRY_AFTER: Duration = Duration::from_millis(10);
+
 /// `Retry-After` while no server is listed in the allowed regions, random so that callers do not return together.
 const NO_REGION_RETRY_AFTER: RangeInclusive<Duration> =
     Duration::from_millis(700)..=Duration::from_millis(1_300);
@@ -87,9 +90,10 @@
     let limits = &routes.config().limits;
     check_headers(&head, limits)?;
     let route = find_route(&routes, &head).map_err(|refusal| unless_behind(parts, refusal))?;
-    let api_key = (parts.dialect.read_request)(&head.headers).key;
+    let marks = (parts.dialect.read_request)(&head.headers);
+    check_stop(parts, client_request::request_timeout(&marks, &route))?;
     parts
-        .identify(&route, api_key)
+        .identify(&route, marks.key)
         .map_err(|refusal| unless_behind(parts, refusal))?;
     let service = routes.draw_service(&route).ok_or_else(|| {
         let text = format!("route {} leads to no service", route.name);
@@ -238,6 +242,19 @@
     Refusal::not_run(RefusalCode::NotConfigured, text).after(wait)
 }
 
+// Refuses what may still run when the host's process ends. The caller is served by another host if it returns at once.
+fn check_stop(parts: &RelayParts, timeout: Duration) -> Result<(), Refusal> {
+    let Some(deadline) = parts.stop_deadline.get() else {
+        return Ok(());
+    };
+    let left = deadline.saturating_sub(parts.now());
+    if timeout <= left {
+        return Ok(());
+    }
+    let text = format!("this host stops in {} ms", left.as_millis());
+    Err(Refusal::not_run(RefusalCode::Stopping, text).after(STOP_RETRY_AFTER))
+}
+
 fn check_headers(head: &Parts, limits: &CallerLimits) -> Result<(), Refusal> {
     let headers = head.headers.iter();
     let size: usize = headers
--- a/src/web/caller_stream.rs
+++ b/src/web/caller_stream.rs
@@ -1,7 +1,10 @@
 //! Connections of callers, which are reset where an orderly end would make a response look complete that is not.
 
 use {
-    super::ingress::{BrokenBody, IngressBody},
+    super::{
+        connection_phase::ConnectionPhase,
+        ingress::{BrokenBody, IngressBody},
+    },
     bytes::Bytes,
     http_body::{Body, Frame, SizeHint},
     socket2::SockRef,
@@ -27,15 +30,17 @@
     stream: TcpStream,
     switch: ResetSwitch,
     resets_on_close: bool,
+    phase: Rc<ConnectionPhase>,
 }
 
 impl CallerStream {
     /// A connection that is closed in an orderly way until the switch is set.
-    pub(super) fn new(stream: TcpStream, switch: ResetSwitch) -> Self {
+    pub(super) fn new(stream: TcpStream, switch: ResetSwitch, phase: Rc<ConnectionPhase>) -> Self {
         Self {
             stream,
             switch,
             resets_on_close: false,
+            phase,
         }
     }
 
@@ -69,7 +74,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        self.inner().poll_read(context, buffer)
+        let before = buffer.filled().len();
+        let result = self.inner().poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            self.phase.record_read();
+        }
+        result
     }
 }
 
--- a/src/web/ingress.rs
+++ b/src/web/ingress.rs
@@ -4,11 +4,14 @@
 //! connections one by one; a host that is rolled needs all three. `hyper` below it gives them.
 
 use {
-    super::caller_stream::{CallerStream, ResetSwitch, UnframedBody},
+    super::{
+        caller_stream::{CallerStream, ResetSwitch, UnframedBody},
+        connection_phase::{ConnectionPhase, TrackedBody},
+    },
     crate::operation::OnceSignal,
     bytes::Bytes,
     futures::future::LocalBoxFuture,
-    http::{Request, Response, Version},
+    http::{HeaderValue, Request, Response, Version, header},
     http_body::Body,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
@@ -17,7 +20,10 @@
         cell::Cell, convert::Infallible, fmt, net::SocketAddr, pin::Pin, rc::Rc, sync::Arc,
         time::Duration,
     },
-    tokio::net::{TcpListener, TcpStream},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        task::{JoinError, JoinSet},
+    },
 };
 
 /// Pause after a failed accept, which is most often a lack of descriptors.
@@ -50,6 +56,8 @@
 pub struct IngressLimits {
     /// Time for a request's headers to arrive, also while a connection is idle.
     pub header_time: Cell<Duration>,
+    /// Time for the headers of a caller's request to arrive once no more connections are accepted.
+    pub closing_header_time: Cell<Duration>,
     /// Longest time that sent bytes may stay unacknowledged.
     pub silence_limit: Duration,
 }
@@ -65,23 +73,28 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts connections and serves them until `closing` is set; those that are open then finish the
-/// request at hand.
+/// Accepts connections and serves them until `closing` is set. Then closes idle connections, and returns when the
+/// requests that others have sent, or begin to send, are answered.
 pub async fn serve_callers(
     listener: TcpListener,
     handler: IngressHandler,
     limits: Rc<IngressLimits>,
     closing: Arc<OnceSignal>,
 ) {
+    let mut connections = JoinSet::new();
+    let serve = |stream| serve_one(stream, handler.clone(), limits.clone(), closing.clone());
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = closing.wait() => return,
+            Some(ended) = connections.join_next() => {
+                log_panic(ended);
+                continue;
+            }
+            () = closing.wait() => break,
         };
         match accepted {
             Ok((stream, _)) => {
-                let serving = serve_one(stream, handler.clone(), limits.clone(), closing.clone());
-                tokio::task::spawn_local(serving);
+                connections.spawn_local(serve(stream));
             }
             Err(error) => {
                 log::warn!("a connection could not be accepted: {error}");
@@ -89,6 +102,42 @@
             }
         }
     }
+    // Closing a listening socket resets the connections that are still queued.
+    for stream in queued_connections(listener) {
+        connections.spawn_local(serve(stream));
+    }
+    while let Some(ended) = connections.join_next().await {
+        log_panic(ended);
+    }
+}
+
+fn log_panic(ended: Result<(), JoinError>) {
+    if let Err(error) = ended {
+        log::error!("a caller's connection failed: {error}");
+    }
+}
+
+// Takes the connections that the system has queued and closes the listening socket.
+fn queued_connections(listener: TcpListener) -> Vec<TcpStream> {
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::warn!("the connections that are queued are lost: {error}");
+            return Vec::new();
+        }
+    };
+    let accepted = std::iter::from_fn(|| listener.accept().ok());
+    let streams = accepted.take(BACKLOG as usize).map(|(stream, _)| {
+        stream.set_nonblocking(true)?;
+        TcpStream::from_std(stream)
+    });
+    streams
+        .filter_map(|stream| {
+            stream
+                .inspect_err(|error| log::warn!("a queued connection is lost: {error}"))
+                .ok()
+        })
+        .collect()
 }
 
 async fn serve_one(
@@ -105,14 +154,21 @@
         return;
     }
     let switch = ResetSwitch::default();
-    let body_switch = switch.clone();
+    let phase = Rc::new(ConnectionPhase::default());
+    let stream = CallerStream::new(stream, switch.clone(), phase.clone());
+    let answered_phase = phase.clone();
+    let is_closing = closing.clone();
     let service = service_fn(move |request| {
         let version = request.version();
+        answered_phase.begin_request();
         let answer = handler(request);
-        let switch = body_switch.clone();
-        async move { Ok::<_, Infallible>(reset_if_broken(answer.await, version, switch)) }
+        let (switch, phase, closing) = (switch.clone(), answered_phase.clone(), is_closing.clone());
+        async move {
+            let answer = answer.await.map(|body| TrackedBody::boxed(body, phase));
+            let answer = reset_if_broken(answer, version, switch);
+            Ok::<_, Infallible>(close_if_closing(answer, &closing))
+        }
     });
-    let stream = CallerStream::new(stream, switch);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_time.get())
@@ -120,10 +176,17 @@
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let result = tokio::select! {
+        // Bytes that have arrived are read before the connection counts as idle.
+        biased;
         result = connection.as_mut() => result,
         () = closing.wait() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            if !phase.expects_request() {
+                connection.as_mut().graceful_shutdown();
+            }
+            tokio::select! {
+                result = connection.as_mut() => result,
+                () = phase.request_overdue(limits.closing_header_time.get()) => return,
+            }
         }
     };
     if let Err(error) = result {
@@ -131,6 +194,18 @@
     }
 }
 
+// A connection that is open when the host stops ends with the answer at hand.
+fn close_if_closing(
+    mut response: Response<IngressBody>,
+    closing: &OnceSignal,
+) -> Response<IngressBody> {
+    if closing.is_set() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
 // Callers of HTTP/1.0 know no chunks: where there is no length either, only a reset tells them that a response broke off.
 fn reset_if_broken(
     response: Response<IngressBody>,
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -5,6 +5,7 @@
 mod caller_stream;
 mod carrier;
 mod client;
+mod connection_phase;
 mod headers;
 mod ingress;
 mod open_count;
