A connection carries no request id twice

Cause: an answer was matched with its send by the request's id alone. A declined request is sent again, most often over the connection that it was declined on, and a late second copy of the first answer bears the same id.

Change: a pooled connection remembers the ids of its last 32 requests and is not used for one of them again.

Why it works: what answers on a connection then differs in id from every send but its own.

--- a/src/relay/parts/availability.rs
+++ b/src/relay/parts/availability.rs
@@ -13,7 +13,7 @@
                 server_signals::{BackoffSignal, LeavingSignal, ServerSignals},
             },
         },
-        web::{PoolUse, PooledAnswer, SendFailure},
+        web::{AnswerId, PoolUse, PooledAnswer, SendFailure},
     },
     bytes::Bytes,
     faststr::FastStr,
@@ -60,11 +60,13 @@
         book.may_send(backend, admitted, self.now())
     }
 
-    /// Sends a request to a server, unless the server stops accepting new requests before a connection is available.
+    /// Sends a request to a server, unless the server stops accepting new requests before a connection is available. Its
+    /// answer names it by `answer_id`, if there is one.
     pub async fn send_to(
         &self,
         backend: &BackendInfo,
         purpose: PoolUse,
+        answer_id: Option<AnswerId>,
         request: Request<Full<Bytes>>,
         admitted: Option<Duration>,
     ) -> Result<PooledAnswer, SendFailure> {
@@ -75,7 +77,8 @@
                 backend.id
             ))),
         };
-        self.send_over_link(backend, purpose, request, check).await
+        let target = self.pool_target(backend, purpose, answer_id);
+        self.send_over_link(backend, target, request, check).await
     }
 
     fn note_availability(&self, backend: &BackendInfo, marks: &ServerSignals) {
--- a/src/relay/parts/links.rs
+++ b/src/relay/parts/links.rs
@@ -12,7 +12,7 @@
                 view::BackendFailure,
             },
         },
-        web::{KeptUse, PoolUse, PooledAnswer, SendFailure},
+        web::{KeptUse, PoolTarget, PoolUse, PooledAnswer, SendFailure},
     },
     bytes::Bytes,
     http::Request,
@@ -25,12 +25,11 @@
     pub(super) async fn send_over_link(
         &self,
         backend: &BackendInfo,
-        purpose: PoolUse,
+        target: PoolTarget,
         request: Request<Full<Bytes>>,
         check: impl Fn() -> Result<(), SendFailure>,
     ) -> Result<PooledAnswer, SendFailure> {
-        let target = self.pool_target(backend, purpose);
-        if purpose == PoolUse::Order {
+        if target.purpose == PoolUse::Order {
             let open = || self.open_direct(backend);
             let sent = self.pool.send_if(target, request, check, open).await;
             let is_carried = sent.as_ref().is_ok_and(|answer| answer.carrier.is_some());
@@ -55,7 +54,8 @@
         purpose: PoolUse,
         request: Request<Full<Bytes>>,
     ) -> Result<PooledAnswer, SendFailure> {
-        self.send_over_link(backend, purpose, request, || Ok(()))
+        let target = self.pool_target(backend, purpose, None);
+        self.send_over_link(backend, target, request, || Ok(()))
             .await
     }
 
--- a/src/relay/parts/shares.rs
+++ b/src/relay/parts/shares.rs
@@ -12,7 +12,7 @@
                 peer_loads::PEER_LOAD_TTL,
             },
         },
-        web::{PoolTarget, PoolUse},
+        web::{AnswerId, PoolTarget, PoolUse},
     },
     faststr::FastStr,
     std::time::Duration,
@@ -134,7 +134,12 @@
     }
 
     /// Returns the address for a request to a backend server, with this host's share of its connections as the limit.
-    pub fn pool_target(&self, backend: &BackendInfo, purpose: PoolUse) -> PoolTarget {
+    pub fn pool_target(
+        &self,
+        backend: &BackendInfo,
+        purpose: PoolUse,
+        answer_id: Option<AnswerId>,
+    ) -> PoolTarget {
         PoolTarget {
             address: backend.address,
             purpose,
@@ -142,6 +147,7 @@
                 .connection_share(&backend.service)
                 .unwrap_or(usize::MAX),
             kept: self.kept_use(backend, purpose),
+            answer_id,
         }
     }
 
--- a/src/relay/request/client_request.rs
+++ b/src/relay/request/client_request.rs
@@ -19,7 +19,7 @@
             },
             software_version::SoftwareVersion,
         },
-        web,
+        web::{self, AnswerId},
     },
     bytes::{Bytes, BytesMut},
     http::{HeaderMap, Method, Request, request::Parts},
@@ -135,6 +135,11 @@
         }
     }
 
+    /// The id by which answers of servers name it.
+    pub fn answer_id(&self) -> AnswerId {
+        AnswerId::of(&self.marks.id)
+    }
+
     /// The servers that it may reach now.
     pub fn allowed_servers(&self) -> AllowedServers {
         AllowedServers {
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -14,6 +14,7 @@
 mod pool_target;
 mod pooled_body;
 mod probe;
+mod recent_ids;
 mod reply;
 mod send_failure;
 mod server;
@@ -21,6 +22,6 @@
 
 pub use self::{
     body::*, body_framing::*, carrier::*, client::*, headers::*, ingress::*, patience::*, pool::*,
-    pool_target::*, pooled_body::*, probe::*, reply::*, send_failure::*, server::*,
+    pool_target::*, pooled_body::*, probe::*, recent_ids::*, reply::*, send_failure::*, server::*,
     stream_opener::*,
 };
--- a/src/web/pool.rs
+++ b/src/web/pool.rs
@@ -11,6 +11,7 @@
         open_count::{OpenCount, OpenCounts},
         pool_target::{KeptUse, PoolLane, PoolTarget, PoolUse, UseCounts},
         pooled_body::PooledBody,
+        recent_ids::{AnswerId, RecentIds},
         send_failure::{FailureCause, SendFailure, not_sent},
         stream_opener::StreamOpener,
     },
@@ -67,6 +68,7 @@
     task: AbortHandle,
     // The host that carries it, if any.
     carrier: Option<Rc<CarrierLink>>,
+    ids: RecentIds,
     _counted: OpenCount,
 }
 
@@ -76,12 +78,13 @@
         self.sender.is_ready() && carrier.is_none_or(|link| link.is_usable())
     }
 
-    fn is_allowed(&self, kept: KeptUse) -> bool {
-        match kept {
+    fn is_allowed(&self, kept: KeptUse, id: Option<AnswerId>) -> bool {
+        let fits = match kept {
             KeptUse::Any => true,
             KeptUse::Direct => self.carrier.is_none(),
             KeptUse::Carried => self.carrier.is_some(),
-        }
+        };
+        fits && id.is_none_or(|id| !self.ids.contains(id))
     }
 }
 
@@ -232,16 +235,16 @@
         }
     }
 
-    fn take(&self, key: PoolKey, kept: KeptUse) -> Option<PooledConnection> {
+    fn take(&self, key: PoolKey, target: &PoolTarget) -> Option<PooledConnection> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&key)?;
-        if kept == KeptUse::Carried {
+        if target.kept == KeptUse::Carried {
             connections.retain(|known| known.connection.carrier.is_some());
         }
         while let Some(index) = connections
             .iter()
-            .rposition(|known| known.connection.is_allowed(kept))
+            .rposition(|known| known.connection.is_allowed(target.kept, target.answer_id))
         {
             let known = connections.remove(index);
             if known.connection.is_usable() && now < known.until {
@@ -324,6 +327,7 @@
             sender,
             task: task.abort_handle(),
             carrier,
+            ids: RecentIds::default(),
             _counted: counted,
         })
     }
@@ -355,7 +359,7 @@
         let key = (target.address, target.purpose.lane());
         loop {
             check()?;
-            let kept = self.take(key, target.kept);
+            let kept = self.take(key, &target);
             let is_kept = kept.is_some();
             let mut connection = match kept {
                 Some(connection) => connection,
@@ -365,6 +369,9 @@
                     connection
                 }
             };
+            if let Some(id) = target.answer_id {
+                connection.ids.record(id);
+            }
             match connection.sender.try_send_request(request).await {
                 Ok(answer) => {
                     if is_kept {
--- a/src/web/pool_target.rs
+++ b/src/web/pool_target.rs
@@ -1,6 +1,6 @@
 //! Where a pooled request goes, and what it is for.
 
-use std::net::SocketAddr;
+use {super::recent_ids::AnswerId, std::net::SocketAddr};
 
 /// What a connection is used for; an answer too many on one use is then never read by the other.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -72,4 +72,7 @@
     pub limit: usize,
     /// Which open connections may be used.
     pub kept: KeptUse,
+    /// Id by which the answer names the request, if it names one. The request goes over no connection that carried the same
+    /// id lately: a late second copy of the earlier answer could not be told from its own.
+    pub answer_id: Option<AnswerId>,
 }
