--- a/src/web/ingress.rs
+++ b/src/web/ingress.rs
@@ -17,7 +17,7 @@
     hyper_util::rt::{TokioIo, TokioTimer},
     socket2::SockRef,
     std::{
-        cell::Cell, convert::Infallible, fmt, net::SocketAddr, pin::Pin, rc::Rc, sync::Arc,
+        cell::Cell, convert::Infallible, fmt, io, net::SocketAddr, pin::Pin, rc::Rc, sync::Arc,
         time::Duration,
     },
     tokio::{
@@ -63,7 +63,7 @@
 }
 
 /// Opens a listening socket.
-pub fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = match address {
         SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4()?,
         SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
@@ -103,8 +103,13 @@
         }
     }
     // Closing a listening socket resets the connections that are still queued.
-    for stream in queued_connections(listener) {
-        connections.spawn_local(serve(stream));
+    match queued_connections(listener) {
+        Ok(queued) => {
+            for stream in queued {
+                connections.spawn_local(serve(stream));
+            }
+        }
+        Err(error) => log::warn!("connections that were queued are lost: {error}"),
     }
     while let Some(ended) = connections.join_next().await {
         log_panic(ended);
@@ -118,26 +123,19 @@
 }
 
 // Takes the connections that the system has queued and closes the listening socket.
-fn queued_connections(listener: TcpListener) -> Vec<TcpStream> {
-    let listener = match listener.into_std() {
-        Ok(listener) => listener,
-        Err(error) => {
-            log::warn!("the connections that are queued are lost: {error}");
-            return Vec::new();
-        }
-    };
-    let accepted = std::iter::from_fn(|| listener.accept().ok());
-    let streams = accepted.take(BACKLOG as usize).map(|(stream, _)| {
+fn queued_connections(listener: TcpListener) -> io::Result<Vec<TcpStream>> {
+    let listener = listener.into_std()?;
+    let mut queued = Vec::new();
+    while queued.len() < BACKLOG as usize {
+        let stream = match listener.accept() {
+            Ok((stream, _)) => stream,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+            Err(error) => return Err(error),
+        };
         stream.set_nonblocking(true)?;
-        TcpStream::from_std(stream)
-    });
-    streams
-        .filter_map(|stream| {
-            stream
-                .inspect_err(|error| log::warn!("a queued connection is lost: {error}"))
-                .ok()
-        })
-        .collect()
+        queued.push(TcpStream::from_std(stream)?);
+    }
+    Ok(queued)
 }
 
 async fn serve_one(
