--- a/src/relay/request/client_request.rs
+++ b/src/relay/request/client_request.rs
@@ -135,9 +135,10 @@
         }
     }
 
-    /// The id by which answers of servers name it.
-    pub fn answer_id(&self) -> AnswerId {
-        AnswerId::of(&self.marks.id)
+    /// The id by which answers of servers name it; none if its client gave it none.
+    pub fn answer_id(&self) -> Option<AnswerId> {
+        let id = &self.marks.id;
+        (!id.is_empty()).then(|| AnswerId::of(id))
     }
 
     /// The servers that it may reach now.
--- a/src/relay/request/decode.rs
+++ b/src/relay/request/decode.rs
@@ -123,7 +123,7 @@
         };
         let timeout = timeout.min(self.request.time_left());
         let reserved_at = Some(reservation.reserved_at);
-        let answer_id = Some(self.request.answer_id());
+        let answer_id = self.request.answer_id();
         let sending = parts.send_to(engine, PoolUse::Decode, answer_id, request, reserved_at);
         let sent = tokio::time::timeout(timeout, sending)
             .await
--- a/src/relay/request/prefill.rs
+++ b/src/relay/request/prefill.rs
@@ -188,7 +188,7 @@
 ) -> Result<PromptCache, PrefillFailure> {
     let dialect = &parts.dialect;
     let outgoing = request.backend_request(engine, dialect, dialect.engines.prepare_prefill);
-    let answer_id = Some(request.answer_id());
+    let answer_id = request.answer_id();
     let sent = parts
         .send_to(engine, PoolUse::Prefill, answer_id, outgoing, None)
         .await;
--- a/src/relay/request/send.rs
+++ b/src/relay/request/send.rs
@@ -70,7 +70,7 @@
 ) -> SendOutcome {
     let guard = InFlightGuard::begin(parts, backend, request.is_crash_suspect).with_place(place);
     let outgoing = request.backend_request(backend, &parts.dialect, |_| ());
-    let answer_id = Some(request.answer_id());
+    let answer_id = request.answer_id();
     let sent = parts
         .send_to(backend, PoolUse::Plain, answer_id, outgoing, None)
         .await;
