All idle connections to a server make room for a new one

What callers saw: 503, "all of 47 connections are in use", while most of them were idle; seen in two tests of restores when all requests had one id.

Cause: a host's share of a server's connections shrinks when other hosts want more of it. With more open than the share, a request that could use none of the idle ones (its id had gone over them, another use, another way) closed a single one and gave up. Since no connection carries an id twice, a request that is sent again could meet this as well.

Evidence: the refusals' text, with limits of 46 to 62 and the ids printed.

Change: idle connections are closed until there is room. It ends, as each step closes one.

Measured: the new test fails before ("all of 2 connections are in use") and passes now; both restore tests pass with one id for all requests too.

--- a/src/web/pool.rs
+++ b/src/web/pool.rs
@@ -254,13 +254,15 @@
         None
     }
 
-    // Counts one connection more; an idle one, of whatever use, makes room for it.
+    // Counts one connection more. Idle ones, of whatever use, make room for it: where the limit has become smaller, more
+    // than one.
     fn count(&self, address: SocketAddr, limit: usize) -> Option<OpenCount> {
-        let counted = OpenCount::begin(&self.open, address, limit);
-        if counted.is_some() || !self.close_idle(address) {
-            return counted;
+        loop {
+            let counted = OpenCount::begin(&self.open, address, limit);
+            if counted.is_some() || !self.close_idle(address) {
+                return counted;
+            }
         }
-        OpenCount::begin(&self.open, address, limit)
     }
 
     // Closes an idle connection to an address, if there is one.
