Read buffers of callers' connections are bounded by the limit on heads

Callers saw a host that ended for its memory when clients sent heads without end or over the limit, empty lines without end, or very small chunks. Cause: hyper's read buffer grows to 417,792 bytes a connection, whatever the configured limit on heads is; the limit was checked only when a head was complete. The buffer is now as large as that limit and a first line of 8 KB. Empty lines count like any part of a head, and a body is read through the same buffer.

--- a/src/host/passing.rs
+++ b/src/host/passing.rs
@@ -10,7 +10,8 @@
         control::ControlSnapshot,
         operation::OnceSignal,
         relay::{
-            self, HostEntry, MAX_EVENT_BYTES, RelayBounds, RelayParts, RelaySettings, RetryBudget,
+            self, CallerLimits, HostEntry, MAX_EVENT_BYTES, RelayBounds, RelayParts, RelaySettings,
+            RetryBudget,
         },
         store::StorePosition,
         web::{self, IngressLimits, PoolSettings, StreamOpener},
@@ -112,6 +113,7 @@
     let limits = Rc::new(IngressLimits {
         header_time: Cell::new(traffic.settings.body_time),
         closing_header_time: Cell::new(CLOSE_TIMEOUT),
+        header_bytes: Cell::new(CallerLimits::default().header_bytes),
         silence_limit: SILENCE_LIMIT,
     });
     let stopping = closing.clone();
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -209,6 +209,7 @@
         let limits = Rc::new(IngressLimits {
             header_time: Cell::new(idle_limit(&defaults)),
             closing_header_time: Cell::new(header_limit(&defaults)),
+            header_bytes: Cell::new(defaults.header_bytes),
             silence_limit: CALLER_ACK_TIMEOUT,
         });
         let applying = apply_limit_changes(self.parts.clone(), limits.clone());
@@ -299,6 +300,7 @@
             let configured = &routes.config().limits;
             limits.header_time.set(idle_limit(configured));
             limits.closing_header_time.set(header_limit(configured));
+            limits.header_bytes.set(configured.header_bytes);
         }
         news.await;
     }
--- a/src/web/ingress.rs
+++ b/src/web/ingress.rs
@@ -32,6 +32,9 @@
 /// Connections that the system queues until they are accepted.
 const BACKLOG: u32 = 1_024;
 
+/// Bytes for a request's first line, in addition to its headers.
+const REQUEST_LINE_BYTES: usize = 8 << 10;
+
 /// Why a body ended before its end.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BrokenBody(pub String);
@@ -58,6 +61,8 @@
     pub header_time: Cell<Duration>,
     /// Time for the headers of a caller's request to arrive once no more connections are accepted.
     pub closing_header_time: Cell<Duration>,
+    /// Maximum size of a request's headers, in bytes. Also bounds what is read ahead of a body.
+    pub header_bytes: Cell<usize>,
     /// Longest time that sent bytes may stay unacknowledged.
     pub silence_limit: Duration,
 }
@@ -170,6 +175,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_time.get())
+        .max_buf_size(limits.header_bytes.get() + REQUEST_LINE_BYTES)
         .half_close(false)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
