One budget for the bodies of all callers

Callers saw a host that ended for its memory when clients sent many bodies of legal size at once, whole, in pieces or in chunks, and left out their ends. Cause: each body was bounded (4 MB), their sum was not: requests in progress were counted with 64 KB each. CallerBudget owns a quarter of the process's memory now. A body beyond 16 KB holds its length, or what its buffer grows to, before a byte of it is buffered; its request keeps it until it has ended. What has no room is refused at once as not run. Bodies that have stopped, or that arrive more slowly than 64 KB/s, give their room to others that need it and are refused as not run (408). The rest of a refused body is read on for two seconds at most, so that its caller can read the refusal.

--- a/src/host/passing.rs
+++ b/src/host/passing.rs
@@ -14,7 +14,7 @@
             RetryBudget,
         },
         store::StorePosition,
-        web::{self, IngressLimits, PoolSettings, StreamOpener},
+        web::{self, BudgetLimits, IngressLimits, PoolSettings, StreamOpener},
     },
     eyre::WrapErr,
     faststr::FastStr,
@@ -37,6 +37,9 @@
 /// How often the metrics page is rebuilt; scrapes are seconds apart.
 const METRICS_PAGE_PERIOD: Duration = Duration::from_secs(1);
 
+/// Memory from which the limits on callers are computed, in bytes.
+const PROCESS_MEMORY: u64 = 512 << 20;
+
 /// Connect timeout for a server, whose round-trip time is a few milliseconds at most.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -149,6 +152,7 @@
         store: settings.platform,
         opener: StreamOpener::default(),
         requests_limit: settings.concurrent,
+        caller_limits: BudgetLimits::of_process(PROCESS_MEMORY),
         max_event_bytes: MAX_EVENT_BYTES,
         pool: PoolSettings {
             connect_time: CONNECT_TIMEOUT,
--- a/src/relay/parts/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -14,7 +14,10 @@
         priority_metrics::PriorityMetrics,
         service_metrics::ServiceMetrics,
     },
-    crate::relay::{config::RelayRoute, policy::response_end::ResponseEnd},
+    crate::{
+        relay::{config::RelayRoute, policy::response_end::ResponseEnd},
+        web::BudgetMetrics,
+    },
     faststr::FastStr,
     prometheus_client::{
         encoding::text,
@@ -105,6 +108,8 @@
     pub attempts: AttemptMetrics,
     /// Places of contended backend servers.
     pub places: PlaceMetrics,
+    /// What callers take of the host's memory.
+    pub callers: BudgetMetrics,
     /// Lost links and carried connections.
     pub links: LinkMetrics,
     /// Configurations in pieces.
@@ -173,6 +178,7 @@
             servers_limited: Gauge::default(),
             attempts: AttemptMetrics::default(),
             places: PlaceMetrics::default(),
+            callers: BudgetMetrics::default(),
             links: LinkMetrics::default(),
             pieces: PieceMetrics::default(),
             origins: OriginMetrics::default(),
@@ -189,6 +195,7 @@
         self.priorities.register(r);
         self.attempts.register(r);
         self.places.register(r);
+        self.callers.register(r);
         self.links.register(r);
         self.pieces.register(r);
         self.origins.register(r);
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -32,7 +32,7 @@
             settings::RelaySettings,
         },
         store::{EraName, EraTracker},
-        web::{ConnectionPool, FailureCause, PoolUse, PooledAnswer, SendFailure},
+        web::{CallerBudget, ConnectionPool, FailureCause, PoolUse, PooledAnswer, SendFailure},
     },
     bytes::Bytes,
     faststr::FastStr,
@@ -120,6 +120,8 @@
     /// When a planned stop ends, on the host's clock. Set once the host accepts no more connections; requests must then
     /// be able to finish before.
     pub stop_deadline: Cell<Option<Duration>>,
+    /// What callers take of the host's memory.
+    pub caller_budget: Rc<CallerBudget>,
     /// The clock for all ages.
     pub clock: HostClock,
 }
@@ -141,6 +143,8 @@
         let zone = settings.zone.clone();
         let book = BackendRegistry::new(&settings.name);
         let ledger = ZoneLedger::new(ledger_id, zone, settings.bounds.limits, Duration::ZERO);
+        let metrics = RelayMetrics::default();
+        let caller_budget = CallerBudget::new(settings.caller_limits, metrics.callers.clone());
         Rc::new(Self {
             settings,
             dialect,
@@ -171,9 +175,10 @@
             informed_peer: Cell::new(None),
             store_heard: Cell::new(None),
             eras,
-            metrics: RelayMetrics::default(),
+            metrics,
             gate,
             stop_deadline: Cell::default(),
+            caller_budget,
             clock,
         })
     }
--- a/src/relay/request/client_request.rs
+++ b/src/relay/request/client_request.rs
@@ -1,13 +1,14 @@
 //! A client's request with its buffered body, and the requests to backend servers that are built from it.
 
 use {
+    super::request_body,
     crate::{
         account::ClientAccount,
         clock::HostClock,
-        operation::{Refusal, RefusalCode},
+        operation::Refusal,
         relay::{
             backend::BackendInfo,
-            config::{CallerLimits, RelayConfig, RelayRoute},
+            config::{RelayConfig, RelayRoute},
             dialect::{CallDialect, RequestMetadata, RequestTarget},
             policy::{
                 attempt_budget::AttemptBudget,
@@ -19,11 +20,11 @@
             },
             software_version::SoftwareVersion,
         },
-        web::{self, AnswerId},
+        web::{self, AnswerId, CallerBudget, HeldBytes},
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     http::{HeaderMap, Method, Request, request::Parts},
-    http_body_util::{BodyExt, Full},
+    http_body_util::Full,
     hyper::body::Incoming,
     std::{
         cell::{Cell, OnceCell, RefCell},
@@ -84,6 +85,8 @@
     bound_software: OnceCell<SoftwareVersion>,
     // Whether its client has got an event from here.
     has_sent_event: Cell<bool>,
+    // The bytes of the body, taken from the budget of all callers.
+    _held: HeldBytes,
     clock: HostClock,
     digest: OnceCell<RequestDigest>,
     suspects: OnceCell<Vec<CrashSuspect>>,
@@ -295,23 +298,24 @@
     }
 }
 
-/// Reads a request's body within the limits.
+/// Reads a request's body within the limits and the budget of all callers.
 pub async fn read_request(
     head: Parts,
-    body: Incoming,
+    body: &mut Incoming,
     route: Rc<RelayRoute>,
     config: &RelayConfig,
     dialect: &CallDialect,
+    budget: &Rc<CallerBudget>,
     clock: &HostClock,
 ) -> Result<ClientRequest, Refusal> {
     let received_at = clock.now();
     let marks = (dialect.read_request)(&head.headers);
     let timeout = request_timeout(&marks, &route);
     let deadline = received_at + timeout;
-    let reading = read_body(body, &config.limits);
-    let body = tokio::time::timeout(timeout, reading)
+    let reading = request_body::read_body(body, &config.limits, budget);
+    let (body, held) = tokio::time::timeout(timeout, reading)
         .await
-        .unwrap_or_else(|_| Err(slow_body()))?;
+        .unwrap_or_else(|_| Err(request_body::slow_body()))?;
     let target = head
         .uri
         .path_and_query()
@@ -325,6 +329,7 @@
         target: target.to_owned(),
         headers,
         body,
+        _held: held,
         marks,
         route,
         account: None,
@@ -346,31 +351,3 @@
         suspects: OnceCell::new(),
     })
 }
-
-async fn read_body(mut body: Incoming, limits: &CallerLimits) -> Result<Bytes, Refusal> {
-    let mut buffer = BytesMut::new();
-    loop {
-        let frame = tokio::time::timeout(limits.idle_time, body.frame())
-            .await
-            .map_err(|_| slow_body())?;
-        let Some(frame) = frame else {
-            return Ok(buffer.freeze());
-        };
-        let frame = frame.map_err(|error| {
-            let text = format!("the body broke off: {error}");
-            Refusal::not_run(RefusalCode::InvalidRequest, text)
-        })?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if buffer.len() + data.len() > limits.body_bytes {
-            let text = format!("the body has more than {} bytes", limits.body_bytes);
-            return Err(Refusal::not_run(RefusalCode::TooLarge, text));
-        }
-        buffer.extend_from_slice(&data);
-    }
-}
-
-fn slow_body() -> Refusal {
-    Refusal::not_run(RefusalCode::SlowCaller, "the body took too long to arrive")
-}
--- a/src/relay/request/handler.rs
+++ b/src/relay/request/handler.rs
@@ -16,8 +16,10 @@
             parts::{accounts::UseCharge, shared::RelayParts},
             policy::{regions::AllowedZones, route::RouteTable},
         },
+        web,
     },
     http::{Request, header, request::Parts},
+    http_body::Body,
     hyper::body::Incoming,
     std::{ops::RangeInclusive, rc::Rc, time::Duration},
     tokio::time::Instant,
@@ -42,16 +44,19 @@
 /// servers.
 const CONFIG_LAG_MARGIN: Duration = Duration::from_millis(500);
 
+/// How long the rest of a refused request's body is read on.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Handles a client's request. A refusal is logged and becomes a response.
 pub async fn handle_request(parts: Rc<RelayParts>, request: Request<Incoming>) -> RelayResponse {
     let arrived = Instant::now();
-    let (head, body) = request.into_parts();
+    let (head, mut body) = request.into_parts();
     let id = (parts.dialect.read_request)(&head.headers).id;
     let path = head.uri.path().to_owned();
     let route = parts
         .routes()
         .and_then(|routes| find_route(&routes, &head).ok());
-    let result = relay(&parts, head, body).await;
+    let result = relay(&parts, head, &mut body).await;
     let mut response = match result {
         Ok(response) => response,
         Err(refusal) => {
@@ -66,6 +71,7 @@
                     ("why", &refusal.message),
                 ],
             );
+            discard_rest(body);
             response::refusal_response(&refusal)
         }
     };
@@ -79,10 +85,27 @@
     response
 }
 
+// Reads on what is left of a refused request's body, so that its caller gets to read the refusal: closing a connection with
+// unread bytes resets it.
+fn discard_rest(body: Incoming) {
+    if body.is_end_stream() {
+        return;
+    }
+    tokio::task::spawn_local(async move {
+        let discarding = web::discard(body);
+        if tokio::time::timeout(DISCARD_TIMEOUT, discarding)
+            .await
+            .is_err()
+        {
+            log::debug!("a refused request's body did not end in time");
+        }
+    });
+}
+
 async fn relay(
     parts: &Rc<RelayParts>,
     head: Parts,
-    body: Incoming,
+    body: &mut Incoming,
 ) -> Result<RelayResponse, Refusal> {
     let entry = parts.gate.enter()?;
     let routes = parts.routes().ok_or_else(not_configured)?;
@@ -105,6 +128,7 @@
         route,
         routes.config(),
         &parts.dialect,
+        &parts.caller_budget,
         &parts.clock,
     )
     .await?;
--- a/src/relay/request/mod.rs
+++ b/src/relay/request/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod prefill;
 mod priority_wait;
 mod queue_place;
+mod request_body;
 pub(crate) mod reserve;
 pub(crate) mod response;
 mod response_body;
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -4,7 +4,7 @@
     super::policy::budget::RetryBudget,
     crate::{
         account::{KeyRules, LimitTolerance},
-        web::{PoolSettings, StreamOpener},
+        web::{BudgetLimits, PoolSettings, StreamOpener},
     },
     faststr::FastStr,
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
@@ -44,6 +44,8 @@
     pub opener: StreamOpener,
     /// Maximum number of concurrent requests.
     pub requests_limit: u64,
+    /// What all callers may take together.
+    pub caller_limits: BudgetLimits,
     /// Maximum size of an event in a response, in bytes: what a host buffers of a stream.
     pub max_event_bytes: usize,
     /// The pool of connections to backend servers.
--- a/src/web/body.rs
+++ b/src/web/body.rs
@@ -50,7 +50,7 @@
 const DISCARD_LIMIT: usize = 32 << 20;
 
 /// Reads and drops what is left of a body that was refused, within limits.
-pub async fn discard(mut body: Body) {
+pub async fn discard(mut body: impl http_body::Body<Data = Bytes> + Unpin) {
     let mut read = 0;
     while let Some(Ok(frame)) = body.frame().await {
         read += frame.data_ref().map_or(0, Bytes::len);
--- /dev/null
+++ b/src/web/budget/budget_metrics.rs
@@ -0,0 +1,43 @@
+//! Metrics of what callers take.
+
+use prometheus_client::{
+    metrics::{counter::Counter, gauge::Gauge},
+    registry::Registry,
+};
+
+/// Gauges and counters of a budget; clones count together.
+#[derive(Debug, Clone, Default)]
+pub struct BudgetMetrics {
+    /// Bytes of bodies and answers that are held.
+    pub held_bytes: Gauge,
+    /// Requests that were refused because their bodies had no room.
+    pub refused_bodies: Counter,
+    /// Requests that lost their room to others because their bodies stopped.
+    pub evicted_bodies: Counter,
+}
+
+impl BudgetMetrics {
+    /// Adds the metrics to a registry.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "caller_held_bytes",
+            "Bytes of callers' bodies and answers that are held",
+            self.held_bytes.clone(),
+        );
+        let counters = [
+            (
+                "caller_bodies_refused",
+                "Requests that were refused because their bodies had no room",
+                &self.refused_bodies,
+            ),
+            (
+                "caller_bodies_evicted",
+                "Requests that lost their room to others because their bodies stopped",
+                &self.evicted_bodies,
+            ),
+        ];
+        for (name, help, counter) in counters {
+            registry.register(name, help, counter.clone());
+        }
+    }
+}
--- /dev/null
+++ b/src/web/budget/caller_budget.rs
@@ -0,0 +1,105 @@
+//! The owner of a host's budget for callers.
+
+use {
+    super::{body_read::ReadProgress, budget_limits::BudgetLimits, budget_metrics::BudgetMetrics},
+    std::{
+        cell::{Cell, RefCell},
+        collections::HashMap,
+        rc::Rc,
+    },
+    tokio::{sync::Notify, time::Instant},
+};
+
+/// Bounds what all callers of a host take together. Of bodies and answers, the first bytes are covered by the memory of
+/// their connections; what is beyond is taken from here.
+///
+/// What has no room is refused at once, unless bodies that have stopped can make room: they are evicted, the one that
+/// stopped first before the others. A body that keeps arriving is never evicted.
+#[derive(Debug)]
+pub struct CallerBudget {
+    limits: BudgetLimits,
+    metrics: BudgetMetrics,
+    held: Cell<usize>,
+    // Bodies that are being read, by the address of their progress.
+    reads: RefCell<HashMap<*const ReadProgress, Rc<ReadProgress>>>,
+    /// Notified when bytes were given back.
+    pub(super) freed: Notify,
+}
+
+impl CallerBudget {
+    /// A budget of which nothing is taken.
+    pub fn new(limits: BudgetLimits, metrics: BudgetMetrics) -> Rc<Self> {
+        Rc::new(Self {
+            limits,
+            metrics,
+            held: Cell::new(0),
+            reads: RefCell::default(),
+            freed: Notify::new(),
+        })
+    }
+
+    /// The metrics.
+    pub fn metrics(&self) -> &BudgetMetrics {
+        &self.metrics
+    }
+
+    /// Takes bytes, if there are as many.
+    pub(super) fn take(&self, bytes: usize) -> bool {
+        let held = self.held.get().saturating_add(bytes);
+        if held > self.limits.held_bytes {
+            return false;
+        }
+        self.set_held(held);
+        true
+    }
+
+    pub(super) fn give_back(&self, bytes: usize) {
+        if bytes > 0 {
+            self.set_held(self.held.get() - bytes);
+            self.freed.notify_waiters();
+        }
+    }
+
+    fn set_held(&self, held: usize) {
+        assert!(
+            held <= self.limits.held_bytes,
+            "callers hold {held} bytes, more than {}",
+            self.limits.held_bytes
+        );
+        self.held.set(held);
+        self.metrics.held_bytes.set(held as i64);
+    }
+
+    pub(super) fn add_read(&self, progress: Rc<ReadProgress>) {
+        let mut reads = self.reads.borrow_mut();
+        reads.insert(Rc::as_ptr(&progress), progress);
+    }
+
+    pub(super) fn remove_read(&self, progress: &Rc<ReadProgress>) {
+        self.reads.borrow_mut().remove(&Rc::as_ptr(progress));
+    }
+
+    /// Evicts bodies that have stopped until `bytes` are on their way back. Returns whether as many are.
+    pub(super) fn evict_bodies(&self, bytes: usize) -> bool {
+        let now = Instant::now();
+        let reads = self.reads.borrow();
+        let evicted = reads.values().filter(|read| read.evicted.is_set());
+        let mut coming: usize = evicted.map(|read| read.held.get()).sum();
+        let mut stalled: Vec<_> = reads
+            .values()
+            .filter(|read| read.held.get() > 0 && !read.evicted.is_set())
+            .filter_map(|read| Some((read.stalled_since(now)?, read)))
+            .collect();
+        stalled.sort_unstable_by_key(|(since, _)| *since);
+        let free = self.limits.held_bytes - self.held.get();
+        for (_, read) in stalled {
+            if free + coming >= bytes {
+                break;
+            }
+            coming += read.held.get();
+            self.metrics.evicted_bodies.inc();
+            read.evicted.set();
+        }
+        free + coming >= bytes
+    }
+}
--- /dev/null
+++ b/src/web/budget/held_bytes.rs
@@ -0,0 +1,46 @@
+//! A share of a budget.
+
+use {
+    super::caller_budget::CallerBudget,
+    std::{fmt, rc::Rc},
+};
+
+/// Bytes of a budget, given back when dropped.
+pub struct HeldBytes {
+    budget: Rc<CallerBudget>,
+    bytes: usize,
+}
+
+impl fmt::Debug for HeldBytes {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "HeldBytes({})", self.bytes)
+    }
+}
+
+impl HeldBytes {
+    /// No bytes yet.
+    pub fn new(budget: Rc<CallerBudget>) -> Self {
+        Self { budget, bytes: 0 }
+    }
+
+    /// Number of bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Takes what is missing to `total` bytes, if the budget has as many. Less is kept as it is.
+    pub fn grow_to(&mut self, total: usize) -> bool {
+        let missing = total.saturating_sub(self.bytes);
+        let is_held = self.budget.take(missing);
+        if is_held {
+            self.bytes += missing;
+        }
+        is_held
+    }
+}
+
+impl Drop for HeldBytes {
+    fn drop(&mut self) {
+        self.budget.give_back(self.bytes);
+    }
+}
--- /dev/null
+++ b/src/web/budget/mod.rs
@@ -0,0 +1,11 @@
+//! The memory and the connections that all callers of a host may take together.
+
+mod body_read;
+mod budget_limits;
+mod budget_metrics;
+mod caller_budget;
+mod held_bytes;
+
+pub use self::{
+    body_read::*, budget_limits::*, budget_metrics::*, caller_budget::*, held_bytes::*,
+};
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod body_framing;
+mod budget;
 mod caller_stream;
 mod carrier;
 mod client;
@@ -21,7 +22,7 @@
 mod stream_opener;
 
 pub use self::{
-    body::*, body_framing::*, carrier::*, client::*, headers::*, ingress::*, patience::*, pool::*,
-    pool_target::*, pooled_body::*, probe::*, recent_ids::*, reply::*, send_failure::*, server::*,
-    stream_opener::*,
+    body::*, body_framing::*, budget::*, carrier::*, client::*, headers::*, ingress::*,
+    patience::*, pool::*, pool_target::*, pooled_body::*, probe::*, recent_ids::*, reply::*,
+    send_failure::*, server::*, stream_opener::*,
 };
