Memory that callers' bodies took is given back to the system

Operators saw a host that kept tens of megabytes after a crowd had gone. Cause: buffers that grow in steps are freed between blocks that are still in use, and the allocator keeps those pages. When callers hold under a sixteenth of the budget after they held over a quarter, the host releases the heap's free pages a second later (malloc_trim; nothing on systems without glibc).

--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -6,7 +6,7 @@
         config::CallerLimits,
         critical_task,
         dialect::CallDialect,
-        figures,
+        figures, heap,
         link::{StoreKind, StoreLink},
         news::{
             self, entry,
@@ -136,6 +136,7 @@
             entry::maintain_entry(parts.clone(), store.clone()),
         );
         critical_task::spawn_critical("figures", figures::log_figures(parts.clone()));
+        critical_task::spawn_critical("heap", heap::release_heap(parts.clone()));
         critical_task::spawn_critical("availability", check_availability(parts.clone()));
         critical_task::spawn_critical("lost links", recheck::test_lost_links(parts.clone()));
         critical_task::spawn_critical("carriers", recheck::check_carriers(parts.clone()));
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod critical_task;
 mod dialect;
 mod figures;
+mod heap;
 mod host;
 mod link;
 mod news;
--- a/src/web/budget/caller_budget.rs
+++ b/src/web/budget/caller_budget.rs
@@ -1,7 +1,10 @@
 //! The owner of a host's budget for callers.
 
 use {
-    super::{body_read::ReadProgress, budget_limits::BudgetLimits, budget_metrics::BudgetMetrics},
+    super::{
+        body_read::ReadProgress, budget_limits::BudgetLimits, budget_metrics::BudgetMetrics,
+        usage_mark::UsageMark,
+    },
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
@@ -24,6 +27,8 @@
     reads: RefCell<HashMap<*const ReadProgress, Rc<ReadProgress>>>,
     /// Notified when bytes were given back.
     pub(super) freed: Notify,
+    held_mark: UsageMark,
+    fallen: Notify,
 }
 
 impl CallerBudget {
@@ -35,6 +40,8 @@
             held: Cell::new(0),
             reads: RefCell::default(),
             freed: Notify::new(),
+            held_mark: UsageMark::new(limits.held_bytes),
+            fallen: Notify::new(),
         })
     }
 
@@ -68,6 +75,14 @@
         );
         self.held.set(held);
         self.metrics.held_bytes.set(held as i64);
+        if self.held_mark.has_fallen(held) {
+            self.fallen.notify_one();
+        }
+    }
+
+    /// Completes when little is held after much was.
+    pub async fn fallen(&self) {
+        self.fallen.notified().await;
     }
 
     pub(super) fn add_read(&self, progress: Rc<ReadProgress>) {
--- a/src/web/budget/mod.rs
+++ b/src/web/budget/mod.rs
@@ -5,6 +5,7 @@
 mod budget_metrics;
 mod caller_budget;
 mod held_bytes;
+mod usage_mark;
 
 pub use self::{
     body_read::*, budget_limits::*, budget_metrics::*, caller_budget::*, held_bytes::*,
