Callers' connections are bounded by memory and descriptors

Callers saw refused connections and a host without descriptors for its servers when clients opened connections and sent nothing. Cause: connections were accepted without a bound. A host now takes as many as fit into a quarter of its memory (16 KB each) and into half of the descriptors that are not kept for files: 1,760 at 110 MB and 4,100 descriptors. When they are all taken, a new one takes the room of a connection that has waited for a request's head for a second or longer, then of one whose answer is not read, then of the one that has been idle longest; if there is none, it is closed at once. The addresses of checks and metrics have bounds of their own (64 connections). The heap is released after many connections have ended, too.

--- a/src/host/passing.rs
+++ b/src/host/passing.rs
@@ -40,6 +40,9 @@
 /// Memory from which the limits on callers are computed, in bytes.
 const PROCESS_MEMORY: u64 = 512 << 20;
 
+/// Descriptors from which the limit on connections is computed.
+const PROCESS_DESCRIPTORS: u64 = 4_096;
+
 /// Connect timeout for a server, whose round-trip time is a few milliseconds at most.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -111,16 +114,18 @@
         apply_snapshots(traffic.clone(), parts.clone()),
     );
     relay::spawn_critical("metrics", publish_metrics(traffic.clone(), parts.clone()));
+    let table = parts.caller_budget.connections();
     let handler: web::IngressHandler =
         Rc::new(move |request| relay::handle_request(parts.clone(), request).boxed_local());
     let limits = Rc::new(IngressLimits {
+        idle_time: Cell::new(traffic.settings.body_time),
         header_time: Cell::new(traffic.settings.body_time),
         closing_header_time: Cell::new(CLOSE_TIMEOUT),
         header_bytes: Cell::new(CallerLimits::default().header_bytes),
         silence_limit: SILENCE_LIMIT,
     });
     let stopping = closing.clone();
-    let serving = web::serve_callers(listener, handler, limits, closing);
+    let serving = web::serve_callers(listener, handler, limits, table, closing);
     tokio::pin!(serving);
     tokio::select! {
         () = serving.as_mut() => return,
@@ -152,7 +157,7 @@
         store: settings.platform,
         opener: StreamOpener::default(),
         requests_limit: settings.concurrent,
-        caller_limits: BudgetLimits::of_process(PROCESS_MEMORY),
+        caller_limits: BudgetLimits::of_process(PROCESS_MEMORY, PROCESS_DESCRIPTORS),
         max_event_bytes: MAX_EVENT_BYTES,
         pool: PoolSettings {
             connect_time: CONNECT_TIMEOUT,
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -35,7 +35,7 @@
         host::StopGate,
         metric::HostMetrics,
         operation::OnceSignal,
-        web::{self, IngressHandler, IngressLimits},
+        web::{self, ConnectionTable, IngressHandler, IngressLimits},
     },
     bytes::Bytes,
     eyre::WrapErr,
@@ -142,15 +142,24 @@
         critical_task::spawn_critical("carriers", recheck::check_carriers(parts.clone()));
         critical_task::spawn_critical("engine roles", keeper::keep_roles(parts, store));
         let (served, checks_closing) = (host.callers_served.clone(), host.checks_closing.clone());
-        let serving = host.serve(callers, host.caller_handler(), host.closing.clone());
+        let limits = host.parts.settings.caller_limits;
+        let table = host.parts.caller_budget.connections();
+        let serving = host.serve(callers, host.caller_handler(), table, host.closing.clone());
         critical_task::spawn_critical("callers", async move {
             serving.await;
             served.set();
         });
-        let serving = host.serve(checks, host.check_handler(), checks_closing.clone());
+        let check_table = || Rc::new(ConnectionTable::new(limits.check_connections));
+        let serving = host.serve(
+            checks,
+            host.check_handler(),
+            check_table(),
+            checks_closing.clone(),
+        );
         critical_task::spawn_critical("checks", serving);
         if let Some(metrics) = metrics {
-            let serving = host.serve(metrics, host.metrics_handler(), checks_closing);
+            let handler = host.metrics_handler();
+            let serving = host.serve(metrics, handler, check_table(), checks_closing);
             critical_task::spawn_critical("metrics", serving);
         }
         Ok(host)
@@ -204,18 +213,20 @@
         &self,
         listener: TcpListener,
         handler: IngressHandler,
+        table: Rc<ConnectionTable>,
         closing: Arc<OnceSignal>,
     ) -> impl Future<Output = ()> + use<> {
         let defaults = CallerLimits::default();
         let limits = Rc::new(IngressLimits {
-            header_time: Cell::new(idle_limit(&defaults)),
+            idle_time: Cell::new(idle_limit(&defaults)),
+            header_time: Cell::new(header_limit(&defaults)),
             closing_header_time: Cell::new(header_limit(&defaults)),
             header_bytes: Cell::new(defaults.header_bytes),
             silence_limit: CALLER_ACK_TIMEOUT,
         });
         let applying = apply_limit_changes(self.parts.clone(), limits.clone());
         critical_task::spawn_critical("limits", applying);
-        web::serve_callers(listener, handler, limits, closing)
+        web::serve_callers(listener, handler, limits, table, closing)
     }
 
     fn caller_handler(&self) -> IngressHandler {
@@ -299,7 +310,8 @@
         news.as_mut().enable();
         if let Some(routes) = parts.routes() {
             let configured = &routes.config().limits;
-            limits.header_time.set(idle_limit(configured));
+            limits.idle_time.set(idle_limit(configured));
+            limits.header_time.set(header_limit(configured));
             limits.closing_header_time.set(header_limit(configured));
             limits.header_bytes.set(configured.header_bytes);
         }
--- a/src/web/budget/body_read.rs
+++ b/src/web/budget/body_read.rs
@@ -1,21 +1,15 @@
 //! A body that is being read within a budget.
 
 use {
-    super::{budget_limits::SMALL_BYTES, caller_budget::CallerBudget, held_bytes::HeldBytes},
+    super::{
+        budget_limits::SMALL_BYTES, caller_budget::CallerBudget, held_bytes::HeldBytes,
+        pace::BytePace,
+    },
     crate::operation::OnceSignal,
     std::{cell::Cell, rc::Rc, time::Duration},
     tokio::time::Instant,
 };
 
-/// A body of which nothing arrived for this long gives its bytes to others that need them.
-const STALL_TIME: Duration = Duration::from_secs(1);
-
-/// A body that arrives more slowly than this after [`SLOW_START`] does so too, in bytes a second.
-const MIN_RATE: f64 = 65_536.0;
-
-/// How long a body may arrive at any rate.
-const SLOW_START: Duration = Duration::from_secs(2);
-
 /// How long a body waits for the bytes of those that were evicted in its favour.
 const EVICTION_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -32,10 +26,12 @@
 impl ReadProgress {
     /// Since when nothing has arrived, if the body is so slow that others may have its bytes.
     pub(super) fn stalled_since(&self, now: Instant) -> Option<Instant> {
-        let last_read = self.last_read.get();
-        let expected = SLOW_START.as_secs_f64() + self.received.get() as f64 / MIN_RATE;
-        let is_slow = (now - self.started).as_secs_f64() > expected;
-        (is_slow || now - last_read > STALL_TIME).then_some(last_read)
+        let pace = BytePace {
+            started: self.started,
+            moved: self.last_read.get(),
+            bytes: self.received.get(),
+        };
+        pace.is_stalled(now).then_some(pace.moved)
     }
 }
 
--- a/src/web/budget/budget_limits.rs
+++ b/src/web/budget/budget_limits.rs
@@ -6,18 +6,49 @@
 /// Fraction of the process's memory that bodies and answers beyond [`SMALL_BYTES`] may take: 1 of this many.
 const HELD_FRACTION: u64 = 4;
 
+/// Fraction of the process's memory that callers' connections may take: 1 of this many.
+const CONNECTIONS_FRACTION: u64 = 4;
+
+/// Memory assumed for each connection, in bytes: what is read ahead, or unread at its socket, and its state.
+const CONNECTION_MEMORY: u64 = 16 << 10;
+
+/// Descriptors that are kept for files.
+const FILE_DESCRIPTORS: u64 = 200;
+
+/// Fraction of the other descriptors that callers' connections may take: 1 of this many. The rest is for connections to
+/// servers, the store and other hosts.
+const SOCKETS_FRACTION: u64 = 2;
+
+/// Fraction for each address of checks, of metrics and of other hosts, and the most that it needs.
+const CHECKS_FRACTION: u64 = 32;
+const MAX_CHECK_CONNECTIONS: u64 = 64;
+
 /// What all callers of a host may take together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BudgetLimits {
     /// Bytes of bodies and of answers.
     pub held_bytes: usize,
+    /// Connections of callers.
+    pub connections: usize,
+    /// Connections at each of the addresses for checks, for metrics and for other hosts that are not known yet.
+    pub check_connections: usize,
 }
 
 impl BudgetLimits {
-    /// The limits of a process with `memory` bytes.
-    pub fn of_process(memory: u64) -> Self {
+    /// The limits of a process with `memory` bytes and a number of descriptors.
+    pub fn of_process(memory: u64, descriptors: u64) -> Self {
+        let of_memory = memory / CONNECTIONS_FRACTION / CONNECTION_MEMORY;
+        let sockets = descriptors.saturating_sub(FILE_DESCRIPTORS);
+        let of_descriptors = sockets / SOCKETS_FRACTION;
+        let checks = (sockets / CHECKS_FRACTION).min(MAX_CHECK_CONNECTIONS);
         Self {
-            held_bytes: usize::try_from(memory / HELD_FRACTION).unwrap_or(usize::MAX),
+            held_bytes: to_usize(memory / HELD_FRACTION),
+            connections: to_usize(of_memory.min(of_descriptors).max(1)),
+            check_connections: to_usize(checks.max(1)),
         }
     }
 }
+
+fn to_usize(number: u64) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
+}
--- a/src/web/budget/budget_metrics.rs
+++ b/src/web/budget/budget_metrics.rs
@@ -14,6 +14,12 @@
     pub refused_bodies: Counter,
     /// Requests that lost their room to others because their bodies stopped.
     pub evicted_bodies: Counter,
+    /// Open connections of callers.
+    pub connections: Gauge,
+    /// Connections that were closed as they came because there was no room.
+    pub refused_connections: Counter,
+    /// Connections that were closed to make room for others.
+    pub evicted_connections: Counter,
 }
 
 impl BudgetMetrics {
@@ -24,7 +30,22 @@
             "Bytes of callers' bodies and answers that are held",
             self.held_bytes.clone(),
         );
+        registry.register(
+            "caller_connections",
+            "Open connections of callers",
+            self.connections.clone(),
+        );
         let counters = [
+            (
+                "caller_connections_refused",
+                "Connections that were closed as they came because there was no room",
+                &self.refused_connections,
+            ),
+            (
+                "caller_connections_evicted",
+                "Connections that were closed to make room for others",
+                &self.evicted_connections,
+            ),
             (
                 "caller_bodies_refused",
                 "Requests that were refused because their bodies had no room",
--- a/src/web/budget/caller_budget.rs
+++ b/src/web/budget/caller_budget.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         body_read::ReadProgress, budget_limits::BudgetLimits, budget_metrics::BudgetMetrics,
-        usage_mark::UsageMark,
+        connection_table::ConnectionTable, usage_mark::UsageMark,
     },
     std::{
         cell::{Cell, RefCell},
@@ -22,6 +22,7 @@
 pub struct CallerBudget {
     limits: BudgetLimits,
     metrics: BudgetMetrics,
+    connections: Rc<ConnectionTable>,
     held: Cell<usize>,
     // Bodies that are being read, by the address of their progress.
     reads: RefCell<HashMap<*const ReadProgress, Rc<ReadProgress>>>,
@@ -34,9 +35,11 @@
 impl CallerBudget {
     /// A budget of which nothing is taken.
     pub fn new(limits: BudgetLimits, metrics: BudgetMetrics) -> Rc<Self> {
+        let connections = ConnectionTable::with_metrics(limits.connections, metrics.clone());
         Rc::new(Self {
             limits,
             metrics,
+            connections: Rc::new(connections),
             held: Cell::new(0),
             reads: RefCell::default(),
             freed: Notify::new(),
@@ -50,6 +53,11 @@
         &self.metrics
     }
 
+    /// The callers' connections.
+    pub fn connections(&self) -> Rc<ConnectionTable> {
+        self.connections.clone()
+    }
+
     /// Takes bytes, if there are as many.
     pub(super) fn take(&self, bytes: usize) -> bool {
         let held = self.held.get().saturating_add(bytes);
@@ -80,9 +88,12 @@
         }
     }
 
-    /// Completes when little is held after much was.
+    /// Completes when callers hold little, or few connections, after they had many.
     pub async fn fallen(&self) {
-        self.fallen.notified().await;
+        tokio::select! {
+            () = self.fallen.notified() => {}
+            () = self.connections.fallen() => {}
+        }
     }
 
     pub(super) fn add_read(&self, progress: Rc<ReadProgress>) {
--- /dev/null
+++ b/src/web/budget/connection_table.rs
@@ -0,0 +1,103 @@
+//! Callers' open connections, of which some are closed when there are too many.
+
+use {
+    super::{budget_metrics::BudgetMetrics, usage_mark::UsageMark},
+    crate::web::connection_phase::ConnectionPhase,
+    std::{cell::RefCell, collections::HashMap, fmt, rc::Rc},
+    tokio::{sync::Notify, time::Instant},
+};
+
+/// Callers' open connections.
+pub struct ConnectionTable {
+    limit: usize,
+    metrics: BudgetMetrics,
+    mark: UsageMark,
+    fallen: Notify,
+    // By the address of their phase.
+    open: RefCell<HashMap<*const ConnectionPhase, Rc<ConnectionPhase>>>,
+}
+
+impl fmt::Debug for ConnectionTable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "ConnectionTable({} of {})", self.len(), self.limit)
+    }
+}
+
+impl ConnectionTable {
+    /// A table for at most `limit` connections.
+    pub fn new(limit: usize) -> Self {
+        Self::with_metrics(limit, BudgetMetrics::default())
+    }
+
+    /// The same, with metrics.
+    pub(super) fn with_metrics(limit: usize, metrics: BudgetMetrics) -> Self {
+        Self {
+            limit,
+            metrics,
+            mark: UsageMark::new(limit),
+            fallen: Notify::new(),
+            open: RefCell::default(),
+        }
+    }
+
+    /// Number of open connections.
+    pub fn len(&self) -> usize {
+        self.open.borrow().len()
+    }
+
+    /// Whether no connection is open.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Whether there is room for one more.
+    pub(in crate::web) fn has_room(&self) -> bool {
+        self.len() < self.limit
+    }
+
+    /// Adds a connection.
+    pub(in crate::web) fn add(&self, phase: Rc<ConnectionPhase>) {
+        let mut open = self.open.borrow_mut();
+        open.insert(Rc::as_ptr(&phase), phase);
+        self.record_use(open.len());
+    }
+
+    /// Removes a connection that has ended.
+    pub(in crate::web) fn remove(&self, phase: &Rc<ConnectionPhase>) {
+        let mut open = self.open.borrow_mut();
+        open.remove(&Rc::as_ptr(phase));
+        self.record_use(open.len());
+    }
+
+    fn record_use(&self, open: usize) {
+        self.metrics.connections.set(open as i64);
+        if self.mark.has_fallen(open) {
+            self.fallen.notify_one();
+        }
+    }
+
+    /// Completes when few connections are open after many were.
+    pub(super) async fn fallen(&self) {
+        self.fallen.notified().await;
+    }
+
+    /// Counts a connection that was closed because there was no room.
+    pub(in crate::web) fn count_refused(&self) {
+        self.metrics.refused_connections.inc();
+    }
+
+    /// Closes one connection to make room. Of those that can be closed, one on which no request was sent yet or that
+    /// answers nothing goes before others, and the one that has waited longest before these. Returns whether there was one.
+    pub(in crate::web) fn evict_one(&self) -> bool {
+        let now = Instant::now();
+        let open = self.open.borrow();
+        let candidates = open.values().filter(|phase| !phase.evicted.is_set());
+        let ranked = candidates.filter_map(|phase| Some((phase.eviction_rank(now)?, phase)));
+        let Some((_, phase)) = ranked.min_by_key(|(rank, _)| *rank) else {
+            return false;
+        };
+        self.metrics.evicted_connections.inc();
+        phase.evicted.set();
+        true
+    }
+}
--- a/src/web/budget/mod.rs
+++ b/src/web/budget/mod.rs
@@ -4,9 +4,13 @@
 mod budget_limits;
 mod budget_metrics;
 mod caller_budget;
+mod connection_table;
 mod held_bytes;
+mod pace;
 mod usage_mark;
 
+pub(super) use self::pace::BytePace;
 pub use self::{
-    body_read::*, budget_limits::*, budget_metrics::*, caller_budget::*, held_bytes::*,
+    body_read::*, budget_limits::*, budget_metrics::*, caller_budget::*, connection_table::*,
+    held_bytes::*,
 };
--- a/src/web/budget/usage_mark.rs
+++ b/src/web/budget/usage_mark.rs
@@ -3,10 +3,10 @@
 use std::cell::Cell;
 
 /// A use is high above this fraction of its limit: 1 of this many.
-const HIGH_FRACTION: usize = 4;
+const HIGH_FRACTION: usize = 8;
 
 /// It has fallen below this fraction: 1 of this many.
-const LOW_FRACTION: usize = 16;
+const LOW_FRACTION: usize = 32;
 
 /// Whether a use was high since it was low.
 #[derive(Debug)]
--- a/src/web/caller_stream.rs
+++ b/src/web/caller_stream.rs
@@ -11,9 +11,10 @@
     std::{
         cell::Cell,
         io::{self, IoSlice},
+        net::Shutdown,
         pin::Pin,
         rc::Rc,
-        task::{Context, Poll},
+        task::{Context, Poll, ready},
         time::Duration,
     },
     tokio::{
@@ -27,7 +28,7 @@
 
 /// A caller's connection with a reset switch.
 pub(super) struct CallerStream {
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
     switch: ResetSwitch,
     resets_on_close: bool,
     phase: Rc<ConnectionPhase>,
@@ -35,7 +36,11 @@
 
 impl CallerStream {
     /// A connection that is closed in an orderly way until the switch is set.
-    pub(super) fn new(stream: TcpStream, switch: ResetSwitch, phase: Rc<ConnectionPhase>) -> Self {
+    pub(super) fn new(
+        stream: Rc<TcpStream>,
+        switch: ResetSwitch,
+        phase: Rc<ConnectionPhase>,
+    ) -> Self {
         Self {
             stream,
             switch,
@@ -51,14 +56,33 @@
         }
         self.resets_on_close = resets;
         let linger = resets.then_some(Duration::ZERO);
-        if let Err(error) = SockRef::from(&self.stream).set_linger(linger) {
+        if let Err(error) = SockRef::from(&*self.stream).set_linger(linger) {
             log::warn!("a caller's connection cannot be set to end by a reset ({resets}): {error}");
         }
     }
 
-    fn inner(&mut self) -> Pin<&mut TcpStream> {
+    // Writes once the connection takes bytes, and records how many it took.
+    fn poll_write_with(
+        &mut self,
+        context: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
         self.apply_switch();
-        Pin::new(&mut self.stream)
+        loop {
+            let Poll::Ready(ready) = self.stream.poll_write_ready(context) else {
+                self.phase.record_blocked();
+                return Poll::Pending;
+            };
+            ready?;
+            match write(&self.stream) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Ok(bytes) => {
+                    self.phase.record_write(bytes);
+                    return Poll::Ready(Ok(bytes));
+                }
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
     }
 }
 
@@ -74,12 +98,19 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let result = self.inner().poll_read(context, buffer);
-        if buffer.filled().len() > before {
-            self.phase.record_read();
+        self.apply_switch();
+        loop {
+            ready!(self.stream.poll_read_ready(context))?;
+            match self.stream.try_read_buf(buffer) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Ok(0) => return Poll::Ready(Ok(())),
+                Ok(_) => {
+                    self.phase.record_read();
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) => return Poll::Ready(Err(error)),
+            }
         }
-        result
     }
 }
 
@@ -89,15 +120,18 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.inner().poll_write(context, buffer)
+        self.poll_write_with(context, |stream| stream.try_write(buffer))
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.inner().poll_flush(context)
+    // Sockets have no buffer of their own.
+    fn poll_flush(mut self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.apply_switch();
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.inner().poll_shutdown(context)
+    fn poll_shutdown(mut self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.apply_switch();
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 
     fn poll_write_vectored(
@@ -105,11 +139,11 @@
         context: &mut Context<'_>,
         buffers: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.inner().poll_write_vectored(context, buffers)
+        self.poll_write_with(context, |stream| stream.try_write_vectored(buffers))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 }
 
--- a/src/web/connection_phase.rs
+++ b/src/web/connection_phase.rs
@@ -1,7 +1,11 @@
 //! What a caller's connection is doing: whether a request is expected, being read or being answered.
 
 use {
-    super::ingress::{BrokenBody, IngressBody},
+    super::{
+        budget::BytePace,
+        ingress::{BrokenBody, IngressBody},
+    },
+    crate::operation::OnceSignal,
     bytes::Bytes,
     http_body::{Body, Frame, SizeHint},
     std::{
@@ -11,12 +15,15 @@
         task::{Context, Poll},
         time::Duration,
     },
+    tokio::{net::TcpStream, time::Instant},
 };
 
 /// A connection's phase.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
-    /// Opened for a request that has not arrived, or not all of its headers.
+    /// Opened for a request of which nothing has arrived.
+    Opened,
+    /// Some of a request's headers have arrived.
     Reading,
     /// A request is being answered.
     Answering,
@@ -24,33 +31,72 @@
     Idle,
 }
 
+/// How soon a connection is closed to make room: the kind, and since when it waits.
+pub(super) type EvictionRank = (u8, Instant);
+
 /// The phase of a caller's connection.
 #[derive(Debug)]
-pub(super) struct ConnectionPhase(Cell<Phase>);
-
-impl Default for ConnectionPhase {
-    // A caller opens a connection to send a request.
-    fn default() -> Self {
-        Self(Cell::new(Phase::Reading))
-    }
+pub(super) struct ConnectionPhase {
+    stream: Rc<TcpStream>,
+    phase: Cell<Phase>,
+    changed: Cell<Instant>,
+    answer_started: Cell<Instant>,
+    written: Cell<usize>,
+    // Since when the caller takes no more of an answer.
+    blocked: Cell<Option<Instant>>,
+    /// Set when the connection has to be closed.
+    pub(super) evicted: OnceSignal,
 }
 
 impl ConnectionPhase {
+    /// The phase of a connection that was opened just now.
+    pub(super) fn new(stream: Rc<TcpStream>) -> Self {
+        Self {
+            stream,
+            phase: Cell::new(Phase::Opened),
+            changed: Cell::new(Instant::now()),
+            answer_started: Cell::new(Instant::now()),
+            written: Cell::new(0),
+            blocked: Cell::default(),
+            evicted: OnceSignal::default(),
+        }
+    }
+
+    fn change(&self, phase: Phase) {
+        self.phase.set(phase);
+        self.changed.set(Instant::now());
+    }
+
     /// Records that bytes arrived.
     pub(super) fn record_read(&self) {
-        if self.0.get() == Phase::Idle {
-            self.0.set(Phase::Reading);
+        if matches!(self.phase.get(), Phase::Opened | Phase::Idle) {
+            self.change(Phase::Reading);
         }
     }
 
     /// Records that the headers of a request have arrived.
     pub(super) fn begin_request(&self) {
-        self.0.set(Phase::Answering);
+        self.change(Phase::Answering);
+        self.answer_started.set(self.changed.get());
+        self.written.set(0);
+    }
+
+    /// Records that the caller took bytes.
+    pub(super) fn record_write(&self, bytes: usize) {
+        self.written.set(self.written.get() + bytes);
+        self.blocked.set(None);
+    }
+
+    /// Records that the caller takes no more bytes for now.
+    pub(super) fn record_blocked(&self) {
+        if self.blocked.get().is_none() {
+            self.blocked.set(Some(Instant::now()));
+        }
     }
 
     /// Whether a request is being sent.
     pub(super) fn expects_request(&self) -> bool {
-        self.0.get() == Phase::Reading
+        matches!(self.phase.get(), Phase::Opened | Phase::Reading)
     }
 
     /// Completes if the headers of an expected request take longer than `limit` to arrive.
@@ -60,6 +106,33 @@
             std::future::pending::<()>().await;
         }
     }
+
+    /// Since when the caller takes no more of an answer, if it reads so slowly that others may have the room.
+    pub(super) fn stalled_since(&self, now: Instant) -> Option<Instant> {
+        let pace = BytePace {
+            started: self.answer_started.get(),
+            moved: self.blocked.get()?,
+            bytes: self.written.get(),
+        };
+        pace.is_stalled(now).then_some(pace.moved)
+    }
+
+    /// How soon the connection is closed to make room; none if it is not.
+    pub(super) fn eviction_rank(&self, now: Instant) -> Option<EvictionRank> {
+        let changed = self.changed.get();
+        let expected = BytePace {
+            started: changed,
+            moved: changed,
+            bytes: 0,
+        };
+        match self.phase.get() {
+            Phase::Opened | Phase::Reading => expected.is_stalled(now).then_some((0, changed)),
+            Phase::Answering => Some((1, self.stalled_since(now)?)),
+            // The last bytes of the answer may still be unread.
+            Phase::Idle if self.blocked.get().is_some() => Some((1, self.stalled_since(now)?)),
+            Phase::Idle => Some((2, changed)),
+        }
+    }
 }
 
 /// The body of an answer, with whose end the connection is idle.
@@ -77,7 +150,7 @@
 
 impl Drop for TrackedBody {
     fn drop(&mut self) {
-        self.phase.0.set(Phase::Idle);
+        self.phase.change(Phase::Idle);
     }
 }
 
--- a/src/web/ingress.rs
+++ b/src/web/ingress.rs
@@ -5,6 +5,7 @@
 
 use {
     super::{
+        budget::ConnectionTable,
         caller_stream::{CallerStream, ResetSwitch, UnframedBody},
         connection_phase::{ConnectionPhase, TrackedBody},
     },
@@ -57,7 +58,9 @@
 /// What callers' connections are bounded by; may change while serving.
 #[derive(Debug)]
 pub struct IngressLimits {
-    /// Time for a request's headers to arrive, also while a connection is idle.
+    /// Longest time for which a connection may be idle.
+    pub idle_time: Cell<Duration>,
+    /// Time for a request's headers to arrive, from their first byte.
     pub header_time: Cell<Duration>,
     /// Time for the headers of a caller's request to arrive once no more connections are accepted.
     pub closing_header_time: Cell<Duration>,
@@ -84,10 +87,14 @@
     listener: TcpListener,
     handler: IngressHandler,
     limits: Rc<IngressLimits>,
+    table: Rc<ConnectionTable>,
     closing: Arc<OnceSignal>,
 ) {
     let mut connections = JoinSet::new();
-    let serve = |stream| serve_one(stream, handler.clone(), limits.clone(), closing.clone());
+    let serve = |stream| {
+        let open = OpenConnection::new(stream, table.clone());
+        serve_one(open, handler.clone(), limits.clone(), closing.clone())
+    };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -98,9 +105,10 @@
             () = closing.wait() => break,
         };
         match accepted {
-            Ok((stream, _)) => {
+            Ok((stream, _)) if make_room(&table).await => {
                 connections.spawn_local(serve(stream));
             }
+            Ok(_) => table.count_refused(),
             Err(error) => {
                 log::warn!("a connection could not be accepted: {error}");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -121,6 +129,18 @@
     }
 }
 
+// Makes room for a connection that was accepted, if another one can be closed.
+async fn make_room(table: &ConnectionTable) -> bool {
+    if table.has_room() {
+        return true;
+    }
+    if table.evict_one() {
+        // The connection ends when its task runs.
+        tokio::task::yield_now().await;
+    }
+    table.has_room()
+}
+
 fn log_panic(ended: Result<(), JoinError>) {
     if let Err(error) = ended {
         log::error!("a caller's connection failed: {error}");
@@ -143,22 +163,49 @@
     Ok(queued)
 }
 
+// A connection that is in the table until dropped.
+struct OpenConnection {
+    stream: Rc<TcpStream>,
+    phase: Rc<ConnectionPhase>,
+    table: Rc<ConnectionTable>,
+}
+
+impl OpenConnection {
+    fn new(stream: TcpStream, table: Rc<ConnectionTable>) -> Self {
+        let stream = Rc::new(stream);
+        let phase = Rc::new(ConnectionPhase::new(stream.clone()));
+        table.add(phase.clone());
+        Self {
+            stream,
+            phase,
+            table,
+        }
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.table.remove(&self.phase);
+    }
+}
+
 async fn serve_one(
-    stream: TcpStream,
+    open: OpenConnection,
     handler: IngressHandler,
     limits: Rc<IngressLimits>,
     closing: Arc<OnceSignal>,
 ) {
-    let prepared = stream
-        .set_nodelay(true)
-        .and_then(|()| SockRef::from(&stream).set_tcp_user_timeout(Some(limits.silence_limit)));
+    let socket = SockRef::from(&*open.stream);
+    let prepared = socket
+        .set_tcp_nodelay(true)
+        .and_then(|()| socket.set_tcp_user_timeout(Some(limits.silence_limit)));
     if let Err(error) = prepared {
         log::debug!("a caller's connection ended as it came: {error}");
         return;
     }
     let switch = ResetSwitch::default();
-    let phase = Rc::new(ConnectionPhase::default());
-    let stream = CallerStream::new(stream, switch.clone(), phase.clone());
+    let phase = open.phase.clone();
+    let stream = CallerStream::new(open.stream.clone(), switch.clone(), phase.clone());
     let answered_phase = phase.clone();
     let is_closing = closing.clone();
     let service = service_fn(move |request| {
@@ -174,7 +221,7 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.header_time.get())
+        .header_read_timeout(limits.idle_time.get())
         .max_buf_size(limits.header_bytes.get() + REQUEST_LINE_BYTES)
         .half_close(false)
         .serve_connection(TokioIo::new(stream), service);
@@ -183,12 +230,14 @@
         // Bytes that have arrived are read before the connection counts as idle.
         biased;
         result = connection.as_mut() => result,
+        () = phase.evicted.wait() => return,
         () = closing.wait() => {
             if !phase.expects_request() {
                 connection.as_mut().graceful_shutdown();
             }
             tokio::select! {
                 result = connection.as_mut() => result,
+                () = phase.evicted.wait() => return,
                 () = phase.request_overdue(limits.closing_header_time.get()) => return,
             }
         }
