Heads of callers' requests have their own time limit on every connection

Callers held connections with half a head for as long as a connection may be idle (16 s in place of 4 s with the usual limits). Cause: hyper has one time for both, which was set to the longer one; the limit on heads was in force only while a host stopped. Open connections are looked at each 250 ms, and one whose head has been arriving for longer than its limit is closed. Before its first byte a connection may be idle, as before. Result: the new test failed before (still open after 6 s with limits of 4 and 16 s) and passes.

--- a/src/web/budget/connection_table.rs
+++ b/src/web/budget/connection_table.rs
@@ -3,7 +3,7 @@
 use {
     super::{budget_metrics::BudgetMetrics, usage_mark::UsageMark},
     crate::web::connection_phase::ConnectionPhase,
-    std::{cell::RefCell, collections::HashMap, fmt, rc::Rc},
+    std::{cell::RefCell, collections::HashMap, fmt, rc::Rc, time::Duration},
     tokio::{sync::Notify, time::Instant},
 };
 
@@ -100,4 +100,15 @@
         phase.evicted.set();
         true
     }
+
+    /// Closes connections on which the headers of a request have been arriving for more than `limit`.
+    pub(in crate::web) fn sweep(&self, limit: Duration) {
+        let now = Instant::now();
+        let open = self.open.borrow();
+        for phase in open.values() {
+            if phase.is_head_overdue(now, limit) {
+                phase.evicted.set();
+            }
+        }
+    }
 }
--- a/src/web/connection_phase.rs
+++ b/src/web/connection_phase.rs
@@ -107,6 +107,11 @@
         }
     }
 
+    /// Whether a request's headers have been arriving for more than `limit`.
+    pub(super) fn is_head_overdue(&self, now: Instant, limit: Duration) -> bool {
+        self.phase.get() == Phase::Reading && now - self.changed.get() > limit
+    }
+
     /// Since when the caller takes no more of an answer, if it reads so slowly that others may have the room.
     pub(super) fn stalled_since(&self, now: Instant) -> Option<Instant> {
         let pace = BytePace {
--- a/src/web/ingress.rs
+++ b/src/web/ingress.rs
@@ -24,6 +24,7 @@
     tokio::{
         net::{TcpListener, TcpStream},
         task::{JoinError, JoinSet},
+        time::MissedTickBehavior,
     },
 };
 
@@ -33,6 +34,9 @@
 /// Connections that the system queues until they are accepted.
 const BACKLOG: u32 = 1_024;
 
+/// Interval at which open connections are looked at.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Bytes for a request's first line, in addition to its headers.
 const REQUEST_LINE_BYTES: usize = 8 << 10;
 
@@ -95,6 +99,8 @@
         let open = OpenConnection::new(stream, table.clone());
         serve_one(open, handler.clone(), limits.clone(), closing.clone())
     };
+    let mut sweeps = tokio::time::interval(SWEEP_INTERVAL);
+    sweeps.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -102,6 +108,10 @@
                 log_panic(ended);
                 continue;
             }
+            _ = sweeps.tick(), if !table.is_empty() => {
+                table.sweep(limits.header_time.get());
+                continue;
+            }
             () = closing.wait() => break,
         };
         match accepted {
@@ -124,8 +134,14 @@
         }
         Err(error) => log::warn!("connections that were queued are lost: {error}"),
     }
-    while let Some(ended) = connections.join_next().await {
-        log_panic(ended);
+    loop {
+        tokio::select! {
+            ended = connections.join_next() => match ended {
+                Some(ended) => log_panic(ended),
+                None => return,
+            },
+            _ = sweeps.tick() => table.sweep(limits.header_time.get()),
+        }
     }
 }
 
