A caller that leaves is noticed behind requests that it sent ahead

Servers went on working for callers that had left, until the time limit, if these had sent bytes behind their request. Cause: hyper reads no further while such bytes are buffered, so it does not see the end of the connection. The state of the socket tells it: connections whose request is being answered and whose caller has closed them are ended with the look at open connections. A caller whose own queue is still full stays unseen until the host reads or writes: the end of its connection is behind that queue. Result: the new test failed before (nothing within 2 s; the request ended at its time limit) and passes; 16 tests of callers and stops pass.

--- a/src/web/budget/connection_table.rs
+++ b/src/web/budget/connection_table.rs
@@ -101,12 +101,13 @@
         true
     }
 
-    /// Closes connections on which the headers of a request have been arriving for more than `limit`.
+    /// Closes connections on which the headers of a request have been arriving for more than `limit`, and those whose caller
+    /// has left.
     pub(in crate::web) fn sweep(&self, limit: Duration) {
         let now = Instant::now();
         let open = self.open.borrow();
         for phase in open.values() {
-            if phase.is_head_overdue(now, limit) {
+            if phase.is_head_overdue(now, limit) || phase.is_abandoned() {
                 phase.evicted.set();
             }
         }
--- a/src/web/connection_phase.rs
+++ b/src/web/connection_phase.rs
@@ -7,6 +7,7 @@
     },
     crate::operation::OnceSignal,
     bytes::Bytes,
+    futures::FutureExt,
     http_body::{Body, Frame, SizeHint},
     std::{
         cell::Cell,
@@ -15,7 +16,7 @@
         task::{Context, Poll},
         time::Duration,
     },
-    tokio::{net::TcpStream, time::Instant},
+    tokio::{io::Interest, net::TcpStream, time::Instant},
 };
 
 /// A connection's phase.
@@ -112,6 +113,15 @@
         self.phase.get() == Phase::Reading && now - self.changed.get() > limit
     }
 
+    /// Whether the caller has left while its request is being answered. Bytes behind the request hide that from the reader.
+    pub(super) fn is_abandoned(&self) -> bool {
+        if self.phase.get() != Phase::Answering {
+            return false;
+        }
+        let ready = self.stream.ready(Interest::READABLE).now_or_never();
+        ready.is_some_and(|ready| ready.is_ok_and(|ready| ready.is_read_closed()))
+    }
+
     /// Since when the caller takes no more of an answer, if it reads so slowly that others may have the room.
     pub(super) fn stalled_since(&self, now: Instant) -> Option<Instant> {
         let pace = BytePace {
