Sockets of callers buffer 16 KB that are not read

Operators saw the system hold megabytes for connections from which a host does not read, which count as the host's memory. Cause: the receive buffers of sockets begin with 128 KB and grow. Listening sockets set 16 KB now, which their connections inherit; the system allows as many again for its own use.

--- a/src/web/ingress.rs
+++ b/src/web/ingress.rs
@@ -34,6 +34,9 @@
 /// Connections that the system queues until they are accepted.
 const BACKLOG: u32 = 1_024;
 
+/// Bytes that the system buffers of a connection until they are read; it allows as many again for its own use.
+const RECEIVE_BUFFER_BYTES: u32 = 16 << 10;
+
 /// Interval at which open connections are looked at.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -81,6 +84,8 @@
         SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
+    // Connections inherit it from the listening socket, before their windows are announced.
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
