Connections to servers buffer a bounded number of bytes

Part of the fault that callers which do not read make a host hold what servers write: each connection to a server read up to 417,792 bytes ahead and left megabytes unread in the system's buffers while its caller took nothing. They are bounded by 64 KB and 32 KB now.

--- a/src/web/pool.rs
+++ b/src/web/pool.rs
@@ -54,6 +54,12 @@
     pub opener: StreamOpener,
 }
 
+/// Bytes that the system buffers of a connection until they are read; it allows as many again for its own use.
+const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
+
+/// Maximum size of an answer's head, and of what is read ahead of its body, in bytes.
+const READ_BUFFER_BYTES: usize = 64 << 10;
+
 type Sender = http1::SendRequest<Full<Bytes>>;
 
 struct IdleConnection {
@@ -300,7 +306,9 @@
     /// Sets the options of a connection to a server.
     pub fn prepare(&self, stream: &TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
-        SockRef::from(stream).set_tcp_user_timeout(Some(self.settings.silence_limit))
+        let socket = SockRef::from(stream);
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+        socket.set_tcp_user_timeout(Some(self.settings.silence_limit))
     }
 
     async fn connect(
@@ -316,6 +324,7 @@
         let opened = opening.await?;
         let carrier = self.carriers.link(&opened).map_err(open_failure)?;
         let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(opened.stream))
             .await
             .map_err(|error| not_sent(format!("no connection: {error}")))?;
