Whole answers of servers are held of the callers' budget

Callers saw a host that ended for its memory when clients asked for large answers and did not read them. Cause: the answer of a plain server is buffered whole (up to 8 MB) before it is passed on, and stays until its caller has read it. What is beyond 16 KB is held of the callers' budget now, until all but the last pieces are handed over. An answer without room is not refused, since it has run: it is forwarded as it arrives, and looks incomplete if it breaks off. An answer that its caller does not read gives its room to a body that needs it: that connection is closed.

--- a/src/relay/request/plain.rs
+++ b/src/relay/request/plain.rs
@@ -118,16 +118,18 @@
             return Err(refusal);
         }
     };
-    if let PlainBody::Full(_, end) = response.body {
+    if let PlainBody::Full(_, end) = &response.body {
+        let end = *end;
         relay.response_end = Some(end);
         relay.log_end(response.status.as_str());
     }
     let body = match response.body {
-        PlainBody::Full(body, _) => response::full_body(body),
+        PlainBody::Full(body, _) => response::held_body(body),
         PlainBody::Streaming(body, guard) => {
             let request = relay.request.clone();
             let observe = |state: &mut (PlainRelay, InFlightGuard), event: ForwardEvent| match event
             {
+                ForwardEvent::Chunk if !state.0.request.route.kind.is_stream() => {}
                 ForwardEvent::Chunk => {
                     let (parts, request) = (&state.0.parts, &state.0.request);
                     take_up::record_first_event(parts, request, || state.1.software());
--- a/src/relay/request/request_body.rs
+++ b/src/relay/request/request_body.rs
@@ -4,7 +4,7 @@
     crate::{
         operation::{Refusal, RefusalCode},
         relay::config::CallerLimits,
-        web::{BodyRead, CallerBudget, HeldBytes},
+        web::{self, BodyRead, CallerBudget, HeldBytes},
     },
     bytes::Bytes,
     http_body::Body,
@@ -13,9 +13,6 @@
     std::{ops::RangeInclusive, rc::Rc, time::Duration},
 };
 
-/// Steps in which the buffer of a body of unknown length grows, in bytes: by what it has, within these bounds.
-const GROWTH: RangeInclusive<usize> = 4 << 10..=256 << 10;
-
 /// `Retry-After` while callers' bodies take all the memory that there is for them, random so that callers do not return
 /// together.
 const FULL_RETRY_AFTER: RangeInclusive<Duration> =
@@ -52,8 +49,7 @@
         read.record(data.len());
         let needed = buffer.len() + data.len();
         if needed > buffer.capacity() {
-            let step = buffer.capacity().clamp(*GROWTH.start(), *GROWTH.end());
-            let capacity = needed.max(limits.body_bytes.min(buffer.capacity() + step));
+            let capacity = web::next_capacity(buffer.capacity(), needed, limits.body_bytes);
             grow(&mut buffer, &mut read, capacity, limits).await?;
         }
         buffer.extend_from_slice(&data);
--- a/src/relay/request/response.rs
+++ b/src/relay/request/response.rs
@@ -1,12 +1,13 @@
 //! Responses to clients: relayed from backend servers unaltered, or generated for refusals.
 
 use {
+    super::response_body::FullBody,
     crate::{
         filter::VERDICT_HEADER,
         operation::{Refusal, RefusalCode, RunVerdict},
         web::{self, BrokenBody, IngressBody},
     },
-    bytes::Bytes,
+    bytes::{Buf, Bytes},
     futures::Stream,
     http::{HeaderMap, HeaderValue, Response, StatusCode, header},
     http_body::Frame,
@@ -25,6 +26,47 @@
     Box::pin(Full::new(content).map_err(|never| match never {}))
 }
 
+/// Bytes of a buffered body that are handed to a connection at once: it holds what it has not written yet.
+const PIECE_BYTES: usize = 16 << 10;
+
+// A buffered body that keeps its share of the callers' budget until it is handed over.
+struct PiecedBody(FullBody);
+
+impl http_body::Body for PiecedBody {
+    type Data = Bytes;
+    type Error = BrokenBody;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenBody>>> {
+        let content = &mut self.0.content;
+        if content.is_empty() {
+            return Poll::Ready(None);
+        }
+        // A copy: a slice would keep all of the content.
+        let piece = Bytes::copy_from_slice(&content[..content.len().min(PIECE_BYTES)]);
+        content.advance(piece.len());
+        Poll::Ready(Some(Ok(Frame::data(piece))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.0.content.is_empty()
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        http_body::SizeHint::with_exact(self.0.content.len() as u64)
+    }
+}
+
+/// A body that was read from a server.
+pub(super) fn held_body(body: FullBody) -> IngressBody {
+    match body.held.bytes() {
+        0 => full_body(body.content),
+        _ => Box::pin(PiecedBody(body)),
+    }
+}
+
 /// A body that is streamed in chunks. An error among them aborts the connection.
 pub fn streamed_body<S>(chunks: S) -> IngressBody
 where
--- a/src/relay/request/response_body.rs
+++ b/src/relay/request/response_body.rs
@@ -10,9 +10,9 @@
             },
             settings::RelaySettings,
         },
-        web::{self, PooledAnswer, PooledBody},
+        web::{self, HeldBytes, PooledAnswer, PooledBody, SMALL_BYTES},
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     std::fmt,
 };
 
@@ -44,8 +44,24 @@
     }
 }
 
+/// A body that was read whole, with the share of the callers' budget that it takes.
+pub(super) struct FullBody {
+    pub(super) content: Bytes,
+    pub(super) held: HeldBytes,
+}
+
+/// What came of reading a whole body.
+pub(super) enum BufferedBody {
+    /// It was read to its end, or to its limit.
+    Whole(FullBody, BodyStop),
+    /// The callers' budget has no room for it. Nothing of it is lost.
+    NoRoom(ResponseBody),
+}
+
 /// The body of a response; knows whether all of it came.
 pub(super) struct ResponseBody {
+    // What was read before and comes next.
+    prefix: Option<Bytes>,
     content: PooledBody,
     progress: ResponseProgress,
 }
@@ -66,7 +82,11 @@
             max_event_bytes: settings.max_event_bytes,
         });
         let content = response.body;
-        Self { content, progress }
+        Self {
+            prefix: None,
+            content,
+            progress,
+        }
     }
 
     /// Whether it is a stream of server-sent events.
@@ -76,6 +96,9 @@
 
     /// Waits for what comes next; nothing is lost if the wait is given up.
     pub(super) async fn next(&mut self) -> BodyStep {
+        if let Some(prefix) = self.prefix.take() {
+            return BodyStep::Chunk(prefix, None);
+        }
         match self.content.chunk().await {
             Some(Ok(bytes)) => {
                 let whole = self.progress.push(&bytes);
@@ -99,21 +122,42 @@
         BodyStop { end, error }
     }
 
-    /// Reads the body to its end, or until it has more than `limit` bytes.
-    pub(super) async fn read(mut self, limit: usize) -> (Bytes, BodyStop) {
-        let mut whole = BytesMut::new();
+    /// Reads the body to its end, or until it has more than `limit` bytes. What is beyond the first bytes is held of the
+    /// budget. Only for bodies that are no event streams.
+    pub(super) async fn read(mut self, limit: usize, mut held: HeldBytes) -> BufferedBody {
+        let mut whole = Vec::new();
         loop {
-            match self.next().await {
+            let bytes = match self.next().await {
                 BodyStep::Chunk(bytes, _) if whole.len() + bytes.len() > limit => {
-                    return (whole.freeze(), self.stop(BodyEnd::TooLarge, None));
+                    let stop = self.stop(BodyEnd::TooLarge, None);
+                    return BufferedBody::Whole(full_body(whole, held), stop);
+                }
+                BodyStep::Chunk(bytes, _) => bytes,
+                BodyStep::End(stop) => return BufferedBody::Whole(full_body(whole, held), stop),
+            };
+            let needed = whole.len() + bytes.len();
+            if needed > whole.capacity() {
+                let capacity = web::next_capacity(whole.capacity(), needed, limit);
+                let has_room = capacity <= SMALL_BYTES || held.grow_to(capacity);
+                whole.reserve_exact(if has_room { capacity } else { needed } - whole.len());
+                if !has_room {
+                    whole.extend_from_slice(&bytes);
+                    self.prefix = Some(whole.into());
+                    return BufferedBody::NoRoom(self);
                 }
-                BodyStep::Chunk(bytes, _) => whole.extend_from_slice(&bytes),
-                BodyStep::End(stop) => return (whole.freeze(), stop),
             }
+            whole.extend_from_slice(&bytes);
         }
     }
 }
 
+fn full_body(content: Vec<u8>, held: HeldBytes) -> FullBody {
+    FullBody {
+        content: content.into(),
+        held,
+    }
+}
+
 // A successful response on a streaming route is an event stream unless its head says something else.
 fn is_event_stream(request: &ClientRequest, response: &PooledAnswer) -> bool {
     let default = request.route.kind.is_stream() && response.status.is_success();
--- a/src/relay/request/send.rs
+++ b/src/relay/request/send.rs
@@ -4,7 +4,7 @@
     super::{
         client_request::ClientRequest,
         guard::{self, InFlightGuard},
-        response_body::ResponseBody,
+        response_body::{BufferedBody, FullBody, ResponseBody},
     },
     crate::{
         operation::RunVerdict,
@@ -15,9 +15,8 @@
                 response_end::ResponseEnd, response_progress::MAX_PLAIN_BYTES, view::BackendFailure,
             },
         },
-        web::{PoolUse, PooledAnswer},
+        web::{HeldBytes, PoolUse, PooledAnswer},
     },
-    bytes::Bytes,
     http::{HeaderMap, StatusCode},
     std::rc::Rc,
 };
@@ -32,8 +31,8 @@
 /// The body of a plain response.
 pub(super) enum PlainBody {
     /// Fully buffered.
-    Full(Bytes, ResponseEnd),
-    /// Forwarded as it arrives; the request counts as in progress meanwhile.
+    Full(FullBody, ResponseEnd),
+    /// Forwarded as it arrives, since it is a stream or has no room; the request counts as in progress meanwhile.
     Streaming(Box<ResponseBody>, InFlightGuard),
 }
 
@@ -107,19 +106,25 @@
         response.body.discard(MAX_PLAIN_BYTES).await;
         return record_decline(parts, backend, status, is_full);
     }
-    let response = match read_full(parts, request, backend, response).await {
-        Ok(response) => response,
+    let headers = response.headers.clone();
+    let body = match read_full(parts, request, backend, response).await {
+        Ok(ReadBody::Whole(body, end)) => {
+            if !status.is_server_error() {
+                guard.record_end(request, end);
+            }
+            PlainBody::Full(body, end)
+        }
+        Ok(ReadBody::NoRoom(body)) => PlainBody::Streaming(Box::new(body), guard),
         Err(detail) => {
             guard.await_end_check(request).await;
             return SendOutcome::Lost(detail);
         }
     };
-    if let PlainBody::Full(_, end) = response.body
-        && !status.is_server_error()
-    {
-        guard.record_end(request, end);
-    }
-    SendOutcome::Responded(Box::new(response))
+    SendOutcome::Responded(Box::new(PlainResponse {
+        status,
+        headers,
+        body,
+    }))
 }
 
 fn streaming_response(
@@ -144,27 +149,35 @@
     }
 }
 
-// Reads a response to its end. The error says why not all of it came.
+// A response as far as it was read.
+enum ReadBody {
+    Whole(FullBody, ResponseEnd),
+    NoRoom(ResponseBody),
+}
+
+// Reads a response to its end, unless it has no room. The error says why not all of it came.
 async fn read_full(
     parts: &RelayParts,
     request: &ClientRequest,
     backend: &BackendInfo,
     response: PooledAnswer,
-) -> Result<PlainResponse, String> {
-    let (status, headers) = (response.status, response.headers.clone());
+) -> Result<ReadBody, String> {
     let body = ResponseBody::new(&parts.settings, request, response, false);
-    let (body, stop) = body.read(MAX_PLAIN_BYTES).await;
+    let held = HeldBytes::new(parts.caller_budget.clone());
+    let (body, stop) = match body.read(MAX_PLAIN_BYTES, held).await {
+        BufferedBody::Whole(body, stop) => (body, stop),
+        BufferedBody::NoRoom(body) => {
+            parts.metrics.callers.unbuffered_answers.inc();
+            return Ok(ReadBody::NoRoom(body));
+        }
+    };
     parts.metrics.response_ended(stop.end);
     if !stop.end.is_complete() {
         let detail = stop.to_string();
         parts.record_failure(backend, stop.end.failure(), &detail);
         return Err(detail);
     }
-    Ok(PlainResponse {
-        status,
-        headers,
-        body: PlainBody::Full(body, stop.end),
-    })
+    Ok(ReadBody::Whole(body, stop.end))
 }
 
 fn record_decline(
--- a/src/web/budget/body_read.rs
+++ b/src/web/budget/body_read.rs
@@ -79,8 +79,8 @@
         self.progress.evicted.wait().await;
     }
 
-    /// Holds `total` bytes. If there are not as many, bodies that have stopped are evicted; if that does not give them
-    /// either, the error comes at once.
+    /// Holds `total` bytes. If there are not as many, bodies that have stopped and answers that are not read are evicted;
+    /// if there are none, the error comes at once.
     pub async fn reserve(&mut self, total: usize) -> Result<(), BudgetFull> {
         if total <= SMALL_BYTES {
             return Ok(());
@@ -89,7 +89,7 @@
             let freed = self.budget.freed.notified();
             tokio::pin!(freed);
             freed.as_mut().enable();
-            let is_coming = self.budget.evict_bodies(total - self.held.bytes());
+            let is_coming = self.budget.make_room(total - self.held.bytes());
             if !is_coming || tokio::time::timeout(EVICTION_TIMEOUT, freed).await.is_err() {
                 self.budget.metrics().refused_bodies.inc();
                 return Err(BudgetFull);
--- a/src/web/budget/budget_metrics.rs
+++ b/src/web/budget/budget_metrics.rs
@@ -14,6 +14,8 @@
     pub refused_bodies: Counter,
     /// Requests that lost their room to others because their bodies stopped.
     pub evicted_bodies: Counter,
+    /// Answers that were forwarded as they arrived because there was no room for them.
+    pub unbuffered_answers: Counter,
     /// Open connections of callers.
     pub connections: Gauge,
     /// Connections that were closed as they came because there was no room.
@@ -51,6 +53,11 @@
                 "Requests that were refused because their bodies had no room",
                 &self.refused_bodies,
             ),
+            (
+                "caller_answers_unbuffered",
+                "Answers that were forwarded as they arrived because there was no room for them",
+                &self.unbuffered_answers,
+            ),
             (
                 "caller_bodies_evicted",
                 "Requests that lost their room to others because their bodies stopped",
--- a/src/web/budget/caller_budget.rs
+++ b/src/web/budget/caller_budget.rs
@@ -105,8 +105,14 @@
         self.reads.borrow_mut().remove(&Rc::as_ptr(progress));
     }
 
-    /// Evicts bodies that have stopped until `bytes` are on their way back. Returns whether as many are.
-    pub(super) fn evict_bodies(&self, bytes: usize) -> bool {
+    /// Evicts bodies that have stopped, or an answer that its caller does not read, so that `bytes` may become free. Returns
+    /// whether some are on their way back.
+    pub(super) fn make_room(&self, bytes: usize) -> bool {
+        self.evict_bodies(bytes) || self.connections.evict_stalled_answer()
+    }
+
+    // Evicts bodies that have stopped until `bytes` are on their way back. Returns whether as many are.
+    fn evict_bodies(&self, bytes: usize) -> bool {
         let now = Instant::now();
         let reads = self.reads.borrow();
         let evicted = reads.values().filter(|read| read.evicted.is_set());
--- a/src/web/budget/connection_table.rs
+++ b/src/web/budget/connection_table.rs
@@ -89,11 +89,22 @@
     /// Closes one connection to make room. Of those that can be closed, one on which no request was sent yet or that
     /// answers nothing goes before others, and the one that has waited longest before these. Returns whether there was one.
     pub(in crate::web) fn evict_one(&self) -> bool {
+        self.evict_first(ConnectionPhase::eviction_rank)
+    }
+
+    /// Closes the connection on which a buffered answer has waited longest for its caller to read on. Returns whether there
+    /// was one.
+    pub(super) fn evict_stalled_answer(&self) -> bool {
+        self.evict_first(ConnectionPhase::held_answer_stalled_since)
+    }
+
+    // Closes the connection with the lowest rank of those that have one.
+    fn evict_first<R: Ord>(&self, rank: impl Fn(&ConnectionPhase, Instant) -> Option<R>) -> bool {
         let now = Instant::now();
         let open = self.open.borrow();
         let candidates = open.values().filter(|phase| !phase.evicted.is_set());
-        let ranked = candidates.filter_map(|phase| Some((phase.eviction_rank(now)?, phase)));
-        let Some((_, phase)) = ranked.min_by_key(|(rank, _)| *rank) else {
+        let ranked = candidates.filter_map(|phase| Some((rank(phase, now)?, phase)));
+        let Some((_, phase)) = ranked.min_by(|one, other| one.0.cmp(&other.0)) else {
             return false;
         };
         self.metrics.evicted_connections.inc();
--- a/src/web/budget/held_bytes.rs
+++ b/src/web/budget/held_bytes.rs
@@ -2,9 +2,18 @@
 
 use {
     super::caller_budget::CallerBudget,
-    std::{fmt, rc::Rc},
+    std::{fmt, ops::RangeInclusive, rc::Rc},
 };
 
+/// Steps in which a buffer of unknown final size grows, in bytes: by what it has, within these bounds.
+const GROWTH: RangeInclusive<usize> = 4 << 10..=256 << 10;
+
+/// The next capacity of a buffer that needs `needed` bytes and gets at most `limit`.
+pub fn next_capacity(capacity: usize, needed: usize, limit: usize) -> usize {
+    let step = capacity.clamp(*GROWTH.start(), *GROWTH.end());
+    needed.max(limit.min(capacity + step))
+}
+
 /// Bytes of a budget, given back when dropped.
 pub struct HeldBytes {
     budget: Rc<CallerBudget>,
--- a/src/web/connection_phase.rs
+++ b/src/web/connection_phase.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        budget::BytePace,
+        budget::{BytePace, SMALL_BYTES},
         ingress::{BrokenBody, IngressBody},
     },
     crate::operation::OnceSignal,
@@ -42,6 +42,7 @@
     phase: Cell<Phase>,
     changed: Cell<Instant>,
     answer_started: Cell<Instant>,
+    is_answer_held: Cell<bool>,
     written: Cell<usize>,
     // Since when the caller takes no more of an answer.
     blocked: Cell<Option<Instant>>,
@@ -57,6 +58,7 @@
             phase: Cell::new(Phase::Opened),
             changed: Cell::new(Instant::now()),
             answer_started: Cell::new(Instant::now()),
+            is_answer_held: Cell::new(false),
             written: Cell::new(0),
             blocked: Cell::default(),
             evicted: OnceSignal::default(),
@@ -82,6 +84,20 @@
         self.written.set(0);
     }
 
+    /// Records the size of an answer that is buffered whole; none if it is not.
+    pub(super) fn begin_answer(&self, size: Option<u64>) {
+        let is_held = size.is_some_and(|size| size > SMALL_BYTES as u64);
+        self.is_answer_held.set(is_held);
+    }
+
+    /// Since when the caller takes no more of an answer that takes room of others.
+    pub(super) fn held_answer_stalled_since(&self, now: Instant) -> Option<Instant> {
+        match self.is_answer_held.get() {
+            true => self.stalled_since(now),
+            false => None,
+        }
+    }
+
     /// Records that the caller took bytes.
     pub(super) fn record_write(&self, bytes: usize) {
         self.written.set(self.written.get() + bytes);
--- a/src/web/ingress.rs
+++ b/src/web/ingress.rs
@@ -235,7 +235,10 @@
         let answer = handler(request);
         let (switch, phase, closing) = (switch.clone(), answered_phase.clone(), is_closing.clone());
         async move {
-            let answer = answer.await.map(|body| TrackedBody::boxed(body, phase));
+            let answer = answer.await.map(|body| {
+                phase.begin_answer(body.size_hint().exact());
+                TrackedBody::boxed(body, phase)
+            });
             let answer = reset_if_broken(answer, version, switch);
             Ok::<_, Infallible>(close_if_closing(answer, &closing))
         }
