Connections that ask for a carried one are bounded

Operators saw the address on which hosts ask for carried connections take memory and descriptors without a bound: anyone may connect there, and only the answered request is checked. Cause: the limit counted carried connections only, and the head's buffer could grow to 417,792 bytes. Connections on which a request is expected are bounded now (a 32nd of the descriptors that are not kept for files, at most 128), their heads by 8 KB.

--- a/src/relay/carry/service.rs
+++ b/src/relay/carry/service.rs
@@ -40,6 +40,9 @@
 /// Maximum time for the head of an asking host's request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Maximum size of that head, in bytes.
+const HEADER_BYTES: usize = 8 << 10;
+
 /// Pause after a failed accept, which is most often a lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -52,6 +55,8 @@
 pub(crate) struct CarrierService {
     parts: Rc<RelayParts>,
     open: Cell<u64>,
+    // Connections on which a request is expected or being answered.
+    asking: Cell<usize>,
     emptied: Notify,
 }
 
@@ -80,12 +85,35 @@
     }
 }
 
+// A connection of an asking host, counted until dropped.
+struct AskingCount(Rc<CarrierService>);
+
+impl AskingCount {
+    // Counts one more; none where as many are open as may be.
+    fn begin(service: &Rc<CarrierService>) -> Option<Self> {
+        let limit = service.parts.settings.caller_limits.peer_connections;
+        let asking = service.asking.get();
+        if asking >= limit {
+            return None;
+        }
+        service.asking.set(asking + 1);
+        Some(Self(service.clone()))
+    }
+}
+
+impl Drop for AskingCount {
+    fn drop(&mut self) {
+        self.0.asking.set(self.0.asking.get() - 1);
+    }
+}
+
 impl CarrierService {
     /// Starts to accept connections of other hosts, if there is a socket for them.
     pub(crate) fn start(parts: Rc<RelayParts>, listener: Option<TcpListener>) -> Rc<Self> {
         let service = Rc::new(Self {
             parts,
             open: Cell::new(0),
+            asking: Cell::new(0),
             emptied: Notify::new(),
         });
         if let Some(listener) = listener {
@@ -110,9 +138,12 @@
     async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
             match listener.accept().await {
-                Ok((stream, from)) => {
-                    tokio::task::spawn_local(self.clone().serve(stream, from));
-                }
+                Ok((stream, from)) => match AskingCount::begin(&self) {
+                    Some(count) => {
+                        tokio::task::spawn_local(self.clone().serve(stream, from, count));
+                    }
+                    None => log::debug!("the connection of host {from} is one too many"),
+                },
                 Err(error) => {
                     log::warn!("a host's connection could not be accepted: {error}");
                     tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -121,7 +152,7 @@
         }
     }
 
-    async fn serve(self: Rc<Self>, stream: TcpStream, from: SocketAddr) {
+    async fn serve(self: Rc<Self>, stream: TcpStream, from: SocketAddr, _count: AskingCount) {
         if let Err(error) = splice::prepare(&stream) {
             log::debug!("the connection of host {from} ended as it came: {error}");
             return;
@@ -133,6 +164,7 @@
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEADER_TIMEOUT)
+            .max_buf_size(HEADER_BYTES)
             .keep_alive(false)
             .serve_connection(TokioIo::new(stream), handler)
             .with_upgrades();
--- a/src/web/budget/budget_limits.rs
+++ b/src/web/budget/budget_limits.rs
@@ -19,9 +19,10 @@
 /// servers, the store and other hosts.
 const SOCKETS_FRACTION: u64 = 2;
 
-/// Fraction for each address of checks, of metrics and of other hosts, and the most that it needs.
+/// Fraction for each of the addresses for checks, for metrics and for other hosts, and the most that these need.
 const CHECKS_FRACTION: u64 = 32;
 const MAX_CHECK_CONNECTIONS: u64 = 64;
+const MAX_PEER_CONNECTIONS: u64 = 128;
 
 /// What all callers of a host may take together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,8 +31,10 @@
     pub held_bytes: usize,
     /// Connections of callers.
     pub connections: usize,
-    /// Connections at each of the addresses for checks, for metrics and for other hosts that are not known yet.
+    /// Connections at each of the addresses for checks and for metrics.
     pub check_connections: usize,
+    /// Connections at each of the addresses for other hosts, of those that are not known yet.
+    pub peer_connections: usize,
 }
 
 impl BudgetLimits {
@@ -40,11 +43,12 @@
         let of_memory = memory / CONNECTIONS_FRACTION / CONNECTION_MEMORY;
         let sockets = descriptors.saturating_sub(FILE_DESCRIPTORS);
         let of_descriptors = sockets / SOCKETS_FRACTION;
-        let checks = (sockets / CHECKS_FRACTION).min(MAX_CHECK_CONNECTIONS);
+        let checks = (sockets / CHECKS_FRACTION).max(1);
         Self {
             held_bytes: to_usize(memory / HELD_FRACTION),
             connections: to_usize(of_memory.min(of_descriptors).max(1)),
-            check_connections: to_usize(checks.max(1)),
+            check_connections: to_usize(checks.min(MAX_CHECK_CONNECTIONS)),
+            peer_connections: to_usize(checks.min(MAX_PEER_CONNECTIONS)),
         }
     }
 }
