Connections and messages from addresses of unknown hosts are bounded

Operators saw the address on which hosts call each other take memory without a bound. Cause: any number of connections was served, and a message of up to 64 MB was buffered for each. From an address at which no host is known, messages have at most 128 KB now, and as many connections are open as at the address for carried ones; a further one ends the oldest that is still unknown. Known hosts are served as before: a host that was just added becomes known by its entry.

--- a/src/control/gossip.rs
+++ b/src/control/gossip.rs
@@ -6,11 +6,17 @@
         parts::ControlParts,
         servers::{ServerList, ServersPatch},
     },
-    crate::peer::{self, HeldVersions, HostCard, PassedState, PeerAnswers, PeerDigest},
+    crate::peer::{
+        self, HeldVersions, HostCard, PassedState, PeerAdmission, PeerAnswers, PeerDigest,
+    },
     capnp::Error,
     faststr::FastStr,
     rand::RngExt,
-    std::{net::SocketAddr, rc::Rc, time::Duration},
+    std::{
+        net::{IpAddr, SocketAddr},
+        rc::Rc,
+        time::Duration,
+    },
     tokio::net::TcpListener,
 };
 
@@ -29,6 +35,9 @@
 /// How long what others say of a leaving engine counts.
 const HEARSAY_LIFE: Duration = Duration::from_secs(10);
 
+/// Maximum number of connections from addresses at which no host is known.
+const UNKNOWN_CONNECTIONS: usize = 128;
+
 impl ControlParts {
     pub(super) async fn gossip(self: Rc<Self>) {
         let mut round = 0;
@@ -293,7 +302,16 @@
         };
         let metrics = self.traffic.metrics.clone();
         let capability = peer::peer_capability(Rc::new(answers));
-        peer::serve_peers(listener, capability, metrics).await;
+        let admission = PeerAdmission {
+            is_known: Box::new(move |ip| self.has_member_at(ip)),
+            unknown_limit: UNKNOWN_CONNECTIONS,
+        };
+        peer::serve_peers(listener, capability, metrics, admission).await;
+    }
+
+    fn has_member_at(&self, ip: IpAddr) -> bool {
+        let state = self.state.borrow();
+        state.members.live().any(|(card, _)| card.peers.ip() == ip)
     }
 
     fn cards(&self, wanted: &[u64]) -> Vec<HostCard> {
--- a/src/peer/rpc.rs
+++ b/src/peer/rpc.rs
@@ -10,11 +10,17 @@
     capnp::{
         Error,
         capability::{Client, FromClientHook, Rc as CapRc},
+        message::ReaderOptions,
     },
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
     socket2::SockRef,
     std::{
-        cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
+        cell::RefCell,
+        collections::{HashMap, VecDeque},
+        net::{IpAddr, SocketAddr},
+        rc::Rc,
+        sync::Arc,
+        time::Duration,
     },
     tokio::{
         net::{TcpListener, TcpStream},
@@ -30,6 +36,9 @@
 /// its power is closed then.
 const SILENCE_LIMIT: Duration = Duration::from_secs(5);
 
+/// Maximum size of a message from an address at which no host is known, in words of eight bytes.
+const UNKNOWN_MESSAGE_WORDS: usize = 16 << 10;
+
 /// Pause after a failed accept, which is most often a lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -117,6 +126,7 @@
     stream: TcpStream,
     side: Side,
     metrics: &HostMetrics,
+    options: ReaderOptions,
 ) -> VatNetwork<impl futures::AsyncRead + use<>> {
     let prepared = stream
         .set_nodelay(true)
@@ -128,7 +138,7 @@
     let received = metrics.peer_received.clone();
     let (reader, writer) = tokio::io::split(CountingStream::new(stream, sent, received));
     let writer = tokio_util::compat::TokioAsyncWriteCompatExt::compat_write(writer);
-    VatNetwork::new(reader.compat(), writer, side, Default::default())
+    VatNetwork::new(reader.compat(), writer, side, options)
 }
 
 /// What a host answers to others, as a capability.
@@ -137,20 +147,67 @@
     client.client
 }
 
+/// Whom a host serves as another host.
+pub struct PeerAdmission {
+    /// Whether a known host has this address.
+    pub is_known: Box<dyn Fn(IpAddr) -> bool>,
+    /// Maximum number of connections from other addresses. Each further one ends the oldest of them.
+    pub unknown_limit: usize,
+}
+
+/// Connections from addresses at which no host is known, oldest first.
+struct UnknownPeers {
+    admission: PeerAdmission,
+    open: VecDeque<(IpAddr, AbortHandle)>,
+}
+
+impl UnknownPeers {
+    fn add(&mut self, ip: IpAddr, connection: AbortHandle) {
+        self.open.push_back((ip, connection));
+        while self.open.len() > self.admission.unknown_limit {
+            let Some((ip, oldest)) = self.open.pop_front() else {
+                return;
+            };
+            // Its host may be known by now.
+            if !oldest.is_finished() && !(self.admission.is_known)(ip) {
+                log::debug!("a connection of {ip} ends, since no host is known there");
+                oldest.abort();
+            }
+        }
+    }
+}
+
 /// Serves a capability to other hosts on a listening socket, for as long as the host runs.
-pub async fn serve_peers(listener: TcpListener, capability: Client, metrics: Arc<HostMetrics>) {
+pub async fn serve_peers(
+    listener: TcpListener,
+    capability: Client,
+    metrics: Arc<HostMetrics>,
+    admission: PeerAdmission,
+) {
+    let mut unknown = UnknownPeers {
+        admission,
+        open: VecDeque::new(),
+    };
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let (stream, from) = match listener.accept().await {
+            Ok(accepted) => accepted,
             Err(error) => {
                 log::warn!("another host's connection could not be accepted: {error}");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
-        let network = network(stream, Side::Server, &metrics);
+        let is_known = (unknown.admission.is_known)(from.ip());
+        let mut options = ReaderOptions::default();
+        if !is_known {
+            options.traversal_limit_in_words(Some(UNKNOWN_MESSAGE_WORDS));
+        }
+        let network = network(stream, Side::Server, &metrics, options);
         let system = RpcSystem::new(Box::new(network), Some(capability.clone()));
-        tokio::task::spawn_local(system);
+        let connection = tokio::task::spawn_local(system).abort_handle();
+        if !is_known {
+            unknown.add(from.ip(), connection);
+        }
     }
 }
 
@@ -194,7 +251,8 @@
         }
         let opening = self.opener.open(address).await;
         let stream = opening.map_err(|error| Error::disconnected(error.to_string()))?;
-        let network = network(stream, Side::Client, &self.metrics);
+        let options = ReaderOptions::default();
+        let network = network(stream, Side::Client, &self.metrics, options);
         let mut system = RpcSystem::new(Box::new(network), None);
         let client: C = system.bootstrap(Side::Server);
         let system = tokio::task::spawn_local(system).abort_handle();
--- a/src/relay/cluster/state.rs
+++ b/src/relay/cluster/state.rs
@@ -23,7 +23,7 @@
         store::StorePosition,
     },
     faststr::FastStr,
-    std::{rc::Rc, time::Duration},
+    std::{net::IpAddr, rc::Rc, time::Duration},
 };
 
 /// How long after the end of a store outage a missing entry is assumed to have expired because of the outage.
@@ -439,6 +439,11 @@
         self.hosts.entries()
     }
 
+    /// Whether a known host has this address.
+    pub fn has_host_at(&self, ip: IpAddr) -> bool {
+        self.hosts().any(|entry| entry.peers.ip() == ip)
+    }
+
     /// The entry of a host, if it is known.
     pub fn host(&self, name: &str) -> Option<&HostEntry> {
         self.hosts.entry(name)
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -35,6 +35,7 @@
         host::StopGate,
         metric::HostMetrics,
         operation::OnceSignal,
+        peer::PeerAdmission,
         web::{self, ConnectionTable, IngressHandler, IngressLimits},
     },
     bytes::Bytes,
@@ -184,6 +185,11 @@
         let trial_parts = parts.clone();
         let (streams_parts, origin_parts) = (parts.clone(), parts.clone());
         let pieces = PieceService::new(parts.clone());
+        let known = parts.clone();
+        let admission = PeerAdmission {
+            is_known: Box::new(move |ip| known.cluster.borrow().has_host_at(ip)),
+            unknown_limit: parts.settings.caller_limits.peer_connections,
+        };
         let handlers = NewsHandlers {
             clock,
             pieces: Box::new(move |request| pieces.answer(request)),
@@ -204,7 +210,7 @@
         };
         critical_task::spawn_critical(
             "host requests",
-            news::serve_news(listener, handlers, metrics),
+            news::serve_news(listener, handlers, metrics, admission),
         );
     }
 
--- a/src/relay/news/rpc.rs
+++ b/src/relay/news/rpc.rs
@@ -13,7 +13,7 @@
         clock::HostClock,
         metric::HostMetrics,
         news_capnp::news_peer,
-        peer::{self, PeerLinks},
+        peer::{self, PeerAdmission, PeerLinks},
         relay::{
             admission::places::place_request::{PlaceAnswer, PlaceMessage},
             parts::origins::OriginAnswer,
@@ -250,9 +250,14 @@
 }
 
 /// Serves the calls of other hosts on a listening socket for as long as the host runs.
-pub async fn serve_news(listener: TcpListener, handlers: NewsHandlers, metrics: Arc<HostMetrics>) {
+pub async fn serve_news(
+    listener: TcpListener,
+    handlers: NewsHandlers,
+    metrics: Arc<HostMetrics>,
+    admission: PeerAdmission,
+) {
     let client: news_peer::Client = capnp_rpc::new_client(NewsServer { handlers });
-    peer::serve_peers(listener, client.client, metrics).await;
+    peer::serve_peers(listener, client.client, metrics, admission).await;
 }
 
 fn write_all_sums(mut results: news_peer::exchange_results::Builder<'_>, all: &[LedgerSums]) {
