--- a/src/relay/figures.rs
+++ b/src/relay/figures.rs
@@ -3,7 +3,10 @@
 
 use {
     super::parts::{metric_labels::StoreCause, shared::RelayParts},
-    crate::{event, web::PoolUse},
+    crate::{
+        event,
+        web::{BudgetMetrics, PoolUse},
+    },
     std::{rc::Rc, time::Duration},
 };
 
@@ -14,12 +17,33 @@
 /// Logs the counters for as long as the host runs. All are totals since its start, except the two ages and the store
 /// position.
 pub async fn log_figures(parts: Rc<RelayParts>) {
+    let mut limited = 0;
     loop {
         tokio::time::sleep(LOG_INTERVAL).await;
         log_once(&parts);
+        let count = parts.metrics.callers.limited_count();
+        if count != limited {
+            log_limits(&parts.metrics.callers);
+            limited = count;
+        }
     }
 }
 
+fn log_limits(metrics: &BudgetMetrics) {
+    event::emit(
+        &event::CALLERS_LIMITED,
+        &[
+            ("held", &metrics.held_bytes.get()),
+            ("connections", &metrics.connections.get()),
+            ("bodies_refused", &metrics.refused_bodies.get()),
+            ("bodies_evicted", &metrics.evicted_bodies.get()),
+            ("connections_refused", &metrics.refused_connections.get()),
+            ("connections_evicted", &metrics.evicted_connections.get()),
+            ("answers_unbuffered", &metrics.unbuffered_answers.get()),
+        ],
+    );
+}
+
 /// Logs the current values of the counters.
 pub fn log_once(parts: &RelayParts) {
     let metrics = &parts.metrics;
--- a/src/relay/request/response_body.rs
+++ b/src/relay/request/response_body.rs
@@ -55,7 +55,7 @@
     /// It was read to its end, or to its limit.
     Whole(FullBody, BodyStop),
     /// The callers' budget has no room for it. Nothing of it is lost.
-    NoRoom(ResponseBody),
+    NoRoom(Box<ResponseBody>),
 }
 
 /// The body of a response; knows whether all of it came.
@@ -143,7 +143,7 @@
                 if !has_room {
                     whole.extend_from_slice(&bytes);
                     self.prefix = Some(whole.into());
-                    return BufferedBody::NoRoom(self);
+                    return BufferedBody::NoRoom(Box::new(self));
                 }
             }
             whole.extend_from_slice(&bytes);
--- a/src/relay/request/send.rs
+++ b/src/relay/request/send.rs
@@ -114,7 +114,7 @@
             }
             PlainBody::Full(body, end)
         }
-        Ok(ReadBody::NoRoom(body)) => PlainBody::Streaming(Box::new(body), guard),
+        Ok(ReadBody::NoRoom(body)) => PlainBody::Streaming(body, guard),
         Err(detail) => {
             guard.await_end_check(request).await;
             return SendOutcome::Lost(detail);
@@ -152,7 +152,7 @@
 // A response as far as it was read.
 enum ReadBody {
     Whole(FullBody, ResponseEnd),
-    NoRoom(ResponseBody),
+    NoRoom(Box<ResponseBody>),
 }
 
 // Reads a response to its end, unless it has no room. The error says why not all of it came.
--- a/src/web/budget/budget_metrics.rs
+++ b/src/web/budget/budget_metrics.rs
@@ -25,6 +25,18 @@
 }
 
 impl BudgetMetrics {
+    /// How often callers met a limit.
+    pub fn limited_count(&self) -> u64 {
+        let counters = [
+            &self.refused_bodies,
+            &self.evicted_bodies,
+            &self.unbuffered_answers,
+            &self.refused_connections,
+            &self.evicted_connections,
+        ];
+        counters.iter().map(|counter| counter.get()).sum()
+    }
+
     /// Adds the metrics to a registry.
     pub fn register(&self, registry: &mut Registry) {
         registry.register(
