Requests that stop short give way at the limit on requests in progress

Callers were refused (503) for as long as the time limit of a route when as many requests as a host takes at once had stopped in the middle of their bodies, however small. Cause: such a request counts as in progress until its time limit.

--- a/src/relay/request/handler.rs
+++ b/src/relay/request/handler.rs
@@ -10,6 +10,7 @@
     crate::{
         engine::EngineRole,
         event,
+        host::GateEntry,
         operation::{Refusal, RefusalCode, RunVerdict},
         relay::{
             config::{CallerLimits, RelayRoute, RelayService},
@@ -22,7 +23,7 @@
     http_body::Body,
     hyper::body::Incoming,
     std::{ops::RangeInclusive, rc::Rc, time::Duration},
-    tokio::time::Instant,
+    tokio::{task, time::Instant},
 };
 
 /// `Retry-After` while the host has no configuration yet, and on a route without a service.
@@ -91,7 +92,7 @@
     if body.is_end_stream() {
         return;
     }
-    tokio::task::spawn_local(async move {
+    task::spawn_local(async move {
         let discarding = web::discard(body);
         if tokio::time::timeout(DISCARD_TIMEOUT, discarding)
             .await
@@ -107,7 +108,7 @@
     head: Parts,
     body: &mut Incoming,
 ) -> Result<RelayResponse, Refusal> {
-    let entry = parts.gate.enter()?;
+    let entry = enter_gate(parts).await?;
     let routes = parts.routes().ok_or_else(not_configured)?;
     check_config_lag(parts)?;
     let limits = &routes.config().limits;
@@ -161,6 +162,18 @@
     Ok(response?.map(|body| response::guarded_body(body, entry)))
 }
 
+// At the limit on requests in progress, one whose body has stopped gives way.
+async fn enter_gate(parts: &RelayParts) -> Result<GateEntry, Refusal> {
+    let entered = parts.gate.enter();
+    let is_full = matches!(&entered, Err(refusal) if refusal.code == RefusalCode::Overloaded);
+    if !is_full || !parts.caller_budget.evict_stalled_body() {
+        return entered;
+    }
+    // The evicted request ends when its task runs.
+    task::yield_now().await;
+    parts.gate.enter()
+}
+
 // Restricts the request to the zones that its route and its account allow. Refused at once if no server there can take
 // it.
 fn restrict_zones(
--- a/src/web/budget/caller_budget.rs
+++ b/src/web/budget/caller_budget.rs
@@ -111,6 +111,20 @@
         self.evict_bodies(bytes) || self.connections.evict_stalled_answer()
     }
 
+    /// Evicts the body that has stopped for the longest, whatever it holds. Returns whether there was one.
+    pub fn evict_stalled_body(&self) -> bool {
+        let now = Instant::now();
+        let reads = self.reads.borrow();
+        let stalled = reads.values().filter(|read| !read.evicted.is_set());
+        let stalled = stalled.filter_map(|read| Some((read.stalled_since(now)?, read)));
+        let Some((_, read)) = stalled.min_by_key(|(since, _)| *since) else {
+            return false;
+        };
+        self.metrics.evicted_bodies.inc();
+        read.evicted.set();
+        true
+    }
+
     // Evicts bodies that have stopped until `bytes` are on their way back. Returns whether as many are.
     fn evict_bodies(&self, bytes: usize) -> bool {
         let now = Instant::now();
