Names: the state of a caller's connection; why it is closed to make room

ConnectionPhase had become more than a phase. The rank by which connections are closed has named fields. At a planned stop a host accepts as many queued connections as it has room for, not up to 1,024 beyond its bound.

--- a/src/web/budget/connection_table.rs
+++ b/src/web/budget/connection_table.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{budget_metrics::BudgetMetrics, usage_mark::UsageMark},
-    crate::web::connection_phase::ConnectionPhase,
+    crate::web::connection_state::ConnectionState,
     std::{cell::RefCell, collections::HashMap, fmt, rc::Rc, time::Duration},
     tokio::{sync::Notify, time::Instant},
 };
@@ -13,8 +13,8 @@
     metrics: BudgetMetrics,
     mark: UsageMark,
     fallen: Notify,
-    // By the address of their phase.
-    open: RefCell<HashMap<*const ConnectionPhase, Rc<ConnectionPhase>>>,
+    // By the address of their state.
+    open: RefCell<HashMap<*const ConnectionState, Rc<ConnectionState>>>,
 }
 
 impl fmt::Debug for ConnectionTable {
@@ -50,22 +50,22 @@
         self.len() == 0
     }
 
-    /// Whether there is room for one more.
-    pub(in crate::web) fn has_room(&self) -> bool {
-        self.len() < self.limit
+    /// How many more connections there is room for.
+    pub(in crate::web) fn room(&self) -> usize {
+        self.limit.saturating_sub(self.len())
     }
 
     /// Adds a connection.
-    pub(in crate::web) fn add(&self, phase: Rc<ConnectionPhase>) {
+    pub(in crate::web) fn add(&self, state: Rc<ConnectionState>) {
         let mut open = self.open.borrow_mut();
-        open.insert(Rc::as_ptr(&phase), phase);
+        open.insert(Rc::as_ptr(&state), state);
         self.record_use(open.len());
     }
 
     /// Removes a connection that has ended.
-    pub(in crate::web) fn remove(&self, phase: &Rc<ConnectionPhase>) {
+    pub(in crate::web) fn remove(&self, state: &Rc<ConnectionState>) {
         let mut open = self.open.borrow_mut();
-        open.remove(&Rc::as_ptr(phase));
+        open.remove(&Rc::as_ptr(state));
         self.record_use(open.len());
     }
 
@@ -86,29 +86,29 @@
         self.metrics.refused_connections.inc();
     }
 
-    /// Closes one connection to make room. Of those that can be closed, one on which no request was sent yet or that
-    /// answers nothing goes before others, and the one that has waited longest before these. Returns whether there was one.
+    /// Closes one connection to make room: first one whose request's head is late, then one whose answer is not read, then
+    /// one that is idle; of each kind the one that has waited longest. Returns whether there was one.
     pub(in crate::web) fn evict_one(&self) -> bool {
-        self.evict_first(ConnectionPhase::eviction_rank)
+        self.evict_first(ConnectionState::eviction_rank)
     }
 
     /// Closes the connection on which a buffered answer has waited longest for its caller to read on. Returns whether there
     /// was one.
     pub(super) fn evict_stalled_answer(&self) -> bool {
-        self.evict_first(ConnectionPhase::held_answer_stalled_since)
+        self.evict_first(ConnectionState::held_answer_stalled_since)
     }
 
     // Closes the connection with the lowest rank of those that have one.
-    fn evict_first<R: Ord>(&self, rank: impl Fn(&ConnectionPhase, Instant) -> Option<R>) -> bool {
+    fn evict_first<R: Ord>(&self, rank: impl Fn(&ConnectionState, Instant) -> Option<R>) -> bool {
         let now = Instant::now();
         let open = self.open.borrow();
-        let candidates = open.values().filter(|phase| !phase.evicted.is_set());
-        let ranked = candidates.filter_map(|phase| Some((rank(phase, now)?, phase)));
-        let Some((_, phase)) = ranked.min_by(|one, other| one.0.cmp(&other.0)) else {
+        let candidates = open.values().filter(|state| !state.evicted.is_set());
+        let ranked = candidates.filter_map(|state| Some((rank(state, now)?, state)));
+        let Some((_, state)) = ranked.min_by(|one, other| one.0.cmp(&other.0)) else {
             return false;
         };
         self.metrics.evicted_connections.inc();
-        phase.evicted.set();
+        state.evicted.set();
         true
     }
 
@@ -117,9 +117,9 @@
     pub(in crate::web) fn sweep(&self, limit: Duration) {
         let now = Instant::now();
         let open = self.open.borrow();
-        for phase in open.values() {
-            if phase.is_head_overdue(now, limit) || phase.is_abandoned() {
-                phase.evicted.set();
+        for state in open.values() {
+            if state.is_head_overdue(now, limit) || state.is_abandoned() {
+                state.evicted.set();
             }
         }
     }
--- a/src/web/caller_stream.rs
+++ b/src/web/caller_stream.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        connection_phase::ConnectionPhase,
+        connection_state::ConnectionState,
         ingress::{BrokenBody, IngressBody},
     },
     bytes::Bytes,
@@ -31,7 +31,7 @@
     stream: Rc<TcpStream>,
     switch: ResetSwitch,
     resets_on_close: bool,
-    phase: Rc<ConnectionPhase>,
+    state: Rc<ConnectionState>,
 }
 
 impl CallerStream {
@@ -39,13 +39,13 @@
     pub(super) fn new(
         stream: Rc<TcpStream>,
         switch: ResetSwitch,
-        phase: Rc<ConnectionPhase>,
+        state: Rc<ConnectionState>,
     ) -> Self {
         Self {
             stream,
             switch,
             resets_on_close: false,
-            phase,
+            state,
         }
     }
 
@@ -70,14 +70,14 @@
         self.apply_switch();
         loop {
             let Poll::Ready(ready) = self.stream.poll_write_ready(context) else {
-                self.phase.record_blocked();
+                self.state.record_blocked();
                 return Poll::Pending;
             };
             ready?;
             match write(&self.stream) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Ok(bytes) => {
-                    self.phase.record_write(bytes);
+                    self.state.record_write(bytes);
                     return Poll::Ready(Ok(bytes));
                 }
                 Err(error) => return Poll::Ready(Err(error)),
@@ -105,7 +105,7 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Ok(0) => return Poll::Ready(Ok(())),
                 Ok(_) => {
-                    self.phase.record_read();
+                    self.state.record_read();
                     return Poll::Ready(Ok(()));
                 }
                 Err(error) => return Poll::Ready(Err(error)),
--- a/src/web/connection_phase.rs
+++ b/src/web/connection_state.rs
@@ -1,4 +1,4 @@
-//! What a caller's connection is doing: whether a request is expected, being read or being answered.
+//! What a caller's connection is doing: whether a request is expected, being read or being answered, and how its bytes move.
 
 use {
     super::{
@@ -32,12 +32,27 @@
     Idle,
 }
 
-/// How soon a connection is closed to make room: the kind, and since when it waits.
-pub(super) type EvictionRank = (u8, Instant);
+/// Why a connection can be closed to make room, the first before the others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum EvictionCause {
+    /// The head of a request is late.
+    LateHead,
+    /// An answer is not read.
+    UnreadAnswer,
+    /// No request is in progress.
+    Idle,
+}
+
+/// How soon a connection is closed to make room; the lowest rank goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct EvictionRank {
+    cause: EvictionCause,
+    since: Instant,
+}
 
-/// The phase of a caller's connection.
+/// The state of a caller's connection.
 #[derive(Debug)]
-pub(super) struct ConnectionPhase {
+pub(super) struct ConnectionState {
     stream: Rc<TcpStream>,
     phase: Cell<Phase>,
     changed: Cell<Instant>,
@@ -50,8 +65,8 @@
     pub(super) evicted: OnceSignal,
 }
 
-impl ConnectionPhase {
-    /// The phase of a connection that was opened just now.
+impl ConnectionState {
+    /// The state of a connection that was opened just now.
     pub(super) fn new(stream: Rc<TcpStream>) -> Self {
         Self {
             stream,
@@ -151,37 +166,42 @@
     /// How soon the connection is closed to make room; none if it is not.
     pub(super) fn eviction_rank(&self, now: Instant) -> Option<EvictionRank> {
         let changed = self.changed.get();
-        let expected = BytePace {
+        let head = BytePace {
             started: changed,
             moved: changed,
             bytes: 0,
         };
-        match self.phase.get() {
-            Phase::Opened | Phase::Reading => expected.is_stalled(now).then_some((0, changed)),
-            Phase::Answering => Some((1, self.stalled_since(now)?)),
+        let (cause, since) = match self.phase.get() {
+            Phase::Opened | Phase::Reading if head.is_stalled(now) => {
+                (EvictionCause::LateHead, changed)
+            }
+            Phase::Opened | Phase::Reading => return None,
             // The last bytes of the answer may still be unread.
-            Phase::Idle if self.blocked.get().is_some() => Some((1, self.stalled_since(now)?)),
-            Phase::Idle => Some((2, changed)),
-        }
+            Phase::Idle if self.blocked.get().is_none() => (EvictionCause::Idle, changed),
+            Phase::Answering | Phase::Idle => {
+                (EvictionCause::UnreadAnswer, self.stalled_since(now)?)
+            }
+        };
+        Some(EvictionRank { cause, since })
     }
 }
 
 /// The body of an answer, with whose end the connection is idle.
 pub(super) struct TrackedBody {
     body: IngressBody,
-    phase: Rc<ConnectionPhase>,
+    state: Rc<ConnectionState>,
 }
 
 impl TrackedBody {
     /// Tracks a body.
-    pub(super) fn boxed(body: IngressBody, phase: Rc<ConnectionPhase>) -> IngressBody {
-        Box::pin(Self { body, phase })
+    pub(super) fn boxed(body: IngressBody, state: Rc<ConnectionState>) -> IngressBody {
+        Box::pin(Self { body, state })
     }
 }
 
 impl Drop for TrackedBody {
     fn drop(&mut self) {
-        self.phase.change(Phase::Idle);
+        self.state.change(Phase::Idle);
     }
 }
 
--- a/src/web/ingress.rs
+++ b/src/web/ingress.rs
@@ -7,7 +7,7 @@
     super::{
         budget::ConnectionTable,
         caller_stream::{CallerStream, ResetSwitch, UnframedBody},
-        connection_phase::{ConnectionPhase, TrackedBody},
+        connection_state::{ConnectionState, TrackedBody},
     },
     crate::operation::OnceSignal,
     bytes::Bytes,
@@ -131,7 +131,7 @@
         }
     }
     // Closing a listening socket resets the connections that are still queued.
-    match queued_connections(listener) {
+    match queued_connections(listener, table.room()) {
         Ok(queued) => {
             for stream in queued {
                 connections.spawn_local(serve(stream));
@@ -152,14 +152,14 @@
 
 // Makes room for a connection that was accepted, if another one can be closed.
 async fn make_room(table: &ConnectionTable) -> bool {
-    if table.has_room() {
+    if table.room() > 0 {
         return true;
     }
     if table.evict_one() {
         // The connection ends when its task runs.
         tokio::task::yield_now().await;
     }
-    table.has_room()
+    table.room() > 0
 }
 
 fn log_panic(ended: Result<(), JoinError>) {
@@ -168,11 +168,11 @@
     }
 }
 
-// Takes the connections that the system has queued and closes the listening socket.
-fn queued_connections(listener: TcpListener) -> io::Result<Vec<TcpStream>> {
+// Takes the connections that the system has queued, as many as there is room for, and closes the listening socket.
+fn queued_connections(listener: TcpListener, room: usize) -> io::Result<Vec<TcpStream>> {
     let listener = listener.into_std()?;
     let mut queued = Vec::new();
-    while queued.len() < BACKLOG as usize {
+    while queued.len() < room.min(BACKLOG as usize) {
         let stream = match listener.accept() {
             Ok((stream, _)) => stream,
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
@@ -187,18 +187,18 @@
 // A connection that is in the table until dropped.
 struct OpenConnection {
     stream: Rc<TcpStream>,
-    phase: Rc<ConnectionPhase>,
+    state: Rc<ConnectionState>,
     table: Rc<ConnectionTable>,
 }
 
 impl OpenConnection {
     fn new(stream: TcpStream, table: Rc<ConnectionTable>) -> Self {
         let stream = Rc::new(stream);
-        let phase = Rc::new(ConnectionPhase::new(stream.clone()));
-        table.add(phase.clone());
+        let state = Rc::new(ConnectionState::new(stream.clone()));
+        table.add(state.clone());
         Self {
             stream,
-            phase,
+            state,
             table,
         }
     }
@@ -206,7 +206,7 @@
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
-        self.table.remove(&self.phase);
+        self.table.remove(&self.state);
     }
 }
 
@@ -225,19 +225,19 @@
         return;
     }
     let switch = ResetSwitch::default();
-    let phase = open.phase.clone();
-    let stream = CallerStream::new(open.stream.clone(), switch.clone(), phase.clone());
-    let answered_phase = phase.clone();
+    let state = open.state.clone();
+    let stream = CallerStream::new(open.stream.clone(), switch.clone(), state.clone());
+    let answered_state = state.clone();
     let is_closing = closing.clone();
     let service = service_fn(move |request| {
         let version = request.version();
-        answered_phase.begin_request();
+        answered_state.begin_request();
         let answer = handler(request);
-        let (switch, phase, closing) = (switch.clone(), answered_phase.clone(), is_closing.clone());
+        let (switch, state, closing) = (switch.clone(), answered_state.clone(), is_closing.clone());
         async move {
             let answer = answer.await.map(|body| {
-                phase.begin_answer(body.size_hint().exact());
-                TrackedBody::boxed(body, phase)
+                state.begin_answer(body.size_hint().exact());
+                TrackedBody::boxed(body, state)
             });
             let answer = reset_if_broken(answer, version, switch);
             Ok::<_, Infallible>(close_if_closing(answer, &closing))
@@ -254,15 +254,15 @@
         // Bytes that have arrived are read before the connection counts as idle.
         biased;
         result = connection.as_mut() => result,
-        () = phase.evicted.wait() => return,
+        () = state.evicted.wait() => return,
         () = closing.wait() => {
-            if !phase.expects_request() {
+            if !state.expects_request() {
                 connection.as_mut().graceful_shutdown();
             }
             tokio::select! {
                 result = connection.as_mut() => result,
-                () = phase.evicted.wait() => return,
-                () = phase.request_overdue(limits.closing_header_time.get()) => return,
+                () = state.evicted.wait() => return,
+                () = state.request_overdue(limits.closing_header_time.get()) => return,
             }
         }
     };
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -6,7 +6,7 @@
 mod caller_stream;
 mod carrier;
 mod client;
-mod connection_phase;
+mod connection_state;
 mod headers;
 mod ingress;
 mod open_count;
