What was read of an answer without room keeps its share until it is handed over

Cause: an answer for which the budget had no room gave back the share of what had been read of it, and passed that on as one piece, so that other answers took the same room again while it waited for its caller. It keeps the share now and is handed over in pieces, as whole answers are.

--- a/src/relay/request/response.rs
+++ b/src/relay/request/response.rs
@@ -7,7 +7,7 @@
         operation::{Refusal, RefusalCode, RunVerdict},
         web::{self, BrokenBody, IngressBody},
     },
-    bytes::{Buf, Bytes},
+    bytes::Bytes,
     futures::Stream,
     http::{HeaderMap, HeaderValue, Response, StatusCode, header},
     http_body::Frame,
@@ -26,9 +26,6 @@
     Box::pin(Full::new(content).map_err(|never| match never {}))
 }
 
-/// Bytes of a buffered body that are handed to a connection at once: it holds what it has not written yet.
-const PIECE_BYTES: usize = 16 << 10;
-
 // A buffered body that keeps its share of the callers' budget until it is handed over.
 struct PiecedBody(FullBody);
 
@@ -40,14 +37,8 @@
         mut self: Pin<&mut Self>,
         _context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenBody>>> {
-        let content = &mut self.0.content;
-        if content.is_empty() {
-            return Poll::Ready(None);
-        }
-        // A copy: a slice would keep all of the content.
-        let piece = Bytes::copy_from_slice(&content[..content.len().min(PIECE_BYTES)]);
-        content.advance(piece.len());
-        Poll::Ready(Some(Ok(Frame::data(piece))))
+        let piece = self.0.take_piece();
+        Poll::Ready(piece.map(|piece| Ok(Frame::data(piece))))
     }
 
     fn is_end_stream(&self) -> bool {
--- a/src/relay/request/response_body.rs
+++ b/src/relay/request/response_body.rs
@@ -12,7 +12,7 @@
         },
         web::{self, HeldBytes, PooledAnswer, PooledBody, SMALL_BYTES},
     },
-    bytes::Bytes,
+    bytes::{Buf, Bytes},
     std::fmt,
 };
 
@@ -50,6 +50,21 @@
     pub(super) held: HeldBytes,
 }
 
+/// Bytes of a buffered body that are handed over at once: a connection holds what it has not written yet.
+const PIECE_BYTES: usize = 16 << 10;
+
+impl FullBody {
+    /// Takes the next bytes; none if all were taken. They are copied: a slice would keep all of the content.
+    pub(super) fn take_piece(&mut self) -> Option<Bytes> {
+        if self.content.is_empty() {
+            return None;
+        }
+        let piece = Bytes::copy_from_slice(&self.content[..self.content.len().min(PIECE_BYTES)]);
+        self.content.advance(piece.len());
+        Some(piece)
+    }
+}
+
 /// What came of reading a whole body.
 pub(super) enum BufferedBody {
     /// It was read to its end, or to its limit.
@@ -61,7 +76,7 @@
 /// The body of a response; knows whether all of it came.
 pub(super) struct ResponseBody {
     // What was read before and comes next.
-    prefix: Option<Bytes>,
+    prefix: Option<FullBody>,
     content: PooledBody,
     progress: ResponseProgress,
 }
@@ -96,8 +111,11 @@
 
     /// Waits for what comes next; nothing is lost if the wait is given up.
     pub(super) async fn next(&mut self) -> BodyStep {
-        if let Some(prefix) = self.prefix.take() {
-            return BodyStep::Chunk(prefix, None);
+        if let Some(prefix) = &mut self.prefix {
+            match prefix.take_piece() {
+                Some(piece) => return BodyStep::Chunk(piece, None),
+                None => self.prefix = None,
+            }
         }
         match self.content.chunk().await {
             Some(Ok(bytes)) => {
@@ -142,7 +160,7 @@
                 whole.reserve_exact(if has_room { capacity } else { needed } - whole.len());
                 if !has_room {
                     whole.extend_from_slice(&bytes);
-                    self.prefix = Some(whole.into());
+                    self.prefix = Some(full_body(whole, held));
                     return BufferedBody::NoRoom(Box::new(self));
                 }
             }
