Heads that arrive while a host stops have the time that a stop gives them

Cause: since heads have their own limit, those of a stopping host were held to it from their first byte; a stop gives them that time from the moment at which it accepts no more connections. They have it again; callers that have left are still noticed.

--- a/src/web/ingress.rs
+++ b/src/web/ingress.rs
@@ -145,7 +145,8 @@
                 Some(ended) => log_panic(ended),
                 None => return,
             },
-            _ = sweeps.tick() => table.sweep(limits.header_time.get()),
+            // Heads that are arriving have a time limit of their own from now on.
+            _ = sweeps.tick() => table.sweep(Duration::MAX),
         }
     }
 }
