A request that may not be repeated is not sent beside an open send

What callers saw: a request that may not be repeated ran at several servers, on a route that allows several, when the first one took longer than 0.6 of the latency target.

Cause: a hedge was sent whenever the outcomes that were known allowed a retry; an open send has no outcome yet. After a decline the same held for the send that followed it.

The attempt budget of a request, which counts its open sends, now decides whether it may be sent once more: an open send may have run. It asserts so at each send, of plain requests, streams and resumed streams. Retries of streams ask it as well. Streams that may be resumed may run again at plain services too, as at engines; they were hedged there before and not retried.

--- a/src/relay/config.rs
+++ b/src/relay/config.rs
@@ -83,9 +83,9 @@
         matches!(self, Self::Stream | Self::ResumableStream)
     }
 
-    /// Whether a request that may already have run can be sent again unchanged.
+    /// Whether a request that may already have run can be sent again: a client that resumes a stream does that as well.
     pub fn is_repeatable(self) -> bool {
-        self == Self::Repeatable
+        matches!(self, Self::Repeatable | Self::ResumableStream)
     }
 }
 
--- a/src/relay/policy/attempt_budget.rs
+++ b/src/relay/policy/attempt_budget.rs
@@ -2,8 +2,11 @@
 //!
 //! A request to a backend server counts from the moment it is sent until it is known not to have run there. Calls that
 //! only reserve memory, read caches or compute the prompt do not run the attempt and are not counted.
+//!
+//! It also decides whether the attempt may be sent once more, and whether it may have run: a send whose outcome is not
+//! known may have run.
 
-use super::loads::EngineKey;
+use {super::loads::EngineKey, crate::operation::RunVerdict};
 
 /// Number of servers that may decline an attempt, or receive nothing of it, before it is refused.
 const DECLINES_MAX: u32 = 3;
@@ -26,22 +29,45 @@
 #[derive(Debug)]
 pub struct AttemptBudget {
     servers_max: u32,
+    is_repeatable: bool,
+    // The highest verdict of the sends whose outcome is known.
+    settled: RunVerdict,
     servers: Vec<UsedServer>,
     ended: u32,
     declines: u32,
 }
 
 impl AttemptBudget {
-    /// The budget of an attempt that may run on this number of servers.
-    pub fn new(servers_max: u32) -> Self {
+    /// The budget of an attempt that may run on this number of servers, and more than once if it is repeatable.
+    pub fn new(servers_max: u32, is_repeatable: bool) -> Self {
         Self {
             servers_max: servers_max.max(1),
+            is_repeatable,
+            settled: RunVerdict::NotRun,
             servers: Vec::new(),
             ended: 0,
             declines: 0,
         }
     }
 
+    /// Whether it ran, from all of its sends.
+    pub fn verdict(&self) -> RunVerdict {
+        match self.open_sends() {
+            0 => self.settled,
+            _ => self.settled.max(RunVerdict::MayHaveRun),
+        }
+    }
+
+    /// Number of sends whose outcome is not known.
+    pub fn open_sends(&self) -> u32 {
+        self.servers.iter().map(|used| used.pending).sum()
+    }
+
+    /// Whether it may be sent once more: running it again is harmless, or each of its sends is known not to have run.
+    pub fn allows_send(&self) -> bool {
+        self.verdict().allows_retry(self.is_repeatable)
+    }
+
     /// Whether no further server may receive it, only those that did.
     pub fn is_used_up(&self) -> bool {
         self.servers.len() as u32 >= self.servers_max
@@ -82,6 +108,10 @@
 
     /// Records that it is sent to a server.
     pub fn record_send(&mut self, server: EngineKey) {
+        assert!(
+            self.allows_send(),
+            "an attempt that may not be repeated has no other send that ran or may have: {self:?}, {server:?}"
+        );
         assert!(
             self.allows(server),
             "an attempt runs on no more servers than its route allows: {self:?}, {server:?}"
@@ -97,8 +127,13 @@
         }
     }
 
-    /// Records that a server ran it, or may have.
-    pub fn record_run(&mut self, server: EngineKey) {
+    /// Records that a server ran it, or may have, as the verdict says.
+    pub fn record_run(&mut self, server: EngineKey, verdict: RunVerdict) {
+        assert!(
+            verdict != RunVerdict::NotRun,
+            "a send that did not run is recorded as such: {server:?}"
+        );
+        self.settled = self.settled.max(verdict);
         if let Some(used) = self.find(server) {
             used.pending = used.pending.saturating_sub(1);
             used.has_run = true;
--- a/src/relay/request/client_request.rs
+++ b/src/relay/request/client_request.rs
@@ -323,7 +323,10 @@
     let mut headers = head.headers;
     web::strip_hop_headers(&mut headers);
     (dialect.strip_request)(&mut headers);
-    let budget = RefCell::new(AttemptBudget::new(route.attempts));
+    let budget = RefCell::new(AttemptBudget::new(
+        route.attempts,
+        route.kind.is_repeatable(),
+    ));
     Ok(ClientRequest {
         method: head.method,
         target: target.to_owned(),
--- a/src/relay/request/decode.rs
+++ b/src/relay/request/decode.rs
@@ -99,7 +99,8 @@
         let mut budget = self.request.budget.borrow_mut();
         match response {
             Err(failure) if failure.verdict == RunVerdict::NotRun => budget.record_not_run(server),
-            Ok(_) | Err(_) => budget.record_run(server),
+            Err(failure) => budget.record_run(server, failure.verdict),
+            Ok(_) => budget.record_run(server, RunVerdict::Ran),
         }
     }
 
--- a/src/relay/request/plain.rs
+++ b/src/relay/request/plain.rs
@@ -247,11 +247,8 @@
     }
 
     fn may_retry(&self) -> bool {
-        let allowed = self
-            .verdict
-            .allows_retry(self.request.route.kind.is_repeatable());
         let budget = self.request.budget.borrow();
-        allowed && !budget.is_used_up() && budget.allows_decline()
+        budget.allows_send() && !budget.is_used_up() && budget.allows_decline()
     }
 
     fn log_end(&mut self, end: &str) {
@@ -329,7 +326,8 @@
     fn record_use(&self, backend: &BackendInfo, outcome: &SendOutcome) {
         let mut budget = self.request.budget.borrow_mut();
         match outcome {
-            SendOutcome::Responded(_) | SendOutcome::Lost(_) => budget.record_run(backend.key()),
+            SendOutcome::Responded(_) => budget.record_run(backend.key(), RunVerdict::Ran),
+            SendOutcome::Lost(_) => budget.record_run(backend.key(), RunVerdict::MayHaveRun),
             SendOutcome::Declined(_) | SendOutcome::Full(_) | SendOutcome::Unsent(_) => {
                 budget.record_not_run(backend.key());
             }
--- a/src/relay/request/stream.rs
+++ b/src/relay/request/stream.rs
@@ -224,7 +224,7 @@
                 Ok(running) => return Ok(running),
                 Err(failure) => failure.or_refusal()?,
             };
-            let may_retry = failure.verdict.allows_retry(self.is_resumable());
+            let may_retry = self.request.budget.borrow().allows_send();
             if !may_retry || round >= MAX_ROUNDS || self.request.time_left().is_zero() {
                 let refusal = Refusal::new(self.verdict, RefusalCode::BackendLost, failure.detail);
                 return Err(refusal.after(RETRY_AFTER));
