Requests that come during a stop run whole or not at all, and what outlasts it is answered

Callers of a host that was stopped as planned lost requests: what the host accepted in the first 2.6 s after SIGTERM, while the load balancer still sends, or whose body came later than its head, was sent to a server although its time limit was beyond the end of the grace period. The process then ended with the connection, also of requests that may not be repeated; the caller got no answer and could not know that the request had run. What had been accepted before SIGTERM and outlasted the grace ended in the same way.

Cause: the time of the stop was compared with a request's limit only from 2.6 s on, and only as the head arrived; and nothing answered what was left at the end.

Now the times of the stop are known from SIGTERM on. A request that may not be repeated and whose limit is beyond the grace is refused at once as not run (503, a `Retry-After` of 10 ms), checked with the head and again with the whole body. One that may be repeated or gone on with is taken while the balancer sends, as most of them are done in time. What is without an answer 0.3 s before the kill is given up: 502 with `may-have-run` where a send is outstanding, 503 where nothing was sent; sends are dropped, so that servers stop.

--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -21,7 +21,7 @@
             settle::LedgerSync,
             share::LoadReporting,
         },
-        parts::{metric_labels::StoreCause, shared::RelayParts},
+        parts::{metric_labels::StoreCause, shared::RelayParts, stop::StopTimes},
         request::{
             handler,
             response::{self, RelayResponse},
@@ -260,16 +260,20 @@
     }
 
     /// Stops gracefully: requests that callers have sent, or have begun to send, may finish within the stop grace period.
+    /// What has no answer by then is given up, and answered so.
     pub async fn drain(&self) {
         let gate = &self.parts.gate;
-        gate.begin_stop();
-        event::emit(&event::HOST_STOPPING, &[("in_flight", &gate.in_flight())]);
         let grace = self.parts.settings.bounds.stop_grace;
         let time = grace.saturating_sub(STOP_MARGIN);
-        let deadline = self.parts.now() + time;
+        let now = self.parts.now();
+        self.parts.stop_times.set(Some(StopTimes {
+            accepts_until: now + BALANCER_LAG,
+            ends_at: now + time,
+        }));
+        gate.begin_stop();
+        event::emit(&event::HOST_STOPPING, &[("in_flight", &gate.in_flight())]);
         let finishing = async {
             tokio::time::sleep(BALANCER_LAG).await;
-            self.parts.stop_deadline.set(Some(deadline));
             self.closing.set();
             self.callers_served.wait().await;
             self.carrying.emptied().await;
@@ -279,6 +283,7 @@
             log::warn!("{in_flight} requests did not finish within the stop grace period");
         }
         gate.close();
+        self.parts.given_up.set();
         self.parts.metrics.store_called(StoreCause::Entry, 1);
         let deleting = (self.store.delete)(StoreKind::Hosts, &self.parts.settings.name);
         let closing = async {
--- a/src/relay/parts/mod.rs
+++ b/src/relay/parts/mod.rs
@@ -27,9 +27,10 @@
 pub(crate) mod service_metrics;
 pub(crate) mod shared;
 pub(crate) mod shares;
+pub(crate) mod stop;
 
 pub use self::{
     accounts::*, attempt_metrics::*, crashes::*, link_metrics::*, metric_labels::*, metrics::*,
     origin_metrics::*, origins::*, permits::*, piece_metrics::*, place_metrics::*, places::*,
-    priorities::*, priority_metrics::*, server_limits::*, service_metrics::*, shared::*,
+    priorities::*, priority_metrics::*, server_limits::*, service_metrics::*, shared::*, stop::*,
 };
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -12,13 +12,14 @@
         priorities::PriorityState,
         server_limits::{AnswerKind, LimitExchange},
         shares::OthersDemand,
+        stop::StopTimes,
     },
     crate::{
         account::ZoneLedger,
         clock::HostClock,
         event,
         host::StopGate,
-        operation::RunVerdict,
+        operation::{OnceSignal, RunVerdict},
         relay::{
             admission::wait_queue::WaitQueue,
             backend::BackendInfo,
@@ -117,9 +118,10 @@
     pub metrics: RelayMetrics,
     /// Counts requests in progress and closes for a planned stop.
     pub gate: Arc<StopGate>,
-    /// When a planned stop ends, on the host's clock. Set once the host accepts no more connections; requests must then
-    /// be able to finish before.
-    pub stop_deadline: Cell<Option<Duration>>,
+    /// The times of a planned stop once it has begun.
+    pub stop_times: Cell<Option<StopTimes>>,
+    /// Set when a planned stop gives up the requests in progress.
+    pub given_up: OnceSignal,
     /// What callers take of the host's memory.
     pub caller_budget: Rc<CallerBudget>,
     /// The clock for all ages.
@@ -177,7 +179,8 @@
             eras,
             metrics,
             gate,
-            stop_deadline: Cell::default(),
+            stop_times: Cell::default(),
+            given_up: OnceSignal::default(),
             caller_budget,
             clock,
         })
--- a/src/relay/request/decode.rs
+++ b/src/relay/request/decode.rs
@@ -54,6 +54,7 @@
         }
         self.check_send()?;
         self.decodes_sent += 1;
+        self.is_decode_pending = true;
         let server = reservation.engine.key();
         self.request.budget.borrow_mut().record_send(server);
         self.log_decode(&reservation.engine);
@@ -79,6 +80,7 @@
             Err(failure) => Err(failure),
         };
         self.record_use(server, &response);
+        self.is_decode_pending = false;
         let response = response?;
         Ok(DecodeStream {
             status: response.status,
--- a/src/relay/request/handler.rs
+++ b/src/relay/request/handler.rs
@@ -19,6 +19,7 @@
         },
         web,
     },
+    faststr::FastStr,
     http::{Request, header, request::Parts},
     http_body::Body,
     hyper::body::Incoming,
@@ -29,9 +30,6 @@
 /// `Retry-After` while the host has no configuration yet, and on a route without a service.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// `Retry-After` at a host that is stopping, which other hosts replace at once.
-const STOP_RETRY_AFTER: Duration = Duration::from_millis(10);
-
 /// `Retry-After` while no server is listed in the allowed regions, random so that callers do not return together.
 const NO_REGION_RETRY_AFTER: RangeInclusive<Duration> =
     Duration::from_millis(700)..=Duration::from_millis(1_300);
@@ -109,13 +107,49 @@
     body: &mut Incoming,
 ) -> Result<RelayResponse, Refusal> {
     let entry = enter_gate(parts).await?;
+    let preparing = parts.until_given_up(prepare(parts, head, body)).await;
+    let prepared = preparing.unwrap_or_else(|| Err(parts.stopped_refusal(RunVerdict::NotRun)))?;
+    let PreparedRequest {
+        request,
+        service,
+        uses_engines,
+        charge,
+    } = prepared;
+    let account = request.account.clone();
+    let response = match uses_engines {
+        true => stream::relay_stream(parts.clone(), request, service).await,
+        false => plain::relay_plain(parts.clone(), request, service).await,
+    };
+    if let (Err(refusal), Some(account), Some(charge)) = (&response, account, charge)
+        && refusal.verdict == RunVerdict::NotRun
+    {
+        parts.refund(&account.name, charge);
+    }
+    // Counts as in progress until the client has received the last byte.
+    Ok(response?.map(|body| response::guarded_body(body, entry)))
+}
+
+// A request that was read and admitted, and is sent to no server yet.
+struct PreparedRequest {
+    request: Rc<ClientRequest>,
+    service: FastStr,
+    uses_engines: bool,
+    charge: Option<UseCharge>,
+}
+
+async fn prepare(
+    parts: &Rc<RelayParts>,
+    head: Parts,
+    body: &mut Incoming,
+) -> Result<PreparedRequest, Refusal> {
     let routes = parts.routes().ok_or_else(not_configured)?;
     check_config_lag(parts)?;
     let limits = &routes.config().limits;
     check_headers(&head, limits)?;
     let route = find_route(&routes, &head).map_err(|refusal| unless_behind(parts, refusal))?;
     let marks = (parts.dialect.read_request)(&head.headers);
-    check_stop(parts, client_request::request_timeout(&marks, &route))?;
+    let timeout = client_request::request_timeout(&marks, &route);
+    parts.check_stop(timeout, route.kind)?;
     parts
         .identify(&route, marks.key)
         .map_err(|refusal| unless_behind(parts, refusal))?;
@@ -133,6 +167,8 @@
         &parts.clock,
     )
     .await?;
+    // Checked again, because a stop may have begun while the body was read.
+    parts.check_stop(request.time_left(), request.route.kind)?;
     // Checked again, because the key may have expired while the body was read.
     let account = parts
         .identify(&request.route, request.marks.key)
@@ -147,19 +183,12 @@
     let uses_engines = uses_engines(&request, service.engine.is_some());
     let class = routes.priority_class(&service.name, request.priority());
     let request = Rc::new(request.with_priority_class(class.filter(|_| uses_engines)));
-    let account = request.account.clone();
-    let name = service.name.clone();
-    let response = match uses_engines {
-        true => stream::relay_stream(parts.clone(), request, name).await,
-        false => plain::relay_plain(parts.clone(), request, name).await,
-    };
-    if let (Err(refusal), Some(account), Some(charge)) = (&response, account, charge)
-        && refusal.verdict == RunVerdict::NotRun
-    {
-        parts.refund(&account.name, charge);
-    }
-    // Counts as in progress until the client has received the last byte.
-    Ok(response?.map(|body| response::guarded_body(body, entry)))
+    Ok(PreparedRequest {
+        request,
+        service: service.name.clone(),
+        uses_engines,
+        charge,
+    })
 }
 
 // At the limit on requests in progress, one whose body has stopped gives way.
@@ -279,19 +308,6 @@
     Refusal::not_run(RefusalCode::NotConfigured, text).after(wait)
 }
 
-// Refuses what may still run when the host's process ends. The caller is served by another host if it returns at once.
-fn check_stop(parts: &RelayParts, timeout: Duration) -> Result<(), Refusal> {
-    let Some(deadline) = parts.stop_deadline.get() else {
-        return Ok(());
-    };
-    let left = deadline.saturating_sub(parts.now());
-    if timeout <= left {
-        return Ok(());
-    }
-    let text = format!("this host stops in {} ms", left.as_millis());
-    Err(Refusal::not_run(RefusalCode::Stopping, text).after(STOP_RETRY_AFTER))
-}
-
 fn check_headers(head: &Parts, limits: &CallerLimits) -> Result<(), Refusal> {
     let headers = head.headers.iter();
     let size: usize = headers
--- a/src/relay/request/plain.rs
+++ b/src/relay/request/plain.rs
@@ -111,7 +111,9 @@
         response_end: None,
         is_end_logged: false,
     };
-    let response = match relay.run().await {
+    let parts = relay.parts.clone();
+    let finished = parts.until_given_up(relay.run()).await;
+    let response = match finished.unwrap_or_else(|| relay.give_up()) {
         Ok(response) => response,
         Err(refusal) => {
             relay.log_end("refused");
@@ -198,6 +200,16 @@
         }
     }
 
+    // Ends the request as a planned stop gives it up. Its outstanding sends are dropped, and may have run.
+    fn give_up(&mut self) -> Result<PlainResponse, Refusal> {
+        for backend in std::mem::take(&mut self.pending) {
+            self.log_attempt(&backend, "given-up");
+            self.verdict = self.verdict.max(RunVerdict::MayHaveRun);
+        }
+        let refusal = self.parts.stopped_refusal(self.verdict);
+        self.fallback.take().ok_or(refusal)
+    }
+
     fn hedge_time(&self) -> Instant {
         Instant::now() + self.request.route.latency_target.mul_f64(HEDGE_DELAY_SHARE)
     }
--- a/src/relay/request/stream.rs
+++ b/src/relay/request/stream.rs
@@ -125,6 +125,8 @@
     pub(super) prefill_broken: bool,
     // Number of decodes sent, whether they ran or not.
     pub(super) decodes_sent: u32,
+    // Whether a decode is sent and has no outcome yet.
+    pub(super) is_decode_pending: bool,
     pub(super) skip_prefill: bool,
     // Whether the decode engine with the reservation still has the prompt cached from an earlier run.
     pub(super) is_prompt_cached: bool,
@@ -163,6 +165,7 @@
         prefill_received: false,
         prefill_broken: false,
         decodes_sent: 0,
+        is_decode_pending: false,
         skip_prefill: false,
         is_prompt_cached: false,
         cache_engine: FastStr::default(),
@@ -177,7 +180,9 @@
         is_end_logged: false,
     };
     let received_at = relay.request.received_at;
-    let running = match relay.start(received_at).await {
+    let parts = relay.parts.clone();
+    let started = parts.until_given_up(relay.start(received_at)).await;
+    let running = match started.unwrap_or_else(|| Err(relay.give_up())) {
         Ok(running) => running,
         Err(refusal) => {
             relay.log_end("refused");
@@ -217,6 +222,15 @@
         self.request.route.kind == RequestKind::ResumableStream
     }
 
+    // The refusal of a stream that a planned stop gives up before it began.
+    fn give_up(&self) -> Refusal {
+        let verdict = match self.is_decode_pending {
+            true => self.verdict.max(RunVerdict::MayHaveRun),
+            false => self.verdict,
+        };
+        self.parts.stopped_refusal(verdict)
+    }
+
     // Runs rounds until an engine responds. After a round that may have run, only a resumable stream is tried again.
     async fn start(&mut self, since: Duration) -> Result<DecodeStream, Refusal> {
         for round in 1.. {
