A stream ends at its time limit also if its server writes without a pause

Callers of a server that wrote one small chunk after the other, without end and without a pause, were answered for as long as they stayed: 15 s where the route allows two. The host was busy with these streams meanwhile.

Cause: the deadline was a timer around the wait for the next chunk, and such a timer does not count while the next chunk is always at hand. The same holds for streams of plain services, of engines, and for those that another engine may go on with.

From the deadline on, what has arrived is passed on for 100 ms more, as a host that was suspended sees its deadlines late; then the stream is broken off.

The tests are the first of a set with a host as a process of 64 MB before servers that write without end: in a head, an interim answer, a body with a length, in chunks of any kind, trailers, an event, behind an answer; of plain services, of engines in answer to decodes, prefills, reservations and cache queries; 50 callers at once, of which ten do not read. Failed before:

streams_of_plain_servers_without_end_stay_within_memory: an answer does not end (small chunks) streams_of_engines_without_end_stay_within_memory: an answer does not end (small chunks)

Now both pass with all 19 kinds of answers each.

--- a/src/relay/request/forward.rs
+++ b/src/relay/request/forward.rs
@@ -40,15 +40,15 @@
         // Moves all of `state` into the stream; fields that the block does not name would otherwise be dropped early.
         let mut state = state;
         loop {
-            let next = tokio::time::timeout(request.time_left(), body.next()).await;
+            let next = body.next_within(request.time_left()).await;
             let stop = match next {
-                Ok(BodyStep::Chunk(bytes, _)) => {
+                Some(BodyStep::Chunk(bytes, _)) => {
                     observe(&mut state, ForwardEvent::Chunk);
                     yield Ok(bytes);
                     continue;
                 }
-                Ok(BodyStep::End(stop)) => stop,
-                Err(_) => body.stop_at_deadline(),
+                Some(BodyStep::End(stop)) => stop,
+                None => body.stop_at_deadline(),
             };
             observe(&mut state, ForwardEvent::End(stop.end));
             if !stop.end.is_complete() {
--- a/src/relay/request/response_body.rs
+++ b/src/relay/request/response_body.rs
@@ -13,9 +13,14 @@
         web::{self, HeldBytes, PooledAnswer, PooledBody, SMALL_BYTES},
     },
     bytes::{Buf, Bytes},
-    std::fmt,
+    std::{fmt, time::Duration},
+    tokio::time::Instant,
 };
 
+/// Time after the deadline in which bytes that have arrived before are still passed on: a process that was suspended sees its
+/// deadline late.
+const OVERDUE_TIME: Duration = Duration::from_millis(100);
+
 /// What comes next of a response body.
 #[derive(Debug)]
 pub(super) enum BodyStep {
@@ -79,6 +84,8 @@
     prefix: Option<FullBody>,
     content: PooledBody,
     progress: ResponseProgress,
+    // When more was wanted after the deadline for the first time.
+    overdue_since: Option<Instant>,
 }
 
 impl ResponseBody {
@@ -101,6 +108,7 @@
             prefix: None,
             content,
             progress,
+            overdue_since: None,
         }
     }
 
@@ -130,6 +138,18 @@
         }
     }
 
+    /// Waits up to `wait`, which is zero from the request's deadline on, for what comes next. None if nothing came, and if the
+    /// deadline is over while bytes are always at hand.
+    pub(super) async fn next_within(&mut self, wait: Duration) -> Option<BodyStep> {
+        if wait.is_zero() {
+            let since = self.overdue_since.get_or_insert_with(Instant::now);
+            if since.elapsed() > OVERDUE_TIME {
+                return None;
+            }
+        }
+        tokio::time::timeout(wait, self.next()).await.ok()
+    }
+
     /// Judges a body that is given up at the deadline.
     pub(super) fn stop_at_deadline(&self) -> BodyStop {
         self.stop(BodyEnd::TimeLimit, None)
--- a/src/relay/request/resume.rs
+++ b/src/relay/request/resume.rs
@@ -94,7 +94,7 @@
 // budget allows it.
 async fn next_step(relay: &mut StreamRelay, running: &mut DecodeStream) -> StreamStep {
     let timeout = STALL_TIMEOUT.min(relay.request.time_left());
-    if let Ok(next) = tokio::time::timeout(timeout, running.body.next()).await {
+    if let Some(next) = running.body.next_within(timeout).await {
         return stream_step(next);
     }
     let engine = running.guards.engine();
