Messages between hosts have a greatest size

A host that another one wrote a message of 60 MB to, or that announced one and wrote without end, held all of it: one such answer takes a host of 64 MB to its end, and the requests of its callers with it.

Cause: known hosts' messages were bounded by the RPC library's 64 MB alone. The whole configuration has at most 4 MiB, and lists are passed on in pieces of 31 kB; so 4 MiB is now the limit, for answers and for calls. Hosts of the own interface keep 64 MB.

--- a/src/control/gossip.rs
+++ b/src/control/gossip.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         config::{AcceptedConfig, ConfigOffer, ConfigPatch},
-        parts::ControlParts,
+        parts::{ControlParts, MESSAGE_BYTES},
         servers::{ServerList, ServersPatch},
     },
     crate::peer::{
@@ -305,6 +305,7 @@
         let admission = PeerAdmission {
             is_known: Box::new(move |ip| self.has_member_at(ip)),
             unknown_limit: UNKNOWN_CONNECTIONS,
+            message_bytes: MESSAGE_BYTES,
         };
         peer::serve_peers(listener, capability, metrics, admission).await;
     }
--- a/src/control/parts.rs
+++ b/src/control/parts.rs
@@ -25,6 +25,9 @@
     tokio::{net::TcpListener, sync::Notify, task::LocalSet},
 };
 
+/// Maximum size of a message between hosts, in bytes.
+pub(super) const MESSAGE_BYTES: usize = 64 << 20;
+
 /// Hosts of a zone that watch the platform for all.
 const WATCHERS: usize = 2;
 
@@ -79,7 +82,11 @@
     };
     let parts = Rc::new(ControlParts {
         platform: StoreClient::new(settings.platform, settings.platform_timeout),
-        links: PeerLinks::new(traffic.metrics.clone(), StreamOpener::default()),
+        links: PeerLinks::new(
+            traffic.metrics.clone(),
+            StreamOpener::default(),
+            MESSAGE_BYTES,
+        ),
         state: RefCell::new(state),
         platform_is_lost: Cell::new(false),
         news: Notify::new(),
--- a/src/peer/rpc.rs
+++ b/src/peer/rpc.rs
@@ -39,6 +39,9 @@
 /// Maximum size of a message from an address at which no host is known, in words of eight bytes.
 const UNKNOWN_MESSAGE_WORDS: usize = 16 << 10;
 
+/// Size of a word of a message, in bytes.
+const WORD_BYTES: usize = 8;
+
 /// Pause after a failed accept, which is most often a lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -153,6 +156,8 @@
     pub is_known: Box<dyn Fn(IpAddr) -> bool>,
     /// Maximum number of connections from other addresses. Each further one ends the oldest of them.
     pub unknown_limit: usize,
+    /// Maximum size of a message of a known host, in bytes.
+    pub message_bytes: usize,
 }
 
 /// Connections from addresses at which no host is known, oldest first.
@@ -198,10 +203,12 @@
             }
         };
         let is_known = (unknown.admission.is_known)(from.ip());
+        let words = match is_known {
+            true => unknown.admission.message_bytes / WORD_BYTES,
+            false => UNKNOWN_MESSAGE_WORDS,
+        };
         let mut options = ReaderOptions::default();
-        if !is_known {
-            options.traversal_limit_in_words(Some(UNKNOWN_MESSAGE_WORDS));
-        }
+        options.traversal_limit_in_words(Some(words));
         let network = network(stream, Side::Server, &metrics, options);
         let system = RpcSystem::new(Box::new(network), Some(capability.clone()));
         let connection = tokio::task::spawn_local(system).abort_handle();
@@ -227,15 +234,17 @@
     connections: RefCell<HashMap<SocketAddr, Rc<Connection<C>>>>,
     metrics: Arc<HostMetrics>,
     opener: StreamOpener,
+    message_bytes: usize,
 }
 
 impl<C: FromClientHook + Clone> PeerLinks<C> {
-    /// No connections yet; they will be opened by `opener`.
-    pub fn new(metrics: Arc<HostMetrics>, opener: StreamOpener) -> Self {
+    /// No connections yet; they will be opened by `opener`, and end at a message of more than `message_bytes`.
+    pub fn new(metrics: Arc<HostMetrics>, opener: StreamOpener, message_bytes: usize) -> Self {
         Self {
             connections: RefCell::default(),
             metrics,
             opener,
+            message_bytes,
         }
     }
 
@@ -251,7 +260,8 @@
         }
         let opening = self.opener.open(address).await;
         let stream = opening.map_err(|error| Error::disconnected(error.to_string()))?;
-        let options = ReaderOptions::default();
+        let mut options = ReaderOptions::default();
+        options.traversal_limit_in_words(Some(self.message_bytes / WORD_BYTES));
         let network = network(stream, Side::Client, &self.metrics, options);
         let mut system = RpcSystem::new(Box::new(network), None);
         let client: C = system.bootstrap(Side::Server);
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -17,7 +17,7 @@
             permits::PermitService,
             piece_service::PieceService,
             places::PlaceService,
-            rpc::{NewsClient, NewsHandlers},
+            rpc::{self, NewsClient, NewsHandlers},
             settle::LedgerSync,
             share::LoadReporting,
         },
@@ -189,6 +189,7 @@
         let admission = PeerAdmission {
             is_known: Box::new(move |ip| known.cluster.borrow().has_host_at(ip)),
             unknown_limit: parts.settings.caller_limits.peer_connections,
+            message_bytes: rpc::MESSAGE_BYTES,
         };
         let handlers = NewsHandlers {
             clock,
--- a/src/relay/news/rpc.rs
+++ b/src/relay/news/rpc.rs
@@ -38,6 +38,9 @@
 /// Longest retry delay in a ledger's response, in milliseconds; `u32::MAX` is reserved for "unknown".
 const MAX_WAIT_MS: u32 = 3_600_000;
 
+/// Maximum size of a message, in bytes: more than the whole configuration, which hosts of earlier versions send in one.
+pub const MESSAGE_BYTES: usize = 4 << 20;
+
 /// Answers a host that follows this one, once there is something newer or the wait is over.
 pub type FollowHandler = dyn Fn(HeldNews) -> LocalBoxFuture<'static, ClusterNews>;
 
@@ -278,7 +281,7 @@
     /// Creates a client without connections, which will be opened by `opener`.
     pub fn new(metrics: Arc<HostMetrics>, clock: HostClock, opener: StreamOpener) -> Self {
         Self {
-            links: PeerLinks::new(metrics, opener),
+            links: PeerLinks::new(metrics, opener, MESSAGE_BYTES),
             clock,
         }
     }
