Streams go on at their version after all hosts were killed: a few hosts keep them in the store

Three hosts now write the streams of services with several versions to the store, in batches, and read them at their start. Caches name no version any more. An entry written over that of an earlier run keeps its versions and judgements; one listed version is not taken for the only one when no entry names any.

--- a/src/relay/cluster/state.rs
+++ b/src/relay/cluster/state.rs
@@ -207,7 +207,7 @@
                 &mut self.backends_confirmed_at
             }
             StoreKind::Hosts => return self.hosts.set_unconfirmed(false),
-            StoreKind::Leases | StoreKind::Evacuations => return,
+            StoreKind::Leases | StoreKind::Evacuations | StoreKind::Streams => return,
         };
         *confirmed = Some(confirmed.map_or(at, |before| before.max(at)));
     }
@@ -305,7 +305,8 @@
         match kind {
             StoreKind::Backends => self.backends.set_unconfirmed(true),
             StoreKind::Hosts => self.hosts.set_unconfirmed(true),
-            StoreKind::Config | StoreKind::Leases | StoreKind::Evacuations => {}
+            StoreKind::Config | StoreKind::Leases | StoreKind::Evacuations | StoreKind::Streams => {
+            }
         }
     }
 
@@ -315,7 +316,8 @@
         match kind {
             StoreKind::Backends => self.backends.forget_unconfirmed(),
             StoreKind::Hosts => self.hosts.forget_unconfirmed(),
-            StoreKind::Config | StoreKind::Leases | StoreKind::Evacuations => {}
+            StoreKind::Config | StoreKind::Leases | StoreKind::Evacuations | StoreKind::Streams => {
+            }
         }
     }
 
--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -20,6 +20,7 @@
             rpc::{NewsClient, NewsHandlers},
             settle::LedgerSync,
             share::LoadReporting,
+            stream_keeper,
         },
         parts::{metric_labels::StoreCause, shared::RelayParts},
         request::{
@@ -136,6 +137,10 @@
             "host entry",
             entry::maintain_entry(parts.clone(), store.clone()),
         );
+        critical_task::spawn_critical(
+            "kept streams",
+            stream_keeper::keep_streams(parts.clone(), store.clone()),
+        );
         critical_task::spawn_critical("figures", figures::log_figures(parts.clone()));
         critical_task::spawn_critical("heap", heap::release_heap(parts.clone()));
         critical_task::spawn_critical("availability", check_availability(parts.clone()));
@@ -193,8 +198,14 @@
         let handlers = NewsHandlers {
             clock,
             pieces: Box::new(move |request| pieces.answer(request)),
-            streams: Box::new(move |records| streams_parts.record_told_streams(records)),
-            origins: Box::new(move |key, service| origin_parts.answer_origin(key, service)),
+            streams: Box::new(move |records| {
+                streams_parts.keep_streams(&records);
+                streams_parts.record_told_streams(records);
+            }),
+            origins: Box::new(move |key, service| {
+                let parts = origin_parts.clone();
+                async move { parts.answer_origin(key, &service).await }.boxed_local()
+            }),
             permits: Box::new(move |ask, is_passed_on| {
                 permits.clone().answer(ask, is_passed_on).boxed_local()
             }),
--- a/src/relay/link.rs
+++ b/src/relay/link.rs
@@ -4,7 +4,10 @@
     super::{
         backend::BackendInfo,
         config::RelayConfig,
-        policy::{crash_report::StoredVerdict, software_history::ServiceSoftware},
+        policy::{
+            crash_report::StoredVerdict, software_history::ServiceSoftware,
+            stream_journal::StreamBatch,
+        },
     },
     crate::{
         control::LeaseSpec,
@@ -29,6 +32,8 @@
     Leases,
     /// Evacuations of availability zones, each written by operators and named after the zone.
     Evacuations,
+    /// Streams that began lately, written in batches by a few hosts.
+    Streams,
 }
 
 /// A host's entry in the store, by which other hosts find it.
@@ -72,6 +77,8 @@
     Lease(LeaseSpec),
     /// An evacuation of the availability zone with the object's name.
     Evacuation,
+    /// Streams that began lately.
+    Streams(StreamBatch),
 }
 
 /// An object in the store.
--- a/src/relay/news/entry.rs
+++ b/src/relay/news/entry.rs
@@ -117,8 +117,10 @@
 }
 
 // Writes the host's entry, and retries until that has succeeded.
+//
+// What an earlier run kept in the entry is taken over, also where the list of hosts did not have it in time.
 async fn write_entry(parts: &RelayParts, store: &StoreLink, entry: &HostEntry) {
-    let value = StoreValue::Host(entry.clone());
+    let mut value = StoreValue::Host(entry.clone());
     let mut position = StorePosition::default();
     loop {
         let item = StoreItem {
@@ -134,7 +136,12 @@
                 parts.metrics.store_called(StoreCause::Entry, 1);
                 match (store.get)(StoreKind::Hosts, &entry.name).await {
                     Ok(found) if found.value == value => return,
-                    Ok(found) => position = found.position,
+                    Ok(found) => {
+                        position = found.position;
+                        if let StoreValue::Host(found) = found.value {
+                            value = StoreValue::Host(parts.with_kept_content(entry, found));
+                        }
+                    }
                     Err(StoreFailure::NotFound) => position = StorePosition::default(),
                     Err(failure) => log::debug!("cannot read the host's entry: {failure}"),
                 }
--- a/src/relay/news/feed.rs
+++ b/src/relay/news/feed.rs
@@ -252,7 +252,10 @@
             match kind {
                 StoreKind::Config => self.config_unconfirmed.set(true),
                 StoreKind::Backends => self.backends_unconfirmed.set(true),
-                StoreKind::Hosts | StoreKind::Leases | StoreKind::Evacuations => {}
+                StoreKind::Hosts
+                | StoreKind::Leases
+                | StoreKind::Evacuations
+                | StoreKind::Streams => {}
             }
             let resumed = self.resumed.notified();
             tokio::pin!(resumed);
@@ -269,7 +272,7 @@
             StoreKind::Config => cluster.config.position(),
             StoreKind::Backends => cluster.backends_position(),
             StoreKind::Hosts => cluster.hosts_position(),
-            StoreKind::Leases => StorePosition::default(),
+            StoreKind::Leases | StoreKind::Streams => StorePosition::default(),
             StoreKind::Evacuations => cluster.evacuations.position(),
         }
     }
@@ -298,7 +301,7 @@
         match kind {
             StoreKind::Config => self.config_unconfirmed.set(false),
             StoreKind::Backends => self.backends_unconfirmed.set(false),
-            StoreKind::Hosts | StoreKind::Leases | StoreKind::Evacuations => {}
+            StoreKind::Hosts | StoreKind::Leases | StoreKind::Evacuations | StoreKind::Streams => {}
         }
         Ok(())
     }
@@ -330,7 +333,9 @@
         let may_be_stale = match kind {
             StoreKind::Backends => self.backends_unconfirmed.get(),
             StoreKind::Hosts => is_list,
-            StoreKind::Config | StoreKind::Leases | StoreKind::Evacuations => false,
+            StoreKind::Config | StoreKind::Leases | StoreKind::Evacuations | StoreKind::Streams => {
+                false
+            }
         };
         if may_be_stale {
             return;
--- a/src/relay/news/mod.rs
+++ b/src/relay/news/mod.rs
@@ -30,6 +30,7 @@
 mod start;
 mod store_log;
 mod store_updates;
+pub(crate) mod stream_keeper;
 mod take;
 mod targets;
 mod watch_time;
--- a/src/relay/news/origins.rs
+++ b/src/relay/news/origins.rs
@@ -5,16 +5,19 @@
 
 use {
     super::rpc::NewsClient,
-    crate::relay::{
-        critical_task,
-        link::HostEntry,
-        parts::{
-            origins::{OriginAnswer, OriginAnswers},
-            shared::RelayParts,
-        },
-        policy::{
-            origin_hosts,
-            stream_origins::{StreamKey, StreamRecord},
+    crate::{
+        peer,
+        relay::{
+            critical_task,
+            link::HostEntry,
+            parts::{
+                origins::{OriginAnswer, OriginAnswers},
+                shared::RelayParts,
+            },
+            policy::{
+                origin_hosts,
+                stream_origins::{StreamKey, StreamRecord},
+            },
         },
     },
     faststr::FastStr,
@@ -75,8 +78,12 @@
         }
     }
 
-    // Tells the hosts of each stream, with one message for each host.
+    // Tells the hosts of each stream, with one message for each host, and those that keep streams in the store.
     fn tell(self: &Rc<Self>, records: Vec<StreamRecord>) {
+        if records.is_empty() {
+            return;
+        }
+        self.keep(&records);
         let mut batches: BTreeMap<Vec<SocketAddr>, Vec<StreamRecord>> = BTreeMap::new();
         let cluster = self.parts.cluster.borrow();
         let settings = &self.parts.settings;
@@ -97,6 +104,19 @@
         }
     }
 
+    fn keep(self: &Rc<Self>, records: &[StreamRecord]) {
+        if self.parts.is_keeping_host() {
+            self.parts.keep_streams(records);
+            return;
+        }
+        let mut keeping = self.parts.other_keeping_hosts();
+        // Each host begins with another one, so that they share the work.
+        let own = &self.parts.settings.name;
+        keeping.sort_by_key(|entry| peer::draw(&entry.name, own));
+        let addresses = keeping.iter().map(|entry| entry.peers).collect();
+        tokio::task::spawn_local(self.clone().tell_first(addresses, records.to_vec()));
+    }
+
     // Tells the first host that answers.
     async fn tell_first(self: Rc<Self>, hosts: Vec<SocketAddr>, records: Vec<StreamRecord>) {
         for address in hosts {
@@ -118,7 +138,12 @@
             let cluster = self.parts.cluster.borrow();
             let own = &self.parts.settings.name;
             let asked = origin_hosts::hosts_to_ask(cluster.hosts(), own, key);
-            asked.into_iter().cloned().collect()
+            let mut asked: Vec<HostEntry> = asked.into_iter().cloned().collect();
+            let keeping = self.parts.other_keeping_hosts();
+            let is_new = |entry: &HostEntry| asked.iter().all(|known| known.name != entry.name);
+            let keeping: Vec<HostEntry> = keeping.into_iter().filter(is_new).collect();
+            asked.extend(keeping);
+            asked
         };
         self.parts.metrics.origins.asked.inc_by(hosts.len() as u64);
         let asking = hosts
@@ -126,6 +151,10 @@
             .map(|entry| self.ask_host(entry, key, &service));
         let mut asking: FuturesUnordered<_> = asking.collect();
         let mut answers = OriginAnswers::default();
+        // The hosts that may know it are not known themselves.
+        if !self.parts.cluster.borrow().hosts_position().is_known() {
+            answers.silent += 1;
+        }
         while let Some((name, answer)) = asking.next().await {
             let Some(answer) = answer else {
                 answers.silent += 1;
--- a/src/relay/news/reachability.rs
+++ b/src/relay/news/reachability.rs
@@ -77,7 +77,9 @@
         match kind {
             StoreKind::Config => Some(&self.config_lost),
             StoreKind::Backends => Some(&self.backends_lost),
-            StoreKind::Hosts | StoreKind::Leases | StoreKind::Evacuations => None,
+            StoreKind::Hosts | StoreKind::Leases | StoreKind::Evacuations | StoreKind::Streams => {
+                None
+            }
         }
     }
 }
--- a/src/relay/news/rpc.rs
+++ b/src/relay/news/rpc.rs
@@ -69,7 +69,7 @@
 pub type StreamsHandler = dyn Fn(Vec<StreamRecord>);
 
 /// Answers how a stream began, and which software versions of a service were seen.
-pub type OriginHandler = dyn Fn(StreamKey, &str) -> OriginAnswer;
+pub type OriginHandler = dyn Fn(StreamKey, FastStr) -> LocalBoxFuture<'static, OriginAnswer>;
 
 /// Handlers of the calls of other hosts.
 pub struct NewsHandlers {
@@ -243,7 +243,8 @@
     ) -> Result<(), Error> {
         let params = params.get()?;
         let key = StreamKey(params.get_key());
-        let answer = (self.handlers.origins)(key, params.get_service()?.to_str()?);
+        let service = FastStr::new(params.get_service()?.to_str()?);
+        let answer = (self.handlers.origins)(key, service).await;
         origin_message::write_origin_answer(results.get(), &answer);
         Ok(())
     }
--- a/src/relay/news/store_updates.rs
+++ b/src/relay/news/store_updates.rs
@@ -68,7 +68,7 @@
                 self.parts.state_changed.notify_waiters();
                 is_applied
             }
-            StoreKind::Leases => true,
+            StoreKind::Leases | StoreKind::Streams => true,
             StoreKind::Evacuations => {
                 let zones = items.into_iter().map(|item| item.name).collect();
                 let mut cluster = self.parts.cluster.borrow_mut();
@@ -111,7 +111,7 @@
                     self.parts.state_changed.notify_waiters();
                 }
             }
-            StoreKind::Leases => {}
+            StoreKind::Leases | StoreKind::Streams => {}
             StoreKind::Evacuations => {
                 let mut cluster = self.parts.cluster.borrow_mut();
                 cluster.evacuations.change(changes, position);
--- a/src/relay/parts/metric_labels.rs
+++ b/src/relay/parts/metric_labels.rs
@@ -108,6 +108,8 @@
     Lease,
     /// Reads or writes the entry of this host.
     Entry,
+    /// Reads or writes the streams that hosts keep in the store.
+    Streams,
 }
 
 /// Labels of metrics by reason of a call to the store.
--- a/src/relay/parts/mod.rs
+++ b/src/relay/parts/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod crashes;
 pub(crate) mod ends;
 pub(crate) mod evacuations;
+pub(crate) mod kept_streams;
 pub(crate) mod link_log;
 pub(crate) mod link_metrics;
 pub(crate) mod links;
--- a/src/relay/parts/origin_metrics.rs
+++ b/src/relay/parts/origin_metrics.rs
@@ -23,6 +23,8 @@
     pub records: Gauge,
     /// Streams that other hosts were told of, counted for each of them.
     pub told: Counter,
+    /// Streams that this host wrote to the store.
+    pub kept: Counter,
     /// Hosts that were asked for streams.
     pub asked: Counter,
 }
@@ -94,6 +96,11 @@
             "Streams that other hosts were told of, for each of these",
             self.told.clone(),
         );
+        registry.register(
+            "streams_kept",
+            "Streams that this host wrote to the store, with the software version of their servers",
+            self.kept.clone(),
+        );
         registry.register(
             "hosts_asked_for_streams",
             "Hosts that were asked for the software version of a stream",
--- a/src/relay/parts/origins.rs
+++ b/src/relay/parts/origins.rs
@@ -5,12 +5,13 @@
     crate::{
         peer,
         relay::{
+            link::HostEntry,
             policy::{
                 changes::BackendChanges,
-                software_history::{SeenSoftware, ServiceSoftware, SoftwareHistory},
-                stream_origins::{StreamKey, StreamOrigins, StreamRecord},
+                software_history::{self, SeenSoftware, ServiceSoftware, SoftwareHistory},
+                stream_origins::{MAX_STREAMS, StreamKey, StreamOrigins, StreamRecord},
             },
-            software_version::ServerSoftware,
+            software_version::{ServerSoftware, SoftwareVersion},
         },
     },
     faststr::FastStr,
@@ -20,10 +21,10 @@
 };
 
 /// Number of hosts whose entries in the store keep which software versions there are.
-const KEEPING_HOSTS: usize = 3;
+pub(super) const KEEPING_HOSTS: usize = 3;
 
 /// Subject of the hash that selects them.
-const KEEPING_SUBJECT: &str = "software versions";
+pub(super) const KEEPING_SUBJECT: &str = "software versions";
 
 /// What a host answers when it is asked for a stream.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -115,6 +116,26 @@
         }
     }
 
+    /// Records streams that the store has, those first in the order that matter most. Streams that this host knows already
+    /// stay as they are.
+    pub(super) fn record_kept_streams(&self, records: impl Iterator<Item = StreamRecord>) {
+        let now = self.now();
+        let mut streams = self.origins.streams.borrow_mut();
+        for record in records {
+            if streams.len() >= MAX_STREAMS {
+                return;
+            }
+            if streams.find(record.key, now).is_none() {
+                streams.record_told(record, now);
+            }
+        }
+    }
+
+    /// All streams that this host knows.
+    pub(super) fn known_streams(&self) -> Vec<StreamRecord> {
+        self.origins.streams.borrow().records(self.now())
+    }
+
     /// How a stream began, as far as this host knows.
     pub fn find_stream(&self, key: StreamKey) -> Option<StreamRecord> {
         self.origins.streams.borrow().find(key, self.now())
@@ -130,7 +151,10 @@
     }
 
     /// Answers another host that asks for a stream and a service.
-    pub fn answer_origin(&self, key: StreamKey, service: &str) -> OriginAnswer {
+    pub async fn answer_origin(&self, key: StreamKey, service: &str) -> OriginAnswer {
+        if self.find_stream(key).is_none() {
+            self.wait_for_kept_streams().await;
+        }
         OriginAnswer {
             record: self.find_stream(key),
             seen: self.seen_software(service),
@@ -151,7 +175,8 @@
         self.origins.history.borrow().seen(service, self.now())
     }
 
-    /// The software versions of a service according to the hosts' entries in the store; none if the hosts are not known.
+    /// The software versions of a service according to the hosts' entries in the store; none if the hosts are not known, or no
+    /// entry names any.
     pub fn kept_software(&self, service: &str) -> Option<SeenSoftware> {
         let cluster = self.cluster.borrow();
         if !cluster.hosts_position().is_known() {
@@ -161,8 +186,9 @@
         let versions = kept
             .filter(|kept| kept.service == service)
             .flat_map(|kept| kept.versions.iter().cloned());
-        Some(SeenSoftware {
-            versions: versions.collect(),
+        let versions: BTreeSet<SoftwareVersion> = versions.collect();
+        (!versions.is_empty()).then_some(SeenSoftware {
+            versions,
             seen_for: Duration::ZERO,
         })
     }
@@ -173,27 +199,54 @@
         let own = &self.settings.name;
         let cluster = self.cluster.borrow();
         let others = cluster.hosts().map(|entry| entry.name.as_str());
-        if !peer::is_among_first(own, others, KEEPING_SUBJECT, KEEPING_HOSTS) {
-            return Vec::new();
-        }
+        let keeps = peer::is_among_first(own, others, KEEPING_SUBJECT, KEEPING_HOSTS);
+        let earlier = cluster.host(own).map(|entry| entry.software.clone());
+        let earlier = earlier.unwrap_or_default();
+        drop(cluster);
         let now = self.now();
         let history = self.origins.history.borrow();
-        let mut software = history.kept(now);
-        let earlier = cluster.host(own).map(|entry| entry.software.clone());
-        for kept in earlier.unwrap_or_default() {
-            if history.seen(&kept.service, now).is_complete() {
-                continue;
-            }
-            match software
-                .iter_mut()
-                .find(|known| known.service == kept.service)
-            {
-                Some(known) => known.versions.extend(kept.versions),
-                None => software.push(kept),
-            }
+        let earlier = history.still_needed(earlier, now);
+        match keeps {
+            true => software_history::merge_kept(history.kept(now), earlier),
+            // The hosts that are to keep them now may not have written them yet.
+            false if !self.is_software_kept(&earlier) => earlier,
+            false => Vec::new(),
         }
-        software.sort_by(|a, b| a.service.cmp(&b.service));
-        software
+    }
+
+    // Whether other hosts' entries keep all of these versions.
+    fn is_software_kept(&self, software: &[ServiceSoftware]) -> bool {
+        let cluster = self.cluster.borrow();
+        let others = cluster
+            .hosts()
+            .filter(|entry| entry.name != self.settings.name);
+        let kept = software_history::merge_kept(
+            Vec::new(),
+            others.flat_map(|entry| entry.software.iter().cloned()),
+        );
+        software.iter().all(|needed| {
+            let mut known = kept.iter().filter(|known| known.service == needed.service);
+            known.any(|known| known.versions.is_superset(&needed.versions))
+        })
+    }
+
+    /// The host's entry with what an earlier run kept in it.
+    pub fn with_kept_content(&self, entry: &HostEntry, earlier: HostEntry) -> HostEntry {
+        let needed = self
+            .origins
+            .history
+            .borrow()
+            .still_needed(earlier.software, self.now());
+        let mut merged = HostEntry {
+            software: software_history::merge_kept(entry.software.clone(), needed),
+            ..entry.clone()
+        };
+        let judged = earlier.judged.into_iter();
+        let lost: Vec<_> = judged
+            .filter(|known| !entry.judged.contains(known))
+            .collect();
+        merged.judged.extend(lost);
+        merged
     }
 
     /// Records changes of the list of backend servers.
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -5,6 +5,7 @@
         accounts::AccountGate,
         crashes::CrashRecords,
         ends::EndProbes,
+        kept_streams::KeptStreams,
         metrics::RelayMetrics,
         origins::OriginRecords,
         permits::PermitGate,
@@ -89,6 +90,8 @@
     pub crashes: CrashRecords,
     /// How streams began, and the software versions of servers.
     pub origins: OriginRecords,
+    /// The streams to be kept in the store.
+    pub kept_streams: KeptStreams,
     /// The exchange of server limits with other hosts.
     pub limits: LimitExchange,
     /// Permits for rate-limited backend servers.
@@ -163,6 +166,7 @@
             end_probes: EndProbes::default(),
             crashes: CrashRecords::new(book_id),
             origins: OriginRecords::default(),
+            kept_streams: KeptStreams::default(),
             permits: PermitGate::default(),
             places: PlaceGate::new(rand::random()),
             limits: LimitExchange::new(book_id),
--- a/src/relay/policy/mod.rs
+++ b/src/relay/policy/mod.rs
@@ -48,6 +48,7 @@
 pub(crate) mod source;
 pub(crate) mod split;
 pub(crate) mod store_backoff;
+pub(crate) mod stream_journal;
 pub(crate) mod stream_origins;
 pub(crate) mod subset;
 pub(crate) mod view;
@@ -60,5 +61,5 @@
     permit_allocator::*, permit_owners::*, priority_loads::*, prompt_cache::*, regions::*,
     registry::*, report_budget::*, response_end::*, response_progress::*, rotation::*, route::*,
     server_limit::*, server_signals::*, shared_findings::*, software_history::*, source::*,
-    split::*, store_backoff::*, stream_origins::*, subset::*, view::*,
+    split::*, store_backoff::*, stream_journal::*, stream_origins::*, subset::*, view::*,
 };
--- a/src/relay/policy/origin_hosts.rs
+++ b/src/relay/policy/origin_hosts.rs
@@ -58,6 +58,21 @@
     }
 }
 
+/// The first hosts by the hash of a subject, the same ones that `peer::is_among_first` names.
+pub fn keeping_hosts<'a>(
+    hosts: impl Iterator<Item = &'a HostEntry>,
+    subject: &str,
+    count: usize,
+) -> Vec<&'a HostEntry> {
+    let mut first: Vec<(u64, &HostEntry)> = Vec::new();
+    for entry in hosts {
+        first.push((peer::draw(&entry.name, subject), entry));
+        first.sort_by_key(|(draw, _)| Reverse(*draw));
+        first.truncate(count);
+    }
+    first.into_iter().map(|(_, entry)| entry).collect()
+}
+
 /// The hosts to ask for a stream that the host `own` takes up, all of them at once.
 pub fn hosts_to_ask<'a>(
     hosts: impl Iterator<Item = &'a HostEntry>,
--- a/src/relay/policy/software_history.rs
+++ b/src/relay/policy/software_history.rs
@@ -26,6 +26,24 @@
     pub versions: BTreeSet<SoftwareVersion>,
 }
 
+/// Adds versions to those of the same service, by service.
+pub fn merge_kept(
+    mut kept: Vec<ServiceSoftware>,
+    more: impl IntoIterator<Item = ServiceSoftware>,
+) -> Vec<ServiceSoftware> {
+    for software in more {
+        match kept
+            .iter_mut()
+            .find(|known| known.service == software.service)
+        {
+            Some(known) => known.versions.extend(software.versions),
+            None => kept.push(software),
+        }
+    }
+    kept.sort_by(|a, b| a.service.cmp(&b.service));
+    kept
+}
+
 /// What a host has seen of the versions of one service.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct SeenSoftware {
@@ -195,6 +213,19 @@
         kept
     }
 
+    /// Of the versions that were kept earlier, those whose streams callers may still come back for.
+    pub fn still_needed(&self, kept: Vec<ServiceSoftware>, now: Duration) -> Vec<ServiceSoftware> {
+        let needed = kept.into_iter().map(|mut kept| {
+            let seen = self.seen(&kept.service, now);
+            if seen.is_complete() {
+                kept.versions
+                    .retain(|version| seen.versions.contains(version));
+            }
+            kept
+        });
+        needed.filter(|kept| !kept.versions.is_empty()).collect()
+    }
+
     /// Evicts versions that left long ago.
     pub fn evict_expired(&mut self, now: Duration) {
         self.services.retain(|_, known| {
--- a/src/relay/policy/stream_origins.rs
+++ b/src/relay/policy/stream_origins.rs
@@ -143,6 +143,12 @@
         })
     }
 
+    /// All streams that are known.
+    pub fn records(&self, now: Duration) -> Vec<StreamRecord> {
+        let keys = self.streams.keys();
+        keys.filter_map(|key| self.find(*key, now)).collect()
+    }
+
     /// Takes at most `count` streams of some services that other hosts have not been told of.
     pub fn take_untold(
         &mut self,
--- a/src/relay/request/seek.rs
+++ b/src/relay/request/seek.rs
@@ -1,15 +1,11 @@
-//! Finds the decode engine that still has the prompt of a resumed stream in its cache, or the software version that began
-//! its answer.
+//! Finds the decode engine that still has the prompt of a resumed stream in its cache.
 
 use {
-    super::client_request::ClientRequest,
     crate::relay::{
         backend::BackendInfo,
         parts::shared::RelayParts,
         policy::{prompt_cache::CachedAt, regions::RequestOrigin},
-        software_version::SoftwareVersion,
     },
-    faststr::FastStr,
     futures::future,
     http::StatusCode,
     std::{rc::Rc, time::Duration},
@@ -50,37 +46,6 @@
     None
 }
 
-/// Finds the software version whose decode engines have a part of the answer to a request in their caches, which follows its
-/// prompt there, with one of the engines. `None` if none has, or those of several versions.
-pub async fn find_answer(
-    parts: &Rc<RelayParts>,
-    request: &ClientRequest,
-    service: &str,
-) -> Option<(SoftwareVersion, FastStr)> {
-    let part = request.marks.last_part.as_deref()?;
-    let prompt_tokens = request.marks.last_part_tokens;
-    if prompt_tokens == 0 {
-        return None;
-    }
-    let origin = request.origin(&parts.settings.zone);
-    let now = parts.now();
-    let engines = parts
-        .book
-        .borrow()
-        .decode_engines(service, origin, MAX_ENGINES_QUERIED, now)
-        .concat();
-    let queries = engines
-        .iter()
-        .map(|engine| refresh_cache_state(parts, engine));
-    future::join_all(queries).await;
-    let caches = parts.prompt_caches.borrow();
-    let has_answer = |engine: &&BackendInfo| caches.cached_tokens(&engine.id, part) > prompt_tokens;
-    let mut holders = engines.iter().filter(has_answer);
-    let first = holders.next()?;
-    let is_only = holders.all(|engine| engine.software.continues(&first.software));
-    is_only.then(|| (first.software.clone(), first.id.clone()))
-}
-
 // Queries an engine for its cache contents unless they are known from a moment ago.
 async fn refresh_cache_state(parts: &Rc<RelayParts>, engine: &BackendInfo) {
     let Some(query) = parts.prompt_caches.borrow().query(&engine.id, parts.now()) else {
--- a/src/relay/request/take_up.rs
+++ b/src/relay/request/take_up.rs
@@ -1,7 +1,7 @@
 //! Streams that callers take up again: finds the software version that began one, and binds the request to it.
 
 use {
-    super::{client_request::ClientRequest, seek},
+    super::client_request::ClientRequest,
     crate::{
         engine::EngineRole,
         event,
@@ -24,6 +24,16 @@
 /// `Retry-After` for a stream that a host may know which did not answer in time.
 const SILENT_HOSTS_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// How long after its start a host waits for others that have started as well.
+const START_TIME: Duration = Duration::from_secs(10);
+
+/// How long a caller waits for them, and which part of its time at most.
+const START_WAIT: Duration = Duration::from_millis(1_200);
+const START_WAIT_PART: u32 = 3;
+
+/// Pause before they are asked again.
+const ASK_AGAIN_DELAY: Duration = Duration::from_millis(150);
+
 /// Age of a host's view from which a new version may be listed that it does not know.
 const MAX_VIEW_AGE: Duration = Duration::from_millis(1_500);
 
@@ -39,8 +49,6 @@
     Host(FastStr),
     /// The service has had no other lately.
     OnlyVersion,
-    /// This engine has tokens of the answer in its cache.
-    Cache(FastStr),
 }
 
 impl OriginSource {
@@ -49,13 +57,12 @@
             Self::Own => "own",
             Self::Host(_) => "host",
             Self::OnlyVersion => "only-version",
-            Self::Cache(_) => "cache",
         }
     }
 
     fn name(&self) -> &str {
         match self {
-            Self::Host(name) | Self::Cache(name) => name,
+            Self::Host(name) => name,
             Self::Own | Self::OnlyVersion => "",
         }
     }
@@ -118,17 +125,10 @@
     request: &ClientRequest,
     service: &FastStr,
 ) -> Result<(ServerSoftware, OriginSource), Refusal> {
-    let key = request.stream_key();
-    if let Some(record) = parts.find_stream(key) {
-        return Ok((record.origin, OriginSource::Own));
-    }
-    // Also asked while this host knows one version only: another one may have been listed a moment ago.
-    let mut answers = parts.query_origin(key, service).await;
-    if let Some((record, host)) = answers.found.take() {
-        let origin = record.origin.clone();
-        parts.record_told_streams(vec![record]);
-        return Ok((origin, OriginSource::Host(host)));
-    }
+    let answers = match find_record(parts, request, service).await {
+        Ok(found) => return Ok(found),
+        Err(answers) => answers,
+    };
     let evidence = software_evidence(parts, service, &answers);
     if let Some(software) = evidence.only_version() {
         let origin = ServerSoftware {
@@ -137,16 +137,38 @@
         };
         return Ok((origin, OriginSource::OnlyVersion));
     }
-    if let Some((software, engine)) = seek::find_answer(parts, request, service).await {
-        let origin = ServerSoftware {
-            service: service.clone(),
-            software,
-        };
-        return Ok((origin, OriginSource::Cache(engine)));
-    }
     Err(unknown_refusal(parts, request, service, &answers))
 }
 
+// Finds the record of a stream at this host or at others. The error is what the others answered instead. Hosts that start
+// together with this one are asked again until they have read what the store keeps.
+async fn find_record(
+    parts: &Rc<RelayParts>,
+    request: &ClientRequest,
+    service: &FastStr,
+) -> Result<(ServerSoftware, OriginSource), OriginAnswers> {
+    let key = request.stream_key();
+    let give_up_at = parts.now() + START_WAIT.min(request.time_left() / START_WAIT_PART);
+    loop {
+        if let Some(record) = parts.find_stream(key) {
+            return Ok((record.origin, OriginSource::Own));
+        }
+        // Also asked while this host knows one version only: another one may have been listed a moment ago.
+        let mut answers = parts.query_origin(key, service).await;
+        if let Some((record, host)) = answers.found.take() {
+            let origin = record.origin.clone();
+            parts.record_told_streams(vec![record]);
+            return Ok((origin, OriginSource::Host(host)));
+        }
+        let has_started_lately = parts.seen_software(service).seen_for < START_TIME;
+        let may_learn_more = answers.silent > 0 || !parts.has_asked_store();
+        if !has_started_lately || !may_learn_more || parts.now() >= give_up_at {
+            return Err(answers);
+        }
+        tokio::time::sleep(ASK_AGAIN_DELAY).await;
+    }
+}
+
 fn software_evidence(
     parts: &RelayParts,
     service: &str,
