--- a/src/relay/policy/mod.rs
+++ b/src/relay/policy/mod.rs
@@ -49,6 +49,7 @@
 pub(crate) mod source;
 pub(crate) mod split;
 pub(crate) mod store_backoff;
+pub(crate) mod stream_journal;
 pub(crate) mod stream_origins;
 pub(crate) mod subset;
 pub(crate) mod view;
@@ -62,5 +63,5 @@
     prompt_cache::*, regions::*, registry::*, report_budget::*, response_end::*,
     response_progress::*, rotation::*, route::*, server_limit::*, server_signals::*,
     shared_findings::*, software_history::*, source::*, split::*, store_backoff::*,
-    stream_origins::*, subset::*, view::*,
+    stream_journal::*, stream_origins::*, subset::*, view::*,
 };
