No refusal says less than the sends of its request

What callers saw: 503 with the verdict `not-run` for a request that a server was running.

Cause: a refusal is made for one reason (the request is held to end its servers, no place, no permit) and carried the verdict of the outcomes known at that moment. A hedge that was refused kept its refusal until the deadline, when the first send was still open. Plain requests and streams each kept a verdict of their own.

All refusals of a request that may have been sent pass one place, where the verdict is raised to that of all its sends, from the attempt budget; an open send may have run. The relays keep no verdict any more, and the checks before a send and the waits for memory ask the same place.

--- a/src/operation/verdict.rs
+++ b/src/operation/verdict.rs
@@ -32,7 +32,8 @@
         }
     }
 
-    /// Returns whether the request may be sent again: it did not run, or repeating it is harmless.
+    /// Returns whether the request may be sent again: it did not run, or repeating it is harmless. Asked with the
+    /// verdict of all its sends, of which those with an open outcome may have run.
     pub fn allows_retry(self, repeatable: bool) -> bool {
         self == Self::NotRun || repeatable
     }
@@ -180,6 +181,12 @@
         }
     }
 
+    /// Raises the verdict to at least this one.
+    pub fn with_least(mut self, verdict: RunVerdict) -> Self {
+        self.verdict = self.verdict.max(verdict);
+        self
+    }
+
     /// Sets the retry delay sent to the caller.
     pub fn after(mut self, wait: Duration) -> Self {
         self.retry_after = Some(wait);
--- a/src/relay/request/client_request.rs
+++ b/src/relay/request/client_request.rs
@@ -5,7 +5,7 @@
     crate::{
         account::ClientAccount,
         clock::HostClock,
-        operation::Refusal,
+        operation::{Refusal, RunVerdict},
         relay::{
             backend::BackendInfo,
             config::{RelayConfig, RelayRoute},
@@ -144,6 +144,11 @@
         (!id.is_empty()).then(|| AnswerId::of(id))
     }
 
+    /// Whether it ran, from all of its sends so far. One whose outcome is open may have run.
+    pub fn verdict(&self) -> RunVerdict {
+        self.budget.borrow().verdict()
+    }
+
     /// The servers that it may reach now.
     pub fn allowed_servers(&self) -> AllowedServers {
         AllowedServers {
--- a/src/relay/request/handler.rs
+++ b/src/relay/request/handler.rs
@@ -149,10 +149,13 @@
     let request = Rc::new(request.with_priority_class(class.filter(|_| uses_engines)));
     let account = request.account.clone();
     let name = service.name.clone();
+    let sent = request.clone();
     let response = match uses_engines {
         true => stream::relay_stream(parts.clone(), request, name).await,
         false => plain::relay_plain(parts.clone(), request, name).await,
     };
+    // The reason of a refusal may know nothing of the request's other sends.
+    let response = response.map_err(|refusal| refusal.with_least(sent.verdict()));
     if let (Err(refusal), Some(account), Some(charge)) = (&response, account, charge)
         && refusal.verdict == RunVerdict::NotRun
     {
--- a/src/relay/request/plain.rs
+++ b/src/relay/request/plain.rs
@@ -65,7 +65,6 @@
     is_full: bool,
     // The refusal to return if the request may not be sent any more.
     pub(super) final_refusal: Option<Refusal>,
-    pub(super) verdict: RunVerdict,
     detail: String,
     // Each server tried and the outcome, for the log.
     attempt_log: String,
@@ -104,7 +103,6 @@
         place_wait: None,
         is_full: false,
         final_refusal: None,
-        verdict: RunVerdict::NotRun,
         detail: "no backend server can take it".into(),
         attempt_log: String::new(),
         fallback: None,
@@ -202,14 +200,13 @@
         Instant::now() + self.request.route.latency_target.mul_f64(HEDGE_DELAY_SHARE)
     }
 
-    // Records at the time limit that sends without a response may have run.
+    // Records at the time limit which sends have no response.
     fn fail_unanswered(&mut self) {
         for backend in std::mem::take(&mut self.pending) {
             self.log_attempt(&backend, "silent");
             let detail = "no answer within the time limit";
             self.parts
                 .record_failure(&backend, BackendFailure::Silent, detail);
-            self.verdict = self.verdict.max(RunVerdict::MayHaveRun);
             self.detail = format!("{}: {detail}", backend.id);
         }
     }
@@ -297,14 +294,10 @@
             SendOutcome::Responded(response) => {
                 self.log_attempt(backend, response.status.as_str());
                 let is_good = !response.status.is_server_error();
-                self.parts
-                    .book
-                    .borrow_mut()
-                    .note_response(&backend.id, is_good);
+                self.note_response(backend, is_good);
                 if is_good || !self.request.route.kind.is_repeatable() {
                     return Some(*response);
                 }
-                self.verdict = RunVerdict::Ran;
                 self.detail = format!("{} answered {}", backend.id, response.status);
                 self.fallback = Some(*response);
             }
@@ -316,13 +309,17 @@
             SendOutcome::Unsent(detail) => self.handle_decline(backend, "unsent", &detail),
             SendOutcome::Lost(detail) => {
                 self.log_attempt(backend, "lost");
-                self.verdict = self.verdict.max(RunVerdict::MayHaveRun);
                 self.detail = format!("{}: {detail}", backend.id);
             }
         }
         None
     }
 
+    fn note_response(&self, backend: &BackendInfo, is_good: bool) {
+        let mut book = self.parts.book.borrow_mut();
+        book.note_response(&backend.id, is_good);
+    }
+
     fn record_use(&self, backend: &BackendInfo, outcome: &SendOutcome) {
         let mut budget = self.request.budget.borrow_mut();
         match outcome {
@@ -356,9 +353,10 @@
         if let Some(refusal) = self.final_refusal.take() {
             return refusal;
         }
+        let verdict = self.request.verdict();
         let full_wait = self.is_full.then_some(RETRY_AFTER);
         if let Some(wait) = self.place_wait.or(full_wait)
-            && self.verdict == RunVerdict::NotRun
+            && verdict == RunVerdict::NotRun
         {
             let text = format!(
                 "the servers of {} have no place for it in time",
@@ -370,7 +368,7 @@
         if let Some(wait) = self.permit_wait
             && self.tried.is_empty()
         {
-            return self.parts.permit_denied(&self.service, self.verdict, wait);
+            return self.parts.permit_denied(&self.service, verdict, wait);
         }
         let now = self.parts.now();
         let origin = self.request.origin(&self.parts.settings.zone);
@@ -380,16 +378,16 @@
             .borrow()
             .rotation_wait(&self.service, None, origin, now);
         if let Some(wait) = wait
-            && self.verdict == RunVerdict::NotRun
+            && verdict == RunVerdict::NotRun
         {
             return self.parts.out_of_rotation(
                 &self.service,
-                self.verdict,
+                verdict,
                 wait,
                 self.request.priority(),
             );
         }
-        let refusal = Refusal::new(self.verdict, code, self.detail.clone());
+        let refusal = Refusal::new(verdict, code, self.detail.clone());
         match self.is_unreachable {
             true => refusal.after(rand::random_range(UNREACHABLE_RETRY_AFTER)),
             false => refusal.after(RETRY_AFTER),
--- a/src/relay/request/reserve.rs
+++ b/src/relay/request/reserve.rs
@@ -4,7 +4,7 @@
     super::{client_request::ClientRequest, priority_wait, queue_place::QueuePlace, take_up},
     crate::{
         engine::EngineRole,
-        operation::{Refusal, RefusalCode, RunVerdict},
+        operation::{Refusal, RefusalCode},
         relay::{
             admission::{memory, priority_work::WorkStage},
             backend::BackendInfo,
@@ -210,7 +210,7 @@
         let freed = parts.capacity_freed.notified();
         tokio::pin!(freed);
         freed.as_mut().enable();
-        take_up::check_software(parts, request, service, RunVerdict::NotRun)?;
+        take_up::check_software(parts, request, service)?;
         if place.may_ask(request) {
             let is_late = place.is_late();
             if let Some(reservation) =
@@ -230,7 +230,7 @@
             |wait: &RotationWait| !purpose.is_resumed() || *wait == RotationWait::Evacuated;
         if let Some(wait) = wait.filter(is_refused) {
             let service = FastStr::new(service);
-            return Err(parts.out_of_rotation(&service, RunVerdict::NotRun, wait, rank));
+            return Err(parts.out_of_rotation(&service, request.verdict(), wait, rank));
         }
         let wait = parts
             .book
@@ -238,7 +238,7 @@
             .decode_wait(service, rank, origin, parts.now());
         if let Some(wait) = wait {
             let service = FastStr::new(service);
-            return Err(parts.permit_denied(&service, RunVerdict::NotRun, wait));
+            return Err(parts.permit_denied(&service, request.verdict(), wait));
         }
         place.count_wait(request);
         let left = wait_until.saturating_sub(parts.now());
@@ -268,7 +268,7 @@
         parts.metrics.priorities.refused(class);
     }
     let retry_after = rand::random_range(parts.return_span(class));
-    Refusal::not_run(RefusalCode::Overloaded, text).after(retry_after)
+    Refusal::new(request.verdict(), RefusalCode::Overloaded, text).after(retry_after)
 }
 
 async fn try_engines(
--- a/src/relay/request/send_check.rs
+++ b/src/relay/request/send_check.rs
@@ -62,15 +62,15 @@
 /// receives no revocations. Shorter suspensions are within the usual time between the check and the send.
 const MIN_SUSPENSION: Duration = Duration::from_millis(200);
 
-/// Checks whether a request may be sent now. `verdict` tells whether earlier sends of it ran. These, or sends of the same
-/// request by other hosts, may have shown since its admission that it crashes its servers.
+/// Checks whether a request may be sent now. Earlier sends of it, or sends of the same request by other hosts, may have
+/// shown since its admission that it crashes its servers.
 pub(super) fn check_send(
     parts: &RelayParts,
     request: &ClientRequest,
     service: &FastStr,
-    verdict: RunVerdict,
 ) -> Result<(), Refusal> {
-    check_deadline_and_key(parts, request).map_err(|refusal| Refusal { verdict, ..refusal })?;
+    let verdict = request.verdict();
+    check_deadline_and_key(parts, request).map_err(|refusal| refusal.with_least(verdict))?;
     if parts.crashes.is_empty() {
         return Ok(());
     }
--- a/src/relay/request/server_choice.rs
+++ b/src/relay/request/server_choice.rs
@@ -77,8 +77,7 @@
                     }
                 }
             };
-            let checked =
-                send_check::check_send(&self.parts, &self.request, &self.service, self.verdict);
+            let checked = send_check::check_send(&self.parts, &self.request, &self.service);
             if let Err(refusal) = checked {
                 self.final_refusal = Some(refusal);
                 return None;
@@ -163,8 +162,7 @@
     async fn next_with_permit(&mut self, is_hedge: bool) -> Option<ChosenServer> {
         let priority = self.request.priority();
         for asked in 0..=MAX_PERMIT_REQUESTS {
-            let checked =
-                send_check::check_send(&self.parts, &self.request, &self.service, self.verdict);
+            let checked = send_check::check_send(&self.parts, &self.request, &self.service);
             if let Err(refusal) = checked {
                 self.final_refusal = Some(refusal);
                 return None;
--- a/src/relay/request/stream.rs
+++ b/src/relay/request/stream.rs
@@ -130,8 +130,6 @@
     pub(super) is_prompt_cached: bool,
     // The engine that had the prompt cached when the stream was resumed, for the log.
     pub(super) cache_engine: FastStr,
-    // The highest verdict of all rounds: whether any decode may have run.
-    verdict: RunVerdict,
     // Whether the next decode is already counted as a retry.
     pub(super) is_retry_counted: bool,
     pub(super) times: StreamTimes,
@@ -166,7 +164,6 @@
         skip_prefill: false,
         is_prompt_cached: false,
         cache_engine: FastStr::default(),
-        verdict: RunVerdict::NotRun,
         is_retry_counted: false,
         times: StreamTimes::default(),
         event_gaps: EventGaps::default(),
@@ -226,7 +223,8 @@
             };
             let may_retry = self.request.budget.borrow().allows_send();
             if !may_retry || round >= MAX_ROUNDS || self.request.time_left().is_zero() {
-                let refusal = Refusal::new(self.verdict, RefusalCode::BackendLost, failure.detail);
+                let (verdict, code) = (self.request.verdict(), RefusalCode::BackendLost);
+                let refusal = Refusal::new(verdict, code, failure.detail);
                 return Err(refusal.after(RETRY_AFTER));
             }
         }
@@ -249,7 +247,8 @@
             while !self.count_retry() {
                 if self.parts.now() >= budget_deadline {
                     let detail = "no repeats are left to go on with the stream";
-                    return Err(Refusal::new(self.verdict, RefusalCode::BackendLost, detail));
+                    let (verdict, code) = (self.request.verdict(), RefusalCode::BackendLost);
+                    return Err(Refusal::new(verdict, code, detail));
                 }
                 tokio::time::sleep(RESUME_RETRY_DELAY).await;
             }
@@ -262,8 +261,8 @@
                 Err(failure) => failure.or_refusal()?,
             };
             if round >= MAX_RESUME_ROUNDS || self.request.time_left().is_zero() {
-                let refusal = Refusal::new(self.verdict, RefusalCode::BackendLost, failure.detail);
-                return Err(refusal);
+                let (verdict, code) = (self.request.verdict(), RefusalCode::BackendLost);
+                return Err(Refusal::new(verdict, code, failure.detail));
             }
             tokio::time::sleep(RESUME_RETRY_DELAY).await;
         }
@@ -273,7 +272,7 @@
     // Refuses to wait for a software version that no server has any more.
     fn check_software(&self) -> Result<(), Refusal> {
         let (parts, request, service) = (&self.parts, &self.request, &self.service);
-        take_up::check_software(parts, request, service, self.verdict)
+        take_up::check_software(parts, request, service)
             .inspect_err(|_| take_up::log_refusal(parts, request, service, "gone"))
     }
 
@@ -304,13 +303,6 @@
         self.response_end = Some(end);
     }
 
-    fn with_verdict(&self, refusal: Refusal) -> Refusal {
-        Refusal {
-            verdict: refusal.verdict.max(self.verdict),
-            ..refusal
-        }
-    }
-
     async fn run_round(
         &mut self,
         after: Option<FastStr>,
@@ -326,7 +318,7 @@
         };
         let reserved =
             reserve::reserve_memory(parts, request, service, since, purpose, cached.as_ref()).await;
-        let reservation = reserved.map_err(|refusal| self.with_verdict(refusal))?;
+        let reservation = reserved?;
         self.is_prompt_cached = cached
             .as_ref()
             .is_some_and(|cached| cached.engine.id == reservation.engine.id);
@@ -359,9 +351,6 @@
         self.times.computed = self.request.age();
         let running = self.decode(reservation, cache, after).await;
         self.times.responded = self.request.age();
-        if let Err(failure) = &running {
-            self.verdict = self.verdict.max(failure.verdict);
-        }
         running
     }
 
@@ -379,10 +368,9 @@
             parts,
             request,
             service,
-            verdict,
             ..
         } = self;
-        send_check::check_send(parts, request, service, *verdict).map_err(|refusal| RoundFailure {
+        send_check::check_send(parts, request, service).map_err(|refusal| RoundFailure {
             verdict: RunVerdict::NotRun,
             detail: refusal.message.clone(),
             final_refusal: Some(refusal),
--- a/src/relay/request/take_up.rs
+++ b/src/relay/request/take_up.rs
@@ -5,7 +5,7 @@
     crate::{
         engine::EngineRole,
         event,
-        operation::{Refusal, RefusalCode, RunVerdict},
+        operation::{Refusal, RefusalCode},
         relay::{
             config::{RelayService, RequestKind},
             parts::{origins::OriginAnswers, shared::RelayParts},
@@ -94,7 +94,7 @@
             ("after_ms", &request.age().as_millis()),
         ],
     );
-    check_software(parts, request, &service.name, RunVerdict::NotRun)
+    check_software(parts, request, &service.name)
         .inspect_err(|_| log_refusal(parts, request, &service.name, "gone"))?;
     Ok(service)
 }
@@ -187,7 +187,6 @@
     parts: &RelayParts,
     request: &ClientRequest,
     service: &str,
-    verdict: RunVerdict,
 ) -> Result<(), Refusal> {
     let Some(software) = request.bound_software() else {
         return Ok(());
@@ -201,7 +200,11 @@
         return Ok(());
     }
     let text = format!("no server of {service} with the software version {software} is left");
-    Err(Refusal::new(verdict, RefusalCode::SoftwareGone, text))
+    Err(Refusal::new(
+        request.verdict(),
+        RefusalCode::SoftwareGone,
+        text,
+    ))
 }
 
 /// Logs and counts a stream that does not go on.
