A server's status is no promise that it did not give

What callers saw: 503, 429 or 408 of a server that did not say that the request had not run, for a request that may not be repeated. Callers take these for a promise and send it again.

Cause: only answers with the mark were taken for declines; all others were passed on as they are, with these statuses too.

Such an answer to a request that may not be repeated is now a send that may have run: its caller gets a 502 of the host with that verdict and nothing of the server's answer.

--- a/src/relay/request/decode.rs
+++ b/src/relay/request/decode.rs
@@ -5,6 +5,7 @@
         guard::InFlightGuard,
         prefill::PrefilledCache,
         reserve::MemoryReservation,
+        response,
         response_body::ResponseBody,
         stream::{DecodeStream, EngineGuards, RoundFailure, StreamRelay},
     },
@@ -169,6 +170,13 @@
         }
         let is_good = !response.status.is_server_error();
         parts.book.borrow_mut().note_response(&engine.id, is_good);
+        if response::is_false_promise(&self.request, response.status) {
+            let status = response.status;
+            response.body.discard(MAX_DECLINE_BYTES).await;
+            let text = "which does not say that the request did not run";
+            let detail = format!("decode at {} answered {status}, {text}", engine.id);
+            return Err(RoundFailure::new(RunVerdict::MayHaveRun, detail));
+        }
         Ok(response)
     }
 
--- a/src/relay/request/plain.rs
+++ b/src/relay/request/plain.rs
@@ -311,6 +311,12 @@
                 self.log_attempt(backend, "lost");
                 self.detail = format!("{}: {detail}", backend.id);
             }
+            SendOutcome::Unproven(status) => {
+                self.log_attempt(backend, &format!("{}-unproven", status.as_u16()));
+                self.note_response(backend, !status.is_server_error());
+                let text = "which does not say that the request did not run";
+                self.detail = format!("{} answered {status}, {text}", backend.id);
+            }
         }
         None
     }
@@ -324,7 +330,9 @@
         let mut budget = self.request.budget.borrow_mut();
         match outcome {
             SendOutcome::Responded(_) => budget.record_run(backend.key(), RunVerdict::Ran),
-            SendOutcome::Lost(_) => budget.record_run(backend.key(), RunVerdict::MayHaveRun),
+            SendOutcome::Lost(_) | SendOutcome::Unproven(_) => {
+                budget.record_run(backend.key(), RunVerdict::MayHaveRun);
+            }
             SendOutcome::Declined(_) | SendOutcome::Full(_) | SendOutcome::Unsent(_) => {
                 budget.record_not_run(backend.key());
             }
--- a/src/relay/request/response.rs
+++ b/src/relay/request/response.rs
@@ -1,7 +1,7 @@
 //! Responses to clients: relayed from backend servers unaltered, or generated for refusals.
 
 use {
-    super::response_body::FullBody,
+    super::{client_request::ClientRequest, response_body::FullBody},
     crate::{
         filter::VERDICT_HEADER,
         operation::{Refusal, RefusalCode, RunVerdict},
@@ -120,11 +120,17 @@
     StatusCode::from_u16(status).expect("refusals have valid status codes")
 }
 
-// After these status codes, clients retry as if nothing had been sent.
+// Whether clients take this status code for a promise that the request has not run, and retry as if nothing had been sent.
 fn promises_not_run(status: u16) -> bool {
     matches!(status, 408 | 421 | 429 | 503)
 }
 
+/// Whether the client of a request that may not be repeated would take the status of a response, which does not say that
+/// the request did not run, for a promise of that. Clients of other requests may repeat them whatever their response is.
+pub(super) fn is_false_promise(request: &ClientRequest, status: StatusCode) -> bool {
+    !request.route.kind.is_repeatable() && promises_not_run(status.as_u16())
+}
+
 struct GuardedBody<G> {
     body: IngressBody,
     // Dropped with the body: when it was sent, or when the client disconnected.
--- a/src/relay/request/send.rs
+++ b/src/relay/request/send.rs
@@ -4,6 +4,7 @@
     super::{
         client_request::ClientRequest,
         guard::{self, InFlightGuard},
+        response,
         response_body::{BufferedBody, FullBody, ResponseBody},
     },
     crate::{
@@ -47,6 +48,8 @@
     Unsent(String),
     /// There is no usable response, and the request may have run.
     Lost(String),
+    /// The status would promise the client that the request did not run, which the server did not say.
+    Unproven(StatusCode),
 }
 
 /// Sends a request and waits for its full response, or for the head of a streamed one. Holds its place, if it needs one, for
@@ -106,6 +109,10 @@
         response.body.discard(MAX_PLAIN_BYTES).await;
         return record_decline(parts, backend, status, is_full);
     }
+    if response::is_false_promise(request, status) {
+        response.body.discard(MAX_PLAIN_BYTES).await;
+        return SendOutcome::Unproven(status);
+    }
     let headers = response.headers.clone();
     let body = match read_full(parts, request, backend, response).await {
         Ok(ReadBody::Whole(body, end)) => {
