--- a/src/relay/request/decode.rs
+++ b/src/relay/request/decode.rs
@@ -5,6 +5,7 @@
         guard::InFlightGuard,
         prefill::PrefilledCache,
         reserve::MemoryReservation,
+        response,
         response_body::ResponseBody,
         stream::{DecodeStream, EngineGuards, RoundFailure, StreamRelay},
     },
@@ -54,7 +55,6 @@
         }
         self.check_send()?;
         self.decodes_sent += 1;
-        self.is_decode_pending = true;
         let server = reservation.engine.key();
         self.request.budget.borrow_mut().record_send(server);
         self.log_decode(&reservation.engine);
@@ -80,7 +80,6 @@
             Err(failure) => Err(failure),
         };
         self.record_use(server, &response);
-        self.is_decode_pending = false;
         let response = response?;
         Ok(DecodeStream {
             status: response.status,
@@ -172,6 +171,13 @@
         }
         let is_good = !response.status.is_server_error();
         parts.book.borrow_mut().note_response(&engine.id, is_good);
+        if response::is_false_promise(&self.request, response.status) {
+            let status = response.status;
+            response.body.discard(MAX_DECLINE_BYTES).await;
+            let text = "which does not say that the request did not run";
+            let detail = format!("decode at {} answered {status}, {text}", engine.id);
+            return Err(RoundFailure::new(RunVerdict::MayHaveRun, detail));
+        }
         Ok(response)
     }
 
--- a/src/relay/request/handler.rs
+++ b/src/relay/request/handler.rs
@@ -116,10 +116,13 @@
         charge,
     } = prepared;
     let account = request.account.clone();
+    let sent = request.clone();
     let response = match uses_engines {
         true => stream::relay_stream(parts.clone(), request, service).await,
         false => plain::relay_plain(parts.clone(), request, service).await,
     };
+    // The reason of a refusal may know nothing of the request's other sends.
+    let response = response.map_err(|refusal| refusal.with_least(sent.verdict()));
     if let (Err(refusal), Some(account), Some(charge)) = (&response, account, charge)
         && refusal.verdict == RunVerdict::NotRun
     {
--- a/src/relay/request/stream.rs
+++ b/src/relay/request/stream.rs
@@ -125,15 +125,11 @@
     pub(super) prefill_broken: bool,
     // Number of decodes sent, whether they ran or not.
     pub(super) decodes_sent: u32,
-    // Whether a decode is sent and has no outcome yet.
-    pub(super) is_decode_pending: bool,
     pub(super) skip_prefill: bool,
     // Whether the decode engine with the reservation still has the prompt cached from an earlier run.
     pub(super) is_prompt_cached: bool,
     // The engine that had the prompt cached when the stream was resumed, for the log.
     pub(super) cache_engine: FastStr,
-    // The highest verdict of all rounds: whether any decode may have run.
-    verdict: RunVerdict,
     // Whether the next decode is already counted as a retry.
     pub(super) is_retry_counted: bool,
     pub(super) times: StreamTimes,
@@ -165,11 +161,9 @@
         prefill_received: false,
         prefill_broken: false,
         decodes_sent: 0,
-        is_decode_pending: false,
         skip_prefill: false,
         is_prompt_cached: false,
         cache_engine: FastStr::default(),
-        verdict: RunVerdict::NotRun,
         is_retry_counted: false,
         times: StreamTimes::default(),
         event_gaps: EventGaps::default(),
@@ -224,11 +218,7 @@
 
     // The refusal of a stream that a planned stop gives up before it began.
     fn give_up(&self) -> Refusal {
-        let verdict = match self.is_decode_pending {
-            true => self.verdict.max(RunVerdict::MayHaveRun),
-            false => self.verdict,
-        };
-        self.parts.stopped_refusal(verdict)
+        self.parts.stopped_refusal(self.request.verdict())
     }
 
     // Runs rounds until an engine responds. After a round that may have run, only a resumable stream is tried again.
@@ -240,7 +230,8 @@
             };
             let may_retry = self.request.budget.borrow().allows_send();
             if !may_retry || round >= MAX_ROUNDS || self.request.time_left().is_zero() {
-                let refusal = Refusal::new(self.verdict, RefusalCode::BackendLost, failure.detail);
+                let (verdict, code) = (self.request.verdict(), RefusalCode::BackendLost);
+                let refusal = Refusal::new(verdict, code, failure.detail);
                 return Err(refusal.after(RETRY_AFTER));
             }
         }
@@ -263,7 +254,8 @@
             while !self.count_retry() {
                 if self.parts.now() >= budget_deadline {
                     let detail = "no repeats are left to go on with the stream";
-                    return Err(Refusal::new(self.verdict, RefusalCode::BackendLost, detail));
+                    let (verdict, code) = (self.request.verdict(), RefusalCode::BackendLost);
+                    return Err(Refusal::new(verdict, code, detail));
                 }
                 tokio::time::sleep(RESUME_RETRY_DELAY).await;
             }
@@ -276,8 +268,8 @@
                 Err(failure) => failure.or_refusal()?,
             };
             if round >= MAX_RESUME_ROUNDS || self.request.time_left().is_zero() {
-                let refusal = Refusal::new(self.verdict, RefusalCode::BackendLost, failure.detail);
-                return Err(refusal);
+                let (verdict, code) = (self.request.verdict(), RefusalCode::BackendLost);
+                return Err(Refusal::new(verdict, code, failure.detail));
             }
             tokio::time::sleep(RESUME_RETRY_DELAY).await;
         }
@@ -287,7 +279,7 @@
     // Refuses to wait for a software version that no server has any more.
     fn check_software(&self) -> Result<(), Refusal> {
         let (parts, request, service) = (&self.parts, &self.request, &self.service);
-        take_up::check_software(parts, request, service, self.verdict)
+        take_up::check_software(parts, request, service)
             .inspect_err(|_| take_up::log_refusal(parts, request, service, "gone"))
     }
 
@@ -318,13 +310,6 @@
         self.response_end = Some(end);
     }
 
-    fn with_verdict(&self, refusal: Refusal) -> Refusal {
-        Refusal {
-            verdict: refusal.verdict.max(self.verdict),
-            ..refusal
-        }
-    }
-
     async fn run_round(
         &mut self,
         after: Option<FastStr>,
@@ -340,7 +325,7 @@
         };
         let reserved =
             reserve::reserve_memory(parts, request, service, since, purpose, cached.as_ref()).await;
-        let reservation = reserved.map_err(|refusal| self.with_verdict(refusal))?;
+        let reservation = reserved?;
         self.is_prompt_cached = cached
             .as_ref()
             .is_some_and(|cached| cached.engine.id == reservation.engine.id);
@@ -373,9 +358,6 @@
         self.times.computed = self.request.age();
         let running = self.decode(reservation, cache, after).await;
         self.times.responded = self.request.age();
-        if let Err(failure) = &running {
-            self.verdict = self.verdict.max(failure.verdict);
-        }
         running
     }
 
@@ -393,10 +375,9 @@
             parts,
             request,
             service,
-            verdict,
             ..
         } = self;
-        send_check::check_send(parts, request, service, *verdict).map_err(|refusal| RoundFailure {
+        send_check::check_send(parts, request, service).map_err(|refusal| RoundFailure {
             verdict: RunVerdict::NotRun,
             detail: refusal.message.clone(),
             final_refusal: Some(refusal),
