--- a/src/relay/policy/stream_journal.rs
+++ b/src/relay/policy/stream_journal.rs
@@ -24,8 +24,8 @@
 /// How long streams are collected before they are written.
 pub const FLUSH_DELAY: Duration = Duration::from_millis(250);
 
-/// Maximum number of streams of a batch.
-pub const BATCH_STREAMS_MAX: usize = 2_048;
+/// Maximum number of streams of a batch. What three hosts keep then stays within the greatest size of a list.
+pub const BATCH_STREAMS_MAX: usize = 512;
 
 /// Maximum number of streams that wait to be written, while the store does not answer. The oldest are dropped first.
 const WAITING_MAX: usize = 8_192;
