A server that is not listed is not taken for one that has ended

What was seen: in the soak an attempt ran on three servers where its route allows two, after the store had gone back and its list lacked one of them.

Cause: `has_known_end` took a run that the store does not list for one that has ended, so the attempt's budget gave its place to a further server. But entries are removed before their servers end: three reports of silence, a store that is down, a restored copy, servers that announce nothing and serve on. Class: absence from a list taken for evidence of an end.

Now only what is seen of the server itself counts (`EndedRuns`, without I/O): its address refuses connections after one broke, a later run under its id, or another server that answers at its address with success to a request that names it. A run that answers runs. What is known outlasts the entry and is bounded (4,096 ends), so a stream whose servers ended and left the list still goes on elsewhere; servers that are leaving or not listed are probed, too, when a connection breaks that an attempt goes on from. What callers lose: a stream whose two servers fell silent and ended unseen waits for them until its time is over.

--- a/src/relay/parts/ends.rs
+++ b/src/relay/parts/ends.rs
@@ -3,12 +3,15 @@
 use {
     super::shared::RelayParts,
     crate::{
-        relay::{backend::BackendInfo, policy::loads::EngineKey},
+        relay::{
+            backend::BackendInfo,
+            policy::{ended_runs::EndedRuns, loads::EngineKey},
+        },
         web::{self, ProbeOutcome},
     },
     std::{
         cell::{Cell, RefCell},
-        collections::{HashMap, HashSet},
+        collections::HashMap,
         rc::Rc,
         time::Duration,
     },
@@ -33,11 +36,11 @@
     finished: Notify,
 }
 
-/// The running probes, and the listed server runs that have been found to have ended.
+/// The running probes, and the runs of servers that are known to have ended.
 #[derive(Debug, Default)]
 pub struct EndProbes {
     running: RefCell<HashMap<EngineKey, Rc<EndProbe>>>,
-    ended: RefCell<HashSet<EngineKey>>,
+    ended: RefCell<EndedRuns>,
 }
 
 impl RelayParts {
@@ -47,18 +50,29 @@
     /// connections, also those of another host, shows that the server has ended.
     pub async fn has_ended(&self, backend: &BackendInfo) -> bool {
         if self.probe_once(backend).await == ProbeOutcome::Refused {
-            self.end_probes.ended.borrow_mut().insert(backend.key());
+            self.record_run_end(backend);
             return true;
         }
+        let now = self.now();
+        let ended = &self.end_probes.ended;
+        ended
+            .borrow_mut()
+            .record_break(backend.key(), backend.address, now);
         for delay in RESTART_CHECK_DELAYS {
             tokio::time::sleep(delay).await;
             if self.book.borrow().has_restarted(backend) {
+                self.record_run_end(backend);
                 return true;
             }
         }
         false
     }
 
+    fn record_run_end(&self, backend: &BackendInfo) {
+        let mut ended = self.end_probes.ended.borrow_mut();
+        ended.record_end(backend.key(), self.now());
+    }
+
     /// Returns whether a backend server has ended, after it closed a connection in an orderly way. It also does that at the
     /// end of a response that nothing else ends, so it is not probed while another connection to it is open.
     pub async fn has_ended_orderly(&self, backend: &BackendInfo) -> bool {
@@ -66,16 +80,15 @@
         !self.pool.has_open_idle(backend.address) && self.has_ended(backend).await
     }
 
-    /// Whether a run of a server is known to have ended: it was found to, or is not listed any more.
+    /// Whether a run of a server is known to have ended. That it is not listed does not show it.
     pub fn has_known_end(&self, server: EngineKey) -> bool {
-        self.end_probes.ended.borrow().contains(&server) || !self.book.borrow().is_listed(server)
+        self.end_probes.ended.borrow().has_ended(server)
     }
 
-    /// Forgets the ends of servers that are not listed any more.
-    pub(super) fn forget_unlisted_ends(&self) {
-        let book = self.book.borrow();
+    /// Records that a run of a server answered a request, and not that it is another run.
+    pub fn record_run_answer(&self, backend: &BackendInfo) {
         let mut ended = self.end_probes.ended.borrow_mut();
-        ended.retain(|server| book.is_listed(*server));
+        ended.record_answer(backend.key(), backend.address, self.now());
     }
 
     // Requests whose connections break at the same moment share one probe.
--- a/src/relay/parts/publish.rs
+++ b/src/relay/parts/publish.rs
@@ -72,7 +72,6 @@
         }
         if !changes.removed.is_empty() || !changes.restarted.is_empty() {
             self.forget_unlisted_links();
-            self.forget_unlisted_ends();
         }
         for removed in &changes.removed {
             self.prompt_caches.borrow_mut().forget(removed);
--- a/src/relay/policy/mod.rs
+++ b/src/relay/policy/mod.rs
@@ -17,6 +17,7 @@
 mod decimal;
 pub(crate) mod decode_exclusions;
 pub(crate) mod digest;
+pub(crate) mod ended_runs;
 mod engines;
 pub(crate) mod event_scanner;
 pub(crate) mod findings_cache;
@@ -55,10 +56,11 @@
 pub use self::{
     attempt_budget::*, availability::*, budget::*, caller_timeouts::*, carrier_table::*,
     changes::*, cold_limit::*, crash_record::*, crash_report::*, crash_suspect::*,
-    crash_tracker::*, decode_exclusions::*, digest::*, event_scanner::*, findings_cache::*,
-    limit_tracker::*, limit_updates::*, link_tracker::*, loads::*, origin_hosts::*, past_time::*,
-    permit_allocator::*, permit_owners::*, priority_loads::*, prompt_cache::*, regions::*,
-    registry::*, report_budget::*, response_end::*, response_progress::*, rotation::*, route::*,
-    server_limit::*, server_signals::*, shared_findings::*, software_history::*, source::*,
-    split::*, store_backoff::*, stream_origins::*, subset::*, view::*,
+    crash_tracker::*, decode_exclusions::*, digest::*, ended_runs::*, event_scanner::*,
+    findings_cache::*, limit_tracker::*, limit_updates::*, link_tracker::*, loads::*,
+    origin_hosts::*, past_time::*, permit_allocator::*, permit_owners::*, priority_loads::*,
+    prompt_cache::*, regions::*, registry::*, report_budget::*, response_end::*,
+    response_progress::*, rotation::*, route::*, server_limit::*, server_signals::*,
+    shared_findings::*, software_history::*, source::*, split::*, store_backoff::*,
+    stream_origins::*, subset::*, view::*,
 };
--- a/src/relay/request/decode.rs
+++ b/src/relay/request/decode.rs
@@ -160,6 +160,7 @@
             let detail = format!("decode at {}: {detail}", engine.id);
             return Err(RoundFailure::new(RunVerdict::MayHaveRun, detail));
         }
+        guard.record_own_response(response.status, &marks);
         if marks.not_run {
             return Err(self.handle_decline(engine, cache, response).await);
         }
--- a/src/relay/request/guard.rs
+++ b/src/relay/request/guard.rs
@@ -111,12 +111,17 @@
         parts.apply_server_marks(&self.backend, &marks.server, kind, self.sent_at);
     }
 
+    /// Records a response that is for this request.
+    pub(super) fn record_own_response(&self, status: StatusCode, marks: &ResponseMetadata) {
+        if status.is_success() && !marks.not_run {
+            self.parts.record_run_answer(&self.backend);
+        }
+    }
+
     /// Checks whether the backend server ended, after the connection of a request that ran or may have run was lost.
     /// Waits briefly for the result, so that a retry takes it into account.
     pub async fn await_end_check(&self, request: &ClientRequest) {
-        let Some(checking) = self.spawn_end_check(request) else {
-            return;
-        };
+        let checking = self.spawn_end_check(self.request_run(request));
         match tokio::time::timeout(END_CHECK_TIMEOUT, checking).await {
             Ok(Ok(())) => {}
             Ok(Err(error)) => log::error!(
@@ -156,7 +161,7 @@
             EndCause::Framed => record_success(&self.parts, request),
             // A server that crashes between two events closes the connection in the same way.
             EndCause::ConnectionEnd => self.spawn_close_check(request),
-            _ if end.is_broken() => drop(self.spawn_end_check(request)),
+            _ if end.is_broken() => self.spawn_crash_check(request),
             _ => {}
         }
     }
@@ -178,16 +183,21 @@
         }
     }
 
-    /// Starts the check without waiting for it. Returns `None` if the backend server was leaving anyway, or is no longer
-    /// listed with this run.
-    pub fn spawn_end_check(&self, request: &ClientRequest) -> Option<JoinHandle<()>> {
-        let run = self.request_run(request)?;
-        let parts = self.parts.clone();
-        Some(tokio::task::spawn_local(async move {
-            if parts.has_ended(&run.backend).await {
+    // Starts the check without waiting for it. The end of a server that is leaving or not listed is no crash.
+    fn spawn_end_check(&self, run: Option<RequestRun>) -> JoinHandle<()> {
+        let (parts, backend) = (self.parts.clone(), self.backend.clone());
+        tokio::task::spawn_local(async move {
+            let has_ended = parts.has_ended(&backend).await;
+            if let Some(run) = run.filter(|_| has_ended) {
                 run.record_crash(&parts);
             }
-        }))
+        })
+    }
+
+    fn spawn_crash_check(&self, request: &ClientRequest) {
+        if let Some(run) = self.request_run(request) {
+            drop(self.spawn_end_check(Some(run)));
+        }
     }
 
     // Checks whether the backend server ended when it closed the connection in an orderly way; if not, the request is
--- a/src/relay/request/send.rs
+++ b/src/relay/request/send.rs
@@ -95,6 +95,7 @@
         parts.record_failure(backend, BackendFailure::Broken, detail);
         return SendOutcome::Lost(detail.into());
     }
+    guard.record_own_response(response.status, &marks);
     if request.route.kind.is_stream() && response.status.is_success() {
         return SendOutcome::Responded(Box::new(streaming_response(
             parts, request, response, guard,
