--- a/src/relay/request/take_up.rs
+++ b/src/relay/request/take_up.rs
@@ -120,53 +120,52 @@
     routes.service(&origin.service).filter(|_| is_reached)
 }
 
+// Hosts that start together with this one are asked again until they have read what the store keeps.
 async fn find_origin(
     parts: &Rc<RelayParts>,
     request: &ClientRequest,
     service: &FastStr,
 ) -> Result<(ServerSoftware, OriginSource), Refusal> {
-    let answers = match find_record(parts, request, service).await {
-        Ok(found) => return Ok(found),
-        Err(answers) => answers,
-    };
-    let evidence = software_evidence(parts, service, &answers);
-    if let Some(software) = evidence.only_version() {
-        let origin = ServerSoftware {
-            service: service.clone(),
-            software,
+    let give_up_at = parts.now() + START_WAIT.min(request.time_left() / START_WAIT_PART);
+    loop {
+        let answers = match find_record(parts, request, service).await {
+            Ok(found) => return Ok(found),
+            Err(answers) => answers,
         };
-        return Ok((origin, OriginSource::OnlyVersion));
+        if let Some(software) = software_evidence(parts, service, &answers).only_version() {
+            let origin = ServerSoftware {
+                service: service.clone(),
+                software,
+            };
+            return Ok((origin, OriginSource::OnlyVersion));
+        }
+        let has_started_lately = parts.seen_software(service).seen_for < START_TIME;
+        let may_learn_more = answers.silent > 0 || !parts.has_asked_store();
+        if !has_started_lately || !may_learn_more || parts.now() >= give_up_at {
+            return Err(unknown_refusal(parts, request, service, &answers));
+        }
+        tokio::time::sleep(ASK_AGAIN_DELAY).await;
     }
-    Err(unknown_refusal(parts, request, service, &answers))
 }
 
-// Finds the record of a stream at this host or at others. The error is what the others answered instead. Hosts that start
-// together with this one are asked again until they have read what the store keeps.
+// Finds the record of a stream at this host or at others. The error is what the others answered instead.
 async fn find_record(
     parts: &Rc<RelayParts>,
     request: &ClientRequest,
     service: &FastStr,
 ) -> Result<(ServerSoftware, OriginSource), OriginAnswers> {
     let key = request.stream_key();
-    let give_up_at = parts.now() + START_WAIT.min(request.time_left() / START_WAIT_PART);
-    loop {
-        if let Some(record) = parts.find_stream(key) {
-            return Ok((record.origin, OriginSource::Own));
-        }
-        // Also asked while this host knows one version only: another one may have been listed a moment ago.
-        let mut answers = parts.query_origin(key, service).await;
-        if let Some((record, host)) = answers.found.take() {
-            let origin = record.origin.clone();
-            parts.record_told_streams(vec![record]);
-            return Ok((origin, OriginSource::Host(host)));
-        }
-        let has_started_lately = parts.seen_software(service).seen_for < START_TIME;
-        let may_learn_more = answers.silent > 0 || !parts.has_asked_store();
-        if !has_started_lately || !may_learn_more || parts.now() >= give_up_at {
-            return Err(answers);
-        }
-        tokio::time::sleep(ASK_AGAIN_DELAY).await;
+    if let Some(record) = parts.find_stream(key) {
+        return Ok((record.origin, OriginSource::Own));
     }
+    // Also asked while this host knows one version only: another one may have been listed a moment ago.
+    let mut answers = parts.query_origin(key, service).await;
+    let Some((record, host)) = answers.found.take() else {
+        return Err(answers);
+    };
+    let origin = record.origin.clone();
+    parts.record_told_streams(vec![record]);
+    Ok((origin, OriginSource::Host(host)))
 }
 
 fn software_evidence(
