--- a/src/relay/request/handler.rs
+++ b/src/relay/request/handler.rs
@@ -260,9 +260,11 @@
     parts.admit(account, tokens, target).await
 }
 
-// Estimates how long the client waited in earlier tries from the time that it has left.
+// Estimates how long the client waited in earlier tries from the time that it has left. Of a stream that it takes up the client
+// had events meanwhile, and waits for the next one from now on.
 fn with_prior_wait(parts: &RelayParts, request: ClientRequest) -> ClientRequest {
-    let Some(left) = request.marks.time_left else {
+    let time_left = request.marks.time_left;
+    let Some(left) = time_left.filter(|_| !request.is_taken_up()) else {
         return request;
     };
     let mut waits = parts.caller_waits.borrow_mut();
