A late copy of a decline that names no request answers no other one

What callers saw (in the test): 503 for a request that its server was running.

Cause: an answer too many on a connection is told apart by its request id. A decline without an id fits any request, and its connection was used again, so that a late copy was taken for the decline of the next request there: that was sent again or refused while it ran.

The connection of a decline that names no request is closed now, for plain requests, decodes and prefills alike. Servers that name their requests keep their connections.

--- a/src/relay/request/decode.rs
+++ b/src/relay/request/decode.rs
@@ -19,6 +19,7 @@
         web::{PoolUse, PooledAnswer, SendFailure},
     },
     faststr::FastStr,
+    http::StatusCode,
     std::time::Duration,
 };
 
@@ -29,9 +30,6 @@
 /// responds within some tens of milliseconds, one that computes the prompt itself within some hundreds.
 const RESUMABLE_HEAD_TIMEOUT: Duration = Duration::from_millis(2_000);
 
-/// Maximum body size of a response with which an engine declines a request.
-const MAX_DECLINE_BYTES: usize = 64 << 10;
-
 impl StreamRelay {
     /// Sends the decode to the engine that has memory reserved and waits for its response to begin.
     pub(super) async fn decode(
@@ -163,7 +161,9 @@
             return Err(RoundFailure::new(RunVerdict::MayHaveRun, detail));
         }
         if marks.not_run {
-            return Err(self.handle_decline(engine, cache, response).await);
+            let failure = self.record_decline(engine, cache, response.status);
+            response::end_decline(response, &marks).await;
+            return Err(failure);
         }
         if let Some(mut cache) = cache {
             cache.mark_transferred();
@@ -172,7 +172,7 @@
         parts.book.borrow_mut().note_response(&engine.id, is_good);
         if response::is_false_promise(&self.request, response.status) {
             let status = response.status;
-            response.body.discard(MAX_DECLINE_BYTES).await;
+            response::end_decline(response, &marks).await;
             let text = "which does not say that the request did not run";
             let detail = format!("decode at {} answered {status}, {text}", engine.id);
             return Err(RoundFailure::new(RunVerdict::MayHaveRun, detail));
@@ -182,13 +182,12 @@
 
     // The usual cause is that the KV cache could not be fetched. That counts against the prefill engine, and in the next
     // round the decode engine computes the prompt itself.
-    async fn handle_decline(
+    fn record_decline(
         &mut self,
         engine: &BackendInfo,
         cache: Option<PrefilledCache>,
-        response: PooledAnswer,
+        status: StatusCode,
     ) -> RoundFailure {
-        let status = response.status;
         self.parts.record_decline(engine, status);
         // An engine that asks for a backoff declined because of its own state, not because of the KV cache.
         if self.parts.may_send(engine, None) {
@@ -200,7 +199,6 @@
                 .note_declined(&at_fault.id, now);
             self.skip_prefill = cache.is_some();
         }
-        response.body.discard(MAX_DECLINE_BYTES).await;
         let detail = format!("decode at {} declined with status {status}", engine.id);
         RoundFailure::new(RunVerdict::NotRun, detail)
     }
--- a/src/relay/request/prefill.rs
+++ b/src/relay/request/prefill.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        client_request::ClientRequest, guard::InFlightGuard, reserve::MemoryReservation,
+        client_request::ClientRequest, guard::InFlightGuard, reserve::MemoryReservation, response,
         stream::StreamRelay,
     },
     crate::{
@@ -211,7 +211,7 @@
     );
     guard.record_response(status, &marks);
     if marks.not_run {
-        response.body.discard(MAX_RESPONSE_BYTES).await;
+        response::end_decline(response, &marks).await;
         parts.record_decline(engine, status);
         // A decline during a backoff says nothing about the time after it.
         if parts.may_send(engine, None) {
--- a/src/relay/request/response.rs
+++ b/src/relay/request/response.rs
@@ -5,7 +5,8 @@
     crate::{
         filter::VERDICT_HEADER,
         operation::{Refusal, RefusalCode, RunVerdict},
-        web::{self, BrokenBody, IngressBody},
+        relay::dialect::ResponseMetadata,
+        web::{self, BrokenBody, IngressBody, PooledAnswer},
     },
     bytes::Bytes,
     futures::Stream,
@@ -18,6 +19,9 @@
     },
 };
 
+/// Maximum body size of a response with which a server declines a request; with a longer one its connection is closed.
+const MAX_DECLINE_BYTES: usize = 64 << 10;
+
 /// A response to a client.
 pub type RelayResponse = Response<IngressBody>;
 
@@ -131,6 +135,14 @@
     !request.route.kind.is_repeatable() && promises_not_run(status.as_u16())
 }
 
+/// Ends the response of a server that declined a request. Its connection is used again only if the response names the
+/// request: a late copy of one that does not would be taken for the decline of the next request there.
+pub(super) async fn end_decline(response: PooledAnswer, marks: &ResponseMetadata) {
+    if marks.id.is_some() {
+        response.body.discard(MAX_DECLINE_BYTES).await;
+    }
+}
+
 struct GuardedBody<G> {
     body: IngressBody,
     // Dropped with the body: when it was sent, or when the client disconnected.
--- a/src/relay/request/send.rs
+++ b/src/relay/request/send.rs
@@ -106,11 +106,11 @@
     let status = response.status;
     let is_full = guard::is_full(status, &marks);
     if marks.not_run {
-        response.body.discard(MAX_PLAIN_BYTES).await;
+        response::end_decline(response, &marks).await;
         return record_decline(parts, backend, status, is_full);
     }
     if response::is_false_promise(request, status) {
-        response.body.discard(MAX_PLAIN_BYTES).await;
+        response::end_decline(response, &marks).await;
         return SendOutcome::Unproven(status);
     }
     let headers = response.headers.clone();
