--- a/src/relay/request/handler.rs
+++ b/src/relay/request/handler.rs
@@ -67,6 +67,7 @@
                     ("request", &id),
                     ("path", &path),
                     ("code", &refusal.code.as_str()),
+                    ("status", &response::refusal_status(&refusal).as_u16()),
                     ("verdict", &refusal.verdict),
                     ("after_ms", &arrived.elapsed().as_millis()),
                     ("why", &refusal.message),
--- a/src/relay/request/plain.rs
+++ b/src/relay/request/plain.rs
@@ -253,6 +253,7 @@
         let request = &self.request;
         let (framing, ended_by) = response_end::log_values(self.response_end);
         let servers = request.budget.borrow().servers_used();
+        let open = request.budget.borrow().open_sends();
         self.parts.metrics.attempts.ended(servers);
         event::emit(
             &event::REQUEST_ENDED,
@@ -265,6 +266,8 @@
                 ("framing", &framing),
                 ("ended_by", &ended_by),
                 ("tried", &self.attempt_log),
+                ("verdict", &request.verdict()),
+                ("open", &open),
                 ("servers", &servers),
                 ("servers_max", &request.route.attempts),
                 ("resumes", &request.resumes()),
--- a/src/relay/request/stream_log.rs
+++ b/src/relay/request/stream_log.rs
@@ -62,6 +62,7 @@
         let held_until = held_back.map_or(0, |held| held.until.as_millis());
         let (framing, ended_by) = response_end::log_values(self.response_end);
         let servers = request.budget.borrow().servers_used();
+        let open = request.budget.borrow().open_sends();
         self.parts.metrics.attempts.ended(servers);
         let gap_limit = request.route.event_gap_target.unwrap_or_default();
         event::emit(
@@ -76,6 +77,8 @@
                 ("ended_by", &ended_by),
                 ("engine", &self.decode_engine),
                 ("decodes", &self.decode_log),
+                ("verdict", &request.verdict()),
+                ("open", &open),
                 ("servers", &servers),
                 ("servers_max", &request.route.attempts),
                 ("prefill", &self.prefill_log),
