--- a/src/relay/news/entry.rs
+++ b/src/relay/news/entry.rs
@@ -61,12 +61,16 @@
         let is_missing = missing_since.is_some_and(|since| {
             since == Duration::ZERO || now.saturating_sub(since) >= missing_time
         });
-        if (has_changed || (is_missing && is_retry_due)) && !parts.gate.is_stopping() {
-            write_entry(&parts, &store, &entry).await;
-            written_at = Some(parts.now());
-            missing_since = Some(parts.now());
-        }
-        written_entry = Some(entry);
+        let is_due = (has_changed || (is_missing && is_retry_due)) && !parts.gate.is_stopping();
+        written_entry = match is_due {
+            true => {
+                let written = write_entry(&parts, &store, entry).await;
+                written_at = Some(parts.now());
+                missing_since = Some(parts.now());
+                Some(written)
+            }
+            false => Some(entry),
+        };
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
 }
@@ -116,13 +120,13 @@
     }
 }
 
-// Writes the host's entry, and retries until that has succeeded.
+// Writes the host's entry, and retries until that has succeeded. Returns what was written.
 //
 // What an earlier run kept in the entry is taken over, also where the list of hosts did not have it in time.
-async fn write_entry(parts: &RelayParts, store: &StoreLink, entry: &HostEntry) {
-    let mut value = StoreValue::Host(entry.clone());
+async fn write_entry(parts: &RelayParts, store: &StoreLink, mut entry: HostEntry) -> HostEntry {
     let mut position = StorePosition::default();
     loop {
+        let value = StoreValue::Host(entry.clone());
         let item = StoreItem {
             name: entry.name.clone(),
             position,
@@ -130,16 +134,17 @@
         };
         parts.metrics.store_called(StoreCause::Entry, 1);
         match (store.put)(StoreKind::Hosts, item).await {
-            Ok(_) => return,
+            Ok(_) => return entry,
             // The entry was written by an earlier run, or by this one and the response was lost.
             Err(StoreFailure::Conflict(_)) => {
                 parts.metrics.store_called(StoreCause::Entry, 1);
                 match (store.get)(StoreKind::Hosts, &entry.name).await {
-                    Ok(found) if found.value == value => return,
+                    Ok(found) if found.value == value => return entry,
                     Ok(found) => {
                         position = found.position;
                         if let StoreValue::Host(found) = found.value {
-                            value = StoreValue::Host(parts.with_kept_content(entry, found));
+                            parts.adopt_kept_software(found.software);
+                            entry = own_entry(parts);
                         }
                     }
                     Err(StoreFailure::NotFound) => position = StorePosition::default(),
--- a/src/relay/news/origins.rs
+++ b/src/relay/news/origins.rs
@@ -31,6 +31,9 @@
 /// Maximum number of streams told at a time: when a second version appears, those that began before are told as well.
 const TELL_BATCH: usize = 64;
 
+/// Number of hosts that are told to keep a stream in the store.
+const KEPT_COPIES: usize = 2;
+
 /// Timeout of telling a host.
 const TELL_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -113,8 +116,13 @@
         // Each host begins with another one, so that they share the work.
         let own = &self.parts.settings.name;
         keeping.sort_by_key(|entry| peer::draw(&entry.name, own));
-        let addresses = keeping.iter().map(|entry| entry.peers).collect();
-        tokio::task::spawn_local(self.clone().tell_first(addresses, records.to_vec()));
+        let addresses: Vec<SocketAddr> = keeping.iter().map(|entry| entry.peers).collect();
+        // Two of them: the other may not know yet that it keeps streams, or run an earlier program.
+        for first in 0..addresses.len().min(KEPT_COPIES) {
+            let mut told = addresses.clone();
+            told.rotate_left(first);
+            tokio::task::spawn_local(self.clone().tell_first(told, records.to_vec()));
+        }
     }
 
     // Tells the first host that answers.
--- a/src/relay/news/stream_keeper.rs
+++ b/src/relay/news/stream_keeper.rs
@@ -7,36 +7,55 @@
         relay::{
             link::{ListFreshness, StoreItem, StoreKind, StoreLink, StoreValue},
             parts::{metric_labels::StoreCause, shared::RelayParts},
-            policy::stream_journal::{BatchWrite, FLUSH_DELAY},
+            policy::{
+                stream_journal::{BatchWrite, FLUSH_DELAY},
+                stream_origins::MAX_STREAM_LIFETIME,
+            },
         },
         store::{StoreFailure, StorePosition},
     },
     std::{rc::Rc, time::Duration},
 };
 
-/// Delay before a failed call is retried.
+/// Delay before a failed write is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// The same for a list that cannot be read; it doubles up to the second value.
+const LOAD_DELAY: Duration = Duration::from_millis(300);
+const LOAD_DELAY_MAX: Duration = Duration::from_secs(10);
+
 /// How often a host checks whether it has become one that keeps streams, or the store was restored.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Number of times that a batch is tried to be written.
+/// Number of times that a batch is tried to be written before others are looked at.
 const WRITES_MAX: usize = 4;
 
+/// Number of objects of hosts that keep no streams any more that are deleted at a check.
+const DELETES_MAX: usize = 4;
+
 /// Keeps streams in the store for as long as the host runs.
 pub async fn keep_streams(parts: Rc<RelayParts>, store: Rc<StoreLink>) {
     wait_for_hosts(&parts).await;
     let mut era = store.eras.latest();
+    let mut loaded_at = None;
+    let mut load_delay = LOAD_DELAY;
     loop {
         if parts.is_keeping_host() {
-            while !parts.has_loaded_streams() {
-                load(&parts, &store).await;
+            if !parts.has_loaded_streams() {
+                if !load(&parts, &store).await {
+                    tokio::time::sleep(load_delay).await;
+                    load_delay = (load_delay * 2).min(LOAD_DELAY_MAX);
+                    continue;
+                }
+                loaded_at = Some(parts.now());
             }
             if std::mem::replace(&mut era, store.eras.latest()) != store.eras.latest() {
                 parts.keep_all_streams();
             }
-            while let Some(write) = parts.take_stream_batch() {
-                write_batch(&parts, &store, write).await;
+            write_batches(&parts, &store).await;
+            // No caller comes back any more for what earlier hosts kept before.
+            if loaded_at.is_some_and(|at| parts.now().saturating_sub(at) >= MAX_STREAM_LIFETIME) {
+                delete_outdated(&parts, &store).await;
             }
         }
         tokio::select! {
@@ -46,6 +65,30 @@
     }
 }
 
+async fn write_batches(parts: &RelayParts, store: &StoreLink) {
+    while let Some(write) = parts.take_stream_batch() {
+        let batch = write.batch.clone();
+        if !write_batch(parts, store, write).await {
+            log::warn!("streams wait to be kept in the store, which does not take them");
+            parts.return_stream_batch(&batch);
+            return;
+        }
+    }
+}
+
+async fn delete_outdated(parts: &RelayParts, store: &StoreLink) {
+    for _ in 0..DELETES_MAX {
+        let Some(name) = parts.take_outdated_object() else {
+            return;
+        };
+        parts.metrics.store_called(StoreCause::Streams, 1);
+        match (store.delete)(StoreKind::Streams, &name).await {
+            Ok(()) | Err(StoreFailure::NotFound) => {}
+            Err(failure) => log::debug!("cannot delete the streams {name}: {failure}"),
+        }
+    }
+}
+
 async fn wait_for_hosts(parts: &RelayParts) {
     loop {
         let news = parts.state_changed.notified();
@@ -58,8 +101,8 @@
     }
 }
 
-// The latest state is read: what was written last is what callers come back for.
-async fn load(parts: &RelayParts, store: &StoreLink) {
+// The latest state is read: what was written last is what callers come back for. Returns whether it was.
+async fn load(parts: &RelayParts, store: &StoreLink) -> bool {
     parts.metrics.store_called(StoreCause::Streams, 1);
     match (store.list)(StoreKind::Streams, ListFreshness::Latest).await {
         Ok(list) => {
@@ -68,15 +111,17 @@
                 _ => None,
             });
             parts.load_streams(batches.collect());
+            true
         }
         Err(failure) => {
-            log::debug!("cannot read the streams that the store has: {failure}");
-            tokio::time::sleep(RETRY_DELAY).await;
+            log::warn!("cannot read the streams that the store has: {failure}");
+            false
         }
     }
 }
 
-async fn write_batch(parts: &RelayParts, store: &StoreLink, write: BatchWrite) {
+// Returns whether the batch was written.
+async fn write_batch(parts: &RelayParts, store: &StoreLink, write: BatchWrite) -> bool {
     let BatchWrite { batch, replaces } = write;
     let name = batch.object_name();
     let value = StoreValue::Streams(batch.clone());
@@ -96,7 +141,7 @@
                     .origins
                     .kept
                     .inc_by(batch.records().count() as u64);
-                return;
+                return true;
             }
             // Written by an earlier call whose response was lost, or before the store was restored.
             Err(StoreFailure::Conflict(_)) | Err(StoreFailure::NotFound) => {
@@ -117,5 +162,5 @@
             }
         }
     }
-    log::warn!("the streams {name} were not kept in the store, which does not take them");
+    false
 }
--- a/src/relay/parts/kept_streams.rs
+++ b/src/relay/parts/kept_streams.rs
@@ -17,6 +17,7 @@
         },
         store::StorePosition,
     },
+    faststr::FastStr,
     std::{cell::RefCell, cmp::Reverse, time::Duration},
     tokio::sync::Notify,
 };
@@ -72,11 +73,6 @@
         self.keep_streams(&records);
     }
 
-    /// Whether streams wait to be written.
-    pub fn has_unwritten_streams(&self) -> bool {
-        self.kept_streams.journal.borrow().has_waiting()
-    }
-
     /// Whether this host knows the streams that the store has.
     pub fn has_loaded_streams(&self) -> bool {
         self.kept_streams.journal.borrow().is_loaded()
@@ -87,7 +83,7 @@
         self.has_loaded_streams() || !self.is_keeping_host()
     }
 
-    /// Records the streams that the store has, the latest of each host last, as its callers are the likeliest to come back.
+    /// Records the streams that the store has, those written last first: their callers are the likeliest to come back.
     pub fn load_streams(&self, mut batches: Vec<(StreamBatch, StorePosition)>) {
         let own = &self.settings.name;
         let known = batches.iter().map(|(batch, position)| (batch, *position));
@@ -104,6 +100,18 @@
         journal.take_batch(&self.settings.name)
     }
 
+    /// Takes back a batch that could not be written.
+    pub fn return_stream_batch(&self, batch: &StreamBatch) {
+        self.kept_streams.journal.borrow_mut().return_batch(batch);
+    }
+
+    /// The name of an object of a host that keeps no streams any more, each once.
+    pub fn take_outdated_object(&self) -> Option<FastStr> {
+        let keeping = self.other_keeping_hosts();
+        let keeps = |host: &str| keeping.iter().any(|entry| entry.name == host);
+        self.kept_streams.journal.borrow_mut().take_outdated(keeps)
+    }
+
     /// Records that a batch was written.
     pub fn stream_batch_written(&self, batch: &StreamBatch, position: StorePosition) {
         let mut journal = self.kept_streams.journal.borrow_mut();
--- a/src/relay/parts/origins.rs
+++ b/src/relay/parts/origins.rs
@@ -56,6 +56,8 @@
 pub struct OriginRecords {
     streams: RefCell<StreamOrigins>,
     history: RefCell<SoftwareHistory>,
+    // The versions that an earlier run kept in this host's entry.
+    earlier: RefCell<Vec<ServiceSoftware>>,
     query: RefCell<Option<Rc<OriginQuery>>>,
     /// Notified when other hosts may have to be told of a stream.
     pub untold: Notify,
@@ -201,7 +203,8 @@
         let others = cluster.hosts().map(|entry| entry.name.as_str());
         let keeps = peer::is_among_first(own, others, KEEPING_SUBJECT, KEEPING_HOSTS);
         let earlier = cluster.host(own).map(|entry| entry.software.clone());
-        let earlier = earlier.unwrap_or_default();
+        let adopted = self.origins.earlier.borrow().clone();
+        let earlier = software_history::merge_kept(adopted, earlier.unwrap_or_default());
         drop(cluster);
         let now = self.now();
         let history = self.origins.history.borrow();
@@ -230,23 +233,11 @@
         })
     }
 
-    /// The host's entry with what an earlier run kept in it.
-    pub fn with_kept_content(&self, entry: &HostEntry, earlier: HostEntry) -> HostEntry {
-        let needed = self
-            .origins
-            .history
-            .borrow()
-            .still_needed(earlier.software, self.now());
-        let mut merged = HostEntry {
-            software: software_history::merge_kept(entry.software.clone(), needed),
-            ..entry.clone()
-        };
-        let judged = earlier.judged.into_iter();
-        let lost: Vec<_> = judged
-            .filter(|known| !entry.judged.contains(known))
-            .collect();
-        merged.judged.extend(lost);
-        merged
+    /// Takes over the software versions that an earlier run of this host kept in its entry, which the list of hosts may not
+    /// have shown before this run writes its own.
+    pub fn adopt_kept_software(&self, kept: Vec<ServiceSoftware>) {
+        let mut earlier = self.origins.earlier.borrow_mut();
+        *earlier = software_history::merge_kept(std::mem::take(&mut earlier), kept);
     }
 
     /// Records changes of the list of backend servers.
@@ -278,6 +269,9 @@
     pub fn evict_origins(&self) {
         let now = self.now();
         self.origins.streams.borrow_mut().evict_expired(now);
-        self.origins.history.borrow_mut().evict_expired(now);
+        let mut history = self.origins.history.borrow_mut();
+        history.evict_expired(now);
+        let mut earlier = self.origins.earlier.borrow_mut();
+        *earlier = history.still_needed(std::mem::take(&mut earlier), now);
     }
 }
--- a/src/relay/parts/stop.rs
+++ b/src/relay/parts/stop.rs
@@ -25,8 +25,7 @@
     // Whether a request may be accepted. One that may outlast the stop is accepted only if its caller may send it again, and
     // only while the load balancer still sends requests.
     fn allows(&self, now: Duration, time_left: Duration, kind: RequestKind) -> bool {
-        let may_run_again = kind.is_repeatable() || kind == RequestKind::ResumableStream;
-        now + time_left <= self.ends_at || (may_run_again && now < self.accepts_until)
+        now + time_left <= self.ends_at || (kind.is_repeatable() && now < self.accepts_until)
     }
 }
 
--- a/src/relay/policy/stream_journal.rs
+++ b/src/relay/policy/stream_journal.rs
@@ -115,6 +115,13 @@
     }
 }
 
+// An object that another host wrote.
+#[derive(Debug)]
+struct StreamObject {
+    host: FastStr,
+    name: FastStr,
+}
+
 /// A batch to be written, with the position of the object that it replaces.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BatchWrite {
@@ -128,6 +135,8 @@
 #[derive(Debug, Default)]
 pub struct StreamJournal {
     waiting: Vec<StreamRecord>,
+    // Objects of other hosts, which may no longer keep streams.
+    of_others: Vec<StreamObject>,
     // The positions of this host's batches, by the names of their objects.
     positions: HashMap<FastStr, StorePosition>,
     next_sequence: u64,
@@ -160,13 +169,34 @@
         own: &str,
         batches: impl Iterator<Item = (&'a StreamBatch, StorePosition)>,
     ) {
-        for (batch, position) in batches.filter(|(batch, _)| batch.host == own) {
+        for (batch, position) in batches {
+            if batch.host != own {
+                self.of_others.push(StreamObject {
+                    host: batch.host.clone(),
+                    name: batch.object_name(),
+                });
+                continue;
+            }
             self.positions.insert(batch.object_name(), position);
             self.next_sequence = self.next_sequence.max(batch.sequence + 1);
         }
         self.is_loaded = true;
     }
 
+    /// Takes the name of an object of a host that keeps no streams any more, as far as this host knew objects when it loaded
+    /// them.
+    pub fn take_outdated(&mut self, keeps: impl Fn(&str) -> bool) -> Option<FastStr> {
+        self.of_others.retain(|object| !keeps(&object.host));
+        self.of_others.pop().map(|object| object.name)
+    }
+
+    /// Takes back a batch that could not be written: its streams wait before all others.
+    pub fn return_batch(&mut self, batch: &StreamBatch) {
+        let room = WAITING_MAX.saturating_sub(self.waiting.len());
+        let records: Vec<StreamRecord> = batch.records().take(room).collect();
+        self.waiting.splice(..0, records);
+    }
+
     /// Takes the next batch to be written by host `own`; `None` if there is none or the earlier ones are not known.
     pub fn take_batch(&mut self, own: &FastStr) -> Option<BatchWrite> {
         if !self.is_loaded || self.waiting.is_empty() {
--- a/src/relay/request/take_up.rs
+++ b/src/relay/request/take_up.rs
@@ -132,14 +132,16 @@
             Ok(found) => return Ok(found),
             Err(answers) => answers,
         };
-        if let Some(software) = software_evidence(parts, service, &answers).only_version() {
+        let has_started_lately = parts.seen_software(service).seen_for < START_TIME;
+        let knows_kept = !has_started_lately || parts.has_asked_store();
+        let only = software_evidence(parts, service, &answers).only_version();
+        if let Some(software) = only.filter(|_| knows_kept) {
             let origin = ServerSoftware {
                 service: service.clone(),
                 software,
             };
             return Ok((origin, OriginSource::OnlyVersion));
         }
-        let has_started_lately = parts.seen_software(service).seen_for < START_TIME;
         let may_learn_more = answers.silent > 0 || !parts.has_asked_store();
         if !has_started_lately || !may_learn_more || parts.now() >= give_up_at {
             return Err(unknown_refusal(parts, request, service, &answers));
--- a/tests/stream_journal.rs
+++ b/tests/stream_journal.rs
@@ -117,3 +117,33 @@
     let text = r#"{"host":"h","sequence":1,"groups":[{"service":"m","software":"v1","left_ms":1,"keys":["xyz"]}]}"#;
     assert!(serde_json::from_str::<StreamBatch>(text).is_err());
 }
+
+#[test]
+fn a_batch_that_could_not_be_written_waits_before_later_streams() {
+    let mut journal = StreamJournal::default();
+    journal.load(HOST, std::iter::empty());
+    let own = FastStr::new(HOST);
+    journal.add([record(1, 0)]);
+    let failed = journal.take_batch(&own).expect("a batch");
+    journal.add([record(2, 0)]);
+    journal.return_batch(&failed.batch);
+    let next = journal.take_batch(&own).expect("a batch");
+    let keys: Vec<u64> = next.batch.records().map(|record| record.key.0).collect();
+    assert_eq!(keys, [1, 2]);
+}
+
+#[test]
+fn objects_of_hosts_that_keep_streams_are_not_outdated() {
+    let mut journal = StreamJournal::default();
+    let batch = |host: &str, sequence| StreamBatch {
+        host: FastStr::new(host),
+        sequence,
+        groups: Vec::new(),
+    };
+    let known = [batch("entry-2", 1), batch("entry-3", 2), batch(HOST, 3)];
+    let position = StorePosition::new(1, 5);
+    journal.load(HOST, known.iter().map(|batch| (batch, position)));
+    let keeps = |host: &str| host == "entry-2";
+    assert_eq!(journal.take_outdated(keeps).as_deref(), Some("entry-3.2"));
+    assert_eq!(journal.take_outdated(keeps), None);
+}
