--- a/src/relay/parts/origins.rs
+++ b/src/relay/parts/origins.rs
@@ -5,7 +5,6 @@
     crate::{
         peer,
         relay::{
-            link::HostEntry,
             policy::{
                 changes::BackendChanges,
                 software_history::{self, SeenSoftware, ServiceSoftware, SoftwareHistory},
