A server that is back under its id has ended, and a fresh fleet goes on with its only version, as before

Causes: an end by a later run asked for a run whose start is known, which also hid crashes; and a service that no entry names yet was refused as unknown, so that a new fleet refused streams in its first seconds. Tests unchanged.

--- a/src/relay/parts/origins.rs
+++ b/src/relay/parts/origins.rs
@@ -10,7 +10,7 @@
                 software_history::{self, SeenSoftware, ServiceSoftware, SoftwareHistory},
                 stream_origins::{MAX_STREAMS, StreamKey, StreamOrigins, StreamRecord},
             },
-            software_version::{ServerSoftware, SoftwareVersion},
+            software_version::ServerSoftware,
         },
     },
     faststr::FastStr,
@@ -176,8 +176,7 @@
         self.origins.history.borrow().seen(service, self.now())
     }
 
-    /// The software versions of a service according to the hosts' entries in the store; none if the hosts are not known, or no
-    /// entry names any.
+    /// The software versions of a service according to the hosts' entries in the store; none if the hosts are not known.
     pub fn kept_software(&self, service: &str) -> Option<SeenSoftware> {
         let cluster = self.cluster.borrow();
         if !cluster.hosts_position().is_known() {
@@ -187,9 +186,8 @@
         let versions = kept
             .filter(|kept| kept.service == service)
             .flat_map(|kept| kept.versions.iter().cloned());
-        let versions: BTreeSet<SoftwareVersion> = versions.collect();
-        (!versions.is_empty()).then_some(SeenSoftware {
-            versions,
+        Some(SeenSoftware {
+            versions: versions.collect(),
             seen_for: Duration::ZERO,
         })
     }
--- a/src/relay/policy/registry.rs
+++ b/src/relay/policy/registry.rs
@@ -171,7 +171,7 @@
     /// Whether the server has restarted since this run: a later one is listed under the same id.
     pub fn has_restarted(&self, backend: &BackendInfo) -> bool {
         self.view(&backend.id)
-            .is_some_and(|view| backend.born > 0 && view.info.born > backend.born)
+            .is_some_and(|view| view.info.born > backend.born)
     }
 
     /// The state of every server.
