--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -143,6 +143,7 @@
         );
         critical_task::spawn_critical("figures", figures::log_figures(parts.clone()));
         critical_task::spawn_critical("heap", heap::release_heap(parts.clone()));
+        critical_task::spawn_critical("stalls", log_stalls(parts.clone()));
         critical_task::spawn_critical("availability", check_availability(parts.clone()));
         critical_task::spawn_critical("lost links", recheck::test_lost_links(parts.clone()));
         critical_task::spawn_critical("carriers", recheck::check_carriers(parts.clone()));
@@ -318,6 +319,24 @@
     limits.header_time + IDLE_MARGIN
 }
 
+async fn log_stalls(parts: Rc<RelayParts>) {
+    loop {
+        parts.stalls.stall_ended().await;
+        let Some(stall) = parts.stalls.last_stall() else {
+            continue;
+        };
+        parts.metrics.stalls.inc();
+        let age = parts.cluster.borrow().age(parts.now());
+        event::emit(
+            &event::HOST_STALLED,
+            &[
+                ("stalled_ms", &(stall.ended - stall.began).as_millis()),
+                ("age_ms", &age.map_or(-1, |age| age.as_millis() as i64)),
+            ],
+        );
+    }
+}
+
 async fn check_availability(parts: Rc<RelayParts>) {
     loop {
         tokio::time::sleep(AVAILABILITY_CHECK_INTERVAL).await;
--- a/src/relay/parts/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -63,6 +63,10 @@
     pub connection_limits: Counter,
     /// Calls to the store that failed.
     pub store_failures: Counter,
+    /// Requests sent to backend servers that the list no longer offers.
+    pub sends_to_leaving: Counter,
+    /// Times during which this process did not run.
+    pub stalls: Counter,
     /// Lists from the store that were ignored because their revision is older than the known one.
     pub older_lists: Counter,
     store_calls: Family<CauseLabels, Counter>,
@@ -155,6 +159,8 @@
             ejections: Counter::default(),
             connection_limits: Counter::default(),
             store_failures: Counter::default(),
+            sends_to_leaving: Counter::default(),
+            stalls: Counter::default(),
             older_lists: Counter::default(),
             store_calls: Family::default(),
             fatal_requests: Gauge::default(),
@@ -328,6 +334,16 @@
                 "Failed calls to the store",
                 &self.store_failures,
             ),
+            (
+                "sends_to_leaving",
+                "Requests sent to backend servers that the list no longer offers",
+                &self.sends_to_leaving,
+            ),
+            (
+                "stalls",
+                "Times during which this process did not run",
+                &self.stalls,
+            ),
             (
                 "older_lists",
                 "Lists of the store left since they show an older revision than is known",
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -17,7 +17,7 @@
     },
     crate::{
         account::ZoneLedger,
-        clock::HostClock,
+        clock::{HostClock, StallDetector},
         event,
         host::StopGate,
         operation::{OnceSignal, RunVerdict},
@@ -129,6 +129,8 @@
     pub caller_budget: Rc<CallerBudget>,
     /// The clock for all ages.
     pub clock: HostClock,
+    /// Notices when this process did not run.
+    pub stalls: Rc<StallDetector>,
 }
 
 impl RelayParts {
@@ -186,6 +188,7 @@
             stop_times: Cell::default(),
             given_up: OnceSignal::default(),
             caller_budget,
+            stalls: StallDetector::start(clock.clone()),
             clock,
         })
     }
--- a/src/relay/policy/rotation.rs
+++ b/src/relay/policy/rotation.rs
@@ -75,6 +75,12 @@
             && !self.is_evacuated(&view.info)
     }
 
+    /// Whether the list offers this run of a server: it is listed and not leaving.
+    pub fn is_offered(&self, backend: &BackendInfo) -> bool {
+        let view = self.view(&backend.id);
+        view.is_some_and(|view| view.info.born == backend.born && !view.info.leaving)
+    }
+
     /// The check right before a request is sent to a server; `admitted` is when memory was reserved there for it, if it
     /// was. An evacuated zone gets no request, whatever was reserved there.
     pub fn may_send(
