A request is sent only to a server that the list offers at that moment

Callers' requests reached servers that the host's own list named as leaving or gone, or of which another run had taken the place: decodes while their prompts were computed, plain requests while they waited for a connection.

Cause: the check right before a send asked what answers had said and which zones are evacuated, not the list; a request went by the list as it was when its server was chosen. Other bounds kept the waits below the time that servers that leave go on serving, and nothing tied them to it.

The check asks the list too: the run has to be listed, and not as leaving. One place serves all sends, so permits, places, memory and the host's own calls come under it. What is withheld is counted (withheld_sends) and goes to another server.

The property test of availability compares the check with the list now, and asks for earlier runs as well, where it left the list out.

--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -73,7 +73,6 @@
     LINKS_BACK = 324, "links-back", Info, "This host reaches all listed backend servers of the service itself again.", "None.";
     CARRIER_RETIRED = 325, "carrier-retired", Info, "A host that carries connections of this one is stopping, full or gone; new connections go through another one.", "None.";
     CONNECTION_CARRIED = 326, "connection-carried", Info, "A connection that this host carried for another has ended. connection is its address at the other host, as in that host's request-carried lines (203).", "None.";
-    SENT_TO_LEAVING = 327, "sent-to-leaving", Warn, "A request was sent to a backend server that the list of this host does not offer any more: it is leaving, gone, or another run has taken its place. age_ms tells how old the list is.", "Look for host-stalled (106) shortly before.";
     CONFIG_IN_FORCE = 401, "config-in-force", Info, "A newer accepted configuration is in force on this host; the number of its routes, and whether the store or another host gave it.", "None.";
     CONFIG_REJECTED = 402, "config-rejected", Error, "The objects at the platform do not pass the checks; the last good set stays in force.", "Correct the named object and field.";
     CONFIG_ACCEPTED = 403, "config-accepted", Info, "This host checked the objects and wrote them as the accepted configuration.", "None.";
--- a/src/relay/parts/availability.rs
+++ b/src/relay/parts/availability.rs
@@ -19,7 +19,7 @@
     faststr::FastStr,
     http::Request,
     http_body_util::Full,
-    std::{cell::Cell, collections::BTreeMap, iter, ops::RangeInclusive, time::Duration},
+    std::{collections::BTreeMap, iter, ops::RangeInclusive, time::Duration},
 };
 
 /// Retry delay for callers when all servers are leaving: replacements start within seconds. Random, so that callers
@@ -70,37 +70,18 @@
         request: Request<Full<Bytes>>,
         admitted: Option<Duration>,
     ) -> Result<PooledAnswer, SendFailure> {
-        let is_offered = Cell::new(true);
-        let check = || {
-            is_offered.set(self.book.borrow().is_offered(backend));
-            match self.may_send(backend, admitted) {
-                true => Ok(()),
-                false => Err(SendFailure::withheld(format!(
+        let check = || match self.may_send(backend, admitted) {
+            true => Ok(()),
+            false => {
+                self.metrics.withheld_sends.inc();
+                Err(SendFailure::withheld(format!(
                     "{} takes no new requests",
                     backend.id
-                ))),
+                )))
             }
         };
         let target = self.pool_target(backend, purpose, answer_id);
-        let sent = self.send_over_link(backend, target, request, check).await;
-        let was_sent = |failure: &SendFailure| failure.verdict != RunVerdict::NotRun;
-        if !is_offered.get() && sent.as_ref().err().is_none_or(was_sent) {
-            self.metrics.sends_to_leaving.inc();
-            self.log_sent_to_leaving(backend);
-        }
-        sent
-    }
-
-    fn log_sent_to_leaving(&self, backend: &BackendInfo) {
-        let age = self.cluster.borrow().age(self.now());
-        event::emit(
-            &event::SENT_TO_LEAVING,
-            &[
-                ("backend", &backend.id),
-                ("service", &backend.service),
-                ("age_ms", &age.map_or(-1, |age| age.as_millis() as i64)),
-            ],
-        );
+        self.send_over_link(backend, target, request, check).await
     }
 
     fn note_availability(&self, backend: &BackendInfo, marks: &ServerSignals) {
--- a/src/relay/parts/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -63,8 +63,8 @@
     pub connection_limits: Counter,
     /// Calls to the store that failed.
     pub store_failures: Counter,
-    /// Requests sent to backend servers that the list no longer offers.
-    pub sends_to_leaving: Counter,
+    /// Requests that were not sent, since their server took no new ones any more when they would have been.
+    pub withheld_sends: Counter,
     /// Times during which this process did not run.
     pub stalls: Counter,
     /// Lists from the store that were ignored because their revision is older than the known one.
@@ -159,7 +159,7 @@
             ejections: Counter::default(),
             connection_limits: Counter::default(),
             store_failures: Counter::default(),
-            sends_to_leaving: Counter::default(),
+            withheld_sends: Counter::default(),
             stalls: Counter::default(),
             older_lists: Counter::default(),
             store_calls: Family::default(),
@@ -335,9 +335,9 @@
                 &self.store_failures,
             ),
             (
-                "sends_to_leaving",
-                "Requests sent to backend servers that the list no longer offers",
-                &self.sends_to_leaving,
+                "withheld_sends",
+                "Requests not sent since their backend server took no new ones any more by then",
+                &self.withheld_sends,
             ),
             (
                 "stalls",
--- a/src/relay/policy/rotation.rs
+++ b/src/relay/policy/rotation.rs
@@ -81,8 +81,9 @@
         view.is_some_and(|view| view.info.born == backend.born && !view.info.leaving)
     }
 
-    /// The check right before a request is sent to a server; `admitted` is when memory was reserved there for it, if it
-    /// was. An evacuated zone gets no request, whatever was reserved there.
+    /// The check right before a request is sent to a server, which may have been chosen long before; `admitted` is when
+    /// memory was reserved there for it, if it was. A server that the list no longer offers, and an evacuated zone, get no
+    /// request, whatever was reserved there.
     pub fn may_send(
         &self,
         backend: &BackendInfo,
@@ -91,7 +92,7 @@
     ) -> bool {
         let accepts = self.availability.is_empty()
             || self.availability.may_send(&backend.run(), admitted, now);
-        accepts && !self.is_evacuated(backend)
+        accepts && self.is_offered(backend) && !self.is_evacuated(backend)
     }
 
     /// When a server of a service that a request may reach, optionally only of an engine role, is in rotation again;
--- a/tests/server_availability.rs
+++ b/tests/server_availability.rs
@@ -304,6 +304,12 @@
         state.copied().unwrap_or_default()
     }
 
+    // Whether the list has the server, not as leaving.
+    fn is_offered(&self, index: usize) -> bool {
+        let (listed, leaving) = self.listed;
+        listed >> index & 1 == 1 && leaving >> index & 1 == 0
+    }
+
     fn is_unavailable(&self, index: usize) -> bool {
         let state = self.state(index);
         let backs_off = state.backoff.is_some_and(|(_, until)| self.now < until);
@@ -409,8 +415,14 @@
     fn check(&self) {
         let now = millis(self.now);
         for index in 0..SERVERS {
-            let may_send = self.book.may_send(&self.info(index), None, now);
-            assert_eq!(may_send, !self.is_unavailable(index), "server {index}");
+            let may_send = |info: &BackendInfo| self.book.may_send(info, None, now);
+            let accepts = self.is_offered(index) && !self.is_unavailable(index);
+            assert_eq!(may_send(&self.info(index)), accepts, "server {index}");
+            let earlier_run = BackendInfo {
+                born: self.born[index] - 1,
+                ..self.info(index)
+            };
+            assert!(!may_send(&earlier_run), "an earlier run of server {index}");
         }
         let must_be_skipped = |info: &BackendInfo| {
             let index = (0..SERVERS).find(|index| self.info(*index).id == info.id);
