Nothing is sent by what was known before the process stood still

Cause: what a host knows ages while it stands still, and no send looked at that age. Reads that were under way were taken for current when they were read at last, and timeouts that passed meanwhile for failures of the store.

StallDetector notices that the process did not run for half a second, whoever looks first. Until the host has heard of configuration, servers and evacuations by an exchange that began after the stall, requests are held back: at their arrival, before the host's own calls, and in the check right before a send. Watches and polls that were under way are asked anew at once. Without an answer of the store or of another host for 0.7 s it goes on with what it knows, as a host that is cut off does.

--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -175,6 +175,7 @@
     // Starts the tasks that read the store or follow other hosts, and that answer the hosts that follow this one.
     fn start_news_exchange(&self, listener: TcpListener) {
         let metrics = Arc::new(HostMetrics::default());
+        self.parts.refresh.begin_exchange();
         let reader = StoreReader::start(self.parts.clone(), self.store.clone());
         let clock = self.parts.clock.clone();
         let opener = self.parts.settings.opener.clone();
--- a/src/relay/news/feed.rs
+++ b/src/relay/news/feed.rs
@@ -130,7 +130,10 @@
                 self.parts.record_store_era(list.position.era, "store");
                 let is_applied = self.apply_list(kind, list);
                 match (age, is_applied) {
-                    (ListFreshness::Latest, true) => self.record_proof(kind, sent_at),
+                    (ListFreshness::Latest, true) => {
+                        self.record_proof(kind, sent_at);
+                        self.parts.record_refresh(kind, sent_at);
+                    }
                     (ListFreshness::MayLag, true) => {
                         self.parts.cluster.borrow_mut().mark_unconfirmed(kind)
                     }
@@ -175,7 +178,10 @@
             let changes_before = self.parts.cluster.borrow().backend_update_count();
             let sent_at = self.parts.now();
             let is_list = history_gone || !self.known_position(kind).is_known();
-            match self.read_once(kind, history_gone).await {
+            let Some(read) = self.read_unless_stalled(kind, history_gone, sent_at).await else {
+                continue;
+            };
+            match read {
                 Ok(()) => {
                     history_gone = kind == StoreKind::Backends && self.lacks_software();
                     failures = 0;
@@ -211,6 +217,27 @@
         }
     }
 
+    // Returns nothing if the process stalled meanwhile: then an answer may be as old as the call, and a failure says
+    // nothing of the store. A watch is abandoned, as it would hold back what changed; a list may take long.
+    async fn read_unless_stalled(
+        &self,
+        kind: StoreKind,
+        history_gone: bool,
+        sent_at: Duration,
+    ) -> Option<Result<(), StoreFailure>> {
+        let is_list = history_gone || !self.known_position(kind).is_known();
+        let read = match is_list || !self.parts.is_refreshed_kind(kind) {
+            true => self.read_once(kind, history_gone).await,
+            false => tokio::select! {
+                biased;
+                () = self.parts.stalls.stall_ended() => return None,
+                read = self.read_once(kind, history_gone) => read,
+            },
+        };
+        let has_stalled = self.parts.stalls.has_stalled_since(sent_at);
+        (!has_stalled).then_some(read)
+    }
+
     // The changes since an incomplete list do not complete it.
     fn lacks_software(&self) -> bool {
         self.parts.cluster.borrow().lacks_software()
@@ -298,6 +325,7 @@
         };
         self.apply_changes(kind, changes);
         self.record_proof(kind, sent_at);
+        self.parts.record_refresh(kind, sent_at);
         match kind {
             StoreKind::Config => self.config_unconfirmed.set(false),
             StoreKind::Backends => self.backends_unconfirmed.set(false),
--- a/src/relay/news/follow.rs
+++ b/src/relay/news/follow.rs
@@ -199,11 +199,15 @@
                             () = tokio::time::sleep(CHECK_INTERVAL) => {}
                             () = self.reader.answered() => {}
                             () = self.newer_view.notified() => self.poll_newer().await,
+                            () = self.parts.stalls.stall_ended() => {}
                         }
                     }
                 }
                 UpdateSource::Host(entry) => {
                     tokio::select! {
+                        biased;
+                        // What was asked for before is outdated.
+                        () = self.parts.stalls.stall_ended() => {}
                         () = self.follow(&entry) => {}
                         () = self.newer_view.notified() => self.poll_newer().await,
                     }
@@ -320,7 +324,10 @@
             true => (POLL_HOLD, RESPONSE_TIMEOUT),
             false => (START_POLL_HOLD, START_RESPONSE_TIMEOUT),
         };
-        let hold = hold.min(left / 2);
+        let hold = match self.parts.is_outdated() {
+            true => Duration::ZERO,
+            false => hold.min(left / 2),
+        };
         let timeout = timeout.min(left - hold);
         // A host without a complete view requests the configuration too, since the store would not return it sooner.
         let held = self.held_news(entry.peers, hold, !self.has_complete_view());
--- a/src/relay/news/take.rs
+++ b/src/relay/news/take.rs
@@ -20,13 +20,16 @@
         self.parts.record_store_era(position.era, "host");
         self.parts.merge_crash_news(&news.crashes, from);
         self.parts.apply_limit_updates(&news.limits, from);
-        if !self.apply_lists(&news, confirmed) {
+        if !self.apply_lists(&news, confirmed, sent_at) {
             let now = self.parts.now();
             self.choice.borrow_mut().note_list_part(now);
         }
         if !self.apply_config(&news, from, sent_at).await {
             return;
         }
+        if self.is_refreshing(&news, confirmed) {
+            self.parts.record_refresh(StoreKind::Config, sent_at);
+        }
         let mut cluster = self.parts.cluster.borrow_mut();
         cluster.config.advance(news.config_position);
         // Without any configuration this host cannot do its work, whatever it knows.
@@ -73,8 +76,19 @@
         }
     }
 
+    // Whether the sender's view is as current as can be: it hears from the store, or knows that nobody does.
+    fn is_refreshing(&self, news: &ClusterNews, confirmed: Option<PastTime>) -> bool {
+        let age = confirmed.map(|at| at.age(self.parts.now()));
+        news.is_lost || (age.is_some() && !self.choice.borrow().is_stale(age))
+    }
+
     // Returns false if parts of a list are still missing.
-    fn apply_lists(&self, news: &ClusterNews, confirmed: Option<PastTime>) -> bool {
+    fn apply_lists(
+        &self,
+        news: &ClusterNews,
+        confirmed: Option<PastTime>,
+        sent_at: Duration,
+    ) -> bool {
         let now = self.parts.now();
         let mut cluster = self.parts.cluster.borrow_mut();
         if let Some(age) = news.outage {
@@ -93,6 +107,7 @@
         }
         let has_changed = cluster.backend_update_count() != before;
         drop(cluster);
+        let is_refreshed = is_same_era && is_complete && self.is_refreshing(news, confirmed);
         if news.hosts.is_whole || !news.hosts.changes.is_empty() {
             self.parts.handle_host_change();
         }
@@ -100,6 +115,10 @@
             self.parts.publish_backends();
         }
         self.parts.apply_evacuation_news(news.evacuations.clone());
+        if is_refreshed {
+            self.parts.record_refresh(StoreKind::Backends, sent_at);
+            self.parts.record_refresh(StoreKind::Evacuations, sent_at);
+        }
         self.parts.log_reread();
         is_complete
     }
--- a/src/relay/parts/availability.rs
+++ b/src/relay/parts/availability.rs
@@ -70,15 +70,14 @@
         request: Request<Full<Bytes>>,
         admitted: Option<Duration>,
     ) -> Result<PooledAnswer, SendFailure> {
-        let check = || match self.may_send(backend, admitted) {
-            true => Ok(()),
-            false => {
-                self.metrics.withheld_sends.inc();
-                Err(SendFailure::withheld(format!(
-                    "{} takes no new requests",
-                    backend.id
-                )))
+        let check = async || {
+            self.refreshed().await;
+            if self.may_send(backend, admitted) {
+                return Ok(());
             }
+            self.metrics.withheld_sends.inc();
+            let detail = format!("{} takes no new requests", backend.id);
+            Err(SendFailure::withheld(detail))
         };
         let target = self.pool_target(backend, purpose, answer_id);
         self.send_over_link(backend, target, request, check).await
--- a/src/relay/parts/links.rs
+++ b/src/relay/parts/links.rs
@@ -27,7 +27,7 @@
         backend: &BackendInfo,
         target: PoolTarget,
         request: Request<Full<Bytes>>,
-        check: impl Fn() -> Result<(), SendFailure>,
+        check: impl AsyncFn() -> Result<(), SendFailure>,
     ) -> Result<PooledAnswer, SendFailure> {
         if target.purpose == PoolUse::Order {
             let open = || self.open_direct(backend);
@@ -55,7 +55,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<PooledAnswer, SendFailure> {
         let target = self.pool_target(backend, purpose, None);
-        self.send_over_link(backend, target, request, || Ok(()))
+        self.send_over_link(backend, target, request, async || Ok(()))
             .await
     }
 
--- a/src/relay/parts/mod.rs
+++ b/src/relay/parts/mod.rs
@@ -24,6 +24,7 @@
 pub(crate) mod priorities;
 pub(crate) mod priority_metrics;
 pub(crate) mod publish;
+pub(crate) mod refresh;
 pub(crate) mod server_limits;
 pub(crate) mod service_metrics;
 pub(crate) mod shared;
--- /dev/null
+++ b/src/relay/parts/refresh.rs
@@ -0,0 +1,101 @@
+//! Holds requests back after a stall of this process until the host has heard what changed meanwhile.
+
+use {
+    super::shared::RelayParts,
+    crate::{clock::ProcessStall, relay::link::StoreKind},
+    std::{cell::Cell, time::Duration},
+    tokio::sync::Notify,
+};
+
+/// Longest time after a stall for which requests are held back. A host that reaches neither the store nor another host
+/// goes on with what it knows.
+const REFRESH_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// When the exchanges began that last brought each kind up to date.
+#[derive(Debug, Default)]
+pub struct ViewRefresh {
+    // Whether this host exchanges updates, so that it can be refreshed.
+    is_exchanging: Cell<bool>,
+    config: Cell<Duration>,
+    backends: Cell<Duration>,
+    evacuations: Cell<Duration>,
+    advanced: Notify,
+}
+
+impl ViewRefresh {
+    /// Records that this host exchanges updates with the store or other hosts from now on.
+    pub fn begin_exchange(&self) {
+        self.is_exchanging.set(true);
+    }
+
+    fn time(&self, kind: StoreKind) -> Option<&Cell<Duration>> {
+        match kind {
+            StoreKind::Config => Some(&self.config),
+            StoreKind::Backends => Some(&self.backends),
+            StoreKind::Evacuations => Some(&self.evacuations),
+            StoreKind::Hosts | StoreKind::Leases | StoreKind::Streams => None,
+        }
+    }
+}
+
+impl RelayParts {
+    /// Whether a kind is among those that requests are decided by.
+    pub fn is_refreshed_kind(&self, kind: StoreKind) -> bool {
+        match kind {
+            StoreKind::Evacuations => self.has_evacuations(),
+            kind => self.refresh.time(kind).is_some(),
+        }
+    }
+
+    /// Records that an exchange which began at `began` has brought a kind up to date.
+    pub fn record_refresh(&self, kind: StoreKind, began: Duration) {
+        if let Some(time) = self.refresh.time(kind)
+            && began > time.get()
+        {
+            time.set(began);
+            self.refresh.advanced.notify_waiters();
+        }
+    }
+
+    /// Whether this process has stalled and has not heard since what changed meanwhile.
+    pub fn is_outdated(&self) -> bool {
+        self.refresh_time_left().is_some()
+    }
+
+    /// Waits until this host has heard what changed while its process stalled, or cannot.
+    pub async fn refreshed(&self) {
+        loop {
+            let advanced = self.refresh.advanced.notified();
+            tokio::pin!(advanced);
+            advanced.as_mut().enable();
+            let Some(left) = self.refresh_time_left() else {
+                return;
+            };
+            tokio::select! {
+                () = advanced => {}
+                () = tokio::time::sleep(left) => {}
+            }
+        }
+    }
+
+    // How long requests are still held back at most; none if they are not.
+    fn refresh_time_left(&self) -> Option<Duration> {
+        let stall = self.stalls.last_stall()?;
+        let left = (stall.ended + REFRESH_TIMEOUT).checked_sub(self.now())?;
+        let is_held = self.refresh.is_exchanging.get() && !self.has_refreshed_since(stall);
+        is_held.then_some(left)
+    }
+
+    fn has_refreshed_since(&self, stall: ProcessStall) -> bool {
+        let kinds = [
+            StoreKind::Config,
+            StoreKind::Backends,
+            StoreKind::Evacuations,
+        ];
+        let mut times = kinds
+            .into_iter()
+            .filter(|kind| self.is_refreshed_kind(*kind))
+            .filter_map(|kind| self.refresh.time(kind));
+        times.all(|time| time.get() >= stall.ended)
+    }
+}
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -11,6 +11,7 @@
         permits::PermitGate,
         places::PlaceGate,
         priorities::PriorityState,
+        refresh::ViewRefresh,
         server_limits::{AnswerKind, LimitExchange},
         shares::OthersDemand,
         stop::StopTimes,
@@ -131,6 +132,8 @@
     pub clock: HostClock,
     /// Notices when this process did not run.
     pub stalls: Rc<StallDetector>,
+    /// How current the view is after a stall.
+    pub refresh: ViewRefresh,
 }
 
 impl RelayParts {
@@ -189,6 +192,7 @@
             given_up: OnceSignal::default(),
             caller_budget,
             stalls: StallDetector::start(clock.clone()),
+            refresh: ViewRefresh::default(),
             clock,
         })
     }
@@ -256,6 +260,10 @@
         call: BackendCall,
         timeout: Duration,
     ) -> Result<(StatusCode, Bytes), SendFailure> {
+        // Outside the timeout, which is the server's.
+        if call.purpose != PoolUse::Free {
+            self.refreshed().await;
+        }
         let sending = async {
             let answer = self.send_control(backend, call).await?;
             let status = answer.status;
--- a/src/relay/request/handler.rs
+++ b/src/relay/request/handler.rs
@@ -146,6 +146,7 @@
     head: Parts,
     body: &mut Incoming,
 ) -> Result<PreparedRequest, Refusal> {
+    parts.refreshed().await;
     let routes = parts.routes().ok_or_else(not_configured)?;
     check_config_lag(parts)?;
     let limits = &routes.config().limits;
--- a/src/web/pool.rs
+++ b/src/web/pool.rs
@@ -352,7 +352,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<PooledAnswer, SendFailure> {
         let open = || self.open_direct(target.address);
-        self.send_if(target, request, || Ok(()), open).await
+        self.send_if(target, request, async || Ok(()), open).await
     }
 
     /// The same, where `check` still allows it when a connection is there and nothing is written yet. New connections
@@ -361,7 +361,7 @@
         self: &Rc<Self>,
         target: PoolTarget,
         mut request: Request<Full<Bytes>>,
-        check: impl Fn() -> Result<(), SendFailure>,
+        check: impl AsyncFn() -> Result<(), SendFailure>,
         open: impl Fn() -> F,
     ) -> Result<PooledAnswer, SendFailure>
     where
@@ -369,14 +369,14 @@
     {
         let key = (target.address, target.purpose.lane());
         loop {
-            check()?;
+            check().await?;
             let kept = self.take(key, &target);
             let is_kept = kept.is_some();
             let mut connection = match kept {
                 Some(connection) => connection,
                 None => {
                     let connection = self.connect(target, open()).await?;
-                    check()?;
+                    check().await?;
                     connection
                 }
             };
