A key is proved anew after the process stood still, not only after a suspension

Cause: the check before a send asked how long the machine was suspended (boot time less steady time), which does not see a process that is stopped or gets no processor time.

--- a/src/clock/host_clock.rs
+++ b/src/clock/host_clock.rs
@@ -14,7 +14,6 @@
 pub struct HostClock {
     read: Arc<dyn Fn() -> Duration + Send + Sync>,
     start: Duration,
-    steady_start: Instant,
 }
 
 impl fmt::Debug for HostClock {
@@ -43,7 +42,6 @@
         Self {
             start: read(),
             read: Arc::new(read),
-            steady_start: Instant::now(),
         }
     }
 
@@ -51,9 +49,4 @@
     pub fn now(&self) -> Duration {
         (self.read)().saturating_sub(self.start)
     }
-
-    /// For how much of that the host was suspended.
-    pub fn suspended(&self) -> Duration {
-        self.now().saturating_sub(self.steady_start.elapsed())
-    }
 }
--- a/src/relay/request/client_request.rs
+++ b/src/relay/request/client_request.rs
@@ -69,8 +69,6 @@
     pub prior_wait: Duration,
     /// Deadline of the response, on the host's clock.
     pub deadline: Duration,
-    /// Total time for which the host had been suspended when the request was read.
-    pub suspended_before: Duration,
     /// Its priority class, if model engines run it whose requests have different priorities.
     pub priority_class: Option<PriorityClass>,
     /// How it held back for more urgent requests.
@@ -349,7 +347,6 @@
         held_back: Cell::default(),
         deadline,
         budget,
-        suspended_before: clock.suspended(),
         is_crash_suspect: false,
         is_crash_trial: false,
         bound_software: OnceCell::new(),
--- a/src/relay/request/send_check.rs
+++ b/src/relay/request/send_check.rs
@@ -58,10 +58,6 @@
     })
 }
 
-/// Suspension of the host after which a request's API key is checked again before a send: while suspended, the host
-/// receives no revocations. Shorter suspensions are within the usual time between the check and the send.
-const MIN_SUSPENSION: Duration = Duration::from_millis(200);
-
 /// Checks whether a request may be sent now. Earlier sends of it, or sends of the same request by other hosts, may have
 /// shown since its admission that it crashes its servers.
 pub(super) fn check_send(
@@ -89,17 +85,13 @@
 }
 
 // Checks again what may have changed since admission: past the deadline, a server would compute a response that nobody
-// receives, and during a suspension, which timers do not count, the API key may have been revoked.
+// receives, and while this process stalled, when it received no revocations, the API key may have been revoked.
 fn check_deadline_and_key(parts: &RelayParts, request: &ClientRequest) -> Result<(), Refusal> {
     if request.time_left().is_zero() {
         let text = "its time is over";
         return Err(Refusal::not_run(RefusalCode::DeadlinePassed, text));
     }
-    let suspended = parts
-        .clock
-        .suspended()
-        .saturating_sub(request.suspended_before);
-    if suspended < MIN_SUSPENSION {
+    if !parts.stalls.has_stalled_since(request.received_at) {
         return Ok(());
     }
     parts.identify(&request.route, request.marks.key).map(drop)
