A host out of step does not take the version that it knows for the only one

Streams that had begun at servers of a new version through one host went on at the earlier version when they were taken up at a host that was cut off from the others and the store, within 1.5 s of the cut: 4 of 6 new tests fail before (engines, plain servers, cut one way, two hosts together), all 12 streams each.

Cause: where hosts that were asked did not answer, a list younger than 1.5 s counted as proof that there is one version. Age shows when the list was last confirmed, not what was listed since; the hosts that are silent may have begun the stream at a version that nobody here has heard of.

With a silent host, or nobody to ask, the store has to confirm the list by a call that began after the request arrived: one call for all requests that wait, at most one in 50 ms, none while the store is known to be lost. Without it within 0.25 s the caller is told at once that the version is unknown.

--- a/src/relay/news/feed.rs
+++ b/src/relay/news/feed.rs
@@ -1,7 +1,10 @@
 //! Keeps the local view of the cluster up to date from the store while this host is one of its readers.
 
 use {
-    super::{reachability::StoreReachability, store_log::LoggedPositions},
+    super::{
+        reachability::StoreReachability, store_log::LoggedPositions,
+        watch_time::CONFIRMING_WATCH_TIME,
+    },
     crate::{
         event,
         relay::{
@@ -28,6 +31,9 @@
 /// store within a fraction of a second.
 const HOSTS_INITIAL_DELAY: Duration = Duration::from_millis(1_000);
 
+/// Pause between two calls that have the store confirm the list of servers. One serves all requests that wait for it.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How often expired entries are removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -79,6 +85,7 @@
             );
         }
         critical_task::spawn_critical("entry expiry", reader.clone().run_expiry());
+        critical_task::spawn_critical("list confirmation", reader.clone().run_confirmations());
         reader
     }
 
@@ -390,6 +397,27 @@
         }
     }
 
+    // Has the store confirm the list of servers when requests need it, whichever host this one follows.
+    async fn run_confirmations(self: Rc<Self>) {
+        loop {
+            self.parts.refresh.confirmation_wanted().await;
+            let known = self.known_position(StoreKind::Backends);
+            if known.is_known() {
+                let sent_at = self.parts.now();
+                self.parts.metrics.store_called(StoreCause::Watch, 1);
+                let watch = (self.store.watch)(StoreKind::Backends, known, CONFIRMING_WATCH_TIME);
+                match watch.await {
+                    Ok(changes) => {
+                        self.apply_changes(StoreKind::Backends, changes);
+                        self.parts.record_confirmation(sent_at);
+                    }
+                    Err(failure) => log::debug!("the list of servers is not confirmed: {failure}"),
+                }
+            }
+            tokio::time::sleep(CONFIRMATION_INTERVAL).await;
+        }
+    }
+
     async fn run_expiry(self: Rc<Self>) {
         loop {
             tokio::time::sleep(EXPIRY_INTERVAL).await;
--- a/src/relay/news/origins.rs
+++ b/src/relay/news/origins.rs
@@ -160,7 +160,7 @@
         let mut asking: FuturesUnordered<_> = asking.collect();
         let mut answers = OriginAnswers::default();
         // The hosts that may know it are not known themselves.
-        if !self.parts.cluster.borrow().hosts_position().is_known() {
+        if asking.is_empty() || !self.parts.cluster.borrow().hosts_position().is_known() {
             answers.silent += 1;
         }
         while let Some((name, answer)) = asking.next().await {
--- a/src/relay/news/watch_time.rs
+++ b/src/relay/news/watch_time.rs
@@ -20,7 +20,7 @@
 /// Timeout of the watch after a list that may be stale, or after a period without reading: it only has to return the
 /// missing changes. A host that probes an unresponsive store in its turn is useful to the others only once that watch
 /// has returned, which is 0.9 s earlier than with the usual timeout.
-const CONFIRMING_WATCH_TIME: Duration = Duration::from_millis(1);
+pub(super) const CONFIRMING_WATCH_TIME: Duration = Duration::from_millis(1);
 
 impl StoreReader {
     /// How long the next watch on a kind waits for changes.
--- a/src/relay/parts/refresh.rs
+++ b/src/relay/parts/refresh.rs
@@ -1,4 +1,5 @@
-//! Holds requests back after a stall of this process until the host has heard what changed meanwhile.
+//! Whether this host's view is current enough to decide by it: after a stall of the process, and for requests that need
+//! the list of servers as of their own time.
 
 use {
     super::shared::RelayParts,
@@ -11,6 +12,9 @@
 /// goes on with what it knows.
 const REFRESH_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Longest wait for the store to confirm the list of servers; it answers within some milliseconds.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// When the exchanges began that last brought each kind up to date.
 #[derive(Debug, Default)]
 pub struct ViewRefresh {
@@ -19,7 +23,10 @@
     config: Cell<Duration>,
     backends: Cell<Duration>,
     evacuations: Cell<Duration>,
+    // When the call began with which the store itself last confirmed the list of servers.
+    confirmed: Cell<Duration>,
     advanced: Notify,
+    confirmation_wanted: Notify,
 }
 
 impl ViewRefresh {
@@ -28,6 +35,11 @@
         self.is_exchanging.set(true);
     }
 
+    /// Waits until a request needs the store to confirm the list of servers.
+    pub async fn confirmation_wanted(&self) {
+        self.confirmation_wanted.notified().await;
+    }
+
     fn time(&self, kind: StoreKind) -> Option<&Cell<Duration>> {
         match kind {
             StoreKind::Config => Some(&self.config),
@@ -98,4 +110,32 @@
             .filter_map(|kind| self.refresh.time(kind));
         times.all(|time| time.get() >= stall.ended)
     }
+
+    /// Records that the store has confirmed the list of servers in answer to a call that began at `began`.
+    pub fn record_confirmation(&self, began: Duration) {
+        let confirmed = &self.refresh.confirmed;
+        confirmed.set(confirmed.get().max(began));
+        self.refresh.advanced.notify_waiters();
+    }
+
+    /// Has the store confirm the list of servers as of `since` or later. Returns whether it did in time.
+    pub async fn confirm_backends(&self, since: Duration) -> bool {
+        if self.cluster.borrow().is_store_lost() {
+            return self.refresh.confirmed.get() >= since;
+        }
+        let confirming = async {
+            loop {
+                let advanced = self.refresh.advanced.notified();
+                tokio::pin!(advanced);
+                advanced.as_mut().enable();
+                if self.refresh.confirmed.get() >= since {
+                    return;
+                }
+                self.refresh.confirmation_wanted.notify_one();
+                advanced.await;
+            }
+        };
+        let confirmed = tokio::time::timeout(CONFIRM_TIMEOUT, confirming).await;
+        confirmed.is_ok()
+    }
 }
--- a/src/relay/policy/software_history.rs
+++ b/src/relay/policy/software_history.rs
@@ -71,8 +71,8 @@
 pub struct SoftwareEvidence {
     /// What this host has seen.
     pub own: SeenSoftware,
-    /// Whether its list of servers is recent.
-    pub is_recent: bool,
+    /// Whether the store has confirmed its list of servers since the request arrived.
+    pub is_confirmed: bool,
     /// What the hosts that answered have seen.
     pub others: SeenSoftware,
     /// Number of hosts that did not answer.
@@ -84,8 +84,9 @@
 impl SoftwareEvidence {
     /// The only version that servers of the service had lately; `None` if there were several, or may have been.
     pub fn only_version(self) -> Option<SoftwareVersion> {
-        // Hosts that are cut off together may not have heard of others. While no host reaches the store, all answer.
-        if !self.is_recent && self.silent > 0 {
+        // A host that is silent may have begun the stream at a version that nobody here has heard of, however recent the
+        // lists are. While no host reaches the store, all answer.
+        if !self.is_confirmed && self.silent > 0 {
             return None;
         }
         let mut seen = self.own;
--- a/src/relay/request/take_up.rs
+++ b/src/relay/request/take_up.rs
@@ -34,9 +34,6 @@
 /// Pause before they are asked again.
 const ASK_AGAIN_DELAY: Duration = Duration::from_millis(150);
 
-/// Age of a host's view from which a new version may be listed that it does not know.
-const MAX_VIEW_AGE: Duration = Duration::from_millis(1_500);
-
 /// How long a caller may still come back after its time is over: the time is that of its request's arrival here.
 const COME_BACK_MARGIN: Duration = Duration::from_secs(2);
 
@@ -134,7 +131,8 @@
         };
         let has_started_lately = parts.seen_software(service).seen_for < START_TIME;
         let knows_kept = !has_started_lately || parts.has_asked_store();
-        let only = software_evidence(parts, service, &answers).only_version();
+        let is_confirmed = answers.silent > 0 && parts.confirm_backends(request.received_at).await;
+        let only = software_evidence(parts, service, &answers, is_confirmed).only_version();
         if let Some(software) = only.filter(|_| knows_kept) {
             let origin = ServerSoftware {
                 service: service.clone(),
@@ -174,11 +172,11 @@
     parts: &RelayParts,
     service: &str,
     answers: &OriginAnswers,
+    is_confirmed: bool,
 ) -> SoftwareEvidence {
-    let age = parts.cluster.borrow().age(parts.now());
     SoftwareEvidence {
         own: parts.seen_software(service),
-        is_recent: age.is_some_and(|age| age < MAX_VIEW_AGE),
+        is_confirmed,
         others: answers.seen.clone(),
         silent: answers.silent,
         kept: parts.kept_software(service),
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -194,7 +194,7 @@
         }
         let mut evidence = SoftwareEvidence {
             own: own.history.seen(&SERVICE, self.now),
-            is_recent: !self.is_cut(host),
+            is_confirmed: !self.is_cut(host),
             kept: Some(SeenSoftware {
                 versions: own.kept.clone(),
                 seen_for: Duration::ZERO,
