A host that stood still passes no requests of others on to servers that left

What came while the process stalled is passed on only after the view was refreshed, and only to a server that still takes requests; else both connections are reset. Orders to engines do not wait for the refresh outside their time limit, by which their lease is measured.

--- a/src/relay/carry/service.rs
+++ b/src/relay/carry/service.rs
@@ -23,7 +23,7 @@
     std::{
         cell::Cell,
         convert::Infallible,
-        fmt,
+        fmt, io,
         net::SocketAddr,
         rc::Rc,
         time::{Duration, Instant},
@@ -283,8 +283,14 @@
             }
         };
         let started = Instant::now();
-        let bytes = splice::splice(asking, server).await;
-        let metrics = &self.0.parts.metrics.links;
+        let parts = &self.0.parts;
+        let passed_at = Cell::new(parts.now());
+        let check = async || {
+            let since = passed_at.replace(parts.now());
+            check_carried(parts, &backend, since).await
+        };
+        let bytes = splice::splice(asking, server, check).await;
+        let metrics = &parts.metrics.links;
         metrics.carried_bytes.inc_by(bytes.sent + bytes.received);
         event::emit(
             &event::CONNECTION_CARRIED,
@@ -299,6 +305,25 @@
     }
 }
 
+// The asking host has checked that the server takes its request; what came while this process stalled is no longer checked.
+async fn check_carried(
+    parts: &RelayParts,
+    backend: &BackendInfo,
+    since: Duration,
+) -> io::Result<()> {
+    if !parts.stalls.has_stalled_since(since) {
+        return Ok(());
+    }
+    parts.refreshed().await;
+    match parts.may_send(backend, None) {
+        true => Ok(()),
+        false => Err(io::Error::other(format!(
+            "{} takes no new requests",
+            backend.id
+        ))),
+    }
+}
+
 fn respond(status: StatusCode) -> CarrierResponse {
     let mut response = Response::new(Empty::new());
     *response.status_mut() = status;
--- a/src/relay/carry/splice.rs
+++ b/src/relay/carry/splice.rs
@@ -44,8 +44,13 @@
 
 /// Passes bytes on both ways until either end closes, and then closes the other one in the same manner: how a connection
 /// ends tells whether a response without a length is complete. Both are reset unless one of them ended in an orderly way, also
-/// when this process is killed.
-pub(super) async fn splice(mut asking: TcpStream, mut server: TcpStream) -> SplicedBytes {
+/// when this process is killed. `check` is called before bytes of the asking host are passed on; both connections end if it
+/// fails.
+pub(super) async fn splice(
+    mut asking: TcpStream,
+    mut server: TcpStream,
+    check: impl AsyncFn() -> io::Result<()>,
+) -> SplicedBytes {
     let mut bytes = SplicedBytes::default();
     set_reset_on_close(&asking, true);
     set_reset_on_close(&server, true);
@@ -54,8 +59,8 @@
         let (mut server_in, mut server_out) = server.split();
         tokio::select! {
             // Nobody waits for the rest of the answer.
-            result = copy(&mut asking_in, &mut server_out, &mut bytes.sent) => result,
-            result = copy(&mut server_in, &mut asking_out, &mut bytes.received) => result,
+            result = copy(&mut asking_in, &mut server_out, &mut bytes.sent, check) => result,
+            result = copy(&mut server_in, &mut asking_out, &mut bytes.received, async || Ok(())) => result,
         }
     };
     match result {
@@ -82,13 +87,19 @@
     }
 }
 
-async fn copy(from: &mut ReadHalf<'_>, to: &mut WriteHalf<'_>, count: &mut u64) -> io::Result<()> {
+async fn copy(
+    from: &mut ReadHalf<'_>,
+    to: &mut WriteHalf<'_>,
+    count: &mut u64,
+    check: impl AsyncFn() -> io::Result<()>,
+) -> io::Result<()> {
     let mut buffer = [0; BUFFER_BYTES];
     loop {
         let read = from.read(&mut buffer).await?;
         if read == 0 {
             return Ok(());
         }
+        check().await?;
         to.write_all(&buffer[..read]).await?;
         *count += read as u64;
     }
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -260,8 +260,8 @@
         call: BackendCall,
         timeout: Duration,
     ) -> Result<(StatusCode, Bytes), SendFailure> {
-        // Outside the timeout, which is the server's.
-        if call.purpose != PoolUse::Free {
+        // Outside the timeout, which is the server's. Orders are due within it.
+        if !matches!(call.purpose, PoolUse::Free | PoolUse::Order) {
             self.refreshed().await;
         }
         let sending = async {
