--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -39,6 +39,8 @@
     Refused(String),
     /// Nothing was sent.
     Unreachable(String),
+    /// The answer has more than this number of bytes.
+    TooLarge(usize),
     /// A write may or may not have taken effect, or a read brought nothing.
     Unknown(String),
 }
@@ -47,7 +49,11 @@
     /// Whether the store answered at all, be it that the call failed.
     pub fn is_answer(&self) -> bool {
         match self {
-            Self::Conflict(_) | Self::NotFound | Self::Gone | Self::Refused(_) => true,
+            Self::Conflict(_)
+            | Self::NotFound
+            | Self::Gone
+            | Self::Refused(_)
+            | Self::TooLarge(_) => true,
             Self::Unreachable(_) | Self::Unknown(_) => false,
         }
     }
@@ -60,6 +66,7 @@
             Self::NotFound => f.write_str("not found"),
             Self::Gone => f.write_str("the watch fell behind"),
             Self::Refused(text) => write!(f, "refused: {text}"),
+            Self::TooLarge(limit) => write!(f, "the answer has more than {limit} bytes"),
             Self::Unreachable(text) => write!(f, "unreachable: {text}"),
             Self::Unknown(text) => write!(f, "unanswered: {text}"),
         }
--- a/src/web/pooled_body.rs
+++ b/src/web/pooled_body.rs
@@ -8,12 +8,30 @@
     bytes::{Bytes, BytesMut},
     http_body_util::BodyExt,
     hyper::body::Incoming,
-    std::{rc::Rc, time::Duration},
+    std::{fmt, rc::Rc, time::Duration},
 };
 
 /// Longest wait for the rest of a body that nobody needs.
 const DISCARD_TIME: Duration = Duration::from_millis(50);
 
+/// Why a body was not read to its end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AnswerFailure {
+    /// It has more bytes than this.
+    TooLarge(usize),
+    /// Its connection failed or fell silent.
+    Broken(String),
+}
+
+impl fmt::Display for AnswerFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TooLarge(limit) => write!(f, "the answer has more than {limit} bytes"),
+            Self::Broken(detail) => f.write_str(detail),
+        }
+    }
+}
+
 /// The body of an answer; the connection goes back to the pool once it was read to its end.
 pub struct PooledBody {
     content: Incoming,
@@ -93,7 +111,8 @@
 
     /// Reads the whole body, of at most `limit` bytes.
     pub async fn read(self, limit: usize) -> Result<Bytes, String> {
-        self.read_unless_silent(limit, Duration::MAX).await
+        let read = self.read_unless_silent(limit, Duration::MAX).await;
+        read.map_err(|failure| failure.to_string())
     }
 
     /// The same, as long as some of it comes within each `silence`.
@@ -101,15 +120,16 @@
         mut self,
         limit: usize,
         silence: Duration,
-    ) -> Result<Bytes, String> {
+    ) -> Result<Bytes, AnswerFailure> {
+        let broken = |detail: String| AnswerFailure::Broken(detail);
         let mut whole = BytesMut::new();
         loop {
             let next = tokio::time::timeout(silence, self.chunk()).await;
-            let next = next.map_err(|_| "the answer falls silent".to_owned())?;
+            let next = next.map_err(|_| broken("the answer falls silent".to_owned()))?;
             let Some(chunk) = next else { break };
-            let chunk = chunk.map_err(|error| error.to_string())?;
+            let chunk = chunk.map_err(|error| broken(error.to_string()))?;
             if whole.len() + chunk.len() > limit {
-                return Err(format!("the answer has more than {limit} bytes"));
+                return Err(AnswerFailure::TooLarge(limit));
             }
             whole.extend_from_slice(&chunk);
         }
