--- a/src/relay/host.rs
+++ b/src/relay/host.rs
@@ -397,6 +397,9 @@
         _ if path != parts.settings.ready_path => page(404, "no such page"),
         _ if parts.gate.is_stopping() => page(503, "stopping"),
         _ if parts.routes().is_none() => page(503, "no configuration yet"),
+        _ if parts.cluster.borrow().backend_update_count() == 0 => {
+            page(503, "no list of backend servers yet")
+        }
         _ if !parts.has_crash_records() => page(503, "not told yet which requests end servers"),
         _ => page(200, "ready"),
     }
