--- a/src/relay/cluster/state.rs
+++ b/src/relay/cluster/state.rs
@@ -66,6 +66,8 @@
     config_proved_at: Option<PastTime>,
     // When the list of backend servers was last read from the store, even if from a lagging replica.
     backends_read_at: Option<Duration>,
+    // When the list of backend servers was read from a replica that may lag, if nothing has confirmed it since.
+    backends_unconfirmed_since: Option<Duration>,
     // The store does not respond to this host, or to the host that it follows.
     store_lost: bool,
 }
@@ -103,6 +105,7 @@
             backends_confirmed_at: None,
             config_proved_at: None,
             backends_read_at: None,
+            backends_unconfirmed_since: None,
             store_lost: false,
         }
     }
@@ -204,6 +207,7 @@
             StoreKind::Config => &mut self.config_confirmed_at,
             StoreKind::Backends => {
                 self.backends.set_unconfirmed(false);
+                self.backends_unconfirmed_since = None;
                 &mut self.backends_confirmed_at
             }
             StoreKind::Hosts => return self.hosts.set_unconfirmed(false),
@@ -300,10 +304,18 @@
         self.backends.set(list, &[], position, had_outage, now)
     }
 
+    /// When the list of backend servers was read from a replica that may lag; none if it was confirmed since.
+    pub fn backends_unconfirmed_since(&self) -> Option<Duration> {
+        self.backends_unconfirmed_since
+    }
+
     /// Marks the list of a kind that was just set as read from a replica that may lag.
-    pub fn mark_unconfirmed(&mut self, kind: StoreKind) {
+    pub fn mark_unconfirmed(&mut self, kind: StoreKind, now: Duration) {
         match kind {
-            StoreKind::Backends => self.backends.set_unconfirmed(true),
+            StoreKind::Backends => {
+                self.backends.set_unconfirmed(true);
+                self.backends_unconfirmed_since = Some(now);
+            }
             StoreKind::Hosts => self.hosts.set_unconfirmed(true),
             StoreKind::Config | StoreKind::Leases | StoreKind::Evacuations | StoreKind::Streams => {
             }
--- a/src/relay/news/feed.rs
+++ b/src/relay/news/feed.rs
@@ -142,7 +142,9 @@
                         self.parts.record_refresh(kind, sent_at);
                     }
                     (ListFreshness::MayLag, true) => {
-                        self.parts.cluster.borrow_mut().mark_unconfirmed(kind)
+                        let now = self.parts.now();
+                        let mut cluster = self.parts.cluster.borrow_mut();
+                        cluster.mark_unconfirmed(kind, now);
                     }
                     // Another host has sent a newer list meanwhile.
                     (_, false) if self.known_position(kind) != known => {}
--- a/src/relay/parts/refresh.rs
+++ b/src/relay/parts/refresh.rs
@@ -1,5 +1,5 @@
-//! Whether this host's view is current enough to decide by it: after a stall of the process, and for requests that need
-//! the list of servers as of their own time.
+//! Whether this host's view is current enough to decide by it: after a stall of the process, with a list that may lag, and
+//! for requests that need the list of servers as of their own time.
 
 use {
     super::shared::RelayParts,
@@ -8,8 +8,8 @@
     tokio::sync::Notify,
 };
 
-/// Longest time after a stall for which requests are held back. A host that reaches neither the store nor another host
-/// goes on with what it knows.
+/// Longest time after a stall, or a list that may lag, for which requests are held back. A host that reaches neither the
+/// store nor another host goes on with what it knows.
 const REFRESH_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Longest wait for the store to confirm the list of servers; it answers within some milliseconds.
@@ -69,12 +69,13 @@
         }
     }
 
-    /// Whether this process has stalled and has not heard since what changed meanwhile.
+    /// Whether this process has stalled and has not heard since what changed meanwhile, or has only read a list of servers
+    /// that may lag.
     pub fn is_outdated(&self) -> bool {
         self.refresh_time_left().is_some()
     }
 
-    /// Waits until this host has heard what changed while its process stalled, or cannot.
+    /// Waits until this host knows what has changed, or cannot.
     pub async fn refreshed(&self) {
         loop {
             let advanced = self.refresh.advanced.notified();
@@ -92,10 +93,12 @@
 
     // How long requests are still held back at most; none if they are not.
     fn refresh_time_left(&self) -> Option<Duration> {
-        let stall = self.stalls.last_stall()?;
-        let left = (stall.ended + REFRESH_TIMEOUT).checked_sub(self.now())?;
-        let is_held = self.refresh.is_exchanging.get() && !self.has_refreshed_since(stall);
-        is_held.then_some(left)
+        let stall = self.stalls.last_stall();
+        let stalled = stall
+            .filter(|stall| self.refresh.is_exchanging.get() && !self.has_refreshed_since(*stall));
+        let unconfirmed = self.cluster.borrow().backends_unconfirmed_since();
+        let since = stalled.map(|stall| stall.ended).max(unconfirmed)?;
+        (since + REFRESH_TIMEOUT).checked_sub(self.now())
     }
 
     fn has_refreshed_since(&self, stall: ProcessStall) -> bool {
