After a stall only what is not refreshed yet is asked for at once

What a review of the mends found: while one kind was refreshed and another one hung, the watches of the first came back each millisecond, up to 0.7 s long.

--- a/src/clock/stall_detector.rs
+++ b/src/clock/stall_detector.rs
@@ -38,8 +38,7 @@
 }
 
 impl StallDetector {
-    /// Starts to watch the process on the current thread, for as long as the detector lives. `on_stall` is called once
-    /// for each stall, before anything else is decided after it.
+    /// Starts to watch the process from the current thread, for as long as the detector lives.
     pub fn start(clock: HostClock) -> Rc<Self> {
         let detector = Rc::new(Self {
             last_run: Cell::new(clock.now()),
--- a/src/relay/news/watch_time.rs
+++ b/src/relay/news/watch_time.rs
@@ -27,7 +27,7 @@
     pub(super) fn watch_wait(&self, kind: StoreKind) -> Duration {
         match kind {
             StoreKind::Hosts => HOSTS_WATCH_TIME,
-            _ if self.parts.is_outdated() => CONFIRMING_WATCH_TIME,
+            _ if self.parts.needs_refresh(kind) => CONFIRMING_WATCH_TIME,
             StoreKind::Backends if self.backends_unconfirmed.get() => CONFIRMING_WATCH_TIME,
             StoreKind::Config if self.config_unconfirmed.get() => CONFIRMING_WATCH_TIME,
             StoreKind::Config => self.config_watch_time(),
--- a/src/relay/parts/refresh.rs
+++ b/src/relay/parts/refresh.rs
@@ -75,9 +75,18 @@
         self.refresh_time_left().is_some()
     }
 
+    /// Whether requests are held back until an exchange brings this kind up to date.
+    pub fn needs_refresh(&self, kind: StoreKind) -> bool {
+        let stall = self.stalls.last_stall();
+        let is_older = |time: &Cell<Duration>| stall.is_some_and(|stall| time.get() < stall.ended);
+        let unconfirmed = self.cluster.borrow().backends_unconfirmed_since();
+        let is_unconfirmed = kind == StoreKind::Backends && unconfirmed.is_some();
+        self.is_outdated() && (is_unconfirmed || self.refresh.time(kind).is_some_and(is_older))
+    }
+
     /// Waits until this host knows what has changed, or cannot.
     pub async fn refreshed(&self) {
-        loop {
+        while self.is_outdated() {
             let advanced = self.refresh.advanced.notified();
             tokio::pin!(advanced);
             advanced.as_mut().enable();
