A broken connection is known before the probe that follows it has ended

Of a server whose connection broke, and at whose address another run answered within the probe, the end was never known: the break was recorded after the probe.

--- a/src/relay/parts/ends.rs
+++ b/src/relay/parts/ends.rs
@@ -49,15 +49,16 @@
     /// Connections also break because of a reset, a network partition or a corrupt response. An address that refuses
     /// connections, also those of another host, shows that the server has ended.
     pub async fn has_ended(&self, backend: &BackendInfo) -> bool {
-        if self.probe_once(backend).await == ProbeOutcome::Refused {
-            self.record_run_end(backend);
-            return true;
-        }
         let now = self.now();
         let ended = &self.end_probes.ended;
+        // Before the probe, during which another run may answer at the address.
         ended
             .borrow_mut()
             .record_break(backend.key(), backend.address, now);
+        if self.probe_once(backend).await == ProbeOutcome::Refused {
+            self.record_run_end(backend);
+            return true;
+        }
         for delay in RESTART_CHECK_DELAYS {
             tokio::time::sleep(delay).await;
             if self.book.borrow().has_restarted(backend) {
