--- a/src/relay/news/feed.rs
+++ b/src/relay/news/feed.rs
@@ -264,6 +264,8 @@
         let has_changed = self.parts.cluster.borrow().backend_update_count() != changes_before;
         match kind {
             StoreKind::Hosts => HOSTS_BATCH_DELAY,
+            // Requests wait for it.
+            StoreKind::Backends if self.backends_unconfirmed.get() => Duration::ZERO,
             StoreKind::Backends if has_changed => BACKENDS_BATCH_DELAY,
             _ => Duration::ZERO,
         }
