Event host-refreshed: what is current again after a stall, from where and when

The log says that the host stalled, that requests were let on 156 ms later, and that its list changed 10 ms after that. It does not say what ended their wait. Change: each kind that is current again after a stall is logged once, with its source and the position of the list.

--- a/src/relay/news/feed.rs
+++ b/src/relay/news/feed.rs
@@ -139,7 +139,7 @@
                 match (age, is_applied) {
                     (ListFreshness::Latest, true) => {
                         self.record_proof(kind, sent_at);
-                        self.parts.record_refresh(kind, sent_at);
+                        self.parts.record_refresh(kind, sent_at, "store");
                     }
                     (ListFreshness::MayLag, true) => {
                         let now = self.parts.now();
@@ -336,7 +336,7 @@
         };
         self.apply_changes(kind, changes);
         self.record_proof(kind, sent_at);
-        self.parts.record_refresh(kind, sent_at);
+        self.parts.record_refresh(kind, sent_at, "store");
         match kind {
             StoreKind::Config => self.config_unconfirmed.set(false),
             StoreKind::Backends => self.backends_unconfirmed.set(false),
--- a/src/relay/news/take.rs
+++ b/src/relay/news/take.rs
@@ -28,7 +28,8 @@
             return;
         }
         if self.is_refreshing(&news, confirmed) {
-            self.parts.record_refresh(StoreKind::Config, sent_at);
+            self.parts
+                .record_refresh(StoreKind::Config, sent_at, "host");
         }
         let mut cluster = self.parts.cluster.borrow_mut();
         cluster.config.advance(news.config_position);
@@ -116,8 +117,10 @@
         }
         self.parts.apply_evacuation_news(news.evacuations.clone());
         if is_refreshed {
-            self.parts.record_refresh(StoreKind::Backends, sent_at);
-            self.parts.record_refresh(StoreKind::Evacuations, sent_at);
+            self.parts
+                .record_refresh(StoreKind::Backends, sent_at, "host");
+            self.parts
+                .record_refresh(StoreKind::Evacuations, sent_at, "host");
         }
         self.parts.log_reread();
         is_complete
--- a/src/relay/parts/refresh.rs
+++ b/src/relay/parts/refresh.rs
@@ -3,7 +3,7 @@
 
 use {
     super::shared::RelayParts,
-    crate::{clock::ProcessStall, relay::link::StoreKind},
+    crate::{clock::ProcessStall, event, relay::link::StoreKind},
     std::{cell::Cell, time::Duration},
     tokio::sync::Notify,
 };
@@ -59,16 +59,37 @@
         }
     }
 
-    /// Records that an exchange which began at `began` has brought a kind up to date.
-    pub fn record_refresh(&self, kind: StoreKind, began: Duration) {
-        if let Some(time) = self.refresh.time(kind)
-            && began > time.get()
-        {
-            time.set(began);
-            self.refresh.advanced.notify_waiters();
+    /// Records that an exchange with `source` which began at `began` has brought a kind up to date.
+    pub fn record_refresh(&self, kind: StoreKind, began: Duration, source: &str) {
+        let Some(time) = self.refresh.time(kind) else {
+            return;
+        };
+        if began <= time.get() {
+            return;
+        }
+        let stall = self.stalls.last_stall();
+        let awaited = stall.filter(|stall| time.get() < stall.ended && began >= stall.ended);
+        time.set(began);
+        self.refresh.advanced.notify_waiters();
+        if let Some(stall) = awaited {
+            self.log_refresh(kind, source, stall);
         }
     }
 
+    fn log_refresh(&self, kind: StoreKind, source: &str, stall: ProcessStall) {
+        let position = self.cluster.borrow().backends_position();
+        let after = self.now().saturating_sub(stall.ended);
+        event::emit(
+            &event::HOST_REFRESHED,
+            &[
+                ("kind", &format!("{kind:?}")),
+                ("source", &source),
+                ("after_ms", &after.as_millis()),
+                ("position", &position),
+            ],
+        );
+    }
+
     /// Whether this process has stalled and has not heard since what changed meanwhile, or has only read a list of servers
     /// that may lag.
     pub fn is_outdated(&self) -> bool {
