A host that stood still does not take that for an outage of the store

What callers saw: after a host had stood still for two heartbeats or longer, it went on sending to servers whose entries had gone meanwhile, for up to 1.7 s; and it told other hosts of an outage that there was not. Cause: ClusterState::detect_outage asks how long nobody could refresh the list. The process had not tried: the age of what it knows counts the time in which it stood still. Change: the time without the store counts from the end of the last stall at the earliest; each update of the servers is applied to a state that knows of stalls. A real outage that lasts beyond the stall is still found, by this host or as others tell it.

--- a/src/relay/cluster/state.rs
+++ b/src/relay/cluster/state.rs
@@ -58,6 +58,8 @@
     min_outage: Duration,
     // When the last outage of at least that length ended, as observed by this host or reported by another.
     last_outage_end: Option<Duration>,
+    // When this process last ran again after it had stood still.
+    last_stall_end: Option<Duration>,
     // The latest time at which the latest known version of the configuration and the list of backend servers are known
     // to have been up to date.
     config_confirmed_at: Option<PastTime>,
@@ -101,6 +103,7 @@
             rewrite_time: heartbeat,
             min_outage: heartbeat.saturating_mul(HEARTBEATS_TO_EXPIRY),
             last_outage_end: None,
+            last_stall_end: None,
             config_confirmed_at: None,
             backends_confirmed_at: None,
             config_proved_at: None,
@@ -275,11 +278,20 @@
         self.last_outage_end.map(|ended| now.saturating_sub(ended))
     }
 
-    // A list that arrives after nobody could refresh it for the minimum outage time marks the end of an outage.
+    /// Records that this process ran again at this time after it had stood still.
+    pub fn record_stall(&mut self, ended: Duration) {
+        self.last_stall_end = self.last_stall_end.max(Some(ended));
+    }
+
+    // A list that arrives after nobody could refresh it for the minimum outage time marks the end of an outage. While the
+    // process stood still it did not try.
     fn detect_outage(&mut self, now: Duration) {
         let read = self.backends_read_at.map(PastTime::at);
-        let known = self.backends_confirmed_at.max(read);
-        if known.is_some_and(|at| at.age(now) >= self.min_outage) {
+        let Some(known) = self.backends_confirmed_at.max(read) else {
+            return;
+        };
+        let tried_since = known.max(self.last_stall_end.map_or(known, PastTime::at));
+        if tried_since.age(now) >= self.min_outage {
             self.record_outage(now);
         }
     }
--- a/src/relay/news/store_updates.rs
+++ b/src/relay/news/store_updates.rs
@@ -50,7 +50,7 @@
             }
             StoreKind::Backends => {
                 let backends = items.into_iter().filter_map(into_backend).collect();
-                let mut cluster = self.parts.cluster.borrow_mut();
+                let mut cluster = self.parts.cluster_to_update();
                 let is_applied = cluster.set_backends(backends, position, now);
                 cluster.record_backends_read(now);
                 drop(cluster);
@@ -95,7 +95,7 @@
                 self.parts.cluster.borrow_mut().config.advance(position);
             }
             StoreKind::Backends => {
-                let mut cluster = self.parts.cluster.borrow_mut();
+                let mut cluster = self.parts.cluster_to_update();
                 cluster.change_backends(changes, position, now);
                 drop(cluster);
                 if has_changes {
--- a/src/relay/news/take.rs
+++ b/src/relay/news/take.rs
@@ -91,7 +91,7 @@
         sent_at: Duration,
     ) -> bool {
         let now = self.parts.now();
-        let mut cluster = self.parts.cluster.borrow_mut();
+        let mut cluster = self.parts.cluster_to_update();
         if let Some(age) = news.outage {
             cluster.record_outage(now.saturating_sub(age));
         }
--- a/src/relay/parts/publish.rs
+++ b/src/relay/parts/publish.rs
@@ -5,19 +5,29 @@
     crate::{
         event,
         relay::{
+            cluster::state::ClusterState,
             config::RelayConfig,
             pieces::PieceError,
             policy::{changes::BackendChanges, subset},
         },
     },
     faststr::FastStr,
-    std::time::Duration,
+    std::{cell::RefMut, time::Duration},
 };
 
 /// Maximum number of names in a log line.
 const LOGGED_NAMES_MAX: usize = 8;
 
 impl RelayParts {
+    /// The cluster state, to apply updates of the backend servers to it: it knows by then whether this process stood still.
+    pub fn cluster_to_update(&self) -> RefMut<'_, ClusterState> {
+        let mut cluster = self.cluster.borrow_mut();
+        if let Some(stall) = self.stalls.last_stall() {
+            cluster.record_stall(stall.ended);
+        }
+        cluster
+    }
+
     /// Activates a configuration from the store or another host if it is newer than the current one.
     pub fn offer_config(&self, config: RelayConfig, from: &str) {
         let cold_rates = self.cold_rates();
