An outage of the store is dated by when it was told, not by when that was read

An answer that lay in the socket while this host stood still made the outage as much younger, and servers whose entries went counted as lapsed. Change: ClusterNews::outage_ended counts from the time of the request and how long the teller held it, as the other ages of an answer do. Measured: its test computes 7.2 s for an answer to a request of 8 s, however late it is read; before, the time of reading stood in its place (read from code, no play of processes showed it). Also here: the state machine's own test that a stall is no outage while two heartbeats without the store after a stall are.

--- a/src/relay/news/message.rs
+++ b/src/relay/news/message.rs
@@ -149,6 +149,13 @@
         Some(PastTime::at(sent_at + self.held).before(self.proof?))
     }
 
+    /// When the outage of the store ended that the sender tells of, on the clock of a requester that sent its request at
+    /// `sent_at`, however late it reads the answer; none if there was none.
+    pub fn outage_ended(&self, sent_at: Duration) -> Option<Duration> {
+        let ended_before = self.outage?;
+        Some((sent_at + self.held).saturating_sub(ended_before))
+    }
+
     /// Whether this contains anything that the requester lacks.
     pub fn has_more_than(&self, held: &HeldNews) -> bool {
         let kinds = [&self.backends, &self.hosts];
--- a/src/relay/news/take.rs
+++ b/src/relay/news/take.rs
@@ -92,8 +92,8 @@
     ) -> bool {
         let now = self.parts.now();
         let mut cluster = self.parts.cluster_to_update();
-        if let Some(age) = news.outage {
-            cluster.record_outage(now.saturating_sub(age));
+        if let Some(ended) = news.outage_ended(sent_at) {
+            cluster.record_outage(ended);
         }
         let before = cluster.backend_update_count();
         let is_complete = cluster.apply_backend_news(news.backends.clone(), now);
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -8,10 +8,10 @@
         engine::EngineRole,
         operation::{Refusal, RefusalCode, RunVerdict},
         relay::{
-            self, AllowedServers, BackendFailure, BackendRegistry, CallerLimits, ClusterState,
-            EventScanner, EventSplitter, QueueKey, RelayConfig, RelayRoute, RelayService,
-            RequestKind, RouteTable, ServiceShare, StoreChange, StoreItem, StoreKind, StoreValue,
-            WaitQueue,
+            self, AllowedServers, BackendFailure, BackendRegistry, CallerLimits, ClusterNews,
+            ClusterState, EventScanner, EventSplitter, QueueKey, RelayConfig, RelayRoute,
+            RelayService, RequestKind, RouteTable, ServiceShare, StoreChange, StoreItem, StoreKind,
+            StoreValue, WaitQueue,
         },
         store::StorePosition,
     },
@@ -175,6 +175,39 @@
     }
 }
 
+// How many servers are used after the entry of the only one went while the process stood still until `ended`; the removal is
+// read at `now`.
+fn used_after_stall(ended: u64, now: u64) -> usize {
+    let mut cluster = ClusterState::new(millis(1_200));
+    cluster.change_backends(vec![listed("w-1", 2)], at(2), millis(0));
+    cluster.confirm(StoreKind::Backends, millis(0));
+    cluster.record_stall(millis(ended));
+    let gone = vec![StoreChange::Removed("w-1".into())];
+    cluster.change_backends(gone, at(3), millis(now));
+    cluster.usable().len()
+}
+
+#[test]
+fn the_time_in_which_a_process_stood_still_is_no_store_outage() {
+    assert_eq!(used_after_stall(3_000, 3_020), 0);
+    assert_eq!(used_after_stall(3_000, 5_300), 0);
+    assert_eq!(used_after_stall(60_000, 60_020), 0);
+    // It tried to read the store for two heartbeats after the stall.
+    assert_eq!(used_after_stall(3_000, 5_500), 1);
+    assert_eq!(used_after_stall(100, 2_600), 1);
+}
+
+#[test]
+fn an_outage_is_as_long_ago_as_its_teller_knew_however_late_the_answer_is_read() {
+    let news = ClusterNews {
+        outage: Some(millis(1_000)),
+        held: millis(200),
+        ..ClusterNews::default()
+    };
+    assert_eq!(news.outage_ended(millis(8_000)), Some(millis(7_200)));
+    assert_eq!(ClusterNews::default().outage_ended(millis(8_000)), None);
+}
+
 #[test]
 fn an_older_list_does_not_restore_a_removed_server() {
     let mut cluster = ClusterState::default();
