Nothing is sent by a permit or a place from before the process stood still

What servers saw: requests between their choice and their send when a host stands still reached rate-limited servers with permits that were granted for seconds gone by, and contended servers with places whose leases had ended, in addition to what is granted now. Change: a send rests on SendBasis, the times at which memory was reserved and its permit or place asked for. If the process has stood still since the latter, and the server is rate-limited or contended now, the request is not sent, and asks anew, at the same server too. A withheld plain request no longer counts its server as tried.

--- a/src/relay/parts/availability.rs
+++ b/src/relay/parts/availability.rs
@@ -9,6 +9,7 @@
             backend::BackendInfo,
             policy::{
                 availability::ServerAvailability,
+                limit_tracker::PermitState,
                 rotation::RotationWait,
                 server_signals::{BackoffSignal, LeavingSignal, ServerSignals},
             },
@@ -41,6 +42,15 @@
 /// Highest rank that adds to the retry delay; less urgent callers get the same delay.
 const DELAYED_RANKS_MAX: u8 = 4;
 
+/// What a send rests on that may lapse before a connection is available.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SendBasis {
+    /// When memory was reserved at the server for the request, if it was.
+    pub reserved_at: Option<Duration>,
+    /// When the request got its permit or place at the server, or needed none; none for calls that need neither.
+    pub admitted_at: Option<Duration>,
+}
+
 impl RelayParts {
     /// Applies the server state that a response reports. `sent` is when the request was sent.
     pub fn apply_server_marks(
@@ -60,29 +70,42 @@
         book.may_send(backend, admitted, self.now())
     }
 
-    /// Sends a request to a server, unless the server stops accepting new requests before a connection is available. Its
-    /// answer names it by `answer_id`, if there is one.
+    /// Sends a request to a server, unless the server stops accepting new requests before a connection is available, or the
+    /// basis of the send lapses. Its answer names it by `answer_id`, if there is one.
     pub async fn send_to(
         &self,
         backend: &BackendInfo,
         purpose: PoolUse,
         answer_id: Option<AnswerId>,
         request: Request<Full<Bytes>>,
-        admitted: Option<Duration>,
+        basis: SendBasis,
     ) -> Result<PooledAnswer, SendFailure> {
         let check = async || {
             self.refreshed().await;
-            if self.may_send(backend, admitted) {
-                return Ok(());
-            }
+            let detail = match self.may_send(backend, basis.reserved_at) {
+                true if !self.has_lapsed(backend, basis) => return Ok(()),
+                true => format!("what {} grants has lapsed", backend.id),
+                false => format!("{} takes no new requests", backend.id),
+            };
             self.metrics.withheld_sends.inc();
-            let detail = format!("{} takes no new requests", backend.id);
             Err(SendFailure::withheld(detail))
         };
         let target = self.pool_target(backend, purpose, answer_id);
         self.send_over_link(backend, target, request, check).await
     }
 
+    // Whether the server grants permits or places, and this process has stood still since the request got its own: those who
+    // allocate them have passed it on.
+    fn has_lapsed(&self, backend: &BackendInfo, basis: SendBasis) -> bool {
+        let (server, now) = (backend.key(), self.now());
+        let has_stalled = |at| self.stalls.has_stalled_since(at);
+        let is_limited = || {
+            let state = self.book.borrow().limits.permit(server, 0, now);
+            state != PermitState::Unlimited || self.places.is_contended(server, now)
+        };
+        basis.admitted_at.is_some_and(has_stalled) && is_limited()
+    }
+
     fn note_availability(&self, backend: &BackendInfo, marks: &ServerSignals) {
         let is_unreadable =
             marks.leaving == LeavingSignal::Invalid || marks.backoff == BackoffSignal::Invalid;
--- a/src/relay/parts/permits.rs
+++ b/src/relay/parts/permits.rs
@@ -84,6 +84,7 @@
     parts: Rc<RelayParts>,
     // `None` if the server is not rate-limited or the permit is used.
     server: Option<EngineKey>,
+    asked_at: Duration,
 }
 
 impl ServerPermit {
@@ -92,9 +93,10 @@
         self.server.is_none()
     }
 
-    /// Marks the permit as used: its request was sent.
-    pub fn consume(mut self) {
+    /// Marks the permit as used: its request is sent. Returns when it was asked for.
+    pub fn consume(mut self) -> Duration {
         self.server = None;
+        self.asked_at
     }
 }
 
@@ -119,20 +121,20 @@
         backend: &BackendInfo,
         rank: u8,
     ) -> Result<ServerPermit, PermitWait> {
-        let server = backend.key();
+        let (server, asked_at) = (backend.key(), self.now());
         // Requests permits only once: another request of this host may use up what is granted.
         for has_requested in [false, true] {
             let now = self.now();
             let state = self.book.borrow().limits.permit(server, rank, now);
             match state {
-                PermitState::Unlimited => return Ok(self.issue_permit(None)),
+                PermitState::Unlimited => return Ok(self.issue_permit(None, asked_at)),
                 PermitState::Held => {
                     let is_used = self.book.borrow_mut().limits.use_permit(server, now);
                     assert!(
                         is_used,
                         "a request to a rate-limited server has a permit there"
                     );
-                    return Ok(self.issue_permit(Some(server)));
+                    return Ok(self.issue_permit(Some(server), asked_at));
                 }
                 PermitState::Denied(time) => return Err(PermitWait { server, time }),
                 PermitState::MustRequest if has_requested => break,
@@ -143,10 +145,15 @@
         Err(PermitWait { server, time })
     }
 
-    fn issue_permit(self: &Rc<Self>, server: Option<EngineKey>) -> ServerPermit {
+    fn issue_permit(
+        self: &Rc<Self>,
+        server: Option<EngineKey>,
+        asked_at: Duration,
+    ) -> ServerPermit {
         ServerPermit {
             parts: self.clone(),
             server,
+            asked_at,
         }
     }
 
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         accounts::AccountGate,
+        availability::SendBasis,
         crashes::CrashRecords,
         ends::EndProbes,
         kept_streams::KeptStreams,
@@ -308,7 +309,10 @@
         let answer = match purpose {
             // Releases resources even at a server that accepts no new requests: no other host can release them.
             PoolUse::Free => self.send_unchecked(backend, purpose, request).await?,
-            _ => self.send_to(backend, purpose, None, request, None).await?,
+            _ => {
+                let basis = SendBasis::default();
+                self.send_to(backend, purpose, None, request, basis).await?
+            }
         };
         let marks = (self.dialect.read_response)(answer.status, &answer.headers);
         self.apply_server_marks(backend, &marks.server, AnswerKind::Other, sent);
--- a/src/relay/request/decode.rs
+++ b/src/relay/request/decode.rs
@@ -14,6 +14,7 @@
         relay::{
             backend::BackendInfo,
             dialect::DecodeParams,
+            parts::availability::SendBasis,
             policy::{loads::EngineKey, view::BackendFailure},
         },
         web::{PoolUse, PooledAnswer, SendFailure},
@@ -122,9 +123,12 @@
             false => HEAD_TIMEOUT,
         };
         let timeout = timeout.min(self.request.time_left());
-        let reserved_at = Some(reservation.reserved_at);
+        let basis = SendBasis {
+            reserved_at: Some(reservation.reserved_at),
+            admitted_at: reservation.admitted_at,
+        };
         let answer_id = self.request.answer_id();
-        let sending = parts.send_to(engine, PoolUse::Decode, answer_id, request, reserved_at);
+        let sending = parts.send_to(engine, PoolUse::Decode, answer_id, request, basis);
         let sent = tokio::time::timeout(timeout, sending)
             .await
             .unwrap_or_else(|_| Err(SendFailure::no_answer_in_time()));
--- a/src/relay/request/plain.rs
+++ b/src/relay/request/plain.rs
@@ -7,7 +7,6 @@
         guard::InFlightGuard,
         response::{self, RelayResponse},
         send::{self, PlainBody, PlainResponse, SendOutcome},
-        server_choice::ChosenServer,
         take_up,
     },
     crate::{
@@ -232,24 +231,18 @@
         let Some(chosen) = self.next_server(is_hedge).await else {
             return false;
         };
-        let ChosenServer {
-            backend,
-            permit,
-            place,
-        } = chosen;
         let is_retry = self.has_reached_server || !self.pending.is_empty();
         if is_retry && !self.parts.spend_retry(&self.service) {
             return false;
         }
-        permit.consume();
+        let backend = &chosen.backend;
         self.request.budget.borrow_mut().record_send(backend.key());
         self.tried.push(backend.id.clone());
         self.pending.push(backend.clone());
         running.push(Box::pin(send::send_plain(
             self.parts.clone(),
             self.request.clone(),
-            backend,
-            place,
+            chosen,
         )));
         true
     }
@@ -302,7 +295,8 @@
         outcome: SendOutcome,
     ) -> Option<PlainResponse> {
         self.pending.retain(|pending| pending.id != backend.id);
-        self.has_reached_server |= !matches!(outcome, SendOutcome::Unsent(_));
+        let is_unsent = matches!(outcome, SendOutcome::Unsent(_) | SendOutcome::Withheld(_));
+        self.has_reached_server |= !is_unsent;
         self.record_use(backend, &outcome);
         match outcome {
             SendOutcome::Responded(response) => {
@@ -321,6 +315,11 @@
                 self.ask_again(backend);
             }
             SendOutcome::Unsent(detail) => self.handle_decline(backend, "unsent", &detail),
+            SendOutcome::Withheld(detail) => {
+                self.handle_decline(backend, "withheld", &detail);
+                // If it still takes requests, it may be asked for a permit or a place again.
+                self.tried.retain(|tried| *tried != backend.id);
+            }
             SendOutcome::Lost(detail) => {
                 self.log_attempt(backend, "lost");
                 self.detail = format!("{}: {detail}", backend.id);
@@ -347,7 +346,10 @@
             SendOutcome::Lost(_) | SendOutcome::Unproven(_) => {
                 budget.record_run(backend.key(), RunVerdict::MayHaveRun);
             }
-            SendOutcome::Declined(_) | SendOutcome::Full(_) | SendOutcome::Unsent(_) => {
+            SendOutcome::Declined(_)
+            | SendOutcome::Full(_)
+            | SendOutcome::Unsent(_)
+            | SendOutcome::Withheld(_) => {
                 budget.record_not_run(backend.key());
             }
         }
--- a/src/relay/request/prefill.rs
+++ b/src/relay/request/prefill.rs
@@ -10,7 +10,7 @@
         relay::{
             backend::BackendInfo,
             dialect::PromptCache,
-            parts::shared::RelayParts,
+            parts::{availability::SendBasis, shared::RelayParts},
             policy::{regions::RequestOrigin, view::BackendFailure},
         },
         web::PoolUse,
@@ -132,18 +132,20 @@
     Duration::from_secs_f64(backlog + own_time)
 }
 
-/// Has a prefill engine compute the prompt, given with its predicted wait in seconds.
+/// Has a prefill engine compute the prompt, given with its predicted wait in seconds; its permit was asked for at
+/// `admitted_at`.
 pub async fn prefill_prompt(
     parts: &Rc<RelayParts>,
     request: &ClientRequest,
     (engine, backlog): (BackendInfo, f64),
+    admitted_at: Duration,
 ) -> Result<PrefilledCache, PrefillFailure> {
     let _load = PrefillLoad::begin(parts, &engine, request.marks.prompt_tokens);
     let guard = InFlightGuard::begin(parts, &engine, request.is_crash_suspect);
     let started = parts.now();
     let predicted = predicted_time(parts, request, backlog);
     let timeout = (predicted + PREFILL_EXTRA_TIME).min(request.time_left());
-    let computing = send(parts, request, &engine, &guard);
+    let computing = send(parts, request, &engine, &guard, admitted_at);
     let result = tokio::time::timeout(timeout, computing)
         .await
         .unwrap_or_else(|_| {
@@ -185,12 +187,17 @@
     request: &ClientRequest,
     engine: &BackendInfo,
     guard: &InFlightGuard,
+    admitted_at: Duration,
 ) -> Result<PromptCache, PrefillFailure> {
     let dialect = &parts.dialect;
     let outgoing = request.backend_request(engine, dialect, dialect.engines.prepare_prefill);
     let answer_id = request.answer_id();
+    let basis = SendBasis {
+        reserved_at: None,
+        admitted_at: Some(admitted_at),
+    };
     let sent = parts
-        .send_to(engine, PoolUse::Prefill, answer_id, outgoing, None)
+        .send_to(engine, PoolUse::Prefill, answer_id, outgoing, basis)
         .await;
     let response = sent.map_err(|failure| {
         if failure.verdict == RunVerdict::NotRun {
@@ -279,8 +286,9 @@
             if !self.may_prefill() {
                 return None;
             }
-            permit.consume();
-            let failure = match prefill_prompt(&self.parts, &self.request, chosen).await {
+            let admitted_at = permit.consume();
+            let prefilling = prefill_prompt(&self.parts, &self.request, chosen, admitted_at);
+            let failure = match prefilling.await {
                 Ok(cache) => {
                     self.log_prefill(&cache.engine);
                     self.prefill_received = true;
--- a/src/relay/request/reserve.rs
+++ b/src/relay/request/reserve.rs
@@ -93,6 +93,8 @@
     reservation: EngineReservation,
     // Permit to send the request to the engine; `None` once it was used.
     permit: Option<ServerPermit>,
+    /// When the permit was asked for that is used.
+    pub admitted_at: Option<Duration>,
     tokens: u64,
     _work: Option<CountedWork>,
 }
@@ -115,6 +117,7 @@
             engine,
             reservation,
             permit: Some(permit),
+            admitted_at: None,
             tokens,
             _work: work,
         }
@@ -141,7 +144,7 @@
     /// Uses up the permit and returns the name of the reservation, for the decode that is sent now.
     pub fn use_up(&mut self) -> Option<FastStr> {
         if let Some(permit) = self.permit.take() {
-            permit.consume();
+            self.admitted_at = Some(permit.consume());
         }
         self.reservation.name.take()
     }
--- a/src/relay/request/send.rs
+++ b/src/relay/request/send.rs
@@ -6,20 +6,21 @@
         guard::{self, InFlightGuard},
         response,
         response_body::{BufferedBody, FullBody, ResponseBody},
+        server_choice::ChosenServer,
     },
     crate::{
         operation::RunVerdict,
         relay::{
             backend::BackendInfo,
-            parts::{places::HeldPlace, shared::RelayParts},
+            parts::{availability::SendBasis, shared::RelayParts},
             policy::{
                 response_end::ResponseEnd, response_progress::MAX_PLAIN_BYTES, view::BackendFailure,
             },
         },
-        web::{HeldBytes, PoolUse, PooledAnswer},
+        web::{FailureCause, HeldBytes, PoolUse, PooledAnswer},
     },
     http::{HeaderMap, StatusCode},
-    std::rc::Rc,
+    std::{rc::Rc, time::Duration},
 };
 
 /// The response of a plain service.
@@ -46,6 +47,8 @@
     Full(String),
     /// No byte was written, so the server never received the request.
     Unsent(String),
+    /// The same, since what the request was sent by lapsed before a connection was available.
+    Withheld(String),
     /// There is no usable response, and the request may have run.
     Lost(String),
     /// The status would promise the client that the request did not run, which the server did not say.
@@ -57,10 +60,18 @@
 pub(super) async fn send_plain(
     parts: Rc<RelayParts>,
     request: Rc<ClientRequest>,
-    backend: BackendInfo,
-    place: Option<HeldPlace>,
+    chosen: ChosenServer,
 ) -> (BackendInfo, SendOutcome) {
-    let outcome = try_send(&parts, &request, &backend, place).await;
+    let ChosenServer {
+        backend,
+        permit,
+        place,
+        place_asked_at,
+    } = chosen;
+    let permit_asked_at = permit.consume();
+    let admitted_at = place_asked_at.unwrap_or(permit_asked_at);
+    let guard = InFlightGuard::begin(&parts, &backend, request.is_crash_suspect).with_place(place);
+    let outcome = try_send(&parts, &request, &backend, guard, admitted_at).await;
     (backend, outcome)
 }
 
@@ -68,18 +79,25 @@
     parts: &Rc<RelayParts>,
     request: &ClientRequest,
     backend: &BackendInfo,
-    place: Option<HeldPlace>,
+    guard: InFlightGuard,
+    admitted_at: Duration,
 ) -> SendOutcome {
-    let guard = InFlightGuard::begin(parts, backend, request.is_crash_suspect).with_place(place);
     let outgoing = request.backend_request(backend, &parts.dialect, |_| ());
     let answer_id = request.answer_id();
+    let basis = SendBasis {
+        reserved_at: None,
+        admitted_at: Some(admitted_at),
+    };
     let sent = parts
-        .send_to(backend, PoolUse::Plain, answer_id, outgoing, None)
+        .send_to(backend, PoolUse::Plain, answer_id, outgoing, basis)
         .await;
     let response = match sent {
         Ok(response) => response,
         Err(failure) => {
             parts.record_send_failure(backend, &failure);
+            if failure.cause == FailureCause::Withheld {
+                return SendOutcome::Withheld(failure.detail);
+            }
             if failure.verdict == RunVerdict::NotRun {
                 return SendOutcome::Unsent(failure.detail);
             }
--- a/src/relay/request/server_choice.rs
+++ b/src/relay/request/server_choice.rs
@@ -31,6 +31,8 @@
     pub(super) backend: BackendInfo,
     pub(super) permit: ServerPermit,
     pub(super) place: Option<HeldPlace>,
+    /// When the place was asked for; the permit was later.
+    pub(super) place_asked_at: Option<Duration>,
 }
 
 impl PlainRelay {
@@ -90,6 +92,7 @@
                         backend,
                         permit,
                         place,
+                        place_asked_at: Some(now),
                     });
                 }
                 Ok(_) => {}
@@ -178,6 +181,7 @@
                         backend,
                         permit,
                         place: None,
+                        place_asked_at: None,
                     });
                 }
                 // The server has announced meanwhile that it takes no new requests, so it is not chosen again.
