Answers to a host's own calls share a sixteenth of its memory

Cause: each answer was bounded, at 1 MiB, all together were not; some 60 are open at once. Class: a bound for one, none for all.

Change: `ByteQuota` comes out of `CallerBudget`, and a second one bounds the answers to own calls, prefills' too, beyond the first 16 KB of each. An answer without room fails its call as one over the limit does. New gauge `call_answer_held_bytes`.

Property tests of the budget, connections, memory and prefills pass.

--- a/src/relay/parts/metrics.rs
+++ b/src/relay/parts/metrics.rs
@@ -114,6 +114,8 @@
     pub places: PlaceMetrics,
     /// What callers take of the host's memory.
     pub callers: BudgetMetrics,
+    /// Bytes of answers to this host's own calls.
+    pub answer_bytes: Gauge,
     /// Lost links and carried connections.
     pub links: LinkMetrics,
     /// Configurations in pieces.
@@ -185,6 +187,7 @@
             attempts: AttemptMetrics::default(),
             places: PlaceMetrics::default(),
             callers: BudgetMetrics::default(),
+            answer_bytes: Gauge::default(),
             links: LinkMetrics::default(),
             pieces: PieceMetrics::default(),
             origins: OriginMetrics::default(),
@@ -312,6 +315,11 @@
                 "Answers of the store without an era that can be read, or of an earlier one",
                 &self.doubtful_eras,
             ),
+            (
+                "call_answer_held_bytes",
+                "Bytes of answers to this host's own calls that are held",
+                &self.answer_bytes,
+            ),
             (
                 "proof_age_ms",
                 "Time since the configuration was surely the newest",
--- a/src/relay/parts/shared.rs
+++ b/src/relay/parts/shared.rs
@@ -36,7 +36,10 @@
             settings::RelaySettings,
         },
         store::{EraName, EraTracker},
-        web::{CallerBudget, ConnectionPool, FailureCause, PoolUse, PooledAnswer, SendFailure},
+        web::{
+            ByteQuota, CallerBudget, ConnectionPool, FailureCause, HeldBytes, PoolUse,
+            PooledAnswer, PooledBody, SendFailure,
+        },
     },
     bytes::Bytes,
     faststr::FastStr,
@@ -129,6 +132,8 @@
     pub given_up: OnceSignal,
     /// What callers take of the host's memory.
     pub caller_budget: Rc<CallerBudget>,
+    /// What answers to this host's own calls take of its memory.
+    pub answer_quota: Rc<ByteQuota>,
     /// The clock for all ages.
     pub clock: HostClock,
     /// Notices when this process did not run.
@@ -155,7 +160,9 @@
         let book = BackendRegistry::new(&settings.name);
         let ledger = ZoneLedger::new(ledger_id, zone, settings.bounds.limits, Duration::ZERO);
         let metrics = RelayMetrics::default();
-        let caller_budget = CallerBudget::new(settings.caller_limits, metrics.callers.clone());
+        let limits = settings.caller_limits;
+        let caller_budget = CallerBudget::new(limits, metrics.callers.clone());
+        let answer_quota = ByteQuota::new(limits.answer_bytes, metrics.answer_bytes.clone());
         Rc::new(Self {
             settings,
             dialect,
@@ -192,6 +199,7 @@
             stop_times: Cell::default(),
             given_up: OnceSignal::default(),
             caller_budget,
+            answer_quota,
             stalls: StallDetector::start(clock.clone()),
             refresh: ViewRefresh::default(),
             clock,
@@ -268,7 +276,7 @@
         let sending = async {
             let answer = self.send_control(backend, call).await?;
             let status = answer.status;
-            let body = answer.body.read(CONTROL_RESPONSE_LIMIT).await;
+            let body = self.read_answer(answer.body, CONTROL_RESPONSE_LIMIT).await;
             let body = body.map_err(|detail| SendFailure {
                 verdict: RunVerdict::MayHaveRun,
                 cause: FailureCause::Broken,
@@ -282,6 +290,13 @@
             .unwrap_or_else(|_| Err(SendFailure::no_answer_in_time()))
     }
 
+    /// Reads an answer to a call of this host, of at most `limit` bytes, as far as all such answers have room.
+    pub async fn read_answer(&self, body: PooledBody, limit: usize) -> Result<Bytes, String> {
+        let held = HeldBytes::new(self.answer_quota.clone());
+        let read = body.read_within(limit, held).await;
+        read.map_err(|failure| failure.to_string())
+    }
+
     async fn send_control(
         &self,
         backend: &BackendInfo,
--- a/src/relay/request/prefill.rs
+++ b/src/relay/request/prefill.rs
@@ -234,7 +234,7 @@
             detail: format!("declined with status {status}"),
         });
     }
-    let body = response.body.read(MAX_RESPONSE_BYTES).await;
+    let body = parts.read_answer(response.body, MAX_RESPONSE_BYTES).await;
     let body = body.map_err(|detail| PrefillFailure {
         verdict: RunVerdict::MayHaveRun,
         received: true,
--- a/src/relay/request/send.rs
+++ b/src/relay/request/send.rs
@@ -189,7 +189,7 @@
     response: PooledAnswer,
 ) -> Result<ReadBody, String> {
     let body = ResponseBody::new(&parts.settings, request, response, false);
-    let held = HeldBytes::new(parts.caller_budget.clone());
+    let held = HeldBytes::new(parts.caller_budget.quota());
     let (body, stop) = match body.read(MAX_PLAIN_BYTES, held).await {
         BufferedBody::Whole(body, stop) => (body, stop),
         BufferedBody::NoRoom(body) => {
--- a/src/web/budget/body_read.rs
+++ b/src/web/budget/body_read.rs
@@ -62,7 +62,7 @@
         Self {
             budget: budget.clone(),
             progress,
-            held: HeldBytes::new(budget.clone()),
+            held: HeldBytes::new(budget.quota()),
         }
     }
 
@@ -86,7 +86,8 @@
             return Ok(());
         }
         while !self.held.grow_to(total) {
-            let freed = self.budget.freed.notified();
+            let quota = self.budget.quota();
+            let freed = quota.freed.notified();
             tokio::pin!(freed);
             freed.as_mut().enable();
             let is_coming = self.budget.make_room(total - self.held.bytes());
@@ -101,7 +102,7 @@
 
     /// Ends the reading; the bytes stay held.
     pub fn finish(mut self) -> HeldBytes {
-        std::mem::replace(&mut self.held, HeldBytes::new(self.budget.clone()))
+        std::mem::replace(&mut self.held, HeldBytes::new(self.budget.quota()))
     }
 }
 
--- a/src/web/budget/budget_limits.rs
+++ b/src/web/budget/budget_limits.rs
@@ -6,6 +6,9 @@
 /// Fraction of the process's memory that bodies and answers beyond [`SMALL_BYTES`] may take: 1 of this many.
 const HELD_FRACTION: u64 = 4;
 
+/// Fraction of the process's memory that answers to the host's own calls beyond [`SMALL_BYTES`] may take: 1 of this many.
+const ANSWERS_FRACTION: u64 = 16;
+
 /// Fraction of the process's memory that callers' connections may take: 1 of this many.
 const CONNECTIONS_FRACTION: u64 = 4;
 
@@ -24,11 +27,13 @@
 const MAX_CHECK_CONNECTIONS: u64 = 64;
 const MAX_PEER_CONNECTIONS: u64 = 128;
 
-/// What all callers of a host may take together.
+/// What all callers of a host, and the servers that answer its calls, may take together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BudgetLimits {
     /// Bytes of bodies and of answers.
     pub held_bytes: usize,
+    /// Bytes of answers to the host's own calls.
+    pub answer_bytes: usize,
     /// Connections of callers.
     pub connections: usize,
     /// Connections at each of the addresses for checks and for metrics.
@@ -46,6 +51,7 @@
         let checks = (sockets / CHECKS_FRACTION).max(1);
         Self {
             held_bytes: to_usize(memory / HELD_FRACTION),
+            answer_bytes: to_usize(memory / ANSWERS_FRACTION),
             connections: to_usize(of_memory.min(of_descriptors).max(1)),
             check_connections: to_usize(checks.min(MAX_CHECK_CONNECTIONS)),
             peer_connections: to_usize(checks.min(MAX_PEER_CONNECTIONS)),
--- a/src/web/budget/caller_budget.rs
+++ b/src/web/budget/caller_budget.rs
@@ -3,14 +3,10 @@
 use {
     super::{
         body_read::ReadProgress, budget_limits::BudgetLimits, budget_metrics::BudgetMetrics,
-        connection_table::ConnectionTable, usage_mark::UsageMark,
+        byte_quota::ByteQuota, connection_table::ConnectionTable,
     },
-    std::{
-        cell::{Cell, RefCell},
-        collections::HashMap,
-        rc::Rc,
-    },
-    tokio::{sync::Notify, time::Instant},
+    std::{cell::RefCell, collections::HashMap, rc::Rc},
+    tokio::time::Instant,
 };
 
 /// Bounds what all callers of a host take together. Of bodies and answers, the first bytes are covered by the memory of
@@ -20,31 +16,23 @@
 /// stopped first before the others. A body that keeps arriving is never evicted.
 #[derive(Debug)]
 pub struct CallerBudget {
-    limits: BudgetLimits,
     metrics: BudgetMetrics,
     connections: Rc<ConnectionTable>,
-    held: Cell<usize>,
+    quota: Rc<ByteQuota>,
     // Bodies that are being read, by the address of their progress.
     reads: RefCell<HashMap<*const ReadProgress, Rc<ReadProgress>>>,
-    /// Notified when bytes were given back.
-    pub(super) freed: Notify,
-    held_mark: UsageMark,
-    fallen: Notify,
 }
 
 impl CallerBudget {
     /// A budget of which nothing is taken.
     pub fn new(limits: BudgetLimits, metrics: BudgetMetrics) -> Rc<Self> {
         let connections = ConnectionTable::with_metrics(limits.connections, metrics.clone());
+        let quota = ByteQuota::new(limits.held_bytes, metrics.held_bytes.clone());
         Rc::new(Self {
-            limits,
             metrics,
             connections: Rc::new(connections),
-            held: Cell::new(0),
+            quota,
             reads: RefCell::default(),
-            freed: Notify::new(),
-            held_mark: UsageMark::new(limits.held_bytes),
-            fallen: Notify::new(),
         })
     }
 
@@ -58,40 +46,15 @@
         self.connections.clone()
     }
 
-    /// Takes bytes, if there are as many.
-    pub(super) fn take(&self, bytes: usize) -> bool {
-        let held = self.held.get().saturating_add(bytes);
-        if held > self.limits.held_bytes {
-            return false;
-        }
-        self.set_held(held);
-        true
-    }
-
-    pub(super) fn give_back(&self, bytes: usize) {
-        if bytes > 0 {
-            self.set_held(self.held.get() - bytes);
-            self.freed.notify_waiters();
-        }
-    }
-
-    fn set_held(&self, held: usize) {
-        assert!(
-            held <= self.limits.held_bytes,
-            "callers hold {held} bytes, more than {}",
-            self.limits.held_bytes
-        );
-        self.held.set(held);
-        self.metrics.held_bytes.set(held as i64);
-        if self.held_mark.has_fallen(held) {
-            self.fallen.notify_one();
-        }
+    /// The bytes of bodies and answers.
+    pub fn quota(&self) -> Rc<ByteQuota> {
+        self.quota.clone()
     }
 
     /// Completes when callers hold little, or few connections, after they had many.
     pub async fn fallen(&self) {
         tokio::select! {
-            () = self.fallen.notified() => {}
+            () = self.quota.fallen() => {}
             () = self.connections.fallen() => {}
         }
     }
@@ -137,7 +100,7 @@
             .filter_map(|read| Some((read.stalled_since(now)?, read)))
             .collect();
         stalled.sort_unstable_by_key(|(since, _)| *since);
-        let free = self.limits.held_bytes - self.held.get();
+        let free = self.quota.free_bytes();
         for (_, read) in stalled {
             if free + coming >= bytes {
                 break;
--- a/src/web/budget/held_bytes.rs
+++ b/src/web/budget/held_bytes.rs
@@ -1,7 +1,7 @@
-//! A share of a budget.
+//! A share of a quota.
 
 use {
-    super::caller_budget::CallerBudget,
+    super::byte_quota::ByteQuota,
     std::{fmt, ops::RangeInclusive, rc::Rc},
 };
 
@@ -14,9 +14,9 @@
     needed.max(limit.min(capacity + step))
 }
 
-/// Bytes of a budget, given back when dropped.
+/// Bytes of a quota, given back when dropped.
 pub struct HeldBytes {
-    budget: Rc<CallerBudget>,
+    quota: Rc<ByteQuota>,
     bytes: usize,
 }
 
@@ -28,8 +28,8 @@
 
 impl HeldBytes {
     /// No bytes yet.
-    pub fn new(budget: Rc<CallerBudget>) -> Self {
-        Self { budget, bytes: 0 }
+    pub fn new(quota: Rc<ByteQuota>) -> Self {
+        Self { quota, bytes: 0 }
     }
 
     /// Number of bytes.
@@ -37,10 +37,10 @@
         self.bytes
     }
 
-    /// Takes what is missing to `total` bytes, if the budget has as many. Less is kept as it is.
+    /// Takes what is missing to `total` bytes, if the quota has as many. Less is kept as it is.
     pub fn grow_to(&mut self, total: usize) -> bool {
         let missing = total.saturating_sub(self.bytes);
-        let is_held = self.budget.take(missing);
+        let is_held = self.quota.take(missing);
         if is_held {
             self.bytes += missing;
         }
@@ -50,6 +50,6 @@
 
 impl Drop for HeldBytes {
     fn drop(&mut self) {
-        self.budget.give_back(self.bytes);
+        self.quota.give_back(self.bytes);
     }
 }
--- a/src/web/pooled_body.rs
+++ b/src/web/pooled_body.rs
@@ -3,9 +3,10 @@
 use {
     super::{
         body_framing::BodyFraming,
+        budget::{self, HeldBytes, SMALL_BYTES},
         pool::{ConnectionPool, PoolKey, PooledConnection},
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     http_body_util::BodyExt,
     hyper::body::Incoming,
     std::{fmt, rc::Rc, time::Duration},
@@ -19,6 +20,8 @@
 pub enum AnswerFailure {
     /// It has more bytes than this.
     TooLarge(usize),
+    /// There is no room for it beside others.
+    NoRoom,
     /// Its connection failed or fell silent.
     Broken(String),
 }
@@ -27,6 +30,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::TooLarge(limit) => write!(f, "the answer has more than {limit} bytes"),
+            Self::NoRoom => f.write_str("there is no room for the answer"),
             Self::Broken(detail) => f.write_str(detail),
         }
     }
@@ -101,7 +105,8 @@
         if self.framing == BodyFraming::Connection {
             return;
         }
-        let read = tokio::time::timeout(DISCARD_TIME, self.read(limit)).await;
+        let read =
+            tokio::time::timeout(DISCARD_TIME, self.read_unless_silent(limit, DISCARD_TIME)).await;
         match read {
             Ok(Ok(_)) => {}
             Ok(Err(detail)) => log::debug!("a body that nobody needs ended early: {detail}"),
@@ -109,30 +114,52 @@
         }
     }
 
-    /// Reads the whole body, of at most `limit` bytes.
-    pub async fn read(self, limit: usize) -> Result<Bytes, String> {
-        let read = self.read_unless_silent(limit, Duration::MAX).await;
-        read.map_err(|failure| failure.to_string())
+    /// Reads the whole body, of at most `limit` bytes. What is beyond the first bytes is held meanwhile.
+    pub async fn read_within(
+        self,
+        limit: usize,
+        mut held: HeldBytes,
+    ) -> Result<Bytes, AnswerFailure> {
+        let has_room = |capacity| capacity <= SMALL_BYTES || held.grow_to(capacity);
+        self.collect(limit, Duration::MAX, has_room).await
     }
 
-    /// The same, as long as some of it comes within each `silence`.
+    /// Reads the whole body, of at most `limit` bytes, as long as some of it comes within each `silence`.
     pub async fn read_unless_silent(
+        self,
+        limit: usize,
+        silence: Duration,
+    ) -> Result<Bytes, AnswerFailure> {
+        self.collect(limit, silence, |_| true).await
+    }
+
+    // `has_room` is asked before the buffer gets a new capacity.
+    async fn collect(
         mut self,
         limit: usize,
         silence: Duration,
+        mut has_room: impl FnMut(usize) -> bool,
     ) -> Result<Bytes, AnswerFailure> {
         let broken = |detail: String| AnswerFailure::Broken(detail);
-        let mut whole = BytesMut::new();
+        let mut whole = Vec::new();
         loop {
             let next = tokio::time::timeout(silence, self.chunk()).await;
             let next = next.map_err(|_| broken("the answer falls silent".to_owned()))?;
             let Some(chunk) = next else { break };
             let chunk = chunk.map_err(|error| broken(error.to_string()))?;
-            if whole.len() + chunk.len() > limit {
+            let needed = whole.len() + chunk.len();
+            if needed > limit {
                 return Err(AnswerFailure::TooLarge(limit));
             }
+            if needed > whole.capacity() {
+                let capacity = budget::next_capacity(whole.capacity(), needed, limit);
+                if !has_room(capacity) {
+                    return Err(AnswerFailure::NoRoom);
+                }
+                whole.reserve_exact(capacity - whole.len());
+            }
             whole.extend_from_slice(&chunk);
         }
-        Ok(whole.freeze())
+        Ok(whole.into())
     }
 }
--- a/tests/caller_budget.rs
+++ b/tests/caller_budget.rs
@@ -116,7 +116,7 @@
             for _ in 0..300 {
                 match random.random_range(0..6) {
                     0 => reads.push(BodyRead::new(&budget)),
-                    1 => answers.push(HeldBytes::new(budget.clone())),
+                    1 => answers.push(HeldBytes::new(budget.quota())),
                     2 if !reads.is_empty() => {
                         let index = random.random_range(0..reads.len());
                         let size = random.random_range(1..BODY);
