A time in which a host hears from no other host is no store outage

The same class as a stall: a time in which this host could not hear says nothing of the store.

Change: `OutageRecord` comes out of `ClusterState` and knows since when other hosts have been heard from without a pause of one heartbeat, in either direction. Among others, a time without news counts only if they were heard from during it. A host that is alone decides as before. What stays open is in docs/design/age-of-knowledge.md.

Measured: new unit test of the decision (without the change every silence of two heartbeats counts, as for the host that is alone).

--- a/src/relay/cluster/mod.rs
+++ b/src/relay/cluster/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod history;
 mod host_list;
 pub(crate) mod list_parts;
+mod outages;
 pub(crate) mod state;
 
 pub use self::{
--- a/src/relay/cluster/state.rs
+++ b/src/relay/cluster/state.rs
@@ -12,6 +12,7 @@
         history::KindNews,
         host_list::HostList,
         list_parts::{ListCursor, PartialList},
+        outages::OutageRecord,
     },
     crate::{
         relay::{
@@ -26,14 +27,6 @@
     std::{net::IpAddr, rc::Rc, time::Duration},
 };
 
-/// How long after the end of a store outage a missing entry is assumed to have expired because of the outage.
-const OUTAGE_WINDOW: Duration = Duration::from_secs(3);
-
-/// Minimum number of heartbeat intervals between the start of a store outage and the expiry of a backend server's
-/// entry. An entry expires after three intervals without a heartbeat, and a heartbeat may have been due just as the
-/// outage began. A server whose entry is removed after a shorter outage has left on its own.
-const HEARTBEATS_TO_EXPIRY: u32 = 2;
-
 /// Default interval at which backend servers renew their entries.
 const DEFAULT_HEARTBEAT: Duration = Duration::from_secs(1);
 
@@ -54,12 +47,7 @@
     restores: u32,
     // How long operators and servers have to rewrite what a restored store lacks.
     rewrite_time: Duration,
-    // The shortest store outage in which entries can expire for lack of heartbeats.
-    min_outage: Duration,
-    // When the last outage of at least that length ended, as observed by this host or reported by another.
-    last_outage_end: Option<Duration>,
-    // When this process last ran again after it had stood still.
-    last_stall_end: Option<Duration>,
+    outages: OutageRecord,
     // The latest time at which the latest known version of the configuration and the list of backend servers are known
     // to have been up to date.
     config_confirmed_at: Option<PastTime>,
@@ -101,9 +89,7 @@
             last_restore: None,
             restores: 0,
             rewrite_time: heartbeat,
-            min_outage: heartbeat.saturating_mul(HEARTBEATS_TO_EXPIRY),
-            last_outage_end: None,
-            last_stall_end: None,
+            outages: OutageRecord::new(heartbeat),
             config_confirmed_at: None,
             backends_confirmed_at: None,
             config_proved_at: None,
@@ -270,34 +256,32 @@
 
     /// Records that a store outage ended at this time.
     pub fn record_outage(&mut self, ended: Duration) {
-        self.last_outage_end = self.last_outage_end.max(Some(ended));
+        self.outages.record_end(ended);
     }
 
     /// How long ago the last store outage ended, if there was one.
     pub fn outage_age(&self, now: Duration) -> Option<Duration> {
-        self.last_outage_end.map(|ended| now.saturating_sub(ended))
+        self.outages.age(now)
     }
 
     /// Records that this process ran again at this time after it had stood still.
     pub fn record_stall(&mut self, ended: Duration) {
-        self.last_stall_end = self.last_stall_end.max(Some(ended));
+        self.outages.record_stall(ended);
     }
 
-    // A list that arrives after nobody could refresh it for the minimum outage time marks the end of an outage. While the
-    // process stood still it did not try.
-    fn detect_outage(&mut self, now: Duration) {
-        let read = self.backends_read_at.map(PastTime::at);
-        let Some(known) = self.backends_confirmed_at.max(read) else {
-            return;
-        };
-        let tried_since = known.max(self.last_stall_end.map_or(known, PastTime::at));
-        if tried_since.age(now) >= self.min_outage {
-            self.record_outage(now);
-        }
+    /// Records that this host heard from another one at this time.
+    pub fn record_contact(&mut self, now: Duration) {
+        self.outages.record_contact(now);
     }
 
-    fn had_outage(&self, now: Duration) -> bool {
-        self.outage_age(now).is_some_and(|age| age < OUTAGE_WINDOW)
+    // Returns whether an entry that is missing from what was read now may have expired in an outage.
+    fn had_outage(&mut self, now: Duration) -> bool {
+        let read = self.backends_read_at.map(PastTime::at);
+        if let Some(known) = self.backends_confirmed_at.max(read) {
+            let has_others = self.host_count() > 1;
+            self.outages.detect_end(known, has_others, now);
+        }
+        self.outages.is_recent(now)
     }
 
     /// Replaces the list of backend servers by that of a position, unless a newer one is known.
@@ -311,7 +295,6 @@
             return false;
         }
         self.partial_backends.clear();
-        self.detect_outage(now);
         let had_outage = self.had_outage(now);
         self.backends.set(list, &[], position, had_outage, now)
     }
@@ -367,7 +350,6 @@
         if position < self.backends_position() {
             return;
         }
-        self.detect_outage(now);
         let had_outage = self.had_outage(now);
         self.backends.change(changes, position, had_outage, now);
     }
@@ -388,7 +370,6 @@
         if news.position < self.backends_position() {
             return true;
         }
-        self.detect_outage(now);
         let had_outage = self.had_outage(now);
         self.backends.apply_news(news, had_outage, now);
         true
--- a/src/relay/news/answer.rs
+++ b/src/relay/news/answer.rs
@@ -27,6 +27,7 @@
 /// Returns what is newer than what the requester has, as soon as there is something or its wait is over.
 pub async fn answer_follow(parts: Rc<RelayParts>, held: HeldNews) -> ClusterNews {
     remember_informed_host(&parts, &held);
+    parts.cluster.borrow_mut().record_contact(parts.now());
     let known = held.backends_position.max(held.hosts_position);
     parts.record_store_era(known.era, "host");
     let received_at = parts.now();
--- a/src/relay/news/take.rs
+++ b/src/relay/news/take.rs
@@ -92,6 +92,7 @@
     ) -> bool {
         let now = self.parts.now();
         let mut cluster = self.parts.cluster_to_update();
+        cluster.record_contact(now);
         if let Some(ended) = news.outage_ended(sent_at) {
             cluster.record_outage(ended);
         }
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -9,9 +9,9 @@
         operation::{Refusal, RefusalCode, RunVerdict},
         relay::{
             self, AllowedServers, BackendFailure, BackendRegistry, CallerLimits, ClusterNews,
-            ClusterState, EventScanner, EventSplitter, QueueKey, RelayConfig, RelayRoute,
-            RelayService, RequestKind, RouteTable, ServiceShare, StoreChange, StoreItem, StoreKind,
-            StoreValue, WaitQueue,
+            ClusterState, EventScanner, EventSplitter, HostEntry, QueueKey, RelayConfig,
+            RelayRoute, RelayService, RequestKind, RouteTable, ServiceShare, StoreChange,
+            StoreItem, StoreKind, StoreValue, WaitQueue,
         },
         store::StorePosition,
     },
@@ -197,6 +197,42 @@
     assert_eq!(used_after_stall(100, 2_600), 1);
 }
 
+fn relay_host(name: &str) -> HostEntry {
+    HostEntry {
+        name: FastStr::new(name),
+        zone: "z".into(),
+        peers: "127.0.0.1:9".parse().expect("an address"),
+        link_mbps: 0,
+        carrier_port: 0,
+        judged: Vec::new(),
+        software: Vec::new(),
+    }
+}
+
+// How many servers are used after the entry of the only one went while nothing new was read for 3.5 s; another host was heard
+// from at these times.
+fn used_after_silence(contacts: &[u64]) -> usize {
+    let mut cluster = ClusterState::new(millis(1_200));
+    let hosts = ["front-1", "front-2"].map(relay_host);
+    cluster.set_hosts(hosts.into(), at(1), millis(0));
+    cluster.change_backends(vec![listed("w-1", 2)], at(2), millis(0));
+    cluster.confirm(StoreKind::Backends, millis(0));
+    for contact in contacts {
+        cluster.record_contact(millis(*contact));
+    }
+    let gone = vec![StoreChange::Removed("w-1".into())];
+    cluster.change_backends(gone, at(3), millis(3_500));
+    cluster.usable().len()
+}
+
+#[test]
+fn the_time_in_which_a_host_heard_from_no_other_is_no_store_outage() {
+    assert_eq!(used_after_silence(&[]), 0);
+    assert_eq!(used_after_silence(&[0, 400, 3_300, 3_490]), 0);
+    // The others had nothing newer either.
+    assert_eq!(used_after_silence(&[0, 700, 1_400, 2_100, 2_800, 3_400]), 1);
+}
+
 #[test]
 fn an_outage_is_as_long_ago_as_its_teller_knew_however_late_the_answer_is_read() {
     let news = ClusterNews {
